--- /dev/null
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Fleet.java
@@ -0,0 +1,128 @@
+package org.rattanrudder.core.fleet;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * The targets that are known, from a keyed log of their entries.
+ *
+ * <p>A record is believed only if it is newer, by its offset, than what is known of its target: after trouble the log's
+ * readers may be shown an older state for a while. An entry that lapsed while the log was away says nothing of its
+ * target, which couldn't renew it; it is kept until the target had time to register again.
+ *
+ * <pre>{@code
+ * fleet.apply(id, Optional.of(entry), offset, now);
+ * List<Target> targets = fleet.of("palivo-llm", now);
+ * }</pre>
+ */
+public final class Fleet {
+    /**
+     * How long after the log's return a lapsed entry is kept, in ms: targets register again within about two seconds of
+     * it, and a record takes some hundred ms to be read.
+     */
+    public static final long RETURN_GRACE_MILLIS = 2_500;
+
+    private final Map<String, Target> targets = new LinkedHashMap<>();
+    private final Map<String, Long> newestOffsets = new HashMap<>();
+    private final Map<String, Long> lapsed = new HashMap<>();
+    private boolean logAway = true;
+    private long logReturnedAt = Long.MIN_VALUE / 2;
+
+    /** Notes that the log doesn't answer. */
+    public void logLost() {
+        logAway = true;
+    }
+
+    /** Notes that the log answers; only the first call after a loss counts as its return. */
+    public void logAnswers(long nowMillis) {
+        if (logAway) {
+            logAway = false;
+            logReturnedAt = nowMillis;
+        }
+    }
+
+    /** Takes a record of one target: its entry, or none if it was removed. Returns whether it was news. */
+    public boolean apply(String id, Optional<TargetEntry> entry, long offset, long nowMillis) {
+        Long known = newestOffsets.get(id);
+        if (known != null && offset <= known) {
+            return false;
+        }
+        newestOffsets.put(id, offset);
+        if (entry.isEmpty()) {
+            remove(id, nowMillis);
+            return true;
+        }
+        lapsed.remove(id);
+        Target target = targets.get(id);
+        if (target == null) {
+            targets.put(id, new Target(entry.get()));
+        } else {
+            target.update(entry.get());
+        }
+        return true;
+    }
+
+    /** Takes a full listing: targets that it lacks are gone, unless they are newer than the listing. */
+    public void listed(Set<String> present, long end, long nowMillis) {
+        for (String id : List.copyOf(targets.keySet())) {
+            if (!present.contains(id) && newestOffsets.get(id) < end) {
+                remove(id, nowMillis);
+            }
+        }
+    }
+
+    /** Notes that a target isn't there any more: another one answered at its address. */
+    public void replaced(String id) {
+        targets.remove(id);
+        lapsed.remove(id);
+    }
+
+    /** Returns all targets, leaving ones too. */
+    public Collection<Target> all(long nowMillis) {
+        dropLapsed(nowMillis);
+        return targets.values();
+    }
+
+    /** Returns the target of an incarnation. */
+    public Optional<Target> find(String id) {
+        return Optional.ofNullable(targets.get(id));
+    }
+
+    /** Returns the targets of a service that take new work. */
+    public List<Target> of(String service, long nowMillis) {
+        dropLapsed(nowMillis);
+        List<Target> found = new ArrayList<>();
+        for (Target target : targets.values()) {
+            if (target.entry().service().equals(service) && !target.entry().draining()) {
+                found.add(target);
+            }
+        }
+        return found;
+    }
+
+    private void remove(String id, long nowMillis) {
+        if (logAway || nowMillis - logReturnedAt < RETURN_GRACE_MILLIS) {
+            lapsed.putIfAbsent(id, nowMillis);
+            return;
+        }
+        targets.remove(id);
+        lapsed.remove(id);
+    }
+
+    private void dropLapsed(long nowMillis) {
+        if (lapsed.isEmpty() || logAway || nowMillis - logReturnedAt < RETURN_GRACE_MILLIS) {
+            return;
+        }
+        for (Iterator<String> ids = lapsed.keySet().iterator(); ids.hasNext(); ) {
+            targets.remove(ids.next());
+            ids.remove();
+        }
+    }
+}
--- /dev/null
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/PlacementQuery.java
@@ -0,0 +1,34 @@
+package org.rattanrudder.core.fleet;
+
+import java.util.Optional;
+import java.util.Set;
+import org.rattanrudder.core.gateway.EngineTraits;
+
+/**
+ * What a request needs of its target.
+ *
+ * @param service the service that runs it
+ * @param failureDomain where the gateway stands
+ * @param engine the service's engines; empty for plain services
+ * @param model the model; empty for plain services
+ * @param newestWeights the newest version of the model's weights that was named; 0 if none
+ * @param oldWeightsAllowed whether an engine with older weights may still begin it
+ * @param tokens the memory that it takes at most, in tokens
+ * @param affinity a hash of the context that it shares; 0 if none
+ * @param tried incarnations that it was sent to before
+ */
+public record PlacementQuery(
+        String service,
+        String failureDomain,
+        Optional<EngineTraits> engine,
+        Optional<String> model,
+        long newestWeights,
+        boolean oldWeightsAllowed,
+        int tokens,
+        long affinity,
+        Set<String> tried) {
+    /** Takes a copy of the incarnations. */
+    public PlacementQuery {
+        tried = Set.copyOf(tried);
+    }
+}
--- /dev/null
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Target.java
@@ -0,0 +1,187 @@
+package org.rattanrudder.core.fleet;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * One target as this gateway sees it: its entry, the work that was sent to it, and how its last answers went.
+ *
+ * <p>All times are milliseconds of one steady clock.
+ */
+public final class Target {
+    /**
+     * How fast old experience fades, in ms: after this time half of a bad impression is gone, so that a target that has
+     * recovered is tried again within seconds without a probe.
+     */
+    static final double HALF_LIFE_MILLIS = 2_500;
+
+    /** The weight of the newest sample of time to the first byte. */
+    private static final double SAMPLE_WEIGHT = 0.25;
+
+    /** The weight of the newest success or failure. */
+    private static final double OUTCOME_WEIGHT = 0.3;
+
+    /** A load that a target told of itself counts for this long; then only what we sent ourselves is believed. */
+    private static final long LOAD_VALID_MILLIS = 1_500;
+
+    private static final long FIRST_PAUSE_MILLIS = 250;
+    private static final long LONGEST_PAUSE_MILLIS = 2_000;
+
+    private final Map<String, Long> confirmedWeights = new HashMap<>();
+    private TargetEntry entry;
+    private int inFlight;
+    private long inFlightTokens;
+    private long waitingTokens;
+    private int othersRunning;
+    private int othersWaiting;
+    private long loadAt = Long.MIN_VALUE / 2;
+    private double firstByteExcess;
+    private double failures;
+    private long experienceAt;
+    private int unreachableInARow;
+    private long pausedUntil = Long.MIN_VALUE / 2;
+    private long swappingUntil = Long.MIN_VALUE / 2;
+
+    Target(TargetEntry entry) {
+        this.entry = entry;
+    }
+
+    /** Returns what it last said of itself. */
+    public TargetEntry entry() {
+        return entry;
+    }
+
+    /** Returns its incarnation. */
+    public String id() {
+        return entry.id();
+    }
+
+    void update(TargetEntry newest) {
+        entry = newest;
+    }
+
+    /** Returns the version of a model's weights that it serves as far as known; 0 if unknown. */
+    public long weights(String model) {
+        return Math.max(entry.weights().getOrDefault(model, 0L), confirmedWeights.getOrDefault(model, 0L));
+    }
+
+    /** Notes a version of weights that the target itself reported. */
+    public void confirmWeights(String model, long version) {
+        if (version >= weights(model)) {
+            swappingUntil = Long.MIN_VALUE / 2;
+        }
+        confirmedWeights.merge(model, version, Math::max);
+    }
+
+    /** Notes that the target takes no new work before a time, since it loads weights. */
+    public void swapping(long untilMillis) {
+        swappingUntil = untilMillis;
+    }
+
+    /** Returns whether it loads weights, as far as known. */
+    public boolean isSwapping(long nowMillis) {
+        return nowMillis < swappingUntil;
+    }
+
+    /** Notes that a request was sent. */
+    public void sent(int tokens) {
+        inFlight++;
+        inFlightTokens += tokens;
+        waitingTokens += tokens;
+    }
+
+    /** Notes the first byte of an answer to a request of so many tokens. */
+    public void began(int tokens) {
+        waitingTokens -= tokens;
+    }
+
+    /** Notes that a request has ended, in whatever way. */
+    public void ended(int tokens, boolean hadBegun) {
+        inFlight--;
+        inFlightTokens -= tokens;
+        if (!hadBegun) {
+            waitingTokens -= tokens;
+        }
+    }
+
+    /** Notes the load that the target told of itself. */
+    public void reportedLoad(int running, int waiting, long nowMillis) {
+        // Our own share is known exactly; what is left is the other gateways'.
+        othersRunning = Math.max(0, running + waiting - inFlight);
+        othersWaiting = Math.min(waiting, othersRunning);
+        loadAt = nowMillis;
+    }
+
+    /** Notes a success, and by how much its first byte was later than expected of a healthy target, in ms. */
+    public void succeeded(double excessMillis, long nowMillis) {
+        fade(nowMillis);
+        unreachableInARow = 0;
+        pausedUntil = Long.MIN_VALUE / 2;
+        firstByteExcess += SAMPLE_WEIGHT * (Math.max(0, excessMillis) - firstByteExcess);
+        failures -= OUTCOME_WEIGHT * failures;
+    }
+
+    /** Notes a failure after the request was sent, and how long was waited for it, in ms. */
+    public void failed(double waitedMillis, long nowMillis) {
+        fade(nowMillis);
+        firstByteExcess = Math.max(firstByteExcess, SAMPLE_WEIGHT * waitedMillis);
+        failures += OUTCOME_WEIGHT * (1 - failures);
+    }
+
+    /** Notes that no connection could be had, or that the target rejected work. */
+    public void unreachable(long nowMillis) {
+        fade(nowMillis);
+        long pause = Math.min(LONGEST_PAUSE_MILLIS, FIRST_PAUSE_MILLIS << Math.min(3, unreachableInARow));
+        unreachableInARow++;
+        pausedUntil = nowMillis + pause;
+    }
+
+    /** Notes that a full target asks for a pause. */
+    public void full(long nowMillis, long pauseMillis) {
+        pausedUntil = Math.max(pausedUntil, nowMillis + pauseMillis);
+    }
+
+    /** Returns whether it should be left alone for now if another one can be had. */
+    public boolean isPaused(long nowMillis) {
+        return nowMillis < pausedUntil;
+    }
+
+    /** Returns the requests of this gateway that it works on. */
+    public int inFlight() {
+        return inFlight;
+    }
+
+    long inFlightTokens() {
+        return inFlightTokens;
+    }
+
+    long waitingTokens() {
+        return waitingTokens;
+    }
+
+    int othersRunning(long nowMillis) {
+        return nowMillis - loadAt > LOAD_VALID_MILLIS ? 0 : othersRunning;
+    }
+
+    int othersWaiting(long nowMillis) {
+        return nowMillis - loadAt > LOAD_VALID_MILLIS ? 0 : othersWaiting;
+    }
+
+    double firstByteExcess(long nowMillis) {
+        fade(nowMillis);
+        return firstByteExcess;
+    }
+
+    /** Returns the share of failures among its recent answers, 0 to 1. */
+    public double failures(long nowMillis) {
+        fade(nowMillis);
+        return failures;
+    }
+
+    private void fade(long nowMillis) {
+        double kept = Math.pow(0.5, Math.max(0, nowMillis - experienceAt) / HALF_LIFE_MILLIS);
+        firstByteExcess *= kept;
+        failures *= kept;
+        experienceAt = nowMillis;
+    }
+}
--- /dev/null
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/TargetEntry.java
@@ -0,0 +1,29 @@
+package org.rattanrudder.core.fleet;
+
+import java.util.Map;
+import org.rattanrudder.core.model.Address;
+
+/**
+ * What a target said of itself when it was last heard of.
+ *
+ * @param id its incarnation: each start of a target has another one
+ * @param service the service that it belongs to
+ * @param address where it listens
+ * @param failureDomain where it stands
+ * @param slots requests that it works on at once; 0 if it doesn't say
+ * @param draining whether it is leaving and takes no new work
+ * @param weights the version of each model that it serves
+ */
+public record TargetEntry(
+        String id,
+        String service,
+        Address address,
+        String failureDomain,
+        int slots,
+        boolean draining,
+        Map<String, Long> weights) {
+    /** Takes a copy of the versions. */
+    public TargetEntry {
+        weights = Map.copyOf(weights);
+    }
+}
--- /dev/null
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/gateway/AttemptRules.java
@@ -0,0 +1,66 @@
+package org.rattanrudder.core.gateway;
+
+import org.rattanrudder.core.model.ErrorKind;
+
+/**
+ * Decides whether a request whose attempt failed goes to another target.
+ *
+ * <p>Two promises meet here. A request that may run only once is sent again only after a target said that it didn't run
+ * it, or if nothing of it had left. And what callers are told of the end is true: "not run" is said only if no attempt
+ * may have run.
+ */
+public final class AttemptRules {
+    /**
+     * Sends that end without a run, at most, for one request. A target that is full or gone says so in milliseconds; more
+     * than a few tries mean that the whole service is, and each costs targets and the retry budget.
+     */
+    public static final int MAXIMUM_UNRUN_SENDS = 4;
+
+    /** Time left below which no further attempt is worth its cost, in ms: a round trip and the shortest answers. */
+    public static final long WORTHWHILE_MILLIS = 30;
+
+    private AttemptRules() {}
+
+    /**
+     * What is known of a request when an attempt has failed.
+     *
+     * @param route its route
+     * @param runs attempts that may have run, the failed one included
+     * @param unrunSends attempts that surely did not run, the failed one included
+     * @param answerBegan whether something of an answer has gone to the caller
+     * @param resumable whether what the caller has can be continued by another target
+     * @param leftMillis the time until its deadline
+     */
+    public record Progress(
+            ServiceRoute route, int runs, int unrunSends, boolean answerBegan, boolean resumable, long leftMillis) {}
+
+    /** Returns whether the request may go to another target, if the retry budget has room. */
+    public static boolean mayRetry(Progress progress, AttemptOutcome outcome) {
+        if (progress.leftMillis() < WORTHWHILE_MILLIS) {
+            return false;
+        }
+        if (progress.answerBegan() && !progress.resumable()) {
+            return false;
+        }
+        if (progress.runs() >= Math.max(1, progress.route().maximumAttempts())) {
+            return false;
+        }
+        if (outcome.mayHaveRun() || progress.runs() > 0) {
+            return progress.route().repeat().repeatable();
+        }
+        return progress.unrunSends() < MAXIMUM_UNRUN_SENDS;
+    }
+
+    /**
+     * Returns the error that the caller gets when no further attempt is made and no answer has begun.
+     *
+     * @param runs attempts that may have run
+     * @param outcome how the last attempt ended
+     */
+    public static ErrorKind finalError(int runs, AttemptOutcome outcome) {
+        if (runs == 0) {
+            return outcome == AttemptOutcome.REJECTED ? ErrorKind.OVERLOADED : ErrorKind.NO_TARGET;
+        }
+        return outcome == AttemptOutcome.SILENT ? ErrorKind.TARGET_SILENT : ErrorKind.TARGET_FAILED;
+    }
+}
--- /dev/null
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/gateway/EngineTraits.java
@@ -0,0 +1,11 @@
+package org.rattanrudder.core.gateway;
+
+/**
+ * What the model engines of a service can do.
+ *
+ * @param slots requests that run at once in one engine
+ * @param capacityTokens memory of one engine, in tokens
+ * @param tokenBytes memory of a token, in bytes
+ * @param linkMbps the speed of an engine's link for cached context, in Mbit/s
+ */
+public record EngineTraits(int slots, long capacityTokens, long tokenBytes, double linkMbps) {}
--- /dev/null
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/gateway/PromptPart.java
@@ -0,0 +1,9 @@
+package org.rattanrudder.core.gateway;
+
+/**
+ * A part of a prompt that other requests may share.
+ *
+ * @param id names its content
+ * @param tokens its length
+ */
+public record PromptPart(String id, int tokens) {}
--- /dev/null
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/gateway/RetryAllowance.java
@@ -0,0 +1,66 @@
+package org.rattanrudder.core.gateway;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+/**
+ * Bounds the sends of a service beyond the first of each request, over each window of a given length.
+ *
+ * <p>All gateways together have a ratio of the requests and a number on top. Requests are counted where they arrive, so
+ * the ratio needs no agreement: each gateway takes its part of what it saw itself. The number on top is divided by the
+ * largest number of gateways that is planned for; a share that nobody uses is lost, which keeps the sum true while
+ * gateways can't hear each other.
+ */
+public final class RetryAllowance {
+    private final double ratio;
+    private final double extra;
+    private final long windowMillis;
+    private final Deque<Long> requests = new ArrayDeque<>();
+    private final Deque<Long> repeats = new ArrayDeque<>();
+
+    /**
+     * Makes an allowance.
+     *
+     * @param ratio repeats for each request in a window
+     * @param extra repeats on top of it in each window, for this gateway
+     * @param windowMillis the length of a window
+     */
+    public RetryAllowance(double ratio, double extra, long windowMillis) {
+        this.ratio = ratio;
+        this.extra = extra;
+        this.windowMillis = windowMillis;
+    }
+
+    /** Notes the first send of a request. */
+    public void request(long nowMillis) {
+        forget(nowMillis);
+        requests.addLast(nowMillis);
+    }
+
+    /** Takes a repeat; false if none is left in the window that ends now. */
+    public boolean tryRepeat(long nowMillis) {
+        forget(nowMillis);
+        if (repeats.size() + 1 > ratio * requests.size() + extra) {
+            return false;
+        }
+        repeats.addLast(nowMillis);
+        return true;
+    }
+
+    /** Returns the repeats in the window that ends now. */
+    public int repeats(long nowMillis) {
+        forget(nowMillis);
+        return repeats.size();
+    }
+
+    private void forget(long nowMillis) {
+        drop(requests, nowMillis);
+        drop(repeats, nowMillis);
+    }
+
+    private void drop(Deque<Long> times, long nowMillis) {
+        while (!times.isEmpty() && times.peekFirst() <= nowMillis - windowMillis) {
+            times.removeFirst();
+        }
+    }
+}
--- /dev/null
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/gateway/ServiceRoute.java
@@ -0,0 +1,56 @@
+package org.rattanrudder.core.gateway;
+
+import java.util.List;
+import org.rattanrudder.core.routing.Hashing;
+
+/**
+ * Where the requests of one host and path prefix go, and what is promised for them.
+ *
+ * @param name unique within a configuration
+ * @param host the host, in lower case
+ * @param pathPrefix begins and ends with a slash
+ * @param repeat whether a request may run again
+ * @param timeoutMillis the longest that a request is kept waiting
+ * @param objectiveMillis the latency objective: to the whole answer, or to the first event of a stream
+ * @param pauseMillis the longest pause between events of a stream that is still on time; 0 for other routes
+ * @param priority the rank of its requests, 0 first
+ * @param services the services that share its requests, at least one
+ * @param maximumAttempts to how many targets one request may be sent
+ * @param open whether no credential is asked for
+ */
+public record ServiceRoute(
+        String name,
+        String host,
+        String pathPrefix,
+        RepeatRule repeat,
+        long timeoutMillis,
+        long objectiveMillis,
+        long pauseMillis,
+        int priority,
+        List<WeightedService> services,
+        int maximumAttempts,
+        boolean open) {
+    /** Takes a copy of the services. */
+    public ServiceRoute {
+        services = List.copyOf(services);
+    }
+
+    /** Returns the service of a request: drawn by the hash of its id, in proportion to the weights. */
+    public String serviceFor(String requestId) {
+        if (services.size() == 1) {
+            return services.get(0).service();
+        }
+        int total = services.stream().mapToInt(WeightedService::weight).sum();
+        if (total <= 0) {
+            return services.get(0).service();
+        }
+        long drawn = Long.remainderUnsigned(Hashing.of(requestId), total);
+        for (WeightedService candidate : services) {
+            drawn -= candidate.weight();
+            if (drawn < 0) {
+                return candidate.service();
+            }
+        }
+        return services.get(services.size() - 1).service();
+    }
+}
--- /dev/null
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/parts/PartDirectory.java
@@ -0,0 +1,158 @@
+package org.rattanrudder.core.parts;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.rattanrudder.core.gateway.ContextStore;
+import org.rattanrudder.core.gateway.PromptPart;
+import org.rattanrudder.core.model.Address;
+import org.rattanrudder.core.routing.Hashing;
+
+/**
+ * Which stores hold which parts, from the events that they publish.
+ *
+ * <p>A store that restarts is empty, and a part may then be saved there again while another gateway still believes in
+ * the old copy: an engine that reads it would get what is only half written. Three guards close that window. A gateway
+ * plans reads only from a store that it has heard of within {@link #FRESH_MILLIS}; each fetch must have ended within
+ * {@link #FETCH_MILLIS} of that, on the store's own clock, which also holds for a gateway that was frozen; and nobody
+ * saves to a new incarnation before {@link #SETTLED_MILLIS}, when all older beliefs have run out.
+ *
+ * <p>A part counts as held only from its event on, which stores publish when it is complete.
+ */
+public final class PartDirectory {
+    /** How long what a store said is believed, in ms: a long poll of a second, and an answer that is late. */
+    static final long FRESH_MILLIS = 1_600;
+
+    /** How long after a store's answer a fetch from it may still end, in ms. */
+    static final long FETCH_MILLIS = 2_600;
+
+    /** How long a new incarnation of a store takes no saves, in ms: longer than any fetch from the one before. */
+    static final long SETTLED_MILLIS = 3_000;
+
+    /** How long a save that was asked for is waited for before it is asked for again, in ms. */
+    private static final long SAVE_MILLIS = 4_000;
+
+    /** The share of a store that is filled; saves beyond its room would be lost without a word. */
+    static final double FULL_SHARE = 0.97;
+
+    private static final double UNIT = 0x1.0p-53;
+    private static final int UNIT_SHIFT = 11;
+
+    private final String failureDomain;
+    private final Map<Address, StoreView> stores = new LinkedHashMap<>();
+
+    /** Makes an empty directory of a gateway in the failure domain. */
+    public PartDirectory(String failureDomain) {
+        this.failureDomain = failureDomain;
+    }
+
+    /** Takes the stores that a configuration names; what is known of others is dropped. */
+    public void configure(List<ContextStore> configured) {
+        Map<Address, StoreView> kept = new LinkedHashMap<>();
+        for (ContextStore store : configured) {
+            StoreView view = stores.getOrDefault(store.address(), new StoreView(store));
+            view.update(store);
+            kept.put(store.address(), view);
+        }
+        stores.clear();
+        stores.putAll(kept);
+    }
+
+    /** Takes what a store answered. */
+    public void heard(Address store, StoreNews news, long askedAtMillis, long nowMillis) {
+        StoreView view = stores.get(store);
+        if (view != null) {
+            view.heard(news, askedAtMillis, nowMillis);
+        }
+    }
+
+    /** Returns how many tokens the parts that a store is known to hold have. */
+    public long usedTokens(Address store) {
+        StoreView view = stores.get(store);
+        return view == null ? 0 : view.usedTokens();
+    }
+
+    /** Returns the parts of a store that no request reads any more, since they belong to older weights. */
+    public List<PartKey> outdated(Address store, long oldestWeightsInUse) {
+        StoreView view = stores.get(store);
+        if (view == null) {
+            return List.of();
+        }
+        return view.held().keySet().stream()
+                .filter(key -> PartKey.weights(key.salt())
+                        .filter(made -> made < oldestWeightsInUse)
+                        .isPresent())
+                .toList();
+    }
+
+    /** Returns the incarnation in which a store last answered; 0 if it never did. */
+    public long incarnation(Address store) {
+        StoreView view = stores.get(store);
+        return view == null ? 0 : view.incarnation();
+    }
+
+    /**
+     * Plans where the shared parts of a prompt are read and saved, and notes the saves as under way.
+     *
+     * @param salt who may use them
+     * @param parts the prompt in order; the last part is its own and is left alone
+     */
+    public PartPlan plan(String salt, List<PromptPart> parts, String engineDomain, long nowMillis) {
+        if (parts.size() < 2 || stores.isEmpty()) {
+            return PartPlan.NONE;
+        }
+        List<Optional<PartPlan.Source>> sources = new ArrayList<>();
+        List<Optional<Address>> targets = new ArrayList<>();
+        long until = Long.MAX_VALUE;
+        for (PromptPart part : parts.subList(0, parts.size() - 1)) {
+            PartKey key = new PartKey(salt, part.id());
+            Optional<StoreView> holder = holder(key, engineDomain, nowMillis);
+            sources.add(holder.map(view -> new PartPlan.Source(view.store().address(), view.tokens(key))));
+            targets.add(holder.isPresent() ? Optional.empty() : saveAt(key, part.tokens(), nowMillis));
+            until = Math.min(until, holder.map(StoreView::fetchUntil).orElse(Long.MAX_VALUE));
+        }
+        sources.add(Optional.empty());
+        targets.add(Optional.empty());
+        return new PartPlan(sources, targets, until == Long.MAX_VALUE ? OptionalLong.empty() : OptionalLong.of(until));
+    }
+
+    private Optional<StoreView> holder(PartKey key, String engineDomain, long nowMillis) {
+        return stores.values().stream()
+                .filter(view -> view.tokens(key) > 0 && view.isFresh(nowMillis) && view.hasClock())
+                .min(Comparator.comparingDouble(view -> transferMillis(view, key, engineDomain)));
+    }
+
+    private static double transferMillis(StoreView view, PartKey key, String engineDomain) {
+        double doubled = view.store().failureDomain().equals(engineDomain) ? 1 : 2;
+        return view.store().firstMillis()
+                + doubled * view.tokens(key) / Math.max(1, view.store().linkMbps());
+    }
+
+    private Optional<Address> saveAt(PartKey key, int tokens, long nowMillis) {
+        if (stores.values().stream().anyMatch(view -> view.isSaving(key, nowMillis))) {
+            return Optional.empty();
+        }
+        // All gateways rank the stores of a part alike, in proportion to their room, so that it is saved once.
+        Optional<StoreView> chosen = stores.values().stream()
+                .filter(view -> view.mayTakeSaves(nowMillis) && view.hasRoom(tokens) && view.tokens(key) == 0)
+                .max(Comparator.comparingDouble(view -> rank(key, view.store())));
+        chosen.ifPresent(view -> view.saving(key, nowMillis + SAVE_MILLIS));
+        return chosen.map(view -> view.store().address());
+    }
+
+    private static double rank(PartKey key, ContextStore store) {
+        long hash =
+                Hashing.combine(Hashing.of(key.id()), Hashing.of(store.address().toString()));
+        double uniform = ((hash >>> UNIT_SHIFT) + 0.5) * UNIT;
+        return -store.capacityTokens() / Math.log(uniform);
+    }
+
+    /** Returns the failure domain of the gateway. */
+    public String failureDomain() {
+        return failureDomain;
+    }
+}
--- /dev/null
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/rollout/RolloutPlan.java
@@ -0,0 +1,90 @@
+package org.rattanrudder.core.rollout;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Picks the engines that load the newest weights next.
+ *
+ * <p>Loads slow each other down beyond a number at once, so only so many are under way in a service. An engine that was
+ * ordered counts as loading until it serves the version, or until the order must be taken for lost. Those with the
+ * least work go first, since an engine that swaps takes no new work until its runs have ended.
+ */
+public final class RolloutPlan {
+    /**
+     * When an order whose effect isn't seen is given again, in ms. Orders without an answer may be carried out seconds
+     * later; the precondition on the engine's count of orders keeps a repeat harmless.
+     */
+    public static final long LOST_MILLIS = 6_000;
+
+    private final int atOnce;
+    private final Map<String, Order> orders = new HashMap<>();
+
+    /** Makes a plan that lets so many engines of a service load at once. */
+    public RolloutPlan(int atOnce) {
+        this.atOnce = atOnce;
+    }
+
+    /**
+     * An engine as the plan sees it.
+     *
+     * @param id its incarnation
+     * @param weights the version that it serves; 0 if unknown
+     * @param inFlight the work that it has, as far as known
+     */
+    public record Engine(String id, long weights, int inFlight) {}
+
+    /**
+     * An order that was given.
+     *
+     * @param version the version that it asks for
+     * @param givenAtMillis when
+     */
+    public record Order(long version, long givenAtMillis) {}
+
+    /** Returns the engines of one service to order now, at most as many as may load beside those that already do. */
+    public List<Engine> next(List<Engine> engines, long newest, long nowMillis) {
+        Set<String> present = new HashSet<>();
+        int loading = 0;
+        List<Engine> waiting = new ArrayList<>();
+        for (Engine engine : engines) {
+            present.add(engine.id());
+            Order order = orders.get(engine.id());
+            boolean underWay = order != null
+                    && engine.weights() < order.version()
+                    && nowMillis - order.givenAtMillis() < LOST_MILLIS;
+            if (underWay) {
+                loading++;
+            } else if (engine.weights() < newest) {
+                waiting.add(engine);
+            }
+        }
+        orders.keySet().retainAll(present);
+        waiting.sort(Comparator.comparingInt(Engine::inFlight).thenComparing(Engine::id));
+        return List.copyOf(waiting.subList(0, Math.min(waiting.size(), Math.max(0, atOnce - loading))));
+    }
+
+    /** Notes that an engine was ordered. */
+    public void ordered(String id, long version, long nowMillis) {
+        orders.put(id, new Order(version, nowMillis));
+    }
+
+    /** Notes that an engine refused its order, so that it can be ordered again. */
+    public void refused(String id) {
+        orders.remove(id);
+    }
+
+    /** Returns the engines that were ordered lately. */
+    public List<String> ordered(long nowMillis) {
+        return orders.entrySet().stream()
+                .filter(entry -> nowMillis - entry.getValue().givenAtMillis() < LOST_MILLIS)
+                .map(Map.Entry::getKey)
+                .sorted()
+                .toList();
+    }
+}
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/Rattanrudderd.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/Rattanrudderd.java
@@ -39,20 +39,39 @@
     /** Runs the daemon until it is asked to stop. */
     public static void main(String[] arguments) {
         Logging.install();
+        if (RelayStart.isMeant(arguments)) {
+            run(log -> RelayStart.start(System.err));
+            return;
+        }
         Optional<ProcessSettings> settings = settings(arguments, System.err);
         if (settings.isEmpty()) {
             System.exit(USAGE);
         }
-        Logger log = Logger.getLogger(Rattanrudderd.class);
-        try {
+        run(log -> {
             RunningProcess process = start(settings.get());
-            Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(process, log), "stop"));
             log.infof(
                     "event=started instance=%s role=%s http=%s release=%s",
                     settings.get().instance(),
                     settings.get().role().name().toLowerCase(Locale.ROOT),
                     process.http(),
                     RELEASE);
+            return process;
+        });
+    }
+
+    /** Starts a process. */
+    private interface Start {
+        RunningProcess start(Logger log) throws IOException;
+    }
+
+    private static void run(Start start) {
+        Logger log = Logger.getLogger(Rattanrudderd.class);
+        try {
+            RunningProcess process = start.start(log);
+            if (process == null) {
+                System.exit(USAGE);
+            }
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(process, log), "stop"));
             Thread.currentThread().join();
         } catch (IOException failed) {
             System.err.println("rattanrudderd: " + failed.getMessage());
--- /dev/null
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/RelayStart.java
@@ -0,0 +1,70 @@
+package org.rattanrudder.daemon;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.Optional;
+import java.util.ServiceLoader;
+import java.util.random.RandomGenerator;
+import org.jboss.logging.Logger;
+import org.rattanrudder.daemon.loop.RunningProcess;
+import org.rattanrudder.daemon.relay.RelayProcess;
+import org.rattanrudder.daemon.relay.port.PlatformAdapter;
+import org.rattanrudder.document.ParseResult;
+import org.rattanrudder.document.RelaySettings;
+import org.rattanrudder.document.RelaySettingsParser;
+
+/** Starts the daemon as a relay: {@code rattanrudderd --role relay}, its settings in the file that a variable names. */
+final class RelayStart {
+    /** The environment variable with the path of the settings. */
+    static final String SETTINGS_VARIABLE = "RATTANRUDDER_CONFIG";
+
+    private RelayStart() {}
+
+    /** Returns whether the command line asks for a relay. */
+    static boolean isMeant(String[] arguments) {
+        return Arrays.equals(arguments, new String[] {"--role", "relay"});
+    }
+
+    /** Starts the relay; returns null if its settings don't hold, which is said on the given stream. */
+    static RunningProcess start(PrintStream errors) throws IOException {
+        Optional<RelaySettings> settings = settings(System.getenv(SETTINGS_VARIABLE), errors);
+        Optional<PlatformAdapter> adapter =
+                ServiceLoader.load(PlatformAdapter.class).findFirst();
+        if (adapter.isEmpty()) {
+            errors.println("rattanrudderd: no platform adapter on the class path");
+        }
+        if (settings.isEmpty() || adapter.isEmpty()) {
+            return null;
+        }
+        RelayProcess relay = new RelayProcess(settings.get(), adapter.get(), RandomGenerator.getDefault());
+        Logger.getLogger(RelayStart.class)
+                .infof(
+                        "event=started instance=%s role=relay http=%s release=%s",
+                        settings.get().instance(), relay.http(), Rattanrudderd.RELEASE);
+        return relay;
+    }
+
+    static Optional<RelaySettings> settings(String file, PrintStream errors) throws IOException {
+        if (file == null) {
+            errors.println("rattanrudderd: the variable " + SETTINGS_VARIABLE + " must name the settings file");
+            return Optional.empty();
+        }
+        String text;
+        try {
+            text = Files.readString(Path.of(file));
+        } catch (NoSuchFileException missing) {
+            errors.println("rattanrudderd: " + file + ": no such file");
+            return Optional.empty();
+        }
+        ParseResult<RelaySettings> result = new RelaySettingsParser().parse(text);
+        if (result instanceof ParseResult.Rejected<RelaySettings> rejected) {
+            rejected.problems().forEach(problem -> errors.println(problem.in(file)));
+            return Optional.empty();
+        }
+        return Optional.of(((ParseResult.Accepted<RelaySettings>) result).value());
+    }
+}
--- /dev/null
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/CallerConnection.java
@@ -0,0 +1,420 @@
+package org.rattanrudder.daemon.relay;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
+import io.netty.util.ReferenceCountUtil;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.rattanrudder.core.gateway.RequestFacts;
+import org.rattanrudder.core.gateway.ServingConfiguration.Admittance;
+import org.rattanrudder.core.model.ErrorKind;
+
+/**
+ * A caller's connection: reads one request after the other and writes their answers in order.
+ *
+ * <p>Requests that arrive while one is served wait here, few at a time. A request is looked at as soon as its head is
+ * there, and answered or sent on when its body is.
+ */
+final class CallerConnection extends ChannelInboundHandlerAdapter {
+    /** Pieces of later requests that wait while one is served; beyond that the caller has to wait with sending. */
+    private static final int WAITING_PIECES = 64;
+
+    /** How long a connection that we close is still read, in ms, so that a reset doesn't overtake the last answer. */
+    private static final long LINGER_MILLIS = 500;
+
+    /** The range of the time after which refused callers come back, in ms: spread, so that they don't come at once. */
+    private static final long SHORTEST_RETURN_MILLIS = 200;
+
+    private static final long LONGEST_RETURN_MILLIS = 700;
+    private static final double RETURN_SHARE = 0.3;
+    private static final double MILLIS_PER_SECOND = 1_000;
+
+    private final RelayState state;
+    private final TargetPools pools;
+    private final Set<CallerConnection> open;
+    private final Deque<Object> waiting = new ArrayDeque<>();
+    private ChannelHandlerContext context;
+    private HttpRequest head;
+    private RequestFacts facts;
+    private Admittance admittance;
+    private ErrorKind problem;
+    private ByteBuf body;
+    private Exchange exchange;
+    private long arrivedAt;
+    private long lastReadAt;
+    private long partialHeadSince = -1;
+    private boolean chunkedAnswer;
+    private boolean closing;
+    private boolean proceeding;
+
+    CallerConnection(RelayState state, TargetPools pools, Set<CallerConnection> open) {
+        this.state = state;
+        this.pools = pools;
+        this.open = open;
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext active) {
+        context = active;
+        lastReadAt = state.now();
+        open.add(this);
+    }
+
+    /** Notes raw bytes, which may be a part of a head. */
+    void bytesRead() {
+        lastReadAt = state.now();
+        if (partialHeadSince < 0 && head == null) {
+            partialHeadSince = lastReadAt;
+        }
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext active, Object message) {
+        if (closing) {
+            ReferenceCountUtil.release(message);
+            return;
+        }
+        if (exchange != null || !waiting.isEmpty()) {
+            waiting.add(message);
+            if (waiting.size() > WAITING_PIECES) {
+                context.channel().config().setAutoRead(false);
+            }
+            return;
+        }
+        take(message);
+    }
+
+    private void take(Object message) {
+        try {
+            if (message instanceof HttpRequest request) {
+                takeHead(request);
+            }
+            if (message instanceof HttpContent content && head != null) {
+                takeBody(content);
+            }
+        } finally {
+            ReferenceCountUtil.release(message);
+        }
+    }
+
+    private void takeHead(HttpRequest request) {
+        partialHeadSince = -1;
+        head = request;
+        arrivedAt = state.now();
+        problem = null;
+        admittance = null;
+        facts = null;
+        body = Unpooled.buffer(0);
+        if (request.decoderResult().isFailure()) {
+            refuseUnread(unreadable(request.decoderResult().cause()));
+            return;
+        }
+        try {
+            facts = state.platform().requests().read(request);
+        } catch (IllegalArgumentException malformed) {
+            problem = ErrorKind.MALFORMED_REQUEST;
+            return;
+        }
+        admit();
+        if (problem == null && HttpUtil.is100ContinueExpected(request)) {
+            context.writeAndFlush(new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+        }
+    }
+
+    private static ErrorKind unreadable(Throwable cause) {
+        boolean tooLong = cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException;
+        return tooLong ? ErrorKind.HEADERS_TOO_LARGE : ErrorKind.MALFORMED_REQUEST;
+    }
+
+    private void admit() {
+        if (state.configuration().isEmpty()) {
+            // Without a configuration nothing is known to be wrong with the request.
+            problem = ErrorKind.LOG_UNAVAILABLE;
+            return;
+        }
+        admittance = state.configuration().get().admit(facts.host(), head.uri(), facts.credential());
+        if (admittance instanceof Admittance.Denied denied) {
+            problem = denied.error();
+        }
+    }
+
+    private void takeBody(HttpContent content) {
+        if (content.decoderResult().isFailure()) {
+            refuseUnread(ErrorKind.MALFORMED_REQUEST);
+            return;
+        }
+        if (body.readableBytes() + (long) content.content().readableBytes()
+                > state.limits().bodyBytes()) {
+            refuseUnread(ErrorKind.BODY_TOO_LARGE);
+            return;
+        }
+        if (problem == null) {
+            body.writeBytes(content.content());
+        }
+        if (content instanceof LastHttpContent) {
+            served();
+        }
+    }
+
+    /** The request is whole. */
+    private void served() {
+        if (problem != null) {
+            ErrorKind error = problem;
+            logDenied(error);
+            refuse(error, facts == null ? "" : facts.id(), callerLeft());
+            body.release();
+            nextRequest();
+            return;
+        }
+        exchange = new Exchange(state, pools, this, head, body, facts, (Admittance.Granted) admittance, arrivedAt);
+        exchange.start();
+    }
+
+    private long callerLeft() {
+        return facts == null ? 0 : facts.deadlineMillis().orElse(0) - (state.now() - arrivedAt);
+    }
+
+    private void logDenied(ErrorKind error) {
+        state.metrics().request("none", error.wireName());
+        state.log()
+                .info(
+                        "request_denied",
+                        "request",
+                        facts == null ? "" : facts.id(),
+                        "error",
+                        error.wireName(),
+                        "host",
+                        facts == null ? "" : facts.host(),
+                        "path",
+                        head.uri(),
+                        "configuration",
+                        state.configuration()
+                                .map(configuration -> Long.toString(configuration.version()))
+                                .orElse("none"));
+    }
+
+    /** Answers before the request is read in full; what is left of it would be taken for a request. */
+    private void refuseUnread(ErrorKind error) {
+        logDenied(error);
+        refuse(error, facts == null ? "" : facts.id(), 0);
+        releaseBody();
+        head = null;
+        closeGently();
+    }
+
+    /** Answers with an error of our own. */
+    void refuse(ErrorKind error, String requestId, long leftMillis) {
+        byte[] text = ("{\"error\":{\"kind\":\"" + error.wireName() + "\"}}\n").getBytes(StandardCharsets.UTF_8);
+        DefaultFullHttpResponse response = new DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(error.status()), Unpooled.wrappedBuffer(text));
+        response.headers().set(state.platform().requests().ownAnswer(requestId));
+        response.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
+        HttpUtil.setContentLength(response, text.length);
+        if (error.retryAdvice() == ErrorKind.RetryAdvice.LATER
+                || error.retryAdvice() == ErrorKind.RetryAdvice.AT_ONCE) {
+            response.headers().set(HttpHeaderNames.RETRY_AFTER, returnAfter(leftMillis));
+        }
+        persistence(response);
+        context.writeAndFlush(response);
+    }
+
+    private String returnAfter(long leftMillis) {
+        double drawn =
+                SHORTEST_RETURN_MILLIS + state.random().nextDouble() * (LONGEST_RETURN_MILLIS - SHORTEST_RETURN_MILLIS);
+        double millis = leftMillis > 0 ? Math.min(drawn, leftMillis * RETURN_SHARE) : drawn;
+        return String.format(Locale.ROOT, "%.3f", millis / MILLIS_PER_SECOND);
+    }
+
+    /** Answers with a target's answer that is whole. */
+    void answer(HttpResponse from, HttpHeaders headers, ByteBuf content) {
+        ByteBuf whole = content == null ? Unpooled.EMPTY_BUFFER : content;
+        DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, from.status(), whole);
+        response.headers().set(headers);
+        if (head.method().equals(HttpMethod.HEAD)) {
+            Optional.ofNullable(from.headers().get(HttpHeaderNames.CONTENT_LENGTH))
+                    .ifPresent(length -> response.headers().set(HttpHeaderNames.CONTENT_LENGTH, length));
+        } else if (mayHaveBody(from)) {
+            HttpUtil.setContentLength(response, whole.readableBytes());
+        }
+        persistence(response);
+        context.writeAndFlush(response);
+    }
+
+    private static boolean mayHaveBody(HttpResponse response) {
+        int status = response.status().code();
+        return status != HttpResponseStatus.NO_CONTENT.code() && status != HttpResponseStatus.NOT_MODIFIED.code();
+    }
+
+    /** Begins an answer that comes in pieces. */
+    void begin(HttpResponse from, HttpHeaders headers) {
+        DefaultHttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, from.status());
+        response.headers().set(headers);
+        chunkedAnswer = head.protocolVersion().equals(HttpVersion.HTTP_1_1);
+        if (chunkedAnswer) {
+            HttpUtil.setTransferEncodingChunked(response, true);
+        } else {
+            // An older caller learns the end of the answer from the end of the connection.
+            HttpUtil.setKeepAlive(head, false);
+        }
+        persistence(response);
+        context.write(response);
+    }
+
+    /** Passes on a piece, which is taken over. */
+    void write(ByteBuf piece) {
+        context.writeAndFlush(new DefaultHttpContent(piece));
+    }
+
+    /** Ends an answer that came in pieces. */
+    void finish() {
+        context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+    }
+
+    /** Ends the connection in the middle of an answer, so that it doesn't look complete. */
+    void abort() {
+        closing = true;
+        if (!chunkedAnswer && context.channel() instanceof SocketChannel socket) {
+            socket.config().setSoLinger(0);
+        }
+        context.close();
+    }
+
+    private void persistence(HttpResponse response) {
+        boolean keep = head != null && HttpUtil.isKeepAlive(head) && !state.draining() && problemAllowsMore();
+        if (!keep) {
+            response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+            closing = true;
+        } else if (head.protocolVersion().equals(HttpVersion.HTTP_1_0)) {
+            response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.KEEP_ALIVE);
+        }
+    }
+
+    private boolean problemAllowsMore() {
+        return !head.decoderResult().isFailure();
+    }
+
+    /** Goes on with the next request. */
+    void exchangeEnded() {
+        exchange = null;
+        nextRequest();
+    }
+
+    private void nextRequest() {
+        head = null;
+        body = null;
+        lastReadAt = state.now();
+        if (closing) {
+            closeGently();
+            return;
+        }
+        if (proceeding) {
+            return;
+        }
+        proceeding = true;
+        while (exchange == null && !closing && !waiting.isEmpty()) {
+            take(waiting.poll());
+        }
+        proceeding = false;
+        if (waiting.isEmpty()) {
+            context.channel().config().setAutoRead(true);
+        }
+    }
+
+    private void closeGently() {
+        closing = true;
+        dropWaiting();
+        context.channel().config().setAutoRead(true);
+        if (context.channel() instanceof SocketChannel socket && socket.isActive()) {
+            context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(written -> socket.shutdownOutput());
+            context.executor().schedule(() -> context.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Looks whether the caller takes too long; called every now and then. */
+    void sweep(long nowMillis, boolean closeIdle) {
+        if (exchange != null || closing) {
+            return;
+        }
+        if (head != null || partialHeadSince >= 0) {
+            boolean slowHead = head == null
+                    && nowMillis - partialHeadSince > state.limits().headerMillis();
+            boolean slowBody =
+                    head != null && nowMillis - lastReadAt > state.limits().idleMillis();
+            if (slowHead || slowBody) {
+                refuseUnread(ErrorKind.REQUEST_TIMEOUT);
+            }
+            return;
+        }
+        if (closeIdle || nowMillis - lastReadAt > state.limits().idleMillis()) {
+            closing = true;
+            context.close();
+        }
+    }
+
+    /** Returns whether a request is being read or served. */
+    boolean isBusy() {
+        return exchange != null || head != null || partialHeadSince >= 0;
+    }
+
+    private void dropWaiting() {
+        waiting.forEach(ReferenceCountUtil::release);
+        waiting.clear();
+    }
+
+    private void releaseBody() {
+        if (body != null) {
+            body.release();
+            body = null;
+        }
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext active) {
+        if (exchange != null) {
+            exchange.writable(active.channel().isWritable());
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext active) {
+        open.remove(this);
+        closing = true;
+        dropWaiting();
+        if (exchange != null) {
+            exchange.cancelled();
+        } else if (head != null) {
+            releaseBody();
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext active, Throwable cause) {
+        // A reset by the caller: what it asked for is cancelled when the connection ends, right after this.
+        active.close();
+    }
+}
--- /dev/null
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/OrderGiver.java
@@ -0,0 +1,315 @@
+package org.rattanrudder.daemon.relay;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.rattanrudder.core.fleet.Target;
+import org.rattanrudder.core.gateway.BackendService;
+import org.rattanrudder.core.rollout.LeaseRecord;
+import org.rattanrudder.core.rollout.OrderLease;
+import org.rattanrudder.core.rollout.RolloutPlan;
+import org.rattanrudder.daemon.relay.port.EngineDialect.EngineReport;
+import org.rattanrudder.daemon.relay.port.EngineDialect.LoadOrder;
+import org.rattanrudder.daemon.relay.port.KeyedRecord;
+import org.rattanrudder.daemon.relay.port.NamedWeights;
+import org.rattanrudder.daemon.relay.port.StoreAnswer;
+import org.rattanrudder.daemon.relay.port.StoreDialect;
+import org.rattanrudder.daemon.relay.port.StoreDialect.Topic;
+
+/**
+ * Brings engines to the newest weights, if this relay holds the lease.
+ *
+ * <p>Each batch of orders begins with a record in the lease's log: it renews the lease, its offset is the fencing token,
+ * and it tells the other relays which engines take no new work for a while.
+ */
+final class OrderGiver implements AutoCloseable {
+    /** How often work is looked for while there is some, in ms. */
+    private static final long STEP_MILLIS = 250;
+
+    /** How often work is looked for while there is none, in ms. */
+    private static final long IDLE_STEP_MILLIS = 500;
+
+    /** Loads of one service at once: more slow each other down. */
+    private static final int LOADS_AT_ONCE = 2;
+
+    /** How long an engine that was ordered is left alone, in ms: runs end and weights load within about this time. */
+    private static final long SWAP_MILLIS = 2_600;
+
+    /** When an engine is first asked how far it is, in ms after its order, and how often then. */
+    private static final long FIRST_LOOK_MILLIS = 1_900;
+
+    private static final long LOOK_EVERY_MILLIS = 400;
+    private static final long CALL_MILLIS = 900;
+    private static final long APPEND_MILLIS = 1_200;
+
+    private final RelayState state;
+    private final StoreDialect store;
+    private final OrderLease lease;
+    private final String self;
+    private final TopicFollower follower;
+    private final CallLine appends;
+    private final Map<String, RolloutPlan> plans = new HashMap<>();
+    private final Map<String, Long> looks = new HashMap<>();
+    private final Set<String> ordering = new HashSet<>();
+    private boolean closed;
+
+    OrderGiver(RelayState state, String self) {
+        this.state = state;
+        this.self = self;
+        store = state.platform().store();
+        lease = new OrderLease(self, state.settings().bounds().leaseMillis());
+        follower = new TopicFollower(state, Topic.ORDERS, 0, false, new Records());
+        appends = new CallLine(state.connector(), state.settings().store());
+    }
+
+    void start() {
+        follower.start();
+        later(this::step, STEP_MILLIS);
+    }
+
+    /** Takes the lease's records. */
+    private final class Records implements TopicFollower.Listener {
+        @Override
+        public void record(KeyedRecord record) {
+            LeaseRecord read = store.readLease(record.value().orElseThrow());
+            long now = state.now();
+            lease.read(record.offset(), read, now);
+            if (!read.holder().equals(self)) {
+                read.loading()
+                        .forEach(id -> state.fleet().find(id).ifPresent(target -> target.swapping(now + SWAP_MILLIS)));
+            }
+        }
+
+        @Override
+        public void answered() {
+            lease.readTo(follower.readTo());
+        }
+    }
+
+    private void step() {
+        List<Work> work = work();
+        if (!work.isEmpty() && !state.draining()) {
+            proceed(work);
+        }
+        later(this::step, work.isEmpty() ? IDLE_STEP_MILLIS : STEP_MILLIS);
+    }
+
+    /** Engines of one service that lack the newest weights of a model. */
+    private record Work(String service, NamedWeights weights, List<Target> targets) {}
+
+    private List<Work> work() {
+        List<Work> work = new ArrayList<>();
+        if (state.configuration().isEmpty()) {
+            return work;
+        }
+        for (BackendService service : state.configuration().get().services().values()) {
+            if (service.engine().isEmpty()) {
+                continue;
+            }
+            List<Target> targets = state.fleet().of(service.name(), state.now());
+            state.weights().forEach((model, named) -> {
+                List<Target> serving = targets.stream()
+                        .filter(target -> target.weights(model) > 0)
+                        .toList();
+                if (serving.stream().anyMatch(target -> target.weights(model) < named.version())) {
+                    work.add(new Work(service.name(), new NamedWeights(model, named.version()), serving));
+                }
+            });
+        }
+        return work;
+    }
+
+    private void proceed(List<Work> work) {
+        long now = state.now();
+        work.forEach(each -> look(each, now));
+        if (appends.isBusy()) {
+            return;
+        }
+        Map<Target, NamedWeights> batch = new HashMap<>();
+        for (Work each : work) {
+            RolloutPlan plan = plan(each);
+            List<RolloutPlan.Engine> engines = each.targets().stream()
+                    .map(target -> new RolloutPlan.Engine(
+                            target.id(), target.weights(each.weights().model()), target.inFlight()))
+                    .toList();
+            for (RolloutPlan.Engine next : plan.next(engines, each.weights().version(), now)) {
+                if (!ordering.contains(next.id())) {
+                    state.fleet().find(next.id()).ifPresent(target -> batch.put(target, each.weights()));
+                }
+            }
+        }
+        boolean mine = lease.holds(now, System.currentTimeMillis());
+        boolean free = lease.shouldAppend(now);
+        if (!batch.isEmpty() && (mine || free)) {
+            append(batch);
+        }
+    }
+
+    private RolloutPlan plan(Work work) {
+        return plans.computeIfAbsent(
+                work.service() + "/" + work.weights().model(), unseen -> new RolloutPlan(LOADS_AT_ONCE));
+    }
+
+    private void append(Map<Target, NamedWeights> batch) {
+        List<String> ids = batch.keySet().stream().map(Target::id).sorted().toList();
+        long sentAt = state.now();
+        long sentAtWall = System.currentTimeMillis();
+        long at = lease.appendAt();
+        appends.call(
+                store.append(Topic.ORDERS, new LeaseRecord(self, ids), OptionalLong.of(at)),
+                APPEND_MILLIS,
+                answer -> appended(answer, batch, sentAt, sentAtWall, at));
+    }
+
+    private void appended(CallAnswer answer, Map<Target, NamedWeights> batch, long sentAt, long sentAtWall, long at) {
+        if (closed) {
+            return;
+        }
+        state.metrics().storeCall("APPEND");
+        StoreAnswer read = read(answer);
+        if (read instanceof StoreAnswer.Appended appended) {
+            lease.appended(appended.offset(), sentAt, sentAtWall);
+            state.log()
+                    .info(
+                            "lease_taken",
+                            "token",
+                            Long.toString(appended.offset()),
+                            "orders",
+                            Integer.toString(batch.size()));
+            batch.forEach(this::order);
+            return;
+        }
+        // Others wrote first, or nobody knows whether this was written: the log tells before the next try.
+        lease.conflicted(at);
+        state.log()
+                .info(
+                        "lease_not_taken",
+                        "at",
+                        Long.toString(at),
+                        "answer",
+                        read.getClass().getSimpleName());
+    }
+
+    private StoreAnswer read(CallAnswer answer) {
+        if (!(answer instanceof CallAnswer.Answered answered)) {
+            return new StoreAnswer.Failed(0, Optional.of(((CallAnswer.Unanswered) answer).reason()));
+        }
+        try {
+            return store.readAppend(answered.status(), answered.body());
+        } catch (IllegalArgumentException malformed) {
+            return new StoreAnswer.Failed(answered.status(), Optional.of(String.valueOf(malformed.getMessage())));
+        }
+    }
+
+    private void order(Target target, NamedWeights weights) {
+        ordering.add(target.id());
+        CallLine line = new CallLine(state.connector(), target.entry().address());
+        line.call(state.platform().engines().report(Optional.of(target.id())), CALL_MILLIS, answer -> {
+            Optional<EngineReport> report = report(answer);
+            report.ifPresent(read -> note(target, read));
+            boolean stale = report.isPresent() && target.weights(weights.model()) < weights.version();
+            long now = state.now();
+            if (!stale || report.get().busy() || !lease.holds(now, System.currentTimeMillis())) {
+                line.close();
+                ordering.remove(target.id());
+                return;
+            }
+            give(target, weights, report.get(), line);
+        });
+    }
+
+    private void give(Target target, NamedWeights weights, EngineReport report, CallLine line) {
+        LoadOrder order =
+                new LoadOrder(weights, state.settings().instance(), lease.token(), report.orders(), target.id());
+        RolloutPlan plan = plans.get(target.entry().service() + "/" + weights.model());
+        long now = state.now();
+        plan.ordered(target.id(), weights.version(), now);
+        target.swapping(now + SWAP_MILLIS);
+        looks.put(target.id(), now + FIRST_LOOK_MILLIS);
+        line.call(state.platform().engines().order(order), CALL_MILLIS, answer -> {
+            int status = answer instanceof CallAnswer.Answered answered ? answered.status() : 0;
+            state.log()
+                    .info(
+                            "order_given",
+                            "target",
+                            target.id(),
+                            "model",
+                            weights.model(),
+                            "version",
+                            Long.toString(weights.version()),
+                            "token",
+                            Long.toString(order.token()),
+                            "status",
+                            Integer.toString(status));
+            if (status != 0 && !state.platform().engines().orderTaken(status)) {
+                plan.refused(target.id());
+                target.swapping(state.now());
+            }
+            line.close();
+            ordering.remove(target.id());
+        });
+    }
+
+    /** Asks engines that were ordered how far they are. */
+    private void look(Work work, long now) {
+        for (Target target : work.targets()) {
+            Long due = looks.get(target.id());
+            if (due == null || now < due || ordering.contains(target.id())) {
+                continue;
+            }
+            if (target.weights(work.weights().model()) >= work.weights().version()) {
+                looks.remove(target.id());
+                continue;
+            }
+            looks.put(target.id(), now + LOOK_EVERY_MILLIS);
+            ordering.add(target.id());
+            CallLine line = new CallLine(state.connector(), target.entry().address());
+            line.call(state.platform().engines().report(Optional.of(target.id())), CALL_MILLIS, answer -> {
+                report(answer).ifPresent(read -> note(target, read));
+                ordering.remove(target.id());
+                line.close();
+            });
+        }
+    }
+
+    private void note(Target target, EngineReport report) {
+        report.weights().forEach(each -> target.confirmWeights(each.model(), each.version()));
+    }
+
+    private Optional<EngineReport> report(CallAnswer answer) {
+        if (!(answer instanceof CallAnswer.Answered answered)) {
+            return Optional.empty();
+        }
+        try {
+            return state.platform().engines().readReport(answered.status(), answered.body());
+        } catch (IllegalArgumentException malformed) {
+            state.log().warn("report_unreadable", "reason", String.valueOf(malformed.getMessage()));
+            return Optional.empty();
+        }
+    }
+
+    private void later(Runnable step, long millis) {
+        state.loop()
+                .schedule(
+                        () -> {
+                            if (!closed) {
+                                step.run();
+                            }
+                        },
+                        millis,
+                        TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+        follower.close();
+        appends.close();
+    }
+}
--- /dev/null
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayMetrics.java
@@ -0,0 +1,85 @@
+package org.rattanrudder.daemon.relay;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.function.DoubleSupplier;
+
+/** What a relay counts. Labels come from closed lists and the configuration, never from callers. */
+final class RelayMetrics {
+    private static final double MILLIS_PER_SECOND = 1_000;
+    private static final double[] SECONDS = {0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1.2, 2, 4, 8, 12};
+
+    private final PrometheusRegistry registry = new PrometheusRegistry();
+    private final Counter requests;
+    private final Counter attempts;
+    private final Counter storeCalls;
+    private final Counter parts;
+    private final Histogram firstByte;
+
+    RelayMetrics() {
+        requests =
+                counter("rattanrudder_relay_requests", "Requests that ended, by route and outcome", "route", "outcome");
+        attempts =
+                counter("rattanrudder_relay_attempts", "Attempts at targets, by how they ended", "service", "outcome");
+        storeCalls = counter("rattanrudder_relay_store_calls", "Calls to the platform's store", "topic");
+        parts = counter("rattanrudder_relay_parts", "Shared parts of prompts, by what was planned for them", "plan");
+        firstByte = Histogram.builder()
+                .name("rattanrudder_relay_first_byte_seconds")
+                .help("Time from a request's arrival to the first byte of its answer")
+                .labelNames("route")
+                .classicOnly()
+                .classicUpperBounds(SECONDS)
+                .register(registry);
+    }
+
+    private Counter counter(String name, String help, String... labels) {
+        return Counter.builder().name(name).help(help).labelNames(labels).register(registry);
+    }
+
+    void gauge(String name, String help, DoubleSupplier value) {
+        GaugeWithCallback.builder()
+                .name(name)
+                .help(help)
+                .callback(callback -> callback.call(value.getAsDouble()))
+                .register(registry);
+    }
+
+    void request(String route, String outcome) {
+        requests.labelValues(route, outcome).inc();
+    }
+
+    void firstByte(String route, long millis) {
+        firstByte.labelValues(route).observe(millis / MILLIS_PER_SECOND);
+    }
+
+    void attempt(String service, String outcome) {
+        attempts.labelValues(service, outcome).inc();
+    }
+
+    void storeCall(String topic) {
+        storeCalls.labelValues(topic).inc();
+    }
+
+    void parts(String plan, int count) {
+        if (count > 0) {
+            parts.labelValues(plan).inc(count);
+        }
+    }
+
+    /** Returns all metrics as text. */
+    byte[] text() {
+        ByteArrayOutputStream text = new ByteArrayOutputStream();
+        try {
+            PrometheusTextFormatWriter.create().write(text, registry.scrape());
+        } catch (IOException impossible) {
+            throw new UncheckedIOException("writing to memory failed", impossible);
+        }
+        return text.toByteArray();
+    }
+}
--- /dev/null
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
@@ -0,0 +1,413 @@
+package org.rattanrudder.daemon.relay;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioChannelOption;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
+import jdk.net.ExtendedSocketOptions;
+import org.jboss.logging.Logger;
+import org.rattanrudder.core.fleet.Target;
+import org.rattanrudder.core.gateway.ContextStore;
+import org.rattanrudder.core.model.Address;
+import org.rattanrudder.core.parts.PartKey;
+import org.rattanrudder.daemon.logging.EventLog;
+import org.rattanrudder.daemon.loop.Closer;
+import org.rattanrudder.daemon.loop.MonotonicClock;
+import org.rattanrudder.daemon.loop.RunningProcess;
+import org.rattanrudder.daemon.relay.port.KeyedRecord;
+import org.rattanrudder.daemon.relay.port.PlatformAdapter;
+import org.rattanrudder.daemon.relay.port.StoreDialect;
+import org.rattanrudder.daemon.relay.port.StoreDialect.Topic;
+import org.rattanrudder.daemon.relay.port.StoreDialect.Wish;
+import org.rattanrudder.document.RelaySettings;
+
+/**
+ * A relay that runs.
+ *
+ * <pre>{@code
+ * try (RelayProcess relay = new RelayProcess(settings, adapter, RandomGenerator.getDefault())) {
+ *     relay.drain();
+ * }
+ * }</pre>
+ */
+public final class RelayProcess implements RunningProcess {
+    /** How often connections are looked at, in ms. */
+    private static final long SWEEP_MILLIS = 500;
+
+    /** The time between reads of the targets' entries, in ms: beats of several targets share one read. */
+    private static final long TARGETS_GAP_MILLIS = 400;
+
+    private static final long WISHES_GAP_MILLIS = 20;
+
+    /** How long new connections still come after readiness was taken back, in ms: two missed checks and some more. */
+    private static final long LEAVE_MILLIS = 2_600;
+
+    /** How long before the forced end the process ends by itself, in ms. */
+    private static final long END_MARGIN_MILLIS = 1_200;
+
+    /** How long after all engines have new weights parts of older ones are freed, in ms. */
+    private static final long FREE_AFTER_MILLIS = 5_000;
+
+    private static final int PARTS_FREED_AT_ONCE = 400;
+    private static final int BACKLOG = 1_024;
+
+    /** A peer that vanished is noticed by probes on an idle connection after about three seconds. */
+    private static final int PROBE_IDLE_SECONDS = 1;
+
+    private static final int PROBE_EVERY_SECONDS = 1;
+    private static final int PROBES = 2;
+
+    private final Closer closer = new Closer();
+    private final RelayState state;
+    private final TargetPools pools;
+    private final EventLoop loop;
+    private final Set<CallerConnection> callers = new HashSet<>();
+    private final Map<Address, StoreWatch> stores = new HashMap<>();
+    private final CountDownLatch drained = new CountDownLatch(1);
+    private long drainingSince = -1;
+    private long settledSince = -1;
+    private boolean finishedInTime;
+
+    /**
+     * Starts a relay.
+     *
+     * @throws IOException if it can't listen
+     */
+    public RelayProcess(RelaySettings settings, PlatformAdapter platform, RandomGenerator random) throws IOException {
+        MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        closer.add(() -> group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS));
+        loop = (EventLoop) group.next();
+        EventLog log = new EventLog(Logger.getLogger(RelayProcess.class), new MonotonicClock());
+        state = new RelayState(settings, platform, loop, connector(group), log, new RelayMetrics(), random);
+        pools = new TargetPools(state.connector(), platform.requests());
+        gauges();
+        listen(group, settings.callers(), callerChannels());
+        listen(group, settings.readiness(), new StatusServer(this::readiness));
+        listen(group, settings.metrics(), new StatusServer(this::metrics));
+        loop.execute(() -> begin(Long.toHexString(random.nextLong())));
+    }
+
+    private static Bootstrap connector(MultiThreadIoEventLoopGroup group) {
+        return new Bootstrap()
+                .group(group)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.SO_KEEPALIVE, true)
+                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), PROBE_IDLE_SECONDS)
+                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), PROBE_EVERY_SECONDS)
+                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), PROBES)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, TargetPools.CONNECT_MILLIS);
+    }
+
+    private void listen(MultiThreadIoEventLoopGroup group, Address address, ChannelInitializer<Channel> channels)
+            throws IOException {
+        try {
+            Channel listening = new ServerBootstrap()
+                    .group(group)
+                    .channel(NioServerSocketChannel.class)
+                    .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                    .option(ChannelOption.SO_REUSEADDR, true)
+                    .childOption(ChannelOption.TCP_NODELAY, true)
+                    .childOption(ChannelOption.SO_KEEPALIVE, true)
+                    .childOption(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), PROBE_IDLE_SECONDS)
+                    .childOption(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), PROBE_EVERY_SECONDS)
+                    .childOption(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), PROBES)
+                    .childHandler(channels)
+                    .bind(new InetSocketAddress(address.host(), address.port()))
+                    .sync()
+                    .channel();
+            closer.add(listening::close);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+            throw new IOException("interrupted while listening on " + address, interrupted);
+        } catch (RuntimeException failed) {
+            close();
+            throw new IOException("can't listen on " + address + ": " + failed.getMessage(), failed);
+        }
+    }
+
+    private ChannelInitializer<Channel> callerChannels() {
+        return new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                CallerConnection connection = new CallerConnection(state, pools, callers);
+                channel.pipeline()
+                        .addLast(
+                                new RawBytes(connection),
+                                new StrictRequestDecoder(state.limits().headerBytes() * 2),
+                                new HttpResponseEncoder(),
+                                connection);
+            }
+        };
+    }
+
+    /** Tells a connection of bytes before they are decoded. */
+    private static final class RawBytes extends ChannelInboundHandlerAdapter {
+        private final CallerConnection connection;
+
+        RawBytes(CallerConnection connection) {
+            this.connection = connection;
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object message) {
+            connection.bytesRead();
+            context.fireChannelRead(message);
+        }
+    }
+
+    private void begin(String incarnation) {
+        new TopicFollower(state, Topic.WISHES, WISHES_GAP_MILLIS, true, new Wishes()).start();
+        new TopicFollower(state, Topic.TARGETS, TARGETS_GAP_MILLIS, true, new Targets()).start();
+        OrderGiver orders = new OrderGiver(state, state.settings().instance() + "-" + incarnation);
+        orders.start();
+        loop.scheduleWithFixedDelay(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Takes what operators want. */
+    private final class Wishes implements TopicFollower.Listener {
+        @Override
+        public void record(KeyedRecord record) {
+            StoreDialect store = state.platform().store();
+            store.readWish(record).ifPresent(wish -> {
+                if (wish instanceof Wish.Configured configured) {
+                    configured(configured, record.offset());
+                } else if (wish instanceof Wish.Weights weights && state.name(weights.weights())) {
+                    state.log()
+                            .info(
+                                    "weights_named",
+                                    "model",
+                                    weights.weights().model(),
+                                    "version",
+                                    Long.toString(weights.weights().version()),
+                                    "offset",
+                                    Long.toString(record.offset()));
+                }
+            });
+        }
+    }
+
+    private void configured(Wish.Configured configured, long offset) {
+        if (!state.configure(configured.configuration())) {
+            return;
+        }
+        state.log()
+                .info(
+                        "configured",
+                        "version",
+                        Long.toString(configured.configuration().version()),
+                        "offset",
+                        Long.toString(offset),
+                        "services",
+                        Integer.toString(configured.configuration().services().size()),
+                        "stores",
+                        Integer.toString(configured.configuration().stores().size()));
+        watchStores(configured.configuration().stores());
+    }
+
+    private void watchStores(List<ContextStore> configured) {
+        Set<Address> wanted = configured.stream().map(ContextStore::address).collect(Collectors.toSet());
+        for (Address gone : List.copyOf(stores.keySet())) {
+            if (!wanted.contains(gone)) {
+                stores.remove(gone).close();
+            }
+        }
+        for (Address address : wanted) {
+            if (!stores.containsKey(address)) {
+                StoreWatch watch = new StoreWatch(state, address);
+                stores.put(address, watch);
+                watch.start();
+            }
+        }
+    }
+
+    /** Takes the targets' entries. */
+    private final class Targets implements TopicFollower.Listener {
+        @Override
+        public void record(KeyedRecord record) {
+            long now = state.now();
+            StoreDialect store = state.platform().store();
+            boolean was = state.fleet().find(record.key()).isPresent();
+            boolean drainingBefore = state.fleet()
+                    .find(record.key())
+                    .map(target -> target.entry().draining())
+                    .orElse(false);
+            boolean news = state.fleet()
+                    .apply(
+                            record.key(),
+                            record.value().map(value -> store.readTarget(record.key(), value)),
+                            record.offset(),
+                            now);
+            boolean is = state.fleet().find(record.key()).isPresent();
+            boolean draining = state.fleet()
+                    .find(record.key())
+                    .map(target -> target.entry().draining())
+                    .orElse(false);
+            if (news
+                    && (was != is
+                            || draining != drainingBefore
+                            || record.value().isEmpty())) {
+                state.log()
+                        .info(
+                                "target_changed",
+                                "target",
+                                record.key(),
+                                "known",
+                                Boolean.toString(is),
+                                "draining",
+                                Boolean.toString(draining),
+                                "offset",
+                                Long.toString(record.offset()));
+            }
+        }
+
+        @Override
+        public void listed(Set<String> keys, long end) {
+            state.fleet().listed(keys, end, state.now());
+        }
+
+        @Override
+        public void answered() {
+            state.fleet().logAnswers(state.now());
+        }
+
+        @Override
+        public void lost() {
+            state.fleet().logLost();
+        }
+    }
+
+    private void sweep() {
+        long now = state.now();
+        boolean closeIdle = drainingSince >= 0 && now - drainingSince > LEAVE_MILLIS;
+        for (CallerConnection caller : List.copyOf(callers)) {
+            caller.sweep(now, closeIdle);
+        }
+        Set<String> known = state.fleet().all(now).stream().map(Target::id).collect(Collectors.toSet());
+        pools.sweep(known, now);
+        freeOutdated(now);
+        if (drainingSince >= 0) {
+            endIfDrained(now);
+        }
+    }
+
+    /**
+     * Frees parts of older weights. A fetch can't be under way: engines refuse requests for weights that they don't
+     * serve, and all of them have served the newest ones for a while.
+     */
+    private void freeOutdated(long now) {
+        long oldest = oldestWeights(now);
+        if (oldest <= 0) {
+            settledSince = -1;
+            return;
+        }
+        settledSince = settledSince < 0 ? now : settledSince;
+        if (now - settledSince < FREE_AFTER_MILLIS) {
+            return;
+        }
+        stores.forEach((address, watch) -> {
+            List<PartKey> parts = state.directory().outdated(address, oldest);
+            if (!parts.isEmpty()) {
+                List<PartKey> batch = parts.subList(0, Math.min(parts.size(), PARTS_FREED_AT_ONCE));
+                watch.free(batch, state.directory().incarnation(address));
+            }
+        });
+        settledSince = now;
+    }
+
+    /** Returns the newest version if all engines serve it; 0 if some don't, or if several models are served. */
+    private long oldestWeights(long now) {
+        if (state.weights().size() != 1) {
+            return 0;
+        }
+        Map.Entry<String, RelayState.Named> only =
+                state.weights().entrySet().iterator().next();
+        boolean all = state.fleet().all(now).stream()
+                .filter(target -> target.weights(only.getKey()) > 0)
+                .allMatch(target ->
+                        target.weights(only.getKey()) >= only.getValue().version());
+        return all ? only.getValue().version() : 0;
+    }
+
+    private void endIfDrained(long now) {
+        long since = now - drainingSince;
+        boolean busy = callers.stream().anyMatch(CallerConnection::isBusy);
+        boolean quiet = since > LEAVE_MILLIS + SWEEP_MILLIS && !busy;
+        boolean late = since > state.settings().bounds().graceMillis() - END_MARGIN_MILLIS;
+        if (quiet || late) {
+            finishedInTime = !busy;
+            drained.countDown();
+        }
+    }
+
+    private StatusServer.Page readiness(String path) {
+        boolean ready = state.configuration().isPresent()
+                && !state.draining()
+                && !state.fleet().all(state.now()).isEmpty();
+        byte[] text = (ready ? "ready\n" : "not ready\n").getBytes(StandardCharsets.UTF_8);
+        return new StatusServer.Page(ready ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE, text);
+    }
+
+    private StatusServer.Page metrics(String path) {
+        return new StatusServer.Page(HttpResponseStatus.OK, state.metrics().text());
+    }
+
+    private void gauges() {
+        state.metrics().gauge("rattanrudder_relay_connections", "Callers' connections", callers::size);
+        state.metrics()
+                .gauge(
+                        "rattanrudder_relay_configuration",
+                        "The version of the configuration in force",
+                        () -> state.configuration()
+                                .map(configuration -> (double) configuration.version())
+                                .orElse(0.0));
+        state.metrics()
+                .gauge(
+                        "rattanrudder_relay_targets",
+                        "Targets that are known",
+                        () -> state.fleet().all(state.now()).size());
+    }
+
+    @Override
+    public Address http() {
+        return state.settings().callers();
+    }
+
+    @Override
+    public boolean drain() throws InterruptedException {
+        loop.execute(() -> {
+            state.drain();
+            drainingSince = state.now();
+        });
+        boolean ended = drained.await(state.settings().bounds().graceMillis(), TimeUnit.MILLISECONDS);
+        return ended && finishedInTime;
+    }
+
+    @Override
+    public void close() {
+        closer.close();
+    }
+}
--- /dev/null
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
@@ -0,0 +1,160 @@
+package org.rattanrudder.daemon.relay;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.EventLoop;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import org.rattanrudder.core.fleet.Fleet;
+import org.rattanrudder.core.gateway.CallerLimits;
+import org.rattanrudder.core.gateway.RetryAllowance;
+import org.rattanrudder.core.gateway.ServingConfiguration;
+import org.rattanrudder.core.parts.PartDirectory;
+import org.rattanrudder.daemon.logging.EventLog;
+import org.rattanrudder.daemon.relay.port.NamedWeights;
+import org.rattanrudder.daemon.relay.port.PlatformAdapter;
+import org.rattanrudder.document.RelaySettings;
+
+/** What the parts of a relay share. It is owned by the event loop: nothing else may touch it. */
+final class RelayState {
+    /**
+     * By how many relays the retries on top are divided. Deployments have three to thirty relays; with more the ratio
+     * alone, which needs no division, keeps the sum within bounds that they would not reach.
+     */
+    private static final int RELAYS_PLANNED = 16;
+
+    /** Part of the ratio that is used: windows of others begin and end at other times. */
+    private static final double RATIO_USED = 0.8;
+
+    private final RelaySettings settings;
+    private final PlatformAdapter platform;
+    private final EventLoop loop;
+    private final Bootstrap connector;
+    private final EventLog log;
+    private final RelayMetrics metrics;
+    private final RandomGenerator random;
+    private final Fleet fleet = new Fleet();
+    private final PartDirectory directory;
+    private final Map<String, RetryAllowance> allowances = new HashMap<>();
+    private final Map<String, Named> weights = new HashMap<>();
+    private Optional<ServingConfiguration> configuration = Optional.empty();
+    private boolean draining;
+
+    /**
+     * A version of weights that was named.
+     *
+     * @param version the version
+     * @param sinceMillis when this relay learnt of it
+     */
+    record Named(long version, long sinceMillis) {}
+
+    RelayState(
+            RelaySettings settings,
+            PlatformAdapter platform,
+            EventLoop loop,
+            Bootstrap connector,
+            EventLog log,
+            RelayMetrics metrics,
+            RandomGenerator random) {
+        this.settings = settings;
+        this.platform = platform;
+        this.loop = loop;
+        this.connector = connector;
+        this.log = log;
+        this.metrics = metrics;
+        this.random = random;
+        directory = new PartDirectory(settings.failureDomain());
+    }
+
+    /** Returns milliseconds of a steady clock. */
+    long now() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    }
+
+    RelaySettings settings() {
+        return settings;
+    }
+
+    PlatformAdapter platform() {
+        return platform;
+    }
+
+    EventLoop loop() {
+        return loop;
+    }
+
+    Bootstrap connector() {
+        return connector;
+    }
+
+    EventLog log() {
+        return log;
+    }
+
+    RelayMetrics metrics() {
+        return metrics;
+    }
+
+    RandomGenerator random() {
+        return random;
+    }
+
+    Fleet fleet() {
+        return fleet;
+    }
+
+    PartDirectory directory() {
+        return directory;
+    }
+
+    Optional<ServingConfiguration> configuration() {
+        return configuration;
+    }
+
+    /** Takes a configuration unless it is older than the one in force. */
+    boolean configure(ServingConfiguration newest) {
+        if (configuration.isPresent() && configuration.get().version() >= newest.version()) {
+            return false;
+        }
+        configuration = Optional.of(newest);
+        directory.configure(newest.stores());
+        return true;
+    }
+
+    CallerLimits limits() {
+        return configuration.map(ServingConfiguration::limits).orElse(CallerLimits.UNKNOWN);
+    }
+
+    /** Takes a version of weights unless a newer one was named. */
+    boolean name(NamedWeights named) {
+        Named known = weights.get(named.model());
+        if (known != null && known.version() >= named.version()) {
+            return false;
+        }
+        weights.put(named.model(), new Named(named.version(), now()));
+        return true;
+    }
+
+    Map<String, Named> weights() {
+        return weights;
+    }
+
+    RetryAllowance allowance(String service) {
+        return allowances.computeIfAbsent(
+                service,
+                unseen -> new RetryAllowance(
+                        settings.bounds().retryRatio() * RATIO_USED,
+                        settings.bounds().retryExtra() / RELAYS_PLANNED,
+                        settings.bounds().retryWindowMillis()));
+    }
+
+    boolean draining() {
+        return draining;
+    }
+
+    void drain() {
+        draining = true;
+    }
+}
--- /dev/null
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/StatusServer.java
@@ -0,0 +1,64 @@
+package org.rattanrudder.daemon.relay;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.function.Function;
+
+/** Answers questions about the process itself: readiness, metrics. */
+final class StatusServer extends ChannelInitializer<Channel> {
+    private static final int LARGEST_QUESTION = 16 * 1024;
+
+    private final Function<String, Page> pages;
+
+    /**
+     * An answer.
+     *
+     * @param status its HTTP status
+     * @param body its text
+     */
+    record Page(HttpResponseStatus status, byte[] body) {}
+
+    /** Makes a server of pages by path. */
+    StatusServer(Function<String, Page> pages) {
+        this.pages = pages;
+    }
+
+    @Override
+    protected void initChannel(Channel channel) {
+        channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(LARGEST_QUESTION), new Pages());
+    }
+
+    /** Answers one question after the other. */
+    private final class Pages extends SimpleChannelInboundHandler<FullHttpRequest> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+            Page page = pages.apply(request.uri());
+            DefaultFullHttpResponse response = new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1, page.status(), Unpooled.wrappedBuffer(page.body()));
+            HttpUtil.setContentLength(response, page.body().length);
+            boolean keep = HttpUtil.isKeepAlive(request);
+            HttpUtil.setKeepAlive(response, keep);
+            var written = context.writeAndFlush(response);
+            if (!keep) {
+                written.addListener(ChannelFutureListener.CLOSE);
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            // Whoever asked has gone or speaks something else; nobody waits for an answer.
+            context.close();
+        }
+    }
+}
--- /dev/null
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/StoreWatch.java
@@ -0,0 +1,176 @@
+package org.rattanrudder.daemon.relay;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.rattanrudder.core.model.Address;
+import org.rattanrudder.core.parts.PartKey;
+import org.rattanrudder.core.parts.StoreNews;
+import org.rattanrudder.daemon.relay.port.EngineDialect;
+
+/** Follows what one context store holds, and tells the directory. */
+final class StoreWatch implements AutoCloseable {
+    /** How long a call waits for changes, in ms; short enough that what is known stays fresh between two answers. */
+    private static final long WAIT_MILLIS = 400;
+
+    /** The time between an answer and the next call, in ms: changes that come meanwhile share one answer. */
+    private static final long GAP_MILLIS = 250;
+
+    private static final long TIMEOUT_MILLIS = 900;
+    private static final long RETRY_MILLIS = 300;
+
+    /** A full listing stalls the store; gaps in the events are made good by one at most so often, in ms. */
+    private static final long LISTING_EVERY_MILLIS = 5_000;
+
+    private final RelayState state;
+    private final Address address;
+    private final EngineDialect dialect;
+    private final CallLine line;
+    private long since;
+    private long incarnation = -1;
+    private long listedAt = Long.MIN_VALUE / 2;
+    private boolean answering = true;
+    private boolean closed;
+
+    StoreWatch(RelayState state, Address address) {
+        this.state = state;
+        this.address = address;
+        dialect = state.platform().engines();
+        line = new CallLine(state.connector(), address);
+    }
+
+    void start() {
+        ask();
+    }
+
+    private void ask() {
+        long asked = state.now();
+        line.call(dialect.changes(since, WAIT_MILLIS), TIMEOUT_MILLIS, answer -> {
+            Optional<StoreNews> news = read(answer, true);
+            if (news.isEmpty()) {
+                lost(answer);
+                return;
+            }
+            changed(news.get(), asked);
+        });
+    }
+
+    private void changed(StoreNews news, long asked) {
+        regained();
+        boolean restarted = news.incarnation() != incarnation;
+        boolean first = incarnation < 0;
+        incarnation = news.incarnation();
+        if (restarted && since > 0) {
+            // Events are numbered anew after a restart: those of the old numbers say nothing.
+            state.log().warn("context_store_restarted", "store", address.toString());
+            since = 0;
+            later(this::ask, 0);
+            return;
+        }
+        state.directory().heard(address, news, asked, state.now());
+        since = news.next();
+        boolean due = state.now() - listedAt > LISTING_EVERY_MILLIS;
+        if (news.lost() && due && (first || !restarted)) {
+            list();
+            return;
+        }
+        later(this::ask, GAP_MILLIS);
+    }
+
+    private void list() {
+        long asked = state.now();
+        listedAt = asked;
+        line.call(dialect.contents(), TIMEOUT_MILLIS, answer -> {
+            read(answer, false).ifPresent(all -> {
+                state.directory().heard(address, all, asked, state.now());
+                since = all.next();
+                state.log()
+                        .info(
+                                "context_store_listed",
+                                "store",
+                                address.toString(),
+                                "parts",
+                                Integer.toString(all.events().size()));
+            });
+            later(this::ask, GAP_MILLIS);
+        });
+    }
+
+    /** Frees parts that no request reads any more. */
+    void free(List<PartKey> parts, long inIncarnation) {
+        CallLine freeing = new CallLine(state.connector(), address);
+        freeing.call(dialect.free(parts, inIncarnation), TIMEOUT_MILLIS, answer -> {
+            state.log()
+                    .info(
+                            "parts_freed",
+                            "store",
+                            address.toString(),
+                            "parts",
+                            Integer.toString(parts.size()),
+                            "answer",
+                            answer.toString().startsWith("Answered")
+                                    ? Integer.toString(((CallAnswer.Answered) answer).status())
+                                    : "none");
+            freeing.close();
+        });
+    }
+
+    private Optional<StoreNews> read(CallAnswer answer, boolean changes) {
+        if (!(answer instanceof CallAnswer.Answered answered)) {
+            return Optional.empty();
+        }
+        try {
+            return changes
+                    ? dialect.readChanges(answered.status(), answered.body())
+                    : dialect.readContents(answered.status(), answered.body());
+        } catch (IllegalArgumentException malformed) {
+            state.log()
+                    .warn(
+                            "context_store_unreadable",
+                            "store",
+                            address.toString(),
+                            "reason",
+                            String.valueOf(malformed.getMessage()));
+            return Optional.empty();
+        }
+    }
+
+    private void lost(CallAnswer answer) {
+        if (answering) {
+            state.log().warn("context_store_lost", "store", address.toString(), "answer", brief(answer));
+        }
+        answering = false;
+        later(this::ask, RETRY_MILLIS);
+    }
+
+    private static String brief(CallAnswer answer) {
+        return answer instanceof CallAnswer.Answered answered
+                ? "status " + answered.status()
+                : ((CallAnswer.Unanswered) answer).reason();
+    }
+
+    private void regained() {
+        if (!answering) {
+            state.log().info("context_store_regained", "store", address.toString());
+        }
+        answering = true;
+    }
+
+    private void later(Runnable step, long millis) {
+        state.loop()
+                .schedule(
+                        () -> {
+                            if (!closed) {
+                                step.run();
+                            }
+                        },
+                        millis,
+                        TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+        line.close();
+    }
+}
--- /dev/null
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TargetPools.java
@@ -0,0 +1,141 @@
+package org.rattanrudder.daemon.relay;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.rattanrudder.core.fleet.Target;
+import org.rattanrudder.core.model.Address;
+import org.rattanrudder.daemon.relay.port.RequestDialect;
+
+/** Keeps connections to targets, by incarnation, and opens new ones. */
+final class TargetPools {
+    /**
+     * How long a connection may take to open, in ms. Targets answer in a few ms; one that is cut off answers never, and
+     * a connection request that a full queue dropped is sent again after a second, when another target is sooner.
+     */
+    static final int CONNECT_MILLIS = 400;
+
+    /** How long an idle connection is used again if its target doesn't say how long it keeps it, in ms. */
+    private static final long IDLE_MILLIS = 1_500;
+
+    /** The part of the time that a target names: it counts from its side, and its clock may be ahead. */
+    private static final double IDLE_SHARE = 0.5;
+
+    /**
+     * Requests that can't be repeated use a connection only this long after its last use, in ms: a close that crosses
+     * with the request leaves its outcome unknown.
+     */
+    private static final long IDLE_ONCE_MILLIS = 500;
+
+    private final Bootstrap connector;
+    private final RequestDialect dialect;
+    private final Map<String, Pool> pools = new HashMap<>();
+
+    TargetPools(Bootstrap connector, RequestDialect dialect) {
+        this.connector = connector;
+        this.dialect = dialect;
+    }
+
+    /** The connections to one target. */
+    private static final class Pool {
+        private final Deque<TargetConnection> idle = new ArrayDeque<>();
+    }
+
+    /**
+     * Gets a connection: an idle one at once, or a new one later.
+     *
+     * @param repeatable whether the request may be repeated if the connection turns out to be closed
+     * @param then called once: with a connection, or with null if none could be had
+     */
+    void acquire(Target target, boolean repeatable, long nowMillis, Consumer<TargetConnection> then) {
+        Pool pool = pools.computeIfAbsent(target.id(), unseen -> new Pool());
+        while (!pool.idle.isEmpty()) {
+            TargetConnection connection = pool.idle.pollLast();
+            if (connection.isActive() && isYoung(connection, repeatable, nowMillis)) {
+                then.accept(connection);
+                return;
+            }
+            connection.abort();
+        }
+        open(target.entry().address(), pool, then);
+    }
+
+    private static boolean isYoung(TargetConnection connection, boolean repeatable, long nowMillis) {
+        long kept = connection.keepAliveMillis() < 0 ? IDLE_MILLIS : (long) (connection.keepAliveMillis() * IDLE_SHARE);
+        long limit = repeatable ? kept : Math.min(kept, IDLE_ONCE_MILLIS);
+        return nowMillis - connection.idleSince() < limit;
+    }
+
+    private void open(Address address, Pool pool, Consumer<TargetConnection> then) {
+        TargetConnection[] made = new TargetConnection[1];
+        connector
+                .clone()
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
+                .handler(new ChannelInitializer<>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        made[0] = new TargetConnection(channel, dialect, connection -> keep(pool, connection));
+                        channel.pipeline().addLast(new AnswerDecoder(made[0]), new HttpRequestEncoder(), made[0]);
+                    }
+                })
+                .connect(new InetSocketAddress(address.host(), address.port()))
+                .addListener((ChannelFuture opened) -> then.accept(opened.isSuccess() ? made[0] : null));
+    }
+
+    private static void keep(Pool pool, TargetConnection connection) {
+        connection.idle(java.util.concurrent.TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
+        pool.idle.addLast(connection);
+    }
+
+    /** Closes the connections of targets that aren't known any more, and those that were idle too long. */
+    void sweep(Set<String> known, long nowMillis) {
+        for (Iterator<Map.Entry<String, Pool>> entries = pools.entrySet().iterator(); entries.hasNext(); ) {
+            Map.Entry<String, Pool> entry = entries.next();
+            entry.getValue().idle.removeIf(connection -> dropIfOld(connection, nowMillis));
+            if (!known.contains(entry.getKey())) {
+                entry.getValue().idle.forEach(TargetConnection::abort);
+                entries.remove();
+            }
+        }
+    }
+
+    private static boolean dropIfOld(TargetConnection connection, long nowMillis) {
+        boolean old = !connection.isActive() || !isYoung(connection, true, nowMillis);
+        if (old) {
+            connection.abort();
+        }
+        return old;
+    }
+
+    /** Decodes answers; one to a HEAD request has no body whatever its head says. */
+    private static final class AnswerDecoder extends HttpResponseDecoder {
+        private final TargetConnection connection;
+
+        AnswerDecoder(TargetConnection connection) {
+            this.connection = connection;
+        }
+
+        @Override
+        protected boolean isContentAlwaysEmpty(HttpMessage message) {
+            boolean ofHead = connection.answersHead()
+                    && message instanceof HttpResponse response
+                    && response.status().code() >= HttpResponseStatus.OK.code();
+            return ofHead || super.isContentAlwaysEmpty(message);
+        }
+    }
+}
--- /dev/null
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TopicFollower.java
@@ -0,0 +1,238 @@
+package org.rattanrudder.daemon.relay;
+
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.rattanrudder.daemon.relay.port.KeyedRecord;
+import org.rattanrudder.daemon.relay.port.PlatformCall;
+import org.rattanrudder.daemon.relay.port.StoreAnswer;
+import org.rattanrudder.daemon.relay.port.StoreDialect;
+import org.rattanrudder.daemon.relay.port.StoreDialect.Topic;
+
+/**
+ * Follows a topic of the platform's store: first the newest record of each key, then all that is added.
+ *
+ * <p>When records were dropped before they were read, it lists the newest ones again. When the store doesn't answer, it
+ * asks again, less and less often, and tells its listener when answers cease and return.
+ */
+final class TopicFollower implements AutoCloseable {
+    /** How long a call waits for records, in ms. A connection that falls silent is noticed after this and the slack. */
+    private static final long WAIT_MILLIS = 1_000;
+
+    /** What an answer may take beyond the wait, in ms: a slow store takes some 250 ms. */
+    private static final long SLACK_MILLIS = 700;
+
+    private static final long FIRST_PAUSE_MILLIS = 50;
+    private static final long LONGEST_PAUSE_MILLIS = 800;
+
+    /** What a topic's records mean to the relay. */
+    interface Listener {
+        /** Takes a record. */
+        void record(KeyedRecord record);
+
+        /** Takes the keys of a full listing. */
+        default void listed(Set<String> keys, long end) {}
+
+        /** The store answers. */
+        default void answered() {}
+
+        /** The store doesn't answer, or refuses. */
+        default void lost() {}
+    }
+
+    private final RelayState state;
+    private final Topic topic;
+    private final long gapMillis;
+    private final Listener listener;
+    private final StoreDialect dialect;
+    private final CallLine line;
+    private final Set<String> listedKeys = new HashSet<>();
+    private boolean keyed;
+    private boolean closed;
+    private long from;
+    private long listingEnd = -1;
+    private boolean answering = true;
+    private boolean answeredOnce;
+    private int failuresInARow;
+
+    /**
+     * Makes a follower; it begins with {@link #start}.
+     *
+     * @param gapMillis the time between an answer and the next call: records that come meanwhile share one answer
+     * @param keyed whether the topic keeps the newest record of each key; otherwise it is read from its beginning
+     */
+    TopicFollower(RelayState state, Topic topic, long gapMillis, boolean keyed, Listener listener) {
+        this.state = state;
+        this.topic = topic;
+        this.gapMillis = gapMillis;
+        this.keyed = keyed;
+        this.listener = listener;
+        dialect = state.platform().store();
+        line = new CallLine(state.connector(), state.settings().store());
+    }
+
+    void start() {
+        if (keyed) {
+            list(Optional.empty());
+        } else {
+            follow();
+        }
+    }
+
+    private void list(Optional<String> after) {
+        if (after.isEmpty()) {
+            listedKeys.clear();
+            listingEnd = -1;
+        }
+        PlatformCall call = dialect.listing(topic, after);
+        line.call(call, WAIT_MILLIS, answer -> take(answer, (status, body) -> dialect.readListing(status, body)));
+    }
+
+    private void follow() {
+        long asked = from;
+        line.call(
+                dialect.follow(topic, asked, WAIT_MILLIS),
+                WAIT_MILLIS + SLACK_MILLIS,
+                answer -> take(answer, (status, body) -> dialect.readRecords(topic, asked, status, body)));
+    }
+
+    /** Reads the body of an answer. */
+    private interface Reader {
+        StoreAnswer read(int status, byte[] body);
+    }
+
+    private void take(CallAnswer answer, Reader reader) {
+        if (closed) {
+            return;
+        }
+        state.metrics().storeCall(topic.name());
+        if (answer instanceof CallAnswer.Unanswered unanswered) {
+            failed(unanswered.reason());
+            return;
+        }
+        CallAnswer.Answered answered = (CallAnswer.Answered) answer;
+        StoreAnswer read;
+        try {
+            read = reader.read(answered.status(), answered.body());
+        } catch (IllegalArgumentException malformed) {
+            failed("malformed: " + malformed.getMessage());
+            return;
+        }
+        if (read instanceof StoreAnswer.Failed failed) {
+            failed("status " + failed.status());
+            return;
+        }
+        works();
+        proceed(read);
+    }
+
+    private void proceed(StoreAnswer read) {
+        if (read instanceof StoreAnswer.Listing listing) {
+            listing(listing);
+        } else if (read instanceof StoreAnswer.Records records) {
+            from = records.next();
+            records.records().forEach(this::tell);
+            later(this::follow, gapMillis);
+        } else {
+            state.log().warn("records_forgotten", "topic", topic.name(), "from", Long.toString(from));
+            if (!keyed) {
+                // A topic without keys says nothing that is older than what it keeps.
+                from++;
+            }
+            later(this::start, keyed ? gapMillis : 0);
+        }
+    }
+
+    private void listing(StoreAnswer.Listing listing) {
+        // Pages are no snapshot: what changes meanwhile stands after the first page's end.
+        listingEnd = listingEnd < 0 ? listing.end() : Math.min(listingEnd, listing.end());
+        String last = "";
+        for (KeyedRecord record : listing.records()) {
+            listedKeys.add(record.key());
+            tell(record);
+            last = record.key();
+        }
+        if (listing.morePages() && !last.isEmpty()) {
+            list(Optional.of(last));
+            return;
+        }
+        // A listing that ends before what was read already is a stale one: it proves nothing of what it lacks.
+        if (listingEnd >= from) {
+            listener.listed(Set.copyOf(listedKeys), listingEnd);
+            from = listingEnd;
+        }
+        state.log()
+                .info(
+                        "topic_listed",
+                        "topic",
+                        topic.name(),
+                        "keys",
+                        Integer.toString(listedKeys.size()),
+                        "end",
+                        Long.toString(listingEnd));
+        follow();
+    }
+
+    private void tell(KeyedRecord record) {
+        try {
+            listener.record(record);
+        } catch (IllegalArgumentException unreadable) {
+            state.log()
+                    .warn(
+                            "record_unreadable",
+                            "topic",
+                            topic.name(),
+                            "key",
+                            record.key(),
+                            "offset",
+                            Long.toString(record.offset()),
+                            "reason",
+                            String.valueOf(unreadable.getMessage()));
+        }
+    }
+
+    private void works() {
+        failuresInARow = 0;
+        if (!answering || !answeredOnce) {
+            state.log().info("store_regained", "topic", topic.name());
+        }
+        answering = true;
+        answeredOnce = true;
+        listener.answered();
+    }
+
+    private void failed(String reason) {
+        if (answering) {
+            state.log().warn("store_lost", "topic", topic.name(), "reason", reason);
+        }
+        answering = false;
+        listener.lost();
+        long pause = Math.min(LONGEST_PAUSE_MILLIS, FIRST_PAUSE_MILLIS << Math.min(failuresInARow, 5));
+        failuresInARow++;
+        later(answeredOnce && (!keyed || listingEnd >= 0) ? this::follow : this::start, pause);
+    }
+
+    private void later(Runnable step, long millis) {
+        state.loop()
+                .schedule(
+                        () -> {
+                            if (!closed) {
+                                step.run();
+                            }
+                        },
+                        millis,
+                        TimeUnit.MILLISECONDS);
+    }
+
+    /** Returns the offset up to which the topic was read. */
+    long readTo() {
+        return from;
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+        line.close();
+    }
+}
--- /dev/null
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/port/EngineDialect.java
@@ -0,0 +1,60 @@
+package org.rattanrudder.daemon.relay.port;
+
+import java.util.List;
+import java.util.Optional;
+import org.rattanrudder.core.parts.PartKey;
+import org.rattanrudder.core.parts.StoreNews;
+
+/** How engines and context stores are spoken to, beside requests. */
+public interface EngineDialect {
+    /**
+     * What an engine reports of itself.
+     *
+     * @param weights the versions of the models that it serves
+     * @param busy whether an order is being carried out
+     * @param orders how many orders it has taken
+     * @param inFlight requests that run or wait
+     */
+    record EngineReport(List<NamedWeights> weights, boolean busy, long orders, int inFlight) {}
+
+    /**
+     * An order to load weights.
+     *
+     * @param weights the model and its version
+     * @param holder who gives it
+     * @param token its fencing token
+     * @param ordersBefore how many orders the engine must have taken before; anything else voids it
+     * @param target the incarnation that is meant
+     */
+    record LoadOrder(NamedWeights weights, String holder, long token, long ordersBefore, String target) {}
+
+    /** Returns the call that asks an engine for its state. */
+    PlatformCall report(Optional<String> target);
+
+    /** Reads the answer; empty if it is none. */
+    Optional<EngineReport> readReport(int status, byte[] body);
+
+    /** Returns the call that gives an order. */
+    PlatformCall order(LoadOrder order);
+
+    /** Returns whether an order was taken or holds already. */
+    boolean orderTaken(int status);
+
+    /** Returns whether a later order with a higher token was seen. */
+    boolean orderFenced(int status);
+
+    /** Returns the call that waits for changes of what a context store holds. */
+    PlatformCall changes(long since, long waitMillis);
+
+    /** Reads the answer; empty if it is none. */
+    Optional<StoreNews> readChanges(int status, byte[] body);
+
+    /** Returns the call for all that a context store holds. */
+    PlatformCall contents();
+
+    /** Reads the answer; empty if it is none. */
+    Optional<StoreNews> readContents(int status, byte[] body);
+
+    /** Returns the call that frees parts of a context store in the incarnation that is meant. */
+    PlatformCall free(List<PartKey> parts, long incarnation);
+}
--- /dev/null
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/port/NamedWeights.java
@@ -0,0 +1,9 @@
+package org.rattanrudder.daemon.relay.port;
+
+/**
+ * A version of a model's weights that operators want served.
+ *
+ * @param model the model
+ * @param version increases with each naming
+ */
+public record NamedWeights(String model, long version) {}
--- /dev/null
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/port/PlatformCall.java
@@ -0,0 +1,14 @@
+package org.rattanrudder.daemon.relay.port;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+
+/**
+ * A call to the platform's store, an engine or a context store.
+ *
+ * @param method the HTTP method
+ * @param target path and query
+ * @param headers headers beside the usual ones
+ * @param body the body; empty if none
+ */
+public record PlatformCall(HttpMethod method, String target, HttpHeaders headers, byte[] body) {}
--- /dev/null
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/port/StoreDialect.java
@@ -0,0 +1,64 @@
+package org.rattanrudder.daemon.relay.port;
+
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.rattanrudder.core.fleet.TargetEntry;
+import org.rattanrudder.core.gateway.ServingConfiguration;
+import org.rattanrudder.core.rollout.LeaseRecord;
+
+/** How the platform's store is spoken to. */
+public interface StoreDialect {
+    /** The topics of the store that a relay uses. */
+    enum Topic {
+        /** What operators want: the configuration, and the weights of each model. */
+        WISHES,
+        /** The targets' entries. */
+        TARGETS,
+        /** The lease of the process that gives orders. */
+        ORDERS
+    }
+
+    /** A record of what operators want. */
+    sealed interface Wish {
+        /**
+         * The newest configuration.
+         *
+         * @param configuration in full
+         */
+        record Configured(ServingConfiguration configuration) implements Wish {}
+
+        /**
+         * A version of weights.
+         *
+         * @param weights the model and its version
+         */
+        record Weights(NamedWeights weights) implements Wish {}
+    }
+
+    /** Returns the call for a page of the newest records; after the given key, or the first page. */
+    PlatformCall listing(Topic topic, Optional<String> after);
+
+    /** Returns the call that waits for records from an offset on. */
+    PlatformCall follow(Topic topic, long from, long waitMillis);
+
+    /** Returns the call that appends a record; only at the given end if one is given. */
+    PlatformCall append(Topic topic, LeaseRecord record, OptionalLong at);
+
+    /** Reads the answer to a listing. */
+    StoreAnswer readListing(int status, byte[] body);
+
+    /** Reads the answer to a call that follows a topic from an offset. */
+    StoreAnswer readRecords(Topic topic, long from, int status, byte[] body);
+
+    /** Reads the answer to an append. */
+    StoreAnswer readAppend(int status, byte[] body);
+
+    /** Reads what operators want; empty if the key is none that we use. Throws IllegalArgumentException if unreadable. */
+    Optional<Wish> readWish(KeyedRecord record);
+
+    /** Reads a target's entry. Throws IllegalArgumentException if unreadable. */
+    TargetEntry readTarget(String id, byte[] value);
+
+    /** Reads a record of the lease. Throws IllegalArgumentException if unreadable. */
+    LeaseRecord readLease(byte[] value);
+}
--- /dev/null
+++ b/rattanrudder-document/src/main/java/org/rattanrudder/document/RelaySettings.java
@@ -0,0 +1,41 @@
+package org.rattanrudder.document;
+
+import org.rattanrudder.core.model.Address;
+
+/**
+ * The settings of a relay.
+ *
+ * @param instance its name
+ * @param failureDomain where it stands
+ * @param callers where it listens for callers
+ * @param readiness where it answers whether it takes new connections
+ * @param metrics where it serves its metrics
+ * @param store the platform's store
+ * @param bounds what it must keep to
+ */
+public record RelaySettings(
+        String instance,
+        String failureDomain,
+        Address callers,
+        Address readiness,
+        Address metrics,
+        Address store,
+        Bounds bounds) {
+    /**
+     * What a relay must keep to; times are milliseconds.
+     *
+     * @param retryRatio sends beyond the first of each request, for each request in a window
+     * @param retryExtra such sends on top of it in each window, of all relays together
+     * @param retryWindowMillis the length of that window
+     * @param leaseMillis the time in which two processes may not both give orders
+     * @param weightsMillis from naming a version of weights until no request may begin on an older one
+     * @param graceMillis from the request to stop until the process is ended by force
+     */
+    public record Bounds(
+            double retryRatio,
+            double retryExtra,
+            long retryWindowMillis,
+            long leaseMillis,
+            long weightsMillis,
+            long graceMillis) {}
+}
--- /dev/null
+++ b/rattanrudder-document/src/main/java/org/rattanrudder/document/RelaySettingsParser.java
@@ -0,0 +1,59 @@
+package org.rattanrudder.document;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.rattanrudder.core.model.CustomerName;
+import org.rattanrudder.core.model.InstanceName;
+import org.rattanrudder.document.RelaySettings.Bounds;
+
+/**
+ * Reads the settings of a relay: JSON with comments, each value checked.
+ *
+ * <pre>{@code
+ * ParseResult<RelaySettings> result = new RelaySettingsParser().parse(Files.readString(path));
+ * }</pre>
+ */
+public final class RelaySettingsParser {
+    private static final long LONGEST_MILLIS = 3_600_000;
+    private static final ValueKind<String> INSTANCE =
+            ValueKind.name("instance", text -> new InstanceName(text).value());
+    private static final ValueKind<String> DOMAIN =
+            ValueKind.name("failure domain", text -> new CustomerName(text).value());
+
+    /** Reads the text and returns the settings, or all of its problems. */
+    public ParseResult<RelaySettings> parse(String text) {
+        Problems problems = new Problems();
+        List<DefaultValue> defaults = new ArrayList<>();
+        Optional<RelaySettings> settings =
+                JsonTree.read(text, problems).map(root -> settings(new Fields(root, "", problems, defaults)));
+        return settings.isPresent() && problems.isEmpty()
+                ? new ParseResult.Accepted<>(settings.get(), defaults)
+                : new ParseResult.Rejected<>(problems.sorted());
+    }
+
+    private static RelaySettings settings(Fields fields) {
+        RelaySettings settings = new RelaySettings(
+                fields.required("instance", INSTANCE),
+                fields.required("failureDomain", DOMAIN),
+                fields.required("callers", ValueKind.address()),
+                fields.required("readiness", ValueKind.address()),
+                fields.required("metrics", ValueKind.address()),
+                fields.required("store", ValueKind.address()),
+                bounds(fields.requiredObject("bounds")));
+        fields.finish();
+        return settings;
+    }
+
+    private static Bounds bounds(Fields fields) {
+        Bounds bounds = new Bounds(
+                fields.required("retryRatio", ValueKind.number("0", "10")),
+                fields.required("retryExtra", ValueKind.number("0", "1000000")),
+                fields.required("retryWindowSeconds", ValueKind.integer(1, 3_600)) * 1_000L,
+                fields.required("leaseMillis", ValueKind.longInteger(1, LONGEST_MILLIS)),
+                fields.required("weightsMillis", ValueKind.longInteger(1, LONGEST_MILLIS)),
+                fields.required("graceSeconds", ValueKind.integer(1, 3_600)) * 1_000L);
+        fields.finish();
+        return bounds;
+    }
+}
