--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/rollout/OrderLease.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/rollout/OrderLease.java
@@ -12,13 +12,13 @@
  */
 public final class OrderLease {
     /** How long a record allows orders: renewing costs a write, and a dead holder delays a rollout by as much. */
-    public static final long HELD_MILLIS = 2_500;
+    public static final long HELD_MILLIS = 1_200;
 
     /** When this much is left, the holder renews: an append takes some ms, and hundreds when the log is slow. */
-    public static final long RENEW_MILLIS = 1_200;
+    public static final long RENEW_MILLIS = 600;
 
     /** What clocks and reads may differ by when a lease is waited out, in ms. */
-    private static final long MARGIN_MILLIS = 500;
+    private static final long MARGIN_MILLIS = 300;
 
     /** A wall clock that ran this much ahead of the steady clock means that the process stood still, in ms. */
     private static final long STOOD_STILL_MILLIS = 200;
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/CallerConnection.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/CallerConnection.java
@@ -152,6 +152,10 @@
     }
 
     private void admit() {
+        if (state.refusing()) {
+            problem = ErrorKind.DRAINING;
+            return;
+        }
         if (state.configuration().isEmpty()) {
             // Without a configuration nothing is known to be wrong with the request.
             problem = ErrorKind.LOG_UNAVAILABLE;
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
@@ -248,6 +248,11 @@
                 : PartPlan.NONE;
         state.metrics().parts("read", count(parts.sources()));
         state.metrics().parts("saved", count(parts.targets()));
+        if (engine.isPresent()) {
+            state.log().info("request_sent", "request", facts.id(), "target", target.id(), "salt", salt.orElse("none"),
+                    "shared_parts", Integer.toString(Math.max(0, facts.parts().size() - 1)), "read",
+                    Integer.toString(count(parts.sources())), "saved", Integer.toString(count(parts.targets())));
+        }
         if (engine.isPresent() && salt.isEmpty()) {
             // Weights that aren't known can't be told apart: nothing of this request may be found by another one.
             salt = Optional.of("request-" + facts.id());
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/OrderGiver.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/OrderGiver.java
@@ -39,7 +39,7 @@
     private static final int LOADS_AT_ONCE = 2;
 
     /** How long an engine that was ordered is left alone, in ms: runs end and weights load within about this time. */
-    private static final long SWAP_MILLIS = 2_600;
+    private static final long SWAP_MILLIS = 5_000;
 
     /** When an engine is first asked how far it is, in ms after its order, and how often then. */
     private static final long FIRST_LOOK_MILLIS = 1_900;
@@ -271,7 +271,12 @@
             ordering.add(target.id());
             CallLine line = new CallLine(state.connector(), target.entry().address());
             line.call(state.platform().engines().report(Optional.of(target.id())), CALL_MILLIS, answer -> {
-                report(answer).ifPresent(read -> note(target, read));
+                Optional<EngineReport> report = report(answer);
+                report.ifPresent(read -> note(target, read));
+                state.log().info("engine_looked_at", "target", target.id(), "busy",
+                        report.map(read -> Boolean.toString(read.busy())).orElse("unknown"), "weights",
+                        Long.toString(target.weights(work.weights().model())), "in_flight",
+                        report.map(read -> Integer.toString(read.inFlight())).orElse("unknown"));
                 ordering.remove(target.id());
                 line.close();
             });
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
@@ -62,9 +62,6 @@
 
     private static final long WISHES_GAP_MILLIS = 20;
 
-    /** How long new connections still come after readiness was taken back, in ms: two missed checks and some more. */
-    private static final long LEAVE_MILLIS = 2_600;
-
     /** How long before the forced end the process ends by itself, in ms. */
     private static final long END_MARGIN_MILLIS = 1_200;
 
@@ -87,7 +84,7 @@
     private final Set<CallerConnection> callers = new HashSet<>();
     private final Map<Address, StoreWatch> stores = new HashMap<>();
     private final CountDownLatch drained = new CountDownLatch(1);
-    private long drainingSince = -1;
+    private final Channel callersListening;
     private long settledSince = -1;
     private boolean finishedInTime;
 
@@ -104,7 +101,7 @@
         state = new RelayState(settings, platform, loop, connector(group), log, new RelayMetrics(), random);
         pools = new TargetPools(state.connector(), platform.requests());
         gauges();
-        listen(group, settings.callers(), callerChannels());
+        callersListening = listen(group, settings.callers(), callerChannels());
         listen(group, settings.readiness(), new StatusServer(this::readiness));
         listen(group, settings.metrics(), new StatusServer(this::metrics));
         loop.execute(() -> begin(Long.toHexString(random.nextLong())));
@@ -122,7 +119,7 @@
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, TargetPools.CONNECT_MILLIS);
     }
 
-    private void listen(MultiThreadIoEventLoopGroup group, Address address, ChannelInitializer<Channel> channels)
+    private Channel listen(MultiThreadIoEventLoopGroup group, Address address, ChannelInitializer<Channel> channels)
             throws IOException {
         try {
             Channel listening = new ServerBootstrap()
@@ -140,6 +137,7 @@
                     .sync()
                     .channel();
             closer.add(listening::close);
+            return listening;
         } catch (InterruptedException interrupted) {
             Thread.currentThread().interrupt();
             throw new IOException("interrupted while listening on " + address, interrupted);
@@ -302,14 +300,17 @@
 
     private void sweep() {
         long now = state.now();
-        boolean closeIdle = drainingSince >= 0 && now - drainingSince > LEAVE_MILLIS;
+        boolean closeIdle = state.refusing();
+        if (closeIdle && callersListening.isOpen()) {
+            callersListening.close();
+        }
         for (CallerConnection caller : List.copyOf(callers)) {
             caller.sweep(now, closeIdle);
         }
         Set<String> known = state.fleet().all(now).stream().map(Target::id).collect(Collectors.toSet());
         pools.sweep(known, now);
         freeOutdated(now);
-        if (drainingSince >= 0) {
+        if (state.draining()) {
             endIfDrained(now);
         }
     }
@@ -353,9 +354,9 @@
     }
 
     private void endIfDrained(long now) {
-        long since = now - drainingSince;
+        long since = now - state.drainingSince();
         boolean busy = callers.stream().anyMatch(CallerConnection::isBusy);
-        boolean quiet = since > LEAVE_MILLIS + SWEEP_MILLIS && !busy;
+        boolean quiet = state.refusing() && !busy;
         boolean late = since > state.settings().bounds().graceMillis() - END_MARGIN_MILLIS;
         if (quiet || late) {
             finishedInTime = !busy;
@@ -400,7 +401,7 @@
     public boolean drain() throws InterruptedException {
         loop.execute(() -> {
             state.drain();
-            drainingSince = state.now();
+            loop.schedule(this::sweep, RelayState.SERVED_WHILE_DRAINING_MILLIS + 1, TimeUnit.MILLISECONDS);
         });
         boolean ended = drained.await(state.settings().bounds().graceMillis(), TimeUnit.MILLISECONDS);
         return ended && finishedInTime;
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
@@ -25,6 +25,13 @@
      */
     private static final int RELAYS_PLANNED = 16;
 
+    /**
+     * How long a draining relay still serves new requests, in ms. New connections come until two readiness checks were
+     * missed, after 2 s at most; requests that come later, on connections that were open before, are refused as not run,
+     * so that all that was begun can end before the process has to.
+     */
+    static final long SERVED_WHILE_DRAINING_MILLIS = 2_600;
+
     /** Part of the ratio that is used: windows of others begin and end at other times. */
     private static final double RATIO_USED = 0.8;
 
@@ -41,6 +48,7 @@
     private final Map<String, Named> weights = new HashMap<>();
     private Optional<ServingConfiguration> configuration = Optional.empty();
     private boolean draining;
+    private long drainingSince;
 
     /**
      * A version of weights that was named.
@@ -154,7 +162,18 @@
         return draining;
     }
 
+    /** Returns whether new requests are refused, since they might not end before the process does. */
+    boolean refusing() {
+        return draining && now() - drainingSince > SERVED_WHILE_DRAINING_MILLIS;
+    }
+
+    /** Returns when draining began. */
+    long drainingSince() {
+        return drainingSince;
+    }
+
     void drain() {
         draining = true;
+        drainingSince = now();
     }
 }
