Hold requests at the relay while engines are full

Ruled out: missing saves (the stores filled) and fetches that expire (6 s in place of 2.6 s changed little by itself). A relay now sends to an engine only what it has room for; requests that can still be on time go first, late ones fill what is left, and what would wait longer is refused at once.

--- /dev/null
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/HoldingLine.java
@@ -0,0 +1,100 @@
+package org.rattanrudder.core.fleet;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeSet;
+
+/**
+ * Requests of one service that wait at the relay for an engine with room.
+ *
+ * <p>Those that can still be on time go first, by rank and then by how little time they have; then the late ones, by
+ * their deadlines. The late ones are bounded by the work that they are: what would wait longer is refused at once, since
+ * an overloaded service that works off everything in order serves all of it late.
+ *
+ * @param <T> a request
+ */
+public final class HoldingLine<T> {
+    private final TreeSet<Place<T>> onTime = new TreeSet<>(Comparator.<Place<T>>comparingInt(Place::rank)
+            .thenComparingLong(Place::onTimeUntilMillis)
+            .thenComparingLong(Place::number));
+    private final TreeSet<Place<T>> late = new TreeSet<>(Comparator.<Place<T>>comparingInt(Place::rank)
+            .thenComparingLong(Place::deadlineMillis)
+            .thenComparingLong(Place::number));
+    private final long lateTokensAllowed;
+    private long lateTokens;
+    private long numbers;
+
+    /**
+     * Makes an empty line.
+     *
+     * @param lateTokensAllowed the prompt tokens of late requests that may wait
+     */
+    public HoldingLine(long lateTokensAllowed) {
+        this.lateTokensAllowed = lateTokensAllowed;
+    }
+
+    /**
+     * A place in the line.
+     *
+     * @param request who waits
+     * @param rank its priority, 0 first
+     * @param tokens its size, in tokens
+     * @param onTimeUntilMillis when it must be sent to be on time
+     * @param deadlineMillis when nobody waits for it any more
+     * @param number tells places apart
+     * @param <T> a request
+     */
+    public record Place<T>(T request, int rank, int tokens, long onTimeUntilMillis, long deadlineMillis, long number) {}
+
+    /** Joins the line. */
+    public Place<T> join(T request, int rank, int tokens, long onTimeUntilMillis, long deadlineMillis) {
+        Place<T> place = new Place<>(request, rank, tokens, onTimeUntilMillis, deadlineMillis, numbers++);
+        onTime.add(place);
+        return place;
+    }
+
+    /** Leaves the line. */
+    public void leave(Place<T> place) {
+        if (!onTime.remove(place) && late.remove(place)) {
+            lateTokens -= place.tokens();
+        }
+    }
+
+    /** Returns the place whose turn it is. */
+    public Optional<Place<T>> first() {
+        if (!onTime.isEmpty()) {
+            return Optional.of(onTime.first());
+        }
+        return late.isEmpty() ? Optional.empty() : Optional.of(late.first());
+    }
+
+    /** Moves requests that can't be on time any more behind the others, and returns those that can't wait there. */
+    public List<Place<T>> expire(long nowMillis) {
+        List<Place<T>> refused = new ArrayList<>();
+        List<Place<T>> expired = onTime.stream()
+                .filter(place -> place.onTimeUntilMillis() <= nowMillis)
+                .toList();
+        for (Place<T> place : expired) {
+            onTime.remove(place);
+            if (lateTokens + place.tokens() > lateTokensAllowed) {
+                refused.add(place);
+            } else {
+                late.add(place);
+                lateTokens += place.tokens();
+            }
+        }
+        return refused;
+    }
+
+    /** Returns whether a place is among the late ones. */
+    public boolean isLate(Place<T> place) {
+        return late.contains(place);
+    }
+
+    /** Returns how many wait. */
+    public int size() {
+        return onTime.size() + late.size();
+    }
+}
--- /dev/null
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/SendWindow.java
@@ -0,0 +1,56 @@
+package org.rattanrudder.core.fleet;
+
+import java.util.List;
+import org.rattanrudder.core.gateway.EngineTraits;
+
+/**
+ * Says whether an engine takes another request without making it wait long.
+ *
+ * <p>What waits in an engine's own queue can't be put in another order any more, and its plan for cached parts ages.
+ * After an overload that left every engine with a second of queue, all fetches came too late, so that each prompt was
+ * read in full and the queues stayed. Requests therefore wait at the relay, where the one that can still be on time goes
+ * first, and an engine holds just enough to be busy until the next one reaches it.
+ */
+public final class SendWindow {
+    /** Prompt tokens that may wait at an engine, about 130 ms of reading: enough to bridge a round trip and a report. */
+    private static final long WAITING_TOKENS = 14_000;
+
+    /** What a waiting request of another relay counts, in tokens: a mean prompt of which a part is cached. */
+    private static final long OTHERS_WAITING_TOKENS = 3_000;
+
+    /** What a running request of another relay takes of an engine's memory, in tokens, about. */
+    private static final long OTHERS_RUNNING_TOKENS = 4_000;
+
+    /** The part of an engine's memory that requests fill which can be on time; parts that they share count twice. */
+    private static final double MEMORY_SHARE = 1.0;
+
+    /** The part of it that late requests fill: those that can be on time find room at once. */
+    private static final double LATE_MEMORY_SHARE = 0.65;
+
+    private static final long LATE_WAITING_TOKENS = 6_000;
+
+    private SendWindow() {}
+
+    /** Returns the targets that take a request of so many tokens now. */
+    public static List<Target> open(
+            List<Target> targets, EngineTraits engine, int tokens, boolean late, long nowMillis) {
+        return targets.stream()
+                .filter(target -> isOpen(target, engine, tokens, late, nowMillis))
+                .toList();
+    }
+
+    private static boolean isOpen(Target target, EngineTraits engine, int tokens, boolean late, long nowMillis) {
+        if (target.isPaused(nowMillis) || target.isSwapping(nowMillis)) {
+            return false;
+        }
+        if (target.inFlight() == 0) {
+            // At least one at a time gets through whatever is believed of the other relays' work.
+            return true;
+        }
+        long waiting = target.waitingTokens() + OTHERS_WAITING_TOKENS * target.othersWaiting(nowMillis);
+        long memory = target.inFlightTokens() + OTHERS_RUNNING_TOKENS * target.othersRunning(nowMillis) + tokens;
+        return waiting < (late ? LATE_WAITING_TOKENS : WAITING_TOKENS)
+                && memory <= engine.capacityTokens() * (late ? LATE_MEMORY_SHARE : MEMORY_SHARE)
+                && target.inFlight() + target.othersRunning(nowMillis) < engine.slots();
+    }
+}
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Target.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Target.java
@@ -40,6 +40,7 @@
     private long experienceAt;
     private int unreachableInARow;
     private long pausedUntil = Long.MIN_VALUE / 2;
+    private long lastSignAt;
     private long swappingUntil = Long.MIN_VALUE / 2;
 
     Target(TargetEntry entry) {
@@ -83,27 +84,48 @@
         return nowMillis < swappingUntil;
     }
 
+    /**
+     * The work that a request is for its target.
+     *
+     * @param tokens the memory that it takes, in tokens
+     * @param unread the part of its prompt that must be read, in tokens
+     */
+    public record Work(int tokens, int unread) {}
+
     /** Notes that a request was sent. */
-    public void sent(int tokens) {
+    public void sent(Work work, long nowMillis) {
         inFlight++;
-        inFlightTokens += tokens;
-        waitingTokens += tokens;
+        inFlightTokens += work.tokens();
+        waitingTokens += work.unread();
+        if (inFlight == 1) {
+            lastSignAt = nowMillis;
+        }
     }
 
-    /** Notes the first byte of an answer to a request of so many tokens. */
-    public void began(int tokens) {
-        waitingTokens -= tokens;
+    /** Notes the first byte of an answer to a request. */
+    public void began(Work work) {
+        waitingTokens -= work.unread();
     }
 
     /** Notes that a request has ended, in whatever way. */
-    public void ended(int tokens, boolean hadBegun) {
+    public void ended(Work work, boolean hadBegun) {
         inFlight--;
-        inFlightTokens -= tokens;
+        inFlightTokens -= work.tokens();
         if (!hadBegun) {
-            waitingTokens -= tokens;
+            waitingTokens -= work.unread();
         }
     }
 
+    /** Notes any byte from the target. */
+    public void heard(long nowMillis) {
+        lastSignAt = nowMillis;
+    }
+
+    /** Returns when the target was last heard of, or got work while it had none. */
+    public long lastSignAt() {
+        return lastSignAt;
+    }
+
     /** Notes the load that the target told of itself. */
     public void reportedLoad(int running, int waiting, long nowMillis) {
         // Our own share is known exactly; what is left is the other gateways'.
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
@@ -18,8 +18,10 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.rattanrudder.core.fleet.HoldingLine;
 import org.rattanrudder.core.fleet.Placement;
 import org.rattanrudder.core.fleet.PlacementQuery;
+import org.rattanrudder.core.fleet.SendWindow;
 import org.rattanrudder.core.fleet.Target;
 import org.rattanrudder.core.gateway.AttemptOutcome;
 import org.rattanrudder.core.gateway.AttemptRules;
@@ -59,9 +61,20 @@
     /** Silence between events, as a multiple of the longest pause that is on time. */
     private static final double PAUSE_PATIENCE = 2.5;
 
+    /** By how much longer a target is waited for that serves other requests. */
+    private static final int ALIVE_PATIENCE = 3;
+
     /** The part of the objective after which a repeatable plain request is tried at another target. */
     private static final double PLAIN_PATIENCE = 0.9;
 
+    /** The part of the objective that a request waits in line; what is left must do for reading its prompt. */
+    private static final double HELD_SHARE = 0.5;
+
+    /** The rank at an engine of a request that can be on time, and of one that can't. */
+    private static final int ON_TIME_RANK = 4;
+
+    private static final int LATE_RANK = 7;
+
     private static final double ENGINE_BASE_MILLIS = 80;
     private static final double TOKENS_PER_MILLI = 100;
     private static final double PLAIN_BASE_MILLIS = 150;
@@ -85,6 +98,9 @@
     private final Optional<EventTail> tail;
     private ScheduledFuture<?> deadline;
     private ScheduledFuture<?> patience;
+    private HoldingLine.Place<Exchange> place;
+    private ScheduledFuture<?> waiting;
+    private Target.Work work = new Target.Work(0, 0);
     private Target target;
     private TargetConnection connection;
     private long sentAt;
@@ -96,6 +112,7 @@
     private boolean counted;
     private int runs;
     private int unrunSends;
+    private String load = "unknown";
     private HttpResponse heldHead;
     private ByteBuf held;
 
@@ -138,17 +155,89 @@
         return deadlineAt - state.now();
     }
 
+    /** Sends the request to an engine with room, or waits in line for one; other services take it at once. */
     private void place() {
+        if (engine.isEmpty() || runs > 0) {
+            placeAnywhere();
+            return;
+        }
+        long now = state.now();
+        if (state.line(service).size() == 0 && placeInWindow()) {
+            return;
+        }
+        place = state.line(service).join(this, rank(), tokens(), Math.max(now, onTimeUntil()), deadlineAt);
+        long wait = Math.max(1, place.onTimeUntilMillis() - now);
+        waiting = state.loop().schedule(() -> state.expireLine(service), wait, TimeUnit.MILLISECONDS);
+        state.log()
+                .info(
+                        "request_held",
+                        "request",
+                        facts.id(),
+                        "service",
+                        service,
+                        "in_line",
+                        Integer.toString(state.line(service).size()),
+                        "until_ms",
+                        Long.toString(wait));
+    }
+
+    /** Sends the request if an engine has room for it. */
+    boolean placeInWindow() {
+        long now = state.now();
+        boolean late = now > onTimeUntil();
+        List<Target> open = SendWindow.open(state.fleet().of(service, now), engine.orElseThrow(), tokens(), late, now);
+        PlacementQuery query = query(now);
+        Optional<Placement.Choice> choice = Placement.choose(
+                open.stream().filter(each -> !tried.contains(each.id())).toList(), query, now);
+        choice.ifPresent(found -> {
+            leaveLine();
+            sendTo(found);
+        });
+        return choice.isPresent();
+    }
+
+    /** The line is too long for a request that will be late: it is refused, and its caller told when to come back. */
+    void refuseFromLine() {
+        if (!ended) {
+            end(ErrorKind.OVERLOADED, "line too long");
+        }
+    }
+
+    private void leaveLine() {
+        if (place != null) {
+            state.line(service).leave(place);
+            waiting.cancel(false);
+            place = null;
+        }
+    }
+
+    private long onTimeUntil() {
+        return arrivedAt + (long) (route.objectiveMillis() * HELD_SHARE);
+    }
+
+    private int rank() {
+        return customer.flatMap(known -> known.priority().isPresent()
+                        ? Optional.of(known.priority().getAsInt())
+                        : Optional.empty())
+                .orElse(route.priority());
+    }
+
+    private void placeAnywhere() {
         long now = state.now();
         Optional<Placement.Choice> choice = Placement.choose(state.fleet().of(service, now), query(now), now);
         if (choice.isEmpty()) {
             end(runs == 0 ? ErrorKind.NO_TARGET : ErrorKind.TARGET_FAILED, "no target");
             return;
         }
-        target = choice.get().target();
+        sendTo(choice.get());
+    }
+
+    private void sendTo(Placement.Choice choice) {
+        long now = state.now();
+        target = choice.target();
         tried.add(target.id());
         Target chosen = target;
-        logPlaced(choice.get());
+        logPlaced(choice);
         pools.acquire(chosen, route.repeat().repeatable(), now, opened -> connected(chosen, opened));
     }
 
@@ -221,8 +310,9 @@
             counted = true;
             state.allowance(service).request(sentAt);
         }
-        target.sent(tokens());
-        opened.send(outgoing(), body.retainedDuplicate(), facts.id(), this);
+        HttpRequest outgoing = outgoing();
+        target.sent(work, sentAt);
+        opened.send(outgoing, body.retainedDuplicate(), facts.id(), this);
         watch();
     }
 
@@ -246,12 +336,25 @@
                 ? state.directory()
                         .plan(salt.get(), facts.parts(), target.entry().failureDomain(), state.now())
                 : PartPlan.NONE;
+        work = new Target.Work(tokens(), Math.max(0, facts.promptTokens() - readTokens(parts)));
         state.metrics().parts("read", count(parts.sources()));
         state.metrics().parts("saved", count(parts.targets()));
         if (engine.isPresent()) {
-            state.log().info("request_sent", "request", facts.id(), "target", target.id(), "salt", salt.orElse("none"),
-                    "shared_parts", Integer.toString(Math.max(0, facts.parts().size() - 1)), "read",
-                    Integer.toString(count(parts.sources())), "saved", Integer.toString(count(parts.targets())));
+            state.log()
+                    .info(
+                            "request_sent",
+                            "request",
+                            facts.id(),
+                            "target",
+                            target.id(),
+                            "salt",
+                            salt.orElse("none"),
+                            "shared_parts",
+                            Integer.toString(Math.max(0, facts.parts().size() - 1)),
+                            "read",
+                            Integer.toString(count(parts.sources())),
+                            "saved",
+                            Integer.toString(count(parts.targets())));
         }
         if (engine.isPresent() && salt.isEmpty()) {
             // Weights that aren't known can't be told apart: nothing of this request may be found by another one.
@@ -265,7 +368,15 @@
                 salt,
                 parts,
                 lastEventId(),
-                OptionalInt.empty());
+                engine.isEmpty()
+                        ? OptionalInt.empty()
+                        : OptionalInt.of(state.now() <= onTimeUntil() ? ON_TIME_RANK : LATE_RANK));
+    }
+
+    private static int readTokens(PartPlan parts) {
+        return parts.sources().stream()
+                .mapToInt(source -> source.map(PartPlan.Source::tokens).orElse(0))
+                .sum();
     }
 
     private static int count(List<? extends Optional<?>> places) {
@@ -288,6 +399,11 @@
             return;
         }
         AttemptRules.Progress progress = progress(1);
+        if (route.repeat().stream() && target.lastSignAt() > lastPieceAt && quiet < ALIVE_PATIENCE * limit) {
+            // It works for others: this request waits its turn, and would have to wait again elsewhere.
+            patience = state.loop().schedule(this::watch, limit, TimeUnit.MILLISECONDS);
+            return;
+        }
         if (AttemptRules.mayRetry(progress, AttemptOutcome.SILENT)
                 && state.allowance(service).tryRepeat(state.now())) {
             connection.abort();
@@ -312,6 +428,7 @@
 
     @Override
     public void head(HttpResponse response, AnswerFacts answer) {
+        answer.load().ifPresent(told -> load = told.running() + "/" + told.waiting());
         answer.load().ifPresent(load -> target.reportedLoad(load.running(), load.waiting(), state.now()));
         if (answer.misdirected()) {
             misdirected(answer);
@@ -367,10 +484,12 @@
     @Override
     public void content(ByteBuf piece) {
         lastPieceAt = state.now();
+        target.heard(lastPieceAt);
         if (!attemptBegan) {
             attemptBegan = true;
             firstPieceMillis = lastPieceAt - sentAt;
-            target.began(tokens());
+            target.began(work);
+            state.drainLine(service);
         }
         if (!route.repeat().stream()) {
             hold(piece);
@@ -499,7 +618,8 @@
             patience.cancel(false);
         }
         if (connection != null) {
-            target.ended(tokens(), attemptBegan);
+            target.ended(work, attemptBegan);
+            state.drainLine(service);
         }
         connection = null;
         if (held != null) {
@@ -551,6 +671,7 @@
         if (ended) {
             return;
         }
+        leaveLine();
         if (connection != null) {
             connection.abort();
             closeAttempt(AttemptOutcome.SILENT, "caller left");
@@ -570,6 +691,7 @@
 
     private void finished(String outcome, String reason) {
         ended = true;
+        leaveLine();
         deadline.cancel(false);
         if (patience != null) {
             patience.cancel(false);
@@ -589,6 +711,18 @@
                         reason,
                         "ms",
                         Long.toString(state.now() - arrivedAt),
+                        "target",
+                        target == null ? "none" : target.id(),
+                        "sent_after_ms",
+                        target == null ? "none" : Long.toString(sentAt - arrivedAt),
+                        "first_after_ms",
+                        Long.toString(firstPieceMillis),
+                        "tokens",
+                        Integer.toString(tokens()),
+                        "unread",
+                        Integer.toString(work.unread()),
+                        "load",
+                        load,
                         "runs",
                         Integer.toString(runs),
                         "unrun_sends",
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/OrderGiver.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/OrderGiver.java
@@ -273,10 +273,19 @@
             line.call(state.platform().engines().report(Optional.of(target.id())), CALL_MILLIS, answer -> {
                 Optional<EngineReport> report = report(answer);
                 report.ifPresent(read -> note(target, read));
-                state.log().info("engine_looked_at", "target", target.id(), "busy",
-                        report.map(read -> Boolean.toString(read.busy())).orElse("unknown"), "weights",
-                        Long.toString(target.weights(work.weights().model())), "in_flight",
-                        report.map(read -> Integer.toString(read.inFlight())).orElse("unknown"));
+                state.log()
+                        .info(
+                                "engine_looked_at",
+                                "target",
+                                target.id(),
+                                "busy",
+                                report.map(read -> Boolean.toString(read.busy()))
+                                        .orElse("unknown"),
+                                "weights",
+                                Long.toString(target.weights(work.weights().model())),
+                                "in_flight",
+                                report.map(read -> Integer.toString(read.inFlight()))
+                                        .orElse("unknown"));
                 ordering.remove(target.id());
                 line.close();
             });
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
@@ -3,11 +3,14 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.EventLoop;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import org.rattanrudder.core.fleet.Fleet;
+import org.rattanrudder.core.fleet.HoldingLine;
 import org.rattanrudder.core.gateway.CallerLimits;
 import org.rattanrudder.core.gateway.RetryAllowance;
 import org.rattanrudder.core.gateway.ServingConfiguration;
@@ -32,6 +35,9 @@
      */
     static final long SERVED_WHILE_DRAINING_MILLIS = 2_600;
 
+    /** Prompt tokens of late requests that may wait at a relay for each engine: some two or three prompts. */
+    private static final long LATE_TOKENS_PER_ENGINE = 10_000;
+
     /** Part of the ratio that is used: windows of others begin and end at other times. */
     private static final double RATIO_USED = 0.8;
 
@@ -46,6 +52,8 @@
     private final PartDirectory directory;
     private final Map<String, RetryAllowance> allowances = new HashMap<>();
     private final Map<String, Named> weights = new HashMap<>();
+    private final Map<String, HoldingLine<Exchange>> lines = new HashMap<>();
+    private final Set<String> linesBeingDrained = new HashSet<>();
     private Optional<ServingConfiguration> configuration = Optional.empty();
     private boolean draining;
     private long drainingSince;
@@ -149,6 +157,38 @@
         return weights;
     }
 
+    /** Returns the line of a service's requests that wait for an engine. */
+    HoldingLine<Exchange> line(String service) {
+        return lines.computeIfAbsent(service, unseen -> new HoldingLine<>(lateTokensAllowed(service)));
+    }
+
+    private long lateTokensAllowed(String service) {
+        long engines = fleet.of(service, now()).size();
+        return Math.max(1, engines) * LATE_TOKENS_PER_ENGINE;
+    }
+
+    /** Lets requests that can't be on time go behind the others, and refuses those that would wait too long. */
+    void expireLine(String service) {
+        HoldingLine<Exchange> line = line(service);
+        line.expire(now()).forEach(refused -> refused.request().refuseFromLine());
+        drainLine(service);
+    }
+
+    /** Sends requests that wait, as far as engines have room. */
+    void drainLine(String service) {
+        HoldingLine<Exchange> line = line(service);
+        if (line.size() == 0 || !linesBeingDrained.add(service)) {
+            return;
+        }
+        loop.execute(() -> {
+            linesBeingDrained.remove(service);
+            Optional<HoldingLine.Place<Exchange>> first = line.first();
+            while (first.isPresent() && first.get().request().placeInWindow()) {
+                first = line.first();
+            }
+        });
+    }
+
     RetryAllowance allowance(String service) {
         return allowances.computeIfAbsent(
                 service,
