--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/HoldingLine.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/HoldingLine.java
@@ -10,8 +10,8 @@
  * Requests of one service that wait at the relay for an engine with room.
  *
  * <p>Those that can still be on time go first, by rank and then by how little time they have; then the late ones, by
- * their deadlines. The late ones are bounded by the work that they are: what would wait longer is refused at once, since
- * an overloaded service that works off everything in order serves all of it late.
+ * their deadlines. The late ones are bounded by the work that they are: what would wait longer is refused at once,
+ * since an overloaded service that works off everything in order serves all of it late.
  *
  * @param <T> a request
  */
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/SendWindow.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/SendWindow.java
@@ -8,11 +8,11 @@
  *
  * <p>What waits in an engine's own queue can't be put in another order any more, and its plan for cached parts ages.
  * After an overload that left every engine with a second of queue, all fetches came too late, so that each prompt was
- * read in full and the queues stayed. Requests therefore wait at the relay, where the one that can still be on time goes
- * first, and an engine holds just enough to be busy until the next one reaches it.
+ * read in full and the queues stayed. Requests therefore wait at the relay, where the one that can still be on time
+ * goes first, and an engine holds just enough to be busy until the next one reaches it.
  */
 public final class SendWindow {
-    /** Prompt tokens that may wait at an engine, about 130 ms of reading: enough to bridge a round trip and a report. */
+    /** Prompt tokens that may wait at an engine, about 130 ms of reading: enough to bridge a round trip. */
     private static final long WAITING_TOKENS = 14_000;
 
     /** What a waiting request of another relay counts, in tokens: a mean prompt of which a part is cached. */
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/gateway/AttemptRules.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/gateway/AttemptRules.java
@@ -11,8 +11,8 @@
  */
 public final class AttemptRules {
     /**
-     * Sends that end without a run, at most, for one request. A target that is full or gone says so in milliseconds; more
-     * than a few tries mean that the whole service is, and each costs targets and the retry budget.
+     * Sends that end without a run, at most, for one request. A target that is full or gone says so in milliseconds;
+     * more tries than a few mean that the whole service is, and each costs targets and the retry budget.
      */
     public static final int MAXIMUM_UNRUN_SENDS = 4;
 
--- /dev/null
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/FleetTest.java
@@ -0,0 +1,85 @@
+package org.rattanrudder.core.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.rattanrudder.core.model.Address;
+
+class FleetTest {
+    private static final long START = 100_000;
+    private static final long SETTLED = START + Fleet.RETURN_GRACE_MILLIS;
+
+    private final Fleet fleet = new Fleet();
+
+    @Test
+    void aDrainingTargetTakesNoNewWork() {
+        fleet.logAnswers(START);
+        fleet.apply("i-1", Optional.of(entry("i-1", false)), 1, SETTLED);
+        fleet.apply("i-1", Optional.of(entry("i-1", true)), 2, SETTLED);
+
+        assertThat(fleet.of("llm", SETTLED)).isEmpty();
+        assertThat(fleet.find("i-1")).isPresent();
+    }
+
+    /**
+     * The log forgets its history and shows readers a state of seconds ago. A target that drained meanwhile would look
+     * ready again, and requests would reach it after it has left.
+     */
+    @Test
+    void anOlderRecordIsNotBelieved() {
+        fleet.logAnswers(START);
+        fleet.apply("i-1", Optional.of(entry("i-1", true)), 9, SETTLED);
+
+        assertThat(fleet.apply("i-1", Optional.of(entry("i-1", false)), 8, SETTLED))
+                .isFalse();
+        assertThat(fleet.of("llm", SETTLED)).isEmpty();
+    }
+
+    /**
+     * The log is down for longer than entries live, so all of them lapse. On its return the relay would find no target,
+     * and refuse everybody until each target has registered again.
+     */
+    @Test
+    void anEntryThatLapsedWhileTheLogWasAwayIsKeptForAWhile() {
+        fleet.logAnswers(START);
+        fleet.apply("i-1", Optional.of(entry("i-1", false)), 1, SETTLED);
+        fleet.logLost();
+        long returned = SETTLED + 20_000;
+        fleet.logAnswers(returned);
+        fleet.apply("i-1", Optional.empty(), 2, returned + 10);
+
+        assertThat(fleet.of("llm", returned + 100)).hasSize(1);
+        assertThat(fleet.of("llm", returned + Fleet.RETURN_GRACE_MILLIS + 11)).isEmpty();
+    }
+
+    @Test
+    void anEntryThatComesBackInTimeStays() {
+        fleet.logAnswers(START);
+        fleet.apply("i-1", Optional.of(entry("i-1", false)), 1, SETTLED);
+        fleet.logLost();
+        long returned = SETTLED + 20_000;
+        fleet.logAnswers(returned);
+        fleet.apply("i-1", Optional.empty(), 2, returned + 10);
+        fleet.apply("i-1", Optional.of(entry("i-1", false)), 3, returned + 900);
+
+        assertThat(fleet.of("llm", returned + 60_000)).hasSize(1);
+    }
+
+    @Test
+    void aTargetThatAListingLacksIsGoneUnlessItIsNewer() {
+        fleet.logAnswers(START);
+        fleet.apply("i-1", Optional.of(entry("i-1", false)), 1, SETTLED);
+        fleet.apply("i-2", Optional.of(entry("i-2", false)), 7, SETTLED);
+
+        fleet.listed(Set.of(), 5, SETTLED);
+
+        assertThat(fleet.of("llm", SETTLED)).extracting(Target::id).containsExactly("i-2");
+    }
+
+    static TargetEntry entry(String id, boolean draining) {
+        return new TargetEntry(id, "llm", new Address("10.0.0.1", 80), "north", 8, draining, Map.of("m", 1L));
+    }
+}
--- /dev/null
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/HoldingLineTest.java
@@ -0,0 +1,41 @@
+package org.rattanrudder.core.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+class HoldingLineTest {
+    private final HoldingLine<String> line = new HoldingLine<>(20_000);
+
+    @Test
+    void theMoreUrgentRankGoesFirstThenTheLeastTime() {
+        line.join("later", 1, 100, 300, 4_000);
+        line.join("soon", 1, 100, 200, 4_000);
+        line.join("urgent", 0, 100, 900, 4_000);
+
+        assertThat(line.first()).get().extracting(HoldingLine.Place::request).isEqualTo("urgent");
+        line.leave(line.first().orElseThrow());
+        assertThat(line.first()).get().extracting(HoldingLine.Place::request).isEqualTo("soon");
+    }
+
+    /**
+     * Twice as many checks arrive as the engines can serve. Worked off in order, each would wait for all before it and
+     * be late; a bus would wait at the pump for every one of them.
+     */
+    @Test
+    void lateRequestsGoBehindAndTheirNumberIsBounded() {
+        line.join("first late", 0, 9_000, 100, 4_000);
+        line.join("second late", 0, 9_000, 110, 4_000);
+        line.join("third late", 0, 9_000, 120, 4_000);
+        line.join("on time", 3, 9_000, 500, 4_000);
+
+        assertThat(line.expire(200)).extracting(HoldingLine.Place::request).containsExactly("third late");
+        assertThat(line.first()).get().extracting(HoldingLine.Place::request).isEqualTo("on time");
+        line.leave(line.first().orElseThrow());
+        assertThat(line.first()).get().extracting(HoldingLine.Place::request).isEqualTo("first late");
+        line.leave(line.first().orElseThrow());
+        line.join("fourth late", 0, 9_000, 210, 4_000);
+        assertThat(line.expire(300)).isEmpty();
+        assertThat(line.size()).isEqualTo(2);
+    }
+}
--- /dev/null
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/PlacementTest.java
@@ -0,0 +1,90 @@
+package org.rattanrudder.core.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.rattanrudder.core.gateway.EngineTraits;
+import org.rattanrudder.core.model.Address;
+
+class PlacementTest {
+    private static final long NOW = 50_000;
+    private static final EngineTraits ENGINE = new EngineTraits(128, 65_000, 18_432, 180_000);
+
+    private final Target near = target("i-near", "north", 1);
+    private final Target alsoNear = target("i-also-near", "north", 1);
+    private final Target far = target("i-far", "south", 1);
+    private final List<Target> targets = new ArrayList<>(List.of(near, alsoNear, far));
+
+    @Test
+    void theOwnFailureDomainIsPreferredWhileItIsNotBusier() {
+        near.sent(new Target.Work(9_000, 9_000), NOW);
+
+        assertThat(chosen(0, true)).isEqualTo("i-also-near");
+    }
+
+    @Test
+    void aQueueOfPrefillSendsWorkToAnotherDomain() {
+        for (int sent = 0; sent < 3; sent++) {
+            near.sent(new Target.Work(9_000, 9_000), NOW);
+            alsoNear.sent(new Target.Work(9_000, 9_000), NOW);
+        }
+
+        assertThat(chosen(0, true)).isEqualTo("i-far");
+    }
+
+    /** One target hangs on half of its requests while its probe is good: it must be found by what becomes of them. */
+    @Test
+    void aFailingTargetIsLeftAndTriedAgainAfterAWhile() {
+        for (int failures = 0; failures < 4; failures++) {
+            near.failed(300, NOW);
+            alsoNear.failed(300, NOW);
+        }
+
+        assertThat(chosen(0, true)).isEqualTo("i-far");
+        assertThat(Placement.choose(targets, query(0, true), NOW + 30_000))
+                .get()
+                .extracting(choice -> choice.target().entry().failureDomain())
+                .isEqualTo("north");
+    }
+
+    @Test
+    void enginesWithNewWeightsArePreferred() {
+        far.confirmWeights("m", 2);
+        near.sent(new Target.Work(9_000, 9_000), NOW);
+        alsoNear.sent(new Target.Work(9_000, 9_000), NOW);
+
+        assertThat(chosen(2, true)).isEqualTo("i-far");
+    }
+
+    /** Long after new weights were named a check must not begin on the old ones, even if no other engine is free. */
+    @Test
+    void afterTheBoundNoRequestBeginsOnOldWeights() {
+        assertThat(Placement.choose(targets, query(2, false), NOW)).isEmpty();
+
+        near.confirmWeights("m", 2);
+        near.failed(4_000, NOW);
+        assertThat(chosen(2, false)).isEqualTo("i-near");
+    }
+
+    private String chosen(long newest, boolean oldAllowed) {
+        return Placement.choose(targets, query(newest, oldAllowed), NOW)
+                .orElseThrow()
+                .target()
+                .id();
+    }
+
+    private static PlacementQuery query(long newest, boolean oldAllowed) {
+        return new PlacementQuery(
+                "llm", "north", Optional.of(ENGINE), Optional.of("m"), newest, oldAllowed, 9_000, 0, Set.of());
+    }
+
+    static Target target(String id, String domain, long weights) {
+        return new Target(
+                new TargetEntry(id, "llm", new Address("10.0.0.1", 80), domain, 128, false, Map.of("m", weights)));
+    }
+}
--- /dev/null
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/gateway/RetryAllowanceTest.java
@@ -0,0 +1,46 @@
+package org.rattanrudder.core.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+
+class RetryAllowanceTest {
+    private static final long WINDOW = 10_000;
+    private static final double RATIO = 0.2;
+    private static final double EXTRA = 3;
+
+    /** A failing service gets each request five times from every relay, and never recovers. */
+    @Property
+    void repeatsStayWithinTheAllowanceInEachWindow(
+            @ForAll @Size(max = 200) List<@IntRange(min = -1, max = 900) Integer> steps) {
+        RetryAllowance allowance = new RetryAllowance(RATIO, EXTRA, WINDOW);
+        List<Long> requests = new ArrayList<>();
+        List<Long> repeats = new ArrayList<>();
+        long now = 0;
+        for (int step : steps) {
+            if (step < 0) {
+                requests.add(now);
+                allowance.request(now);
+            } else {
+                now += step;
+                if (allowance.tryRepeat(now)) {
+                    repeats.add(now);
+                }
+            }
+        }
+        for (long end : repeats) {
+            long made = within(repeats, end);
+            long asked = within(requests, end);
+            assertThat((double) made).isLessThanOrEqualTo(RATIO * asked + EXTRA);
+        }
+    }
+
+    private static long within(List<Long> times, long end) {
+        return times.stream().filter(time -> time > end - WINDOW && time <= end).count();
+    }
+}
--- /dev/null
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/parts/PartDirectoryTest.java
@@ -0,0 +1,117 @@
+package org.rattanrudder.core.parts;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.rattanrudder.core.gateway.ContextStore;
+import org.rattanrudder.core.gateway.CustomerIdentity;
+import org.rattanrudder.core.gateway.PromptPart;
+import org.rattanrudder.core.model.Address;
+
+class PartDirectoryTest {
+    private static final Address STORE = new Address("10.0.0.9", 80);
+    private static final List<PromptPart> PROMPT =
+            List.of(new PromptPart("sheet", 2_500), new PromptPart("record", 5_000), new PromptPart("own", 1_600));
+    private static final long BEGIN = 1_000_000;
+    private static final long SETTLED = BEGIN + PartDirectory.SETTLED_MILLIS;
+
+    private final PartDirectory directory = new PartDirectory("north");
+
+    @BeforeEach
+    void oneStore() {
+        directory.configure(List.of(new ContextStore("vault", STORE, "north", 100_000, 58_000, 6, true)));
+        directory.heard(STORE, news(1), BEGIN, BEGIN);
+    }
+
+    @Test
+    void aPartIsReadOnceItIsWholeAndSavedOnlyOnce() {
+        directory.heard(STORE, news(1), SETTLED, SETTLED);
+        PartPlan first = directory.plan("w1", PROMPT, "north", SETTLED);
+        assertThat(first.saves()).isTrue();
+        assertThat(first.reads()).isFalse();
+        assertThat(directory.plan("w1", PROMPT, "north", SETTLED + 5).saves()).isFalse();
+
+        directory.heard(STORE, news(1, held("w1", "sheet", 2_500)), SETTLED + 300, SETTLED + 300);
+        PartPlan second = directory.plan("w1", PROMPT, "north", SETTLED + 310);
+        assertThat(second.sources())
+                .containsExactly(Optional.of(new PartPlan.Source(STORE, 2_500)), Optional.empty(), Optional.empty());
+    }
+
+    @Test
+    void theOwnPartOfAPromptIsLeftAlone() {
+        directory.heard(STORE, news(1), SETTLED, SETTLED);
+
+        assertThat(directory.plan("w1", PROMPT, "north", SETTLED).targets().get(2))
+                .isEmpty();
+    }
+
+    /**
+     * A store dies and comes back empty. One relay saves a part there anew; another, which hasn't heard of the restart,
+     * lets an engine read it while it is half written, and a check is made on half a record.
+     */
+    @Test
+    void noFetchFromAnEarlierIncarnationCanMeetASaveToTheNext() {
+        directory.heard(STORE, news(1, held("w1", "record", 5_000)), SETTLED, SETTLED);
+        PartDirectory other = new PartDirectory("south");
+        other.configure(List.of(new ContextStore("vault", STORE, "north", 100_000, 58_000, 6, true)));
+        long restart = SETTLED + 1;
+        other.heard(STORE, news(2), restart, restart);
+
+        long lastUse = SETTLED + PartDirectory.FRESH_MILLIS;
+        PartPlan latest = directory.plan("w1", PROMPT, "north", lastUse);
+        assertThat(latest.reads()).isTrue();
+        assertThat(directory.plan("w1", PROMPT, "north", lastUse + 1).reads()).isFalse();
+
+        long firstSave = restart + PartDirectory.SETTLED_MILLIS;
+        other.heard(STORE, news(2), firstSave - 1, firstSave - 1);
+        assertThat(other.plan("w1", PROMPT, "north", firstSave - 1).saves()).isFalse();
+        assertThat(other.plan("w1", PROMPT, "north", firstSave).saves()).isTrue();
+        assertThat(latest.untilMillis().orElseThrow()).isLessThan(firstSave);
+    }
+
+    @Test
+    void aFullStoreTakesNothing() {
+        directory.heard(STORE, news(1, held("w1", "other", 96_000)), SETTLED, SETTLED);
+
+        assertThat(directory.plan("w1", PROMPT, "north", SETTLED).targets().get(1))
+                .isEmpty();
+        assertThat(directory.usedTokens(STORE)).isEqualTo(96_000);
+    }
+
+    @Test
+    void partsOfOlderWeightsAreOutdated() {
+        directory.heard(STORE, news(1, held("w1", "sheet", 10), held("w2.mine", "sheet", 10)), SETTLED, SETTLED);
+
+        assertThat(directory.outdated(STORE, 2)).containsExactly(new PartKey("w1", "sheet"));
+    }
+
+    /** A mine's dossier must never be found by a request of another mine, nor by one under other weights. */
+    @Test
+    void saltsKeepWeightsAndIsolatedCustomersApart() {
+        Optional<CustomerIdentity> isolated = Optional.of(new CustomerIdentity("mine", OptionalInt.empty(), true));
+        Optional<CustomerIdentity> shared = Optional.of(new CustomerIdentity("depot", OptionalInt.empty(), false));
+
+        assertThat(List.of(
+                        PartKey.salt(1, isolated),
+                        PartKey.salt(2, isolated),
+                        PartKey.salt(1, shared),
+                        PartKey.salt(2, shared)))
+                .doesNotHaveDuplicates();
+        assertThat(PartKey.salt(1, shared)).isEqualTo(PartKey.salt(1, Optional.empty()));
+        assertThat(PartKey.weights(PartKey.salt(12, isolated))).contains(12L);
+        assertThat(PartKey.weights("request-7")).isEmpty();
+    }
+
+    private static StoreNews news(long incarnation, PartEvent... events) {
+        return new StoreNews(incarnation, 1, false, List.of(events), OptionalLong.of(SETTLED));
+    }
+
+    private static PartEvent held(String salt, String id, int tokens) {
+        return new PartEvent(new PartKey(salt, id), tokens, true);
+    }
+}
--- /dev/null
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/rollout/RolloutPlanTest.java
@@ -0,0 +1,49 @@
+package org.rattanrudder.core.rollout;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.rattanrudder.core.rollout.RolloutPlan.Engine;
+
+class RolloutPlanTest {
+    private final RolloutPlan plan = new RolloutPlan(2);
+
+    @Test
+    void soManyLoadAtOnceAndTheLeastBusyGoFirst() {
+        List<Engine> engines = List.of(new Engine("a", 1, 9), new Engine("b", 1, 2), new Engine("c", 1, 5));
+
+        assertThat(plan.next(engines, 2, 0)).extracting(Engine::id).containsExactly("b", "c");
+        plan.ordered("b", 2, 0);
+        assertThat(plan.next(engines, 2, 10)).extracting(Engine::id).containsExactly("c");
+        plan.ordered("c", 2, 10);
+        assertThat(plan.next(engines, 2, 20)).isEmpty();
+    }
+
+    @Test
+    void anEngineThatServesTheVersionMakesRoomForTheNext() {
+        plan.ordered("a", 2, 0);
+        plan.ordered("b", 2, 0);
+        List<Engine> engines = List.of(new Engine("a", 2, 0), new Engine("b", 1, 0), new Engine("c", 1, 0));
+
+        assertThat(plan.next(engines, 2, 3_000)).extracting(Engine::id).containsExactly("c");
+    }
+
+    /** The answer to an order is lost and so is the order: the engine would stay on old weights for good. */
+    @Test
+    void anOrderWithoutEffectIsGivenAgain() {
+        plan.ordered("a", 2, 0);
+        List<Engine> engines = List.of(new Engine("a", 1, 0));
+
+        assertThat(plan.next(engines, 2, RolloutPlan.LOST_MILLIS - 1)).isEmpty();
+        assertThat(plan.next(engines, 2, RolloutPlan.LOST_MILLIS)).hasSize(1);
+    }
+
+    @Test
+    void aVersionThatWasOvertakenIsSkipped() {
+        plan.ordered("a", 2, 0);
+        List<Engine> engines = List.of(new Engine("a", 2, 0), new Engine("b", 1, 0));
+
+        assertThat(plan.next(engines, 3, 2_000)).extracting(Engine::weights).containsExactly(2L, 1L);
+    }
+}
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/Rattanrudderd.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/Rattanrudderd.java
@@ -110,6 +110,7 @@
         process.close();
         log.infof("event=stopped finished=%s", finished);
         // The virtual machine would end with the signal's number, as if the process had been cut off.
+        Logging.flush();
         Runtime.getRuntime().halt(finished ? 0 : FAILED);
     }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/logging/Logging.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/logging/Logging.java
@@ -1,13 +1,14 @@
 package org.rattanrudder.daemon.logging;
 
+import java.io.FileDescriptor;
+import java.io.FileOutputStream;
 import java.util.List;
-import java.util.logging.ConsoleHandler;
 import java.util.logging.Handler;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import java.util.stream.Stream;
 
-/** Sets up JDK logging, which JBoss Logging writes to: one line an event on standard error. */
+/** Sets up JDK logging, which JBoss Logging writes to: one line an event on standard output. */
 public final class Logging {
     private Logging() {}
 
@@ -18,6 +19,13 @@
         Loggers.configure();
     }
 
+    /** Writes what still waits; to be called before the process ends without the JDK's own shutdown. */
+    public static void flush() {
+        for (Handler handler : Loggers.ROOT.getHandlers()) {
+            handler.flush();
+        }
+    }
+
     /** Begins with the first use, after the log manager is chosen. */
     private static final class Loggers {
         private static final Logger ROOT = Logger.getLogger("");
@@ -34,10 +42,10 @@
             for (Handler handler : ROOT.getHandlers()) {
                 ROOT.removeHandler(handler);
             }
-            ConsoleHandler console = new ConsoleHandler();
-            console.setLevel(Level.ALL);
-            console.setFormatter(new KeyValueFormatter());
-            ROOT.addHandler(console);
+            Handler lines = new RingHandler(new FileOutputStream(FileDescriptor.out));
+            lines.setLevel(Level.ALL);
+            lines.setFormatter(new KeyValueFormatter());
+            ROOT.addHandler(lines);
             ROOT.setLevel(Level.INFO);
             NOISY.forEach(logger -> logger.setLevel(Level.WARNING));
         }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/OrderGiver.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/OrderGiver.java
@@ -186,7 +186,7 @@
             return;
         }
         // Others wrote first, or nobody knows whether this was written: the log tells before the next try.
-        lease.conflicted(at);
+        lease.conflicted();
         state.log()
                 .info(
                         "lease_not_taken",
