--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/AnswerSink.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/AnswerSink.java
@@ -17,7 +17,4 @@
 
     /** The connection ended, or what came is no answer. */
     void broken(String reason);
-
-    /** The connection was unable to take more and can again, or the other way round. */
-    default void writable(boolean now) {}
 }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/CallerConnection.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/CallerConnection.java
@@ -195,7 +195,8 @@
             nextRequest();
             return;
         }
-        exchange = new Exchange(state, pools, this, head, body, facts, (Admittance.Granted) admittance, arrivedAt);
+        RequestPlan plan = new RequestPlan(state, facts, (Admittance.Granted) admittance, arrivedAt);
+        exchange = new Exchange(state, pools, this, head, body, plan);
         exchange.start();
     }
 
@@ -400,7 +401,7 @@
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext active) {
         if (exchange != null) {
-            exchange.writable(active.channel().isWritable());
+            exchange.callerWritable(active.channel().isWritable());
         }
     }
 
--- /dev/null
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/ExchangeLog.java
@@ -0,0 +1,120 @@
+package org.rattanrudder.daemon.relay;
+
+import java.util.Optional;
+import org.rattanrudder.core.fleet.Placement;
+import org.rattanrudder.core.gateway.AttemptOutcome;
+
+/** Writes one line for each decision on a request, with its id and what decided it. */
+final class ExchangeLog {
+    private final RelayState state;
+    private final RequestPlan plan;
+
+    ExchangeLog(RelayState state, RequestPlan plan) {
+        this.state = state;
+        this.plan = plan;
+    }
+
+    void placed(Placement.Choice choice, int attempt) {
+        state.log()
+                .info(
+                        "request_placed",
+                        "request",
+                        plan.id(),
+                        "route",
+                        plan.route().name(),
+                        "service",
+                        plan.service(),
+                        "target",
+                        choice.target().id(),
+                        "expected_ms",
+                        Long.toString(Math.round(choice.expectedMillis())),
+                        "candidates",
+                        Integer.toString(choice.candidates()),
+                        "in_flight",
+                        Integer.toString(choice.target().inFlight()),
+                        "attempt",
+                        Integer.toString(attempt),
+                        "left_ms",
+                        Long.toString(plan.left()),
+                        "configuration",
+                        state.configuration()
+                                .map(configuration -> Long.toString(configuration.version()))
+                                .orElse("none"));
+    }
+
+    void held(int inLine, long untilMillis) {
+        state.log()
+                .info(
+                        "request_held",
+                        "request",
+                        plan.id(),
+                        "service",
+                        plan.service(),
+                        "in_line",
+                        Integer.toString(inLine),
+                        "on_time_for_ms",
+                        Long.toString(untilMillis));
+    }
+
+    void failed(String target, AttemptOutcome outcome, String reason, long afterMillis, boolean answerBegan) {
+        state.log()
+                .info(
+                        "attempt_failed",
+                        "request",
+                        plan.id(),
+                        "target",
+                        target,
+                        "outcome",
+                        outcome.name(),
+                        "reason",
+                        reason,
+                        "after_ms",
+                        Long.toString(afterMillis),
+                        "began",
+                        Boolean.toString(answerBegan));
+    }
+
+    /**
+     * Writes the end of a request.
+     *
+     * @param attempt the last attempt that was sent
+     * @param runs attempts that may have run, beside one that was answered
+     * @param unrunSends attempts that surely did not run
+     */
+    void ended(String outcome, String reason, Optional<TargetAttempt> attempt, String load, int runs, int unrunSends) {
+        state.log()
+                .info(
+                        "request_ended",
+                        "request",
+                        plan.id(),
+                        "route",
+                        plan.route().name(),
+                        "outcome",
+                        outcome,
+                        "reason",
+                        reason,
+                        "ms",
+                        Long.toString(state.now() - plan.arrivedAt()),
+                        "target",
+                        attempt.map(sent -> sent.target().id()).orElse("none"),
+                        "sent_after_ms",
+                        attempt.map(sent -> Long.toString(sent.sentAt() - plan.arrivedAt()))
+                                .orElse("none"),
+                        "first_after_ms",
+                        attempt.map(sent -> Long.toString(sent.firstPieceMillis()))
+                                .orElse("none"),
+                        "tokens",
+                        Integer.toString(plan.tokens()),
+                        "unread",
+                        attempt.map(sent -> Integer.toString(sent.work().unread()))
+                                .orElse("none"),
+                        "load",
+                        load,
+                        "runs",
+                        Integer.toString(runs),
+                        "unrun_sends",
+                        Integer.toString(unrunSends),
+                        "left_ms",
+                        Long.toString(plan.left()));
+    }
+}
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/OrderGiver.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/OrderGiver.java
@@ -25,8 +25,8 @@
 /**
  * Brings engines to the newest weights, if this relay holds the lease.
  *
- * <p>Each batch of orders begins with a record in the lease's log: it renews the lease, its offset is the fencing token,
- * and it tells the other relays which engines take no new work for a while.
+ * <p>Each batch of orders begins with a record in the lease's log: it renews the lease, its offset is the fencing
+ * token, and it tells the other relays which engines take no new work for a while.
  */
 final class OrderGiver implements AutoCloseable {
     /** How often work is looked for while there is some, in ms. */
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
@@ -30,8 +30,8 @@
 
     /**
      * How long a draining relay still serves new requests, in ms. New connections come until two readiness checks were
-     * missed, after 2 s at most; requests that come later, on connections that were open before, are refused as not run,
-     * so that all that was begun can end before the process has to.
+     * missed, after 2 s at most; requests that come later, on connections that were open before, are refused as not
+     * run, so that all that was begun can end before the process has to.
      */
     static final long SERVED_WHILE_DRAINING_MILLIS = 2_600;
 
--- /dev/null
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RequestPlan.java
@@ -0,0 +1,211 @@
+package org.rattanrudder.daemon.relay;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.rattanrudder.core.fleet.PlacementQuery;
+import org.rattanrudder.core.fleet.Target;
+import org.rattanrudder.core.gateway.BackendService;
+import org.rattanrudder.core.gateway.CustomerIdentity;
+import org.rattanrudder.core.gateway.EngineTraits;
+import org.rattanrudder.core.gateway.RequestFacts;
+import org.rattanrudder.core.gateway.ServiceRoute;
+import org.rattanrudder.core.gateway.ServingConfiguration.Admittance;
+import org.rattanrudder.core.parts.PartKey;
+import org.rattanrudder.core.parts.PartPlan;
+import org.rattanrudder.core.routing.Hashing;
+import org.rattanrudder.daemon.relay.port.Forwarding;
+
+/** What holds for a request from its admission to its end, and what it needs of a target. */
+final class RequestPlan {
+    /** What the way from the caller has already cost of its deadline, in ms. */
+    private static final long WAY_MILLIS = 2;
+
+    /** How long before the bound on old weights they are given up, in ms: the naming took a while to be read. */
+    private static final long OLD_WEIGHTS_MARGIN_MILLIS = 1_500;
+
+    /** The part of the objective that a request waits in line; what is left must do for reading its prompt. */
+    private static final double HELD_SHARE = 0.5;
+
+    /** The rank at an engine of a request that can be on time, and of one that can't. */
+    private static final int ON_TIME_RANK = 4;
+
+    private static final int LATE_RANK = 7;
+
+    /** Time to the first byte that a healthy target needs beside reading the prompt, in ms. */
+    private static final double ENGINE_BASE_MILLIS = 80;
+
+    private static final double TOKENS_PER_MILLI = 100;
+    private static final double PLAIN_BASE_MILLIS = 150;
+
+    private final RelayState state;
+    private final RequestFacts facts;
+    private final ServiceRoute route;
+    private final Optional<CustomerIdentity> customer;
+    private final String service;
+    private final Optional<EngineTraits> engine;
+    private final long arrivedAt;
+    private final long deadlineAt;
+
+    RequestPlan(RelayState state, RequestFacts facts, Admittance.Granted granted, long arrivedAt) {
+        this.state = state;
+        this.facts = facts;
+        this.arrivedAt = arrivedAt;
+        route = granted.route();
+        customer = granted.customer();
+        service = route.serviceFor(facts.id());
+        engine = state.configuration()
+                .flatMap(configuration ->
+                        Optional.ofNullable(configuration.services().get(service)))
+                .flatMap(BackendService::engine);
+        long wanted = facts.deadlineMillis().orElse(route.timeoutMillis());
+        deadlineAt = arrivedAt + Math.min(wanted - WAY_MILLIS, route.timeoutMillis());
+    }
+
+    /**
+     * A request as it is sent to a target.
+     *
+     * @param forwarding what the target is told beside it
+     * @param work the work that it is there
+     */
+    record Outgoing(Forwarding forwarding, Target.Work work) {}
+
+    String id() {
+        return facts.id();
+    }
+
+    RequestFacts facts() {
+        return facts;
+    }
+
+    ServiceRoute route() {
+        return route;
+    }
+
+    String service() {
+        return service;
+    }
+
+    Optional<EngineTraits> engine() {
+        return engine;
+    }
+
+    long arrivedAt() {
+        return arrivedAt;
+    }
+
+    long deadlineAt() {
+        return deadlineAt;
+    }
+
+    long left() {
+        return deadlineAt - state.now();
+    }
+
+    /** Returns the memory that it takes at most, in tokens. */
+    int tokens() {
+        return facts.promptTokens() + facts.outputTokens();
+    }
+
+    /** Returns its rank: the customer's priority goes before the route's. */
+    int rank() {
+        OptionalInt own = customer.map(CustomerIdentity::priority).orElse(OptionalInt.empty());
+        return own.orElse(route.priority());
+    }
+
+    /** Returns until when it must be sent to be on time. */
+    long onTimeUntil() {
+        return arrivedAt + (long) (route.objectiveMillis() * HELD_SHARE);
+    }
+
+    /** Returns how long a healthy target needs to the first byte, in ms. */
+    double expectedFirstMillis() {
+        return engine.isPresent() ? ENGINE_BASE_MILLIS + facts.promptTokens() / TOKENS_PER_MILLI : PLAIN_BASE_MILLIS;
+    }
+
+    PlacementQuery query(Set<String> tried, long now) {
+        RelayState.Named named = facts.model().map(state.weights()::get).orElse(null);
+        long allowed = state.settings().bounds().weightsMillis() - OLD_WEIGHTS_MARGIN_MILLIS;
+        boolean oldAllowed = named == null || now - named.sinceMillis() < allowed;
+        int lastShared = facts.parts().size() - 2;
+        return new PlacementQuery(
+                service,
+                state.settings().failureDomain(),
+                engine,
+                facts.model(),
+                named == null ? 0 : named.version(),
+                oldAllowed,
+                tokens(),
+                lastShared < 0 ? 0 : Hashing.of(facts.parts().get(lastShared).id()),
+                tried);
+    }
+
+    Outgoing outgoing(Target target, Optional<String> lastEventId) {
+        Optional<Long> weights = facts.model().map(target::weights).filter(version -> version > 0);
+        Optional<String> salt = weights.map(version -> PartKey.salt(version, customer));
+        PartPlan parts = salt.isPresent() && engine.isPresent()
+                ? state.directory()
+                        .plan(salt.get(), facts.parts(), target.entry().failureDomain(), state.now())
+                : PartPlan.NONE;
+        if (engine.isPresent()) {
+            noteParts(target, salt, parts);
+        }
+        Forwarding forwarding = new Forwarding(
+                Math.max(1, left()),
+                target.id(),
+                customer.map(CustomerIdentity::name),
+                weights.map(OptionalLong::of).orElse(OptionalLong.empty()),
+                salt.or(this::saltOfItsOwn),
+                parts,
+                lastEventId.or(facts::lastEventId),
+                engineRank());
+        return new Outgoing(
+                forwarding, new Target.Work(tokens(), Math.max(0, facts.promptTokens() - readTokens(parts))));
+    }
+
+    /** Weights that aren't known can't be told apart: nothing of this request may be found by another one. */
+    private Optional<String> saltOfItsOwn() {
+        return engine.isPresent() ? Optional.of("request-" + facts.id()) : Optional.empty();
+    }
+
+    private OptionalInt engineRank() {
+        if (engine.isEmpty()) {
+            return OptionalInt.empty();
+        }
+        return OptionalInt.of(state.now() <= onTimeUntil() ? ON_TIME_RANK : LATE_RANK);
+    }
+
+    private void noteParts(Target target, Optional<String> salt, PartPlan parts) {
+        int read = count(parts.sources());
+        int saved = count(parts.targets());
+        state.metrics().parts("read", read);
+        state.metrics().parts("saved", saved);
+        state.log()
+                .info(
+                        "request_sent",
+                        "request",
+                        facts.id(),
+                        "target",
+                        target.id(),
+                        "salt",
+                        salt.orElse("own"),
+                        "shared_parts",
+                        Integer.toString(Math.max(0, facts.parts().size() - 1)),
+                        "read",
+                        Integer.toString(read),
+                        "saved",
+                        Integer.toString(saved));
+    }
+
+    private static int readTokens(PartPlan parts) {
+        return parts.sources().stream()
+                .mapToInt(source -> source.map(PartPlan.Source::tokens).orElse(0))
+                .sum();
+    }
+
+    private static int count(List<? extends Optional<?>> places) {
+        return (int) places.stream().filter(Optional::isPresent).count();
+    }
+}
--- /dev/null
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TargetAttempt.java
@@ -0,0 +1,68 @@
+package org.rattanrudder.daemon.relay;
+
+import org.rattanrudder.core.fleet.Target;
+
+/** One try of a request at one target; owned by its exchange. */
+final class TargetAttempt {
+    private final Target target;
+    private final TargetConnection connection;
+    private final Target.Work work;
+    private final long sentAt;
+    private long lastPieceAt;
+    private long firstPieceMillis = -1;
+
+    TargetAttempt(Target target, TargetConnection connection, Target.Work work, long sentAt) {
+        this.target = target;
+        this.connection = connection;
+        this.work = work;
+        this.sentAt = sentAt;
+        lastPieceAt = sentAt;
+        target.sent(work, sentAt);
+    }
+
+    Target target() {
+        return target;
+    }
+
+    TargetConnection connection() {
+        return connection;
+    }
+
+    Target.Work work() {
+        return work;
+    }
+
+    long sentAt() {
+        return sentAt;
+    }
+
+    long lastPieceAt() {
+        return lastPieceAt;
+    }
+
+    /** Returns how long the first byte took, in ms; -1 before it. */
+    long firstPieceMillis() {
+        return firstPieceMillis;
+    }
+
+    boolean hasBegun() {
+        return firstPieceMillis >= 0;
+    }
+
+    /** Notes a piece of the answer; returns whether it was the first. */
+    boolean piece(long nowMillis) {
+        lastPieceAt = nowMillis;
+        target.heard(nowMillis);
+        if (hasBegun()) {
+            return false;
+        }
+        firstPieceMillis = nowMillis - sentAt;
+        target.began(work);
+        return true;
+    }
+
+    /** The attempt is over, in whatever way. */
+    void end() {
+        target.ended(work, hasBegun());
+    }
+}
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/port/StoreDialect.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/port/StoreDialect.java
@@ -53,7 +53,7 @@
     /** Reads the answer to an append. */
     StoreAnswer readAppend(int status, byte[] body);
 
-    /** Reads what operators want; empty if the key is none that we use. Throws IllegalArgumentException if unreadable. */
+    /** Reads what operators want; empty if the key isn't used. Throws IllegalArgumentException if unreadable. */
     Optional<Wish> readWish(KeyedRecord record);
 
     /** Reads a target's entry. Throws IllegalArgumentException if unreadable. */
