Let relays tell each other for how long they have known a version of weights

The longest that any relay has known a version counts now, and the margin is 2 s in place of 1.5, for the time in an engine's queue.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/RelayLoad.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/RelayLoad.java
@@ -8,13 +8,24 @@
  * @param relay the relay and its start
  * @param sequence increases with each message of the relay
  * @param targets the targets that it has work at
+ * @param weights the newest versions of weights that it knows of
  */
-public record RelayLoad(String relay, long sequence, List<TargetLoad> targets) {
-    /** Takes a copy of the targets. */
+public record RelayLoad(String relay, long sequence, List<TargetLoad> targets, List<KnownWeights> weights) {
+    /** Takes copies of the lists. */
     public RelayLoad {
         targets = List.copyOf(targets);
+        weights = List.copyOf(weights);
     }
 
+    /**
+     * A version of weights that was named.
+     *
+     * @param model the model
+     * @param version the version
+     * @param ageMillis how long the relay has known of it
+     */
+    public record KnownWeights(String model, long version, long ageMillis) {}
+
     /**
      * The work at one target.
      *
--- /dev/null
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/PeerLoadsTest.java
@@ -0,0 +1,64 @@
+package org.rattanrudder.core.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.rattanrudder.core.fleet.RelayLoad.TargetLoad;
+import org.rattanrudder.core.gateway.EngineTraits;
+
+class PeerLoadsTest {
+    private static final EngineTraits ENGINE = new EngineTraits(128, 65_000, 18_432, 180_000);
+    private static final long NOW = 100_000;
+
+    private final PeerLoads peers = new PeerLoads();
+
+    @Test
+    void theWorkOfAllOthersIsAddedUp() {
+        peers.heard(load("a", 1, new TargetLoad("i-1", 2, 18_000, 4_000)), NOW);
+        peers.heard(load("b", 1, new TargetLoad("i-1", 1, 9_000, 0), new TargetLoad("i-2", 1, 1, 1)), NOW);
+
+        assertThat(peers.at("i-1", NOW)).isEqualTo(new TargetLoad("i-1", 3, 27_000, 4_000));
+        assertThat(peers.alive(NOW)).isEqualTo(2);
+    }
+
+    @Test
+    void aMessageThatComesLateOrTwiceIsDropped() {
+        peers.heard(load("a", 5, new TargetLoad("i-1", 1, 9_000, 0)), NOW);
+        peers.heard(load("a", 4, new TargetLoad("i-1", 7, 63_000, 0)), NOW);
+
+        assertThat(peers.at("i-1", NOW).requests()).isEqualTo(1);
+    }
+
+    /** A relay dies with work under way; its word would keep engines closed to the others for good. */
+    @Test
+    void aSilentRelaysWorkIsForgotten() {
+        peers.heard(load("a", 1, new TargetLoad("i-1", 7, 63_000, 0)), NOW);
+
+        assertThat(peers.at("i-1", NOW + PeerLoads.VALID_MILLIS + 1).requests()).isZero();
+        assertThat(peers.alive(NOW + PeerLoads.VALID_MILLIS + 1)).isZero();
+    }
+
+    /**
+     * Six relays send long checks to the same engine, each thinking it alone. The engine's memory overflows, running
+     * checks are thrown out and read again, and all of them are late.
+     */
+    @Test
+    void anEngineThatOthersFilledIsClosed() {
+        Fleet fleet = new Fleet();
+        fleet.logAnswers(0);
+        fleet.apply("i-1", Optional.of(FleetTest.entry("i-1", false)), 1, NOW);
+        List<Target> targets = fleet.of("llm", NOW);
+        assertThat(SendWindow.open(targets, ENGINE, 9_000, false, NOW)).hasSize(1);
+
+        fleet.heard(load("a", 1, new TargetLoad("i-1", 4, 36_000, 0)), NOW);
+        fleet.heard(load("b", 1, new TargetLoad("i-1", 3, 27_000, 0)), NOW);
+
+        assertThat(SendWindow.open(targets, ENGINE, 9_000, false, NOW)).isEmpty();
+    }
+
+    private static RelayLoad load(String relay, long sequence, TargetLoad... targets) {
+        return new RelayLoad(relay, sequence, List.of(targets), List.of());
+    }
+}
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/OrderGiver.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/OrderGiver.java
@@ -113,7 +113,7 @@
                 continue;
             }
             List<Target> targets = state.fleet().of(service.name(), state.now());
-            state.weights().forEach((model, named) -> {
+            state.weights().all().forEach((model, named) -> {
                 List<Target> serving = targets.stream()
                         .filter(target -> target.weights(model) > 0)
                         .toList();
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/PeerExchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/PeerExchange.java
@@ -15,6 +15,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.rattanrudder.core.fleet.RelayLoad;
+import org.rattanrudder.core.fleet.RelayLoad.KnownWeights;
 import org.rattanrudder.core.fleet.RelayLoad.TargetLoad;
 import org.rattanrudder.core.fleet.Target;
 import org.rattanrudder.core.model.Address;
@@ -121,7 +122,7 @@
 
     private void tell() {
         long now = state.now();
-        RelayLoad load = new RelayLoad(self, sequence++, work());
+        RelayLoad load = new RelayLoad(self, sequence++, work(), weights(now));
         byte[] bytes = PeerCodec.write(load);
         for (Peer peer : peers.values()) {
             boolean silent = now - peer.heardAt > SILENT_MILLIS;
@@ -141,6 +142,15 @@
                 .toList();
     }
 
+    private List<KnownWeights> weights(long now) {
+        return state.weights().all().entrySet().stream()
+                .map(named -> new KnownWeights(
+                        named.getKey(),
+                        named.getValue().version(),
+                        now - named.getValue().sinceMillis()))
+                .toList();
+    }
+
     /** Takes messages. */
     private final class Messages extends SimpleChannelInboundHandler<DatagramPacket> {
         @Override
@@ -153,6 +163,9 @@
                     }
                 }
                 state.fleet().heard(load, now);
+                load.weights()
+                        .forEach(
+                                known -> state.weights().known(known.model(), known.version(), known.ageMillis(), now));
             });
         }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
@@ -33,6 +33,7 @@
 import org.rattanrudder.core.gateway.ContextStore;
 import org.rattanrudder.core.model.Address;
 import org.rattanrudder.core.parts.PartKey;
+import org.rattanrudder.core.rollout.NamedVersions;
 import org.rattanrudder.daemon.logging.EventLog;
 import org.rattanrudder.daemon.loop.Closer;
 import org.rattanrudder.daemon.loop.MonotonicClock;
@@ -191,7 +192,12 @@
             store.readWish(record).ifPresent(wish -> {
                 if (wish instanceof Wish.Configured configured) {
                     configured(configured, record.offset());
-                } else if (wish instanceof Wish.Weights weights && state.name(weights.weights())) {
+                } else if (wish instanceof Wish.Weights weights
+                        && state.weights()
+                                .named(
+                                        weights.weights().model(),
+                                        weights.weights().version(),
+                                        state.now())) {
                     state.log()
                             .info(
                                     "weights_named",
@@ -339,11 +345,12 @@
 
     /** Returns the newest version if all engines serve it; 0 if some don't, or if several models are served. */
     private long oldestWeights(long now) {
-        if (state.weights().size() != 1) {
+        Map<String, NamedVersions.Named> named = state.weights().all();
+        if (named.size() != 1) {
             return 0;
         }
-        Map.Entry<String, RelayState.Named> only =
-                state.weights().entrySet().iterator().next();
+        Map.Entry<String, NamedVersions.Named> only =
+                named.entrySet().iterator().next();
         boolean all = state.fleet().all(now).stream()
                 .filter(target -> target.weights(only.getKey()) > 0)
                 .allMatch(target ->
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
@@ -15,8 +15,8 @@
 import org.rattanrudder.core.gateway.RetryAllowance;
 import org.rattanrudder.core.gateway.ServingConfiguration;
 import org.rattanrudder.core.parts.PartDirectory;
+import org.rattanrudder.core.rollout.NamedVersions;
 import org.rattanrudder.daemon.logging.EventLog;
-import org.rattanrudder.daemon.relay.port.NamedWeights;
 import org.rattanrudder.daemon.relay.port.PlatformAdapter;
 import org.rattanrudder.document.RelaySettings;
 
@@ -51,21 +51,13 @@
     private final Fleet fleet = new Fleet();
     private final PartDirectory directory;
     private final Map<String, RetryAllowance> allowances = new HashMap<>();
-    private final Map<String, Named> weights = new HashMap<>();
+    private final NamedVersions weights = new NamedVersions();
     private final Map<String, HoldingLine<Exchange>> lines = new HashMap<>();
     private final Set<String> linesBeingDrained = new HashSet<>();
     private Optional<ServingConfiguration> configuration = Optional.empty();
     private boolean draining;
     private long drainingSince;
 
-    /**
-     * A version of weights that was named.
-     *
-     * @param version the version
-     * @param sinceMillis when this relay learnt of it
-     */
-    record Named(long version, long sinceMillis) {}
-
     RelayState(
             RelaySettings settings,
             PlatformAdapter platform,
@@ -143,17 +135,8 @@
         return configuration.map(ServingConfiguration::limits).orElse(CallerLimits.UNKNOWN);
     }
 
-    /** Takes a version of weights unless a newer one was named. */
-    boolean name(NamedWeights named) {
-        Named known = weights.get(named.model());
-        if (known != null && known.version() >= named.version()) {
-            return false;
-        }
-        weights.put(named.model(), new Named(named.version(), now()));
-        return true;
-    }
-
-    Map<String, Named> weights() {
+    /** Returns the versions of weights that were named. */
+    NamedVersions weights() {
         return weights;
     }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RequestPlan.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RequestPlan.java
@@ -15,6 +15,7 @@
 import org.rattanrudder.core.gateway.ServingConfiguration.Admittance;
 import org.rattanrudder.core.parts.PartKey;
 import org.rattanrudder.core.parts.PartPlan;
+import org.rattanrudder.core.rollout.NamedVersions;
 import org.rattanrudder.core.routing.Hashing;
 import org.rattanrudder.daemon.relay.port.Forwarding;
 
@@ -23,8 +24,11 @@
     /** What the way from the caller has already cost of its deadline, in ms. */
     private static final long WAY_MILLIS = 2;
 
-    /** How long before the bound on old weights they are given up, in ms: the naming took a while to be read. */
-    private static final long OLD_WEIGHTS_MARGIN_MILLIS = 1_500;
+    /**
+     * How long before the bound on old weights they are given up, in ms: the naming took a while to be read, and a
+     * request may wait in the engine's queue before it begins.
+     */
+    private static final long OLD_WEIGHTS_MARGIN_MILLIS = 2_000;
 
     /** The part of the objective that a request waits in line; what is left must do for reading its prompt. */
     private static final double HELD_SHARE = 0.5;
@@ -126,7 +130,8 @@
     }
 
     PlacementQuery query(Set<String> tried, long now) {
-        RelayState.Named named = facts.model().map(state.weights()::get).orElse(null);
+        NamedVersions.Named named =
+                facts.model().flatMap(state.weights()::newest).orElse(null);
         long allowed = state.settings().bounds().weightsMillis() - OLD_WEIGHTS_MARGIN_MILLIS;
         boolean oldAllowed = named == null || now - named.sinceMillis() < allowed;
         int lastShared = facts.parts().size() - 2;
--- a/rattanrudder-wire/src/main/java/org/rattanrudder/wire/peer/PeerCodec.java
+++ b/rattanrudder-wire/src/main/java/org/rattanrudder/wire/peer/PeerCodec.java
@@ -4,7 +4,9 @@
 import java.util.List;
 import java.util.Optional;
 import org.rattanrudder.core.fleet.RelayLoad;
+import org.rattanrudder.core.fleet.RelayLoad.KnownWeights;
 import org.rattanrudder.core.fleet.RelayLoad.TargetLoad;
+import org.rattanrudder.wire.generated.PeerMessages.KnownWeightsMessage;
 import org.rattanrudder.wire.generated.PeerMessages.RelayLoadMessage;
 import org.rattanrudder.wire.generated.PeerMessages.TargetLoadMessage;
 
@@ -23,6 +25,12 @@
                     .setTokens(target.tokens())
                     .setUnreadTokens(target.unread()));
         }
+        for (KnownWeights known : load.weights()) {
+            message.addWeights(KnownWeightsMessage.newBuilder()
+                    .setModel(known.model())
+                    .setVersion(known.version())
+                    .setAgeMillis(known.ageMillis()));
+        }
         return message.build().toByteArray();
     }
 
@@ -34,9 +42,12 @@
                     .map(each -> new TargetLoad(
                             each.getTarget(), each.getRequests(), each.getTokens(), each.getUnreadTokens()))
                     .toList();
+            List<KnownWeights> weights = message.getWeightsList().stream()
+                    .map(each -> new KnownWeights(each.getModel(), each.getVersion(), each.getAgeMillis()))
+                    .toList();
             return message.getRelay().isEmpty()
                     ? Optional.empty()
-                    : Optional.of(new RelayLoad(message.getRelay(), message.getSequence(), targets));
+                    : Optional.of(new RelayLoad(message.getRelay(), message.getSequence(), targets, weights));
         } catch (InvalidProtocolBufferException malformed) {
             return Optional.empty();
         }
