--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Placement.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Placement.java
@@ -79,9 +79,7 @@
     }
 
     private static boolean mayBegin(Target target, PlacementQuery query) {
-        return query.oldWeightsAllowed()
-                || query.model().isEmpty()
-                || target.weights(query.model().get()) >= query.newestWeights();
+        return query.model().isEmpty() || target.weights(query.model().get()) >= query.oldestWeights();
     }
 
     private static double expectedMillis(Target target, PlacementQuery query, long nowMillis) {
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/PlacementQuery.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/PlacementQuery.java
@@ -12,7 +12,7 @@
  * @param engine the service's engines; empty for plain services
  * @param model the model; empty for plain services
  * @param newestWeights the newest version of the model's weights that was named; 0 if none
- * @param oldWeightsAllowed whether an engine with older weights may still begin it
+ * @param oldestWeights the oldest version on which it may begin
  * @param tokens the memory that it takes at most, in tokens
  * @param affinity a hash of the context that it shares; 0 if none
  * @param tried incarnations that it was sent to before
@@ -23,7 +23,7 @@
         Optional<EngineTraits> engine,
         Optional<String> model,
         long newestWeights,
-        boolean oldWeightsAllowed,
+        long oldestWeights,
         int tokens,
         long affinity,
         Set<String> tried) {
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Target.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Target.java
@@ -191,6 +191,11 @@
         return waitingTokens;
     }
 
+    /** Returns the requests that it works on, of all relays, as far as known. */
+    public int requests(long nowMillis) {
+        return inFlight + othersLoad(nowMillis).requests();
+    }
+
     /** Returns the work that this relay has there. */
     public TargetLoad ownLoad() {
         return new TargetLoad(id(), inFlight, inFlightTokens, waitingTokens);
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/rollout/NamedVersions.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/rollout/NamedVersions.java
@@ -1,54 +1,90 @@
 package org.rattanrudder.core.rollout;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 
 /**
- * The newest named version of each model's weights, and since when.
+ * The versions of each model's weights that were named, and since when.
  *
- * <p>No request may begin on older weights a while after newer ones were named. A relay that was restarted or frozen in
- * between would count from a later moment than the others, and go on sending requests to engines with old weights when
- * that is long forbidden. Relays therefore tell each other for how long they have known a version; the longest counts.
+ * <p>No request may begin on older weights a while after newer ones were named. Two things would stretch that time. A
+ * relay that was restarted or frozen would count from a later moment than the others; relays therefore tell each other
+ * for how long they have known a version, and the longest counts. And a version named in between would begin the time
+ * anew, were only the newest one remembered; each version keeps its own time.
  *
  * <p>Times are milliseconds of a steady clock.
  */
 public final class NamedVersions {
-    private final Map<String, Named> newest = new HashMap<>();
+    /** Versions of a model that are remembered: older ones are beyond every bound. */
+    private static final int REMEMBERED = 16;
+
+    private final Map<String, TreeMap<Long, Long>> sinceByModel = new HashMap<>();
 
     /**
      * A version that was named.
      *
+     * @param model the model
      * @param version the version
      * @param sinceMillis when it was named at the latest
      */
-    public record Named(long version, long sinceMillis) {}
+    public record Named(String model, long version, long sinceMillis) {}
 
     /** Notes a version; returns whether it is newer than what was known. */
     public boolean named(String model, long version, long nowMillis) {
-        Named known = newest.get(model);
-        if (known != null && known.version() >= version) {
-            return false;
+        TreeMap<Long, Long> versions = sinceByModel.computeIfAbsent(model, unseen -> new TreeMap<>());
+        boolean newest = versions.isEmpty() || versions.lastKey() < version;
+        versions.putIfAbsent(version, nowMillis);
+        if (versions.size() > REMEMBERED) {
+            versions.pollFirstEntry();
         }
-        newest.put(model, new Named(version, nowMillis));
-        return true;
+        return newest;
     }
 
-    /** Notes for how long another relay has known a version; versions that aren't known here yet are left alone. */
+    /** Notes for how long another relay has known a version, if an equal or newer one is known here. */
     public void known(String model, long version, long ageMillis, long nowMillis) {
-        Named known = newest.get(model);
-        if (known != null && known.version() == version && known.sinceMillis() > nowMillis - ageMillis) {
-            newest.put(model, new Named(version, nowMillis - ageMillis));
+        TreeMap<Long, Long> versions = sinceByModel.get(model);
+        // A version is only taken over from the store; of those before it the relay may have read nothing.
+        if (versions != null && versions.lastKey() >= version) {
+            versions.merge(version, nowMillis - ageMillis, Math::min);
         }
     }
 
-    /** Returns the newest version of a model. */
-    public Optional<Named> newest(String model) {
-        return Optional.ofNullable(newest.get(model));
+    /** Returns the newest version of a model; 0 if none was named. */
+    public long newest(String model) {
+        TreeMap<Long, Long> versions = sinceByModel.get(model);
+        return versions == null ? 0 : versions.lastKey();
+    }
+
+    /** Returns the oldest version on which a request may begin, when newer ones are allowed that much time. */
+    public long oldestAllowed(String model, long allowedMillis, long nowMillis) {
+        TreeMap<Long, Long> versions = sinceByModel.getOrDefault(model, new TreeMap<>());
+        return versions.descendingMap().entrySet().stream()
+                .filter(named -> nowMillis - named.getValue() >= allowedMillis)
+                .map(Map.Entry::getKey)
+                .findFirst()
+                .orElse(0L);
+    }
+
+    /** Returns the only model that has named versions; empty if there are none or several. */
+    public Optional<String> onlyModel() {
+        return sinceByModel.size() == 1
+                ? Optional.of(sinceByModel.keySet().iterator().next())
+                : Optional.empty();
+    }
+
+    /** Returns all versions that are remembered. */
+    public List<Named> all() {
+        List<Named> all = new ArrayList<>();
+        sinceByModel.forEach(
+                (model, versions) -> versions.forEach((version, since) -> all.add(new Named(model, version, since))));
+        return all;
     }
 
-    /** Returns the newest version of each model. */
-    public Map<String, Named> all() {
-        return Map.copyOf(newest);
+    /** Returns the models that have named versions. */
+    public List<String> models() {
+        return List.copyOf(sinceByModel.keySet());
     }
 }
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/rollout/RolloutPlan.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/rollout/RolloutPlan.java
@@ -11,9 +11,10 @@
 /**
  * Picks the engines that load the newest weights next.
  *
- * <p>Loads slow each other down beyond a number at once, so only so many are under way in a service. An engine that was
- * ordered counts as loading until it serves the version, or until the order must be taken for lost. Those with the
- * least work go first, since an engine that swaps takes no new work until its runs have ended.
+ * <p>Loads slow each other down beyond a number at once. An engine that was ordered first ends its runs, which takes
+ * seconds, and loads then; so one more engine than may load is ordered, to end its runs while the others load. An
+ * engine counts as ordered until it serves the version, or until the order must be taken for lost. Those with the
+ * oldest weights go first, since their time runs out first, and then those with the least work.
  */
 public final class RolloutPlan {
     /**
@@ -22,12 +23,15 @@
      */
     public static final long LOST_MILLIS = 6_000;
 
-    private final int atOnce;
+    /** Engines that end their runs while others load. */
+    private static final int ENDING_RUNS = 1;
+
+    private final int loadsAtOnce;
     private final Map<String, Order> orders = new HashMap<>();
 
     /** Makes a plan that lets so many engines of a service load at once. */
-    public RolloutPlan(int atOnce) {
-        this.atOnce = atOnce;
+    public RolloutPlan(int loadsAtOnce) {
+        this.loadsAtOnce = loadsAtOnce;
     }
 
     /**
@@ -35,7 +39,7 @@
      *
      * @param id its incarnation
      * @param weights the version that it serves; 0 if unknown
-     * @param inFlight the work that it has, as far as known
+     * @param inFlight the requests that it works on, as far as known
      */
     public record Engine(String id, long weights, int inFlight) {}
 
@@ -50,6 +54,7 @@
     /** Returns the engines of one service to order now, at most as many as may load beside those that already do. */
     public List<Engine> next(List<Engine> engines, long newest, long nowMillis) {
         Set<String> present = new HashSet<>();
+        int ordered = 0;
         int loading = 0;
         List<Engine> waiting = new ArrayList<>();
         for (Engine engine : engines) {
@@ -59,14 +64,18 @@
                     && engine.weights() < order.version()
                     && nowMillis - order.givenAtMillis() < LOST_MILLIS;
             if (underWay) {
-                loading++;
+                ordered++;
+                loading += engine.inFlight() == 0 ? 1 : 0;
             } else if (engine.weights() < newest) {
                 waiting.add(engine);
             }
         }
         orders.keySet().retainAll(present);
-        waiting.sort(Comparator.comparingInt(Engine::inFlight).thenComparing(Engine::id));
-        return List.copyOf(waiting.subList(0, Math.min(waiting.size(), Math.max(0, atOnce - loading))));
+        waiting.sort(Comparator.comparingLong(Engine::weights)
+                .thenComparingInt(Engine::inFlight)
+                .thenComparing(Engine::id));
+        int room = Math.min(loadsAtOnce + ENDING_RUNS - ordered, loadsAtOnce - loading);
+        return List.copyOf(waiting.subList(0, Math.min(waiting.size(), Math.max(0, room))));
     }
 
     /** Notes that an engine was ordered. */
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/PlacementTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/PlacementTest.java
@@ -24,7 +24,7 @@
     void theOwnFailureDomainIsPreferredWhileItIsNotBusier() {
         near.sent(new Target.Work(9_000, 9_000), NOW);
 
-        assertThat(chosen(0, true)).isEqualTo("i-also-near");
+        assertThat(chosen(0, 0)).isEqualTo("i-also-near");
     }
 
     @Test
@@ -34,7 +34,7 @@
             alsoNear.sent(new Target.Work(9_000, 9_000), NOW);
         }
 
-        assertThat(chosen(0, true)).isEqualTo("i-far");
+        assertThat(chosen(0, 0)).isEqualTo("i-far");
     }
 
     /** One target hangs on half of its requests while its probe is good: it must be found by what becomes of them. */
@@ -45,8 +45,8 @@
             alsoNear.failed(300, NOW);
         }
 
-        assertThat(chosen(0, true)).isEqualTo("i-far");
-        assertThat(Placement.choose(targets, query(0, true), NOW + 30_000))
+        assertThat(chosen(0, 0)).isEqualTo("i-far");
+        assertThat(Placement.choose(targets, query(0, 0), NOW + 30_000))
                 .get()
                 .extracting(choice -> choice.target().entry().failureDomain())
                 .isEqualTo("north");
@@ -58,29 +58,29 @@
         near.sent(new Target.Work(9_000, 9_000), NOW);
         alsoNear.sent(new Target.Work(9_000, 9_000), NOW);
 
-        assertThat(chosen(2, true)).isEqualTo("i-far");
+        assertThat(chosen(2, 0)).isEqualTo("i-far");
     }
 
     /** Long after new weights were named a check must not begin on the old ones, even if no other engine is free. */
     @Test
     void afterTheBoundNoRequestBeginsOnOldWeights() {
-        assertThat(Placement.choose(targets, query(2, false), NOW)).isEmpty();
+        assertThat(Placement.choose(targets, query(2, 2), NOW)).isEmpty();
 
         near.confirmWeights("m", 2);
         near.failed(4_000, NOW);
-        assertThat(chosen(2, false)).isEqualTo("i-near");
+        assertThat(chosen(2, 2)).isEqualTo("i-near");
     }
 
-    private String chosen(long newest, boolean oldAllowed) {
-        return Placement.choose(targets, query(newest, oldAllowed), NOW)
+    private String chosen(long newest, long oldest) {
+        return Placement.choose(targets, query(newest, oldest), NOW)
                 .orElseThrow()
                 .target()
                 .id();
     }
 
-    private static PlacementQuery query(long newest, boolean oldAllowed) {
+    private static PlacementQuery query(long newest, long oldest) {
         return new PlacementQuery(
-                "llm", "north", Optional.of(ENGINE), Optional.of("m"), newest, oldAllowed, 9_000, 0, Set.of());
+                "llm", "north", Optional.of(ENGINE), Optional.of("m"), newest, oldest, 9_000, 0, Set.of());
     }
 
     static Target target(String id, String domain, long weights) {
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/rollout/NamedVersionsTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/rollout/NamedVersionsTest.java
@@ -3,9 +3,13 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.rattanrudder.core.rollout.NamedVersions.Named;
 
 class NamedVersionsTest {
+    private static final long ALLOWED = 13_000;
+
     private final NamedVersions versions = new NamedVersions();
 
     /**
@@ -18,18 +22,17 @@
         versions.known("m", 2, 10_000, 50_100);
         versions.known("m", 2, 3_000, 50_200);
 
-        assertThat(versions.newest("m")).contains(new Named(2, 40_100));
+        assertThat(versions.all()).containsExactly(new Named("m", 2, 40_100));
     }
 
     @Test
-    void ofAnotherVersionNothingIsTaken() {
+    void aVersionIsTakenOnlyFromTheStore() {
         versions.named("m", 2, 50_000);
-        versions.known("m", 1, 60_000, 50_100);
         versions.known("m", 3, 60_000, 50_100);
         versions.known("other", 1, 60_000, 50_100);
 
-        assertThat(versions.newest("m")).contains(new Named(2, 50_000));
-        assertThat(versions.newest("other")).isEmpty();
+        assertThat(versions.newest("m")).isEqualTo(2);
+        assertThat(versions.newest("other")).isZero();
     }
 
     @Test
@@ -37,6 +40,29 @@
         assertThat(versions.named("m", 2, 10)).isTrue();
         assertThat(versions.named("m", 1, 20)).isFalse();
         assertThat(versions.named("m", 2, 30)).isFalse();
-        assertThat(versions.newest("m")).contains(new Named(2, 10));
+        assertThat(versions.newest("m")).isEqualTo(2);
+    }
+
+    /**
+     * A second version is named four seconds after the first. Checks begin on the weights before both of them nineteen
+     * seconds after the first was named, since the time was counted from the second.
+     */
+    @ParameterizedTest
+    @CsvSource({"10000, 0", "22999, 0", "23000, 2", "26999, 2", "27000, 3"})
+    void eachVersionHasItsOwnTime(long now, long oldest) {
+        versions.named("m", 2, 10_000);
+        versions.named("m", 3, 14_000);
+
+        assertThat(versions.oldestAllowed("m", ALLOWED, now)).isEqualTo(oldest);
+    }
+
+    /** A relay that is started after both namings reads only the newest; the others know of the one before. */
+    @Test
+    void theTimeOfAnEarlierVersionIsLearntFromOthers() {
+        versions.named("m", 3, 20_000);
+        versions.known("m", 2, 12_500, 20_100);
+
+        assertThat(versions.oldestAllowed("m", ALLOWED, 20_700)).isEqualTo(2);
+        assertThat(versions.newest("m")).isEqualTo(3);
     }
 }
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/rollout/RolloutPlanTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/rollout/RolloutPlanTest.java
@@ -10,16 +10,35 @@
     private final RolloutPlan plan = new RolloutPlan(2);
 
     @Test
-    void soManyLoadAtOnceAndTheLeastBusyGoFirst() {
-        List<Engine> engines = List.of(new Engine("a", 1, 9), new Engine("b", 1, 2), new Engine("c", 1, 5));
+    void theLeastBusyGoFirstAndOneEndsItsRunsWhileTwoLoad() {
+        List<Engine> engines =
+                List.of(new Engine("a", 1, 9), new Engine("b", 1, 2), new Engine("c", 1, 5), new Engine("d", 1, 7));
 
         assertThat(plan.next(engines, 2, 0)).extracting(Engine::id).containsExactly("b", "c");
         plan.ordered("b", 2, 0);
-        assertThat(plan.next(engines, 2, 10)).extracting(Engine::id).containsExactly("c");
-        plan.ordered("c", 2, 10);
+        plan.ordered("c", 2, 0);
+        assertThat(plan.next(engines, 2, 10)).extracting(Engine::id).containsExactly("d");
+        plan.ordered("d", 2, 10);
         assertThat(plan.next(engines, 2, 20)).isEmpty();
     }
 
+    @Test
+    void noMoreLoadAtOnceThanAllowed() {
+        List<Engine> engines = List.of(new Engine("a", 1, 0), new Engine("b", 1, 0), new Engine("c", 1, 5));
+        plan.ordered("a", 2, 0);
+        plan.ordered("b", 2, 0);
+
+        assertThat(plan.next(engines, 2, 10)).isEmpty();
+    }
+
+    /** Two versions are named in a row, and engines with the first of them swap again while others serve the oldest. */
+    @Test
+    void theOldestWeightsGoFirst() {
+        List<Engine> engines = List.of(new Engine("a", 2, 0), new Engine("b", 1, 9), new Engine("c", 1, 8));
+
+        assertThat(plan.next(engines, 3, 0)).extracting(Engine::id).containsExactly("c", "b");
+    }
+
     @Test
     void anEngineThatServesTheVersionMakesRoomForTheNext() {
         plan.ordered("a", 2, 0);
@@ -44,6 +63,6 @@
         plan.ordered("a", 2, 0);
         List<Engine> engines = List.of(new Engine("a", 2, 0), new Engine("b", 1, 0));
 
-        assertThat(plan.next(engines, 3, 2_000)).extracting(Engine::weights).containsExactly(2L, 1L);
+        assertThat(plan.next(engines, 3, 2_000)).extracting(Engine::weights).containsExactly(1L, 2L);
     }
 }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/OrderGiver.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/OrderGiver.java
@@ -42,7 +42,7 @@
     private static final long SWAP_MILLIS = 5_000;
 
     /** When an engine is first asked how far it is, in ms after its order, and how often then. */
-    private static final long FIRST_LOOK_MILLIS = 1_900;
+    private static final long FIRST_LOOK_MILLIS = 800;
 
     private static final long LOOK_EVERY_MILLIS = 400;
     private static final long CALL_MILLIS = 900;
@@ -56,6 +56,7 @@
     private final CallLine appends;
     private final Map<String, RolloutPlan> plans = new HashMap<>();
     private final Map<String, Long> looks = new HashMap<>();
+    private final Map<String, Integer> reportedInFlight = new HashMap<>();
     private final Set<String> ordering = new HashSet<>();
     private boolean closed;
 
@@ -113,12 +114,13 @@
                 continue;
             }
             List<Target> targets = state.fleet().of(service.name(), state.now());
-            state.weights().all().forEach((model, named) -> {
+            state.weights().models().forEach(model -> {
+                long newest = state.weights().newest(model);
                 List<Target> serving = targets.stream()
                         .filter(target -> target.weights(model) > 0)
                         .toList();
-                if (serving.stream().anyMatch(target -> target.weights(model) < named.version())) {
-                    work.add(new Work(service.name(), new NamedWeights(model, named.version()), serving));
+                if (serving.stream().anyMatch(target -> target.weights(model) < newest)) {
+                    work.add(new Work(service.name(), new NamedWeights(model, newest), serving));
                 }
             });
         }
@@ -136,7 +138,7 @@
             RolloutPlan plan = plan(each);
             List<RolloutPlan.Engine> engines = each.targets().stream()
                     .map(target -> new RolloutPlan.Engine(
-                            target.id(), target.weights(each.weights().model()), target.inFlight()))
+                            target.id(), target.weights(each.weights().model()), inFlight(target)))
                     .toList();
             for (RolloutPlan.Engine next : plan.next(engines, each.weights().version(), now)) {
                 if (!ordering.contains(next.id())) {
@@ -151,6 +153,12 @@
         }
     }
 
+    /** Returns the requests at an engine: what it reported itself if it was asked lately, else what relays know. */
+    private int inFlight(Target target) {
+        Integer reported = reportedInFlight.get(target.id());
+        return reported != null && looks.containsKey(target.id()) ? reported : target.requests(state.now());
+    }
+
     private RolloutPlan plan(Work work) {
         return plans.computeIfAbsent(
                 work.service() + "/" + work.weights().model(), unseen -> new RolloutPlan(LOADS_AT_ONCE));
@@ -293,6 +301,7 @@
     }
 
     private void note(Target target, EngineReport report) {
+        reportedInFlight.put(target.id(), report.inFlight());
         report.weights().forEach(each -> target.confirmWeights(each.model(), each.version()));
     }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/PeerExchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/PeerExchange.java
@@ -143,11 +143,8 @@
     }
 
     private List<KnownWeights> weights(long now) {
-        return state.weights().all().entrySet().stream()
-                .map(named -> new KnownWeights(
-                        named.getKey(),
-                        named.getValue().version(),
-                        now - named.getValue().sinceMillis()))
+        return state.weights().all().stream()
+                .map(named -> new KnownWeights(named.model(), named.version(), now - named.sinceMillis()))
                 .toList();
     }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
@@ -22,6 +22,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -33,7 +34,6 @@
 import org.rattanrudder.core.gateway.ContextStore;
 import org.rattanrudder.core.model.Address;
 import org.rattanrudder.core.parts.PartKey;
-import org.rattanrudder.core.rollout.NamedVersions;
 import org.rattanrudder.daemon.logging.EventLog;
 import org.rattanrudder.daemon.loop.Closer;
 import org.rattanrudder.daemon.loop.MonotonicClock;
@@ -345,17 +345,15 @@
 
     /** Returns the newest version if all engines serve it; 0 if some don't, or if several models are served. */
     private long oldestWeights(long now) {
-        Map<String, NamedVersions.Named> named = state.weights().all();
-        if (named.size() != 1) {
+        Optional<String> model = state.weights().onlyModel();
+        if (model.isEmpty()) {
             return 0;
         }
-        Map.Entry<String, NamedVersions.Named> only =
-                named.entrySet().iterator().next();
+        long newest = state.weights().newest(model.get());
         boolean all = state.fleet().all(now).stream()
-                .filter(target -> target.weights(only.getKey()) > 0)
-                .allMatch(target ->
-                        target.weights(only.getKey()) >= only.getValue().version());
-        return all ? only.getValue().version() : 0;
+                .filter(target -> target.weights(model.get()) > 0)
+                .allMatch(target -> target.weights(model.get()) >= newest);
+        return all ? newest : 0;
     }
 
     private void endIfDrained(long now) {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RequestPlan.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RequestPlan.java
@@ -15,7 +15,6 @@
 import org.rattanrudder.core.gateway.ServingConfiguration.Admittance;
 import org.rattanrudder.core.parts.PartKey;
 import org.rattanrudder.core.parts.PartPlan;
-import org.rattanrudder.core.rollout.NamedVersions;
 import org.rattanrudder.core.routing.Hashing;
 import org.rattanrudder.daemon.relay.port.Forwarding;
 
@@ -130,18 +129,17 @@
     }
 
     PlacementQuery query(Set<String> tried, long now) {
-        NamedVersions.Named named =
-                facts.model().flatMap(state.weights()::newest).orElse(null);
         long allowed = state.settings().bounds().weightsMillis() - OLD_WEIGHTS_MARGIN_MILLIS;
-        boolean oldAllowed = named == null || now - named.sinceMillis() < allowed;
+        Optional<String> model = facts.model();
         int lastShared = facts.parts().size() - 2;
         return new PlacementQuery(
                 service,
                 state.settings().failureDomain(),
                 engine,
                 facts.model(),
-                named == null ? 0 : named.version(),
-                oldAllowed,
+                model.map(state.weights()::newest).orElse(0L),
+                model.map(name -> state.weights().oldestAllowed(name, allowed, now))
+                        .orElse(0L),
                 tokens(),
                 lastShared < 0 ? 0 : Hashing.of(facts.parts().get(lastShared).id()),
                 tried);
