Turn strangers away before anything of their bodies is read

A call without a customer's credential and with a malformed body got 400, and so learnt how far it was looked at. The credentials in force are known to the I/O threads now; EntryHttpTest holds it to 401.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/entry/CallerHandler.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/entry/CallerHandler.java
@@ -36,6 +36,7 @@
     private final long incarnation;
     private final Callers callers;
     private final PieceSizes pieceSizes;
+    private final KnownCredentials credentials;
     private final BodyReader bodies;
     private final Consumer<EntryEvent> publish;
     private final EventLog log;
@@ -44,12 +45,14 @@
             long incarnation,
             Callers callers,
             PieceSizes pieceSizes,
+            KnownCredentials credentials,
             BodyReader bodies,
             Consumer<EntryEvent> publish,
             EventLog log) {
         this.incarnation = incarnation;
         this.callers = callers;
         this.pieceSizes = pieceSizes;
+        this.credentials = credentials;
         this.bodies = bodies;
         this.publish = publish;
         this.log = log;
@@ -57,6 +60,10 @@
 
     @Override
     public void handleRequest(HttpServerExchange exchange) {
+        if (!credentials.mayBeACustomers(credential(exchange))) {
+            refuse(exchange, ErrorKind.UNAUTHENTICATED, "no customer's credential was given");
+            return;
+        }
         exchange.dispatch(SameThreadExecutor.INSTANCE, () -> bodies.read(exchange, body -> take(exchange, body)));
     }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/entry/EntryProcess.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/entry/EntryProcess.java
@@ -45,6 +45,7 @@
     private final Closer closer = new Closer();
     private final Health health = new Health();
     private final PieceSizes pieceSizes = new PieceSizes();
+    private final KnownCredentials credentials = new KnownCredentials();
     private final Drain drain = new Drain();
     private final EventLog log;
     private final EntryMachine machine;
@@ -110,7 +111,7 @@
         loop.start(effects);
         closer.add(loop);
         CallerHandler callerHandler =
-                new CallerHandler(identity.incarnation(), callers, pieceSizes, bodies, publish, log);
+                new CallerHandler(identity.incarnation(), callers, pieceSizes, credentials, bodies, publish, log);
         HttpServer listening = closer.add(new HttpServer(
                 threads.worker(),
                 new InetSocketAddress(settings.http().host(), settings.http().port()),
@@ -142,6 +143,7 @@
                 sizes.put(document.service().value(), document.cache().pieceTokens());
             }
             pieceSizes.set(sizes);
+            credentials.take(machine.documents());
         }
     }
 
--- a/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/entry/EntryHttpTest.java
+++ b/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/entry/EntryHttpTest.java
@@ -13,6 +13,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -49,6 +50,7 @@
 
     private final BlockingQueue<EntryEvent> events = new LinkedBlockingQueue<>();
     private final Callers callers = new Callers(events::add);
+    private final KnownCredentials credentials = new KnownCredentials();
     private ProcessThreads threads;
     private HttpServer server;
     private Socket socket;
@@ -61,7 +63,7 @@
         PieceSizes sizes = new PieceSizes();
         BodyReader bodies = new BodyReader(LIMITS, BUDGET, (exchange, refusal) -> {});
         EntryHttp http = new EntryHttp(
-                new CallerHandler(31, callers, sizes, bodies, events::add, log),
+                new CallerHandler(31, callers, sizes, credentials, bodies, events::add, log),
                 new OperatorHandler(Credential.digest("operator"), sizes, bodies, events::add, () -> null),
                 new Health(),
                 new MetricsHandler(new PrometheusRegistry()),
@@ -116,6 +118,28 @@
         return type.cast(event);
     }
 
+    /** A stranger sends what is no JSON. It must be told that it isn't known, and nothing about what it sent. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "Authorization: Bearer wrong", "Authorization: Basic secret"})
+    void aStrangersBodyIsNotLookedAt(String authorization) throws Exception {
+        credentials.set(Set.of(Credential.digest("secret")));
+        String[] headers = authorization.isEmpty() ? new String[0] : new String[] {authorization};
+
+        send(post("/v1/chat/completions", "{no json", headers));
+
+        assertThat(readUntil("\r\n")).startsWith("HTTP/1.1 401");
+        assertThat(events).isEmpty();
+    }
+
+    @Test
+    void aCustomersBodyIsLookedAt() throws Exception {
+        credentials.set(Set.of(Credential.digest("secret")));
+
+        send(post("/v1/chat/completions", "{no json", "Authorization: Bearer secret"));
+
+        assertThat(readUntil("\r\n")).startsWith("HTTP/1.1 400");
+    }
+
     private CallerExchange chat(boolean stream) throws Exception {
         send(post("/v1/chat/completions", CHAT.formatted(stream)));
         return callers.find(next(EntryEvent.RequestArrived.class).sequence()).orElseThrow();
