--- a/rattanrudder-command/src/main/java/org/rattanrudder/command/ExitCode.java
+++ b/rattanrudder-command/src/main/java/org/rattanrudder/command/ExitCode.java
@@ -4,8 +4,8 @@
 public enum ExitCode {
     /** Done. */
     DONE(0, "done"),
-    /** The documents that were compared differ. */
-    DIFFERENT(1, "the documents that were compared differ"),
+    /** The documents that were compared differ, or no line is about the request. */
+    DIFFERENT(1, "the documents that were compared differ, or no line is about the request"),
     /** The command line can't be understood, or a file can't be read. */
     USAGE(2, "the command line can't be understood, or a file can't be read or written"),
     /** The document doesn't hold; nothing was changed. */
--- a/rattanrudder-command/src/main/java/org/rattanrudder/command/Invocation.java
+++ b/rattanrudder-command/src/main/java/org/rattanrudder/command/Invocation.java
@@ -1,13 +1,18 @@
 package org.rattanrudder.command;
 
+import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.InputStream;
+import java.io.InputStreamReader;
 import java.nio.charset.CharacterCodingException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Stream;
 import joptsimple.OptionSet;
 import org.rattanrudder.core.model.Address;
 
@@ -32,8 +37,14 @@
      * @param exchange makes HTTP calls
      * @param environment environment variables
      * @param pause waits between two looks at the state of the system
+     * @param input what is given on standard input
      */
-    record World(Exchange exchange, Map<String, String> environment, Runnable pause) {}
+    record World(Exchange exchange, Map<String, String> environment, Runnable pause, InputStream input) {}
+
+    /** Returns the lines on standard input. */
+    Stream<String> inputLines() {
+        return new BufferedReader(new InputStreamReader(world.input(), StandardCharsets.UTF_8)).lines();
+    }
 
     Output output() {
         return output;
--- a/rattanrudder-command/src/main/java/org/rattanrudder/command/Rattanrudder.java
+++ b/rattanrudder-command/src/main/java/org/rattanrudder/command/Rattanrudder.java
@@ -24,7 +24,7 @@
         TRANSPORT.setLevel(Level.WARNING);
         ExitCode code;
         try (HttpExchange exchange = new HttpExchange()) {
-            Invocation.World world = new Invocation.World(exchange, System.getenv(), Rattanrudder::pause);
+            Invocation.World world = new Invocation.World(exchange, System.getenv(), Rattanrudder::pause, System.in);
             code = new CommandLine(System.out, System.err, world).run(arguments);
         }
         System.out.flush();
--- /dev/null
+++ b/rattanrudder-command/src/main/java/org/rattanrudder/command/RequestStory.java
@@ -0,0 +1,121 @@
+package org.rattanrudder.command;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.format.DateTimeParseException;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+
+/**
+ * What became of one request, step by step, from the lines that processes logged about it.
+ *
+ * <p>Lines may come from several processes in any order; they are put in the order of their times. Where the lines of a
+ * process follow a name, as a collector of logs may write it, the name is kept.
+ */
+final class RequestStory {
+    private static final Pattern PAIR = Pattern.compile("([a-z_]+)=(\"(?:[^\"\\\\]|\\\\.)*\"|\\S+)");
+    private static final Set<String> LEFT_OUT = Set.of("time", "level", "logger", "event", "request");
+
+    private final List<Step> steps;
+
+    private RequestStory(List<Step> steps) {
+        this.steps = steps;
+    }
+
+    /**
+     * One step.
+     *
+     * @param time when, as logged
+     * @param afterMillis time since the first step
+     * @param source what stood before the line; empty if nothing
+     * @param event what happened
+     * @param meaning the same in words
+     * @param fields what decided it
+     */
+    record Step(
+            String time, long afterMillis, String source, String event, String meaning, Map<String, String> fields) {}
+
+    /** Reads the lines and keeps those about the request. */
+    static RequestStory of(String request, Stream<String> lines) {
+        List<Step> found = new ArrayList<>();
+        lines.filter(line -> line.contains(request))
+                .forEach(line -> step(request, line).ifPresent(found::add));
+        found.sort(Comparator.comparing(Step::time));
+        List<Step> steps = new ArrayList<>();
+        for (Step step : found) {
+            steps.add(new Step(
+                    step.time(),
+                    millis(found.get(0), step),
+                    step.source(),
+                    step.event(),
+                    step.meaning(),
+                    step.fields()));
+        }
+        return new RequestStory(steps);
+    }
+
+    List<Step> steps() {
+        return steps;
+    }
+
+    private static Optional<Step> step(String request, String line) {
+        Map<String, String> fields = new LinkedHashMap<>();
+        Matcher pairs = PAIR.matcher(line);
+        int begin = line.length();
+        while (pairs.find()) {
+            begin = Math.min(begin, pairs.start());
+            fields.put(pairs.group(1), unquoted(pairs.group(2)));
+        }
+        if (!request.equals(fields.get("request")) || !fields.containsKey("event")) {
+            return Optional.empty();
+        }
+        String event = fields.get("event");
+        String meaning = meaning(event, fields);
+        String time = fields.getOrDefault("time", "");
+        fields.keySet().removeAll(LEFT_OUT);
+        return Optional.of(new Step(time, 0, line.substring(0, begin).strip(), event, meaning, fields));
+    }
+
+    private static String unquoted(String value) {
+        return value.startsWith("\"") ? value.substring(1, value.length() - 1) : value;
+    }
+
+    private static long millis(Step first, Step step) {
+        try {
+            return Duration.between(Instant.parse(first.time()), Instant.parse(step.time()))
+                    .toMillis();
+        } catch (DateTimeParseException withoutTime) {
+            return 0;
+        }
+    }
+
+    private static String meaning(String event, Map<String, String> fields) {
+        return switch (event) {
+            case "request_denied" ->
+                "turned away: " + fields.get("error") + " by configuration " + fields.get("configuration");
+            case "request_held" ->
+                "waits in line, engines are full; " + fields.get("in_line") + " wait for " + fields.get("service");
+            case "request_placed" ->
+                "target " + fields.get("target") + " picked out of " + fields.get("candidates") + ", delay of "
+                        + fields.get("expected_ms") + " ms expected";
+            case "request_sent" ->
+                "sent; " + fields.get("read") + " of " + fields.get("shared_parts")
+                        + " shared parts are read from stores, " + fields.get("saved") + " saved";
+            case "attempt_failed" ->
+                "attempt at " + fields.get("target") + " failed: " + fields.get("outcome") + ", " + fields.get("reason")
+                        + " after " + fields.get("after_ms") + " ms";
+            case "request_ended" ->
+                "ended with " + fields.get("outcome") + " (" + fields.get("reason") + ") after " + fields.get("ms")
+                        + " ms";
+            default -> event.replace('_', ' ');
+        };
+    }
+}
--- a/rattanrudder-command/src/main/java/org/rattanrudder/command/Subcommands.java
+++ b/rattanrudder-command/src/main/java/org/rattanrudder/command/Subcommands.java
@@ -106,7 +106,17 @@
                     entry that was replaced or doesn't answer had counted is shown as a gap, not as zero.""",
                     true,
                     parser -> required(parser, "html", "also write a page with plots to this file", "FILE"),
-                    BurnCommand::run));
+                    BurnCommand::run),
+            new Subcommand(
+                    "explain-request",
+                    "ID",
+                    "tell from logs what became of one request",
+                    """
+                    Reads the logs of any number of processes on standard input, in any order, and prints what happened
+                    to the request, step by step, each with what decided it. Ends with 1 if no line is about it.""",
+                    false,
+                    Subcommands::noOptions,
+                    ExplainRequestCommand::run));
 
     private Subcommands() {}
 
--- a/rattanrudder-command/src/test/java/org/rattanrudder/command/CommandLineTest.java
+++ b/rattanrudder-command/src/test/java/org/rattanrudder/command/CommandLineTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
@@ -44,6 +45,7 @@
     private final ByteArrayOutputStream err = new ByteArrayOutputStream();
     private Runnable pause = () -> {};
     private String text;
+    private String input = "";
     private String entries = ENTRY;
 
     @BeforeEach
@@ -51,6 +53,35 @@
         text = Files.readString(EXAMPLE);
     }
 
+    /**
+     * A clerk's check failed and all that is known is its id. Its lines lie among those of other requests, from two
+     * relays, in the order in which a collector happened to write them.
+     */
+    @Test
+    void aRequestIsExplainedFromTheLogs() {
+        input = """
+                relay-2 time=2026-03-19T17:14:23.500Z level=INFO logger=R event=request_ended request=r7 outcome=200 \
+                reason="passed on" ms=400
+                relay-1 time=2026-03-19T17:14:23.020Z level=INFO logger=R event=attempt_failed request=r7 target=i-1 \
+                outcome=SILENT reason="silent for 810 ms" after_ms=810
+                relay-1 time=2026-03-19T17:14:23.010Z level=INFO logger=R event=request_placed request=r7 target=i-1 \
+                candidates=6 expected_ms=12
+                relay-1 time=2026-03-19T17:14:23.010Z level=INFO logger=R event=request_placed request=r77 target=i-2
+                not a line of ours about r7
+                """;
+
+        assertThat(run("explain-request", "r7")).isEqualTo(ExitCode.DONE);
+
+        assertThat(output().lines().filter(line -> line.contains(" ms  ")))
+                .containsExactly(
+                        "       0 ms  relay-1: target i-1 picked out of 6, delay of 12 ms expected",
+                        "      10 ms  relay-1: attempt at i-1 failed: SILENT, silent for 810 ms after 810 ms",
+                        "     490 ms  relay-2: ended with 200 (passed on) after 400 ms");
+        assertThat(output()).doesNotContain("i-2");
+        assertThat(run("explain-request", "r8")).isEqualTo(ExitCode.DIFFERENT);
+        assertThat(errors()).contains("no line is about request r8");
+    }
+
     @Test
     void anEditFromTheRevisionInForceIsAcceptedAndAnOlderOneIsVoid() {
         assertThat(run("publish", EXAMPLE.toString(), "--from", "0")).isEqualTo(ExitCode.DONE);
@@ -225,7 +256,11 @@
                 (address, request) -> (address.equals(Address.parse(ENTRY)) ? entry : other).answer(request);
         Map<String, String> variables = new HashMap<>(environment);
         variables.putIfAbsent(Invocation.ENTRIES_VARIABLE, entries);
-        Invocation.World world = new Invocation.World(exchange, variables, () -> pause.run());
+        Invocation.World world = new Invocation.World(
+                exchange,
+                variables,
+                () -> pause.run(),
+                new ByteArrayInputStream(input.getBytes(StandardCharsets.UTF_8)));
         return new CommandLine(stream(out), stream(err), world).run(arguments);
     }
 
