--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/rollout/RolloutPlan.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/rollout/RolloutPlan.java
@@ -12,7 +12,7 @@
  * Picks the engines that load the newest weights next.
  *
  * <p>Loads slow each other down beyond a number at once. An engine that was ordered first ends its runs, which takes
- * seconds, and loads then; so one more engine than may load is ordered, to end its runs while the others load. An
+ * seconds, and loads then; so a few more engines than may load are ordered, to end their runs while others load. An
  * engine counts as ordered until it serves the version, or until the order must be taken for lost. Those with the
  * oldest weights go first, since their time runs out first, and then those with the least work.
  */
@@ -23,16 +23,20 @@
      */
     public static final long LOST_MILLIS = 6_000;
 
-    /** Engines that end their runs while others load. */
-    private static final int ENDING_RUNS = 1;
+    /**
+     * The part of a service's engines that may load at once, and the least number. Weights come from a store whose rate
+     * grows with the service: two of six or eight engines load without slowing each other, ten of 35, eleven of 40.
+     */
+    private static final double LOADING_SHARE = 0.28;
 
-    private final int loadsAtOnce;
-    private final Map<String, Order> orders = new HashMap<>();
+    private static final int LEAST_LOADING = 2;
 
-    /** Makes a plan that lets so many engines of a service load at once. */
-    public RolloutPlan(int loadsAtOnce) {
-        this.loadsAtOnce = loadsAtOnce;
-    }
+    /** The part of the engines that end their runs while others load, and the least number. */
+    private static final double ENDING_SHARE = 0.1;
+
+    private static final int LEAST_ENDING = 1;
+
+    private final Map<String, Order> orders = new HashMap<>();
 
     /**
      * An engine as the plan sees it.
@@ -74,7 +78,9 @@
         waiting.sort(Comparator.comparingLong(Engine::weights)
                 .thenComparingInt(Engine::inFlight)
                 .thenComparing(Engine::id));
-        int room = Math.min(loadsAtOnce + ENDING_RUNS - ordered, loadsAtOnce - loading);
+        int mayLoad = Math.max(LEAST_LOADING, (int) (engines.size() * LOADING_SHARE));
+        int mayEnd = Math.max(LEAST_ENDING, (int) (engines.size() * ENDING_SHARE));
+        int room = Math.min(mayLoad + mayEnd - ordered, mayLoad - loading);
         return List.copyOf(waiting.subList(0, Math.min(waiting.size(), Math.max(0, room))));
     }
 
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/rollout/RolloutPlanTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/rollout/RolloutPlanTest.java
@@ -3,11 +3,12 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.rattanrudder.core.rollout.RolloutPlan.Engine;
 
 class RolloutPlanTest {
-    private final RolloutPlan plan = new RolloutPlan(2);
+    private final RolloutPlan plan = new RolloutPlan();
 
     @Test
     void theLeastBusyGoFirstAndOneEndsItsRunsWhileTwoLoad() {
@@ -31,6 +32,15 @@
         assertThat(plan.next(engines, 2, 10)).isEmpty();
     }
 
+    @Test
+    void aLargeServiceLoadsMoreAtOnce() {
+        List<Engine> engines = IntStream.range(0, 40)
+                .mapToObj(number -> new Engine("i-" + number, 1, 3))
+                .toList();
+
+        assertThat(plan.next(engines, 2, 0)).hasSize(11);
+    }
+
     /** Two versions are named in a row, and engines with the first of them swap again while others serve the oldest. */
     @Test
     void theOldestWeightsGoFirst() {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/OrderGiver.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/OrderGiver.java
@@ -35,9 +35,6 @@
     /** How often work is looked for while there is none, in ms. */
     private static final long IDLE_STEP_MILLIS = 500;
 
-    /** Loads of one service at once: more slow each other down. */
-    private static final int LOADS_AT_ONCE = 2;
-
     /** How long an engine that was ordered is left alone, in ms: runs end and weights load within about this time. */
     private static final long SWAP_MILLIS = 5_000;
 
@@ -160,8 +157,7 @@
     }
 
     private RolloutPlan plan(Work work) {
-        return plans.computeIfAbsent(
-                work.service() + "/" + work.weights().model(), unseen -> new RolloutPlan(LOADS_AT_ONCE));
+        return plans.computeIfAbsent(work.service() + "/" + work.weights().model(), unseen -> new RolloutPlan());
     }
 
     private void append(Map<Target, NamedWeights> batch) {
