--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Fleet.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Fleet.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.rattanrudder.core.fleet.RelayLoad.ServedWeights;
 
 /**
  * The targets that are known, from a keyed log of their entries.
@@ -94,6 +95,10 @@
     /** Takes what another relay says of its work. */
     public void heard(RelayLoad load, long nowMillis) {
         peers.heard(load, nowMillis);
+        for (ServedWeights served : load.served()) {
+            find(served.target())
+                    .ifPresent(target -> target.confirmWeights(served.model(), served.version(), nowMillis));
+        }
     }
 
     /** Returns how many other relays were heard of lately. */
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/RelayLoad.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/RelayLoad.java
@@ -9,14 +9,26 @@
  * @param sequence increases with each message of the relay
  * @param targets the targets that it has work at
  * @param weights the newest versions of weights that it knows of
+ * @param served targets that it lately saw serving other weights than before
  */
-public record RelayLoad(String relay, long sequence, List<TargetLoad> targets, List<KnownWeights> weights) {
+public record RelayLoad(
+        String relay, long sequence, List<TargetLoad> targets, List<KnownWeights> weights, List<ServedWeights> served) {
     /** Takes copies of the lists. */
     public RelayLoad {
         targets = List.copyOf(targets);
         weights = List.copyOf(weights);
+        served = List.copyOf(served);
     }
 
+    /**
+     * The weights that a target serves.
+     *
+     * @param target the target's incarnation
+     * @param model the model
+     * @param version its version
+     */
+    public record ServedWeights(String target, String model, long version) {}
+
     /**
      * A version of weights that was named.
      *
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Target.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Target.java
@@ -1,7 +1,9 @@
 package org.rattanrudder.core.fleet;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import org.rattanrudder.core.fleet.RelayLoad.ServedWeights;
 import org.rattanrudder.core.fleet.RelayLoad.TargetLoad;
 
 /**
@@ -50,6 +52,7 @@
     private long pausedUntil = Long.MIN_VALUE / 2;
     private long lastSignAt;
     private long swappingUntil = Long.MIN_VALUE / 2;
+    private long confirmedAt = Long.MIN_VALUE / 2;
 
     /** Makes a target that other relays may have work at. */
     Target(TargetEntry entry, PeerLoads peers) {
@@ -67,7 +70,13 @@
         return entry.id();
     }
 
+    /** Takes its newest entry; weights that are new there end the time in which it takes no work. */
     void update(TargetEntry newest) {
+        boolean loaded =
+                newest.weights().entrySet().stream().anyMatch(served -> served.getValue() > weights(served.getKey()));
+        if (loaded) {
+            swappingUntil = Long.MIN_VALUE / 2;
+        }
         entry = newest;
     }
 
@@ -76,12 +85,27 @@
         return Math.max(entry.weights().getOrDefault(model, 0L), confirmedWeights.getOrDefault(model, 0L));
     }
 
-    /** Notes a version of weights that the target itself reported. */
-    public void confirmWeights(String model, long version) {
-        if (version >= weights(model)) {
-            swappingUntil = Long.MIN_VALUE / 2;
+    /**
+     * Notes a version of weights that the target was seen to serve. A version that is new ends the time in which it
+     * takes no work; one that was known doesn't, since runs that the target still ends before it loads name it too.
+     */
+    public void confirmWeights(String model, long version, long nowMillis) {
+        if (version <= weights(model)) {
+            return;
+        }
+        swappingUntil = Long.MIN_VALUE / 2;
+        confirmedWeights.put(model, version);
+        confirmedAt = nowMillis;
+    }
+
+    /** Returns the weights that it was seen to serve since a time, beyond those of its entry at that time. */
+    public List<ServedWeights> confirmedSince(long sinceMillis) {
+        if (confirmedAt < sinceMillis) {
+            return List.of();
         }
-        confirmedWeights.merge(model, version, Math::max);
+        return confirmedWeights.entrySet().stream()
+                .map(served -> new ServedWeights(id(), served.getKey(), served.getValue()))
+                .toList();
     }
 
     /** Notes that the target takes no new work before a time, since it loads weights. */
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/PeerLoadsTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/PeerLoadsTest.java
@@ -58,7 +58,38 @@
         assertThat(SendWindow.open(targets, ENGINE, 9_000, false, NOW)).isEmpty();
     }
 
+    /**
+     * An engine ends the runs that it has before it loads new weights. Their answers still name the old ones, which was
+     * taken for the end of the load: relays sent their requests there and had them refused.
+     */
+    @Test
+    void answersOnOldWeightsDoNotEndASwap() {
+        Target target = PlacementTest.target("i-1", "north", 1);
+        target.swapping(NOW + 5_000);
+
+        target.confirmWeights("m", 1, NOW + 100);
+        assertThat(target.isSwapping(NOW + 200)).isTrue();
+
+        target.confirmWeights("m", 2, NOW + 3_000);
+        assertThat(target.isSwapping(NOW + 3_100)).isFalse();
+    }
+
+    /** One relay sees an engine serve its new weights; the others would be sent back by it for a second more. */
+    @Test
+    void weightsThatOneRelaySawServedAreKnownToAll() {
+        Fleet fleet = new Fleet();
+        fleet.logAnswers(0);
+        fleet.apply("i-1", Optional.of(FleetTest.entry("i-1", false)), 1, NOW);
+        Target seen = PlacementTest.target("i-1", "north", 1);
+        seen.confirmWeights("m", 2, NOW);
+
+        fleet.heard(new RelayLoad("a", 1, List.of(), List.of(), seen.confirmedSince(NOW - 1)), NOW);
+
+        assertThat(fleet.find("i-1").orElseThrow().weights("m")).isEqualTo(2);
+        assertThat(seen.confirmedSince(NOW + 1)).isEmpty();
+    }
+
     private static RelayLoad load(String relay, long sequence, TargetLoad... targets) {
-        return new RelayLoad(relay, sequence, List.of(targets), List.of());
+        return new RelayLoad(relay, sequence, List.of(targets), List.of(), List.of());
     }
 }
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/PlacementTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/PlacementTest.java
@@ -54,7 +54,7 @@
 
     @Test
     void enginesWithNewWeightsArePreferred() {
-        far.confirmWeights("m", 2);
+        far.confirmWeights("m", 2, NOW);
         near.sent(new Target.Work(9_000, 9_000), NOW);
         alsoNear.sent(new Target.Work(9_000, 9_000), NOW);
 
@@ -66,7 +66,7 @@
     void afterTheBoundNoRequestBeginsOnOldWeights() {
         assertThat(Placement.choose(targets, query(2, 2), NOW)).isEmpty();
 
-        near.confirmWeights("m", 2);
+        near.confirmWeights("m", 2, NOW);
         near.failed(4_000, NOW);
         assertThat(chosen(2, 2)).isEqualTo("i-near");
     }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
@@ -117,7 +117,7 @@
         place = line.join(this, plan.rank(), plan.tokens(), onTimeUntil, plan.deadlineAt());
         long wait = Math.max(1, onTimeUntil - now);
         expiry = state.loop().schedule(() -> state.expireLine(plan.service()), wait, TimeUnit.MILLISECONDS);
-        log.held(line.size(), wait);
+        log.held(line.size(), wait, state.fleet().of(plan.service(), now), now);
     }
 
     /** Sends the request if an engine has room for it. */
@@ -257,7 +257,8 @@
         });
         plan.facts()
                 .model()
-                .ifPresent(model -> facts.weights().ifPresent(version -> target.confirmWeights(model, version)));
+                .ifPresent(model ->
+                        facts.weights().ifPresent(version -> target.confirmWeights(model, version, state.now())));
         if (facts.misdirected()) {
             misdirected(target, facts);
         } else if (facts.notRun()) {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/ExchangeLog.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/ExchangeLog.java
@@ -1,7 +1,9 @@
 package org.rattanrudder.daemon.relay;
 
+import java.util.List;
 import java.util.Optional;
 import org.rattanrudder.core.fleet.Placement;
+import org.rattanrudder.core.fleet.Target;
 import org.rattanrudder.core.gateway.AttemptOutcome;
 
 /** Writes one line for each decision on a request, with its id and what decided it. */
@@ -42,7 +44,7 @@
                                 .orElse("none"));
     }
 
-    void held(int inLine, long untilMillis) {
+    void held(int inLine, long untilMillis, List<Target> targets, long now) {
         state.log()
                 .info(
                         "request_held",
@@ -53,7 +55,19 @@
                         "in_line",
                         Integer.toString(inLine),
                         "on_time_for_ms",
-                        Long.toString(untilMillis));
+                        Long.toString(untilMillis),
+                        "targets",
+                        Integer.toString(targets.size()),
+                        "paused",
+                        Long.toString(targets.stream()
+                                .filter(target -> target.isPaused(now))
+                                .count()),
+                        "swapping",
+                        Long.toString(targets.stream()
+                                .filter(target -> target.isSwapping(now))
+                                .count()),
+                        "peers",
+                        Integer.toString(state.fleet().peers(now)));
     }
 
     void failed(String target, AttemptOutcome outcome, String reason, long afterMillis, boolean answerBegan) {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/OrderGiver.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/OrderGiver.java
@@ -16,6 +16,7 @@
 import org.rattanrudder.core.rollout.RolloutPlan;
 import org.rattanrudder.daemon.relay.port.EngineDialect.EngineReport;
 import org.rattanrudder.daemon.relay.port.EngineDialect.LoadOrder;
+import org.rattanrudder.daemon.relay.port.EngineDialect.RunsAtSwap;
 import org.rattanrudder.daemon.relay.port.KeyedRecord;
 import org.rattanrudder.daemon.relay.port.NamedWeights;
 import org.rattanrudder.daemon.relay.port.StoreAnswer;
@@ -229,8 +230,8 @@
     }
 
     private void give(Target target, NamedWeights weights, EngineReport report, CallLine line) {
-        LoadOrder order =
-                new LoadOrder(weights, state.settings().instance(), lease.token(), report.orders(), target.id());
+        LoadOrder order = new LoadOrder(
+                weights, RunsAtSwap.FINISH, state.settings().instance(), lease.token(), report.orders(), target.id());
         RolloutPlan plan = plans.get(target.entry().service() + "/" + weights.model());
         long now = state.now();
         plan.ordered(target.id(), weights.version(), now);
@@ -298,7 +299,7 @@
 
     private void note(Target target, EngineReport report) {
         reportedInFlight.put(target.id(), report.inFlight());
-        report.weights().forEach(each -> target.confirmWeights(each.model(), each.version()));
+        report.weights().forEach(each -> target.confirmWeights(each.model(), each.version(), state.now()));
     }
 
     private Optional<EngineReport> report(CallAnswer answer) {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/PeerExchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/PeerExchange.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.TimeUnit;
 import org.rattanrudder.core.fleet.RelayLoad;
 import org.rattanrudder.core.fleet.RelayLoad.KnownWeights;
+import org.rattanrudder.core.fleet.RelayLoad.ServedWeights;
 import org.rattanrudder.core.fleet.RelayLoad.TargetLoad;
 import org.rattanrudder.core.fleet.Target;
 import org.rattanrudder.core.model.Address;
@@ -42,6 +43,9 @@
     /** A relay that was never heard of or fell silent is told this much less often. */
     private static final int SILENT_EVERY = 10;
 
+    /** How long new weights of a target are told: until the target's own entry says so, or some messages were lost. */
+    private static final long TOLD_MILLIS = 2_500;
+
     private static final long SILENT_MILLIS = 5_000;
     private static final long REGISTER_AGAIN_MILLIS = 1_000;
     private static final long REGISTER_TIMEOUT_MILLIS = 1_500;
@@ -122,7 +126,7 @@
 
     private void tell() {
         long now = state.now();
-        RelayLoad load = new RelayLoad(self, sequence++, work(), weights(now));
+        RelayLoad load = new RelayLoad(self, sequence++, work(), weights(now), served(now));
         byte[] bytes = PeerCodec.write(load);
         for (Peer peer : peers.values()) {
             boolean silent = now - peer.heardAt > SILENT_MILLIS;
@@ -148,6 +152,12 @@
                 .toList();
     }
 
+    private List<ServedWeights> served(long now) {
+        return state.fleet().all(now).stream()
+                .flatMap(target -> target.confirmedSince(now - TOLD_MILLIS).stream())
+                .toList();
+    }
+
     /** Takes messages. */
     private final class Messages extends SimpleChannelInboundHandler<DatagramPacket> {
         @Override
--- a/rattanrudder-wire/src/main/java/org/rattanrudder/wire/peer/PeerCodec.java
+++ b/rattanrudder-wire/src/main/java/org/rattanrudder/wire/peer/PeerCodec.java
@@ -5,9 +5,11 @@
 import java.util.Optional;
 import org.rattanrudder.core.fleet.RelayLoad;
 import org.rattanrudder.core.fleet.RelayLoad.KnownWeights;
+import org.rattanrudder.core.fleet.RelayLoad.ServedWeights;
 import org.rattanrudder.core.fleet.RelayLoad.TargetLoad;
 import org.rattanrudder.wire.generated.PeerMessages.KnownWeightsMessage;
 import org.rattanrudder.wire.generated.PeerMessages.RelayLoadMessage;
+import org.rattanrudder.wire.generated.PeerMessages.ServedWeightsMessage;
 import org.rattanrudder.wire.generated.PeerMessages.TargetLoadMessage;
 
 /** Writes and reads what relays tell each other. */
@@ -31,6 +33,12 @@
                     .setVersion(known.version())
                     .setAgeMillis(known.ageMillis()));
         }
+        for (ServedWeights served : load.served()) {
+            message.addServed(ServedWeightsMessage.newBuilder()
+                    .setTarget(served.target())
+                    .setModel(served.model())
+                    .setVersion(served.version()));
+        }
         return message.build().toByteArray();
     }
 
@@ -45,9 +53,12 @@
             List<KnownWeights> weights = message.getWeightsList().stream()
                     .map(each -> new KnownWeights(each.getModel(), each.getVersion(), each.getAgeMillis()))
                     .toList();
+            List<ServedWeights> served = message.getServedList().stream()
+                    .map(each -> new ServedWeights(each.getTarget(), each.getModel(), each.getVersion()))
+                    .toList();
             return message.getRelay().isEmpty()
                     ? Optional.empty()
-                    : Optional.of(new RelayLoad(message.getRelay(), message.getSequence(), targets, weights));
+                    : Optional.of(new RelayLoad(message.getRelay(), message.getSequence(), targets, weights, served));
         } catch (InvalidProtocolBufferException malformed) {
             return Optional.empty();
         }
--- a/rattanrudder-wire/src/test/java/org/rattanrudder/wire/peer/PeerCodecTest.java
+++ b/rattanrudder-wire/src/test/java/org/rattanrudder/wire/peer/PeerCodecTest.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.Test;
 import org.rattanrudder.core.fleet.RelayLoad;
 import org.rattanrudder.core.fleet.RelayLoad.KnownWeights;
+import org.rattanrudder.core.fleet.RelayLoad.ServedWeights;
 import org.rattanrudder.core.fleet.RelayLoad.TargetLoad;
 
 class PeerCodecTest {
@@ -23,7 +24,8 @@
                 "relay-1",
                 sequence,
                 List.of(new TargetLoad("i-1", requests, tokens, tokens / 2), new TargetLoad("i-2", 1, 2, 3)),
-                List.of(new KnownWeights("m", 7, tokens)));
+                List.of(new KnownWeights("m", 7, tokens)),
+                List.of(new ServedWeights("i-1", "m", 7)));
 
         assertThat(PeerCodec.read(PeerCodec.write(load))).contains(load);
     }
