Share news of context stores and of the platform's records between relays

One or two relays ask each store now and tell the others; who hears nothing for a second asks itself. Relays also tell how far they have read the platform's records, so that each may read less often and a connection that fell silent shows at once. Relays of other domains are told less often.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Fleet.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Fleet.java
@@ -101,6 +101,11 @@
         }
     }
 
+    /** Returns the other relays that were heard of lately. */
+    public Set<String> peerNames(long nowMillis) {
+        return peers.relays(nowMillis);
+    }
+
     /** Returns how many other relays were heard of lately. */
     public int peers(long nowMillis) {
         return peers.alive(nowMillis);
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/PeerLoads.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/PeerLoads.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 import org.rattanrudder.core.fleet.RelayLoad.TargetLoad;
 
 /**
@@ -13,7 +14,7 @@
  */
 public final class PeerLoads {
     /** How long a relay's word counts, in ms: some messages may be lost, and a relay that died has no work. */
-    public static final long VALID_MILLIS = 900;
+    public static final long VALID_MILLIS = 2_000;
 
     private final Map<String, Heard> relays = new HashMap<>();
 
@@ -30,6 +31,12 @@
         relays.put(load.relay(), new Heard(nowMillis, load.sequence(), targets));
     }
 
+    /** Returns the other relays that were heard of lately. */
+    public Set<String> relays(long nowMillis) {
+        forget(nowMillis);
+        return Set.copyOf(relays.keySet());
+    }
+
     /** Returns how many other relays were heard of lately. */
     public int alive(long nowMillis) {
         forget(nowMillis);
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/RelayLoad.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/RelayLoad.java
@@ -10,9 +10,15 @@
  * @param targets the targets that it has work at
  * @param weights the newest versions of weights that it knows of
  * @param served targets that it lately saw serving other weights than before
+ * @param readTo how far it has read the platform's records
  */
 public record RelayLoad(
-        String relay, long sequence, List<TargetLoad> targets, List<KnownWeights> weights, List<ServedWeights> served) {
+        String relay,
+        long sequence,
+        List<TargetLoad> targets,
+        List<KnownWeights> weights,
+        List<ServedWeights> served,
+        ReadTo readTo) {
     /** Takes copies of the lists. */
     public RelayLoad {
         targets = List.copyOf(targets);
@@ -20,6 +26,15 @@
         served = List.copyOf(served);
     }
 
+    /**
+     * How far a relay has read the platform's records.
+     *
+     * @param wishes the offset up to which it has read what operators want
+     * @param targetsChanged the offset after the last change of a target that matters: come, leaving, gone, other
+     *     weights
+     */
+    public record ReadTo(long wishes, long targetsChanged) {}
+
     /**
      * The weights that a target serves.
      *
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/parts/PartDirectory.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/parts/PartDirectory.java
@@ -25,8 +25,8 @@
  * <p>A part counts as held only from its event on, which stores publish when it is complete.
  */
 public final class PartDirectory {
-    /** How long what a store said is believed, in ms: a long poll of a second, and an answer that is late. */
-    static final long FRESH_MILLIS = 1_600;
+    /** How long what a store said is believed, in ms: news that another relay tells, and some that are lost. */
+    static final long FRESH_MILLIS = 2_400;
 
     /**
      * How long after a store's answer a fetch from it may still end, in ms. The time in the engine's queue counts: when
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/PeerLoadsTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/PeerLoadsTest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
+import org.rattanrudder.core.fleet.RelayLoad.ReadTo;
 import org.rattanrudder.core.fleet.RelayLoad.TargetLoad;
 import org.rattanrudder.core.gateway.EngineTraits;
 
@@ -83,13 +84,13 @@
         Target seen = PlacementTest.target("i-1", "north", 1);
         seen.confirmWeights("m", 2, NOW);
 
-        fleet.heard(new RelayLoad("a", 1, List.of(), List.of(), seen.confirmedSince(NOW - 1)), NOW);
+        fleet.heard(new RelayLoad("a", 1, List.of(), List.of(), seen.confirmedSince(NOW - 1), new ReadTo(0, 0)), NOW);
 
         assertThat(fleet.find("i-1").orElseThrow().weights("m")).isEqualTo(2);
         assertThat(seen.confirmedSince(NOW + 1)).isEmpty();
     }
 
     private static RelayLoad load(String relay, long sequence, TargetLoad... targets) {
-        return new RelayLoad(relay, sequence, List.of(targets), List.of(), List.of());
+        return new RelayLoad(relay, sequence, List.of(targets), List.of(), List.of(), new ReadTo(0, 0));
     }
 }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/PeerExchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/PeerExchange.java
@@ -14,13 +14,17 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.rattanrudder.core.fleet.RelayLoad;
 import org.rattanrudder.core.fleet.RelayLoad.KnownWeights;
+import org.rattanrudder.core.fleet.RelayLoad.ReadTo;
 import org.rattanrudder.core.fleet.RelayLoad.ServedWeights;
 import org.rattanrudder.core.fleet.RelayLoad.TargetLoad;
 import org.rattanrudder.core.fleet.Target;
 import org.rattanrudder.core.model.Address;
+import org.rattanrudder.core.parts.SharedNews;
 import org.rattanrudder.daemon.relay.port.KeyedRecord;
+import org.rattanrudder.daemon.relay.port.RegisteredRelay;
 import org.rattanrudder.daemon.relay.port.StoreDialect.Topic;
 import org.rattanrudder.wire.peer.PeerCodec;
 
@@ -32,13 +36,18 @@
  */
 final class PeerExchange implements AutoCloseable {
     /**
-     * The time between two messages, in ms, with few relays. It is the age of what others know, in which they may
+     * The time between two messages among few relays, in ms. It is the age of what others know, in which they may
      * overfill a target; a message takes about 25 bytes for each target.
      */
     private static final long EVERY_MILLIS = 100;
 
-    /** Messages that a relay sends in a second at the most: with more relays each is told less often. */
-    private static final int MESSAGES_PER_SECOND = 60;
+    /** The same among many relays: thirty of them would spend a tenth of a thin processor on messages. */
+    private static final long EVERY_OF_MANY_MILLIS = 200;
+
+    /** Among many, relays of other failure domains are told in each so-manieth round: they rarely use our targets. */
+    private static final int FAR_EVERY = 4;
+
+    private static final int MANY = 8;
 
     /** A relay that was never heard of or fell silent is told this much less often. */
     private static final int SILENT_EVERY = 10;
@@ -52,6 +61,8 @@
 
     private final RelayState state;
     private final String self;
+    private final Supplier<ReadTo> readTo;
+    private final Listener listener;
     private final Channel channel;
     private final TopicFollower follower;
     private final CallLine registering;
@@ -59,19 +70,33 @@
     private long sequence;
     private boolean closed;
 
+    /** What others say that concerns other parts of this relay. */
+    interface Listener {
+        /** Another relay tells what a context store said. */
+        void news(SharedNews news);
+
+        /** Another relay has read the platform's records so far. */
+        void readTo(ReadTo readTo);
+    }
+
     /** Another relay. */
     private static final class Peer {
         private final InetSocketAddress address;
+        private final boolean near;
         private long heardAt = Long.MIN_VALUE / 2;
 
-        Peer(InetSocketAddress address) {
+        Peer(InetSocketAddress address, boolean near) {
             this.address = address;
+            this.near = near;
         }
     }
 
-    PeerExchange(RelayState state, Bootstrap datagrams, String self) throws IOException {
+    PeerExchange(RelayState state, Bootstrap datagrams, String self, Supplier<ReadTo> readTo, Listener listener)
+            throws IOException {
         this.state = state;
         this.self = self;
+        this.readTo = readTo;
+        this.listener = listener;
         Address own = state.settings().peers();
         try {
             channel = datagrams
@@ -97,7 +122,11 @@
     private void register() {
         Address own = state.settings().peers();
         registering.call(
-                state.platform().store().register(state.settings().instance(), own),
+                state.platform()
+                        .store()
+                        .register(
+                                state.settings().instance(),
+                                new RegisteredRelay(own, state.settings().failureDomain())),
                 REGISTER_TIMEOUT_MILLIS,
                 answer -> {
                     state.metrics().storeCall("REGISTER");
@@ -119,23 +148,37 @@
             peers.remove(record.key());
             return;
         }
-        Address address = state.platform().store().readRelay(record.value().get());
-        peers.put(record.key(), new Peer(new InetSocketAddress(address.host(), address.port())));
+        RegisteredRelay relay =
+                state.platform().store().readRelay(record.value().get());
+        Address address = relay.peers();
+        boolean near = relay.failureDomain().equals(state.settings().failureDomain());
+        peers.put(record.key(), new Peer(new InetSocketAddress(address.host(), address.port()), near));
         state.log().info("peer_known", "peer", record.key(), "address", address.toString());
     }
 
     private void tell() {
         long now = state.now();
-        RelayLoad load = new RelayLoad(self, sequence++, work(), weights(now), served(now));
-        byte[] bytes = PeerCodec.write(load);
+        RelayLoad load = new RelayLoad(self, sequence++, work(), weights(now), served(now), readTo.get());
+        boolean many = peers.size() > MANY;
+        boolean toFarOnes = !many || sequence % FAR_EVERY == 0;
+        send(PeerCodec.write(load), toFarOnes, sequence % SILENT_EVERY == 0);
+        later(this::tell, many ? EVERY_OF_MANY_MILLIS : EVERY_MILLIS);
+    }
+
+    /** Tells the other relays what a context store said. */
+    void share(SharedNews news) {
+        send(PeerCodec.write(news), true, false);
+    }
+
+    private void send(byte[] bytes, boolean toFarOnes, boolean toSilentOnes) {
+        long now = state.now();
         for (Peer peer : peers.values()) {
-            boolean silent = now - peer.heardAt > SILENT_MILLIS;
-            if (!silent || sequence % SILENT_EVERY == 0) {
+            boolean listens = toSilentOnes || now - peer.heardAt <= SILENT_MILLIS;
+            if (listens && (toFarOnes || peer.near)) {
                 channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), peer.address));
             }
         }
         channel.flush();
-        later(this::tell, Math.max(EVERY_MILLIS, TimeUnit.SECONDS.toMillis(peers.size()) / MESSAGES_PER_SECOND));
     }
 
     private List<TargetLoad> work() {
@@ -162,20 +205,28 @@
     private final class Messages extends SimpleChannelInboundHandler<DatagramPacket> {
         @Override
         protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
-            PeerCodec.read(ByteBufUtil.getBytes(packet.content())).ifPresent(load -> {
-                long now = state.now();
-                for (Peer peer : peers.values()) {
-                    if (peer.address.getAddress().equals(packet.sender().getAddress())) {
-                        peer.heardAt = now;
-                    }
+            PeerCodec.read(ByteBufUtil.getBytes(packet.content())).ifPresent(message -> {
+                if (message instanceof PeerCodec.Message.Load load) {
+                    heard(packet.sender(), load.load());
+                } else if (message instanceof PeerCodec.Message.News news) {
+                    listener.news(news.news());
                 }
-                state.fleet().heard(load, now);
-                load.weights()
-                        .forEach(
-                                known -> state.weights().known(known.model(), known.version(), known.ageMillis(), now));
             });
         }
 
+        private void heard(InetSocketAddress sender, RelayLoad load) {
+            long now = state.now();
+            for (Peer peer : peers.values()) {
+                if (peer.address.getAddress().equals(sender.getAddress())) {
+                    peer.heardAt = now;
+                }
+            }
+            state.fleet().heard(load, now);
+            load.weights()
+                    .forEach(known -> state.weights().known(known.model(), known.version(), known.ageMillis(), now));
+            listener.readTo(load.readTo());
+        }
+
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
             // A relay that isn't there any more shows as an unreachable port; the next message may reach it.
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Rehearsal.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Rehearsal.java
@@ -49,7 +49,7 @@
                 freeAddress(),
                 freeAddress(),
                 freeAddress(),
-                new Bounds(0.2, 10, 10_000, 1_000, 10_000, 1_000));
+                new Bounds(0.2, 10, 10_000, 1_000, 10_000, 1_000, 1_000));
         RelayProcess relay = new RelayProcess(settings, adapter, RandomGenerator.getDefault());
         ask(settings.callers());
         ask(settings.readiness());
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
@@ -30,10 +30,13 @@
 import java.util.stream.Collectors;
 import jdk.net.ExtendedSocketOptions;
 import org.jboss.logging.Logger;
+import org.rattanrudder.core.fleet.RelayLoad.ReadTo;
 import org.rattanrudder.core.fleet.Target;
+import org.rattanrudder.core.fleet.TargetEntry;
 import org.rattanrudder.core.gateway.ContextStore;
 import org.rattanrudder.core.model.Address;
 import org.rattanrudder.core.parts.PartKey;
+import org.rattanrudder.core.parts.SharedNews;
 import org.rattanrudder.daemon.logging.EventLog;
 import org.rattanrudder.daemon.loop.Closer;
 import org.rattanrudder.daemon.loop.MonotonicClock;
@@ -76,12 +79,17 @@
     private final Closer closer = new Closer();
     private final RelayState state;
     private final TargetPools pools;
+    private final String incarnation;
+    private final TopicFollower wishes;
+    private final TopicFollower targets;
+    private final PeerExchange peers;
     private final EventLoop loop;
     private final Set<CallerConnection> callers = new HashSet<>();
     private final Map<Address, StoreWatch> stores = new HashMap<>();
     private final CountDownLatch drained = new CountDownLatch(1);
     private final Channel callersListening;
     private long settledSince = -1;
+    private long targetsChangedTo;
     private boolean finishedInTime;
 
     /**
@@ -101,8 +109,17 @@
         listen(group, settings.readiness(), new StatusServer(this::readiness));
         listen(group, settings.metrics(), new StatusServer(this::metrics));
         String incarnation = settings.instance() + "-" + Long.toHexString(random.nextLong());
-        PeerExchange peers = closer.add(new PeerExchange(state, new Bootstrap().group(group), incarnation));
-        loop.execute(() -> begin(incarnation, peers));
+        this.incarnation = incarnation;
+        wishes = new TopicFollower(state, Topic.WISHES, TopicFollower.Pace.PROMPT, true, new Wishes());
+        targets = new TopicFollower(
+                state,
+                Topic.TARGETS,
+                TopicFollower.Pace.gathered(settings.bounds().drainMillis()),
+                true,
+                new Targets());
+        peers = closer.add(
+                new PeerExchange(state, new Bootstrap().group(group), incarnation, this::readTo, new PeerNews()));
+        loop.execute(this::begin);
     }
 
     private static Bootstrap connector(MultiThreadIoEventLoopGroup group) {
@@ -175,15 +192,35 @@
         }
     }
 
-    private void begin(String incarnation, PeerExchange peers) {
+    private void begin() {
+        wishes.start();
+        targets.start();
         peers.start();
-        new TopicFollower(state, Topic.WISHES, TopicFollower.Pace.PROMPT, true, new Wishes()).start();
-        new TopicFollower(state, Topic.TARGETS, TopicFollower.Pace.GATHERED, true, new Targets()).start();
-        OrderGiver orders = new OrderGiver(state, incarnation);
-        orders.start();
+        new OrderGiver(state, incarnation).start();
         loop.scheduleWithFixedDelay(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
     }
 
+    private ReadTo readTo() {
+        return new ReadTo(wishes.readTo(), targetsChangedTo);
+    }
+
+    /** Takes what other relays say. */
+    private final class PeerNews implements PeerExchange.Listener {
+        @Override
+        public void news(SharedNews news) {
+            StoreWatch watch = stores.get(news.store());
+            if (watch != null) {
+                watch.told(news);
+            }
+        }
+
+        @Override
+        public void readTo(ReadTo others) {
+            wishes.hint(others.wishes());
+            targets.hint(others.targetsChanged());
+        }
+    }
+
     /** Takes what operators want. */
     private final class Wishes implements TopicFollower.Listener {
         @Override
@@ -239,7 +276,7 @@
         }
         for (Address address : wanted) {
             if (!stores.containsKey(address)) {
-                StoreWatch watch = new StoreWatch(state, address);
+                StoreWatch watch = new StoreWatch(state, incarnation, address, peers::share);
                 stores.put(address, watch);
                 watch.start();
             }
@@ -252,38 +289,29 @@
         public void record(KeyedRecord record) {
             long now = state.now();
             StoreDialect store = state.platform().store();
-            boolean was = state.fleet().find(record.key()).isPresent();
-            boolean drainingBefore = state.fleet()
-                    .find(record.key())
-                    .map(target -> target.entry().draining())
-                    .orElse(false);
+            Optional<TargetEntry> before = state.fleet().find(record.key()).map(Target::entry);
             boolean news = state.fleet()
                     .apply(
                             record.key(),
                             record.value().map(value -> store.readTarget(record.key(), value)),
                             record.offset(),
                             now);
-            boolean is = state.fleet().find(record.key()).isPresent();
-            boolean draining = state.fleet()
-                    .find(record.key())
-                    .map(target -> target.entry().draining())
-                    .orElse(false);
-            if (news
-                    && (was != is
-                            || draining != drainingBefore
-                            || record.value().isEmpty())) {
-                state.log()
-                        .info(
-                                "target_changed",
-                                "target",
-                                record.key(),
-                                "known",
-                                Boolean.toString(is),
-                                "draining",
-                                Boolean.toString(draining),
-                                "offset",
-                                Long.toString(record.offset()));
+            Optional<TargetEntry> after = state.fleet().find(record.key()).map(Target::entry);
+            if (!news || (before.equals(after) && record.value().isPresent())) {
+                return;
             }
+            targetsChangedTo = Math.max(targetsChangedTo, record.offset() + 1);
+            state.log()
+                    .info(
+                            "target_changed",
+                            "target",
+                            record.key(),
+                            "known",
+                            Boolean.toString(after.isPresent()),
+                            "draining",
+                            Boolean.toString(after.map(TargetEntry::draining).orElse(false)),
+                            "offset",
+                            Long.toString(record.offset()));
         }
 
         @Override
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/StoreWatch.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/StoreWatch.java
@@ -1,20 +1,31 @@
 package org.rattanrudder.daemon.relay;
 
+import io.netty.util.concurrent.ScheduledFuture;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.rattanrudder.core.model.Address;
+import org.rattanrudder.core.parts.NewsDuty;
 import org.rattanrudder.core.parts.PartKey;
+import org.rattanrudder.core.parts.SharedNews;
 import org.rattanrudder.core.parts.StoreNews;
 import org.rattanrudder.daemon.relay.port.EngineDialect;
 
-/** Follows what one context store holds, and tells the directory. */
+/** Follows what one context store holds, and tells the directory and the other relays. */
 final class StoreWatch implements AutoCloseable {
     /** How long a call waits for changes, in ms; short enough that what is known stays fresh between two answers. */
     private static final long WAIT_MILLIS = 400;
 
-    /** The time between an answer and the next call, in ms: changes that come meanwhile share one answer. */
-    private static final long GAP_MILLIS = 250;
+    /** The shortest wait that stores don't charge for, in ms; used to catch up on what was missed. */
+    private static final long CATCH_UP_MILLIS = 200;
+
+    /**
+     * Events in one message to other relays, some 45 bytes each. Answers hold fewer but at a start, when others ask for
+     * themselves: of several messages one could be lost without a trace.
+     */
+    private static final int TOLD_EVENTS = 300;
 
     private static final long TIMEOUT_MILLIS = 900;
     private static final long RETRY_MILLIS = 300;
@@ -23,17 +34,23 @@
     private static final long LISTING_EVERY_MILLIS = 5_000;
 
     private final RelayState state;
+    private final String self;
     private final Address address;
+    private final Consumer<SharedNews> tell;
     private final EngineDialect dialect;
     private final CallLine line;
     private long since;
     private long incarnation = -1;
     private long listedAt = Long.MIN_VALUE / 2;
     private boolean answering = true;
+    private boolean behind = true;
+    private ScheduledFuture<?> next;
     private boolean closed;
 
-    StoreWatch(RelayState state, Address address) {
+    StoreWatch(RelayState state, String self, Address address, Consumer<SharedNews> tell) {
         this.state = state;
+        this.self = self;
+        this.tell = tell;
         this.address = address;
         dialect = state.platform().engines();
         line = new CallLine(state.connector(), address);
@@ -44,8 +61,12 @@
     }
 
     private void ask() {
+        if (line.isBusy()) {
+            return;
+        }
         long asked = state.now();
-        line.call(dialect.changes(since, WAIT_MILLIS), TIMEOUT_MILLIS, answer -> {
+        long wait = behind ? CATCH_UP_MILLIS : WAIT_MILLIS;
+        line.call(dialect.changes(since, wait), TIMEOUT_MILLIS, answer -> {
             Optional<StoreNews> news = read(answer, true);
             if (news.isEmpty()) {
                 lost(answer);
@@ -68,13 +89,40 @@
             return;
         }
         state.directory().heard(address, news, asked, state.now());
+        if (news.events().size() <= TOLD_EVENTS) {
+            tell.accept(new SharedNews(address, since, news, state.now() - asked));
+        }
+        behind = false;
         since = news.next();
         boolean due = state.now() - listedAt > LISTING_EVERY_MILLIS;
         if (news.lost() && due && (first || !restarted)) {
             list();
             return;
         }
-        later(this::ask, GAP_MILLIS);
+        askLater();
+    }
+
+    /** Takes what another relay was told by the store. */
+    void told(SharedNews shared) {
+        if (closed || incarnation < 0) {
+            return;
+        }
+        if (shared.news().incarnation() != incarnation || shared.since() > since) {
+            // A restart, or messages that were lost: the store itself knows.
+            behind = true;
+            later(this::ask, 0);
+            return;
+        }
+        regained();
+        long now = state.now();
+        state.directory().heard(address, shared.news(), now - shared.ageMillis(), now);
+        since = Math.max(since, shared.news().next());
+        askLater();
+    }
+
+    private void askLater() {
+        Set<String> others = state.fleet().peerNames(state.now());
+        later(this::ask, behind ? 0 : NewsDuty.askAfterMillis(self, others, address));
     }
 
     private void list() {
@@ -92,7 +140,7 @@
                                 "parts",
                                 Integer.toString(all.events().size()));
             });
-            later(this::ask, GAP_MILLIS);
+            askLater();
         });
     }
 
@@ -157,7 +205,10 @@
     }
 
     private void later(Runnable step, long millis) {
-        state.loop()
+        if (next != null) {
+            next.cancel(false);
+        }
+        next = state.loop()
                 .schedule(
                         () -> {
                             if (!closed) {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TopicFollower.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TopicFollower.java
@@ -1,9 +1,11 @@
 package org.rattanrudder.daemon.relay;
 
+import io.netty.util.concurrent.ScheduledFuture;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntToLongFunction;
 import org.rattanrudder.daemon.relay.port.KeyedRecord;
 import org.rattanrudder.daemon.relay.port.PlatformCall;
 import org.rattanrudder.daemon.relay.port.StoreAnswer;
@@ -23,24 +25,42 @@
     /** What an answer may take beyond the wait, in ms: a slow store takes some 250 ms. */
     private static final long SLACK_MILLIS = 700;
 
+    /** How long an answer may be missing that another relay has got, in ms. */
+    private static final long HINT_MILLIS = 600;
+
     private static final long FIRST_PAUSE_MILLIS = 50;
     private static final long LONGEST_PAUSE_MILLIS = 800;
 
     /**
      * How a topic is followed.
      *
-     * @param gapMillis the time between an answer and the next call: records that come meanwhile share one answer
-     * @param waitMillis how long a call waits for records; a connection that falls silent is noticed after it
+     * @param gapMillis the time between an answer and the next call, by the number of other relays: records that come
+     *     meanwhile share one answer
+     * @param waitMillis how long a call waits for records, by the same; a silent connection is noticed after it
      */
-    record Pace(long gapMillis, long waitMillis) {
-        /** Records that must be known within a second or two. */
-        static final Pace PROMPT = new Pace(20, 2_000);
+    record Pace(IntToLongFunction gapMillis, IntToLongFunction waitMillis) {
+        private static final long SHORT_GAP_MILLIS = 20;
 
-        /** Records that come often and matter within a second: several share one read. */
-        static final Pace GATHERED = new Pace(600, 1_000);
+        /** Records that must be known within a second or two; with many relays, others tell when they are there. */
+        static final Pace PROMPT = new Pace(peers -> SHORT_GAP_MILLIS, peers -> Math.min(6_000, 3_000 + 150L * peers));
 
         /** Records that come rarely and may be known late. */
-        static final Pace RARE = new Pace(20, 5_000);
+        static final Pace RARE = new Pace(peers -> SHORT_GAP_MILLIS, peers -> 12_000);
+
+        private static final long SHORTEST_GATHERING_MILLIS = 600;
+        private static final long GATHERING_MILLIS_PER_PEER = 60;
+        private static final double GATHERING_SHARE = 0.6;
+
+        /**
+         * Records that come often and matter within a bound: several share one read. With many relays each reads less
+         * often, since whoever reads of a change tells the others; the gap alone keeps within the bound.
+         */
+        static Pace gathered(long boundMillis) {
+            long longest = (long) (boundMillis * GATHERING_SHARE);
+            return new Pace(
+                    peers -> Math.max(SHORTEST_GATHERING_MILLIS, Math.min(longest, GATHERING_MILLIS_PER_PEER * peers)),
+                    peers -> 1_000);
+        }
     }
 
     /** What a topic's records mean to the relay. */
@@ -72,6 +92,8 @@
     private boolean answering = true;
     private boolean answeredOnce;
     private int failuresInARow;
+    private long calledAt;
+    private ScheduledFuture<?> next;
 
     /**
      * Makes a follower; it begins with {@link #start}.
@@ -106,10 +128,15 @@
     }
 
     private void follow() {
+        if (line.isBusy()) {
+            return;
+        }
         long asked = from;
+        calledAt = state.now();
+        long wait = pace.waitMillis().applyAsLong(state.fleet().peers(calledAt));
         line.call(
-                dialect.follow(topic, asked, pace.waitMillis()),
-                pace.waitMillis() + SLACK_MILLIS,
+                dialect.follow(topic, asked, wait),
+                wait + SLACK_MILLIS,
                 answer -> take(answer, (status, body) -> dialect.readRecords(topic, asked, status, body)));
     }
 
@@ -149,14 +176,43 @@
         } else if (read instanceof StoreAnswer.Records records) {
             from = records.next();
             records.records().forEach(this::tell);
-            later(this::follow, pace.gapMillis());
+            later(this::follow, gap());
         } else {
             state.log().warn("records_forgotten", "topic", topic.name(), "from", Long.toString(from));
             if (!keyed) {
                 // A topic without keys says nothing that is older than what it keeps.
                 from++;
             }
-            later(this::start, keyed ? pace.gapMillis() : 0);
+            later(this::start, keyed ? gap() : 0);
+        }
+    }
+
+    private long gap() {
+        return pace.gapMillis().applyAsLong(state.fleet().peers(state.now()));
+    }
+
+    /**
+     * Another relay has read a record that wasn't read here. The next call is made at once; one that is under way for
+     * longer than an answer takes is on a connection that fell silent.
+     */
+    void hint(long readTo) {
+        if (closed || readTo <= from || !answeredOnce) {
+            return;
+        }
+        if (!line.isBusy()) {
+            later(this::follow, 0);
+        } else if (state.now() - calledAt > HINT_MILLIS) {
+            state.log()
+                    .warn(
+                            "store_connection_silent",
+                            "topic",
+                            topic.name(),
+                            "from",
+                            Long.toString(from),
+                            "others_read",
+                            Long.toString(readTo));
+            line.close();
+            follow();
         }
     }
 
@@ -230,7 +286,10 @@
     }
 
     private void later(Runnable step, long millis) {
-        state.loop()
+        if (next != null) {
+            next.cancel(false);
+        }
+        next = state.loop()
                 .schedule(
                         () -> {
                             if (!closed) {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/port/StoreDialect.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/port/StoreDialect.java
@@ -4,7 +4,6 @@
 import java.util.OptionalLong;
 import org.rattanrudder.core.fleet.TargetEntry;
 import org.rattanrudder.core.gateway.ServingConfiguration;
-import org.rattanrudder.core.model.Address;
 import org.rattanrudder.core.rollout.LeaseRecord;
 
 /** How the platform's store is spoken to. */
@@ -48,10 +47,10 @@
     PlatformCall append(Topic topic, LeaseRecord record, OptionalLong at);
 
     /** Returns the call that writes where a relay hears of the others. */
-    PlatformCall register(String relay, Address peers);
+    PlatformCall register(String relay, RegisteredRelay registered);
 
     /** Reads where a relay hears of the others. Throws IllegalArgumentException if unreadable. */
-    Address readRelay(byte[] value);
+    RegisteredRelay readRelay(byte[] value);
 
     /** Reads the answer to a listing. */
     StoreAnswer readListing(int status, byte[] body);
--- a/rattanrudder-document/src/main/java/org/rattanrudder/document/RelaySettings.java
+++ b/rattanrudder-document/src/main/java/org/rattanrudder/document/RelaySettings.java
@@ -31,6 +31,7 @@
      * @param retryWindowMillis the length of that window
      * @param leaseMillis the time in which two processes may not both give orders
      * @param weightsMillis from naming a version of weights until no request may begin on an older one
+     * @param drainMillis from a target's word that it leaves until no request may reach it
      * @param graceMillis from the request to stop until the process is ended by force
      */
     public record Bounds(
@@ -39,5 +40,6 @@
             long retryWindowMillis,
             long leaseMillis,
             long weightsMillis,
+            long drainMillis,
             long graceMillis) {}
 }
--- a/rattanrudder-document/src/main/java/org/rattanrudder/document/RelaySettingsParser.java
+++ b/rattanrudder-document/src/main/java/org/rattanrudder/document/RelaySettingsParser.java
@@ -53,6 +53,7 @@
                 fields.required("retryWindowSeconds", ValueKind.integer(1, 3_600)) * 1_000L,
                 fields.required("leaseMillis", ValueKind.longInteger(1, LONGEST_MILLIS)),
                 fields.required("weightsMillis", ValueKind.longInteger(1, LONGEST_MILLIS)),
+                fields.required("drainMillis", ValueKind.longInteger(1, LONGEST_MILLIS)),
                 fields.required("graceSeconds", ValueKind.integer(1, 3_600)) * 1_000L);
         fields.finish();
         return bounds;
--- a/rattanrudder-wire/src/main/java/org/rattanrudder/wire/peer/PeerCodec.java
+++ b/rattanrudder-wire/src/main/java/org/rattanrudder/wire/peer/PeerCodec.java
@@ -3,11 +3,21 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.rattanrudder.core.fleet.RelayLoad;
 import org.rattanrudder.core.fleet.RelayLoad.KnownWeights;
+import org.rattanrudder.core.fleet.RelayLoad.ReadTo;
 import org.rattanrudder.core.fleet.RelayLoad.ServedWeights;
 import org.rattanrudder.core.fleet.RelayLoad.TargetLoad;
+import org.rattanrudder.core.model.Address;
+import org.rattanrudder.core.parts.PartEvent;
+import org.rattanrudder.core.parts.PartKey;
+import org.rattanrudder.core.parts.SharedNews;
+import org.rattanrudder.core.parts.StoreNews;
 import org.rattanrudder.wire.generated.PeerMessages.KnownWeightsMessage;
+import org.rattanrudder.wire.generated.PeerMessages.PartEventMessage;
+import org.rattanrudder.wire.generated.PeerMessages.PartNewsMessage;
+import org.rattanrudder.wire.generated.PeerMessages.PeerMessage;
 import org.rattanrudder.wire.generated.PeerMessages.RelayLoadMessage;
 import org.rattanrudder.wire.generated.PeerMessages.ServedWeightsMessage;
 import org.rattanrudder.wire.generated.PeerMessages.TargetLoadMessage;
@@ -16,10 +26,30 @@
 public final class PeerCodec {
     private PeerCodec() {}
 
+    /** What a datagram holds. */
+    public sealed interface Message {
+        /**
+         * The work of a relay.
+         *
+         * @param load the work
+         */
+        record Load(RelayLoad load) implements Message {}
+
+        /**
+         * News of a context store.
+         *
+         * @param news the news
+         */
+        record News(SharedNews news) implements Message {}
+    }
+
     /** Returns the message as bytes. */
     public static byte[] write(RelayLoad load) {
-        RelayLoadMessage.Builder message =
-                RelayLoadMessage.newBuilder().setRelay(load.relay()).setSequence(load.sequence());
+        RelayLoadMessage.Builder message = RelayLoadMessage.newBuilder()
+                .setRelay(load.relay())
+                .setSequence(load.sequence())
+                .setWishesReadTo(load.readTo().wishes())
+                .setTargetsChangedTo(load.readTo().targetsChanged());
         for (TargetLoad target : load.targets()) {
             message.addTargets(TargetLoadMessage.newBuilder()
                     .setTarget(target.target())
@@ -39,28 +69,64 @@
                     .setModel(served.model())
                     .setVersion(served.version()));
         }
-        return message.build().toByteArray();
+        return PeerMessage.newBuilder().setLoad(message).build().toByteArray();
+    }
+
+    /** Returns the message as bytes. */
+    public static byte[] write(SharedNews shared) {
+        PartNewsMessage.Builder message = PartNewsMessage.newBuilder()
+                .setStore(shared.store().toString())
+                .setIncarnation(shared.news().incarnation())
+                .setSince(shared.since())
+                .setNext(shared.news().next())
+                .setAgeMillis(shared.ageMillis());
+        shared.news().clockMillis().ifPresent(message::setClockMillis);
+        for (PartEvent event : shared.news().events()) {
+            message.addEvents(PartEventMessage.newBuilder()
+                    .setSalt(event.key().salt())
+                    .setId(event.key().id())
+                    .setTokens(event.tokens())
+                    .setHeld(event.held()));
+        }
+        return PeerMessage.newBuilder().setPartNews(message).build().toByteArray();
     }
 
     /** Reads a message; empty if the bytes are none. */
-    public static Optional<RelayLoad> read(byte[] bytes) {
+    public static Optional<Message> read(byte[] bytes) {
         try {
-            RelayLoadMessage message = RelayLoadMessage.parseFrom(bytes);
-            List<TargetLoad> targets = message.getTargetsList().stream()
-                    .map(each -> new TargetLoad(
-                            each.getTarget(), each.getRequests(), each.getTokens(), each.getUnreadTokens()))
-                    .toList();
-            List<KnownWeights> weights = message.getWeightsList().stream()
-                    .map(each -> new KnownWeights(each.getModel(), each.getVersion(), each.getAgeMillis()))
-                    .toList();
-            List<ServedWeights> served = message.getServedList().stream()
-                    .map(each -> new ServedWeights(each.getTarget(), each.getModel(), each.getVersion()))
-                    .toList();
-            return message.getRelay().isEmpty()
-                    ? Optional.empty()
-                    : Optional.of(new RelayLoad(message.getRelay(), message.getSequence(), targets, weights, served));
-        } catch (InvalidProtocolBufferException malformed) {
+            PeerMessage message = PeerMessage.parseFrom(bytes);
+            return switch (message.getKindCase()) {
+                case LOAD -> Optional.of(new Message.Load(load(message.getLoad())));
+                case PART_NEWS -> Optional.of(new Message.News(news(message.getPartNews())));
+                case KIND_NOT_SET -> Optional.empty();
+            };
+        } catch (InvalidProtocolBufferException | IllegalArgumentException malformed) {
             return Optional.empty();
         }
     }
+
+    private static RelayLoad load(RelayLoadMessage message) {
+        List<TargetLoad> targets = message.getTargetsList().stream()
+                .map(each ->
+                        new TargetLoad(each.getTarget(), each.getRequests(), each.getTokens(), each.getUnreadTokens()))
+                .toList();
+        List<KnownWeights> weights = message.getWeightsList().stream()
+                .map(each -> new KnownWeights(each.getModel(), each.getVersion(), each.getAgeMillis()))
+                .toList();
+        List<ServedWeights> served = message.getServedList().stream()
+                .map(each -> new ServedWeights(each.getTarget(), each.getModel(), each.getVersion()))
+                .toList();
+        ReadTo readTo = new ReadTo(message.getWishesReadTo(), message.getTargetsChangedTo());
+        return new RelayLoad(message.getRelay(), message.getSequence(), targets, weights, served, readTo);
+    }
+
+    private static SharedNews news(PartNewsMessage message) {
+        List<PartEvent> events = message.getEventsList().stream()
+                .map(each -> new PartEvent(new PartKey(each.getSalt(), each.getId()), each.getTokens(), each.getHeld()))
+                .toList();
+        OptionalLong clock =
+                message.hasClockMillis() ? OptionalLong.of(message.getClockMillis()) : OptionalLong.empty();
+        StoreNews news = new StoreNews(message.getIncarnation(), message.getNext(), false, events, clock);
+        return new SharedNews(Address.parse(message.getStore()), message.getSince(), news, message.getAgeMillis());
+    }
 }
--- a/rattanrudder-wire/src/test/java/org/rattanrudder/wire/peer/PeerCodecTest.java
+++ b/rattanrudder-wire/src/test/java/org/rattanrudder/wire/peer/PeerCodecTest.java
@@ -4,6 +4,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.OptionalLong;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
@@ -11,8 +12,14 @@
 import org.junit.jupiter.api.Test;
 import org.rattanrudder.core.fleet.RelayLoad;
 import org.rattanrudder.core.fleet.RelayLoad.KnownWeights;
+import org.rattanrudder.core.fleet.RelayLoad.ReadTo;
 import org.rattanrudder.core.fleet.RelayLoad.ServedWeights;
 import org.rattanrudder.core.fleet.RelayLoad.TargetLoad;
+import org.rattanrudder.core.model.Address;
+import org.rattanrudder.core.parts.PartEvent;
+import org.rattanrudder.core.parts.PartKey;
+import org.rattanrudder.core.parts.SharedNews;
+import org.rattanrudder.core.parts.StoreNews;
 
 class PeerCodecTest {
     @Property
@@ -25,9 +32,26 @@
                 sequence,
                 List.of(new TargetLoad("i-1", requests, tokens, tokens / 2), new TargetLoad("i-2", 1, 2, 3)),
                 List.of(new KnownWeights("m", 7, tokens)),
-                List.of(new ServedWeights("i-1", "m", 7)));
+                List.of(new ServedWeights("i-1", "m", 7)),
+                new ReadTo(sequence / 3, sequence / 2));
 
-        assertThat(PeerCodec.read(PeerCodec.write(load))).contains(load);
+        assertThat(PeerCodec.read(PeerCodec.write(load))).contains(new PeerCodec.Message.Load(load));
+    }
+
+    @Property
+    void newsOfStoresIsReadBack(
+            @ForAll long incarnation, @ForAll @LongRange(min = 0) long next, @ForAll boolean clockKnown) {
+        StoreNews news = new StoreNews(
+                incarnation,
+                next,
+                false,
+                List.of(
+                        new PartEvent(new PartKey("w1", "5c1e07a2"), 800, true),
+                        new PartEvent(new PartKey("w1", "x"), 0, false)),
+                clockKnown ? OptionalLong.of(-next) : OptionalLong.empty());
+        SharedNews shared = new SharedNews(new Address("10.0.0.1", 80), next / 2, news, next / 3);
+
+        assertThat(PeerCodec.read(PeerCodec.write(shared))).contains(new PeerCodec.Message.News(shared));
     }
 
     @Test
