--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Fleet.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Fleet.java
@@ -30,6 +30,9 @@
      */
     public static final long RETURN_GRACE_MILLIS = 2_500;
 
+    /** How long a target that a relay said to be loading is left alone, in ms: some of its messages may be lost. */
+    public static final long LOADING_TOLD_MILLIS = 1_000;
+
     private final Map<String, Target> targets = new LinkedHashMap<>();
     private final Map<String, Long> newestOffsets = new HashMap<>();
     private final Map<String, Long> lapsed = new HashMap<>();
@@ -95,6 +98,7 @@
     /** Takes what another relay says of its work. */
     public void heard(RelayLoad load, long nowMillis) {
         peers.heard(load, nowMillis);
+        load.loading().forEach(id -> find(id).ifPresent(target -> target.swapping(nowMillis + LOADING_TOLD_MILLIS)));
         for (ServedWeights served : load.served()) {
             find(served.target())
                     .ifPresent(target -> target.confirmWeights(served.model(), served.version(), nowMillis));
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/RelayLoad.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/RelayLoad.java
@@ -10,6 +10,7 @@
  * @param targets the targets that it has work at
  * @param weights the newest versions of weights that it knows of
  * @param served targets that it lately saw serving other weights than before
+ * @param loading targets that it has ordered to load weights, and that take no work meanwhile
  * @param readTo how far it has read the platform's records
  */
 public record RelayLoad(
@@ -18,12 +19,14 @@
         List<TargetLoad> targets,
         List<KnownWeights> weights,
         List<ServedWeights> served,
+        List<String> loading,
         ReadTo readTo) {
     /** Takes copies of the lists. */
     public RelayLoad {
         targets = List.copyOf(targets);
         weights = List.copyOf(weights);
         served = List.copyOf(served);
+        loading = List.copyOf(loading);
     }
 
     /**
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Target.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Target.java
@@ -49,6 +49,7 @@
     private double failures;
     private long experienceAt;
     private int unreachableInARow;
+    private int refusedInARow;
     private long pausedUntil = Long.MIN_VALUE / 2;
     private long lastSignAt;
     private long swappingUntil = Long.MIN_VALUE / 2;
@@ -172,6 +173,7 @@
     public void succeeded(double excessMillis, long nowMillis) {
         fade(nowMillis);
         unreachableInARow = 0;
+        refusedInARow = 0;
         pausedUntil = Long.MIN_VALUE / 2;
         firstByteExcess += SAMPLE_WEIGHT * (Math.max(0, excessMillis) - firstByteExcess);
         failures -= OUTCOME_WEIGHT * failures;
@@ -192,9 +194,14 @@
         pausedUntil = nowMillis + pause;
     }
 
-    /** Notes that a full target asks for a pause. */
-    public void full(long nowMillis, long pauseMillis) {
-        pausedUntil = Math.max(pausedUntil, nowMillis + pauseMillis);
+    /**
+     * Notes that the target refused a request. The pause doubles with each refusal in a row: a target that loads
+     * weights refuses for seconds, and a relay that doesn't know of it would spend its retries there.
+     */
+    public void refused(long nowMillis) {
+        long pause = Math.min(LONGEST_PAUSE_MILLIS, FIRST_PAUSE_MILLIS << Math.min(3, refusedInARow));
+        refusedInARow++;
+        pausedUntil = Math.max(pausedUntil, nowMillis + pause);
     }
 
     /** Returns whether it should be left alone for now if another one can be had. */
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/PeerLoadsTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/PeerLoadsTest.java
@@ -75,6 +75,38 @@
         assertThat(target.isSwapping(NOW + 3_100)).isFalse();
     }
 
+    /**
+     * A relay is cut off from the store and doesn't read that an engine was ordered to load weights. It would go on
+     * sending checks there and have them refused; the relay that gave the order tells it.
+     */
+    @Test
+    void anEngineThatAnotherRelayOrderedToLoadTakesNoWork() {
+        Fleet fleet = new Fleet();
+        fleet.logAnswers(0);
+        fleet.apply("i-1", Optional.of(FleetTest.entry("i-1", false)), 1, NOW);
+
+        fleet.heard(new RelayLoad("a", 1, List.of(), List.of(), List.of(), List.of("i-1"), new ReadTo(0, 0)), NOW);
+
+        assertThat(SendWindow.open(fleet.of("llm", NOW), ENGINE, 9_000, false, NOW))
+                .isEmpty();
+        assertThat(SendWindow.open(fleet.of("llm", NOW), ENGINE, 9_000, false, NOW + Fleet.LOADING_TOLD_MILLIS))
+                .hasSize(1);
+    }
+
+    /** A full engine is asked again and again; each time a request and a repeat from the budget are lost. */
+    @Test
+    void anEngineThatKeepsRefusingIsLeftAloneForLonger() {
+        Target target = PlacementTest.target("i-1", "north", 1);
+        target.refused(NOW);
+        assertThat(target.isPaused(NOW + 300)).isFalse();
+        target.refused(NOW);
+        target.refused(NOW);
+        assertThat(target.isPaused(NOW + 900)).isTrue();
+
+        target.succeeded(0, NOW + 900);
+        assertThat(target.isPaused(NOW + 900)).isFalse();
+    }
+
     /** One relay sees an engine serve its new weights; the others would be sent back by it for a second more. */
     @Test
     void weightsThatOneRelaySawServedAreKnownToAll() {
@@ -84,13 +116,15 @@
         Target seen = PlacementTest.target("i-1", "north", 1);
         seen.confirmWeights("m", 2, NOW);
 
-        fleet.heard(new RelayLoad("a", 1, List.of(), List.of(), seen.confirmedSince(NOW - 1), new ReadTo(0, 0)), NOW);
+        fleet.heard(
+                new RelayLoad("a", 1, List.of(), List.of(), seen.confirmedSince(NOW - 1), List.of(), new ReadTo(0, 0)),
+                NOW);
 
         assertThat(fleet.find("i-1").orElseThrow().weights("m")).isEqualTo(2);
         assertThat(seen.confirmedSince(NOW + 1)).isEmpty();
     }
 
     private static RelayLoad load(String relay, long sequence, TargetLoad... targets) {
-        return new RelayLoad(relay, sequence, List.of(targets), List.of(), List.of(), new ReadTo(0, 0));
+        return new RelayLoad(relay, sequence, List.of(targets), List.of(), List.of(), List.of(), new ReadTo(0, 0));
     }
 }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
@@ -45,11 +45,6 @@
     /** The part of the objective after which a repeatable plain request is tried at another target. */
     private static final double PLAIN_PATIENCE = 0.9;
 
-    /** How long a target that refused gets no further work if there is another, in ms. */
-    private static final long FULL_PAUSE_MILLIS = 200;
-
-    private static final long SWAP_PAUSE_MILLIS = 400;
-
     /** Statuses that promise the caller that its request did not run; a target's word alone isn't passed on as that. */
     private static final Set<Integer> PROMISES = Set.of(408, 429, 503);
 
@@ -263,7 +258,7 @@
             misdirected(target, facts);
         } else if (facts.notRun()) {
             attempt.connection().detach();
-            target.full(state.now(), target.isSwapping(state.now()) ? SWAP_PAUSE_MILLIS : FULL_PAUSE_MILLIS);
+            target.refused(state.now());
             failed(AttemptOutcome.REJECTED, "rejected with " + facts.status());
         } else if (facts.isSuccess() && !facts.signed()) {
             attempt.connection().abort();
@@ -293,7 +288,7 @@
             state.log().warn("target_replaced", "target", target.id(), "found", other.get());
             state.fleet().replaced(target.id());
         } else {
-            target.full(state.now(), SWAP_PAUSE_MILLIS);
+            target.refused(state.now());
         }
         failed(AttemptOutcome.MISDIRECTED, other.isPresent() ? "another target" : "other weights");
     }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/OrderGiver.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/OrderGiver.java
@@ -261,6 +261,17 @@
         });
     }
 
+    /** Returns the engines that were ordered by this relay and don't serve their new weights yet. */
+    List<String> loading() {
+        long now = state.now();
+        return looks.keySet().stream()
+                .filter(id -> state.fleet()
+                        .find(id)
+                        .filter(target -> target.isSwapping(now))
+                        .isPresent())
+                .toList();
+    }
+
     /** Asks engines that were ordered how far they are. */
     private void look(Work work, long now) {
         for (Target target : work.targets()) {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/PeerExchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/PeerExchange.java
@@ -14,7 +14,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Supplier;
 import org.rattanrudder.core.fleet.RelayLoad;
 import org.rattanrudder.core.fleet.RelayLoad.KnownWeights;
 import org.rattanrudder.core.fleet.RelayLoad.ReadTo;
@@ -61,7 +60,7 @@
 
     private final RelayState state;
     private final String self;
-    private final Supplier<ReadTo> readTo;
+    private final OwnNews own;
     private final Listener listener;
     private final Channel channel;
     private final TopicFollower follower;
@@ -70,6 +69,15 @@
     private long sequence;
     private boolean closed;
 
+    /** What this relay knows at first hand and tells others. */
+    interface OwnNews {
+        /** Returns the engines that it has ordered to load weights and that don't serve them yet. */
+        List<String> loading();
+
+        /** Returns how far it has read the platform's records. */
+        ReadTo readTo();
+    }
+
     /** What others say that concerns other parts of this relay. */
     interface Listener {
         /** Another relay tells what a context store said. */
@@ -91,23 +99,23 @@
         }
     }
 
-    PeerExchange(RelayState state, Bootstrap datagrams, String self, Supplier<ReadTo> readTo, Listener listener)
+    PeerExchange(RelayState state, Bootstrap datagrams, String self, OwnNews own, Listener listener)
             throws IOException {
         this.state = state;
         this.self = self;
-        this.readTo = readTo;
+        this.own = own;
         this.listener = listener;
-        Address own = state.settings().peers();
+        Address address = state.settings().peers();
         try {
             channel = datagrams
                     .channel(NioDatagramChannel.class)
                     .handler(new Messages())
-                    .bind(new InetSocketAddress(own.host(), own.port()))
+                    .bind(new InetSocketAddress(address.host(), address.port()))
                     .sync()
                     .channel();
         } catch (InterruptedException interrupted) {
             Thread.currentThread().interrupt();
-            throw new IOException("interrupted while listening on " + own, interrupted);
+            throw new IOException("interrupted while listening on " + address, interrupted);
         }
         follower = new TopicFollower(state, Topic.RELAYS, TopicFollower.Pace.RARE, true, this::registered);
         registering = new CallLine(state.connector(), state.settings().store());
@@ -120,13 +128,13 @@
     }
 
     private void register() {
-        Address own = state.settings().peers();
+        Address address = state.settings().peers();
         registering.call(
                 state.platform()
                         .store()
                         .register(
                                 state.settings().instance(),
-                                new RegisteredRelay(own, state.settings().failureDomain())),
+                                new RegisteredRelay(address, state.settings().failureDomain())),
                 REGISTER_TIMEOUT_MILLIS,
                 answer -> {
                     state.metrics().storeCall("REGISTER");
@@ -134,7 +142,7 @@
                     if (!done) {
                         later(this::register, REGISTER_AGAIN_MILLIS);
                     } else {
-                        state.log().info("relay_registered", "peers", own.toString());
+                        state.log().info("relay_registered", "peers", address.toString());
                     }
                 });
     }
@@ -158,7 +166,8 @@
 
     private void tell() {
         long now = state.now();
-        RelayLoad load = new RelayLoad(self, sequence++, work(), weights(now), served(now), readTo.get());
+        RelayLoad load =
+                new RelayLoad(self, sequence++, work(), weights(now), served(now), own.loading(), own.readTo());
         boolean many = peers.size() > MANY;
         boolean toFarOnes = !many || sequence % FAR_EVERY == 0;
         send(PeerCodec.write(load), toFarOnes, sequence % SILENT_EVERY == 0);
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
@@ -83,6 +83,7 @@
     private final TopicFollower wishes;
     private final TopicFollower targets;
     private final PeerExchange peers;
+    private final OrderGiver orders;
     private final EventLoop loop;
     private final Set<CallerConnection> callers = new HashSet<>();
     private final Map<Address, StoreWatch> stores = new HashMap<>();
@@ -108,8 +109,7 @@
         callersListening = listen(group, settings.callers(), callerChannels());
         listen(group, settings.readiness(), new StatusServer(this::readiness));
         listen(group, settings.metrics(), new StatusServer(this::metrics));
-        String incarnation = settings.instance() + "-" + Long.toHexString(random.nextLong());
-        this.incarnation = incarnation;
+        incarnation = settings.instance() + "-" + Long.toHexString(random.nextLong());
         wishes = new TopicFollower(state, Topic.WISHES, TopicFollower.Pace.PROMPT, true, new Wishes());
         targets = new TopicFollower(
                 state,
@@ -117,8 +117,9 @@
                 TopicFollower.Pace.gathered(settings.bounds().drainMillis()),
                 true,
                 new Targets());
+        orders = new OrderGiver(state, incarnation);
         peers = closer.add(
-                new PeerExchange(state, new Bootstrap().group(group), incarnation, this::readTo, new PeerNews()));
+                new PeerExchange(state, new Bootstrap().group(group), incarnation, new OwnNews(), new PeerNews()));
         loop.execute(this::begin);
     }
 
@@ -196,12 +197,21 @@
         wishes.start();
         targets.start();
         peers.start();
-        new OrderGiver(state, incarnation).start();
+        orders.start();
         loop.scheduleWithFixedDelay(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
     }
 
-    private ReadTo readTo() {
-        return new ReadTo(wishes.readTo(), targetsChangedTo);
+    /** What this relay tells others. */
+    private final class OwnNews implements PeerExchange.OwnNews {
+        @Override
+        public List<String> loading() {
+            return orders.loading();
+        }
+
+        @Override
+        public ReadTo readTo() {
+            return new ReadTo(wishes.readTo(), targetsChangedTo);
+        }
     }
 
     /** Takes what other relays say. */
--- a/rattanrudder-wire/src/main/java/org/rattanrudder/wire/peer/PeerCodec.java
+++ b/rattanrudder-wire/src/main/java/org/rattanrudder/wire/peer/PeerCodec.java
@@ -69,6 +69,7 @@
                     .setModel(served.model())
                     .setVersion(served.version()));
         }
+        message.addAllLoading(load.loading());
         return PeerMessage.newBuilder().setLoad(message).build().toByteArray();
     }
 
@@ -117,7 +118,8 @@
                 .map(each -> new ServedWeights(each.getTarget(), each.getModel(), each.getVersion()))
                 .toList();
         ReadTo readTo = new ReadTo(message.getWishesReadTo(), message.getTargetsChangedTo());
-        return new RelayLoad(message.getRelay(), message.getSequence(), targets, weights, served, readTo);
+        return new RelayLoad(
+                message.getRelay(), message.getSequence(), targets, weights, served, message.getLoadingList(), readTo);
     }
 
     private static SharedNews news(PartNewsMessage message) {
--- a/rattanrudder-wire/src/test/java/org/rattanrudder/wire/peer/PeerCodecTest.java
+++ b/rattanrudder-wire/src/test/java/org/rattanrudder/wire/peer/PeerCodecTest.java
@@ -33,6 +33,7 @@
                 List.of(new TargetLoad("i-1", requests, tokens, tokens / 2), new TargetLoad("i-2", 1, 2, 3)),
                 List.of(new KnownWeights("m", 7, tokens)),
                 List.of(new ServedWeights("i-1", "m", 7)),
+                List.of("i-2"),
                 new ReadTo(sequence / 3, sequence / 2));
 
         assertThat(PeerCodec.read(PeerCodec.write(load))).contains(new PeerCodec.Message.Load(load));
