Take old lease records for what they are, and stay ready while no other relay is

Cause of two seconds without any relay: three are restarted 2 s apart and each needs up to 7 s. A relay that is asked to stop stays ready for up to 2.8 s while no other one says that it is.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Fleet.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Fleet.java
@@ -105,6 +105,11 @@
         }
     }
 
+    /** Returns whether another relay takes new connections, as far as known. */
+    public boolean anyPeerReady(long nowMillis) {
+        return peers.anyReady(nowMillis);
+    }
+
     /** Returns the other relays that were heard of lately. */
     public Set<String> peerNames(long nowMillis) {
         return peers.relays(nowMillis);
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/PeerLoads.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/PeerLoads.java
@@ -18,7 +18,7 @@
 
     private final Map<String, Heard> relays = new HashMap<>();
 
-    private record Heard(long atMillis, long sequence, Map<String, TargetLoad> targets) {}
+    private record Heard(long atMillis, long sequence, boolean ready, Map<String, TargetLoad> targets) {}
 
     /** Takes a message; one that is older than what is known is dropped. */
     public void heard(RelayLoad load, long nowMillis) {
@@ -28,7 +28,7 @@
         }
         Map<String, TargetLoad> targets = new HashMap<>();
         load.targets().forEach(each -> targets.put(each.target(), each));
-        relays.put(load.relay(), new Heard(nowMillis, load.sequence(), targets));
+        relays.put(load.relay(), new Heard(nowMillis, load.sequence(), load.ready(), targets));
     }
 
     /** Returns the other relays that were heard of lately. */
@@ -37,6 +37,12 @@
         return Set.copyOf(relays.keySet());
     }
 
+    /** Returns whether another relay takes new connections, as far as known. */
+    public boolean anyReady(long nowMillis) {
+        forget(nowMillis);
+        return relays.values().stream().anyMatch(Heard::ready);
+    }
+
     /** Returns how many other relays were heard of lately. */
     public int alive(long nowMillis) {
         forget(nowMillis);
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/RelayLoad.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/RelayLoad.java
@@ -11,6 +11,7 @@
  * @param weights the newest versions of weights that it knows of
  * @param served targets that it lately saw serving other weights than before
  * @param loading targets that it has ordered to load weights, and that take no work meanwhile
+ * @param ready whether it takes new connections
  * @param readTo how far it has read the platform's records
  */
 public record RelayLoad(
@@ -20,6 +21,7 @@
         List<KnownWeights> weights,
         List<ServedWeights> served,
         List<String> loading,
+        boolean ready,
         ReadTo readTo) {
     /** Takes copies of the lists. */
     public RelayLoad {
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/PeerLoadsTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/PeerLoadsTest.java
@@ -32,6 +32,15 @@
         assertThat(peers.at("i-1", NOW).requests()).isEqualTo(1);
     }
 
+    @Test
+    void anotherRelayCountsAsReadyWhileItSaysSo() {
+        assertThat(peers.anyReady(NOW)).isFalse();
+        peers.heard(load("a", 1), NOW);
+
+        assertThat(peers.anyReady(NOW)).isTrue();
+        assertThat(peers.anyReady(NOW + PeerLoads.VALID_MILLIS + 1)).isFalse();
+    }
+
     /** A relay dies with work under way; its word would keep engines closed to the others for good. */
     @Test
     void aSilentRelaysWorkIsForgotten() {
@@ -85,7 +94,8 @@
         fleet.logAnswers(0);
         fleet.apply("i-1", Optional.of(FleetTest.entry("i-1", false)), 1, NOW);
 
-        fleet.heard(new RelayLoad("a", 1, List.of(), List.of(), List.of(), List.of("i-1"), new ReadTo(0, 0)), NOW);
+        fleet.heard(
+                new RelayLoad("a", 1, List.of(), List.of(), List.of(), List.of("i-1"), true, new ReadTo(0, 0)), NOW);
 
         assertThat(SendWindow.open(fleet.of("llm", NOW), ENGINE, 9_000, false, NOW))
                 .isEmpty();
@@ -117,7 +127,8 @@
         seen.confirmWeights("m", 2, NOW);
 
         fleet.heard(
-                new RelayLoad("a", 1, List.of(), List.of(), seen.confirmedSince(NOW - 1), List.of(), new ReadTo(0, 0)),
+                new RelayLoad(
+                        "a", 1, List.of(), List.of(), seen.confirmedSince(NOW - 1), List.of(), true, new ReadTo(0, 0)),
                 NOW);
 
         assertThat(fleet.find("i-1").orElseThrow().weights("m")).isEqualTo(2);
@@ -125,6 +136,7 @@
     }
 
     private static RelayLoad load(String relay, long sequence, TargetLoad... targets) {
-        return new RelayLoad(relay, sequence, List.of(targets), List.of(), List.of(), List.of(), new ReadTo(0, 0));
+        return new RelayLoad(
+                relay, sequence, List.of(targets), List.of(), List.of(), List.of(), true, new ReadTo(0, 0));
     }
 }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/OrderGiver.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/OrderGiver.java
@@ -56,6 +56,8 @@
     private final Map<String, Long> looks = new HashMap<>();
     private final Map<String, Integer> reportedInFlight = new HashMap<>();
     private final Set<String> ordering = new HashSet<>();
+    private boolean answeredOnce;
+    private boolean caughtUp;
     private boolean closed;
 
     OrderGiver(RelayState state, String self) {
@@ -79,7 +81,8 @@
             LeaseRecord read = store.readLease(record.value().orElseThrow());
             long now = state.now();
             lease.read(record.offset(), read, now);
-            if (!read.holder().equals(self)) {
+            // Records from before the start say nothing of now: after a restart all engines would seem to load.
+            if (caughtUp && !read.holder().equals(self)) {
                 read.loading()
                         .forEach(id -> state.fleet().find(id).ifPresent(target -> target.swapping(now + SWAP_MILLIS)));
             }
@@ -87,6 +90,9 @@
 
         @Override
         public void answered() {
+            // The first answer holds what was written before this relay was there.
+            caughtUp = answeredOnce;
+            answeredOnce = true;
             lease.readTo(follower.readTo());
         }
     }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/PeerExchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/PeerExchange.java
@@ -74,6 +74,9 @@
         /** Returns the engines that it has ordered to load weights and that don't serve them yet. */
         List<String> loading();
 
+        /** Returns whether it takes new connections. */
+        boolean ready();
+
         /** Returns how far it has read the platform's records. */
         ReadTo readTo();
     }
@@ -166,8 +169,8 @@
 
     private void tell() {
         long now = state.now();
-        RelayLoad load =
-                new RelayLoad(self, sequence++, work(), weights(now), served(now), own.loading(), own.readTo());
+        RelayLoad load = new RelayLoad(
+                self, sequence++, work(), weights(now), served(now), own.loading(), own.ready(), own.readTo());
         boolean many = peers.size() > MANY;
         boolean toFarOnes = !many || sequence % FAR_EVERY == 0;
         send(PeerCodec.write(load), toFarOnes, sequence % SILENT_EVERY == 0);
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Rehearsal.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Rehearsal.java
@@ -29,6 +29,7 @@
  * are mapped in place of that. The rehearsal starts a relay on loopback without a store and asks it once.
  */
 public final class Rehearsal {
+    private static final int TRIES = 5;
     private static final int ASKED_MILLIS = 2_000;
 
     private Rehearsal() {}
@@ -41,24 +42,40 @@
         PlatformAdapter adapter =
                 ServiceLoader.load(PlatformAdapter.class).findFirst().orElseThrow();
         adapter.store().readListing(200, "{\"items\":[],\"end\":0}".getBytes(StandardCharsets.UTF_8));
-        RelaySettings settings = new RelaySettings(
-                "rehearsal",
-                "nowhere",
-                freeAddress(),
-                freeAddress(),
-                freeAddress(),
-                freeAddress(),
-                freeAddress(),
-                new Bounds(0.2, 10, 10_000, 1_000, 10_000, 1_000, 1_000));
-        RelayProcess relay = new RelayProcess(settings, adapter, RandomGenerator.getDefault());
-        ask(settings.callers());
-        ask(settings.readiness());
-        ask(settings.metrics());
-        relay.close();
+        RelayProcess relay = null;
+        for (int tries = 0; relay == null && tries < TRIES; tries++) {
+            relay = tryToStart(adapter);
+        }
+        if (relay != null) {
+            relay.close();
+        }
         Logging.flush();
         System.exit(0);
     }
 
+    /** Starts a relay on free ports and asks it; returns null if a port was taken meanwhile. */
+    private static RelayProcess tryToStart(PlatformAdapter adapter) {
+        try {
+            RelaySettings settings = new RelaySettings(
+                    "rehearsal",
+                    "nowhere",
+                    freeAddress(),
+                    freeAddress(),
+                    freeAddress(),
+                    freeAddress(),
+                    freeAddress(),
+                    new Bounds(0.2, 10, 10_000, 1_000, 10_000, 1_000, 1_000));
+            RelayProcess relay = new RelayProcess(settings, adapter, RandomGenerator.getDefault());
+            ask(settings.callers());
+            ask(settings.readiness());
+            ask(settings.metrics());
+            return relay;
+        } catch (IOException taken) {
+            System.err.println("rehearsal: " + taken.getMessage());
+            return null;
+        }
+    }
+
     private static void ask(Address address) throws IOException {
         try (Socket socket = new Socket(address.host(), address.port())) {
             socket.setSoTimeout(ASKED_MILLIS);
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
@@ -61,6 +61,15 @@
     /** How often connections are looked at, in ms. */
     private static final long SWEEP_MILLIS = 500;
 
+    /**
+     * How long a relay that was asked to stop stays ready while no other one is, in ms. Relays that are restarted in
+     * turn, faster than each needs to end its requests and come back, would else all be away at once: three of three
+     * were, for two seconds. Within four seconds readiness must be taken back, and what runs needs the rest to end.
+     */
+    private static final long STAY_MILLIS = 2_800;
+
+    private static final long STAY_STEP_MILLIS = 200;
+
     /** How long before the forced end the process ends by itself, in ms. */
     private static final long END_MARGIN_MILLIS = 1_200;
 
@@ -208,6 +217,11 @@
             return orders.loading();
         }
 
+        @Override
+        public boolean ready() {
+            return isReady();
+        }
+
         @Override
         public ReadTo readTo() {
             return new ReadTo(wishes.readTo(), targetsChangedTo);
@@ -394,8 +408,20 @@
         return all ? newest : 0;
     }
 
+    /** Takes readiness back, unless no other relay is ready and there is time to wait for one. */
+    private void leave() {
+        long waited = state.now() - state.stoppingSince();
+        if (waited < STAY_MILLIS && !state.fleet().anyPeerReady(state.now())) {
+            loop.schedule(this::leave, STAY_STEP_MILLIS, TimeUnit.MILLISECONDS);
+            return;
+        }
+        state.drain();
+        state.log().info("leaving", "after_ms", Long.toString(waited));
+        loop.schedule(this::sweep, RelayState.SERVED_WHILE_DRAINING_MILLIS + 1, TimeUnit.MILLISECONDS);
+    }
+
     private void endIfDrained(long now) {
-        long since = now - state.drainingSince();
+        long since = now - state.stoppingSince();
         boolean busy = callers.stream().anyMatch(CallerConnection::isBusy);
         boolean quiet = state.refusing() && !busy;
         boolean late = since > state.settings().bounds().graceMillis() - END_MARGIN_MILLIS;
@@ -406,13 +432,17 @@
     }
 
     private StatusServer.Page readiness(String path) {
-        boolean ready = state.configuration().isPresent()
-                && !state.draining()
-                && !state.fleet().all(state.now()).isEmpty();
+        boolean ready = isReady();
         byte[] text = (ready ? "ready\n" : "not ready\n").getBytes(StandardCharsets.UTF_8);
         return new StatusServer.Page(ready ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE, text);
     }
 
+    private boolean isReady() {
+        return state.configuration().isPresent()
+                && !state.draining()
+                && !state.fleet().all(state.now()).isEmpty();
+    }
+
     private StatusServer.Page metrics(String path) {
         return new StatusServer.Page(HttpResponseStatus.OK, state.metrics().text());
     }
@@ -441,8 +471,8 @@
     @Override
     public boolean drain() throws InterruptedException {
         loop.execute(() -> {
-            state.drain();
-            loop.schedule(this::sweep, RelayState.SERVED_WHILE_DRAINING_MILLIS + 1, TimeUnit.MILLISECONDS);
+            state.stop();
+            leave();
         });
         boolean ended = drained.await(state.settings().bounds().graceMillis(), TimeUnit.MILLISECONDS);
         return ended && finishedInTime;
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
@@ -57,6 +57,7 @@
     private Optional<ServingConfiguration> configuration = Optional.empty();
     private boolean draining;
     private long drainingSince;
+    private long stoppingSince;
 
     RelayState(
             RelaySettings settings,
@@ -190,9 +191,14 @@
         return draining && now() - drainingSince > SERVED_WHILE_DRAINING_MILLIS;
     }
 
-    /** Returns when draining began. */
-    long drainingSince() {
-        return drainingSince;
+    /** Returns when the process was asked to stop. */
+    long stoppingSince() {
+        return stoppingSince;
+    }
+
+    /** Notes that the process was asked to stop; it still takes requests until {@link #drain}. */
+    void stop() {
+        stoppingSince = now();
     }
 
     void drain() {
--- a/rattanrudder-wire/src/main/java/org/rattanrudder/wire/peer/PeerCodec.java
+++ b/rattanrudder-wire/src/main/java/org/rattanrudder/wire/peer/PeerCodec.java
@@ -70,6 +70,7 @@
                     .setVersion(served.version()));
         }
         message.addAllLoading(load.loading());
+        message.setReady(load.ready());
         return PeerMessage.newBuilder().setLoad(message).build().toByteArray();
     }
 
@@ -119,7 +120,14 @@
                 .toList();
         ReadTo readTo = new ReadTo(message.getWishesReadTo(), message.getTargetsChangedTo());
         return new RelayLoad(
-                message.getRelay(), message.getSequence(), targets, weights, served, message.getLoadingList(), readTo);
+                message.getRelay(),
+                message.getSequence(),
+                targets,
+                weights,
+                served,
+                message.getLoadingList(),
+                message.getReady(),
+                readTo);
     }
 
     private static SharedNews news(PartNewsMessage message) {
