--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
@@ -19,6 +19,7 @@
 import org.rattanrudder.core.fleet.Placement;
 import org.rattanrudder.core.fleet.SendWindow;
 import org.rattanrudder.core.fleet.Target;
+import org.rattanrudder.core.gateway.AnswerRules;
 import org.rattanrudder.core.gateway.AttemptOutcome;
 import org.rattanrudder.core.gateway.AttemptRules;
 import org.rattanrudder.core.model.ErrorKind;
@@ -45,9 +46,6 @@
     /** The part of the objective after which a repeatable plain request is tried at another target. */
     private static final double PLAIN_PATIENCE = 0.9;
 
-    /** Statuses that promise the caller that its request did not run; a target's word alone isn't passed on as that. */
-    private static final Set<Integer> PROMISES = Set.of(408, 429, 503);
-
     private final RelayState state;
     private final TargetPools pools;
     private final CallerConnection caller;
@@ -254,35 +252,31 @@
                 .model()
                 .ifPresent(model ->
                         facts.weights().ifPresent(version -> target.confirmWeights(model, version, state.now())));
-        if (facts.misdirected()) {
-            misdirected(target, facts);
-        } else if (facts.notRun()) {
-            attempt.connection().detach();
-            target.refused(state.now());
-            failed(AttemptOutcome.REJECTED, "rejected with " + facts.status());
-        } else if (facts.isSuccess() && !facts.signed()) {
-            attempt.connection().abort();
-            failed(AttemptOutcome.BROKEN, "success without a signature");
-        } else if (isToBeReplaced(facts)) {
-            attempt.connection().detach();
-            failed(AttemptOutcome.FAILED, "failed with " + facts.status());
-        } else {
-            answer.head(response);
+        AnswerRules.Head judged =
+                new AnswerRules.Head(facts.status(), facts.signed(), facts.notRun(), facts.misdirected());
+        switch (AnswerRules.judge(judged, progress(1))) {
+            case PASS_ON -> answer.head(response);
+            case MISDIRECTED -> misdirected(target, facts);
+            case REJECTED -> {
+                target.refused(state.now());
+                drop(AttemptOutcome.REJECTED, "rejected with " + facts.status());
+            }
+            case NO_ANSWER -> {
+                attempt.connection().abort();
+                failed(AttemptOutcome.BROKEN, "success without a signature");
+            }
+            case REPLACE -> drop(AttemptOutcome.FAILED, "failed with " + facts.status());
+            default -> throw new IllegalStateException("unknown verdict");
         }
     }
 
-    private boolean isToBeReplaced(AnswerFacts facts) {
-        if (facts.isSuccess()) {
-            return false;
-        }
-        boolean failure = facts.status() >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code();
-        return answer.began()
-                || PROMISES.contains(facts.status())
-                || failure && AttemptRules.mayRetry(progress(1), AttemptOutcome.FAILED);
+    /** Leaves the rest of an answer unheard; its connection can be used again. */
+    private void drop(AttemptOutcome outcome, String reason) {
+        attempt.connection().detach();
+        failed(outcome, reason);
     }
 
     private void misdirected(Target target, AnswerFacts facts) {
-        attempt.connection().detach();
         Optional<String> other = facts.target().filter(id -> !id.equals(target.id()));
         if (other.isPresent()) {
             state.log().warn("target_replaced", "target", target.id(), "found", other.get());
@@ -290,7 +284,7 @@
         } else {
             target.refused(state.now());
         }
-        failed(AttemptOutcome.MISDIRECTED, other.isPresent() ? "another target" : "other weights");
+        drop(AttemptOutcome.MISDIRECTED, other.isPresent() ? "another target" : "other weights");
     }
 
     @Override
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
@@ -1,22 +1,14 @@
 package org.rattanrudder.daemon.relay;
 
 import io.netty.bootstrap.Bootstrap;
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import io.netty.channel.socket.nio.NioChannelOption;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -28,14 +20,12 @@
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
-import jdk.net.ExtendedSocketOptions;
 import org.jboss.logging.Logger;
 import org.rattanrudder.core.fleet.RelayLoad.ReadTo;
 import org.rattanrudder.core.fleet.Target;
 import org.rattanrudder.core.fleet.TargetEntry;
 import org.rattanrudder.core.gateway.ContextStore;
 import org.rattanrudder.core.model.Address;
-import org.rattanrudder.core.parts.PartKey;
 import org.rattanrudder.core.parts.SharedNews;
 import org.rattanrudder.daemon.logging.EventLog;
 import org.rattanrudder.daemon.loop.Closer;
@@ -73,18 +63,6 @@
     /** How long before the forced end the process ends by itself, in ms. */
     private static final long END_MARGIN_MILLIS = 1_200;
 
-    /** How long after all engines have new weights parts of older ones are freed, in ms. */
-    private static final long FREE_AFTER_MILLIS = 5_000;
-
-    private static final int PARTS_FREED_AT_ONCE = 400;
-    private static final int BACKLOG = 1_024;
-
-    /** A peer that vanished is noticed by probes on an idle connection after about three seconds. */
-    private static final int PROBE_IDLE_SECONDS = 1;
-
-    private static final int PROBE_EVERY_SECONDS = 1;
-    private static final int PROBES = 2;
-
     private final Closer closer = new Closer();
     private final RelayState state;
     private final TargetPools pools;
@@ -98,7 +76,7 @@
     private final Map<Address, StoreWatch> stores = new HashMap<>();
     private final CountDownLatch drained = new CountDownLatch(1);
     private final Channel callersListening;
-    private long settledSince = -1;
+    private final OutdatedParts outdated;
     private long targetsChangedTo;
     private boolean finishedInTime;
 
@@ -112,10 +90,12 @@
         closer.add(() -> group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS));
         loop = (EventLoop) group.next();
         EventLog log = new EventLog(Logger.getLogger(RelayProcess.class), new MonotonicClock());
-        state = new RelayState(settings, platform, loop, connector(group), log, new RelayMetrics(), random);
+        state = new RelayState(
+                settings, platform, loop, RelayChannels.connector(group), log, new RelayMetrics(), random);
         pools = new TargetPools(state.connector(), platform.requests());
+        outdated = new OutdatedParts(state, stores);
         gauges();
-        callersListening = listen(group, settings.callers(), callerChannels());
+        callersListening = listen(group, settings.callers(), RelayChannels.callers(state, pools, callers));
         listen(group, settings.readiness(), new StatusServer(this::readiness));
         listen(group, settings.metrics(), new StatusServer(this::metrics));
         incarnation = settings.instance() + "-" + Long.toHexString(random.nextLong());
@@ -132,76 +112,18 @@
         loop.execute(this::begin);
     }
 
-    private static Bootstrap connector(MultiThreadIoEventLoopGroup group) {
-        return new Bootstrap()
-                .group(group)
-                .channel(NioSocketChannel.class)
-                .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.SO_KEEPALIVE, true)
-                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), PROBE_IDLE_SECONDS)
-                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), PROBE_EVERY_SECONDS)
-                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), PROBES)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, TargetPools.CONNECT_MILLIS);
-    }
-
-    private Channel listen(MultiThreadIoEventLoopGroup group, Address address, ChannelInitializer<Channel> channels)
+    private Channel listen(EventLoopGroup group, Address address, ChannelInitializer<Channel> channels)
             throws IOException {
         try {
-            Channel listening = new ServerBootstrap()
-                    .group(group)
-                    .channel(NioServerSocketChannel.class)
-                    .option(ChannelOption.SO_BACKLOG, BACKLOG)
-                    .option(ChannelOption.SO_REUSEADDR, true)
-                    .childOption(ChannelOption.TCP_NODELAY, true)
-                    .childOption(ChannelOption.SO_KEEPALIVE, true)
-                    .childOption(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), PROBE_IDLE_SECONDS)
-                    .childOption(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), PROBE_EVERY_SECONDS)
-                    .childOption(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), PROBES)
-                    .childHandler(channels)
-                    .bind(new InetSocketAddress(address.host(), address.port()))
-                    .sync()
-                    .channel();
+            Channel listening = RelayChannels.listen(group, address, channels);
             closer.add(listening::close);
             return listening;
-        } catch (InterruptedException interrupted) {
-            Thread.currentThread().interrupt();
-            throw new IOException("interrupted while listening on " + address, interrupted);
         } catch (RuntimeException failed) {
             close();
             throw new IOException("can't listen on " + address + ": " + failed.getMessage(), failed);
         }
     }
 
-    private ChannelInitializer<Channel> callerChannels() {
-        return new ChannelInitializer<>() {
-            @Override
-            protected void initChannel(Channel channel) {
-                CallerConnection connection = new CallerConnection(state, pools, callers);
-                channel.pipeline()
-                        .addLast(
-                                new RawBytes(connection),
-                                new StrictRequestDecoder(state.limits().headerBytes() * 2),
-                                new HttpResponseEncoder(),
-                                connection);
-            }
-        };
-    }
-
-    /** Tells a connection of bytes before they are decoded. */
-    private static final class RawBytes extends ChannelInboundHandlerAdapter {
-        private final CallerConnection connection;
-
-        RawBytes(CallerConnection connection) {
-            this.connection = connection;
-        }
-
-        @Override
-        public void channelRead(ChannelHandlerContext context, Object message) {
-            connection.bytesRead();
-            context.fireChannelRead(message);
-        }
-    }
-
     private void begin() {
         wishes.start();
         targets.start();
@@ -365,49 +287,12 @@
         }
         Set<String> known = state.fleet().all(now).stream().map(Target::id).collect(Collectors.toSet());
         pools.sweep(known, now);
-        freeOutdated(now);
+        outdated.free(now);
         if (state.draining()) {
             endIfDrained(now);
         }
     }
 
-    /**
-     * Frees parts of older weights. A fetch can't be under way: engines refuse requests for weights that they don't
-     * serve, and all of them have served the newest ones for a while.
-     */
-    private void freeOutdated(long now) {
-        long oldest = oldestWeights(now);
-        if (oldest <= 0) {
-            settledSince = -1;
-            return;
-        }
-        settledSince = settledSince < 0 ? now : settledSince;
-        if (now - settledSince < FREE_AFTER_MILLIS) {
-            return;
-        }
-        stores.forEach((address, watch) -> {
-            List<PartKey> parts = state.directory().outdated(address, oldest);
-            if (!parts.isEmpty()) {
-                List<PartKey> batch = parts.subList(0, Math.min(parts.size(), PARTS_FREED_AT_ONCE));
-                watch.free(batch, state.directory().incarnation(address));
-            }
-        });
-        settledSince = now;
-    }
-
-    /** Returns the newest version if all engines serve it; 0 if some don't, or if several models are served. */
-    private long oldestWeights(long now) {
-        Optional<String> model = state.weights().onlyModel();
-        if (model.isEmpty()) {
-            return 0;
-        }
-        long newest = state.weights().newest(model.get());
-        boolean all = state.fleet().all(now).stream()
-                .filter(target -> target.weights(model.get()) > 0)
-                .allMatch(target -> target.weights(model.get()) >= newest);
-        return all ? newest : 0;
-    }
-
     /** Takes readiness back, unless no other relay is ready and there is time to wait for one. */
     private void leave() {
         long waited = state.now() - state.stoppingSince();
