--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/CallerConnection.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/CallerConnection.java
@@ -46,6 +46,9 @@
     /** How long a connection that we close is still read, in ms, so that a reset doesn't overtake the last answer. */
     private static final long LINGER_MILLIS = 500;
 
+    /** How long a request waits while the loop is late, in ms: one turn, in which a close behind it is seen. */
+    private static final long LATE_TURN_MILLIS = 2;
+
     /** The range of the time after which refused callers come back, in ms: spread, so that they don't come at once. */
     private static final long SHORTEST_RETURN_MILLIS = 200;
 
@@ -197,7 +200,11 @@
         }
         RequestPlan plan = new RequestPlan(state, facts, (Admittance.Granted) admittance, arrivedAt);
         exchange = new Exchange(state, pools, this, head, body, plan);
-        exchange.start();
+        if (state.lag().isLate(state.now())) {
+            context.executor().schedule(exchange::start, LATE_TURN_MILLIS, TimeUnit.MILLISECONDS);
+        } else {
+            exchange.start();
+        }
     }
 
     private long callerLeft() {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
@@ -90,6 +90,9 @@
 
     /** Begins: the request is whole and may be served. */
     void start() {
+        if (ended) {
+            return;
+        }
         long left = Math.max(1, plan.left() - ANSWER_MARGIN_MILLIS);
         deadline = state.loop().schedule(this::deadlineReached, left, TimeUnit.MILLISECONDS);
         place();
@@ -437,7 +440,9 @@
     private void finished(String outcome, String reason) {
         ended = true;
         leaveLine();
-        deadline.cancel(false);
+        if (deadline != null) {
+            deadline.cancel(false);
+        }
         answer.discard();
         body.release();
         state.metrics().request(plan.route().name(), outcome);
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
@@ -49,7 +49,7 @@
  */
 public final class RelayProcess implements RunningProcess {
     /** How often connections are looked at, in ms. */
-    private static final long SWEEP_MILLIS = 500;
+    static final long SWEEP_MILLIS = 500;
 
     /**
      * How long a relay that was asked to stop stays ready while no other one is, in ms. Relays that are restarted in
@@ -278,6 +278,7 @@
 
     private void sweep() {
         long now = state.now();
+        state.lag().ran(now);
         boolean closeIdle = state.refusing();
         if (closeIdle && callersListening.isOpen()) {
             callersListening.close();
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
@@ -12,6 +12,7 @@
 import org.rattanrudder.core.fleet.Fleet;
 import org.rattanrudder.core.fleet.HoldingLine;
 import org.rattanrudder.core.gateway.CallerLimits;
+import org.rattanrudder.core.gateway.LoopLag;
 import org.rattanrudder.core.gateway.RetryAllowance;
 import org.rattanrudder.core.gateway.ServingConfiguration;
 import org.rattanrudder.core.parts.PartDirectory;
@@ -55,6 +56,7 @@
     private final Map<String, HoldingLine<Exchange>> lines = new HashMap<>();
     private final Set<String> linesBeingDrained = new HashSet<>();
     private Optional<ServingConfiguration> configuration = Optional.empty();
+    private final LoopLag lag;
     private boolean draining;
     private long drainingSince;
     private long stoppingSince;
@@ -75,6 +77,7 @@
         this.metrics = metrics;
         this.random = random;
         directory = new PartDirectory(settings.failureDomain());
+        lag = new LoopLag(now(), RelayProcess.SWEEP_MILLIS);
     }
 
     /** Returns milliseconds of a steady clock. */
@@ -82,6 +85,11 @@
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
     }
 
+    /** Returns whether the event loop has lately run late. */
+    LoopLag lag() {
+        return lag;
+    }
+
     RelaySettings settings() {
         return settings;
     }
