--- /dev/null
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/gateway/Patience.java
@@ -0,0 +1,41 @@
+package org.rattanrudder.core.gateway;
+
+/**
+ * Decides how long a silent target is waited for before another one is tried.
+ *
+ * <p>Only requests that may be repeated are tried elsewhere. A target that serves others meanwhile isn't dead: the
+ * request waits its turn there, and would have to wait again elsewhere.
+ */
+public final class Patience {
+    /** Silence before a stream's first event, as a multiple of the objective. */
+    private static final double FIRST_EVENT = 2.0;
+
+    /** Silence between events, as a multiple of the longest pause that is on time. */
+    private static final double PAUSE = 2.5;
+
+    /** By how much longer a target is waited for that serves other requests. */
+    private static final int ALIVE = 3;
+
+    /** The part of the objective after which a plain request is tried elsewhere: the rest does for its work there. */
+    private static final double PLAIN = 0.9;
+
+    private Patience() {}
+
+    /** Returns how long a target may be silent, in ms. */
+    public static long millis(ServiceRoute route, boolean answerBegan) {
+        if (!route.repeat().stream()) {
+            return (long) (route.objectiveMillis() * PLAIN);
+        }
+        return (long) (answerBegan ? route.pauseMillis() * PAUSE : route.objectiveMillis() * FIRST_EVENT);
+    }
+
+    /**
+     * Returns whether a target that was silent for longer than that is waited for all the same.
+     *
+     * @param quietMillis how long it was silent for this request
+     * @param servesOthers whether something came from it for other requests meanwhile
+     */
+    public static boolean goesOn(ServiceRoute route, boolean answerBegan, long quietMillis, boolean servesOthers) {
+        return route.repeat().stream() && servesOthers && quietMillis < ALIVE * millis(route, answerBegan);
+    }
+}
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/CallerConnection.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/CallerConnection.java
@@ -22,10 +22,8 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -49,15 +47,9 @@
     /** How long a request waits while the loop is late, in ms: one turn, in which a close behind it is seen. */
     private static final long LATE_TURN_MILLIS = 2;
 
-    /** The range of the time after which refused callers come back, in ms: spread, so that they don't come at once. */
-    private static final long SHORTEST_RETURN_MILLIS = 200;
-
-    private static final long LONGEST_RETURN_MILLIS = 700;
-    private static final double RETURN_SHARE = 0.3;
-    private static final double MILLIS_PER_SECOND = 1_000;
-
     private final RelayState state;
     private final TargetPools pools;
+    private final OwnAnswers ownAnswers;
     private final Set<CallerConnection> open;
     private final Deque<Object> waiting = new ArrayDeque<>();
     private ChannelHandlerContext context;
@@ -77,6 +69,7 @@
     CallerConnection(RelayState state, TargetPools pools, Set<CallerConnection> open) {
         this.state = state;
         this.pools = pools;
+        ownAnswers = new OwnAnswers(state.platform().requests(), state.random());
         this.open = open;
     }
 
@@ -241,27 +234,11 @@
 
     /** Answers with an error of our own. */
     void refuse(ErrorKind error, String requestId, long leftMillis) {
-        byte[] text = ("{\"error\":{\"kind\":\"" + error.wireName() + "\"}}\n").getBytes(StandardCharsets.UTF_8);
-        DefaultFullHttpResponse response = new DefaultFullHttpResponse(
-                HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(error.status()), Unpooled.wrappedBuffer(text));
-        response.headers().set(state.platform().requests().ownAnswer(requestId));
-        response.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
-        HttpUtil.setContentLength(response, text.length);
-        if (error.retryAdvice() == ErrorKind.RetryAdvice.LATER
-                || error.retryAdvice() == ErrorKind.RetryAdvice.AT_ONCE) {
-            response.headers().set(HttpHeaderNames.RETRY_AFTER, returnAfter(leftMillis));
-        }
+        DefaultFullHttpResponse response = ownAnswers.error(error, requestId, leftMillis);
         persistence(response);
         context.writeAndFlush(response);
     }
 
-    private String returnAfter(long leftMillis) {
-        double drawn =
-                SHORTEST_RETURN_MILLIS + state.random().nextDouble() * (LONGEST_RETURN_MILLIS - SHORTEST_RETURN_MILLIS);
-        double millis = leftMillis > 0 ? Math.min(drawn, leftMillis * RETURN_SHARE) : drawn;
-        return String.format(Locale.ROOT, "%.3f", millis / MILLIS_PER_SECOND);
-    }
-
     /** Answers with a target's answer that is whole. */
     void answer(HttpResponse from, HttpHeaders headers, ByteBuf content) {
         ByteBuf whole = content == null ? Unpooled.EMPTY_BUFFER : content;
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
@@ -22,6 +22,7 @@
 import org.rattanrudder.core.gateway.AnswerRules;
 import org.rattanrudder.core.gateway.AttemptOutcome;
 import org.rattanrudder.core.gateway.AttemptRules;
+import org.rattanrudder.core.gateway.Patience;
 import org.rattanrudder.core.model.ErrorKind;
 import org.rattanrudder.core.parts.PartPlan;
 import org.rattanrudder.daemon.relay.port.AnswerFacts;
@@ -34,18 +35,6 @@
     /** How long before the deadline the caller gets its final answer, in ms: the way to it and a late timer. */
     private static final long ANSWER_MARGIN_MILLIS = 10;
 
-    /** Silence before a stream's first event, as a multiple of the objective, after which another target is tried. */
-    private static final double FIRST_EVENT_PATIENCE = 2.0;
-
-    /** Silence between events, as a multiple of the longest pause that is on time. */
-    private static final double PAUSE_PATIENCE = 2.5;
-
-    /** By how much longer a target is waited for that serves other requests. */
-    private static final int ALIVE_PATIENCE = 3;
-
-    /** The part of the objective after which a repeatable plain request is tried at another target. */
-    private static final double PLAIN_PATIENCE = 0.9;
-
     private final RelayState state;
     private final TargetPools pools;
     private final CallerConnection caller;
@@ -207,16 +196,13 @@
             return;
         }
         long quiet = state.now() - attempt.lastPieceAt();
-        long limit = patienceMillis();
+        long limit = Patience.millis(plan.route(), attempt.hasBegun());
         if (quiet < limit) {
             patience = state.loop().schedule(this::watch, limit - quiet + 1, TimeUnit.MILLISECONDS);
             return;
         }
-        boolean worksForOthers = plan.route().repeat().stream()
-                && attempt.target().lastSignAt() > attempt.lastPieceAt()
-                && quiet < ALIVE_PATIENCE * limit;
-        if (worksForOthers) {
-            // This request waits its turn there, and would have to wait again elsewhere.
+        boolean servesOthers = attempt.target().lastSignAt() > attempt.lastPieceAt();
+        if (Patience.goesOn(plan.route(), attempt.hasBegun(), quiet, servesOthers)) {
             patience = state.loop().schedule(this::watch, limit, TimeUnit.MILLISECONDS);
             return;
         }
@@ -229,16 +215,6 @@
         }
     }
 
-    private long patienceMillis() {
-        if (!plan.route().repeat().stream()) {
-            return (long) (plan.route().objectiveMillis() * PLAIN_PATIENCE);
-        }
-        return (long)
-                (attempt.hasBegun()
-                        ? plan.route().pauseMillis() * PAUSE_PATIENCE
-                        : plan.route().objectiveMillis() * FIRST_EVENT_PATIENCE);
-    }
-
     private AttemptRules.Progress progress(int running) {
         return new AttemptRules.Progress(
                 plan.route(), runs + running, unrunSends, answer.began(), answer.isResumable(), plan.left());
