--- /dev/null
+++ b/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/EventTailTest.java
@@ -0,0 +1,62 @@
+package org.rattanrudder.daemon.relay;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.List;
+import java.util.stream.Collectors;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class EventTailTest {
+    private static final List<String> EVENTS =
+            List.of("id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n", "id: 3\ndata: cc\n\n");
+    private static final String STREAM = String.join("", EVENTS);
+
+    /**
+     * An engine dies in the middle of an event; a half that was passed on would come again, whole, from another one.
+     */
+    @Property
+    void onlyWholeEventsGetThroughHoweverTheStreamIsCut(
+            @ForAll @Size(max = 12) List<@IntRange(max = 44) Integer> cuts, @ForAll @IntRange(max = 44) int end) {
+        EventTail tail = new EventTail();
+        StringBuilder passed = new StringBuilder();
+        int from = 0;
+        for (int cut : cuts.stream().sorted().filter(cut -> cut < end).collect(Collectors.toList())) {
+            passed.append(take(tail, STREAM.substring(from, Math.min(cut, STREAM.length()))));
+            from = Math.min(cut, STREAM.length());
+        }
+        int last = Math.min(end, STREAM.length());
+        passed.append(take(tail, STREAM.substring(Math.min(from, last), last)));
+
+        int whole = 0;
+        int length = 0;
+        while (whole < EVENTS.size() && length + EVENTS.get(whole).length() <= last) {
+            length += EVENTS.get(whole++).length();
+        }
+        assertThat(passed.toString()).isEqualTo(STREAM.substring(0, length));
+        assertThat(tail.lastId().map(Integer::parseInt).orElse(0)).isEqualTo(whole);
+        assertThat(tail.isWithinEvent()).isEqualTo(last > length);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"'id: 7\\r\\ndata: x\\r\\n\\r\\n', 7", "'data: x\\n\\n', ", "'id:8\\n\\n', 8"})
+    void theIdOfTheLastEventIsKnown(String stream, String expected) {
+        EventTail tail = new EventTail();
+
+        take(tail, stream.replace("\\r", "\r").replace("\\n", "\n"));
+
+        assertThat(tail.lastId().orElse(null)).isEqualTo(expected);
+    }
+
+    private static String take(EventTail tail, String piece) {
+        byte[] whole = tail.take(Unpooled.wrappedBuffer(piece.getBytes(StandardCharsets.ISO_8859_1)));
+        return new String(Arrays.copyOf(whole, whole.length), StandardCharsets.ISO_8859_1);
+    }
+}
