Take only what can end after a request to stop

Streams are taken for 2.6 s after the request to stop, plain requests as long as their timeout ends 0.8 s before the grace.

--- /dev/null
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/gateway/StopRules.java
@@ -0,0 +1,35 @@
+package org.rattanrudder.core.gateway;
+
+/**
+ * Decides which requests a gateway still takes after it was asked to stop.
+ *
+ * <p>What it has taken must end before the process is ended by force. A plain request ends by its route's timeout at
+ * the latest. A stream may run for many seconds, so that one is taken only while callers can't yet know that they
+ * should go elsewhere.
+ */
+public final class StopRules {
+    /**
+     * How long streams are taken after the request to stop, in ms. New connections come until two readiness checks were
+     * missed, after 2 s at most.
+     */
+    public static final long STREAMS_TAKEN_MILLIS = 2_600;
+
+    /** How long before the forced end all must have ended, in ms: the last answers leave, and the process ends. */
+    public static final long END_MARGIN_MILLIS = 800;
+
+    private StopRules() {}
+
+    /**
+     * Returns whether a request is taken.
+     *
+     * @param route its route
+     * @param sinceMillis how long ago the gateway was asked to stop
+     * @param graceMillis from the request to stop until the process is ended by force
+     */
+    public static boolean takes(ServiceRoute route, long sinceMillis, long graceMillis) {
+        if (route.repeat().stream()) {
+            return sinceMillis <= STREAMS_TAKEN_MILLIS;
+        }
+        return sinceMillis + route.timeoutMillis() <= graceMillis - END_MARGIN_MILLIS;
+    }
+}
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/CallerConnection.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/CallerConnection.java
@@ -160,6 +160,8 @@
         admittance = state.configuration().get().admit(facts.host(), head.uri(), facts.credential());
         if (admittance instanceof Admittance.Denied denied) {
             problem = denied.error();
+        } else if (!state.takes(((Admittance.Granted) admittance).route())) {
+            problem = ErrorKind.DRAINING;
         }
     }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
@@ -25,6 +25,7 @@
 import org.rattanrudder.core.fleet.Target;
 import org.rattanrudder.core.fleet.TargetEntry;
 import org.rattanrudder.core.gateway.ContextStore;
+import org.rattanrudder.core.gateway.StopRules;
 import org.rattanrudder.core.model.Address;
 import org.rattanrudder.core.parts.SharedNews;
 import org.rattanrudder.daemon.logging.EventLog;
@@ -60,9 +61,6 @@
 
     private static final long STAY_STEP_MILLIS = 200;
 
-    /** How long before the forced end the process ends by itself, in ms. */
-    private static final long END_MARGIN_MILLIS = 1_200;
-
     private final Closer closer = new Closer();
     private final RelayState state;
     private final TargetPools pools;
@@ -310,7 +308,7 @@
         long since = now - state.stoppingSince();
         boolean busy = callers.stream().anyMatch(CallerConnection::isBusy);
         boolean quiet = state.refusing() && !busy;
-        boolean late = since > state.settings().bounds().graceMillis() - END_MARGIN_MILLIS;
+        boolean late = since > state.settings().bounds().graceMillis() - StopRules.END_MARGIN_MILLIS;
         if (quiet || late) {
             finishedInTime = !busy;
             drained.countDown();
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
@@ -14,7 +14,9 @@
 import org.rattanrudder.core.gateway.CallerLimits;
 import org.rattanrudder.core.gateway.LoopLag;
 import org.rattanrudder.core.gateway.RetryAllowance;
+import org.rattanrudder.core.gateway.ServiceRoute;
 import org.rattanrudder.core.gateway.ServingConfiguration;
+import org.rattanrudder.core.gateway.StopRules;
 import org.rattanrudder.core.parts.PartDirectory;
 import org.rattanrudder.core.rollout.NamedVersions;
 import org.rattanrudder.daemon.logging.EventLog;
@@ -59,6 +61,7 @@
     private final LoopLag lag;
     private boolean draining;
     private long drainingSince;
+    private boolean stopping;
     private long stoppingSince;
 
     RelayState(
@@ -199,6 +202,13 @@
         return draining && now() - drainingSince > SERVED_WHILE_DRAINING_MILLIS;
     }
 
+    /** Returns whether a request on the route is still taken. */
+    boolean takes(ServiceRoute route) {
+        return !stopping
+                || StopRules.takes(
+                        route, now() - stoppingSince, settings.bounds().graceMillis());
+    }
+
     /** Returns when the process was asked to stop. */
     long stoppingSince() {
         return stoppingSince;
@@ -206,6 +216,7 @@
 
     /** Notes that the process was asked to stop; it still takes requests until {@link #drain}. */
     void stop() {
+        stopping = true;
         stoppingSince = now();
     }
 
