Keep the relay's timed steps in one class, and take out what nothing uses

OrderGiver, PeerExchange, StoreWatch and TopicFollower each scheduled steps that stop when they are closed; StepTimer does it for all four. Exchange.goOn took two values that it never read, PartDirectory a failure domain, and no one asked whether an order was fenced. Behaviour is as it was: RelayTest, StreamRelayTest, PartDirectoryTest and SoakTest hold unchanged but for the constructor's argument.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/parts/PartDirectory.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/parts/PartDirectory.java
@@ -46,13 +46,10 @@
     private static final double UNIT = 0x1.0p-53;
     private static final int UNIT_SHIFT = 11;
 
-    private final String failureDomain;
     private final Map<Address, StoreView> stores = new LinkedHashMap<>();
 
-    /** Makes an empty directory of a gateway in the failure domain. */
-    public PartDirectory(String failureDomain) {
-        this.failureDomain = failureDomain;
-    }
+    /** Makes an empty directory. */
+    public PartDirectory() {}
 
     /** Takes the stores that a configuration names; what is known of others is dropped. */
     public void configure(List<ContextStore> configured) {
@@ -165,9 +162,4 @@
         double uniform = ((hash >>> UNIT_SHIFT) + 0.5) * UNIT;
         return -store.capacityTokens() / Math.log(uniform);
     }
-
-    /** Returns the failure domain of the gateway. */
-    public String failureDomain() {
-        return failureDomain;
-    }
 }
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/parts/PartDirectoryTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/parts/PartDirectoryTest.java
@@ -20,7 +20,7 @@
     private static final long BEGIN = 1_000_000;
     private static final long SETTLED = BEGIN + PartDirectory.SETTLED_MILLIS;
 
-    private final PartDirectory directory = new PartDirectory("north");
+    private final PartDirectory directory = new PartDirectory();
 
     @BeforeEach
     void oneStore() {
@@ -57,7 +57,7 @@
     @Test
     void noFetchFromAnEarlierIncarnationCanMeetASaveToTheNext() {
         directory.heard(STORE, news(1, held("w1", "record", 5_000)), SETTLED, SETTLED);
-        PartDirectory other = new PartDirectory("south");
+        PartDirectory other = new PartDirectory();
         other.configure(List.of(new ContextStore("vault", STORE, "north", 100_000, 58_000, 6, true)));
         long restart = SETTLED + 1;
         other.heard(STORE, news(2), restart, restart);
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
@@ -167,7 +167,10 @@
         }
         if (opened == null) {
             target.unreachable(state.now());
-            failed(target.id(), AttemptOutcome.NOT_SENT, "unreachable", 0);
+            log.failed(target.id(), AttemptOutcome.NOT_SENT, "unreachable", 0, answer.began());
+            state.metrics()
+                    .attempt(plan.service(), AttemptOutcome.NOT_SENT.name().toLowerCase(Locale.ROOT));
+            goOn(AttemptOutcome.NOT_SENT, "unreachable");
             return;
         }
         send(target, opened);
@@ -317,21 +320,13 @@
 
     private void failed(AttemptOutcome outcome, String reason) {
         if (!ended) {
-            String target = attempt.target().id();
-            long after = state.now() - attempt.sentAt();
             closeAttempt(outcome, reason);
-            goOn(outcome, reason, target, after);
+            goOn(outcome, reason);
         }
     }
 
-    private void failed(String target, AttemptOutcome outcome, String reason, long afterMillis) {
-        log.failed(target, outcome, reason, afterMillis, answer.began());
-        state.metrics().attempt(plan.service(), outcome.name().toLowerCase(Locale.ROOT));
-        goOn(outcome, reason, target, afterMillis);
-    }
-
     /** An attempt has failed: goes to another target if that is allowed, else ends. */
-    private void goOn(AttemptOutcome outcome, String reason, String target, long afterMillis) {
+    private void goOn(AttemptOutcome outcome, String reason) {
         if (outcome.mayHaveRun()) {
             runs++;
         } else {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/OrderGiver.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/OrderGiver.java
@@ -8,7 +8,6 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import org.rattanrudder.core.fleet.Target;
 import org.rattanrudder.core.gateway.BackendService;
 import org.rattanrudder.core.rollout.LeaseRecord;
@@ -47,6 +46,7 @@
     private static final long APPEND_MILLIS = 1_200;
 
     private final RelayState state;
+    private final StepTimer timer;
     private final StoreDialect store;
     private final OrderLease lease;
     private final String self;
@@ -58,10 +58,10 @@
     private final Set<String> ordering = new HashSet<>();
     private boolean answeredOnce;
     private boolean caughtUp;
-    private boolean closed;
 
     OrderGiver(RelayState state, String self) {
         this.state = state;
+        timer = new StepTimer(state.loop());
         this.self = self;
         store = state.platform().store();
         lease = new OrderLease(self, state.settings().bounds().leaseMillis());
@@ -71,7 +71,7 @@
 
     void start() {
         follower.start();
-        later(this::step, STEP_MILLIS);
+        timer.later(this::step, STEP_MILLIS);
     }
 
     /** Takes the lease's records. */
@@ -102,7 +102,7 @@
         if (!work.isEmpty() && !state.draining()) {
             proceed(work);
         }
-        later(this::step, work.isEmpty() ? IDLE_STEP_MILLIS : STEP_MILLIS);
+        timer.later(this::step, work.isEmpty() ? IDLE_STEP_MILLIS : STEP_MILLIS);
     }
 
     /** Engines of one service that lack the newest weights of a model. */
@@ -179,7 +179,7 @@
     }
 
     private void appended(CallAnswer answer, Map<Target, NamedWeights> batch, long sentAt, long sentAtWall, long at) {
-        if (closed) {
+        if (timer.isClosed()) {
             return;
         }
         state.metrics().storeCall("APPEND");
@@ -331,21 +331,9 @@
         }
     }
 
-    private void later(Runnable step, long millis) {
-        state.loop()
-                .schedule(
-                        () -> {
-                            if (!closed) {
-                                step.run();
-                            }
-                        },
-                        millis,
-                        TimeUnit.MILLISECONDS);
-    }
-
     @Override
     public void close() {
-        closed = true;
+        timer.close();
         follower.close();
         appends.close();
     }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/PeerExchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/PeerExchange.java
@@ -13,7 +13,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
 import org.rattanrudder.core.fleet.RelayLoad;
 import org.rattanrudder.core.fleet.RelayLoad.KnownWeights;
 import org.rattanrudder.core.fleet.RelayLoad.ReadTo;
@@ -59,6 +58,7 @@
     private static final long REGISTER_TIMEOUT_MILLIS = 1_500;
 
     private final RelayState state;
+    private final StepTimer timer;
     private final String self;
     private final OwnNews own;
     private final Listener listener;
@@ -67,7 +67,6 @@
     private final CallLine registering;
     private final Map<String, Peer> peers = new HashMap<>();
     private long sequence;
-    private boolean closed;
 
     /** What this relay knows at first hand and tells others. */
     interface OwnNews {
@@ -105,6 +104,7 @@
     PeerExchange(RelayState state, Bootstrap datagrams, String self, OwnNews own, Listener listener)
             throws IOException {
         this.state = state;
+        timer = new StepTimer(state.loop());
         this.self = self;
         this.own = own;
         this.listener = listener;
@@ -127,7 +127,7 @@
     void start() {
         follower.start();
         register();
-        later(this::tell, EVERY_MILLIS);
+        timer.later(this::tell, EVERY_MILLIS);
     }
 
     private void register() {
@@ -143,7 +143,7 @@
                     state.metrics().storeCall("REGISTER");
                     boolean done = answer instanceof CallAnswer.Answered answered && answered.status() == 200;
                     if (!done) {
-                        later(this::register, REGISTER_AGAIN_MILLIS);
+                        timer.later(this::register, REGISTER_AGAIN_MILLIS);
                     } else {
                         state.log().info("relay_registered", "peers", address.toString());
                     }
@@ -174,7 +174,7 @@
         boolean many = peers.size() > MANY;
         boolean toFarOnes = !many || sequence % FAR_EVERY == 0;
         send(PeerCodec.write(load), toFarOnes, sequence % SILENT_EVERY == 0);
-        later(this::tell, many ? EVERY_OF_MANY_MILLIS : EVERY_MILLIS);
+        timer.later(this::tell, many ? EVERY_OF_MANY_MILLIS : EVERY_MILLIS);
     }
 
     /** Tells the other relays what a context store said. */
@@ -246,21 +246,9 @@
         }
     }
 
-    private void later(Runnable step, long millis) {
-        state.loop()
-                .schedule(
-                        () -> {
-                            if (!closed) {
-                                step.run();
-                            }
-                        },
-                        millis,
-                        TimeUnit.MILLISECONDS);
-    }
-
     @Override
     public void close() {
-        closed = true;
+        timer.close();
         follower.close();
         registering.close();
         channel.close();
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
@@ -79,7 +79,7 @@
         this.log = log;
         this.metrics = metrics;
         this.random = random;
-        directory = new PartDirectory(settings.failureDomain());
+        directory = new PartDirectory();
         lag = new LoopLag(now(), RelayProcess.SWEEP_MILLIS);
     }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/StoreWatch.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/StoreWatch.java
@@ -1,10 +1,8 @@
 package org.rattanrudder.daemon.relay;
 
-import io.netty.util.concurrent.ScheduledFuture;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.rattanrudder.core.model.Address;
 import org.rattanrudder.core.parts.NewsDuty;
@@ -34,6 +32,7 @@
     private static final long LISTING_EVERY_MILLIS = 5_000;
 
     private final RelayState state;
+    private final StepTimer timer;
     private final String self;
     private final Address address;
     private final Consumer<SharedNews> tell;
@@ -44,11 +43,10 @@
     private long listedAt = Long.MIN_VALUE / 2;
     private boolean answering = true;
     private boolean behind = true;
-    private ScheduledFuture<?> next;
-    private boolean closed;
 
     StoreWatch(RelayState state, String self, Address address, Consumer<SharedNews> tell) {
         this.state = state;
+        timer = new StepTimer(state.loop());
         this.self = self;
         this.tell = tell;
         this.address = address;
@@ -85,7 +83,7 @@
             // Events are numbered anew after a restart: those of the old numbers say nothing.
             state.log().warn("context_store_restarted", "store", address.toString());
             since = 0;
-            later(this::ask, 0);
+            timer.next(this::ask, 0);
             return;
         }
         state.directory().heard(address, news, asked, state.now());
@@ -104,13 +102,13 @@
 
     /** Takes what another relay was told by the store. */
     void told(SharedNews shared) {
-        if (closed || incarnation < 0) {
+        if (timer.isClosed() || incarnation < 0) {
             return;
         }
         if (shared.news().incarnation() != incarnation || shared.since() > since) {
             // A restart, or messages that were lost: the store itself knows.
             behind = true;
-            later(this::ask, 0);
+            timer.next(this::ask, 0);
             return;
         }
         regained();
@@ -122,7 +120,7 @@
 
     private void askLater() {
         Set<String> others = state.fleet().peerNames(state.now());
-        later(this::ask, behind ? 0 : NewsDuty.askAfterMillis(self, others, address));
+        timer.next(this::ask, behind ? 0 : NewsDuty.askAfterMillis(self, others, address));
     }
 
     private void list() {
@@ -188,7 +186,7 @@
             state.log().warn("context_store_lost", "store", address.toString(), "answer", brief(answer));
         }
         answering = false;
-        later(this::ask, RETRY_MILLIS);
+        timer.next(this::ask, RETRY_MILLIS);
     }
 
     private static String brief(CallAnswer answer) {
@@ -204,24 +202,9 @@
         answering = true;
     }
 
-    private void later(Runnable step, long millis) {
-        if (next != null) {
-            next.cancel(false);
-        }
-        next = state.loop()
-                .schedule(
-                        () -> {
-                            if (!closed) {
-                                step.run();
-                            }
-                        },
-                        millis,
-                        TimeUnit.MILLISECONDS);
-    }
-
     @Override
     public void close() {
-        closed = true;
+        timer.close();
         line.close();
     }
 }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TopicFollower.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TopicFollower.java
@@ -1,10 +1,8 @@
 package org.rattanrudder.daemon.relay;
 
-import io.netty.util.concurrent.ScheduledFuture;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import java.util.function.IntToLongFunction;
 import org.rattanrudder.daemon.relay.port.KeyedRecord;
 import org.rattanrudder.daemon.relay.port.PlatformCall;
@@ -79,6 +77,7 @@
     }
 
     private final RelayState state;
+    private final StepTimer timer;
     private final Topic topic;
     private final Pace pace;
     private final Listener listener;
@@ -86,14 +85,12 @@
     private final CallLine line;
     private final Set<String> listedKeys = new HashSet<>();
     private boolean keyed;
-    private boolean closed;
     private long from;
     private long listingEnd = -1;
     private boolean answering = true;
     private boolean answeredOnce;
     private int failuresInARow;
     private long calledAt;
-    private ScheduledFuture<?> next;
 
     /**
      * Makes a follower; it begins with {@link #start}.
@@ -102,6 +99,7 @@
      */
     TopicFollower(RelayState state, Topic topic, Pace pace, boolean keyed, Listener listener) {
         this.state = state;
+        timer = new StepTimer(state.loop());
         this.topic = topic;
         this.pace = pace;
         this.keyed = keyed;
@@ -146,7 +144,7 @@
     }
 
     private void take(CallAnswer answer, Reader reader) {
-        if (closed) {
+        if (timer.isClosed()) {
             return;
         }
         state.metrics().storeCall(topic.name());
@@ -176,14 +174,14 @@
         } else if (read instanceof StoreAnswer.Records records) {
             from = records.next();
             records.records().forEach(this::tell);
-            later(this::follow, gap());
+            timer.next(this::follow, gap());
         } else {
             state.log().warn("records_forgotten", "topic", topic.name(), "from", Long.toString(from));
             if (!keyed) {
                 // A topic without keys says nothing that is older than what it keeps.
                 from++;
             }
-            later(this::start, keyed ? gap() : 0);
+            timer.next(this::start, keyed ? gap() : 0);
         }
     }
 
@@ -196,11 +194,11 @@
      * longer than an answer takes is on a connection that fell silent.
      */
     void hint(long readTo) {
-        if (closed || readTo <= from || !answeredOnce) {
+        if (timer.isClosed() || readTo <= from || !answeredOnce) {
             return;
         }
         if (!line.isBusy()) {
-            later(this::follow, 0);
+            timer.next(this::follow, 0);
         } else if (state.now() - calledAt > HINT_MILLIS) {
             state.log()
                     .warn(
@@ -282,22 +280,7 @@
         listener.lost();
         long pause = Math.min(LONGEST_PAUSE_MILLIS, FIRST_PAUSE_MILLIS << Math.min(failuresInARow, 5));
         failuresInARow++;
-        later(answeredOnce && (!keyed || listingEnd >= 0) ? this::follow : this::start, pause);
-    }
-
-    private void later(Runnable step, long millis) {
-        if (next != null) {
-            next.cancel(false);
-        }
-        next = state.loop()
-                .schedule(
-                        () -> {
-                            if (!closed) {
-                                step.run();
-                            }
-                        },
-                        millis,
-                        TimeUnit.MILLISECONDS);
+        timer.next(answeredOnce && (!keyed || listingEnd >= 0) ? this::follow : this::start, pause);
     }
 
     /** Returns the offset up to which the topic was read. */
@@ -307,7 +290,7 @@
 
     @Override
     public void close() {
-        closed = true;
+        timer.close();
         line.close();
     }
 }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/port/EngineDialect.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/port/EngineDialect.java
@@ -50,9 +50,6 @@
     /** Returns whether an order was taken or holds already. */
     boolean orderTaken(int status);
 
-    /** Returns whether a later order with a higher token was seen. */
-    boolean orderFenced(int status);
-
     /** Returns the call that waits for changes of what a context store holds. */
     PlatformCall changes(long since, long waitMillis);
 
