Choose ports for processes below those of outgoing connections, and name a process that ended

Ports of the processes were taken from the range of outgoing connections, released, and listened on some hundred ms later by the process that starts; a connection of another stand-in or process may take one meanwhile, and the daemon ends with "address already in use". The relays' tests had the same fault and its mend (FreePorts). Ruled out: an entry that can't be reached (it answered, and took both documents). Before: such a start ends after 60 s without a word on the process that ended. Change: one class for free ports, below the range; a started system fails as soon as one of its processes ends. Conclusion: if it comes again, the message says what it was.

--- a/platform/src/test/java/org/rattanrudder/platform/standin/FreePorts.java
+++ b/rattanrudder-standins/src/main/java/org/rattanrudder/standins/deployment/FreePorts.java
@@ -1,4 +1,4 @@
-package org.rattanrudder.platform.standin;
+package org.rattanrudder.standins.deployment;
 
 import java.io.IOException;
 import java.net.DatagramSocket;
@@ -12,7 +12,7 @@
  * Addresses that nobody listens on.
  *
  * <p>They lie below the ports that the system gives to outgoing connections: such a port, found free, was taken by a
- * connection before the relay could listen on it, and a test failed with "address already in use".
+ * connection before the process that was to listen there had started, which then ended with "address already in use".
  */
 public final class FreePorts {
     private static final int FIRST = 21_000;
--- a/rattanrudder-standins/src/main/java/org/rattanrudder/standins/deployment/Ports.java
+++ b/rattanrudder-standins/src/main/java/org/rattanrudder/standins/deployment/Ports.java
@@ -5,7 +5,6 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.SortedMap;
@@ -31,20 +30,8 @@
 
     /** Chooses a free port for each that the texts name. */
     public static Ports free(List<String> texts) {
-        List<ServerSocket> held = new ArrayList<>();
         SortedMap<Integer, Integer> chosen = new TreeMap<>();
-        try {
-            for (int port : named(texts)) {
-                // All are held until each has its own, so that none is given out twice.
-                ServerSocket socket = listen(0);
-                held.add(socket);
-                chosen.put(port, socket.getLocalPort());
-            }
-        } catch (IOException noPort) {
-            throw new UncheckedIOException("no free port is left", noPort);
-        } finally {
-            held.forEach(Ports::release);
-        }
+        named(texts).forEach(port -> chosen.put(port, FreePorts.next().port()));
         return new Ports(chosen);
     }
 
--- a/rattanrudder-standins/src/main/java/org/rattanrudder/standins/deployment/Readiness.java
+++ b/rattanrudder-standins/src/main/java/org/rattanrudder/standins/deployment/Readiness.java
@@ -19,11 +19,22 @@
 
     private final Layout layout;
     private final CallerClient client;
+    private final Runnable watch;
 
-    /** Creates it for processes that have been started. */
+    /** Creates it for processes that somebody else has started and watches. */
     public Readiness(Layout layout, CallerClient client) {
+        this(layout, client, () -> {});
+    }
+
+    /**
+     * Creates it for processes that have been started.
+     *
+     * @param watch called while it waits; throws if waiting is of no use, since a process has ended
+     */
+    public Readiness(Layout layout, CallerClient client, Runnable watch) {
         this.layout = layout;
         this.client = client;
+        this.watch = watch;
     }
 
     /** Publishes every document that isn't in force yet and waits until all is ready. */
@@ -79,9 +90,10 @@
         return accepting;
     }
 
-    private static void await(String what, BooleanSupplier condition) {
+    private void await(String what, BooleanSupplier condition) {
         long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(DEADLINE_SECONDS);
         while (!condition.getAsBoolean()) {
+            watch.run();
             if (System.nanoTime() - deadline > 0) {
                 throw new IllegalStateException("not within " + DEADLINE_SECONDS + " s: " + what);
             }
--- a/rattanrudder-standins/src/test/java/org/rattanrudder/standins/RunningSystem.java
+++ b/rattanrudder-standins/src/test/java/org/rattanrudder/standins/RunningSystem.java
@@ -26,6 +26,7 @@
 final class RunningSystem implements AutoCloseable {
     private static final String DAEMON = "org.rattanrudder.daemon.Rattanrudderd";
     private static final Path EXAMPLES = Path.of("..", "examples", "small");
+    private static final int LINES_SHOWN = 5;
     private static final Path LOGS = Path.of("target", "process-logs");
 
     private final CallerClient client = new CallerClient();
@@ -51,14 +52,39 @@
     static RunningSystem start(StandInSizes sizes, UnaryOperator<String> edit, String... services) {
         Layout layout =
                 Layout.read(EXAMPLES, Ports.free(Layout.texts(EXAMPLES)), edit).only(services);
+        RunningSystem system;
         try {
-            RunningSystem system = new RunningSystem(layout, sizes);
-            layout.processes().forEach(process -> system.startProcess(process.name()));
-            new Readiness(layout, system.client).publishAndWait();
-            return system;
+            system = new RunningSystem(layout, sizes);
         } catch (IOException unwritable) {
             throw new UncheckedIOException(unwritable);
         }
+        try {
+            layout.processes().forEach(process -> system.startProcess(process.name()));
+            new Readiness(layout, system.client, system::requireAllRun).publishAndWait();
+            return system;
+        } catch (RuntimeException notReady) {
+            system.close();
+            throw notReady;
+        }
+    }
+
+    /** Fails with what a process wrote last if one has ended by itself. */
+    private void requireAllRun() {
+        processes.forEach((name, process) -> {
+            if (!process.isAlive()) {
+                throw new IllegalStateException(
+                        name + " ended with exit code " + process.exitValue() + ": " + lastLines(name));
+            }
+        });
+    }
+
+    private String lastLines(String name) {
+        try {
+            List<String> lines = Files.readAllLines(directory.resolve(name + ".log"));
+            return String.join("\n", lines.subList(Math.max(0, lines.size() - LINES_SHOWN), lines.size()));
+        } catch (IOException unreadable) {
+            throw new UncheckedIOException(unreadable);
+        }
     }
 
     /** Starts a process of the layout, or starts it again after its end. */
