List a topic less and less often while its records are dropped, and bound late requests over all relays

Cause, by the code: a read whose records are gone (410) was answered by a listing and a read at once, about fifty times a second for each topic and relay as long as the store goes on dropping. A topic without keys asked for one dropped offset after the other without a pause. Now the time between listings doubles to 0.8 s, and the first kept offset that the answer names is gone to. HoldingLine let 10,000 tokens of late requests wait for each engine at each relay: with 27 relays and 35 engines 270,000 an engine, four memories full. Ruled out: the listing itself (one page), and calls of the peers' topic (RARE pace, 12 s).

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/HoldingLine.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/HoldingLine.java
@@ -16,23 +16,33 @@
  * @param <T> a request
  */
 public final class HoldingLine<T> {
+    /**
+     * Tokens of late requests that may wait for each engine, at all relays together: about two thirds of its memory, so
+     * that a late request waits for some hundred ms and not for its deadline.
+     */
+    private static final long LATE_TOKENS_PER_ENGINE = 40_000;
+
     private final TreeSet<Place<T>> onTime = new TreeSet<>(Comparator.<Place<T>>comparingInt(Place::rank)
             .thenComparingLong(Place::onTimeUntilMillis)
             .thenComparingLong(Place::number));
     private final TreeSet<Place<T>> late = new TreeSet<>(Comparator.<Place<T>>comparingInt(Place::rank)
             .thenComparingLong(Place::deadlineMillis)
             .thenComparingLong(Place::number));
-    private final long lateTokensAllowed;
     private long lateTokens;
     private long numbers;
 
+    /** Makes an empty line. */
+    public HoldingLine() {}
+
     /**
-     * Makes an empty line.
+     * Returns the tokens of late requests that may wait at one relay. All relays wait for the same engines, so each has
+     * its share: when each of 27 relays counted all engines as its own, requests waited until their deadlines.
      *
-     * @param lateTokensAllowed the prompt tokens of late requests that may wait
+     * @param engines how many engines the service has
+     * @param relays how many relays wait for them, this one included
      */
-    public HoldingLine(long lateTokensAllowed) {
-        this.lateTokensAllowed = lateTokensAllowed;
+    public static long lateTokensAllowed(int engines, int relays) {
+        return Math.max(1, engines) * LATE_TOKENS_PER_ENGINE / Math.max(1, relays);
     }
 
     /**
@@ -70,8 +80,12 @@
         return late.isEmpty() ? Optional.empty() : Optional.of(late.first());
     }
 
-    /** Moves requests that can't be on time any more behind the others, and returns those that can't wait there. */
-    public List<Place<T>> expire(long nowMillis) {
+    /**
+     * Moves requests that can't be on time any more behind the others, and returns those that can't wait there.
+     *
+     * @param lateTokensAllowed the tokens of late requests that may wait
+     */
+    public List<Place<T>> expire(long nowMillis, long lateTokensAllowed) {
         List<Place<T>> refused = new ArrayList<>();
         List<Place<T>> expired = onTime.stream()
                 .filter(place -> place.onTimeUntilMillis() <= nowMillis)
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/HoldingLineTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/HoldingLineTest.java
@@ -3,9 +3,13 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 class HoldingLineTest {
-    private final HoldingLine<String> line = new HoldingLine<>(20_000);
+    private static final long LATE_TOKENS = 20_000;
+
+    private final HoldingLine<String> line = new HoldingLine<>();
 
     @Test
     void theMoreUrgentRankGoesFirstThenTheLeastTime() {
@@ -29,13 +33,27 @@
         line.join("third late", 0, 9_000, 120, 4_000);
         line.join("on time", 3, 9_000, 500, 4_000);
 
-        assertThat(line.expire(200)).extracting(HoldingLine.Place::request).containsExactly("third late");
+        assertThat(line.expire(200, LATE_TOKENS))
+                .extracting(HoldingLine.Place::request)
+                .containsExactly("third late");
         assertThat(line.first()).get().extracting(HoldingLine.Place::request).isEqualTo("on time");
         line.leave(line.first().orElseThrow());
         assertThat(line.first()).get().extracting(HoldingLine.Place::request).isEqualTo("first late");
         line.leave(line.first().orElseThrow());
         line.join("fourth late", 0, 9_000, 210, 4_000);
-        assertThat(line.expire(300)).isEmpty();
+        assertThat(line.expire(300, LATE_TOKENS)).isEmpty();
         assertThat(line.size()).isEqualTo(2);
     }
+
+    /**
+     * Thirty relays wait for 35 engines. Each let as many late requests wait as if the engines were its own, so that a
+     * clerk's check waited for its whole deadline at the relay and was never sent to an engine.
+     */
+    @ParameterizedTest
+    @CsvSource({"6, 3", "8, 6", "35, 27", "40, 31", "1000, 130"})
+    void whatWaitsAtAllRelaysTogetherDoesNotGrowWithTheirNumber(int engines, int relays) {
+        long together = relays * HoldingLine.lateTokensAllowed(engines, relays);
+
+        assertThat(together / engines).isBetween(35_000L, 40_000L);
+    }
 }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
@@ -38,9 +38,6 @@
      */
     static final long SERVED_WHILE_DRAINING_MILLIS = 2_600;
 
-    /** Prompt tokens of late requests that may wait at a relay for each engine: some two or three prompts. */
-    private static final long LATE_TOKENS_PER_ENGINE = 10_000;
-
     /** Part of the ratio that is used: windows of others begin and end at other times. */
     private static final double RATIO_USED = 0.8;
 
@@ -154,18 +151,15 @@
 
     /** Returns the line of a service's requests that wait for an engine. */
     HoldingLine<Exchange> line(String service) {
-        return lines.computeIfAbsent(service, unseen -> new HoldingLine<>(lateTokensAllowed(service)));
-    }
-
-    private long lateTokensAllowed(String service) {
-        long engines = fleet.of(service, now()).size();
-        return Math.max(1, engines) * LATE_TOKENS_PER_ENGINE;
+        return lines.computeIfAbsent(service, unseen -> new HoldingLine<>());
     }
 
     /** Lets requests that can't be on time go behind the others, and refuses those that would wait too long. */
     void expireLine(String service) {
         HoldingLine<Exchange> line = line(service);
-        line.expire(now()).forEach(refused -> refused.request().refuseFromLine());
+        long now = now();
+        long allowed = HoldingLine.lateTokensAllowed(fleet.of(service, now).size(), 1 + fleet.peers(now));
+        line.expire(now, allowed).forEach(refused -> refused.request().refuseFromLine());
         drainLine(service);
     }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TopicFollower.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TopicFollower.java
@@ -29,6 +29,9 @@
     private static final long FIRST_PAUSE_MILLIS = 50;
     private static final long LONGEST_PAUSE_MILLIS = 800;
 
+    /** Doublings after which the longest pause is reached in any case. */
+    private static final int LARGEST_DOUBLING = 5;
+
     /**
      * How a topic is followed.
      *
@@ -90,6 +93,7 @@
     private boolean answering = true;
     private boolean answeredOnce;
     private int failuresInARow;
+    private int forgottenInARow;
     private long calledAt;
 
     /**
@@ -172,17 +176,44 @@
         if (read instanceof StoreAnswer.Listing listing) {
             listing(listing);
         } else if (read instanceof StoreAnswer.Records records) {
+            forgottenInARow = 0;
             from = records.next();
             records.records().forEach(this::tell);
             timer.next(this::follow, gap());
-        } else {
-            state.log().warn("records_forgotten", "topic", topic.name(), "from", Long.toString(from));
-            if (!keyed) {
-                // A topic without keys says nothing that is older than what it keeps.
-                from++;
-            }
-            timer.next(this::start, keyed ? gap() : 0);
+        } else if (read instanceof StoreAnswer.Forgotten forgotten) {
+            forgotten(forgotten);
+        }
+    }
+
+    /**
+     * Records were dropped before they were read. A store that goes on dropping what it has just listed would be asked
+     * without end, fifty times a second by each relay; the time between two listings therefore doubles.
+     */
+    private void forgotten(StoreAnswer.Forgotten forgotten) {
+        state.log()
+                .warn(
+                        "records_forgotten",
+                        "topic",
+                        topic.name(),
+                        "from",
+                        Long.toString(from),
+                        "first",
+                        forgotten.first().isPresent()
+                                ? Long.toString(forgotten.first().getAsLong())
+                                : "unknown",
+                        "in_a_row",
+                        Integer.toString(forgottenInARow + 1));
+        if (!keyed) {
+            // A topic without keys says nothing that is older than what it keeps.
+            from = Math.max(from + 1, forgotten.first().orElse(0));
         }
+        timer.next(this::start, forgottenInARow == 0 ? gap() : Math.max(gap(), pause(forgottenInARow - 1)));
+        forgottenInARow++;
+    }
+
+    /** Returns the pause after so many failures in a row, in ms. */
+    private static long pause(int failures) {
+        return Math.min(LONGEST_PAUSE_MILLIS, FIRST_PAUSE_MILLIS << Math.min(failures, LARGEST_DOUBLING));
     }
 
     private long gap() {
@@ -278,7 +309,7 @@
         }
         answering = false;
         listener.lost();
-        long pause = Math.min(LONGEST_PAUSE_MILLIS, FIRST_PAUSE_MILLIS << Math.min(failuresInARow, 5));
+        long pause = pause(failuresInARow);
         failuresInARow++;
         timer.next(answeredOnce && (!keyed || listingEnd >= 0) ? this::follow : this::start, pause);
     }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/port/StoreAnswer.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/port/StoreAnswer.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /** An answer of the platform's store. */
 public sealed interface StoreAnswer {
@@ -22,8 +23,12 @@
      */
     record Records(List<KeyedRecord> records, long next) implements StoreAnswer {}
 
-    /** The records that were asked for are kept no more. */
-    record Forgotten() implements StoreAnswer {}
+    /**
+     * The records that were asked for are kept no more.
+     *
+     * @param first the offset of the first record that is kept; empty if the store doesn't say
+     */
+    record Forgotten(OptionalLong first) implements StoreAnswer {}
 
     /**
      * A record was appended.
