Let other relays' news shorten only the gap between two reads of the store

Each datagram of 26 peers that had read further put a read in the place of the listing that was due; the read was told again that its records are gone. Tests: two more in ForgottenRecordsTest, with a peer that tells; both fail without this change, hold with it.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TopicFollower.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TopicFollower.java
@@ -95,6 +95,8 @@
     private int failuresInARow;
     private int forgottenInARow;
     private long calledAt;
+    private boolean following;
+    private boolean inGap;
 
     /**
      * Makes a follower; it begins with {@link #start}.
@@ -113,6 +115,7 @@
     }
 
     void start() {
+        inGap = false;
         if (keyed) {
             list(Optional.empty());
         } else {
@@ -133,6 +136,8 @@
         if (line.isBusy()) {
             return;
         }
+        inGap = false;
+        following = true;
         long asked = from;
         calledAt = state.now();
         long wait = pace.waitMillis().applyAsLong(state.fleet().peers(calledAt));
@@ -148,6 +153,7 @@
     }
 
     private void take(CallAnswer answer, Reader reader) {
+        following = false;
         if (timer.isClosed()) {
             return;
         }
@@ -179,6 +185,7 @@
             forgottenInARow = 0;
             from = records.next();
             records.records().forEach(this::tell);
+            inGap = true;
             timer.next(this::follow, gap());
         } else if (read instanceof StoreAnswer.Forgotten forgotten) {
             forgotten(forgotten);
@@ -207,7 +214,7 @@
             // A topic without keys says nothing that is older than what it keeps.
             from = Math.max(from + 1, forgotten.first().orElse(0));
         }
-        timer.next(this::start, forgottenInARow == 0 ? gap() : Math.max(gap(), pause(forgottenInARow - 1)));
+        timer.next(this::start, forgottenInARow == 0 ? 0 : Math.max(gap(), pause(forgottenInARow - 1)));
         forgottenInARow++;
     }
 
@@ -223,14 +230,19 @@
     /**
      * Another relay has read a record that wasn't read here. The next call is made at once; one that is under way for
      * longer than an answer takes is on a connection that fell silent.
+     *
+     * <p>It shortens the gap between two reads and nothing else. Hints come many times a second from each of many
+     * relays. When they also cut short the pause after a failure, a store that turned this machine away got a call for
+     * each; and when they took the place of a listing that records had been forgotten for, the relay read what was
+     * gone again and again, and never learnt of a newer configuration.
      */
     void hint(long readTo) {
         if (timer.isClosed() || readTo <= from || !answeredOnce) {
             return;
         }
-        if (!line.isBusy()) {
+        if (inGap) {
             timer.next(this::follow, 0);
-        } else if (state.now() - calledAt > HINT_MILLIS) {
+        } else if (following && state.now() - calledAt > HINT_MILLIS) {
             state.log()
                     .warn(
                             "store_connection_silent",
