Tell from logs where the time of requests went: rattanrudder report delays

The table of lost time could only be made by scripts that were thrown away. The end of a request now names its route's objective; the command counts by route what was in time, and each late one under the step that took longest. The reader of log lines is one for this and explain-request.

--- a/rattanrudder-command/src/main/java/org/rattanrudder/command/RequestStory.java
+++ b/rattanrudder-command/src/main/java/org/rattanrudder/command/RequestStory.java
@@ -10,8 +10,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 import java.util.stream.Stream;
 
 /**
@@ -21,7 +19,6 @@
  * process follow a name, as a collector of logs may write it, the name is kept.
  */
 final class RequestStory {
-    private static final Pattern PAIR = Pattern.compile("([a-z_]+)=(\"(?:[^\"\\\\]|\\\\.)*\"|\\S+)");
     private static final Set<String> LEFT_OUT = Set.of("time", "level", "logger", "event", "request");
 
     private final List<Step> steps;
@@ -67,25 +64,16 @@
     }
 
     private static Optional<Step> step(String request, String line) {
-        Map<String, String> fields = new LinkedHashMap<>();
-        Matcher pairs = PAIR.matcher(line);
-        int begin = line.length();
-        while (pairs.find()) {
-            begin = Math.min(begin, pairs.start());
-            fields.put(pairs.group(1), unquoted(pairs.group(2)));
-        }
-        if (!request.equals(fields.get("request")) || !fields.containsKey("event")) {
+        Optional<LoggedEvent> logged = LoggedEvent.read(line).filter(each -> request.equals(each.text("request")));
+        if (logged.isEmpty()) {
             return Optional.empty();
         }
+        Map<String, String> fields = new LinkedHashMap<>(logged.get().fields());
         String event = fields.get("event");
         String meaning = meaning(event, fields);
         String time = fields.getOrDefault("time", "");
         fields.keySet().removeAll(LEFT_OUT);
-        return Optional.of(new Step(time, 0, line.substring(0, begin).strip(), event, meaning, fields));
-    }
-
-    private static String unquoted(String value) {
-        return value.startsWith("\"") ? value.substring(1, value.length() - 1) : value;
+        return Optional.of(new Step(time, 0, logged.get().source(), event, meaning, fields));
     }
 
     private static long millis(Step first, Step step) {
--- a/rattanrudder-command/src/main/java/org/rattanrudder/command/Subcommands.java
+++ b/rattanrudder-command/src/main/java/org/rattanrudder/command/Subcommands.java
@@ -107,6 +107,18 @@
                     true,
                     parser -> required(parser, "html", "also write a page with plots to this file", "FILE"),
                     BurnCommand::run),
+            new Subcommand(
+                    "report delays",
+                    "",
+                    "tell from logs where the time of requests went",
+                    """
+                    Reads the logs of any number of relays on standard input and counts for each route how its requests
+                    ended. A late one stands under the step that took longest: held at the relay, attempts that failed
+                    before, reading the prompt, or the target's own queue and fetches. Ends with 1 if no line tells of
+                    a request's end.""",
+                    false,
+                    Subcommands::noOptions,
+                    DelaysCommand::run),
             new Subcommand(
                     "explain-request",
                     "ID",
--- a/rattanrudder-command/src/test/java/org/rattanrudder/command/CommandLineTest.java
+++ b/rattanrudder-command/src/test/java/org/rattanrudder/command/CommandLineTest.java
@@ -82,6 +82,45 @@
         assertThat(errors()).contains("no line is about request r8");
     }
 
+    /**
+     * At shift change clerks say that checks are slow. The logs of all relays tell which step made them late, without a
+     * look at single requests.
+     */
+    @ParameterizedTest
+    @CsvSource({
+        "200, 30, 200, 1000, 0, 1 1 0 0 0 0 0 0 0",
+        "200, 450, 200, 1000, 0, 1 0 1 0 0 0 0 0 0",
+        "200, 450, 200, 1000, 1, 1 0 0 1 0 0 0 0 0",
+        "200, 30, 600, 50000, 0, 1 0 0 0 1 0 0 0 0",
+        "200, 30, 600, 1000, 0, 1 0 0 0 0 1 0 0 0",
+        "overloaded, none, none, none, 0, 1 0 0 0 0 0 1 0 0",
+        "broken_off, 30, 60, 1000, 0, 1 0 0 0 0 0 0 1 0",
+        "target_failed, 30, 60, 1000, 1, 1 0 0 0 0 0 0 1 0",
+        "500, 30, 60, 1000, 0, 1 0 0 0 0 0 0 1 0",
+        "cancelled, 30, 60, 1000, 0, 1 0 0 0 0 0 0 0 1"
+    })
+    void lateRequestsStandUnderTheStepThatTookLongest(
+            String outcome, String wait, String first, String unread, int runs, String counts) {
+        input = "relay-1 time=2026-03-19T17:14:23.500Z level=INFO logger=R event=request_ended request=r7 route=check"
+                + " outcome=" + outcome + " reason=\"passed on\" ms=400 sent_after_ms=" + wait + " first_after_ms="
+                + first
+                + " unread=" + unread + " runs=" + runs + " unrun_sends=0 objective_ms=500\n"
+                + "not a line of ours\nevent=request_held request=r8\n";
+
+        assertThat(run("report", "delays")).isEqualTo(ExitCode.DONE);
+
+        String row = output().lines().skip(1).findFirst().orElseThrow().replaceAll(" +", " ");
+        assertThat(row).startsWith("check " + counts);
+    }
+
+    @Test
+    void aReportOfDelaysWithoutARequestsEndSaysSo() {
+        input = "nothing of ours";
+
+        assertThat(run("report", "delays")).isEqualTo(ExitCode.DIFFERENT);
+        assertThat(errors()).contains("no line tells of a request's end");
+    }
+
     @Test
     void anEditFromTheRevisionInForceIsAcceptedAndAnOlderOneIsVoid() {
         assertThat(run("publish", EXAMPLE.toString(), "--from", "0")).isEqualTo(ExitCode.DONE);
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/ExchangeLog.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/ExchangeLog.java
@@ -128,6 +128,8 @@
                         Integer.toString(runs),
                         "unrun_sends",
                         Integer.toString(unrunSends),
+                        "objective_ms",
+                        Long.toString(plan.route().objectiveMillis()),
                         "left_ms",
                         Long.toString(plan.left()));
     }
