--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/CallerConnection.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/CallerConnection.java
@@ -6,13 +6,8 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpContent;
-import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -24,7 +19,6 @@
 import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.rattanrudder.core.gateway.RequestFacts;
@@ -49,10 +43,10 @@
 
     private final RelayState state;
     private final TargetPools pools;
-    private final OwnAnswers ownAnswers;
     private final Set<CallerConnection> open;
     private final Deque<Object> waiting = new ArrayDeque<>();
     private ChannelHandlerContext context;
+    private AnswerWriter answers;
     private HttpRequest head;
     private RequestFacts facts;
     private Admittance admittance;
@@ -62,20 +56,19 @@
     private long arrivedAt;
     private long lastReadAt;
     private long partialHeadSince = -1;
-    private boolean chunkedAnswer;
     private boolean closing;
     private boolean proceeding;
 
     CallerConnection(RelayState state, TargetPools pools, Set<CallerConnection> open) {
         this.state = state;
         this.pools = pools;
-        ownAnswers = new OwnAnswers(state.platform().requests(), state.random());
         this.open = open;
     }
 
     @Override
     public void channelActive(ChannelHandlerContext active) {
         context = active;
+        answers = new AnswerWriter(state, active);
         lastReadAt = state.now();
         open.add(this);
     }
@@ -236,77 +229,33 @@
 
     /** Answers with an error of our own. */
     void refuse(ErrorKind error, String requestId, long leftMillis) {
-        DefaultFullHttpResponse response = ownAnswers.error(error, requestId, leftMillis);
-        persistence(response);
-        context.writeAndFlush(response);
+        closing |= !answers.error(head, error, requestId, leftMillis);
     }
 
     /** Answers with a target's answer that is whole. */
     void answer(HttpResponse from, HttpHeaders headers, ByteBuf content) {
-        ByteBuf whole = content == null ? Unpooled.EMPTY_BUFFER : content;
-        DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, from.status(), whole);
-        response.headers().set(headers);
-        if (head.method().equals(HttpMethod.HEAD)) {
-            Optional.ofNullable(from.headers().get(HttpHeaderNames.CONTENT_LENGTH))
-                    .ifPresent(length -> response.headers().set(HttpHeaderNames.CONTENT_LENGTH, length));
-        } else if (mayHaveBody(from)) {
-            HttpUtil.setContentLength(response, whole.readableBytes());
-        }
-        persistence(response);
-        context.writeAndFlush(response);
-    }
-
-    private static boolean mayHaveBody(HttpResponse response) {
-        int status = response.status().code();
-        return status != HttpResponseStatus.NO_CONTENT.code() && status != HttpResponseStatus.NOT_MODIFIED.code();
+        closing |= !answers.whole(head, from, headers, content);
     }
 
     /** Begins an answer that comes in pieces. */
     void begin(HttpResponse from, HttpHeaders headers) {
-        DefaultHttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, from.status());
-        response.headers().set(headers);
-        chunkedAnswer = head.protocolVersion().equals(HttpVersion.HTTP_1_1);
-        if (chunkedAnswer) {
-            HttpUtil.setTransferEncodingChunked(response, true);
-        } else {
-            // An older caller learns the end of the answer from the end of the connection.
-            HttpUtil.setKeepAlive(head, false);
-        }
-        persistence(response);
-        context.write(response);
+        closing |= !answers.begin(head, from, headers);
     }
 
     /** Passes on a piece, which is taken over. */
     void write(ByteBuf piece) {
-        context.writeAndFlush(new DefaultHttpContent(piece));
+        answers.piece(piece);
     }
 
     /** Ends an answer that came in pieces. */
     void finish() {
-        context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+        answers.end();
     }
 
     /** Ends the connection in the middle of an answer, so that it doesn't look complete. */
     void abort() {
         closing = true;
-        if (!chunkedAnswer && context.channel() instanceof SocketChannel socket) {
-            socket.config().setSoLinger(0);
-        }
-        context.close();
-    }
-
-    private void persistence(HttpResponse response) {
-        boolean keep = head != null && HttpUtil.isKeepAlive(head) && !state.draining() && problemAllowsMore();
-        if (!keep) {
-            response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-            closing = true;
-        } else if (head.protocolVersion().equals(HttpVersion.HTTP_1_0)) {
-            response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.KEEP_ALIVE);
-        }
-    }
-
-    private boolean problemAllowsMore() {
-        return !head.decoderResult().isFailure();
+        answers.abort();
     }
 
     /** Goes on with the next request. */
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
@@ -22,7 +22,6 @@
 import org.rattanrudder.core.gateway.AnswerRules;
 import org.rattanrudder.core.gateway.AttemptOutcome;
 import org.rattanrudder.core.gateway.AttemptRules;
-import org.rattanrudder.core.gateway.Patience;
 import org.rattanrudder.core.model.ErrorKind;
 import org.rattanrudder.core.parts.PartPlan;
 import org.rattanrudder.daemon.relay.port.AnswerFacts;
@@ -45,7 +44,7 @@
     private final ExchangeLog log;
     private final Set<String> tried = new HashSet<>();
     private ScheduledFuture<?> deadline;
-    private ScheduledFuture<?> patience;
+    private SilenceWatch silence;
     private ScheduledFuture<?> expiry;
     private HoldingLine.Place<Exchange> place;
     private TargetAttempt attempt;
@@ -190,29 +189,16 @@
             HttpUtil.setContentLength(request, body.readableBytes());
         }
         opened.send(request, body.retainedDuplicate(), plan.id(), this);
-        watch();
+        silence = new SilenceWatch(state, plan.route(), attempt, this::silent);
+        silence.look();
     }
 
-    /** Waits for the first byte, then for each next one, as long as another target could do better. */
-    private void watch() {
-        if (!plan.route().repeat().repeatable() || attempt == null) {
-            return;
-        }
-        long quiet = state.now() - attempt.lastPieceAt();
-        long limit = Patience.millis(plan.route(), attempt.hasBegun());
-        if (quiet < limit) {
-            patience = state.loop().schedule(this::watch, limit - quiet + 1, TimeUnit.MILLISECONDS);
-            return;
-        }
-        boolean servesOthers = attempt.target().lastSignAt() > attempt.lastPieceAt();
-        if (Patience.goesOn(plan.route(), attempt.hasBegun(), quiet, servesOthers)) {
-            patience = state.loop().schedule(this::watch, limit, TimeUnit.MILLISECONDS);
-            return;
-        }
+    /** The target has been silent for too long: another one is tried if that is allowed. */
+    private void silent(long quietMillis) {
         if (AttemptRules.mayRetry(progress(1), AttemptOutcome.SILENT)
                 && state.allowance(plan.service()).tryRepeat(state.now())) {
             attempt.connection().abort();
-            closeAttempt(AttemptOutcome.SILENT, "silent for " + quiet + " ms");
+            closeAttempt(AttemptOutcome.SILENT, "silent for " + quietMillis + " ms");
             runs++;
             placeAnywhere();
         }
@@ -360,9 +346,7 @@
     }
 
     private void endAttempt(String outcome) {
-        if (patience != null) {
-            patience.cancel(false);
-        }
+        silence.stop();
         attempt.end();
         attempt = null;
         answer.discard();
