--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/gateway/RetryAllowance.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/gateway/RetryAllowance.java
@@ -8,10 +8,13 @@
  *
  * <p>All gateways together have a ratio of the requests and a number on top. Requests are counted where they arrive, so
  * the ratio needs no agreement: each gateway takes its part of what it saw itself. The number on top is divided by the
- * largest number of gateways that is planned for; a share that nobody uses is lost, which keeps the sum true while
- * gateways can't hear each other.
+ * number of gateways that are known, or by a least number if fewer are; a share that nobody uses is lost, which keeps
+ * the sum true while a few gateways can't hear each other.
  */
 public final class RetryAllowance {
+    /** The least number of gateways that the repeats on top are divided by: those that are known may be fewer. */
+    static final int LEAST_GATEWAYS = 16;
+
     private final double ratio;
     private final double extra;
     private final long windowMillis;
@@ -22,7 +25,7 @@
      * Makes an allowance.
      *
      * @param ratio repeats for each request in a window
-     * @param extra repeats on top of it in each window, for this gateway
+     * @param extra repeats on top of it in each window, for all gateways together
      * @param windowMillis the length of a window
      */
     public RetryAllowance(double ratio, double extra, long windowMillis) {
@@ -37,10 +40,15 @@
         requests.addLast(nowMillis);
     }
 
-    /** Takes a repeat; false if none is left in the window that ends now. */
-    public boolean tryRepeat(long nowMillis) {
+    /**
+     * Takes a repeat; false if none is left in the window that ends now.
+     *
+     * @param gateways how many gateways are known, this one included
+     */
+    public boolean tryRepeat(int gateways, long nowMillis) {
         forget(nowMillis);
-        if (repeats.size() + 1 > ratio * requests.size() + extra) {
+        double share = extra / Math.max(LEAST_GATEWAYS, gateways);
+        if (repeats.size() + 1 > ratio * requests.size() + share) {
             return false;
         }
         repeats.addLast(nowMillis);
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/gateway/RetryAllowanceTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/gateway/RetryAllowanceTest.java
@@ -8,17 +8,20 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class RetryAllowanceTest {
     private static final long WINDOW = 10_000;
     private static final double RATIO = 0.2;
     private static final double EXTRA = 3;
+    private static final int FEW = 3;
 
     /** A failing service gets each request five times from every relay, and never recovers. */
     @Property
     void repeatsStayWithinTheAllowanceInEachWindow(
             @ForAll @Size(max = 200) List<@IntRange(min = -1, max = 900) Integer> steps) {
-        RetryAllowance allowance = new RetryAllowance(RATIO, EXTRA, WINDOW);
+        RetryAllowance allowance = new RetryAllowance(RATIO, EXTRA * RetryAllowance.LEAST_GATEWAYS, WINDOW);
         List<Long> requests = new ArrayList<>();
         List<Long> repeats = new ArrayList<>();
         long now = 0;
@@ -28,7 +31,7 @@
                 allowance.request(now);
             } else {
                 now += step;
-                if (allowance.tryRepeat(now)) {
+                if (allowance.tryRepeat(FEW, now)) {
                     repeats.add(now);
                 }
             }
@@ -40,6 +43,25 @@
         }
     }
 
+    /**
+     * A service fails while hardly anybody asks for it, at many relays at once. Each took a sixteenth of the repeats on
+     * top, so that thirty took nearly twice as many together as there are.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 3, 16, 27, 31, 300})
+    void allRelaysTogetherTakeNoMoreOnTopThanThereIs(int relays) {
+        int extra = 94;
+        int taken = 0;
+        for (int relay = 0; relay < relays; relay++) {
+            RetryAllowance allowance = new RetryAllowance(RATIO, extra, WINDOW);
+            while (allowance.tryRepeat(relays, 0)) {
+                taken++;
+            }
+        }
+
+        assertThat(taken).isLessThanOrEqualTo(extra);
+    }
+
     private static long within(List<Long> times, long end) {
         return times.stream().filter(time -> time > end - WINDOW && time <= end).count();
     }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
@@ -195,8 +195,7 @@
 
     /** The target has been silent for too long: another one is tried if that is allowed. */
     private void silent(long quietMillis) {
-        if (AttemptRules.mayRetry(progress(1), AttemptOutcome.SILENT)
-                && state.allowance(plan.service()).tryRepeat(state.now())) {
+        if (AttemptRules.mayRetry(progress(1), AttemptOutcome.SILENT) && state.tryRepeat(plan.service())) {
             attempt.connection().abort();
             closeAttempt(AttemptOutcome.SILENT, "silent for " + quietMillis + " ms");
             runs++;
@@ -320,7 +319,7 @@
         }
         boolean useful = outcome != AttemptOutcome.REJECTED || isAnotherLeft();
         boolean allowed = useful && AttemptRules.mayRetry(progress(0), outcome);
-        if (allowed && (!counted || state.allowance(plan.service()).tryRepeat(state.now()))) {
+        if (allowed && (!counted || state.tryRepeat(plan.service()))) {
             place();
         } else if (answer.began()) {
             breakOff(reason);
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
@@ -25,12 +25,6 @@
 
 /** What the parts of a relay share. It is owned by the event loop: nothing else may touch it. */
 final class RelayState {
-    /**
-     * By how many relays the retries on top are divided. Deployments have three to thirty relays; with more the ratio
-     * alone, which needs no division, keeps the sum within bounds that they would not reach.
-     */
-    private static final int RELAYS_PLANNED = 16;
-
     /**
      * How long a draining relay still serves new requests, in ms. New connections come until two readiness checks were
      * missed, after 2 s at most; requests that come later, on connections that were open before, are refused as not
@@ -178,12 +172,18 @@
         });
     }
 
+    /** Takes a further send of a service's request from the retry budget; false if none is left. */
+    boolean tryRepeat(String service) {
+        long now = now();
+        return allowance(service).tryRepeat(1 + fleet.peers(now), now);
+    }
+
     RetryAllowance allowance(String service) {
         return allowances.computeIfAbsent(
                 service,
                 unseen -> new RetryAllowance(
                         settings.bounds().retryRatio() * RATIO_USED,
-                        settings.bounds().retryExtra() / RELAYS_PLANNED,
+                        settings.bounds().retryExtra(),
                         settings.bounds().retryWindowMillis()));
     }
 
