Leave a target alone that doesn't answer a dial, and try it by one request at a time

Ruled out: kept connections (10 attempts fell silent). Change: a dial of over 80 ms, or any dial of a target that couldn't be reached, counts as a pause for others; a dial that succeeds ends the pause. Pools take their clock from the relay's state like all else.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Target.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Target.java
@@ -33,6 +33,12 @@
     /** What a running request of another relay takes of an engine's memory, in tokens, about. */
     private static final long OTHERS_RUNNING_TOKENS = 4_000;
 
+    /**
+     * How long a connection may take to open before further requests go elsewhere, in ms. A healthy target answers
+     * within some ms; one without power never does, and all that was sent there meanwhile waited out its dial.
+     */
+    private static final long DIAL_MILLIS = 80;
+
     private static final long FIRST_PAUSE_MILLIS = 250;
     private static final long LONGEST_PAUSE_MILLIS = 2_000;
 
@@ -48,6 +54,8 @@
     private double firstByteExcess;
     private double failures;
     private long experienceAt;
+    private int dials;
+    private long dialledAt;
     private int unreachableInARow;
     private int refusedInARow;
     private long pausedUntil = Long.MIN_VALUE / 2;
@@ -186,7 +194,25 @@
         failures += OUTCOME_WEIGHT * (1 - failures);
     }
 
-    /** Notes that no connection could be had, or that the target rejected work. */
+    /** Notes that a connection to it is being opened. */
+    public void dialling(long nowMillis) {
+        if (dials == 0) {
+            dialledAt = nowMillis;
+        }
+        dials++;
+    }
+
+    /** Notes that a connection was opened, or that it couldn't be. */
+    public void dialled(boolean opened, long nowMillis) {
+        dials--;
+        dialledAt = nowMillis;
+        if (opened && unreachableInARow > 0) {
+            unreachableInARow = 0;
+            pausedUntil = refusedInARow == 0 ? Long.MIN_VALUE / 2 : pausedUntil;
+        }
+    }
+
+    /** Notes that no connection could be had. */
     public void unreachable(long nowMillis) {
         fade(nowMillis);
         long pause = Math.min(LONGEST_PAUSE_MILLIS, FIRST_PAUSE_MILLIS << Math.min(3, unreachableInARow));
@@ -204,9 +230,13 @@
         pausedUntil = Math.max(pausedUntil, nowMillis + pause);
     }
 
-    /** Returns whether it should be left alone for now if another one can be had. */
+    /**
+     * Returns whether it should be left alone for now if another one can be had. One that couldn't be reached is tried
+     * by one request at a time.
+     */
     public boolean isPaused(long nowMillis) {
-        return nowMillis < pausedUntil;
+        boolean dialInDoubt = dials > 0 && (unreachableInARow > 0 || nowMillis - dialledAt > DIAL_MILLIS);
+        return nowMillis < pausedUntil || dialInDoubt;
     }
 
     /** Returns the requests of this gateway that it works on. */
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
@@ -154,7 +154,7 @@
         tried.add(target.id());
         log.placed(choice, tried.size());
         boolean repeatable = plan.route().repeat().repeatable();
-        pools.acquire(target, repeatable, state.now(), opened -> connected(target, opened));
+        pools.acquire(target, repeatable, opened -> connected(target, opened));
     }
 
     private void connected(Target target, TargetConnection opened) {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
@@ -90,7 +90,7 @@
         EventLog log = new EventLog(Logger.getLogger(RelayProcess.class), new MonotonicClock());
         state = new RelayState(
                 settings, platform, loop, RelayChannels.connector(group), log, new RelayMetrics(), random);
-        pools = new TargetPools(state.connector(), platform.requests());
+        pools = new TargetPools(state.connector(), platform.requests(), state::now);
         outdated = new OutdatedParts(state, stores);
         gauges();
         callersListening = listen(group, settings.callers(), RelayChannels.callers(state, pools, callers));
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TargetPools.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TargetPools.java
@@ -18,6 +18,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import org.rattanrudder.core.fleet.Target;
 import org.rattanrudder.core.model.Address;
 import org.rattanrudder.daemon.relay.port.RequestDialect;
@@ -44,11 +45,18 @@
 
     private final Bootstrap connector;
     private final RequestDialect dialect;
+    private final LongSupplier clock;
     private final Map<String, Pool> pools = new HashMap<>();
 
-    TargetPools(Bootstrap connector, RequestDialect dialect) {
+    /**
+     * Makes empty pools.
+     *
+     * @param clock milliseconds of a steady clock
+     */
+    TargetPools(Bootstrap connector, RequestDialect dialect, LongSupplier clock) {
         this.connector = connector;
         this.dialect = dialect;
+        this.clock = clock;
     }
 
     /** The connections to one target. */
@@ -62,7 +70,8 @@
      * @param repeatable whether the request may be repeated if the connection turns out to be closed
      * @param then called once: with a connection, or with null if none could be had
      */
-    void acquire(Target target, boolean repeatable, long nowMillis, Consumer<TargetConnection> then) {
+    void acquire(Target target, boolean repeatable, Consumer<TargetConnection> then) {
+        long nowMillis = clock.getAsLong();
         Pool pool = pools.computeIfAbsent(target.id(), unseen -> new Pool());
         while (!pool.idle.isEmpty()) {
             TargetConnection connection = pool.idle.pollLast();
@@ -72,7 +81,7 @@
             }
             connection.abort();
         }
-        open(target.entry().address(), pool, then);
+        open(target, pool, then);
     }
 
     private static boolean isYoung(TargetConnection connection, boolean repeatable, long nowMillis) {
@@ -81,7 +90,9 @@
         return nowMillis - connection.idleSince() < limit;
     }
 
-    private void open(Address address, Pool pool, Consumer<TargetConnection> then) {
+    private void open(Target target, Pool pool, Consumer<TargetConnection> then) {
+        Address address = target.entry().address();
+        target.dialling(clock.getAsLong());
         TargetConnection[] made = new TargetConnection[1];
         connector
                 .clone()
@@ -94,11 +105,14 @@
                     }
                 })
                 .connect(new InetSocketAddress(address.host(), address.port()))
-                .addListener((ChannelFuture opened) -> then.accept(opened.isSuccess() ? made[0] : null));
+                .addListener((ChannelFuture opened) -> {
+                    target.dialled(opened.isSuccess(), clock.getAsLong());
+                    then.accept(opened.isSuccess() ? made[0] : null);
+                });
     }
 
-    private static void keep(Pool pool, TargetConnection connection) {
-        connection.idle(java.util.concurrent.TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
+    private void keep(Pool pool, TargetConnection connection) {
+        connection.idle(clock.getAsLong());
         pool.idle.addLast(connection);
     }
 
