--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/companion/CompanionProcess.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/companion/CompanionProcess.java
@@ -173,6 +173,16 @@
         loop.publish(new CompanionEvent.LogReadFailed(stream));
     }
 
+    @Override
+    public void lost(Stream stream, String reason) {
+        log.warn("log_lost", "stream", stream.wireName(), "reason", reason);
+    }
+
+    @Override
+    public void regained(Stream stream) {
+        log.info("log_regained", "stream", stream.wireName());
+    }
+
     @Override
     public Address http() {
         return server.address();
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/entry/EntryProcess.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/entry/EntryProcess.java
@@ -162,6 +162,16 @@
         loop.publish(new EntryEvent.LogReadFailed(stream));
     }
 
+    @Override
+    public void lost(Stream stream, String reason) {
+        log.warn("log_lost", "stream", stream.wireName(), "reason", reason);
+    }
+
+    @Override
+    public void regained(Stream stream) {
+        log.info("log_regained", "stream", stream.wireName());
+    }
+
     @Override
     public Address http() {
         return server.address();
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/platform/LogFollower.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/platform/LogFollower.java
@@ -31,6 +31,7 @@
     private final Listener listener;
     private long next = 1;
     private boolean caughtUp;
+    private boolean failing;
 
     /** Takes what was read. */
     public interface Listener {
@@ -39,6 +40,12 @@
 
         /** The log couldn't be read; it is tried again. */
         void readFailed(Stream stream);
+
+        /** The log can't be read since now, for this reason. */
+        default void lost(Stream stream, String reason) {}
+
+        /** The log can be read again. */
+        default void regained(Stream stream) {}
     }
 
     /**
@@ -68,14 +75,19 @@
     }
 
     private void take(HttpResult result) {
-        if (!(result instanceof HttpResult.Answered answered) || !answered.isSuccess()) {
-            failed();
+        if (result instanceof HttpResult.Failed unanswered) {
+            failed(unanswered.detail());
+            return;
+        }
+        HttpResult.Answered answered = (HttpResult.Answered) result;
+        if (!answered.isSuccess()) {
+            failed("status " + answered.status());
             return;
         }
         try {
             takePage(MAPPER.readTree(answered.body()));
         } catch (IOException | IllegalArgumentException malformed) {
-            failed();
+            failed("malformed: " + malformed.getMessage());
             return;
         }
         poll();
@@ -95,10 +107,18 @@
         // What retention dropped can't be read any more: go on with the oldest that is kept.
         next = Math.max(next, page.path("first").asLong());
         caughtUp = next >= page.path("next").asLong();
+        if (failing) {
+            failing = false;
+            listener.regained(stream);
+        }
         listener.read(stream, records, caughtUp);
     }
 
-    private void failed() {
+    private void failed(String reason) {
+        if (!failing) {
+            failing = true;
+            listener.lost(stream, reason);
+        }
         listener.readFailed(stream);
         timer.schedule(this::poll, RETRY_MILLIS, TimeUnit.MILLISECONDS);
     }
--- a/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/platform/LogFollowerTest.java
+++ b/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/platform/LogFollowerTest.java
@@ -57,15 +57,22 @@
                 List.of(page(1, 4, 1, 2), page(1, 4, 2, 3), "not JSON", page(20, 23, 20, 21, 22), page(20, 23)));
         BlockingQueue<String> asked = new LinkedBlockingQueue<>();
         BlockingQueue<String> heard = new LinkedBlockingQueue<>();
+        BlockingQueue<String> told = new LinkedBlockingQueue<>();
         try (TestServer log = new TestServer(exchange -> answer(exchange, asked, pages))) {
-            new LogFollower(caller, timer, log.address(), Stream.CONFIGURATION, new Heard(heard)).poll();
+            new LogFollower(caller, timer, log.address(), Stream.CONFIGURATION, new Heard(heard, told)).poll();
 
             List<String> expected =
                     List.of("[1, 2] false", "[3] true", "failed", "[20, 21, 22] true", "[] true", "failed");
             for (String each : expected) {
-                assertThat(heard.poll(SECONDS, TimeUnit.SECONDS)).isEqualTo(each);
+                assertThat(heard.poll(SECONDS, TimeUnit.SECONDS))
+                        .as(() -> "lost and regained: " + told)
+                        .isEqualTo(each);
             }
         }
+        assertThat(told).hasSize(3);
+        assertThat(told.poll()).startsWith("lost: malformed: ");
+        assertThat(told.poll()).isEqualTo("regained");
+        assertThat(told.poll()).isEqualTo("lost: status 503");
         assertThat(asked.stream().limit(5))
                 .containsExactly(
                         "from=1&wait_millis=0",
@@ -122,7 +129,7 @@
         return settled.get(SECONDS, TimeUnit.SECONDS);
     }
 
-    private record Heard(BlockingQueue<String> heard) implements LogFollower.Listener {
+    private record Heard(BlockingQueue<String> heard, BlockingQueue<String> told) implements LogFollower.Listener {
         @Override
         public void read(Stream stream, List<LogRecord> records, boolean caughtUp) {
             heard.add(records.stream().map(LogRecord::offset).toList() + " " + caughtUp);
@@ -132,5 +139,15 @@
         public void readFailed(Stream stream) {
             heard.add("failed");
         }
+
+        @Override
+        public void lost(Stream stream, String reason) {
+            told.add("lost: " + reason);
+        }
+
+        @Override
+        public void regained(Stream stream) {
+            told.add("regained");
+        }
     }
 }
