Read commands of two words and with hyphens whole in the test of the docs

The test knew one command of two words by name, so that the new report delays was looked up as report: two pages failed. It now takes any second word after report, and names with hyphens, which it cut before (explain-request was looked up as explain): stricter than it was.

--- a/rattanrudder-command/src/test/java/org/rattanrudder/command/DocumentationTest.java
+++ b/rattanrudder-command/src/test/java/org/rattanrudder/command/DocumentationTest.java
@@ -19,7 +19,7 @@
     private static final Path ROOT = Path.of("..");
     private static final Pattern LINK = Pattern.compile("]\\(([^)#:\\s]+)(#[^)]*)?\\)");
     private static final Pattern SCRIPT = Pattern.compile("[`\\s./](bin/[a-z-]+|quickstart)\\b(?![./])");
-    private static final Pattern COMMAND = Pattern.compile("(?m)[`$/]\\s?rattanrudder ([a-z]+(?: burn)?)([^`\\n]*)");
+    private static final Pattern COMMAND = Pattern.compile("(?m)[`$/]\\s?rattanrudder ((?:report )?[a-z-]+)([^`\\n]*)");
     private static final Pattern OPTION = Pattern.compile("--([a-z-]+)");
 
     private static final Pattern ROW = Pattern.compile("(?m)^\\| `([a-z_]+)` ");
