Hash names of relays and targets once, and set the time to connect in one place

The own order of relays hashed the relay's name for each request and each target's name twice for each candidate; both are known at the start. TargetPools set again what the connector it copies brings already. No change of behaviour: PlacementTest, TargetDialTest, FleetTest, RelayTest and StreamRelayTest held (71).

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Placement.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Placement.java
@@ -141,6 +141,6 @@
     }
 
     private static double uniform(long hash, Target target) {
-        return (Hashing.combine(hash, Hashing.of(target.id())) >>> UNIT_SHIFT) * UNIT;
+        return (Hashing.combine(hash, target.idHash()) >>> UNIT_SHIFT) * UNIT;
     }
 }
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Target.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Target.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import org.rattanrudder.core.fleet.RelayLoad.ServedWeights;
 import org.rattanrudder.core.fleet.RelayLoad.TargetLoad;
+import org.rattanrudder.core.routing.Hashing;
 
 /**
  * One target as this gateway sees it: its entry, the work that was sent to it, and how its last answers went.
@@ -44,6 +45,7 @@
 
     private final Map<String, Long> confirmedWeights = new HashMap<>();
     private final PeerLoads peers;
+    private final long idHash;
     private TargetEntry entry;
     private int inFlight;
     private long inFlightTokens;
@@ -67,6 +69,7 @@
     Target(TargetEntry entry, PeerLoads peers) {
         this.entry = entry;
         this.peers = peers;
+        idHash = Hashing.of(entry.id());
     }
 
     /** Returns what it last said of itself. */
@@ -79,6 +82,11 @@
         return entry.id();
     }
 
+    /** Returns a hash of its incarnation. */
+    long idHash() {
+        return idHash;
+    }
+
     /** Takes its newest entry; weights that are new there end the time in which it takes no work. */
     void update(TargetEntry newest) {
         boolean loaded =
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
@@ -19,6 +19,7 @@
 import org.rattanrudder.core.gateway.StopRules;
 import org.rattanrudder.core.parts.PartDirectory;
 import org.rattanrudder.core.rollout.NamedVersions;
+import org.rattanrudder.core.routing.Hashing;
 import org.rattanrudder.daemon.logging.EventLog;
 import org.rattanrudder.daemon.relay.port.PlatformAdapter;
 import org.rattanrudder.document.RelaySettings;
@@ -50,6 +51,7 @@
     private final Set<String> linesBeingDrained = new HashSet<>();
     private Optional<ServingConfiguration> configuration = Optional.empty();
     private final LoopLag lag;
+    private final long relayHash;
     private boolean draining;
     private long drainingSince;
     private boolean stopping;
@@ -71,6 +73,7 @@
         this.metrics = metrics;
         this.random = random;
         directory = new PartDirectory();
+        relayHash = Hashing.of(settings.instance());
         lag = new LoopLag(now(), RelayProcess.SWEEP_MILLIS);
     }
 
@@ -88,6 +91,11 @@
         return settings;
     }
 
+    /** Returns a hash of this relay's name, by which it orders engines that are about as busy. */
+    long relayHash() {
+        return relayHash;
+    }
+
     PlatformAdapter platform() {
         return platform;
     }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RequestPlan.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RequestPlan.java
@@ -147,7 +147,7 @@
                         .orElse(0L),
                 tokens(),
                 lastShared < 0 ? 0 : Hashing.of(facts.parts().get(lastShared).id()),
-                Hashing.of(state.settings().instance()),
+                state.relayHash(),
                 state.fleet().peers(now),
                 tried);
     }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TargetPools.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TargetPools.java
@@ -4,7 +4,6 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
@@ -96,7 +95,6 @@
         TargetConnection[] made = new TargetConnection[1];
         connector
                 .clone()
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
                 .handler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel channel) {
