Tell other relays at once of each request that is sent to an engine

Cause: relays hear of each other's work every 100 ms (400 from other domains). Ruled out: stores (prompts that read nothing were as late), the relays' own wait. Now a message of the changed targets alone follows each send within 5 ms.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/PeerLoads.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/PeerLoads.java
@@ -10,7 +10,9 @@
  *
  * <p>An engine's own report comes late and counts requests, not memory. Six relays that each believed a third of it
  * overfilled engines, which then preempted running requests and read their prompts again: 609 times on one day, 4.3 of
- * 15.6 million tokens read. What relays know of their own requests is exact, so they tell each other.
+ * 15.6 million tokens read. What relays know of their own requests is exact, so they tell each other:
+ * all of it at intervals, and at once what they have just sent, since relays that see the same free engine would else
+ * fill it together.
  */
 public final class PeerLoads {
     /** How long a relay's word counts, in ms: some messages may be lost, and a relay that died has no work. */
@@ -26,7 +28,7 @@
         if (known != null && known.sequence() >= load.sequence()) {
             return;
         }
-        Map<String, TargetLoad> targets = new HashMap<>();
+        Map<String, TargetLoad> targets = load.whole() || known == null ? new HashMap<>() : known.targets();
         load.targets().forEach(each -> targets.put(each.target(), each));
         relays.put(load.relay(), new Heard(nowMillis, load.sequence(), load.ready(), targets));
     }
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/RelayLoad.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/RelayLoad.java
@@ -7,6 +7,7 @@
  *
  * @param relay the relay and its start
  * @param sequence increases with each message of the relay
+ * @param whole whether the targets are all that it has work at, or only those whose work has changed
  * @param targets the targets that it has work at
  * @param weights the newest versions of weights that it knows of
  * @param served targets that it lately saw serving other weights than before
@@ -18,6 +19,7 @@
 public record RelayLoad(
         String relay,
         long sequence,
+        boolean whole,
         List<TargetLoad> targets,
         List<KnownWeights> weights,
         List<ServedWeights> served,
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/PeerLoadsTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/PeerLoadsTest.java
@@ -32,6 +32,33 @@
         assertThat(peers.at("i-1", NOW).requests()).isEqualTo(1);
     }
 
+    /**
+     * 27 relays hear of each other's work ten times a second. In between each sends a check to the engine that seems
+     * free to all of them, and its memory overflows. What was just sent is told at once, without all the rest.
+     */
+    @Test
+    void workThatWasJustSentIsAddedToWhatIsKnown() {
+        peers.heard(load("a", 5, new TargetLoad("i-1", 1, 9_000, 0), new TargetLoad("i-2", 1, 900, 0)), NOW);
+
+        peers.heard(sent("a", 6, new TargetLoad("i-1", 2, 18_000, 9_000)), NOW);
+        peers.heard(sent("a", 4, new TargetLoad("i-2", 9, 9_000, 9_000)), NOW);
+
+        assertThat(peers.at("i-1", NOW).tokens()).isEqualTo(18_000);
+        assertThat(peers.at("i-2", NOW).tokens()).isEqualTo(900);
+
+        peers.heard(load("a", 7, new TargetLoad("i-2", 1, 900, 0)), NOW);
+
+        assertThat(peers.at("i-1", NOW).requests()).isZero();
+    }
+
+    /** The first that is heard of a relay after a start may be what it just sent. */
+    @Test
+    void workThatWasJustSentCountsWithoutTheRest() {
+        peers.heard(sent("a", 1, new TargetLoad("i-1", 2, 18_000, 9_000)), NOW);
+
+        assertThat(peers.at("i-1", NOW).requests()).isEqualTo(2);
+    }
+
     @Test
     void anotherRelayCountsAsReadyWhileItSaysSo() {
         assertThat(peers.anyReady(NOW)).isFalse();
@@ -96,7 +123,16 @@
 
         fleet.heard(
                 new RelayLoad(
-                        "a", 1, List.of(), List.of(), List.of(), List.of("i-1"), List.of(), true, new ReadTo(0, 0)),
+                        "a",
+                        1,
+                        true,
+                        List.of(),
+                        List.of(),
+                        List.of(),
+                        List.of("i-1"),
+                        List.of(),
+                        true,
+                        new ReadTo(0, 0)),
                 NOW);
 
         assertThat(SendWindow.open(fleet.of("llm", NOW), ENGINE, 9_000, false, NOW))
@@ -132,6 +168,7 @@
                 new RelayLoad(
                         "a",
                         1,
+                        true,
                         List.of(),
                         List.of(),
                         seen.confirmedSince(NOW - 1),
@@ -147,6 +184,29 @@
 
     private static RelayLoad load(String relay, long sequence, TargetLoad... targets) {
         return new RelayLoad(
-                relay, sequence, List.of(targets), List.of(), List.of(), List.of(), List.of(), true, new ReadTo(0, 0));
+                relay,
+                sequence,
+                true,
+                List.of(targets),
+                List.of(),
+                List.of(),
+                List.of(),
+                List.of(),
+                true,
+                new ReadTo(0, 0));
+    }
+
+    private static RelayLoad sent(String relay, long sequence, TargetLoad... targets) {
+        return new RelayLoad(
+                relay,
+                sequence,
+                false,
+                List.of(targets),
+                List.of(),
+                List.of(),
+                List.of(),
+                List.of(),
+                true,
+                new ReadTo(0, 0));
     }
 }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
@@ -178,6 +178,7 @@
         RequestPlan.Outgoing outgoing = plan.outgoing(target, answer.lastEventId());
         attempt = new TargetAttempt(target, opened, outgoing, state.now());
         lastAttempt = Optional.of(attempt);
+        state.workNews().sent(target);
         if (!counted) {
             counted = true;
             state.allowance(plan.service()).request(state.now());
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/PeerExchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/PeerExchange.java
@@ -48,6 +48,12 @@
 
     private static final int MANY = 8;
 
+    /**
+     * Up to so many relays, those of other failure domains are told at once of each request that is sent, too. The
+     * messages of all grow with the square of the relays: of 32 with 16 requests a second each, one gets 500 a second.
+     */
+    private static final int MOST_AT_ONCE = 40;
+
     /** A relay that was never heard of or fell silent is told this much less often. */
     private static final int SILENT_EVERY = 10;
 
@@ -68,6 +74,7 @@
     private final CallLine registering;
     private final Map<String, Peer> peers = new HashMap<>();
     private long sequence;
+    private long rounds;
 
     /** What this relay knows at first hand and tells others. */
     interface OwnNews {
@@ -131,6 +138,7 @@
     void start() {
         follower.start();
         register();
+        state.workNews().tellBy(this::tellAtOnce);
         timer.later(this::tell, EVERY_MILLIS);
     }
 
@@ -176,6 +184,7 @@
         RelayLoad load = new RelayLoad(
                 self,
                 sequence++,
+                true,
                 work(),
                 weights(now),
                 served(now),
@@ -184,11 +193,29 @@
                 own.ready(),
                 own.readTo());
         boolean many = peers.size() > MANY;
-        boolean toFarOnes = !many || sequence % FAR_EVERY == 0;
-        send(PeerCodec.write(load), toFarOnes, sequence % SILENT_EVERY == 0);
+        boolean toFarOnes = !many || rounds % FAR_EVERY == 0;
+        send(PeerCodec.write(load), toFarOnes, rounds % SILENT_EVERY == 0);
+        rounds++;
         timer.later(this::tell, EVERY_MILLIS);
     }
 
+    /** Tells other relays at once of engines that work was just sent to: they would send theirs to the same ones. */
+    private void tellAtOnce(List<Target> sentTo) {
+        List<TargetLoad> changed = sentTo.stream().map(Target::ownLoad).toList();
+        RelayLoad load = new RelayLoad(
+                self,
+                sequence++,
+                false,
+                changed,
+                List.of(),
+                List.of(),
+                List.of(),
+                List.of(),
+                own.ready(),
+                own.readTo());
+        send(PeerCodec.write(load), peers.size() <= MOST_AT_ONCE, false);
+    }
+
     /** Tells the other relays what a context store said. */
     void share(SharedNews news) {
         send(PeerCodec.write(news), true, false);
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
@@ -52,6 +52,7 @@
     private Optional<ServingConfiguration> configuration = Optional.empty();
     private final LoopLag lag;
     private final long relayHash;
+    private final WorkNews workNews;
     private boolean draining;
     private long drainingSince;
     private boolean stopping;
@@ -74,6 +75,7 @@
         this.random = random;
         directory = new PartDirectory();
         relayHash = Hashing.of(settings.instance());
+        workNews = new WorkNews(loop);
         lag = new LoopLag(now(), RelayProcess.SWEEP_MILLIS);
     }
 
@@ -108,6 +110,11 @@
         return connector;
     }
 
+    /** Returns what gathers news of work for the other relays. */
+    WorkNews workNews() {
+        return workNews;
+    }
+
     EventLog log() {
         return log;
     }
--- /dev/null
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/WorkNews.java
@@ -0,0 +1,48 @@
+package org.rattanrudder.daemon.relay;
+
+import io.netty.channel.EventLoop;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.rattanrudder.core.fleet.Target;
+
+/** Gathers the engines that work was just sent to, for a moment, and then has the other relays told. */
+final class WorkNews {
+    /**
+     * How long news are gathered, in ms: requests often come in groups, and a message costs each relay more than the
+     * few bytes of another engine in it.
+     */
+    private static final long GATHER_MILLIS = 5;
+
+    private final EventLoop loop;
+    private final Set<Target> changed = new LinkedHashSet<>();
+    private Consumer<List<Target>> teller = unheard -> {};
+
+    WorkNews(EventLoop loop) {
+        this.loop = loop;
+    }
+
+    /** Sets who is given the engines. */
+    void tellBy(Consumer<List<Target>> newTeller) {
+        teller = newTeller;
+    }
+
+    /** Notes that work was sent to a target. */
+    void sent(Target target) {
+        if (target.entry().weights().isEmpty()) {
+            return;
+        }
+        if (changed.isEmpty()) {
+            loop.schedule(this::tell, GATHER_MILLIS, TimeUnit.MILLISECONDS);
+        }
+        changed.add(target);
+    }
+
+    private void tell() {
+        List<Target> news = List.copyOf(changed);
+        changed.clear();
+        teller.accept(news);
+    }
+}
--- a/rattanrudder-wire/src/main/java/org/rattanrudder/wire/peer/PeerCodec.java
+++ b/rattanrudder-wire/src/main/java/org/rattanrudder/wire/peer/PeerCodec.java
@@ -48,6 +48,7 @@
         RelayLoadMessage.Builder message = RelayLoadMessage.newBuilder()
                 .setRelay(load.relay())
                 .setSequence(load.sequence())
+                .setPartial(!load.whole())
                 .setWishesReadTo(load.readTo().wishes())
                 .setTargetsChangedTo(load.readTo().targetsChanged());
         for (TargetLoad target : load.targets()) {
@@ -123,6 +124,7 @@
         return new RelayLoad(
                 message.getRelay(),
                 message.getSequence(),
+                !message.getPartial(),
                 targets,
                 weights,
                 served,
--- a/rattanrudder-wire/src/test/java/org/rattanrudder/wire/peer/PeerCodecTest.java
+++ b/rattanrudder-wire/src/test/java/org/rattanrudder/wire/peer/PeerCodecTest.java
@@ -30,6 +30,7 @@
         RelayLoad load = new RelayLoad(
                 "relay-1",
                 sequence,
+                sequence % 3 == 0,
                 List.of(new TargetLoad("i-1", requests, tokens, tokens / 2), new TargetLoad("i-2", 1, 2, 3)),
                 List.of(new KnownWeights("m", 7, tokens)),
                 List.of(new ServedWeights("i-1", "m", 7)),
