Keep each relay to its part of a target's connections; write a log's loss in one place

max_connections of a service was read and not used: a target resets what is beyond it, and a post on such a connection may or may not have run. A relay now uses at most its share (the bound divided by the relays that are known, one at least), and refuses what finds no target with room before it is sent. Entries and companions logged log_lost and log_regained by the same lines; LogFollower.Watch does it for both.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/PlacementQuery.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/PlacementQuery.java
@@ -17,6 +17,7 @@
  * @param affinity a hash of the context that it shares; 0 if none
  * @param relay a hash of the relay that sends it
  * @param otherRelays how many other relays choose among the same targets
+ * @param connections how many connections this relay may use at one target
  * @param tried incarnations that it was sent to before
  */
 public record PlacementQuery(
@@ -30,6 +31,7 @@
         long affinity,
         long relay,
         int otherRelays,
+        int connections,
         Set<String> tried) {
     /** Takes a copy of the incarnations. */
     public PlacementQuery {
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Target.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Target.java
@@ -244,6 +244,11 @@
         return nowMillis < pausedUntil || reach.inDoubt(nowMillis);
     }
 
+    /** Returns the connections to it that requests of this relay use or wait for. */
+    public int connectionsInUse() {
+        return inFlight + reach.dials();
+    }
+
     /** Returns the requests of this gateway that it works on. */
     public int inFlight() {
         return inFlight;
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/PlacementTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/PlacementTest.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.rattanrudder.core.gateway.BackendService;
 import org.rattanrudder.core.gateway.EngineTraits;
 import org.rattanrudder.core.model.Address;
 import org.rattanrudder.core.routing.Hashing;
@@ -107,9 +108,46 @@
         assertThat(Placement.choose(engines, query, NOW).orElseThrow().target()).isNotSameAs(first);
     }
 
+    /**
+     * A server takes eight connections from all relays. Posts beyond them were reset by the server, and nobody
+     * could say whether they had run.
+     */
+    @Test
+    void aTargetTakesNoMoreRequestsThanConnectionsAreLeft() {
+        PlacementQuery two =
+                new PlacementQuery("log", "north", Optional.empty(), Optional.empty(), 0, 0, 0, 0, 0, 0, 2, Set.of());
+        List<Target> one = List.of(near);
+        near.sent(new Target.Work(0, 0), NOW);
+        assertThat(Placement.choose(one, two, NOW)).isPresent();
+
+        near.dialling(NOW);
+        assertThat(Placement.choose(one, two, NOW)).isEmpty();
+
+        near.dialled(true, NOW);
+        assertThat(Placement.choose(one, two, NOW)).isPresent();
+    }
+
+    @ParameterizedTest
+    @CsvSource({"96, 1, 96", "96, 0, 96", "220, 27, 8", "8, 27, 1", "0, 3, 1"})
+    void eachRelayKeepsToItsPartOfTheConnections(int maximum, int relays, int expected) {
+        assertThat(new BackendService("log", maximum, Optional.empty()).connectionsPerRelay(relays))
+                .isEqualTo(expected);
+    }
+
     private static PlacementQuery query(long relay, int otherRelays) {
         return new PlacementQuery(
-                "llm", "north", Optional.of(ENGINE), Optional.of("m"), 0, 0, 9_000, 77, relay, otherRelays, Set.of());
+                "llm",
+                "north",
+                Optional.of(ENGINE),
+                Optional.of("m"),
+                0,
+                0,
+                9_000,
+                77,
+                relay,
+                otherRelays,
+                600,
+                Set.of());
     }
 
     private String chosen(long newest, long oldest) {
@@ -121,7 +159,7 @@
 
     private static PlacementQuery onWeights(long newest, long oldest) {
         return new PlacementQuery(
-                "llm", "north", Optional.of(ENGINE), Optional.of("m"), newest, oldest, 9_000, 0, 0, 0, Set.of());
+                "llm", "north", Optional.of(ENGINE), Optional.of("m"), newest, oldest, 9_000, 0, 0, 0, 600, Set.of());
     }
 
     static Target target(String id, String domain, long weights) {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/companion/CompanionProcess.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/companion/CompanionProcess.java
@@ -154,7 +154,8 @@
                             threads.timer(),
                             settings.platform().log(),
                             stream,
-                            this)
+                            this,
+                            LogFollower.Watch.writing(log))
                     .poll();
         }
         threads.every(MachineLoop.TICK_MILLIS, () -> loop.offer(new CompanionEvent.Tick()));
@@ -173,16 +174,6 @@
         loop.publish(new CompanionEvent.LogReadFailed(stream));
     }
 
-    @Override
-    public void lost(Stream stream, String reason) {
-        log.warn("log_lost", "stream", stream.wireName(), "reason", reason);
-    }
-
-    @Override
-    public void regained(Stream stream) {
-        log.info("log_regained", "stream", stream.wireName());
-    }
-
     @Override
     public Address http() {
         return server.address();
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/entry/EntryProcess.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/entry/EntryProcess.java
@@ -122,7 +122,13 @@
     }
 
     private void follow(ProcessThreads threads) {
-        new LogFollower(threads.caller(), threads.timer(), settings.platform().log(), Stream.CONFIGURATION, this)
+        new LogFollower(
+                        threads.caller(),
+                        threads.timer(),
+                        settings.platform().log(),
+                        Stream.CONFIGURATION,
+                        this,
+                        LogFollower.Watch.writing(log))
                 .poll();
         InstanceList instances = new InstanceList(
                 threads.caller(),
@@ -162,16 +168,6 @@
         loop.publish(new EntryEvent.LogReadFailed(stream));
     }
 
-    @Override
-    public void lost(Stream stream, String reason) {
-        log.warn("log_lost", "stream", stream.wireName(), "reason", reason);
-    }
-
-    @Override
-    public void regained(Stream stream) {
-        log.info("log_regained", "stream", stream.wireName());
-    }
-
     @Override
     public Address http() {
         return server.address();
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/platform/LogFollower.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/platform/LogFollower.java
@@ -11,6 +11,7 @@
 import org.rattanrudder.core.log.LogRecord;
 import org.rattanrudder.core.log.Stream;
 import org.rattanrudder.core.model.Address;
+import org.rattanrudder.daemon.logging.EventLog;
 import org.rattanrudder.wire.http.HttpCaller;
 import org.rattanrudder.wire.http.HttpRequest;
 import org.rattanrudder.wire.http.HttpResult;
@@ -29,6 +30,7 @@
     private final Address log;
     private final Stream stream;
     private final Listener listener;
+    private final Watch watch;
     private long next = 1;
     private boolean caughtUp;
     private boolean failing;
@@ -40,12 +42,30 @@
 
         /** The log couldn't be read; it is tried again. */
         void readFailed(Stream stream);
+    }
 
+    /** Told when reading begins to fail, and when it goes on. */
+    public interface Watch {
         /** The log can't be read since now, for this reason. */
-        default void lost(Stream stream, String reason) {}
+        void lost(Stream stream, String reason);
 
         /** The log can be read again. */
-        default void regained(Stream stream) {}
+        void regained(Stream stream);
+
+        /** Returns a watch that writes both to a log of events. */
+        static Watch writing(EventLog events) {
+            return new Watch() {
+                @Override
+                public void lost(Stream stream, String reason) {
+                    events.warn("log_lost", "stream", stream.wireName(), "reason", reason);
+                }
+
+                @Override
+                public void regained(Stream stream) {
+                    events.info("log_regained", "stream", stream.wireName());
+                }
+            };
+        }
     }
 
     /**
@@ -56,14 +76,21 @@
      * @param log where the log listens
      * @param stream the stream to follow
      * @param listener takes the records
+     * @param watch told of failures
      */
     public LogFollower(
-            HttpCaller caller, ScheduledExecutorService timer, Address log, Stream stream, Listener listener) {
+            HttpCaller caller,
+            ScheduledExecutorService timer,
+            Address log,
+            Stream stream,
+            Listener listener,
+            Watch watch) {
         this.caller = caller;
         this.timer = timer;
         this.log = log;
         this.stream = stream;
         this.listener = listener;
+        this.watch = watch;
     }
 
     /** Reads on for as long as the caller and the timer live. */
@@ -109,7 +136,7 @@
         caughtUp = next >= page.path("next").asLong();
         if (failing) {
             failing = false;
-            listener.regained(stream);
+            watch.regained(stream);
         }
         listener.read(stream, records, caughtUp);
     }
@@ -117,7 +144,7 @@
     private void failed(String reason) {
         if (!failing) {
             failing = true;
-            listener.lost(stream, reason);
+            watch.lost(stream, reason);
         }
         listener.readFailed(stream);
         timer.schedule(this::poll, RETRY_MILLIS, TimeUnit.MILLISECONDS);
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
@@ -144,8 +144,12 @@
             sendTo(choice.get());
         } else if (answer.began()) {
             breakOff("no target");
+        } else if (runs > 0) {
+            end(ErrorKind.TARGET_FAILED, "no target");
+        } else if (targets.isEmpty()) {
+            end(ErrorKind.NO_TARGET, "no target");
         } else {
-            end(runs == 0 ? ErrorKind.NO_TARGET : ErrorKind.TARGET_FAILED, "no target");
+            end(ErrorKind.OVERLOADED, "no target may take it");
         }
     }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RequestPlan.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RequestPlan.java
@@ -48,6 +48,7 @@
     private final ServiceRoute route;
     private final Optional<CustomerIdentity> customer;
     private final String service;
+    private final Optional<BackendService> backend;
     private final Optional<EngineTraits> engine;
     private final long arrivedAt;
     private final long deadlineAt;
@@ -59,10 +60,10 @@
         route = granted.route();
         customer = granted.customer();
         service = route.serviceFor(facts.id());
-        engine = state.configuration()
+        backend = state.configuration()
                 .flatMap(configuration ->
-                        Optional.ofNullable(configuration.services().get(service)))
-                .flatMap(BackendService::engine);
+                        Optional.ofNullable(configuration.services().get(service)));
+        engine = backend.flatMap(BackendService::engine);
         long wanted = facts.deadlineMillis().orElse(route.timeoutMillis());
         deadlineAt = arrivedAt + Math.min(wanted - WAY_MILLIS, route.timeoutMillis());
     }
@@ -149,9 +150,15 @@
                 lastShared < 0 ? 0 : Hashing.of(facts.parts().get(lastShared).id()),
                 state.relayHash(),
                 state.fleet().peers(now),
+                connections(now),
                 tried);
     }
 
+    private int connections(long now) {
+        return backend.map(known -> known.connectionsPerRelay(1 + state.fleet().peers(now)))
+                .orElse(Integer.MAX_VALUE);
+    }
+
     Outgoing outgoing(Target target, Optional<String> lastEventId) {
         Optional<Long> weights = facts.model().map(target::weights).filter(version -> version > 0);
         Optional<String> salt = weights.map(version -> PartKey.salt(version, customer));
--- a/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/platform/LogFollowerTest.java
+++ b/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/platform/LogFollowerTest.java
@@ -59,7 +59,8 @@
         BlockingQueue<String> heard = new LinkedBlockingQueue<>();
         BlockingQueue<String> told = new LinkedBlockingQueue<>();
         try (TestServer log = new TestServer(exchange -> answer(exchange, asked, pages))) {
-            new LogFollower(caller, timer, log.address(), Stream.CONFIGURATION, new Heard(heard, told)).poll();
+            new LogFollower(caller, timer, log.address(), Stream.CONFIGURATION, new Heard(heard), new Told(told))
+                    .poll();
 
             List<String> expected =
                     List.of("[1, 2] false", "[3] true", "failed", "[20, 21, 22] true", "[] true", "failed");
@@ -129,7 +130,7 @@
         return settled.get(SECONDS, TimeUnit.SECONDS);
     }
 
-    private record Heard(BlockingQueue<String> heard, BlockingQueue<String> told) implements LogFollower.Listener {
+    private record Heard(BlockingQueue<String> heard) implements LogFollower.Listener {
         @Override
         public void read(Stream stream, List<LogRecord> records, boolean caughtUp) {
             heard.add(records.stream().map(LogRecord::offset).toList() + " " + caughtUp);
@@ -139,7 +140,9 @@
         public void readFailed(Stream stream) {
             heard.add("failed");
         }
+    }
 
+    private record Told(BlockingQueue<String> told) implements LogFollower.Watch {
         @Override
         public void lost(Stream stream, String reason) {
             told.add("lost: " + reason);
