--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
@@ -169,7 +169,7 @@
         // It counts from now on: what is placed while its connection opens would all go to the same target.
         Target.Work expected = plan.expectedWork();
         target.sent(expected, state.now());
-        state.workNews().sent(target);
+        state.workNews().placed(target);
         pools.acquire(target, repeatable, opened -> {
             target.ended(expected, false);
             connected(target, opened);
@@ -289,6 +289,7 @@
     public void content(ByteBuf piece) {
         if (attempt.piece(state.now())) {
             noteFetches();
+            state.workNews().done(attempt.target());
             state.drainLine(plan.service());
         }
         answer.content(piece);
@@ -378,6 +379,7 @@
     private void endAttempt(String outcome) {
         silence.stop();
         attempt.end();
+        state.workNews().done(attempt.target());
         attempt = null;
         answer.discard();
         state.metrics().attempt(plan.service(), outcome);
--- /dev/null
+++ b/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/WorkNewsTest.java
@@ -0,0 +1,96 @@
+package org.rattanrudder.daemon.relay;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.rattanrudder.core.fleet.Fleet;
+import org.rattanrudder.core.fleet.Target;
+import org.rattanrudder.core.fleet.TargetEntry;
+import org.rattanrudder.core.model.Address;
+
+/**
+ * Twenty-seven relays learnt ten times a second what the others had sent, and filled the same free engine together: two
+ * of three prompts met an engine whose memory was long full.
+ */
+class WorkNewsTest {
+    private static final long NOW = 1_000;
+
+    private final EmbeddedChannel channel = new EmbeddedChannel();
+    private final List<List<String>> told = new ArrayList<>();
+    private final WorkNews news = new WorkNews(channel.eventLoop());
+
+    @BeforeEach
+    void listen() {
+        channel.freezeTime();
+        news.tellBy(targets -> told.add(targets.stream().map(Target::id).toList()));
+    }
+
+    private static Target target(String id, Map<String, Long> weights) {
+        Fleet fleet = new Fleet();
+        fleet.apply(
+                id,
+                Optional.of(new TargetEntry(id, "llm", new Address("10.0.0.1", 80), "north", 128, false, weights)),
+                1,
+                NOW);
+        return fleet.find(id).orElseThrow();
+    }
+
+    private static Target engine(String id) {
+        return target(id, Map.of("m", 1L));
+    }
+
+    private void pass(long millis) {
+        channel.advanceTimeBy(millis, TimeUnit.MILLISECONDS);
+        channel.runScheduledPendingTasks();
+    }
+
+    @Test
+    void aPlacementIsToldAtOnceTogetherWithOthersOfThatMoment() {
+        Target first = engine("i-1");
+        news.placed(first);
+        pass(3);
+        news.placed(engine("i-2"));
+        news.placed(first);
+        assertThat(told).isEmpty();
+
+        pass(2);
+
+        assertThat(told).containsExactly(List.of("i-1", "i-2"));
+        pass(1_000);
+        assertThat(told).hasSize(1);
+    }
+
+    /** That work has ended may be known later: it would triple the messages for a little room. */
+    @Test
+    void whatIsDoneIsToldLaterOrWithTheNextPlacement() {
+        news.done(engine("i-1"));
+        pass(10);
+        assertThat(told).isEmpty();
+        news.placed(engine("i-2"));
+        pass(5);
+        assertThat(told).containsExactly(List.of("i-1", "i-2"));
+
+        news.done(engine("i-3"));
+        pass(24);
+        assertThat(told).hasSize(1);
+        pass(1);
+        assertThat(told).last().isEqualTo(List.of("i-3"));
+    }
+
+    /** Servers of plain services say their load in each answer. */
+    @Test
+    void onlyEnginesAreTold() {
+        news.placed(target("i-plain", Map.of()));
+
+        pass(1_000);
+
+        assertThat(told).isEmpty();
+    }
+}
--- /dev/null
+++ b/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelExperiment.java
@@ -0,0 +1,95 @@
+package org.rattanrudder.standins.model;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Locale;
+import java.util.function.ToDoubleFunction;
+import java.util.stream.LongStream;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import joptsimple.OptionSpec;
+
+/**
+ * Compares ways of deciding on one day, over several seeds.
+ *
+ * <pre>{@code
+ * bin/measure relays
+ * }</pre>
+ */
+public final class ModelExperiment {
+    private static final String DAY = "examples/model/shift-change.json";
+    private static final int SEEDS = 10;
+    private static final double PERCENT = 100;
+
+    private ModelExperiment() {}
+
+    /** Returns the ways that are compared: what is done now, and each part of it taken out. */
+    static List<ModelPolicy> policies() {
+        ModelPolicy now = ModelPolicy.now();
+        return List.of(
+                now,
+                now.named("all messages every 400 ms").messages(400, 1),
+                now.named("nothing told at once").tellingAtOnce(false),
+                now.named("counted once connected").countingPlaced(false),
+                now.named("no order of its own").withOwnOrder(false),
+                now.named("late ones wait to their deadline").lateFor(100),
+                now.named("none of these")
+                        .tellingAtOnce(false)
+                        .countingPlaced(false)
+                        .withOwnOrder(false)
+                        .lateFor(100));
+    }
+
+    /** Prints the table of a day. */
+    public static void main(String[] arguments) throws IOException {
+        OptionParser parser = new OptionParser();
+        OptionSpec<String> file =
+                parser.accepts("day", "shape of the day").withRequiredArg().defaultsTo(DAY);
+        OptionSpec<Integer> seeds = parser.accepts("seeds", "how many seeds")
+                .withRequiredArg()
+                .ofType(Integer.class)
+                .defaultsTo(SEEDS);
+        OptionSet options = parser.parse(arguments);
+        ModelDay day = ModelDay.read(Path.of(options.valueOf(file)));
+        print(System.out, day, options.valueOf(seeds));
+    }
+
+    static void print(PrintStream out, ModelDay day, int seeds) {
+        out.println("| way | on time (least to most) | late | refused | p50 ms | p95 ms | read again | preempted"
+                + " | sent above | messages |");
+        out.println("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+        for (ModelPolicy policy : policies()) {
+            List<ModelReport> reports = LongStream.rangeClosed(1, seeds)
+                    .parallel()
+                    .mapToObj(seed -> ModelRun.play(day, policy, seed))
+                    .toList();
+            out.println(row(policy, reports));
+        }
+    }
+
+    private static String row(ModelPolicy policy, List<ModelReport> reports) {
+        double least = reports.stream().mapToDouble(ModelReport::onTime).min().orElse(0);
+        double most = reports.stream().mapToDouble(ModelReport::onTime).max().orElse(0);
+        return String.format(
+                Locale.ROOT,
+                "| %s | %.1f%% (%.1f to %.1f) | %.1f%% | %.1f%% | %.0f | %.0f | %.1f%% | %.0f | %.1f%% | %.0f |",
+                policy.name(),
+                PERCENT * mean(reports, ModelReport::onTime),
+                PERCENT * least,
+                PERCENT * most,
+                PERCENT * mean(reports, ModelReport::late),
+                PERCENT * mean(reports, ModelReport::refused),
+                mean(reports, ModelReport::medianMillis),
+                mean(reports, ModelReport::slowMillis),
+                PERCENT * mean(reports, ModelReport::readAgain),
+                mean(reports, ModelReport::preempted),
+                PERCENT * mean(reports, ModelReport::sentAbove),
+                mean(reports, ModelReport::messages));
+    }
+
+    private static double mean(List<ModelReport> reports, ToDoubleFunction<ModelReport> value) {
+        return reports.stream().mapToDouble(value).average().orElse(0);
+    }
+}
--- /dev/null
+++ b/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelRelay.java
@@ -0,0 +1,306 @@
+package org.rattanrudder.standins.model;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Set;
+import org.rattanrudder.core.fleet.Fleet;
+import org.rattanrudder.core.fleet.HoldingLine;
+import org.rattanrudder.core.fleet.Placement;
+import org.rattanrudder.core.fleet.PlacementQuery;
+import org.rattanrudder.core.fleet.RelayLoad;
+import org.rattanrudder.core.fleet.SendWindow;
+import org.rattanrudder.core.fleet.Target;
+import org.rattanrudder.core.fleet.TargetEntry;
+import org.rattanrudder.core.gateway.EngineTraits;
+import org.rattanrudder.core.model.Address;
+import org.rattanrudder.core.routing.Hashing;
+
+/** A relay with the decisions of a real one and a network in virtual time. */
+final class ModelRelay {
+    static final String SERVICE = "llm";
+    static final String MODEL = "m";
+
+    private static final double WAY_MILLIS = 0.5;
+    private static final double GATHER_MILLIS = 5;
+    private static final double DIAL_MILLIS = 2;
+    private static final double DIAL_FAILS_MILLIS = 100;
+    private static final double DIAL_AGAIN_MILLIS = 1_000;
+    private static final double HELD_SHARE = 0.5;
+    private static final double TOKEN_BYTES = 18_432;
+
+    private final VirtualTime time;
+    private final String name;
+    private final String domain;
+    private final ModelPolicy policy;
+    private final EngineTraits traits;
+    private final Map<String, ModelEngine> engines;
+    private final ModelStore store;
+    private final ModelTally tally;
+    private final Fleet fleet = new Fleet();
+    private final HoldingLine<ModelRequest> line = new HoldingLine<>();
+    private final List<ModelRelay> peers = new ArrayList<>();
+    private final Set<Target> unsaid = new LinkedHashSet<>();
+    private final Map<ModelRequest, HoldingLine.Place<ModelRequest>> places = new HashMap<>();
+    private long sequence;
+    private long rounds;
+
+    ModelRelay(
+            VirtualTime time,
+            String name,
+            String domain,
+            ModelPolicy policy,
+            ModelDay day,
+            Map<String, ModelEngine> engines,
+            ModelStore store,
+            ModelTally tally) {
+        this.time = time;
+        this.name = name;
+        this.domain = domain;
+        this.policy = policy;
+        this.engines = engines;
+        this.store = store;
+        this.tally = tally;
+        traits = new EngineTraits(day.costs().slots(), day.costs().memoryTokens(), (long) TOKEN_BYTES, TOKEN_BYTES);
+        fleet.logAnswers(0);
+    }
+
+    /** Makes an engine known. */
+    void knows(String engine, String engineDomain, long offset) {
+        TargetEntry entry = new TargetEntry(
+                engine, SERVICE, new Address("engine", 80), engineDomain, traits.slots(), false, Map.of(MODEL, 1L));
+        fleet.apply(engine, Optional.of(entry), offset, time.millis());
+    }
+
+    /** Begins to tell the others of its work. */
+    void start(List<ModelRelay> others, double firstMillis) {
+        peers.addAll(others);
+        time.afterMillis(firstMillis, this::tellAll);
+    }
+
+    private void tellAll() {
+        boolean far = rounds++ % policy.farEvery() == 0;
+        List<RelayLoad.TargetLoad> work = fleet.all(time.millis()).stream()
+                .filter(target -> target.inFlight() > 0)
+                .map(Target::ownLoad)
+                .toList();
+        tell(true, work, far);
+        time.afterMillis(policy.wholeEveryMillis(), this::tellAll);
+    }
+
+    private void tellChanged() {
+        List<RelayLoad.TargetLoad> work = unsaid.stream().map(Target::ownLoad).toList();
+        unsaid.clear();
+        tell(false, work, true);
+    }
+
+    private void tell(boolean whole, List<RelayLoad.TargetLoad> work, boolean toFarOnes) {
+        RelayLoad load = new RelayLoad(
+                name,
+                sequence++,
+                whole,
+                work,
+                List.of(),
+                List.of(),
+                List.of(),
+                List.of(),
+                true,
+                new RelayLoad.ReadTo(0, 0));
+        tally.message();
+        for (ModelRelay peer : peers) {
+            if (toFarOnes || peer.domain.equals(domain)) {
+                time.afterMillis(WAY_MILLIS, () -> peer.fleet.heard(load, time.millis()));
+            }
+        }
+    }
+
+    private void changed(Target target) {
+        if (!policy.atOnce()) {
+            return;
+        }
+        if (unsaid.isEmpty()) {
+            time.afterMillis(GATHER_MILLIS, this::tellChanged);
+        }
+        unsaid.add(target);
+    }
+
+    /** Takes a request. */
+    void take(ModelRequest request) {
+        if (line.size() == 0 && sendIfRoom(request)) {
+            return;
+        }
+        long now = time.millis();
+        long onTimeUntil = request.arrivedAt() + (long) (request.kind().objectiveMillis() * HELD_SHARE);
+        long lateUntil = request.arrivedAt() + (long) (request.kind().objectiveMillis() * policy.lateShare());
+        HoldingLine.Place<ModelRequest> place = line.join(
+                request,
+                request.kind().rank(),
+                request.tokens(),
+                Math.max(now, onTimeUntil),
+                Math.max(now, lateUntil),
+                request.deadlineAt());
+        places.put(request, place);
+        time.afterMillis(Math.max(1, onTimeUntil - now), this::expire);
+        time.afterMillis(Math.max(2, lateUntil - now), this::expire);
+    }
+
+    private void expire() {
+        long allowed = HoldingLine.lateTokensAllowed(engines.size(), 1 + peers.size());
+        line.expire(time.millis(), allowed).forEach(place -> {
+            places.remove(place.request());
+            place.request().refused();
+        });
+        drain();
+    }
+
+    private void drain() {
+        Optional<HoldingLine.Place<ModelRequest>> first = line.first();
+        while (first.isPresent() && sendIfRoom(first.get().request())) {
+            first = line.first();
+        }
+    }
+
+    private boolean sendIfRoom(ModelRequest request) {
+        long now = time.millis();
+        boolean late = now > request.arrivedAt() + request.kind().objectiveMillis() * HELD_SHARE;
+        List<Target> open = SendWindow.open(fleet.of(SERVICE, now), traits, request.tokens(), late, now);
+        Optional<Placement.Choice> choice = Placement.choose(open, query(request), now);
+        choice.ifPresent(found -> send(request, found.target()));
+        return choice.isPresent();
+    }
+
+    private PlacementQuery query(ModelRequest request) {
+        return new PlacementQuery(
+                SERVICE,
+                domain,
+                Optional.of(traits),
+                Optional.of(MODEL),
+                1,
+                1,
+                request.tokens(),
+                Hashing.of(request.context().id()),
+                policy.ownOrder() ? Hashing.of(name) : 0,
+                policy.ownOrder() ? peers.size() : 0,
+                Integer.MAX_VALUE,
+                Set.of());
+    }
+
+    private void send(ModelRequest request, Target target) {
+        HoldingLine.Place<ModelRequest> place = places.remove(request);
+        if (place != null) {
+            line.leave(place);
+        }
+        Target.Work expected = new Target.Work(request.tokens(), request.promptTokens());
+        if (policy.countPlaced()) {
+            target.sent(expected, time.millis());
+            changed(target);
+        }
+        target.dialling(time.millis());
+        boolean answers = !engines.get(target.id()).isDark();
+        time.afterMillis(answers ? DIAL_MILLIS : DIAL_FAILS_MILLIS, () -> {
+            if (policy.countPlaced()) {
+                target.ended(expected, false);
+            }
+            dialled(request, target, answers);
+        });
+    }
+
+    private void dialled(ModelRequest request, Target target, boolean opened) {
+        target.dialled(opened, time.millis());
+        if (!opened) {
+            time.afterMillis(DIAL_AGAIN_MILLIS, () -> dialAgain(target));
+            take(request);
+            return;
+        }
+        new Attempt(request, target).begin();
+    }
+
+    private void dialAgain(Target target) {
+        if (!target.isUnreachable()) {
+            return;
+        }
+        boolean opened = !engines.get(target.id()).isDark();
+        target.dialling(time.millis());
+        target.dialled(opened, time.millis());
+        if (opened) {
+            drain();
+        } else {
+            time.afterMillis(DIAL_AGAIN_MILLIS, () -> dialAgain(target));
+        }
+    }
+
+    /** One request at one engine. */
+    private final class Attempt implements ModelJob.Listener {
+        private final ModelRequest request;
+        private final Target target;
+        private final ModelEngine engine;
+        private final Target.Work work;
+        private final ModelJob job;
+        private boolean begun;
+        private boolean over;
+
+        Attempt(ModelRequest request, Target target) {
+            this.request = request;
+            this.target = target;
+            engine = engines.get(target.id());
+            work = new Target.Work(request.tokens(), request.unread(store, time.millis()));
+            job = new ModelJob(
+                    request.shared(),
+                    request.ownTokens(),
+                    request.outputTokens(),
+                    request.kind().rank(),
+                    this);
+        }
+
+        void begin() {
+            target.sent(work, time.millis());
+            changed(target);
+            tally.sent(tally.workAt(target.id()) + request.tokens(), traits.capacityTokens());
+            tally.placed(target.id(), request.tokens());
+            engine.take(job);
+            time.after((request.deadlineAt() - time.millis()) * 1_000, this::deadline);
+        }
+
+        private void deadline() {
+            if (!over) {
+                engine.cancel(job);
+                end();
+                request.ended(OptionalInt.empty());
+            }
+        }
+
+        private void end() {
+            over = true;
+            target.ended(work, begun);
+            tally.placed(target.id(), -request.tokens());
+            drain();
+        }
+
+        @Override
+        public void token(int number) {
+            if (!begun) {
+                begun = true;
+                target.began(work);
+                request.first(time.millis());
+                drain();
+            }
+        }
+
+        @Override
+        public void ended() {
+            end();
+            request.ended(OptionalInt.of(job.made()));
+        }
+
+        @Override
+        public void rejected() {
+            end();
+            target.refused(time.millis());
+            take(request);
+        }
+    }
+}
--- /dev/null
+++ b/rattanrudder-standins/src/test/java/org/rattanrudder/standins/model/ModelRunTest.java
@@ -0,0 +1,101 @@
+package org.rattanrudder.standins.model;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Whole days in virtual time, with the relays' own decisions. */
+class ModelRunTest {
+    private static final Path FILE = Path.of("../examples/model/shift-change.json");
+
+    private static String text() throws IOException {
+        return Files.readString(FILE);
+    }
+
+    /** The day of the example, shorter. */
+    private static ModelDay day() throws IOException {
+        return ModelDay.parse(text().replace("\"seconds\": 24", "\"seconds\": 9"));
+    }
+
+    @Test
+    void aSeedGivesTheSameDayAgain() throws Exception {
+        ModelReport first = ModelRun.play(day(), ModelPolicy.now(), 3);
+
+        assertThat(ModelRun.play(day(), ModelPolicy.now(), 3)).isEqualTo(first);
+        assertThat(ModelRun.play(day(), ModelPolicy.now(), 4)).isNotEqualTo(first);
+        assertThat(first.asked()).isBetween(3_000, 5_000);
+    }
+
+    /**
+     * A quarter of the engines loses power, and 27 relays fill the others together, since none knows what the others
+     * have just sent: prompts were preempted, read again, and two of three came late.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {11, 12, 13})
+    void relaysThatTellAtOnceOverfillFewerEngines(long seed) throws Exception {
+        ModelPolicy now = ModelPolicy.now();
+
+        ModelReport atOnce = ModelRun.play(day(), now, seed);
+        ModelReport later = ModelRun.play(day(), now.tellingAtOnce(false).countingPlaced(false), seed);
+
+        assertThat(atOnce.sentAbove()).isLessThan(later.sentAbove() / 2);
+        assertThat(atOnce.onTime()).isGreaterThan(later.onTime());
+    }
+
+    /** Whatever is decided, nothing is lost: a request is served, refused, or runs into its deadline. */
+    @ParameterizedTest
+    @ValueSource(longs = {21, 22})
+    void whatIsCountedAddsUp(long seed) throws Exception {
+        ModelReport report = ModelRun.play(day(), ModelPolicy.now(), seed);
+
+        assertThat(report.onTime() + report.late() + report.refused()).isBetween(0.5, 1.0);
+        assertThat(report.medianMillis()).isBetween(20L, 2_000L);
+        assertThat(report.slowMillis()).isGreaterThanOrEqualTo(report.medianMillis());
+        assertThat(report.readAgain()).isBetween(0.0, 1.0);
+    }
+
+    /** A calm day needs none of it: if it were served badly, the model would be wrong. */
+    @Test
+    void aCalmDayIsServedOnTime() throws Exception {
+        ModelDay calm = ModelDay.parse(
+                text().replace("\"seconds\": 24", "\"seconds\": 9").replace("\"share\": 0.25", "\"share\": 0"));
+        ModelReport report = ModelRun.play(calm, ModelPolicy.now(), 5);
+
+        assertThat(report.onTime()).isGreaterThan(0.9);
+        assertThat(report.refused()).isLessThan(0.02);
+    }
+
+    @Test
+    void theTableHasARowForEachWay() throws Exception {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        ModelDay brief = ModelDay.parse(text().replace("\"seconds\": 24", "\"seconds\": 1"));
+        ModelExperiment.print(new PrintStream(out, true, StandardCharsets.UTF_8), brief, 1);
+
+        assertThat(out.toString(StandardCharsets.UTF_8).lines())
+                .hasSize(2 + ModelExperiment.policies().size())
+                .allMatch(line -> line.startsWith("| "));
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "'\"relays\": 27', '\"relays\": 0', relays",
+        "'\"relays\": 27,', '', relays",
+        "'\"share\": 0.25', '\"share\": 1', dark.share",
+        "'\"relays\": 27,', '\"relays\": 27, \"relais\": 3,', relais",
+    })
+    void aDayThatMakesNoSenseIsRefusedByName(String is, String becomes, String named) throws Exception {
+        String wrong = text().replace(is, becomes);
+
+        assertThatThrownBy(() -> ModelDay.parse(wrong)).hasMessageContaining(named);
+    }
+}
