--- a/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelDay.java
+++ b/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelDay.java
@@ -19,6 +19,7 @@
  * @param failureDomains how many domains relays and engines stand in, evenly
  * @param queue requests that wait at most at an engine
  * @param costs what an engine's work costs
+ * @param stores where context is kept for all engines
  * @param dark engines without power for a while
  * @param classes the kinds of request
  */
@@ -29,6 +30,7 @@
         int failureDomains,
         int queue,
         Costs costs,
+        Stores stores,
         Dark dark,
         List<Kind> classes) {
     private static final ObjectMapper MAPPER = JsonMapper.builder()
@@ -44,6 +46,7 @@
         require(relays > 0, "relays", "above 0");
         require(engines > 0, "engines", "above 0");
         require(failureDomains > 0, "failureDomains", "above 0");
+        require(stores.count() > 0, "stores.count", "above 0");
         require(dark.share() >= 0 && dark.share() < 1, "dark.share", "from 0 to below 1");
         require(!classes.isEmpty(), "classes", "at least one");
     }
@@ -85,6 +88,14 @@
         }
     }
 
+    /**
+     * The context stores.
+     *
+     * @param count how many
+     * @param tokensPerMilli tokens that the link of one carries in a ms
+     */
+    public record Stores(int count, double tokensPerMilli) {}
+
     /**
      * Engines that lose power.
      *
--- a/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelEngine.java
+++ b/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelEngine.java
@@ -136,7 +136,7 @@
         }
         job.shared().forEach(part -> {
             everRead.add(part.id());
-            store.save(part, time.millis());
+            store.save(part, time.micros());
         });
         makeToken(job);
     }
@@ -181,11 +181,13 @@
         usedTokens += own;
         job.hold(own);
         int unread = job.ownTokens() + job.made();
-        int fetched = 0;
+        List<ModelPart> fetched = new ArrayList<>();
         for (ModelPart part : job.shared()) {
             boolean kept = cached.get(part.id()) != null;
             boolean stored = !kept && store.holds(part, time.millis());
-            fetched += stored ? part.tokens() : 0;
+            if (stored) {
+                fetched.add(part);
+            }
             unread += kept || stored ? 0 : part.tokens();
             tokensReadAgain += !kept && !stored && everRead.contains(part.id()) ? part.tokens() : 0;
             if (!kept) {
@@ -198,12 +200,14 @@
         return true;
     }
 
-    private void start(ModelJob job, int fetched) {
-        if (fetched == 0) {
+    private void start(ModelJob job, List<ModelPart> fetched) {
+        if (fetched.isEmpty()) {
             running.add(job);
             return;
         }
-        linkFreeAt = Math.max(linkFreeAt, time.micros()) + costs.fetch(fetched);
+        int tokens = fetched.stream().mapToInt(ModelPart::tokens).sum();
+        long came = store.fetched(fetched, time.micros());
+        linkFreeAt = Math.max(came, Math.max(linkFreeAt, time.micros()) + costs.fetch(tokens));
         time.after(linkFreeAt - time.micros(), () -> {
             if (!dark && !job.isCancelled()) {
                 running.add(job);
--- a/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelExperiment.java
+++ b/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelExperiment.java
@@ -25,7 +25,7 @@
 
     private ModelExperiment() {}
 
-    /** Returns the ways that are compared: what is done now, and each part of it taken out. */
+    /** Returns the ways that are compared: what is done now, and parts of it changed or taken out. */
     static List<ModelPolicy> policies() {
         ModelPolicy now = ModelPolicy.now();
         return List.of(
@@ -35,6 +35,8 @@
                 now.named("counted once connected").countingPlaced(false),
                 now.named("no order of its own").withOwnOrder(false),
                 now.named("late ones wait to their deadline").lateFor(100),
+                now.named("held for 0.3 of the objective").heldFor(0.3),
+                now.named("held for 0.7 of the objective").heldFor(0.7),
                 now.named("none of these")
                         .tellingAtOnce(false)
                         .countingPlaced(false)
--- a/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelPolicy.java
+++ b/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelPolicy.java
@@ -9,6 +9,7 @@
  * @param atOnce whether a placement is told at once
  * @param countPlaced whether a request counts while its connection opens
  * @param ownOrder whether each relay has an order of its own among engines
+ * @param heldShare how long a request waits in line to be on time, as a part of the objective
  * @param lateShare how long a late request waits in line, as a multiple of the objective
  */
 public record ModelPolicy(
@@ -18,33 +19,44 @@
         boolean atOnce,
         boolean countPlaced,
         boolean ownOrder,
+        double heldShare,
         double lateShare) {
     /** What a relay does now. */
     public static ModelPolicy now() {
-        return new ModelPolicy("now", 100, 4, true, true, true, 2);
+        return new ModelPolicy("now", 100, 4, true, true, true, 0.5, 2);
     }
 
     ModelPolicy named(String newName) {
-        return new ModelPolicy(newName, wholeEveryMillis, farEvery, atOnce, countPlaced, ownOrder, lateShare);
+        return new ModelPolicy(
+                newName, wholeEveryMillis, farEvery, atOnce, countPlaced, ownOrder, heldShare, lateShare);
     }
 
     ModelPolicy tellingAtOnce(boolean newAtOnce) {
-        return new ModelPolicy(name, wholeEveryMillis, farEvery, newAtOnce, countPlaced, ownOrder, lateShare);
+        return new ModelPolicy(
+                name, wholeEveryMillis, farEvery, newAtOnce, countPlaced, ownOrder, heldShare, lateShare);
     }
 
     ModelPolicy countingPlaced(boolean newCountPlaced) {
-        return new ModelPolicy(name, wholeEveryMillis, farEvery, atOnce, newCountPlaced, ownOrder, lateShare);
+        return new ModelPolicy(
+                name, wholeEveryMillis, farEvery, atOnce, newCountPlaced, ownOrder, heldShare, lateShare);
     }
 
     ModelPolicy withOwnOrder(boolean newOwnOrder) {
-        return new ModelPolicy(name, wholeEveryMillis, farEvery, atOnce, countPlaced, newOwnOrder, lateShare);
+        return new ModelPolicy(
+                name, wholeEveryMillis, farEvery, atOnce, countPlaced, newOwnOrder, heldShare, lateShare);
+    }
+
+    ModelPolicy heldFor(double newHeldShare) {
+        return new ModelPolicy(
+                name, wholeEveryMillis, farEvery, atOnce, countPlaced, ownOrder, newHeldShare, lateShare);
     }
 
     ModelPolicy lateFor(double newLateShare) {
-        return new ModelPolicy(name, wholeEveryMillis, farEvery, atOnce, countPlaced, ownOrder, newLateShare);
+        return new ModelPolicy(
+                name, wholeEveryMillis, farEvery, atOnce, countPlaced, ownOrder, heldShare, newLateShare);
     }
 
     ModelPolicy messages(long newEveryMillis, int newFarEvery) {
-        return new ModelPolicy(name, newEveryMillis, newFarEvery, atOnce, countPlaced, ownOrder, lateShare);
+        return new ModelPolicy(name, newEveryMillis, newFarEvery, atOnce, countPlaced, ownOrder, heldShare, lateShare);
     }
 }
--- a/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelRelay.java
+++ b/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelRelay.java
@@ -30,7 +30,6 @@
     private static final double DIAL_MILLIS = 2;
     private static final double DIAL_FAILS_MILLIS = 100;
     private static final double DIAL_AGAIN_MILLIS = 1_000;
-    private static final double HELD_SHARE = 0.5;
     private static final double TOKEN_BYTES = 18_432;
 
     private final VirtualTime time;
@@ -134,7 +133,7 @@
             return;
         }
         long now = time.millis();
-        long onTimeUntil = request.arrivedAt() + (long) (request.kind().objectiveMillis() * HELD_SHARE);
+        long onTimeUntil = request.arrivedAt() + (long) (request.kind().objectiveMillis() * policy.heldShare());
         long lateUntil = request.arrivedAt() + (long) (request.kind().objectiveMillis() * policy.lateShare());
         HoldingLine.Place<ModelRequest> place = line.join(
                 request,
@@ -166,7 +165,7 @@
 
     private boolean sendIfRoom(ModelRequest request) {
         long now = time.millis();
-        boolean late = now > request.arrivedAt() + request.kind().objectiveMillis() * HELD_SHARE;
+        boolean late = now > request.arrivedAt() + request.kind().objectiveMillis() * policy.heldShare();
         List<Target> open = SendWindow.open(fleet.of(SERVICE, now), traits, request.tokens(), late, now);
         Optional<Placement.Choice> choice = Placement.choose(open, query(request), now);
         choice.ifPresent(found -> send(request, found.target()));
--- a/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelRun.java
+++ b/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelRun.java
@@ -27,7 +27,7 @@
     private final VirtualTime time = new VirtualTime();
     private final ModelDay day;
     private final RandomGenerator random;
-    private final ModelStore store = new ModelStore(NEWS_MILLIS);
+    private final ModelStore store;
     private final ModelTally tally = new ModelTally();
     private final Map<String, ModelEngine> engines = new LinkedHashMap<>();
     private final List<ModelRelay> relays = new ArrayList<>();
@@ -36,6 +36,7 @@
     private ModelRun(ModelDay day, ModelPolicy policy, long seed) {
         this.day = day;
         random = RandomGeneratorFactory.of(RANDOM).create(seed);
+        store = new ModelStore(NEWS_MILLIS, day.stores().count(), day.stores().tokensPerMilli());
         Set<String> everRead = new HashSet<>();
         for (int index = 0; index < day.engines(); index++) {
             engines.put("engine-" + index, new ModelEngine(time, day.costs().engine(), store, day.queue(), everRead));
--- a/rattanrudder-standins/src/test/java/org/rattanrudder/standins/model/ModelEngineTest.java
+++ b/rattanrudder-standins/src/test/java/org/rattanrudder/standins/model/ModelEngineTest.java
@@ -12,7 +12,7 @@
     private static final int MILLI = 1_000;
 
     private final VirtualTime time = new VirtualTime();
-    private final ModelStore store = new ModelStore(0);
+    private final ModelStore store = new ModelStore(0, 1, 500);
     private final ModelEngine engine = new ModelEngine(time, COSTS, store, 2, new HashSet<>());
     private final List<String> told = new ArrayList<>();
 
@@ -61,15 +61,16 @@
         assertThat(engine.work().tokensReadAgain()).isZero();
     }
 
-    /** Another engine has saved the part: it comes over the link in 2 ms, in place of 20 ms of reading. */
+    /** Another engine has saved the part: it comes over the store's link in 4 ms, in place of 20 ms of reading. */
     @Test
     void aStoredPartIsFetched() {
         ModelPart part = new ModelPart("context", 2_000);
         store.save(part, 0);
+        time.runUntil(4 * MILLI);
         engine.take(job("a", 0, 100, 1, part));
         time.runUntil(100 * MILLI);
 
-        assertThat(told.get(0)).isEqualTo("a first 6100");
+        assertThat(told.get(0)).isEqualTo("a first 12100");
         assertThat(engine.work().tokensRead()).isEqualTo(100);
     }
 
