--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/parts/FetchDelay.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/parts/FetchDelay.java
@@ -9,11 +9,11 @@
  * store alone altogether read 1,574 thousand tokens again on one day where 514 did, for 1.5% more answers in time.
  */
 final class FetchDelay {
-    /** Lateness up to which every prompt reads from the store, in ms. */
-    private static final double TOLERATED_MILLIS = 60;
+    /** Lateness beyond the usual up to which every prompt reads from the store, in ms, beside as much as is usual. */
+    private static final double TOLERATED_MILLIS = 80;
 
-    /** Lateness from which on only a few do, in ms: with it an objective of half a second is missed. */
-    private static final double LARGEST_MILLIS = 360;
+    /** From so much more lateness on only a few do, in ms: an objective of half a second is missed. */
+    private static final double SPAN_MILLIS = 300;
 
     /** Lateness that is too much even if all stores are as late, in ms: deadlines of a few seconds are in danger. */
     private static final double HOPELESS_MILLIS = 1_000;
@@ -22,7 +22,7 @@
     private static final double LEAST_SHARE = 0.05;
 
     /** The weight of the newest answer. */
-    private static final double SAMPLE_WEIGHT = 0.1;
+    private static final double SAMPLE_WEIGHT = 0.05;
 
     /** After this time half of what was seen is forgotten, in ms. */
     private static final double HALF_LIFE_MILLIS = 1_500;
@@ -60,8 +60,9 @@
     }
 
     private double share(double usualMillis) {
-        double over = Math.max(lateMillis - usualMillis - TOLERATED_MILLIS, lateMillis - HOPELESS_MILLIS);
-        double left = 1 - over / (LARGEST_MILLIS - TOLERATED_MILLIS);
+        // Where engines are busy, lateness varies by as much as is usual, and reading anew would make them busier.
+        double over = Math.max(lateMillis - 2 * usualMillis - TOLERATED_MILLIS, lateMillis - HOPELESS_MILLIS);
+        double left = 1 - over / SPAN_MILLIS;
         return Math.max(LEAST_SHARE, Math.min(1, left));
     }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
@@ -9,14 +9,12 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
-import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import org.rattanrudder.core.fleet.HoldingLine;
 import org.rattanrudder.core.fleet.Placement;
 import org.rattanrudder.core.fleet.SendWindow;
 import org.rattanrudder.core.fleet.Target;
@@ -24,8 +22,6 @@
 import org.rattanrudder.core.gateway.AttemptOutcome;
 import org.rattanrudder.core.gateway.AttemptRules;
 import org.rattanrudder.core.model.ErrorKind;
-import org.rattanrudder.core.parts.PartPlan;
-import org.rattanrudder.core.parts.StoreLateness;
 import org.rattanrudder.daemon.relay.port.AnswerFacts;
 
 /**
@@ -44,11 +40,10 @@
     private final RequestPlan plan;
     private final AnswerRelay answer;
     private final ExchangeLog log;
+    private final LineWait wait;
     private final Set<String> tried = new HashSet<>();
     private ScheduledFuture<?> deadline;
     private SilenceWatch silence;
-    private ScheduledFuture<?> expiry;
-    private HoldingLine.Place<Exchange> place;
     private TargetAttempt attempt;
     private Optional<TargetAttempt> lastAttempt = Optional.empty();
     private String load = "unknown";
@@ -76,6 +71,7 @@
                 plan.route().repeat(),
                 () -> state.metrics().firstByte(plan.route().name(), state.now() - plan.arrivedAt()));
         log = new ExchangeLog(state, plan);
+        wait = new LineWait(state, plan, this, log);
     }
 
     /** Begins: the request is whole and may be served. */
@@ -94,24 +90,10 @@
             placeAnywhere();
             return;
         }
-        HoldingLine<Exchange> line = state.line(plan.service());
-        if (line.size() == 0 && placeInWindow()) {
-            return;
+        boolean nobodyWaits = state.line(plan.service()).size() == 0;
+        if (!nobodyWaits || !placeInWindow()) {
+            wait.join(!tried.isEmpty());
         }
-        long now = state.now();
-        long onTimeUntil = Math.max(now, plan.onTimeUntil());
-        long lateUntil = Math.max(now, plan.lateUntil());
-        place = line.join(this, plan.rank(), plan.tokens(), onTimeUntil, lateUntil, plan.deadlineAt());
-        long wait = Math.max(1, onTimeUntil - now);
-        expiry = state.loop().schedule(() -> lateInLine(lateUntil), wait, TimeUnit.MILLISECONDS);
-        log.held(line.size(), wait, state.fleet().of(plan.service(), now), now);
-    }
-
-    /** The request can't be on time any more; it may wait on for a while, behind those that can. */
-    private void lateInLine(long lateUntil) {
-        long wait = Math.max(1, lateUntil - state.now());
-        expiry = state.loop().schedule(() -> state.expireLine(plan.service()), wait, TimeUnit.MILLISECONDS);
-        state.expireLine(plan.service());
     }
 
     /** Sends the request if an engine has room for it. */
@@ -125,7 +107,7 @@
                 .toList();
         Optional<Placement.Choice> choice = Placement.choose(open, plan.query(tried, now), now);
         choice.ifPresent(found -> {
-            leaveLine();
+            wait.leave();
             sendTo(found);
         });
         return choice.isPresent();
@@ -138,14 +120,6 @@
         }
     }
 
-    private void leaveLine() {
-        if (place != null) {
-            state.line(plan.service()).leave(place);
-            expiry.cancel(false);
-            place = null;
-        }
-    }
-
     private void placeAnywhere() {
         long now = state.now();
         List<Target> targets = state.fleet().of(plan.service(), now);
@@ -209,23 +183,10 @@
             HttpUtil.setContentLength(request, body.readableBytes());
         }
         opened.send(request, body.retainedDuplicate(), plan.id(), this);
-        silence = new SilenceWatch(state, plan.route(), attempt, new Silence());
+        silence = new SilenceWatch(state, plan.route(), attempt, () -> pools.verify(target), this::silent);
         silence.look();
     }
 
-    /** What is done about a target that is silent. */
-    private final class Silence implements SilenceWatch.Listener {
-        @Override
-        public void suspect() {
-            pools.verify(attempt.target());
-        }
-
-        @Override
-        public void tooLong(long quietMillis) {
-            silent(quietMillis);
-        }
-    }
-
     /** The target has been silent for too long: another one is tried if that is allowed. */
     private void silent(long quietMillis) {
         if (AttemptRules.mayRetry(progress(1), AttemptOutcome.SILENT) && state.tryRepeat(plan.service())) {
@@ -290,26 +251,13 @@
     @Override
     public void content(ByteBuf piece) {
         if (attempt.piece(state.now())) {
-            noteFetches();
+            state.fetchNews().firstByte(attempt, state.directory(), state.now());
             state.workNews().done(attempt.target());
             state.drainLine(plan.service());
         }
         answer.content(piece);
     }
 
-    private void noteFetches() {
-        double excess = attempt.firstPieceMillis() - attempt.outgoing().millisWithoutFetch();
-        // The largest part takes the longest; the others come meanwhile, or are in the engine's memory anyway.
-        attempt.outgoing().forwarding().parts().sources().stream()
-                .flatMap(Optional::stream)
-                .max(Comparator.comparingInt(PartPlan.Source::tokens))
-                .ifPresent(source -> {
-                    StoreLateness late = StoreLateness.none(source.address()).with(excess);
-                    state.directory().fetched(late, state.now());
-                    state.fetchNews().observed(source.address(), excess);
-                });
-    }
-
     @Override
     public void complete() {
         if (answer.status() == 0) {
@@ -432,7 +380,7 @@
 
     private void finished(String outcome, String reason) {
         ended = true;
-        leaveLine();
+        wait.leave();
         if (deadline != null) {
             deadline.cancel(false);
         }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/FetchNews.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/FetchNews.java
@@ -1,9 +1,13 @@
 package org.rattanrudder.daemon.relay;
 
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.rattanrudder.core.model.Address;
+import org.rattanrudder.core.parts.PartDirectory;
+import org.rattanrudder.core.parts.PartPlan;
 import org.rattanrudder.core.parts.StoreLateness;
 
 /**
@@ -13,9 +17,20 @@
 final class FetchNews {
     private final Map<Address, StoreLateness> untold = new LinkedHashMap<>();
 
-    /** Notes by how much an answer was late whose prompt was read from a store, in ms. */
-    void observed(Address store, double excessMillis) {
-        untold.merge(store, StoreLateness.none(store).with(excessMillis), (known, one) -> known.with(excessMillis));
+    /**
+     * Notes the first byte of an answer whose prompt may have been read from stores. Its lateness is laid to the store
+     * of the largest part: that one takes the longest, and the others come meanwhile.
+     */
+    void firstByte(TargetAttempt attempt, PartDirectory directory, long nowMillis) {
+        double excess = attempt.firstPieceMillis() - attempt.outgoing().millisWithoutFetch();
+        attempt.outgoing().forwarding().parts().sources().stream()
+                .flatMap(Optional::stream)
+                .max(Comparator.comparingInt(PartPlan.Source::tokens))
+                .ifPresent(source -> {
+                    StoreLateness one = StoreLateness.none(source.address()).with(excess);
+                    directory.fetched(one, nowMillis);
+                    untold.merge(source.address(), one, (known, added) -> known.with(excess));
+                });
     }
 
     /** Hands out what was gathered, and begins anew. */
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/SilenceWatch.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/SilenceWatch.java
@@ -2,6 +2,7 @@
 
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongConsumer;
 import org.rattanrudder.core.gateway.Patience;
 import org.rattanrudder.core.gateway.ServiceRoute;
 
@@ -16,25 +17,24 @@
     private final RelayState state;
     private final ServiceRoute route;
     private final TargetAttempt attempt;
-    private final Listener listener;
+    private final Runnable suspect;
+    private final LongConsumer tooLong;
     private ScheduledFuture<?> next;
     private boolean stopped;
 
-    /** Acts on silence. */
-    interface Listener {
-        /** Nothing has come from the target for a while: it may be gone. */
-        void suspect();
-
-        /** The target has been silent for so many ms, and another one could do better; told again until it is left. */
-        void tooLong(long quietMillis);
-    }
-
-    /** Makes a watch; it begins with {@link #look}. */
-    SilenceWatch(RelayState state, ServiceRoute route, TargetAttempt attempt, Listener listener) {
+    /**
+     * Makes a watch; it begins with {@link #look}.
+     *
+     * @param suspect told when nothing has come from the target for a while, so that it may be gone
+     * @param tooLong told, with the length of the silence in ms, when another target could do better; and again until
+     *     this one is left
+     */
+    SilenceWatch(RelayState state, ServiceRoute route, TargetAttempt attempt, Runnable suspect, LongConsumer tooLong) {
         this.state = state;
         this.route = route;
         this.attempt = attempt;
-        this.listener = listener;
+        this.suspect = suspect;
+        this.tooLong = tooLong;
     }
 
     /** Looks now, and again whenever the target could have been silent for too long. */
@@ -44,11 +44,11 @@
         long limit = Patience.millis(route, attempt.hasBegun(), gone);
         boolean servesOthers = attempt.target().lastSignAt() > attempt.lastPieceAt();
         if (quiet >= limit && mayGoElsewhere(quiet, servesOthers)) {
-            listener.tooLong(quiet);
+            tooLong.accept(quiet);
         }
         long suspicious = Patience.suspiciousMillis(route, attempt.hasBegun());
         if (!stopped && quiet >= suspicious && !servesOthers) {
-            listener.suspect();
+            suspect.run();
         }
         lookAfter(quiet < suspicious ? suspicious - quiet + 1 : suspicious);
     }
