--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
@@ -252,7 +252,6 @@
     public void content(ByteBuf piece) {
         if (attempt.piece(state.now())) {
             state.fetchNews().firstByte(attempt, state.directory(), state.now());
-            state.workNews().done(attempt.target());
             state.drainLine(plan.service());
         }
         answer.content(piece);
@@ -333,7 +332,6 @@
     private void endAttempt(String outcome) {
         silence.stop();
         attempt.end();
-        state.workNews().done(attempt.target());
         attempt = null;
         answer.discard();
         state.metrics().attempt(plan.service(), outcome);
--- a/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelExperiment.java
+++ b/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelExperiment.java
@@ -32,6 +32,7 @@
                 now,
                 now.named("all messages every 400 ms").messages(400, 1),
                 now.named("nothing told at once").tellingAtOnce(false),
+                now.named("ends told within 25 ms").tellingEnds(true),
                 now.named("counted once connected").countingPlaced(false),
                 now.named("no order of its own").withOwnOrder(false),
                 now.named("late ones wait to their deadline").lateFor(100),
--- a/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelPolicy.java
+++ b/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelPolicy.java
@@ -7,6 +7,7 @@
  * @param wholeEveryMillis the time between two messages with all of a relay's work
  * @param farEvery relays of other failure domains get each so-manieth of them
  * @param atOnce whether a placement is told at once
+ * @param endsToo whether what has begun or ended is told soon as well
  * @param countPlaced whether a request counts while its connection opens
  * @param ownOrder whether each relay has an order of its own among engines
  * @param heldShare how long a request waits in line to be on time, as a part of the objective
@@ -17,46 +18,53 @@
         long wholeEveryMillis,
         int farEvery,
         boolean atOnce,
+        boolean endsToo,
         boolean countPlaced,
         boolean ownOrder,
         double heldShare,
         double lateShare) {
     /** What a relay does now. */
     public static ModelPolicy now() {
-        return new ModelPolicy("now", 100, 4, true, true, true, 0.5, 2);
+        return new ModelPolicy("now", 100, 4, true, false, true, true, 0.5, 2);
     }
 
     ModelPolicy named(String newName) {
         return new ModelPolicy(
-                newName, wholeEveryMillis, farEvery, atOnce, countPlaced, ownOrder, heldShare, lateShare);
+                newName, wholeEveryMillis, farEvery, atOnce, endsToo, countPlaced, ownOrder, heldShare, lateShare);
     }
 
     ModelPolicy tellingAtOnce(boolean newAtOnce) {
         return new ModelPolicy(
-                name, wholeEveryMillis, farEvery, newAtOnce, countPlaced, ownOrder, heldShare, lateShare);
+                name, wholeEveryMillis, farEvery, newAtOnce, endsToo, countPlaced, ownOrder, heldShare, lateShare);
+    }
+
+    ModelPolicy tellingEnds(boolean newEndsToo) {
+        return new ModelPolicy(
+                name, wholeEveryMillis, farEvery, atOnce, newEndsToo, countPlaced, ownOrder, heldShare, lateShare);
     }
 
     ModelPolicy countingPlaced(boolean newCountPlaced) {
         return new ModelPolicy(
-                name, wholeEveryMillis, farEvery, atOnce, newCountPlaced, ownOrder, heldShare, lateShare);
+                name, wholeEveryMillis, farEvery, atOnce, endsToo, newCountPlaced, ownOrder, heldShare, lateShare);
     }
 
     ModelPolicy withOwnOrder(boolean newOwnOrder) {
         return new ModelPolicy(
-                name, wholeEveryMillis, farEvery, atOnce, countPlaced, newOwnOrder, heldShare, lateShare);
+                name, wholeEveryMillis, farEvery, atOnce, endsToo, countPlaced, newOwnOrder, heldShare, lateShare);
     }
 
     ModelPolicy heldFor(double newHeldShare) {
         return new ModelPolicy(
-                name, wholeEveryMillis, farEvery, atOnce, countPlaced, ownOrder, newHeldShare, lateShare);
+                name, wholeEveryMillis, farEvery, atOnce, endsToo, countPlaced, ownOrder, newHeldShare, lateShare);
     }
 
     ModelPolicy lateFor(double newLateShare) {
         return new ModelPolicy(
-                name, wholeEveryMillis, farEvery, atOnce, countPlaced, ownOrder, heldShare, newLateShare);
+                name, wholeEveryMillis, farEvery, atOnce, endsToo, countPlaced, ownOrder, heldShare, newLateShare);
     }
 
     ModelPolicy messages(long newEveryMillis, int newFarEvery) {
-        return new ModelPolicy(name, newEveryMillis, newFarEvery, atOnce, countPlaced, ownOrder, heldShare, lateShare);
+        return new ModelPolicy(
+                name, newEveryMillis, newFarEvery, atOnce, endsToo, countPlaced, ownOrder, heldShare, lateShare);
     }
 }
--- a/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelRelay.java
+++ b/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelRelay.java
@@ -27,6 +27,7 @@
 
     private static final double WAY_MILLIS = 0.5;
     private static final double GATHER_MILLIS = 5;
+    private static final double GATHER_ENDS_MILLIS = 25;
     private static final double DIAL_MILLIS = 2;
     private static final double DIAL_FAILS_MILLIS = 100;
     private static final double DIAL_AGAIN_MILLIS = 1_000;
@@ -47,6 +48,7 @@
     private final Map<ModelRequest, HoldingLine.Place<ModelRequest>> places = new HashMap<>();
     private long sequence;
     private long rounds;
+    private boolean soon;
 
     ModelRelay(
             VirtualTime time,
@@ -92,6 +94,9 @@
     }
 
     private void tellChanged() {
+        if (unsaid.isEmpty()) {
+            return;
+        }
         List<RelayLoad.TargetLoad> work = unsaid.stream().map(Target::ownLoad).toList();
         unsaid.clear();
         tell(false, work, true);
@@ -121,12 +126,24 @@
         if (!policy.atOnce()) {
             return;
         }
-        if (unsaid.isEmpty()) {
+        if (unsaid.isEmpty() || !soon) {
+            soon = true;
             time.afterMillis(GATHER_MILLIS, this::tellChanged);
         }
         unsaid.add(target);
     }
 
+    private void done(Target target) {
+        if (!policy.atOnce() || !policy.endsToo()) {
+            return;
+        }
+        if (unsaid.isEmpty()) {
+            soon = false;
+            time.afterMillis(GATHER_ENDS_MILLIS, this::tellChanged);
+        }
+        unsaid.add(target);
+    }
+
     /** Takes a request. */
     void take(ModelRequest request) {
         if (line.size() == 0 && sendIfRoom(request)) {
@@ -275,6 +292,7 @@
         private void end() {
             over = true;
             target.ended(work, begun);
+            done(target);
             tally.placed(target.id(), -request.tokens());
             drain();
         }
@@ -284,6 +302,7 @@
             if (!begun) {
                 begun = true;
                 target.began(work);
+                done(target);
                 request.first(time.millis());
                 drain();
             }
