--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Fleet.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Fleet.java
@@ -137,6 +137,17 @@
         return found;
     }
 
+    /**
+     * Returns the targets that this relay can't reach, for the others to look at. A relay that reaches fewer than half
+     * of its targets is likely cut off itself, and says nothing: its word would have all others dial every target.
+     */
+    public List<String> unreachable(long nowMillis) {
+        Collection<Target> all = all(nowMillis);
+        List<String> lost =
+                all.stream().filter(Target::isUnreachable).map(Target::id).toList();
+        return 2 * lost.size() <= all.size() ? lost : List.of();
+    }
+
     private void remove(String id, long nowMillis) {
         if (logAway || nowMillis - logReturnedAt < RETURN_GRACE_MILLIS) {
             lapsed.putIfAbsent(id, nowMillis);
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/FleetTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/FleetTest.java
@@ -6,6 +6,8 @@
 import java.util.Optional;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.rattanrudder.core.model.Address;
 
 class FleetTest {
@@ -79,6 +81,26 @@
         assertThat(fleet.of("llm", SETTLED)).extracting(Target::id).containsExactly("i-2");
     }
 
+    /**
+     * A relay's own cable is cut. Told by it that all engines are gone, 26 others would dial each of them at once, ten
+     * times a second.
+     */
+    @ParameterizedTest
+    @CsvSource({"0, 0", "1, 1", "2, 2", "3, 0", "4, 0"})
+    void aRelayThatReachesFewTargetsSaysNothingOfThem(int lost, int told) {
+        Fleet fleet = new Fleet();
+        fleet.logAnswers(0);
+        for (int index = 0; index < 4; index++) {
+            String id = "i-" + index;
+            fleet.apply(id, Optional.of(entry(id, false)), index, 1_000);
+            Target target = fleet.find(id).orElseThrow();
+            target.dialling(1_000);
+            target.dialled(index >= lost, 1_400);
+        }
+
+        assertThat(fleet.unreachable(1_400)).hasSize(told);
+    }
+
     static TargetEntry entry(String id, boolean draining) {
         return new TargetEntry(id, "llm", new Address("10.0.0.1", 80), "north", 8, draining, Map.of("m", 1L));
     }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/PeerExchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/PeerExchange.java
@@ -10,7 +10,6 @@
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -193,7 +192,7 @@
                 weights(now),
                 served(now),
                 own.loading(),
-                unreachable(now),
+                state.fleet().unreachable(now),
                 own.ready(),
                 own.readTo());
         boolean many = peers.size() > MANY;
@@ -267,17 +266,6 @@
                 .toList();
     }
 
-    /**
-     * Returns the targets that can't be reached. A relay that reaches few of its targets is likely cut off itself, and
-     * says nothing: its word would have all others dial every target.
-     */
-    private List<String> unreachable(long now) {
-        Collection<Target> all = state.fleet().all(now);
-        List<String> lost =
-                all.stream().filter(Target::isUnreachable).map(Target::id).toList();
-        return 2 * lost.size() <= all.size() ? lost : List.of();
-    }
-
     /** Takes messages. */
     private final class Messages extends SimpleChannelInboundHandler<DatagramPacket> {
         @Override
