Keep the sums of other relays' work between messages

For each target that was compared, and twice a placement, the relays' words were scanned for silent ones and added up anew: with placements told at once, the larger part of what a placement costs. The sums are kept until a word on the target comes, a whole message, or a relay falls silent; silent ones are looked for once in a ms. PeerLoadsTest compares with sums made anew over drawn messages; it failed with the drop on a word taken out.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/PeerLoads.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/PeerLoads.java
@@ -20,6 +20,11 @@
 
     private final Map<String, Heard> relays = new HashMap<>();
 
+    /** The work of all relays by target, as far as it was asked for since a part of it changed. */
+    private final Map<String, TargetLoad> sums = new HashMap<>();
+
+    private long forgottenAt = Long.MIN_VALUE;
+
     private record Heard(long atMillis, long sequence, boolean ready, Map<String, TargetLoad> targets) {}
 
     /** Takes a message; one that is older than what is known is dropped. */
@@ -28,8 +33,15 @@
         if (known != null && known.sequence() >= load.sequence()) {
             return;
         }
+        if (load.whole()) {
+            // Also what nobody has work at any more: targets come and go.
+            sums.clear();
+        }
         Map<String, TargetLoad> targets = load.whole() || known == null ? new HashMap<>() : known.targets();
-        load.targets().forEach(each -> targets.put(each.target(), each));
+        for (TargetLoad each : load.targets()) {
+            targets.put(each.target(), each);
+            sums.remove(each.target());
+        }
         relays.put(load.relay(), new Heard(nowMillis, load.sequence(), load.ready(), targets));
     }
 
@@ -54,6 +66,10 @@
     /** Returns the work of all other relays at a target. */
     public TargetLoad at(String target, long nowMillis) {
         forget(nowMillis);
+        return sums.computeIfAbsent(target, this::sum);
+    }
+
+    private TargetLoad sum(String target) {
         TargetLoad sum = TargetLoad.none(target);
         for (Heard heard : relays.values()) {
             TargetLoad load = heard.targets().get(target);
@@ -62,7 +78,14 @@
         return sum;
     }
 
+    /** Forgets relays that fell silent; a placement asks for each target, all within the same ms. */
     private void forget(long nowMillis) {
-        relays.values().removeIf(heard -> nowMillis - heard.atMillis() > VALID_MILLIS);
+        if (nowMillis == forgottenAt) {
+            return;
+        }
+        forgottenAt = nowMillis;
+        if (relays.values().removeIf(heard -> nowMillis - heard.atMillis() > VALID_MILLIS)) {
+            sums.clear();
+        }
     }
 }
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/PeerLoadsTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/PeerLoadsTest.java
@@ -2,8 +2,13 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
 import org.rattanrudder.core.fleet.RelayLoad.ReadTo;
 import org.rattanrudder.core.fleet.RelayLoad.TargetLoad;
@@ -182,6 +187,45 @@
         assertThat(seen.confirmedSince(NOW + 1)).isEmpty();
     }
 
+    /** Sums are kept between messages: whatever comes when, they must be those of the newest word of each relay. */
+    @Property
+    void whatIsAddedUpIsTheNewestWordOfEachRelay(@ForAll long seed) {
+        Random random = new Random(seed);
+        PeerLoads drawn = new PeerLoads();
+        Map<String, Map<String, TargetLoad>> words = new HashMap<>();
+        Map<String, Long> heardAt = new HashMap<>();
+        long now = NOW;
+        for (int sequence = 1; sequence <= 200; sequence++) {
+            now += random.nextInt(10) == 0 ? random.nextInt(1_500) : random.nextInt(3);
+            String relay = "relay-" + random.nextInt(4);
+            TargetLoad word = new TargetLoad(
+                    "i-" + random.nextInt(5), random.nextInt(9), random.nextInt(9_000), random.nextInt(9_000));
+            boolean whole = random.nextInt(3) == 0;
+            long at = now;
+            heardAt.values().removeIf(heard -> at - heard > PeerLoads.VALID_MILLIS);
+            words.keySet().retainAll(heardAt.keySet());
+            assertSums(drawn, words, now);
+            drawn.heard(whole ? load(relay, sequence, word) : sent(relay, sequence, word), now);
+            heardAt.put(relay, now);
+            Map<String, TargetLoad> known = words.computeIfAbsent(relay, unheard -> new HashMap<>());
+            if (whole) {
+                known.clear();
+            }
+            known.put(word.target(), word);
+            assertSums(drawn, words, now);
+        }
+    }
+
+    private static void assertSums(PeerLoads drawn, Map<String, Map<String, TargetLoad>> words, long now) {
+        for (int target = 0; target < 5; target++) {
+            String id = "i-" + target;
+            TargetLoad expected = words.values().stream()
+                    .map(word -> word.getOrDefault(id, TargetLoad.none(id)))
+                    .reduce(TargetLoad.none(id), TargetLoad::plus);
+            assertThat(drawn.at(id, now)).isEqualTo(expected);
+        }
+    }
+
     private static RelayLoad load(String relay, long sequence, TargetLoad... targets) {
         return new RelayLoad(
                 relay,
