Let one piece serve where the change wrote it twice

- HoldingLine has the shares of the objective for which a request waits and the loop that offers the line; RequestPlan, RelayState and the model use both.
- RelayLoad.ofWork in place of four constructor calls with empty lists; RelayState.relays in place of three sums.
- StopRules.CALLERS_LEAVE_MILLIS in place of two figures with the same reason.
- RelayChannels.opened waits for a channel for PeerExchange, too.
- ModelPolicy: changes on a builder in place of nine copies of the constructor call.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/HoldingLine.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/HoldingLine.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.TreeSet;
+import java.util.function.Predicate;
 
 /**
  * Requests of one service that wait at the relay for an engine with room.
@@ -17,6 +18,15 @@
  * @param <T> a request
  */
 public final class HoldingLine<T> {
+    /** The part of the objective that a request waits to be on time; what is left must do for reading its prompt. */
+    public static final double HELD_SHARE = 0.5;
+
+    /**
+     * How long a late request waits, as a multiple of the objective: its caller leaves at four times that, and one that
+     * is told sooner to come back may be on time then.
+     */
+    public static final double LATE_SHARE = 2;
+
     /**
      * Tokens of late requests that may wait for each engine, at all relays together: about two thirds of its memory, so
      * that a late request waits for some hundred ms and not for its deadline.
@@ -91,6 +101,18 @@
         return late.isEmpty() ? Optional.empty() : Optional.of(late.first());
     }
 
+    /**
+     * Offers requests in their order until one isn't taken.
+     *
+     * @param takes returns whether a request was sent; it must have left the line then
+     */
+    public void offer(Predicate<T> takes) {
+        Optional<Place<T>> first = first();
+        while (first.isPresent() && takes.test(first.get().request())) {
+            first = first();
+        }
+    }
+
     /**
      * Moves requests that can't be on time any more behind the others, and returns those that can't wait there or have
      * waited there for too long.
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/RelayLoad.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/RelayLoad.java
@@ -36,6 +36,13 @@
         unreachable = List.copyOf(unreachable);
     }
 
+    /** Returns a message that tells of work, readiness and reading alone. */
+    public static RelayLoad ofWork(
+            String relay, long sequence, boolean whole, List<TargetLoad> targets, boolean ready, ReadTo readTo) {
+        return new RelayLoad(
+                relay, sequence, whole, targets, List.of(), List.of(), List.of(), List.of(), ready, readTo);
+    }
+
     /**
      * How far a relay has read the platform's records.
      *
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/gateway/StopRules.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/gateway/StopRules.java
@@ -9,10 +9,11 @@
  */
 public final class StopRules {
     /**
-     * How long streams are taken after the request to stop, in ms. New connections come until two readiness checks were
-     * missed, after 2 s at most.
+     * How long callers come that can't know better, in ms: new connections come until two readiness checks were missed,
+     * after 2 s at most. Streams are taken so long after the request to stop. After readiness was taken back, so long
+     * everything is; requests that come later, on connections that were open before, are refused as not run.
      */
-    public static final long STREAMS_TAKEN_MILLIS = 2_600;
+    public static final long CALLERS_LEAVE_MILLIS = 2_600;
 
     /** How long before the forced end all must have ended, in ms: the last answers leave, and the process ends. */
     public static final long END_MARGIN_MILLIS = 800;
@@ -28,7 +29,7 @@
      */
     public static boolean takes(ServiceRoute route, long sinceMillis, long graceMillis) {
         if (route.repeat().stream()) {
-            return sinceMillis <= STREAMS_TAKEN_MILLIS;
+            return sinceMillis <= CALLERS_LEAVE_MILLIS;
         }
         return sinceMillis + route.timeoutMillis() <= graceMillis - END_MARGIN_MILLIS;
     }
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/PeerLoadsTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/PeerLoadsTest.java
@@ -227,30 +227,10 @@
     }
 
     private static RelayLoad load(String relay, long sequence, TargetLoad... targets) {
-        return new RelayLoad(
-                relay,
-                sequence,
-                true,
-                List.of(targets),
-                List.of(),
-                List.of(),
-                List.of(),
-                List.of(),
-                true,
-                new ReadTo(0, 0));
+        return RelayLoad.ofWork(relay, sequence, true, List.of(targets), true, new ReadTo(0, 0));
     }
 
     private static RelayLoad sent(String relay, long sequence, TargetLoad... targets) {
-        return new RelayLoad(
-                relay,
-                sequence,
-                false,
-                List.of(targets),
-                List.of(),
-                List.of(),
-                List.of(),
-                List.of(),
-                true,
-                new ReadTo(0, 0));
+        return RelayLoad.ofWork(relay, sequence, false, List.of(targets), true, new ReadTo(0, 0));
     }
 }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
@@ -90,8 +90,7 @@
             placeAnywhere();
             return;
         }
-        boolean nobodyWaits = state.line(plan.service()).size() == 0;
-        if (!nobodyWaits || !placeInWindow()) {
+        if (state.line(plan.service()).size() > 0 || !placeInWindow()) {
             wait.join(!tried.isEmpty());
         }
     }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/PeerExchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/PeerExchange.java
@@ -123,17 +123,12 @@
         this.own = own;
         this.listener = listener;
         Address address = state.settings().peers();
-        try {
-            channel = datagrams
-                    .channel(NioDatagramChannel.class)
-                    .handler(new Messages())
-                    .bind(new InetSocketAddress(address.host(), address.port()))
-                    .sync()
-                    .channel();
-        } catch (InterruptedException interrupted) {
-            Thread.currentThread().interrupt();
-            throw new IOException("interrupted while listening on " + address, interrupted);
-        }
+        channel = RelayChannels.opened(
+                datagrams
+                        .channel(NioDatagramChannel.class)
+                        .handler(new Messages())
+                        .bind(new InetSocketAddress(address.host(), address.port())),
+                address);
         follower = new TopicFollower(state, Topic.RELAYS, TopicFollower.Pace.RARE, true, this::registered);
         registering = new CallLine(state.connector(), state.settings().store());
     }
@@ -212,17 +207,7 @@
     /** Tells other relays at once of engines that work was just sent to: they would send theirs to the same ones. */
     private void tellAtOnce(List<Target> sentTo) {
         List<TargetLoad> changed = sentTo.stream().map(Target::ownLoad).toList();
-        RelayLoad load = new RelayLoad(
-                self,
-                sequence++,
-                false,
-                changed,
-                List.of(),
-                List.of(),
-                List.of(),
-                List.of(),
-                own.ready(),
-                own.readTo());
+        RelayLoad load = RelayLoad.ofWork(self, sequence++, false, changed, own.ready(), own.readTo());
         send(PeerCodec.write(load), peers.size() <= MOST_AT_ONCE, false);
     }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayChannels.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayChannels.java
@@ -3,6 +3,7 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
@@ -53,21 +54,30 @@
      */
     static Channel listen(EventLoopGroup group, Address address, ChannelInitializer<Channel> channels)
             throws IOException {
+        return opened(
+                new ServerBootstrap()
+                        .group(group)
+                        .channel(NioServerSocketChannel.class)
+                        .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                        .option(ChannelOption.SO_REUSEADDR, true)
+                        .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childOption(ChannelOption.SO_KEEPALIVE, true)
+                        .childOption(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), PROBE_IDLE_SECONDS)
+                        .childOption(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), PROBE_EVERY_SECONDS)
+                        .childOption(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), PROBES)
+                        .childHandler(channels)
+                        .bind(new InetSocketAddress(address.host(), address.port())),
+                address);
+    }
+
+    /**
+     * Waits until a channel listens.
+     *
+     * @throws IOException if the wait was interrupted
+     */
+    static Channel opened(ChannelFuture binding, Address address) throws IOException {
         try {
-            return new ServerBootstrap()
-                    .group(group)
-                    .channel(NioServerSocketChannel.class)
-                    .option(ChannelOption.SO_BACKLOG, BACKLOG)
-                    .option(ChannelOption.SO_REUSEADDR, true)
-                    .childOption(ChannelOption.TCP_NODELAY, true)
-                    .childOption(ChannelOption.SO_KEEPALIVE, true)
-                    .childOption(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), PROBE_IDLE_SECONDS)
-                    .childOption(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), PROBE_EVERY_SECONDS)
-                    .childOption(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), PROBES)
-                    .childHandler(channels)
-                    .bind(new InetSocketAddress(address.host(), address.port()))
-                    .sync()
-                    .channel();
+            return binding.sync().channel();
         } catch (InterruptedException interrupted) {
             Thread.currentThread().interrupt();
             throw new IOException("interrupted while listening on " + address, interrupted);
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
@@ -320,7 +320,7 @@
         }
         state.drain();
         state.log().info("leaving", "after_ms", Long.toString(waited));
-        loop.schedule(this::sweep, RelayState.SERVED_WHILE_DRAINING_MILLIS + 1, TimeUnit.MILLISECONDS);
+        loop.schedule(this::sweep, StopRules.CALLERS_LEAVE_MILLIS + 1, TimeUnit.MILLISECONDS);
     }
 
     private void endIfDrained(long now) {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
@@ -26,13 +26,6 @@
 
 /** What the parts of a relay share. It is owned by the event loop: nothing else may touch it. */
 final class RelayState {
-    /**
-     * How long a draining relay still serves new requests, in ms. New connections come until two readiness checks were
-     * missed, after 2 s at most; requests that come later, on connections that were open before, are refused as not
-     * run, so that all that was begun can end before the process has to.
-     */
-    static final long SERVED_WHILE_DRAINING_MILLIS = 2_600;
-
     /** Part of the ratio that is used: windows of others begin and end at other times. */
     private static final double RATIO_USED = 0.8;
 
@@ -173,7 +166,7 @@
     void expireLine(String service) {
         HoldingLine<Exchange> line = line(service);
         long now = now();
-        long allowed = HoldingLine.lateTokensAllowed(fleet.of(service, now).size(), 1 + fleet.peers(now));
+        long allowed = HoldingLine.lateTokensAllowed(fleet.of(service, now).size(), relays(now));
         line.expire(now, allowed).forEach(refused -> refused.request().refuseFromLine());
         drainLine(service);
     }
@@ -186,17 +179,19 @@
         }
         loop.execute(() -> {
             linesBeingDrained.remove(service);
-            Optional<HoldingLine.Place<Exchange>> first = line.first();
-            while (first.isPresent() && first.get().request().placeInWindow()) {
-                first = line.first();
-            }
+            line.offer(Exchange::placeInWindow);
         });
     }
 
+    /** Returns how many relays are known, this one included. */
+    int relays(long nowMillis) {
+        return 1 + fleet.peers(nowMillis);
+    }
+
     /** Takes a further send of a service's request from the retry budget; false if none is left. */
     boolean tryRepeat(String service) {
         long now = now();
-        return allowance(service).tryRepeat(1 + fleet.peers(now), now);
+        return allowance(service).tryRepeat(relays(now), now);
     }
 
     RetryAllowance allowance(String service) {
@@ -214,7 +209,7 @@
 
     /** Returns whether new requests are refused, since they might not end before the process does. */
     boolean refusing() {
-        return draining && now() - drainingSince > SERVED_WHILE_DRAINING_MILLIS;
+        return draining && now() - drainingSince > StopRules.CALLERS_LEAVE_MILLIS;
     }
 
     /** Returns whether a request on the route is still taken. */
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RequestPlan.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RequestPlan.java
@@ -5,6 +5,7 @@
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
+import org.rattanrudder.core.fleet.HoldingLine;
 import org.rattanrudder.core.fleet.PlacementQuery;
 import org.rattanrudder.core.fleet.Target;
 import org.rattanrudder.core.gateway.BackendService;
@@ -29,15 +30,6 @@
      */
     private static final long OLD_WEIGHTS_MARGIN_MILLIS = 2_000;
 
-    /** The part of the objective that a request waits in line; what is left must do for reading its prompt. */
-    private static final double HELD_SHARE = 0.5;
-
-    /**
-     * How long a late request waits in line, as a multiple of the objective: its caller leaves at four times that, and
-     * one that is told sooner to come back may be on time then.
-     */
-    private static final double LATE_SHARE = 2;
-
     /** The rank at an engine of a request that can be on time, and of one that can't. */
     private static final int ON_TIME_RANK = 4;
 
@@ -137,12 +129,12 @@
 
     /** Returns until when it must be sent to be on time. */
     long onTimeUntil() {
-        return arrivedAt + (long) (route.objectiveMillis() * HELD_SHARE);
+        return arrivedAt + (long) (route.objectiveMillis() * HoldingLine.HELD_SHARE);
     }
 
     /** Returns until when it waits in line once it can't be on time. */
     long lateUntil() {
-        return arrivedAt + (long) (route.objectiveMillis() * LATE_SHARE);
+        return arrivedAt + (long) (route.objectiveMillis() * HoldingLine.LATE_SHARE);
     }
 
     /** Returns how long a healthy target needs to the first byte, in ms. */
@@ -171,7 +163,7 @@
     }
 
     private int connections(long now) {
-        return backend.map(known -> known.connectionsPerRelay(1 + state.fleet().peers(now)))
+        return backend.map(known -> known.connectionsPerRelay(state.relays(now)))
                 .orElse(Integer.MAX_VALUE);
     }
 
--- a/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelExperiment.java
+++ b/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelExperiment.java
@@ -1,5 +1,7 @@
 package org.rattanrudder.standins.model;
 
+import static org.rattanrudder.standins.model.ModelPolicy.change;
+
 import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.file.Path;
@@ -23,27 +25,29 @@
     private static final int SEEDS = 10;
     private static final double PERCENT = 100;
 
+    /** A multiple of any objective that is longer than any deadline. */
+    private static final double UNBOUNDED = 100;
+
     private ModelExperiment() {}
 
     /** Returns the ways that are compared: what is done now, and parts of it changed or taken out. */
     static List<ModelPolicy> policies() {
-        ModelPolicy now = ModelPolicy.now();
         return List.of(
-                now,
-                now.named("all messages every 100 ms, far 400").messages(100, 4),
-                now.named("told at once within the domain").tellingFar(false),
-                now.named("nothing told at once").tellingAtOnce(false),
-                now.named("ends told within 25 ms").tellingEnds(true),
-                now.named("counted once connected").countingPlaced(false),
-                now.named("no order of its own").withOwnOrder(false),
-                now.named("late ones wait to their deadline").lateFor(100),
-                now.named("held for 0.3 of the objective").heldFor(0.3),
-                now.named("held for 0.7 of the objective").heldFor(0.7),
-                now.named("none of these")
-                        .tellingAtOnce(false)
-                        .countingPlaced(false)
-                        .withOwnOrder(false)
-                        .lateFor(100));
+                ModelPolicy.now(),
+                change().messages(100, 4).named("all messages every 100 ms, far 400"),
+                change().atOnceWithinTheDomain().named("told at once within the domain"),
+                change().nothingAtOnce().named("nothing told at once"),
+                change().endsToo().named("ends told within 25 ms"),
+                change().countedOnceConnected().named("counted once connected"),
+                change().withoutOwnOrder().named("no order of its own"),
+                change().lateFor(UNBOUNDED).named("late ones wait to their deadline"),
+                change().heldFor(0.3).named("held for 0.3 of the objective"),
+                change().heldFor(0.7).named("held for 0.7 of the objective"),
+                change().nothingAtOnce()
+                        .countedOnceConnected()
+                        .withoutOwnOrder()
+                        .lateFor(UNBOUNDED)
+                        .named("none of these"));
     }
 
     /** Prints the table of a day. */
--- a/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelPolicy.java
+++ b/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelPolicy.java
@@ -1,5 +1,7 @@
 package org.rattanrudder.standins.model;
 
+import org.rattanrudder.core.fleet.HoldingLine;
+
 /**
  * A way in which relays decide, by what is compared.
  *
@@ -25,134 +27,81 @@
         boolean ownOrder,
         double heldShare,
         double lateShare) {
-    /** What a relay does now. */
+    /** Returns what a relay does now. */
     public static ModelPolicy now() {
-        return new ModelPolicy("now", 400, 1, true, true, false, true, true, 0.5, 2);
+        return new Change().named("now");
     }
 
-    ModelPolicy named(String newName) {
-        return new ModelPolicy(
-                newName,
-                wholeEveryMillis,
-                farEvery,
-                atOnce,
-                atOnceFar,
-                endsToo,
-                countPlaced,
-                ownOrder,
-                heldShare,
-                lateShare);
+    /** Begins another way: what a relay does now, but for what is changed. */
+    static Change change() {
+        return new Change();
     }
 
-    ModelPolicy tellingAtOnce(boolean newAtOnce) {
-        return new ModelPolicy(
-                name,
-                wholeEveryMillis,
-                farEvery,
-                newAtOnce,
-                atOnceFar,
-                endsToo,
-                countPlaced,
-                ownOrder,
-                heldShare,
-                lateShare);
-    }
+    /** What a relay does now, and what is changed of it. */
+    static final class Change {
+        private long wholeEveryMillis = 400;
+        private int farEvery = 1;
+        private boolean atOnce = true;
+        private boolean atOnceFar = true;
+        private boolean endsToo;
+        private boolean countPlaced = true;
+        private boolean ownOrder = true;
+        private double heldShare = HoldingLine.HELD_SHARE;
+        private double lateShare = HoldingLine.LATE_SHARE;
 
-    ModelPolicy tellingFar(boolean newAtOnceFar) {
-        return new ModelPolicy(
-                name,
-                wholeEveryMillis,
-                farEvery,
-                atOnce,
-                newAtOnceFar,
-                endsToo,
-                countPlaced,
-                ownOrder,
-                heldShare,
-                lateShare);
-    }
+        Change messages(long everyMillis, int toFarOnesEvery) {
+            wholeEveryMillis = everyMillis;
+            farEvery = toFarOnesEvery;
+            return this;
+        }
 
-    ModelPolicy tellingEnds(boolean newEndsToo) {
-        return new ModelPolicy(
-                name,
-                wholeEveryMillis,
-                farEvery,
-                atOnce,
-                atOnceFar,
-                newEndsToo,
-                countPlaced,
-                ownOrder,
-                heldShare,
-                lateShare);
-    }
+        Change nothingAtOnce() {
+            atOnce = false;
+            return this;
+        }
 
-    ModelPolicy countingPlaced(boolean newCountPlaced) {
-        return new ModelPolicy(
-                name,
-                wholeEveryMillis,
-                farEvery,
-                atOnce,
-                atOnceFar,
-                endsToo,
-                newCountPlaced,
-                ownOrder,
-                heldShare,
-                lateShare);
-    }
+        Change atOnceWithinTheDomain() {
+            atOnceFar = false;
+            return this;
+        }
 
-    ModelPolicy withOwnOrder(boolean newOwnOrder) {
-        return new ModelPolicy(
-                name,
-                wholeEveryMillis,
-                farEvery,
-                atOnce,
-                atOnceFar,
-                endsToo,
-                countPlaced,
-                newOwnOrder,
-                heldShare,
-                lateShare);
-    }
+        Change endsToo() {
+            endsToo = true;
+            return this;
+        }
 
-    ModelPolicy heldFor(double newHeldShare) {
-        return new ModelPolicy(
-                name,
-                wholeEveryMillis,
-                farEvery,
-                atOnce,
-                atOnceFar,
-                endsToo,
-                countPlaced,
-                ownOrder,
-                newHeldShare,
-                lateShare);
-    }
+        Change countedOnceConnected() {
+            countPlaced = false;
+            return this;
+        }
 
-    ModelPolicy lateFor(double newLateShare) {
-        return new ModelPolicy(
-                name,
-                wholeEveryMillis,
-                farEvery,
-                atOnce,
-                atOnceFar,
-                endsToo,
-                countPlaced,
-                ownOrder,
-                heldShare,
-                newLateShare);
-    }
+        Change withoutOwnOrder() {
+            ownOrder = false;
+            return this;
+        }
+
+        Change heldFor(double share) {
+            heldShare = share;
+            return this;
+        }
+
+        Change lateFor(double share) {
+            lateShare = share;
+            return this;
+        }
 
-    ModelPolicy messages(long newEveryMillis, int newFarEvery) {
-        return new ModelPolicy(
-                name,
-                newEveryMillis,
-                newFarEvery,
-                atOnce,
-                atOnceFar,
-                endsToo,
-                countPlaced,
-                ownOrder,
-                heldShare,
-                lateShare);
+        ModelPolicy named(String name) {
+            return new ModelPolicy(
+                    name,
+                    wholeEveryMillis,
+                    farEvery,
+                    atOnce,
+                    atOnceFar,
+                    endsToo,
+                    countPlaced,
+                    ownOrder,
+                    heldShare,
+                    lateShare);
+        }
     }
 }
--- a/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelRelay.java
+++ b/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelRelay.java
@@ -22,8 +22,8 @@
 
 /** A relay with the decisions of a real one and a network in virtual time. */
 final class ModelRelay {
-    static final String SERVICE = "llm";
-    static final String MODEL = "m";
+    private static final String SERVICE = "llm";
+    private static final String MODEL = "m";
 
     private static final double WAY_MILLIS = 0.5;
     private static final double GATHER_MILLIS = 5;
@@ -103,17 +103,7 @@
     }
 
     private void tell(boolean whole, List<RelayLoad.TargetLoad> work, boolean toFarOnes) {
-        RelayLoad load = new RelayLoad(
-                name,
-                sequence++,
-                whole,
-                work,
-                List.of(),
-                List.of(),
-                List.of(),
-                List.of(),
-                true,
-                new RelayLoad.ReadTo(0, 0));
+        RelayLoad load = RelayLoad.ofWork(name, sequence++, whole, work, true, new RelayLoad.ReadTo(0, 0));
         tally.message();
         for (ModelRelay peer : peers) {
             if (toFarOnes || peer.domain.equals(domain)) {
@@ -174,10 +164,7 @@
     }
 
     private void drain() {
-        Optional<HoldingLine.Place<ModelRequest>> first = line.first();
-        while (first.isPresent() && sendIfRoom(first.get().request())) {
-            first = line.first();
-        }
+        line.offer(this::sendIfRoom);
     }
 
     private boolean sendIfRoom(ModelRequest request) {
--- a/rattanrudder-standins/src/test/java/org/rattanrudder/standins/model/ModelRunTest.java
+++ b/rattanrudder-standins/src/test/java/org/rattanrudder/standins/model/ModelRunTest.java
@@ -46,7 +46,9 @@
         ModelPolicy now = ModelPolicy.now();
 
         ModelReport atOnce = ModelRun.play(day(), now, seed);
-        ModelReport later = ModelRun.play(day(), now.tellingAtOnce(false).countingPlaced(false), seed);
+        ModelPolicy before =
+                ModelPolicy.change().nothingAtOnce().countedOnceConnected().named("before");
+        ModelReport later = ModelRun.play(day(), before, seed);
 
         assertThat(atOnce.sentAbove()).isLessThan(later.sentAbove() / 2);
         assertThat(atOnce.onTime()).isGreaterThan(later.onTime());
