Say which signal a process got, which requests its end cuts, and since when it runs

The incident's hypotheses differ in what asked for the stop: a signal for something else, a real request to stop, or a fault. Logs said 'draining' without a reason, an answer that the end of the process cuts had no line at all, and no metric showed a restart. Nothing of what follows from a signal is changed.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/Rattanrudderd.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/Rattanrudderd.java
@@ -39,6 +39,7 @@
     /** Runs the daemon until it is asked to stop. */
     public static void main(String[] arguments) {
         Logging.install();
+        Signals.install();
         if (RelayStart.isMeant(arguments)) {
             run(log -> RelayStart.start(System.err));
             return;
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/CallerConnection.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/CallerConnection.java
@@ -321,6 +321,13 @@
         return exchange != null || head != null || partialHeadSince >= 0;
     }
 
+    /** Says that the process ends while it serves a request. */
+    void logCut() {
+        if (exchange != null) {
+            exchange.logCut();
+        }
+    }
+
     private void dropWaiting() {
         waiting.forEach(ReferenceCountUtil::release);
         waiting.clear();
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
@@ -365,6 +365,11 @@
         finished("cancelled", "caller left");
     }
 
+    /** The process ends while the request is served. */
+    void logCut() {
+        log.cut(lastAttempt.map(last -> last.target().id()).orElse("none"), answer.began());
+    }
+
     private void breakOff(String reason) {
         caller.abort();
         finished("broken_off", reason);
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
@@ -61,6 +61,8 @@
 
     private static final long STAY_STEP_MILLIS = 200;
 
+    private static final double MILLIS_PER_SECOND = 1_000;
+
     private final Closer closer = new Closer();
     private final RelayState state;
     private final TargetPools pools;
@@ -330,6 +332,7 @@
         boolean late = since > state.settings().bounds().graceMillis() - StopRules.END_MARGIN_MILLIS;
         if (quiet || late) {
             finishedInTime = !busy;
+            callers.forEach(CallerConnection::logCut);
             drained.countDown();
         }
     }
@@ -364,6 +367,14 @@
                         "rattanrudder_relay_targets",
                         "Targets that are known",
                         () -> state.fleet().all(state.now()).size());
+        double startedAt = System.currentTimeMillis() / MILLIS_PER_SECOND;
+        state.metrics()
+                .gauge("rattanrudder_relay_started_seconds", "When the process started, in Unix seconds", () -> startedAt);
+        state.metrics()
+                .gauge(
+                        "rattanrudder_relay_stopping",
+                        "1 once the process was asked to stop",
+                        () -> state.stopping() ? 1 : 0);
     }
 
     @Override
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
@@ -219,6 +219,11 @@
                         route, now() - stoppingSince, settings.bounds().graceMillis());
     }
 
+    /** Returns whether the process was asked to stop. */
+    boolean stopping() {
+        return stopping;
+    }
+
     /** Returns when the process was asked to stop. */
     long stoppingSince() {
         return stoppingSince;
