--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
@@ -369,7 +369,10 @@
                         () -> state.fleet().all(state.now()).size());
         double startedAt = System.currentTimeMillis() / MILLIS_PER_SECOND;
         state.metrics()
-                .gauge("rattanrudder_relay_started_seconds", "When the process started, in Unix seconds", () -> startedAt);
+                .gauge(
+                        "rattanrudder_relay_started_seconds",
+                        "When the process started, in Unix seconds",
+                        () -> startedAt);
         state.metrics()
                 .gauge(
                         "rattanrudder_relay_stopping",
