Take SIGHUP for changed settings, not for a request to stop

Cause: the virtual machine handles SIGHUP as it handles SIGTERM, and nothing of ours said otherwise. A relay that was told to read its settings again drained, cut what ran longer than the grace, and was away until it was started again; three told at once left nobody. Class: a default of the runtime that nobody chose, for an event that operators mean otherwise.

Ruled out: a real stop (the log of the failing test names the signal) and a stream broken off by the relay for another reason (its answer was cut by the end of the process, 'request_cut').

Mend: the signal and a look at the file each second lead to one place that reads, checks and takes over what can change while a process runs: a relay's store and bounds; entries and companions name the keys that need a restart. What doesn't hold changes nothing.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/gateway/RetryAllowance.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/gateway/RetryAllowance.java
@@ -15,8 +15,8 @@
     /** The least number of gateways that the repeats on top are divided by: those that are known may be fewer. */
     static final int LEAST_GATEWAYS = 16;
 
-    private final double ratio;
-    private final double extra;
+    private double ratio;
+    private double extra;
     private final long windowMillis;
     private final Deque<Long> requests = new ArrayDeque<>();
     private final Deque<Long> repeats = new ArrayDeque<>();
@@ -34,6 +34,12 @@
         this.windowMillis = windowMillis;
     }
 
+    /** Changes what is allowed; what was sent in the window before counts on. */
+    public void bounds(double newRatio, double newExtra) {
+        ratio = newRatio;
+        extra = newExtra;
+    }
+
     /** Notes the first send of a request. */
     public void request(long nowMillis) {
         forget(nowMillis);
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/Rattanrudderd.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/Rattanrudderd.java
@@ -20,12 +20,13 @@
 import org.rattanrudder.document.ParseResult;
 import org.rattanrudder.document.ProcessSettings;
 import org.rattanrudder.document.ProcessSettingsParser;
+import org.rattanrudder.document.SettingsDifference;
 
 /**
  * The daemon: {@code rattanrudderd [--role entry|companion] --settings FILE}.
  *
- * <p>Exit codes: 0 after SIGTERM once all was finished, 1 if something was cut off or the process couldn't start, 2 for
- * wrong usage or settings.
+ * <p>SIGHUP: the settings are read again. Exit codes: 0 after SIGTERM once all was finished, 1 if something was cut off
+ * or the process couldn't start, 2 for wrong usage or settings.
  */
 public final class Rattanrudderd {
     /** The release, as said in hellos. */
@@ -38,41 +39,61 @@
 
     /** Runs the daemon until it is asked to stop. */
     public static void main(String[] arguments) {
+        Signals.ignoreSettingsChanged();
         Logging.install();
-        Signals.install();
         if (RelayStart.isMeant(arguments)) {
             run(log -> RelayStart.start(System.err));
             return;
         }
-        Optional<ProcessSettings> settings = settings(arguments, System.err);
-        if (settings.isEmpty()) {
+        Optional<SettingsFile> file = settings(arguments, System.err);
+        if (file.isEmpty()) {
             System.exit(USAGE);
         }
         run(log -> {
-            RunningProcess process = start(settings.get());
+            ProcessSettings settings = file.get().settings();
+            RunningProcess process = start(settings);
             log.infof(
                     "event=started instance=%s role=%s http=%s release=%s",
-                    settings.get().instance(),
-                    settings.get().role().name().toLowerCase(Locale.ROOT),
-                    process.http(),
-                    RELEASE);
-            return process;
+                    settings.instance(), settings.role().name().toLowerCase(Locale.ROOT), process.http(), RELEASE);
+            return new Started(
+                    process, new SettingsWatch(file.get().path(), file.get().text(), Rattanrudderd::readAgain));
         });
     }
 
-    /** Starts a process. */
+    /** Starts a process; returns null if its settings don't hold. */
     private interface Start {
-        RunningProcess start(Logger log) throws IOException;
+        Started start(Logger log) throws IOException;
+    }
+
+    /**
+     * A process that runs.
+     *
+     * @param process the process
+     * @param settings looks at its settings file
+     */
+    record Started(RunningProcess process, SettingsWatch settings) {}
+
+    /** A settings file that was read. */
+    private record SettingsFile(Path path, String text, ProcessSettings settings) {}
+
+    /** Entries and companions take all settings at their start; what changes later is only said. */
+    private static SettingsReader.Outcome readAgain(String before, String after) {
+        ParseResult<ProcessSettings> result = new ProcessSettingsParser().parse(after);
+        return result instanceof ParseResult.Rejected<ProcessSettings> rejected
+                ? SettingsReader.Rejected.of(rejected.problems())
+                : new SettingsReader.Taken(List.of(), SettingsDifference.keys(before, after));
     }
 
     private static void run(Start start) {
         Logger log = Logger.getLogger(Rattanrudderd.class);
         try {
-            RunningProcess process = start.start(log);
-            if (process == null) {
+            Started started = start.start(log);
+            if (started == null) {
                 System.exit(USAGE);
             }
-            Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(process, log), "stop"));
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(started, log), "stop"));
+            started.settings().start();
+            Signals.install(started.settings()::readNow);
             Thread.currentThread().join();
         } catch (IOException failed) {
             System.err.println("rattanrudderd: " + failed.getMessage());
@@ -100,7 +121,8 @@
         return drawn;
     }
 
-    private static void stop(RunningProcess process, Logger log) {
+    private static void stop(Started started, Logger log) {
+        RunningProcess process = started.process();
         boolean finished = false;
         try {
             log.info("event=draining");
@@ -109,13 +131,14 @@
             Thread.currentThread().interrupt();
         }
         process.close();
+        started.settings().close();
         log.infof("event=stopped finished=%s", finished);
         // The virtual machine would end with the signal's number, as if the process had been cut off.
         Logging.flush();
         Runtime.getRuntime().halt(finished ? 0 : FAILED);
     }
 
-    private static Optional<ProcessSettings> settings(String[] arguments, PrintStream errors) {
+    private static Optional<SettingsFile> settings(String[] arguments, PrintStream errors) {
         OptionParser parser = new OptionParser();
         OptionSpec<String> role = parser.accepts("role", "entry or companion; must agree with the settings")
                 .withRequiredArg();
@@ -135,9 +158,10 @@
         }
     }
 
-    private static Optional<ProcessSettings> read(Path file, Optional<String> role, PrintStream errors)
+    private static Optional<SettingsFile> read(Path file, Optional<String> role, PrintStream errors)
             throws IOException {
-        ParseResult<ProcessSettings> result = new ProcessSettingsParser().parse(Files.readString(file));
+        String text = Files.readString(file);
+        ParseResult<ProcessSettings> result = new ProcessSettingsParser().parse(text);
         if (result instanceof ParseResult.Rejected<ProcessSettings> rejected) {
             List<String> lines = rejected.problems().stream()
                     .map(problem -> problem.in(file.toString()))
@@ -152,6 +176,6 @@
                     + settings.role().name().toLowerCase(Locale.ROOT));
             return Optional.empty();
         }
-        return Optional.of(settings);
+        return Optional.of(new SettingsFile(file, text, settings));
     }
 }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/RelayStart.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/RelayStart.java
@@ -6,16 +6,19 @@
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.ServiceLoader;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 import org.jboss.logging.Logger;
-import org.rattanrudder.daemon.loop.RunningProcess;
 import org.rattanrudder.daemon.relay.RelayProcess;
 import org.rattanrudder.daemon.relay.port.PlatformAdapter;
 import org.rattanrudder.document.ParseResult;
 import org.rattanrudder.document.RelaySettings;
 import org.rattanrudder.document.RelaySettingsParser;
+import org.rattanrudder.document.SettingsDifference;
 
 /** Starts the daemon as a relay: {@code rattanrudderd --role relay}, its settings in the file that a variable names. */
 final class RelayStart {
@@ -30,8 +33,8 @@
     }
 
     /** Starts the relay; returns null if its settings don't hold, which is said on the given stream. */
-    static RunningProcess start(PrintStream errors) throws IOException {
-        Optional<RelaySettings> settings = settings(System.getenv(SETTINGS_VARIABLE), errors);
+    static Rattanrudderd.Started start(PrintStream errors) throws IOException {
+        Optional<Settings> settings = settings(System.getenv(SETTINGS_VARIABLE), errors);
         Optional<PlatformAdapter> adapter =
                 ServiceLoader.load(PlatformAdapter.class).findFirst();
         if (adapter.isEmpty()) {
@@ -40,22 +43,41 @@
         if (settings.isEmpty() || adapter.isEmpty()) {
             return null;
         }
-        RelayProcess relay = new RelayProcess(settings.get(), adapter.get(), RandomGenerator.getDefault());
+        RelaySettings started = settings.get().settings();
+        RelayProcess relay = new RelayProcess(started, adapter.get(), RandomGenerator.getDefault());
         Logger.getLogger(RelayStart.class)
                 .infof(
                         "event=started instance=%s role=relay http=%s release=%s",
-                        settings.get().instance(), relay.http(), Rattanrudderd.RELEASE);
-        return relay;
+                        started.instance(), relay.http(), Rattanrudderd.RELEASE);
+        return new Rattanrudderd.Started(
+                relay, new SettingsWatch(settings.get().file(), settings.get().text(), readAgain(relay)));
     }
 
-    static Optional<RelaySettings> settings(String file, PrintStream errors) throws IOException {
+    private static SettingsReader readAgain(RelayProcess relay) {
+        return (before, after) -> {
+            ParseResult<RelaySettings> result = new RelaySettingsParser().parse(after);
+            if (result instanceof ParseResult.Rejected<RelaySettings> rejected) {
+                return SettingsReader.Rejected.of(rejected.problems());
+            }
+            relay.settingsRead(((ParseResult.Accepted<RelaySettings>) result).value());
+            Map<Boolean, List<String>> changed = SettingsDifference.keys(before, after).stream()
+                    .collect(Collectors.partitioningBy(RelaySettings.CHANGEABLE::contains));
+            return new SettingsReader.Taken(changed.get(true), changed.get(false));
+        };
+    }
+
+    /** A settings file that was read. */
+    record Settings(Path file, String text, RelaySettings settings) {}
+
+    static Optional<Settings> settings(String file, PrintStream errors) throws IOException {
         if (file == null) {
             errors.println("rattanrudderd: the variable " + SETTINGS_VARIABLE + " must name the settings file");
             return Optional.empty();
         }
+        Path path = Path.of(file);
         String text;
         try {
-            text = Files.readString(Path.of(file));
+            text = Files.readString(path);
         } catch (NoSuchFileException missing) {
             errors.println("rattanrudderd: " + file + ": no such file");
             return Optional.empty();
@@ -65,6 +87,6 @@
             rejected.problems().forEach(problem -> errors.println(problem.in(file)));
             return Optional.empty();
         }
-        return Optional.of(((ParseResult.Accepted<RelaySettings>) result).value());
+        return Optional.of(new Settings(path, text, ((ParseResult.Accepted<RelaySettings>) result).value()));
     }
 }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/CallLine.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/CallLine.java
@@ -19,11 +19,12 @@
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.rattanrudder.core.model.Address;
 import org.rattanrudder.daemon.relay.port.PlatformCall;
 
 /**
- * Calls one address, one call at a time, on a connection that is kept.
+ * Calls an address, one call at a time, on a connection that is kept.
  *
  * <p>A connection may fall silent for good without a reset, while new ones work. A call that isn't answered in time
  * therefore takes its connection with it, and the next call opens a new one.
@@ -32,12 +33,18 @@
     private static final int LARGEST_ANSWER = 64 * 1024 * 1024;
 
     private final Bootstrap bootstrap;
-    private final Address address;
+    private final Supplier<Address> address;
+    private Address connectedTo;
     private Channel channel;
     private Consumer<CallAnswer> waiting;
     private ScheduledFuture<?> timeout;
 
-    CallLine(Bootstrap bootstrap, Address address) {
+    /**
+     * Makes a line without a connection.
+     *
+     * @param address whom to call; another address than before takes effect with the next call
+     */
+    CallLine(Bootstrap bootstrap, Supplier<Address> address) {
         this.address = address;
         this.bootstrap = bootstrap.clone().handler(new ChannelInitializer<>() {
             @Override
@@ -69,12 +76,17 @@
                 .group()
                 .next()
                 .schedule(() -> end(new CallAnswer.Unanswered("timeout"), true), timeoutMillis, TimeUnit.MILLISECONDS);
+        Address current = address.get();
+        if (!current.equals(connectedTo)) {
+            drop();
+            connectedTo = current;
+        }
         if (channel != null && channel.isActive()) {
             write(call);
             return;
         }
         bootstrap
-                .connect(new InetSocketAddress(address.host(), address.port()))
+                .connect(new InetSocketAddress(current.host(), current.port()))
                 .addListener((io.netty.channel.ChannelFuture opened) -> {
                     if (!opened.isSuccess()) {
                         end(new CallAnswer.Unanswered("unreachable"), true);
@@ -91,7 +103,7 @@
         DefaultFullHttpRequest request = new DefaultFullHttpRequest(
                 HttpVersion.HTTP_1_1, call.method(), call.target(), Unpooled.wrappedBuffer(call.body()));
         request.headers().set(call.headers());
-        request.headers().set(HttpHeaderNames.HOST, address.toString());
+        request.headers().set(HttpHeaderNames.HOST, connectedTo.toString());
         if (call.body().length > 0) {
             request.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
             HttpUtil.setContentLength(request, call.body().length);
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/OrderGiver.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/OrderGiver.java
@@ -66,7 +66,7 @@
         store = state.platform().store();
         lease = new OrderLease(self, state.settings().bounds().leaseMillis());
         follower = new TopicFollower(state, Topic.ORDERS, TopicFollower.Pace.RARE, false, new Records());
-        appends = new CallLine(state.connector(), state.settings().store());
+        appends = new CallLine(state.connector(), state::store);
     }
 
     void start() {
@@ -220,7 +220,7 @@
 
     private void order(Target target, NamedWeights weights) {
         ordering.add(target.id());
-        CallLine line = new CallLine(state.connector(), target.entry().address());
+        CallLine line = new CallLine(state.connector(), target.entry()::address);
         line.call(state.platform().engines().report(Optional.of(target.id())), CALL_MILLIS, answer -> {
             Optional<EngineReport> report = report(answer);
             report.ifPresent(read -> note(target, read));
@@ -291,7 +291,7 @@
             }
             looks.put(target.id(), now + LOOK_EVERY_MILLIS);
             ordering.add(target.id());
-            CallLine line = new CallLine(state.connector(), target.entry().address());
+            CallLine line = new CallLine(state.connector(), target.entry()::address);
             line.call(state.platform().engines().report(Optional.of(target.id())), CALL_MILLIS, answer -> {
                 Optional<EngineReport> report = report(answer);
                 report.ifPresent(read -> note(target, read));
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/PeerExchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/PeerExchange.java
@@ -130,7 +130,7 @@
                         .bind(new InetSocketAddress(address.host(), address.port())),
                 address);
         follower = new TopicFollower(state, Topic.RELAYS, TopicFollower.Pace.RARE, true, this::registered);
-        registering = new CallLine(state.connector(), state.settings().store());
+        registering = new CallLine(state.connector(), state::store);
     }
 
     void start() {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Rehearsal.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Rehearsal.java
@@ -109,7 +109,8 @@
     }
 
     private static boolean isOfRelays(String name) {
-        return name.matches(".*/(gateway|fleet|parts|rollout|relay|port|peer|platform)/[A-Z][^/]*");
+        return name.matches(".*/(gateway|fleet|parts|rollout|relay|port|peer|platform)/[A-Z][^/]*"
+                + "|.*/daemon/(Signals|Settings)[^/]*");
     }
 
     private static Address freeAddress() throws IOException {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
@@ -103,7 +103,7 @@
         targets = new TopicFollower(
                 state,
                 Topic.TARGETS,
-                TopicFollower.Pace.gathered(settings.bounds().drainMillis()),
+                TopicFollower.Pace.gathered(() -> state.settings().bounds().drainMillis()),
                 true,
                 new Targets());
         orders = new OrderGiver(state, incarnation);
@@ -380,6 +380,11 @@
                         () -> state.stopping() ? 1 : 0);
     }
 
+    /** Takes over what may change while a relay runs from settings that were read again. */
+    public void settingsRead(RelaySettings read) {
+        loop.execute(() -> state.settingsRead(read));
+    }
+
     @Override
     public Address http() {
         return state.settings().callers();
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
@@ -17,6 +17,7 @@
 import org.rattanrudder.core.gateway.ServiceRoute;
 import org.rattanrudder.core.gateway.ServingConfiguration;
 import org.rattanrudder.core.gateway.StopRules;
+import org.rattanrudder.core.model.Address;
 import org.rattanrudder.core.parts.PartDirectory;
 import org.rattanrudder.core.rollout.NamedVersions;
 import org.rattanrudder.core.routing.Hashing;
@@ -29,7 +30,7 @@
     /** Part of the ratio that is used: windows of others begin and end at other times. */
     private static final double RATIO_USED = 0.8;
 
-    private final RelaySettings settings;
+    private RelaySettings settings;
     private final PlatformAdapter platform;
     private final EventLoop loop;
     private final Bootstrap connector;
@@ -87,6 +88,20 @@
         return settings;
     }
 
+    /** Returns where the platform's store listens. */
+    Address store() {
+        return settings.store();
+    }
+
+    /** Takes over what may change while a relay runs. */
+    void settingsRead(RelaySettings read) {
+        settings = settings.takeOver(read);
+        RelaySettings.Bounds bounds = settings.bounds();
+        allowances
+                .values()
+                .forEach(allowance -> allowance.bounds(bounds.retryRatio() * RATIO_USED, bounds.retryExtra()));
+    }
+
     /** Returns a hash of this relay's name, by which it orders engines that are about as busy. */
     long relayHash() {
         return relayHash;
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/StoreWatch.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/StoreWatch.java
@@ -51,7 +51,7 @@
         this.tell = tell;
         this.address = address;
         dialect = state.platform().engines();
-        line = new CallLine(state.connector(), address);
+        line = new CallLine(state.connector(), () -> address);
     }
 
     void start() {
@@ -144,7 +144,7 @@
 
     /** Frees parts that no request reads any more. */
     void free(List<PartKey> parts, long inIncarnation) {
-        CallLine freeing = new CallLine(state.connector(), address);
+        CallLine freeing = new CallLine(state.connector(), () -> address);
         freeing.call(dialect.free(parts, inIncarnation), TIMEOUT_MILLIS, answer -> {
             state.log()
                     .info(
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TopicFollower.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TopicFollower.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.IntToLongFunction;
+import java.util.function.LongSupplier;
 import org.rattanrudder.daemon.relay.port.KeyedRecord;
 import org.rattanrudder.daemon.relay.port.PlatformCall;
 import org.rattanrudder.daemon.relay.port.StoreAnswer;
@@ -56,11 +57,13 @@
          * Records that come often and matter within a bound: several share one read. With many relays each reads less
          * often, since whoever reads of a change tells the others; the gap alone keeps within the bound.
          */
-        static Pace gathered(long boundMillis) {
+        static Pace gathered(LongSupplier boundMillis) {
+            return new Pace(peers -> gap(boundMillis.getAsLong(), peers), peers -> 1_000);
+        }
+
+        private static long gap(long boundMillis, int peers) {
             long longest = (long) (boundMillis * GATHERING_SHARE);
-            return new Pace(
-                    peers -> Math.max(SHORTEST_GATHERING_MILLIS, Math.min(longest, GATHERING_MILLIS_PER_PEER * peers)),
-                    peers -> 1_000);
+            return Math.max(SHORTEST_GATHERING_MILLIS, Math.min(longest, GATHERING_MILLIS_PER_PEER * peers));
         }
     }
 
@@ -111,7 +114,7 @@
         this.keyed = keyed;
         this.listener = listener;
         dialect = state.platform().store();
-        line = new CallLine(state.connector(), state.settings().store());
+        line = new CallLine(state.connector(), state::store);
     }
 
     void start() {
--- a/rattanrudder-document/src/main/java/org/rattanrudder/document/RelaySettings.java
+++ b/rattanrudder-document/src/main/java/org/rattanrudder/document/RelaySettings.java
@@ -1,5 +1,6 @@
 package org.rattanrudder.document;
 
+import java.util.Set;
 import org.rattanrudder.core.model.Address;
 
 /**
@@ -23,6 +24,32 @@
         Address metrics,
         Address store,
         Bounds bounds) {
+    /**
+     * The keys of the settings file that a running relay takes over. The others need a restart: addresses are bound and
+     * the name is registered once; two relays with different turns of the lease could both give orders; a longer window
+     * of the retry budget would need sends that are forgotten.
+     */
+    public static final Set<String> CHANGEABLE = Set.of(
+            "store",
+            "bounds.retryRatio",
+            "bounds.retryExtra",
+            "bounds.weightsMillis",
+            "bounds.drainMillis",
+            "bounds.graceSeconds");
+
+    /** Returns the settings of a relay that runs on these and has read others: only what may change is theirs. */
+    public RelaySettings takeOver(RelaySettings read) {
+        Bounds changed = new Bounds(
+                read.bounds.retryRatio,
+                read.bounds.retryExtra,
+                bounds.retryWindowMillis,
+                bounds.leaseMillis,
+                read.bounds.weightsMillis,
+                read.bounds.drainMillis,
+                read.bounds.graceMillis);
+        return new RelaySettings(instance, failureDomain, callers, readiness, peers, metrics, read.store, changed);
+    }
+
     /**
      * What a relay must keep to; times are milliseconds.
      *
--- /dev/null
+++ b/rattanrudder-document/src/test/java/org/rattanrudder/document/SettingsDifferenceTest.java
@@ -0,0 +1,66 @@
+package org.rattanrudder.document;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class SettingsDifferenceTest {
+    private static final String RELAY = """
+            {"instance": "a", "failureDomain": "b", "callers": "10.0.0.1:1", "readiness": "10.0.0.1:2",
+             "peers": "10.0.0.1:3", "metrics": "10.0.0.1:4", "store": "10.0.0.1:5",
+             "bounds": {"retryRatio": 0.25, "retryExtra": 10, "retryWindowSeconds": 20, "leaseMillis": 30,
+               "weightsMillis": 40, "drainMillis": 50, "graceSeconds": 60}}
+            """;
+
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "{\"a\":1} | { \"a\" : 1 } // same | ",
+                "{\"a\":1} | {\"a\":2} | a",
+                "{\"a\":1} | {\"a\":\"1\"} | a",
+                "{\"a\":{\"b\":1,\"c\":2}} | {\"a\":{\"b\":1,\"c\":3}} | a.c",
+                "{\"a\":1} | {\"b\":1} | a b",
+                "{\"a\":[1,{\"x\":2}]} | {\"a\":[1,{\"x\":3}]} | a",
+                "{\"a\":[1,2]} | {\"a\":[1,2]} | ",
+                "no json | {\"a\":true} | a",
+            })
+    void keysWhoseValuesDifferAreNamed(String before, String after, String keys) {
+        List<String> expected = keys == null ? List.of() : List.of(keys.split(" "));
+
+        assertThat(SettingsDifference.keys(before, after)).isEqualTo(expected);
+    }
+
+    /** Each key of a relay's settings either changes what runs, and is named so, or needs a restart. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "\"a\"", "\"b\"", "10.0.0.1:1", "10.0.0.1:2", "10.0.0.1:3", "10.0.0.1:4", "10.0.0.1:5",
+                "0.25", "10,", "20,", "30,", "40,", "50,", "60}"
+            })
+    void aRelayTakesOverJustTheKeysThatAreNamedChangeable(String value) {
+        String changed = RELAY.replace(value, value.replaceFirst("[ab]|[0-9](?=[^0-9]*$)", "7"));
+        RelaySettings running = settings(RELAY);
+
+        List<String> keys = SettingsDifference.keys(RELAY, changed);
+
+        assertThat(keys).hasSize(1);
+        assertThat(!running.takeOver(settings(changed)).equals(running))
+                .isEqualTo(RelaySettings.CHANGEABLE.contains(keys.get(0)));
+    }
+
+    @Test
+    void namedKeysAreKeysOfTheFile() {
+        assertThat(SettingsDifference.keys("{}", RELAY)).containsAll(RelaySettings.CHANGEABLE);
+    }
+
+    private static RelaySettings settings(String text) {
+        ParseResult<RelaySettings> result = new RelaySettingsParser().parse(text);
+        assertThat(result).isInstanceOf(ParseResult.Accepted.class);
+        return ((ParseResult.Accepted<RelaySettings>) result).value();
+    }
+}
