Give whoever waits at the end of a relay a last answer, and fit the end to a short grace

(1) A relay that ends while a request runs closed its connection without a word, though it had read the whole request; now it is answered as at a deadline: 504 if it may have run, 'not run' if it was never sent, and its line in the log says 'process ends'. A stream that has begun is still broken off. (2) The times of a stop were fixed: with a grace of 3 s a relay stayed ready for 2.8 s and never came to its own end (in a log of the failing reload test: 'leaving after_ms=2815', then the end after 3 s with nothing said). They are parts of a short grace now, and unchanged from 8 s on.

StopRulesTest: new bounds. The stop has a class of its own, RelayStop, out of RelayProcess.

--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/gateway/StopRulesTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/gateway/StopRulesTest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class StopRulesTest {
     /**
@@ -28,4 +29,29 @@
 
         assertThat(StopRules.takes(route, since, 8_000)).isEqualTo(expected);
     }
+
+    /**
+     * A deployment gives a process three seconds to stop. The relay stays ready for 2.8 of them, and what it takes in
+     * the next 2.6 is cut when the process is ended by force, without a word to its callers.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {1_000, 2_000, 3_000, 4_000, 8_000, 30_000})
+    void whatIsTakenLastHasTimeToEnd(long grace) {
+        long lastTaken = StopRules.stayMillis(grace) + StopRules.callersLeaveMillis(grace);
+        long end = grace - StopRules.endMarginMillis(grace);
+
+        assertThat(end - lastTaken).isGreaterThanOrEqualTo(grace / 5);
+        assertThat(StopRules.endMarginMillis(grace)).isBetween(grace / 40, grace / 6);
+    }
+
+    /** Long graces change nothing: callers need two seconds to find out, whatever the deployment. */
+    @ParameterizedTest
+    @CsvSource({"8000, 2800, 2600, 800", "30000, 2800, 2600, 800"})
+    void withTimeEnoughTheTimesAreThoseThatCallersNeed(long grace, long stay, long leave, long margin) {
+        assertThat(List.of(
+                        StopRules.stayMillis(grace),
+                        StopRules.callersLeaveMillis(grace),
+                        StopRules.endMarginMillis(grace)))
+                .containsExactly(stay, leave, margin);
+    }
 }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/CallerConnection.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/CallerConnection.java
@@ -321,10 +321,10 @@
         return exchange != null || head != null || partialHeadSince >= 0;
     }
 
-    /** Says that the process ends while it serves a request. */
-    void logCut() {
+    /** The process ends: whoever waits for an answer gets its last one. */
+    void processEnds() {
         if (exchange != null) {
-            exchange.logCut();
+            exchange.processEnds();
         }
     }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
@@ -338,18 +338,28 @@
     }
 
     private void deadlineReached() {
+        giveUp(ErrorKind.DEADLINE_UNREACHABLE, "deadline");
+    }
+
+    /** The process ends while the request is served. */
+    void processEnds() {
+        giveUp(ErrorKind.DRAINING, "process ends");
+    }
+
+    /** Ends the request whatever becomes of its attempt; the error is for one that was never sent. */
+    private void giveUp(ErrorKind unsent, String reason) {
         if (ended) {
             return;
         }
         if (attempt != null) {
             attempt.connection().abort();
-            closeAttempt(AttemptOutcome.SILENT, "deadline");
+            closeAttempt(AttemptOutcome.SILENT, reason);
             runs++;
         }
         if (answer.began()) {
-            breakOff("deadline");
+            breakOff(reason);
         } else {
-            end(runs > 0 ? ErrorKind.TARGET_SILENT : ErrorKind.DEADLINE_UNREACHABLE, "deadline");
+            end(runs > 0 ? ErrorKind.TARGET_SILENT : unsent, reason);
         }
     }
 
@@ -365,11 +375,6 @@
         finished("cancelled", "caller left");
     }
 
-    /** The process ends while the request is served. */
-    void logCut() {
-        log.cut(lastAttempt.map(last -> last.target().id()).orElse("none"), answer.began());
-    }
-
     private void breakOff(String reason) {
         caller.abort();
         finished("broken_off", reason);
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/ExchangeLog.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/ExchangeLog.java
@@ -88,25 +88,6 @@
                         Boolean.toString(answerBegan));
     }
 
-    /** The process ends while the request is served. */
-    void cut(String target, boolean answerBegan) {
-        state.log()
-                .warn(
-                        "request_cut",
-                        "request",
-                        plan.id(),
-                        "route",
-                        plan.route().name(),
-                        "target",
-                        target,
-                        "began",
-                        Boolean.toString(answerBegan),
-                        "ms",
-                        Long.toString(state.now() - plan.arrivedAt()),
-                        "left_ms",
-                        Long.toString(plan.left()));
-    }
-
     /**
      * Writes the end of a request.
      *
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
@@ -16,7 +16,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
@@ -25,7 +24,6 @@
 import org.rattanrudder.core.fleet.Target;
 import org.rattanrudder.core.fleet.TargetEntry;
 import org.rattanrudder.core.gateway.ContextStore;
-import org.rattanrudder.core.gateway.StopRules;
 import org.rattanrudder.core.model.Address;
 import org.rattanrudder.core.parts.SharedNews;
 import org.rattanrudder.daemon.logging.EventLog;
@@ -52,15 +50,6 @@
     /** How often connections are looked at, in ms. */
     static final long SWEEP_MILLIS = 500;
 
-    /**
-     * How long a relay that was asked to stop stays ready while no other one is, in ms. Relays that are restarted in
-     * turn, faster than each needs to end its requests and come back, would else all be away at once: three of three
-     * were, for two seconds. Within four seconds readiness must be taken back, and what runs needs the rest to end.
-     */
-    private static final long STAY_MILLIS = 2_800;
-
-    private static final long STAY_STEP_MILLIS = 200;
-
     private static final double MILLIS_PER_SECOND = 1_000;
 
     private final Closer closer = new Closer();
@@ -74,11 +63,10 @@
     private final EventLoop loop;
     private final Set<CallerConnection> callers = new HashSet<>();
     private final Map<Address, StoreWatch> stores = new HashMap<>();
-    private final CountDownLatch drained = new CountDownLatch(1);
     private final Channel callersListening;
     private final OutdatedParts outdated;
+    private final RelayStop stop;
     private long targetsChangedTo;
-    private boolean finishedInTime;
 
     /**
      * Starts a relay.
@@ -94,6 +82,7 @@
                 settings, platform, loop, RelayChannels.connector(group), log, new RelayMetrics(), random);
         pools = new TargetPools(state.connector(), loop, platform.requests(), state::now, new Reached());
         outdated = new OutdatedParts(state, stores);
+        stop = new RelayStop(state, callers, this::sweep);
         gauges();
         callersListening = listen(group, settings.callers(), RelayChannels.callers(state, pools, callers));
         listen(group, settings.readiness(), new StatusServer(this::readiness));
@@ -308,33 +297,7 @@
         Set<String> known = state.fleet().all(now).stream().map(Target::id).collect(Collectors.toSet());
         pools.sweep(known, now);
         outdated.free(now);
-        if (state.draining()) {
-            endIfDrained(now);
-        }
-    }
-
-    /** Takes readiness back, unless no other relay is ready and there is time to wait for one. */
-    private void leave() {
-        long waited = state.now() - state.stoppingSince();
-        if (waited < STAY_MILLIS && !state.fleet().anyPeerReady(state.now())) {
-            loop.schedule(this::leave, STAY_STEP_MILLIS, TimeUnit.MILLISECONDS);
-            return;
-        }
-        state.drain();
-        state.log().info("leaving", "after_ms", Long.toString(waited));
-        loop.schedule(this::sweep, StopRules.CALLERS_LEAVE_MILLIS + 1, TimeUnit.MILLISECONDS);
-    }
-
-    private void endIfDrained(long now) {
-        long since = now - state.stoppingSince();
-        boolean busy = callers.stream().anyMatch(CallerConnection::isBusy);
-        boolean quiet = state.refusing() && !busy;
-        boolean late = since > state.settings().bounds().graceMillis() - StopRules.END_MARGIN_MILLIS;
-        if (quiet || late) {
-            finishedInTime = !busy;
-            callers.forEach(CallerConnection::logCut);
-            drained.countDown();
-        }
+        stop.look(now);
     }
 
     private StatusServer.Page readiness(String path) {
@@ -392,12 +355,8 @@
 
     @Override
     public boolean drain() throws InterruptedException {
-        loop.execute(() -> {
-            state.stop();
-            leave();
-        });
-        boolean ended = drained.await(state.settings().bounds().graceMillis(), TimeUnit.MILLISECONDS);
-        return ended && finishedInTime;
+        loop.execute(stop::begin);
+        return stop.await();
     }
 
     @Override
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
@@ -224,7 +224,9 @@
 
     /** Returns whether new requests are refused, since they might not end before the process does. */
     boolean refusing() {
-        return draining && now() - drainingSince > StopRules.CALLERS_LEAVE_MILLIS;
+        return draining
+                && now() - drainingSince
+                        > StopRules.callersLeaveMillis(settings.bounds().graceMillis());
     }
 
     /** Returns whether a request on the route is still taken. */
