Tell a target's starts apart, and let records of other writers spoil nothing

A server may start again under its id, and says when it started. (start, offset) now decide which entry is newer; a new start is another target here, so that load, outcomes, pauses and idle connections of before say nothing of it (connection pools go by the target, not its id).

An unreadable lease takes up its offset.

An entry that has no start at all is still taken, as long as no start of its server is known: the platform's examples show none.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Fleet.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Fleet.java
@@ -14,9 +14,9 @@
 /**
  * The targets that are known, from a keyed log of their entries.
  *
- * <p>A record is believed only if it is newer, by its offset, than what is known of its target: after trouble the log's
- * readers may be shown an older state for a while. An entry that lapsed while the log was away says nothing of its
- * target, which couldn't renew it; it is kept until the target had time to register again.
+ * <p>A record is believed only if it is newer, by the target's start and its offset, than what is known of its target:
+ * after trouble the log's readers may be shown an older state for a while. An entry that lapsed while the log was away
+ * says nothing of its target, which couldn't renew it; it is kept until the target had time to register again.
  *
  * <pre>{@code
  * fleet.apply(id, Optional.of(entry), offset, now);
@@ -34,12 +34,22 @@
     public static final long LOADING_TOLD_MILLIS = 1_000;
 
     private final Map<String, Target> targets = new LinkedHashMap<>();
-    private final Map<String, Long> newestOffsets = new HashMap<>();
+    private final Map<String, Seen> newest = new HashMap<>();
     private final Map<String, Long> lapsed = new HashMap<>();
     private final PeerLoads peers = new PeerLoads();
     private boolean logAway = true;
     private long logReturnedAt = Long.MIN_VALUE / 2;
 
+    /**
+     * The newest that was read of a target.
+     *
+     * @param startedAt its start
+     * @param offset of its record
+     */
+    private record Seen(long startedAt, long offset) {
+        private static final Seen NOTHING = new Seen(TargetEntry.START_UNKNOWN, -1);
+    }
+
     /** Notes that the log doesn't answer. */
     public void logLost() {
         logAway = true;
@@ -55,21 +65,48 @@
 
     /** Takes a record of one target: its entry, or none if it was removed. Returns whether it was news. */
     public boolean apply(String id, Optional<TargetEntry> entry, long offset, long nowMillis) {
-        Long known = newestOffsets.get(id);
-        if (known != null && offset <= known) {
+        if (entry.isPresent()) {
+            return take(entry.get(), offset);
+        }
+        if (!isNewer(id, offset)) {
             return false;
         }
-        newestOffsets.put(id, offset);
-        if (entry.isEmpty()) {
-            remove(id, nowMillis);
-            return true;
+        remove(id, nowMillis);
+        return true;
+    }
+
+    /** Notes a record of a target that can't be read: another writer's, which names nothing to send to. */
+    public void unreadable(String id, long offset) {
+        if (isNewer(id, offset)) {
+            replaced(id);
         }
-        lapsed.remove(id);
-        Target target = targets.get(id);
-        if (target == null) {
-            targets.put(id, new Target(entry.get(), peers));
+    }
+
+    /** Returns whether a record without a start is newer than what is known of its target, and notes it. */
+    private boolean isNewer(String id, long offset) {
+        Seen seen = newest.getOrDefault(id, Seen.NOTHING);
+        newest.put(id, new Seen(seen.startedAt(), Math.max(seen.offset(), offset)));
+        return offset > seen.offset();
+    }
+
+    /**
+     * Takes a target's entry. A target may start again under its id, and then holds nothing of before: load, outcomes,
+     * connections and weights that were seen at the start before say nothing of it, so it is another target here. What
+     * an earlier start said may be written, or read, later than what the newer one says, and changes nothing.
+     */
+    private boolean take(TargetEntry entry, long offset) {
+        Seen seen = newest.getOrDefault(entry.id(), Seen.NOTHING);
+        boolean startedAgain = entry.startedAt() > seen.startedAt();
+        if (entry.startedAt() < seen.startedAt() || (!startedAgain && offset <= seen.offset())) {
+            return false;
+        }
+        newest.put(entry.id(), new Seen(entry.startedAt(), offset));
+        lapsed.remove(entry.id());
+        Target target = targets.get(entry.id());
+        if (target == null || startedAgain) {
+            targets.put(entry.id(), new Target(entry, peers));
         } else {
-            target.update(entry.get());
+            target.update(entry);
         }
         return true;
     }
@@ -77,7 +114,7 @@
     /** Takes a full listing: targets that it lacks are gone, unless they are newer than the listing. */
     public void listed(Set<String> present, long end, long nowMillis) {
         for (String id : List.copyOf(targets.keySet())) {
-            if (!present.contains(id) && newestOffsets.get(id) < end) {
+            if (!present.contains(id) && newest.get(id).offset() < end) {
                 remove(id, nowMillis);
             }
         }
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/TargetEntry.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/TargetEntry.java
@@ -6,7 +6,8 @@
 /**
  * What a target said of itself when it was last heard of.
  *
- * @param id its incarnation: each start of a target has another one
+ * @param id its name, which another start of it may have again
+ * @param startedAt when it started, by its own clock in Unix ms; {@link #START_UNKNOWN} if it doesn't say
  * @param service the service that it belongs to
  * @param address where it listens
  * @param failureDomain where it stands
@@ -16,12 +17,16 @@
  */
 public record TargetEntry(
         String id,
+        long startedAt,
         String service,
         Address address,
         String failureDomain,
         int slots,
         boolean draining,
         Map<String, Long> weights) {
+    /** The start of a target that doesn't say when it was; before any other start. */
+    public static final long START_UNKNOWN = 0;
+
     /** Takes a copy of the versions. */
     public TargetEntry {
         weights = Map.copyOf(weights);
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/FleetTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/FleetTest.java
@@ -102,6 +102,14 @@
     }
 
     static TargetEntry entry(String id, boolean draining) {
-        return new TargetEntry(id, "llm", new Address("10.0.0.1", 80), "north", 8, draining, Map.of("m", 1L));
+        return new TargetEntry(
+                id,
+                TargetEntry.START_UNKNOWN,
+                "llm",
+                new Address("10.0.0.1", 80),
+                "north",
+                8,
+                draining,
+                Map.of("m", 1L));
     }
 }
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/PlacementTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/PlacementTest.java
@@ -164,7 +164,15 @@
 
     static Target target(String id, String domain, long weights) {
         return new Target(
-                new TargetEntry(id, "llm", new Address("10.0.0.1", 80), domain, 128, false, Map.of("m", weights)),
+                new TargetEntry(
+                        id,
+                        TargetEntry.START_UNKNOWN,
+                        "llm",
+                        new Address("10.0.0.1", 80),
+                        domain,
+                        128,
+                        false,
+                        Map.of("m", weights)),
                 new PeerLoads());
     }
 }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/OrderGiver.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/OrderGiver.java
@@ -78,6 +78,8 @@
     private final class Records implements TopicFollower.Listener {
         @Override
         public void record(KeyedRecord record) {
+            // A record that can't be read takes up an offset too: the next append lands behind it.
+            lease.readTo(record.offset() + 1);
             LeaseRecord read = store.readLease(record.value().orElseThrow());
             long now = state.now();
             lease.read(record.offset(), read, now);
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayMetrics.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayMetrics.java
@@ -19,6 +19,7 @@
     private final Counter requests;
     private final Counter attempts;
     private final Counter storeCalls;
+    private final Counter unreadable;
     private final Counter parts;
     private final Histogram firstByte;
 
@@ -28,6 +29,10 @@
         attempts =
                 counter("rattanrudder_relay_attempts", "Attempts at targets, by how they ended", "service", "outcome");
         storeCalls = counter("rattanrudder_relay_store_calls", "Calls to the platform's store", "topic");
+        unreadable = counter(
+                "rattanrudder_relay_records_unreadable",
+                "Records of the platform's store that couldn't be read",
+                "topic");
         parts = counter("rattanrudder_relay_parts", "Shared parts of prompts, by what was planned for them", "plan");
         firstByte = Histogram.builder()
                 .name("rattanrudder_relay_first_byte_seconds")
@@ -66,6 +71,10 @@
         storeCalls.labelValues(topic).inc();
     }
 
+    void unreadable(String topic) {
+        unreadable.labelValues(topic).inc();
+    }
+
     void parts(String plan, int count) {
         if (count > 0) {
             parts.labelValues(plan).inc(count);
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
@@ -244,12 +244,14 @@
             long now = state.now();
             StoreDialect store = state.platform().store();
             Optional<TargetEntry> before = state.fleet().find(record.key()).map(Target::entry);
-            boolean news = state.fleet()
-                    .apply(
-                            record.key(),
-                            record.value().map(value -> store.readTarget(record.key(), value)),
-                            record.offset(),
-                            now);
+            Optional<TargetEntry> read;
+            try {
+                read = record.value().map(value -> store.readTarget(record.key(), value));
+            } catch (IllegalArgumentException unreadable) {
+                state.fleet().unreadable(record.key(), record.offset());
+                throw unreadable;
+            }
+            boolean news = state.fleet().apply(record.key(), read, record.offset(), now);
             Optional<TargetEntry> after = state.fleet().find(record.key()).map(Target::entry);
             if (!news || (before.equals(after) && record.value().isPresent())) {
                 return;
@@ -294,8 +296,7 @@
         for (CallerConnection caller : List.copyOf(callers)) {
             caller.sweep(now, closeIdle);
         }
-        Set<String> known = state.fleet().all(now).stream().map(Target::id).collect(Collectors.toSet());
-        pools.sweep(known, now);
+        pools.sweep(Set.copyOf(state.fleet().all(now)), now);
         outdated.free(now);
         stop.look(now);
     }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TargetPools.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TargetPools.java
@@ -51,7 +51,8 @@
     private final LongSupplier clock;
     private final Reached reached;
     private final DialPatience patience = new DialPatience();
-    private final Map<String, Pool> pools = new HashMap<>();
+    /** By the target, not its id: one that has started again has none of the connections of before. */
+    private final Map<Target, Pool> pools = new HashMap<>();
 
     /** Told of what dials without a request found. */
     interface Reached {
@@ -109,7 +110,7 @@
      */
     void acquire(Target target, boolean repeatable, Consumer<TargetConnection> then) {
         long nowMillis = clock.getAsLong();
-        Pool pool = pools.computeIfAbsent(target.id(), unseen -> new Pool());
+        Pool pool = pools.computeIfAbsent(target, unseen -> new Pool());
         while (!pool.idle.isEmpty()) {
             TargetConnection connection = pool.idle.pollLast();
             if (connection.isActive() && isYoung(connection, repeatable, nowMillis)) {
@@ -131,7 +132,7 @@
     }
 
     private void dialAlone(Target target) {
-        dial(target, pools.computeIfAbsent(target.id(), unseen -> new Pool()), new Claim(null));
+        dial(target, pools.computeIfAbsent(target, unseen -> new Pool()), new Claim(null));
     }
 
     private static void giveUp(Target target, Claim claim) {
@@ -209,9 +210,9 @@
     }
 
     /** Closes the connections of targets that aren't known any more, and those that were idle too long. */
-    void sweep(Set<String> known, long nowMillis) {
-        for (Iterator<Map.Entry<String, Pool>> entries = pools.entrySet().iterator(); entries.hasNext(); ) {
-            Map.Entry<String, Pool> entry = entries.next();
+    void sweep(Set<Target> known, long nowMillis) {
+        for (Iterator<Map.Entry<Target, Pool>> entries = pools.entrySet().iterator(); entries.hasNext(); ) {
+            Map.Entry<Target, Pool> entry = entries.next();
             entry.getValue().idle.removeIf(connection -> dropIfOld(connection, nowMillis));
             if (!known.contains(entry.getKey())) {
                 entry.getValue().idle.forEach(TargetConnection::abort);
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TopicFollower.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TopicFollower.java
@@ -292,8 +292,12 @@
 
     private void tell(KeyedRecord record) {
         try {
+            if (keyed && record.key().isEmpty()) {
+                throw new IllegalArgumentException("no key");
+            }
             listener.record(record);
         } catch (IllegalArgumentException unreadable) {
+            state.metrics().unreadable(topic.name());
             state.log()
                     .warn(
                             "record_unreadable",
--- a/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/WorkNewsTest.java
+++ b/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/WorkNewsTest.java
@@ -36,7 +36,15 @@
         Fleet fleet = new Fleet();
         fleet.apply(
                 id,
-                Optional.of(new TargetEntry(id, "llm", new Address("10.0.0.1", 80), "north", 128, false, weights)),
+                Optional.of(new TargetEntry(
+                        id,
+                        TargetEntry.START_UNKNOWN,
+                        "llm",
+                        new Address("10.0.0.1", 80),
+                        "north",
+                        128,
+                        false,
+                        weights)),
                 1,
                 NOW);
         return fleet.find(id).orElseThrow();
--- a/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelRelay.java
+++ b/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelRelay.java
@@ -73,7 +73,14 @@
     /** Makes an engine known. */
     void knows(String engine, String engineDomain, long offset) {
         TargetEntry entry = new TargetEntry(
-                engine, SERVICE, new Address("engine", 80), engineDomain, traits.slots(), false, Map.of(MODEL, 1L));
+                engine,
+                TargetEntry.START_UNKNOWN,
+                SERVICE,
+                new Address("engine", 80),
+                engineDomain,
+                traits.slots(),
+                false,
+                Map.of(MODEL, 1L));
         fleet.apply(engine, Optional.of(entry), offset, time.millis());
     }
 
