--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/Rattanrudderd.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/Rattanrudderd.java
@@ -8,6 +8,8 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import joptsimple.OptionException;
 import joptsimple.OptionParser;
 import joptsimple.OptionSet;
@@ -20,7 +22,6 @@
 import org.rattanrudder.document.ParseResult;
 import org.rattanrudder.document.ProcessSettings;
 import org.rattanrudder.document.ProcessSettingsParser;
-import org.rattanrudder.document.SettingsDifference;
 
 /**
  * The daemon: {@code rattanrudderd [--role entry|companion] --settings FILE}.
@@ -55,8 +56,14 @@
             log.infof(
                     "event=started instance=%s role=%s http=%s release=%s",
                     settings.instance(), settings.role().name().toLowerCase(Locale.ROOT), process.http(), RELEASE);
+            // Entries and companions take all settings at their start; what changes later is only said.
             return new Started(
-                    process, new SettingsWatch(file.get().path(), file.get().text(), Rattanrudderd::readAgain));
+                    process,
+                    new SettingsWatch(
+                            file.get().path(),
+                            file.get().text(),
+                            Set.of(),
+                            text -> ParseResult.problems(new ProcessSettingsParser().parse(text))));
         });
     }
 
@@ -76,31 +83,34 @@
     /** A settings file that was read. */
     private record SettingsFile(Path path, String text, ProcessSettings settings) {}
 
-    /** Entries and companions take all settings at their start; what changes later is only said. */
-    private static SettingsReader.Outcome readAgain(String before, String after) {
-        ParseResult<ProcessSettings> result = new ProcessSettingsParser().parse(after);
-        return result instanceof ParseResult.Rejected<ProcessSettings> rejected
-                ? SettingsReader.Rejected.of(rejected.problems())
-                : new SettingsReader.Taken(List.of(), SettingsDifference.keys(before, after));
-    }
-
+    /**
+     * Runs a process until it is asked to stop. Signals are heard before it is started: it takes callers before the
+     * start has returned, and one that is asked to stop then still has to finish what it took.
+     */
     private static void run(Start start) {
         Logger log = Logger.getLogger(Rattanrudderd.class);
+        CompletableFuture<Optional<Started>> starting = new CompletableFuture<>();
+        Runtime.getRuntime()
+                .addShutdownHook(new Thread(() -> starting.join().ifPresent(started -> stop(started, log)), "stop"));
+        Signals.install(() -> starting.thenAccept(
+                started -> started.ifPresent(runs -> runs.settings().readNow())));
+        int failure = FAILED;
         try {
             Started started = start.start(log);
-            if (started == null) {
-                System.exit(USAGE);
+            if (started != null) {
+                started.settings().start();
+                starting.complete(Optional.of(started));
+                Thread.currentThread().join();
             }
-            Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(started, log), "stop"));
-            started.settings().start();
-            Signals.install(started.settings()::readNow);
-            Thread.currentThread().join();
+            failure = USAGE;
         } catch (IOException failed) {
             System.err.println("rattanrudderd: " + failed.getMessage());
-            System.exit(FAILED);
         } catch (InterruptedException interrupted) {
-            System.exit(FAILED);
+            Thread.currentThread().interrupt();
+        } finally {
+            starting.complete(Optional.empty());
         }
+        System.exit(failure);
     }
 
     private static RunningProcess start(ProcessSettings settings) throws IOException {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/RelayStart.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/RelayStart.java
@@ -7,18 +7,15 @@
 import java.nio.file.Path;
 import java.util.Arrays;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.ServiceLoader;
 import java.util.random.RandomGenerator;
-import java.util.stream.Collectors;
 import org.jboss.logging.Logger;
 import org.rattanrudder.daemon.relay.RelayProcess;
 import org.rattanrudder.daemon.relay.port.PlatformAdapter;
 import org.rattanrudder.document.ParseResult;
 import org.rattanrudder.document.RelaySettings;
 import org.rattanrudder.document.RelaySettingsParser;
-import org.rattanrudder.document.SettingsDifference;
 
 /** Starts the daemon as a relay: {@code rattanrudderd --role relay}, its settings in the file that a variable names. */
 final class RelayStart {
@@ -50,20 +47,20 @@
                         "event=started instance=%s role=relay http=%s release=%s",
                         started.instance(), relay.http(), Rattanrudderd.RELEASE);
         return new Rattanrudderd.Started(
-                relay, new SettingsWatch(settings.get().file(), settings.get().text(), readAgain(relay)));
+                relay,
+                new SettingsWatch(
+                        settings.get().file(),
+                        settings.get().text(),
+                        RelaySettings.CHANGEABLE,
+                        text -> readAgain(relay, text)));
     }
 
-    private static SettingsReader readAgain(RelayProcess relay) {
-        return (before, after) -> {
-            ParseResult<RelaySettings> result = new RelaySettingsParser().parse(after);
-            if (result instanceof ParseResult.Rejected<RelaySettings> rejected) {
-                return SettingsReader.Rejected.of(rejected.problems());
-            }
-            relay.settingsRead(((ParseResult.Accepted<RelaySettings>) result).value());
-            Map<Boolean, List<String>> changed = SettingsDifference.keys(before, after).stream()
-                    .collect(Collectors.partitioningBy(RelaySettings.CHANGEABLE::contains));
-            return new SettingsReader.Taken(changed.get(true), changed.get(false));
-        };
+    private static List<String> readAgain(RelayProcess relay, String text) {
+        ParseResult<RelaySettings> result = new RelaySettingsParser().parse(text);
+        if (result instanceof ParseResult.Accepted<RelaySettings> accepted) {
+            relay.settingsRead(accepted.value());
+        }
+        return ParseResult.problems(result);
     }
 
     /** A settings file that was read. */
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/CallLine.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/CallLine.java
@@ -88,10 +88,11 @@
         bootstrap
                 .connect(new InetSocketAddress(current.host(), current.port()))
                 .addListener((io.netty.channel.ChannelFuture opened) -> {
-                    if (!opened.isSuccess()) {
-                        end(new CallAnswer.Unanswered("unreachable"), true);
-                    } else if (waiting != then) {
+                    if (waiting != then) {
+                        // The call was given up meanwhile; another one may be under way.
                         opened.channel().close();
+                    } else if (!opened.isSuccess()) {
+                        end(new CallAnswer.Unanswered("unreachable"), true);
                     } else {
                         channel = opened.channel();
                         write(call);
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/CallerConnection.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/CallerConnection.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
@@ -211,7 +212,7 @@
                         "host",
                         facts == null ? "" : facts.host(),
                         "path",
-                        head.uri(),
+                        head == null ? "" : head.uri(),
                         "configuration",
                         state.configuration()
                                 .map(configuration -> Long.toString(configuration.version()))
@@ -285,16 +286,28 @@
         }
     }
 
+    /**
+     * Closes the connection once all that was written has left. The time in which it is still read begins then: from
+     * the last write on, a caller that reads slowly would lose what waits for it here. One that reads nothing any more
+     * is waited for as long as an idle one.
+     */
     private void closeGently() {
         closing = true;
         dropWaiting();
         context.channel().config().setAutoRead(true);
         if (context.channel() instanceof SocketChannel socket && socket.isActive()) {
-            context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(written -> socket.shutdownOutput());
-            context.executor().schedule(() -> context.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
+            context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(written -> {
+                socket.shutdownOutput();
+                closeAfter(LINGER_MILLIS);
+            });
+            closeAfter(Math.max(LINGER_MILLIS, state.limits().idleMillis()));
         }
     }
 
+    private void closeAfter(long millis) {
+        context.executor().schedule(() -> context.close(), millis, TimeUnit.MILLISECONDS);
+    }
+
     /** Looks whether the caller takes too long; called every now and then. */
     void sweep(long nowMillis, boolean closeIdle) {
         if (exchange != null || closing) {
@@ -316,9 +329,14 @@
         }
     }
 
-    /** Returns whether a request is being read or served. */
+    /** Returns whether a request is being read or served, or a part of an answer hasn't left yet. */
     boolean isBusy() {
-        return exchange != null || head != null || partialHeadSince >= 0;
+        return exchange != null || head != null || partialHeadSince >= 0 || hasUnsent();
+    }
+
+    private boolean hasUnsent() {
+        ChannelOutboundBuffer unsent = context.channel().unsafe().outboundBuffer();
+        return unsent != null && unsent.totalPendingWriteBytes() > 0;
     }
 
     /** The process ends: whoever waits for an answer gets its last one. */
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
@@ -118,7 +118,7 @@
         targets.start();
         peers.start();
         orders.start();
-        loop.scheduleWithFixedDelay(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+        closer.add(new StepTimer(loop)).every(this::sweep, SWEEP_MILLIS);
     }
 
     /** What this relay tells others. */
@@ -346,7 +346,14 @@
 
     /** Takes over what may change while a relay runs from settings that were read again. */
     public void settingsRead(RelaySettings read) {
-        loop.execute(() -> state.settingsRead(read));
+        loop.execute(() -> {
+            Address before = state.store();
+            state.settingsRead(read);
+            if (!state.store().equals(before)) {
+                wishes.reconnect();
+                targets.reconnect();
+            }
+        });
     }
 
     @Override
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
@@ -30,7 +30,9 @@
     /** Part of the ratio that is used: windows of others begin and end at other times. */
     private static final double RATIO_USED = 0.8;
 
-    private RelaySettings settings;
+    /** Replaced on the event loop, read by others too. */
+    private volatile RelaySettings settings;
+
     private final PlatformAdapter platform;
     private final EventLoop loop;
     private final Bootstrap connector;
@@ -52,6 +54,7 @@
     private long drainingSince;
     private boolean stopping;
     private long stoppingSince;
+    private long graceAtStop;
 
     RelayState(
             RelaySettings settings,
@@ -224,16 +227,12 @@
 
     /** Returns whether new requests are refused, since they might not end before the process does. */
     boolean refusing() {
-        return draining
-                && now() - drainingSince
-                        > StopRules.callersLeaveMillis(settings.bounds().graceMillis());
+        return draining && now() - drainingSince > StopRules.callersLeaveMillis(graceMillis());
     }
 
     /** Returns whether a request on the route is still taken. */
     boolean takes(ServiceRoute route) {
-        return !stopping
-                || StopRules.takes(
-                        route, now() - stoppingSince, settings.bounds().graceMillis());
+        return !stopping || StopRules.takes(route, now() - stoppingSince, graceMillis());
     }
 
     /** Returns whether the process was asked to stop. */
@@ -250,6 +249,12 @@
     void stop() {
         stopping = true;
         stoppingSince = now();
+        graceAtStop = settings.bounds().graceMillis();
+    }
+
+    /** Returns how long the process may take to stop, in ms: what held when it was asked counts until its end. */
+    long graceMillis() {
+        return stopping ? graceAtStop : settings.bounds().graceMillis();
     }
 
     void drain() {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayStop.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayStop.java
@@ -71,10 +71,11 @@
 
     /** Waits for the end; returns whether all that ran had ended by then. */
     boolean await() throws InterruptedException {
-        return drained.await(graceMillis(), TimeUnit.MILLISECONDS) && finishedInTime;
+        long graceMillis = state.settings().bounds().graceMillis();
+        return drained.await(graceMillis, TimeUnit.MILLISECONDS) && finishedInTime;
     }
 
     private long graceMillis() {
-        return state.settings().bounds().graceMillis();
+        return state.graceMillis();
     }
 }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TopicFollower.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TopicFollower.java
@@ -260,6 +260,13 @@
         }
     }
 
+    /** The store has another address: what waits for an answer at the old one is given up, and the newest is listed. */
+    void reconnect() {
+        line.close();
+        following = false;
+        timer.next(this::start, 0);
+    }
+
     private void listing(StoreAnswer.Listing listing) {
         // Pages are no snapshot: what changes meanwhile stands after the first page's end.
         listingEnd = listingEnd < 0 ? listing.end() : Math.min(listingEnd, listing.end());
--- a/rattanrudder-document/src/main/java/org/rattanrudder/document/ParseResult.java
+++ b/rattanrudder-document/src/main/java/org/rattanrudder/document/ParseResult.java
@@ -34,4 +34,13 @@
             problems = List.copyOf(problems);
         }
     }
+
+    /** Returns a text's problems, each with its line and column; none if it holds. */
+    static List<String> problems(ParseResult<?> result) {
+        return result instanceof Rejected<?> rejected
+                ? rejected.problems().stream()
+                        .map(problem -> problem.in("settings"))
+                        .toList()
+                : List.of();
+    }
 }
