--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/FleetTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/FleetTest.java
@@ -57,6 +57,24 @@
         assertThat(fleet.of("llm", returned + Fleet.RETURN_GRACE_MILLIS + 11)).isEmpty();
     }
 
+    /**
+     * A relay starts, lists the targets, and 0.4 s later the log says that one of them was removed: it left without
+     * having reported that it drains. Prompts still go to it 2.4 s after its removal, 0.4 s later than allowed.
+     * The first answer that a relay gets from the log counts as the log's return from an outage, after which removals
+     * are held back for 2.5 s; but the log was never away.
+     */
+    @Test
+    void aRemovalShortlyAfterTheStartIsBelievedInTime() {
+        long drainMillis = 2_000;
+        fleet.logAnswers(START);
+        fleet.apply("i-1", Optional.of(entry("i-1", false)), 6, START + 10);
+        fleet.listed(Set.of("i-1"), 7, START + 10);
+        long removed = START + 400;
+        fleet.apply("i-1", Optional.empty(), 12, removed);
+
+        assertThat(fleet.of("llm", removed + drainMillis)).isEmpty();
+    }
+
     @Test
     void anEntryThatComesBackInTimeStays() {
         fleet.logAnswers(START);
