Start no request in the turn of the loop that read it while the loop is late

Cause: the 2 ms for which a request waits for the close behind it began while connections were read, and were over within that same turn when many were ready. Ruled out: the state of lateness itself (the relay was within 3 s of its start, so it counted as late).

AbandonedRequestsTest: 400 callers leave while a relay stands still.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/CallerConnection.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/CallerConnection.java
@@ -18,6 +18,7 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.EventExecutor;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Set;
@@ -190,12 +191,22 @@
         RequestPlan plan = new RequestPlan(state, facts, (Admittance.Granted) admittance, arrivedAt);
         exchange = new Exchange(state, pools, this, head, body, plan);
         if (state.lag().isLate(state.now())) {
-            context.executor().schedule(exchange::start, LATE_TURN_MILLIS, TimeUnit.MILLISECONDS);
+            startAfterATurn(exchange);
         } else {
             exchange.start();
         }
     }
 
+    /**
+     * Starts a request once the loop has read its connections again. The time begins with the tasks of this turn: begun
+     * while connections are read it could be over in the same turn, as long as many are ready, and no close was seen
+     * (400 callers that left while a relay stood still: their requests were sent on).
+     */
+    private void startAfterATurn(Exchange waiting) {
+        EventExecutor loop = context.executor();
+        loop.execute(() -> loop.schedule(waiting::start, LATE_TURN_MILLIS, TimeUnit.MILLISECONDS));
+    }
+
     private long callerLeft() {
         return facts == null ? 0 : facts.deadlineMillis().orElse(0) - (state.now() - arrivedAt);
     }
