Test that entries and companions go on when they are told to read their settings

They share the daemon's main with relays, and so shared the fault: the virtual machine took SIGHUP for a request to stop. Only relays had a test on it. All processes of a small deployment are told while a prompt streams, then get a file with another drainSeconds, which must be named as needing a restart.

--- a/rattanrudder-standins/src/test/java/org/rattanrudder/standins/RunningSystem.java
+++ b/rattanrudder-standins/src/test/java/org/rattanrudder/standins/RunningSystem.java
@@ -4,6 +4,7 @@
 import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -94,8 +95,7 @@
                 .findFirst()
                 .orElseThrow();
         try {
-            Path settings = directory.resolve(name + ".json");
-            Files.writeString(settings, process.text());
+            Path settings = writeSettings(name, process.text());
             List<String> command = new ArrayList<>(List.of(
                     Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                     "-XX:+UseSerialGC",
@@ -116,6 +116,34 @@
         }
     }
 
+    /** Replaces the settings file of a process at once; the process isn't told. */
+    Path writeSettings(String name, String text) {
+        try {
+            Path next = Files.writeString(directory.resolve(name + ".json.next"), text);
+            return Files.move(
+                    next,
+                    directory.resolve(name + ".json"),
+                    StandardCopyOption.ATOMIC_MOVE,
+                    StandardCopyOption.REPLACE_EXISTING);
+        } catch (IOException unwritable) {
+            throw new UncheckedIOException(unwritable);
+        }
+    }
+
+    /** Tells a process that its settings have changed. */
+    void readSettingsAgain(String name) {
+        signal(name, "HUP");
+    }
+
+    /** Returns what a process has logged so far. */
+    String log(String name) {
+        try {
+            return Files.readString(directory.resolve(name + ".log"));
+        } catch (IOException unreadable) {
+            throw new UncheckedIOException(unreadable);
+        }
+    }
+
     CallerClient client() {
         return client;
     }
