Take a pause of the relay for no silence of others

Its timers run before its sockets are read, where all that came meanwhile lies. A check for silence that is late itself now waits until connections were read: of attempts, of dials, of calls to the store. A caller's idle time isn't judged by a late look either.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/CallLine.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/CallLine.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelPipeline;
+import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -15,9 +16,7 @@
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import io.netty.util.concurrent.ScheduledFuture;
 import java.net.InetSocketAddress;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.rattanrudder.core.model.Address;
@@ -37,7 +36,7 @@
     private Address connectedTo;
     private Channel channel;
     private Consumer<CallAnswer> waiting;
-    private ScheduledFuture<?> timeout;
+    private SilenceTimer timeout;
 
     /**
      * Makes a line without a connection.
@@ -71,11 +70,8 @@
      */
     void call(PlatformCall call, long timeoutMillis, Consumer<CallAnswer> then) {
         waiting = then;
-        timeout = bootstrap
-                .config()
-                .group()
-                .next()
-                .schedule(() -> end(new CallAnswer.Unanswered("timeout"), true), timeoutMillis, TimeUnit.MILLISECONDS);
+        EventLoop loop = (EventLoop) bootstrap.config().group().next();
+        timeout = SilenceTimer.start(loop, () -> end(new CallAnswer.Unanswered("timeout"), true), timeoutMillis);
         Address current = address.get();
         if (!current.equals(connectedTo)) {
             drop();
@@ -118,7 +114,7 @@
             return;
         }
         waiting = null;
-        timeout.cancel(false);
+        timeout.cancel();
         if (dropConnection) {
             drop();
         }
@@ -137,7 +133,7 @@
     public void close() {
         waiting = null;
         if (timeout != null) {
-            timeout.cancel(false);
+            timeout.cancel();
         }
         drop();
     }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
@@ -293,8 +293,9 @@
         if (closeIdle && callersListening.isOpen()) {
             callersListening.close();
         }
-        for (CallerConnection caller : List.copyOf(callers)) {
-            caller.sweep(now, closeIdle);
+        // Late, what callers have sent may lie unread, and they look idle; a stop has no time to wait for that.
+        if (closeIdle || !state.lag().isLate(now)) {
+            List.copyOf(callers).forEach(caller -> caller.sweep(now, closeIdle));
         }
         pools.sweep(Set.copyOf(state.fleet().all(now)), now);
         outdated.free(now);
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/SilenceWatch.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/SilenceWatch.java
@@ -1,7 +1,5 @@
 package org.rattanrudder.daemon.relay;
 
-import io.netty.util.concurrent.ScheduledFuture;
-import java.util.concurrent.TimeUnit;
 import java.util.function.LongConsumer;
 import org.rattanrudder.core.gateway.Patience;
 import org.rattanrudder.core.gateway.ServiceRoute;
@@ -19,7 +17,7 @@
     private final TargetAttempt attempt;
     private final Runnable suspect;
     private final LongConsumer tooLong;
-    private ScheduledFuture<?> next;
+    private SilenceTimer next;
     private boolean stopped;
 
     /**
@@ -61,14 +59,14 @@
         if (stopped) {
             return;
         }
-        next = state.loop().schedule(this::look, millis, TimeUnit.MILLISECONDS);
+        next = SilenceTimer.start(state.loop(), this::look, millis);
     }
 
     /** Looks no more. */
     void stop() {
         stopped = true;
         if (next != null) {
-            next.cancel(false);
+            next.cancel();
         }
     }
 }
