--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/StepTimer.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/StepTimer.java
@@ -58,7 +58,7 @@
         try {
             step.run();
         } catch (RuntimeException failed) {
-            LOG.errorf(failed, "event=step_failed cause=%s", failed.getClass().getSimpleName());
+            LOG.error("event=step_failed cause=" + failed.getClass().getSimpleName(), failed);
             schedule(step, AGAIN_MILLIS);
         }
     }
