Tell from logs where worth was lost and why parts of prompts are read again

Change: each shared part of a prompt gets a choice (fetched, slow store, being saved, saved, unsettled, no room, no store) that is logged; the end of a request tells its longest pause; `rattanrudder report losses` sums both up.

--- a/rattanrudder-command/src/main/java/org/rattanrudder/command/DelayReport.java
+++ b/rattanrudder-command/src/main/java/org/rattanrudder/command/DelayReport.java
@@ -15,7 +15,7 @@
  *
  * <p>A request is late if its first byte came after its objective. It is put down to the step that took longest:
  * waiting for an engine at the relay, attempts that failed before, reading what of its prompt wasn't cached, or what is
- * left, the target's queue and fetches.
+ * left, the target's queue and fetches. A stream that began in time is late if it then stood still for too long.
  */
 final class DelayReport {
     /** Prompt tokens that an engine reads in a millisecond; what the relay plans with, too. */
@@ -33,6 +33,7 @@
         RETRIED,
         READING,
         TARGET,
+        PAUSED,
         REFUSED,
         FAILED,
         LEFT
@@ -91,7 +92,8 @@
         event.number("first_after_ms").stream().filter(first -> first >= 0).forEach(row.firsts::add);
     }
 
-    private static Ending ending(LoggedEvent event) {
+    /** Returns how a request ended. */
+    static Ending ending(LoggedEvent event) {
         String outcome = event.text("outcome");
         if (outcome.equals("cancelled")) {
             return Ending.LEFT;
@@ -107,11 +109,17 @@
         long first = event.number("first_after_ms").orElse(0);
         OptionalLong objective = event.number("objective_ms");
         if (objective.isEmpty() || wait + first <= objective.getAsLong()) {
-            return Ending.IN_TIME;
+            return paused(event) ? Ending.PAUSED : Ending.IN_TIME;
         }
         return lateBy(event, wait, first);
     }
 
+    /** Returns whether a stream stood still for longer than its route allows. */
+    private static boolean paused(LoggedEvent event) {
+        long allowed = event.number("pause_objective_ms").orElse(0);
+        return allowed > 0 && event.number("longest_pause_ms").orElse(0) > allowed;
+    }
+
     private static Ending lateBy(LoggedEvent event, long wait, long first) {
         double reading = Math.min(first, event.number("unread").orElse(0) / TOKENS_PER_MILLI);
         if (wait >= first) {
--- a/rattanrudder-command/src/main/java/org/rattanrudder/command/DelaysCommand.java
+++ b/rattanrudder-command/src/main/java/org/rattanrudder/command/DelaysCommand.java
@@ -17,6 +17,7 @@
             "RETRIED",
             "READING",
             "TARGET",
+            "PAUSED",
             "REFUSED",
             "FAILED",
             "LEFT",
--- a/rattanrudder-command/src/main/java/org/rattanrudder/command/Invocation.java
+++ b/rattanrudder-command/src/main/java/org/rattanrudder/command/Invocation.java
@@ -62,6 +62,11 @@
         return Optional.ofNullable((String) options.valueOf(name));
     }
 
+    /** Returns all values of an option that may be given several times. */
+    List<String> options(String name) {
+        return options.valuesOf(name).stream().map(Object::toString).toList();
+    }
+
     /** Returns an option that must be there. */
     String required(String name) throws CommandFailure {
         return option(name).orElseThrow(() -> new CommandFailure(ExitCode.USAGE, "--" + name + " is missing"));
--- a/rattanrudder-command/src/main/java/org/rattanrudder/command/LoggedEvent.java
+++ b/rattanrudder-command/src/main/java/org/rattanrudder/command/LoggedEvent.java
@@ -1,5 +1,7 @@
 package org.rattanrudder.command;
 
+import java.time.Instant;
+import java.time.format.DateTimeParseException;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -44,6 +46,15 @@
         return fields.getOrDefault(field, "");
     }
 
+    /** Returns when it was logged, in ms of Unix time; empty if the line doesn't say. */
+    Optional<Long> timeMillis() {
+        try {
+            return Optional.of(Instant.parse(text("time")).toEpochMilli());
+        } catch (DateTimeParseException unsaid) {
+            return Optional.empty();
+        }
+    }
+
     /** Returns a field's whole number; empty if it has none. */
     OptionalLong number(String field) {
         try {
--- a/rattanrudder-command/src/main/java/org/rattanrudder/command/Subcommands.java
+++ b/rattanrudder-command/src/main/java/org/rattanrudder/command/Subcommands.java
@@ -119,6 +119,23 @@
                     false,
                     Subcommands::noOptions,
                     DelaysCommand::run),
+            new Subcommand(
+                    "report losses",
+                    "",
+                    "tell from logs where worth was lost, and which parts of prompts were read again",
+                    """
+                    Reads the logs of any number of relays on standard input and lays what late, refused and failed
+                    requests would have been worth to reasons, routes and the seconds in which they arrived. Tells which
+                    shared parts of prompts engines had to read though another one had read them lately, and why. Shares
+                    below 0.01 aren't shown. Ends with 1 if no line tells of a request's end.""",
+                    false,
+                    parser -> {
+                        required(parser, "worth", "what a request of a route is worth; 1 if left out", "ROUTE=NUMBER");
+                        required(parser, "late-share", "what a late request keeps of it; 0.2 if left out", "SHARE");
+                        required(parser, "reuse-seconds", "how long a part counts as read; 20 if left out", "SECONDS");
+                        required(parser, "load-test", "a load test's report in JSON, for what it priced", "FILE");
+                    },
+                    LossesCommand::run),
             new Subcommand(
                     "explain-request",
                     "ID",
--- a/rattanrudder-command/src/test/java/org/rattanrudder/command/CommandLineTest.java
+++ b/rattanrudder-command/src/test/java/org/rattanrudder/command/CommandLineTest.java
@@ -88,16 +88,16 @@
      */
     @ParameterizedTest
     @CsvSource({
-        "200, 30, 200, 1000, 0, 1 1 0 0 0 0 0 0 0",
-        "200, 450, 200, 1000, 0, 1 0 1 0 0 0 0 0 0",
-        "200, 450, 200, 1000, 1, 1 0 0 1 0 0 0 0 0",
-        "200, 30, 600, 50000, 0, 1 0 0 0 1 0 0 0 0",
-        "200, 30, 600, 1000, 0, 1 0 0 0 0 1 0 0 0",
-        "overloaded, none, none, none, 0, 1 0 0 0 0 0 1 0 0",
-        "broken_off, 30, 60, 1000, 0, 1 0 0 0 0 0 0 1 0",
-        "target_failed, 30, 60, 1000, 1, 1 0 0 0 0 0 0 1 0",
-        "500, 30, 60, 1000, 0, 1 0 0 0 0 0 0 1 0",
-        "cancelled, 30, 60, 1000, 0, 1 0 0 0 0 0 0 0 1"
+        "200, 30, 200, 1000, 0, 1 1 0 0 0 0 0 0 0 0",
+        "200, 450, 200, 1000, 0, 1 0 1 0 0 0 0 0 0 0",
+        "200, 450, 200, 1000, 1, 1 0 0 1 0 0 0 0 0 0",
+        "200, 30, 600, 50000, 0, 1 0 0 0 1 0 0 0 0 0",
+        "200, 30, 600, 1000, 0, 1 0 0 0 0 1 0 0 0 0",
+        "overloaded, none, none, none, 0, 1 0 0 0 0 0 0 1 0 0",
+        "broken_off, 30, 60, 1000, 0, 1 0 0 0 0 0 0 0 1 0",
+        "target_failed, 30, 60, 1000, 1, 1 0 0 0 0 0 0 0 1 0",
+        "500, 30, 60, 1000, 0, 1 0 0 0 0 0 0 0 1 0",
+        "cancelled, 30, 60, 1000, 0, 1 0 0 0 0 0 0 0 0 1"
     })
     void lateRequestsStandUnderTheStepThatTookLongest(
             String outcome, String wait, String first, String unread, int runs, String counts) {
@@ -113,11 +113,87 @@
         assertThat(row).startsWith("check " + counts);
     }
 
+    /** A draft begins at once and then stands still for a second: its caller calls it late for that. */
     @Test
-    void aReportOfDelaysWithoutARequestsEndSaysSo() {
+    void aStreamThatStoodStillForTooLongIsLate() {
+        input = "relay-1 time=2026-03-19T17:14:23.500Z level=INFO logger=R event=request_ended request=r7 route=draft"
+                + " outcome=200 sent_after_ms=1 first_after_ms=60 unread=10 objective_ms=500 longest_pause_ms=901"
+                + " pause_objective_ms=600\n";
+
+        assertThat(run("report", "delays")).isEqualTo(ExitCode.DONE);
+
+        assertThat(output().lines().skip(1).findFirst().orElseThrow().replaceAll(" +", " "))
+                .startsWith("draft 1 0 0 0 0 0 1 0 0 0");
+    }
+
+    /**
+     * A day went badly. Two relays' logs tell what was lost: a draft refused, a tag late in the second after, and a
+     * board that a second engine read 300 ms after the first one had.
+     */
+    @Test
+    void lossesAreLaidToReasonsRoutesAndSeconds() throws IOException {
+        Path loadTest = directory.resolve("load-test.json");
+        Files.writeString(loadTest, "{\"prices\":[[\"orders\",11,0.0007],[\"tokens read again\",488,0.053]]}");
+        String line = "relay-1 time=2026-03-19T17:14:%s level=INFO logger=R event=%s\n";
+        input = String.format(
+                        line,
+                        "23.500Z",
+                        "request_ended request=r1 route=draft outcome=overloaded"
+                                + " reason=\"line too long\" ms=100 runs=0")
+                + String.format(
+                        line,
+                        "24.900Z",
+                        "request_ended request=r2 route=tag outcome=200 ms=400"
+                                + " sent_after_ms=1 first_after_ms=390 unread=10 objective_ms=200")
+                + String.format(
+                        line,
+                        "24.910Z",
+                        "request_ended request=r3 route=tag outcome=200 ms=40"
+                                + " sent_after_ms=1 first_after_ms=39 unread=10 objective_ms=200")
+                + String.format(line, "24.300Z", "request_sent request=r4 target=e2 salt=w1 parts=b7:800:being_saved")
+                + String.format(line, "24.000Z", "request_sent request=r5 target=e1 salt=w1 parts=b7:800:saved")
+                + String.format(line, "24.600Z", "request_sent request=r6 target=e2 salt=w1 parts=b7:800:being_saved")
+                + String.format(line, "24.700Z", "request_sent request=r7 target=e3 salt=w1 parts=b7:800:fetched");
+
+        assertThat(run("report", "losses", "--worth", "draft=2.8", "--load-test", loadTest.toString()))
+                .isEqualTo(ExitCode.DONE);
+
+        assertThat(output().lines().map(row -> row.replaceAll(" +", " ")))
+                .containsExactly(
+                        "REASON LOST SHARE",
+                        "refused: line too long 2.800 0.583",
+                        "target 0.800 0.167",
+                        "ROUTE LOST SHARE",
+                        "draft 2.800 1.000",
+                        "tag 0.800 0.400",
+                        "SECOND LOST SHARE",
+                        "0 2.800 1.000",
+                        "1 0.800 0.400",
+                        "READ AGAIN TOKENS",
+                        "being_saved, asked for at once 800",
+                        "all 800",
+                        "PRICED AMOUNT SHARE",
+                        "tokens read again 488.000 0.053");
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "--worth, draft, expected ROUTE=NUMBER",
+        "--worth, draft=much, not a number in range",
+        "--late-share, 1.5, not a number in range",
+        "--load-test, nowhere.json, can't be read"
+    })
+    void anOptionOfTheReportOfLossesThatMakesNoSenseIsNamed(String option, String value, String problem) {
+        assertThat(run("report", "losses", option, value)).isEqualTo(ExitCode.USAGE);
+        assertThat(errors()).contains(problem);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"delays", "losses"})
+    void aReportFromLogsWithoutARequestsEndSaysSo(String report) {
         input = "nothing of ours";
 
-        assertThat(run("report", "delays")).isEqualTo(ExitCode.DIFFERENT);
+        assertThat(run("report", report)).isEqualTo(ExitCode.DIFFERENT);
         assertThat(errors()).contains("no line tells of a request's end");
     }
 
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/parts/PartDirectory.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/parts/PartDirectory.java
@@ -108,6 +108,7 @@
         }
         List<Optional<PartPlan.Source>> sources = new ArrayList<>();
         List<Optional<Address>> targets = new ArrayList<>();
+        List<PartChoice> choices = new ArrayList<>();
         Map<StoreView, Boolean> allowed = new HashMap<>();
         double usual = usualLateness(nowMillis);
         long until = Long.MAX_VALUE;
@@ -117,12 +118,42 @@
             Optional<StoreView> read = holder.filter(
                     view -> allowed.computeIfAbsent(view, asked -> asked.delay().takeTurn(usual, nowMillis)));
             sources.add(read.map(view -> new PartPlan.Source(view.store().address(), view.tokens(key))));
-            targets.add(holder.isPresent() ? Optional.empty() : saveAt(key, part.tokens(), nowMillis));
+            Optional<Address> saved = holder.isPresent() ? Optional.empty() : saveAt(key, part.tokens(), nowMillis);
+            targets.add(saved);
+            choices.add(choice(key, part.tokens(), holder, read, saved, nowMillis));
             until = Math.min(until, read.map(StoreView::fetchUntil).orElse(Long.MAX_VALUE));
         }
         sources.add(Optional.empty());
         targets.add(Optional.empty());
-        return new PartPlan(sources, targets, until == Long.MAX_VALUE ? OptionalLong.empty() : OptionalLong.of(until));
+        OptionalLong untilMillis = until == Long.MAX_VALUE ? OptionalLong.empty() : OptionalLong.of(until);
+        return new PartPlan(sources, targets, untilMillis, choices);
+    }
+
+    private PartChoice choice(
+            PartKey key,
+            int tokens,
+            Optional<StoreView> holder,
+            Optional<StoreView> read,
+            Optional<Address> saved,
+            long nowMillis) {
+        if (read.isPresent()) {
+            return PartChoice.FETCHED;
+        }
+        if (holder.isPresent()) {
+            return PartChoice.SLOW_STORE;
+        }
+        if (saved.isPresent()) {
+            return PartChoice.SAVED;
+        }
+        if (stores.values().stream().anyMatch(view -> view.isSaving(key, nowMillis))) {
+            return PartChoice.BEING_SAVED;
+        }
+        List<StoreView> fresh =
+                stores.values().stream().filter(view -> view.isFresh(nowMillis)).toList();
+        if (fresh.isEmpty()) {
+            return PartChoice.NO_STORE;
+        }
+        return fresh.stream().anyMatch(view -> view.hasRoom(tokens)) ? PartChoice.UNSETTLED : PartChoice.NO_ROOM;
     }
 
     /** Notes by how much the first bytes of answers were late whose prompts were read from a store. */
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/parts/PartPlan.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/parts/PartPlan.java
@@ -11,15 +11,21 @@
  * @param sources for each part the store to read it from
  * @param targets for each part the store to save it in once it was read
  * @param untilMillis when fetches must have ended, on the stores' clock; later ones are thrown away
+ * @param choices for each shared part what was decided
  */
-public record PartPlan(List<Optional<Source>> sources, List<Optional<Address>> targets, OptionalLong untilMillis) {
+public record PartPlan(
+        List<Optional<Source>> sources,
+        List<Optional<Address>> targets,
+        OptionalLong untilMillis,
+        List<PartChoice> choices) {
     /** A plan that moves nothing. */
-    public static final PartPlan NONE = new PartPlan(List.of(), List.of(), OptionalLong.empty());
+    public static final PartPlan NONE = new PartPlan(List.of(), List.of(), OptionalLong.empty(), List.of());
 
     /** Takes copies of the lists. */
     public PartPlan {
         sources = List.copyOf(sources);
         targets = List.copyOf(targets);
+        choices = List.copyOf(choices);
     }
 
     /**
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/parts/PartDirectoryTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/parts/PartDirectoryTest.java
@@ -42,6 +42,32 @@
                 .containsExactly(Optional.of(new PartPlan.Source(STORE, 2_500)), Optional.empty(), Optional.empty());
     }
 
+    /** What an engine has to read anew says why, so that the logs of a day tell which of it could have been spared. */
+    @Test
+    void eachSharedPartSaysWhatWasDecidedForIt() {
+        assertThat(directory.plan("w1", PROMPT, "north", BEGIN).choices())
+                .containsExactly(PartChoice.UNSETTLED, PartChoice.UNSETTLED);
+
+        directory.heard(STORE, news(1, held("w1", "sheet", 2_500)), SETTLED, SETTLED);
+        assertThat(directory.plan("w1", PROMPT, "north", SETTLED).choices())
+                .containsExactly(PartChoice.FETCHED, PartChoice.SAVED);
+        assertThat(directory.plan("w1", PROMPT, "north", SETTLED).choices())
+                .containsExactly(PartChoice.FETCHED, PartChoice.BEING_SAVED);
+        assertThat(directory
+                        .plan("w1", PROMPT, "north", SETTLED + PartDirectory.FRESH_MILLIS + 1)
+                        .choices())
+                .containsExactly(PartChoice.NO_STORE, PartChoice.BEING_SAVED);
+
+        directory.heard(STORE, news(1, held("w1", "all", 95_000)), SETTLED, SETTLED);
+        assertThat(directory.plan("w2", PROMPT, "north", SETTLED).choices())
+                .containsExactly(PartChoice.NO_ROOM, PartChoice.NO_ROOM);
+
+        directory.fetched(new StoreLateness(STORE, 200, 9_000), SETTLED);
+        directory.plan("w1", PROMPT, "north", SETTLED);
+        assertThat(directory.plan("w1", PROMPT, "north", SETTLED).choices().get(0))
+                .isEqualTo(PartChoice.SLOW_STORE);
+    }
+
     @Test
     void theOwnPartOfAPromptIsLeftAlone() {
         directory.heard(STORE, news(1), SETTLED, SETTLED);
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/ExchangeLog.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/ExchangeLog.java
@@ -117,6 +117,11 @@
                         "first_after_ms",
                         attempt.map(sent -> Long.toString(sent.firstPieceMillis()))
                                 .orElse("none"),
+                        "longest_pause_ms",
+                        attempt.map(sent -> Long.toString(sent.longestPauseMillis()))
+                                .orElse("none"),
+                        "pause_objective_ms",
+                        Long.toString(plan.route().pauseMillis()),
                         "tokens",
                         Integer.toString(plan.tokens()),
                         "unread",
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RequestPlan.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RequestPlan.java
@@ -221,7 +221,9 @@
                         "read",
                         Integer.toString(read),
                         "saved",
-                        Integer.toString(saved));
+                        Integer.toString(saved),
+                        "parts",
+                        PartsText.of(facts.parts(), parts.choices()));
     }
 
     private static int readTokens(PartPlan parts) {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TargetAttempt.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TargetAttempt.java
@@ -10,6 +10,7 @@
     private final long sentAt;
     private long lastPieceAt;
     private long firstPieceMillis = -1;
+    private long longestPauseMillis;
 
     TargetAttempt(Target target, TargetConnection connection, RequestPlan.Outgoing outgoing, long sentAt) {
         this.target = target;
@@ -49,15 +50,22 @@
         return firstPieceMillis;
     }
 
+    /** Returns the longest time between two pieces, in ms. */
+    long longestPauseMillis() {
+        return longestPauseMillis;
+    }
+
     boolean hasBegun() {
         return firstPieceMillis >= 0;
     }
 
     /** Notes a piece of the answer; returns whether it was the first. */
     boolean piece(long nowMillis) {
+        long pause = nowMillis - lastPieceAt;
         lastPieceAt = nowMillis;
         target.heard(nowMillis);
         if (hasBegun()) {
+            longestPauseMillis = Math.max(longestPauseMillis, pause);
             return false;
         }
         firstPieceMillis = nowMillis - sentAt;
