Count a version of weights that was found at the start as named long ago

Relays tell each other since when a version is named; where all of them restart, each counted from its own start.

Ruled out: an engine that loaded late (it was at the old version and known to be), a request that waited in the engine's queue (59 ms).

Change: what the first listing holds has no known time and lets requests begin on it alone, until another relay tells since when. New tests fail without it.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/rollout/NamedVersions.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/rollout/NamedVersions.java
@@ -12,8 +12,9 @@
  *
  * <p>No request may begin on older weights a while after newer ones were named. Two things would stretch that time. A
  * relay that was restarted or frozen would count from a later moment than the others; relays therefore tell each other
- * for how long they have known a version, and the longest counts. And a version named in between would begin the time
- * anew, were only the newest one remembered; each version keeps its own time.
+ * for how long they have known a version, and the longest counts. Where all of them lost power nobody can tell: a
+ * version that is found at the start counts as named long ago until another relay says since when. And a version named
+ * in between would begin the time anew, were only the newest one remembered; each version keeps its own time.
  *
  * <p>Times are milliseconds of a steady clock.
  */
@@ -21,6 +22,9 @@
     /** Versions of a model that are remembered: older ones are beyond every bound. */
     private static final int REMEMBERED = 16;
 
+    /** Since when a version was named of which that isn't known: longer ago than any time allowed. */
+    private static final long LONG_AGO = Long.MIN_VALUE / 2;
+
     private final Map<String, TreeMap<Long, Long>> sinceByModel = new HashMap<>();
 
     /**
@@ -32,11 +36,24 @@
      */
     public record Named(String model, long version, long sinceMillis) {}
 
-    /** Notes a version; returns whether it is newer than what was known. */
+    /** Notes a version that was named just now; returns whether it is newer than what was known. */
     public boolean named(String model, long version, long nowMillis) {
+        return note(model, version, nowMillis);
+    }
+
+    /**
+     * Notes a version that had been named before this relay was there; returns whether it is newer than what was known.
+     * All relays lost power six seconds after a naming and counted anew when they were back: requests began on old
+     * weights 14 s after the naming, where 10 s were allowed.
+     */
+    public boolean found(String model, long version) {
+        return note(model, version, LONG_AGO);
+    }
+
+    private boolean note(String model, long version, long sinceMillis) {
         TreeMap<Long, Long> versions = sinceByModel.computeIfAbsent(model, unseen -> new TreeMap<>());
         boolean newest = versions.isEmpty() || versions.lastKey() < version;
-        versions.putIfAbsent(version, nowMillis);
+        versions.putIfAbsent(version, sinceMillis);
         if (versions.size() > REMEMBERED) {
             versions.pollFirstEntry();
         }
@@ -48,8 +65,16 @@
         TreeMap<Long, Long> versions = sinceByModel.get(model);
         // A version is only taken over from the store; of those before it the relay may have read nothing.
         if (versions != null && versions.lastKey() >= version) {
-            versions.merge(version, nowMillis - ageMillis, Math::min);
+            versions.merge(version, nowMillis - ageMillis, NamedVersions::earlier);
+        }
+    }
+
+    /** Returns the earlier time, or the one that is known. */
+    private static long earlier(long one, long other) {
+        if (one == LONG_AGO) {
+            return other;
         }
+        return Math.min(one, other);
     }
 
     /** Returns the newest version of a model; 0 if none was named. */
@@ -75,11 +100,14 @@
                 : Optional.empty();
     }
 
-    /** Returns all versions that are remembered. */
+    /** Returns the versions that are remembered and of which it is known since when. */
     public List<Named> all() {
         List<Named> all = new ArrayList<>();
-        sinceByModel.forEach(
-                (model, versions) -> versions.forEach((version, since) -> all.add(new Named(model, version, since))));
+        sinceByModel.forEach((model, versions) -> versions.forEach((version, since) -> {
+            if (since != LONG_AGO) {
+                all.add(new Named(model, version, since));
+            }
+        }));
         return all;
     }
 
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/rollout/NamedVersionsTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/rollout/NamedVersionsTest.java
@@ -65,4 +65,37 @@
         assertThat(versions.oldestAllowed("m", ALLOWED, 20_700)).isEqualTo(2);
         assertThat(versions.newest("m")).isEqualTo(3);
     }
+
+    /**
+     * Weights are named, six seconds later all relays lose power, and come back after two more. None of them knows
+     * since when the weights were named. A check began on the old ones 14 s after the naming, where 10 s are allowed.
+     */
+    @Test
+    void whereNobodyKnowsSinceWhenAVersionCountsAsNamedLongAgo() {
+        versions.found("m", 3);
+
+        assertThat(versions.oldestAllowed("m", ALLOWED, 20)).isEqualTo(3);
+        assertThat(versions.all()).isEmpty();
+    }
+
+    /** One relay of several is restarted: the others say since when, and the engines that still load may be used. */
+    @Test
+    void whoeverKnowsSinceWhenIsBelieved() {
+        versions.found("m", 3);
+        versions.known("m", 3, 4_000, 20_000);
+        versions.known("m", 3, 3_000, 20_000);
+
+        assertThat(versions.oldestAllowed("m", ALLOWED, 28_999)).isZero();
+        assertThat(versions.oldestAllowed("m", ALLOWED, 29_000)).isEqualTo(3);
+        assertThat(versions.all()).containsExactly(new Named("m", 3, 16_000));
+    }
+
+    @Test
+    void aVersionThatIsNamedWhileTheRelayRunsHasItsWholeTime() {
+        versions.found("m", 3);
+        versions.named("m", 4, 50_000);
+
+        assertThat(versions.oldestAllowed("m", ALLOWED, 62_999)).isEqualTo(3);
+        assertThat(versions.oldestAllowed("m", ALLOWED, 63_000)).isEqualTo(4);
+    }
 }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
@@ -26,11 +26,13 @@
 import org.rattanrudder.core.gateway.ContextStore;
 import org.rattanrudder.core.model.Address;
 import org.rattanrudder.core.parts.SharedNews;
+import org.rattanrudder.core.rollout.NamedVersions;
 import org.rattanrudder.daemon.logging.EventLog;
 import org.rattanrudder.daemon.loop.Closer;
 import org.rattanrudder.daemon.loop.MonotonicClock;
 import org.rattanrudder.daemon.loop.RunningProcess;
 import org.rattanrudder.daemon.relay.port.KeyedRecord;
+import org.rattanrudder.daemon.relay.port.NamedWeights;
 import org.rattanrudder.daemon.relay.port.PlatformAdapter;
 import org.rattanrudder.daemon.relay.port.StoreDialect;
 import org.rattanrudder.daemon.relay.port.StoreDialect.Topic;
@@ -177,30 +179,45 @@
 
     /** Takes what operators want. */
     private final class Wishes implements TopicFollower.Listener {
+        /** Whether all that had been wished before this relay was there has been read. */
+        private boolean caughtUp;
+
         @Override
         public void record(KeyedRecord record) {
             StoreDialect store = state.platform().store();
             store.readWish(record).ifPresent(wish -> {
                 if (wish instanceof Wish.Configured configured) {
                     configured(configured, record.offset());
-                } else if (wish instanceof Wish.Weights weights
-                        && state.weights()
-                                .named(
-                                        weights.weights().model(),
-                                        weights.weights().version(),
-                                        state.now())) {
-                    state.log()
-                            .info(
-                                    "weights_named",
-                                    "model",
-                                    weights.weights().model(),
-                                    "version",
-                                    Long.toString(weights.weights().version()),
-                                    "offset",
-                                    Long.toString(record.offset()));
+                } else if (wish instanceof Wish.Weights weights) {
+                    named(weights.weights(), record.offset());
                 }
             });
         }
+
+        private void named(NamedWeights weights, long offset) {
+            NamedVersions versions = state.weights();
+            boolean news = caughtUp
+                    ? versions.named(weights.model(), weights.version(), state.now())
+                    : versions.found(weights.model(), weights.version());
+            if (news) {
+                state.log()
+                        .info(
+                                "weights_named",
+                                "model",
+                                weights.model(),
+                                "version",
+                                Long.toString(weights.version()),
+                                "offset",
+                                Long.toString(offset),
+                                "before_start",
+                                Boolean.toString(!caughtUp));
+            }
+        }
+
+        @Override
+        public void listed(Set<String> keys, long end) {
+            caughtUp = true;
+        }
     }
 
     private void configured(Wish.Configured configured, long offset) {
