Try: place prompts by what engines are likely to hold in their own memory

Change: each relay keeps, for each engine, what prompts it was sent by any relay in the order of use, and counts as saved what needs no reading there.

--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/PeerLoadsTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/PeerLoadsTest.java
@@ -137,7 +137,8 @@
                         List.of("i-1"),
                         List.of(),
                         true,
-                        new ReadTo(0, 0)),
+                        new ReadTo(0, 0),
+                        List.of()),
                 NOW);
 
         assertThat(SendWindow.open(fleet.of("llm", NOW), ENGINE, 9_000, false, NOW))
@@ -180,7 +181,8 @@
                         List.of(),
                         List.of(),
                         true,
-                        new ReadTo(0, 0)),
+                        new ReadTo(0, 0),
+                        List.of()),
                 NOW);
 
         assertThat(fleet.find("i-1").orElseThrow().weights("m")).isEqualTo(2);
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
@@ -15,6 +15,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.rattanrudder.core.fleet.KeptPart;
 import org.rattanrudder.core.fleet.Placement;
 import org.rattanrudder.core.fleet.SendWindow;
 import org.rattanrudder.core.fleet.Target;
@@ -144,7 +145,9 @@
         // It counts from now on: what is placed while its connection opens would all go to the same target.
         Target.Work expected = plan.expectedWork();
         target.sent(expected, state.now());
-        state.workNews().placed(target);
+        List<KeptPart> prompt = plan.prompt(target);
+        target.reads(prompt);
+        state.workNews().placed(target, prompt);
         pools.acquire(target, repeatable, opened -> {
             target.ended(expected, false);
             connected(target, opened);
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/WorkNews.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/WorkNews.java
@@ -1,11 +1,13 @@
 package org.rattanrudder.daemon.relay;
 
 import io.netty.channel.EventLoop;
+import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
+import org.rattanrudder.core.fleet.KeptPart;
+import org.rattanrudder.core.fleet.RelayLoad.PromptRead;
 import org.rattanrudder.core.fleet.Target;
 
 /**
@@ -23,19 +25,26 @@
 
     private final EventLoop loop;
     private final Set<Target> changed = new LinkedHashSet<>();
-    private Consumer<List<Target>> teller = unheard -> {};
+    private final List<PromptRead> reads = new ArrayList<>();
+    private Teller teller = (unheard, unread) -> {};
+
+    /** Tells the other relays. */
+    interface Teller {
+        /** Tells them of engines that work was placed at, and of the prompts. */
+        void tell(List<Target> sentTo, List<PromptRead> sent);
+    }
 
     WorkNews(EventLoop loop) {
         this.loop = loop;
     }
 
     /** Sets who is given the engines. */
-    void tellBy(Consumer<List<Target>> newTeller) {
+    void tellBy(Teller newTeller) {
         teller = newTeller;
     }
 
-    /** Notes that work was placed at a target. */
-    void placed(Target target) {
+    /** Notes that a prompt was placed at a target. */
+    void placed(Target target, List<KeptPart> parts) {
         if (target.entry().weights().isEmpty()) {
             return;
         }
@@ -43,11 +52,16 @@
             loop.schedule(this::tell, GATHER_MILLIS, TimeUnit.MILLISECONDS);
         }
         changed.add(target);
+        if (!parts.isEmpty()) {
+            reads.add(new PromptRead(target.id(), parts));
+        }
     }
 
     private void tell() {
         List<Target> news = List.copyOf(changed);
+        List<PromptRead> sent = List.copyOf(reads);
         changed.clear();
-        teller.accept(news);
+        reads.clear();
+        teller.tell(news, sent);
     }
 }
