--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Fleet.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Fleet.java
@@ -139,7 +139,6 @@
     public void heard(RelayLoad load, long nowMillis) {
         peers.heard(load, nowMillis);
         load.loading().forEach(id -> find(id).ifPresent(target -> target.swapping(nowMillis + LOADING_TOLD_MILLIS)));
-        load.reads().forEach(read -> find(read.target()).ifPresent(target -> target.reads(read.parts())));
         for (ServedWeights served : load.served()) {
             find(served.target())
                     .ifPresent(target -> target.confirmWeights(served.model(), served.version(), nowMillis));
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Placement.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Placement.java
@@ -10,8 +10,8 @@
  * Picks the target with the least expected delay.
  *
  * <p>All terms are milliseconds: work that waits before the request, slots that are shared with running requests,
- * memory that is short, recent lateness and failures, what a connection to another failure domain costs, and what needs
- * no reading since the target holds it. A target that was tried before is taken only if no other is left.
+ * memory that is short, recent lateness and failures, and what a connection to another failure domain costs. A target
+ * that was tried before is taken only if no other is left.
  */
 public final class Placement {
     /** Prompt tokens that an engine reads in a millisecond; the order of magnitude suffices to compare targets. */
@@ -134,7 +134,7 @@
         if (query.model().isPresent() && target.weights(query.model().get()) < query.newestWeights()) {
             millis += OLD_WEIGHTS_MILLIS;
         }
-        return millis - affinity(target, query) - query.saving().savedMillis(target);
+        return millis - affinity(target, query);
     }
 
     private static double affinity(Target target, PlacementQuery query) {
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/PlacementQuery.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/PlacementQuery.java
@@ -18,7 +18,6 @@
  * @param relay a hash of the relay that sends it
  * @param otherRelays how many other relays choose among the same targets
  * @param connections how many connections this relay may use at one target
- * @param saving what a target saves by what it holds of the prompt
  * @param tried incarnations that it was sent to before
  */
 public record PlacementQuery(
@@ -33,7 +32,6 @@
         long relay,
         int otherRelays,
         int connections,
-        PromptSaving saving,
         Set<String> tried) {
     /** Takes a copy of the incarnations. */
     public PlacementQuery {
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/RelayLoad.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/RelayLoad.java
@@ -15,7 +15,6 @@
  * @param unreachable targets to which it could open no connection lately
  * @param ready whether it takes new connections
  * @param readTo how far it has read the platform's records
- * @param reads prompts that it has just sent
  */
 public record RelayLoad(
         String relay,
@@ -27,8 +26,7 @@
         List<String> loading,
         List<String> unreachable,
         boolean ready,
-        ReadTo readTo,
-        List<PromptRead> reads) {
+        ReadTo readTo) {
     /** Takes copies of the lists. */
     public RelayLoad {
         targets = List.copyOf(targets);
@@ -36,33 +34,13 @@
         served = List.copyOf(served);
         loading = List.copyOf(loading);
         unreachable = List.copyOf(unreachable);
-        reads = List.copyOf(reads);
     }
 
     /** Returns a message that tells of work, readiness and reading alone. */
     public static RelayLoad ofWork(
             String relay, long sequence, boolean whole, List<TargetLoad> targets, boolean ready, ReadTo readTo) {
         return new RelayLoad(
-                relay, sequence, whole, targets, List.of(), List.of(), List.of(), List.of(), ready, readTo, List.of());
-    }
-
-    /** Returns this message with prompts that were just sent. */
-    public RelayLoad withReads(List<PromptRead> sent) {
-        return new RelayLoad(
-                relay, sequence, whole, targets, weights, served, loading, unreachable, ready, readTo, sent);
-    }
-
-    /**
-     * A prompt that a target reads.
-     *
-     * @param target the target's incarnation
-     * @param parts the parts of the prompt, in order
-     */
-    public record PromptRead(String target, List<KeptPart> parts) {
-        /** Takes a copy of the parts. */
-        public PromptRead {
-            parts = List.copyOf(parts);
-        }
+                relay, sequence, whole, targets, List.of(), List.of(), List.of(), List.of(), ready, readTo);
     }
 
     /**
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Target.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Target.java
@@ -34,16 +34,12 @@
     /** What a running request of another relay takes of an engine's memory, in tokens, about. */
     private static final long OTHERS_RUNNING_TOKENS = 4_000;
 
-    /** The part of an engine's memory that holds prompts; the rest holds output and what is given out in blocks. */
-    private static final double KEPT_SHARE = 0.8;
-
     private static final long FIRST_PAUSE_MILLIS = 250;
     private static final long LONGEST_PAUSE_MILLIS = 2_000;
 
     private final Map<String, Long> confirmedWeights = new HashMap<>();
     private final PeerLoads peers;
     private final Reach reach = new Reach();
-    private final KeptParts kept = new KeptParts();
     private final long idHash;
     private TargetEntry entry;
     private int inFlight;
@@ -88,7 +84,7 @@
         boolean loaded =
                 newest.weights().entrySet().stream().anyMatch(served -> served.getValue() > weights(served.getKey()));
         if (loaded) {
-            loaded();
+            swappingUntil = Long.MIN_VALUE / 2;
         }
         entry = newest;
     }
@@ -106,31 +102,11 @@
         if (version <= weights(model)) {
             return;
         }
-        loaded();
+        swappingUntil = Long.MIN_VALUE / 2;
         confirmedWeights.put(model, version);
         confirmedAt = nowMillis;
     }
 
-    /** It serves other weights than before: it takes work, and what it held of prompts is gone. */
-    private void loaded() {
-        swappingUntil = Long.MIN_VALUE / 2;
-        kept.clear();
-    }
-
-    /** Notes a prompt that was sent to it, by whatever relay. */
-    public void reads(List<KeptPart> parts) {
-        kept.used(parts);
-    }
-
-    /**
-     * Returns how many tokens of a prompt it is likely to hold in its own memory, from the first part on.
-     *
-     * @param capacityTokens its memory, in tokens
-     */
-    public int heldTokens(List<KeptPart> parts, long capacityTokens) {
-        return kept.heldTokens(parts, (long) (capacityTokens * KEPT_SHARE));
-    }
-
     /** Returns the weights that it was seen to serve since a time, beyond those of its entry at that time. */
     public List<ServedWeights> confirmedSince(long sinceMillis) {
         if (confirmedAt < sinceMillis) {
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/parts/PartDirectory.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/parts/PartDirectory.java
@@ -156,17 +156,6 @@
         return fresh.stream().anyMatch(view -> view.hasRoom(tokens)) ? PartChoice.UNSETTLED : PartChoice.NO_ROOM;
     }
 
-    /** Returns how many tokens of a prompt stores hold. */
-    public int storedTokens(String salt, List<PromptPart> parts, long nowMillis) {
-        int stored = 0;
-        for (PromptPart part : parts) {
-            PartKey key = new PartKey(salt, part.id());
-            boolean held = stores.values().stream().anyMatch(view -> view.tokens(key) > 0 && view.isFresh(nowMillis));
-            stored += held ? part.tokens() : 0;
-        }
-        return stored;
-    }
-
     /** Notes by how much the first bytes of answers were late whose prompts were read from a store. */
     public void fetched(StoreLateness late, long nowMillis) {
         StoreView view = stores.get(late.store());
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/PeerLoadsTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/PeerLoadsTest.java
@@ -137,8 +137,7 @@
                         List.of("i-1"),
                         List.of(),
                         true,
-                        new ReadTo(0, 0),
-                        List.of()),
+                        new ReadTo(0, 0)),
                 NOW);
 
         assertThat(SendWindow.open(fleet.of("llm", NOW), ENGINE, 9_000, false, NOW))
@@ -181,8 +180,7 @@
                         List.of(),
                         List.of(),
                         true,
-                        new ReadTo(0, 0),
-                        List.of()),
+                        new ReadTo(0, 0)),
                 NOW);
 
         assertThat(fleet.find("i-1").orElseThrow().weights("m")).isEqualTo(2);
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/PlacementTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/PlacementTest.java
@@ -114,8 +114,8 @@
      */
     @Test
     void aTargetTakesNoMoreRequestsThanConnectionsAreLeft() {
-        PlacementQuery two = new PlacementQuery(
-                "log", "north", Optional.empty(), Optional.empty(), 0, 0, 0, 0, 0, 0, 2, PromptSaving.NONE, Set.of());
+        PlacementQuery two =
+                new PlacementQuery("log", "north", Optional.empty(), Optional.empty(), 0, 0, 0, 0, 0, 0, 2, Set.of());
         List<Target> one = List.of(near);
         near.sent(new Target.Work(0, 0), NOW);
         assertThat(Placement.choose(one, two, NOW)).isPresent();
@@ -147,7 +147,6 @@
                 relay,
                 otherRelays,
                 600,
-                PromptSaving.NONE,
                 Set.of());
     }
 
@@ -160,19 +159,7 @@
 
     private static PlacementQuery onWeights(long newest, long oldest) {
         return new PlacementQuery(
-                "llm",
-                "north",
-                Optional.of(ENGINE),
-                Optional.of("m"),
-                newest,
-                oldest,
-                9_000,
-                0,
-                0,
-                0,
-                600,
-                PromptSaving.NONE,
-                Set.of());
+                "llm", "north", Optional.of(ENGINE), Optional.of("m"), newest, oldest, 9_000, 0, 0, 0, 600, Set.of());
     }
 
     static Target target(String id, String domain, long weights) {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
@@ -15,7 +15,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import org.rattanrudder.core.fleet.KeptPart;
 import org.rattanrudder.core.fleet.Placement;
 import org.rattanrudder.core.fleet.SendWindow;
 import org.rattanrudder.core.fleet.Target;
@@ -145,9 +144,7 @@
         // It counts from now on: what is placed while its connection opens would all go to the same target.
         Target.Work expected = plan.expectedWork();
         target.sent(expected, state.now());
-        List<KeptPart> prompt = plan.prompt(target);
-        target.reads(prompt);
-        state.workNews().placed(target, prompt);
+        state.workNews().placed(target);
         pools.acquire(target, repeatable, opened -> {
             target.ended(expected, false);
             connected(target, opened);
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/PeerExchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/PeerExchange.java
@@ -15,7 +15,6 @@
 import java.util.Map;
 import org.rattanrudder.core.fleet.RelayLoad;
 import org.rattanrudder.core.fleet.RelayLoad.KnownWeights;
-import org.rattanrudder.core.fleet.RelayLoad.PromptRead;
 import org.rattanrudder.core.fleet.RelayLoad.ReadTo;
 import org.rattanrudder.core.fleet.RelayLoad.ServedWeights;
 import org.rattanrudder.core.fleet.RelayLoad.TargetLoad;
@@ -201,16 +200,14 @@
                 own.loading(),
                 state.fleet().unreachable(now),
                 own.ready(),
-                own.readTo(),
-                List.of());
+                own.readTo());
         send(PeerCodec.write(load), true, silentOnesToo);
     }
 
     /** Tells other relays at once of engines that work was just sent to: they would send theirs to the same ones. */
-    private void tellAtOnce(List<Target> sentTo, List<PromptRead> reads) {
+    private void tellAtOnce(List<Target> sentTo) {
         List<TargetLoad> changed = sentTo.stream().map(Target::ownLoad).toList();
-        RelayLoad load = RelayLoad.ofWork(self, sequence++, false, changed, own.ready(), own.readTo())
-                .withReads(reads);
+        RelayLoad load = RelayLoad.ofWork(self, sequence++, false, changed, own.ready(), own.readTo());
         send(PeerCodec.write(load), peers.size() <= MOST_AT_ONCE, false);
     }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RequestPlan.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RequestPlan.java
@@ -1,16 +1,12 @@
 package org.rattanrudder.daemon.relay;
 
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
 import org.rattanrudder.core.fleet.HoldingLine;
-import org.rattanrudder.core.fleet.KeptPart;
 import org.rattanrudder.core.fleet.PlacementQuery;
-import org.rattanrudder.core.fleet.PromptSaving;
 import org.rattanrudder.core.fleet.Target;
 import org.rattanrudder.core.gateway.BackendService;
 import org.rattanrudder.core.gateway.CustomerIdentity;
@@ -43,13 +39,6 @@
     private static final double ENGINE_BASE_MILLIS = 80;
 
     private static final double TOKENS_PER_MILLI = 100;
-
-    /** How much more reading a part again costs than the time until it is read: all others there wait for it, too. */
-    private static final double READING_WEIGHT = 3;
-
-    /** What it takes to fetch a part from a store, as a share of reading it: a link carries some 300 tokens a ms. */
-    private static final double FETCH_SHARE = 0.3;
-
     private static final double PLAIN_BASE_MILLIS = 150;
 
     private final RelayState state;
@@ -61,8 +50,6 @@
     private final Optional<EngineTraits> engine;
     private final long arrivedAt;
     private final long deadlineAt;
-    private final Map<String, List<KeptPart>> prompts = new HashMap<>();
-    private final Map<String, Integer> stored = new HashMap<>();
 
     RequestPlan(RelayState state, RequestFacts facts, Admittance.Granted granted, long arrivedAt) {
         this.state = state;
@@ -172,58 +159,17 @@
                 state.relayHash(),
                 state.fleet().peers(now),
                 connections(now),
-                engine.isPresent() ? this::savedMillis : PromptSaving.NONE,
                 tried);
     }
 
-    /** Returns the parts of the prompt as a target would hold them. */
-    List<KeptPart> prompt(Target target) {
-        return salt(target).map(this::prompt).orElse(List.of());
-    }
-
-    private List<KeptPart> prompt(String salt) {
-        return prompts.computeIfAbsent(salt, unseen -> {
-            long salted = Hashing.of(salt);
-            return facts.parts().stream()
-                    .map(part -> new KeptPart(Hashing.combine(salted, Hashing.of(part.id())), part.tokens()))
-                    .toList();
-        });
-    }
-
-    /** Returns how much sooner a target begins for what it holds of the prompt; what stores hold saves it little. */
-    private double savedMillis(Target target) {
-        Optional<String> salt = salt(target);
-        if (salt.isEmpty()) {
-            return 0;
-        }
-        int held = target.heldTokens(prompt(salt.get()), engine.orElseThrow().capacityTokens());
-        if (held == 0) {
-            return 0;
-        }
-        int stored = Math.min(held, storedTokens(salt.get()));
-        return READING_WEIGHT * (held - stored + FETCH_SHARE * stored) / TOKENS_PER_MILLI;
-    }
-
-    private int storedTokens(String salt) {
-        return stored.computeIfAbsent(salt, unseen -> state.directory().storedTokens(salt, facts.parts(), state.now()));
-    }
-
-    private Optional<String> salt(Target target) {
-        return weights(target).map(version -> PartKey.salt(version, customer));
-    }
-
-    private Optional<Long> weights(Target target) {
-        return facts.model().map(target::weights).filter(version -> version > 0);
-    }
-
     private int connections(long now) {
         return backend.map(known -> known.connectionsPerRelay(state.relays(now)))
                 .orElse(Integer.MAX_VALUE);
     }
 
     Outgoing outgoing(Target target, Optional<String> lastEventId) {
-        Optional<Long> weights = weights(target);
-        Optional<String> salt = salt(target);
+        Optional<Long> weights = facts.model().map(target::weights).filter(version -> version > 0);
+        Optional<String> salt = weights.map(version -> PartKey.salt(version, customer));
         PartPlan parts = salt.isPresent() && engine.isPresent()
                 ? state.directory()
                         .plan(salt.get(), facts.parts(), target.entry().failureDomain(), state.now())
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/WorkNews.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/WorkNews.java
@@ -1,13 +1,11 @@
 package org.rattanrudder.daemon.relay;
 
 import io.netty.channel.EventLoop;
-import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import org.rattanrudder.core.fleet.KeptPart;
-import org.rattanrudder.core.fleet.RelayLoad.PromptRead;
+import java.util.function.Consumer;
 import org.rattanrudder.core.fleet.Target;
 
 /**
@@ -25,26 +23,19 @@
 
     private final EventLoop loop;
     private final Set<Target> changed = new LinkedHashSet<>();
-    private final List<PromptRead> reads = new ArrayList<>();
-    private Teller teller = (unheard, unread) -> {};
-
-    /** Tells the other relays. */
-    interface Teller {
-        /** Tells them of engines that work was placed at, and of the prompts. */
-        void tell(List<Target> sentTo, List<PromptRead> sent);
-    }
+    private Consumer<List<Target>> teller = unheard -> {};
 
     WorkNews(EventLoop loop) {
         this.loop = loop;
     }
 
     /** Sets who is given the engines. */
-    void tellBy(Teller newTeller) {
+    void tellBy(Consumer<List<Target>> newTeller) {
         teller = newTeller;
     }
 
-    /** Notes that a prompt was placed at a target. */
-    void placed(Target target, List<KeptPart> parts) {
+    /** Notes that work was placed at a target. */
+    void placed(Target target) {
         if (target.entry().weights().isEmpty()) {
             return;
         }
@@ -52,16 +43,11 @@
             loop.schedule(this::tell, GATHER_MILLIS, TimeUnit.MILLISECONDS);
         }
         changed.add(target);
-        if (!parts.isEmpty()) {
-            reads.add(new PromptRead(target.id(), parts));
-        }
     }
 
     private void tell() {
         List<Target> news = List.copyOf(changed);
-        List<PromptRead> sent = List.copyOf(reads);
         changed.clear();
-        reads.clear();
-        teller.tell(news, sent);
+        teller.accept(news);
     }
 }
--- a/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/WorkNewsTest.java
+++ b/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/WorkNewsTest.java
@@ -11,8 +11,6 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.rattanrudder.core.fleet.Fleet;
-import org.rattanrudder.core.fleet.KeptPart;
-import org.rattanrudder.core.fleet.RelayLoad.PromptRead;
 import org.rattanrudder.core.fleet.Target;
 import org.rattanrudder.core.fleet.TargetEntry;
 import org.rattanrudder.core.model.Address;
@@ -26,16 +24,12 @@
 
     private final EmbeddedChannel channel = new EmbeddedChannel();
     private final List<List<String>> told = new ArrayList<>();
-    private final List<List<PromptRead>> reads = new ArrayList<>();
     private final WorkNews news = new WorkNews(channel.eventLoop());
 
     @BeforeEach
     void listen() {
         channel.freezeTime();
-        news.tellBy((targets, sent) -> {
-            told.add(targets.stream().map(Target::id).toList());
-            reads.add(sent);
-        });
+        news.tellBy(targets -> told.add(targets.stream().map(Target::id).toList()));
     }
 
     private static Target target(String id, Map<String, Long> weights) {
@@ -68,10 +62,10 @@
     @Test
     void aPlacementIsToldAtOnceTogetherWithOthersOfThatMoment() {
         Target first = engine("i-1");
-        news.placed(first, List.of());
+        news.placed(first);
         pass(3);
-        news.placed(engine("i-2"), List.of());
-        news.placed(first, List.of());
+        news.placed(engine("i-2"));
+        news.placed(first);
         assertThat(told).isEmpty();
 
         pass(2);
@@ -83,9 +77,9 @@
 
     @Test
     void theNextMomentIsToldByItself() {
-        news.placed(engine("i-1"), List.of());
+        news.placed(engine("i-1"));
         pass(5);
-        news.placed(engine("i-2"), List.of());
+        news.placed(engine("i-2"));
         pass(5);
 
         assertThat(told).containsExactly(List.of("i-1"), List.of("i-2"));
@@ -94,23 +88,10 @@
     /** Servers of plain services say their load in each answer. */
     @Test
     void onlyEnginesAreTold() {
-        news.placed(target("i-plain", Map.of()), List.of());
+        news.placed(target("i-plain", Map.of()));
 
         pass(1_000);
 
         assertThat(told).isEmpty();
     }
-
-    /** Another relay that gets a request for the same record a moment later sends it to the engine that reads it. */
-    @Test
-    void thePromptIsToldWithItsPlacement() {
-        KeptPart record = new KeptPart(7, 5_000);
-        news.placed(engine("i-1"), List.of(record));
-        news.placed(engine("i-2"), List.of());
-        pass(5);
-        news.placed(engine("i-2"), List.of());
-        pass(5);
-
-        assertThat(reads).containsExactly(List.of(new PromptRead("i-1", List.of(record))), List.of());
-    }
 }
--- a/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelRelay.java
+++ b/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelRelay.java
@@ -12,7 +12,6 @@
 import org.rattanrudder.core.fleet.HoldingLine;
 import org.rattanrudder.core.fleet.Placement;
 import org.rattanrudder.core.fleet.PlacementQuery;
-import org.rattanrudder.core.fleet.PromptSaving;
 import org.rattanrudder.core.fleet.RelayLoad;
 import org.rattanrudder.core.fleet.SendWindow;
 import org.rattanrudder.core.fleet.Target;
@@ -197,7 +196,6 @@
                 policy.ownOrder() ? Hashing.of(name) : 0,
                 policy.ownOrder() ? peers.size() : 0,
                 Integer.MAX_VALUE,
-                PromptSaving.NONE,
                 Set.of());
     }
 
--- a/rattanrudder-wire/src/main/java/org/rattanrudder/wire/peer/PeerCodec.java
+++ b/rattanrudder-wire/src/main/java/org/rattanrudder/wire/peer/PeerCodec.java
@@ -1,14 +1,11 @@
 package org.rattanrudder.wire.peer;
 
 import com.google.protobuf.InvalidProtocolBufferException;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
-import org.rattanrudder.core.fleet.KeptPart;
 import org.rattanrudder.core.fleet.RelayLoad;
 import org.rattanrudder.core.fleet.RelayLoad.KnownWeights;
-import org.rattanrudder.core.fleet.RelayLoad.PromptRead;
 import org.rattanrudder.core.fleet.RelayLoad.ReadTo;
 import org.rattanrudder.core.fleet.RelayLoad.ServedWeights;
 import org.rattanrudder.core.fleet.RelayLoad.TargetLoad;
@@ -23,7 +20,6 @@
 import org.rattanrudder.wire.generated.PeerMessages.PartEventMessage;
 import org.rattanrudder.wire.generated.PeerMessages.PartNewsMessage;
 import org.rattanrudder.wire.generated.PeerMessages.PeerMessage;
-import org.rattanrudder.wire.generated.PeerMessages.PromptReadMessage;
 import org.rattanrudder.wire.generated.PeerMessages.RelayLoadMessage;
 import org.rattanrudder.wire.generated.PeerMessages.ServedWeightsMessage;
 import org.rattanrudder.wire.generated.PeerMessages.StoreLatenessMessage;
@@ -87,13 +83,6 @@
                     .setModel(served.model())
                     .setVersion(served.version()));
         }
-        for (PromptRead read : load.reads()) {
-            PromptReadMessage.Builder prompt = PromptReadMessage.newBuilder().setTarget(read.target());
-            for (KeptPart part : read.parts()) {
-                prompt.addPartKeys(part.key()).addPartTokens(part.tokens());
-            }
-            message.addReads(prompt);
-        }
         message.addAllLoading(load.loading());
         message.addAllUnreachable(load.unreachable());
         message.setReady(load.ready());
@@ -168,16 +157,7 @@
                 message.getLoadingList(),
                 message.getUnreachableList(),
                 message.getReady(),
-                readTo,
-                message.getReadsList().stream().map(PeerCodec::read).toList());
-    }
-
-    private static PromptRead read(PromptReadMessage message) {
-        List<KeptPart> parts = new ArrayList<>();
-        for (int index = 0; index < Math.min(message.getPartKeysCount(), message.getPartTokensCount()); index++) {
-            parts.add(new KeptPart(message.getPartKeys(index), Math.max(0, message.getPartTokens(index))));
-        }
-        return new PromptRead(message.getTarget(), parts);
+                readTo);
     }
 
     private static List<StoreLateness> fetches(FetchesMessage message) {
--- a/rattanrudder-wire/src/test/java/org/rattanrudder/wire/peer/PeerCodecTest.java
+++ b/rattanrudder-wire/src/test/java/org/rattanrudder/wire/peer/PeerCodecTest.java
@@ -10,10 +10,8 @@
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.LongRange;
 import org.junit.jupiter.api.Test;
-import org.rattanrudder.core.fleet.KeptPart;
 import org.rattanrudder.core.fleet.RelayLoad;
 import org.rattanrudder.core.fleet.RelayLoad.KnownWeights;
-import org.rattanrudder.core.fleet.RelayLoad.PromptRead;
 import org.rattanrudder.core.fleet.RelayLoad.ReadTo;
 import org.rattanrudder.core.fleet.RelayLoad.ServedWeights;
 import org.rattanrudder.core.fleet.RelayLoad.TargetLoad;
@@ -40,10 +38,7 @@
                 List.of("i-2"),
                 List.of("i-3", "i-4"),
                 sequence % 2 == 0,
-                new ReadTo(sequence / 3, sequence / 2),
-                List.of(
-                        new PromptRead("i-1", List.of(new KeptPart(-sequence, requests), new KeptPart(7, 8))),
-                        new PromptRead("i-2", List.of())));
+                new ReadTo(sequence / 3, sequence / 2));
 
         assertThat(PeerCodec.read(PeerCodec.write(load))).contains(new PeerCodec.Message.Load(load));
     }
