Free the parts of old weights sooner, and read at once who holds the lease

Hypothesis: after new weights are named, what engines read finds no room, since parts of the old ones fill the stores.

Two relays lost the race for the lease, and read the winner's record 12 s later: their reads had begun to wait while it was written, and the store answers such a read when its wait is over. The winner was cut off a moment later, so that six of eight engines got no order from 20.0 to 32.0 s. A relay whose record landed nowhere now reads at once; the first read of a topic doesn't wait either (12 s in an empty one).

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/parts/PartChoice.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/parts/PartChoice.java
@@ -10,6 +10,8 @@
     BEING_SAVED,
     /** No store holds it: the engine reads it and saves it. */
     SAVED,
+    /** No store holds it, and none is to: its weights are being replaced. */
+    REPLACED,
     /** Stores that have room restarted too lately to take it. */
     UNSETTLED,
     /** No store has room for it. */
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/parts/PartDirectory.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/parts/PartDirectory.java
@@ -34,6 +34,12 @@
      */
     static final long FETCH_MILLIS = 3_500;
 
+    /**
+     * How long after its request is sent a fetch may still end, in ms. Requests that can be on time wait some hundred
+     * ms at an engine; whatever is freed must be left alone by all for this long first.
+     */
+    public static final long FETCH_AFTER_SENT_MILLIS = 2_000;
+
     /** How long a new incarnation of a store takes no saves, in ms: longer than any fetch from the one before. */
     static final long SETTLED_MILLIS = 4_000;
 
@@ -101,8 +107,9 @@
      *
      * @param salt who may use them
      * @param parts the prompt in order; the last part is its own and is left alone
+     * @param saves whether what no store holds is saved; it isn't worth its room under weights that are being replaced
      */
-    public PartPlan plan(String salt, List<PromptPart> parts, String engineDomain, long nowMillis) {
+    public PartPlan plan(String salt, List<PromptPart> parts, String engineDomain, boolean saves, long nowMillis) {
         if (parts.size() < 2 || stores.isEmpty()) {
             return PartPlan.NONE;
         }
@@ -118,10 +125,12 @@
             Optional<StoreView> read = holder.filter(
                     view -> allowed.computeIfAbsent(view, asked -> asked.delay().takeTurn(usual, nowMillis)));
             sources.add(read.map(view -> new PartPlan.Source(view.store().address(), view.tokens(key))));
-            Optional<Address> saved = holder.isPresent() ? Optional.empty() : saveAt(key, part.tokens(), nowMillis);
+            Optional<Address> saved =
+                    holder.isPresent() || !saves ? Optional.empty() : saveAt(key, part.tokens(), nowMillis);
             targets.add(saved);
-            choices.add(choice(key, part.tokens(), holder, read, saved, nowMillis));
-            until = Math.min(until, read.map(StoreView::fetchUntil).orElse(Long.MAX_VALUE));
+            boolean replaced = holder.isEmpty() && !saves;
+            choices.add(replaced ? PartChoice.REPLACED : choice(key, part.tokens(), holder, read, saved, nowMillis));
+            until = Math.min(until, read.map(view -> view.fetchUntil(nowMillis)).orElse(Long.MAX_VALUE));
         }
         sources.add(Optional.empty());
         targets.add(Optional.empty());
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/parts/StoreView.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/parts/StoreView.java
@@ -14,6 +14,7 @@
     private long incarnationSince;
     private long heardAt = Long.MIN_VALUE / 2;
     private long clockAtAnswer;
+    private long answeredAt;
     private boolean clockKnown;
     private long usedTokens;
 
@@ -41,6 +42,7 @@
         heardAt = Math.max(askedAt, heardAt);
         news.clockMillis().ifPresent(clock -> {
             clockAtAnswer = clock;
+            answeredAt = nowMillis;
             clockKnown = true;
         });
         news.events().forEach(this::apply);
@@ -68,8 +70,10 @@
         return clockKnown;
     }
 
-    long fetchUntil() {
-        return clockAtAnswer + PartDirectory.FETCH_MILLIS;
+    /** Returns until when a fetch that is planned now may end, on the store's clock, which has run on since. */
+    long fetchUntil(long nowMillis) {
+        long sincePlanned = clockAtAnswer + (nowMillis - answeredAt) + PartDirectory.FETCH_AFTER_SENT_MILLIS;
+        return Math.min(clockAtAnswer + PartDirectory.FETCH_MILLIS, sincePlanned);
     }
 
     int tokens(PartKey key) {
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/parts/PartDirectoryTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/parts/PartDirectoryTest.java
@@ -31,13 +31,14 @@
     @Test
     void aPartIsReadOnceItIsWholeAndSavedOnlyOnce() {
         directory.heard(STORE, news(1), SETTLED, SETTLED);
-        PartPlan first = directory.plan("w1", PROMPT, "north", SETTLED);
+        PartPlan first = directory.plan("w1", PROMPT, "north", true, SETTLED);
         assertThat(first.saves()).isTrue();
         assertThat(first.reads()).isFalse();
-        assertThat(directory.plan("w1", PROMPT, "north", SETTLED + 5).saves()).isFalse();
+        assertThat(directory.plan("w1", PROMPT, "north", true, SETTLED + 5).saves())
+                .isFalse();
 
         directory.heard(STORE, news(1, held("w1", "sheet", 2_500)), SETTLED + 300, SETTLED + 300);
-        PartPlan second = directory.plan("w1", PROMPT, "north", SETTLED + 310);
+        PartPlan second = directory.plan("w1", PROMPT, "north", true, SETTLED + 310);
         assertThat(second.sources())
                 .containsExactly(Optional.of(new PartPlan.Source(STORE, 2_500)), Optional.empty(), Optional.empty());
     }
@@ -45,34 +46,62 @@
     /** What an engine has to read anew says why, so that the logs of a day tell which of it could have been spared. */
     @Test
     void eachSharedPartSaysWhatWasDecidedForIt() {
-        assertThat(directory.plan("w1", PROMPT, "north", BEGIN).choices())
+        assertThat(directory.plan("w1", PROMPT, "north", true, BEGIN).choices())
                 .containsExactly(PartChoice.UNSETTLED, PartChoice.UNSETTLED);
 
         directory.heard(STORE, news(1, held("w1", "sheet", 2_500)), SETTLED, SETTLED);
-        assertThat(directory.plan("w1", PROMPT, "north", SETTLED).choices())
+        assertThat(directory.plan("w1", PROMPT, "north", true, SETTLED).choices())
                 .containsExactly(PartChoice.FETCHED, PartChoice.SAVED);
-        assertThat(directory.plan("w1", PROMPT, "north", SETTLED).choices())
+        assertThat(directory.plan("w1", PROMPT, "north", true, SETTLED).choices())
                 .containsExactly(PartChoice.FETCHED, PartChoice.BEING_SAVED);
         assertThat(directory
-                        .plan("w1", PROMPT, "north", SETTLED + PartDirectory.FRESH_MILLIS + 1)
+                        .plan("w1", PROMPT, "north", true, SETTLED + PartDirectory.FRESH_MILLIS + 1)
                         .choices())
                 .containsExactly(PartChoice.NO_STORE, PartChoice.BEING_SAVED);
 
         directory.heard(STORE, news(1, held("w1", "all", 95_000)), SETTLED, SETTLED);
-        assertThat(directory.plan("w2", PROMPT, "north", SETTLED).choices())
+        assertThat(directory.plan("w2", PROMPT, "north", true, SETTLED).choices())
                 .containsExactly(PartChoice.NO_ROOM, PartChoice.NO_ROOM);
 
         directory.fetched(new StoreLateness(STORE, 200, 9_000), SETTLED);
-        directory.plan("w1", PROMPT, "north", SETTLED);
-        assertThat(directory.plan("w1", PROMPT, "north", SETTLED).choices().get(0))
+        directory.plan("w1", PROMPT, "north", true, SETTLED);
+        assertThat(directory
+                        .plan("w1", PROMPT, "north", true, SETTLED)
+                        .choices()
+                        .get(0))
                 .isEqualTo(PartChoice.SLOW_STORE);
     }
 
+    /** Weights are being replaced: what is read under the old ones fills stores that the new ones will need. */
+    @Test
+    void nothingIsSavedUnderWeightsThatAreBeingReplaced() {
+        directory.heard(STORE, news(1, held("w1", "sheet", 2_500)), SETTLED, SETTLED);
+
+        PartPlan plan = directory.plan("w1", PROMPT, "north", false, SETTLED);
+
+        assertThat(plan.saves()).isFalse();
+        assertThat(plan.choices()).containsExactly(PartChoice.FETCHED, PartChoice.REPLACED);
+    }
+
+    /** Parts are freed a while after nobody plans to read them any more: no fetch may go on for longer. */
+    @Test
+    void aFetchEndsWithinAKnownTimeOfItsRequest() {
+        directory.heard(STORE, news(1, held("w1", "sheet", 2_500)), SETTLED, SETTLED);
+
+        assertThat(directory.plan("w1", PROMPT, "north", true, SETTLED + 700).untilMillis())
+                .hasValue(SETTLED + 700 + PartDirectory.FETCH_AFTER_SENT_MILLIS);
+        assertThat(directory.plan("w1", PROMPT, "north", true, SETTLED + 2_300).untilMillis())
+                .hasValue(SETTLED + PartDirectory.FETCH_MILLIS);
+    }
+
     @Test
     void theOwnPartOfAPromptIsLeftAlone() {
         directory.heard(STORE, news(1), SETTLED, SETTLED);
 
-        assertThat(directory.plan("w1", PROMPT, "north", SETTLED).targets().get(2))
+        assertThat(directory
+                        .plan("w1", PROMPT, "north", true, SETTLED)
+                        .targets()
+                        .get(2))
                 .isEmpty();
     }
 
@@ -89,14 +118,16 @@
         other.heard(STORE, news(2), restart, restart);
 
         long lastUse = SETTLED + PartDirectory.FRESH_MILLIS;
-        PartPlan latest = directory.plan("w1", PROMPT, "north", lastUse);
+        PartPlan latest = directory.plan("w1", PROMPT, "north", true, lastUse);
         assertThat(latest.reads()).isTrue();
-        assertThat(directory.plan("w1", PROMPT, "north", lastUse + 1).reads()).isFalse();
+        assertThat(directory.plan("w1", PROMPT, "north", true, lastUse + 1).reads())
+                .isFalse();
 
         long firstSave = restart + PartDirectory.SETTLED_MILLIS;
         other.heard(STORE, news(2), firstSave - 1, firstSave - 1);
-        assertThat(other.plan("w1", PROMPT, "north", firstSave - 1).saves()).isFalse();
-        assertThat(other.plan("w1", PROMPT, "north", firstSave).saves()).isTrue();
+        assertThat(other.plan("w1", PROMPT, "north", true, firstSave - 1).saves())
+                .isFalse();
+        assertThat(other.plan("w1", PROMPT, "north", true, firstSave).saves()).isTrue();
         assertThat(latest.untilMillis().orElseThrow()).isLessThan(firstSave);
     }
 
@@ -110,7 +141,10 @@
         directory.fetched(new StoreLateness(STORE, 60, 1_900), SETTLED);
 
         assertThat(reads(100, SETTLED)).isBetween(1, 10);
-        assertThat(directory.plan("w1", PROMPT, "north", SETTLED).targets().get(1))
+        assertThat(directory
+                        .plan("w1", PROMPT, "north", true, SETTLED)
+                        .targets()
+                        .get(1))
                 .isEmpty();
 
         long recovered = SETTLED + 9_000;
@@ -151,7 +185,7 @@
     private int reads(int plans, long nowMillis) {
         int reads = 0;
         for (int plan = 0; plan < plans; plan++) {
-            reads += directory.plan("w1", PROMPT, "north", nowMillis).reads() ? 1 : 0;
+            reads += directory.plan("w1", PROMPT, "north", true, nowMillis).reads() ? 1 : 0;
         }
         return reads;
     }
@@ -160,7 +194,10 @@
     void aFullStoreTakesNothing() {
         directory.heard(STORE, news(1, held("w1", "other", 96_000)), SETTLED, SETTLED);
 
-        assertThat(directory.plan("w1", PROMPT, "north", SETTLED).targets().get(1))
+        assertThat(directory
+                        .plan("w1", PROMPT, "north", true, SETTLED)
+                        .targets()
+                        .get(1))
                 .isEmpty();
         assertThat(directory.usedTokens(STORE)).isEqualTo(96_000);
     }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/OrderGiver.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/OrderGiver.java
@@ -212,6 +212,7 @@
         }
         // Others wrote first, or nobody knows whether this was written: the log tells before the next try.
         lease.conflicted();
+        follower.readNow();
         state.log()
                 .info(
                         "lease_not_taken",
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RequestPlan.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RequestPlan.java
@@ -172,7 +172,13 @@
         Optional<String> salt = weights.map(version -> PartKey.salt(version, customer));
         PartPlan parts = salt.isPresent() && engine.isPresent()
                 ? state.directory()
-                        .plan(salt.get(), facts.parts(), target.entry().failureDomain(), state.now())
+                        .plan(
+                                salt.get(),
+                                facts.parts(),
+                                target.entry().failureDomain(),
+                                weights.get()
+                                        >= state.weights().newest(facts.model().get()),
+                                state.now())
                 : PartPlan.NONE;
         if (engine.isPresent()) {
             noteParts(target, salt, parts);
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TopicFollower.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TopicFollower.java
@@ -147,7 +147,8 @@
         following = true;
         long asked = from;
         calledAt = state.now();
-        long wait = pace.waitMillis().applyAsLong(state.fleet().peers(calledAt));
+        // At first it asks for what is there: in a topic without records the answer would come when the wait is over.
+        long wait = answeredOnce ? pace.waitMillis().applyAsLong(state.fleet().peers(calledAt)) : 0;
         line.call(
                 dialect.follow(topic, asked, wait),
                 wait + SLACK_MILLIS,
@@ -264,6 +265,20 @@
         }
     }
 
+    /**
+     * Reads at once, in place of a read that waits: the store said that there is something which wasn't read. A read
+     * that began to wait while it was written may not be answered for it before its wait is over; two relays that had
+     * lost a race for the lease waited 12 s for the record that won it, and no engine got new weights meanwhile.
+     */
+    void readNow() {
+        if (following) {
+            line.close();
+            follow();
+        } else if (inGap) {
+            timer.next(this::follow, 0);
+        }
+    }
+
     /** The store has another address: what waits for an answer at the old one is given up, and the newest is listed. */
     void reconnect() {
         line.close();
