--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TopicFollower.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TopicFollower.java
@@ -27,6 +27,9 @@
     /** How long an answer may be missing that another relay has got, in ms. */
     private static final long HINT_MILLIS = 600;
 
+    /** How long a read waits that is known to have something to read, in ms: it is answered at once as a rule. */
+    private static final long EXPECTING_MILLIS = 200;
+
     private static final long FIRST_PAUSE_MILLIS = 50;
     private static final long LONGEST_PAUSE_MILLIS = 800;
 
@@ -105,6 +108,9 @@
     private boolean following;
     private boolean inGap;
 
+    /** Whether a record is known to be there that wasn't read yet. */
+    private boolean expecting;
+
     /**
      * Makes a follower; it begins with {@link #start}.
      *
@@ -147,14 +153,22 @@
         following = true;
         long asked = from;
         calledAt = state.now();
-        // At first it asks for what is there: in a topic without records the answer would come when the wait is over.
-        long wait = answeredOnce ? pace.waitMillis().applyAsLong(state.fleet().peers(calledAt)) : 0;
+        long wait = waitMillis();
         line.call(
                 dialect.follow(topic, asked, wait),
                 wait + SLACK_MILLIS,
                 answer -> take(answer, (status, body) -> dialect.readRecords(topic, asked, status, body)));
     }
 
+    private long waitMillis() {
+        if (!answeredOnce) {
+            // In a topic without records the answer would come when the wait is over.
+            return 0;
+        }
+        long usual = pace.waitMillis().applyAsLong(state.fleet().peers(calledAt));
+        return expecting ? Math.min(usual, EXPECTING_MILLIS) : usual;
+    }
+
     /** Reads the body of an answer. */
     private interface Reader {
         StoreAnswer read(int status, byte[] body);
@@ -192,6 +206,7 @@
         } else if (read instanceof StoreAnswer.Records records) {
             forgottenInARow = 0;
             from = records.next();
+            expecting &= records.records().isEmpty();
             records.records().forEach(this::tell);
             inGap = true;
             timer.next(this::follow, gap());
@@ -266,11 +281,13 @@
     }
 
     /**
-     * Reads at once, in place of a read that waits: the store said that there is something which wasn't read. A read
-     * that began to wait while it was written may not be answered for it before its wait is over; two relays that had
-     * lost a race for the lease waited 12 s for the record that won it, and no engine got new weights meanwhile.
+     * Reads at once, and again soon until a record comes: the store said that there is something which wasn't read. A
+     * read that began to wait while it was written may not be answered for it before its wait is over, and it may
+     * still be being written now. Two relays that had lost a race for the lease waited 12 s for the record that won
+     * it, and no engine got new weights meanwhile.
      */
     void readNow() {
+        expecting = true;
         if (following) {
             line.close();
             follow();
