Bound the reads after a lost race, and drop the way of loading that isn't used

An append without an answer may have written nothing: the short reads after it would have gone on until somebody wrote a record (5 calls a second and relay). They end after 5 s.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/OrderGiver.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/OrderGiver.java
@@ -15,7 +15,6 @@
 import org.rattanrudder.core.rollout.RolloutPlan;
 import org.rattanrudder.daemon.relay.port.EngineDialect.EngineReport;
 import org.rattanrudder.daemon.relay.port.EngineDialect.LoadOrder;
-import org.rattanrudder.daemon.relay.port.EngineDialect.RunsAtSwap;
 import org.rattanrudder.daemon.relay.port.KeyedRecord;
 import org.rattanrudder.daemon.relay.port.NamedWeights;
 import org.rattanrudder.daemon.relay.port.StoreAnswer;
@@ -251,8 +250,8 @@
     }
 
     private void give(Target target, NamedWeights weights, EngineReport report, CallLine line) {
-        LoadOrder order = new LoadOrder(
-                weights, RunsAtSwap.GO_ON, state.settings().instance(), lease.token(), report.orders(), target.id());
+        LoadOrder order =
+                new LoadOrder(weights, state.settings().instance(), lease.token(), report.orders(), target.id());
         RolloutPlan plan = plans.get(target.entry().service() + "/" + weights.model());
         long now = state.now();
         plan.ordered(target.id(), weights.version(), now);
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TopicFollower.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TopicFollower.java
@@ -30,6 +30,9 @@
     /** How long a read waits that is known to have something to read, in ms: it is answered at once as a rule. */
     private static final long EXPECTING_MILLIS = 200;
 
+    /** For how long that is believed, in ms: an append without an answer may have written nothing. */
+    private static final long EXPECTED_WITHIN_MILLIS = 5_000;
+
     private static final long FIRST_PAUSE_MILLIS = 50;
     private static final long LONGEST_PAUSE_MILLIS = 800;
 
@@ -108,8 +111,8 @@
     private boolean following;
     private boolean inGap;
 
-    /** Whether a record is known to be there that wasn't read yet. */
-    private boolean expecting;
+    /** Until when a record is taken to be there that wasn't read yet. */
+    private long expectingUntil = Long.MIN_VALUE / 2;
 
     /**
      * Makes a follower; it begins with {@link #start}.
@@ -166,7 +169,7 @@
             return 0;
         }
         long usual = pace.waitMillis().applyAsLong(state.fleet().peers(calledAt));
-        return expecting ? Math.min(usual, EXPECTING_MILLIS) : usual;
+        return calledAt < expectingUntil ? Math.min(usual, EXPECTING_MILLIS) : usual;
     }
 
     /** Reads the body of an answer. */
@@ -206,7 +209,9 @@
         } else if (read instanceof StoreAnswer.Records records) {
             forgottenInARow = 0;
             from = records.next();
-            expecting &= records.records().isEmpty();
+            if (!records.records().isEmpty()) {
+                expectingUntil = calledAt;
+            }
             records.records().forEach(this::tell);
             inGap = true;
             timer.next(this::follow, gap());
@@ -287,7 +292,7 @@
      * it, and no engine got new weights meanwhile.
      */
     void readNow() {
-        expecting = true;
+        expectingUntil = state.now() + EXPECTED_WITHIN_MILLIS;
         if (following) {
             line.close();
             follow();
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/port/EngineDialect.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/port/EngineDialect.java
@@ -17,26 +17,16 @@
      */
     record EngineReport(List<NamedWeights> weights, boolean busy, long orders, int inFlight) {}
 
-    /** What becomes of an engine's runs when it loads weights. */
-    enum RunsAtSwap {
-        /** They end first, on the weights that they began with. */
-        FINISH,
-        /** They go on, under the new weights. */
-        GO_ON
-    }
-
     /**
-     * An order to load weights.
+     * An order to load weights at once; runs go on under them.
      *
      * @param weights the model and its version
-     * @param runs what becomes of the engine's runs
      * @param holder who gives it
      * @param token its fencing token
      * @param ordersBefore how many orders the engine must have taken before; anything else voids it
      * @param target the incarnation that is meant
      */
-    record LoadOrder(
-            NamedWeights weights, RunsAtSwap runs, String holder, long token, long ordersBefore, String target) {}
+    record LoadOrder(NamedWeights weights, String holder, long token, long ordersBefore, String target) {}
 
     /** Returns the call that asks an engine for its state. */
     PlatformCall report(Optional<String> target);
