Look through a store's parts less often, and share what was written twice

Found by reading the whole change once more; behaviour stays as it is but for when leftovers are looked for.

- OutdatedParts went through all that every store holds each half second for good once a version was gone.
It looks when another version may be freed, and each 2 s after that; freed parts were asked for again no sooner before.
- TopicFollower ended a waiting read or a gap in two places: one method now.
Tests keep their assertions.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/OutdatedParts.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/OutdatedParts.java
@@ -1,6 +1,5 @@
 package org.rattanrudder.daemon.relay;
 
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -12,13 +11,17 @@
 final class OutdatedParts {
     private static final int FREED_AT_ONCE = 400;
 
-    /** How long a store that was asked to free parts is left alone, in ms: its news of them take some hundred. */
+    /**
+     * How often stores are looked at once parts of a version were freed, in ms: their news of it take some hundred, and
+     * a look goes through all that they hold.
+     */
     private static final long AGAIN_MILLIS = 2_000;
 
     private final RelayState state;
     private final Map<Address, StoreWatch> stores;
     private final PartRetirement retirement = new PartRetirement();
-    private final Map<Address, Long> askedAt = new HashMap<>();
+    private long freedBefore;
+    private long lookedAt;
 
     OutdatedParts(RelayState state, Map<Address, StoreWatch> stores) {
         this.state = state;
@@ -29,15 +32,17 @@
     void free(long now) {
         retirement.oldestServed(oldestServed(now), now);
         long before = retirement.freeBefore(now);
-        if (before > 0) {
-            stores.forEach((address, watch) -> free(address, watch, before, now));
+        boolean due = before != freedBefore || now - lookedAt >= AGAIN_MILLIS;
+        if (before > 0 && due) {
+            freedBefore = before;
+            lookedAt = now;
+            stores.forEach((address, watch) -> free(address, watch, before));
         }
     }
 
-    private void free(Address address, StoreWatch watch, long before, long now) {
+    private void free(Address address, StoreWatch watch, long before) {
         List<PartKey> parts = state.directory().outdated(address, before);
-        if (!parts.isEmpty() && now - askedAt.getOrDefault(address, Long.MIN_VALUE / 2) >= AGAIN_MILLIS) {
-            askedAt.put(address, now);
+        if (!parts.isEmpty()) {
             List<PartKey> batch = parts.subList(0, Math.min(parts.size(), FREED_AT_ONCE));
             watch.free(batch, state.directory().incarnation(address));
         }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TopicFollower.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TopicFollower.java
@@ -269,7 +269,7 @@
             return;
         }
         if (inGap) {
-            timer.next(this::follow, 0);
+            readInPlaceOfWaiting();
         } else if (following && state.now() - calledAt > HINT_MILLIS) {
             state.log()
                     .warn(
@@ -280,6 +280,15 @@
                             Long.toString(from),
                             "others_read",
                             Long.toString(readTo));
+            readInPlaceOfWaiting();
+        }
+    }
+
+    /** Ends the gap between two reads, or a read that waits; what else is due is left alone. */
+    private void readInPlaceOfWaiting() {
+        if (inGap) {
+            timer.next(this::follow, 0);
+        } else if (following) {
             line.close();
             follow();
         }
@@ -293,12 +302,7 @@
      */
     void readNow() {
         expectingUntil = state.now() + EXPECTED_WITHIN_MILLIS;
-        if (following) {
-            line.close();
-            follow();
-        } else if (inGap) {
-            timer.next(this::follow, 0);
-        }
+        readInPlaceOfWaiting();
     }
 
     /** The store has another address: what waits for an answer at the old one is given up, and the newest is listed. */
--- a/rattanrudder-standins/src/test/java/org/rattanrudder/standins/LeavingTest.java
+++ b/rattanrudder-standins/src/test/java/org/rattanrudder/standins/LeavingTest.java
@@ -6,32 +6,17 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.rattanrudder.document.DocumentEditor;
 import org.rattanrudder.standins.deployment.Operator;
 import org.rattanrudder.standins.load.Answer;
 import org.rattanrudder.standins.load.Caller;
 
-class LeavingTest {
-    private static final String SERVICE = "palivo-llm";
+class LeavingTest extends RunningSystemFixture {
     private static final long FEW_SECONDS_NANOS = TimeUnit.SECONDS.toNanos(3);
     private static final long OBSERVED_NANOS = TimeUnit.SECONDS.toNanos(5);
     private static final int ANSWER_TOKENS = 100;
 
-    private RunningSystem system;
-
-    @BeforeEach
-    void start() {
-        system = RunningSystem.start(SERVICE);
-    }
-
-    @AfterEach
-    void stop() {
-        system.close();
-    }
-
     @Test
     void anEntryAskedToStopUnderLoadFinishesEveryAnswer() throws Exception {
         // An entry is replaced in the middle of the morning. Clerks whose answers are half-way would otherwise get a
--- a/rattanrudder-standins/src/test/java/org/rattanrudder/standins/ReloadUnderLoadTest.java
+++ b/rattanrudder-standins/src/test/java/org/rattanrudder/standins/ReloadUnderLoadTest.java
@@ -3,31 +3,15 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.concurrent.CompletableFuture;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.rattanrudder.standins.deployment.Layout;
 import org.rattanrudder.standins.load.Answer;
 import org.rattanrudder.standins.load.Caller;
 
-class ReloadUnderLoadTest {
-    private static final String SERVICE = "palivo-llm";
-
+class ReloadUnderLoadTest extends RunningSystemFixture {
     /** At 2 ms a token the answer goes on for four seconds. */
     private static final int ANSWER_TOKENS = 2_000;
 
-    private RunningSystem system;
-
-    @BeforeEach
-    void start() {
-        system = RunningSystem.start(SERVICE);
-    }
-
-    @AfterEach
-    void stop() {
-        system.close();
-    }
-
     @Test
     void anAnswerGoesOnWhenItsEntryAndItsCompanionsReadTheirSettingsAgain() {
         // Settings are rolled out in the middle of the day: every process is told to read them again while a prompt
