Look whether a caller has left before a late loop sends its request on

Cause: while the processor is short, a turn of the event loop takes up to a second. A request that waits for its connection to a target is sent in the order in which sockets became ready: the connection was ready before the caller left, so the request went out first, and the end of the caller's connection was read later in the same turn.

Change: while the loop is late, what a caller's connection holds is read right before its request is sent. It costs a system call a send, and only then.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/CallerConnection.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/CallerConnection.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
@@ -75,6 +76,18 @@
         open.add(this);
     }
 
+    /**
+     * Reads what has arrived without waiting for the loop's next turn, and returns whether the connection has ended; its
+     * exchange is cancelled soon after. Turns are long while the processor is short, and what is ready in one is handled
+     * in any order: a request would be sent on before the end of its connection is seen.
+     */
+    boolean hasLeft() {
+        if (context.channel().isActive() && context.channel().unsafe() instanceof AbstractNioChannel.NioUnsafe socket) {
+            socket.read();
+        }
+        return !context.channel().isActive();
+    }
+
     /** Notes raw bytes, which may be a part of a head. */
     void bytesRead() {
         lastReadAt = state.now();
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
@@ -152,7 +152,7 @@
     }
 
     private void connected(Target target, TargetConnection opened) {
-        if (ended) {
+        if (ended || (state.lag().isLate(state.now()) && caller.hasLeft())) {
             if (opened != null) {
                 opened.abort();
             }
