--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/parts/NewsDuty.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/parts/NewsDuty.java
@@ -1,15 +1,17 @@
 package org.rattanrudder.core.parts;
 
-import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
 import org.rattanrudder.core.model.Address;
 import org.rattanrudder.core.routing.Hashing;
 
 /**
  * Decides which relays ask a context store for its news.
  *
- * <p>A store answers only so many such calls at once and charges for the rest. Thirty relays that each asked twelve
- * stores were refused 13,000 times on one day. A few relays, the same ones in everybody's eyes, ask each store and tell
- * the others, who ask themselves only when they have heard nothing for a while.
+ * <p>A store answers only so many such calls at once and charges for the rest. A few relays, the same ones in
+ * everybody's eyes, ask each store and tell the others, who ask themselves only when they have heard nothing for a
+ * while.
  */
 public final class NewsDuty {
     /**
@@ -30,18 +32,31 @@
     /** Relays lose patience one after the other, in ms, so that they don't all ask at once when news fails to come. */
     private static final long TURN_MILLIS = 40;
 
-    private NewsDuty() {}
+    private final Address store;
+    private final long ownWeight;
 
-    /** Returns how long after its last news of a store a relay asks it, in ms. */
-    public static long askAfterMillis(String self, Collection<String> others, Address store) {
+    /** Weights of relays, kept since a hash of a name costs more than the rest of the decision. */
+    private final Map<String, Long> weights = new HashMap<>();
+
+    /** Makes the duty of one relay towards one store. */
+    public NewsDuty(String self, Address store) {
+        this.store = store;
+        ownWeight = weight(self);
+    }
+
+    /** Returns how long after its last news of the store the relay asks it, in ms. */
+    public long askAfterMillis(Set<String> others) {
+        if (weights.size() > others.size()) {
+            weights.keySet().retainAll(others);
+        }
         long rank = others.stream()
-                .filter(other -> Long.compareUnsigned(weight(other, store), weight(self, store)) > 0)
+                .filter(other -> Long.compareUnsigned(weights.computeIfAbsent(other, this::weight), ownWeight) > 0)
                 .count();
         int asking = others.size() >= MANY ? ASKING_OF_MANY : ASKING_OF_FEW;
         return rank < asking ? GAP_MILLIS : PATIENCE_MILLIS + (rank - asking) * TURN_MILLIS;
     }
 
-    private static long weight(String relay, Address store) {
+    private long weight(String relay) {
         return Hashing.combine(Hashing.of(relay), Hashing.of(store.toString()));
     }
 }
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/parts/PartDirectory.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/parts/PartDirectory.java
@@ -198,18 +198,18 @@
         if (stores.values().stream().anyMatch(view -> view.isSaving(key, nowMillis))) {
             return Optional.empty();
         }
+        long part = Hashing.of(key.id());
         // All gateways rank the stores of a part alike, in proportion to their room, so that it is saved once.
         Optional<StoreView> chosen = stores.values().stream()
                 .filter(view -> view.mayTakeSaves(nowMillis) && view.hasRoom(tokens) && view.tokens(key) == 0)
-                .max(Comparator.comparingDouble(view -> rank(key, view.store())));
+                .max(Comparator.comparingDouble(view -> rank(part, view)));
         chosen.ifPresent(view -> view.saving(key, nowMillis + SAVE_MILLIS));
         return chosen.map(view -> view.store().address());
     }
 
-    private static double rank(PartKey key, ContextStore store) {
-        long hash =
-                Hashing.combine(Hashing.of(key.id()), Hashing.of(store.address().toString()));
+    private static double rank(long part, StoreView view) {
+        long hash = Hashing.combine(part, view.addressHash());
         double uniform = ((hash >>> UNIT_SHIFT) + 0.5) * UNIT;
-        return -store.capacityTokens() / Math.log(uniform);
+        return -view.store().capacityTokens() / Math.log(uniform);
     }
 }
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/parts/StoreView.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/parts/StoreView.java
@@ -3,12 +3,14 @@
 import java.util.HashMap;
 import java.util.Map;
 import org.rattanrudder.core.gateway.ContextStore;
+import org.rattanrudder.core.routing.Hashing;
 
 /** What is known of one store. */
 final class StoreView {
     private final Map<PartKey, Integer> held = new HashMap<>();
     private final Map<PartKey, Long> saving = new HashMap<>();
     private final FetchDelay delay = new FetchDelay();
+    private final long addressHash;
     private ContextStore store;
     private long incarnation;
     private long incarnationSince;
@@ -20,12 +22,18 @@
 
     StoreView(ContextStore store) {
         this.store = store;
+        addressHash = Hashing.of(store.address().toString());
     }
 
     ContextStore store() {
         return store;
     }
 
+    /** Returns a hash of its address. */
+    long addressHash() {
+        return addressHash;
+    }
+
     void update(ContextStore newest) {
         store = newest;
     }
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/parts/NewsDutyTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/parts/NewsDutyTest.java
@@ -3,7 +3,10 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.rattanrudder.core.model.Address;
@@ -18,10 +21,10 @@
         Address store = new Address("10.0.0.1", 80);
 
         List<Long> waits = relays.stream()
-                .map(relay -> NewsDuty.askAfterMillis(
-                        relay,
-                        relays.stream().filter(other -> !other.equals(relay)).toList(),
-                        store))
+                .map(relay -> new NewsDuty(relay, store)
+                        .askAfterMillis(relays.stream()
+                                .filter(other -> !other.equals(relay))
+                                .collect(Collectors.toSet())))
                 .toList();
 
         assertThat(waits.stream().filter(wait -> wait == NewsDuty.GAP_MILLIS))
@@ -30,4 +33,21 @@
                 .doesNotHaveDuplicates()
                 .allMatch(wait -> wait >= 1_000);
     }
+
+    /** Relays come and go: an order that was worked out before must not decide for those that are there now. */
+    @Test
+    void aDutyFollowsTheRelaysThatAreThere() {
+        Address store = new Address("10.0.0.1", 80);
+        Set<String> all =
+                IntStream.range(0, 30).mapToObj(number -> "relay-" + number).collect(Collectors.toSet());
+        for (String relay : all) {
+            NewsDuty duty = new NewsDuty(relay, store);
+            Set<String> others =
+                    all.stream().filter(other -> !other.equals(relay)).collect(Collectors.toSet());
+            duty.askAfterMillis(others);
+
+            assertThat(duty.askAfterMillis(Set.of())).isEqualTo(NewsDuty.GAP_MILLIS);
+            assertThat(duty.askAfterMillis(others)).isEqualTo(new NewsDuty(relay, store).askAfterMillis(others));
+        }
+    }
 }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RequestPlan.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RequestPlan.java
@@ -50,6 +50,7 @@
     private final Optional<EngineTraits> engine;
     private final long arrivedAt;
     private final long deadlineAt;
+    private final long contextHash;
 
     RequestPlan(RelayState state, RequestFacts facts, Admittance.Granted granted, long arrivedAt) {
         this.state = state;
@@ -64,6 +65,9 @@
         engine = backend.flatMap(BackendService::engine);
         long wanted = facts.deadlineMillis().orElse(route.timeoutMillis());
         deadlineAt = arrivedAt + Math.min(wanted - WAY_MILLIS, route.timeoutMillis());
+        int lastShared = facts.parts().size() - 2;
+        contextHash =
+                lastShared < 0 ? 0 : Hashing.of(facts.parts().get(lastShared).id());
     }
 
     /**
@@ -145,7 +149,6 @@
     PlacementQuery query(Set<String> tried, long now) {
         long allowed = state.settings().bounds().weightsMillis() - OLD_WEIGHTS_MARGIN_MILLIS;
         Optional<String> model = facts.model();
-        int lastShared = facts.parts().size() - 2;
         return new PlacementQuery(
                 service,
                 state.settings().failureDomain(),
@@ -155,7 +158,7 @@
                 model.map(name -> state.weights().oldestAllowed(name, allowed, now))
                         .orElse(0L),
                 tokens(),
-                lastShared < 0 ? 0 : Hashing.of(facts.parts().get(lastShared).id()),
+                contextHash,
                 state.relayHash(),
                 state.fleet().peers(now),
                 connections(now),
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/StoreWatch.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/StoreWatch.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Consumer;
 import org.rattanrudder.core.model.Address;
 import org.rattanrudder.core.parts.NewsDuty;
@@ -33,8 +32,8 @@
 
     private final RelayState state;
     private final StepTimer timer;
-    private final String self;
     private final Address address;
+    private final NewsDuty duty;
     private final Consumer<SharedNews> tell;
     private final EngineDialect dialect;
     private final CallLine line;
@@ -47,9 +46,9 @@
     StoreWatch(RelayState state, String self, Address address, Consumer<SharedNews> tell) {
         this.state = state;
         timer = new StepTimer(state.loop());
-        this.self = self;
         this.tell = tell;
         this.address = address;
+        duty = new NewsDuty(self, address);
         dialect = state.platform().engines();
         line = new CallLine(state.connector(), () -> address);
     }
@@ -119,8 +118,7 @@
     }
 
     private void askLater() {
-        Set<String> others = state.fleet().peerNames(state.now());
-        timer.next(this::ask, behind ? 0 : NewsDuty.askAfterMillis(self, others, address));
+        timer.next(this::ask, behind ? 0 : duty.askAfterMillis(state.fleet().peerNames(state.now())));
     }
 
     private void list() {
