Share each engine among few relays, and tell only those of placements

Hypothesis: a relay needs fresh knowledge only of the engines that it sends to. If each engine is shared by few relays, messages fall and placement doesn't suffer, since it is exact where it counts.

Change, in the core and without input or output: - TargetSharing: an engine is shared by the relays of its failure domain (12 at most) and four of others, by rendezvous of names; up to nine relays share all. SendWindow opens others only if no shared one takes work, and only while they have much room. - ReportSchedule: all work is told to relays of the same failure domain each 200 ms and to others each 800 ms, rarer the more there are, 100 messages a second at most; few relays are told each 100 ms as before. It says how often it tells, and its word counts for three times that. - How late fetches were is told with it in place of by itself. - PeerExchange sends only. What comes from no registered relay, or can't be read, changes nothing; it is counted and logged.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Fleet.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Fleet.java
@@ -37,6 +37,7 @@
     private final Map<String, Seen> newest = new HashMap<>();
     private final Map<String, Long> lapsed = new HashMap<>();
     private final PeerLoads peers = new PeerLoads();
+    private final TargetSharing sharing = new TargetSharing();
 
     /** Not at the start: who has seen no loss would hold back removals that were made while the log was there. */
     private boolean logAway;
@@ -107,7 +108,7 @@
         lapsed.remove(entry.id());
         Target target = targets.get(entry.id());
         if (target == null || startedAgain) {
-            targets.put(entry.id(), new Target(entry, peers));
+            targets.put(entry.id(), new Target(entry, peers, sharing));
         } else {
             target.update(entry);
         }
@@ -135,6 +136,16 @@
         return targets.values();
     }
 
+    /**
+     * Takes the relays that are there, which share the targets among them; until then this one shares all.
+     *
+     * @param self this relay's name
+     * @param domains the failure domain of each relay by its name, of this one too
+     */
+    public void relays(String self, Map<String, String> domains) {
+        sharing.relays(self, domains);
+    }
+
     /** Takes what another relay says of its work. */
     public void heard(RelayLoad load, long nowMillis) {
         peers.heard(load, nowMillis);
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/PeerLoads.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/PeerLoads.java
@@ -1,5 +1,6 @@
 package org.rattanrudder.core.fleet;
 
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
@@ -8,16 +9,19 @@
 /**
  * What the other relays said of their work at the targets.
  *
- * <p>An engine's own report comes late and counts requests, not memory. Six relays that each believed a third of it
- * overfilled engines, which then preempted running requests and read their prompts again: 609 times on one day, 4.3 of
- * 15.6 million tokens read. What relays know of their own requests is exact, so they tell each other:
- * all of it at intervals, and at once what they have just sent, since relays that see the same free engine would else
- * fill it together.
+ * <p>An engine's own report comes late and counts requests, not memory. What relays know of their own requests is
+ * exact, so they tell each other: all of it at intervals, and at once what they have just sent, since relays that see
+ * the same free engine would else fill it together.
  */
 public final class PeerLoads {
-    /** How long a relay's word counts, in ms: some messages may be lost, and a relay that died has no work. */
+    /**
+     * How long a relay's word counts at least, in ms: some messages may be lost, and a relay that died has no work. The
+     * word of one that tells rarely counts for some of its messages.
+     */
     public static final long VALID_MILLIS = 2_000;
 
+    private static final int VALID_MESSAGES = 3;
+
     private final Map<String, Heard> relays = new HashMap<>();
 
     /** The work of all relays by target, as far as it was asked for since a part of it changed. */
@@ -25,7 +29,12 @@
 
     private long forgottenAt = Long.MIN_VALUE;
 
-    private record Heard(long atMillis, long sequence, boolean ready, Map<String, TargetLoad> targets) {}
+    private record Heard(
+            long atMillis, long sequence, boolean ready, long everyMillis, Map<String, TargetLoad> targets) {
+        boolean isValid(long nowMillis) {
+            return nowMillis - atMillis <= Math.max(VALID_MILLIS, VALID_MESSAGES * everyMillis);
+        }
+    }
 
     /** Takes a message; one that is older than what is known is dropped. */
     public void heard(RelayLoad load, long nowMillis) {
@@ -42,13 +51,14 @@
             targets.put(each.target(), each);
             sums.remove(each.target());
         }
-        relays.put(load.relay(), new Heard(nowMillis, load.sequence(), load.ready(), targets));
+        long every = load.whole() || known == null ? load.everyMillis() : known.everyMillis();
+        relays.put(load.relay(), new Heard(nowMillis, load.sequence(), load.ready(), every, targets));
     }
 
     /** Returns the other relays that were heard of lately. */
     public Set<String> relays(long nowMillis) {
         forget(nowMillis);
-        return Set.copyOf(relays.keySet());
+        return Collections.unmodifiableSet(relays.keySet());
     }
 
     /** Returns whether another relay takes new connections, as far as known. */
@@ -84,7 +94,7 @@
             return;
         }
         forgottenAt = nowMillis;
-        if (relays.values().removeIf(heard -> nowMillis - heard.atMillis() > VALID_MILLIS)) {
+        if (relays.values().removeIf(heard -> !heard.isValid(nowMillis))) {
             sums.clear();
         }
     }
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/RelayLoad.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/RelayLoad.java
@@ -1,6 +1,7 @@
 package org.rattanrudder.core.fleet;
 
 import java.util.List;
+import org.rattanrudder.core.parts.StoreLateness;
 
 /**
  * The work that one relay has under way at the targets.
@@ -15,6 +16,8 @@
  * @param unreachable targets to which it could open no connection lately
  * @param ready whether it takes new connections
  * @param readTo how far it has read the platform's records
+ * @param late how late fetches from context stores were since it last told the same relay of all its work
+ * @param everyMillis the time until it next tells the same relay of all its work; 0 if only changed work is told
  */
 public record RelayLoad(
         String relay,
@@ -26,7 +29,9 @@
         List<String> loading,
         List<String> unreachable,
         boolean ready,
-        ReadTo readTo) {
+        ReadTo readTo,
+        List<StoreLateness> late,
+        long everyMillis) {
     /** Takes copies of the lists. */
     public RelayLoad {
         targets = List.copyOf(targets);
@@ -34,13 +39,21 @@
         served = List.copyOf(served);
         loading = List.copyOf(loading);
         unreachable = List.copyOf(unreachable);
+        late = List.copyOf(late);
     }
 
     /** Returns a message that tells of work, readiness and reading alone. */
     public static RelayLoad ofWork(
             String relay, long sequence, boolean whole, List<TargetLoad> targets, boolean ready, ReadTo readTo) {
         return new RelayLoad(
-                relay, sequence, whole, targets, List.of(), List.of(), List.of(), List.of(), ready, readTo);
+                relay, sequence, whole, targets, List.of(), List.of(), List.of(), List.of(), ready, readTo, List.of(),
+                0);
+    }
+
+    /** Returns the same message for relays that are told this often, with how late fetches were meanwhile. */
+    public RelayLoad every(long millis, List<StoreLateness> newLate) {
+        return new RelayLoad(
+                relay, sequence, whole, targets, weights, served, loading, unreachable, ready, readTo, newLate, millis);
     }
 
     /**
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Target.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Target.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.rattanrudder.core.fleet.RelayLoad.ServedWeights;
 import org.rattanrudder.core.fleet.RelayLoad.TargetLoad;
 import org.rattanrudder.core.routing.Hashing;
@@ -39,6 +40,7 @@
 
     private final Map<String, Long> confirmedWeights = new HashMap<>();
     private final PeerLoads peers;
+    private final TargetSharing sharing;
     private final Reach reach = new Reach();
     private final long idHash;
     private TargetEntry entry;
@@ -57,10 +59,15 @@
     private long swappingUntil = Long.MIN_VALUE / 2;
     private long confirmedAt = Long.MIN_VALUE / 2;
 
+    private long sharingVersion = -1;
+    private boolean shared;
+    private Set<String> sharers = Set.of();
+
     /** Makes a target that other relays may have work at. */
-    Target(TargetEntry entry, PeerLoads peers) {
+    Target(TargetEntry entry, PeerLoads peers, TargetSharing sharing) {
         this.entry = entry;
         this.peers = peers;
+        this.sharing = sharing;
         idHash = Hashing.of(entry.id());
     }
 
@@ -79,6 +86,26 @@
         return idHash;
     }
 
+    /** Returns the other relays that share it: they are told at once of what is placed there. */
+    public Set<String> sharers() {
+        share();
+        return sharers;
+    }
+
+    /** Returns whether this relay shares it, and so hears at once of what others place there. */
+    public boolean isShared() {
+        share();
+        return shared;
+    }
+
+    private void share() {
+        if (sharingVersion != sharing.version()) {
+            sharingVersion = sharing.version();
+            shared = sharing.isOwn(idHash, entry.failureDomain());
+            sharers = sharing.others(idHash, entry.failureDomain());
+        }
+    }
+
     /** Takes its newest entry; weights that are new there end the time in which it takes no work. */
     void update(TargetEntry newest) {
         boolean loaded =
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/parts/StoreLateness.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/parts/StoreLateness.java
@@ -10,14 +10,15 @@
  * @param meanMillis by how much they were later than without the fetch, on average, in ms
  */
 public record StoreLateness(Address store, int samples, double meanMillis) {
-    /** Returns this and one answer more. */
-    public StoreLateness with(double excessMillis) {
-        double late = Math.max(0, excessMillis);
-        return new StoreLateness(store, samples + 1, meanMillis + (late - meanMillis) / (samples + 1));
+    /** Returns the lateness of one answer, which may have been earlier than that. */
+    public static StoreLateness of(Address store, double excessMillis) {
+        return new StoreLateness(store, 1, Math.max(0, excessMillis));
     }
 
-    /** Returns a store's lateness before any answer. */
-    public static StoreLateness none(Address store) {
-        return new StoreLateness(store, 0, 0);
+    /** Returns the lateness of the answers of both. */
+    public StoreLateness plus(StoreLateness other) {
+        int all = samples + other.samples;
+        double mean = all == 0 ? 0 : (meanMillis * samples + other.meanMillis * other.samples) / all;
+        return new StoreLateness(store, all, mean);
     }
 }
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/PeerLoadsTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/PeerLoadsTest.java
@@ -82,6 +82,16 @@
         assertThat(peers.alive(NOW + PeerLoads.VALID_MILLIS + 1)).isZero();
     }
 
+    /** Guards against a relay of many that tells rarely and counts as gone in between. */
+    @Test
+    void theWordOfARelayThatTellsRarelyCountsForLonger() {
+        peers.heard(load("a", 1, new TargetLoad("i-1", 7, 63_000, 0)).every(1_500, List.of()), NOW);
+        peers.heard(sent("a", 2, new TargetLoad("i-1", 8, 64_000, 0)), NOW);
+
+        assertThat(peers.at("i-1", NOW + 4_500).requests()).isEqualTo(8);
+        assertThat(peers.alive(NOW + 4_501)).isZero();
+    }
+
     /**
      * Six relays send long checks to the same engine, each thinking it alone. The engine's memory overflows, running
      * checks are thrown out and read again, and all of them are late.
@@ -137,7 +147,9 @@
                         List.of("i-1"),
                         List.of(),
                         true,
-                        new ReadTo(0, 0)),
+                        new ReadTo(0, 0),
+                        List.of(),
+                        0),
                 NOW);
 
         assertThat(SendWindow.open(fleet.of("llm", NOW), ENGINE, 9_000, false, NOW))
@@ -180,7 +192,9 @@
                         List.of(),
                         List.of(),
                         true,
-                        new ReadTo(0, 0)),
+                        new ReadTo(0, 0),
+                        List.of(),
+                        0),
                 NOW);
 
         assertThat(fleet.find("i-1").orElseThrow().weights("m")).isEqualTo(2);
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/PlacementTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/PlacementTest.java
@@ -173,6 +173,7 @@
                         128,
                         false,
                         Map.of("m", weights)),
-                new PeerLoads());
+                new PeerLoads(),
+                new TargetSharing());
     }
 }
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/SendWindowTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/SendWindowTest.java
@@ -2,7 +2,11 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.rattanrudder.core.gateway.EngineTraits;
@@ -30,4 +34,42 @@
 
         assertThat(SendWindow.open(List.of(target), ENGINE, 9_000, late, NOW)).hasSize(expected ? 1 : 0);
     }
+
+    /** Guards against relays that fill an engine together, since they hear late of what others place there. */
+    @Test
+    void anEngineOfOtherSharersIsOpenOnlyIfNoSharedOneTakesWork() {
+        Fleet fleet = fleetOfForty();
+        List<Target> engines = fleet.of("llm", NOW);
+        List<Target> shared = engines.stream().filter(Target::isShared).toList();
+        assertThat(shared).hasSizeBetween(3, 20);
+
+        assertThat(SendWindow.open(engines, ENGINE, 9_000, false, NOW)).isEqualTo(shared);
+
+        shared.forEach(target -> target.sent(new Target.Work(65_000, 20_000), NOW));
+        assertThat(SendWindow.open(engines, ENGINE, 9_000, false, NOW)).isEmpty();
+
+        shared.forEach(target -> target.swapping(NOW + 1_000));
+        assertThat(SendWindow.open(engines, ENGINE, 9_000, false, NOW))
+                .hasSize(engines.size() - shared.size())
+                .noneMatch(Target::isShared);
+
+        Target other = SendWindow.open(engines, ENGINE, 9_000, false, NOW).get(0);
+        other.sent(new Target.Work(45_000, 0), NOW);
+        assertThat(SendWindow.open(engines, ENGINE, 9_000, false, NOW)).doesNotContain(other);
+    }
+
+    /** Forty relays and forty engines in five failure domains. */
+    private static Fleet fleetOfForty() {
+        Fleet fleet = new Fleet();
+        fleet.logAnswers(0);
+        Map<String, String> relays = new HashMap<>();
+        for (int number = 0; number < 40; number++) {
+            String domain = "domain-" + number % 5;
+            relays.put("relay-" + number, domain);
+            Target target = PlacementTest.target("i-" + number, domain, 1);
+            fleet.apply(target.id(), Optional.of(target.entry()), number, NOW);
+        }
+        fleet.relays("relay-7", relays);
+        return fleet;
+    }
 }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/FetchNews.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/FetchNews.java
@@ -1,6 +1,8 @@
 package org.rattanrudder.daemon.relay;
 
+import java.util.ArrayDeque;
 import java.util.Comparator;
+import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -15,7 +17,11 @@
  * notice in time that a store's link has turned slow.
  */
 final class FetchNews {
-    private final Map<Address, StoreLateness> untold = new LinkedHashMap<>();
+    /** Rounds that are kept: those that are told more rarely hear of the newest of them only. */
+    private static final int MOST_ROUNDS = 64;
+
+    private final Map<Address, StoreLateness> current = new LinkedHashMap<>();
+    private final Deque<List<StoreLateness>> rounds = new ArrayDeque<>();
 
     /**
      * Notes the first byte of an answer whose prompt may have been read from stores. Its lateness is laid to the store
@@ -27,16 +33,28 @@
                 .flatMap(Optional::stream)
                 .max(Comparator.comparingInt(PartPlan.Source::tokens))
                 .ifPresent(source -> {
-                    StoreLateness one = StoreLateness.none(source.address()).with(excess);
+                    StoreLateness one = StoreLateness.of(source.address(), excess);
                     directory.fetched(one, nowMillis);
-                    untold.merge(source.address(), one, (known, added) -> known.with(excess));
+                    current.merge(source.address(), one, StoreLateness::plus);
                 });
     }
 
-    /** Hands out what was gathered, and begins anew. */
-    List<StoreLateness> take() {
-        List<StoreLateness> gathered = List.copyOf(untold.values());
-        untold.clear();
-        return gathered;
+    /** Begins a new round. */
+    void nextRound() {
+        rounds.addFirst(List.copyOf(current.values()));
+        current.clear();
+        if (rounds.size() > MOST_ROUNDS) {
+            rounds.removeLast();
+        }
+    }
+
+    /** Returns what was gathered in the newest rounds that have ended, so many of them. */
+    List<StoreLateness> ofLast(int count) {
+        Map<Address, StoreLateness> sums = new LinkedHashMap<>();
+        rounds.stream()
+                .limit(count)
+                .flatMap(List::stream)
+                .forEach(late -> sums.merge(late.store(), late, StoreLateness::plus));
+        return List.copyOf(sums.values());
     }
 }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/PeerExchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/PeerExchange.java
@@ -13,11 +13,15 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.rattanrudder.core.fleet.RelayLoad;
 import org.rattanrudder.core.fleet.RelayLoad.KnownWeights;
 import org.rattanrudder.core.fleet.RelayLoad.ReadTo;
 import org.rattanrudder.core.fleet.RelayLoad.ServedWeights;
 import org.rattanrudder.core.fleet.RelayLoad.TargetLoad;
+import org.rattanrudder.core.fleet.ReportSchedule;
 import org.rattanrudder.core.fleet.Target;
 import org.rattanrudder.core.model.Address;
 import org.rattanrudder.core.parts.SharedNews;
@@ -34,36 +38,9 @@
  * good by the next; a relay that isn't heard of any more has no work.
  */
 final class PeerExchange implements AutoCloseable {
-    /**
-     * The time between two messages, in ms. It is the age of what others know, in which they may overfill a target; a
-     * message takes about 25 bytes for each target.
-     */
-    private static final long EVERY_MILLIS = 100;
-
-    /**
-     * Many relays tell all of their work in each so-manieth round only: what they place is told at once anyway. In the
-     * model 27 relays served as much on time as with four times the messages, within the spread of ten seeds.
-     */
-    private static final int MANY_EVERY = 4;
-
-    private static final int MANY = 8;
-
-    /**
-     * Up to so many relays, those of other failure domains are told at once of each request that is sent, too. The
-     * messages of all grow with the square of the relays: of 32 with 16 requests a second each, one gets 500 a second.
-     */
-    private static final int MOST_AT_ONCE = 40;
-
-    /** How late fetches were is told in each so-manieth round. */
-    private static final int FETCHES_EVERY = 2;
-
-    /** A relay that was never heard of or fell silent is told this much less often. */
-    private static final int SILENT_EVERY = 10;
-
     /** How long new weights of a target are told: until the target's own entry says so, or some messages were lost. */
     private static final long TOLD_MILLIS = 2_500;
 
-    private static final long SILENT_MILLIS = 5_000;
     private static final long REGISTER_AGAIN_MILLIS = 1_000;
     private static final long REGISTER_TIMEOUT_MILLIS = 1_500;
 
@@ -75,9 +52,10 @@
     private final Channel channel;
     private final TopicFollower follower;
     private final CallLine registering;
-    private final Map<String, Peer> peers = new HashMap<>();
+    private final ReportSchedule schedule = new ReportSchedule();
+    private final Map<String, InetSocketAddress> addresses = new HashMap<>();
+    private final Map<InetSocketAddress, String> names = new HashMap<>();
     private long sequence;
-    private long rounds;
 
     /** What this relay knows at first hand and tells others. */
     interface OwnNews {
@@ -103,18 +81,6 @@
         void unreachable(List<String> targets);
     }
 
-    /** Another relay. */
-    private static final class Peer {
-        private final InetSocketAddress address;
-        private final boolean near;
-        private long heardAt = Long.MIN_VALUE / 2;
-
-        Peer(InetSocketAddress address, boolean near) {
-            this.address = address;
-            this.near = near;
-        }
-    }
-
     PeerExchange(RelayState state, Bootstrap datagrams, String self, OwnNews own, Listener listener)
             throws IOException {
         this.state = state;
@@ -137,7 +103,7 @@
         follower.start();
         register();
         state.workNews().tellBy(this::tellAtOnce);
-        timer.later(this::tell, EVERY_MILLIS);
+        timer.later(this::tell, ReportSchedule.ROUND_MILLIS);
     }
 
     private void register() {
@@ -165,32 +131,59 @@
         if (record.key().equals(state.settings().instance())) {
             return;
         }
+        forget(record.key());
         if (record.value().isEmpty()) {
-            peers.remove(record.key());
             return;
         }
         RegisteredRelay relay =
                 state.platform().store().readRelay(record.value().get());
-        Address address = relay.peers();
+        InetSocketAddress address =
+                new InetSocketAddress(relay.peers().host(), relay.peers().port());
+        addresses.put(record.key(), address);
+        names.put(address, record.key());
         boolean near = relay.failureDomain().equals(state.settings().failureDomain());
-        peers.put(record.key(), new Peer(new InetSocketAddress(address.host(), address.port()), near));
-        state.log().info("peer_known", "peer", record.key(), "address", address.toString());
+        schedule.registered(record.key(), relay.failureDomain(), near);
+        state.log()
+                .info(
+                        "peer_known",
+                        "peer",
+                        record.key(),
+                        "address",
+                        relay.peers().toString());
     }
 
-    private void tell() {
-        if (peers.size() <= MANY || rounds % MANY_EVERY == 0) {
-            tellAll(rounds % SILENT_EVERY == 0);
+    private void forget(String relay) {
+        InetSocketAddress address = addresses.remove(relay);
+        if (address != null) {
+            names.remove(address, relay);
         }
-        if (rounds % FETCHES_EVERY == 0) {
-            tellFetches();
-        }
-        rounds++;
-        timer.later(this::tell, EVERY_MILLIS);
+        schedule.gone(relay);
     }
 
-    private void tellAll(boolean silentOnesToo) {
+    private void tell() {
         long now = state.now();
-        RelayLoad load = new RelayLoad(
+        state.fetchNews().nextRound();
+        shareTargets(now);
+        List<ReportSchedule.Due> due = schedule.nextRound(now);
+        if (!due.isEmpty()) {
+            RelayLoad load = all(now);
+            for (ReportSchedule.Due group : due) {
+                List<StoreLateness> late = state.fetchNews().ofLast(group.rounds());
+                send(PeerCodec.write(load.every(group.everyMillis(), late)), group.relays());
+            }
+        }
+        timer.later(this::tell, ReportSchedule.ROUND_MILLIS);
+    }
+
+    /** Works out anew which relays share which targets. */
+    private void shareTargets(long now) {
+        Map<String, String> domains = new HashMap<>(schedule.present(now));
+        domains.put(state.settings().instance(), state.settings().failureDomain());
+        state.fleet().relays(state.settings().instance(), domains);
+    }
+
+    private RelayLoad all(long now) {
+        return new RelayLoad(
                 self,
                 sequence++,
                 true,
@@ -200,36 +193,36 @@
                 own.loading(),
                 state.fleet().unreachable(now),
                 own.ready(),
-                own.readTo());
-        send(PeerCodec.write(load), true, silentOnesToo);
+                own.readTo(),
+                List.of(),
+                0);
     }
 
-    /** Tells other relays at once of engines that work was just sent to: they would send theirs to the same ones. */
+    /** Tells the relays that share engines at once of work that was just sent there: they would send theirs, too. */
     private void tellAtOnce(List<Target> sentTo) {
         List<TargetLoad> changed = sentTo.stream().map(Target::ownLoad).toList();
+        Set<String> sharers =
+                sentTo.stream().flatMap(target -> target.sharers().stream()).collect(Collectors.toSet());
         RelayLoad load = RelayLoad.ofWork(self, sequence++, false, changed, own.ready(), own.readTo());
-        send(PeerCodec.write(load), peers.size() <= MOST_AT_ONCE, false);
-    }
-
-    /** Tells the other relays how late fetches were. */
-    private void tellFetches() {
-        List<StoreLateness> late = state.fetchNews().take();
-        if (!late.isEmpty()) {
-            send(PeerCodec.write(late), peers.size() <= MOST_AT_ONCE, false);
-        }
+        send(PeerCodec.write(load), listening(sharers));
     }
 
     /** Tells the other relays what a context store said. */
     void share(SharedNews news) {
-        send(PeerCodec.write(news), true, false);
+        send(PeerCodec.write(news), listening(addresses.keySet()));
     }
 
-    private void send(byte[] bytes, boolean toFarOnes, boolean toSilentOnes) {
+    private List<String> listening(Set<String> relays) {
         long now = state.now();
-        for (Peer peer : peers.values()) {
-            boolean listens = toSilentOnes || now - peer.heardAt <= SILENT_MILLIS;
-            if (listens && (toFarOnes || peer.near)) {
-                channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), peer.address));
+        return relays.stream().filter(relay -> schedule.listens(relay, now)).toList();
+    }
+
+    private void send(byte[] bytes, List<String> relays) {
+        for (String relay : relays) {
+            InetSocketAddress address = addresses.get(relay);
+            if (address != null) {
+                state.metrics().peerMessageSent();
+                channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), address));
             }
         }
         channel.flush();
@@ -259,25 +252,31 @@
     private final class Messages extends SimpleChannelInboundHandler<DatagramPacket> {
         @Override
         protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
-            PeerCodec.read(ByteBufUtil.getBytes(packet.content())).ifPresent(message -> {
-                if (message instanceof PeerCodec.Message.Load load) {
-                    heard(packet.sender(), load.load());
-                } else if (message instanceof PeerCodec.Message.News news) {
-                    listener.news(news.news());
-                } else if (message instanceof PeerCodec.Message.Fetches fetches) {
-                    fetches.late().forEach(late -> state.directory().fetched(late, state.now()));
-                }
-            });
+            state.metrics().peerMessageReceived();
+            String relay = names.get(packet.sender());
+            Optional<PeerCodec.Message> message =
+                    relay == null ? Optional.empty() : PeerCodec.read(ByteBufUtil.getBytes(packet.content()));
+            if (message.isEmpty()) {
+                dropped(packet.sender(), relay);
+            } else if (message.get() instanceof PeerCodec.Message.Load load) {
+                heard(relay, load.load());
+            } else if (message.get() instanceof PeerCodec.Message.News news) {
+                listener.news(news.news());
+            }
         }
 
-        private void heard(InetSocketAddress sender, RelayLoad load) {
+        /** Anybody may send here: what isn't a relay's message changes nothing. */
+        private void dropped(InetSocketAddress sender, String relay) {
+            String reason = relay == null ? "unknown sender" : "unreadable";
+            state.metrics().peerMessageDropped(relay == null ? "unknown" : "unreadable");
+            state.log().info("peer_message_dropped", "sender", String.valueOf(sender), "reason", reason);
+        }
+
+        private void heard(String relay, RelayLoad load) {
             long now = state.now();
-            for (Peer peer : peers.values()) {
-                if (peer.address.getAddress().equals(sender.getAddress())) {
-                    peer.heardAt = now;
-                }
-            }
+            schedule.heard(relay, now);
             state.fleet().heard(load, now);
+            load.late().forEach(late -> state.directory().fetched(late, now));
             load.weights()
                     .forEach(known -> state.weights().known(known.model(), known.version(), known.ageMillis(), now));
             listener.readTo(load.readTo());
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayMetrics.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayMetrics.java
@@ -1,5 +1,6 @@
 package org.rattanrudder.daemon.relay;
 
+import io.prometheus.metrics.core.datapoints.CounterDataPoint;
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
@@ -21,6 +22,9 @@
     private final Counter storeCalls;
     private final Counter unreadable;
     private final Counter parts;
+    private final Counter peerMessagesDropped;
+    private final CounterDataPoint peerMessagesSent;
+    private final CounterDataPoint peerMessagesReceived;
     private final Histogram firstByte;
 
     RelayMetrics() {
@@ -34,6 +38,14 @@
                 "Records of the platform's store that couldn't be read",
                 "topic");
         parts = counter("rattanrudder_relay_parts", "Shared parts of prompts, by what was planned for them", "plan");
+        peerMessagesDropped = counter(
+                "rattanrudder_relay_peer_messages_dropped",
+                "Messages of unknown senders or in a form that couldn't be read",
+                "reason");
+        Counter peerMessages =
+                counter("rattanrudder_relay_peer_messages", "Messages of and to other relays", "direction");
+        peerMessagesSent = peerMessages.labelValues("sent");
+        peerMessagesReceived = peerMessages.labelValues("received");
         firstByte = Histogram.builder()
                 .name("rattanrudder_relay_first_byte_seconds")
                 .help("Time from a request's arrival to the first byte of its answer")
@@ -75,6 +87,18 @@
         unreadable.labelValues(topic).inc();
     }
 
+    void peerMessageSent() {
+        peerMessagesSent.inc();
+    }
+
+    void peerMessageReceived() {
+        peerMessagesReceived.inc();
+    }
+
+    void peerMessageDropped(String reason) {
+        peerMessagesDropped.labelValues(reason).inc();
+    }
+
     void parts(String plan, int count) {
         if (count > 0) {
             parts.labelValues(plan).inc(count);
--- a/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelExperiment.java
+++ b/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelExperiment.java
@@ -34,6 +34,8 @@
     static List<ModelPolicy> policies() {
         return List.of(
                 ModelPolicy.now(),
+                change().allTargetsShared().messages(400, 1).named("all engines shared, all told every 400 ms"),
+                change().messages(100, 1).named("all messages every 100 ms"),
                 change().messages(100, 4).named("all messages every 100 ms, far 400"),
                 change().atOnceWithinTheDomain().named("told at once within the domain"),
                 change().nothingAtOnce().named("nothing told at once"),
--- a/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelPolicy.java
+++ b/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelPolicy.java
@@ -6,10 +6,11 @@
  * A way in which relays decide, by what is compared.
  *
  * @param name names it in tables
- * @param wholeEveryMillis the time between two messages with all of a relay's work
- * @param farEvery relays of other failure domains get each so-manieth of them
+ * @param wholeEveryMillis the time between two messages with all of a relay's work; 0 if the schedule decides
+ * @param farEvery relays of other failure domains get each so-manieth of them; without meaning if the schedule decides
  * @param atOnce whether a placement is told at once
  * @param atOnceFar whether relays of other failure domains are told at once, too
+ * @param sharing whether only the relays that share a target are told at once
  * @param endsToo whether what has begun or ended is told soon as well
  * @param countPlaced whether a request counts while its connection opens
  * @param ownOrder whether each relay has an order of its own among engines
@@ -22,6 +23,7 @@
         int farEvery,
         boolean atOnce,
         boolean atOnceFar,
+        boolean sharing,
         boolean endsToo,
         boolean countPlaced,
         boolean ownOrder,
@@ -39,10 +41,11 @@
 
     /** What a relay does now, and what is changed of it. */
     static final class Change {
-        private long wholeEveryMillis = 400;
+        private long wholeEveryMillis;
         private int farEvery = 1;
         private boolean atOnce = true;
         private boolean atOnceFar = true;
+        private boolean sharing = true;
         private boolean endsToo;
         private boolean countPlaced = true;
         private boolean ownOrder = true;
@@ -61,10 +64,16 @@
         }
 
         Change atOnceWithinTheDomain() {
+            sharing = false;
             atOnceFar = false;
             return this;
         }
 
+        Change allTargetsShared() {
+            sharing = false;
+            return this;
+        }
+
         Change endsToo() {
             endsToo = true;
             return this;
@@ -97,6 +106,7 @@
                     farEvery,
                     atOnce,
                     atOnceFar,
+                    sharing,
                     endsToo,
                     countPlaced,
                     ownOrder,
--- a/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelRelay.java
+++ b/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelRelay.java
@@ -8,11 +8,14 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import org.rattanrudder.core.fleet.Fleet;
 import org.rattanrudder.core.fleet.HoldingLine;
 import org.rattanrudder.core.fleet.Placement;
 import org.rattanrudder.core.fleet.PlacementQuery;
 import org.rattanrudder.core.fleet.RelayLoad;
+import org.rattanrudder.core.fleet.ReportSchedule;
 import org.rattanrudder.core.fleet.SendWindow;
 import org.rattanrudder.core.fleet.Target;
 import org.rattanrudder.core.fleet.TargetEntry;
@@ -42,6 +45,7 @@
     private final ModelStore store;
     private final ModelTally tally;
     private final Fleet fleet = new Fleet();
+    private final ReportSchedule schedule = new ReportSchedule();
     private final HoldingLine<ModelRequest> line = new HoldingLine<>();
     private final List<ModelRelay> peers = new ArrayList<>();
     private final Set<Target> unsaid = new LinkedHashSet<>();
@@ -87,16 +91,32 @@
     /** Begins to tell the others of its work. */
     void start(List<ModelRelay> others, double firstMillis) {
         peers.addAll(others);
+        Map<String, String> domains = new HashMap<>(Map.of(name, domain));
+        for (ModelRelay other : others) {
+            domains.put(other.name, other.domain);
+            schedule.registered(other.name, other.domain, other.domain.equals(domain));
+        }
+        if (policy.sharing()) {
+            fleet.relays(name, domains);
+        }
         time.afterMillis(firstMillis, this::tellAll);
     }
 
     private void tellAll() {
-        boolean far = rounds++ % policy.farEvery() == 0;
         List<RelayLoad.TargetLoad> work = fleet.all(time.millis()).stream()
                 .filter(target -> target.inFlight() > 0)
                 .map(Target::ownLoad)
                 .toList();
-        tell(true, work, far);
+        if (policy.wholeEveryMillis() == 0) {
+            for (ReportSchedule.Due due : schedule.nextRound(time.millis())) {
+                Set<String> hearers = Set.copyOf(due.relays());
+                tell(true, work, due.everyMillis(), peer -> hearers.contains(peer.name));
+            }
+            time.afterMillis(ReportSchedule.ROUND_MILLIS, this::tellAll);
+            return;
+        }
+        boolean far = rounds++ % policy.farEvery() == 0;
+        tell(true, work, policy.wholeEveryMillis(), peer -> far || peer.domain.equals(domain));
         time.afterMillis(policy.wholeEveryMillis(), this::tellAll);
     }
 
@@ -105,20 +125,34 @@
             return;
         }
         List<RelayLoad.TargetLoad> work = unsaid.stream().map(Target::ownLoad).toList();
+        Set<String> sharers =
+                unsaid.stream().flatMap(target -> target.sharers().stream()).collect(Collectors.toSet());
         unsaid.clear();
-        tell(false, work, policy.atOnceFar());
+        tell(
+                false,
+                work,
+                0,
+                peer -> policy.sharing()
+                        ? sharers.contains(peer.name)
+                        : policy.atOnceFar() || peer.domain.equals(domain));
     }
 
-    private void tell(boolean whole, List<RelayLoad.TargetLoad> work, boolean toFarOnes) {
-        RelayLoad load = RelayLoad.ofWork(name, sequence++, whole, work, true, new RelayLoad.ReadTo(0, 0));
-        tally.message();
+    private void tell(boolean whole, List<RelayLoad.TargetLoad> work, long everyMillis, Predicate<ModelRelay> hears) {
+        RelayLoad load = RelayLoad.ofWork(name, sequence++, whole, work, true, new RelayLoad.ReadTo(0, 0))
+                .every(everyMillis, List.of());
         for (ModelRelay peer : peers) {
-            if (toFarOnes || peer.domain.equals(domain)) {
-                time.afterMillis(WAY_MILLIS, () -> peer.fleet.heard(load, time.millis()));
+            if (hears.test(peer)) {
+                tally.message();
+                time.afterMillis(WAY_MILLIS, () -> peer.heard(name, load));
             }
         }
     }
 
+    private void heard(String relay, RelayLoad load) {
+        schedule.heard(relay, time.millis());
+        fleet.heard(load, time.millis());
+    }
+
     private void changed(Target target) {
         if (!policy.atOnce()) {
             return;
--- a/rattanrudder-standins/src/test/java/org/rattanrudder/standins/model/ModelRunTest.java
+++ b/rattanrudder-standins/src/test/java/org/rattanrudder/standins/model/ModelRunTest.java
@@ -54,6 +54,23 @@
         assertThat(atOnce.onTime()).isGreaterThan(later.onTime());
     }
 
+    /** Guards against messages to all relays with each request, and against saving them at the callers' expense. */
+    @ParameterizedTest
+    @ValueSource(longs = {11, 12, 13})
+    void relaysThatShareFewEnginesServeAsManyWithHalfTheMessages(long seed) throws Exception {
+        ModelDay large = ModelDay.parse(Files.readString(Path.of("../examples/model/five-depots.json"))
+                .replace("\"seconds\": 20", "\"seconds\": 9"));
+        ModelPolicy allShared =
+                ModelPolicy.change().allTargetsShared().messages(400, 1).named("all shared");
+
+        ModelReport shares = ModelRun.play(large, ModelPolicy.now(), seed);
+        ModelReport all = ModelRun.play(large, allShared, seed);
+
+        assertThat(shares.messages()).isLessThan(all.messages() / 2);
+        assertThat(shares.onTime()).isGreaterThan(all.onTime() - 0.02);
+        assertThat(shares.sentAbove()).isLessThanOrEqualTo(all.sentAbove());
+    }
+
     /** Whatever is decided, nothing is lost: a request is served, refused, or runs into its deadline. */
     @ParameterizedTest
     @ValueSource(longs = {21, 22})
--- a/rattanrudder-wire/src/main/java/org/rattanrudder/wire/peer/PeerCodec.java
+++ b/rattanrudder-wire/src/main/java/org/rattanrudder/wire/peer/PeerCodec.java
@@ -15,7 +15,6 @@
 import org.rattanrudder.core.parts.SharedNews;
 import org.rattanrudder.core.parts.StoreLateness;
 import org.rattanrudder.core.parts.StoreNews;
-import org.rattanrudder.wire.generated.PeerMessages.FetchesMessage;
 import org.rattanrudder.wire.generated.PeerMessages.KnownWeightsMessage;
 import org.rattanrudder.wire.generated.PeerMessages.PartEventMessage;
 import org.rattanrudder.wire.generated.PeerMessages.PartNewsMessage;
@@ -47,13 +46,6 @@
          * @param news the news
          */
         record News(SharedNews news) implements Message {}
-
-        /**
-         * How late a relay's fetches were.
-         *
-         * @param late for each store, in whole ms
-         */
-        record Fetches(List<StoreLateness> late) implements Message {}
     }
 
     /** Returns the message as bytes. */
@@ -86,6 +78,8 @@
         message.addAllLoading(load.loading());
         message.addAllUnreachable(load.unreachable());
         message.setReady(load.ready());
+        load.late().forEach(late -> message.addLate(message(late)));
+        message.setEveryMillis((int) load.everyMillis());
         return PeerMessage.newBuilder().setLoad(message).build().toByteArray();
     }
 
@@ -108,16 +102,12 @@
         return PeerMessage.newBuilder().setPartNews(message).build().toByteArray();
     }
 
-    /** Returns the message as bytes. */
-    public static byte[] write(List<StoreLateness> fetches) {
-        FetchesMessage.Builder message = FetchesMessage.newBuilder();
-        for (StoreLateness late : fetches) {
-            message.addStores(StoreLatenessMessage.newBuilder()
-                    .setStore(late.store().toString())
-                    .setSamples(late.samples())
-                    .setMeanMillis((int) Math.min(MOST_LATE_MILLIS, late.meanMillis())));
-        }
-        return PeerMessage.newBuilder().setFetches(message).build().toByteArray();
+    private static StoreLatenessMessage message(StoreLateness late) {
+        return StoreLatenessMessage.newBuilder()
+                .setStore(late.store().toString())
+                .setSamples(late.samples())
+                .setMeanMillis((int) Math.min(MOST_LATE_MILLIS, late.meanMillis()))
+                .build();
     }
 
     /** Reads a message; empty if the bytes are none. */
@@ -127,7 +117,6 @@
             return switch (message.getKindCase()) {
                 case LOAD -> Optional.of(new Message.Load(load(message.getLoad())));
                 case PART_NEWS -> Optional.of(new Message.News(news(message.getPartNews())));
-                case FETCHES -> Optional.of(new Message.Fetches(fetches(message.getFetches())));
                 case KIND_NOT_SET -> Optional.empty();
             };
         } catch (InvalidProtocolBufferException | IllegalArgumentException malformed) {
@@ -157,16 +146,16 @@
                 message.getLoadingList(),
                 message.getUnreachableList(),
                 message.getReady(),
-                readTo);
+                readTo,
+                message.getLateList().stream().map(PeerCodec::late).toList(),
+                message.getEveryMillis());
     }
 
-    private static List<StoreLateness> fetches(FetchesMessage message) {
-        return message.getStoresList().stream()
-                .map(each -> new StoreLateness(
-                        Address.parse(each.getStore()),
-                        Math.max(0, each.getSamples()),
-                        Math.max(0, each.getMeanMillis())))
-                .toList();
+    private static StoreLateness late(StoreLatenessMessage message) {
+        return new StoreLateness(
+                Address.parse(message.getStore()),
+                Math.max(0, message.getSamples()),
+                Math.max(0, message.getMeanMillis()));
     }
 
     private static SharedNews news(PartNewsMessage message) {
--- a/rattanrudder-wire/src/test/java/org/rattanrudder/wire/peer/PeerCodecTest.java
+++ b/rattanrudder-wire/src/test/java/org/rattanrudder/wire/peer/PeerCodecTest.java
@@ -38,7 +38,11 @@
                 List.of("i-2"),
                 List.of("i-3", "i-4"),
                 sequence % 2 == 0,
-                new ReadTo(sequence / 3, sequence / 2));
+                new ReadTo(sequence / 3, sequence / 2),
+                List.of(
+                        new StoreLateness(new Address("10.0.0.1", 80), requests, requests),
+                        new StoreLateness(new Address("10.0.0.2", 80), 1, 0)),
+                requests);
 
         assertThat(PeerCodec.read(PeerCodec.write(load))).contains(new PeerCodec.Message.Load(load));
     }
@@ -59,16 +63,6 @@
         assertThat(PeerCodec.read(PeerCodec.write(shared))).contains(new PeerCodec.Message.News(shared));
     }
 
-    @Property
-    void latenessOfFetchesIsReadBack(
-            @ForAll @IntRange(max = 9_000) int samples, @ForAll @IntRange(max = 60_000) int millis) {
-        List<StoreLateness> late = List.of(
-                new StoreLateness(new Address("10.0.0.1", 80), samples, millis),
-                new StoreLateness(new Address("10.0.0.2", 80), 1, 0));
-
-        assertThat(PeerCodec.read(PeerCodec.write(late))).contains(new PeerCodec.Message.Fetches(late));
-    }
-
     @Test
     void whatIsNoMessageIsDropped() {
         assertThat(PeerCodec.read("not a message at all".getBytes(StandardCharsets.UTF_8)))
