Don't register again at each start, and read the newest of many versions only

Calls to the platform's store are the largest price of the large deployment. A relay wrote its address at each start, and each of 32 others read it: a rolling restart of 33 relays made 33 records and some thousand reads. A relay now lists the records first, and writes nothing if its own says what it would write. Others wait a second before they read on, so that records of relays that start together share a read.

Of the records of one key in one answer only the last that can be read is now read in full, where versions only rise; another writer's record behind it hides nothing.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/PeerExchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/PeerExchange.java
@@ -95,25 +95,19 @@
                         .handler(new Messages())
                         .bind(new InetSocketAddress(address.host(), address.port())),
                 address);
-        follower = new TopicFollower(state, Topic.RELAYS, TopicFollower.Pace.RARE, true, this::registered);
+        follower = new TopicFollower(state, Topic.RELAYS, TopicFollower.Pace.RARE_IN_GROUPS, true, new Registrations());
         registering = new CallLine(state.connector(), state::store);
     }
 
     void start() {
         follower.start();
-        register();
         state.workNews().tellBy(this::tellAtOnce);
         timer.later(this::tell, ReportSchedule.ROUND_MILLIS);
     }
 
     private void register() {
-        Address address = state.settings().peers();
         registering.call(
-                state.platform()
-                        .store()
-                        .register(
-                                state.settings().instance(),
-                                new RegisteredRelay(address, state.settings().failureDomain())),
+                state.platform().store().register(state.settings().instance(), ownRegistration()),
                 REGISTER_TIMEOUT_MILLIS,
                 answer -> {
                     state.metrics().storeCall("REGISTER");
@@ -121,35 +115,54 @@
                     if (!done) {
                         timer.later(this::register, REGISTER_AGAIN_MILLIS);
                     } else {
-                        state.log().info("relay_registered", "peers", address.toString());
+                        state.log()
+                                .info(
+                                        "relay_registered",
+                                        "peers",
+                                        ownRegistration().peers().toString());
                     }
                 });
     }
 
-    /** Takes the address of a relay. */
-    private void registered(KeyedRecord record) {
-        if (record.key().equals(state.settings().instance())) {
-            return;
+    /** Takes the addresses of relays. */
+    private final class Registrations implements TopicFollower.Listener {
+        private boolean listedOnce;
+        private boolean registered;
+
+        @Override
+        public void record(KeyedRecord record) {
+            Optional<RegisteredRelay> relay =
+                    record.value().map(state.platform().store()::readRelay);
+            if (record.key().equals(state.settings().instance())) {
+                registered = relay.filter(ownRegistration()::equals).isPresent();
+            } else {
+                forget(record.key());
+                relay.ifPresent(known -> know(record.key(), known));
+            }
         }
-        forget(record.key());
-        if (record.value().isEmpty()) {
-            return;
+
+        /** A relay that starts again where it was registered before writes nothing: all others would read it. */
+        @Override
+        public void listed(Set<String> relays, long end) {
+            if (!listedOnce && !registered) {
+                register();
+            }
+            listedOnce = true;
         }
-        RegisteredRelay relay =
-                state.platform().store().readRelay(record.value().get());
-        InetSocketAddress address =
-                new InetSocketAddress(relay.peers().host(), relay.peers().port());
-        addresses.put(record.key(), address);
-        names.put(address, record.key());
-        boolean near = relay.failureDomain().equals(state.settings().failureDomain());
-        schedule.registered(record.key(), relay.failureDomain(), near);
-        state.log()
-                .info(
-                        "peer_known",
-                        "peer",
-                        record.key(),
-                        "address",
-                        relay.peers().toString());
+    }
+
+    private RegisteredRelay ownRegistration() {
+        return new RegisteredRelay(state.settings().peers(), state.settings().failureDomain());
+    }
+
+    private void know(String relay, RegisteredRelay registered) {
+        Address at = registered.peers();
+        InetSocketAddress address = new InetSocketAddress(at.host(), at.port());
+        addresses.put(relay, address);
+        names.put(address, relay);
+        boolean near = registered.failureDomain().equals(state.settings().failureDomain());
+        schedule.registered(relay, registered.failureDomain(), near);
+        state.log().info("peer_known", "peer", relay, "address", at.toString());
     }
 
     private void forget(String relay) {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
@@ -215,6 +215,12 @@
             }
         }
 
+        /** Versions only rise: an older record of the same key would change nothing. */
+        @Override
+        public boolean newestSuffices() {
+            return true;
+        }
+
         @Override
         public void listed(Set<String> keys, long end) {
             caughtUp = true;
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TopicFollower.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TopicFollower.java
@@ -1,6 +1,7 @@
 package org.rattanrudder.daemon.relay;
 
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.IntToLongFunction;
@@ -51,14 +52,17 @@
 
         /**
          * Records that must be known within two seconds. A read that begins to wait while a record is being written may
-         * not be answered for it before its wait is over (all of three relays got a configuration 3.3 s late, as long
-         * as they waited), so the wait itself ends within the bound. With many relays some others notice and tell.
+         * not be answered for it before its wait is over, so the wait itself ends within the bound. With many relays
+         * some others notice and tell.
          */
         static final Pace PROMPT = new Pace(peers -> SHORT_GAP_MILLIS, peers -> Math.min(1_500, 1_000 + 100L * peers));
 
         /** Records that come rarely and may be known late. */
         static final Pace RARE = new Pace(peers -> SHORT_GAP_MILLIS, peers -> 12_000);
 
+        /** The same for records that come in groups, of which each relay writes one. */
+        static final Pace RARE_IN_GROUPS = new Pace(peers -> 1_000, peers -> 12_000);
+
         private static final long SHORTEST_GATHERING_MILLIS = 600;
         private static final long GATHERING_MILLIS_PER_PEER = 60;
         private static final double GATHERING_SHARE = 0.6;
@@ -79,9 +83,18 @@
 
     /** What a topic's records mean to the relay. */
     interface Listener {
-        /** Takes a record. */
+        /**
+         * Takes a record.
+         *
+         * @throws IllegalArgumentException if it can't be read
+         */
         void record(KeyedRecord record);
 
+        /** Returns whether of several records of a key only the last readable one matters, in any order of keys. */
+        default boolean newestSuffices() {
+            return false;
+        }
+
         /** Takes the keys of a full listing. */
         default void listed(Set<String> keys, long end) {}
 
@@ -212,7 +225,7 @@
             if (!records.records().isEmpty()) {
                 expectingUntil = calledAt;
             }
-            records.records().forEach(this::tell);
+            tellAll(records.records());
             inGap = true;
             timer.next(this::follow, gap());
         } else if (read instanceof StoreAnswer.Forgotten forgotten) {
@@ -220,6 +233,28 @@
         }
     }
 
+    private void tellAll(List<KeyedRecord> records) {
+        if (listener.newestSuffices()) {
+            tellNewest(records);
+        } else {
+            records.forEach(this::tell);
+        }
+    }
+
+    /**
+     * Tells of each key the last record that can be read. After a pause, or while changes come in quick succession, one
+     * answer holds many of one key, and reading each in full would hold up requests.
+     */
+    private void tellNewest(List<KeyedRecord> records) {
+        Set<String> told = new HashSet<>();
+        for (int index = records.size() - 1; index >= 0; index--) {
+            KeyedRecord record = records.get(index);
+            if (!told.contains(record.key()) && tell(record)) {
+                told.add(record.key());
+            }
+        }
+    }
+
     /**
      * Records were dropped before they were read. A store that goes on dropping what it has just listed would be asked
      * without end, fifty times a second by each relay; the time between two listings therefore doubles.
@@ -342,12 +377,14 @@
         follow();
     }
 
-    private void tell(KeyedRecord record) {
+    /** Tells of a record, and returns whether it could be read. */
+    private boolean tell(KeyedRecord record) {
         try {
             if (keyed && record.key().isEmpty()) {
                 throw new IllegalArgumentException("no key");
             }
             listener.record(record);
+            return true;
         } catch (IllegalArgumentException unreadable) {
             state.metrics().unreadable(topic.name());
             state.log()
@@ -361,6 +398,7 @@
                             Long.toString(record.offset()),
                             "reason",
                             String.valueOf(unreadable.getMessage()));
+            return false;
         }
     }
 
