Drop peers' messages with odd figures or of another name

A datagram comes from anybody. One that names another relay than its sender, or holds figures that no relay has (below 0, or beyond any), is counted and logged and changes nothing.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/CallerConnection.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/CallerConnection.java
@@ -77,9 +77,9 @@
     }
 
     /**
-     * Reads what has arrived without waiting for the loop's next turn, and returns whether the connection has ended; its
-     * exchange is cancelled soon after. Turns are long while the processor is short, and what is ready in one is handled
-     * in any order: a request would be sent on before the end of its connection is seen.
+     * Reads what has arrived without waiting for the loop's next turn, and returns whether the connection has ended;
+     * its exchange is cancelled soon after. Turns are long while the processor is short, and what is ready in one is
+     * handled in any order: a request would be sent on before the end of its connection is seen.
      */
     boolean hasLeft() {
         if (context.channel().isActive() && context.channel().unsafe() instanceof AbstractNioChannel.NioUnsafe socket) {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/PeerExchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/PeerExchange.java
@@ -267,21 +267,27 @@
         protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
             state.metrics().peerMessageReceived();
             String relay = names.get(packet.sender());
-            Optional<PeerCodec.Message> message =
-                    relay == null ? Optional.empty() : PeerCodec.read(ByteBufUtil.getBytes(packet.content()));
+            if (relay == null) {
+                dropped(packet.sender(), "unknown_sender");
+                return;
+            }
+            Optional<PeerCodec.Message> message = PeerCodec.read(ByteBufUtil.getBytes(packet.content()));
             if (message.isEmpty()) {
-                dropped(packet.sender(), relay);
-            } else if (message.get() instanceof PeerCodec.Message.Load load) {
-                heard(relay, load.load());
+                dropped(packet.sender(), "unreadable");
             } else if (message.get() instanceof PeerCodec.Message.News news) {
                 listener.news(news.news());
+            } else if (message.get() instanceof PeerCodec.Message.Load load) {
+                if (load.load().relay().startsWith(relay)) {
+                    heard(relay, load.load());
+                } else {
+                    dropped(packet.sender(), "other_name");
+                }
             }
         }
 
         /** Anybody may send here: what isn't a relay's message changes nothing. */
-        private void dropped(InetSocketAddress sender, String relay) {
-            String reason = relay == null ? "unknown sender" : "unreadable";
-            state.metrics().peerMessageDropped(relay == null ? "unknown" : "unreadable");
+        private void dropped(InetSocketAddress sender, String reason) {
+            state.metrics().peerMessageDropped(reason);
             state.log().info("peer_message_dropped", "sender", String.valueOf(sender), "reason", reason);
         }
 
--- a/rattanrudder-wire/src/main/java/org/rattanrudder/wire/peer/PeerCodec.java
+++ b/rattanrudder-wire/src/main/java/org/rattanrudder/wire/peer/PeerCodec.java
@@ -29,6 +29,12 @@
     /** Lateness is told up to this, in ms: beyond it nothing is decided any more. */
     private static final double MOST_LATE_MILLIS = 60_000;
 
+    /** Figures beyond these no relay has; a message with one comes from another writer. */
+    private static final long MOST_REQUESTS = 1_000_000;
+
+    private static final long MOST_TOKENS = 1_000_000_000_000L;
+    private static final long MOST_MILLIS = 3_600_000;
+
     private PeerCodec() {}
 
     /** What a datagram holds. */
@@ -125,12 +131,11 @@
     }
 
     private static RelayLoad load(RelayLoadMessage message) {
-        List<TargetLoad> targets = message.getTargetsList().stream()
-                .map(each ->
-                        new TargetLoad(each.getTarget(), each.getRequests(), each.getTokens(), each.getUnreadTokens()))
-                .toList();
+        List<TargetLoad> targets =
+                message.getTargetsList().stream().map(PeerCodec::targetLoad).toList();
         List<KnownWeights> weights = message.getWeightsList().stream()
-                .map(each -> new KnownWeights(each.getModel(), each.getVersion(), each.getAgeMillis()))
+                .map(each -> new KnownWeights(
+                        each.getModel(), each.getVersion(), within(each.getAgeMillis(), Long.MAX_VALUE)))
                 .toList();
         List<ServedWeights> served = message.getServedList().stream()
                 .map(each -> new ServedWeights(each.getTarget(), each.getModel(), each.getVersion()))
@@ -148,19 +153,38 @@
                 message.getReady(),
                 readTo,
                 message.getLateList().stream().map(PeerCodec::late).toList(),
-                message.getEveryMillis());
+                within(message.getEveryMillis(), MOST_MILLIS));
+    }
+
+    private static TargetLoad targetLoad(TargetLoadMessage message) {
+        return new TargetLoad(
+                message.getTarget(),
+                (int) within(message.getRequests(), MOST_REQUESTS),
+                within(message.getTokens(), MOST_TOKENS),
+                within(message.getUnreadTokens(), MOST_TOKENS));
     }
 
     private static StoreLateness late(StoreLatenessMessage message) {
         return new StoreLateness(
                 Address.parse(message.getStore()),
-                Math.max(0, message.getSamples()),
-                Math.max(0, message.getMeanMillis()));
+                (int) within(message.getSamples(), MOST_REQUESTS),
+                within(message.getMeanMillis(), MOST_MILLIS));
+    }
+
+    /** Returns a figure, or refuses it; one above the range of a signed number is below 0 here. */
+    private static long within(long figure, long most) {
+        if (figure < 0 || figure > most) {
+            throw new IllegalArgumentException(figure + " is not from 0 to " + most);
+        }
+        return figure;
     }
 
     private static SharedNews news(PartNewsMessage message) {
         List<PartEvent> events = message.getEventsList().stream()
-                .map(each -> new PartEvent(new PartKey(each.getSalt(), each.getId()), each.getTokens(), each.getHeld()))
+                .map(each -> new PartEvent(
+                        new PartKey(each.getSalt(), each.getId()),
+                        (int) within(each.getTokens(), Integer.MAX_VALUE),
+                        each.getHeld()))
                 .toList();
         OptionalLong clock =
                 message.hasClockMillis() ? OptionalLong.of(message.getClockMillis()) : OptionalLong.empty();
