Let engines wait for a store for twice the objective, a second at least

A fetch was waited for two seconds; callers of streams leave after two seconds. The engine held their places and memory until then, and second tries came as late.

Change: a fetch is waited for twice the objective of its request, from one second to two as before. Then the engine reads the prompt itself, which takes it a tenth of a second, and the caller gets its answer, if late.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/parts/PartDirectory.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/parts/PartDirectory.java
@@ -35,11 +35,17 @@
     static final long FETCH_MILLIS = 3_500;
 
     /**
-     * How long after its request is sent a fetch may still end, in ms. Requests that can be on time wait some hundred
-     * ms at an engine; whatever is freed must be left alone by all for this long first.
+     * How long after its request is sent a fetch may still end at most, in ms. Requests that can be on time wait some
+     * hundred ms at an engine; whatever is freed must be left alone by all for this long first.
      */
     public static final long FETCH_AFTER_SENT_MILLIS = 2_000;
 
+    /** The same at least, in ms: engines that are busy begin fetches late. */
+    private static final long LEAST_FETCH_MILLIS = 1_000;
+
+    /** How long a fetch is waited for, as a multiple of the objective; then the engine reads the prompt itself. */
+    private static final double FETCH_OBJECTIVES = 2;
+
     /** How long a new incarnation of a store takes no saves, in ms: longer than any fetch from the one before. */
     static final long SETTLED_MILLIS = 4_000;
 
@@ -108,8 +114,15 @@
      * @param salt who may use them
      * @param parts the prompt in order; the last part is its own and is left alone
      * @param saves whether what no store holds is saved; it isn't worth its room under weights that are being replaced
+     * @param objectiveMillis until when the answer should begin, in ms: no fetch is waited for much longer
      */
-    public PartPlan plan(String salt, List<PromptPart> parts, String engineDomain, boolean saves, long nowMillis) {
+    public PartPlan plan(
+            String salt,
+            List<PromptPart> parts,
+            String engineDomain,
+            boolean saves,
+            long objectiveMillis,
+            long nowMillis) {
         if (parts.size() < 2 || stores.isEmpty()) {
             return PartPlan.NONE;
         }
@@ -118,6 +131,7 @@
         List<PartChoice> choices = new ArrayList<>();
         Map<StoreView, Boolean> allowed = new HashMap<>();
         double usual = usualLateness(nowMillis);
+        long fetchMillis = fetchMillis(objectiveMillis);
         long until = Long.MAX_VALUE;
         for (PromptPart part : parts.subList(0, parts.size() - 1)) {
             PartKey key = new PartKey(salt, part.id());
@@ -130,7 +144,9 @@
             targets.add(saved);
             boolean replaced = holder.isEmpty() && !saves;
             choices.add(replaced ? PartChoice.REPLACED : choice(key, part.tokens(), holder, read, saved, nowMillis));
-            until = Math.min(until, read.map(view -> view.fetchUntil(nowMillis)).orElse(Long.MAX_VALUE));
+            until = Math.min(
+                    until,
+                    read.map(view -> view.fetchUntil(fetchMillis, nowMillis)).orElse(Long.MAX_VALUE));
         }
         sources.add(Optional.empty());
         targets.add(Optional.empty());
@@ -138,6 +154,12 @@
         return new PartPlan(sources, targets, untilMillis, choices);
     }
 
+    /** Callers leave streams that don't begin; an engine that waits for a store until then serves nobody. */
+    private static long fetchMillis(long objectiveMillis) {
+        long wanted = (long) (FETCH_OBJECTIVES * objectiveMillis);
+        return Math.max(LEAST_FETCH_MILLIS, Math.min(FETCH_AFTER_SENT_MILLIS, wanted));
+    }
+
     private PartChoice choice(
             PartKey key,
             int tokens,
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/parts/StoreView.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/parts/StoreView.java
@@ -79,8 +79,8 @@
     }
 
     /** Returns until when a fetch that is planned now may end, on the store's clock, which has run on since. */
-    long fetchUntil(long nowMillis) {
-        long sincePlanned = clockAtAnswer + (nowMillis - answeredAt) + PartDirectory.FETCH_AFTER_SENT_MILLIS;
+    long fetchUntil(long fetchMillis, long nowMillis) {
+        long sincePlanned = clockAtAnswer + (nowMillis - answeredAt) + fetchMillis;
         return Math.min(clockAtAnswer + PartDirectory.FETCH_MILLIS, sincePlanned);
     }
 
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/parts/PartDirectoryTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/parts/PartDirectoryTest.java
@@ -8,6 +8,8 @@
 import java.util.OptionalLong;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.rattanrudder.core.gateway.ContextStore;
 import org.rattanrudder.core.gateway.CustomerIdentity;
 import org.rattanrudder.core.gateway.PromptPart;
@@ -17,6 +19,7 @@
     private static final Address STORE = new Address("10.0.0.9", 80);
     private static final List<PromptPart> PROMPT =
             List.of(new PromptPart("sheet", 2_500), new PromptPart("record", 5_000), new PromptPart("own", 1_600));
+    private static final long OBJECTIVE = 1_000;
     private static final long BEGIN = 1_000_000;
     private static final long SETTLED = BEGIN + PartDirectory.SETTLED_MILLIS;
 
@@ -31,14 +34,16 @@
     @Test
     void aPartIsReadOnceItIsWholeAndSavedOnlyOnce() {
         directory.heard(STORE, news(1), SETTLED, SETTLED);
-        PartPlan first = directory.plan("w1", PROMPT, "north", true, SETTLED);
+        PartPlan first = directory.plan("w1", PROMPT, "north", true, OBJECTIVE, SETTLED);
         assertThat(first.saves()).isTrue();
         assertThat(first.reads()).isFalse();
-        assertThat(directory.plan("w1", PROMPT, "north", true, SETTLED + 5).saves())
+        assertThat(directory
+                        .plan("w1", PROMPT, "north", true, OBJECTIVE, SETTLED + 5)
+                        .saves())
                 .isFalse();
 
         directory.heard(STORE, news(1, held("w1", "sheet", 2_500)), SETTLED + 300, SETTLED + 300);
-        PartPlan second = directory.plan("w1", PROMPT, "north", true, SETTLED + 310);
+        PartPlan second = directory.plan("w1", PROMPT, "north", true, OBJECTIVE, SETTLED + 310);
         assertThat(second.sources())
                 .containsExactly(Optional.of(new PartPlan.Source(STORE, 2_500)), Optional.empty(), Optional.empty());
     }
@@ -46,27 +51,33 @@
     /** What an engine has to read anew says why, so that the logs of a day tell which of it could have been spared. */
     @Test
     void eachSharedPartSaysWhatWasDecidedForIt() {
-        assertThat(directory.plan("w1", PROMPT, "north", true, BEGIN).choices())
+        assertThat(directory.plan("w1", PROMPT, "north", true, OBJECTIVE, BEGIN).choices())
                 .containsExactly(PartChoice.UNSETTLED, PartChoice.UNSETTLED);
 
         directory.heard(STORE, news(1, held("w1", "sheet", 2_500)), SETTLED, SETTLED);
-        assertThat(directory.plan("w1", PROMPT, "north", true, SETTLED).choices())
+        assertThat(directory
+                        .plan("w1", PROMPT, "north", true, OBJECTIVE, SETTLED)
+                        .choices())
                 .containsExactly(PartChoice.FETCHED, PartChoice.SAVED);
-        assertThat(directory.plan("w1", PROMPT, "north", true, SETTLED).choices())
+        assertThat(directory
+                        .plan("w1", PROMPT, "north", true, OBJECTIVE, SETTLED)
+                        .choices())
                 .containsExactly(PartChoice.FETCHED, PartChoice.BEING_SAVED);
         assertThat(directory
-                        .plan("w1", PROMPT, "north", true, SETTLED + PartDirectory.FRESH_MILLIS + 1)
+                        .plan("w1", PROMPT, "north", true, OBJECTIVE, SETTLED + PartDirectory.FRESH_MILLIS + 1)
                         .choices())
                 .containsExactly(PartChoice.NO_STORE, PartChoice.BEING_SAVED);
 
         directory.heard(STORE, news(1, held("w1", "all", 95_000)), SETTLED, SETTLED);
-        assertThat(directory.plan("w2", PROMPT, "north", true, SETTLED).choices())
+        assertThat(directory
+                        .plan("w2", PROMPT, "north", true, OBJECTIVE, SETTLED)
+                        .choices())
                 .containsExactly(PartChoice.NO_ROOM, PartChoice.NO_ROOM);
 
         directory.fetched(new StoreLateness(STORE, 200, 9_000), SETTLED);
-        directory.plan("w1", PROMPT, "north", true, SETTLED);
+        directory.plan("w1", PROMPT, "north", true, OBJECTIVE, SETTLED);
         assertThat(directory
-                        .plan("w1", PROMPT, "north", true, SETTLED)
+                        .plan("w1", PROMPT, "north", true, OBJECTIVE, SETTLED)
                         .choices()
                         .get(0))
                 .isEqualTo(PartChoice.SLOW_STORE);
@@ -77,20 +88,36 @@
     void nothingIsSavedUnderWeightsThatAreBeingReplaced() {
         directory.heard(STORE, news(1, held("w1", "sheet", 2_500)), SETTLED, SETTLED);
 
-        PartPlan plan = directory.plan("w1", PROMPT, "north", false, SETTLED);
+        PartPlan plan = directory.plan("w1", PROMPT, "north", false, OBJECTIVE, SETTLED);
 
         assertThat(plan.saves()).isFalse();
         assertThat(plan.choices()).containsExactly(PartChoice.FETCHED, PartChoice.REPLACED);
     }
 
+    /** Guards against engines that wait for a slow store until their callers have left. */
+    @ParameterizedTest
+    @CsvSource({"60, 1000", "500, 1000", "700, 1400", "1000, 2000", "5000, 2000"})
+    void aFetchIsWaitedForNotMuchLongerThanTheAnswerIsWanted(long objective, long fetchMillis) {
+        directory.heard(STORE, news(1, held("w1", "sheet", 2_500)), SETTLED, SETTLED);
+
+        assertThat(directory
+                        .plan("w1", PROMPT, "north", true, objective, SETTLED + 100)
+                        .untilMillis())
+                .hasValue(SETTLED + 100 + fetchMillis);
+    }
+
     /** Parts are freed a while after nobody plans to read them any more: no fetch may go on for longer. */
     @Test
     void aFetchEndsWithinAKnownTimeOfItsRequest() {
         directory.heard(STORE, news(1, held("w1", "sheet", 2_500)), SETTLED, SETTLED);
 
-        assertThat(directory.plan("w1", PROMPT, "north", true, SETTLED + 700).untilMillis())
+        assertThat(directory
+                        .plan("w1", PROMPT, "north", true, OBJECTIVE, SETTLED + 700)
+                        .untilMillis())
                 .hasValue(SETTLED + 700 + PartDirectory.FETCH_AFTER_SENT_MILLIS);
-        assertThat(directory.plan("w1", PROMPT, "north", true, SETTLED + 2_300).untilMillis())
+        assertThat(directory
+                        .plan("w1", PROMPT, "north", true, OBJECTIVE, SETTLED + 2_300)
+                        .untilMillis())
                 .hasValue(SETTLED + PartDirectory.FETCH_MILLIS);
     }
 
@@ -99,7 +126,7 @@
         directory.heard(STORE, news(1), SETTLED, SETTLED);
 
         assertThat(directory
-                        .plan("w1", PROMPT, "north", true, SETTLED)
+                        .plan("w1", PROMPT, "north", true, OBJECTIVE, SETTLED)
                         .targets()
                         .get(2))
                 .isEmpty();
@@ -118,16 +145,20 @@
         other.heard(STORE, news(2), restart, restart);
 
         long lastUse = SETTLED + PartDirectory.FRESH_MILLIS;
-        PartPlan latest = directory.plan("w1", PROMPT, "north", true, lastUse);
+        PartPlan latest = directory.plan("w1", PROMPT, "north", true, OBJECTIVE, lastUse);
         assertThat(latest.reads()).isTrue();
-        assertThat(directory.plan("w1", PROMPT, "north", true, lastUse + 1).reads())
+        assertThat(directory
+                        .plan("w1", PROMPT, "north", true, OBJECTIVE, lastUse + 1)
+                        .reads())
                 .isFalse();
 
         long firstSave = restart + PartDirectory.SETTLED_MILLIS;
         other.heard(STORE, news(2), firstSave - 1, firstSave - 1);
-        assertThat(other.plan("w1", PROMPT, "north", true, firstSave - 1).saves())
+        assertThat(other.plan("w1", PROMPT, "north", true, OBJECTIVE, firstSave - 1)
+                        .saves())
                 .isFalse();
-        assertThat(other.plan("w1", PROMPT, "north", true, firstSave).saves()).isTrue();
+        assertThat(other.plan("w1", PROMPT, "north", true, OBJECTIVE, firstSave).saves())
+                .isTrue();
         assertThat(latest.untilMillis().orElseThrow()).isLessThan(firstSave);
     }
 
@@ -142,7 +173,7 @@
 
         assertThat(reads(100, SETTLED)).isBetween(1, 10);
         assertThat(directory
-                        .plan("w1", PROMPT, "north", true, SETTLED)
+                        .plan("w1", PROMPT, "north", true, OBJECTIVE, SETTLED)
                         .targets()
                         .get(1))
                 .isEmpty();
@@ -185,7 +216,11 @@
     private int reads(int plans, long nowMillis) {
         int reads = 0;
         for (int plan = 0; plan < plans; plan++) {
-            reads += directory.plan("w1", PROMPT, "north", true, nowMillis).reads() ? 1 : 0;
+            reads += directory
+                            .plan("w1", PROMPT, "north", true, OBJECTIVE, nowMillis)
+                            .reads()
+                    ? 1
+                    : 0;
         }
         return reads;
     }
@@ -195,7 +230,7 @@
         directory.heard(STORE, news(1, held("w1", "other", 96_000)), SETTLED, SETTLED);
 
         assertThat(directory
-                        .plan("w1", PROMPT, "north", true, SETTLED)
+                        .plan("w1", PROMPT, "north", true, OBJECTIVE, SETTLED)
                         .targets()
                         .get(1))
                 .isEmpty();
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RequestPlan.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RequestPlan.java
@@ -181,6 +181,7 @@
                                 target.entry().failureDomain(),
                                 weights.get()
                                         >= state.weights().newest(facts.model().get()),
+                                route.objectiveMillis(),
                                 state.now())
                 : PartPlan.NONE;
         if (engine.isPresent()) {
