Let changes in quick succession share reads of the platform's store

A burst of configurations each 0.16 s was read by each of 33 relays one by one, and each change of a target that one relay had read was read at once by all others. Among more than eight others, a relay now waits 12 ms a relay beyond these, 400 ms at most, between two reads of what operators want, and half a second after an answer before it reads on since another has read more. Few relays read as before.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TopicFollower.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TopicFollower.java
@@ -50,12 +50,21 @@
     record Pace(IntToLongFunction gapMillis, IntToLongFunction waitMillis) {
         private static final long SHORT_GAP_MILLIS = 20;
 
+        /** Beyond so many other relays, records that come in quick succession share answers. */
+        private static final int FEW = 8;
+
+        private static final long LONGER_MILLIS_PER_PEER = 12;
+        private static final long LONGEST_PROMPT_GAP_MILLIS = 400;
+
+        /** The least time between an answer and the next call where another relay has read more, among many. */
+        private static final long HINTED_GAP_MILLIS = 500;
+
         /**
          * Records that must be known within two seconds. A read that begins to wait while a record is being written may
          * not be answered for it before its wait is over, so the wait itself ends within the bound. With many relays
          * some others notice and tell.
          */
-        static final Pace PROMPT = new Pace(peers -> SHORT_GAP_MILLIS, peers -> Math.min(1_500, 1_000 + 100L * peers));
+        static final Pace PROMPT = new Pace(Pace::promptGap, peers -> Math.min(1_500, 1_000 + 100L * peers));
 
         /** Records that come rarely and may be known late. */
         static final Pace RARE = new Pace(peers -> SHORT_GAP_MILLIS, peers -> 12_000);
@@ -75,6 +84,19 @@
             return new Pace(peers -> gap(boundMillis.getAsLong(), peers), peers -> 1_000);
         }
 
+        private static long promptGap(int peers) {
+            long wanted = LONGER_MILLIS_PER_PEER * (peers - FEW);
+            return Math.max(SHORT_GAP_MILLIS, Math.min(LONGEST_PROMPT_GAP_MILLIS, wanted));
+        }
+
+        /**
+         * Returns the least time between an answer and the next call, in ms, where another relay has read more: each
+         * change would else be read by every relay by itself.
+         */
+        static long hintedGapMillis(int peers) {
+            return peers <= FEW ? 0 : HINTED_GAP_MILLIS;
+        }
+
         private static long gap(long boundMillis, int peers) {
             long longest = (long) (boundMillis * GATHERING_SHARE);
             return Math.max(SHORTEST_GATHERING_MILLIS, Math.min(longest, GATHERING_MILLIS_PER_PEER * peers));
@@ -123,6 +145,8 @@
     private long calledAt;
     private boolean following;
     private boolean inGap;
+    private long answeredAt;
+    private long gapEndsAt;
 
     /** Until when a record is taken to be there that wasn't read yet. */
     private long expectingUntil = Long.MIN_VALUE / 2;
@@ -227,7 +251,10 @@
             }
             tellAll(records.records());
             inGap = true;
-            timer.next(this::follow, gap());
+            answeredAt = state.now();
+            long gap = gap();
+            gapEndsAt = answeredAt + gap;
+            timer.next(this::follow, gap);
         } else if (read instanceof StoreAnswer.Forgotten forgotten) {
             forgotten(forgotten);
         }
@@ -304,7 +331,9 @@
             return;
         }
         if (inGap) {
-            readInPlaceOfWaiting();
+            long now = state.now();
+            long wanted = Pace.hintedGapMillis(state.fleet().peers(now));
+            timer.next(this::follow, Math.max(0, Math.min(gapEndsAt, answeredAt + wanted) - now));
         } else if (following && state.now() - calledAt > HINT_MILLIS) {
             state.log()
                     .warn(
