--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/HoldingLine.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/HoldingLine.java
@@ -13,7 +13,7 @@
  * <p>Those that can still be on time go first, by rank and then by how little time they have; then the late ones, by
  * their deadlines. The late ones are bounded by the work that they are: what would wait longer is refused at once,
  * since an overloaded service that works off everything in order serves all of it late. So is what has waited there
- * for long: of 8,600 checks on one day 600 were left by their callers and 140 held to their deadlines, untried.
+ * for long: its caller would leave, or be held to its deadline, without a try.
  *
  * @param <T> a request
  */
@@ -47,7 +47,7 @@
 
     /**
      * Returns the tokens of late requests that may wait at one relay. All relays wait for the same engines, so each has
-     * its share: when each of 27 relays counted all engines as its own, requests waited until their deadlines.
+     * its share.
      *
      * @param engines how many engines the service has
      * @param relays how many relays wait for them, this one included
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Placement.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Placement.java
@@ -48,8 +48,7 @@
     /**
      * What the engines that a relay is hashed to save it, in ms for each other relay, and at most. What others have
      * sent is known up to some hundred ms late. Relays that all took the engine which seems least busy would overfill
-     * it together; each therefore has an order of its own among engines that are about as busy. With 27 relays, and
-     * with messages twice as often, it took what a heavy load earns from 0.599 to 0.657 of what was owed.
+     * it together; each therefore has an order of its own among engines that are about as busy.
      */
     private static final double OWN_ORDER_MILLIS = 2;
 
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/parts/FetchDelay.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/parts/FetchDelay.java
@@ -5,8 +5,8 @@
  *
  * <p>A store's transfers queue on its link. When the link turns slow, fetches wait for each other up to seconds, and
  * every prompt that needs one is late, though its engine could read it anew in less than a tenth of the time. As many
- * prompts as the link carries should read there: the later its answers, the smaller the part that does. Leaving a slow
- * store alone altogether read 1,574 thousand tokens again on one day where 514 did, for 1.5% more answers in time.
+ * prompts as the link carries should read there: the later its answers, the smaller the part that does. Leaving it
+ * alone altogether would read far more prompts anew.
  */
 final class FetchDelay {
     /** Lateness beyond the usual up to which every prompt reads from the store, in ms, beside as much as is usual. */
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/rollout/RolloutPlan.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/rollout/RolloutPlan.java
@@ -12,11 +12,8 @@
  * Picks the engines that load the newest weights next.
  *
  * <p>Loads slow each other down beyond a number at once, and an engine that loads serves nobody, so as many are
- * ordered as load at full speed, and the next as soon as one of them is done. Runs go on across the load. When they
- * had to end first, an engine stood by for some 2.2 s beside 0.9 s of loading, and eight engines took 11 s, in which
- * two or three of them were missing: days with two new versions earn 0.512 of what is owed in place of 0.430, and on
- * two other deployments 0.506 for 0.380 and 0.522 for 0.396 (mean of three seeds each). What a run makes on weights
- * that it didn't begin with earns nothing; that takes 0.001 to 0.011 of it.
+ * ordered as load at full speed, and the next as soon as one of them is done. Runs go on across the load: if they had
+ * to end first, an engine would stand by for longer than it loads.
  *
  * <p>An engine counts as loading until it serves the version, or until its order must be taken for lost. One whose
  * order got no answer may load at any time or never: it doesn't keep others waiting. Those with the oldest weights go
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/OrderGiver.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/OrderGiver.java
@@ -70,7 +70,7 @@
         this.self = self;
         store = state.platform().store();
         lease = new OrderLease(self, state.settings().bounds().leaseMillis());
-        follower = new TopicFollower(state, Topic.ORDERS, TopicFollower.Pace.RARE, false, new Records());
+        follower = new TopicFollower(state, Topic.ORDERS, Pace.RARE, false, new Records());
         appends = new CallLine(state.connector(), state::store);
     }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/PeerExchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/PeerExchange.java
@@ -95,7 +95,7 @@
                         .handler(new Messages())
                         .bind(new InetSocketAddress(address.host(), address.port())),
                 address);
-        follower = new TopicFollower(state, Topic.RELAYS, TopicFollower.Pace.RARE_IN_GROUPS, true, new Registrations());
+        follower = new TopicFollower(state, Topic.RELAYS, Pace.RARE_IN_GROUPS, true, new Registrations());
         registering = new CallLine(state.connector(), state::store);
     }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
@@ -90,11 +90,11 @@
         listen(group, settings.readiness(), new StatusServer(this::readiness));
         listen(group, settings.metrics(), new StatusServer(this::metrics));
         incarnation = settings.instance() + "-" + Long.toHexString(random.nextLong());
-        wishes = new TopicFollower(state, Topic.WISHES, TopicFollower.Pace.PROMPT, true, new Wishes());
+        wishes = new TopicFollower(state, Topic.WISHES, Pace.PROMPT, true, new Wishes());
         targets = new TopicFollower(
                 state,
                 Topic.TARGETS,
-                TopicFollower.Pace.gathered(() -> state.settings().bounds().drainMillis()),
+                Pace.gathered(() -> state.settings().bounds().drainMillis()),
                 true,
                 new Targets());
         orders = new OrderGiver(state, incarnation);
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/WorkNews.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/WorkNews.java
@@ -11,8 +11,8 @@
 /**
  * Gathers the engines that work was just placed at, for a moment, and then has the other relays told.
  *
- * <p>That work has ended is told with the next message of all work only: when it was told within 25 ms, all relays saw
- * the same room at once and filled it together (preempted runs 76 to 158 on one day, 176 to 255 in the model).
+ * <p>That work has ended is told with the next message of all work only: told at once, all relays would see the same
+ * room and fill it together.
  */
 final class WorkNews {
     /**
--- a/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/PaceTest.java
+++ b/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/PaceTest.java
@@ -7,7 +7,6 @@
 import net.jqwik.api.constraints.IntRange;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import org.rattanrudder.daemon.relay.TopicFollower.Pace;
 
 class PaceTest {
     /** The shortest bound on a configuration that a platform sets, in ms. */
