Rehearse a start with a configuration, targets and requests

A relay that starts again takes its first requests with classes and lambdas that its class-data archive lacks: the rehearsal that the archive is dumped from had no store and no request.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Rehearsal.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Rehearsal.java
@@ -11,26 +11,39 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.ServiceLoader;
 import java.util.jar.JarEntry;
 import java.util.jar.JarFile;
 import java.util.random.RandomGenerator;
+import org.rattanrudder.core.fleet.RelayLoad;
+import org.rattanrudder.core.fleet.ReportSchedule;
 import org.rattanrudder.core.model.Address;
+import org.rattanrudder.core.parts.PartEvent;
+import org.rattanrudder.core.parts.PartKey;
+import org.rattanrudder.core.parts.SharedNews;
+import org.rattanrudder.core.parts.StoreLateness;
+import org.rattanrudder.core.parts.StoreNews;
 import org.rattanrudder.daemon.logging.Logging;
 import org.rattanrudder.daemon.relay.port.PlatformAdapter;
 import org.rattanrudder.document.RelaySettings;
 import org.rattanrudder.document.RelaySettings.Bounds;
 import org.rattanrudder.document.RelaySettingsParser;
+import org.rattanrudder.wire.peer.PeerCodec;
 
 /**
  * Loads what a relay loads when it starts, for the build to dump as a class-data archive.
  *
  * <p>A relay that is started again takes no requests until its classes are loaded and checked. With the archive they
- * are mapped in place of that. The rehearsal starts a relay on loopback without a store and asks it once.
+ * are mapped in place of that. The rehearsal starts a relay on loopback, before a store and targets that answer as the
+ * platform's would, and sends it requests until they are served.
  */
 public final class Rehearsal {
     private static final int TRIES = 5;
     private static final int ASKED_MILLIS = 2_000;
+    private static final int MOST_ASKED = 2_000;
+    private static final String SERVED = "HTTP/1.1 200";
+    private static final String PAGE = "GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
 
     private Rehearsal() {}
 
@@ -39,22 +52,40 @@
         Logging.install();
         new RelaySettingsParser().parse("{}");
         loadOwnClasses();
+        tellAndHear();
         PlatformAdapter adapter =
                 ServiceLoader.load(PlatformAdapter.class).findFirst().orElseThrow();
-        adapter.store().readListing(200, "{\"items\":[],\"end\":0}".getBytes(StandardCharsets.UTF_8));
-        RelayProcess relay = null;
-        for (int tries = 0; relay == null && tries < TRIES; tries++) {
-            relay = tryToStart(adapter);
-        }
-        if (relay != null) {
-            relay.close();
+        try (RehearsalServer server = new RehearsalServer(adapter.rehearsal())) {
+            RelayProcess relay = null;
+            for (int tries = 0; relay == null && tries < TRIES; tries++) {
+                relay = tryToStart(adapter, server.address());
+            }
+            if (relay != null) {
+                relay.close();
+            }
         }
         Logging.flush();
         System.exit(0);
     }
 
+    /** Writes and reads what relays tell each other. */
+    private static void tellAndHear() {
+        RelayLoad load = RelayLoad.ofWork(
+                        "rehearsal",
+                        1,
+                        true,
+                        List.of(new RelayLoad.TargetLoad("target", 1, 1, 1)),
+                        true,
+                        new RelayLoad.ReadTo(1, 1))
+                .every(ReportSchedule.ROUND_MILLIS, List.of(StoreLateness.of(new Address("127.0.0.1", 1), 1)));
+        PeerCodec.read(PeerCodec.write(load));
+        StoreNews news = new StoreNews(
+                1, 2, false, List.of(new PartEvent(new PartKey("w1", "part"), 1, true)), OptionalLong.of(1));
+        PeerCodec.read(PeerCodec.write(new SharedNews(new Address("127.0.0.1", 1), 1, news, 1)));
+    }
+
     /** Starts a relay on free ports and asks it; returns null if a port was taken meanwhile. */
-    private static RelayProcess tryToStart(PlatformAdapter adapter) {
+    private static RelayProcess tryToStart(PlatformAdapter adapter, Address store) {
         try {
             RelaySettings settings = new RelaySettings(
                     "rehearsal",
@@ -63,12 +94,14 @@
                     freeAddress(),
                     freeAddress(),
                     freeAddress(),
-                    freeAddress(),
+                    store,
                     new Bounds(0.2, 10, 10_000, 1_000, 10_000, 1_000, 1_000));
             RelayProcess relay = new RelayProcess(settings, adapter, RandomGenerator.getDefault());
-            ask(settings.callers());
-            ask(settings.readiness());
-            ask(settings.metrics());
+            for (String request : adapter.rehearsal().requests()) {
+                askUntilServed(settings.callers(), request);
+            }
+            ask(settings.readiness(), PAGE);
+            ask(settings.metrics(), PAGE);
             return relay;
         } catch (IOException taken) {
             System.err.println("rehearsal: " + taken.getMessage());
@@ -76,13 +109,23 @@
         }
     }
 
-    private static void ask(Address address) throws IOException {
+    /** Sends a request until it is served: the relay first reads whom to send it to. */
+    private static void askUntilServed(Address address, String request) throws IOException {
+        for (int asked = 0; asked < MOST_ASKED; asked++) {
+            if (ask(address, request).startsWith(SERVED)) {
+                return;
+            }
+        }
+        System.err.println(
+                "rehearsal: not served: " + request.lines().findFirst().orElse(""));
+    }
+
+    private static String ask(Address address, String request) throws IOException {
         try (Socket socket = new Socket(address.host(), address.port())) {
             socket.setSoTimeout(ASKED_MILLIS);
-            socket.getOutputStream()
-                    .write("GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n".getBytes(StandardCharsets.UTF_8));
+            socket.getOutputStream().write(request.getBytes(StandardCharsets.UTF_8));
             InputStream answer = socket.getInputStream();
-            answer.readAllBytes();
+            return new String(answer.readAllBytes(), StandardCharsets.UTF_8);
         }
     }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/port/PlatformAdapter.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/port/PlatformAdapter.java
@@ -8,6 +8,9 @@
     /** Returns how the platform's store is spoken to. */
     StoreDialect store();
 
+    /** Returns what is said in the rehearsal of a start. */
+    RehearsalScript rehearsal();
+
     /** Returns how engines and context stores are spoken to, beside requests. */
     EngineDialect engines();
 }
