Tell a relay that was just registered at once, and hear those at an address used twice

Relays that are silent were told in each tenth of their turns: among many, one of another failure domain each 8 s. After all relays had lost power, two of them that read of each other after their first turn would have told each other nothing for so long. One that wasn't told yet now is at its first turn, and a silent one each second or so (property in ReportScheduleTest; it fails with the turns as they were). Two registrations of one address hid one of them from the look-up of senders, whose messages would have been dropped: all names of an address count now.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/ReportSchedule.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/ReportSchedule.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 
 /**
@@ -28,8 +29,11 @@
     /** What each relay of a group adds to the time between two messages to the same one, in ms: 50 a second at most. */
     private static final long MILLIS_PER_RELAY = 20;
 
-    /** A relay that was never heard of or fell silent is told in each so-manieth of its turns. */
-    private static final int SILENT_TURNS = 10;
+    /**
+     * A relay that fell silent is told when its turn comes first after so many rounds. One that isn't heard of yet may
+     * have started just now, as all may after a loss of power: it has to be told before it tells.
+     */
+    private static final int SILENT_ROUNDS = 10;
 
     /** How long after its last message a relay is taken to be there, in ms. */
     public static final long SILENT_MILLIS = 5_000;
@@ -41,6 +45,7 @@
         private final String failureDomain;
         private final boolean near;
         private long heardAt = Long.MIN_VALUE / 2;
+        private boolean told;
 
         Other(String failureDomain, boolean near) {
             this.failureDomain = failureDomain;
@@ -99,29 +104,29 @@
     /** Begins the next round and returns who is told, in groups that are told equally often; none is empty. */
     public List<Due> nextRound(long nowMillis) {
         List<Due> due = others.size() <= FEW
-                ? List.of(due(names(true, false), ROUND_MILLIS, 0, nowMillis))
+                ? List.of(due(any -> true, ROUND_MILLIS, 0, nowMillis))
                 : List.of(
-                        due(names(true, true), NEAR_MILLIS, MILLIS_PER_RELAY, nowMillis),
-                        due(names(false, true), FAR_MILLIS, MILLIS_PER_RELAY, nowMillis));
+                        due(other -> other.near, NEAR_MILLIS, MILLIS_PER_RELAY, nowMillis),
+                        due(other -> !other.near, FAR_MILLIS, MILLIS_PER_RELAY, nowMillis));
         round++;
         return due.stream().filter(group -> !group.relays().isEmpty()).toList();
     }
 
-    private List<String> names(boolean near, boolean nearnessMatters) {
-        return others.entrySet().stream()
-                .filter(entry -> !nearnessMatters || entry.getValue().near == near)
+    private Due due(Predicate<Other> group, long leastMillis, long millisPerRelay, long nowMillis) {
+        List<String> names = others.entrySet().stream()
+                .filter(entry -> group.test(entry.getValue()))
                 .map(Map.Entry::getKey)
                 .toList();
-    }
-
-    private Due due(List<String> names, long leastMillis, long millisPerRelay, long nowMillis) {
         long wanted = Math.max(leastMillis, millisPerRelay * names.size());
         int rounds = (int) ((wanted + ROUND_MILLIS - 1) / ROUND_MILLIS);
-        long turn = round / rounds;
+        boolean silentOnesToo = round / rounds % Math.max(1, SILENT_ROUNDS / rounds) == 0;
         List<String> relays = new ArrayList<>();
         for (int index = (int) (round % rounds); index < names.size(); index += rounds) {
-            if (listens(names.get(index), nowMillis) || turn % SILENT_TURNS == 0) {
-                relays.add(names.get(index));
+            String name = names.get(index);
+            Other other = others.get(name);
+            if (silentOnesToo || !other.told || listens(name, nowMillis)) {
+                other.told = true;
+                relays.add(name);
             }
         }
         return new Due(relays, rounds * ROUND_MILLIS, rounds);
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/ReportScheduleTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/ReportScheduleTest.java
@@ -104,4 +104,29 @@
         assertThat(schedule.nextRound(now)).isEmpty();
         assertThat(schedule.listens("near-0", now)).isFalse();
     }
+
+    /** Guards against relays that don't find each other for seconds after all of them have started again. */
+    @Property(tries = 30)
+    void aRelayThatIsRegisteredLaterIsToldAtItsFirstTurnAndEachSecondThen(
+            @ForAll @IntRange(max = 40) int rounds, @ForAll boolean near) {
+        schedule = new ReportSchedule();
+        register(7, 26);
+        for (int count = 0; count < rounds; count++) {
+            round(7, 26);
+        }
+        schedule.registered("later", near ? "here" : "there", near);
+        List<Long> toldAt = new ArrayList<>(List.of(now));
+        for (int count = 0; count < 50; count++) {
+            for (ReportSchedule.Due due : round(7, 26)) {
+                if (due.relays().contains("later")) {
+                    toldAt.add(now);
+                }
+            }
+        }
+
+        for (int index = 1; index < toldAt.size(); index++) {
+            assertThat(toldAt.get(index) - toldAt.get(index - 1)).isLessThanOrEqualTo(1_000);
+        }
+        assertThat(toldAt).hasSizeGreaterThan(4);
+    }
 }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/PeerExchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/PeerExchange.java
@@ -11,6 +11,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -54,7 +55,7 @@
     private final CallLine registering;
     private final ReportSchedule schedule = new ReportSchedule();
     private final Map<String, InetSocketAddress> addresses = new HashMap<>();
-    private final Map<InetSocketAddress, String> names = new HashMap<>();
+    private final Map<InetSocketAddress, Set<String>> names = new HashMap<>();
     private long sequence;
 
     /** What this relay knows at first hand and tells others. */
@@ -159,7 +160,7 @@
         Address at = registered.peers();
         InetSocketAddress address = new InetSocketAddress(at.host(), at.port());
         addresses.put(relay, address);
-        names.put(address, relay);
+        names.computeIfAbsent(address, unseen -> new HashSet<>()).add(relay);
         boolean near = registered.failureDomain().equals(state.settings().failureDomain());
         schedule.registered(relay, registered.failureDomain(), near);
         state.log().info("peer_known", "peer", relay, "address", at.toString());
@@ -168,7 +169,7 @@
     private void forget(String relay) {
         InetSocketAddress address = addresses.remove(relay);
         if (address != null) {
-            names.remove(address, relay);
+            names.get(address).remove(relay);
         }
         schedule.gone(relay);
     }
@@ -266,8 +267,9 @@
         @Override
         protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
             state.metrics().peerMessageReceived();
-            String relay = names.get(packet.sender());
-            if (relay == null) {
+            // An address may have been another relay's, whose registration stays.
+            Set<String> relays = names.getOrDefault(packet.sender(), Set.of());
+            if (relays.isEmpty()) {
                 dropped(packet.sender(), "unknown_sender");
                 return;
             }
@@ -277,11 +279,11 @@
             } else if (message.get() instanceof PeerCodec.Message.News news) {
                 listener.news(news.news());
             } else if (message.get() instanceof PeerCodec.Message.Load load) {
-                if (load.load().relay().startsWith(relay)) {
-                    heard(relay, load.load());
-                } else {
-                    dropped(packet.sender(), "other_name");
-                }
+                relays.stream()
+                        .filter(load.load().relay()::startsWith)
+                        .findFirst()
+                        .ifPresentOrElse(
+                                relay -> heard(relay, load.load()), () -> dropped(packet.sender(), "other_name"));
             }
         }
 
