Log what stays the same of a request whose connection broke, and each target that ended

Callers saw engines end one after the other and lines couldn't tell whether the same request was at each of them: ids differ from call to call. Attempts that broke now carry a fingerprint of host, path, customer and body, and a line and a counter name each target that ended with the requests that were there. An end is told from a broken connection by a dial that is refused. Nothing is decided by it yet.

--- /dev/null
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/quarantine/RequestFingerprintTest.java
@@ -0,0 +1,49 @@
+package org.rattanrudder.core.quarantine;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.nio.charset.StandardCharsets;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class RequestFingerprintTest {
+    private static final byte[] BODY = "prompt".getBytes(StandardCharsets.UTF_8);
+    private static final RequestFingerprint REQUEST = RequestFingerprint.of("mine.example", "/check/1", "anna", BODY);
+
+    @Test
+    void isTheSameWheneverTheRequestComes() {
+        assertThat(RequestFingerprint.of("mine.example", "/check/1", "anna", BODY.clone()))
+                .isEqualTo(REQUEST);
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "other.example, /check/1, anna, prompt",
+        "mine.example, /check/2, anna, prompt",
+        "mine.example, /check/1, ben, prompt",
+        "mine.example, /check/1, anna, prompts",
+        "mine.example/, check/1, anna, prompt"
+    })
+    void isAnotherForAnotherRequest(String host, String path, String customer, String body) {
+        assertThat(RequestFingerprint.of(host, path, customer, body.getBytes(StandardCharsets.UTF_8)))
+                .isNotEqualTo(REQUEST);
+    }
+
+    @Property
+    void isReadFromItsDigits(@ForAll long first, @ForAll long second) {
+        RequestFingerprint fingerprint = new RequestFingerprint(first, second);
+
+        assertThat(RequestFingerprint.fromHex(fingerprint.toHex())).isEqualTo(fingerprint);
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"", "0123", "0123456789abcdef0123456789abcdeg", "0123456789abcdef0123456789abcdef0"})
+    void otherTextIsNoFingerprint(String text) {
+        assertThatThrownBy(() -> RequestFingerprint.fromHex(text)).isInstanceOf(IllegalArgumentException.class);
+    }
+}
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
@@ -22,6 +22,7 @@
 import org.rattanrudder.core.gateway.AttemptOutcome;
 import org.rattanrudder.core.gateway.AttemptRules;
 import org.rattanrudder.core.model.ErrorKind;
+import org.rattanrudder.core.quarantine.RequestFingerprint;
 import org.rattanrudder.daemon.relay.port.AnswerFacts;
 
 /**
@@ -324,7 +325,13 @@
         if (outcome.mayHaveRun()) {
             target.failed(after, state.now());
         }
-        log.failed(target.id(), outcome, reason, after, answer.began());
+        if (outcome == AttemptOutcome.BROKEN) {
+            RequestFingerprint request = plan.fingerprint(head.uri(), body);
+            log.broken(target.id(), reason, after, answer.began(), request);
+            state.crashes().broken(target, request);
+        } else {
+            log.failed(target.id(), outcome, reason, after, answer.began());
+        }
         endAttempt(outcome.name().toLowerCase(Locale.ROOT));
     }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/ExchangeLog.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/ExchangeLog.java
@@ -5,6 +5,7 @@
 import org.rattanrudder.core.fleet.Placement;
 import org.rattanrudder.core.fleet.Target;
 import org.rattanrudder.core.gateway.AttemptOutcome;
+import org.rattanrudder.core.quarantine.RequestFingerprint;
 
 /** Writes one line for each decision on a request, with its id and what decided it. */
 final class ExchangeLog {
@@ -71,6 +72,21 @@
     }
 
     void failed(String target, AttemptOutcome outcome, String reason, long afterMillis, boolean answerBegan) {
+        failed(target, outcome, reason, afterMillis, answerBegan, "none");
+    }
+
+    /** Writes the break of an attempt, with what is the same each time that its request comes. */
+    void broken(String target, String reason, long afterMillis, boolean answerBegan, RequestFingerprint fingerprint) {
+        failed(target, AttemptOutcome.BROKEN, reason, afterMillis, answerBegan, fingerprint.toHex());
+    }
+
+    private void failed(
+            String target,
+            AttemptOutcome outcome,
+            String reason,
+            long afterMillis,
+            boolean answerBegan,
+            String fingerprint) {
         state.log()
                 .info(
                         "attempt_failed",
@@ -85,7 +101,9 @@
                         "after_ms",
                         Long.toString(afterMillis),
                         "began",
-                        Boolean.toString(answerBegan));
+                        Boolean.toString(answerBegan),
+                        "fingerprint",
+                        fingerprint);
     }
 
     /**
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayMetrics.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayMetrics.java
@@ -21,6 +21,7 @@
     private final Counter attempts;
     private final Counter storeCalls;
     private final Counter unreadable;
+    private final Counter targetsCrashed;
     private final Counter parts;
     private final Counter peerMessagesDropped;
     private final CounterDataPoint peerMessagesSent;
@@ -37,6 +38,8 @@
                 "rattanrudder_relay_records_unreadable",
                 "Records of the platform's store that couldn't be read",
                 "topic");
+        targetsCrashed = counter(
+                "rattanrudder_relay_targets_crashed", "Targets that ended in the middle of requests", "service");
         parts = counter("rattanrudder_relay_parts", "Shared parts of prompts, by what was planned for them", "plan");
         peerMessagesDropped = counter(
                 "rattanrudder_relay_peer_messages_dropped",
@@ -87,6 +90,10 @@
         unreadable.labelValues(topic).inc();
     }
 
+    void targetCrashed(String service) {
+        targetsCrashed.labelValues(service).inc();
+    }
+
     void peerMessageSent() {
         peerMessagesSent.inc();
     }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
@@ -26,6 +26,7 @@
 import org.rattanrudder.core.gateway.ContextStore;
 import org.rattanrudder.core.model.Address;
 import org.rattanrudder.core.parts.SharedNews;
+import org.rattanrudder.core.quarantine.RequestFingerprint;
 import org.rattanrudder.core.rollout.NamedVersions;
 import org.rattanrudder.daemon.logging.EventLog;
 import org.rattanrudder.daemon.loop.Closer;
@@ -53,6 +54,7 @@
     static final long SWEEP_MILLIS = 500;
 
     private static final double MILLIS_PER_SECOND = 1_000;
+    private static final int FINGERPRINTS_LOGGED = 8;
 
     private final Closer closer = new Closer();
     private final RelayState state;
@@ -83,6 +85,7 @@
         state = new RelayState(
                 settings, platform, loop, RelayChannels.connector(group), log, new RelayMetrics(), random);
         pools = new TargetPools(state.connector(), loop, platform.requests(), state::now, new Reached());
+        state.crashes().use(pools::probe, this::crashed);
         outdated = new OutdatedParts(state, stores);
         stop = new RelayStop(state, callers, this::sweep);
         gauges();
@@ -310,6 +313,24 @@
         }
     }
 
+    private void crashed(Target target, Set<RequestFingerprint> requests) {
+        state.metrics().targetCrashed(target.entry().service());
+        state.log()
+                .warn(
+                        "target_crashed",
+                        "target",
+                        target.id(),
+                        "service",
+                        target.entry().service(),
+                        "requests",
+                        Integer.toString(requests.size()),
+                        "fingerprints",
+                        requests.stream()
+                                .limit(FINGERPRINTS_LOGGED)
+                                .map(RequestFingerprint::toHex)
+                                .collect(Collectors.joining(",")));
+    }
+
     private void sweep() {
         long now = state.now();
         state.lag().ran(now);
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
@@ -50,6 +50,7 @@
     private final long relayHash;
     private final WorkNews workNews;
     private final FetchNews fetchNews = new FetchNews();
+    private final CrashWatch crashes;
     private boolean draining;
     private long drainingSince;
     private boolean stopping;
@@ -74,6 +75,7 @@
         directory = new PartDirectory();
         relayHash = Hashing.of(settings.instance());
         workNews = new WorkNews(loop);
+        crashes = new CrashWatch(loop);
         lag = new LoopLag(now(), RelayProcess.SWEEP_MILLIS);
     }
 
@@ -132,6 +134,11 @@
         return fetchNews;
     }
 
+    /** Returns what tells ends of targets. */
+    CrashWatch crashes() {
+        return crashes;
+    }
+
     EventLog log() {
         return log;
     }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RequestPlan.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RequestPlan.java
@@ -1,5 +1,7 @@
 package org.rattanrudder.daemon.relay;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
@@ -16,6 +18,7 @@
 import org.rattanrudder.core.gateway.ServingConfiguration.Admittance;
 import org.rattanrudder.core.parts.PartKey;
 import org.rattanrudder.core.parts.PartPlan;
+import org.rattanrudder.core.quarantine.RequestFingerprint;
 import org.rattanrudder.core.routing.Hashing;
 import org.rattanrudder.daemon.relay.port.Forwarding;
 
@@ -115,6 +118,12 @@
         return deadlineAt - state.now();
     }
 
+    /** Returns what is the same whenever the request comes. */
+    RequestFingerprint fingerprint(String path, ByteBuf body) {
+        String name = customer.map(CustomerIdentity::name).orElse("");
+        return RequestFingerprint.of(facts.host(), path, name, ByteBufUtil.getBytes(body));
+    }
+
     /** Returns the memory that it takes over its run, in tokens: its prompt, and half of its output on average. */
     int tokens() {
         return facts.promptTokens() + facts.outputTokens() / 2;
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TargetPools.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TargetPools.java
@@ -120,7 +120,7 @@
             connection.abort();
         }
         Claim claim = new Claim(then);
-        dial(target, pool, claim);
+        dial(target, pool, claim, found -> {});
         SilenceTimer.start(loop, () -> giveUp(target, claim), patience.millis());
     }
 
@@ -131,8 +131,13 @@
         }
     }
 
+    /** Dials a target without a request, however lately it was dialled, and tells what was found. */
+    void probe(Target target, Consumer<Dialled> then) {
+        dial(target, pools.computeIfAbsent(target, unseen -> new Pool()), new Claim(null), then);
+    }
+
     private void dialAlone(Target target) {
-        dial(target, pools.computeIfAbsent(target, unseen -> new Pool()), new Claim(null));
+        probe(target, found -> {});
     }
 
     private static void giveUp(Target target, Claim claim) {
@@ -148,7 +153,7 @@
         return nowMillis - connection.idleSince() < limit;
     }
 
-    private void dial(Target target, Pool pool, Claim claim) {
+    private void dial(Target target, Pool pool, Claim claim, Consumer<Dialled> then) {
         Address address = target.entry().address();
         long began = clock.getAsLong();
         target.dialling(began);
@@ -170,6 +175,7 @@
                     } else {
                         notOpened(target, pool, claim);
                     }
+                    then.accept(Dialled.of(opened));
                 });
     }
 
