Quarantine a request under which three targets have ended, at all relays

Callers saw engines end one after the other: one request ended each that began it, its caller asked again at any relay, and fifteen engines ended under it.

Cause: all bounds on repeats hold for one call at one relay (targets tried, attempts, retry budget), and nothing knew a request again when it came under another id. A fault that comes with the request was treated as the target's.

Relays now tell the end of a target from a broken connection, hold it against the requests that were there, and share it through the platform's store. A request that was at three ends and that none has answered since is refused at once, as not run, for an hour; after that the next end quarantines it anew. The record outlives restarts and losses of power. Within one call it isn't repeated where the attempt that broke may have been the third end. A target's answer clears a request, so what many ask for isn't held back for having stood beside.

Ruled out: repeats of our own (each of the thirteen was sent once), ends for another reason (one request was at each).

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/burn/Judgement.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/burn/Judgement.java
@@ -39,6 +39,7 @@
                     KEY_REUSED,
                     CUSTOMER_OVER_SHARE,
                     HEADERS_TOO_LARGE,
+                    REQUEST_QUARANTINED,
                     REVISION_CONFLICT,
                     INVALID_DOCUMENT -> EXCLUDED;
             // A caller that left after the objective had passed has left since the answer was late.
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/RelayLoad.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/RelayLoad.java
@@ -62,8 +62,9 @@
      * @param wishes the offset up to which it has read what operators want
      * @param targetsChanged the offset after the last change of a target that matters: come, leaving, gone, other
      *     weights
+     * @param quarantine the offset up to which it has read, or written, what is held against requests
      */
-    public record ReadTo(long wishes, long targetsChanged) {}
+    public record ReadTo(long wishes, long targetsChanged, long quarantine) {}
 
     /**
      * The weights that a target serves.
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/model/ErrorKind.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/model/ErrorKind.java
@@ -44,6 +44,8 @@
     VERSION_CHANGED(503, RunState.NOT_RUN, RetryAdvice.AT_ONCE, Severity.INFO),
     /** The companion no longer knows the attempt's addressee: it was restarted or never held the target. */
     STALE_INCARNATION(503, RunState.NOT_RUN, RetryAdvice.AT_ONCE, Severity.INFO),
+    /** Several targets ended while they ran this very request; it is sent to no further ones for a while. */
+    REQUEST_QUARANTINED(503, RunState.NOT_RUN, RetryAdvice.LATER, Severity.WARN),
     /** The target couldn't be reached: nothing was sent. */
     TARGET_UNREACHABLE(503, RunState.NOT_RUN, RetryAdvice.LATER, Severity.WARN),
     /** The target failed after the request was sent. */
--- /dev/null
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/quarantine/Quarantine.java
@@ -0,0 +1,206 @@
+package org.rattanrudder.core.quarantine;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Keeps a request that ends each target which runs it from further targets.
+ *
+ * <p>When a target ends, nothing tells which of its requests was the cause. The cause is there each time, while the
+ * others are answered by another target sooner or later. So a request is quarantined if it was at several targets when
+ * they ended and none has answered it. Other relays report what they saw, in any order, late or twice, and keep a
+ * record of what is quarantined.
+ *
+ * <pre>{@code
+ * quarantine.crashed(crash, true, now);
+ * OptionalLong left = quarantine.leftMillis(fingerprint, now);
+ * }</pre>
+ *
+ * <p>All times are milliseconds of one steady clock.
+ */
+public final class Quarantine {
+    /** Ends of targets after which a request is quarantined: fewer may befall one that only ran beside the cause. */
+    public static final int CRASHES = 3;
+
+    /** How long a request is quarantined, and how long the last end of a target is held against it, in ms. */
+    public static final long KEPT_MILLIS = TimeUnit.HOURS.toMillis(1);
+
+    /** The most requests that are suspected at once; those whose last end was longest ago give way. */
+    static final int MOST_SUSPECTS = 20_000;
+
+    /** By the time of the last end, the oldest first. */
+    private final Map<RequestFingerprint, Suspect> suspects = new LinkedHashMap<>();
+
+    private final Map<RequestFingerprint, Held> held = new HashMap<>();
+    private final Set<RequestFingerprint> outdatedRecords = new HashSet<>();
+
+    /** One start of a target. */
+    private record Start(String target, long startedAt) {}
+
+    private static final class Suspect {
+        private final Set<Start> crashes = new HashSet<>();
+        private int crashesBefore;
+        private boolean seenHere;
+        private long lastAt;
+
+        int crashes() {
+            return crashesBefore + crashes.size();
+        }
+    }
+
+    private static final class Held {
+        private final long since;
+        private boolean keepsRecord;
+        private boolean recorded;
+
+        Held(long since, boolean keepsRecord) {
+            this.since = since;
+            this.keepsRecord = keepsRecord;
+        }
+    }
+
+    /**
+     * Notes the end of a target.
+     *
+     * @param seenHere whether this relay saw it itself: those that did write and remove the record
+     */
+    public void crashed(TargetCrash crash, boolean seenHere, long nowMillis) {
+        Start start = new Start(crash.target(), crash.startedAt());
+        crash.requests().stream()
+                .filter(request -> !held.containsKey(request))
+                .forEach(request -> suspect(request, start, seenHere, nowMillis));
+        Iterator<RequestFingerprint> oldest = suspects.keySet().iterator();
+        while (suspects.size() > MOST_SUSPECTS) {
+            oldest.next();
+            oldest.remove();
+        }
+    }
+
+    private void suspect(RequestFingerprint request, Start start, boolean seenHere, long nowMillis) {
+        Suspect suspect = moved(request, nowMillis);
+        suspect.crashes.add(start);
+        suspect.seenHere |= seenHere;
+        if (suspect.crashes() >= CRASHES) {
+            suspects.remove(request);
+            held.put(request, new Held(nowMillis, suspect.seenHere));
+        }
+    }
+
+    /** Returns what is held against a request, put behind all others. */
+    private Suspect moved(RequestFingerprint request, long nowMillis) {
+        Suspect known = suspects.remove(request);
+        Suspect suspect = known == null ? new Suspect() : known;
+        suspect.lastAt = nowMillis;
+        suspects.put(request, suspect);
+        return suspect;
+    }
+
+    /**
+     * Notes a record that a request is quarantined.
+     *
+     * @param foundAtStart whether it was there before this relay: nobody may be left who removes it
+     */
+    public void recorded(RequestFingerprint request, boolean foundAtStart, long nowMillis) {
+        if (outdatedRecords.contains(request)) {
+            return;
+        }
+        suspects.remove(request);
+        Held known = held.computeIfAbsent(request, unseen -> new Held(nowMillis, foundAtStart));
+        known.recorded = true;
+    }
+
+    /** Notes that this relay has recorded a request; one that was answered meanwhile must not stay recorded. */
+    public void written(RequestFingerprint request) {
+        Held known = held.get(request);
+        if (known == null) {
+            outdatedRecords.add(request);
+        } else {
+            known.recorded = true;
+        }
+    }
+
+    /** Notes that the record of a request was removed: it may be sent again, and the next end quarantines it anew. */
+    public void removed(RequestFingerprint request, long nowMillis) {
+        outdatedRecords.remove(request);
+        if (held.remove(request) != null) {
+            moved(request, nowMillis).crashesBefore = CRASHES - 1;
+        }
+    }
+
+    /** Notes the requests of which there are records: what others have lost is written again. */
+    public void listed(Set<RequestFingerprint> recorded) {
+        held.forEach((request, known) -> known.recorded = recorded.contains(request));
+    }
+
+    /** Notes that a target has answered a request, which so is no cause of any end. */
+    public void answered(RequestFingerprint request) {
+        suspects.remove(request);
+        Held known = held.remove(request);
+        if (known != null && known.recorded) {
+            outdatedRecords.add(request);
+        }
+    }
+
+    /** Lets go what has been held for long enough. */
+    public void expire(long nowMillis) {
+        suspects.values().removeIf(suspect -> nowMillis - suspect.lastAt >= KEPT_MILLIS);
+        for (RequestFingerprint request : List.copyOf(held.keySet())) {
+            Held known = held.get(request);
+            if (nowMillis - known.since >= KEPT_MILLIS) {
+                removed(request, nowMillis);
+                if (known.recorded && known.keepsRecord) {
+                    outdatedRecords.add(request);
+                }
+            }
+        }
+    }
+
+    /** Returns for how much longer a request is quarantined, in ms; empty if it isn't. */
+    public OptionalLong leftMillis(RequestFingerprint request, long nowMillis) {
+        Held known = held.get(request);
+        return known == null
+                ? OptionalLong.empty()
+                : OptionalLong.of(Math.max(0, known.since + KEPT_MILLIS - nowMillis));
+    }
+
+    /** Returns whether the next end of a target under a request would quarantine it. */
+    public boolean isLastChance(RequestFingerprint request) {
+        Suspect suspect = suspects.get(request);
+        return suspect != null && suspect.crashes() >= CRASHES - 1;
+    }
+
+    /** Returns whether nothing is held against any request. */
+    public boolean isEmpty() {
+        return suspects.isEmpty() && held.isEmpty();
+    }
+
+    /** Returns how many requests are suspected. */
+    public int suspected() {
+        return suspects.size();
+    }
+
+    /** Returns how many requests are quarantined. */
+    public int quarantined() {
+        return held.size();
+    }
+
+    /** Returns the requests whose quarantine this relay has to record. */
+    public List<RequestFingerprint> unrecorded() {
+        return held.entrySet().stream()
+                .filter(entry -> entry.getValue().keepsRecord && !entry.getValue().recorded)
+                .map(Map.Entry::getKey)
+                .toList();
+    }
+
+    /** Returns the requests whose record this relay has to remove. */
+    public List<RequestFingerprint> outdatedRecords() {
+        return List.copyOf(outdatedRecords);
+    }
+}
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/PeerLoadsTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/PeerLoadsTest.java
@@ -147,7 +147,7 @@
                         List.of("i-1"),
                         List.of(),
                         true,
-                        new ReadTo(0, 0),
+                        new ReadTo(0, 0, 0),
                         List.of(),
                         0),
                 NOW);
@@ -192,7 +192,7 @@
                         List.of(),
                         List.of(),
                         true,
-                        new ReadTo(0, 0),
+                        new ReadTo(0, 0, 0),
                         List.of(),
                         0),
                 NOW);
@@ -241,10 +241,10 @@
     }
 
     private static RelayLoad load(String relay, long sequence, TargetLoad... targets) {
-        return RelayLoad.ofWork(relay, sequence, true, List.of(targets), true, new ReadTo(0, 0));
+        return RelayLoad.ofWork(relay, sequence, true, List.of(targets), true, new ReadTo(0, 0, 0));
     }
 
     private static RelayLoad sent(String relay, long sequence, TargetLoad... targets) {
-        return RelayLoad.ofWork(relay, sequence, false, List.of(targets), true, new ReadTo(0, 0));
+        return RelayLoad.ofWork(relay, sequence, false, List.of(targets), true, new ReadTo(0, 0, 0));
     }
 }
--- /dev/null
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/quarantine/QuarantineTest.java
@@ -0,0 +1,174 @@
+package org.rattanrudder.core.quarantine;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+class QuarantineTest {
+    private static final RequestFingerprint CAUSE = new RequestFingerprint(1, 1);
+    private static final RequestFingerprint OTHER = new RequestFingerprint(2, 2);
+    private static final long NOW = 1_000_000;
+
+    private final Quarantine quarantine = new Quarantine();
+
+    private static TargetCrash crash(int target, RequestFingerprint... requests) {
+        return new TargetCrash("i-" + target, 1, Set.of(requests));
+    }
+
+    private void crashes(int count, RequestFingerprint request) {
+        for (int target = 0; target < count; target++) {
+            quarantine.crashed(crash(target, request), true, NOW);
+        }
+    }
+
+    private boolean isHeld(RequestFingerprint request) {
+        return quarantine.leftMillis(request, NOW).isPresent();
+    }
+
+    @Test
+    void theThirdEndQuarantines() {
+        crashes(2, CAUSE);
+        assertThat(isHeld(CAUSE)).isFalse();
+        assertThat(quarantine.isLastChance(CAUSE)).isTrue();
+
+        quarantine.crashed(crash(2, CAUSE, OTHER), true, NOW);
+
+        assertThat(quarantine.leftMillis(CAUSE, NOW + 10)).hasValue(Quarantine.KEPT_MILLIS - 10);
+        assertThat(isHeld(OTHER)).isFalse();
+        assertThat(quarantine.unrecorded()).containsExactly(CAUSE);
+    }
+
+    @Test
+    void oneEndThatSeveralRelaysReportCountsOnce() {
+        quarantine.crashed(crash(0, CAUSE), true, NOW);
+        quarantine.crashed(crash(0, CAUSE), false, NOW);
+        quarantine.crashed(crash(0, CAUSE), false, NOW);
+
+        assertThat(isHeld(CAUSE)).isFalse();
+    }
+
+    @Test
+    void anotherStartOfATargetIsAnotherEnd() {
+        for (int start = 1; start <= Quarantine.CRASHES; start++) {
+            quarantine.crashed(new TargetCrash("i-1", start, Set.of(CAUSE)), true, NOW);
+        }
+
+        assertThat(isHeld(CAUSE)).isTrue();
+    }
+
+    @Test
+    void whatIsAnsweredIsNoCause() {
+        crashes(2, CAUSE);
+        quarantine.answered(CAUSE);
+        quarantine.crashed(crash(2, CAUSE), true, NOW);
+        quarantine.crashed(crash(3, CAUSE), true, NOW);
+
+        assertThat(isHeld(CAUSE)).isFalse();
+    }
+
+    @Test
+    void anAnswerOfOneThatWasSentBeforeEndsTheQuarantine() {
+        crashes(3, CAUSE);
+        quarantine.recorded(CAUSE, false, NOW);
+
+        quarantine.answered(CAUSE);
+
+        assertThat(isHeld(CAUSE)).isFalse();
+        assertThat(quarantine.outdatedRecords()).containsExactly(CAUSE);
+    }
+
+    @Test
+    void oneEndQuarantinesAnewAfterItsTime() {
+        crashes(3, CAUSE);
+        quarantine.recorded(CAUSE, false, NOW);
+        quarantine.expire(NOW + Quarantine.KEPT_MILLIS);
+        assertThat(isHeld(CAUSE)).isFalse();
+        assertThat(quarantine.outdatedRecords()).containsExactly(CAUSE);
+        quarantine.removed(CAUSE, NOW + Quarantine.KEPT_MILLIS);
+        assertThat(quarantine.outdatedRecords()).isEmpty();
+
+        quarantine.crashed(crash(9, CAUSE), true, NOW + Quarantine.KEPT_MILLIS);
+
+        assertThat(isHeld(CAUSE)).isTrue();
+    }
+
+    @Test
+    void whoHasSeenNoEndLeavesTheRecordToOthers() {
+        for (int target = 0; target < Quarantine.CRASHES; target++) {
+            quarantine.crashed(crash(target, CAUSE), false, NOW);
+        }
+        assertThat(isHeld(CAUSE)).isTrue();
+        assertThat(quarantine.unrecorded()).isEmpty();
+
+        quarantine.recorded(CAUSE, false, NOW);
+        quarantine.expire(NOW + Quarantine.KEPT_MILLIS);
+
+        assertThat(quarantine.outdatedRecords()).isEmpty();
+    }
+
+    @Test
+    void aRecordThatWasThereBeforeIsRemovedInTheEnd() {
+        quarantine.recorded(CAUSE, true, NOW);
+        quarantine.expire(NOW + Quarantine.KEPT_MILLIS);
+
+        assertThat(quarantine.outdatedRecords()).containsExactly(CAUSE);
+    }
+
+    @Test
+    void aRecordThatIsLostIsWrittenAgain() {
+        crashes(3, CAUSE);
+        quarantine.recorded(CAUSE, false, NOW);
+        assertThat(quarantine.unrecorded()).isEmpty();
+
+        quarantine.listed(Set.of());
+
+        assertThat(quarantine.unrecorded()).containsExactly(CAUSE);
+    }
+
+    @Test
+    void suspicionEnds() {
+        crashes(2, CAUSE);
+        quarantine.expire(NOW + Quarantine.KEPT_MILLIS);
+
+        assertThat(quarantine.isEmpty()).isTrue();
+    }
+
+    @Test
+    void suspectsAreBounded() {
+        for (int request = 0; request <= Quarantine.MOST_SUSPECTS; request++) {
+            quarantine.crashed(crash(0, new RequestFingerprint(request, request)), true, NOW);
+        }
+
+        assertThat(quarantine.suspected()).isEqualTo(Quarantine.MOST_SUSPECTS);
+        assertThat(quarantine.isEmpty()).isFalse();
+    }
+
+    /** Reports of several relays come in any order, twice and late; what follows is the same at each of them. */
+    @Property
+    void theOrderOfReportsDecidesNothing(
+            @ForAll @IntRange(max = 5) int ends, @ForAll @IntRange(min = 1, max = 4) int relays, @ForAll long seed) {
+        List<TargetCrash> reports = new ArrayList<>();
+        for (int target = 0; target < ends; target++) {
+            for (int relay = 0; relay < relays; relay++) {
+                RequestFingerprint bystander = new RequestFingerprint(target, relay + 10);
+                reports.add(relay == target % relays ? crash(target, bystander, CAUSE) : crash(target, bystander));
+            }
+        }
+        reports.addAll(List.copyOf(reports));
+        Collections.shuffle(reports, new Random(seed));
+
+        Quarantine shuffled = new Quarantine();
+        reports.forEach(report -> shuffled.crashed(report, false, NOW));
+
+        assertThat(shuffled.leftMillis(CAUSE, NOW).isPresent()).isEqualTo(ends >= Quarantine.CRASHES);
+        assertThat(shuffled.quarantined()).isLessThanOrEqualTo(1);
+    }
+}
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/AnswerWriter.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/AnswerWriter.java
@@ -44,7 +44,15 @@
      * @param leftMillis the time that its caller still has; 0 if unknown
      */
     boolean error(HttpRequest head, ErrorKind error, String requestId, long leftMillis) {
-        DefaultFullHttpResponse response = ownAnswers.error(error, requestId, leftMillis);
+        return own(head, ownAnswers.error(error, requestId, leftMillis));
+    }
+
+    /** Answers with an error of our own that holds for so long, in ms, whenever the caller comes back. */
+    boolean errorFor(HttpRequest head, ErrorKind error, String requestId, long millis) {
+        return own(head, ownAnswers.errorFor(error, requestId, millis));
+    }
+
+    private boolean own(HttpRequest head, DefaultFullHttpResponse response) {
         boolean keep = persist(head, response);
         context.writeAndFlush(response);
         return keep;
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/CallerConnection.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/CallerConnection.java
@@ -257,6 +257,11 @@
         closing |= !answers.error(head, error, requestId, leftMillis);
     }
 
+    /** Answers with an error of our own that holds for so long, in ms, whenever the caller comes back. */
+    void refuseFor(ErrorKind error, String requestId, long millis) {
+        closing |= !answers.errorFor(head, error, requestId, millis);
+    }
+
     /** Answers with a target's answer that is whole. */
     void answer(HttpResponse from, HttpHeaders headers, ByteBuf content) {
         closing |= !answers.whole(head, from, headers, content);
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.rattanrudder.core.fleet.Placement;
@@ -22,7 +23,6 @@
 import org.rattanrudder.core.gateway.AttemptOutcome;
 import org.rattanrudder.core.gateway.AttemptRules;
 import org.rattanrudder.core.model.ErrorKind;
-import org.rattanrudder.core.quarantine.RequestFingerprint;
 import org.rattanrudder.daemon.relay.port.AnswerFacts;
 
 /**
@@ -42,6 +42,7 @@
     private final AnswerRelay answer;
     private final ExchangeLog log;
     private final LineWait wait;
+    private final QuarantineCheck quarantine;
     private final Set<String> tried = new HashSet<>();
     private ScheduledFuture<?> deadline;
     private SilenceWatch silence;
@@ -73,6 +74,7 @@
                 () -> state.metrics().firstByte(plan.route().name(), state.now() - plan.arrivedAt()));
         log = new ExchangeLog(state, plan);
         wait = new LineWait(state, plan, this, log);
+        quarantine = new QuarantineCheck(state, plan, head.uri(), body);
     }
 
     /** Begins: the request is whole and may be served. */
@@ -82,7 +84,27 @@
         }
         long left = Math.max(1, plan.left() - ANSWER_MARGIN_MILLIS);
         deadline = state.loop().schedule(this::deadlineReached, left, TimeUnit.MILLISECONDS);
-        place();
+        if (!refuseIfQuarantined()) {
+            place();
+        }
+    }
+
+    /** Ends the request if targets have ended under it; returns whether it did. */
+    private boolean refuseIfQuarantined() {
+        OptionalLong left = quarantine.leftMillis();
+        if (left.isEmpty()) {
+            return false;
+        }
+        String reason = "quarantined as " + quarantine.fingerprint();
+        if (answer.began()) {
+            breakOff(reason);
+        } else if (runs > 0) {
+            end(ErrorKind.TARGET_FAILED, reason);
+        } else {
+            caller.refuseFor(ErrorKind.REQUEST_QUARANTINED, plan.id(), left.getAsLong());
+            finished(ErrorKind.REQUEST_QUARANTINED.wireName(), reason);
+        }
+        return true;
     }
 
     /** Sends the request to an engine with room, or waits in line for one; other services take it at once. */
@@ -138,6 +160,9 @@
     }
 
     private void sendTo(Placement.Choice choice) {
+        if (refuseIfQuarantined()) {
+            return;
+        }
         Target target = choice.target();
         tried.add(target.id());
         log.placed(choice, tried.size());
@@ -269,6 +294,7 @@
         if (answer.status() >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code()) {
             target.failed(0, now);
         } else {
+            quarantine.answered();
             long taken = plan.route().repeat().stream() ? attempt.firstPieceMillis() : now - attempt.sentAt();
             target.succeeded(taken - plan.expectedFirstMillis(), now);
         }
@@ -303,7 +329,7 @@
             unrunSends++;
         }
         boolean useful = outcome != AttemptOutcome.REJECTED || isAnotherLeft();
-        boolean allowed = useful && AttemptRules.mayRetry(progress(0), outcome);
+        boolean allowed = useful && AttemptRules.mayRetry(progress(0), outcome) && !quarantine.mayHaveBeenLast(outcome);
         if (allowed && (!counted || state.tryRepeat(plan.service()))) {
             place();
         } else if (answer.began()) {
@@ -326,9 +352,8 @@
             target.failed(after, state.now());
         }
         if (outcome == AttemptOutcome.BROKEN) {
-            RequestFingerprint request = plan.fingerprint(head.uri(), body);
-            log.broken(target.id(), reason, after, answer.began(), request);
-            state.crashes().broken(target, request);
+            log.broken(target.id(), reason, after, answer.began(), quarantine.fingerprint());
+            quarantine.broken(target);
         } else {
             log.failed(target.id(), outcome, reason, after, answer.began());
         }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/OwnAnswers.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/OwnAnswers.java
@@ -40,22 +40,38 @@
      * @param leftMillis the time that its caller still has; 0 if unknown
      */
     DefaultFullHttpResponse error(ErrorKind error, String requestId, long leftMillis) {
+        DefaultFullHttpResponse response = error(error, requestId);
+        ErrorKind.RetryAdvice advice = error.retryAdvice();
+        if (advice == ErrorKind.RetryAdvice.LATER || advice == ErrorKind.RetryAdvice.AT_ONCE) {
+            response.headers().set(HttpHeaderNames.RETRY_AFTER, returnAfter(leftMillis));
+        }
+        return response;
+    }
+
+    /** Returns the answer to a request that won't be served for so long, in ms, whenever its caller comes back. */
+    DefaultFullHttpResponse errorFor(ErrorKind error, String requestId, long millis) {
+        DefaultFullHttpResponse response = error(error, requestId);
+        response.headers().set(HttpHeaderNames.RETRY_AFTER, seconds(millis));
+        return response;
+    }
+
+    private DefaultFullHttpResponse error(ErrorKind error, String requestId) {
         byte[] text = ("{\"error\":{\"kind\":\"" + error.wireName() + "\"}}\n").getBytes(StandardCharsets.UTF_8);
         DefaultFullHttpResponse response = new DefaultFullHttpResponse(
                 HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(error.status()), Unpooled.wrappedBuffer(text));
         response.headers().set(dialect.ownAnswer(requestId));
         response.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
         HttpUtil.setContentLength(response, text.length);
-        ErrorKind.RetryAdvice advice = error.retryAdvice();
-        if (advice == ErrorKind.RetryAdvice.LATER || advice == ErrorKind.RetryAdvice.AT_ONCE) {
-            response.headers().set(HttpHeaderNames.RETRY_AFTER, returnAfter(leftMillis));
-        }
         return response;
     }
 
     private String returnAfter(long leftMillis) {
         double drawn = SHORTEST_RETURN_MILLIS + random.nextDouble() * (LONGEST_RETURN_MILLIS - SHORTEST_RETURN_MILLIS);
         double millis = leftMillis > 0 ? Math.min(drawn, leftMillis * RETURN_SHARE) : drawn;
+        return seconds(millis);
+    }
+
+    private static String seconds(double millis) {
         return String.format(Locale.ROOT, "%.3f", millis / MILLIS_PER_SECOND);
     }
 }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Rehearsal.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Rehearsal.java
@@ -76,7 +76,7 @@
                         true,
                         List.of(new RelayLoad.TargetLoad("target", 1, 1, 1)),
                         true,
-                        new RelayLoad.ReadTo(1, 1))
+                        new RelayLoad.ReadTo(1, 1, 1))
                 .every(ReportSchedule.ROUND_MILLIS, List.of(StoreLateness.of(new Address("127.0.0.1", 1), 1)));
         PeerCodec.read(PeerCodec.write(load));
         StoreNews news = new StoreNews(
@@ -152,7 +152,7 @@
     }
 
     private static boolean isOfRelays(String name) {
-        return name.matches(".*/(gateway|fleet|parts|rollout|relay|port|peer|platform)/[A-Z][^/]*"
+        return name.matches(".*/(gateway|fleet|parts|quarantine|rollout|relay|port|peer|platform)/[A-Z][^/]*"
                 + "|.*/daemon/(Signals|Settings)[^/]*");
     }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
@@ -26,7 +26,6 @@
 import org.rattanrudder.core.gateway.ContextStore;
 import org.rattanrudder.core.model.Address;
 import org.rattanrudder.core.parts.SharedNews;
-import org.rattanrudder.core.quarantine.RequestFingerprint;
 import org.rattanrudder.core.rollout.NamedVersions;
 import org.rattanrudder.daemon.logging.EventLog;
 import org.rattanrudder.daemon.loop.Closer;
@@ -54,7 +53,6 @@
     static final long SWEEP_MILLIS = 500;
 
     private static final double MILLIS_PER_SECOND = 1_000;
-    private static final int FINGERPRINTS_LOGGED = 8;
 
     private final Closer closer = new Closer();
     private final RelayState state;
@@ -64,6 +62,7 @@
     private final TopicFollower targets;
     private final PeerExchange peers;
     private final OrderGiver orders;
+    private final QuarantineExchange quarantine;
     private final EventLoop loop;
     private final Set<CallerConnection> callers = new HashSet<>();
     private final Map<Address, StoreWatch> stores = new HashMap<>();
@@ -85,7 +84,6 @@
         state = new RelayState(
                 settings, platform, loop, RelayChannels.connector(group), log, new RelayMetrics(), random);
         pools = new TargetPools(state.connector(), loop, platform.requests(), state::now, new Reached());
-        state.crashes().use(pools::probe, this::crashed);
         outdated = new OutdatedParts(state, stores);
         stop = new RelayStop(state, callers, this::sweep);
         gauges();
@@ -101,6 +99,8 @@
                 true,
                 new Targets());
         orders = new OrderGiver(state, incarnation);
+        quarantine = closer.add(new QuarantineExchange(state));
+        state.crashes().use(pools::probe, quarantine::crashed);
         peers = closer.add(
                 new PeerExchange(state, new Bootstrap().group(group), incarnation, new OwnNews(), new PeerNews()));
         loop.execute(this::begin);
@@ -123,6 +123,7 @@
         targets.start();
         peers.start();
         orders.start();
+        quarantine.start();
         closer.add(new StepTimer(loop)).every(this::sweep, SWEEP_MILLIS);
     }
 
@@ -140,7 +141,7 @@
 
         @Override
         public ReadTo readTo() {
-            return new ReadTo(wishes.readTo(), targetsChangedTo);
+            return new ReadTo(wishes.readTo(), targetsChangedTo, quarantine.readTo());
         }
     }
 
@@ -158,6 +159,7 @@
         public void readTo(ReadTo others) {
             wishes.hint(others.wishes());
             targets.hint(others.targetsChanged());
+            quarantine.hint(others.quarantine());
         }
 
         @Override
@@ -313,24 +315,6 @@
         }
     }
 
-    private void crashed(Target target, Set<RequestFingerprint> requests) {
-        state.metrics().targetCrashed(target.entry().service());
-        state.log()
-                .warn(
-                        "target_crashed",
-                        "target",
-                        target.id(),
-                        "service",
-                        target.entry().service(),
-                        "requests",
-                        Integer.toString(requests.size()),
-                        "fingerprints",
-                        requests.stream()
-                                .limit(FINGERPRINTS_LOGGED)
-                                .map(RequestFingerprint::toHex)
-                                .collect(Collectors.joining(",")));
-    }
-
     private void sweep() {
         long now = state.now();
         state.lag().ran(now);
@@ -344,6 +328,7 @@
         }
         pools.sweep(Set.copyOf(state.fleet().all(now)), now);
         outdated.free(now);
+        quarantine.sweep();
         stop.look(now);
     }
 
@@ -377,6 +362,16 @@
                         "rattanrudder_relay_targets",
                         "Targets that are known",
                         () -> state.fleet().all(state.now()).size());
+        state.metrics()
+                .gauge(
+                        "rattanrudder_relay_requests_suspected",
+                        "Requests that were at a target when it ended",
+                        () -> state.quarantine().suspected());
+        state.metrics()
+                .gauge(
+                        "rattanrudder_relay_requests_quarantined",
+                        "Requests that are sent to no target, since several ended under them",
+                        () -> state.quarantine().quarantined());
         double startedAt = System.currentTimeMillis() / MILLIS_PER_SECOND;
         state.metrics()
                 .gauge(
@@ -398,6 +393,7 @@
             if (!state.store().equals(before)) {
                 wishes.reconnect();
                 targets.reconnect();
+                quarantine.reconnect();
             }
         });
     }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
@@ -19,6 +19,7 @@
 import org.rattanrudder.core.gateway.StopRules;
 import org.rattanrudder.core.model.Address;
 import org.rattanrudder.core.parts.PartDirectory;
+import org.rattanrudder.core.quarantine.Quarantine;
 import org.rattanrudder.core.rollout.NamedVersions;
 import org.rattanrudder.core.routing.Hashing;
 import org.rattanrudder.daemon.logging.EventLog;
@@ -51,6 +52,7 @@
     private final WorkNews workNews;
     private final FetchNews fetchNews = new FetchNews();
     private final CrashWatch crashes;
+    private final Quarantine quarantine = new Quarantine();
     private boolean draining;
     private long drainingSince;
     private boolean stopping;
@@ -139,6 +141,11 @@
         return crashes;
     }
 
+    /** Returns what is held against requests. */
+    Quarantine quarantine() {
+        return quarantine;
+    }
+
     EventLog log() {
         return log;
     }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/port/StoreDialect.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/port/StoreDialect.java
@@ -1,5 +1,6 @@
 package org.rattanrudder.daemon.relay.port;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.rattanrudder.core.fleet.TargetEntry;
@@ -17,7 +18,9 @@
         /** The lease of the process that gives orders. */
         ORDERS,
         /** Where the relays hear of each other. */
-        RELAYS
+        RELAYS,
+        /** What is held against requests that end targets. */
+        QUARANTINE
     }
 
     /** A record of what operators want. */
@@ -49,6 +52,12 @@
     /** Returns the call that writes where a relay hears of the others. */
     PlatformCall register(String relay, RegisteredRelay registered);
 
+    /** Returns the call that writes records, all or none. */
+    PlatformCall write(List<QuarantineRecord> records);
+
+    /** Reads such a record; empty if the key isn't used. Throws IllegalArgumentException if unreadable. */
+    Optional<QuarantineRecord> readQuarantine(KeyedRecord record);
+
     /** Reads where a relay hears of the others. Throws IllegalArgumentException if unreadable. */
     RegisteredRelay readRelay(byte[] value);
 
--- a/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelRelay.java
+++ b/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelRelay.java
@@ -138,7 +138,7 @@
     }
 
     private void tell(boolean whole, List<RelayLoad.TargetLoad> work, long everyMillis, Predicate<ModelRelay> hears) {
-        RelayLoad load = RelayLoad.ofWork(name, sequence++, whole, work, true, new RelayLoad.ReadTo(0, 0))
+        RelayLoad load = RelayLoad.ofWork(name, sequence++, whole, work, true, new RelayLoad.ReadTo(0, 0, 0))
                 .every(everyMillis, List.of());
         for (ModelRelay peer : peers) {
             if (hears.test(peer)) {
--- a/rattanrudder-wire/src/main/java/org/rattanrudder/wire/peer/PeerCodec.java
+++ b/rattanrudder-wire/src/main/java/org/rattanrudder/wire/peer/PeerCodec.java
@@ -61,7 +61,8 @@
                 .setSequence(load.sequence())
                 .setPartial(!load.whole())
                 .setWishesReadTo(load.readTo().wishes())
-                .setTargetsChangedTo(load.readTo().targetsChanged());
+                .setTargetsChangedTo(load.readTo().targetsChanged())
+                .setQuarantineReadTo(load.readTo().quarantine());
         for (TargetLoad target : load.targets()) {
             message.addTargets(TargetLoadMessage.newBuilder()
                     .setTarget(target.target())
@@ -140,7 +141,8 @@
         List<ServedWeights> served = message.getServedList().stream()
                 .map(each -> new ServedWeights(each.getTarget(), each.getModel(), each.getVersion()))
                 .toList();
-        ReadTo readTo = new ReadTo(message.getWishesReadTo(), message.getTargetsChangedTo());
+        ReadTo readTo =
+                new ReadTo(message.getWishesReadTo(), message.getTargetsChangedTo(), message.getQuarantineReadTo());
         return new RelayLoad(
                 message.getRelay(),
                 message.getSequence(),
--- a/rattanrudder-wire/src/test/java/org/rattanrudder/wire/peer/PeerCodecTest.java
+++ b/rattanrudder-wire/src/test/java/org/rattanrudder/wire/peer/PeerCodecTest.java
@@ -48,7 +48,7 @@
                 List.of("i-2"),
                 List.of("i-3", "i-4"),
                 sequence % 2 == 0,
-                new ReadTo(sequence / 3, sequence / 2),
+                new ReadTo(sequence / 3, sequence / 2, sequence / 4),
                 List.of(
                         new StoreLateness(new Address("10.0.0.1", 80), requests, requests),
                         new StoreLateness(new Address("10.0.0.2", 80), 1, 0)),
@@ -112,7 +112,12 @@
     @CsvSource({"-1, 5, 5", "5, -1, 5", "5, 5, -1", "2000000, 5, 5", "5, 9000000000000000, 5"})
     void figuresThatNoRelayHasAreRefused(int requests, long tokens, long unread) {
         RelayLoad odd = RelayLoad.ofWork(
-                "relay-1", 1, true, List.of(new TargetLoad("i-1", requests, tokens, unread)), true, new ReadTo(0, 0));
+                "relay-1",
+                1,
+                true,
+                List.of(new TargetLoad("i-1", requests, tokens, unread)),
+                true,
+                new ReadTo(0, 0, 0));
 
         assertThat(PeerCodec.read(PeerCodec.write(odd))).isEmpty();
     }
