Count ends of targets from before a relay started, as far as the store keeps them

All relays may lose power right after a third end, before its quarantine is written; they came back without any of the ends, and three more targets went. Relays now read the kept records of ends at their start. These alone quarantine nothing, since what was answered meanwhile isn't known; the next end does.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/quarantine/Quarantine.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/quarantine/Quarantine.java
@@ -72,10 +72,33 @@
      * @param seenHere whether this relay saw it itself: those that did write and remove the record
      */
     public void crashed(TargetCrash crash, boolean seenHere, long nowMillis) {
-        Start start = new Start(crash.target(), crash.startedAt());
-        crash.requests().stream()
+        for (RequestFingerprint request : unheld(crash)) {
+            Suspect suspect = suspect(request, crash, nowMillis);
+            suspect.seenHere |= seenHere;
+            if (suspect.crashes() >= CRASHES) {
+                suspects.remove(request);
+                held.put(request, new Held(nowMillis, suspect.seenHere));
+            }
+        }
+        boundSuspects();
+    }
+
+    /**
+     * Notes the end of a target from before this relay was there. It quarantines nothing by itself: which requests were
+     * answered since isn't known.
+     */
+    public void crashedBefore(TargetCrash crash, long nowMillis) {
+        unheld(crash).forEach(request -> suspect(request, crash, nowMillis));
+        boundSuspects();
+    }
+
+    private List<RequestFingerprint> unheld(TargetCrash crash) {
+        return crash.requests().stream()
                 .filter(request -> !held.containsKey(request))
-                .forEach(request -> suspect(request, start, seenHere, nowMillis));
+                .toList();
+    }
+
+    private void boundSuspects() {
         Iterator<RequestFingerprint> oldest = suspects.keySet().iterator();
         while (suspects.size() > MOST_SUSPECTS) {
             oldest.next();
@@ -83,14 +106,10 @@
         }
     }
 
-    private void suspect(RequestFingerprint request, Start start, boolean seenHere, long nowMillis) {
+    private Suspect suspect(RequestFingerprint request, TargetCrash crash, long nowMillis) {
         Suspect suspect = moved(request, nowMillis);
-        suspect.crashes.add(start);
-        suspect.seenHere |= seenHere;
-        if (suspect.crashes() >= CRASHES) {
-            suspects.remove(request);
-            held.put(request, new Held(nowMillis, suspect.seenHere));
-        }
+        suspect.crashes.add(new Start(crash.target(), crash.startedAt()));
+        return suspect;
     }
 
     /** Returns what is held against a request, put behind all others. */
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/quarantine/QuarantineTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/quarantine/QuarantineTest.java
@@ -133,6 +133,20 @@
         assertThat(quarantine.unrecorded()).containsExactly(CAUSE);
     }
 
+    @Test
+    void endsFromBeforeThisRelayQuarantineOnlyWithAFurtherOne() {
+        for (int target = 0; target <= Quarantine.CRASHES; target++) {
+            quarantine.crashedBefore(crash(target, CAUSE, OTHER), NOW);
+        }
+        assertThat(isHeld(CAUSE)).isFalse();
+        assertThat(quarantine.isLastChance(CAUSE)).isTrue();
+
+        quarantine.crashed(crash(9, CAUSE), true, NOW);
+
+        assertThat(isHeld(CAUSE)).isTrue();
+        assertThat(isHeld(OTHER)).isFalse();
+    }
+
     @Test
     void suspicionEnds() {
         crashes(2, CAUSE);
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/OrderGiver.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/OrderGiver.java
@@ -13,6 +13,7 @@
 import org.rattanrudder.core.rollout.LeaseRecord;
 import org.rattanrudder.core.rollout.OrderLease;
 import org.rattanrudder.core.rollout.RolloutPlan;
+import org.rattanrudder.daemon.relay.TopicFollower.Reading;
 import org.rattanrudder.daemon.relay.port.EngineDialect.EngineReport;
 import org.rattanrudder.daemon.relay.port.EngineDialect.LoadOrder;
 import org.rattanrudder.daemon.relay.port.KeyedRecord;
@@ -70,7 +71,7 @@
         this.self = self;
         store = state.platform().store();
         lease = new OrderLease(self, state.settings().bounds().leaseMillis());
-        follower = new TopicFollower(state, Topic.ORDERS, Pace.RARE, false, new Records());
+        follower = new TopicFollower(state, Topic.ORDERS, Pace.RARE, Reading.KEPT, new Records());
         appends = new CallLine(state.connector(), state::store);
     }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/PeerExchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/PeerExchange.java
@@ -27,6 +27,7 @@
 import org.rattanrudder.core.model.Address;
 import org.rattanrudder.core.parts.SharedNews;
 import org.rattanrudder.core.parts.StoreLateness;
+import org.rattanrudder.daemon.relay.TopicFollower.Reading;
 import org.rattanrudder.daemon.relay.port.KeyedRecord;
 import org.rattanrudder.daemon.relay.port.RegisteredRelay;
 import org.rattanrudder.daemon.relay.port.StoreDialect.Topic;
@@ -96,7 +97,7 @@
                         .handler(new Messages())
                         .bind(new InetSocketAddress(address.host(), address.port())),
                 address);
-        follower = new TopicFollower(state, Topic.RELAYS, Pace.RARE_IN_GROUPS, true, new Registrations());
+        follower = new TopicFollower(state, Topic.RELAYS, Pace.RARE_IN_GROUPS, Reading.NEWEST, new Registrations());
         registering = new CallLine(state.connector(), state::store);
     }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/QuarantineExchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/QuarantineExchange.java
@@ -11,6 +11,7 @@
 import org.rattanrudder.core.quarantine.Quarantine;
 import org.rattanrudder.core.quarantine.RequestFingerprint;
 import org.rattanrudder.core.quarantine.TargetCrash;
+import org.rattanrudder.daemon.relay.TopicFollower.Reading;
 import org.rattanrudder.daemon.relay.port.KeyedRecord;
 import org.rattanrudder.daemon.relay.port.QuarantineRecord;
 import org.rattanrudder.daemon.relay.port.StoreAnswer;
@@ -42,7 +43,8 @@
         this.state = state;
         quarantine = state.quarantine();
         line = new CallLine(state.connector(), state::store);
-        follower = new TopicFollower(state, Topic.QUARANTINE, Pace.RARE_IN_GROUPS, true, new Records());
+        follower =
+                new TopicFollower(state, Topic.QUARANTINE, Pace.RARE_IN_GROUPS, Reading.NEWEST_AND_KEPT, new Records());
     }
 
     void start() {
@@ -52,11 +54,8 @@
     /** Takes the records of all relays. */
     private final class Records implements TopicFollower.Listener {
         private final Map<String, RequestFingerprint> recorded = new HashMap<>();
-
-        /** Of the last end by relay: a listing tells again what was read before, and what is older than this relay. */
-        private final Map<String, Long> offsets = new HashMap<>();
-
         private boolean listedOnce;
+        private long endAtStart;
 
         @Override
         public void record(KeyedRecord record) {
@@ -80,10 +79,19 @@
             }
         }
 
+        /** An end that is only listed may be from days ago; those of late are read after the listing. */
+        @Override
+        public void listedRecord(KeyedRecord record) {
+            Optional<QuarantineRecord> read = state.platform().store().readQuarantine(record);
+            if (read.isPresent() && !(read.get() instanceof QuarantineRecord.Crashed)) {
+                record(record);
+            }
+        }
+
         private void crashed(QuarantineRecord.Crashed crashed, long offset) {
-            Long before = offsets.put(crashed.relay(), offset);
-            boolean news = listedOnce && (before == null || offset > before);
-            if (news && !crashed.relay().equals(state.settings().instance())) {
+            if (offset < endAtStart) {
+                quarantine.crashedBefore(crashed.crash(), state.now());
+            } else if (!crashed.relay().equals(state.settings().instance())) {
                 note(crashed.crash(), false, crashed.relay());
             }
         }
@@ -96,6 +104,9 @@
 
         @Override
         public void listed(Set<String> keys, long end) {
+            if (!listedOnce) {
+                endAtStart = end;
+            }
             listedOnce = true;
             recorded.keySet().retainAll(keys);
             quarantine.listed(Set.copyOf(recorded.values()));
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
@@ -31,6 +31,7 @@
 import org.rattanrudder.daemon.loop.Closer;
 import org.rattanrudder.daemon.loop.MonotonicClock;
 import org.rattanrudder.daemon.loop.RunningProcess;
+import org.rattanrudder.daemon.relay.TopicFollower.Reading;
 import org.rattanrudder.daemon.relay.port.KeyedRecord;
 import org.rattanrudder.daemon.relay.port.NamedWeights;
 import org.rattanrudder.daemon.relay.port.PlatformAdapter;
@@ -91,12 +92,12 @@
         listen(group, settings.readiness(), new StatusServer(this::readiness));
         listen(group, settings.metrics(), new StatusServer(this::metrics));
         incarnation = settings.instance() + "-" + Long.toHexString(random.nextLong());
-        wishes = new TopicFollower(state, Topic.WISHES, Pace.PROMPT, true, new Wishes());
+        wishes = new TopicFollower(state, Topic.WISHES, Pace.PROMPT, Reading.NEWEST, new Wishes());
         targets = new TopicFollower(
                 state,
                 Topic.TARGETS,
                 Pace.gathered(() -> state.settings().bounds().drainMillis()),
-                true,
+                Reading.NEWEST,
                 new Targets());
         orders = new OrderGiver(state, incarnation);
         quarantine = closer.add(new QuarantineExchange(state));
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TopicFollower.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TopicFollower.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.rattanrudder.daemon.relay.port.KeyedRecord;
 import org.rattanrudder.daemon.relay.port.PlatformCall;
 import org.rattanrudder.daemon.relay.port.StoreAnswer;
@@ -47,6 +48,15 @@
          */
         void record(KeyedRecord record);
 
+        /**
+         * Takes a record that a listing has, which may be old.
+         *
+         * @throws IllegalArgumentException if it can't be read
+         */
+        default void listedRecord(KeyedRecord record) {
+            record(record);
+        }
+
         /** Returns whether of several records of a key only the last readable one matters, in any order of keys. */
         default boolean newestSuffices() {
             return false;
@@ -70,8 +80,9 @@
     private final StoreDialect dialect;
     private final CallLine line;
     private final Set<String> listedKeys = new HashSet<>();
-    private boolean keyed;
+    private final Reading reading;
     private long from;
+    private long keptFrom;
     private long listingEnd = -1;
     private boolean answering = true;
     private boolean answeredOnce;
@@ -86,17 +97,23 @@
     /** Until when a record is taken to be there that wasn't read yet. */
     private long expectingUntil = Long.MIN_VALUE / 2;
 
-    /**
-     * Makes a follower; it begins with {@link #start}.
-     *
-     * @param keyed whether the topic keeps the newest record of each key; otherwise it is read from its beginning
-     */
-    TopicFollower(RelayState state, Topic topic, Pace pace, boolean keyed, Listener listener) {
+    /** What of a topic is read at first; then follows what is added. */
+    enum Reading {
+        /** The newest record of each key. */
+        NEWEST,
+        /** All records that are kept, of a topic without keys. */
+        KEPT,
+        /** The newest record of each key, then all records that are kept. */
+        NEWEST_AND_KEPT
+    }
+
+    /** Makes a follower; it begins with {@link #start}. */
+    TopicFollower(RelayState state, Topic topic, Pace pace, Reading reading, Listener listener) {
         this.state = state;
         timer = new StepTimer(state.loop());
         this.topic = topic;
         this.pace = pace;
-        this.keyed = keyed;
+        this.reading = reading;
         this.listener = listener;
         dialect = state.platform().store();
         line = new CallLine(state.connector(), state::store);
@@ -104,13 +121,17 @@
 
     void start() {
         inGap = false;
-        if (keyed) {
+        if (isKeyed()) {
             list(Optional.empty());
         } else {
             follow();
         }
     }
 
+    private boolean isKeyed() {
+        return reading != Reading.KEPT;
+    }
+
     private void list(Optional<String> after) {
         if (after.isEmpty()) {
             listedKeys.clear();
@@ -199,7 +220,7 @@
         if (listener.newestSuffices()) {
             tellNewest(records);
         } else {
-            records.forEach(this::tell);
+            records.forEach(record -> tell(record, listener::record));
         }
     }
 
@@ -211,7 +232,7 @@
         Set<String> told = new HashSet<>();
         for (int index = records.size() - 1; index >= 0; index--) {
             KeyedRecord record = records.get(index);
-            if (!told.contains(record.key()) && tell(record)) {
+            if (!told.contains(record.key()) && tell(record, listener::record)) {
                 told.add(record.key());
             }
         }
@@ -235,10 +256,11 @@
                                 : "unknown",
                         "in_a_row",
                         Integer.toString(forgottenInARow + 1));
-        if (!keyed) {
+        if (!isKeyed()) {
             // A topic without keys says nothing that is older than what it keeps.
             from = Math.max(from + 1, forgotten.first().orElse(0));
         }
+        keptFrom = forgotten.first().orElse(Long.MAX_VALUE);
         timer.next(this::start, forgottenInARow == 0 ? 0 : Math.max(gap(), pause(forgottenInARow - 1)));
         forgottenInARow++;
     }
@@ -317,7 +339,7 @@
         String last = "";
         for (KeyedRecord record : listing.records()) {
             listedKeys.add(record.key());
-            tell(record);
+            tell(record, listener::listedRecord);
             last = record.key();
         }
         if (listing.morePages() && !last.isEmpty()) {
@@ -327,7 +349,7 @@
         // A listing that ends before what was read already is a stale one: it proves nothing of what it lacks.
         if (listingEnd >= from) {
             listener.listed(Set.copyOf(listedKeys), listingEnd);
-            from = listingEnd;
+            from = reading == Reading.NEWEST_AND_KEPT ? Math.min(keptFrom, listingEnd) : listingEnd;
         }
         state.log()
                 .info(
@@ -342,12 +364,12 @@
     }
 
     /** Tells of a record, and returns whether it could be read. */
-    private boolean tell(KeyedRecord record) {
+    private boolean tell(KeyedRecord record, Consumer<KeyedRecord> taker) {
         try {
-            if (keyed && record.key().isEmpty()) {
+            if (isKeyed() && record.key().isEmpty()) {
                 throw new IllegalArgumentException("no key");
             }
-            listener.record(record);
+            taker.accept(record);
             return true;
         } catch (IllegalArgumentException unreadable) {
             state.metrics().unreadable(topic.name());
@@ -384,7 +406,7 @@
         listener.lost();
         long pause = pause(failuresInARow);
         failuresInARow++;
-        timer.next(answeredOnce && (!keyed || listingEnd >= 0) ? this::follow : this::start, pause);
+        timer.next(answeredOnce && (!isKeyed() || listingEnd >= 0) ? this::follow : this::start, pause);
     }
 
     /** Returns the offset up to which the topic was read. */
