--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TargetPools.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TargetPools.java
@@ -132,7 +132,7 @@
     }
 
     /** Dials a target without a request, however lately it was dialled, and tells what was found. */
-    void probe(Target target, Consumer<Dialled> then) {
+    void probe(Target target, Consumer<Dial> then) {
         dial(target, pools.computeIfAbsent(target, unseen -> new Pool()), new Claim(null), then);
     }
 
@@ -153,7 +153,7 @@
         return nowMillis - connection.idleSince() < limit;
     }
 
-    private void dial(Target target, Pool pool, Claim claim, Consumer<Dialled> then) {
+    private void dial(Target target, Pool pool, Claim claim, Consumer<Dial> then) {
         Address address = target.entry().address();
         long began = clock.getAsLong();
         target.dialling(began);
@@ -175,7 +175,7 @@
                     } else {
                         notOpened(target, pool, claim);
                     }
-                    then.accept(Dialled.of(opened));
+                    then.accept(Dial.of(opened));
                 });
     }
 
