Don't hold ends of targets against what was answered within the last minute

A rack that loses power ends many targets at once, and a request that many callers ask for in the same words is at each of them: it was refused for an hour then, and no answer could clear it any more. The cause of ends is never answered, so relays remember for a minute what was, hold nothing against it, whoever reports it, and remove a record of it. Fingerprints are so worked out for each answered request; of a long body only both ends are read.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/quarantine/Quarantine.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/quarantine/Quarantine.java
@@ -9,14 +9,15 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 
 /**
  * Keeps a request that ends each target which runs it from further targets.
  *
- * <p>When a target ends, nothing tells which of its requests was the cause. The cause is there each time, while the
- * others are answered by another target sooner or later. So a request is quarantined if it was at several targets when
- * they ended and none has answered it. Other relays report what they saw, in any order, late or twice, and keep a
- * record of what is quarantined.
+ * <p>When a target ends, nothing tells which of its requests was the cause. The cause is there each time and is never
+ * answered, while others are, before or after. So a request is quarantined if it was at several targets when they ended
+ * and none has answered it of late. Other relays report what they saw, in any order, late or twice, and keep a record
+ * of what is quarantined.
  *
  * <pre>{@code
  * quarantine.crashed(crash, true, now);
@@ -32,15 +33,24 @@
     /** How long a request is quarantined, and how long the last end of a target is held against it, in ms. */
     public static final long KEPT_MILLIS = TimeUnit.HOURS.toMillis(1);
 
+    /** How long after an answer a request isn't suspected, in ms: what many ask for is at most targets at any time. */
+    public static final long CLEARED_MILLIS = TimeUnit.MINUTES.toMillis(1);
+
     /** The most requests that are suspected at once; those whose last end was longest ago give way. */
     static final int MOST_SUSPECTS = 20_000;
 
+    /** The most requests whose answer is remembered; those that were answered longest ago give way. */
+    static final int MOST_CLEARED = 4_000;
+
     /** By the time of the last end, the oldest first. */
     private final Map<RequestFingerprint, Suspect> suspects = new LinkedHashMap<>();
 
     private final Map<RequestFingerprint, Held> held = new HashMap<>();
     private final Set<RequestFingerprint> outdatedRecords = new HashSet<>();
 
+    /** By the time of the last answer, the oldest first. */
+    private final Map<RequestFingerprint, Long> answeredAt = new LinkedHashMap<>();
+
     /** One start of a target. */
     private record Start(String target, long startedAt) {}
 
@@ -72,7 +82,7 @@
      * @param seenHere whether this relay saw it itself: those that did write and remove the record
      */
     public void crashed(TargetCrash crash, boolean seenHere, long nowMillis) {
-        for (RequestFingerprint request : unheld(crash)) {
+        for (RequestFingerprint request : suspectable(crash.requests(), nowMillis)) {
             Suspect suspect = suspect(request, crash, nowMillis);
             suspect.seenHere |= seenHere;
             if (suspect.crashes() >= CRASHES) {
@@ -80,7 +90,7 @@
                 held.put(request, new Held(nowMillis, suspect.seenHere));
             }
         }
-        boundSuspects();
+        bound(suspects.keySet(), MOST_SUSPECTS);
     }
 
     /**
@@ -88,19 +98,25 @@
      * answered since isn't known.
      */
     public void crashedBefore(TargetCrash crash, long nowMillis) {
-        unheld(crash).forEach(request -> suspect(request, crash, nowMillis));
-        boundSuspects();
+        suspectable(crash.requests(), nowMillis).forEach(request -> suspect(request, crash, nowMillis));
+        bound(suspects.keySet(), MOST_SUSPECTS);
     }
 
-    private List<RequestFingerprint> unheld(TargetCrash crash) {
-        return crash.requests().stream()
-                .filter(request -> !held.containsKey(request))
-                .toList();
+    /** Returns those of some requests against which the end of a target may be held. */
+    public Set<RequestFingerprint> suspectable(Set<RequestFingerprint> requests, long nowMillis) {
+        return requests.stream()
+                .filter(request -> !held.containsKey(request) && !isCleared(request, nowMillis))
+                .collect(Collectors.toSet());
     }
 
-    private void boundSuspects() {
-        Iterator<RequestFingerprint> oldest = suspects.keySet().iterator();
-        while (suspects.size() > MOST_SUSPECTS) {
+    private boolean isCleared(RequestFingerprint request, long nowMillis) {
+        Long answered = answeredAt.get(request);
+        return answered != null && nowMillis - answered < CLEARED_MILLIS;
+    }
+
+    private static void bound(Set<RequestFingerprint> requests, int most) {
+        Iterator<RequestFingerprint> oldest = requests.iterator();
+        while (requests.size() > most) {
             oldest.next();
             oldest.remove();
         }
@@ -130,6 +146,10 @@
         if (outdatedRecords.contains(request)) {
             return;
         }
+        if (isCleared(request, nowMillis)) {
+            outdatedRecords.add(request);
+            return;
+        }
         suspects.remove(request);
         Held known = held.computeIfAbsent(request, unseen -> new Held(nowMillis, foundAtStart));
         known.recorded = true;
@@ -159,7 +179,10 @@
     }
 
     /** Notes that a target has answered a request, which so is no cause of any end. */
-    public void answered(RequestFingerprint request) {
+    public void answered(RequestFingerprint request, long nowMillis) {
+        answeredAt.remove(request);
+        answeredAt.put(request, nowMillis);
+        bound(answeredAt.keySet(), MOST_CLEARED);
         suspects.remove(request);
         Held known = held.remove(request);
         if (known != null && known.recorded) {
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/quarantine/QuarantineTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/quarantine/QuarantineTest.java
@@ -67,19 +67,46 @@
     @Test
     void whatIsAnsweredIsNoCause() {
         crashes(2, CAUSE);
-        quarantine.answered(CAUSE);
-        quarantine.crashed(crash(2, CAUSE), true, NOW);
-        quarantine.crashed(crash(3, CAUSE), true, NOW);
+        quarantine.answered(CAUSE, NOW);
+        crashes(5, CAUSE);
 
         assertThat(isHeld(CAUSE)).isFalse();
     }
 
+    @Test
+    void whatWasAnsweredLongAgoIsSuspectedAgain() {
+        quarantine.answered(CAUSE, NOW - Quarantine.CLEARED_MILLIS);
+        crashes(3, CAUSE);
+
+        assertThat(isHeld(CAUSE)).isTrue();
+    }
+
+    @Test
+    void aRecordOfWhatWasAnsweredHereLatelyIsRemoved() {
+        quarantine.answered(CAUSE, NOW);
+        quarantine.recorded(CAUSE, false, NOW);
+
+        assertThat(isHeld(CAUSE)).isFalse();
+        assertThat(quarantine.outdatedRecords()).containsExactly(CAUSE);
+    }
+
+    @Test
+    void answersAreRememberedWithinABound() {
+        quarantine.answered(CAUSE, NOW);
+        for (int request = 10; request < 10 + Quarantine.MOST_CLEARED; request++) {
+            quarantine.answered(new RequestFingerprint(request, request), NOW);
+        }
+        crashes(3, CAUSE);
+
+        assertThat(isHeld(CAUSE)).isTrue();
+    }
+
     @Test
     void anAnswerOfOneThatWasSentBeforeEndsTheQuarantine() {
         crashes(3, CAUSE);
         quarantine.recorded(CAUSE, false, NOW);
 
-        quarantine.answered(CAUSE);
+        quarantine.answered(CAUSE, NOW);
 
         assertThat(isHeld(CAUSE)).isFalse();
         assertThat(quarantine.outdatedRecords()).containsExactly(CAUSE);
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/quarantine/RequestFingerprintTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/quarantine/RequestFingerprintTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -12,12 +13,28 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 class RequestFingerprintTest {
-    private static final byte[] BODY = "prompt".getBytes(StandardCharsets.UTF_8);
+    private static final ByteBuffer BODY = body("prompt");
     private static final RequestFingerprint REQUEST = RequestFingerprint.of("mine.example", "/check/1", "anna", BODY);
 
+    private static ByteBuffer body(String text) {
+        return ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {0, RequestFingerprint.PIECE_BYTES - 1, 3 * RequestFingerprint.PIECE_BYTES - 1})
+    void seesAChangeAtBothEndsOfALongBody(int changed) {
+        byte[] body = new byte[3 * RequestFingerprint.PIECE_BYTES];
+        RequestFingerprint before = RequestFingerprint.of("", "/", "", ByteBuffer.wrap(body));
+        body[changed] = 1;
+
+        assertThat(RequestFingerprint.of("", "/", "", ByteBuffer.wrap(body))).isNotEqualTo(before);
+        assertThat(RequestFingerprint.of("", "/", "", ByteBuffer.allocate(body.length + 1)))
+                .isNotEqualTo(before);
+    }
+
     @Test
     void isTheSameWheneverTheRequestComes() {
-        assertThat(RequestFingerprint.of("mine.example", "/check/1", "anna", BODY.clone()))
+        assertThat(RequestFingerprint.of("mine.example", "/check/1", "anna", body("prompt")))
                 .isEqualTo(REQUEST);
     }
 
@@ -30,8 +47,7 @@
         "mine.example/, check/1, anna, prompt"
     })
     void isAnotherForAnotherRequest(String host, String path, String customer, String body) {
-        assertThat(RequestFingerprint.of(host, path, customer, body.getBytes(StandardCharsets.UTF_8)))
-                .isNotEqualTo(REQUEST);
+        assertThat(RequestFingerprint.of(host, path, customer, body(body))).isNotEqualTo(REQUEST);
     }
 
     @Property
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/QuarantineCheck.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/QuarantineCheck.java
@@ -10,7 +10,7 @@
 /**
  * What is held against one request.
  *
- * <p>Its fingerprint is worked out only while something is held against any request, since that reads its body.
+ * <p>Its fingerprint is worked out only when it is answered, or while something is held against any request.
  */
 final class QuarantineCheck {
     private final RelayState state;
@@ -57,8 +57,6 @@
 
     /** Notes that a target has answered. */
     void answered() {
-        if (!state.quarantine().isEmpty()) {
-            state.quarantine().answered(fingerprint());
-        }
+        state.quarantine().answered(fingerprint(), state.now());
     }
 }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/QuarantineExchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/QuarantineExchange.java
@@ -130,7 +130,11 @@
                                 .limit(FINGERPRINTS_LOGGED)
                                 .map(RequestFingerprint::toHex)
                                 .collect(Collectors.joining(",")));
-        TargetCrash crash = new TargetCrash(target.id(), target.entry().startedAt(), requests);
+        Set<RequestFingerprint> suspects = quarantine.suspectable(requests, state.now());
+        if (suspects.isEmpty()) {
+            return;
+        }
+        TargetCrash crash = new TargetCrash(target.id(), target.entry().startedAt(), suspects);
         note(crash, true, "self");
         unwritten.add(crash);
         if (unwritten.size() > MOST_UNWRITTEN) {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RequestPlan.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RequestPlan.java
@@ -1,7 +1,6 @@
 package org.rattanrudder.daemon.relay;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
@@ -121,7 +120,7 @@
     /** Returns what is the same whenever the request comes. */
     RequestFingerprint fingerprint(String path, ByteBuf body) {
         String name = customer.map(CustomerIdentity::name).orElse("");
-        return RequestFingerprint.of(facts.host(), path, name, ByteBufUtil.getBytes(body));
+        return RequestFingerprint.of(facts.host(), path, name, body.nioBuffer());
     }
 
     /** Returns the memory that it takes over its run, in tokens: its prompt, and half of its output on average. */
