Quarantine prompts under which engines ended at entries too, and earn retries by what is sent

Each entry now counts attempts that a companion could not go on with, by the same rules; entries don't tell each other.

AttemptsTest.aPromptUnderWhichThreeEnginesEnded... failed before (16 dispatches) and holds. A request that found no target earned its share of a retry without having been sent; only a first attempt that is sent earns it now. A quarantine's time to come back bypasses the schedule of returns, which it would have put off for an hour for all callers.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/entry/Attempts.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/entry/Attempts.java
@@ -52,14 +52,16 @@
     private final Endings endings;
     private final RoutingPolicy policy;
     private final Outbox outbox;
+    private final PromptQuarantine quarantine;
     private final Map<Address, List<AttemptId>> abandoned = new HashMap<>();
     private Membership membership;
 
-    Attempts(Requests requests, Endings endings, RoutingPolicy policy, Outbox outbox) {
+    Attempts(Requests requests, Endings endings, RoutingPolicy policy, Outbox outbox, PromptQuarantine quarantine) {
         this.requests = requests;
         this.endings = endings;
         this.policy = policy;
         this.outbox = outbox;
+        this.quarantine = quarantine;
     }
 
     /** Gives it the links; the two hear of each other, so one must come first. */
@@ -70,7 +72,6 @@
     /** Sends the first attempt of an admitted request. */
     void begin(InFlight inFlight, long nowMicros) {
         requests.add(inFlight);
-        inFlight.service().retries().firstAttempt(inFlight.document().limits().retryShare());
         Refusal nowhere = new Refusal(ErrorKind.NO_TARGET, 0, "no target of the service accepts work");
         dispatch(inFlight, nowhere, nowMicros);
     }
@@ -115,6 +116,11 @@
     private void send(InFlight inFlight, Route route, long leftMicros, long nowMicros) {
         CompanionLink link = membership.link(route.target().companion()).orElseThrow();
         inFlight.attempts++;
+        if (inFlight.attempts == 1) {
+            inFlight.service()
+                    .retries()
+                    .firstAttempt(inFlight.document().limits().retryShare());
+        }
         inFlight.attempt = new AttemptId(endings.entryIncarnation(), inFlight.sequence, inFlight.attempts);
         inFlight.route = route;
         inFlight.companionIncarnation = link.incarnation();
@@ -169,7 +175,10 @@
     void failed(InFlight inFlight, Refusal refusal, long nowMicros) {
         leave(inFlight);
         inFlight.mayHaveRun = true;
-        boolean repeatable = inFlight.terms.idempotent() && !inFlight.begun;
+        quarantine.failed(inFlight, refusal.kind(), nowMicros);
+        boolean quarantined =
+                quarantine.refusal(inFlight.terms, inFlight.request, nowMicros).isPresent();
+        boolean repeatable = inFlight.terms.idempotent() && !inFlight.begun && !quarantined;
         boolean timeLeft = nowMicros < inFlight.deadlineMicros() && inFlight.attempts < MOST_ATTEMPTS;
         if (repeatable && timeLeft && inFlight.service().retries().tryRetry()) {
             dispatch(inFlight, refusal, nowMicros);
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/entry/Endings.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/entry/Endings.java
@@ -15,12 +15,19 @@
     private final Requests requests;
     private final ServiceTable services;
     private final Outbox outbox;
+    private final PromptQuarantine quarantine;
 
-    Endings(long entryIncarnation, Requests requests, ServiceTable services, Outbox outbox) {
+    Endings(
+            long entryIncarnation,
+            Requests requests,
+            ServiceTable services,
+            Outbox outbox,
+            PromptQuarantine quarantine) {
         this.entryIncarnation = entryIncarnation;
         this.requests = requests;
         this.services = services;
         this.outbox = outbox;
+        this.quarantine = quarantine;
     }
 
     long entryIncarnation() {
@@ -29,6 +36,7 @@
 
     /** The answer is whole. */
     void answered(InFlight inFlight, long nowMicros) {
+        quarantine.answered(inFlight, nowMicros);
         outbox.emit(new EntryEffect.EndAnswer(inFlight.sequence));
         inFlight.service().returns().answered(nowMicros);
         inFlight.service().pool().served(nowMicros - inFlight.arrivedMicros - inFlight.usage.queuedMicros());
@@ -73,7 +81,8 @@
     }
 
     private static Refusal withReturn(ServedService service, Refusal refusal, long nowMicros) {
-        if (refusal.kind().retryAdvice() != ErrorKind.RetryAdvice.LATER) {
+        boolean hasOwnTime = refusal.kind() == ErrorKind.REQUEST_QUARANTINED;
+        if (hasOwnTime || refusal.kind().retryAdvice() != ErrorKind.RetryAdvice.LATER) {
             return refusal;
         }
         long after = service.returns().retryAfterMillis(refusal.retryAfterMillis(), nowMicros);
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/entry/EntryMachine.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/entry/EntryMachine.java
@@ -1,6 +1,7 @@
 package org.rattanrudder.core.entry;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
@@ -43,6 +44,7 @@
     private final ServiceTable services;
     private final Requests requests;
     private final Admission admission;
+    private final PromptQuarantine quarantine;
     private final Endings endings;
     private final Attempts attempts;
     private final AnswerRelay answers;
@@ -72,8 +74,9 @@
         services = new ServiceTable(random);
         requests = new Requests();
         admission = new Admission(services);
-        endings = new Endings(settings.incarnation(), requests, services, outbox);
-        attempts = new Attempts(requests, endings, policy, outbox);
+        quarantine = new PromptQuarantine();
+        endings = new Endings(settings.incarnation(), requests, services, outbox, quarantine);
+        attempts = new Attempts(requests, endings, policy, outbox, quarantine);
         answers = new AnswerRelay(requests, attempts, endings, outbox);
         membership = new Membership(settings, services, outbox, random, attempts);
         attempts.use(membership);
@@ -178,12 +181,25 @@
         Admission.Verdict verdict =
                 admission.judge(request, membership.entries(nowMicros), membership.usage(), nowMicros);
         if (verdict instanceof Admission.Admitted admitted) {
-            attempts.begin(new InFlight(arrived.sequence(), request, admitted.terms(), nowMicros), nowMicros);
+            admitted(arrived, admitted.terms(), nowMicros);
         } else if (verdict instanceof Admission.Refused refused) {
             endings.refuseUnadmitted(arrived.sequence(), request, refused, nowMicros);
         }
     }
 
+    private void admitted(EntryEvent.RequestArrived arrived, Admission.Terms terms, long nowMicros) {
+        Optional<Refusal> quarantined = quarantine.refusal(terms, arrived.request(), nowMicros);
+        if (quarantined.isPresent()) {
+            Admission.Refused refused = new Admission.Refused(
+                    quarantined.get(),
+                    terms.customer().name().value(),
+                    terms.requestClass().name());
+            endings.refuseUnadmitted(arrived.sequence(), arrived.request(), refused, nowMicros);
+            return;
+        }
+        attempts.begin(new InFlight(arrived.sequence(), arrived.request(), terms, nowMicros), nowMicros);
+    }
+
     private void frame(Address companion, Frame frame, long nowMicros) {
         if (!membership.heard(companion, nowMicros)) {
             return;
@@ -220,6 +236,7 @@
         attempts.tick(nowMicros);
         publisher.tick(nowMicros);
         configuration.tick(nowMicros);
+        quarantine.tick(nowMicros);
     }
 
     private void drain(long nowMicros) {
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/entry/AttemptsTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/entry/AttemptsTest.java
@@ -236,4 +236,27 @@
 
         assertThat(driver.frames(Frame.Cancel.class)).isEqualTo(List.of(new Frame.Cancel(first.attempt())));
     }
+
+    /** A prompt that ends each engine which begins it comes again and again. */
+    @Test
+    void aPromptUnderWhichThreeEnginesEndedIsSentToNoMore() {
+        EntryDriver driver =
+                EntryDriver.ready(Documents.prompts(target(1), target(2), target(3), target(4), target(5), target(6)));
+        int failed = 0;
+        long last = 0;
+        for (int call = 0; call < 4; call++) {
+            last = driver.prompt("sheet");
+            while (failed < driver.dispatches().size()) {
+                Refusal ended = new Refusal(ErrorKind.TARGET_FAILED, 0, "the engine is gone");
+                driver.frame(
+                        driver.lastCompanion(),
+                        new Frame.AnswerFailed(driver.lastDispatch().attempt(), ended));
+                failed++;
+            }
+        }
+
+        assertThat(driver.dispatches()).hasSize(3);
+        assertThat(driver.refusal(last)).isEqualTo(ErrorKind.REQUEST_QUARANTINED);
+        assertThat(driver.refusalOf(last).retryAfterMillis()).isGreaterThan(3_000_000);
+    }
 }
