--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/quarantine/Quarantine.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/quarantine/Quarantine.java
@@ -67,7 +67,7 @@
 
     private static final class Held {
         private final long since;
-        private boolean keepsRecord;
+        private final boolean keepsRecord;
         private boolean recorded;
 
         Held(long since, boolean keepsRecord) {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/CallAnswer.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/CallAnswer.java
@@ -1,5 +1,9 @@
 package org.rattanrudder.daemon.relay;
 
+import java.util.Optional;
+import org.rattanrudder.daemon.relay.port.StoreAnswer;
+import org.rattanrudder.daemon.relay.port.StoreDialect;
+
 /** What came of a call. */
 sealed interface CallAnswer {
     /**
@@ -16,4 +20,16 @@
      * @param reason why, as one word
      */
     record Unanswered(String reason) implements CallAnswer {}
+
+    /** Returns what an append came to; one without an answer, or with one that can't be read, has failed. */
+    default StoreAnswer ofAppend(StoreDialect store) {
+        if (!(this instanceof Answered answered)) {
+            return new StoreAnswer.Failed(0, Optional.of(((Unanswered) this).reason()));
+        }
+        try {
+            return store.readAppend(answered.status(), answered.body());
+        } catch (IllegalArgumentException malformed) {
+            return new StoreAnswer.Failed(answered.status(), Optional.of(String.valueOf(malformed.getMessage())));
+        }
+    }
 }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/OrderGiver.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/OrderGiver.java
@@ -197,7 +197,7 @@
             return;
         }
         state.metrics().storeCall("APPEND");
-        StoreAnswer read = read(answer);
+        StoreAnswer read = answer.ofAppend(store);
         if (read instanceof StoreAnswer.Appended appended) {
             lease.appended(appended.offset(), sentAt, sentAtWall);
             state.log()
@@ -222,17 +222,6 @@
                         read.getClass().getSimpleName());
     }
 
-    private StoreAnswer read(CallAnswer answer) {
-        if (!(answer instanceof CallAnswer.Answered answered)) {
-            return new StoreAnswer.Failed(0, Optional.of(((CallAnswer.Unanswered) answer).reason()));
-        }
-        try {
-            return store.readAppend(answered.status(), answered.body());
-        } catch (IllegalArgumentException malformed) {
-            return new StoreAnswer.Failed(answered.status(), Optional.of(String.valueOf(malformed.getMessage())));
-        }
-    }
-
     private void order(Target target, NamedWeights weights) {
         ordering.add(target.id());
         CallLine line = new CallLine(state.connector(), target.entry()::address);
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/QuarantineExchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/QuarantineExchange.java
@@ -1,5 +1,6 @@
 package org.rattanrudder.daemon.relay;
 
+import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -59,16 +60,28 @@
 
         @Override
         public void record(KeyedRecord record) {
-            Optional<QuarantineRecord> read = state.platform().store().readQuarantine(record);
-            if (read.isEmpty()) {
-                return;
-            }
-            if (read.get() instanceof QuarantineRecord.Crashed crashed) {
+            read(record).ifPresent(read -> take(read, record));
+        }
+
+        /** An end that is only listed may be from days ago; those of late are read after the listing. */
+        @Override
+        public void listedRecord(KeyedRecord record) {
+            read(record)
+                    .filter(read -> !(read instanceof QuarantineRecord.Crashed))
+                    .ifPresent(read -> take(read, record));
+        }
+
+        private Optional<QuarantineRecord> read(KeyedRecord record) {
+            return state.platform().store().readQuarantine(record);
+        }
+
+        private void take(QuarantineRecord read, KeyedRecord record) {
+            if (read instanceof QuarantineRecord.Crashed crashed) {
                 crashed(crashed, record.offset());
-            } else if (read.get() instanceof QuarantineRecord.Quarantined quarantined) {
+            } else if (read instanceof QuarantineRecord.Quarantined quarantined) {
                 recorded.put(record.key(), quarantined.request());
                 quarantined(quarantined.request());
-            } else if (read.get() instanceof QuarantineRecord.Released released) {
+            } else if (read instanceof QuarantineRecord.Released released) {
                 recorded.remove(record.key());
                 quarantine.removed(released.request(), state.now());
                 state.log()
@@ -79,15 +92,6 @@
             }
         }
 
-        /** An end that is only listed may be from days ago; those of late are read after the listing. */
-        @Override
-        public void listedRecord(KeyedRecord record) {
-            Optional<QuarantineRecord> read = state.platform().store().readQuarantine(record);
-            if (read.isPresent() && !(read.get() instanceof QuarantineRecord.Crashed)) {
-                record(record);
-            }
-        }
-
         private void crashed(QuarantineRecord.Crashed crashed, long offset) {
             if (offset < endAtStart) {
                 quarantine.crashedBefore(crashed.crash(), state.now());
@@ -197,16 +201,11 @@
 
     /** Returns where the records begin; -1 if it isn't known that they were written. */
     private long offset(CallAnswer answer) {
-        if (!(answer instanceof CallAnswer.Answered answered)) {
-            return -1;
-        }
-        try {
-            StoreAnswer read = state.platform().store().readAppend(answered.status(), answered.body());
-            return read instanceof StoreAnswer.Appended appended ? appended.offset() : -1;
-        } catch (IllegalArgumentException malformed) {
-            state.log().warn("answer_unreadable", "reason", String.valueOf(malformed.getMessage()));
-            return -1;
+        StoreAnswer read = answer.ofAppend(state.platform().store());
+        if (read instanceof StoreAnswer.Failed failed && failed.status() == HttpResponseStatus.OK.code()) {
+            state.log().warn("answer_unreadable", "reason", failed.reason().orElse("unknown"));
         }
+        return read instanceof StoreAnswer.Appended appended ? appended.offset() : -1;
     }
 
     /** Returns up to which offset the others should have read. */
