Dial again when a target's connection is reset while it opens

An end of a target that isn't noticed is one more end under a request that should have been quarantined.

Cause: a process that ends may have let a connection in and resets it before the dial is looked at. Java reports that as SocketException ("Connection reset by peer"), which is no ConnectException, so the dial counted as UNANSWERED and the end was dropped.

The dial is now BROKEN and is repeated like one whose connection doesn't last, four times at most. No other user of Dial looks at the result.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/CrashWatch.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/CrashWatch.java
@@ -22,10 +22,10 @@
     private static final long GATHER_MILLIS = 20;
 
     /** How long a connection must last that was opened to see whether its target lives, in ms. */
-    private static final long LASTING_MILLIS = 100;
+    static final long LASTING_MILLIS = 100;
 
     /** Dials after which a target whose connections don't last counts as one that lives. */
-    private static final int MOST_DIALS = 4;
+    static final int MOST_DIALS = 4;
 
     private final EventLoop loop;
     private final Map<Target, Set<RequestFingerprint>> broken = new HashMap<>();
@@ -60,7 +60,7 @@
     private void dialled(Target target, Dial found, int dials) {
         switch (found.result()) {
             case REFUSED -> later(() -> listener.accept(target, broken.remove(target)), GATHER_MILLIS);
-            case OPENED -> later(() -> lookAgain(target, found, dials), LASTING_MILLIS);
+            case OPENED, BROKEN -> later(() -> lookAgain(target, found, dials), LASTING_MILLIS);
             default -> broken.remove(target);
         }
     }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Dial.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Dial.java
@@ -4,6 +4,8 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ConnectTimeoutException;
 import java.net.ConnectException;
+import java.net.NoRouteToHostException;
+import java.net.SocketException;
 
 /**
  * What a dial of a target found.
@@ -18,6 +20,8 @@
         OPENED,
         /** The machine is there, and nothing listens. */
         REFUSED,
+        /** The connection failed in another way, as one does that is reset while it opens. */
+        BROKEN,
         /** Nobody answers: the machine, or the way to it, may be gone. */
         UNANSWERED
     }
@@ -30,12 +34,17 @@
         if (dial.isSuccess()) {
             return Result.OPENED;
         }
-        boolean refused =
-                dial.cause() instanceof ConnectException && !(dial.cause() instanceof ConnectTimeoutException);
-        return refused ? Result.REFUSED : Result.UNANSWERED;
+        Throwable cause = dial.cause();
+        if (cause instanceof ConnectTimeoutException || cause instanceof NoRouteToHostException) {
+            return Result.UNANSWERED;
+        }
+        if (cause instanceof ConnectException) {
+            return Result.REFUSED;
+        }
+        return cause instanceof SocketException ? Result.BROKEN : Result.UNANSWERED;
     }
 
-    /** Returns whether the connection that was opened is still there. */
+    /** Returns whether a connection was opened and is still there. */
     boolean lasts() {
         return channel.isActive();
     }
