Tell each step of a companion's orders in its log

Now order_lease_asked, order_claim_of_predecessor_released, order_given and order_done stand there, one line each a change of version. No decision changes.

The test on two companions for one engine asked only that something be noted; with more notes that would say nothing, so it now asks for foreign_order.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/orders/TargetOrders.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/orders/TargetOrders.java
@@ -1,6 +1,8 @@
 package org.rattanrudder.core.orders;
 
+import java.util.Arrays;
 import java.util.Optional;
+import java.util.stream.Stream;
 import org.rattanrudder.core.companion.CompanionEvent.OrderOutcome;
 import org.rattanrudder.core.log.LogEntry;
 
@@ -182,6 +184,7 @@
                     target.service(), target.target(), claimant.holder(), terms.leaseMicros() / MICROS_PER_MILLI);
             if (actions.append(entry)) {
                 lease.sent(entry, nowMicros);
+                note(actions, "order_lease_asked");
             }
         }
         if (mayOrder(nowMicros)) {
@@ -250,7 +253,7 @@
             return;
         }
         if (fencing == orderedFencing && ordered != null && outcome == OrderOutcome.DONE) {
-            reach();
+            reach(actions);
             return;
         }
         if (fencing > lease.offset()) {
@@ -263,7 +266,7 @@
         }
         if (mayOrder(nowMicros)) {
             // The companion before us can't order any more and its load isn't running: its claim holds up others.
-            ledger.othersClaims(claimant).forEach(each -> actions.append(release(each)));
+            ledger.othersClaims(claimant).forEach(each -> releasePredecessor(each, actions));
         }
         if (isThere()) {
             retry(Phase.WANTED, terms.pollMicros(), nowMicros);
@@ -275,17 +278,24 @@
             orderedFencing = lease.offset();
             phase = Phase.ORDERING;
             actions.give(orderedFencing, ordered);
+            note(actions, "order_given", "version", ordered.version(), "fencing", Long.toString(orderedFencing));
             return;
         }
         retry(Phase.WANTED, terms.pollMicros(), nowMicros);
     }
 
+    private void releasePredecessor(OrderLedger.Claimant predecessor, OrderActions actions) {
+        if (actions.append(release(predecessor))) {
+            note(actions, "order_claim_of_predecessor_released", "holder", Long.toHexString(predecessor.holder()));
+        }
+    }
+
     private void orderAnswered(long fencing, OrderOutcome outcome, long nowMicros, OrderActions actions) {
         if (fencing != orderedFencing) {
             return;
         }
         switch (outcome) {
-            case DONE -> reach();
+            case DONE -> reach(actions);
             case STARTED -> retry(Phase.LOADING, terms.pollMicros(), nowMicros);
             // It may have taken effect: the target is asked before anything else.
             case LOST -> retry(Phase.WANTED, terms.pollMicros(), nowMicros);
@@ -294,7 +304,8 @@
         }
     }
 
-    private void reach() {
+    private void reach(OrderActions actions) {
+        note(actions, "order_done", "version", ordered.version(), "fencing", Long.toString(orderedFencing));
         reached = ordered;
         ordered = null;
         refusals = 0;
@@ -326,12 +337,12 @@
      * is no lease of this target, so this companion stops, tells operators, and orders again after a new document.
      */
     private void foreign(long fencing, long nowMicros, OrderActions actions) {
-        actions.note("foreign_order", "target", target.target().value(), "fencing", Long.toString(fencing));
+        note(actions, "foreign_order", "fencing", Long.toString(fencing));
         backOff(nowMicros);
     }
 
     private void refused(long nowMicros, OrderActions actions) {
-        actions.note("order_refused", "target", target.target().value(), "version", ordered.version());
+        note(actions, "order_refused", "version", ordered.version());
         ordered = null;
         backOff(nowMicros);
     }
@@ -346,4 +357,11 @@
         phase = next;
         notBeforeMicros = nowMicros + waitMicros;
     }
+
+    private void note(OrderActions actions, String event, String... fields) {
+        actions.note(
+                event,
+                Stream.concat(Stream.of("target", target.target().value()), Arrays.stream(fields))
+                        .toArray(String[]::new));
+    }
 }
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/orders/TargetOrdersTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/orders/TargetOrdersTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.Map;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -25,6 +26,32 @@
         assertThat(companion.orders.isSettled()).isTrue();
     }
 
+    @Test
+    void eachStepOfAnOrderIsTold() {
+        OrderWorld.Companion companion = world.companion(world.engine(true, SECOND));
+        world.desire("v1");
+        world.pass(10 * SECOND);
+
+        assertThat(companion.notes).containsExactly("order_lease_asked", "order_given", "order_done");
+    }
+
+    @Test
+    void aSuccessorTellsThatItReleasedTheClaimOfItsPredecessor() {
+        OrderWorld.Companion first = world.companion(world.engine(true, SECOND));
+        world.desire("v1");
+        while (world.mostLoads == 0) {
+            world.pass(OrderWorld.TICK);
+        }
+        first.frozen = true;
+        OrderWorld.Companion successor = world.companion(world.engines.get(0));
+        successor.want(OrderWorld.state("v2"));
+        world.pass(30 * SECOND);
+
+        assertThat(successor.notes)
+                .containsExactly(
+                        "order_lease_asked", "order_claim_of_predecessor_released", "order_given", "order_done");
+    }
+
     @ParameterizedTest
     @CsvSource({"1, 1", "2, 2", "9, 2"})
     void noMoreThanTwoEnginesOfAServiceLoadAtOnce(int engines, int most) {
@@ -137,7 +164,7 @@
         one.want(OrderWorld.state("v1"));
         other.want(OrderWorld.state("v2"));
         world.pass(600 * SECOND);
-        assertThat(one.notes.size() + other.notes.size()).isPositive();
+        assertThat(Stream.of(one, other).flatMap(each -> each.notes.stream())).contains("foreign_order");
         assertThat(engine.effective.size()).isLessThan(60);
     }
 }
