Print what processes wrote last when a listed test fails

Two listed tests of real processes (OrdersTest's takeover, ConfigurationChangeTest) were seen red with nothing but "not within", and the processes' logs stayed on the machine that ran them. Their last twenty lines each are now printed with the failure, and stand behind a system that doesn't get ready.

The message of a system that doesn't get ready is unchanged.

--- a/rattanrudder-standins/src/test/java/org/rattanrudder/standins/ConfigurationChangeTest.java
+++ b/rattanrudder-standins/src/test/java/org/rattanrudder/standins/ConfigurationChangeTest.java
@@ -7,6 +7,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.extension.AfterTestExecutionCallback;
+import org.junit.jupiter.api.extension.RegisterExtension;
 import org.rattanrudder.standins.deployment.Operator;
 import org.rattanrudder.standins.load.Answer;
 
@@ -14,6 +16,9 @@
     private static final String SERVICE = "fuel-ledger";
     private static final long IN_FORCE_NANOS = TimeUnit.SECONDS.toNanos(4);
 
+    @RegisterExtension
+    final AfterTestExecutionCallback lines = RunningSystem.printLinesOfFailures(() -> this.system);
+
     private RunningSystem system;
     private String text;
 
--- a/rattanrudder-standins/src/test/java/org/rattanrudder/standins/OrdersTest.java
+++ b/rattanrudder-standins/src/test/java/org/rattanrudder/standins/OrdersTest.java
@@ -15,6 +15,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.extension.AfterTestExecutionCallback;
+import org.junit.jupiter.api.extension.RegisterExtension;
 import org.rattanrudder.standins.deployment.Ports;
 import org.rattanrudder.standins.deployment.StandInSizes;
 import org.rattanrudder.standins.load.Answer;
@@ -36,6 +38,9 @@
 
     private static final Pattern LAST_COMPANION = Pattern.compile("(?s).*\"companion\": \"(127[^\"]+)\"");
 
+    @RegisterExtension
+    final AfterTestExecutionCallback lines = RunningSystem.printLinesOfFailures(() -> this.system);
+
     private RunningSystem system;
     private long revision;
 
--- a/rattanrudder-standins/src/test/java/org/rattanrudder/standins/RunningSystem.java
+++ b/rattanrudder-standins/src/test/java/org/rattanrudder/standins/RunningSystem.java
@@ -10,7 +10,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import java.util.function.UnaryOperator;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.extension.AfterTestExecutionCallback;
 import org.rattanrudder.core.document.TargetSettings;
 import org.rattanrudder.core.model.Address;
 import org.rattanrudder.standins.deployment.Layout;
@@ -27,7 +30,7 @@
 final class RunningSystem implements AutoCloseable {
     private static final String DAEMON = "org.rattanrudder.daemon.Rattanrudderd";
     private static final Path EXAMPLES = Path.of("..", "examples", "small");
-    private static final int LINES_SHOWN = 5;
+    private static final int LINES_SHOWN = 20;
     private static final Path LOGS = Path.of("target", "process-logs");
 
     private final CallerClient client = new CallerClient();
@@ -64,11 +67,26 @@
             new Readiness(layout, system.client, system::requireAllRun).publishAndWait();
             return system;
         } catch (RuntimeException notReady) {
+            notReady.addSuppressed(new IllegalStateException("the processes wrote last:" + system.lastLines()));
             system.close();
             throw notReady;
         }
     }
 
+    /** Returns what prints the last lines of each process once a test has failed. */
+    static AfterTestExecutionCallback printLinesOfFailures(Supplier<RunningSystem> system) {
+        return test -> test.getExecutionException()
+                .ifPresent(failed -> System.out.println(
+                        test.getDisplayName() + " failed" + system.get().lastLines()));
+    }
+
+    private String lastLines() {
+        return processes.keySet().stream()
+                .sorted()
+                .map(name -> "\n" + name + ":\n" + lastLines(name))
+                .collect(Collectors.joining());
+    }
+
     /** Fails with what a process wrote last if one has ended by itself. */
     private void requireAllRun() {
         processes.forEach((name, process) -> {
