--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/orders/TargetOrders.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/orders/TargetOrders.java
@@ -184,7 +184,7 @@
                     target.service(), target.target(), claimant.holder(), terms.leaseMicros() / MICROS_PER_MILLI);
             if (actions.append(entry)) {
                 lease.sent(entry, nowMicros);
-                note(actions, "order_lease_asked");
+                note("order_lease_asked", actions);
             }
         }
         if (mayOrder(nowMicros)) {
@@ -278,7 +278,7 @@
             orderedFencing = lease.offset();
             phase = Phase.ORDERING;
             actions.give(orderedFencing, ordered);
-            note(actions, "order_given", "version", ordered.version(), "fencing", Long.toString(orderedFencing));
+            note("order_given", actions, "version", ordered.version(), "fencing", Long.toString(orderedFencing));
             return;
         }
         retry(Phase.WANTED, terms.pollMicros(), nowMicros);
@@ -286,7 +286,7 @@
 
     private void releasePredecessor(OrderLedger.Claimant predecessor, OrderActions actions) {
         if (actions.append(release(predecessor))) {
-            note(actions, "order_claim_of_predecessor_released", "holder", Long.toHexString(predecessor.holder()));
+            note("order_claim_of_predecessor_released", actions, "holder", Long.toHexString(predecessor.holder()));
         }
     }
 
@@ -305,7 +305,7 @@
     }
 
     private void reach(OrderActions actions) {
-        note(actions, "order_done", "version", ordered.version(), "fencing", Long.toString(orderedFencing));
+        note("order_done", actions, "version", ordered.version(), "fencing", Long.toString(orderedFencing));
         reached = ordered;
         ordered = null;
         refusals = 0;
@@ -337,12 +337,12 @@
      * is no lease of this target, so this companion stops, tells operators, and orders again after a new document.
      */
     private void foreign(long fencing, long nowMicros, OrderActions actions) {
-        note(actions, "foreign_order", "fencing", Long.toString(fencing));
+        note("foreign_order", actions, "fencing", Long.toString(fencing));
         backOff(nowMicros);
     }
 
     private void refused(long nowMicros, OrderActions actions) {
-        note(actions, "order_refused", "version", ordered.version());
+        note("order_refused", actions, "version", ordered.version());
         ordered = null;
         backOff(nowMicros);
     }
@@ -358,7 +358,7 @@
         notBeforeMicros = nowMicros + waitMicros;
     }
 
-    private void note(OrderActions actions, String event, String... fields) {
+    private void note(String event, OrderActions actions, String... fields) {
         actions.note(
                 event,
                 Stream.concat(Stream.of("target", target.target().value()), Arrays.stream(fields))
