Work out a prompt's fingerprint once when an attempt of it fails

Noting the failure digested host, path, customer and body, and asking right after whether the prompt is quarantined did so again, and made up a refusal that nobody read. The note of a failure now says whether the prompt may be sent on. Behaviour is unchanged; AttemptsTest keeps its assertions.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/entry/Attempts.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/entry/Attempts.java
@@ -175,9 +175,7 @@
     void failed(InFlight inFlight, Refusal refusal, long nowMicros) {
         leave(inFlight);
         inFlight.mayHaveRun = true;
-        quarantine.failed(inFlight, refusal.kind(), nowMicros);
-        boolean quarantined =
-                quarantine.refusal(inFlight.terms, inFlight.request, nowMicros).isPresent();
+        boolean quarantined = quarantine.failed(inFlight, refusal.kind(), nowMicros);
         boolean repeatable = inFlight.terms.idempotent() && !inFlight.begun && !quarantined;
         boolean timeLeft = nowMicros < inFlight.deadlineMicros() && inFlight.attempts < MOST_ATTEMPTS;
         if (repeatable && timeLeft && inFlight.service().retries().tryRetry()) {
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/entry/PromptQuarantine.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/entry/PromptQuarantine.java
@@ -34,16 +34,20 @@
                         ErrorKind.REQUEST_QUARANTINED, left.getAsLong(), "engines ended while they ran this prompt"));
     }
 
-    /** Notes that an attempt failed. */
-    void failed(InFlight inFlight, ErrorKind kind, long nowMicros) {
-        if (kind != ErrorKind.TARGET_FAILED || !isPrompt(inFlight.terms)) {
-            return;
+    /** Notes that an attempt failed; returns whether its prompt may be sent to no further engine. */
+    boolean failed(InFlight inFlight, ErrorKind kind, long nowMicros) {
+        boolean ended = kind == ErrorKind.TARGET_FAILED;
+        if (!isPrompt(inFlight.terms) || !ended && quarantine.isEmpty()) {
+            return false;
         }
-        // Which start of the engine it was isn't known: each attempt counts as one.
-        crashes++;
-        TargetCrash crash = new TargetCrash(
-                inFlight.route.target().name().value(), crashes, Set.of(fingerprint(inFlight.terms, inFlight.request)));
-        quarantine.crashed(crash, true, millis(nowMicros));
+        RequestFingerprint prompt = fingerprint(inFlight.terms, inFlight.request);
+        if (ended) {
+            // Which start of the engine it was isn't known: each attempt counts as one.
+            crashes++;
+            TargetCrash crash = new TargetCrash(inFlight.route.target().name().value(), crashes, Set.of(prompt));
+            quarantine.crashed(crash, true, millis(nowMicros));
+        }
+        return quarantine.leftMillis(prompt, millis(nowMicros)).isPresent();
     }
 
     /** Notes a whole answer. */
