--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/quarantine/Quarantine.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/quarantine/Quarantine.java
@@ -192,7 +192,10 @@
 
     /** Lets go what has been held for long enough. */
     public void expire(long nowMillis) {
-        suspects.values().removeIf(suspect -> nowMillis - suspect.lastAt >= KEPT_MILLIS);
+        Iterator<Suspect> oldest = suspects.values().iterator();
+        while (oldest.hasNext() && nowMillis - oldest.next().lastAt >= KEPT_MILLIS) {
+            oldest.remove();
+        }
         for (RequestFingerprint request : List.copyOf(held.keySet())) {
             Held known = held.get(request);
             if (nowMillis - known.since >= KEPT_MILLIS) {
