--- a/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/CrashWatchTest.java
+++ b/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/CrashWatchTest.java
@@ -10,15 +10,10 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.rattanrudder.core.fleet.Fleet;
-import org.rattanrudder.core.fleet.Target;
-import org.rattanrudder.core.fleet.TargetEntry;
-import org.rattanrudder.core.model.Address;
 import org.rattanrudder.core.quarantine.RequestFingerprint;
 
 /** A target that has ended looked alive while its process was still closing what it had open. */
@@ -78,7 +73,7 @@
     }
 
     private List<Set<RequestFingerprint>> endsAfterABreak() {
-        watch.broken(target(), REQUEST);
+        watch.broken(KnownTargets.target("i-1", Map.of(), NOW), REQUEST);
         for (int step = 0; step < CrashWatch.MOST_DIALS + 1; step++) {
             channel.advanceTimeBy(CrashWatch.LASTING_MILLIS, TimeUnit.MILLISECONDS);
             channel.runScheduledPendingTasks();
@@ -97,22 +92,4 @@
         dialled.close();
         return Dial.of(dialled.newSucceededFuture());
     }
-
-    private static Target target() {
-        Fleet fleet = new Fleet();
-        fleet.apply(
-                "i-1",
-                Optional.of(new TargetEntry(
-                        "i-1",
-                        TargetEntry.START_UNKNOWN,
-                        "llm",
-                        new Address("10.0.0.1", 80),
-                        "north",
-                        8,
-                        false,
-                        Map.of())),
-                1,
-                NOW);
-        return fleet.find("i-1").orElseThrow();
-    }
 }
--- /dev/null
+++ b/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/KnownTargets.java
@@ -0,0 +1,32 @@
+package org.rattanrudder.daemon.relay;
+
+import java.util.Map;
+import java.util.Optional;
+import org.rattanrudder.core.fleet.Fleet;
+import org.rattanrudder.core.fleet.Target;
+import org.rattanrudder.core.fleet.TargetEntry;
+import org.rattanrudder.core.model.Address;
+
+/** Targets as a relay knows them. */
+final class KnownTargets {
+    private KnownTargets() {}
+
+    /** Returns a target that has just been read of. */
+    static Target target(String id, Map<String, Long> weights, long nowMillis) {
+        Fleet fleet = new Fleet();
+        fleet.apply(
+                id,
+                Optional.of(new TargetEntry(
+                        id,
+                        TargetEntry.START_UNKNOWN,
+                        "llm",
+                        new Address("10.0.0.1", 80),
+                        "north",
+                        128,
+                        false,
+                        weights)),
+                1,
+                nowMillis);
+        return fleet.find(id).orElseThrow();
+    }
+}
--- a/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/WorkNewsTest.java
+++ b/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/WorkNewsTest.java
@@ -6,14 +6,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.rattanrudder.core.fleet.Fleet;
 import org.rattanrudder.core.fleet.Target;
-import org.rattanrudder.core.fleet.TargetEntry;
-import org.rattanrudder.core.model.Address;
 
 /**
  * Twenty-seven relays learnt ten times a second what the others had sent, and filled the same free engine together: two
@@ -32,26 +28,8 @@
         news.tellBy(targets -> told.add(targets.stream().map(Target::id).toList()));
     }
 
-    private static Target target(String id, Map<String, Long> weights) {
-        Fleet fleet = new Fleet();
-        fleet.apply(
-                id,
-                Optional.of(new TargetEntry(
-                        id,
-                        TargetEntry.START_UNKNOWN,
-                        "llm",
-                        new Address("10.0.0.1", 80),
-                        "north",
-                        128,
-                        false,
-                        weights)),
-                1,
-                NOW);
-        return fleet.find(id).orElseThrow();
-    }
-
     private static Target engine(String id) {
-        return target(id, Map.of("m", 1L));
+        return KnownTargets.target(id, Map.of("m", 1L), NOW);
     }
 
     private void pass(long millis) {
@@ -88,7 +66,7 @@
     /** Servers of plain services say their load in each answer. */
     @Test
     void onlyEnginesAreTold() {
-        news.placed(target("i-plain", Map.of()));
+        news.placed(KnownTargets.target("i-plain", Map.of(), NOW));
 
         pass(1_000);
 
