--- a/rattanrudder-command/src/main/java/org/rattanrudder/command/RequestStory.java
+++ b/rattanrudder-command/src/main/java/org/rattanrudder/command/RequestStory.java
@@ -90,10 +90,12 @@
             case "request_denied" ->
                 "turned away: " + fields.get("error") + " by configuration " + fields.get("configuration");
             case "request_held" ->
-                "waits in line, engines are full; " + fields.get("in_line") + " wait for " + fields.get("service");
+                "waits in line, engines are full; " + fields.get("in_line") + " wait for " + fields.get("service")
+                        + limitedTargets(fields);
             case "request_placed" ->
                 "target " + fields.get("target") + " picked out of " + fields.get("candidates") + ", delay of "
-                        + fields.get("expected_ms") + " ms expected";
+                        + fields.get("expected_ms") + " ms expected"
+                        + ("true".equals(fields.get("warming")) ? ", though it is warming up" : "");
             case "request_sent" ->
                 "sent; " + fields.get("read") + " of " + fields.get("shared_parts")
                         + " shared parts are read from stores, " + fields.get("saved") + " saved";
@@ -106,4 +108,12 @@
             default -> event.replace('_', ' ');
         };
     }
+
+    /** Says which targets were out of use or limited, if any; lines of older relays don't say. */
+    private static String limitedTargets(Map<String, String> fields) {
+        String warming = fields.getOrDefault("warming", "0");
+        String evacuated = fields.getOrDefault("evacuated", "0");
+        return (warming.equals("0") ? "" : "; " + warming + " targets are warming up")
+                + (evacuated.equals("0") ? "" : "; failure domains evacuated: " + evacuated);
+    }
 }
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Fleet.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Fleet.java
@@ -8,7 +8,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.rattanrudder.core.fleet.LoadReport.ServedWeights;
 
 /**
@@ -42,6 +44,7 @@
     private final Map<String, Long> expired = new HashMap<>();
     private final PeerLoads peers = new PeerLoads();
     private final TargetSharing sharing = new TargetSharing();
+    private final Evacuations evacuations = new Evacuations();
 
     /**
      * False at startup: a relay that has seen no outage must not delay removals that were made while the log was
@@ -49,6 +52,9 @@
      */
     private boolean logUnavailable;
 
+    /** Whether all targets that were registered at this relay's start are known. */
+    private boolean listed;
+
     private long logRecoveredAt = Long.MIN_VALUE / 2;
 
     /**
@@ -80,7 +86,7 @@
      */
     public boolean apply(String id, Optional<TargetRegistration> registration, long offset, long nowMillis) {
         if (registration.isPresent()) {
-            return applyRegistration(registration.get(), offset);
+            return applyRegistration(registration.get(), offset, nowMillis);
         }
         if (!isNewer(id, offset)) {
             return false;
@@ -113,7 +119,7 @@
      * its earlier outcomes don't apply to it, so it is replaced by a new {@code Target}. A record of an earlier start
      * may be written or read after one of the newer start and is ignored.
      */
-    private boolean applyRegistration(TargetRegistration registration, long offset) {
+    private boolean applyRegistration(TargetRegistration registration, long offset, long nowMillis) {
         RecordPosition position = newestRecords.getOrDefault(registration.id(), RecordPosition.NONE);
         boolean restarted = registration.startedAt() > position.startedAt();
         if (registration.startedAt() < position.startedAt() || (!restarted && offset <= position.offset())) {
@@ -122,18 +128,32 @@
         newestRecords.put(registration.id(), new RecordPosition(registration.startedAt(), offset));
         expired.remove(registration.id());
         Target target = targets.get(registration.id());
+        boolean started = listed && (target == null || restarted);
         if (target == null || restarted) {
-            targets.put(registration.id(), new Target(registration, peers, sharing));
+            target = new Target(registration, peers, sharing);
+            targets.put(registration.id(), target);
         } else {
             target.update(registration);
         }
+        recordWarmUp(target, started, nowMillis);
         return true;
     }
 
+    /** A target that says nothing of its warm-up warms up if it has started since this relay listed all targets. */
+    private static void recordWarmUp(Target target, boolean started, long nowMillis) {
+        OptionalLong reported = target.registration().warmUpMillis();
+        if (reported.isPresent()) {
+            target.warmUp().onReported(reported.getAsLong(), nowMillis);
+        } else if (started) {
+            target.warmUp().onStarted(nowMillis);
+        }
+    }
+
     /**
      * Applies a full listing: removes targets that aren't listed, unless their last record is newer than the listing.
      */
     public void applyListing(Set<String> present, long end, long nowMillis) {
+        listed = true;
         for (String id : List.copyOf(targets.keySet())) {
             if (!present.contains(id) && newestRecords.get(id).offset() < end) {
                 remove(id, nowMillis);
@@ -143,7 +163,7 @@
 
     /** Removes a target at whose address another target responded. */
     public void removeReplaced(String id) {
-        targets.remove(id);
+        forget(id);
         expired.remove(id);
     }
 
@@ -195,13 +215,34 @@
         return Optional.ofNullable(targets.get(id));
     }
 
-    /** Returns the targets of a service that aren't draining. */
+    /** Returns the failure domains that operators have evacuated. */
+    public Evacuations evacuations() {
+        return evacuations;
+    }
+
+    /** Returns the targets of a service that may get requests: neither they nor their failure domains are leaving. */
+    public List<Target> usableTargets(String service, long nowMillis) {
+        return targets(service, this::isUsable, nowMillis);
+    }
+
+    /** Returns whether a target may get requests: it is the one that is known by its id, and it isn't leaving. */
+    public boolean isUsable(Target target) {
+        TargetRegistration registration = target.registration();
+        return targets.get(target.id()) == target
+                && !registration.draining()
+                && !evacuations.isEvacuated(registration.failureDomain());
+    }
+
+    /** Returns the targets of a service that aren't draining, including those of evacuated failure domains. */
     public List<Target> activeTargets(String service, long nowMillis) {
+        return targets(service, target -> !target.registration().draining(), nowMillis);
+    }
+
+    private List<Target> targets(String service, Predicate<Target> wanted, long nowMillis) {
         removeExpired(nowMillis);
         List<Target> found = new ArrayList<>();
         for (Target target : targets.values()) {
-            if (target.registration().service().equals(service)
-                    && !target.registration().draining()) {
+            if (target.registration().service().equals(service) && wanted.test(target)) {
                 found.add(target);
             }
         }
@@ -225,16 +266,21 @@
             expired.putIfAbsent(id, nowMillis);
             return;
         }
-        targets.remove(id);
+        forget(id);
         expired.remove(id);
     }
 
+    private void forget(String id) {
+        targets.remove(id);
+        peers.forget(id);
+    }
+
     private void removeExpired(long nowMillis) {
         if (expired.isEmpty() || logUnavailable || nowMillis - logRecoveredAt < LOG_RECOVERY_GRACE_MILLIS) {
             return;
         }
         for (Iterator<String> ids = expired.keySet().iterator(); ids.hasNext(); ) {
-            targets.remove(ids.next());
+            forget(ids.next());
             ids.remove();
         }
     }
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/HoldingQueue.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/HoldingQueue.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.TreeSet;
 import java.util.function.Predicate;
+import java.util.stream.Stream;
 
 /**
  * Queue of the requests of one service that wait at the relay for an engine with free capacity.
@@ -145,6 +146,15 @@
         return rejected;
     }
 
+    /** Removes the requests that match, and returns them in order. */
+    public List<T> removeIf(Predicate<T> matches) {
+        List<QueuedRequest<T>> removed = Stream.concat(onTime.stream(), late.stream())
+                .filter(queued -> matches.test(queued.request()))
+                .toList();
+        removed.forEach(this::remove);
+        return removed.stream().map(QueuedRequest::request).toList();
+    }
+
     /** Returns whether a request is queued as late. */
     public boolean isLate(QueuedRequest<T> queued) {
         return late.contains(queued);
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/PeerLoads.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/PeerLoads.java
@@ -27,6 +27,8 @@
     /** Total load of all peers by target, cached until one of the summands changes. */
     private final Map<String, TargetLoad> sums = new HashMap<>();
 
+    private final Map<String, RecentSends> sends = new HashMap<>();
+
     private long staleRemovedAt = Long.MIN_VALUE;
 
     private record ReceivedReport(
@@ -42,6 +44,7 @@
         if (previous != null && previous.sequence() >= report.sequence()) {
             return;
         }
+        report.targets().forEach(load -> recordSends(previous, load, nowMillis));
         if (report.full()) {
             // Also drops sums of targets that no peer has requests at any more.
             sums.clear();
@@ -57,6 +60,29 @@
                 new ReceivedReport(nowMillis, report.sequence(), report.ready(), intervalMillis, targets));
     }
 
+    /** A peer reports each placement, so what its load has grown by since its last report was sent just before. */
+    private void recordSends(ReceivedReport previous, TargetLoad load, long nowMillis) {
+        if (previous == null) {
+            return;
+        }
+        TargetLoad before = previous.targets().get(load.target());
+        int grown = load.requests() - (before == null ? 0 : before.requests());
+        if (grown > 0) {
+            sends.computeIfAbsent(load.target(), unseen -> new RecentSends()).add(grown, nowMillis);
+        }
+    }
+
+    /** Returns how many requests peers are known to have sent to a target within the last second. */
+    public int sentWithinSecond(String target, long nowMillis) {
+        RecentSends recent = sends.get(target);
+        return recent == null ? 0 : recent.sent(nowMillis);
+    }
+
+    /** Forgets a target that is no longer known. */
+    void forget(String target) {
+        sends.remove(target);
+    }
+
     /** Returns the peers whose last report is fresh. */
     public Set<String> livePeers(long nowMillis) {
         removeStale(nowMillis);
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Reachability.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Reachability.java
@@ -61,6 +61,11 @@
         overdue = false;
     }
 
+    /** Returns whether the last dial has failed. */
+    boolean hasFailed() {
+        return consecutiveFailures > 0;
+    }
+
     /** Returns whether the last dial has failed or is overdue. */
     boolean isUnreachable() {
         return consecutiveFailures > 0 || overdue;
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/ReportSchedule.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/ReportSchedule.java
@@ -38,6 +38,9 @@
     /** How long after its last report a peer counts as live. */
     public static final long LIVE_MILLIS = 5_000;
 
+    /** How long after its last report a peer counts as ended, while most others are heard. */
+    private static final long ENDED_MILLIS = 30_000;
+
     private final Map<String, Peer> peers = new TreeMap<>();
     private long round;
 
@@ -45,11 +48,17 @@
         private final String failureDomain;
         private final boolean near;
         private long lastReportAt = Long.MIN_VALUE / 2;
+        private final long addedAt;
         private boolean reported;
 
-        Peer(String failureDomain, boolean near) {
+        Peer(String failureDomain, boolean near, long addedAt) {
             this.failureDomain = failureDomain;
             this.near = near;
+            this.addedAt = addedAt;
+        }
+
+        boolean isSilent(long nowMillis) {
+            return nowMillis - Math.max(addedAt, lastReportAt) > ENDED_MILLIS;
         }
     }
 
@@ -70,8 +79,8 @@
     public ReportSchedule() {}
 
     /** Adds a registered peer, or updates its failure domain. */
-    public void addRelay(String relay, String failureDomain, boolean near) {
-        peers.put(relay, new Peer(failureDomain, near));
+    public void addRelay(String relay, String failureDomain, boolean near, long nowMillis) {
+        peers.put(relay, new Peer(failureDomain, near, nowMillis));
     }
 
     /** Removes a peer that is no longer registered. */
@@ -100,6 +109,20 @@
                 .collect(Collectors.toMap(Map.Entry::getKey, entry -> entry.getValue().failureDomain));
     }
 
+    /**
+     * Returns the failure domains of the registered peers by name, without those that ended long ago. A peer counts as
+     * ended if it has been silent for long while half of all peers haven't: else this relay may be cut off itself, and
+     * the silent ones may still send requests.
+     */
+    public Map<String, String> registeredRelayDomains(long nowMillis) {
+        long silent =
+                peers.values().stream().filter(peer -> peer.isSilent(nowMillis)).count();
+        boolean drop = 2 * silent <= peers.size();
+        return peers.entrySet().stream()
+                .filter(entry -> !drop || !entry.getValue().isSilent(nowMillis))
+                .collect(Collectors.toMap(Map.Entry::getKey, entry -> entry.getValue().failureDomain));
+    }
+
     /** Starts the next round and returns the peers that are due, grouped by interval, without empty groups. */
     public List<Due> nextRound(long nowMillis) {
         List<Due> due = peers.size() <= MAX_PEERS_EVERY_ROUND
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Target.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Target.java
@@ -38,6 +38,8 @@
     private final Map<String, Long> confirmedWeights = new HashMap<>();
     private final PeerLoads peers;
     private final TargetSharing sharing;
+    private final RecentSends recentSends = new RecentSends();
+    private final WarmUp warmUp = new WarmUp();
     private final Reachability reachability = new Reachability();
     private final long idHash;
     private TargetRegistration registration;
@@ -78,6 +80,41 @@
         return registration.id();
     }
 
+    /** Returns the requests that this relay has sent within the last second, or is about to send. */
+    RecentSends recentSends() {
+        return recentSends;
+    }
+
+    /** Returns how many requests peers are known to have sent to it within the last second. */
+    int peerSends(long nowMillis) {
+        return peers.sentWithinSecond(id(), nowMillis);
+    }
+
+    /** Returns what is known of its warm-up. */
+    WarmUp warmUp() {
+        return warmUp;
+    }
+
+    /** Records that a request will be sent to it once a connection is open. */
+    public void reserveSend() {
+        recentSends.reserve();
+    }
+
+    /** Records that a request for which a send was reserved won't be sent. */
+    public void cancelSend() {
+        recentSends.cancel();
+    }
+
+    /** Records that a request for which a send was reserved was sent. */
+    public void onRequestSent(long nowMillis) {
+        recentSends.onSent(nowMillis);
+    }
+
+    /** Records how long the target says that it still warms up. */
+    public void reportWarmUp(long remainingMillis, long nowMillis) {
+        warmUp.onReported(remainingMillis, nowMillis);
+    }
+
     /** Returns a hash of the id. */
     long idHash() {
         return idHash;
@@ -227,6 +264,9 @@
 
     /** Records that a dial has succeeded or failed. */
     public void onDialFinished(boolean opened, long nowMillis) {
+        if (opened && reachability.hasFailed()) {
+            warmUp.onReachableAgain(nowMillis);
+        }
         reachability.onDialFinished(opened, nowMillis);
     }
 
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/TargetRegistration.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/TargetRegistration.java
@@ -1,6 +1,7 @@
 package org.rattanrudder.core.fleet;
 
 import java.util.Map;
+import java.util.OptionalLong;
 import org.rattanrudder.core.model.Address;
 
 /**
@@ -14,6 +15,7 @@
  * @param slots how many requests it processes concurrently; 0 if not given
  * @param draining whether it is shutting down and accepts no new requests
  * @param weights the version of each model that it serves
+ * @param warmUpMillis how long it still warms up, in ms; empty if not given
  */
 public record TargetRegistration(
         String id,
@@ -23,11 +25,38 @@
         String failureDomain,
         int slots,
         boolean draining,
-        Map<String, Long> weights) {
+        Map<String, Long> weights,
+        OptionalLong warmUpMillis) {
     /** The start time of a target that gives none; sorts before any other. */
     public static final long START_UNKNOWN = 0;
 
     public TargetRegistration {
         weights = Map.copyOf(weights);
     }
+
+    /** Creates a registration that doesn't say whether the target warms up. */
+    public TargetRegistration(
+            String id,
+            long startedAt,
+            String service,
+            Address address,
+            String failureDomain,
+            int slots,
+            boolean draining,
+            Map<String, Long> weights) {
+        this(id, startedAt, service, address, failureDomain, slots, draining, weights, OptionalLong.empty());
+    }
+
+    /** Returns whether another registration differs in more than the progress of a warm-up. */
+    public boolean differsFrom(TargetRegistration other) {
+        return isWarmingUp() != other.isWarmingUp() || !withoutWarmUp().equals(other.withoutWarmUp());
+    }
+
+    private boolean isWarmingUp() {
+        return warmUpMillis.orElse(0) > 0;
+    }
+
+    private TargetRegistration withoutWarmUp() {
+        return new TargetRegistration(id, startedAt, service, address, failureDomain, slots, draining, weights);
+    }
 }
--- /dev/null
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/WarmUpAdmission.java
@@ -0,0 +1,125 @@
+package org.rattanrudder.core.fleet;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.rattanrudder.core.gateway.WarmUpTraits;
+
+/**
+ * Limits the requests to targets that are warming up, or may be without a sign of it.
+ *
+ * <p>Two limits apply. A target that is known to warm up gets no more from this relay than its share of what the target
+ * tolerates; see {@link PermitShares} for the sum over all relays. Any other target may turn cold before anybody knows,
+ * so this relay sends to it only while the requests that it knows of, its own and its peers', leave room below what a
+ * cold target survives. The first limit needs no news of others; the second one is as good as that news.
+ *
+ * <p>All times are milliseconds of a monotonic clock.
+ */
+public final class WarmUpAdmission {
+    /** Share of what a cold target survives that is used: the rest is for requests that this relay doesn't know of. */
+    private static final double USED_SHARE = 0.8;
+
+    private final Evacuations evacuations;
+    private final PermitShares shares = new PermitShares();
+    private double overage = 1;
+    private double slack;
+
+    /**
+     * Creates an admission for relays that aren't known yet.
+     *
+     * @param evacuations the evacuations whose end leaves targets cold
+     */
+    public WarmUpAdmission(Evacuations evacuations) {
+        this.evacuations = evacuations;
+    }
+
+    /**
+     * Sets how much more than the tolerated rate a cold target survives.
+     *
+     * @param newOverage a factor of the tolerated rate, at least 1
+     * @param newSlack requests a second on top of it
+     */
+    public void updateBounds(double newOverage, double newSlack) {
+        overage = newOverage;
+        slack = newSlack;
+    }
+
+    /**
+     * Sets the relays that may send requests.
+     *
+     * @param self this relay's name
+     * @param registered the failure domain of each registered relay by name, including this one
+     */
+    public void updateRelays(String self, Map<String, String> registered) {
+        shares.updateRelays(self, registered);
+    }
+
+    /** Returns the targets that may get another request now. */
+    public List<Target> admitted(List<Target> targets, Optional<WarmUpTraits> traits, long nowMillis) {
+        return traits.isEmpty()
+                ? targets
+                : targets.stream()
+                        .filter(target -> admits(target, traits.get(), nowMillis))
+                        .toList();
+    }
+
+    private boolean admits(Target target, WarmUpTraits traits, long nowMillis) {
+        RecentSends own = target.recentSends();
+        int ownCount = own.sent(nowMillis) + own.reserved();
+        if (isWarmingUp(target, traits, nowMillis)) {
+            return ownCount < ownShare(target, traits);
+        }
+        return ownCount + target.peerSends(nowMillis) < Math.max(1, USED_SHARE * survivedPerSecond(traits));
+    }
+
+    /**
+     * Returns whether a request that was reserved at the target may be sent: the target may be cold by now.
+     */
+    public boolean mayStillSend(Target target, Optional<WarmUpTraits> traits, long nowMillis) {
+        return traits.isEmpty()
+                || !isWarmingUp(target, traits.get(), nowMillis)
+                || target.recentSends().sent(nowMillis) < ownShare(target, traits.get());
+    }
+
+    /** Returns how many requests this relay may send to the target in any second while it is warming up. */
+    public int ownShare(Target target, WarmUpTraits traits) {
+        return shares.ownShare(target, permits(traits));
+    }
+
+    private int permits(WarmUpTraits traits) {
+        return (int) Math.floor(Math.min(traits.requestsPerSecond(), USED_SHARE * survivedPerSecond(traits)));
+    }
+
+    private double survivedPerSecond(WarmUpTraits traits) {
+        return traits.requestsPerSecond() * overage + slack;
+    }
+
+    /** Returns whether a target is known to be warming up. */
+    public boolean isWarmingUp(Target target, WarmUpTraits traits, long nowMillis) {
+        return state(target, traits).isWarmingUp(nowMillis);
+    }
+
+    /** Returns what shows that a target is warming up, when that was learned, and when the warm-up ends. */
+    public Optional<Knowledge> knowledge(Target target, WarmUpTraits traits, long nowMillis) {
+        WarmUp.State state = state(target, traits);
+        return state.isWarmingUp(nowMillis)
+                ? Optional.of(new Knowledge(
+                        state.evidence().name(), nowMillis - state.sinceMillis(), state.untilMillis() - nowMillis))
+                : Optional.empty();
+    }
+
+    /**
+     * What is known of a warm-up.
+     *
+     * @param evidence what shows it
+     * @param ageMillis how long this relay has known it
+     * @param remainingMillis how long it still lasts
+     */
+    public record Knowledge(String evidence, long ageMillis, long remainingMillis) {}
+
+    private WarmUp.State state(Target target, WarmUpTraits traits) {
+        OptionalLong ended = evacuations.endedAt(target.registration().failureDomain());
+        return target.warmUp().state(traits, ended);
+    }
+}
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/gateway/ServiceRoute.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/gateway/ServiceRoute.java
@@ -17,6 +17,7 @@
  * @param services the services that share its requests, at least one
  * @param maxAttempts the maximum number of targets that one request may be sent to
  * @param publicAccess whether no credential is required
+ * @param allowedRegions where its requests may run
  */
 public record ServiceRoute(
         String name,
@@ -29,11 +30,40 @@
         int priority,
         List<WeightedService> services,
         int maxAttempts,
-        boolean publicAccess) {
+        boolean publicAccess,
+        AllowedRegions allowedRegions) {
     public ServiceRoute {
         services = List.copyOf(services);
     }
 
+    /** Creates a route whose requests may run in any region. */
+    public ServiceRoute(
+            String name,
+            String host,
+            String pathPrefix,
+            RepeatRule repeat,
+            long timeoutMillis,
+            long objectiveMillis,
+            long maxPauseMillis,
+            int priority,
+            List<WeightedService> services,
+            int maxAttempts,
+            boolean publicAccess) {
+        this(
+                name,
+                host,
+                pathPrefix,
+                repeat,
+                timeoutMillis,
+                objectiveMillis,
+                maxPauseMillis,
+                priority,
+                services,
+                maxAttempts,
+                publicAccess,
+                AllowedRegions.ANY);
+    }
+
     /** Returns the service of a request, selected by the hash of its id in proportion to the weights. */
     public String serviceFor(String requestId) {
         if (services.size() == 1) {
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/parts/PartDirectory.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/parts/PartDirectory.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.Predicate;
 import org.rattanrudder.core.gateway.ContextStore;
 import org.rattanrudder.core.gateway.PromptPart;
 import org.rattanrudder.core.model.Address;
@@ -108,6 +109,17 @@
         return view == null ? 0 : view.incarnation();
     }
 
+    /** Plans like the other method, with saves in any failure domain. */
+    public PartPlan plan(
+            String salt,
+            List<PromptPart> parts,
+            String engineDomain,
+            boolean saves,
+            long objectiveMillis,
+            long nowMillis) {
+        return plan(salt, parts, engineDomain, saves, objectiveMillis, anyDomain -> true, nowMillis);
+    }
+
     /**
      * Plans where the shared parts of a prompt are fetched and saved, and records the saves as pending.
      *
@@ -116,6 +128,7 @@
      * @param saves whether to save parts that no store holds; false while their weights are being replaced, since they
      * wouldn't be worth their space
      * @param objectiveMillis when the response should start, in ms from now; engines don't wait for fetches much longer
+     * @param domainAllowed whether parts may be saved in a failure domain
      */
     public PartPlan plan(
             String salt,
@@ -123,6 +136,7 @@
             String engineDomain,
             boolean saves,
             long objectiveMillis,
+            Predicate<String> domainAllowed,
             long nowMillis) {
         if (parts.size() < 2 || stores.isEmpty()) {
             return PartPlan.NONE;
@@ -140,8 +154,9 @@
             Optional<StoreView> read = holder.filter(
                     view -> allowed.computeIfAbsent(view, asked -> asked.delay().tryFetch(baseline, nowMillis)));
             sources.add(read.map(view -> new PartPlan.Source(view.store().address(), view.tokens(key))));
-            Optional<Address> saved =
-                    holder.isPresent() || !saves ? Optional.empty() : chooseSaveStore(key, part.tokens(), nowMillis);
+            Optional<Address> saved = holder.isPresent() || !saves
+                    ? Optional.empty()
+                    : chooseSaveStore(key, part.tokens(), domainAllowed, nowMillis);
             destinations.add(saved);
             boolean replaced = holder.isEmpty() && !saves;
             choices.add(replaced ? PartChoice.REPLACED : choice(key, part.tokens(), holder, read, saved, nowMillis));
@@ -220,7 +235,8 @@
                 + doubled * view.tokens(key) / Math.max(1, view.store().linkMbps());
     }
 
-    private Optional<Address> chooseSaveStore(PartKey key, int tokens, long nowMillis) {
+    private Optional<Address> chooseSaveStore(
+            PartKey key, int tokens, Predicate<String> domainAllowed, long nowMillis) {
         if (stores.values().stream().anyMatch(view -> view.isSavePending(key, nowMillis))) {
             return Optional.empty();
         }
@@ -228,6 +244,7 @@
         // All relays rank the stores for a part alike, weighted by capacity, so that the part is saved once.
         Optional<StoreView> chosen = stores.values().stream()
                 .filter(view -> view.acceptsSaves(nowMillis) && view.hasRoom(tokens) && view.tokens(key) == 0)
+                .filter(view -> domainAllowed.test(view.store().failureDomain()))
                 .max(Comparator.comparingDouble(view -> rank(part, view)));
         chosen.ifPresent(view -> view.addPendingSave(key, nowMillis + SAVE_TIMEOUT_MILLIS));
         return chosen.map(view -> view.store().address());
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/ReportScheduleTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/ReportScheduleTest.java
@@ -22,10 +22,10 @@
 
     private void register(int near, int far) {
         for (int number = 0; number < near; number++) {
-            schedule.addRelay("near-" + number, "here", true);
+            schedule.addRelay("near-" + number, "here", true, now);
         }
         for (int number = 0; number < far; number++) {
-            schedule.addRelay("far-" + number, "there", false);
+            schedule.addRelay("far-" + number, "there", false, now);
         }
     }
 
@@ -87,8 +87,8 @@
      */
     @Test
     void unresponsivePeerGetsReportsRarely() {
-        schedule.addRelay("unresponsive", "here", true);
-        schedule.addRelay("live", "here", true);
+        schedule.addRelay("unresponsive", "here", true, now);
+        schedule.addRelay("live", "here", true, now);
         List<String> reported = new ArrayList<>();
         for (int count = 0; count < 100; count++) {
             now += ReportSchedule.ROUND_MILLIS;
@@ -119,7 +119,7 @@
         for (int count = 0; count < rounds; count++) {
             round(7, 26);
         }
-        schedule.addRelay("later", near ? "here" : "there", near);
+        schedule.addRelay("later", near ? "here" : "there", near, now);
         List<Long> reportedAt = new ArrayList<>(List.of(now));
         for (int count = 0; count < 50; count++) {
             for (ReportSchedule.Due due : round(7, 26)) {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
@@ -122,20 +122,20 @@
     boolean tryPlace() {
         long now = state.nowMillis();
         boolean late = now > plan.onTimeUntil();
-        List<Target> open = SendWindow.targetsWithRoom(
-                        state.fleet().activeTargets(plan.service(), now),
-                        plan.engine().orElseThrow(),
-                        plan.tokens(),
-                        late,
-                        now)
-                .stream()
-                .filter(target -> !triedTargets.contains(target.id()))
-                .toList();
+        List<Target> candidates = plan.candidates(now);
+        List<Target> admitted = plan.admitted(candidates, now);
+        List<Target> open =
+                SendWindow.targetsWithRoom(admitted, plan.engine().orElseThrow(), plan.tokens(), late, now).stream()
+                        .filter(target -> !triedTargets.contains(target.id()))
+                        .toList();
         Optional<Placement.Choice> choice = Placement.choose(open, plan.query(triedTargets, now), now);
         choice.ifPresent(found -> {
             queueWait.leave();
             sendTo(found);
         });
+        if (choice.isEmpty() && admitted.size() < candidates.size()) {
+            state.dispatchWhenWarmer(plan.service());
+        }
         return choice.isPresent();
     }
 
@@ -146,10 +146,23 @@
         }
     }
 
+    /** Returns whether any target may run the request. */
+    boolean hasCandidate() {
+        return !plan.candidates(state.nowMillis()).isEmpty();
+    }
+
+    /** Rejects the queued request: no target is left that may run it. */
+    void refuseUnservable() {
+        if (!ended) {
+            end(runs > 0 ? ErrorKind.TARGET_FAILED : ErrorKind.NO_TARGET, "no target");
+        }
+    }
+
     private void placeOnAnyTarget() {
         long now = state.nowMillis();
-        List<Target> targets = state.fleet().activeTargets(plan.service(), now);
-        Optional<Placement.Choice> choice = Placement.choose(targets, plan.query(triedTargets, now), now);
+        List<Target> targets = plan.candidates(now);
+        Optional<Placement.Choice> choice =
+                Placement.choose(plan.admitted(targets, now), plan.query(triedTargets, now), now);
         if (choice.isPresent()) {
             sendTo(choice.get());
         } else if (forwarder.hasBegun()) {
@@ -174,6 +187,7 @@
         // Counted from now on: otherwise all requests placed while the connection opens would go to the same target.
         Target.RequestCost expected = plan.expectedCost();
         target.onSent(expected, state.nowMillis());
+        target.reserveSend();
         state.placementBroadcaster().recordPlacement(target);
         pools.acquire(target, repeatable, opened -> {
             target.onEnded(expected, false);
@@ -183,26 +197,39 @@
 
     private void onConnected(Target target, TargetConnection opened) {
         if (ended || (state.eventLoopLag().isLate(state.nowMillis()) && caller.hasDisconnected())) {
+            target.cancelSend();
             if (opened != null) {
                 opened.abort();
             }
             return;
         }
         if (opened == null) {
-            log.failed(target.id(), AttemptOutcome.NOT_SENT, "unreachable", 0, forwarder.hasBegun());
-            state.metrics()
-                    .recordAttempt(
-                            plan.service(), AttemptOutcome.NOT_SENT.name().toLowerCase(Locale.ROOT));
-            retryOrEnd(AttemptOutcome.NOT_SENT, "unreachable");
-            return;
+            onNotSent(target, "unreachable");
+        } else if (!state.fleet().isUsable(target)) {
+            // Its draining, or its domain's evacuation, was read while the connection opened.
+            pools.release(target, opened);
+            onNotSent(target, "no longer usable");
+        } else if (!state.warmUps().mayStillSend(target, plan.warmUp(), state.nowMillis())) {
+            pools.release(target, opened);
+            onNotSent(target, "warming up");
+        } else {
+            send(target, opened);
         }
-        send(target, opened);
+    }
+
+    private void onNotSent(Target target, String reason) {
+        target.cancelSend();
+        log.failed(target.id(), AttemptOutcome.NOT_SENT, reason, 0, forwarder.hasBegun());
+        state.metrics()
+                .recordAttempt(plan.service(), AttemptOutcome.NOT_SENT.name().toLowerCase(Locale.ROOT));
+        retryOrEnd(AttemptOutcome.NOT_SENT, reason);
     }
 
     private void send(Target target, TargetConnection opened) {
         RequestPlan.Outgoing outgoing = plan.outgoing(target, forwarder.lastEventId());
         attempt = new TargetAttempt(target, opened, outgoing, state.nowMillis());
         lastAttempt = Optional.of(attempt);
+        target.onRequestSent(state.nowMillis());
         if (!countedInBudget) {
             countedInBudget = true;
             state.retryBudget(plan.service()).onRequest(state.nowMillis());
@@ -244,6 +271,7 @@
             load = reported.running() + "/" + reported.queued();
             target.updateReportedLoad(reported.running(), reported.queued(), state.nowMillis());
         });
+        metadata.warmUpMillis().ifPresent(remaining -> target.reportWarmUp(remaining, state.nowMillis()));
         plan.metadata()
                 .model()
                 .ifPresent(model -> metadata.weights()
@@ -355,8 +383,7 @@
      * of no use.
      */
     private boolean hasUntriedTarget() {
-        return state.fleet().activeTargets(plan.service(), state.nowMillis()).stream()
-                .anyMatch(target -> !triedTargets.contains(target.id()));
+        return plan.candidates(state.nowMillis()).stream().anyMatch(target -> !triedTargets.contains(target.id()));
     }
 
     /** Records and ends a failed attempt. */
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/ExchangeLog.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/ExchangeLog.java
@@ -35,6 +35,8 @@
                         Integer.toString(choice.candidates()),
                         "in_flight",
                         Integer.toString(choice.target().inFlight()),
+                        "warming",
+                        Boolean.toString(isWarmingUp(choice.target(), state.nowMillis())),
                         "attempt",
                         Integer.toString(attempt),
                         "left_ms",
@@ -67,10 +69,22 @@
                         Long.toString(targets.stream()
                                 .filter(target -> target.isLoadingWeights(now))
                                 .count()),
+                        "warming",
+                        Long.toString(targets.stream()
+                                .filter(target -> isWarmingUp(target, now))
+                                .count()),
+                        "evacuated",
+                        Integer.toString(state.fleet().evacuations().evacuated().size()),
                         "peers",
                         Integer.toString(state.fleet().livePeerCount(now)));
     }
 
+    private boolean isWarmingUp(Target target, long now) {
+        return plan.warmUp()
+                .filter(traits -> state.warmUps().isWarmingUp(target, traits, now))
+                .isPresent();
+    }
+
     void failed(String target, AttemptOutcome outcome, String reason, long afterMillis, boolean answerBegan) {
         failed(target, outcome, reason, afterMillis, answerBegan, "none");
     }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/PeerExchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/PeerExchange.java
@@ -62,6 +62,9 @@
     private final Map<InetSocketAddress, Set<String>> relaysByAddress = new HashMap<>();
     private long sequence;
 
+    /** Whether all relays that were registered at this relay's start are known. */
+    private boolean relaysListed;
+
     /** Provides the parts of a load report that other components of this relay own. */
     interface LocalState {
         /** Returns the engines that this relay has ordered to load weights and that don't serve them yet. */
@@ -157,6 +160,7 @@
                 register();
             }
             listedOnce = true;
+            relaysListed = true;
         }
     }
 
@@ -170,7 +174,7 @@
         addresses.put(relay, address);
         relaysByAddress.computeIfAbsent(address, unseen -> new HashSet<>()).add(relay);
         boolean near = registered.failureDomain().equals(state.settings().failureDomain());
-        schedule.addRelay(relay, registered.failureDomain(), near);
+        schedule.addRelay(relay, registered.failureDomain(), near, state.nowMillis());
         state.log().info("peer_known", "peer", relay, "address", at.toString());
     }
 
@@ -202,6 +206,11 @@
         Map<String, String> domains = new HashMap<>(schedule.liveRelayDomains(now));
         domains.put(state.settings().instance(), state.settings().failureDomain());
         state.fleet().updateRelays(state.settings().instance(), domains);
+        if (relaysListed) {
+            Map<String, String> registered = new HashMap<>(schedule.registeredRelayDomains(now));
+            registered.put(state.settings().instance(), state.settings().failureDomain());
+            state.warmUps().updateRelays(state.settings().instance(), registered);
+        }
     }
 
     private LoadReport fullReport(long now) {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/QueueWait.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/QueueWait.java
@@ -34,7 +34,7 @@
         queued = queue.add(exchange, plan.priority(), plan.tokens(), onTimeUntil, lateUntil, plan.deadlineAt());
         long millis = Math.max(1, onTimeUntil - now);
         expiry = state.loop().schedule(() -> onLate(lateUntil), millis, TimeUnit.MILLISECONDS);
-        log.queued(queue.size(), millis, state.fleet().activeTargets(plan.service(), now), now);
+        log.queued(queue.size(), millis, state.fleet().usableTargets(plan.service(), now), now);
     }
 
     /** Handles the point from which the request can't be on time; it may stay queued behind those that can. */
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayMetrics.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayMetrics.java
@@ -23,6 +23,7 @@
     private final Counter attempts;
     private final Counter storeCalls;
     private final Counter unreadableRecords;
+    private final Counter warmUpLimited;
     private final Counter targetsCrashed;
     private final Counter parts;
     private final Counter peerMessagesDropped;
@@ -40,6 +41,10 @@
                 "rattanrudder_relay_records_unreadable",
                 "Records of the platform's store that couldn't be read",
                 "topic");
+        warmUpLimited = counter(
+                "rattanrudder_relay_warm_up_limited",
+                "Placements that were put off since targets were warming up",
+                "service");
         targetsCrashed = counter(
                 "rattanrudder_relay_targets_crashed", "Targets that ended in the middle of requests", "service");
         parts = counter("rattanrudder_relay_parts", "Shared parts of prompts, by what was planned for them", "plan");
@@ -92,6 +97,10 @@
         unreadableRecords.labelValues(topic).inc();
     }
 
+    void recordWarmUpLimited(String service) {
+        warmUpLimited.labelValues(service).inc();
+    }
+
     void recordTargetCrash(String service) {
         targetsCrashed.labelValues(service).inc();
     }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
@@ -70,6 +70,7 @@
     private final Channel callerListener;
     private final OutdatedPartEvictor partEvictor;
     private final GracefulShutdown shutdown;
+    private final WarmUpLog warmUpLog;
     private long targetsChangedOffset;
 
     /**
@@ -87,6 +88,7 @@
         pools = new TargetPools(
                 state.connector(), loop, platform.requests(), state::nowMillis, new ReachabilityHandler());
         partEvictor = new OutdatedPartEvictor(state, storeWatches);
+        warmUpLog = new WarmUpLog(state);
         shutdown = new GracefulShutdown(state, callers, this::sweep);
         registerGauges();
         callerListener = listen(group, settings.callers(), RelayChannels.callers(state, pools, callers));
@@ -198,10 +200,38 @@
                     onConfiguration(configured, record.offset());
                 } else if (desired instanceof DesiredState.DesiredWeights weights) {
                     onDesiredWeights(weights.weights(), record.offset());
+                } else if (desired instanceof DesiredState.DesiredEvacuation evacuation) {
+                    onDesiredEvacuation(evacuation, record.offset());
                 }
             });
         }
 
+        private void onDesiredEvacuation(DesiredState.DesiredEvacuation desired, long offset) {
+            String domain = desired.failureDomain();
+            if (state.fleet().evacuations().apply(domain, desired.evacuated(), offset, state.nowMillis())) {
+                onEvacuationChanged(domain, offset);
+            }
+        }
+
+        private void onEvacuationChanged(String domain, long offset) {
+            state.log()
+                    .info(
+                            "evacuation_changed",
+                            "domain",
+                            domain,
+                            "evacuated",
+                            Boolean.toString(state.fleet().evacuations().isEvacuated(domain)),
+                            "offset",
+                            Long.toString(offset),
+                            "targets",
+                            Long.toString(state.fleet().all(state.nowMillis()).stream()
+                                    .filter(target -> target.registration()
+                                            .failureDomain()
+                                            .equals(domain))
+                                    .count()));
+            state.onUsableTargetsChanged();
+        }
+
         private void onDesiredWeights(WeightsVersion weights, long offset) {
             DesiredVersions versions = state.weights();
             boolean isNew = caughtUp
@@ -223,7 +253,7 @@
             }
         }
 
-        /** Versions only increase, so an older record of the same key would have no effect. */
+        /** An older record of the same key would have no effect: versions and the offsets of evacuations increase. */
         @Override
         public boolean needsOnlyNewest() {
             return true;
@@ -232,6 +262,11 @@
         @Override
         public void onListed(Set<String> keys, long end) {
             caughtUp = true;
+            Set<String> evacuated = state.platform().store().evacuatedDomains(keys);
+            state.fleet()
+                    .evacuations()
+                    .applyListing(evacuated, end, state.nowMillis())
+                    .forEach(domain -> onEvacuationChanged(domain, end));
         }
     }
 
@@ -287,7 +322,7 @@
             boolean isNew = state.fleet().apply(record.key(), read, record.offset(), now);
             Optional<TargetRegistration> after =
                     state.fleet().find(record.key()).map(Target::registration);
-            if (!isNew || (before.equals(after) && record.value().isPresent())) {
+            if (!isNew || isUnchanged(before, after)) {
                 return;
             }
             targetsChangedOffset = Math.max(targetsChangedOffset, record.offset() + 1);
@@ -305,6 +340,11 @@
                             Long.toString(record.offset()));
         }
 
+        /** Returns whether peers needn't read a record for what it changes here. */
+        private static boolean isUnchanged(Optional<TargetRegistration> before, Optional<TargetRegistration> after) {
+            return before.isPresent() && after.isPresent() && !after.get().differsFrom(before.get());
+        }
+
         @Override
         public void onListed(Set<String> keys, long end) {
             state.fleet().applyListing(keys, end, state.nowMillis());
@@ -334,6 +374,7 @@
             List.copyOf(callers).forEach(caller -> caller.sweep(now, closeIdle));
         }
         pools.sweep(Set.copyOf(state.fleet().all(now)), now);
+        warmUpLog.update(now);
         partEvictor.free(now);
         quarantine.sweep();
         shutdown.checkFinished(now);
@@ -356,6 +397,12 @@
     }
 
     private void registerGauges() {
+        state.metrics()
+                .gauge(
+                        "rattanrudder_relay_domains_evacuated",
+                        "Failure domains whose targets get no requests",
+                        () -> state.fleet().evacuations().evacuated().size());
+        state.metrics().gauge("rattanrudder_relay_targets_warming", "Targets that are warming up", warmUpLog::warming);
         state.metrics().gauge("rattanrudder_relay_connections", "Callers' connections", callers::size);
         state.metrics()
                 .gauge(
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
@@ -11,11 +11,14 @@
 import java.util.random.RandomGenerator;
 import org.rattanrudder.core.fleet.Fleet;
 import org.rattanrudder.core.fleet.HoldingQueue;
+import org.rattanrudder.core.fleet.WarmUpAdmission;
+import org.rattanrudder.core.gateway.BackendService;
 import org.rattanrudder.core.gateway.CallerLimits;
 import org.rattanrudder.core.gateway.EventLoopLag;
 import org.rattanrudder.core.gateway.ServiceRoute;
 import org.rattanrudder.core.gateway.ServingConfiguration;
 import org.rattanrudder.core.gateway.ShutdownPolicy;
+import org.rattanrudder.core.gateway.WarmUpTraits;
 import org.rattanrudder.core.gateway.WindowedRetryBudget;
 import org.rattanrudder.core.model.Address;
 import org.rattanrudder.core.parts.PartDirectory;
@@ -31,6 +34,9 @@
     /** Share of the permitted retry ratio that is used, since other parties measure it in windows with other bounds. */
     private static final double USED_RATIO_SHARE = 0.8;
 
+    /** How soon queued requests are dispatched again if only the limits of warming targets keep them. */
+    private static final long WARM_UP_DISPATCH_MILLIS = 50;
+
     /** Replaced on the event loop only, but read by other threads too. */
     private volatile RelaySettings settings;
 
@@ -41,11 +47,13 @@
     private final RelayMetrics metrics;
     private final RandomGenerator random;
     private final Fleet fleet = new Fleet();
+    private final WarmUpAdmission warmUps = new WarmUpAdmission(fleet.evacuations());
     private final PartDirectory directory;
     private final Map<String, WindowedRetryBudget> retryBudgets = new HashMap<>();
     private final DesiredVersions weights = new DesiredVersions();
     private final Map<String, HoldingQueue<Exchange>> holdingQueues = new HashMap<>();
     private final Set<String> scheduledDispatches = new HashSet<>();
+    private final Set<String> warmUpDispatches = new HashSet<>();
     private Optional<ServingConfiguration> configuration = Optional.empty();
     private final EventLoopLag eventLoopLag;
     private final long relayHash;
@@ -75,6 +83,7 @@
         this.metrics = metrics;
         this.random = random;
         directory = new PartDirectory();
+        updateWarmUpBounds();
         relayHash = Hashing.of(settings.instance());
         placementBroadcaster = new PlacementBroadcaster(loop);
         crashDetector = new CrashDetector(loop);
@@ -107,6 +116,12 @@
         retryBudgets
                 .values()
                 .forEach(budget -> budget.update(bounds.retryRatio() * USED_RATIO_SHARE, bounds.retryExtra()));
+        updateWarmUpBounds();
+    }
+
+    private void updateWarmUpBounds() {
+        warmUps.updateBounds(
+                settings.bounds().warmUpOverage(), settings.bounds().warmUpSlack());
     }
 
     /** Returns a hash of this relay's name, which orders engines that are about equally loaded. */
@@ -162,6 +177,18 @@
         return fleet;
     }
 
+    /** Returns the limits of requests to targets that are warming up. */
+    WarmUpAdmission warmUps() {
+        return warmUps;
+    }
+
+    /** Returns how the targets of a service warm up; empty if they don't. */
+    Optional<WarmUpTraits> warmUpTraits(String service) {
+        return configuration
+                .flatMap(known -> Optional.ofNullable(known.services().get(service)))
+                .flatMap(BackendService::warmUp);
+    }
+
     PartDirectory directory() {
         return directory;
     }
@@ -199,11 +226,33 @@
         HoldingQueue<Exchange> queue = holdingQueue(service);
         long now = nowMillis();
         long allowed =
-                HoldingQueue.maxLateTokens(fleet.activeTargets(service, now).size(), relayCount(now));
+                HoldingQueue.maxLateTokens(fleet.usableTargets(service, now).size(), relayCount(now));
         queue.expire(now, allowed).forEach(refused -> refused.request().refuseQueued());
         dispatchQueued(service);
     }
 
+    /** Sends queued requests to targets that have become usable, and rejects those that no target may run any more. */
+    void onUsableTargetsChanged() {
+        for (Map.Entry<String, HoldingQueue<Exchange>> queue : holdingQueues.entrySet()) {
+            queue.getValue().removeIf(exchange -> !exchange.hasCandidate()).forEach(Exchange::refuseUnservable);
+            dispatchQueued(queue.getKey());
+        }
+    }
+
+    /** Dispatches a service's queued requests once a target that is warming up may take another one. */
+    void dispatchWhenWarmer(String service) {
+        metrics.recordWarmUpLimited(service);
+        if (warmUpDispatches.add(service)) {
+            loop.schedule(
+                    () -> {
+                        warmUpDispatches.remove(service);
+                        dispatchQueued(service);
+                    },
+                    WARM_UP_DISPATCH_MILLIS,
+                    TimeUnit.MILLISECONDS);
+        }
+    }
+
     /** Dispatches a service's queued requests, as far as engines have capacity. */
     void dispatchQueued(String service) {
         HoldingQueue<Exchange> queue = holdingQueue(service);
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RequestPlan.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RequestPlan.java
@@ -9,12 +9,14 @@
 import org.rattanrudder.core.fleet.HoldingQueue;
 import org.rattanrudder.core.fleet.PlacementQuery;
 import org.rattanrudder.core.fleet.Target;
+import org.rattanrudder.core.gateway.AllowedRegions;
 import org.rattanrudder.core.gateway.BackendService;
 import org.rattanrudder.core.gateway.CustomerIdentity;
 import org.rattanrudder.core.gateway.EngineTraits;
 import org.rattanrudder.core.gateway.RequestMetadata;
 import org.rattanrudder.core.gateway.ServiceRoute;
 import org.rattanrudder.core.gateway.ServingConfiguration.AccessDecision;
+import org.rattanrudder.core.gateway.WarmUpTraits;
 import org.rattanrudder.core.parts.PartKey;
 import org.rattanrudder.core.parts.PartPlan;
 import org.rattanrudder.core.quarantine.RequestFingerprint;
@@ -50,6 +52,7 @@
     private final String service;
     private final Optional<BackendService> backend;
     private final Optional<EngineTraits> engine;
+    private final AllowedRegions allowedRegions;
     private final long arrivedAt;
     private final long deadlineAt;
     private final long contextHash;
@@ -65,6 +68,8 @@
                 .flatMap(configuration ->
                         Optional.ofNullable(configuration.services().get(service)));
         engine = backend.flatMap(BackendService::engine);
+        allowedRegions = route.allowedRegions()
+                .and(customer.map(CustomerIdentity::allowedRegions).orElse(AllowedRegions.ANY));
         long wanted = metadata.deadlineMillis().orElse(route.timeoutMillis());
         deadlineAt = arrivedAt + Math.min(wanted - CALLER_NETWORK_MILLIS, route.timeoutMillis());
         int lastShared = metadata.parts().size() - 2;
@@ -159,6 +164,30 @@
                 : PLAIN_FIRST_BYTE_MILLIS;
     }
 
+    /** Returns the targets that may run the request. */
+    List<Target> candidates(long now) {
+        List<Target> usable = state.fleet().usableTargets(service, now);
+        return allowedRegions.names().isEmpty()
+                ? usable
+                : usable.stream()
+                        .filter(target -> allowsDomain(target.registration().failureDomain()))
+                        .toList();
+    }
+
+    /** Returns how the targets of its service warm up; empty if they don't. */
+    Optional<WarmUpTraits> warmUp() {
+        return backend.flatMap(BackendService::warmUp);
+    }
+
+    /** Returns those of the candidates that may get another request now. */
+    List<Target> admitted(List<Target> candidates, long now) {
+        return state.warmUps().admitted(candidates, warmUp(), now);
+    }
+
+    private boolean allowsDomain(String failureDomain) {
+        return allowedRegions.allows(state.settings().regionOf(failureDomain));
+    }
+
     PlacementQuery query(Set<String> tried, long now) {
         long allowed = state.settings().bounds().weightsMillis() - STALE_WEIGHTS_MARGIN_MILLIS;
         Optional<String> model = metadata.model();
@@ -196,6 +225,7 @@
                                         >= state.weights()
                                                 .newest(metadata.model().get()),
                                 route.objectiveMillis(),
+                                this::allowsDomain,
                                 state.nowMillis())
                 : PartPlan.NONE;
         if (engine.isPresent()) {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TargetPools.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TargetPools.java
@@ -132,6 +132,11 @@
         InactivityTimer.start(loop, () -> onDialTimeout(target, pending), dialTimeout.millis());
     }
 
+    /** Takes back a connection that was acquired and not used. */
+    void release(Target target, TargetConnection connection) {
+        addIdle(pools.computeIfAbsent(target, unseen -> new Pool()), connection);
+    }
+
     /** Dials a target without a request to check that it is reachable; the connection is kept for the next request. */
     void verify(Target target) {
         if (target.isProbeUseful(clock.getAsLong())) {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/port/ResponseMetadata.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/port/ResponseMetadata.java
@@ -15,6 +15,7 @@
  * @param load the target's load, if reported
  * @param weights the version of the weights that it ran on, if reported
  * @param keepAliveMillis how long the target keeps an idle connection open, if reported
+ * @param warmUpMillis how long the target still warms up, if reported
  */
 public record ResponseMetadata(
         int status,
@@ -25,7 +26,8 @@
         Optional<String> target,
         Optional<Load> load,
         OptionalLong weights,
-        OptionalLong keepAliveMillis) {
+        OptionalLong keepAliveMillis,
+        OptionalLong warmUpMillis) {
     /**
      * The load of a target.
      *
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/port/StoreDialect.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/port/StoreDialect.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import org.rattanrudder.core.fleet.TargetRegistration;
 import org.rattanrudder.core.gateway.ServingConfiguration;
 import org.rattanrudder.core.rollout.LeaseRecord;
@@ -38,6 +39,14 @@
          * @param weights the model and its version
          */
         record DesiredWeights(WeightsVersion weights) implements DesiredState {}
+
+        /**
+         * Whether a failure domain is evacuated.
+         *
+         * @param failureDomain the failure domain
+         * @param evacuated whether its targets may get no requests
+         */
+        record DesiredEvacuation(String failureDomain, boolean evacuated) implements DesiredState {}
     }
 
     /** Returns the call for a page of the newest records: the page after the given key, or the first one. */
@@ -75,6 +84,9 @@
      */
     Optional<DesiredState> readDesiredState(KeyedRecord record);
 
+    /** Returns the failure domains that are evacuated if these are all keys of the desired state. */
+    Set<String> evacuatedDomains(Set<String> keys);
+
     /** Parses the registration of a target. Throws IllegalArgumentException if malformed. */
     TargetRegistration readTarget(String id, byte[] value);
 
--- a/rattanrudder-document/src/main/java/org/rattanrudder/document/RelaySettings.java
+++ b/rattanrudder-document/src/main/java/org/rattanrudder/document/RelaySettings.java
@@ -1,5 +1,7 @@
 package org.rattanrudder.document;
 
+import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.rattanrudder.core.model.Address;
 
@@ -14,6 +16,7 @@
  * @param metrics where it serves its metrics
  * @param store the platform's store
  * @param bounds what it must keep to
+ * @param regions the region of each failure domain
  */
 public record RelaySettings(
         String instance,
@@ -23,7 +26,25 @@
         Address peers,
         Address metrics,
         Address store,
-        Bounds bounds) {
+        Bounds bounds,
+        Map<String, String> regions) {
+    public RelaySettings {
+        regions = Map.copyOf(regions);
+    }
+
+    /** Creates settings without regions. */
+    public RelaySettings(
+            String instance,
+            String failureDomain,
+            Address callers,
+            Address readiness,
+            Address peers,
+            Address metrics,
+            Address store,
+            Bounds bounds) {
+        this(instance, failureDomain, callers, readiness, peers, metrics, store, bounds, Map.of());
+    }
+
     /**
      * The keys of the settings file that a running relay takes over. The others need a restart: addresses are bound and
      * the name is registered once; two relays with different turns of the lease could both give orders; a longer window
@@ -31,11 +52,17 @@
      */
     public static final Set<String> CHANGEABLE = Set.of(
             "store",
+            "regions",
             "bounds.retryRatio",
             "bounds.retryExtra",
             "bounds.weightsMillis",
             "bounds.drainMillis",
-            "bounds.graceSeconds");
+            "bounds.graceSeconds",
+            "bounds.warmUpOverage",
+            "bounds.warmUpSlack");
+
+    static final double DEFAULT_WARM_UP_OVERAGE = 1;
+    static final double DEFAULT_WARM_UP_SLACK = 0;
 
     /** Returns the settings of a relay that runs on these and has read others: only what may change is theirs. */
     public RelaySettings takeOver(RelaySettings read) {
@@ -46,8 +73,16 @@
                 bounds.leaseMillis,
                 read.bounds.weightsMillis,
                 read.bounds.drainMillis,
-                read.bounds.graceMillis);
-        return new RelaySettings(instance, failureDomain, callers, readiness, peers, metrics, read.store, changed);
+                read.bounds.graceMillis,
+                read.bounds.warmUpOverage,
+                read.bounds.warmUpSlack);
+        return new RelaySettings(
+                instance, failureDomain, callers, readiness, peers, metrics, read.store, changed, read.regions);
+    }
+
+    /** Returns the region of a failure domain; empty if unknown. */
+    public Optional<String> regionOf(String domain) {
+        return Optional.ofNullable(regions.get(domain));
     }
 
     /**
@@ -60,6 +95,8 @@
      * @param weightsMillis from naming a version of weights until no request may begin on an older one
      * @param drainMillis from a target's word that it leaves until no request may reach it
      * @param graceMillis from the request to stop until the process is ended by force
+     * @param warmUpOverage how much more than the rate that it tolerates a warming target survives, as a factor
+     * @param warmUpSlack requests a second that it survives on top of that
      */
     public record Bounds(
             double retryRatio,
@@ -68,5 +105,28 @@
             long leaseMillis,
             long weightsMillis,
             long drainMillis,
-            long graceMillis) {}
+            long graceMillis,
+            double warmUpOverage,
+            double warmUpSlack) {
+        /** Creates bounds under which a warming target survives just the rate that it tolerates. */
+        public Bounds(
+                double retryRatio,
+                double retryExtra,
+                long retryWindowMillis,
+                long leaseMillis,
+                long weightsMillis,
+                long drainMillis,
+                long graceMillis) {
+            this(
+                    retryRatio,
+                    retryExtra,
+                    retryWindowMillis,
+                    leaseMillis,
+                    weightsMillis,
+                    drainMillis,
+                    graceMillis,
+                    DEFAULT_WARM_UP_OVERAGE,
+                    DEFAULT_WARM_UP_SLACK);
+        }
+    }
 }
--- a/rattanrudder-document/src/main/java/org/rattanrudder/document/RelaySettingsParser.java
+++ b/rattanrudder-document/src/main/java/org/rattanrudder/document/RelaySettingsParser.java
@@ -1,7 +1,9 @@
 package org.rattanrudder.document;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.rattanrudder.core.model.CustomerName;
 import org.rattanrudder.core.model.InstanceName;
@@ -41,11 +43,30 @@
                 fields.required("peers", ValueKind.address()),
                 fields.required("metrics", ValueKind.address()),
                 fields.required("store", ValueKind.address()),
-                bounds(fields.requiredObject("bounds")));
+                bounds(fields.requiredObject("bounds")),
+                regions(fields));
         fields.finish();
         return settings;
     }
 
+    private static Map<String, String> regions(Fields fields) {
+        Map<String, String> regions = new HashMap<>();
+        fields.objects("regions", RelaySettingsParser::domain).forEach(domain -> {
+            if (regions.put(domain.name(), domain.region()) != null) {
+                fields.problem("regions", "failure domain \"" + domain.name() + "\" stands twice");
+            }
+        });
+        return regions;
+    }
+
+    private record Domain(String name, String region) {}
+
+    private static Domain domain(Fields fields) {
+        Domain domain = new Domain(fields.required("failureDomain", DOMAIN), fields.required("region", DOMAIN));
+        fields.finish();
+        return domain;
+    }
+
     private static Bounds bounds(Fields fields) {
         Bounds bounds = new Bounds(
                 fields.required("retryRatio", ValueKind.number("0", "10")),
@@ -54,7 +75,9 @@
                 fields.required("leaseMillis", ValueKind.longInteger(1, LONGEST_MILLIS)),
                 fields.required("weightsMillis", ValueKind.longInteger(1, LONGEST_MILLIS)),
                 fields.required("drainMillis", ValueKind.longInteger(1, LONGEST_MILLIS)),
-                fields.required("graceSeconds", ValueKind.integer(1, 3_600)) * 1_000L);
+                fields.required("graceSeconds", ValueKind.integer(1, 3_600)) * 1_000L,
+                fields.optional("warmUpOverage", ValueKind.number("1", "1000"), RelaySettings.DEFAULT_WARM_UP_OVERAGE),
+                fields.optional("warmUpSlack", ValueKind.number("0", "1000000"), RelaySettings.DEFAULT_WARM_UP_SLACK));
         fields.finish();
         return bounds;
     }
--- a/rattanrudder-document/src/test/java/org/rattanrudder/document/SettingsDifferenceTest.java
+++ b/rattanrudder-document/src/test/java/org/rattanrudder/document/SettingsDifferenceTest.java
@@ -13,7 +13,9 @@
             {"instance": "a", "failureDomain": "b", "callers": "10.0.0.1:1", "readiness": "10.0.0.1:2",
              "peers": "10.0.0.1:3", "metrics": "10.0.0.1:4", "store": "10.0.0.1:5",
              "bounds": {"retryRatio": 0.25, "retryExtra": 10, "retryWindowSeconds": 20, "leaseMillis": 30,
-               "weightsMillis": 40, "drainMillis": 50, "graceSeconds": 60}}
+               "weightsMillis": 40, "drainMillis": 50, "graceSeconds": 60,
+               "warmUpOverage": 1.5, "warmUpSlack": 4},
+             "regions": [{"failureDomain": "c", "region": "d"}]}
             """;
 
     @ParameterizedTest
@@ -39,11 +41,26 @@
     @ParameterizedTest
     @ValueSource(
             strings = {
-                "\"a\"", "\"b\"", "10.0.0.1:1", "10.0.0.1:2", "10.0.0.1:3", "10.0.0.1:4", "10.0.0.1:5",
-                "0.25", "10,", "20,", "30,", "40,", "50,", "60}"
+                "\"a\"",
+                "\"b\"",
+                "10.0.0.1:1",
+                "10.0.0.1:2",
+                "10.0.0.1:3",
+                "10.0.0.1:4",
+                "10.0.0.1:5",
+                "0.25",
+                "10,",
+                "20,",
+                "30,",
+                "40,",
+                "50,",
+                "60,",
+                "1.5",
+                "4}",
+                "\"d\""
             })
     void aRelayTakesOverJustTheKeysThatAreNamedChangeable(String value) {
-        String changed = RELAY.replace(value, value.replaceFirst("[ab]|[0-9](?=[^0-9]*$)", "7"));
+        String changed = RELAY.replace(value, value.replaceFirst("[abd]|[0-9](?=[^0-9]*$)", "7"));
         RelaySettings running = settings(RELAY);
 
         List<String> keys = SettingsDifference.keys(RELAY, changed);
@@ -53,6 +70,15 @@
                 .isEqualTo(RelaySettings.CHANGEABLE.contains(keys.get(0)));
     }
 
+    /** Guards against a typing error that moves a failure domain to another region unnoticed. */
+    @Test
+    void aFailureDomainWithTwoRegionsIsRefused() {
+        String twice = RELAY.replace(
+                "\"region\": \"d\"}", "\"region\": \"d\"}, {\"failureDomain\": \"c\", \"region\": \"e\"}");
+
+        assertThat(new RelaySettingsParser().parse(twice)).isInstanceOf(ParseResult.Rejected.class);
+    }
+
     @Test
     void namedKeysAreKeysOfTheFile() {
         assertThat(SettingsDifference.keys("{}", RELAY)).containsAll(RelaySettings.CHANGEABLE);
--- a/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelRelay.java
+++ b/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelRelay.java
@@ -94,7 +94,7 @@
         Map<String, String> domains = new HashMap<>(Map.of(name, domain));
         for (ModelRelay other : others) {
             domains.put(other.name, other.domain);
-            schedule.addRelay(other.name, other.domain, other.domain.equals(domain));
+            schedule.addRelay(other.name, other.domain, other.domain.equals(domain), 0);
         }
         if (policy.sharing()) {
             fleet.updateRelays(name, domains);
