Learn how long calls of a plain service take

Cause: two fixed figures, 150 ms to the first byte and 80 ms a call, were assumptions on one service's work. Where calls take 21 ms and have 148 ms, a target seven times too slow counts as punctual, and placement weighs a busy target at four times its delay. Change: an estimate of the median for each plain service, from a fifth of the objective on, that follows what is seen. A call within twice the median counts as punctual. Ways: the fixed figures; a fixed share of the objective (objectives differ from 4 to 7 times the call between deployments, so it would only move the assumption); the mean (one hanging call moves it by seconds).

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Placement.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Placement.java
@@ -20,9 +20,6 @@
     /** Delay that each running request adds to the steps of an engine, summed over a short response. */
     private static final double MILLIS_PER_RUNNING_REQUEST = 2;
 
-    /** Delay per full set of slots of a plain service: the mean duration of its calls. */
-    private static final double PLAIN_CALL_MILLIS = 80;
-
     /** Delay equivalent of a certain failure: the retry, and the risk that the request is lost. */
     private static final double FAILURE_MILLIS = 1_500;
 
@@ -101,7 +98,7 @@
     private static double expectedMillis(Target target, PlacementQuery query, long nowMillis) {
         double millis = query.engine().isPresent()
                 ? engineMillis(target, query, query.engine().get(), nowMillis)
-                : plainMillis(target, nowMillis);
+                : plainMillis(target, query, nowMillis);
         millis += target.firstByteExcess(nowMillis) + FAILURE_MILLIS * target.failureRatio(nowMillis);
         if (!target.registration().failureDomain().equals(query.failureDomain())) {
             millis += OTHER_DOMAIN_MILLIS + OTHER_DOMAIN_MILLIS_PER_KILOTOKEN * query.tokens() / 1_000;
@@ -115,10 +112,11 @@
         return millis;
     }
 
-    private static double plainMillis(Target target, long nowMillis) {
+    /** A full set of slots delays a call by the duration of the calls in it. */
+    private static double plainMillis(Target target, PlacementQuery query, long nowMillis) {
         int slots = Math.max(1, target.registration().slots());
         double share = (double) (target.inFlight() + target.peerLoad(nowMillis).requests()) / slots;
-        return PLAIN_CALL_MILLIS * share * (share < 1 ? share : 2 * share);
+        return query.callMillis() * share * (share < 1 ? share : 2 * share);
     }
 
     private static double engineMillis(Target target, PlacementQuery query, EngineTraits engine, long nowMillis) {
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/PlacementQuery.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/PlacementQuery.java
@@ -17,6 +17,7 @@
  * @param affinity a hash of the context that it shares; 0 if none
  * @param relay a hash of the sending relay
  * @param otherRelays how many other relays choose among the same targets
+ * @param callMillis how long a call at a healthy target of a plain service takes, in ms
  * @param connections how many connections this relay may use per target
  * @param tried ids of the targets that it was sent to before
  */
@@ -31,6 +32,7 @@
         long affinity,
         long relay,
         int otherRelays,
+        double callMillis,
         int connections,
         Set<String> tried) {
     public PlacementQuery {
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/PlacementTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/PlacementTest.java
@@ -117,8 +117,8 @@
      */
     @Test
     void targetGetsNoMoreRequestsThanFreeConnections() {
-        PlacementQuery two =
-                new PlacementQuery("log", "north", Optional.empty(), Optional.empty(), 0, 0, 0, 0, 0, 0, 2, Set.of());
+        PlacementQuery two = new PlacementQuery(
+                "log", "north", Optional.empty(), Optional.empty(), 0, 0, 0, 0, 0, 0, 20, 2, Set.of());
         List<Target> one = List.of(near);
         near.onSent(new Target.RequestCost(0, 0), NOW);
         assertThat(Placement.choose(one, two, NOW)).isPresent();
@@ -149,6 +149,7 @@
                 77,
                 relay,
                 otherRelays,
+                20,
                 600,
                 Set.of());
     }
@@ -162,7 +163,19 @@
 
     private static PlacementQuery queryForWeights(long newest, long oldest) {
         return new PlacementQuery(
-                "llm", "north", Optional.of(ENGINE), Optional.of("m"), newest, oldest, 9_000, 0, 0, 0, 600, Set.of());
+                "llm",
+                "north",
+                Optional.of(ENGINE),
+                Optional.of("m"),
+                newest,
+                oldest,
+                9_000,
+                0,
+                0,
+                0,
+                20,
+                600,
+                Set.of());
     }
 
     static Target target(String id, String domain, long weights) {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
@@ -335,6 +335,9 @@
             quarantine.onAnswered();
             long taken = plan.route().repeat().stream() ? attempt.firstByteMillis() : now - attempt.sentAt();
             target.recordSuccess(taken - plan.expectedFirstByteMillis(), now);
+            if (plan.engine().isEmpty()) {
+                plan.callMillis().record(taken);
+            }
         }
         endAttempt("answered");
         finish(Integer.toString(forwarder.status()), "passed on");
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
@@ -11,6 +11,7 @@
 import java.util.random.RandomGenerator;
 import org.rattanrudder.core.fleet.Fleet;
 import org.rattanrudder.core.fleet.HoldingQueue;
+import org.rattanrudder.core.fleet.MedianEstimate;
 import org.rattanrudder.core.fleet.WarmUpAdmission;
 import org.rattanrudder.core.gateway.BackendService;
 import org.rattanrudder.core.gateway.CallerLimits;
@@ -34,6 +35,9 @@
     /** Share of the permitted retry ratio that is used, since other parties measure it in windows with other bounds. */
     private static final double USED_RATIO_SHARE = 0.8;
 
+    /** The duration of a call as a share of the objective, until calls were seen. */
+    private static final double CALL_OBJECTIVE_SHARE = 0.2;
+
     /** How soon queued requests are dispatched again if only the limits of warming targets keep them. */
     private static final long WARM_UP_DISPATCH_MILLIS = 50;
 
@@ -52,6 +56,7 @@
     private final Map<String, WindowedRetryBudget> retryBudgets = new HashMap<>();
     private final DesiredVersions weights = new DesiredVersions();
     private final Map<String, HoldingQueue<Exchange>> holdingQueues = new HashMap<>();
+    private final Map<String, MedianEstimate> callMillis = new HashMap<>();
     private final Set<String> scheduledDispatches = new HashSet<>();
     private final Set<String> warmUpDispatches = new HashSet<>();
     private Optional<ServingConfiguration> configuration = Optional.empty();
@@ -216,6 +221,17 @@
         return weights;
     }
 
+    /**
+     * Returns the estimate of how long calls of a plain service take at a healthy target.
+     *
+     * @param objectiveMillis the latency objective of the route that asks first: operators set it to some times the
+     *     duration of a call
+     */
+    MedianEstimate callMillis(String service, long objectiveMillis) {
+        return callMillis.computeIfAbsent(
+                service, unseen -> new MedianEstimate(objectiveMillis * CALL_OBJECTIVE_SHARE));
+    }
+
     /** Returns the queue of a service's requests that wait for an engine. */
     HoldingQueue<Exchange> holdingQueue(String service) {
         return holdingQueues.computeIfAbsent(service, unseen -> new HoldingQueue<>());
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RequestPlan.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RequestPlan.java
@@ -7,6 +7,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import org.rattanrudder.core.fleet.HoldingQueue;
+import org.rattanrudder.core.fleet.MedianEstimate;
 import org.rattanrudder.core.fleet.PlacementQuery;
 import org.rattanrudder.core.fleet.Target;
 import org.rattanrudder.core.gateway.AllowedRegions;
@@ -43,7 +44,9 @@
     private static final double ENGINE_BASE_MILLIS = 80;
 
     private static final double PREFILL_TOKENS_PER_MILLI = 100;
-    private static final double PLAIN_FIRST_BYTE_MILLIS = 150;
+
+    /** Time within which a healthy target of a plain service answers, as a multiple of its median. */
+    private static final double PLAIN_CALL_RATIO = 2;
 
     private final RelayState state;
     private final RequestMetadata metadata;
@@ -161,7 +164,7 @@
     double expectedFirstByteMillis() {
         return engine.isPresent()
                 ? ENGINE_BASE_MILLIS + metadata.promptTokens() / PREFILL_TOKENS_PER_MILLI
-                : PLAIN_FIRST_BYTE_MILLIS;
+                : PLAIN_CALL_RATIO * callMillis().millis();
     }
 
     /** Returns the targets that may run the request. */
@@ -188,6 +191,11 @@
         return allowedRegions.allows(state.settings().regionOf(failureDomain));
     }
 
+    /** Returns the estimate of how long calls of its plain service take. */
+    MedianEstimate callMillis() {
+        return state.callMillis(service, route.objectiveMillis());
+    }
+
     PlacementQuery query(Set<String> tried, long now) {
         long allowed = state.settings().bounds().weightsMillis() - STALE_WEIGHTS_MARGIN_MILLIS;
         Optional<String> model = metadata.model();
@@ -203,6 +211,7 @@
                 contextHash,
                 state.relayHash(),
                 state.fleet().livePeerCount(now),
+                engine.isPresent() ? 0 : callMillis().millis(),
                 connections(now),
                 tried);
     }
--- a/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelRelay.java
+++ b/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelRelay.java
@@ -231,6 +231,7 @@
                 Hashing.of(request.context().id()),
                 policy.ownOrder() ? Hashing.of(name) : 0,
                 policy.ownOrder() ? peers.size() : 0,
+                0,
                 Integer.MAX_VALUE,
                 Set.of());
     }
