Spread the return of rejected callers that have little time left

Cause: the time to come back was drawn from 200 to 700 ms and then cut to 0.3 of what is left. A plain call with 600 ms left was always told 180 ms: all that were rejected together came back together, with most of their objective gone. Change: the whole range shrinks with what is left (51 to 180 ms there); with 2.3 s or more left it is as before.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/LocalReplies.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/LocalReplies.java
@@ -15,10 +15,13 @@
 
 /** Creates responses of the relay itself: errors, with the time after which to retry. */
 final class LocalReplies {
-    /** Range of the random retry delay of rejected callers: spreads them so that they don't all retry at once. */
-    private static final long MIN_RETRY_AFTER_MILLIS = 200;
+    /**
+     * Range of the random retry delay of rejected callers: spreads them so that they don't all retry at once. For callers
+     * with little time left the whole range shrinks; cut off at the top, it would bring them back together.
+     */
+    private static final double MIN_RETRY_AFTER_MILLIS = 200;
 
-    private static final long MAX_RETRY_AFTER_MILLIS = 700;
+    private static final double MAX_RETRY_AFTER_MILLIS = 700;
 
     /** The largest share of a caller's remaining time that it is asked to wait. */
     private static final double RETRY_AFTER_SHARE = 0.3;
@@ -66,9 +69,11 @@
     }
 
     private String retryAfter(long remainingMillis) {
-        double drawn = MIN_RETRY_AFTER_MILLIS + random.nextDouble() * (MAX_RETRY_AFTER_MILLIS - MIN_RETRY_AFTER_MILLIS);
-        double millis = remainingMillis > 0 ? Math.min(drawn, remainingMillis * RETRY_AFTER_SHARE) : drawn;
-        return seconds(millis);
+        double longest = remainingMillis > 0
+                ? Math.min(MAX_RETRY_AFTER_MILLIS, remainingMillis * RETRY_AFTER_SHARE)
+                : MAX_RETRY_AFTER_MILLIS;
+        double shortest = longest * MIN_RETRY_AFTER_MILLIS / MAX_RETRY_AFTER_MILLIS;
+        return seconds(shortest + random.nextDouble() * (longest - shortest));
     }
 
     private static String seconds(double millis) {
