--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/LocalReplies.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/LocalReplies.java
@@ -16,8 +16,8 @@
 /** Creates responses of the relay itself: errors, with the time after which to retry. */
 final class LocalReplies {
     /**
-     * Range of the random retry delay of rejected callers: spreads them so that they don't all retry at once. For callers
-     * with little time left the whole range shrinks; cut off at the top, it would bring them back together.
+     * Range of the random retry delay of rejected callers: spreads them so that they don't all retry at once. The whole
+     * range shrinks for callers with little time left; cut off at the top, it would bring them back together.
      */
     private static final double MIN_RETRY_AFTER_MILLIS = 200;
 
