--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/HoldingQueueTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/HoldingQueueTest.java
@@ -28,6 +28,19 @@
                 .isEqualTo("soon");
     }
 
+    @Test
+    void matchingRequestsAreRemovedAndFreeTheirTokens() {
+        queue.add("late", 0, 9_000, 100, 2_000, 4_000);
+        queue.add("on time", 0, 9_000, 900, 2_000, 4_000);
+        queue.expire(200, LATE_TOKENS);
+
+        assertThat(queue.removeIf(request -> true)).containsExactly("on time", "late");
+        assertThat(queue.size()).isZero();
+
+        queue.add("next late", 0, 18_000, 300, 2_000, 4_000);
+        assertThat(queue.expire(400, LATE_TOKENS)).isEmpty();
+    }
+
     /**
      * Twice as many requests arrive as the engines can serve. Dispatched in order, each would wait for all those before
      * it, and all would be late, those of the highest priority too.
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/parts/PartDirectoryTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/parts/PartDirectoryTest.java
@@ -83,6 +83,17 @@
                 .isEqualTo(PartChoice.SLOW_STORE);
     }
 
+    /** Guards against context that is kept in a region which its route or customer doesn't allow. */
+    @ParameterizedTest
+    @CsvSource({"north, true", "south, false"})
+    void partIsSavedOnlyInAllowedDomain(String allowed, boolean saved) {
+        directory.applyStoreUpdate(STORE, update(1), SETTLED, SETTLED);
+
+        PartPlan plan = directory.plan("w1", PROMPT, "north", true, OBJECTIVE, allowed::equals, SETTLED);
+
+        assertThat(plan.saves()).isEqualTo(saved);
+    }
+
     /** Weights are being replaced: parts saved under the old ones would take space that the new ones need. */
     @Test
     void nothingIsSavedUnderReplacedWeights() {
