--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RequestPlan.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RequestPlan.java
@@ -7,14 +7,17 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import org.rattanrudder.core.fleet.HoldingQueue;
+import org.rattanrudder.core.fleet.MedianEstimate;
 import org.rattanrudder.core.fleet.PlacementQuery;
 import org.rattanrudder.core.fleet.Target;
+import org.rattanrudder.core.gateway.AllowedRegions;
 import org.rattanrudder.core.gateway.BackendService;
 import org.rattanrudder.core.gateway.CustomerIdentity;
 import org.rattanrudder.core.gateway.EngineTraits;
 import org.rattanrudder.core.gateway.RequestMetadata;
 import org.rattanrudder.core.gateway.ServiceRoute;
 import org.rattanrudder.core.gateway.ServingConfiguration.AccessDecision;
+import org.rattanrudder.core.gateway.WarmUpTraits;
 import org.rattanrudder.core.parts.PartKey;
 import org.rattanrudder.core.parts.PartPlan;
 import org.rattanrudder.core.quarantine.RequestFingerprint;
@@ -41,7 +44,9 @@
     private static final double ENGINE_BASE_MILLIS = 80;
 
     private static final double PREFILL_TOKENS_PER_MILLI = 100;
-    private static final double PLAIN_FIRST_BYTE_MILLIS = 150;
+
+    /** Time within which a healthy target of a plain service answers, as a multiple of its median. */
+    private static final double PLAIN_CALL_RATIO = 2;
 
     private final RelayState state;
     private final RequestMetadata metadata;
@@ -50,6 +55,7 @@
     private final String service;
     private final Optional<BackendService> backend;
     private final Optional<EngineTraits> engine;
+    private final AllowedRegions allowedRegions;
     private final long arrivedAt;
     private final long deadlineAt;
     private final long contextHash;
@@ -65,6 +71,8 @@
                 .flatMap(configuration ->
                         Optional.ofNullable(configuration.services().get(service)));
         engine = backend.flatMap(BackendService::engine);
+        allowedRegions = route.allowedRegions()
+                .and(customer.map(CustomerIdentity::allowedRegions).orElse(AllowedRegions.ANY));
         long wanted = metadata.deadlineMillis().orElse(route.timeoutMillis());
         deadlineAt = arrivedAt + Math.min(wanted - CALLER_NETWORK_MILLIS, route.timeoutMillis());
         int lastShared = metadata.parts().size() - 2;
@@ -156,7 +164,36 @@
     double expectedFirstByteMillis() {
         return engine.isPresent()
                 ? ENGINE_BASE_MILLIS + metadata.promptTokens() / PREFILL_TOKENS_PER_MILLI
-                : PLAIN_FIRST_BYTE_MILLIS;
+                : PLAIN_CALL_RATIO * callMillis().millis();
+    }
+
+    /** Returns the targets that may run the request. */
+    List<Target> candidates(long now) {
+        List<Target> usable = state.fleet().usableTargets(service, now);
+        return allowedRegions.names().isEmpty()
+                ? usable
+                : usable.stream()
+                        .filter(target -> allowsDomain(target.registration().failureDomain()))
+                        .toList();
+    }
+
+    /** Returns how the targets of its service warm up; empty if they don't. */
+    Optional<WarmUpTraits> warmUp() {
+        return backend.flatMap(BackendService::warmUp);
+    }
+
+    /** Returns those of the candidates that may get another request now. */
+    List<Target> admitted(List<Target> candidates, long now) {
+        return state.warmUps().admitted(candidates, warmUp(), now);
+    }
+
+    private boolean allowsDomain(String failureDomain) {
+        return allowedRegions.allows(state.settings().regionOf(failureDomain));
+    }
+
+    /** Returns the estimate of how long calls of its plain service take. */
+    MedianEstimate callMillis() {
+        return state.callMillis(service, route.objectiveMillis());
     }
 
     PlacementQuery query(Set<String> tried, long now) {
@@ -174,6 +211,7 @@
                 contextHash,
                 state.relayHash(),
                 state.fleet().livePeerCount(now),
+                engine.isPresent() ? 0 : callMillis().millis(),
                 connections(now),
                 tried);
     }
@@ -196,6 +234,7 @@
                                         >= state.weights()
                                                 .newest(metadata.model().get()),
                                 route.objectiveMillis(),
+                                this::allowsDomain,
                                 state.nowMillis())
                 : PartPlan.NONE;
         if (engine.isPresent()) {
--- a/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelRelay.java
+++ b/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelRelay.java
@@ -94,7 +94,7 @@
         Map<String, String> domains = new HashMap<>(Map.of(name, domain));
         for (ModelRelay other : others) {
             domains.put(other.name, other.domain);
-            schedule.addRelay(other.name, other.domain, other.domain.equals(domain));
+            schedule.addRelay(other.name, other.domain, other.domain.equals(domain), 0);
         }
         if (policy.sharing()) {
             fleet.updateRelays(name, domains);
@@ -231,6 +231,7 @@
                 Hashing.of(request.context().id()),
                 policy.ownOrder() ? Hashing.of(name) : 0,
                 policy.ownOrder() ? peers.size() : 0,
+                0,
                 Integer.MAX_VALUE,
                 Set.of());
     }
