--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/parts/PartDirectory.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/parts/PartDirectory.java
@@ -109,17 +109,6 @@
         return view == null ? 0 : view.incarnation();
     }
 
-    /** Plans like the other method, with saves in any failure domain. */
-    public PartPlan plan(
-            String salt,
-            List<PromptPart> parts,
-            String engineDomain,
-            boolean saves,
-            long objectiveMillis,
-            long nowMillis) {
-        return plan(salt, parts, engineDomain, saves, objectiveMillis, anyDomain -> true, nowMillis);
-    }
-
     /**
      * Plans where the shared parts of a prompt are fetched and saved, and records the saves as pending.
      *
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/parts/PartDirectoryTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/parts/PartDirectoryTest.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import java.util.function.Predicate;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -19,6 +20,7 @@
     private static final Address STORE = new Address("10.0.0.9", 80);
     private static final List<PromptPart> PROMPT =
             List.of(new PromptPart("sheet", 2_500), new PromptPart("record", 5_000), new PromptPart("own", 1_600));
+    private static final Predicate<String> ANY_DOMAIN = domain -> true;
     private static final long OBJECTIVE = 1_000;
     private static final long BEGIN = 1_000_000;
     private static final long SETTLED = BEGIN + PartDirectory.SETTLED_MILLIS;
@@ -34,16 +36,16 @@
     @Test
     void partIsFetchedOnceCompleteAndSavedOnlyOnce() {
         directory.applyStoreUpdate(STORE, update(1), SETTLED, SETTLED);
-        PartPlan first = directory.plan("w1", PROMPT, "north", true, OBJECTIVE, SETTLED);
+        PartPlan first = directory.plan("w1", PROMPT, "north", true, OBJECTIVE, ANY_DOMAIN, SETTLED);
         assertThat(first.saves()).isTrue();
         assertThat(first.reads()).isFalse();
         assertThat(directory
-                        .plan("w1", PROMPT, "north", true, OBJECTIVE, SETTLED + 5)
+                        .plan("w1", PROMPT, "north", true, OBJECTIVE, ANY_DOMAIN, SETTLED + 5)
                         .saves())
                 .isFalse();
 
         directory.applyStoreUpdate(STORE, update(1, held("w1", "sheet", 2_500)), SETTLED + 300, SETTLED + 300);
-        PartPlan second = directory.plan("w1", PROMPT, "north", true, OBJECTIVE, SETTLED + 310);
+        PartPlan second = directory.plan("w1", PROMPT, "north", true, OBJECTIVE, ANY_DOMAIN, SETTLED + 310);
         assertThat(second.sources())
                 .containsExactly(Optional.of(new PartPlan.Source(STORE, 2_500)), Optional.empty(), Optional.empty());
     }
@@ -51,33 +53,42 @@
     /** The reason for each recomputed part is logged, so that the logs show which of them were avoidable. */
     @Test
     void planHasChoiceForEachSharedPart() {
-        assertThat(directory.plan("w1", PROMPT, "north", true, OBJECTIVE, BEGIN).choices())
+        assertThat(directory
+                        .plan("w1", PROMPT, "north", true, OBJECTIVE, ANY_DOMAIN, BEGIN)
+                        .choices())
                 .containsExactly(PartChoice.UNSETTLED, PartChoice.UNSETTLED);
 
         directory.applyStoreUpdate(STORE, update(1, held("w1", "sheet", 2_500)), SETTLED, SETTLED);
         assertThat(directory
-                        .plan("w1", PROMPT, "north", true, OBJECTIVE, SETTLED)
+                        .plan("w1", PROMPT, "north", true, OBJECTIVE, ANY_DOMAIN, SETTLED)
                         .choices())
                 .containsExactly(PartChoice.FETCHED, PartChoice.SAVED);
         assertThat(directory
-                        .plan("w1", PROMPT, "north", true, OBJECTIVE, SETTLED)
+                        .plan("w1", PROMPT, "north", true, OBJECTIVE, ANY_DOMAIN, SETTLED)
                         .choices())
                 .containsExactly(PartChoice.FETCHED, PartChoice.BEING_SAVED);
         assertThat(directory
-                        .plan("w1", PROMPT, "north", true, OBJECTIVE, SETTLED + PartDirectory.FRESH_MILLIS + 1)
+                        .plan(
+                                "w1",
+                                PROMPT,
+                                "north",
+                                true,
+                                OBJECTIVE,
+                                ANY_DOMAIN,
+                                SETTLED + PartDirectory.FRESH_MILLIS + 1)
                         .choices())
                 .containsExactly(PartChoice.NO_STORE, PartChoice.BEING_SAVED);
 
         directory.applyStoreUpdate(STORE, update(1, held("w1", "all", 95_000)), SETTLED, SETTLED);
         assertThat(directory
-                        .plan("w2", PROMPT, "north", true, OBJECTIVE, SETTLED)
+                        .plan("w2", PROMPT, "north", true, OBJECTIVE, ANY_DOMAIN, SETTLED)
                         .choices())
                 .containsExactly(PartChoice.NO_ROOM, PartChoice.NO_ROOM);
 
         directory.recordFetchLateness(new StoreLateness(STORE, 200, 9_000), SETTLED);
-        directory.plan("w1", PROMPT, "north", true, OBJECTIVE, SETTLED);
+        directory.plan("w1", PROMPT, "north", true, OBJECTIVE, ANY_DOMAIN, SETTLED);
         assertThat(directory
-                        .plan("w1", PROMPT, "north", true, OBJECTIVE, SETTLED)
+                        .plan("w1", PROMPT, "north", true, OBJECTIVE, ANY_DOMAIN, SETTLED)
                         .choices()
                         .get(0))
                 .isEqualTo(PartChoice.SLOW_STORE);
@@ -99,7 +110,7 @@
     void nothingIsSavedUnderReplacedWeights() {
         directory.applyStoreUpdate(STORE, update(1, held("w1", "sheet", 2_500)), SETTLED, SETTLED);
 
-        PartPlan plan = directory.plan("w1", PROMPT, "north", false, OBJECTIVE, SETTLED);
+        PartPlan plan = directory.plan("w1", PROMPT, "north", false, OBJECTIVE, ANY_DOMAIN, SETTLED);
 
         assertThat(plan.saves()).isFalse();
         assertThat(plan.choices()).containsExactly(PartChoice.FETCHED, PartChoice.REPLACED);
@@ -112,7 +123,7 @@
         directory.applyStoreUpdate(STORE, update(1, held("w1", "sheet", 2_500)), SETTLED, SETTLED);
 
         assertThat(directory
-                        .plan("w1", PROMPT, "north", true, objective, SETTLED + 100)
+                        .plan("w1", PROMPT, "north", true, objective, ANY_DOMAIN, SETTLED + 100)
                         .untilMillis())
                 .hasValue(SETTLED + 100 + fetchMillis);
     }
@@ -123,11 +134,11 @@
         directory.applyStoreUpdate(STORE, update(1, held("w1", "sheet", 2_500)), SETTLED, SETTLED);
 
         assertThat(directory
-                        .plan("w1", PROMPT, "north", true, OBJECTIVE, SETTLED + 700)
+                        .plan("w1", PROMPT, "north", true, OBJECTIVE, ANY_DOMAIN, SETTLED + 700)
                         .untilMillis())
                 .hasValue(SETTLED + 700 + PartDirectory.FETCH_AFTER_SENT_MILLIS);
         assertThat(directory
-                        .plan("w1", PROMPT, "north", true, OBJECTIVE, SETTLED + 2_300)
+                        .plan("w1", PROMPT, "north", true, OBJECTIVE, ANY_DOMAIN, SETTLED + 2_300)
                         .untilMillis())
                 .hasValue(SETTLED + PartDirectory.FETCH_AFTER_UPDATE_MILLIS);
     }
@@ -137,7 +148,7 @@
         directory.applyStoreUpdate(STORE, update(1), SETTLED, SETTLED);
 
         assertThat(directory
-                        .plan("w1", PROMPT, "north", true, OBJECTIVE, SETTLED)
+                        .plan("w1", PROMPT, "north", true, OBJECTIVE, ANY_DOMAIN, SETTLED)
                         .destinations()
                         .get(2))
                 .isEmpty();
@@ -156,19 +167,20 @@
         other.applyStoreUpdate(STORE, update(2), restart, restart);
 
         long lastUse = SETTLED + PartDirectory.FRESH_MILLIS;
-        PartPlan latest = directory.plan("w1", PROMPT, "north", true, OBJECTIVE, lastUse);
+        PartPlan latest = directory.plan("w1", PROMPT, "north", true, OBJECTIVE, ANY_DOMAIN, lastUse);
         assertThat(latest.reads()).isTrue();
         assertThat(directory
-                        .plan("w1", PROMPT, "north", true, OBJECTIVE, lastUse + 1)
+                        .plan("w1", PROMPT, "north", true, OBJECTIVE, ANY_DOMAIN, lastUse + 1)
                         .reads())
                 .isFalse();
 
         long firstSave = restart + PartDirectory.SETTLED_MILLIS;
         other.applyStoreUpdate(STORE, update(2), firstSave - 1, firstSave - 1);
-        assertThat(other.plan("w1", PROMPT, "north", true, OBJECTIVE, firstSave - 1)
+        assertThat(other.plan("w1", PROMPT, "north", true, OBJECTIVE, ANY_DOMAIN, firstSave - 1)
                         .saves())
                 .isFalse();
-        assertThat(other.plan("w1", PROMPT, "north", true, OBJECTIVE, firstSave).saves())
+        assertThat(other.plan("w1", PROMPT, "north", true, OBJECTIVE, ANY_DOMAIN, firstSave)
+                        .saves())
                 .isTrue();
         assertThat(latest.untilMillis().orElseThrow()).isLessThan(firstSave);
     }
@@ -184,7 +196,7 @@
 
         assertThat(reads(100, SETTLED)).isBetween(1, 10);
         assertThat(directory
-                        .plan("w1", PROMPT, "north", true, OBJECTIVE, SETTLED)
+                        .plan("w1", PROMPT, "north", true, OBJECTIVE, ANY_DOMAIN, SETTLED)
                         .destinations()
                         .get(1))
                 .isEmpty();
@@ -228,7 +240,7 @@
         int reads = 0;
         for (int plan = 0; plan < plans; plan++) {
             reads += directory
-                            .plan("w1", PROMPT, "north", true, OBJECTIVE, nowMillis)
+                            .plan("w1", PROMPT, "north", true, OBJECTIVE, ANY_DOMAIN, nowMillis)
                             .reads()
                     ? 1
                     : 0;
@@ -241,7 +253,7 @@
         directory.applyStoreUpdate(STORE, update(1, held("w1", "other", 96_000)), SETTLED, SETTLED);
 
         assertThat(directory
-                        .plan("w1", PROMPT, "north", true, OBJECTIVE, SETTLED)
+                        .plan("w1", PROMPT, "north", true, OBJECTIVE, ANY_DOMAIN, SETTLED)
                         .destinations()
                         .get(1))
                 .isEmpty();
