Forget what peers sent to targets a second ago

Cause: the count of peers' sends kept an entry for each target that peers ever named; it was only dropped with the target's registration, and a later report made it again. Full reports drop what is older than a second now.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Fleet.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Fleet.java
@@ -163,7 +163,7 @@
 
     /** Removes a target at whose address another target responded. */
     public void removeReplaced(String id) {
-        forget(id);
+        targets.remove(id);
         expired.remove(id);
     }
 
@@ -266,13 +266,8 @@
             expired.putIfAbsent(id, nowMillis);
             return;
         }
-        forget(id);
-        expired.remove(id);
-    }
-
-    private void forget(String id) {
         targets.remove(id);
-        peers.forget(id);
+        expired.remove(id);
     }
 
     private void removeExpired(long nowMillis) {
@@ -280,7 +275,7 @@
             return;
         }
         for (Iterator<String> ids = expired.keySet().iterator(); ids.hasNext(); ) {
-            forget(ids.next());
+            targets.remove(ids.next());
             ids.remove();
         }
     }
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/PeerLoads.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/PeerLoads.java
@@ -27,6 +27,7 @@
     /** Total load of all peers by target, cached until one of the summands changes. */
     private final Map<String, TargetLoad> sums = new HashMap<>();
 
+    /** Requests that peers sent within the last second, by target. */
     private final Map<String, RecentSends> sends = new HashMap<>();
 
     private long staleRemovedAt = Long.MIN_VALUE;
@@ -46,6 +47,7 @@
         }
         report.targets().forEach(load -> recordSends(previous, load, nowMillis));
         if (report.full()) {
+            sends.values().removeIf(recent -> recent.sent(nowMillis) == 0);
             // Also drops sums of targets that no peer has requests at any more.
             sums.clear();
         }
@@ -78,11 +80,6 @@
         return recent == null ? 0 : recent.sent(nowMillis);
     }
 
-    /** Forgets a target that is no longer known. */
-    void forget(String target) {
-        sends.remove(target);
-    }
-
     /** Returns the peers whose last report is fresh. */
     public Set<String> livePeers(long nowMillis) {
         removeStale(nowMillis);
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/WarmUpAdmissionTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/WarmUpAdmissionTest.java
@@ -241,6 +241,27 @@
         assertThat(view.sendAll(START)).isEqualTo(16);
     }
 
+    /** Guards against a count that grows with each target that ever was. */
+    @Test
+    void sendsOfPeersAreForgottenAfterSecond() {
+        PeerLoads peers = new PeerLoads();
+        for (int sequence = 1; sequence <= 2; sequence++) {
+            peers.apply(
+                    LoadReport.ofTargets(
+                            "relay-1",
+                            sequence,
+                            true,
+                            List.of(new TargetLoad("gone", sequence, 0, 0)),
+                            true,
+                            new ReadOffsets(0, 0, 0)),
+                    START);
+        }
+
+        assertThat(peers.sentWithinSecond("gone", START)).isEqualTo(1);
+        assertThat(peers.sentWithinSecond("gone", START + RecentSends.WINDOW_MILLIS))
+                .isZero();
+    }
+
     private static void report(View view, long sequence, int requests) {
         view.fleet.applyLoadReport(
                 LoadReport.ofTargets(
