Take back a trial: reject at once what a late event loop can't serve on time

Tried: while the loop is late, a probe measures its iterations, and requests whose objective is shorter than six of them are rejected with a time to come back. Callers that are rejected come back on new connections, and cold code stays cold for longer.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/CallerConnection.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/CallerConnection.java
@@ -172,8 +172,6 @@
             problem = denied.error();
         } else if (!state.accepts(((AccessDecision.Granted) access).route())) {
             problem = ErrorKind.DRAINING;
-        } else if (state.isTooLateFor(((AccessDecision.Granted) access).route())) {
-            problem = ErrorKind.OVERLOADED;
         }
     }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
@@ -53,9 +53,6 @@
     /** Interval of the check of all connections. */
     static final long SWEEP_INTERVAL_MILLIS = 500;
 
-    /** Interval of the probes of a late event loop. */
-    private static final long PROBE_MILLIS = 20;
-
     private static final double MILLIS_PER_SECOND = 1_000;
 
     private final Closer closer = new Closer();
@@ -74,8 +71,6 @@
     private final OutdatedPartEvictor partEvictor;
     private final GracefulShutdown shutdown;
     private final WarmUpLog warmUpLog;
-    private final StepTimer probes;
-    private boolean probing;
     private long targetsChangedOffset;
 
     /**
@@ -87,7 +82,6 @@
         MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         closer.add(() -> group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS));
         loop = (EventLoop) group.next();
-        probes = new StepTimer(loop);
         EventLog log = new EventLog(Logger.getLogger(RelayProcess.class), new MonotonicClock());
         state = new RelayState(
                 settings, platform, loop, RelayChannels.connector(group), log, new RelayMetrics(), random);
@@ -136,22 +130,6 @@
         rollouts.start();
         quarantine.start();
         closer.add(new StepTimer(loop)).every(this::sweep, SWEEP_INTERVAL_MILLIS);
-        closer.add(probes);
-        probeWhileLate();
-    }
-
-    /** Measures the iterations of the event loop as long as it is late; at other times that would only wake it up. */
-    private void probeWhileLate() {
-        long now = state.nowMillis();
-        probing = state.eventLoopLag().isLate(now);
-        if (probing) {
-            probes.later(() -> onProbe(now + PROBE_MILLIS), PROBE_MILLIS);
-        }
-    }
-
-    private void onProbe(long dueAt) {
-        state.loopAdmission().onProbe(state.nowMillis() - dueAt);
-        probeWhileLate();
     }
 
     /** Provides the local state that is sent to peers. */
@@ -386,9 +364,6 @@
     private void sweep() {
         long now = state.nowMillis();
         state.eventLoopLag().onTaskRun(now);
-        if (!probing) {
-            probeWhileLate();
-        }
         boolean closeIdle = state.isRefusingRequests();
         if (closeIdle && callerListener.isOpen()) {
             callerListener.close();
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
@@ -16,7 +16,6 @@
 import org.rattanrudder.core.gateway.BackendService;
 import org.rattanrudder.core.gateway.CallerLimits;
 import org.rattanrudder.core.gateway.EventLoopLag;
-import org.rattanrudder.core.gateway.LoopAdmission;
 import org.rattanrudder.core.gateway.ServiceRoute;
 import org.rattanrudder.core.gateway.ServingConfiguration;
 import org.rattanrudder.core.gateway.ShutdownPolicy;
@@ -62,7 +61,6 @@
     private final Set<String> warmUpDispatches = new HashSet<>();
     private Optional<ServingConfiguration> configuration = Optional.empty();
     private final EventLoopLag eventLoopLag;
-    private final LoopAdmission loopAdmission = new LoopAdmission();
     private final long relayHash;
     private final PlacementBroadcaster placementBroadcaster;
     private final FetchLatenessRecorder fetchLateness = new FetchLatenessRecorder();
@@ -107,16 +105,6 @@
         return eventLoopLag;
     }
 
-    /** Returns the admission of requests while the event loop is late. */
-    LoopAdmission loopAdmission() {
-        return loopAdmission;
-    }
-
-    /** Returns whether the event loop is so late that a request on the route, taken on now, would be late. */
-    boolean isTooLateFor(ServiceRoute route) {
-        return eventLoopLag.isLate(nowMillis()) && !loopAdmission.admits(route.objectiveMillis());
-    }
-
     RelaySettings settings() {
         return settings;
     }
