Send nothing on after its deadline

The check of the caller's connection didn't help: the loop wasn't known to be late yet. Change: a request is tested against its deadline when it is placed and when its connection is open, and ended there.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
@@ -177,7 +177,7 @@
     }
 
     private void sendTo(Placement.Choice choice) {
-        if (refuseIfQuarantined()) {
+        if (refuseIfQuarantined() || endIfOverdue()) {
             return;
         }
         Target target = choice.target();
@@ -195,8 +195,21 @@
         });
     }
 
+    /**
+     * Ends the request if its deadline has passed; returns whether it had. While the loop is late, connections open and
+     * engines become free in iterations in which the timer of the deadline hasn't run.
+     */
+    private boolean endIfOverdue() {
+        if (plan.remainingMillis() > 0) {
+            return false;
+        }
+        onDeadline();
+        return true;
+    }
+
     private void onConnected(Target target, TargetConnection opened) {
-        if (ended || (state.eventLoopLag().isLate(state.nowMillis()) && caller.hasDisconnected())) {
+        boolean left = state.eventLoopLag().isLate(state.nowMillis()) && caller.hasDisconnected();
+        if (ended || left || endIfOverdue()) {
             target.cancelSend();
             if (opened != null) {
                 opened.abort();
