Let the limits of warm-ups cost less at each placement

The sorted names of relays were compared ten times a second. Change: the end of a warm-up is worked out from plain numbers; registered relays are looked at once a second. Measured: tests of the core hold.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Evacuations.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Evacuations.java
@@ -2,7 +2,6 @@
 
 import java.util.HashMap;
 import java.util.Map;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.stream.Collectors;
 
@@ -18,6 +17,9 @@
  * }</pre>
  */
 public final class Evacuations {
+    /** A time before any other. */
+    static final long NEVER = Long.MIN_VALUE / 2;
+
     private final Map<String, State> domains = new HashMap<>();
 
     /**
@@ -82,9 +84,9 @@
                 .collect(Collectors.toUnmodifiableSet());
     }
 
-    /** Returns when the evacuation of a domain ended, as far as this relay knows; empty if there was none. */
-    OptionalLong endedAt(String domain) {
+    /** Returns when the last evacuation of a domain ended; {@link #NEVER} if there was none or it goes on. */
+    long endedAt(String domain) {
         State state = domains.get(domain);
-        return state == null || state.evacuated() ? OptionalLong.empty() : OptionalLong.of(state.sinceMillis());
+        return state == null || state.evacuated() ? NEVER : state.sinceMillis();
     }
 }
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Fleet.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Fleet.java
@@ -222,15 +222,16 @@
 
     /** Returns the targets of a service that may get requests: neither they nor their failure domains are leaving. */
     public List<Target> usableTargets(String service, long nowMillis) {
-        return targets(service, this::isUsable, nowMillis);
+        return targets(service, target -> !isLeaving(target.registration()), nowMillis);
     }
 
     /** Returns whether a target may get requests: it is the one that is known by its id, and it isn't leaving. */
     public boolean isUsable(Target target) {
-        TargetRegistration registration = target.registration();
-        return targets.get(target.id()) == target
-                && !registration.draining()
-                && !evacuations.isEvacuated(registration.failureDomain());
+        return targets.get(target.id()) == target && !isLeaving(target.registration());
+    }
+
+    private boolean isLeaving(TargetRegistration registration) {
+        return registration.draining() || evacuations.isEvacuated(registration.failureDomain());
     }
 
     /** Returns the targets of a service that aren't draining, including those of evacuated failure domains. */
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/WarmUp.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/WarmUp.java
@@ -1,8 +1,5 @@
 package org.rattanrudder.core.fleet;
 
-import java.util.OptionalLong;
-import org.rattanrudder.core.gateway.WarmUpTraits;
-
 /**
  * What a relay knows of the warm-up of one target, and from which evidence.
  *
@@ -21,7 +18,7 @@
         EVACUATED
     }
 
-    private static final long NEVER = Long.MIN_VALUE / 2;
+    private static final long NEVER = Evacuations.NEVER;
 
     private long reportedAt = NEVER;
     private long reportedUntil = NEVER;
@@ -45,33 +42,32 @@
     }
 
     /**
-     * Returns the warm-up that ends last.
+     * Returns when the target's warm-up ends. It is asked for each target at each placement, so it creates nothing.
      *
-     * @param traits how long targets of its service warm up
-     * @param evacuationEndedAt when the last evacuation of its failure domain ended; empty if there was none
+     * @param warmUpMillis how long targets of its service warm up
+     * @param evacuationEndedAt when the last evacuation of its failure domain ended
      */
-    State state(WarmUpTraits traits, OptionalLong evacuationEndedAt) {
-        State latest = new State(Evidence.REPORTED, reportedAt, reportedUntil);
-        latest = latest.orLater(Evidence.STARTED, startedAt, traits);
-        latest = latest.orLater(Evidence.UNREACHABLE, reachableAgainAt, traits);
-        return latest.orLater(Evidence.EVACUATED, evacuationEndedAt.orElse(NEVER), traits);
+    long endsAt(long warmUpMillis, long evacuationEndedAt) {
+        long newest = Math.max(Math.max(startedAt, reachableAgainAt), evacuationEndedAt);
+        return Math.max(reportedUntil, newest + warmUpMillis);
     }
 
-    /**
-     * A warm-up.
-     *
-     * @param evidence what shows it
-     * @param sinceMillis when the relay learned of it
-     * @param untilMillis when it ends
-     */
-    record State(Evidence evidence, long sinceMillis, long untilMillis) {
-        boolean isWarmingUp(long nowMillis) {
-            return nowMillis < untilMillis;
+    /** Returns what shows the warm-up that ends last; see {@link #endsAt}. */
+    Evidence evidence(long warmUpMillis, long evacuationEndedAt) {
+        long ends = endsAt(warmUpMillis, evacuationEndedAt);
+        if (ends == reportedUntil) {
+            return Evidence.REPORTED;
         }
-
-        private State orLater(Evidence other, long since, WarmUpTraits traits) {
-            long until = since == NEVER ? NEVER : since + traits.millis();
-            return until > untilMillis ? new State(other, since, until) : this;
+        if (ends == startedAt + warmUpMillis) {
+            return Evidence.STARTED;
         }
+        return ends == reachableAgainAt + warmUpMillis ? Evidence.UNREACHABLE : Evidence.EVACUATED;
+    }
+
+    /** Returns when the relay learned of what shows the warm-up that ends last. */
+    long learnedAt(long warmUpMillis, long evacuationEndedAt) {
+        return evidence(warmUpMillis, evacuationEndedAt) == Evidence.REPORTED
+                ? reportedAt
+                : endsAt(warmUpMillis, evacuationEndedAt) - warmUpMillis;
     }
 }
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/WarmUpAdmission.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/WarmUpAdmission.java
@@ -1,9 +1,9 @@
 package org.rattanrudder.core.fleet;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import org.rattanrudder.core.gateway.WarmUpTraits;
 
 /**
@@ -57,11 +57,16 @@
 
     /** Returns the targets that may get another request now. */
     public List<Target> admitted(List<Target> targets, Optional<WarmUpTraits> traits, long nowMillis) {
-        return traits.isEmpty()
-                ? targets
-                : targets.stream()
-                        .filter(target -> admits(target, traits.get(), nowMillis))
-                        .toList();
+        if (traits.isEmpty()) {
+            return targets;
+        }
+        List<Target> admitted = new ArrayList<>(targets.size());
+        for (Target target : targets) {
+            if (admits(target, traits.get(), nowMillis)) {
+                admitted.add(target);
+            }
+        }
+        return admitted;
     }
 
     private boolean admits(Target target, WarmUpTraits traits, long nowMillis) {
@@ -97,16 +102,24 @@
 
     /** Returns whether a target is known to be warming up. */
     public boolean isWarmingUp(Target target, WarmUpTraits traits, long nowMillis) {
-        return state(target, traits).isWarmingUp(nowMillis);
+        return nowMillis < target.warmUp().endsAt(traits.millis(), evacuationEndedAt(target));
     }
 
     /** Returns what shows that a target is warming up, when that was learned, and when the warm-up ends. */
     public Optional<Knowledge> knowledge(Target target, WarmUpTraits traits, long nowMillis) {
-        WarmUp.State state = state(target, traits);
-        return state.isWarmingUp(nowMillis)
-                ? Optional.of(new Knowledge(
-                        state.evidence().name(), nowMillis - state.sinceMillis(), state.untilMillis() - nowMillis))
-                : Optional.empty();
+        if (!isWarmingUp(target, traits, nowMillis)) {
+            return Optional.empty();
+        }
+        WarmUp warmUp = target.warmUp();
+        long evacuationEndedAt = evacuationEndedAt(target);
+        return Optional.of(new Knowledge(
+                warmUp.evidence(traits.millis(), evacuationEndedAt).name(),
+                nowMillis - warmUp.learnedAt(traits.millis(), evacuationEndedAt),
+                warmUp.endsAt(traits.millis(), evacuationEndedAt) - nowMillis));
+    }
+
+    private long evacuationEndedAt(Target target) {
+        return evacuations.endedAt(target.registration().failureDomain());
     }
 
     /**
@@ -117,9 +130,4 @@
      * @param remainingMillis how long it still lasts
      */
     public record Knowledge(String evidence, long ageMillis, long remainingMillis) {}
-
-    private WarmUp.State state(Target target, WarmUpTraits traits) {
-        OptionalLong ended = evacuations.endedAt(target.registration().failureDomain());
-        return target.warmUp().state(traits, ended);
-    }
 }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/PeerExchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/PeerExchange.java
@@ -40,6 +40,9 @@
  * superseded by the next one. A peer whose reports cease is counted as having no requests in flight.
  */
 final class PeerExchange implements AutoCloseable {
+    /** How often the relays that share permits are looked at anew; registrations change rarely. */
+    private static final long PERMIT_SHARES_INTERVAL_MILLIS = 1_000;
+
     /**
      * How long a target's newly confirmed weights are reported: until its registration shows them, even if some
      * messages are lost.
@@ -65,6 +68,8 @@
     /** Whether all relays that were registered at this relay's start are known. */
     private boolean relaysListed;
 
+    private long permitSharesUpdatedAt = Long.MIN_VALUE / 2;
+
     /** Provides the parts of a load report that other components of this relay own. */
     interface LocalState {
         /** Returns the engines that this relay has ordered to load weights and that don't serve them yet. */
@@ -206,7 +211,8 @@
         Map<String, String> domains = new HashMap<>(schedule.liveRelayDomains(now));
         domains.put(state.settings().instance(), state.settings().failureDomain());
         state.fleet().updateRelays(state.settings().instance(), domains);
-        if (relaysListed) {
+        if (relaysListed && now - permitSharesUpdatedAt >= PERMIT_SHARES_INTERVAL_MILLIS) {
+            permitSharesUpdatedAt = now;
             Map<String, String> registered = new HashMap<>(schedule.registeredRelayDomains(now));
             registered.put(state.settings().instance(), state.settings().failureDomain());
             state.warmUps().updateRelays(state.settings().instance(), registered);
