Keep ranks only for targets that are there, and look at queues while they may change

Found in the last read: ranks of targets stayed after the targets were gone; the queues were walked while a rejected caller's next request could add one; an accessor of the estimate had no caller.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/MedianEstimate.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/MedianEstimate.java
@@ -35,9 +35,4 @@
     public double millis() {
         return millis;
     }
-
-    /** Returns how many samples it rests on; 0 if it is only what was expected. */
-    public long samples() {
-        return samples;
-    }
 }
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/PermitShares.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/PermitShares.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.WeakHashMap;
 import org.rattanrudder.core.routing.Hashing;
 
 /**
@@ -18,7 +19,9 @@
  */
 final class PermitShares {
     private final Map<String, Long> hashes = new HashMap<>();
-    private final Map<String, Integer> ranks = new HashMap<>();
+    /** This relay's rank for each target; a target that is gone takes its rank with it. */
+    private final Map<Target, Integer> ranks = new WeakHashMap<>();
+
     private Map<String, String> domains = Map.of();
     private String self = "";
 
@@ -44,7 +47,7 @@
             return 0;
         }
         int relays = domains.size();
-        int rank = ranks.computeIfAbsent(target.id(), unseen -> rank(target));
+        int rank = ranks.computeIfAbsent(target, unseen -> rank(target));
         return permits / relays + (rank < permits % relays ? 1 : 0);
     }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
@@ -249,9 +249,10 @@
 
     /** Sends queued requests to targets that have become usable, and rejects those that no target may run any more. */
     void onUsableTargetsChanged() {
-        for (Map.Entry<String, HoldingQueue<Exchange>> queue : holdingQueues.entrySet()) {
-            queue.getValue().removeIf(exchange -> !exchange.hasCandidate()).forEach(Exchange::refuseUnservable);
-            dispatchQueued(queue.getKey());
+        // A rejected caller's next request may be the first that waits for another service.
+        for (String service : Set.copyOf(holdingQueues.keySet())) {
+            holdingQueue(service).removeIf(exchange -> !exchange.hasCandidate()).forEach(Exchange::refuseUnservable);
+            dispatchQueued(service);
         }
     }
 
