--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/WarmUpAdmissionTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/WarmUpAdmissionTest.java
@@ -106,8 +106,7 @@
     }
 
     /**
-     * Guards against relays that overload a cold target together while they know different relays, pause, and learn of
-     * each other late.
+     * Guards against relays that overload a cold target together while they pause and know different relays.
      */
     @Property(tries = 100)
     void sumOverRelaysHoldsInEachSecondWhateverRelaysKnowOfEachOther(
