Read the rate limits that targets name, and log when they begin, change and end

No line showed what an answer said of its target's limit, so the hypotheses on the incident couldn't be told apart. Nothing is decided by it yet: a relay keeps what its own answers say, logs rate_limit_named and rate_limit_ended, and shows rattanrudder_relay_targets_rate_limited. A response ends or raises a limit only if its request was sent after the last one that named it.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Target.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Target.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.Set;
 import org.rattanrudder.core.fleet.LoadReport.ServedWeights;
 import org.rattanrudder.core.fleet.LoadReport.TargetLoad;
@@ -40,6 +41,7 @@
     private final TargetSharing sharing;
     private final RecentSends recentSends = new RecentSends();
     private final WarmUp warmUp = new WarmUp();
+    private final RateLimit rateLimit = new RateLimit();
     private final Reachability reachability = new Reachability();
     private final long idHash;
     private TargetRegistration registration;
@@ -115,6 +117,23 @@
         warmUp.onReported(remainingMillis, nowMillis);
     }
 
+    /**
+     * Records what a response says of the target's rate limit.
+     *
+     * @param conclusive whether a response without a limit shows that there is none
+     * @param sentAt when the request was sent
+     */
+    public void recordRateLimit(RateLimitNotice notice, boolean conclusive, long sentAt, long nowMillis) {
+        rateLimit.onResponse(notice, conclusive, sentAt, nowMillis);
+    }
+
+    /**
+     * Returns how many requests a second the target takes from all relays together; empty if it has named no limit.
+     */
+    public OptionalDouble rateLimit() {
+        return rateLimit.requestsPerSecond();
+    }
+
     /** Returns a hash of the id. */
     long idHash() {
         return idHash;
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
@@ -285,6 +285,10 @@
             target.updateReportedLoad(reported.running(), reported.queued(), state.nowMillis());
         });
         metadata.warmUpMillis().ifPresent(remaining -> target.reportWarmUp(remaining, state.nowMillis()));
+        if (!metadata.misdirected()) {
+            boolean conclusive = metadata.signed() && !metadata.notRun();
+            target.recordRateLimit(metadata.rateLimit(), conclusive, attempt.sentAt(), state.nowMillis());
+        }
         plan.metadata()
                 .model()
                 .ifPresent(model -> metadata.weights()
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
@@ -71,6 +71,7 @@
     private final OutdatedPartEvictor partEvictor;
     private final GracefulShutdown shutdown;
     private final WarmUpLog warmUpLog;
+    private final RateLimitLog rateLimitLog;
     private long targetsChangedOffset;
 
     /**
@@ -89,6 +90,7 @@
                 state.connector(), loop, platform.requests(), state::nowMillis, new ReachabilityHandler());
         partEvictor = new OutdatedPartEvictor(state, storeWatches);
         warmUpLog = new WarmUpLog(state);
+        rateLimitLog = new RateLimitLog(state);
         shutdown = new GracefulShutdown(state, callers, this::sweep);
         registerGauges();
         callerListener = listen(group, settings.callers(), RelayChannels.callers(state, pools, callers));
@@ -375,6 +377,7 @@
         }
         pools.sweep(Set.copyOf(state.fleet().all(now)), now);
         warmUpLog.update(now);
+        rateLimitLog.update(now);
         partEvictor.free(now);
         quarantine.sweep();
         shutdown.checkFinished(now);
@@ -403,6 +406,11 @@
                         "Failure domains whose targets get no requests",
                         () -> state.fleet().evacuations().evacuated().size());
         state.metrics().gauge("rattanrudder_relay_targets_warming", "Targets that are warming up", warmUpLog::warming);
+        state.metrics()
+                .gauge(
+                        "rattanrudder_relay_targets_rate_limited",
+                        "Targets that have named a rate limit",
+                        rateLimitLog::limited);
         state.metrics().gauge("rattanrudder_relay_connections", "Callers' connections", callers::size);
         state.metrics()
                 .gauge(
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/port/ResponseMetadata.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/port/ResponseMetadata.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.rattanrudder.core.fleet.RateLimitNotice;
 
 /**
  * The metadata in the head of a target's response.
@@ -16,6 +17,7 @@
  * @param weights the version of the weights that it ran on, if reported
  * @param keepAliveMillis how long the target keeps an idle connection open, if reported
  * @param warmUpMillis how long the target still warms up, if reported
+ * @param rateLimit what it says of the target's rate limit
  */
 public record ResponseMetadata(
         int status,
@@ -27,7 +29,8 @@
         Optional<Load> load,
         OptionalLong weights,
         OptionalLong keepAliveMillis,
-        OptionalLong warmUpMillis) {
+        OptionalLong warmUpMillis,
+        RateLimitNotice rateLimit) {
     /**
      * The load of a target.
      *
