--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/RateLimit.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/RateLimit.java
@@ -19,6 +19,9 @@
 
     private Optional<Observation> newest = Optional.empty();
 
+    /** The limit of the newest observation; it is asked for each target at each placement. */
+    private OptionalDouble requestsPerSecond = OptionalDouble.empty();
+
     /** Whether this relay itself saw the newest observation; if others were reported too, reports would circulate. */
     private boolean own;
 
@@ -53,7 +56,7 @@
 
     /** Returns the limit in requests a second from all relays together; empty if there is none. */
     OptionalDouble requestsPerSecond() {
-        return newest.map(Observation::requestsPerSecond).orElse(OptionalDouble.empty());
+        return requestsPerSecond;
     }
 
     /** Returns this relay's permits; they are of no meaning while there is no limit. */
@@ -90,10 +93,11 @@
         if (!replaces) {
             return;
         }
-        if (requestsPerSecond().isEmpty()) {
+        if (requestsPerSecond.isEmpty()) {
             permits.empty(nowMillis);
         }
         newest = Optional.of(observation);
+        requestsPerSecond = observation.requestsPerSecond();
         own = ownObservation;
     }
 
