--- a/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelDay.java
+++ b/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelDay.java
@@ -21,6 +21,7 @@
  * @param costs what an engine's work costs
  * @param stores where context is kept for all engines
  * @param dark engines without power for a while
+ * @param limited engines that name a rate limit for a while
  * @param classes the kinds of request
  */
 public record ModelDay(
@@ -32,6 +33,7 @@
         Costs costs,
         Stores stores,
         Dark dark,
+        Limited limited,
         List<Kind> classes) {
     private static final ObjectMapper MAPPER = JsonMapper.builder()
             .enable(JsonReadFeature.ALLOW_JAVA_COMMENTS)
@@ -48,6 +50,7 @@
         require(failureDomains > 0, "failureDomains", "above 0");
         require(stores.count() > 0, "stores.count", "above 0");
         require(dark.share() >= 0 && dark.share() < 1, "dark.share", "from 0 to below 1");
+        require(limited.share() >= 0 && limited.share() <= 1, "limited.share", "from 0 to 1");
         require(!classes.isEmpty(), "classes", "at least one");
     }
 
@@ -105,6 +108,16 @@
      */
     public record Dark(double share, double atSeconds, double forSeconds) {}
 
+    /**
+     * Engines that name a rate limit, the last ones by number.
+     *
+     * @param share the part of the engines
+     * @param requestsPerSecond the limit
+     * @param atSeconds from when
+     * @param forSeconds for how long
+     */
+    public record Limited(double share, double requestsPerSecond, double atSeconds, double forSeconds) {}
+
     /**
      * A kind of request.
      *
--- a/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelEngine.java
+++ b/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelEngine.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.TreeSet;
 
@@ -33,6 +34,7 @@
     private long numbers;
     private boolean stepping;
     private boolean dark;
+    private OptionalDouble namedLimit = OptionalDouble.empty();
     private long tokensRead;
     private long tokensReadAgain;
     private int preempted;
@@ -94,6 +96,15 @@
         stepping = false;
     }
 
+    /** Names a rate limit in all further answers; none if empty. */
+    void nameLimit(OptionalDouble requestsPerSecond) {
+        namedLimit = requestsPerSecond;
+    }
+
+    OptionalDouble namedLimit() {
+        return namedLimit;
+    }
+
     boolean isDark() {
         return dark;
     }
--- a/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelExperiment.java
+++ b/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelExperiment.java
@@ -45,6 +45,7 @@
                 change().lateFor(UNBOUNDED).named("late ones wait to their deadline"),
                 change().heldFor(0.3).named("held for 0.3 of the objective"),
                 change().heldFor(0.7).named("held for 0.7 of the objective"),
+                change().limitsPassedOver().named("rate limits passed over"),
                 change().nothingAtOnce()
                         .countedOnceConnected()
                         .withoutOwnOrder()
@@ -68,8 +69,8 @@
 
     static void print(PrintStream out, ModelDay day, int seeds) {
         out.println("| way | on time (least to most) | late | refused | p50 ms | p95 ms | read again | preempted"
-                + " | sent above | messages |");
-        out.println("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+                + " | sent above | messages | to limited engines | most in 4 s |");
+        out.println("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
         for (ModelPolicy policy : policies()) {
             List<ModelReport> reports = LongStream.rangeClosed(1, seeds)
                     .parallel()
@@ -84,7 +85,8 @@
         double most = reports.stream().mapToDouble(ModelReport::onTime).max().orElse(0);
         return String.format(
                 Locale.ROOT,
-                "| %s | %.1f%% (%.1f to %.1f) | %.1f%% | %.1f%% | %.0f | %.0f | %.1f%% | %.0f | %.1f%% | %.0f |",
+                "| %s | %.1f%% (%.1f to %.1f) | %.1f%% | %.1f%% | %.0f | %.0f | %.1f%% | %.0f | %.1f%% | %.0f"
+                        + " | %.0f | %.0f |",
                 policy.name(),
                 PERCENT * mean(reports, ModelReport::onTime),
                 PERCENT * least,
@@ -96,7 +98,9 @@
                 PERCENT * mean(reports, ModelReport::readAgain),
                 mean(reports, ModelReport::preempted),
                 PERCENT * mean(reports, ModelReport::sentAbove),
-                mean(reports, ModelReport::messages));
+                mean(reports, ModelReport::messages),
+                mean(reports, ModelReport::limitedSends),
+                mean(reports, ModelReport::mostToLimitedEngine));
     }
 
     private static double mean(List<ModelReport> reports, ToDoubleFunction<ModelReport> value) {
--- a/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelPolicy.java
+++ b/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelPolicy.java
@@ -16,6 +16,7 @@
  * @param ownOrder whether each relay has an order of its own among engines
  * @param heldShare how long a request waits in line to be on time, as a part of the objective
  * @param lateShare how long a late request waits in line, as a multiple of the objective
+ * @param keepsLimits whether the rate limits that engines name are kept
  */
 public record ModelPolicy(
         String name,
@@ -28,7 +29,8 @@
         boolean countPlaced,
         boolean ownOrder,
         double heldShare,
-        double lateShare) {
+        double lateShare,
+        boolean keepsLimits) {
     /** Returns what a relay does now. */
     public static ModelPolicy now() {
         return new Change().named("now");
@@ -51,6 +53,7 @@
         private boolean ownOrder = true;
         private double heldShare = HoldingQueue.ON_TIME_WAIT_RATIO;
         private double lateShare = HoldingQueue.LATE_WAIT_RATIO;
+        private boolean keepsLimits = true;
 
         Change messages(long everyMillis, int toFarOnesEvery) {
             wholeEveryMillis = everyMillis;
@@ -99,6 +102,11 @@
             return this;
         }
 
+        Change limitsPassedOver() {
+            keepsLimits = false;
+            return this;
+        }
+
         ModelPolicy named(String name) {
             return new ModelPolicy(
                     name,
@@ -111,7 +119,8 @@
                     countPlaced,
                     ownOrder,
                     heldShare,
-                    lateShare);
+                    lateShare,
+                    keepsLimits);
         }
     }
 }
--- a/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelRelay.java
+++ b/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelRelay.java
@@ -13,8 +13,11 @@
 import org.rattanrudder.core.fleet.Fleet;
 import org.rattanrudder.core.fleet.HoldingQueue;
 import org.rattanrudder.core.fleet.LoadReport;
+import org.rattanrudder.core.fleet.PermitShares;
 import org.rattanrudder.core.fleet.Placement;
 import org.rattanrudder.core.fleet.PlacementQuery;
+import org.rattanrudder.core.fleet.RateLimitAdmission;
+import org.rattanrudder.core.fleet.RateLimitNotice;
 import org.rattanrudder.core.fleet.ReportSchedule;
 import org.rattanrudder.core.fleet.SendWindow;
 import org.rattanrudder.core.fleet.Target;
@@ -31,6 +34,7 @@
     private static final double WAY_MILLIS = 0.5;
     private static final double GATHER_MILLIS = 5;
     private static final double GATHER_ENDS_MILLIS = 25;
+    private static final double ADMISSION_MILLIS = 50;
     private static final double DIAL_MILLIS = 2;
     private static final double DIAL_FAILS_MILLIS = 100;
     private static final double DIAL_AGAIN_MILLIS = 1_000;
@@ -45,6 +49,8 @@
     private final ModelStore store;
     private final ModelTally tally;
     private final Fleet fleet = new Fleet();
+    private final PermitShares shares = new PermitShares();
+    private final RateLimitAdmission rateLimits = new RateLimitAdmission(shares);
     private final ReportSchedule schedule = new ReportSchedule();
     private final HoldingQueue<ModelRequest> line = new HoldingQueue<>();
     private final List<ModelRelay> peers = new ArrayList<>();
@@ -53,6 +59,7 @@
     private long sequence;
     private long rounds;
     private boolean soon;
+    private boolean drainsSoon;
 
     ModelRelay(
             VirtualTime time,
@@ -96,6 +103,7 @@
             domains.put(other.name, other.domain);
             schedule.addRelay(other.name, other.domain, other.domain.equals(domain), 0);
         }
+        shares.updateRelays(name, domains);
         if (policy.sharing()) {
             fleet.updateRelays(name, domains);
         }
@@ -139,8 +147,20 @@
     }
 
     private void tell(boolean whole, List<LoadReport.TargetLoad> work, long everyMillis, Predicate<ModelRelay> hears) {
-        LoadReport load = LoadReport.ofTargets(name, sequence++, whole, work, true, new LoadReport.ReadOffsets(0, 0, 0))
-                .withInterval(everyMillis, List.of());
+        LoadReport load = new LoadReport(
+                name,
+                sequence++,
+                whole,
+                work,
+                List.of(),
+                List.of(),
+                List.of(),
+                List.of(),
+                true,
+                new LoadReport.ReadOffsets(0, 0, 0),
+                List.of(),
+                whole ? seenLimits() : List.of(),
+                everyMillis);
         for (ModelRelay peer : peers) {
             if (hears.test(peer)) {
                 tally.message();
@@ -149,6 +169,13 @@
         }
     }
 
+    private List<LoadReport.SeenRateLimit> seenLimits() {
+        long now = time.millis();
+        return fleet.all(now).stream()
+                .flatMap(target -> target.rateLimitToReport(now).stream())
+                .toList();
+    }
+
     private void heard(String relay, LoadReport load) {
         schedule.onReport(relay, time.millis());
         fleet.applyLoadReport(load, time.millis());
@@ -212,10 +239,18 @@
     private boolean sendIfRoom(ModelRequest request) {
         long now = time.millis();
         boolean late = now > request.arrivedAt() + request.kind().objectiveMillis() * policy.heldShare();
-        List<Target> open =
-                SendWindow.targetsWithRoom(fleet.activeTargets(SERVICE, now), traits, request.tokens(), late, now);
+        List<Target> active = fleet.activeTargets(SERVICE, now);
+        List<Target> admitted = policy.keepsLimits() ? rateLimits.admitted(active, now) : active;
+        List<Target> open = SendWindow.targetsWithRoom(admitted, traits, request.tokens(), late, now);
         Optional<Placement.Choice> choice = Placement.choose(open, query(request), now);
         choice.ifPresent(found -> send(request, found.target()));
+        if (choice.isEmpty() && admitted.size() < active.size() && !drainsSoon) {
+            drainsSoon = true;
+            time.afterMillis(ADMISSION_MILLIS, () -> {
+                drainsSoon = false;
+                drain();
+            });
+        }
         return choice.isPresent();
     }
 
@@ -246,6 +281,7 @@
             target.onSent(expected, time.millis());
             changed(target);
         }
+        target.reserveSend();
         target.onDialStarted(time.millis());
         boolean answers = !engines.get(target.id()).isDark();
         time.afterMillis(answers ? DIAL_MILLIS : DIAL_FAILS_MILLIS, () -> {
@@ -259,6 +295,7 @@
     private void dialled(ModelRequest request, Target target, boolean opened) {
         target.onDialFinished(opened, time.millis());
         if (!opened) {
+            target.cancelSend();
             time.afterMillis(DIAL_AGAIN_MILLIS, () -> dialAgain(target));
             take(request);
             return;
@@ -287,6 +324,7 @@
         private final ModelEngine engine;
         private final Target.RequestCost work;
         private final ModelJob job;
+        private long sentAt;
         private boolean begun;
         private boolean over;
 
@@ -304,6 +342,9 @@
         }
 
         void begin() {
+            sentAt = time.millis();
+            target.onRequestSent(sentAt);
+            tally.sentTo(target.id(), engine.namedLimit(), sentAt);
             target.onSent(work, time.millis());
             changed(target);
             tally.sent(tally.workAt(target.id()) + request.tokens(), traits.capacityTokens());
@@ -332,6 +373,10 @@
         public void token(int number) {
             if (!begun) {
                 begun = true;
+                RateLimitNotice notice = engine.namedLimit().isPresent()
+                        ? new RateLimitNotice.Limited(engine.namedLimit().getAsDouble())
+                        : new RateLimitNotice.NotLimited();
+                target.recordRateLimit(notice, true, sentAt, time.millis());
                 target.onFirstByte(work);
                 done(target);
                 request.first(time.millis());
--- a/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelReport.java
+++ b/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelReport.java
@@ -16,6 +16,8 @@
  * @param preempted requests that lost their memory while they ran
  * @param sentAbove the part of all sends to engines with over a quarter more work than memory
  * @param messages messages that relays made
+ * @param limitedSends requests that engines got while they named a rate limit
+ * @param mostToLimitedEngine the most of these that one engine got within four seconds
  */
 public record ModelReport(
         int asked,
@@ -27,7 +29,9 @@
         double readAgain,
         int preempted,
         double sentAbove,
-        long messages) {
+        long messages,
+        int limitedSends,
+        int mostToLimitedEngine) {
     private static final double SLOW = 0.95;
 
     static ModelReport of(List<ModelRequest> requests, Collection<ModelEngine> engines, ModelTally tally) {
@@ -57,7 +61,9 @@
                 (double) again / Math.max(1, read),
                 engines.stream().mapToInt(engine -> engine.work().preempted()).sum(),
                 tally.shareAbove(),
-                tally.messages());
+                tally.messages(),
+                tally.toLimitedEngines(),
+                tally.mostToLimitedEngine());
     }
 
     private static long at(List<Long> sorted, double part) {
--- a/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelRun.java
+++ b/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelRun.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import java.util.random.RandomGeneratorFactory;
@@ -59,11 +60,22 @@
         time.afterMillis(
                 (day.dark().atSeconds() + day.dark().forSeconds()) * SECOND_MILLIS,
                 () -> losing.forEach(engine -> engine.power(true)));
+        limitEngines(day.limited());
         day.classes().forEach(kind -> new Arrivals(kind).next());
         time.runUntil(Math.round((day.seconds() + TAIL_SECONDS) * SECOND_MICROS));
         return ModelReport.of(requests, engines.values(), tally);
     }
 
+    private void limitEngines(ModelDay.Limited limited) {
+        long others = day.engines() - Math.round(day.engines() * limited.share());
+        List<ModelEngine> naming = engines.values().stream().skip(others).toList();
+        OptionalDouble limit = OptionalDouble.of(limited.requestsPerSecond());
+        time.afterMillis(limited.atSeconds() * SECOND_MILLIS, () -> naming.forEach(engine -> engine.nameLimit(limit)));
+        time.afterMillis(
+                (limited.atSeconds() + limited.forSeconds()) * SECOND_MILLIS,
+                () -> naming.forEach(engine -> engine.nameLimit(OptionalDouble.empty())));
+    }
+
     private void introduce() {
         for (ModelRelay relay : relays) {
             int index = 0;
--- a/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelTally.java
+++ b/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelTally.java
@@ -1,11 +1,17 @@
 package org.rattanrudder.standins.model;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
 
 /** What all relays together did: their work at each engine, whatever each of them knows of it. */
 final class ModelTally {
+    private static final long LIMIT_WINDOW_MILLIS = 4_000;
+
     private final Map<String, Long> work = new HashMap<>();
+    private final Map<String, List<Long>> limitedSends = new HashMap<>();
     private long sent;
     private long sentAbove;
     private long messages;
@@ -20,6 +26,38 @@
         return work.getOrDefault(engine, 0L);
     }
 
+    /** Notes a send to an engine, and the limit that it names then. */
+    void sentTo(String engine, OptionalDouble limit, long nowMillis) {
+        if (limit.isPresent()) {
+            limitedSends.computeIfAbsent(engine, unseen -> new ArrayList<>()).add(nowMillis);
+        }
+    }
+
+    /** Returns the most requests that an engine got within four seconds while it named a limit. */
+    int mostToLimitedEngine() {
+        return limitedSends.values().stream()
+                .mapToInt(ModelTally::mostWithinWindow)
+                .max()
+                .orElse(0);
+    }
+
+    private static int mostWithinWindow(List<Long> sends) {
+        int most = 0;
+        int first = 0;
+        for (int last = 0; last < sends.size(); last++) {
+            while (sends.get(last) - sends.get(first) >= LIMIT_WINDOW_MILLIS) {
+                first++;
+            }
+            most = Math.max(most, last - first + 1);
+        }
+        return most;
+    }
+
+    /** Returns how many requests engines got while they named a limit. */
+    int toLimitedEngines() {
+        return limitedSends.values().stream().mapToInt(List::size).sum();
+    }
+
     /** Notes a send to an engine that then has so much work, against its memory. */
     void sent(long tokens, long memoryTokens) {
         sent++;
