--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/WarmUpAdmission.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/WarmUpAdmission.java
@@ -9,14 +9,15 @@
  * Limits the requests to targets that are warming up, or may be without a sign of it.
  *
  * <p>Two limits apply. A target that is known to warm up gets no more from this relay than its share of what the target
- * tolerates; see {@link PermitShares} for the sum over all relays. Any other target may turn cold before anybody knows,
- * so this relay sends to it only while the requests that it knows of, its own and its peers', leave room below what a
- * cold target survives. The first limit needs no news of others; the second one is as good as that news.
+ * tolerates; see {@link PermitShares} for the sum over all relays. Any other target may begin to warm up before anybody
+ * knows, so this relay sends to it only while the requests that it knows of, its own and its peers', leave room below
+ * what a target survives while it warms up. The first limit needs no news of others; the second one is as good as that
+ * news.
  *
  * <p>All times are milliseconds of a monotonic clock.
  */
 public final class WarmUpAdmission {
-    /** Share of what a cold target survives that is used: the rest is for requests that this relay doesn't know of. */
+    /** Share of what a warming target survives that is used; the rest is for requests that aren't known here. */
     private static final double USED_SHARE = 0.8;
 
     private final Evacuations evacuations;
@@ -27,7 +28,7 @@
     /**
      * Creates an admission.
      *
-     * @param evacuations the evacuations whose end leaves targets cold
+     * @param evacuations the evacuations after whose end targets warm up
      * @param shares how relays divide permits
      */
     public WarmUpAdmission(Evacuations evacuations, PermitShares shares) {
@@ -36,7 +37,7 @@
     }
 
     /**
-     * Sets how much more than the tolerated rate a cold target survives.
+     * Sets how much more than the tolerated rate a target survives while it warms up.
      *
      * @param newOverage a factor of the tolerated rate, at least 1
      * @param newSlack requests a second on top of it
@@ -70,7 +71,7 @@
     }
 
     /**
-     * Returns whether a request that was reserved at the target may be sent: the target may be cold by now.
+     * Returns whether a request that was reserved at the target may be sent: the target may warm up by now.
      */
     public boolean mayStillSend(Target target, Optional<WarmUpTraits> traits, long nowMillis) {
         return traits.isEmpty()
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/RateLimitAdmissionTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/RateLimitAdmissionTest.java
@@ -1,9 +1,10 @@
 package org.rattanrudder.core.fleet;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.rattanrudder.core.fleet.RelayFleet.mostWithin;
+import static org.rattanrudder.core.fleet.RelayFleet.relays;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -29,8 +30,6 @@
     /** How long it may take until the others know a relay that has started: they read it and divide anew. */
     private static final long LEARNED_MILLIS = 1_500;
 
-    private static final String[] DOMAINS = {"north", "south", "coast"};
-
     /** One relay's view of a single target. */
     private static final class View {
         private final Fleet fleet = new Fleet();
@@ -81,14 +80,6 @@
         }
     }
 
-    private static Map<String, String> relays(int count) {
-        Map<String, String> relays = new HashMap<>();
-        for (int number = 0; number < count; number++) {
-            relays.put("relay-" + number, DOMAINS[number % DOMAINS.length]);
-        }
-        return relays;
-    }
-
     private static List<View> views(int count) {
         Map<String, String> all = relays(count);
         return all.keySet().stream().sorted().map(name -> new View(name, all)).toList();
@@ -103,7 +94,7 @@
         List<Long> sends = sendsOfAll(views(count), limit, new Random(seed), now -> {});
 
         double perSecond = Math.max(0.2, limit);
-        assertThat(mostWithinWindow(sends)).isLessThanOrEqualTo((int) (4 * perSecond + Math.ceil(perSecond)));
+        assertThat(mostWithin(WINDOW, sends)).isLessThanOrEqualTo((int) (4 * perSecond + Math.ceil(perSecond)));
     }
 
     /** Guards against a relay that starts, is not yet known to the others, and takes its part beside their whole. */
@@ -132,7 +123,7 @@
             }
         });
 
-        assertThat(mostWithinWindow(sends)).isLessThanOrEqualTo((int) (1.5 * 4 * Math.max(0.2, limit) + 5));
+        assertThat(mostWithin(WINDOW, sends)).isLessThanOrEqualTo((int) (1.5 * 4 * Math.max(0.2, limit) + 5));
     }
 
     private static List<Long> sendsOfAll(List<View> views, double limit, Random random, LongConsumer eachStep) {
@@ -153,18 +144,6 @@
         return sends;
     }
 
-    private static int mostWithinWindow(List<Long> sends) {
-        int most = 0;
-        int first = 0;
-        for (int last = 0; last < sends.size(); last++) {
-            while (sends.get(last) - sends.get(first) >= WINDOW) {
-                first++;
-            }
-            most = Math.max(most, last - first + 1);
-        }
-        return most;
-    }
-
     /** Guards against limits that are kept by leaving their targets idle. */
     @ParameterizedTest
     @CsvSource({"1, 2.3, 92", "6, 2.3, 92", "6, 20, 800", "27, 4.5, 180", "3, 0, 8"})
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/WarmUpAdmissionTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/WarmUpAdmissionTest.java
@@ -1,10 +1,11 @@
 package org.rattanrudder.core.fleet;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.rattanrudder.core.fleet.RelayFleet.mostWithin;
+import static org.rattanrudder.core.fleet.RelayFleet.relays;
 
 import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -27,7 +28,6 @@
     private static final long SECOND = 1_000;
     private static final long STEP_MILLIS = 5;
     private static final long LONG_WARM_UP = 60_000;
-    private static final String[] DOMAINS = {"north", "south", "coast"};
 
     /** One relay's view of a single target. */
     private static final class View {
@@ -92,14 +92,6 @@
         }
     }
 
-    private static Map<String, String> relays(int count) {
-        Map<String, String> relays = new HashMap<>();
-        for (int number = 0; number < count; number++) {
-            relays.put("relay-" + number, DOMAINS[number % DOMAINS.length]);
-        }
-        return relays;
-    }
-
     private static View warming(int permits, String self, Map<String, String> known) {
         View view = new View(permits, OptionalLong.of(LONG_WARM_UP));
         view.shares.updateRelays(self, known);
@@ -145,19 +137,7 @@
         int bound = permits < count - unknown
                 ? permits + unknown
                 : count * ((permits + count - unknown - 1) / (count - unknown));
-        assertThat(mostWithinSecond(sends)).isLessThanOrEqualTo(unknown == 0 ? permits : bound);
-    }
-
-    private static int mostWithinSecond(List<Long> sends) {
-        int most = 0;
-        int first = 0;
-        for (int last = 0; last < sends.size(); last++) {
-            while (sends.get(last) - sends.get(first) >= SECOND) {
-                first++;
-            }
-            most = Math.max(most, last - first + 1);
-        }
-        return most;
+        assertThat(mostWithin(SECOND, sends)).isLessThanOrEqualTo(unknown == 0 ? permits : bound);
     }
 
     /** Guards against dials that take long: requests whose connections open together would be sent in one second. */
@@ -212,7 +192,7 @@
     @Test
     void relaysOfTheTargetsDomainHaveItsFirstPermits() {
         int sent = 0;
-        for (int number = 0; number < 27; number += DOMAINS.length) {
+        for (int number = 0; number < 27; number += 3) {
             sent += warming(9, "relay-" + number, relays(27)).sendAll(START);
         }
 
