Reject for rate limits only where targets have named them

A prompt whose first engine failed it after more than twice its objective was rejected on its repeat with "rate limits of all targets", though none was named: no wait at all is longer than a time that is already over. The test's row with a time that is over fails with the old comparison. What may be waited is now reckoned in one place for the queue and for this, and a limit beyond all measure no longer stops a target (its tokens overflowed).

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/RateLimitAdmission.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/RateLimitAdmission.java
@@ -72,20 +72,20 @@
         }
         double perSecond = Math.max(MIN_REQUESTS_PER_SECOND, limit.getAsDouble());
         int permits = (int) Math.ceil(perSecond);
-        return perSecond * shares.ownShare(target, permits) / permits;
+        return perSecond / permits * shares.ownShare(target, permits);
     }
 
     /**
-     * Returns how long a request waits until its turn, in ms: 0 if a target has no limit, infinite if this relay has no
-     * share in any.
+     * Returns whether the limits of all targets delay a request for longer than it may wait.
      *
      * @param targets those that may run the request
      * @param ahead how many requests are sent before it
+     * @param mayWaitMillis how long it may wait
      */
-    public double expectedWaitMillis(List<Target> targets, int ahead) {
+    public boolean delaysTooLong(List<Target> targets, int ahead, long mayWaitMillis) {
         double perSecond =
                 targets.stream().mapToDouble(this::ownRequestsPerSecond).sum();
-        return (ahead + 1) * MILLIS_PER_SECOND / perSecond;
+        return Double.isFinite(perSecond) && (ahead + 1) * MILLIS_PER_SECOND / perSecond > mayWaitMillis;
     }
 
     private static boolean isAnyLimited(List<Target> targets) {
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/RateLimitAdmissionTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/RateLimitAdmissionTest.java
@@ -17,6 +17,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.rattanrudder.core.fleet.RateLimitNotice.Limited;
 import org.rattanrudder.core.fleet.RateLimitNotice.NotLimited;
 import org.rattanrudder.core.model.Address;
@@ -214,24 +215,44 @@
 
     /** Guards against a request that waits in line though all its targets' limits are used up for long. */
     @ParameterizedTest
-    @CsvSource({"2, 0, 500", "2, 3, 2000", "0, 0, 5000"})
-    void expectedWaitFollowsFromTheOwnShareAndTheRequestsAhead(double limit, int ahead, double expected) {
+    @CsvSource({
+        "2, 0, 500, false",
+        "2, 0, 499, true",
+        "2, 3, 2000, false",
+        "2, 3, 1999, true",
+        "0, 0, 5000, false",
+        "0, 0, 4999, true",
+    })
+    void limitsDelayByTheOwnPartAndTheRequestsAhead(double limit, int ahead, long mayWait, boolean tooLong) {
         View view = new View("relay-0", relays(1));
         view.name(limit, START);
 
-        assertThat(view.admission.expectedWaitMillis(List.of(view.target()), ahead))
-                .isEqualTo(expected);
+        assertThat(view.admission.delaysTooLong(List.of(view.target()), ahead, mayWait))
+                .isEqualTo(tooLong);
     }
 
-    @Test
-    void requestWaitsForNoLimitIfOneTargetHasNoneAndForeverWithoutAShare() {
+    /** Guards against a repeated request that is rejected for limits that nobody has named. */
+    @ParameterizedTest
+    @ValueSource(longs = {-1, 0, 1_000})
+    void oneTargetWithoutLimitDelaysNothing(long mayWait) {
         View limited = new View("relay-0", Map.of());
         limited.name(2, START);
         View free = new View("relay-0", relays(1));
 
-        assertThat(limited.admission.expectedWaitMillis(List.of(limited.target(), free.target()), 9))
-                .isZero();
-        assertThat(limited.admission.expectedWaitMillis(List.of(limited.target()), 0))
-                .isInfinite();
+        assertThat(limited.admission.delaysTooLong(List.of(limited.target(), free.target()), 9, mayWait))
+                .isFalse();
+        assertThat(limited.admission.delaysTooLong(List.of(limited.target()), 0, 1_000_000))
+                .isTrue();
+    }
+
+    /** Guards against a limit beyond all measure that stops all requests. */
+    @Test
+    void targetThatTakesAnyNumberGetsRequests() {
+        View view = new View("relay-0", relays(3));
+        view.name(Double.MAX_VALUE, START);
+        view.isAdmitted(START);
+
+        assertThat(view.isAdmitted(START)).isFalse();
+        assertThat(view.isAdmitted(START + SECOND)).isTrue();
     }
 }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
@@ -117,7 +117,7 @@
         if (ahead == 0 && tryPlace()) {
             return;
         }
-        if (plan.isTooLateByRateLimits(ahead, state.nowMillis())) {
+        if (plan.isDelayedTooLong(ahead, !triedTargets.isEmpty(), state.nowMillis())) {
             refuse(ErrorKind.OVERLOADED, "rate limits of all targets");
         } else {
             queueWait.join(!triedTargets.isEmpty());
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/QueueWait.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/QueueWait.java
@@ -30,7 +30,7 @@
         HoldingQueue<Exchange> queue = state.holdingQueue(plan.service());
         long now = state.nowMillis();
         long onTimeUntil = Math.max(now, plan.onTimeUntil());
-        long lateUntil = hasFailedAttempt ? now + plan.route().objectiveMillis() : Math.max(now, plan.lateUntil());
+        long lateUntil = plan.lateUntil(hasFailedAttempt, now);
         queued = queue.add(exchange, plan.priority(), plan.tokens(), onTimeUntil, lateUntil, plan.deadlineAt());
         long millis = Math.max(1, onTimeUntil - now);
         expiry = state.loop().schedule(() -> onLate(lateUntil), millis, TimeUnit.MILLISECONDS);
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RequestPlan.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RequestPlan.java
@@ -155,9 +155,15 @@
         return arrivedAt + (long) (route.objectiveMillis() * HoldingQueue.ON_TIME_WAIT_RATIO);
     }
 
-    /** Returns the time until which the request stays queued once it can't be on time. */
-    long lateUntil() {
-        return arrivedAt + (long) (route.objectiveMillis() * HoldingQueue.LATE_WAIT_RATIO);
+    /**
+     * Returns the time until which the request stays queued once it can't be on time.
+     *
+     * @param hasFailedAttempt whether a target has failed it: the time lost there doesn't count
+     */
+    long lateUntil(boolean hasFailedAttempt, long now) {
+        return hasFailedAttempt
+                ? now + route.objectiveMillis()
+                : Math.max(now, arrivedAt + (long) (route.objectiveMillis() * HoldingQueue.LATE_WAIT_RATIO));
     }
 
     /** Returns the expected time to the first byte at a healthy target, in ms. */
@@ -207,12 +213,13 @@
     }
 
     /**
-     * Returns whether the rate limits of all candidates delay it until it is too late even for a late request.
+     * Returns whether the rate limits of all candidates delay it for longer than it may wait, even as late.
      *
      * @param ahead how many requests are sent before it
+     * @param hasFailedAttempt whether a target has failed it
      */
-    boolean isTooLateByRateLimits(int ahead, long now) {
-        return state.rateLimits().expectedWaitMillis(candidates(now), ahead) > lateUntil() - now;
+    boolean isDelayedTooLong(int ahead, boolean hasFailedAttempt, long now) {
+        return state.rateLimits().delaysTooLong(candidates(now), ahead, lateUntil(hasFailedAttempt, now) - now);
     }
 
     private boolean allowsDomain(String failureDomain) {
