--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/RateLimit.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/RateLimit.java
@@ -59,11 +59,18 @@
         return requestsPerSecond;
     }
 
-    /** Returns this relay's permits; they are of no meaning while there is no limit. */
+    /** Returns this relay's permits; they have no meaning while there is no limit. */
     TokenBucket permits() {
         return permits;
     }
 
+    /** Records that this relay sent a request to the target. */
+    void onRequestSent() {
+        if (requestsPerSecond.isPresent()) {
+            permits.take();
+        }
+    }
+
     /**
      * Records what a response to this relay says.
      *
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Target.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Target.java
@@ -112,7 +112,7 @@
     /** Records that a request for which a send was reserved was sent. */
     public void onRequestSent(long nowMillis) {
         recentSends.onSent(nowMillis);
-        rateLimit.permits().take();
+        rateLimit.onRequestSent();
     }
 
     /** Records how long the target says that it still warms up. */
