Use one word for a relay's share of a limit, and the field's terms in place of the users'

In comments and pages: share, not part; overloaded, not in need. warmEnough, obstacle and recordPutOff are admittedByWarmUp, reasonNotToSend and recordDeferred; engines-in-need.json is rate-limited-engines.json.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/RateLimitAdmission.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/RateLimitAdmission.java
@@ -8,9 +8,9 @@
  * Keeps this relay's requests to targets that have named a rate limit within its share of the limit.
  *
  * <p>The limit holds for all relays together. They divide it as {@link PermitShares} says, from registered names alone:
- * of a limit of {@code r} requests a second, each of the first {@code ceil(r)} relays has an equal part, and sends what
- * its part allows for a quarter of a second at once, or one request. Within {@code t} seconds all relays together send
- * {@code r * t + ceil(r)} requests at most.
+ * of a limit of {@code r} requests a second, each of the first {@code ceil(r)} relays has an equal share, and sends
+ * what its share allows for a quarter of a second at once, or one request. Within {@code t} seconds all relays together
+ * send {@code r * t + ceil(r)} requests at most.
  *
  * <p>All times are milliseconds of a monotonic clock.
  */
@@ -18,7 +18,7 @@
     /** Requests a second that are sent whatever the limit: nobody would learn otherwise that it has ended. */
     private static final double MIN_REQUESTS_PER_SECOND = 0.2;
 
-    /** What a relay may send at once, in seconds of its part: requests arrive unevenly. */
+    /** What a relay may send at once, in seconds of its share: requests arrive unevenly. */
     private static final double BURST_SECONDS = 0.25;
 
     private static final double MILLIS_PER_SECOND = 1_000;
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
@@ -129,8 +129,8 @@
         long now = state.nowMillis();
         boolean late = now > plan.onTimeUntil();
         List<Target> candidates = plan.candidates(now);
-        List<Target> warmEnough = plan.warmEnough(candidates, now);
-        List<Target> admitted = state.rateLimits().admitted(warmEnough, now);
+        List<Target> admittedByWarmUp = plan.admittedByWarmUp(candidates, now);
+        List<Target> admitted = state.rateLimits().admitted(admittedByWarmUp, now);
         List<Target> open =
                 SendWindow.targetsWithRoom(admitted, plan.engine().orElseThrow(), plan.tokens(), late, now).stream()
                         .filter(target -> !triedTargets.contains(target.id()))
@@ -141,7 +141,7 @@
             sendTo(found);
         });
         if (choice.isEmpty() && admitted.size() < candidates.size()) {
-            state.dispatchWhenAdmitted(plan.service(), admitted.size() < warmEnough.size());
+            state.dispatchWhenAdmitted(plan.service(), admitted.size() < admittedByWarmUp.size());
         }
         return choice.isPresent();
     }
@@ -234,10 +234,10 @@
             onNotSent(target, "unreachable");
             return;
         }
-        Optional<String> obstacle = plan.obstacle(target, state.nowMillis());
-        if (obstacle.isPresent()) {
+        Optional<String> reason = plan.reasonNotToSend(target, state.nowMillis());
+        if (reason.isPresent()) {
             pools.release(target, opened);
-            onNotSent(target, obstacle.get());
+            onNotSent(target, reason.get());
         } else {
             send(target, opened);
         }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayMetrics.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayMetrics.java
@@ -102,8 +102,8 @@
         unreadableRecords.labelValues(topic).inc();
     }
 
-    /** Records that a placement was put off, since targets have rate limits or else since they warm up. */
-    void recordPutOff(String service, boolean byRateLimits) {
+    /** Records that a placement was deferred, since targets have rate limits or else since they warm up. */
+    void recordDeferred(String service, boolean byRateLimits) {
         (byRateLimits ? rateLimited : warmUpLimited).labelValues(service).inc();
     }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
@@ -276,7 +276,7 @@
      * @param rateLimited whether rate limits keep them, and not only warm-ups
      */
     void dispatchWhenAdmitted(String service, boolean rateLimited) {
-        metrics.recordPutOff(service, rateLimited);
+        metrics.recordDeferred(service, rateLimited);
         if (admissionDispatches.add(service)) {
             loop.schedule(
                     () -> {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RequestPlan.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RequestPlan.java
@@ -189,20 +189,20 @@
     }
 
     /** Returns those of the candidates that may get another request now as far as they warm up. */
-    List<Target> warmEnough(List<Target> candidates, long now) {
+    List<Target> admittedByWarmUp(List<Target> candidates, long now) {
         return state.warmUps().admitted(candidates, warmUp(), now);
     }
 
     /** Returns those of the candidates that may get another request now. */
     List<Target> admitted(List<Target> candidates, long now) {
-        return state.rateLimits().admitted(warmEnough(candidates, now), now);
+        return state.rateLimits().admitted(admittedByWarmUp(candidates, now), now);
     }
 
     /**
-     * Returns why a target may no longer get the request for which it was chosen, if so: what was read or heard while
-     * the connection opened holds too.
+     * Returns why the request may no longer be sent to the target that was chosen for it, if so: what was read or heard
+     * while the connection opened holds too.
      */
-    Optional<String> obstacle(Target target, long now) {
+    Optional<String> reasonNotToSend(Target target, long now) {
         if (!state.fleet().isUsable(target)) {
             return Optional.of("no longer usable");
         }
--- a/rattanrudder-standins/src/test/java/org/rattanrudder/standins/model/ModelRunTest.java
+++ b/rattanrudder-standins/src/test/java/org/rattanrudder/standins/model/ModelRunTest.java
@@ -94,20 +94,20 @@
         assertThat(report.refused()).isLessThan(0.02);
     }
 
-    /** Guards against engines in need that get more than their limit, and against leaving the limit unused. */
+    /** Guards against overloaded engines that get more than their limit, and against leaving the limit unused. */
     @ParameterizedTest
     @CsvSource({"0.25, 1", "0.25, 2", "1, 1", "1, 2"})
     void relaysKeepWhatEnginesNameAndUseIt(double share, long seed) throws Exception {
-        ModelDay inNeed = ModelDay.parse(Files.readString(Path.of("../examples/model/engines-in-need.json"))
+        ModelDay limited = ModelDay.parse(Files.readString(Path.of("../examples/model/rate-limited-engines.json"))
                 .replace("\"share\": 0.25", "\"share\": " + share));
         double allowed =
-                inNeed.limited().requestsPerSecond() * inNeed.limited().forSeconds() * inNeed.engines() * share;
+                limited.limited().requestsPerSecond() * limited.limited().forSeconds() * limited.engines() * share;
 
-        ModelReport kept = ModelRun.play(inNeed, ModelPolicy.now(), seed);
+        ModelReport kept = ModelRun.play(limited, ModelPolicy.now(), seed);
         ModelReport passedOver =
-                ModelRun.play(inNeed, ModelPolicy.change().limitsPassedOver().named("passed over"), seed);
+                ModelRun.play(limited, ModelPolicy.change().limitsPassedOver().named("passed over"), seed);
 
-        int most = (int) (1.5 * 4 * inNeed.limited().requestsPerSecond()) + 5;
+        int most = (int) (1.5 * 4 * limited.limited().requestsPerSecond()) + 5;
         assertThat(kept.mostToLimitedEngine()).isLessThanOrEqualTo(most);
         assertThat(passedOver.mostToLimitedEngine()).isGreaterThan(most);
         assertThat((double) kept.limitedSends()).isBetween(0.6 * allowed, 1.2 * allowed);
