Keep what became of a request's attempts apart from serving it

No behaviour is meant to change; the tests of relays, streams, quarantine, limits, unreachable targets, connections, ends of targets, callers that left, evacuations, and of the daemon's relay package held.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
@@ -9,12 +9,10 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.rattanrudder.core.fleet.Placement;
 import org.rattanrudder.core.fleet.SendWindow;
@@ -43,16 +41,13 @@
     private final ExchangeLog log;
     private final QueueWait queueWait;
     private final QuarantineCheck quarantine;
-    private final Set<String> triedTargets = new HashSet<>();
+    private final AttemptHistory history = new AttemptHistory();
     private ScheduledFuture<?> deadline;
     private InactivityMonitor inactivity;
     private TargetAttempt attempt;
     private Optional<TargetAttempt> lastAttempt = Optional.empty();
     private String load = "unknown";
     private boolean ended;
-    private boolean countedInBudget;
-    private int runs;
-    private int notRunSends;
 
     Exchange(
             RelayState state,
@@ -98,7 +93,7 @@
         String reason = "quarantined as " + quarantine.fingerprint();
         if (forwarder.hasBegun()) {
             abortResponse(reason);
-        } else if (runs > 0) {
+        } else if (history.mayHaveRun()) {
             end(ErrorKind.TARGET_FAILED, reason);
         } else {
             caller.refuseWithRetryAfter(ErrorKind.REQUEST_QUARANTINED, plan.id(), left.getAsLong());
@@ -117,10 +112,11 @@
         if (ahead == 0 && tryPlace()) {
             return;
         }
-        if (plan.isDelayedTooLong(ahead, !triedTargets.isEmpty(), state.nowMillis())) {
+        boolean placedBefore = !history.triedTargets().isEmpty();
+        if (plan.isDelayedTooLong(ahead, placedBefore, state.nowMillis())) {
             refuse(ErrorKind.OVERLOADED, "rate limits of all targets");
         } else {
-            queueWait.join(!triedTargets.isEmpty());
+            queueWait.join(placedBefore);
         }
     }
 
@@ -131,11 +127,9 @@
         List<Target> candidates = plan.candidates(now);
         List<Target> admittedByWarmUp = plan.admittedByWarmUp(candidates, now);
         List<Target> admitted = state.rateLimits().admitted(admittedByWarmUp, now);
-        List<Target> open =
-                SendWindow.targetsWithRoom(admitted, plan.engine().orElseThrow(), plan.tokens(), late, now).stream()
-                        .filter(target -> !triedTargets.contains(target.id()))
-                        .toList();
-        Optional<Placement.Choice> choice = Placement.choose(open, plan.query(triedTargets, now), now);
+        List<Target> open = history.untried(
+                SendWindow.targetsWithRoom(admitted, plan.engine().orElseThrow(), plan.tokens(), late, now));
+        Optional<Placement.Choice> choice = Placement.choose(open, plan.query(history.triedTargets(), now), now);
         choice.ifPresent(found -> {
             queueWait.leave();
             sendTo(found);
@@ -168,7 +162,7 @@
      */
     private void refuse(ErrorKind notRun, String reason) {
         if (!ended) {
-            end(runs > 0 ? ErrorKind.TARGET_FAILED : notRun, reason);
+            end(history.mayHaveRun() ? ErrorKind.TARGET_FAILED : notRun, reason);
         }
     }
 
@@ -176,12 +170,12 @@
         long now = state.nowMillis();
         List<Target> targets = plan.candidates(now);
         Optional<Placement.Choice> choice =
-                Placement.choose(plan.admitted(targets, now), plan.query(triedTargets, now), now);
+                Placement.choose(plan.admitted(targets, now), plan.query(history.triedTargets(), now), now);
         if (choice.isPresent()) {
             sendTo(choice.get());
         } else if (forwarder.hasBegun()) {
             abortResponse("no target");
-        } else if (runs > 0) {
+        } else if (history.mayHaveRun()) {
             end(ErrorKind.TARGET_FAILED, "no target");
         } else if (targets.isEmpty()) {
             end(ErrorKind.NO_TARGET, "no target");
@@ -195,8 +189,8 @@
             return;
         }
         Target target = choice.target();
-        triedTargets.add(target.id());
-        log.placed(choice, triedTargets.size());
+        history.onPlaced(target);
+        log.placed(choice, history.triedTargets().size());
         boolean repeatable = plan.route().repeat().repeatable();
         // Counted from now on: otherwise all requests placed while the connection opens would go to the same target.
         Target.RequestCost expected = plan.expectedCost();
@@ -256,8 +250,7 @@
         attempt = new TargetAttempt(target, opened, outgoing, state.nowMillis());
         lastAttempt = Optional.of(attempt);
         target.onRequestSent(state.nowMillis());
-        if (!countedInBudget) {
-            countedInBudget = true;
+        if (history.onSent()) {
             state.retryBudget(plan.service()).onRequest(state.nowMillis());
         }
         HttpHeaders headers = state.platform().requests().forTarget(head.headers(), outgoing.forwarding());
@@ -275,7 +268,7 @@
         if (RetryPolicy.mayRetry(progress(1), AttemptOutcome.SILENT) && state.tryAcquireRetry(plan.service())) {
             attempt.connection().abort();
             failAttempt(AttemptOutcome.SILENT, "silent for " + idleMillis + " ms");
-            runs++;
+            history.onFailed(AttemptOutcome.SILENT);
             place();
         }
     }
@@ -283,8 +276,8 @@
     private RetryPolicy.Progress progress(int running) {
         return new RetryPolicy.Progress(
                 plan.route(),
-                runs + running,
-                notRunSends,
+                history.possibleRuns() + running,
+                history.unexecutedSends(),
                 forwarder.hasBegun(),
                 forwarder.isResumable(),
                 plan.remainingMillis());
@@ -383,20 +376,16 @@
 
     /** Retries a failed attempt on another target if that is allowed, or ends the request. */
     private void retryOrEnd(AttemptOutcome outcome, String reason) {
-        if (outcome.mayHaveRun()) {
-            runs++;
-        } else {
-            notRunSends++;
-        }
+        history.onFailed(outcome);
         boolean worthwhile = outcome != AttemptOutcome.REJECTED || hasUntriedTarget();
         boolean allowed =
                 worthwhile && RetryPolicy.mayRetry(progress(0), outcome) && !quarantine.mayHaveCausedLastCrash(outcome);
-        if (allowed && (!countedInBudget || state.tryAcquireRetry(plan.service()))) {
+        if (allowed && (!history.isSent() || state.tryAcquireRetry(plan.service()))) {
             place();
         } else if (forwarder.hasBegun()) {
             abortResponse(reason);
         } else {
-            end(RetryPolicy.finalError(runs, outcome), reason);
+            end(RetryPolicy.finalError(history.possibleRuns(), outcome), reason);
         }
     }
 
@@ -405,7 +394,7 @@
      * of no use.
      */
     private boolean hasUntriedTarget() {
-        return plan.candidates(state.nowMillis()).stream().anyMatch(target -> !triedTargets.contains(target.id()));
+        return !history.untried(plan.candidates(state.nowMillis())).isEmpty();
     }
 
     /** Records and ends a failed attempt. */
@@ -454,12 +443,12 @@
         if (attempt != null) {
             attempt.connection().abort();
             failAttempt(AttemptOutcome.SILENT, reason);
-            runs++;
+            history.onFailed(AttemptOutcome.SILENT);
         }
         if (forwarder.hasBegun()) {
             abortResponse(reason);
         } else {
-            end(runs > 0 ? ErrorKind.TARGET_SILENT : unsent, reason);
+            end(history.mayHaveRun() ? ErrorKind.TARGET_SILENT : unsent, reason);
         }
     }
 
@@ -494,7 +483,7 @@
         forwarder.discard();
         body.release();
         state.metrics().recordRequest(plan.route().name(), outcome);
-        log.ended(outcome, reason, lastAttempt, load, runs, notRunSends);
+        log.ended(outcome, reason, lastAttempt, load, history.possibleRuns(), history.unexecutedSends());
         caller.onExchangeEnded();
     }
 }
