Let tests of limits, warm-ups and starved relays share what stood twice

Servers that name a limit, reports of peers, registrations and slow relays are made in one place each; each assertion is as it was.

--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/RateLimitAdmissionTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/RateLimitAdmissionTest.java
@@ -20,7 +20,6 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import org.rattanrudder.core.fleet.RateLimitNotice.Limited;
 import org.rattanrudder.core.fleet.RateLimitNotice.NotLimited;
-import org.rattanrudder.core.model.Address;
 
 class RateLimitAdmissionTest {
     private static final long START = 100_000;
@@ -39,16 +38,7 @@
 
         View(String self, Map<String, String> known) {
             shares.updateRelays(self, known);
-            TargetRegistration registration = new TargetRegistration(
-                    "i-1",
-                    TargetRegistration.START_UNKNOWN,
-                    "llm",
-                    new Address("10.0.0.1", 80),
-                    "north",
-                    4,
-                    false,
-                    Map.of("m", 1L));
-            fleet.apply("i-1", Optional.of(registration), 1, START);
+            fleet.apply("i-1", Optional.of(FleetTest.registration("i-1", false)), 1, START);
         }
 
         Target target() {
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/RelayFleet.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/RelayFleet.java
@@ -6,7 +6,8 @@
 
 /** What tests of limits over all relays share: the relays, and a count of what they sent. */
 final class RelayFleet {
-    private static final String[] DOMAINS = {"north", "south", "coast"};
+    /** The failure domains of relays, in turn. */
+    static final List<String> DOMAINS = List.of("north", "south", "coast");
 
     private RelayFleet() {}
 
@@ -14,7 +15,7 @@
     static Map<String, String> relays(int count) {
         Map<String, String> relays = new HashMap<>();
         for (int number = 0; number < count; number++) {
-            relays.put("relay-" + number, DOMAINS[number % DOMAINS.length]);
+            relays.put("relay-" + number, DOMAINS.get(number % DOMAINS.size()));
         }
         return relays;
     }
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/WarmUpAdmissionTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/WarmUpAdmissionTest.java
@@ -192,7 +192,7 @@
     @Test
     void relaysOfTheTargetsDomainHaveItsFirstPermits() {
         int sent = 0;
-        for (int number = 0; number < 27; number += 3) {
+        for (int number = 0; number < 27; number += RelayFleet.DOMAINS.size()) {
             sent += warming(9, "relay-" + number, relays(27)).sendAll(START);
         }
 
@@ -226,15 +226,7 @@
     void sendsOfPeersAreForgottenAfterSecond() {
         PeerLoads peers = new PeerLoads();
         for (int sequence = 1; sequence <= 2; sequence++) {
-            peers.apply(
-                    LoadReport.ofTargets(
-                            "relay-1",
-                            sequence,
-                            true,
-                            List.of(new TargetLoad("gone", sequence, 0, 0)),
-                            true,
-                            new ReadOffsets(0, 0, 0)),
-                    START);
+            peers.apply(report("gone", sequence, sequence), START);
         }
 
         assertThat(peers.sentWithinSecond("gone", START)).isEqualTo(1);
@@ -243,15 +235,17 @@
     }
 
     private static void report(View view, long sequence, int requests) {
-        view.fleet.applyLoadReport(
-                LoadReport.ofTargets(
-                        "relay-1",
-                        sequence,
-                        true,
-                        List.of(new TargetLoad("i-1", requests, 0, 0)),
-                        true,
-                        new ReadOffsets(0, 0, 0)),
-                START);
+        view.fleet.applyLoadReport(report("i-1", sequence, requests), START);
+    }
+
+    private static LoadReport report(String target, long sequence, int requests) {
+        return LoadReport.ofTargets(
+                "relay-1",
+                sequence,
+                true,
+                List.of(new TargetLoad(target, requests, 0, 0)),
+                true,
+                new ReadOffsets(0, 0, 0));
     }
 
     @Test
