Read what targets say of their leaving and their rest, and log it, and headers that nothing reads

Hypothesis: nothing in a relay reads what answers say of leaving and rest; no line could tell that from being read and taken back. A header that nothing reads is named once and counted. Nothing is decided by leaving and rest yet. An answer that bears another target's id says nothing of this one any more, also of limits.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Fleet.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Fleet.java
@@ -43,6 +43,7 @@
     private final Map<String, Target> targets = new LinkedHashMap<>();
     private final Map<String, RecordPosition> newestRecords = new HashMap<>();
     private final Map<String, Long> expired = new HashMap<>();
+    private final Map<String, TargetNotices> notices = new HashMap<>();
     private final PeerLoads peers = new PeerLoads();
     private final TargetSharing sharing = new TargetSharing();
     private final Evacuations evacuations = new Evacuations();
@@ -131,7 +132,7 @@
         Target target = targets.get(registration.id());
         boolean started = listed && (target == null || restarted);
         if (target == null || restarted) {
-            target = new Target(registration, peers, sharing);
+            target = new Target(registration, noticesOf(registration), peers, sharing);
             targets.put(registration.id(), target);
         } else {
             target.update(registration);
@@ -140,6 +141,14 @@
         return true;
     }
 
+    private TargetNotices noticesOf(TargetRegistration registration) {
+        return notices.compute(
+                registration.id(),
+                (id, known) -> known == null || known.startedAt() < registration.startedAt()
+                        ? new TargetNotices(registration.startedAt())
+                        : known);
+    }
+
     /** A target that says nothing of its warm-up warms up if it has started since this relay listed all targets. */
     private static void recordWarmUp(Target target, boolean started, long nowMillis) {
         OptionalLong reported = target.registration().warmUpMillis();
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Target.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Target.java
@@ -44,6 +44,7 @@
     private final RecentSends recentSends = new RecentSends();
     private final WarmUp warmUp = new WarmUp();
     private final RateLimit rateLimit = new RateLimit();
+    private final TargetNotices notices;
     private final Reachability reachability = new Reachability();
     private final long idHash;
     private TargetRegistration registration;
@@ -67,8 +68,9 @@
     private Set<String> sharingRelays = Set.of();
 
     /** Creates a target that peers may have requests at. */
-    Target(TargetRegistration registration, PeerLoads peers, TargetSharing sharing) {
+    Target(TargetRegistration registration, TargetNotices notices, PeerLoads peers, TargetSharing sharing) {
         this.registration = registration;
+        this.notices = notices;
         this.peers = peers;
         this.sharing = sharing;
         idHash = Hashing.of(registration.id());
@@ -113,11 +115,45 @@
     public void onRequestSent(long nowMillis) {
         recentSends.onSent(nowMillis);
         rateLimit.onRequestSent();
+        notices.rest().onSent(nowMillis);
     }
 
-    /** Records how long the target says that it still warms up. */
-    public void reportWarmUp(long remainingMillis, long nowMillis) {
-        warmUp.onReported(remainingMillis, nowMillis);
+    /**
+     * Records what a response says of the target itself.
+     *
+     * @param conclusive whether a response without a rate limit shows that there is none
+     * @param sentAt when the request was sent
+     */
+    public void recordSelfReport(SelfReport report, boolean conclusive, long sentAt, long nowMillis) {
+        report.load().ifPresent(load -> updateReportedLoad(load.running(), load.queued(), nowMillis));
+        report.warmUpMillis().ifPresent(remaining -> warmUp.onReported(remaining, nowMillis));
+        recordRateLimit(report.rateLimit(), conclusive, sentAt, nowMillis);
+        if (report.rest() instanceof RestNotice.Asked asked) {
+            notices.rest().onAsked(asked.millis(), nowMillis);
+        }
+        if (report.leaving()) {
+            notices.onLeaving();
+        }
+    }
+
+    /** Returns whether the target has said that it leaves, in its record or in any response. */
+    public boolean isLeaving() {
+        return notices.isLeaving();
+    }
+
+    /** Returns whether the target wants nothing from this relay for now. */
+    public boolean isResting(long nowMillis) {
+        return notices.rest().lasts(nowMillis);
+    }
+
+    /** Returns the time until another request may be placed at the target as far as its rest is concerned, in ms. */
+    public long restMillis(long nowMillis) {
+        return notices.rest().remainingMillis(nowMillis);
+    }
+
+    /** Returns how many requests this relay has sent to the target in its last rest. */
+    public int sentInRest() {
+        return notices.rest().sent();
     }
 
     /**
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/PlacementTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/PlacementTest.java
@@ -189,6 +189,7 @@
                         128,
                         false,
                         Map.of("m", weights)),
+                new TargetNotices(TargetRegistration.START_UNKNOWN),
                 new PeerLoads(),
                 new TargetSharing());
     }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/CallResult.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/CallResult.java
@@ -1,5 +1,6 @@
 package org.rattanrudder.daemon.relay;
 
+import io.netty.handler.codec.http.HttpResponse;
 import java.util.Optional;
 import org.rattanrudder.daemon.relay.port.StoreDialect;
 import org.rattanrudder.daemon.relay.port.StoreResponse;
@@ -9,10 +10,15 @@
     /**
      * A complete response was received.
      *
-     * @param status the HTTP status
+     * @param response status and headers
      * @param body the body
      */
-    record Answered(int status, byte[] body) implements CallResult {}
+    record Answered(HttpResponse response, byte[] body) implements CallResult {
+        /** Returns the HTTP status. */
+        int status() {
+            return response.status().code();
+        }
+    }
 
     /**
      * No complete response was received.
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
@@ -250,6 +250,7 @@
         attempt = new TargetAttempt(target, opened, outgoing, state.nowMillis());
         lastAttempt = Optional.of(attempt);
         target.onRequestSent(state.nowMillis());
+        state.selfReports().onRequestSent(target);
         if (history.onSent()) {
             state.retryBudget(plan.service()).onRequest(state.nowMillis());
         }
@@ -286,7 +287,8 @@
     @Override
     public void onHead(HttpResponse response, ResponseMetadata metadata) {
         Target target = attempt.target();
-        metadata.load().ifPresent(reported -> load = reported.running() + "/" + reported.queued());
+        metadata.selfReport().load().ifPresent(reported -> load = reported.running() + "/" + reported.queued());
+        state.selfReports().onResponse(target, metadata, attempt.sentAt());
         attempt.recordHead(metadata, plan.metadata().model(), state.nowMillis());
         ResponseClassifier.Head classified = new ResponseClassifier.Head(
                 metadata.status(), metadata.signed(), metadata.notRun(), metadata.misdirected());
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/HttpCallClient.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/HttpCallClient.java
@@ -10,10 +10,12 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
@@ -148,13 +150,11 @@
                 return;
             }
             byte[] body = ByteBufUtil.getBytes(response.content());
+            HttpResponse head =
+                    new DefaultHttpResponse(response.protocolVersion(), response.status(), response.headers());
             boolean whole = response.decoderResult().isSuccess();
             boolean keep = whole && HttpUtil.isKeepAlive(response);
-            complete(
-                    whole
-                            ? new CallResult.Answered(response.status().code(), body)
-                            : new CallResult.Unanswered("malformed"),
-                    !keep);
+            complete(whole ? new CallResult.Answered(head, body) : new CallResult.Unanswered("malformed"), !keep);
         }
 
         @Override
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayMetrics.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayMetrics.java
@@ -25,6 +25,8 @@
     private final Counter unreadableRecords;
     private final Counter warmUpLimited;
     private final Counter rateLimited;
+    private final Counter sentUnwanted;
+    private final Counter unknownHeaders;
     private final Counter targetsCrashed;
     private final Counter parts;
     private final Counter peerMessagesDropped;
@@ -50,6 +52,14 @@
                 "rattanrudder_relay_rate_limited",
                 "Placements that were put off since targets had named rate limits",
                 "service");
+        sentUnwanted = counter(
+                "rattanrudder_relay_sent_unwanted",
+                "Requests sent to targets that had said that they leave, or had asked for rest",
+                "notice");
+        unknownHeaders = counter(
+                "rattanrudder_relay_response_headers_unknown",
+                "Headers of targets' responses that nothing reads, by name",
+                "name");
         targetsCrashed = counter(
                 "rattanrudder_relay_targets_crashed", "Targets that ended in the middle of requests", "service");
         parts = counter("rattanrudder_relay_parts", "Shared parts of prompts, by what was planned for them", "plan");
@@ -107,6 +117,15 @@
         (byRateLimits ? rateLimited : warmUpLimited).labelValues(service).inc();
     }
 
+    void recordSentUnwanted(String notice) {
+        sentUnwanted.labelValues(notice).inc();
+    }
+
+    /** Records a header that nothing reads; the caller bounds the number of names. */
+    void recordUnknownHeader(String name) {
+        unknownHeaders.labelValues(name).inc();
+    }
+
     void recordTargetCrash(String service) {
         targetsCrashed.labelValues(service).inc();
     }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
@@ -56,6 +56,7 @@
     private final PermitShares permitShares = new PermitShares();
     private final WarmUpAdmission warmUps = new WarmUpAdmission(fleet.evacuations(), permitShares);
     private final RateLimitAdmission rateLimits = new RateLimitAdmission(permitShares);
+    private final SelfReports selfReports = new SelfReports(this);
     private final PartDirectory directory;
     private final Map<String, WindowedRetryBudget> retryBudgets = new HashMap<>();
     private final DesiredVersions weights = new DesiredVersions();
@@ -201,6 +202,11 @@
         return warmUps;
     }
 
+    /** Returns what takes in the things that targets say of themselves. */
+    SelfReports selfReports() {
+        return selfReports;
+    }
+
     /** Returns how the targets of a service warm up; empty if they don't. */
     Optional<WarmUpTraits> warmUpTraits(String service) {
         return configuration
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RolloutCoordinator.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RolloutCoordinator.java
@@ -234,7 +234,9 @@
     private void prepareOrder(Target target, WeightsVersion weights) {
         targetsBeingCalled.add(target.id());
         HttpCallClient client = new HttpCallClient(state.connector(), target.registration()::address);
+        long asked = state.nowMillis();
         client.call(state.platform().engines().report(Optional.of(target.id())), ENGINE_TIMEOUT_MILLIS, answer -> {
+            state.selfReports().onCallAnswered(target, answer, asked);
             Optional<EngineReport> report = readReport(answer);
             report.ifPresent(read -> applyReport(target, read));
             boolean stale = report.isPresent() && target.weights(weights.model()) < weights.version();
@@ -257,6 +259,7 @@
         target.markLoadingWeights(now + LOAD_MILLIS);
         progressChecksDueAt.put(target.id(), now + FIRST_PROGRESS_CHECK_MILLIS);
         client.call(state.platform().engines().order(order), ENGINE_TIMEOUT_MILLIS, answer -> {
+            state.selfReports().onCallAnswered(target, answer, now);
             int status = answer instanceof CallResult.Answered answered ? answered.status() : 0;
             state.log()
                     .info(
@@ -310,6 +313,7 @@
             targetsBeingCalled.add(target.id());
             HttpCallClient client = new HttpCallClient(state.connector(), target.registration()::address);
             client.call(state.platform().engines().report(Optional.of(target.id())), ENGINE_TIMEOUT_MILLIS, answer -> {
+                state.selfReports().onCallAnswered(target, answer, now);
                 Optional<EngineReport> report = readReport(answer);
                 report.ifPresent(read -> applyReport(target, read));
                 if (report.isPresent() && !report.get().busy()) {
--- /dev/null
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/SelfReports.java
@@ -0,0 +1,111 @@
+package org.rattanrudder.daemon.relay;
+
+import java.util.HashSet;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.rattanrudder.core.fleet.RestNotice;
+import org.rattanrudder.core.fleet.SelfReport;
+import org.rattanrudder.core.fleet.Target;
+import org.rattanrudder.daemon.relay.port.ResponseMetadata;
+
+/**
+ * Takes in what targets say of themselves in the heads of their responses, to requests and to all other calls.
+ *
+ * <p>Nothing else reads these headers, so what holds for one kind of call holds for all. A name that nothing reads is
+ * logged once.
+ */
+final class SelfReports {
+    /** Names of unknown headers that are told apart; a target that makes up names must not fill log and metrics. */
+    private static final int MAX_UNKNOWN_HEADERS = 32;
+
+    private final RelayState state;
+    private final Set<String> unknownHeaders = new HashSet<>();
+
+    SelfReports(RelayState state) {
+        this.state = state;
+    }
+
+    /** Takes in the head of the response to a request. */
+    void onResponse(Target target, ResponseMetadata metadata, long sentAt) {
+        metadata.unknownHeaders().forEach(name -> onUnknownHeader(target, name));
+        if (metadata.isFrom(target.id())) {
+            apply(target, metadata, sentAt);
+        }
+    }
+
+    /** Takes in the head of the response to any other call, such as an order. */
+    void onCallAnswered(Target target, CallResult result, long sentAt) {
+        if (result instanceof CallResult.Answered answered) {
+            onResponse(target, state.platform().requests().read(answered.response()), sentAt);
+        }
+    }
+
+    private void apply(Target target, ResponseMetadata metadata, long sentAt) {
+        SelfReport report = metadata.selfReport();
+        long now = state.nowMillis();
+        boolean left = target.isLeaving();
+        boolean rested = target.isResting(now);
+        boolean conclusive = metadata.signed() && !metadata.notRun();
+        target.recordSelfReport(report, conclusive, sentAt, now);
+        if (target.isLeaving() && !left) {
+            state.log().info("target_leaving", "target", target.id(), "status", Integer.toString(metadata.status()));
+        }
+        if (report.rest() instanceof RestNotice.Asked asked) {
+            onRestAsked(target, asked, metadata.status(), rested);
+        } else if (report.rest() instanceof RestNotice.Unreadable unreadable) {
+            state.log().warn("rest_unreadable", "target", target.id(), "value", unreadable.value());
+        }
+    }
+
+    private void onRestAsked(Target target, RestNotice.Asked asked, int status, boolean rested) {
+        state.log()
+                .info(
+                        "rest_asked",
+                        "target",
+                        target.id(),
+                        "ms",
+                        Long.toString(asked.millis()),
+                        "status",
+                        Integer.toString(status),
+                        "sent",
+                        Integer.toString(target.sentInRest()));
+        if (!rested) {
+            awaitRestEnd(target);
+        }
+    }
+
+    private void awaitRestEnd(Target target) {
+        long millis = Math.max(1, target.restMillis(state.nowMillis()));
+        state.loop().schedule(() -> onRestEndDue(target), millis, TimeUnit.MILLISECONDS);
+    }
+
+    private void onRestEndDue(Target target) {
+        if (target.isResting(state.nowMillis())) {
+            awaitRestEnd(target);
+            return;
+        }
+        state.log().info("rest_ended", "target", target.id(), "sent", Integer.toString(target.sentInRest()));
+    }
+
+    /** Counts a request that is sent to a target that has said that it wants none. */
+    void onRequestSent(Target target) {
+        if (target.isLeaving()) {
+            state.metrics().recordSentUnwanted("leaving");
+        }
+        if (target.isResting(state.nowMillis())) {
+            state.metrics().recordSentUnwanted("rest");
+        }
+    }
+
+    private void onUnknownHeader(Target target, String name) {
+        if (unknownHeaders.contains(name)) {
+            state.metrics().recordUnknownHeader(name);
+        } else if (unknownHeaders.size() < MAX_UNKNOWN_HEADERS) {
+            unknownHeaders.add(name);
+            state.log().warn("response_header_unknown", "name", name, "target", target.id());
+            state.metrics().recordUnknownHeader(name);
+        } else {
+            state.metrics().recordUnknownHeader("other");
+        }
+    }
+}
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/StoreWatch.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/StoreWatch.java
@@ -154,8 +154,8 @@
                             "parts",
                             Integer.toString(parts.size()),
                             "answer",
-                            answer.toString().startsWith("Answered")
-                                    ? Integer.toString(((CallResult.Answered) answer).status())
+                            answer instanceof CallResult.Answered answered
+                                    ? Integer.toString(answered.status())
                                     : "none");
             evictionClient.close();
         });
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TargetAttempt.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TargetAttempt.java
@@ -61,15 +61,8 @@
         return firstByteMillis >= 0;
     }
 
-    /** Records what the head of the response says of the target. */
+    /** Records the version of weights that the head of the response names. */
     void recordHead(ResponseMetadata metadata, Optional<String> model, long nowMillis) {
-        metadata.load()
-                .ifPresent(reported -> target.updateReportedLoad(reported.running(), reported.queued(), nowMillis));
-        metadata.warmUpMillis().ifPresent(remaining -> target.reportWarmUp(remaining, nowMillis));
-        if (!metadata.misdirected()) {
-            boolean conclusive = metadata.signed() && !metadata.notRun();
-            target.recordRateLimit(metadata.rateLimit(), conclusive, sentAt, nowMillis);
-        }
         model.ifPresent(
                 name -> metadata.weights().ifPresent(version -> target.confirmWeights(name, version, nowMillis)));
     }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/port/ResponseMetadata.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/port/ResponseMetadata.java
@@ -2,7 +2,8 @@
 
 import java.util.Optional;
 import java.util.OptionalLong;
-import org.rattanrudder.core.fleet.RateLimitNotice;
+import java.util.Set;
+import org.rattanrudder.core.fleet.SelfReport;
 
 /**
  * The metadata in the head of a target's response.
@@ -13,11 +14,10 @@
  * @param notRun whether the target reports that it didn't run the request
  * @param misdirected whether the request was meant for another target or other weights
  * @param target the incarnation that answered, if reported
- * @param load the target's load, if reported
  * @param weights the version of the weights that it ran on, if reported
  * @param keepAliveMillis how long the target keeps an idle connection open, if reported
- * @param warmUpMillis how long the target still warms up, if reported
- * @param rateLimit what it says of the target's rate limit
+ * @param selfReport what it says of the target itself
+ * @param unknownHeaders the names of its headers that nothing reads and that aren't known to be meant for callers
  */
 public record ResponseMetadata(
         int status,
@@ -26,18 +26,18 @@
         boolean notRun,
         boolean misdirected,
         Optional<String> target,
-        Optional<Load> load,
         OptionalLong weights,
         OptionalLong keepAliveMillis,
-        OptionalLong warmUpMillis,
-        RateLimitNotice rateLimit) {
-    /**
-     * The load of a target.
-     *
-     * @param running requests that are running
-     * @param queued requests in its queue
-     */
-    public record Load(int running, int queued) {}
+        SelfReport selfReport,
+        Set<String> unknownHeaders) {
+    public ResponseMetadata {
+        unknownHeaders = Set.copyOf(unknownHeaders);
+    }
+
+    /** Returns whether the target has answered that is meant: another one may listen at its address. */
+    public boolean isFrom(String expected) {
+        return target.map(expected::equals).orElse(!misdirected);
+    }
 
     /** Returns whether the request succeeded. */
     public boolean isSuccess() {
