Send nothing to targets that have said in an answer that they leave

What callers saw: nothing; back ends that were leaving got requests for up to 13 s after relays had passed on answers that said so. Cause: no class read it; that a target leaves was learned from the store alone, which was away. Evidence: the failing test, and target_leaving lines after which request_placed went on with leaving=true. Change: an incarnation that has said once that it leaves, in its record or in any response, leaves until a later one starts. That is kept apart from its record, so that a late, repeated or removed one takes nothing back. One admission is asked by first attempts, retries, requests that waited for a connection, and orders and looks at engines. Queued requests that have no target left are answered at once. Connections that a leaving target breaks are no sign of a crash. Why it works: from the moment at which the relay has read the head nothing is placed there, and what waits for a connection asks again.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Fleet.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Fleet.java
@@ -129,6 +129,9 @@
         }
         newestRecords.put(registration.id(), new RecordPosition(registration.startedAt(), offset));
         expired.remove(registration.id());
+        if (registration.draining()) {
+            noticesOf(registration).onLeaving();
+        }
         Target target = targets.get(registration.id());
         boolean started = listed && (target == null || restarted);
         if (target == null || restarted) {
@@ -177,7 +180,7 @@
         expired.remove(id);
     }
 
-    /** Returns all targets, including draining ones. */
+    /** Returns all targets, including those that leave. */
     public Collection<Target> all(long nowMillis) {
         removeExpired(nowMillis);
         return targets.values();
@@ -235,21 +238,22 @@
 
     /** Returns the targets of a service that may get requests: neither they nor their failure domains are leaving. */
     public List<Target> usableTargets(String service, long nowMillis) {
-        return targets(service, target -> !isLeaving(target.registration()), nowMillis);
+        return targets(service, target -> !isLeaving(target), nowMillis);
     }
 
     /** Returns whether a target may get requests: it is the one that is known by its id, and it isn't leaving. */
     public boolean isUsable(Target target) {
-        return targets.get(target.id()) == target && !isLeaving(target.registration());
+        return targets.get(target.id()) == target && !isLeaving(target);
     }
 
-    private boolean isLeaving(TargetRegistration registration) {
-        return registration.draining() || evacuations.isEvacuated(registration.failureDomain());
+    private boolean isLeaving(Target target) {
+        return target.isLeaving()
+                || evacuations.isEvacuated(target.registration().failureDomain());
     }
 
-    /** Returns the targets of a service that aren't draining, including those of evacuated failure domains. */
+    /** Returns the targets of a service that don't leave, including those of evacuated failure domains. */
     public List<Target> activeTargets(String service, long nowMillis) {
-        return targets(service, target -> !target.registration().draining(), nowMillis);
+        return targets(service, target -> !target.isLeaving(), nowMillis);
     }
 
     private List<Target> targets(String service, Predicate<Target> wanted, long nowMillis) {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/CrashDetector.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/CrashDetector.java
@@ -49,7 +49,7 @@
         Set<RequestFingerprint> gathered = requestsByTarget.get(target);
         if (gathered != null) {
             gathered.add(request);
-        } else if (!target.registration().draining()) {
+        } else if (!target.isLeaving()) {
             requestsByTarget.put(target, new LinkedHashSet<>(Set.of(request)));
             dial(target, 1);
         }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
@@ -17,6 +17,7 @@
 import org.rattanrudder.core.fleet.Placement;
 import org.rattanrudder.core.fleet.SendWindow;
 import org.rattanrudder.core.fleet.Target;
+import org.rattanrudder.core.fleet.TargetAdmission;
 import org.rattanrudder.core.gateway.AttemptOutcome;
 import org.rattanrudder.core.gateway.ResponseClassifier;
 import org.rattanrudder.core.gateway.RetryPolicy;
@@ -124,18 +125,16 @@
     boolean tryPlace() {
         long now = state.nowMillis();
         boolean late = now > plan.onTimeUntil();
-        List<Target> candidates = plan.candidates(now);
-        List<Target> admittedByWarmUp = plan.admittedByWarmUp(candidates, now);
-        List<Target> admitted = state.rateLimits().admitted(admittedByWarmUp, now);
+        TargetAdmission.Admitted admitted = plan.admitted(plan.candidates(now), now);
         List<Target> open = history.untried(
-                SendWindow.targetsWithRoom(admitted, plan.engine().orElseThrow(), plan.tokens(), late, now));
+                SendWindow.targetsWithRoom(admitted.targets(), plan.engine().orElseThrow(), plan.tokens(), late, now));
         Optional<Placement.Choice> choice = Placement.choose(open, plan.query(history.triedTargets(), now), now);
         choice.ifPresent(found -> {
             queueWait.leave();
             sendTo(found);
         });
-        if (choice.isEmpty() && admitted.size() < candidates.size()) {
-            state.dispatchWhenAdmitted(plan.service(), admitted.size() < admittedByWarmUp.size());
+        if (choice.isEmpty() && admitted.deferred()) {
+            state.dispatchWhenAdmitted(plan.service(), admitted.rateLimited());
         }
         return choice.isPresent();
     }
@@ -170,7 +169,7 @@
         long now = state.nowMillis();
         List<Target> targets = plan.candidates(now);
         Optional<Placement.Choice> choice =
-                Placement.choose(plan.admitted(targets, now), plan.query(history.triedTargets(), now), now);
+                Placement.choose(plan.admitted(targets, now).targets(), plan.query(history.triedTargets(), now), now);
         if (choice.isPresent()) {
             sendTo(choice.get());
         } else if (forwarder.hasBegun()) {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
@@ -14,6 +14,7 @@
 import org.rattanrudder.core.fleet.MedianEstimate;
 import org.rattanrudder.core.fleet.PermitShares;
 import org.rattanrudder.core.fleet.RateLimitAdmission;
+import org.rattanrudder.core.fleet.TargetAdmission;
 import org.rattanrudder.core.fleet.WarmUpAdmission;
 import org.rattanrudder.core.gateway.BackendService;
 import org.rattanrudder.core.gateway.CallerLimits;
@@ -56,6 +57,7 @@
     private final PermitShares permitShares = new PermitShares();
     private final WarmUpAdmission warmUps = new WarmUpAdmission(fleet.evacuations(), permitShares);
     private final RateLimitAdmission rateLimits = new RateLimitAdmission(permitShares);
+    private final TargetAdmission admission = new TargetAdmission(fleet, warmUps, rateLimits);
     private final SelfReports selfReports = new SelfReports(this);
     private final PartDirectory directory;
     private final Map<String, WindowedRetryBudget> retryBudgets = new HashMap<>();
@@ -202,6 +204,11 @@
         return warmUps;
     }
 
+    /** Returns what decides which targets get requests and other calls. */
+    TargetAdmission admission() {
+        return admission;
+    }
+
     /** Returns what takes in the things that targets say of themselves. */
     SelfReports selfReports() {
         return selfReports;
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RequestPlan.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RequestPlan.java
@@ -10,6 +10,7 @@
 import org.rattanrudder.core.fleet.MedianEstimate;
 import org.rattanrudder.core.fleet.PlacementQuery;
 import org.rattanrudder.core.fleet.Target;
+import org.rattanrudder.core.fleet.TargetAdmission;
 import org.rattanrudder.core.gateway.AllowedRegions;
 import org.rattanrudder.core.gateway.BackendService;
 import org.rattanrudder.core.gateway.CustomerIdentity;
@@ -175,7 +176,7 @@
 
     /** Returns the targets that may run the request. */
     List<Target> candidates(long now) {
-        List<Target> usable = state.fleet().usableTargets(service, now);
+        List<Target> usable = state.admission().candidates(service, now);
         return allowedRegions.names().isEmpty()
                 ? usable
                 : usable.stream()
@@ -188,28 +189,14 @@
         return backend.flatMap(BackendService::warmUp);
     }
 
-    /** Returns those of the candidates that may get another request now as far as they warm up. */
-    List<Target> admittedByWarmUp(List<Target> candidates, long now) {
-        return state.warmUps().admitted(candidates, warmUp(), now);
-    }
-
     /** Returns those of the candidates that may get another request now. */
-    List<Target> admitted(List<Target> candidates, long now) {
-        return state.rateLimits().admitted(admittedByWarmUp(candidates, now), now);
+    TargetAdmission.Admitted admitted(List<Target> candidates, long now) {
+        return state.admission().admitted(candidates, warmUp(), now);
     }
 
-    /**
-     * Returns why the request may no longer be sent to the target that was chosen for it, if so: what was read or heard
-     * while the connection opened holds too.
-     */
+    /** Returns why the request may no longer be sent to the target that was chosen for it, if so. */
     Optional<String> reasonNotToSend(Target target, long now) {
-        if (!state.fleet().isUsable(target)) {
-            return Optional.of("no longer usable");
-        }
-        if (!state.warmUps().mayStillSend(target, warmUp(), now)) {
-            return Optional.of("warming up");
-        }
-        return state.rateLimits().mayStillSend(target, now) ? Optional.empty() : Optional.of("rate limited");
+        return state.admission().reasonNotToSend(target, warmUp(), now);
     }
 
     /**
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RolloutCoordinator.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RolloutCoordinator.java
@@ -232,6 +232,9 @@
     }
 
     private void prepareOrder(Target target, WeightsVersion weights) {
+        if (!state.admission().mayCall(target)) {
+            return;
+        }
         targetsBeingCalled.add(target.id());
         HttpCallClient client = new HttpCallClient(state.connector(), target.registration()::address);
         long asked = state.nowMillis();
@@ -241,7 +244,10 @@
             report.ifPresent(read -> applyReport(target, read));
             boolean stale = report.isPresent() && target.weights(weights.model()) < weights.version();
             long now = state.nowMillis();
-            if (!stale || report.get().busy() || !lease.isHeld(now, System.currentTimeMillis())) {
+            if (!stale
+                    || report.get().busy()
+                    || !state.admission().mayCall(target)
+                    || !lease.isHeld(now, System.currentTimeMillis())) {
                 client.close();
                 targetsBeingCalled.remove(target.id());
                 return;
@@ -302,7 +308,8 @@
     private void checkProgress(PendingRollout rollout, long now) {
         for (Target target : rollout.targets()) {
             Long due = progressChecksDueAt.get(target.id());
-            if (due == null || now < due || targetsBeingCalled.contains(target.id())) {
+            boolean callable = state.admission().mayCall(target) && !targetsBeingCalled.contains(target.id());
+            if (due == null || now < due || !callable) {
                 continue;
             }
             if (target.weights(rollout.weights().model()) >= rollout.weights().version()) {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/SelfReports.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/SelfReports.java
@@ -49,6 +49,7 @@
         target.recordSelfReport(report, conclusive, sentAt, now);
         if (target.isLeaving() && !left) {
             state.log().info("target_leaving", "target", target.id(), "status", Integer.toString(metadata.status()));
+            state.onUsableTargetsChanged();
         }
         if (report.rest() instanceof RestNotice.Asked asked) {
             onRestAsked(target, asked, metadata.status(), rested);
