Send nothing to targets that have asked for rest, until it is over

What callers saw: requests that were turned away once or twice before another back end served them, up to 430 ms later; back ends that had asked for 3 s of rest got three to eight requests from a relay in that time. Cause: Retry-After of a rejection was read by nobody. A rejection starts a pause of the relay's own, 250 ms at first, which only makes other targets preferred and which any success ends, also one that was under way. Change: a target that turns a request away with a time gets nothing from that relay for as long: no first attempt, retry, request that waited for a connection, order or look at its state. No answer ends it, the latest end named counts, 60 s at most at once. Then one request tries before others follow. If all targets that could run a request want rest, its caller gets 503 at once with the time of the first one's end, spread by half a second; requests in line get the same. Why it works: all of it is decided on the relay's one event loop by one admission, also when a connection opens; after the relay has read the rejection it sends nothing, where two requests are allowed. Measured: TargetNoticeTest's second test failed with a second request after 250 ms, and holds, plain and engine; off the list of known failures. RestTest, SelfReportHeadersTest and two more tests of relays hold.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Rest.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Rest.java
@@ -63,12 +63,11 @@
 
     /** Returns whether another request may be placed. */
     boolean admits(long nowMillis) {
-        return remainingMillis(nowMillis) == 0;
+        return !lasts(nowMillis) && (accepting || nowMillis - trialAt >= TRIAL_MILLIS);
     }
 
-    /** Returns the time until another request may be placed; 0 if one may be now. */
+    /** Returns how long the rest still lasts, in ms. */
     long remainingMillis(long nowMillis) {
-        long end = accepting ? until : Math.max(until, trialAt + TRIAL_MILLIS);
-        return Math.max(0, end - nowMillis);
+        return Math.max(0, until - nowMillis);
     }
 }
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Target.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Target.java
@@ -102,13 +102,15 @@
     }
 
     /** Records that a request will be sent to it once a connection is open. */
-    public void reserveSend() {
+    public void reserveSend(long nowMillis) {
         recentSends.reserve();
+        notices.rest().onReserved(nowMillis);
     }
 
     /** Records that a request for which a send was reserved won't be sent. */
     public void cancelSend() {
         recentSends.cancel();
+        notices.rest().onCancelled();
     }
 
     /** Records that a request for which a send was reserved was sent. */
@@ -136,6 +138,11 @@
         }
     }
 
+    /** Records that the target has accepted a request, whatever becomes of it. */
+    public void onAccepted(long sentAt) {
+        notices.rest().onAccepted(sentAt);
+    }
+
     /** Returns whether the target has said that it leaves, in its record or in any response. */
     public boolean isLeaving() {
         return notices.isLeaving();
@@ -146,11 +153,16 @@
         return notices.rest().lasts(nowMillis);
     }
 
-    /** Returns the time until another request may be placed at the target as far as its rest is concerned, in ms. */
+    /** Returns how long the target still wants nothing from this relay, in ms. */
     public long restMillis(long nowMillis) {
         return notices.rest().remainingMillis(nowMillis);
     }
 
+    /** Returns whether another request may be placed as far as a rest, or the return from one, is concerned. */
+    boolean isAdmittedAfterRest(long nowMillis) {
+        return notices.rest().admits(nowMillis);
+    }
+
     /** Returns how many requests this relay has sent to the target in its last rest. */
     public int sentInRest() {
         return notices.rest().sent();
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/TargetAdmission.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/TargetAdmission.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.rattanrudder.core.gateway.WarmUpTraits;
 
 /**
@@ -24,25 +25,71 @@
         this.rateLimits = rateLimits;
     }
 
+    /** Why a target gets a request only later. */
+    public enum Deferral {
+        /** It has rested, and one request tries whether it takes requests again. */
+        AFTER_REST,
+        /** It is warming up. */
+        WARM_UP,
+        /** It has named a rate limit. */
+        RATE_LIMIT
+    }
+
     /**
      * The targets that may get a request now.
      *
      * @param targets the targets
-     * @param deferred whether others may get it later, once their limits admit it
-     * @param rateLimited whether rate limits defer it, and not only warm-ups
+     * @param deferral why the last of the others gets it later; empty if there are no others
      */
-    public record Admitted(List<Target> targets, boolean deferred, boolean rateLimited) {}
+    public record Admitted(List<Target> targets, Optional<Deferral> deferral) {}
 
-    /** Returns the targets of a service that take requests, whether or not their limits admit another one now. */
-    public List<Target> candidates(String service, long nowMillis) {
+    /** Returns the targets of a service that neither leave nor are evacuated; they may want rest. */
+    public List<Target> usable(String service, long nowMillis) {
         return fleet.usableTargets(service, nowMillis);
     }
 
+    /** Returns those targets that don't want rest. */
+    public static List<Target> withoutResting(List<Target> targets, long nowMillis) {
+        return targets.stream().anyMatch(target -> target.isResting(nowMillis))
+                ? targets.stream()
+                        .filter(target -> !target.isResting(nowMillis))
+                        .toList()
+                : targets;
+    }
+
+    /** Returns the time until the first of the targets has rested, if all of them want rest. */
+    public static OptionalLong restMillis(List<Target> targets, long nowMillis) {
+        long first = Long.MAX_VALUE;
+        for (Target target : targets) {
+            if (!target.isResting(nowMillis)) {
+                return OptionalLong.empty();
+            }
+            first = Math.min(first, target.restMillis(nowMillis));
+        }
+        return targets.isEmpty() ? OptionalLong.empty() : OptionalLong.of(first);
+    }
+
     /** Returns those of the candidates whose limits admit another request now. */
     public Admitted admitted(List<Target> candidates, Optional<WarmUpTraits> warmUp, long nowMillis) {
-        List<Target> byWarmUp = warmUps.admitted(candidates, warmUp, nowMillis);
+        List<Target> byRest = admittedAfterRest(candidates, nowMillis);
+        List<Target> byWarmUp = warmUps.admitted(byRest, warmUp, nowMillis);
         List<Target> admitted = rateLimits.admitted(byWarmUp, nowMillis);
-        return new Admitted(admitted, admitted.size() < candidates.size(), admitted.size() < byWarmUp.size());
+        if (admitted.size() < byWarmUp.size()) {
+            return new Admitted(admitted, Optional.of(Deferral.RATE_LIMIT));
+        }
+        if (admitted.size() < byRest.size()) {
+            return new Admitted(admitted, Optional.of(Deferral.WARM_UP));
+        }
+        return new Admitted(
+                admitted, admitted.size() < candidates.size() ? Optional.of(Deferral.AFTER_REST) : Optional.empty());
+    }
+
+    private static List<Target> admittedAfterRest(List<Target> targets, long nowMillis) {
+        return targets.stream().allMatch(target -> target.isAdmittedAfterRest(nowMillis))
+                ? targets
+                : targets.stream()
+                        .filter(target -> target.isAdmittedAfterRest(nowMillis))
+                        .toList();
     }
 
     /**
@@ -53,6 +100,9 @@
         if (!fleet.isUsable(target)) {
             return Optional.of("no longer usable");
         }
+        if (target.isResting(nowMillis)) {
+            return Optional.of("wants rest");
+        }
         if (!warmUps.mayStillSend(target, warmUp, nowMillis)) {
             return Optional.of("warming up");
         }
@@ -60,7 +110,9 @@
     }
 
     /** Returns whether the target takes calls that are no requests. */
-    public boolean mayCall(Target target) {
-        return fleet.find(target.id()).filter(target::equals).isPresent() && !target.isLeaving();
+    public boolean mayCall(Target target, long nowMillis) {
+        return fleet.find(target.id()).filter(target::equals).isPresent()
+                && !target.isLeaving()
+                && !target.isResting(nowMillis);
     }
 }
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/RateLimitAdmissionTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/RateLimitAdmissionTest.java
@@ -57,7 +57,7 @@
             if (!isAdmitted(nowMillis)) {
                 return false;
             }
-            target().reserveSend();
+            target().reserveSend(nowMillis);
             target().onRequestSent(nowMillis);
             return true;
         }
@@ -156,7 +156,7 @@
         view.isAdmitted(START);
         long later = START + 10 * SECOND;
         assertThat(view.isAdmitted(later)).isTrue();
-        view.target().reserveSend();
+        view.target().reserveSend(later);
 
         assertThat(view.isAdmitted(later + 10 * SECOND)).isFalse();
         view.target().cancelSend();
@@ -169,7 +169,7 @@
         View view = new View("relay-0", relays(1));
         Target target = view.target();
         for (int reserved = 0; reserved < 5; reserved++) {
-            target.reserveSend();
+            target.reserveSend(START);
         }
         view.name(2, START);
         int sent = 0;
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/WarmUpAdmissionTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/WarmUpAdmissionTest.java
@@ -78,7 +78,7 @@
                     .isEmpty()) {
                 return false;
             }
-            target().reserveSend();
+            target().reserveSend(nowMillis);
             target().onRequestSent(nowMillis);
             return true;
         }
@@ -149,7 +149,7 @@
         for (int reserved = 0; reserved < 3; reserved++) {
             assertThat(view.admission.admitted(all, Optional.of(view.traits), START))
                     .hasSize(1);
-            target.reserveSend();
+            target.reserveSend(START);
         }
         long later = START + 5 * SECOND;
 
@@ -167,7 +167,7 @@
         view.shares.updateRelays("relay-0", relays(1));
         Target target = view.target();
         for (int reserved = 0; reserved < 5; reserved++) {
-            target.reserveSend();
+            target.reserveSend(START);
         }
         view.register(OptionalLong.of(LONG_WARM_UP), 2, START);
         int sent = 0;
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
@@ -133,8 +133,8 @@
             queueWait.leave();
             sendTo(found);
         });
-        if (choice.isEmpty() && admitted.deferred()) {
-            state.dispatchWhenAdmitted(plan.service(), admitted.rateLimited());
+        if (choice.isEmpty()) {
+            admitted.deferral().ifPresent(deferral -> state.dispatchWhenAdmitted(plan.service(), deferral));
         }
         return choice.isPresent();
     }
@@ -194,7 +194,7 @@
         // Counted from now on: otherwise all requests placed while the connection opens would go to the same target.
         Target.RequestCost expected = plan.expectedCost();
         target.onSent(expected, state.nowMillis());
-        target.reserveSend();
+        target.reserveSend(state.nowMillis());
         state.placementBroadcaster().recordPlacement(target);
         pools.acquire(target, repeatable, opened -> {
             target.onEnded(expected, false);
@@ -471,6 +471,13 @@
     }
 
     private void end(ErrorKind error, String reason) {
+        boolean overloaded = error == ErrorKind.OVERLOADED || error == ErrorKind.NO_TARGET;
+        OptionalLong afterRest = overloaded ? plan.retryAfterRestMillis(state.nowMillis()) : OptionalLong.empty();
+        if (afterRest.isPresent()) {
+            caller.refuseWithRetryAfter(ErrorKind.OVERLOADED, plan.id(), afterRest.getAsLong());
+            finish(ErrorKind.OVERLOADED.wireName(), "all targets want rest");
+            return;
+        }
         caller.refuse(error, plan.id(), plan.remainingMillis());
         finish(error.wireName(), reason);
     }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/ExchangeLog.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/ExchangeLog.java
@@ -79,6 +79,10 @@
                         Long.toString(targets.stream()
                                 .filter(target -> isWarmingUp(target, now))
                                 .count()),
+                        "resting",
+                        Long.toString(targets.stream()
+                                .filter(target -> target.isResting(now))
+                                .count()),
                         "rate_limited",
                         Long.toString(targets.stream()
                                 .filter(target -> target.rateLimit().isPresent())
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayMetrics.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayMetrics.java
@@ -10,6 +10,7 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.function.DoubleSupplier;
+import org.rattanrudder.core.fleet.TargetAdmission;
 
 /** The metrics of a relay. Label values come from fixed sets and the configuration, never from callers. */
 final class RelayMetrics {
@@ -25,6 +26,7 @@
     private final Counter unreadableRecords;
     private final Counter warmUpLimited;
     private final Counter rateLimited;
+    private final Counter restLimited;
     private final Counter sentUnwanted;
     private final Counter unknownHeaders;
     private final Counter targetsCrashed;
@@ -52,6 +54,10 @@
                 "rattanrudder_relay_rate_limited",
                 "Placements that were put off since targets had named rate limits",
                 "service");
+        restLimited = counter(
+                "rattanrudder_relay_rest_limited",
+                "Placements that were put off since another request tried whether targets take requests after a rest",
+                "service");
         sentUnwanted = counter(
                 "rattanrudder_relay_sent_unwanted",
                 "Requests sent to targets that had said that they leave, or had asked for rest",
@@ -112,9 +118,14 @@
         unreadableRecords.labelValues(topic).inc();
     }
 
-    /** Records that a placement was deferred, since targets have rate limits or else since they warm up. */
-    void recordDeferred(String service, boolean byRateLimits) {
-        (byRateLimits ? rateLimited : warmUpLimited).labelValues(service).inc();
+    /** Records that a placement was deferred. */
+    void recordDeferred(String service, TargetAdmission.Deferral deferral) {
+        Counter counter = switch (deferral) {
+            case AFTER_REST -> restLimited;
+            case WARM_UP -> warmUpLimited;
+            case RATE_LIMIT -> rateLimited;
+        };
+        counter.labelValues(service).inc();
     }
 
     void recordSentUnwanted(String notice) {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
@@ -286,10 +286,10 @@
     /**
      * Dispatches a service's queued requests once a target that is limited may take another one.
      *
-     * @param rateLimited whether rate limits keep them, and not only warm-ups
+     * @param deferral what keeps them
      */
-    void dispatchWhenAdmitted(String service, boolean rateLimited) {
-        metrics.recordDeferred(service, rateLimited);
+    void dispatchWhenAdmitted(String service, TargetAdmission.Deferral deferral) {
+        metrics.recordDeferred(service, deferral);
         if (admissionDispatches.add(service)) {
             loop.schedule(
                     () -> {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RequestPlan.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RequestPlan.java
@@ -49,6 +49,9 @@
     /** Time within which a healthy target of a plain service answers, as a multiple of its median. */
     private static final double PLAIN_CALL_RATIO = 2;
 
+    /** Callers that were rejected in the same rest are told times that differ by up to this much. */
+    private static final long RETURN_SPREAD_MILLIS = 500;
+
     private final RelayState state;
     private final RequestMetadata metadata;
     private final ServiceRoute route;
@@ -176,7 +179,19 @@
 
     /** Returns the targets that may run the request. */
     List<Target> candidates(long now) {
-        List<Target> usable = state.admission().candidates(service, now);
+        return TargetAdmission.withoutResting(usable(now), now);
+    }
+
+    /** Returns after which time to send it again, in ms, if all targets that may run it want rest. */
+    OptionalLong retryAfterRestMillis(long now) {
+        OptionalLong rest = TargetAdmission.restMillis(usable(now), now);
+        return rest.isPresent()
+                ? OptionalLong.of(rest.getAsLong() + state.random().nextLong(RETURN_SPREAD_MILLIS))
+                : rest;
+    }
+
+    private List<Target> usable(long now) {
+        List<Target> usable = state.admission().usable(service, now);
         return allowedRegions.names().isEmpty()
                 ? usable
                 : usable.stream()
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RolloutCoordinator.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RolloutCoordinator.java
@@ -232,7 +232,7 @@
     }
 
     private void prepareOrder(Target target, WeightsVersion weights) {
-        if (!state.admission().mayCall(target)) {
+        if (!state.admission().mayCall(target, state.nowMillis())) {
             return;
         }
         targetsBeingCalled.add(target.id());
@@ -246,7 +246,7 @@
             long now = state.nowMillis();
             if (!stale
                     || report.get().busy()
-                    || !state.admission().mayCall(target)
+                    || !state.admission().mayCall(target, now)
                     || !lease.isHeld(now, System.currentTimeMillis())) {
                 client.close();
                 targetsBeingCalled.remove(target.id());
@@ -308,7 +308,7 @@
     private void checkProgress(PendingRollout rollout, long now) {
         for (Target target : rollout.targets()) {
             Long due = progressChecksDueAt.get(target.id());
-            boolean callable = state.admission().mayCall(target) && !targetsBeingCalled.contains(target.id());
+            boolean callable = state.admission().mayCall(target, now) && !targetsBeingCalled.contains(target.id());
             if (due == null || now < due || !callable) {
                 continue;
             }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/SelfReports.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/SelfReports.java
@@ -53,6 +53,7 @@
         }
         if (report.rest() instanceof RestNotice.Asked asked) {
             onRestAsked(target, asked, metadata.status(), rested);
+            state.onUsableTargetsChanged();
         } else if (report.rest() instanceof RestNotice.Unreadable unreadable) {
             state.log().warn("rest_unreadable", "target", target.id(), "value", unreadable.value());
         }
@@ -86,6 +87,7 @@
             return;
         }
         state.log().info("rest_ended", "target", target.id(), "sent", Integer.toString(target.sentInRest()));
+        state.dispatchQueued(target.registration().service());
     }
 
     /** Counts a request that is sent to a target that has said that it wants none. */
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TargetAttempt.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TargetAttempt.java
@@ -61,8 +61,11 @@
         return firstByteMillis >= 0;
     }
 
-    /** Records the version of weights that the head of the response names. */
+    /** Records what the head of the response says of the request and its weights. */
     void recordHead(ResponseMetadata metadata, Optional<String> model, long nowMillis) {
+        if (!metadata.notRun()) {
+            target.onAccepted(sentAt);
+        }
         model.ifPresent(
                 name -> metadata.weights().ifPresent(version -> target.confirmWeights(name, version, nowMillis)));
     }
--- a/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelRelay.java
+++ b/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelRelay.java
@@ -281,7 +281,7 @@
             target.onSent(expected, time.millis());
             changed(target);
         }
-        target.reserveSend();
+        target.reserveSend(time.millis());
         target.onDialStarted(time.millis());
         boolean answers = !engines.get(target.id()).isDark();
         time.afterMillis(answers ? DIAL_MILLIS : DIAL_FAILS_MILLIS, () -> {
