Let relays tell each other which targets leave

Full reports now name the incarnations that leave, by their records or responses; a report of an earlier incarnation says nothing of a later one, and nothing takes one back, so reports may be old or circulate. What callers gain: no streams at a target that is about to end, and none cut there. Rest isn't told: a target asks it of one relay.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Fleet.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Fleet.java
@@ -11,6 +11,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Predicate;
+import org.rattanrudder.core.fleet.LoadReport.LeavingTarget;
 import org.rattanrudder.core.fleet.LoadReport.SeenRateLimit;
 import org.rattanrudder.core.fleet.LoadReport.ServedWeights;
 
@@ -145,11 +146,31 @@
     }
 
     private TargetNotices noticesOf(TargetRegistration registration) {
+        return notices(registration.id(), registration.startedAt());
+    }
+
+    /** Returns the notices of an incarnation, or of a later one if that is known. */
+    private TargetNotices notices(String target, long startedAt) {
         return notices.compute(
-                registration.id(),
-                (id, known) -> known == null || known.startedAt() < registration.startedAt()
-                        ? new TargetNotices(registration.startedAt())
-                        : known);
+                target,
+                (id, known) -> known == null || known.startedAt() < startedAt ? new TargetNotices(startedAt) : known);
+    }
+
+    /** A report of an earlier incarnation says nothing of the one that is known. */
+    private void onLeavingReported(LeavingTarget leaving) {
+        TargetNotices known = notices(leaving.target(), leaving.startedAt());
+        if (known.startedAt() == leaving.startedAt()) {
+            known.onLeaving();
+        }
+    }
+
+    /** Returns the known targets that leave. */
+    public List<LeavingTarget> leavingTargets(long nowMillis) {
+        return all(nowMillis).stream()
+                .filter(Target::isLeaving)
+                .map(target ->
+                        new LeavingTarget(target.id(), target.registration().startedAt()))
+                .toList();
     }
 
     /** A target that says nothing of its warm-up warms up if it has started since this relay listed all targets. */
@@ -206,6 +227,7 @@
             find(served.target())
                     .ifPresent(target -> target.confirmWeights(served.model(), served.version(), nowMillis));
         }
+        report.leaving().forEach(this::onLeavingReported);
         for (SeenRateLimit seen : report.rateLimits()) {
             find(seen.target()).ifPresent(target -> target.applyRateLimit(seen, nowMillis));
         }
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/LoadReport.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/LoadReport.java
@@ -19,6 +19,7 @@
  * @param readOffsets how far the relay has read the platform's logs
  * @param storeLateness lateness of fetches from context stores since the last full report to the same peer
  * @param rateLimits what this relay has seen of the rate limits of targets; only in full reports
+ * @param leaving targets that leave, by their registrations or their responses; only in full reports
  * @param intervalMillis the time until the next full report to the same peer; 0 in incremental reports
  */
 public record LoadReport(
@@ -34,6 +35,7 @@
         ReadOffsets readOffsets,
         List<StoreLateness> storeLateness,
         List<SeenRateLimit> rateLimits,
+        List<LeavingTarget> leaving,
         long intervalMillis) {
     public LoadReport {
         targets = List.copyOf(targets);
@@ -43,6 +45,7 @@
         unreachable = List.copyOf(unreachable);
         storeLateness = List.copyOf(storeLateness);
         rateLimits = List.copyOf(rateLimits);
+        leaving = List.copyOf(leaving);
     }
 
     /** Creates a report of load, readiness and read offsets only. */
@@ -50,7 +53,7 @@
             String relay, long sequence, boolean whole, List<TargetLoad> targets, boolean ready, ReadOffsets readTo) {
         return new LoadReport(
                 relay, sequence, whole, targets, List.of(), List.of(), List.of(), List.of(), ready, readTo, List.of(),
-                List.of(), 0);
+                List.of(), List.of(), 0);
     }
 
     /**
@@ -71,6 +74,7 @@
                 readOffsets,
                 newLate,
                 rateLimits,
+                leaving,
                 millis);
     }
 
@@ -113,6 +117,14 @@
     public record SeenRateLimit(
             String target, OptionalDouble requestsPerSecond, long sentAgeMillis, long receivedAgeMillis) {}
 
+    /**
+     * An incarnation of a target that leaves.
+     *
+     * @param target the target's id
+     * @param startedAt when it started, see {@link TargetRegistration#startedAt}
+     */
+    public record LeavingTarget(String target, long startedAt) {}
+
     /**
      * The load at one target.
      *
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/PeerLoadsTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/PeerLoadsTest.java
@@ -153,6 +153,7 @@
                         new ReadOffsets(0, 0, 0),
                         List.of(),
                         List.of(),
+                        List.of(),
                         0),
                 NOW);
 
@@ -206,6 +207,7 @@
                         new ReadOffsets(0, 0, 0),
                         List.of(),
                         List.of(),
+                        List.of(),
                         0),
                 NOW);
 
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/TargetNoticesTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/TargetNoticesTest.java
@@ -14,6 +14,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.rattanrudder.core.fleet.LoadReport.LeavingTarget;
+import org.rattanrudder.core.fleet.LoadReport.ReadOffsets;
 import org.rattanrudder.core.model.Address;
 
 /** What targets say of themselves, against records and responses that are older or come again. */
@@ -97,4 +99,56 @@
 
         assertThat(fleet.usableTargets(SERVICE, NOW)).isEmpty();
     }
+
+    private static LoadReport reportOfPeer(LeavingTarget... leaving) {
+        return new LoadReport(
+                "relay-2",
+                1,
+                true,
+                List.of(),
+                List.of(),
+                List.of(),
+                List.of(),
+                List.of(),
+                true,
+                new ReadOffsets(0, 0, 0),
+                List.of(),
+                List.of(),
+                List.of(leaving),
+                100);
+    }
+
+    /** Guards against a relay that the store turns away, which would hear seconds later that a target drains. */
+    @Test
+    void aRelayWithoutTheStoreHearsOfALeavingFromAPeer() {
+        Fleet peer = new Fleet();
+        peer.onLogAvailable(0);
+        apply(peer, STARTED, true, 5);
+        fleet.onLogUnavailable();
+
+        fleet.applyLoadReport(reportOfPeer(peer.leavingTargets(NOW).toArray(LeavingTarget[]::new)), NOW);
+
+        assertThat(fleet.usableTargets(SERVICE, NOW)).isEmpty();
+        apply(fleet, STARTED, false, 6);
+        assertThat(fleet.usableTargets(SERVICE, NOW)).isEmpty();
+    }
+
+    /** Guards against an old report that takes a target away which has started again since. */
+    @Test
+    void aReportOfAnEarlierIncarnationSaysNothingOfTheKnownOne() {
+        fleet.applyLoadReport(reportOfPeer(new LeavingTarget(ID, STARTED - 1)), NOW);
+
+        assertThat(fleet.usableTargets(SERVICE, NOW)).hasSize(1);
+        assertThat(fleet.leavingTargets(NOW)).isEmpty();
+    }
+
+    @Test
+    void aReportThatComesBeforeTheRecordHoldsOnceThatIsRead() {
+        fleet.applyLoadReport(reportOfPeer(new LeavingTarget(ID, STARTED + 1)), NOW);
+        assertThat(fleet.usableTargets(SERVICE, NOW)).hasSize(1);
+
+        apply(fleet, STARTED + 1, false, 5);
+
+        assertThat(fleet.usableTargets(SERVICE, NOW)).isEmpty();
+    }
 }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/PeerExchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/PeerExchange.java
@@ -234,6 +234,7 @@
                 localState.readOffsets(),
                 List.of(),
                 rateLimits(now),
+                state.fleet().leavingTargets(now),
                 0);
     }
 
@@ -334,6 +335,7 @@
             long now = state.nowMillis();
             schedule.onReport(relay, now);
             state.fleet().applyLoadReport(load, now);
+            state.selfReports().onPeerReport(relay, load);
             load.storeLateness().forEach(late -> state.directory().recordFetchLateness(late, now));
             load.weights()
                     .forEach(known ->
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
@@ -411,6 +411,11 @@
                         "rattanrudder_relay_targets_rate_limited",
                         "Targets that have named a rate limit",
                         rateLimitLog::limited);
+        state.metrics()
+                .gauge(
+                        "rattanrudder_relay_targets_leaving",
+                        "Targets that leave, by their records, their responses or peers",
+                        state.selfReports()::leavingTargets);
         state.metrics().gauge("rattanrudder_relay_connections", "Callers' connections", callers::size);
         state.metrics()
                 .gauge(
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/SelfReports.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/SelfReports.java
@@ -3,6 +3,7 @@
 import java.util.HashSet;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.rattanrudder.core.fleet.LoadReport;
 import org.rattanrudder.core.fleet.RestNotice;
 import org.rattanrudder.core.fleet.SelfReport;
 import org.rattanrudder.core.fleet.Target;
@@ -21,6 +22,9 @@
     private final RelayState state;
     private final Set<String> unknownHeaders = new HashSet<>();
 
+    /** How many targets left at the last report of a peer. */
+    private int knownLeaving;
+
     SelfReports(RelayState state) {
         this.state = state;
     }
@@ -40,6 +44,24 @@
         }
     }
 
+    /** Handles that a peer's report was applied, which may name targets that leave. */
+    void onPeerReport(String peer, LoadReport report) {
+        if (report.leaving().isEmpty()) {
+            return;
+        }
+        int leaving = leavingTargets();
+        if (leaving > knownLeaving) {
+            state.log().info("peer_says_leaving", "peer", peer, "targets", Integer.toString(leaving));
+            state.onUsableTargetsChanged();
+        }
+        knownLeaving = leaving;
+    }
+
+    /** Returns how many known targets leave. */
+    int leavingTargets() {
+        return state.fleet().leavingTargets(state.nowMillis()).size();
+    }
+
     private void apply(Target target, ResponseMetadata metadata, long sentAt) {
         SelfReport report = metadata.selfReport();
         long now = state.nowMillis();
--- a/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelRelay.java
+++ b/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelRelay.java
@@ -160,6 +160,7 @@
                 new LoadReport.ReadOffsets(0, 0, 0),
                 List.of(),
                 whole ? seenLimits() : List.of(),
+                List.of(),
                 everyMillis);
         for (ModelRelay peer : peers) {
             if (hears.test(peer)) {
--- a/rattanrudder-wire/src/main/java/org/rattanrudder/wire/peer/PeerCodec.java
+++ b/rattanrudder-wire/src/main/java/org/rattanrudder/wire/peer/PeerCodec.java
@@ -7,6 +7,7 @@
 import java.util.OptionalLong;
 import org.rattanrudder.core.fleet.LoadReport;
 import org.rattanrudder.core.fleet.LoadReport.KnownWeights;
+import org.rattanrudder.core.fleet.LoadReport.LeavingTarget;
 import org.rattanrudder.core.fleet.LoadReport.ReadOffsets;
 import org.rattanrudder.core.fleet.LoadReport.SeenRateLimit;
 import org.rattanrudder.core.fleet.LoadReport.ServedWeights;
@@ -18,6 +19,7 @@
 import org.rattanrudder.core.parts.StoreLateness;
 import org.rattanrudder.core.parts.StoreUpdate;
 import org.rattanrudder.wire.generated.PeerMessages.KnownWeightsMessage;
+import org.rattanrudder.wire.generated.PeerMessages.LeavingTargetMessage;
 import org.rattanrudder.wire.generated.PeerMessages.PartEventMessage;
 import org.rattanrudder.wire.generated.PeerMessages.PartNewsMessage;
 import org.rattanrudder.wire.generated.PeerMessages.PeerMessage;
@@ -90,6 +92,10 @@
         message.setReady(load.ready());
         load.storeLateness().forEach(late -> message.addLate(message(late)));
         load.rateLimits().forEach(seen -> message.addRateLimits(message(seen)));
+        load.leaving()
+                .forEach(each -> message.addLeaving(LeavingTargetMessage.newBuilder()
+                        .setTarget(each.target())
+                        .setStartedAt(each.startedAt())));
         message.setEveryMillis((int) load.intervalMillis());
         return PeerMessage.newBuilder().setLoad(message).build().toByteArray();
     }
@@ -169,6 +175,9 @@
                 readTo,
                 message.getLateList().stream().map(PeerCodec::late).toList(),
                 message.getRateLimitsList().stream().map(PeerCodec::rateLimit).toList(),
+                message.getLeavingList().stream()
+                        .map(each -> new LeavingTarget(each.getTarget(), within(each.getStartedAt(), Long.MAX_VALUE)))
+                        .toList(),
                 within(message.getEveryMillis(), MOST_MILLIS));
     }
 
--- a/rattanrudder-wire/src/test/java/org/rattanrudder/wire/peer/PeerCodecTest.java
+++ b/rattanrudder-wire/src/test/java/org/rattanrudder/wire/peer/PeerCodecTest.java
@@ -17,6 +17,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.rattanrudder.core.fleet.LoadReport;
 import org.rattanrudder.core.fleet.LoadReport.KnownWeights;
+import org.rattanrudder.core.fleet.LoadReport.LeavingTarget;
 import org.rattanrudder.core.fleet.LoadReport.ReadOffsets;
 import org.rattanrudder.core.fleet.LoadReport.SeenRateLimit;
 import org.rattanrudder.core.fleet.LoadReport.ServedWeights;
@@ -57,6 +58,7 @@
                 List.of(
                         new SeenRateLimit("i-1", OptionalDouble.of(requests / 7.0), tokens, tokens / 2),
                         new SeenRateLimit("i-2", OptionalDouble.empty(), requests, 0)),
+                List.of(new LeavingTarget("i-5", tokens), new LeavingTarget("i-6", 0)),
                 requests);
     }
 
