Leave a context store alone for as long as it asks for

The same fault elsewhere: the answers of context stores were read for their bodies only; one that turned calls away with 503 and a time was asked again after 300 ms, by every relay. It now gets neither polls nor evictions until the time is over, 60 s at most at once, and headers of its answers that nothing reads show themselves too. The bound lies with the notice, so that both kinds of servers have the same.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Rest.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Rest.java
@@ -10,9 +10,6 @@
  * <p>All times are milliseconds of a monotonic clock.
  */
 final class Rest {
-    /** The longest rest that is observed at once: a single wrong value must not take a target away for a day. */
-    static final long MAX_MILLIS = 60_000;
-
     /** How long a request that may end without a response keeps others from being admitted after a rest. */
     static final long TRIAL_MILLIS = 1_000;
 
@@ -24,9 +21,9 @@
     private int sent;
 
     /** Records that the target wants rest. The latest end that it has named counts. */
-    void onAsked(long millis, long nowMillis) {
+    void onAsked(RestNotice.Asked asked, long nowMillis) {
         sent = lasts(nowMillis) ? sent : 0;
-        until = Math.max(until, nowMillis + Math.min(MAX_MILLIS, millis));
+        until = Math.max(until, nowMillis + asked.observedMillis());
         trialAt = NEVER;
         accepting = false;
     }
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Target.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Target.java
@@ -131,7 +131,7 @@
         report.warmUpMillis().ifPresent(remaining -> warmUp.onReported(remaining, nowMillis));
         recordRateLimit(report.rateLimit(), conclusive, sentAt, nowMillis);
         if (report.rest() instanceof RestNotice.Asked asked) {
-            notices.rest().onAsked(asked.millis(), nowMillis);
+            notices.rest().onAsked(asked, nowMillis);
         }
         if (report.leaving()) {
             notices.onLeaving();
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/RestTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/RestTest.java
@@ -27,7 +27,7 @@
     @ParameterizedTest
     @CsvSource({"-1500", "0", "1499"})
     void noAnswerEndsARest(long sentAfterMillis) {
-        rest.onAsked(1_500, NOW);
+        rest.onAsked(new RestNotice.Asked(1_500), NOW);
 
         rest.onAccepted(NOW + sentAfterMillis);
 
@@ -38,8 +38,8 @@
 
     @Test
     void aShorterRestThatIsNamedLaterDoesNotCutTheLongerOneShort() {
-        rest.onAsked(3_000, NOW);
-        rest.onAsked(500, NOW + 100);
+        rest.onAsked(new RestNotice.Asked(3_000), NOW);
+        rest.onAsked(new RestNotice.Asked(500), NOW + 100);
 
         assertThat(rest.remainingMillis(NOW + 100)).isEqualTo(2_900);
     }
@@ -48,15 +48,15 @@
     @ParameterizedTest
     @CsvSource({"60001", "86400000", "9223372036854775807"})
     void aRestIsBounded(long asked) {
-        rest.onAsked(asked, NOW);
+        rest.onAsked(new RestNotice.Asked(asked), NOW);
 
-        assertThat(rest.remainingMillis(NOW)).isEqualTo(Rest.MAX_MILLIS);
+        assertThat(rest.remainingMillis(NOW)).isEqualTo(RestNotice.MAX_MILLIS);
     }
 
     /** Guards against a relay that returns with all its requests at once, as all other relays do then. */
     @Test
     void afterARestOneRequestTriesBeforeOthersFollow() {
-        rest.onAsked(1_000, NOW);
+        rest.onAsked(new RestNotice.Asked(1_000), NOW);
         long end = NOW + 1_000;
         assertThat(rest.admits(end)).isTrue();
         rest.onReserved(end);
@@ -71,7 +71,7 @@
     /** Guards against a request that ends without an answer and keeps its target out of use for good. */
     @Test
     void aTrialThatIsNotAnsweredLapses() {
-        rest.onAsked(1_000, NOW);
+        rest.onAsked(new RestNotice.Asked(1_000), NOW);
         long end = NOW + 1_000;
         rest.onReserved(end);
 
@@ -91,7 +91,7 @@
         long now = NOW;
         long end = 0;
         for (long millis : asked) {
-            drawn.onAsked(millis, now);
+            drawn.onAsked(new RestNotice.Asked(millis), now);
             end = Math.max(end, now + millis);
             now += millis / 3;
             drawn.onAccepted(Math.min(now, NOW + sentAfter));
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/SelfReports.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/SelfReports.java
@@ -7,6 +7,7 @@
 import org.rattanrudder.core.fleet.RestNotice;
 import org.rattanrudder.core.fleet.SelfReport;
 import org.rattanrudder.core.fleet.Target;
+import org.rattanrudder.core.model.Address;
 import org.rattanrudder.daemon.relay.port.ResponseMetadata;
 
 /**
@@ -31,7 +32,7 @@
 
     /** Takes in the head of the response to a request. */
     void onResponse(Target target, ResponseMetadata metadata, long sentAt) {
-        metadata.unknownHeaders().forEach(name -> onUnknownHeader(target, name));
+        metadata.unknownHeaders().forEach(name -> onUnknownHeader(target.id(), name));
         if (metadata.isFrom(target.id())) {
             apply(target, metadata, sentAt);
         }
@@ -44,6 +45,16 @@
         }
     }
 
+    /** Takes in the head of a context store's response; returns how long the store wants no further call, in ms. */
+    long onStoreAnswered(Address store, CallResult result) {
+        if (!(result instanceof CallResult.Answered answered)) {
+            return 0;
+        }
+        ResponseMetadata metadata = state.platform().requests().read(answered.response());
+        metadata.unknownHeaders().forEach(name -> onUnknownHeader(store.toString(), name));
+        return metadata.selfReport().rest() instanceof RestNotice.Asked asked ? asked.observedMillis() : 0;
+    }
+
     /** Handles that a peer's report was applied, which may name targets that leave. */
     void onPeerReport(String peer, LoadReport report) {
         if (report.leaving().isEmpty()) {
@@ -122,12 +133,12 @@
         }
     }
 
-    private void onUnknownHeader(Target target, String name) {
+    private void onUnknownHeader(String sender, String name) {
         if (unknownHeaders.contains(name)) {
             state.metrics().recordUnknownHeader(name);
         } else if (unknownHeaders.size() < MAX_UNKNOWN_HEADERS) {
             unknownHeaders.add(name);
-            state.log().warn("response_header_unknown", "name", name, "target", target.id());
+            state.log().warn("response_header_unknown", "name", name, "target", sender);
             state.metrics().recordUnknownHeader(name);
         } else {
             state.metrics().recordUnknownHeader("other");
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/StoreWatch.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/StoreWatch.java
@@ -40,6 +40,7 @@
     private long since;
     private long incarnation = -1;
     private long listedAt = Long.MIN_VALUE / 2;
+    private long restUntil = Long.MIN_VALUE / 2;
     private boolean available = true;
     private boolean behind = true;
 
@@ -62,6 +63,10 @@
             return;
         }
         long asked = state.nowMillis();
+        if (asked < restUntil) {
+            timer.reschedule(this::poll, restUntil - asked);
+            return;
+        }
         long wait = behind ? CATCH_UP_WAIT_MILLIS : POLL_WAIT_MILLIS;
         client.call(dialect.pollChanges(since, wait), TIMEOUT_MILLIS, answer -> {
             Optional<StoreUpdate> update = read(answer, true);
@@ -118,9 +123,9 @@
     }
 
     private void schedulePoll() {
-        timer.reschedule(
-                this::poll,
-                behind ? 0 : pollSchedule.pollDelayMillis(state.fleet().livePeers(state.nowMillis())));
+        long now = state.nowMillis();
+        long delay = behind ? 0 : pollSchedule.pollDelayMillis(state.fleet().livePeers(now));
+        timer.reschedule(this::poll, Math.max(delay, restUntil - now));
     }
 
     private void list() {
@@ -144,8 +149,12 @@
 
     /** Evicts parts that no request reads any more. */
     void free(List<PartKey> parts, long inIncarnation) {
+        if (state.nowMillis() < restUntil) {
+            return;
+        }
         HttpCallClient evictionClient = new HttpCallClient(state.connector(), () -> address);
         evictionClient.call(dialect.evict(parts, inIncarnation), TIMEOUT_MILLIS, answer -> {
+            heedRest(answer);
             state.log()
                     .info(
                             "parts_freed",
@@ -162,6 +171,7 @@
     }
 
     private Optional<StoreUpdate> read(CallResult answer, boolean changes) {
+        heedRest(answer);
         if (!(answer instanceof CallResult.Answered answered)) {
             return Optional.empty();
         }
@@ -181,12 +191,19 @@
         }
     }
 
+    private void heedRest(CallResult answer) {
+        long rest = state.selfReports().onStoreAnswered(address, answer);
+        if (rest > 0) {
+            restUntil = Math.max(restUntil, state.nowMillis() + rest);
+        }
+    }
+
     private void onUnavailable(CallResult answer) {
         if (available) {
             state.log().warn("context_store_lost", "store", address.toString(), "answer", describe(answer));
         }
         available = false;
-        timer.reschedule(this::poll, RETRY_DELAY_MILLIS);
+        timer.reschedule(this::poll, Math.max(RETRY_DELAY_MILLIS, restUntil - state.nowMillis()));
     }
 
     private static String describe(CallResult answer) {
