Keep what a caller is told in the end apart from serving its request

Moved as it was: FinalReply holds the replies with an error, those with a time to come back, and the end of a response that has begun; Exchange hands its endings to one place.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
@@ -40,6 +40,7 @@
     private final RequestPlan plan;
     private final ResponseForwarder forwarder;
     private final ExchangeLog log;
+    private final FinalReply reply;
     private final QueueWait queueWait;
     private final QuarantineCheck quarantine;
     private final AttemptHistory history = new AttemptHistory();
@@ -69,6 +70,7 @@
                 plan.route().repeat(),
                 () -> state.metrics().recordFirstByte(plan.route().name(), state.nowMillis() - plan.arrivedAt()));
         log = new ExchangeLog(state, plan);
+        reply = new FinalReply(state, caller, plan);
         queueWait = new QueueWait(state, plan, this, log);
         quarantine = new QuarantineCheck(state, plan, head.uri(), body);
     }
@@ -93,12 +95,11 @@
         }
         String reason = "quarantined as " + quarantine.fingerprint();
         if (forwarder.hasBegun()) {
-            abortResponse(reason);
+            finish(reply.abort(reason));
         } else if (history.mayHaveRun()) {
-            end(ErrorKind.TARGET_FAILED, reason);
+            finish(reply.fail(ErrorKind.TARGET_FAILED, reason));
         } else {
-            caller.refuseWithRetryAfter(ErrorKind.REQUEST_QUARANTINED, plan.id(), left.getAsLong());
-            finish(ErrorKind.REQUEST_QUARANTINED.wireName(), reason);
+            finish(reply.failUntil(ErrorKind.REQUEST_QUARANTINED, reason, left.getAsLong()));
         }
         return true;
     }
@@ -161,7 +162,7 @@
      */
     private void refuse(ErrorKind notRun, String reason) {
         if (!ended) {
-            end(history.mayHaveRun() ? ErrorKind.TARGET_FAILED : notRun, reason);
+            finish(reply.fail(history.mayHaveRun() ? ErrorKind.TARGET_FAILED : notRun, reason));
         }
     }
 
@@ -173,13 +174,13 @@
         if (choice.isPresent()) {
             sendTo(choice.get());
         } else if (forwarder.hasBegun()) {
-            abortResponse("no target");
+            finish(reply.abort("no target"));
         } else if (history.mayHaveRun()) {
-            end(ErrorKind.TARGET_FAILED, "no target");
+            finish(reply.fail(ErrorKind.TARGET_FAILED, "no target"));
         } else if (targets.isEmpty()) {
-            end(ErrorKind.NO_TARGET, "no target");
+            finish(reply.fail(ErrorKind.NO_TARGET, "no target"));
         } else {
-            end(ErrorKind.OVERLOADED, "no target may take it");
+            finish(reply.fail(ErrorKind.OVERLOADED, "no target may take it"));
         }
     }
 
@@ -353,7 +354,7 @@
             }
         }
         endAttempt("answered");
-        finish(Integer.toString(forwarder.status()), "passed on");
+        finish(new FinalReply.Ending(Integer.toString(forwarder.status()), "passed on"));
     }
 
     @Override
@@ -384,9 +385,9 @@
         if (allowed && (!history.isSent() || state.tryAcquireRetry(plan.service()))) {
             place();
         } else if (forwarder.hasBegun()) {
-            abortResponse(reason);
+            finish(reply.abort(reason));
         } else {
-            end(RetryPolicy.finalError(history.possibleRuns(), outcome), reason);
+            finish(reply.fail(RetryPolicy.finalError(history.possibleRuns(), outcome), reason));
         }
     }
 
@@ -447,9 +448,9 @@
             history.onFailed(AttemptOutcome.SILENT);
         }
         if (forwarder.hasBegun()) {
-            abortResponse(reason);
+            finish(reply.abort(reason));
         } else {
-            end(history.mayHaveRun() ? ErrorKind.TARGET_SILENT : unsent, reason);
+            finish(reply.fail(history.mayHaveRun() ? ErrorKind.TARGET_SILENT : unsent, reason));
         }
     }
 
@@ -462,27 +463,10 @@
             attempt.connection().abort();
             endAttempt("cancelled");
         }
-        finish("cancelled", "caller left");
+        finish(new FinalReply.Ending("cancelled", "caller left"));
     }
 
-    private void abortResponse(String reason) {
-        caller.abort();
-        finish("broken_off", reason);
-    }
-
-    private void end(ErrorKind error, String reason) {
-        boolean overloaded = error == ErrorKind.OVERLOADED || error == ErrorKind.NO_TARGET;
-        OptionalLong afterRest = overloaded ? plan.retryAfterRestMillis(state.nowMillis()) : OptionalLong.empty();
-        if (afterRest.isPresent()) {
-            caller.refuseWithRetryAfter(ErrorKind.OVERLOADED, plan.id(), afterRest.getAsLong());
-            finish(ErrorKind.OVERLOADED.wireName(), "all targets want rest");
-            return;
-        }
-        caller.refuse(error, plan.id(), plan.remainingMillis());
-        finish(error.wireName(), reason);
-    }
-
-    private void finish(String outcome, String reason) {
+    private void finish(FinalReply.Ending ending) {
         ended = true;
         queueWait.leave();
         if (deadline != null) {
@@ -490,8 +474,8 @@
         }
         forwarder.discard();
         body.release();
-        state.metrics().recordRequest(plan.route().name(), outcome);
-        log.ended(outcome, reason, lastAttempt, load, history.possibleRuns(), history.unexecutedSends());
+        state.metrics().recordRequest(plan.route().name(), ending.outcome());
+        log.ended(ending, lastAttempt, load, history.possibleRuns(), history.unexecutedSends());
         caller.onExchangeEnded();
     }
 }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/ExchangeLog.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/ExchangeLog.java
@@ -141,7 +141,7 @@
      * @param runs attempts that may have run, not counting one that was answered
      * @param notRunSends attempts that certainly did not run
      */
-    void ended(String outcome, String reason, Optional<TargetAttempt> attempt, String load, int runs, int notRunSends) {
+    void ended(FinalReply.Ending ending, Optional<TargetAttempt> attempt, String load, int runs, int notRunSends) {
         state.log()
                 .info(
                         "request_ended",
@@ -150,9 +150,9 @@
                         "route",
                         plan.route().name(),
                         "outcome",
-                        outcome,
+                        ending.outcome(),
                         "reason",
-                        reason,
+                        ending.reason(),
                         "ms",
                         Long.toString(state.nowMillis() - plan.arrivedAt()),
                         "target",
--- /dev/null
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/FinalReply.java
@@ -0,0 +1,48 @@
+package org.rattanrudder.daemon.relay;
+
+import java.util.OptionalLong;
+import org.rattanrudder.core.model.ErrorKind;
+
+/** Tells the caller of one request that it was not served, and when to come back. */
+final class FinalReply {
+    private final RelayState state;
+    private final CallerConnection caller;
+    private final RequestPlan plan;
+
+    FinalReply(RelayState state, CallerConnection caller, RequestPlan plan) {
+        this.state = state;
+        this.caller = caller;
+        this.plan = plan;
+    }
+
+    /**
+     * How a request ended, for log and metrics.
+     *
+     * @param outcome a status, the name of an error, or another fixed word
+     * @param reason what led to it
+     */
+    record Ending(String outcome, String reason) {}
+
+    /** Replies with an error. While all targets want rest, the reply says when the first of them has rested. */
+    Ending fail(ErrorKind error, String reason) {
+        boolean overloaded = error == ErrorKind.OVERLOADED || error == ErrorKind.NO_TARGET;
+        OptionalLong afterRest = overloaded ? plan.retryAfterRestMillis(state.nowMillis()) : OptionalLong.empty();
+        if (afterRest.isPresent()) {
+            return failUntil(ErrorKind.OVERLOADED, "all targets want rest", afterRest.getAsLong());
+        }
+        caller.refuse(error, plan.id(), plan.remainingMillis());
+        return new Ending(error.wireName(), reason);
+    }
+
+    /** Replies with an error that asks the caller to retry after the given time, regardless of its deadline. */
+    Ending failUntil(ErrorKind error, String reason, long retryAfterMillis) {
+        caller.refuseWithRetryAfter(error, plan.id(), retryAfterMillis);
+        return new Ending(error.wireName(), reason);
+    }
+
+    /** Ends a response that has begun and can't be completed. */
+    Ending abort(String reason) {
+        caller.abort();
+        return new Ending("broken_off", reason);
+    }
+}
