Play engines that ask for rest in virtual time, and compare what relays do then

Hypothesis: sending nothing costs callers nothing while others serve, and after the rest all relays return in the same moment. Kept: one request tries.

--- a/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelDay.java
+++ b/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelDay.java
@@ -22,6 +22,7 @@
  * @param stores where context is kept for all engines
  * @param dark engines without power for a while
  * @param limited engines that name a rate limit for a while
+ * @param resting engines that turn requests away and ask for rest for a while
  * @param classes the kinds of request
  */
 public record ModelDay(
@@ -34,6 +35,7 @@
         Stores stores,
         Dark dark,
         Limited limited,
+        Resting resting,
         List<Kind> classes) {
     private static final ObjectMapper MAPPER = JsonMapper.builder()
             .enable(JsonReadFeature.ALLOW_JAVA_COMMENTS)
@@ -51,6 +53,7 @@
         require(stores.count() > 0, "stores.count", "above 0");
         require(dark.share() >= 0 && dark.share() < 1, "dark.share", "from 0 to below 1");
         require(limited.share() >= 0 && limited.share() <= 1, "limited.share", "from 0 to 1");
+        require(resting.share() >= 0 && resting.share() <= 1, "resting.share", "from 0 to 1");
         require(!classes.isEmpty(), "classes", "at least one");
     }
 
@@ -118,6 +121,16 @@
      */
     public record Limited(double share, double requestsPerSecond, double atSeconds, double forSeconds) {}
 
+    /**
+     * Engines that turn all requests away, the last ones by number.
+     *
+     * @param share the part of the engines
+     * @param restSeconds the rest that they ask for
+     * @param atSeconds from when
+     * @param forSeconds for how long
+     */
+    public record Resting(double share, double restSeconds, double atSeconds, double forSeconds) {}
+
     /**
      * A kind of request.
      *
--- a/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelEngine.java
+++ b/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelEngine.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeSet;
 
@@ -35,6 +36,7 @@
     private boolean stepping;
     private boolean dark;
     private OptionalDouble namedLimit = OptionalDouble.empty();
+    private OptionalLong restMillis = OptionalLong.empty();
     private long tokensRead;
     private long tokensReadAgain;
     private int preempted;
@@ -59,8 +61,8 @@
         if (dark) {
             return;
         }
-        if (waiting.size() >= queue) {
-            job.listener().rejected();
+        if (restMillis.isPresent() || waiting.size() >= queue) {
+            job.listener().rejected(restMillis);
             return;
         }
         job.number(numbers++);
@@ -96,6 +98,11 @@
         stepping = false;
     }
 
+    /** Turns all further requests away and asks for so much rest; takes them again if empty. */
+    void askForRest(OptionalLong millis) {
+        restMillis = millis;
+    }
+
     /** Names a rate limit in all further answers; none if empty. */
     void nameLimit(OptionalDouble requestsPerSecond) {
         namedLimit = requestsPerSecond;
--- a/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelExperiment.java
+++ b/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelExperiment.java
@@ -12,6 +12,7 @@
 import joptsimple.OptionParser;
 import joptsimple.OptionSet;
 import joptsimple.OptionSpec;
+import org.rattanrudder.standins.model.ModelPolicy.RestWay;
 
 /**
  * Compares ways of deciding on one day, over several seeds.
@@ -46,6 +47,8 @@
                 change().heldFor(0.3).named("held for 0.3 of the objective"),
                 change().heldFor(0.7).named("held for 0.7 of the objective"),
                 change().limitsPassedOver().named("rate limits passed over"),
+                change().rest(RestWay.PASSED_OVER).named("wishes for rest passed over"),
+                change().rest(RestWay.ALL_RETURN).named("all return at once after a rest"),
                 change().nothingAtOnce()
                         .countedOnceConnected()
                         .withoutOwnOrder()
@@ -69,8 +72,8 @@
 
     static void print(PrintStream out, ModelDay day, int seeds) {
         out.println("| way | on time (least to most) | late | refused | p50 ms | p95 ms | read again | preempted"
-                + " | sent above | messages | to limited engines | most in 4 s |");
-        out.println("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+                + " | sent above | messages | to limited engines | most in 4 s | turned away | at once |");
+        out.println("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
         for (ModelPolicy policy : policies()) {
             List<ModelReport> reports = LongStream.rangeClosed(1, seeds)
                     .parallel()
@@ -86,7 +89,7 @@
         return String.format(
                 Locale.ROOT,
                 "| %s | %.1f%% (%.1f to %.1f) | %.1f%% | %.1f%% | %.0f | %.0f | %.1f%% | %.0f | %.1f%% | %.0f"
-                        + " | %.0f | %.0f |",
+                        + " | %.0f | %.0f | %.0f | %.0f |",
                 policy.name(),
                 PERCENT * mean(reports, ModelReport::onTime),
                 PERCENT * least,
@@ -100,7 +103,9 @@
                 PERCENT * mean(reports, ModelReport::sentAbove),
                 mean(reports, ModelReport::messages),
                 mean(reports, ModelReport::limitedSends),
-                mean(reports, ModelReport::mostToLimitedEngine));
+                mean(reports, ModelReport::mostToLimitedEngine),
+                mean(reports, ModelReport::turnedAway),
+                mean(reports, ModelReport::mostTurnedAwayAtOnce));
     }
 
     private static double mean(List<ModelReport> reports, ToDoubleFunction<ModelReport> value) {
--- a/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelJob.java
+++ b/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelJob.java
@@ -1,6 +1,7 @@
 package org.rattanrudder.standins.model;
 
 import java.util.List;
+import java.util.OptionalLong;
 
 /** One request at one engine. */
 final class ModelJob {
@@ -23,8 +24,8 @@
         /** All tokens were made. */
         void ended();
 
-        /** The engine doesn't take it. */
-        void rejected();
+        /** The engine doesn't take it, and may ask for rest, in ms. */
+        void rejected(OptionalLong restMillis);
     }
 
     /**
--- a/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelPolicy.java
+++ b/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelPolicy.java
@@ -17,6 +17,7 @@
  * @param heldShare how long a request waits in line to be on time, as a part of the objective
  * @param lateShare how long a late request waits in line, as a multiple of the objective
  * @param keepsLimits whether the rate limits that engines name are kept
+ * @param rest what is done when engines ask for rest
  */
 public record ModelPolicy(
         String name,
@@ -30,7 +31,18 @@
         boolean ownOrder,
         double heldShare,
         double lateShare,
-        boolean keepsLimits) {
+        boolean keepsLimits,
+        RestWay rest) {
+    /** What relays do when an engine asks for rest. */
+    enum RestWay {
+        /** Nothing but what any rejection leads to. */
+        PASSED_OVER,
+        /** Send nothing until it is over, then all that there is. */
+        ALL_RETURN,
+        /** Send nothing until it is over, then one request until that was accepted. */
+        ONE_TRIES
+    }
+
     /** Returns what a relay does now. */
     public static ModelPolicy now() {
         return new Change().named("now");
@@ -54,6 +66,7 @@
         private double heldShare = HoldingQueue.ON_TIME_WAIT_RATIO;
         private double lateShare = HoldingQueue.LATE_WAIT_RATIO;
         private boolean keepsLimits = true;
+        private RestWay rest = RestWay.ONE_TRIES;
 
         Change messages(long everyMillis, int toFarOnesEvery) {
             wholeEveryMillis = everyMillis;
@@ -107,6 +120,11 @@
             return this;
         }
 
+        Change rest(RestWay way) {
+            rest = way;
+            return this;
+        }
+
         ModelPolicy named(String name) {
             return new ModelPolicy(
                     name,
@@ -120,7 +138,8 @@
                     ownOrder,
                     heldShare,
                     lateShare,
-                    keepsLimits);
+                    keepsLimits,
+                    rest);
         }
     }
 }
--- a/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelRelay.java
+++ b/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelRelay.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
@@ -19,12 +20,17 @@
 import org.rattanrudder.core.fleet.RateLimitAdmission;
 import org.rattanrudder.core.fleet.RateLimitNotice;
 import org.rattanrudder.core.fleet.ReportSchedule;
+import org.rattanrudder.core.fleet.RestNotice;
+import org.rattanrudder.core.fleet.SelfReport;
 import org.rattanrudder.core.fleet.SendWindow;
 import org.rattanrudder.core.fleet.Target;
+import org.rattanrudder.core.fleet.TargetAdmission;
 import org.rattanrudder.core.fleet.TargetRegistration;
+import org.rattanrudder.core.fleet.WarmUpAdmission;
 import org.rattanrudder.core.gateway.EngineTraits;
 import org.rattanrudder.core.model.Address;
 import org.rattanrudder.core.routing.Hashing;
+import org.rattanrudder.standins.model.ModelPolicy.RestWay;
 
 /** A relay with the decisions of a real one and a network in virtual time. */
 final class ModelRelay {
@@ -50,7 +56,8 @@
     private final ModelTally tally;
     private final Fleet fleet = new Fleet();
     private final PermitShares shares = new PermitShares();
-    private final RateLimitAdmission rateLimits = new RateLimitAdmission(shares);
+    private final TargetAdmission admission = new TargetAdmission(
+            fleet, new WarmUpAdmission(fleet.evacuations(), shares), new RateLimitAdmission(shares));
     private final ReportSchedule schedule = new ReportSchedule();
     private final HoldingQueue<ModelRequest> line = new HoldingQueue<>();
     private final List<ModelRelay> peers = new ArrayList<>();
@@ -240,8 +247,13 @@
     private boolean sendIfRoom(ModelRequest request) {
         long now = time.millis();
         boolean late = now > request.arrivedAt() + request.kind().objectiveMillis() * policy.heldShare();
-        List<Target> active = fleet.activeTargets(SERVICE, now);
-        List<Target> admitted = policy.keepsLimits() ? rateLimits.admitted(active, now) : active;
+        List<Target> active = TargetAdmission.withoutResting(admission.usable(SERVICE, now), now);
+        if (policy.rest() == RestWay.ALL_RETURN) {
+            active.forEach(target -> target.onAccepted(now));
+        }
+        List<Target> admitted = policy.keepsLimits()
+                ? admission.admitted(active, Optional.empty(), now).targets()
+                : active;
         List<Target> open = SendWindow.targetsWithRoom(admitted, traits, request.tokens(), late, now);
         Optional<Placement.Choice> choice = Placement.choose(open, query(request), now);
         choice.ifPresent(found -> send(request, found.target()));
@@ -377,7 +389,8 @@
                 RateLimitNotice notice = engine.namedLimit().isPresent()
                         ? new RateLimitNotice.Limited(engine.namedLimit().getAsDouble())
                         : new RateLimitNotice.NotLimited();
-                target.recordRateLimit(notice, true, sentAt, time.millis());
+                hear(new RestNotice.NotAsked(), notice);
+                target.onAccepted(sentAt);
                 target.onFirstByte(work);
                 done(target);
                 request.first(time.millis());
@@ -385,6 +398,11 @@
             }
         }
 
+        private void hear(RestNotice rest, RateLimitNotice limit) {
+            SelfReport report = new SelfReport(Optional.empty(), OptionalLong.empty(), limit, rest, false);
+            target.recordSelfReport(report, true, sentAt, time.millis());
+        }
+
         @Override
         public void ended() {
             end();
@@ -392,9 +410,14 @@
         }
 
         @Override
-        public void rejected() {
+        public void rejected(OptionalLong restMillis) {
             end();
             target.onRejected(time.millis());
+            tally.turnedAway(target.id(), time.millis());
+            if (restMillis.isPresent() && policy.rest() != RestWay.PASSED_OVER) {
+                hear(new RestNotice.Asked(restMillis.getAsLong()), new RateLimitNotice.Unreadable());
+                time.afterMillis(restMillis.getAsLong(), ModelRelay.this::drain);
+            }
             take(request);
         }
     }
--- a/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelReport.java
+++ b/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelReport.java
@@ -18,6 +18,8 @@
  * @param messages messages that relays made
  * @param limitedSends requests that engines got while they named a rate limit
  * @param mostToLimitedEngine the most of these that one engine got within four seconds
+ * @param turnedAway requests that engines turned away
+ * @param mostTurnedAwayAtOnce the most of these at one engine within a tenth of a second
  */
 public record ModelReport(
         int asked,
@@ -31,7 +33,9 @@
         double sentAbove,
         long messages,
         int limitedSends,
-        int mostToLimitedEngine) {
+        int mostToLimitedEngine,
+        int turnedAway,
+        int mostTurnedAwayAtOnce) {
     private static final double SLOW = 0.95;
 
     static ModelReport of(List<ModelRequest> requests, Collection<ModelEngine> engines, ModelTally tally) {
@@ -63,7 +67,9 @@
                 tally.shareAbove(),
                 tally.messages(),
                 tally.toLimitedEngines(),
-                tally.mostToLimitedEngine());
+                tally.mostToLimitedEngine(),
+                tally.turnedAway(),
+                tally.mostTurnedAwayAtOnce());
     }
 
     private static long at(List<Long> sorted, double part) {
--- a/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelRun.java
+++ b/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelRun.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import java.util.random.RandomGeneratorFactory;
@@ -61,14 +62,14 @@
                 (day.dark().atSeconds() + day.dark().forSeconds()) * SECOND_MILLIS,
                 () -> losing.forEach(engine -> engine.power(true)));
         limitEngines(day.limited());
+        restEngines(day.resting());
         day.classes().forEach(kind -> new Arrivals(kind).next());
         time.runUntil(Math.round((day.seconds() + TAIL_SECONDS) * SECOND_MICROS));
         return ModelReport.of(requests, engines.values(), tally);
     }
 
     private void limitEngines(ModelDay.Limited limited) {
-        long others = day.engines() - Math.round(day.engines() * limited.share());
-        List<ModelEngine> naming = engines.values().stream().skip(others).toList();
+        List<ModelEngine> naming = last(limited.share());
         OptionalDouble limit = OptionalDouble.of(limited.requestsPerSecond());
         time.afterMillis(limited.atSeconds() * SECOND_MILLIS, () -> naming.forEach(engine -> engine.nameLimit(limit)));
         time.afterMillis(
@@ -76,6 +77,21 @@
                 () -> naming.forEach(engine -> engine.nameLimit(OptionalDouble.empty())));
     }
 
+    private void restEngines(ModelDay.Resting resting) {
+        List<ModelEngine> turningAway = last(resting.share());
+        OptionalLong rest = OptionalLong.of(Math.round(resting.restSeconds() * SECOND_MILLIS));
+        time.afterMillis(
+                resting.atSeconds() * SECOND_MILLIS, () -> turningAway.forEach(engine -> engine.askForRest(rest)));
+        time.afterMillis(
+                (resting.atSeconds() + resting.forSeconds()) * SECOND_MILLIS,
+                () -> turningAway.forEach(engine -> engine.askForRest(OptionalLong.empty())));
+    }
+
+    private List<ModelEngine> last(double share) {
+        long others = day.engines() - Math.round(day.engines() * share);
+        return engines.values().stream().skip(others).toList();
+    }
+
     private void introduce() {
         for (ModelRelay relay : relays) {
             int index = 0;
--- a/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelTally.java
+++ b/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelTally.java
@@ -9,9 +9,11 @@
 /** What all relays together did: their work at each engine, whatever each of them knows of it. */
 final class ModelTally {
     private static final long LIMIT_WINDOW_MILLIS = 4_000;
+    private static final long AT_ONCE_MILLIS = 100;
 
     private final Map<String, Long> work = new HashMap<>();
     private final Map<String, List<Long>> limitedSends = new HashMap<>();
+    private final Map<String, List<Long>> turnedAway = new HashMap<>();
     private long sent;
     private long sentAbove;
     private long messages;
@@ -35,17 +37,36 @@
 
     /** Returns the most requests that an engine got within four seconds while it named a limit. */
     int mostToLimitedEngine() {
-        return limitedSends.values().stream()
-                .mapToInt(ModelTally::mostWithinWindow)
+        return most(limitedSends, LIMIT_WINDOW_MILLIS);
+    }
+
+    /** Notes that an engine has turned a request away. */
+    void turnedAway(String engine, long nowMillis) {
+        turnedAway.computeIfAbsent(engine, unseen -> new ArrayList<>()).add(nowMillis);
+    }
+
+    /** Returns how many requests engines have turned away. */
+    int turnedAway() {
+        return turnedAway.values().stream().mapToInt(List::size).sum();
+    }
+
+    /** Returns the most requests that an engine has turned away within a tenth of a second. */
+    int mostTurnedAwayAtOnce() {
+        return most(turnedAway, AT_ONCE_MILLIS);
+    }
+
+    private static int most(Map<String, List<Long>> byEngine, long windowMillis) {
+        return byEngine.values().stream()
+                .mapToInt(times -> mostWithin(times, windowMillis))
                 .max()
                 .orElse(0);
     }
 
-    private static int mostWithinWindow(List<Long> sends) {
+    private static int mostWithin(List<Long> sends, long windowMillis) {
         int most = 0;
         int first = 0;
         for (int last = 0; last < sends.size(); last++) {
-            while (sends.get(last) - sends.get(first) >= LIMIT_WINDOW_MILLIS) {
+            while (sends.get(last) - sends.get(first) >= windowMillis) {
                 first++;
             }
             most = Math.max(most, last - first + 1);
--- a/rattanrudder-standins/src/test/java/org/rattanrudder/standins/model/ModelEngineTest.java
+++ b/rattanrudder-standins/src/test/java/org/rattanrudder/standins/model/ModelEngineTest.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.OptionalLong;
 import org.junit.jupiter.api.Test;
 
 class ModelEngineTest {
@@ -31,7 +32,7 @@
             }
 
             @Override
-            public void rejected() {
+            public void rejected(OptionalLong restMillis) {
                 told.add(name + " rejected");
             }
         });
--- a/rattanrudder-standins/src/test/java/org/rattanrudder/standins/model/ModelRunTest.java
+++ b/rattanrudder-standins/src/test/java/org/rattanrudder/standins/model/ModelRunTest.java
@@ -136,4 +136,22 @@
 
         assertThatThrownBy(() -> ModelDay.parse(wrong)).hasMessageContaining(named);
     }
+
+    /** Guards against requests that resting engines turn away again and again, and callers who pay for it. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void enginesThatAskForRestTurnFewRequestsAway(long seed) throws IOException {
+        ModelDay day = ModelDay.read(Path.of("../examples/model/resting-engines.json"));
+        int times = (int) Math.ceil(day.resting().forSeconds() / day.resting().restSeconds());
+        long resting = Math.round(day.engines() * day.resting().share());
+
+        ModelReport heeded = ModelRun.play(day, ModelPolicy.now(), seed);
+        ModelReport passedOver = ModelRun.play(
+                day, ModelPolicy.change().rest(ModelPolicy.RestWay.PASSED_OVER).named("passed over"), seed);
+
+        // Each relay is told once before each rest; some have a second request under way then.
+        assertThat((long) heeded.turnedAway()).isLessThanOrEqualTo(2L * day.relays() * times * resting);
+        assertThat(heeded.turnedAway()).isLessThan(passedOver.turnedAway());
+        assertThat(heeded.onTime()).isGreaterThan(0.98);
+    }
 }
