Apply a removal that was held back once a peer that hadn't lost the store has applied it

Cause: a relay that regains the store holds removals back for 2.5 s, since entries lapse in an outage and come back. It can't tell an outage from its own being cut off, which ends nobody's registration. Ruled out: a late read, which was suspected; the relay had the removal within 35 ms. Change: full reports name the removals that a relay has applied at once, for 3.5 s; one that holds back the same removal, or an older one, applies it. Relays that all have seen an outage hold back alike and report none.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Fleet.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Fleet.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.function.Predicate;
 import org.rattanrudder.core.fleet.LoadReport.LeavingTarget;
+import org.rattanrudder.core.fleet.LoadReport.RemovedTarget;
 import org.rattanrudder.core.fleet.LoadReport.SeenRateLimit;
 import org.rattanrudder.core.fleet.LoadReport.ServedWeights;
 
@@ -35,6 +36,9 @@
      */
     public static final long LOG_RECOVERY_GRACE_MILLIS = 2_500;
 
+    /** How long a removal is reported: as long as a peer that had lost the log would hold it back, and one report. */
+    static final long REMOVAL_REPORTED_MILLIS = LOG_RECOVERY_GRACE_MILLIS + 1_000;
+
     /**
      * How long a target is treated as loading weights after a peer reported it. It spans several reports, since some
      * may be lost.
@@ -45,6 +49,7 @@
     private final Map<String, RecordPosition> newestRecords = new HashMap<>();
     private final Map<String, Long> expired = new HashMap<>();
     private final Map<String, TargetNotices> notices = new HashMap<>();
+    private final Map<String, Removal> removals = new LinkedHashMap<>();
     private final PeerLoads peers = new PeerLoads();
     private final TargetSharing sharing = new TargetSharing();
     private final Evacuations evacuations = new Evacuations();
@@ -70,6 +75,14 @@
         private static final RecordPosition NONE = new RecordPosition(TargetRegistration.START_UNKNOWN, -1);
     }
 
+    /**
+     * A removal that was applied at once, since this relay had the log all the while.
+     *
+     * @param offset the log offset of the removal
+     * @param at when it was applied
+     */
+    private record Removal(long offset, long at) {}
+
     /** Handles that the log has become unavailable. */
     public void onLogUnavailable() {
         logUnavailable = true;
@@ -94,7 +107,7 @@
         if (!isNewer(id, offset)) {
             return false;
         }
-        remove(id, nowMillis);
+        remove(id, offset, nowMillis);
         return true;
     }
 
@@ -190,7 +203,7 @@
         listed = true;
         for (String id : List.copyOf(targets.keySet())) {
             if (!present.contains(id) && newestRecords.get(id).offset() < end) {
-                remove(id, nowMillis);
+                remove(id, end, nowMillis);
             }
         }
     }
@@ -228,6 +241,7 @@
                     .ifPresent(target -> target.confirmWeights(served.model(), served.version(), nowMillis));
         }
         report.leaving().forEach(this::onLeavingReported);
+        report.removed().forEach(this::onRemovalReported);
         for (SeenRateLimit seen : report.rateLimits()) {
             find(seen.target()).ifPresent(target -> target.applyRateLimit(seen, nowMillis));
         }
@@ -301,15 +315,40 @@
         return 2 * unreachable.size() <= all.size() ? unreachable : List.of();
     }
 
-    private void remove(String id, long nowMillis) {
+    private void remove(String id, long offset, long nowMillis) {
         if (logUnavailable || nowMillis - logRecoveredAt < LOG_RECOVERY_GRACE_MILLIS) {
             expired.putIfAbsent(id, nowMillis);
             return;
         }
-        targets.remove(id);
+        if (targets.remove(id) != null) {
+            removals.put(id, new Removal(offset, nowMillis));
+        }
         expired.remove(id);
     }
 
+    /**
+     * Applies a removal that is held back here, since this relay had lost the log, and that a peer which hadn't has
+     * applied.
+     */
+    private void onRemovalReported(RemovedTarget removed) {
+        boolean asNew = newestRecords
+                        .getOrDefault(removed.target(), RecordPosition.NONE)
+                        .offset()
+                <= removed.offset();
+        if (asNew && expired.remove(removed.target()) != null) {
+            targets.remove(removed.target());
+        }
+    }
+
+    /** Returns the removals that were applied lately and not held back, for peers that had lost the log. */
+    public List<RemovedTarget> removedTargets(long nowMillis) {
+        removals.values().removeIf(removal -> nowMillis - removal.at() > REMOVAL_REPORTED_MILLIS);
+        return removals.entrySet().stream()
+                .map(removal ->
+                        new RemovedTarget(removal.getKey(), removal.getValue().offset()))
+                .toList();
+    }
+
     private void removeExpired(long nowMillis) {
         if (expired.isEmpty() || logUnavailable || nowMillis - logRecoveredAt < LOG_RECOVERY_GRACE_MILLIS) {
             return;
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/LoadReport.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/LoadReport.java
@@ -20,6 +20,7 @@
  * @param storeLateness lateness of fetches from context stores since the last full report to the same peer
  * @param rateLimits what this relay has seen of the rate limits of targets; only in full reports
  * @param leaving targets that leave, by their registrations or their responses; only in full reports
+ * @param removed targets whose removal the relay has lately read while the log was available; only in full reports
  * @param intervalMillis the time until the next full report to the same peer; 0 in incremental reports
  */
 public record LoadReport(
@@ -36,6 +37,7 @@
         List<StoreLateness> storeLateness,
         List<SeenRateLimit> rateLimits,
         List<LeavingTarget> leaving,
+        List<RemovedTarget> removed,
         long intervalMillis) {
     public LoadReport {
         targets = List.copyOf(targets);
@@ -46,6 +48,7 @@
         storeLateness = List.copyOf(storeLateness);
         rateLimits = List.copyOf(rateLimits);
         leaving = List.copyOf(leaving);
+        removed = List.copyOf(removed);
     }
 
     /** Creates a report of load, readiness and read offsets only. */
@@ -53,7 +56,7 @@
             String relay, long sequence, boolean whole, List<TargetLoad> targets, boolean ready, ReadOffsets readTo) {
         return new LoadReport(
                 relay, sequence, whole, targets, List.of(), List.of(), List.of(), List.of(), ready, readTo, List.of(),
-                List.of(), List.of(), 0);
+                List.of(), List.of(), List.of(), 0);
     }
 
     /**
@@ -75,6 +78,7 @@
                 newLate,
                 rateLimits,
                 leaving,
+                removed,
                 millis);
     }
 
@@ -125,6 +129,14 @@
      */
     public record LeavingTarget(String target, long startedAt) {}
 
+    /**
+     * A target whose registration was removed.
+     *
+     * @param target the target's id
+     * @param offset the log offset of the removal
+     */
+    public record RemovedTarget(String target, long offset) {}
+
     /**
      * The load at one target.
      *
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/FleetTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/FleetTest.java
@@ -2,12 +2,14 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.rattanrudder.core.fleet.LoadReport.ReadOffsets;
 import org.rattanrudder.core.model.Address;
 
 class FleetTest {
@@ -58,6 +60,80 @@
                 .isEmpty();
     }
 
+    private static LoadReport reportOf(Fleet peer, long nowMillis) {
+        return new LoadReport(
+                "relay-2",
+                1,
+                true,
+                List.of(),
+                List.of(),
+                List.of(),
+                List.of(),
+                List.of(),
+                true,
+                new ReadOffsets(0, 0, 0),
+                List.of(),
+                List.of(),
+                List.of(),
+                peer.removedTargets(nowMillis),
+                100);
+    }
+
+    private static Fleet withTarget() {
+        Fleet made = new Fleet();
+        made.onLogAvailable(START);
+        made.apply("i-1", Optional.of(registration("i-1", false)), 1, SETTLED);
+        return made;
+    }
+
+    /** Guards against a relay that was cut off from the log alone, and takes a removal for one of an outage. */
+    @Test
+    void removalHeldBackAfterAnOwnLossIsAppliedOnceAPeerHasAppliedIt() {
+        Fleet cutOff = withTarget();
+        Fleet peer = withTarget();
+        cutOff.onLogUnavailable();
+        long regained = SETTLED + 3_000;
+        cutOff.onLogAvailable(regained);
+        peer.apply("i-1", Optional.empty(), 2, regained);
+        cutOff.apply("i-1", Optional.empty(), 2, regained);
+        assertThat(cutOff.activeTargets("llm", regained)).hasSize(1);
+
+        cutOff.applyLoadReport(reportOf(peer, regained + 100), regained + 100);
+
+        assertThat(cutOff.activeTargets("llm", regained + 100)).isEmpty();
+    }
+
+    /** Guards against a target that has registered again, and is removed by a report of what was before. */
+    @Test
+    void aReportedRemovalThatIsOlderThanTheRegistrationChangesNothing() {
+        Fleet peer = withTarget();
+        peer.apply("i-1", Optional.empty(), 2, SETTLED);
+        Fleet cutOff = withTarget();
+        cutOff.onLogUnavailable();
+        cutOff.onLogAvailable(SETTLED);
+        cutOff.apply("i-1", Optional.empty(), 2, SETTLED);
+        cutOff.apply("i-1", Optional.of(registration("i-1", false)), 3, SETTLED);
+
+        cutOff.applyLoadReport(reportOf(peer, SETTLED + 100), SETTLED + 100);
+
+        assertThat(cutOff.activeTargets("llm", SETTLED + 100)).hasSize(1);
+    }
+
+    /** Guards against relays that all have seen an outage, and confirm each other removals that it caused. */
+    @Test
+    void removalsThatAreHeldBackAreNotReported() {
+        Fleet peer = withTarget();
+        peer.onLogUnavailable();
+        peer.onLogAvailable(SETTLED);
+        peer.apply("i-1", Optional.empty(), 2, SETTLED);
+
+        assertThat(peer.removedTargets(SETTLED + 100)).isEmpty();
+        assertThat(peer.activeTargets("llm", SETTLED + Fleet.LOG_RECOVERY_GRACE_MILLIS))
+                .isEmpty();
+        assertThat(peer.removedTargets(SETTLED + Fleet.LOG_RECOVERY_GRACE_MILLIS))
+                .isEmpty();
+    }
+
     /**
      * Removals are delayed for 2.5 s after the log recovers from an outage. When the first response after a relay's
      * start counted as such a recovery, prompts were sent to a target 2.4 s after its removal, 0.4 s later than
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/PeerLoadsTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/PeerLoadsTest.java
@@ -154,6 +154,7 @@
                         List.of(),
                         List.of(),
                         List.of(),
+                        List.of(),
                         0),
                 NOW);
 
@@ -208,6 +209,7 @@
                         List.of(),
                         List.of(),
                         List.of(),
+                        List.of(),
                         0),
                 NOW);
 
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/TargetNoticesTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/TargetNoticesTest.java
@@ -115,6 +115,7 @@
                 List.of(),
                 List.of(),
                 List.of(leaving),
+                List.of(),
                 100);
     }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/PeerExchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/PeerExchange.java
@@ -235,6 +235,7 @@
                 List.of(),
                 rateLimits(now),
                 state.fleet().leavingTargets(now),
+                state.fleet().removedTargets(now),
                 0);
     }
 
@@ -334,7 +335,9 @@
         private void onLoadReport(String relay, LoadReport load) {
             long now = state.nowMillis();
             schedule.onReport(relay, now);
+            int before = state.fleet().all(now).size();
             state.fleet().applyLoadReport(load, now);
+            logRemoved(relay, before - state.fleet().all(now).size());
             state.selfReports().onPeerReport(relay, load);
             load.storeLateness().forEach(late -> state.directory().recordFetchLateness(late, now));
             load.weights()
@@ -344,6 +347,13 @@
             listener.onUnreachable(load.unreachable());
         }
 
+        private void logRemoved(String relay, int removed) {
+            if (removed > 0) {
+                state.log().info("peer_says_removed", "peer", relay, "targets", Integer.toString(removed));
+                state.onUsableTargetsChanged();
+            }
+        }
+
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
             // A stopped relay shows as an unreachable port; the next message may reach it again.
--- a/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelRelay.java
+++ b/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelRelay.java
@@ -168,6 +168,7 @@
                 List.of(),
                 whole ? seenLimits() : List.of(),
                 List.of(),
+                List.of(),
                 everyMillis);
         for (ModelRelay peer : peers) {
             if (hears.test(peer)) {
--- a/rattanrudder-wire/src/main/java/org/rattanrudder/wire/peer/PeerCodec.java
+++ b/rattanrudder-wire/src/main/java/org/rattanrudder/wire/peer/PeerCodec.java
@@ -9,6 +9,7 @@
 import org.rattanrudder.core.fleet.LoadReport.KnownWeights;
 import org.rattanrudder.core.fleet.LoadReport.LeavingTarget;
 import org.rattanrudder.core.fleet.LoadReport.ReadOffsets;
+import org.rattanrudder.core.fleet.LoadReport.RemovedTarget;
 import org.rattanrudder.core.fleet.LoadReport.SeenRateLimit;
 import org.rattanrudder.core.fleet.LoadReport.ServedWeights;
 import org.rattanrudder.core.fleet.LoadReport.TargetLoad;
@@ -25,6 +26,7 @@
 import org.rattanrudder.wire.generated.PeerMessages.PeerMessage;
 import org.rattanrudder.wire.generated.PeerMessages.RateLimitMessage;
 import org.rattanrudder.wire.generated.PeerMessages.RelayLoadMessage;
+import org.rattanrudder.wire.generated.PeerMessages.RemovedTargetMessage;
 import org.rattanrudder.wire.generated.PeerMessages.ServedWeightsMessage;
 import org.rattanrudder.wire.generated.PeerMessages.StoreLatenessMessage;
 import org.rattanrudder.wire.generated.PeerMessages.TargetLoadMessage;
@@ -96,6 +98,10 @@
                 .forEach(each -> message.addLeaving(LeavingTargetMessage.newBuilder()
                         .setTarget(each.target())
                         .setStartedAt(each.startedAt())));
+        load.removed()
+                .forEach(each -> message.addRemoved(RemovedTargetMessage.newBuilder()
+                        .setTarget(each.target())
+                        .setOffset(each.offset())));
         message.setEveryMillis((int) load.intervalMillis());
         return PeerMessage.newBuilder().setLoad(message).build().toByteArray();
     }
@@ -178,6 +184,9 @@
                 message.getLeavingList().stream()
                         .map(each -> new LeavingTarget(each.getTarget(), within(each.getStartedAt(), Long.MAX_VALUE)))
                         .toList(),
+                message.getRemovedList().stream()
+                        .map(each -> new RemovedTarget(each.getTarget(), within(each.getOffset(), Long.MAX_VALUE)))
+                        .toList(),
                 within(message.getEveryMillis(), MOST_MILLIS));
     }
 
--- a/rattanrudder-wire/src/test/java/org/rattanrudder/wire/peer/PeerCodecTest.java
+++ b/rattanrudder-wire/src/test/java/org/rattanrudder/wire/peer/PeerCodecTest.java
@@ -19,6 +19,7 @@
 import org.rattanrudder.core.fleet.LoadReport.KnownWeights;
 import org.rattanrudder.core.fleet.LoadReport.LeavingTarget;
 import org.rattanrudder.core.fleet.LoadReport.ReadOffsets;
+import org.rattanrudder.core.fleet.LoadReport.RemovedTarget;
 import org.rattanrudder.core.fleet.LoadReport.SeenRateLimit;
 import org.rattanrudder.core.fleet.LoadReport.ServedWeights;
 import org.rattanrudder.core.fleet.LoadReport.TargetLoad;
@@ -59,6 +60,7 @@
                         new SeenRateLimit("i-1", OptionalDouble.of(requests / 7.0), tokens, tokens / 2),
                         new SeenRateLimit("i-2", OptionalDouble.empty(), requests, 0)),
                 List.of(new LeavingTarget("i-5", tokens), new LeavingTarget("i-6", 0)),
+                List.of(new RemovedTarget("i-7", tokens)),
                 requests);
     }
 
