--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/TargetAdmission.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/TargetAdmission.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.Predicate;
 import org.rattanrudder.core.gateway.WarmUpTraits;
 
 /**
@@ -50,11 +51,17 @@
 
     /** Returns those targets that don't want rest. */
     public static List<Target> withoutResting(List<Target> targets, long nowMillis) {
-        return targets.stream().anyMatch(target -> target.isResting(nowMillis))
-                ? targets.stream()
-                        .filter(target -> !target.isResting(nowMillis))
-                        .toList()
-                : targets;
+        return only(targets, target -> !target.isResting(nowMillis));
+    }
+
+    /** Returns the targets that match; no copy if all do, since it is asked several times for each request. */
+    private static List<Target> only(List<Target> targets, Predicate<Target> wanted) {
+        for (Target target : targets) {
+            if (!wanted.test(target)) {
+                return targets.stream().filter(wanted).toList();
+            }
+        }
+        return targets;
     }
 
     /** Returns the time until the first of the targets has rested, if all of them want rest. */
@@ -71,7 +78,7 @@
 
     /** Returns those of the candidates whose limits admit another request now. */
     public Admitted admitted(List<Target> candidates, Optional<WarmUpTraits> warmUp, long nowMillis) {
-        List<Target> byRest = admittedAfterRest(candidates, nowMillis);
+        List<Target> byRest = only(candidates, target -> target.isAdmittedAfterRest(nowMillis));
         List<Target> byWarmUp = warmUps.admitted(byRest, warmUp, nowMillis);
         List<Target> admitted = rateLimits.admitted(byWarmUp, nowMillis);
         if (admitted.size() < byWarmUp.size()) {
@@ -84,14 +91,6 @@
                 admitted, admitted.size() < candidates.size() ? Optional.of(Deferral.AFTER_REST) : Optional.empty());
     }
 
-    private static List<Target> admittedAfterRest(List<Target> targets, long nowMillis) {
-        return targets.stream().allMatch(target -> target.isAdmittedAfterRest(nowMillis))
-                ? targets
-                : targets.stream()
-                        .filter(target -> target.isAdmittedAfterRest(nowMillis))
-                        .toList();
-    }
-
     /**
      * Returns why a request that was placed at a target may no longer be sent, if so: what was read or heard while its
      * connection opened holds too.
