--- a/rattanrudder-standins/src/main/java/org/rattanrudder/standins/deployment/Readiness.java
+++ b/rattanrudder-standins/src/main/java/org/rattanrudder/standins/deployment/Readiness.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 import org.rattanrudder.core.model.Address;
 import org.rattanrudder.standins.load.Answer;
 import org.rattanrudder.standins.load.CallerClient;
@@ -49,7 +50,8 @@
             Operator atEntry = new Operator(client, entry);
             await(
                     "entry " + entry + " sees every target",
-                    () -> acceptingTargets(atEntry.status()).containsAll(targets()));
+                    () -> acceptingTargets(atEntry.status()).containsAll(targets()),
+                    () -> atEntry.status().path("companions").toString());
         }
     }
 
@@ -91,11 +93,15 @@
     }
 
     private void await(String what, BooleanSupplier condition) {
+        await(what, condition, () -> "");
+    }
+
+    private void await(String what, BooleanSupplier condition, Supplier<String> found) {
         long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(DEADLINE_SECONDS);
         while (!condition.getAsBoolean()) {
             watch.run();
             if (System.nanoTime() - deadline > 0) {
-                throw new IllegalStateException("not within " + DEADLINE_SECONDS + " s: " + what);
+                throw new IllegalStateException("not within " + DEADLINE_SECONDS + " s: " + what + " " + found.get());
             }
             LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(POLL_MILLIS));
         }
