Write no record of the lease for an engine that can't be ordered

Found by reading the change: an engine that rests was picked for an order at each poll, the lease's record appended, and only then left alone: ten writes a second. Resting engines are left out before the record is written; those that were ordered still count as loading.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RolloutCoordinator.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RolloutCoordinator.java
@@ -156,14 +156,17 @@
         for (PendingRollout each : pending) {
             RolloutPlanner plan = planner(each);
             List<RolloutPlanner.Engine> engines = each.targets().stream()
+                    .filter(target ->
+                            state.admission().mayCall(target, now) || progressChecksDueAt.containsKey(target.id()))
                     .map(target -> new RolloutPlanner.Engine(
                             target.id(), target.weights(each.weights().model()), inFlight(target)))
                     .toList();
             for (RolloutPlanner.Engine next :
                     plan.nextEngines(engines, each.weights().version(), now)) {
-                if (!targetsBeingCalled.contains(next.id())) {
-                    state.fleet().find(next.id()).ifPresent(target -> batch.put(target, each.weights()));
-                }
+                state.fleet()
+                        .find(next.id())
+                        .filter(target -> isOrderable(target, now))
+                        .ifPresent(target -> batch.put(target, each.weights()));
             }
         }
         boolean held = lease.isHeld(now, System.currentTimeMillis());
@@ -173,6 +176,11 @@
         }
     }
 
+    /** Returns whether an engine can be called now; a record of the lease is written for nothing otherwise. */
+    private boolean isOrderable(Target target, long now) {
+        return state.admission().mayCall(target, now) && !targetsBeingCalled.contains(target.id());
+    }
+
     /**
      * Returns the requests in flight at an engine: its own report while its progress is checked, else the relays'
      * count.
@@ -232,7 +240,7 @@
     }
 
     private void prepareOrder(Target target, WeightsVersion weights) {
-        if (!state.admission().mayCall(target, state.nowMillis())) {
+        if (!isOrderable(target, state.nowMillis())) {
             return;
         }
         targetsBeingCalled.add(target.id());
@@ -308,8 +316,7 @@
     private void checkProgress(PendingRollout rollout, long now) {
         for (Target target : rollout.targets()) {
             Long due = progressChecksDueAt.get(target.id());
-            boolean callable = state.admission().mayCall(target, now) && !targetsBeingCalled.contains(target.id());
-            if (due == null || now < due || !callable) {
+            if (due == null || now < due || !isOrderable(target, now)) {
                 continue;
             }
             if (target.weights(rollout.weights().model()) >= rollout.weights().version()) {
