Say how the body of each answer ended, and whether inside an event

What ended the body is known only where bytes are decoded, and whether an event was complete only where streams may be resumed.

ResponseEnd is the verdict of the connection: declared, ended by the connection in order, or broken off. EventStreamScanner (core, pure) follows each stream's events: line ends LF, CRLF, CR and mixed ones, a byte order mark, comments, IDs. Both are logged (body_end of request_ended and attempt_failed) and counted (rattanrudder_relay_response_ends). Nothing decides by them yet.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
@@ -20,6 +20,7 @@
 import org.rattanrudder.core.fleet.TargetAdmission;
 import org.rattanrudder.core.gateway.AttemptOutcome;
 import org.rattanrudder.core.gateway.ResponseClassifier;
+import org.rattanrudder.core.gateway.ResponseEnd;
 import org.rattanrudder.core.gateway.RetryPolicy;
 import org.rattanrudder.core.model.ErrorKind;
 import org.rattanrudder.daemon.relay.port.ResponseMetadata;
@@ -335,7 +336,17 @@
     }
 
     @Override
-    public void onComplete() {
+    public void onEnd(ResponseEnd end) {
+        attempt.recordEnd(end, forwarder.position());
+        state.metrics().recordResponseEnd(plan.service(), end, forwarder.position());
+        if (end instanceof ResponseEnd.BrokenOff broken) {
+            onAttemptFailed(AttemptOutcome.BROKEN, broken.reason());
+        } else {
+            onComplete();
+        }
+    }
+
+    private void onComplete() {
         if (forwarder.status() == 0) {
             onAttemptFailed(AttemptOutcome.BROKEN, "no head");
             return;
@@ -357,11 +368,6 @@
         finish(new FinalReply.Ending(Integer.toString(forwarder.status()), "passed on"));
     }
 
-    @Override
-    public void onBroken(String reason) {
-        onAttemptFailed(AttemptOutcome.BROKEN, reason);
-    }
-
     /** Pauses or resumes reading from the target as the caller becomes unwritable or writable. */
     void onCallerWritabilityChanged(boolean now) {
         if (attempt != null) {
@@ -407,7 +413,7 @@
             target.recordFailure(after, state.nowMillis());
         }
         if (outcome == AttemptOutcome.BROKEN) {
-            log.broken(target.id(), reason, after, forwarder.hasBegun(), quarantine.fingerprint());
+            log.broken(attempt, reason, after, forwarder.hasBegun(), quarantine.fingerprint());
             quarantine.onConnectionBroken(target);
         } else {
             log.failed(target.id(), outcome, reason, after, forwarder.hasBegun());
@@ -417,7 +423,7 @@
 
     private void endAttempt(String outcome) {
         inactivity.stop();
-        attempt.end();
+        attempt.finish();
         attempt = null;
         forwarder.discard();
         state.metrics().recordAttempt(plan.service(), outcome);
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/ExchangeLog.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/ExchangeLog.java
@@ -100,12 +100,24 @@
     }
 
     void failed(String target, AttemptOutcome outcome, String reason, long afterMillis, boolean answerBegan) {
-        failed(target, outcome, reason, afterMillis, answerBegan, "none");
+        failed(target, outcome, reason, afterMillis, answerBegan, "none", "none");
     }
 
     /** Logs a broken attempt with the fingerprint that identifies the request when it is sent again. */
-    void broken(String target, String reason, long afterMillis, boolean answerBegan, RequestFingerprint fingerprint) {
-        failed(target, AttemptOutcome.BROKEN, reason, afterMillis, answerBegan, fingerprint.toHex());
+    void broken(
+            TargetAttempt attempt,
+            String reason,
+            long afterMillis,
+            boolean answerBegan,
+            RequestFingerprint fingerprint) {
+        failed(
+                attempt.target().id(),
+                AttemptOutcome.BROKEN,
+                reason,
+                afterMillis,
+                answerBegan,
+                attempt.end().orElse("none"),
+                fingerprint.toHex());
     }
 
     private void failed(
@@ -114,6 +126,7 @@
             String reason,
             long afterMillis,
             boolean answerBegan,
+            String bodyEnd,
             String fingerprint) {
         state.log()
                 .info(
@@ -130,6 +143,8 @@
                         Long.toString(afterMillis),
                         "began",
                         Boolean.toString(answerBegan),
+                        "body_end",
+                        bodyEnd,
                         "fingerprint",
                         fingerprint);
     }
@@ -163,6 +178,8 @@
                         "first_after_ms",
                         attempt.map(sent -> Long.toString(sent.firstByteMillis()))
                                 .orElse("none"),
+                        "body_end",
+                        attempt.flatMap(TargetAttempt::end).orElse("none"),
                         "longest_pause_ms",
                         attempt.map(sent -> Long.toString(sent.maxPauseMillis()))
                                 .orElse("none"),
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayMetrics.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayMetrics.java
@@ -11,6 +11,8 @@
 import java.io.UncheckedIOException;
 import java.util.function.DoubleSupplier;
 import org.rattanrudder.core.fleet.TargetAdmission;
+import org.rattanrudder.core.gateway.BodyPosition;
+import org.rattanrudder.core.gateway.ResponseEnd;
 
 /** The metrics of a relay. Label values come from fixed sets and the configuration, never from callers. */
 final class RelayMetrics {
@@ -22,6 +24,7 @@
     private final PrometheusRegistry registry = new PrometheusRegistry();
     private final Counter requests;
     private final Counter attempts;
+    private final Counter responseEnds;
     private final Counter storeCalls;
     private final Counter unreadableRecords;
     private final Counter warmUpLimited;
@@ -41,6 +44,12 @@
                 counter("rattanrudder_relay_requests", "Requests that ended, by route and outcome", "route", "outcome");
         attempts =
                 counter("rattanrudder_relay_attempts", "Attempts at targets, by how they ended", "service", "outcome");
+        responseEnds = counter(
+                "rattanrudder_relay_response_ends",
+                "Responses of targets, by how the body ended and where in its content",
+                "service",
+                "end",
+                "position");
         storeCalls = counter("rattanrudder_relay_store_calls", "Calls to the platform's store", "topic");
         unreadableRecords = counter(
                 "rattanrudder_relay_records_unreadable",
@@ -110,6 +119,11 @@
         attempts.labelValues(service, outcome).inc();
     }
 
+    /** Records how the body of a target's response ended, and where in its content. */
+    void recordResponseEnd(String service, ResponseEnd end, BodyPosition position) {
+        responseEnds.labelValues(service, end.wireName(), position.wireName()).inc();
+    }
+
     void recordStoreCall(String topic) {
         storeCalls.labelValues(topic).inc();
     }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/ResponseForwarder.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/ResponseForwarder.java
@@ -6,6 +6,8 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.Optional;
+import org.rattanrudder.core.gateway.BodyPosition;
+import org.rattanrudder.core.gateway.EventStreamScanner;
 import org.rattanrudder.core.gateway.RepeatRule;
 import org.rattanrudder.daemon.relay.port.RequestDialect;
 
@@ -27,6 +29,8 @@
     private final Runnable onFirstByte;
     private final boolean stream;
     private final Optional<EventFramer> framer;
+    private final EventStreamScanner scanner = new EventStreamScanner();
+    private boolean events;
     private HttpResponse head;
     private ByteBuf buffered;
     private boolean begun;
@@ -62,13 +66,22 @@
 
     /** Accepts the response head; a stream that is resumed at another target keeps its first head. */
     void head(HttpResponse response) {
+        events = ResponseFraming.isEventStream(response, stream);
         if (!begun) {
             head = response;
         }
     }
 
+    /** Returns where the body stands. */
+    BodyPosition position() {
+        return events ? scanner.position() : BodyPosition.OPAQUE;
+    }
+
     /** Accepts a chunk of the body; the caller of this method keeps ownership of the buffer. */
     void content(ByteBuf chunk) {
+        if (events) {
+            chunk.forEachByte(this::scan);
+        }
         if (!stream) {
             buffer(chunk);
             return;
@@ -80,6 +93,11 @@
         }
     }
 
+    private boolean scan(byte value) {
+        scanner.accept(value);
+        return true;
+    }
+
     private void buffer(ByteBuf chunk) {
         if (begun) {
             caller.write(chunk.retain());
@@ -137,5 +155,6 @@
             head = null;
         }
         framer.ifPresent(EventFramer::takeRest);
+        scanner.restart();
     }
 }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/ResponseSink.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/ResponseSink.java
@@ -2,9 +2,10 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
+import org.rattanrudder.core.gateway.ResponseEnd;
 import org.rattanrudder.daemon.relay.port.ResponseMetadata;
 
-/** Handles a target's response to one request. No call follows {@code onComplete} or {@code onBroken}. */
+/** Handles a target's response to one request. No call follows {@code onEnd}. */
 interface ResponseSink {
     /** Handles the response head. */
     void onHead(HttpResponse response, ResponseMetadata metadata);
@@ -12,9 +13,6 @@
     /** Handles a chunk of the body; the sink doesn't own the buffer. */
     void onContent(ByteBuf chunk);
 
-    /** Handles the end of a complete response. */
-    void onComplete();
-
-    /** Handles a closed connection or an invalid response. */
-    void onBroken(String reason);
+    /** Handles the end of the response, or of its connection if that came first. */
+    void onEnd(ResponseEnd end);
 }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/ResponseWriter.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/ResponseWriter.java
@@ -13,7 +13,6 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -66,7 +65,7 @@
         if (head.method().equals(HttpMethod.HEAD)) {
             Optional.ofNullable(from.headers().get(HttpHeaderNames.CONTENT_LENGTH))
                     .ifPresent(length -> response.headers().set(HttpHeaderNames.CONTENT_LENGTH, length));
-        } else if (mayHaveBody(from)) {
+        } else if (ResponseFraming.mayHaveBody(from.status())) {
             HttpUtil.setContentLength(response, body.readableBytes());
         }
         boolean keep = setKeepAlive(head, response);
@@ -74,11 +73,6 @@
         return keep;
     }
 
-    private static boolean mayHaveBody(HttpResponse response) {
-        int status = response.status().code();
-        return status != HttpResponseStatus.NO_CONTENT.code() && status != HttpResponseStatus.NOT_MODIFIED.code();
-    }
-
     /** Writes the head of a response that is sent in chunks. */
     boolean begin(HttpRequest head, HttpResponse from, HttpHeaders headers) {
         DefaultHttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, from.status());
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TargetAttempt.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TargetAttempt.java
@@ -2,6 +2,8 @@
 
 import java.util.Optional;
 import org.rattanrudder.core.fleet.Target;
+import org.rattanrudder.core.gateway.BodyPosition;
+import org.rattanrudder.core.gateway.ResponseEnd;
 import org.rattanrudder.daemon.relay.port.ResponseMetadata;
 
 /** One attempt to run a request at one target; owned by its exchange. */
@@ -13,6 +15,7 @@
     private long lastContentAt;
     private long firstByteMillis = -1;
     private long maxPauseMillis;
+    private Optional<String> end = Optional.empty();
 
     TargetAttempt(Target target, TargetConnection connection, RequestPlan.Outgoing outgoing, long sentAt) {
         this.target = target;
@@ -84,8 +87,18 @@
         return true;
     }
 
+    /** Records how the body of the response ended, and where in its content. */
+    void recordEnd(ResponseEnd found, BodyPosition position) {
+        end = Optional.of(found.wireName() + "/" + position.wireName());
+    }
+
+    /** Returns how the body ended and where, as words for the log; empty if the relay gave the response up. */
+    Optional<String> end() {
+        return end;
+    }
+
     /** Ends the attempt, whether it succeeded or not. */
-    void end() {
+    void finish() {
         target.onEnded(cost(), hasBegun());
     }
 }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TargetConnection.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TargetConnection.java
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.util.function.Consumer;
+import org.rattanrudder.core.gateway.ResponseEnd;
 import org.rattanrudder.daemon.relay.port.RequestDialect;
 import org.rattanrudder.daemon.relay.port.ResponseMetadata;
 
@@ -42,6 +43,7 @@
     private boolean interim;
     private boolean keepAlive;
     private boolean closeDelimited;
+    private ResponseEnd end;
     private boolean reset;
     private boolean complete;
     private long keepAliveMillis = -1;
@@ -156,7 +158,8 @@
         }
         inResponse = true;
         keepAlive = HttpUtil.isKeepAlive(response);
-        closeDelimited = !HttpUtil.isContentLengthSet(response) && !HttpUtil.isTransferEncodingChunked(response);
+        closeDelimited = ResponseFraming.isDelimitedByConnection(response, headRequest);
+        end = ResponseFraming.endOf(response, headRequest);
         metadata.keepAliveMillis().ifPresent(millis -> keepAliveMillis = millis);
         sink.onHead(response, metadata);
     }
@@ -188,7 +191,7 @@
         inResponse = false;
         // Reused only once all bytes that arrived with the response were read: extra ones close the connection.
         complete = true;
-        done.onComplete();
+        done.onEnd(end);
     }
 
     @Override
@@ -210,7 +213,7 @@
         sink = null;
         channel.close();
         if (failed != null && !complete) {
-            failed.onBroken(reason);
+            failed.onEnd(new ResponseEnd.BrokenOff(reason));
         }
     }
 
@@ -237,9 +240,6 @@
         public void onContent(ByteBuf chunk) {}
 
         @Override
-        public void onComplete() {}
-
-        @Override
-        public void onBroken(String reason) {}
+        public void onEnd(ResponseEnd end) {}
     }
 }
