Take a stream that ends inside an event for broken off, whatever ended its body

Cause: three places decided each on its own whether an answer is complete, and none looked at its content. TargetConnection took every orderly close for the end of a body without a length; ResponseForwarder wrote out the rest of an event; only resumable streams were split into events at all.

ResponseCompleteness (core) now decides from how the body ended and where in its content: inside an event it is broken off, however it was framed; before the first event it is broken off if only the connection ended it. Such an attempt is one whose connection broke: retried or resumed within the route's bounds and the retry budget, counted as the target's failure, and looked at by the crash detector.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
@@ -20,6 +20,7 @@
 import org.rattanrudder.core.fleet.TargetAdmission;
 import org.rattanrudder.core.gateway.AttemptOutcome;
 import org.rattanrudder.core.gateway.ResponseClassifier;
+import org.rattanrudder.core.gateway.ResponseCompleteness;
 import org.rattanrudder.core.gateway.ResponseEnd;
 import org.rattanrudder.core.gateway.RetryPolicy;
 import org.rattanrudder.core.model.ErrorKind;
@@ -339,8 +340,9 @@
     public void onEnd(ResponseEnd end) {
         attempt.recordEnd(end, forwarder.position());
         state.metrics().recordResponseEnd(plan.service(), end, forwarder.position());
-        if (end instanceof ResponseEnd.BrokenOff broken) {
-            onAttemptFailed(AttemptOutcome.BROKEN, broken.reason());
+        Optional<String> incomplete = ResponseCompleteness.reasonIncomplete(end, forwarder.position());
+        if (incomplete.isPresent()) {
+            onAttemptFailed(AttemptOutcome.BROKEN, incomplete.get());
         } else {
             onComplete();
         }
