Split streams at events whatever their lines end with, and resume them only where that is known to join

EventFramer looked for two line feeds or two CRLFs and read the last ID by itself.

The framer now asks EventStreamScanner, which sees each byte once, also for streams that aren't resumable; a chunk that ends with an event is copied once in place of three times. A stream isn't resumed behind an event with data and no ID, an ID that no header can hold, or inside an event of over 256 KiB, which is forwarded in parts.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/gateway/EventStreamScanner.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/gateway/EventStreamScanner.java
@@ -80,13 +80,18 @@
 
     /** Returns where the stream stands. */
     public BodyPosition position() {
-        boolean partialMark = !started && markBytes > 0 && markBytes < BYTE_ORDER_MARK.length;
-        if (hasFields || line != Line.EMPTY || lineEndHeld || partialMark) {
+        if (isWithinEvent()) {
             return BodyPosition.WITHIN_EVENT;
         }
         return hasEvents ? BodyPosition.BETWEEN_EVENTS : BodyPosition.BEFORE_FIRST_EVENT;
     }
 
+    /** Returns whether an event, or a line, is incomplete. */
+    public boolean isWithinEvent() {
+        boolean partialMark = !started && markBytes > 0 && markBytes < BYTE_ORDER_MARK.length;
+        return hasFields || line != Line.EMPTY || lineEndHeld || partialMark;
+    }
+
     /** Returns the ID of the last complete event that has one, of all responses; empty before the first. */
     public Optional<String> lastId() {
         return lastId;
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/EventFramer.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/EventFramer.java
@@ -1,8 +1,10 @@
 package org.rattanrudder.daemon.relay;
 
 import io.netty.buffer.ByteBuf;
-import java.nio.charset.StandardCharsets;
+import io.netty.buffer.ByteBufUtil;
+import java.io.ByteArrayOutputStream;
 import java.util.Optional;
+import org.rattanrudder.core.gateway.EventStreamScanner;
 
 /**
  * Splits an event stream at event boundaries, so that another target can resume it after the last complete event.
@@ -11,55 +13,72 @@
  * joined to it: the caller would receive a duplicate or an event mixed from two.
  */
 final class EventFramer {
-    private static final String ID = "id:";
+    /** A longer event is forwarded before it is complete, and the stream can't be resumed until it is. */
+    static final int MAX_EVENT_BYTES = 256 * 1024;
 
-    private final StringBuilder pending = new StringBuilder();
-    private Optional<String> lastId = Optional.empty();
+    private final EventStreamScanner scanner;
+    private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
+    private boolean partialForwarded;
+    private int scanned;
+    private int complete;
 
-    /** Appends bytes of the stream and returns the events that are complete now. */
+    /** Creates a framer of a stream that the scanner follows. */
+    EventFramer(EventStreamScanner scanner) {
+        this.scanner = scanner;
+    }
+
+    /** Appends bytes of the stream and returns what can be forwarded now: complete events, or a part of a long one. */
     byte[] append(ByteBuf chunk) {
-        pending.append(chunk.toString(StandardCharsets.ISO_8859_1));
-        int end = endOfLastEvent();
-        if (end == 0) {
-            return new byte[0];
+        scanned = 0;
+        complete = 0;
+        chunk.forEachByte(this::scan);
+        int incomplete = chunk.readableBytes() - complete + (complete > 0 ? 0 : pending.size());
+        if (incomplete > MAX_EVENT_BYTES || partialForwarded && complete == 0) {
+            complete = chunk.readableBytes();
+        }
+        if (complete > 0) {
+            partialForwarded = complete == chunk.readableBytes() && scanner.isWithinEvent();
         }
-        String complete = pending.substring(0, end);
-        pending.delete(0, end);
-        recordLastId(complete);
-        return complete.getBytes(StandardCharsets.ISO_8859_1);
+        return take(chunk);
     }
 
-    /** Removes and returns the incomplete event. */
-    byte[] takeRest() {
-        byte[] rest = pending.toString().getBytes(StandardCharsets.ISO_8859_1);
-        pending.setLength(0);
-        return rest;
+    private boolean scan(byte value) {
+        scanner.accept(value);
+        scanned++;
+        if (!scanner.isWithinEvent()) {
+            complete = scanned;
+        }
+        return true;
     }
 
-    /** Returns whether an event is incomplete. */
-    boolean isWithinEvent() {
-        return pending.length() > 0;
+    /** Returns the pending bytes and the ready part of a chunk, and keeps the rest of it. */
+    private byte[] take(ByteBuf chunk) {
+        byte[] ready = ByteBufUtil.getBytes(chunk, chunk.readerIndex(), complete);
+        if (complete > 0 && pending.size() > 0) {
+            pending.writeBytes(ready);
+            ready = pending.toByteArray();
+            pending.reset();
+        }
+        if (complete < chunk.readableBytes()) {
+            pending.writeBytes(
+                    ByteBufUtil.getBytes(chunk, chunk.readerIndex() + complete, chunk.readableBytes() - complete));
+        }
+        return ready;
     }
 
-    /** Returns the ID of the last complete event that has one; empty before the first. */
-    Optional<String> lastId() {
-        return lastId;
+    /** Discards an incomplete event; another response may continue the stream. */
+    void restart() {
+        pending.reset();
+        scanner.restart();
     }
 
-    private int endOfLastEvent() {
-        int plain = pending.lastIndexOf("\n\n");
-        int carriage = pending.lastIndexOf("\r\n\r\n");
-        return Math.max(plain < 0 ? 0 : plain + 2, carriage < 0 ? 0 : carriage + 4);
+    /** Returns whether another response can continue after what was forwarded. */
+    boolean isResumable() {
+        return !partialForwarded && scanner.isResumable();
     }
 
-    private void recordLastId(String complete) {
-        int start = complete.lastIndexOf("\n" + ID);
-        int at = start >= 0 ? start + 1 : complete.startsWith(ID) ? 0 : -1;
-        if (at < 0) {
-            return;
-        }
-        int end = complete.indexOf('\n', at);
-        lastId = Optional.of(complete.substring(at + ID.length(), end < 0 ? complete.length() : end)
-                .trim());
+    /** Returns the ID of the last complete event that has one; empty before the first. */
+    Optional<String> lastId() {
+        return scanner.lastId();
     }
 }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
@@ -295,21 +295,31 @@
         ResponseClassifier.Head classified = new ResponseClassifier.Head(
                 metadata.status(), metadata.signed(), metadata.notRun(), metadata.misdirected());
         switch (ResponseClassifier.classify(classified, progress(1))) {
-            case FORWARD -> forwarder.head(response);
+            case FORWARD -> onForwardable(response);
             case MISDIRECTED -> onMisdirected(target, metadata);
             case REJECTED -> {
                 target.onRejected(state.nowMillis());
                 discardResponse(AttemptOutcome.REJECTED, "rejected with " + metadata.status());
             }
-            case INVALID_RESPONSE -> {
-                attempt.connection().abort();
-                onAttemptFailed(AttemptOutcome.BROKEN, "success without a signature");
-            }
+            case INVALID_RESPONSE -> abortInvalid("success without a signature");
             case RETRY_OR_FAIL -> discardResponse(AttemptOutcome.FAILED, "failed with " + metadata.status());
             default -> throw new IllegalStateException("unknown verdict");
         }
     }
 
+    private void onForwardable(HttpResponse response) {
+        if (forwarder.accepts(response)) {
+            forwarder.head(response);
+        } else {
+            abortInvalid("not the stream that was begun");
+        }
+    }
+
+    private void abortInvalid(String reason) {
+        attempt.connection().abort();
+        onAttemptFailed(AttemptOutcome.BROKEN, reason);
+    }
+
     /** Ignores the rest of a response; its connection can be reused. */
     private void discardResponse(AttemptOutcome outcome, String reason) {
         attempt.connection().detach();
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/ResponseForwarder.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/ResponseForwarder.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
 import java.util.Optional;
 import org.rattanrudder.core.gateway.BodyPosition;
 import org.rattanrudder.core.gateway.EventStreamScanner;
@@ -27,11 +28,12 @@
     private final CallerConnection caller;
     private final RequestDialect dialect;
     private final Runnable onFirstByte;
-    private final boolean stream;
-    private final Optional<EventFramer> framer;
+    private final boolean streamRoute;
     private final EventStreamScanner scanner = new EventStreamScanner();
-    private boolean events;
+    private final Optional<EventFramer> framer;
     private HttpResponse head;
+    private boolean events;
+    private boolean streamed;
     private ByteBuf buffered;
     private boolean begun;
 
@@ -40,8 +42,8 @@
         this.caller = caller;
         this.dialect = dialect;
         this.onFirstByte = whenBegun;
-        stream = repeat.stream();
-        framer = stream && repeat.repeatable() ? Optional.of(new EventFramer()) : Optional.empty();
+        streamRoute = repeat.stream();
+        framer = streamRoute && repeat.repeatable() ? Optional.of(new EventFramer(scanner)) : Optional.empty();
     }
 
     /** Returns whether anything was written to the caller. */
@@ -51,7 +53,7 @@
 
     /** Returns whether another target can resume the response after what the caller has received. */
     boolean isResumable() {
-        return framer.isPresent();
+        return events && framer.filter(EventFramer::isResumable).isPresent();
     }
 
     /** Returns the ID of the last event that was forwarded to the caller. */
@@ -64,12 +66,19 @@
         return head == null ? 0 : head.status().code();
     }
 
+    /** Returns whether a response can be forwarded: one that continues a stream must be an event stream too. */
+    boolean accepts(HttpResponse response) {
+        return !begun || ResponseFraming.isEventStream(response, streamRoute);
+    }
+
     /** Accepts the response head; a stream that is resumed at another target keeps its first head. */
     void head(HttpResponse response) {
-        events = ResponseFraming.isEventStream(response, stream);
-        if (!begun) {
-            head = response;
+        if (begun) {
+            return;
         }
+        head = response;
+        events = ResponseFraming.isEventStream(response, streamRoute);
+        streamed = streamRoute && (events || response.status().codeClass() == HttpStatusClass.SUCCESS);
     }
 
     /** Returns where the body stands. */
@@ -79,17 +88,17 @@
 
     /** Accepts a chunk of the body; the caller of this method keeps ownership of the buffer. */
     void content(ByteBuf chunk) {
+        if (events && streamed && framer.isPresent()) {
+            stream(framer.get().append(chunk));
+            return;
+        }
         if (events) {
             chunk.forEachByte(this::scan);
         }
-        if (!stream) {
+        if (streamed) {
+            stream(ByteBufUtil.getBytes(chunk));
+        } else {
             buffer(chunk);
-            return;
-        }
-        byte[] ready = framer.isPresent() ? framer.get().append(chunk) : ByteBufUtil.getBytes(chunk);
-        if (ready.length > 0) {
-            begin();
-            caller.write(Unpooled.wrappedBuffer(ready));
         }
     }
 
@@ -98,6 +107,13 @@
         return true;
     }
 
+    private void stream(byte[] ready) {
+        if (ready.length > 0) {
+            begin();
+            caller.write(Unpooled.wrappedBuffer(ready));
+        }
+    }
+
     private void buffer(ByteBuf chunk) {
         if (begun) {
             caller.write(chunk.retain());
@@ -129,12 +145,7 @@
 
     /** Completes the response. */
     void complete() {
-        if (framer.isPresent() && framer.get().isWithinEvent()) {
-            byte[] rest = framer.get().takeRest();
-            begin();
-            caller.write(Unpooled.wrappedBuffer(rest));
-        }
-        if (begun || stream) {
+        if (begun || streamed) {
             begin();
             caller.finish();
             return;
@@ -145,7 +156,7 @@
         buffered = null;
     }
 
-    /** Discards the buffered part of a response that won't be completed. */
+    /** Discards what was not forwarded of a response that won't be completed. */
     void discard() {
         if (buffered != null) {
             buffered.release();
@@ -154,7 +165,6 @@
         if (!begun) {
             head = null;
         }
-        framer.ifPresent(EventFramer::takeRest);
-        scanner.restart();
+        framer.ifPresentOrElse(EventFramer::restart, scanner::restart);
     }
 }
