Take an answer whose connection was reset for unanswered in calls to the store, engines and context stores

Found by looking for the incident's class elsewhere: on a reset HttpCallClient closed the connection, its decoder took that for the end of a body with neither a length nor chunks, and the call counted as answered with whatever had arrived.

What closes in order can be cut too: the parsers must say so.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/CallResult.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/CallResult.java
@@ -8,7 +8,8 @@
 /** The result of a call. */
 sealed interface CallResult {
     /**
-     * A complete response was received.
+     * A response was received to its end. Where it declared no end, the connection was closed in order: that a body was
+     * cut shows only in its content, so whoever parses it must reject one that is cut.
      *
      * @param response status and headers
      * @param body the body
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/HttpCallClient.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/HttpCallClient.java
@@ -18,6 +18,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -167,7 +168,10 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            // The caller gets the reason "closed" and logs the failure if needed.
+            // Before the close: to the decoder, that is the end of a body that only its connection ends.
+            if (context.channel() == channel) {
+                complete(new CallResult.Unanswered(cause instanceof IOException ? "reset" : "malformed"), true);
+            }
             context.close();
         }
     }
