Send no body behind the answer to a HEAD request of a stream

Found while listing what the relay's own answers state of their end: such an answer was begun in chunks, and the last chunk was what the caller read as its next answer. StreamRelayTest.theAnswerToAHeadRequestOfAStreamHasNoBody failed; it is written whole now, with the target's length, as for plain services.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/CallerConnection.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/CallerConnection.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -267,6 +268,11 @@
         closing |= !writer.errorWithRetryAfter(head, error, requestId, millis);
     }
 
+    /** Returns whether the request that is being served is a HEAD request, whose response has no body. */
+    boolean isHeadRequest() {
+        return head.method().equals(HttpMethod.HEAD);
+    }
+
     /** Writes a target's complete response. */
     void answer(HttpResponse from, HttpHeaders headers, ByteBuf content) {
         closing |= !writer.full(head, from, headers, content);
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/ResponseForwarder.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/ResponseForwarder.java
@@ -78,7 +78,8 @@
         }
         head = response;
         events = ResponseFraming.isEventStream(response, streamRoute);
-        streamed = streamRoute && (events || response.status().codeClass() == HttpStatusClass.SUCCESS);
+        boolean success = response.status().codeClass() == HttpStatusClass.SUCCESS;
+        streamed = streamRoute && !caller.isHeadRequest() && (events || success);
     }
 
     /** Returns where the body stands. */
