Send no body behind a refusal of a HEAD request

The same as for streams, at the relay's own replies: their text was what the caller read as its next answer. RelayBodiesTest.theRefusalOfAHeadRequestHasNoBody failed; the length stays in the head, as HTTP has it.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/ResponseWriter.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/ResponseWriter.java
@@ -53,7 +53,12 @@
 
     private boolean writeLocalReply(HttpRequest head, DefaultFullHttpResponse response) {
         boolean keep = setKeepAlive(head, response);
-        context.writeAndFlush(response);
+        if (head != null && head.method().equals(HttpMethod.HEAD)) {
+            context.writeAndFlush(response.replace(Unpooled.EMPTY_BUFFER));
+            response.release();
+        } else {
+            context.writeAndFlush(response);
+        }
         return keep;
     }
 
