Tell a caller without chunks of a broken answer by a reset, at entries too

The incident's class at the product's own interface: an entry that broke an answer off closed the connection in order. Without chunks (HTTP/1.0) that is how a whole answer ends. EntryHttpTest.aCallerWithoutChunksIsToldOfABrokenAnswerByAReset failed (an end in place of a reset). Relays do so already.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/entry/CallerExchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/entry/CallerExchange.java
@@ -16,6 +16,7 @@
 import org.rattanrudder.daemon.http.ErrorResponse;
 import org.rattanrudder.daemon.http.ForwardedHeaders;
 import org.xnio.IoUtils;
+import org.xnio.Options;
 import org.xnio.XnioExecutor;
 import org.xnio.channels.StreamSinkChannel;
 
@@ -266,12 +267,19 @@
             flushLast();
         } else if (ending == Ending.BROKEN) {
             ended = true;
-            // Without the last chunk's mark: the caller's client sees that the answer isn't whole.
-            IoUtils.safeClose(exchange.getConnection());
+            breakOff();
             events.ended(sequence);
         }
     }
 
+    /** Closes the connection so that the answer looks cut: without the last chunk or, if there are none, by a reset. */
+    private void breakOff() throws IOException {
+        if (exchange.isHttp10()) {
+            exchange.getConnection().setOption(Options.CLOSE_ABORT, true);
+        }
+        IoUtils.safeClose(exchange.getConnection());
+    }
+
     private void flushLast() {
         try {
             if (channel.flush()) {
--- a/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/entry/EntryHttpTest.java
+++ b/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/entry/EntryHttpTest.java
@@ -1,6 +1,7 @@
 package org.rattanrudder.daemon.entry;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.BufferedReader;
@@ -10,6 +11,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
@@ -283,6 +285,22 @@
         assertThat(read.contains("event: error")).isEqualTo(streamed);
     }
 
+    /** Guards against half an answer that looks whole to a caller without chunks: only a reset says that it isn't. */
+    @Test
+    void aCallerWithoutChunksIsToldOfABrokenAnswerByAReset() throws Exception {
+        send(post("/services/fuel-ledger/entries", "body").replace("HTTP/1.1", "HTTP/1.0"));
+        CallerExchange caller =
+                callers.find(next(EntryEvent.RequestArrived.class).sequence()).orElseThrow();
+        caller.begin(200, List.of());
+        caller.send("half of ".getBytes(StandardCharsets.UTF_8));
+        next(EntryEvent.ChunksWritten.class);
+        assertThat(readUntil("half of ")).doesNotContain("chunked");
+
+        caller.refuse(new Refusal(ErrorKind.TARGET_FAILED, 0, "gone"));
+
+        assertThatThrownBy(answer::read).isInstanceOf(SocketException.class);
+    }
+
     /**
      * A bus waits while the engine computes answers for terminals that hung up.
      * The caller closes its connection while its prompt waits. Cause: the end of a connection that nobody reads or
