--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/companion/EngineCall.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/companion/EngineCall.java
@@ -8,7 +8,9 @@
 import org.rattanrudder.core.call.Header;
 import org.rattanrudder.core.call.Usage;
 import org.rattanrudder.core.companion.CompanionEvent;
+import org.rattanrudder.core.gateway.ResponseEnd;
 import org.rattanrudder.core.model.AttemptId;
+import org.rattanrudder.daemon.http.ContentTypes;
 import org.rattanrudder.daemon.http.ForwardedHeaders;
 
 /** A prompt at an engine: each server-sent event of the answer is one chunk, in the order of its number. */
@@ -44,10 +46,7 @@
             giveUp("the engine no longer has the stream: " + status);
             return;
         }
-        eventStream = status == OK
-                && headers.stream()
-                        .anyMatch(header -> header.name().equalsIgnoreCase("Content-Type")
-                                && header.value().startsWith("text/event-stream"));
+        eventStream = status == OK && ContentTypes.isEventStream(headers);
         publish(new CompanionEvent.TargetAnswerStarted(attempt(), status, ForwardedHeaders.forwardable(headers)));
     }
 
@@ -77,7 +76,7 @@
     }
 
     @Override
-    public void end() {
+    public void end(ResponseEnd end) {
         if (isOver()) {
             return;
         }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/ResponseFraming.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/ResponseFraming.java
@@ -1,17 +1,15 @@
 package org.rattanrudder.daemon.relay;
 
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import org.rattanrudder.core.gateway.ResponseEnd;
+import org.rattanrudder.daemon.http.ContentTypes;
 
 /** What the head of a response says of the end and the content of its body. */
 final class ResponseFraming {
-    private static final String EVENT_STREAM = "text/event-stream";
-
     private ResponseFraming() {}
 
     /** Returns how a body that was read to its end has ended. */
@@ -42,14 +40,12 @@
      * @param streamRoute whether successful responses of the route are event streams unless they say otherwise
      */
     static boolean isEventStream(HttpResponse head, boolean streamRoute) {
-        String encoding = head.headers().get(HttpHeaderNames.CONTENT_ENCODING);
-        if (encoding != null && !HttpHeaderValues.IDENTITY.contentEqualsIgnoreCase(encoding)) {
+        if (!ContentTypes.isReadable(head.headers().get(HttpHeaderNames.CONTENT_ENCODING))) {
             return false;
         }
-        CharSequence type = HttpUtil.getMimeType(head);
-        if (type != null) {
-            return EVENT_STREAM.equalsIgnoreCase(type.toString().strip());
-        }
-        return streamRoute && head.status().codeClass() == HttpStatusClass.SUCCESS;
+        String type = head.headers().get(HttpHeaderNames.CONTENT_TYPE);
+        return type == null
+                ? streamRoute && head.status().codeClass() == HttpStatusClass.SUCCESS
+                : ContentTypes.isEventStream(type);
     }
 }
--- a/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/companion/EngineCallTest.java
+++ b/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/companion/EngineCallTest.java
@@ -21,6 +21,7 @@
 import org.rattanrudder.core.call.Usage;
 import org.rattanrudder.core.companion.CompanionEffect;
 import org.rattanrudder.core.companion.CompanionEvent;
+import org.rattanrudder.core.gateway.ResponseEnd;
 import org.rattanrudder.core.model.Address;
 import org.rattanrudder.core.model.AttemptId;
 import org.rattanrudder.core.model.Digest;
@@ -112,7 +113,7 @@
         for (String each : sent.split(" ")) {
             call.part(bytes(each.equals("D") ? DONE : event(Integer.parseInt(each))));
         }
-        call.end();
+        call.end(new ResponseEnd.Declared());
 
         assertThat(summary()).isEqualTo(expected);
     }
@@ -131,7 +132,7 @@
         EngineCall call = call(0, false);
         call.head(400, List.of(new Header("Content-Type", "application/json")));
         call.part(bytes("{\"error\":1}"));
-        call.end();
+        call.end(new ResponseEnd.Declared());
 
         assertThat(events)
                 .usingRecursiveComparison()
@@ -202,6 +203,6 @@
         }
 
         @Override
-        public void end() {}
+        public void end(ResponseEnd end) {}
     }
 }
--- a/rattanrudder-wire/src/main/java/org/rattanrudder/wire/http/HttpAnswer.java
+++ b/rattanrudder-wire/src/main/java/org/rattanrudder/wire/http/HttpAnswer.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.rattanrudder.core.call.Header;
+import org.rattanrudder.core.gateway.ResponseEnd;
 
 /** Takes a streamed answer, always on one I/O thread: a head, parts, and either an end or a failure. */
 public interface HttpAnswer {
@@ -27,8 +28,12 @@
         return true;
     }
 
-    /** The answer is whole. */
-    void end();
+    /**
+     * The answer has been read to its end.
+     *
+     * @param end how it ended: as declared, or with its connection in order; never broken off
+     */
+    void end(ResponseEnd end);
 
     /**
      * The call broke off, before or after the answer began.
--- a/rattanrudder-wire/src/main/java/org/rattanrudder/wire/http/HttpCall.java
+++ b/rattanrudder-wire/src/main/java/org/rattanrudder/wire/http/HttpCall.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.rattanrudder.core.call.Header;
+import org.rattanrudder.core.gateway.ResponseEnd;
 import org.rattanrudder.core.model.Address;
 import org.xnio.IoFuture;
 import org.xnio.IoUtils;
@@ -42,6 +43,7 @@
     private StreamSourceChannel source;
     private XnioExecutor.Key timer;
     private long promised;
+    private ResponseEnd end;
     private long received;
     private boolean requestHandedOver;
     private boolean connectionClosed;
@@ -204,7 +206,12 @@
                     value -> headers.add(new Header(values.getHeaderName().toString(), value)));
         }
         String length = exchange.getResponse().getResponseHeaders().getFirst(Headers.CONTENT_LENGTH);
-        promised = length == null || hasNoBody(exchange.getResponse().getResponseCode()) ? 0 : Long.parseLong(length);
+        boolean bodiless = hasNoBody(exchange.getResponse().getResponseCode());
+        promised = length == null || bodiless ? 0 : Long.parseLong(length);
+        boolean declared = bodiless
+                || length != null
+                || exchange.getResponse().getResponseHeaders().contains(Headers.TRANSFER_ENCODING);
+        end = declared ? new ResponseEnd.Declared() : new ResponseEnd.ConnectionClosed();
         answer.head(exchange.getResponse().getResponseCode(), headers);
         source = exchange.getResponseChannel();
         source.getReadSetter().set(ready -> read());
@@ -272,7 +279,7 @@
         } else {
             closeConnection();
         }
-        answer.end();
+        answer.end(end);
     }
 
     private void fail(String detail) {
--- a/rattanrudder-wire/src/main/java/org/rattanrudder/wire/http/WholeAnswer.java
+++ b/rattanrudder-wire/src/main/java/org/rattanrudder/wire/http/WholeAnswer.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.rattanrudder.core.call.Header;
+import org.rattanrudder.core.gateway.ResponseEnd;
 
 /** Gathers a streamed answer up to a bound. */
 final class WholeAnswer implements HttpAnswer {
@@ -45,7 +46,7 @@
     }
 
     @Override
-    public void end() {
+    public void end(ResponseEnd end) {
         result.complete(new HttpResult.Answered(status, headers, body.toByteArray()));
     }
 
--- a/rattanrudder-wire/src/test/java/org/rattanrudder/wire/http/AnswerEndTest.java
+++ b/rattanrudder-wire/src/test/java/org/rattanrudder/wire/http/AnswerEndTest.java
@@ -7,9 +7,13 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.rattanrudder.core.call.Header;
+import org.rattanrudder.core.gateway.ResponseEnd;
 import org.rattanrudder.core.model.Address;
 
 /** Answers that end at any byte of their body, in every framing, in order and by a reset. */
@@ -78,4 +82,45 @@
             }
         }
     }
+
+    /** Guards against an end that nobody declared and that is told as one that somebody did. */
+    @ParameterizedTest
+    @CsvSource({"length, true", "chunks, true", "connection, false"})
+    void aReaderIsToldWhetherTheEndWasDeclared(String framing, boolean declared) throws Exception {
+        CompletableFuture<ResponseEnd> ended = new CompletableFuture<>();
+        try (ServerSocket listening = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+                HttpCaller caller = HttpCaller.create(1)) {
+            Address address = new Address("127.0.0.1", listening.getLocalPort());
+            caller.call(address, HttpRequest.get("/"), new EndRecorder(ended));
+            answer(listening, "HTTP/1.1 200 OK\r\n" + framed(framing, BODY), false);
+
+            assertThat(ended.get(SECONDS, TimeUnit.SECONDS))
+                    .isInstanceOf(declared ? ResponseEnd.Declared.class : ResponseEnd.ConnectionClosed.class);
+        }
+    }
+
+    /**
+     * Records how an answer ended.
+     *
+     * @param ended completed with the end
+     */
+    private record EndRecorder(CompletableFuture<ResponseEnd> ended) implements HttpAnswer {
+        @Override
+        public void head(int status, List<Header> headers) {}
+
+        @Override
+        public boolean part(byte[] bytes) {
+            return true;
+        }
+
+        @Override
+        public void end(ResponseEnd end) {
+            ended.complete(end);
+        }
+
+        @Override
+        public void failed(boolean nothingSent, String detail) {
+            ended.complete(new ResponseEnd.BrokenOff(detail));
+        }
+    }
 }
--- a/rattanrudder-wire/src/test/java/org/rattanrudder/wire/http/HttpCallerTest.java
+++ b/rattanrudder-wire/src/test/java/org/rattanrudder/wire/http/HttpCallerTest.java
@@ -25,6 +25,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.rattanrudder.core.call.Header;
+import org.rattanrudder.core.gateway.ResponseEnd;
 import org.rattanrudder.core.model.Address;
 
 class HttpCallerTest {
@@ -226,7 +227,7 @@
         }
 
         @Override
-        public void end() {
+        public void end(ResponseEnd end) {
             parts.add(END);
         }
 
