--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
@@ -9,15 +9,12 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
-import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.rattanrudder.core.fleet.Placement;
-import org.rattanrudder.core.fleet.SendWindow;
 import org.rattanrudder.core.fleet.Target;
-import org.rattanrudder.core.fleet.TargetAdmission;
 import org.rattanrudder.core.gateway.AttemptOutcome;
 import org.rattanrudder.core.gateway.ResponseClassifier;
 import org.rattanrudder.core.gateway.ResponseCompleteness;
@@ -46,6 +43,7 @@
     private final QueueWait queueWait;
     private final QuarantineCheck quarantine;
     private final AttemptHistory history = new AttemptHistory();
+    private final TargetSelection selection;
     private ScheduledFuture<?> deadline;
     private InactivityMonitor inactivity;
     private TargetAttempt attempt;
@@ -71,6 +69,7 @@
                 state.platform().requests(),
                 plan.route().repeat(),
                 () -> state.metrics().recordFirstByte(plan.route().name(), state.nowMillis() - plan.arrivedAt()));
+        selection = new TargetSelection(state, plan, history);
         log = new ExchangeLog(state, plan);
         reply = new FinalReply(state, caller, plan);
         queueWait = new QueueWait(state, plan, this, log);
@@ -108,7 +107,7 @@
 
     /** Sends the request to an engine with room, or queues it. Requests of other services are sent without queueing. */
     private void place() {
-        if (plan.engine().isEmpty() || forwarder.hasBegun() || !hasUntriedTarget()) {
+        if (plan.engine().isEmpty() || forwarder.hasBegun() || !selection.hasUntried()) {
             placeOnAnyTarget();
             return;
         }
@@ -126,19 +125,11 @@
 
     /** Sends the request if an engine has room for it; returns whether it was sent. */
     boolean tryPlace() {
-        long now = state.nowMillis();
-        boolean late = now > plan.onTimeUntil();
-        TargetAdmission.Admitted admitted = plan.admitted(plan.candidates(now), now);
-        List<Target> open = history.untried(
-                SendWindow.targetsWithRoom(admitted.targets(), plan.engine().orElseThrow(), plan.tokens(), late, now));
-        Optional<Placement.Choice> choice = Placement.choose(open, plan.query(history.triedTargets(), now), now);
+        Optional<Placement.Choice> choice = selection.selectWithRoom();
         choice.ifPresent(found -> {
             queueWait.leave();
             sendTo(found);
         });
-        if (choice.isEmpty()) {
-            admitted.deferral().ifPresent(deferral -> state.dispatchWhenAdmitted(plan.service(), deferral));
-        }
         return choice.isPresent();
     }
 
@@ -149,7 +140,7 @@
 
     /** Returns whether any target may run the request. */
     boolean hasCandidate() {
-        return !plan.candidates(state.nowMillis()).isEmpty();
+        return selection.hasCandidate();
     }
 
     /** Rejects the queued request: no target is left that may run it. */
@@ -169,17 +160,14 @@
     }
 
     private void placeOnAnyTarget() {
-        long now = state.nowMillis();
-        List<Target> targets = plan.candidates(now);
-        Optional<Placement.Choice> choice =
-                Placement.choose(plan.admitted(targets, now).targets(), plan.query(history.triedTargets(), now), now);
+        Optional<Placement.Choice> choice = selection.selectAny();
         if (choice.isPresent()) {
             sendTo(choice.get());
         } else if (forwarder.hasBegun()) {
             finish(reply.abort("no target"));
         } else if (history.mayHaveRun()) {
             finish(reply.fail(ErrorKind.TARGET_FAILED, "no target"));
-        } else if (targets.isEmpty()) {
+        } else if (!selection.hasCandidate()) {
             finish(reply.fail(ErrorKind.NO_TARGET, "no target"));
         } else {
             finish(reply.fail(ErrorKind.OVERLOADED, "no target may take it"));
@@ -397,7 +385,7 @@
     /** Retries a failed attempt on another target if that is allowed, or ends the request. */
     private void retryOrEnd(AttemptOutcome outcome, String reason) {
         history.onFailed(outcome);
-        boolean worthwhile = outcome != AttemptOutcome.REJECTED || hasUntriedTarget();
+        boolean worthwhile = outcome != AttemptOutcome.REJECTED || selection.hasUntried();
         boolean allowed =
                 worthwhile && RetryPolicy.mayRetry(progress(0), outcome) && !quarantine.mayHaveCausedLastCrash(outcome);
         if (allowed && (!history.isSent() || state.tryAcquireRetry(plan.service()))) {
@@ -409,14 +397,6 @@
         }
     }
 
-    /**
-     * Returns whether a target is left that hasn't been tried: retrying a target that has just rejected the request is
-     * of no use.
-     */
-    private boolean hasUntriedTarget() {
-        return !history.untried(plan.candidates(state.nowMillis())).isEmpty();
-    }
-
     /** Records and ends a failed attempt. */
     private void failAttempt(AttemptOutcome outcome, String reason) {
         Target target = attempt.target();
