Read nothing out of JSON bodies that have no content

Entries and companions read answers of log, instance list, engines and cache stores as trees, in which what is missing is a zero or an empty list. A body that only its connection ends may be cut before its first byte: an empty page was the end of the log (its reader said that it was ready), an empty list had no instances, an engine without a load was idle and without weights, and the last order counted as refused.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/companion/Orders.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/companion/Orders.java
@@ -10,6 +10,7 @@
 import org.rattanrudder.core.companion.CompanionEffect;
 import org.rattanrudder.core.companion.CompanionEvent;
 import org.rattanrudder.core.companion.CompanionEvent.OrderOutcome;
+import org.rattanrudder.daemon.http.JsonBody;
 import org.rattanrudder.wire.http.HttpCaller;
 import org.rattanrudder.wire.http.HttpRequest;
 import org.rattanrudder.wire.http.HttpResult;
@@ -65,7 +66,7 @@
     private static CompanionEvent lastOrder(CompanionEffect.QueryLastOrder ask, HttpResult result) {
         if (result instanceof HttpResult.Answered answered && answered.status() == OK) {
             try {
-                JsonNode last = MAPPER.readTree(answered.body());
+                JsonNode last = JsonBody.read(answered.body());
                 OrderOutcome outcome = switch (last.path("state").asText()) {
                     case "done" -> OrderOutcome.DONE;
                     case "loading" -> OrderOutcome.STARTED;
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/companion/StoreClient.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/companion/StoreClient.java
@@ -13,6 +13,7 @@
 import org.rattanrudder.core.companion.CompanionEvent.StoredBlock;
 import org.rattanrudder.core.model.Address;
 import org.rattanrudder.core.model.Digest;
+import org.rattanrudder.daemon.http.JsonBody;
 import org.rattanrudder.wire.http.HttpCaller;
 import org.rattanrudder.wire.http.HttpRequest;
 import org.rattanrudder.wire.http.HttpResult;
@@ -73,7 +74,7 @@
     /** Returns the generation that a store gave for a write; empty if its answer can't be read. */
     static Optional<Long> generationOf(HttpResult.Answered begun) {
         try {
-            JsonNode generation = MAPPER.readTree(begun.body()).path("generation");
+            JsonNode generation = JsonBody.read(begun.body()).path("generation");
             return generation.canConvertToLong() ? Optional.of(generation.asLong()) : Optional.empty();
         } catch (IOException malformed) {
             return Optional.empty();
@@ -85,9 +86,9 @@
             return Optional.empty();
         }
         try {
-            JsonNode body = MAPPER.readTree(answered.body());
+            JsonNode body = JsonBody.read(answered.body());
             List<StoredBlock> blocks = new ArrayList<>();
-            for (JsonNode each : body.path("found")) {
+            for (JsonNode each : JsonBody.list(body, "found")) {
                 blocks.add(new StoredBlock(
                         Digest.fromHex(each.path("block").asText()),
                         body.path("incarnation").asLong(),
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/companion/TargetWatch.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/companion/TargetWatch.java
@@ -1,7 +1,6 @@
 package org.rattanrudder.daemon.companion;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
@@ -11,6 +10,7 @@
 import org.rattanrudder.core.companion.CompanionEffect;
 import org.rattanrudder.core.companion.CompanionEvent;
 import org.rattanrudder.core.model.Digest;
+import org.rattanrudder.daemon.http.JsonBody;
 import org.rattanrudder.wire.http.HttpCaller;
 import org.rattanrudder.wire.http.HttpRequest;
 import org.rattanrudder.wire.http.HttpResult;
@@ -20,7 +20,6 @@
 final class TargetWatch {
     static final long PERIOD_MILLIS = 500;
 
-    private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final HttpTimeouts TIMEOUTS = new HttpTimeouts(500, 1_000, 1_000);
 
     private final HttpCaller caller;
@@ -74,7 +73,7 @@
     private CompanionEvent loadOf(HttpResult result) {
         try {
             if (result instanceof HttpResult.Answered answered && answered.isSuccess()) {
-                JsonNode load = MAPPER.readTree(answered.body());
+                JsonNode load = JsonBody.read(answered.body());
                 return new CompanionEvent.LoadReported(
                         watched.name(),
                         new CompanionEvent.TargetLoad(
@@ -92,7 +91,7 @@
     private void takeEvents(HttpResult result) {
         try {
             if (result instanceof HttpResult.Answered answered && answered.isSuccess()) {
-                takePage(MAPPER.readTree(answered.body()));
+                takePage(JsonBody.read(answered.body()));
             }
         } catch (IOException | IllegalArgumentException malformed) {
             // What was missed by it is a gap.
@@ -101,15 +100,15 @@
         again(this::askEvents);
     }
 
-    private void takePage(JsonNode page) {
-        long last = page.path("last").asLong();
+    private void takePage(JsonNode page) throws IOException {
+        long last = JsonBody.whole(page, "last");
         // An engine that restarted counts anew, and a cache that is empty again is all that is known of it.
         boolean gap = last < lastEvent;
         if (gap) {
             lastEvent = 0;
         }
         List<CompanionEvent.CacheEvent> events = new ArrayList<>();
-        for (JsonNode each : page.path("events")) {
+        for (JsonNode each : JsonBody.list(page, "events")) {
             long sequence = each.path("sequence").asLong();
             if (sequence <= lastEvent) {
                 continue;
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/platform/InstanceListReader.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/platform/InstanceListReader.java
@@ -1,13 +1,13 @@
 package org.rattanrudder.daemon.platform;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
 import org.rattanrudder.core.entry.EntryEvent;
 import org.rattanrudder.core.model.Address;
+import org.rattanrudder.daemon.http.JsonBody;
 import org.rattanrudder.wire.http.HttpCaller;
 import org.rattanrudder.wire.http.HttpRequest;
 import org.rattanrudder.wire.http.HttpResult;
@@ -17,8 +17,6 @@
     /** The polling interval; a shorter one gains nothing, since the list lags by more than that. */
     public static final long POLL_INTERVAL_MILLIS = 2_000;
 
-    private static final ObjectMapper MAPPER = new ObjectMapper();
-
     private final HttpCaller caller;
     private final Address address;
     private final Consumer<List<EntryEvent.ListedInstance>> listener;
@@ -46,16 +44,16 @@
             return;
         }
         try {
-            listener.accept(parse(MAPPER.readTree(answered.body())));
+            listener.accept(parse(JsonBody.read(answered.body())));
         } catch (IOException | IllegalArgumentException malformed) {
             // The list is only a hint, so a malformed one is ignored.
             return;
         }
     }
 
-    private static List<EntryEvent.ListedInstance> parse(JsonNode body) {
+    private static List<EntryEvent.ListedInstance> parse(JsonNode body) throws IOException {
         List<EntryEvent.ListedInstance> instances = new ArrayList<>();
-        for (JsonNode each : body.path("instances")) {
+        for (JsonNode each : JsonBody.list(body, "instances")) {
             Address instance = Address.parse(each.path("address").asText());
             instances.add(new EntryEvent.ListedInstance(
                     instance, each.path("state").asText().equals("leaving")));
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/platform/LogAppender.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/platform/LogAppender.java
@@ -1,13 +1,13 @@
 package org.rattanrudder.daemon.platform;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.util.function.Consumer;
 import org.rattanrudder.core.log.AppendResult;
 import org.rattanrudder.core.log.LogBatch;
 import org.rattanrudder.core.log.LogStream;
 import org.rattanrudder.core.model.Address;
+import org.rattanrudder.daemon.http.JsonBody;
 import org.rattanrudder.wire.http.HttpCaller;
 import org.rattanrudder.wire.http.HttpRequest;
 import org.rattanrudder.wire.http.HttpResult;
@@ -16,7 +16,6 @@
 
 /** Appends batches to the platform's log, without retries. */
 public final class LogAppender {
-    private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final HttpTimeouts TIMEOUTS = new HttpTimeouts(1_000, 2_000, 1_000);
     private static final int TOO_MANY_REQUESTS = 429;
     private static final int UNAVAILABLE = 503;
@@ -58,7 +57,7 @@
 
     private static AppendResult parseAppended(byte[] body) {
         try {
-            JsonNode offset = MAPPER.readTree(body).path("offset");
+            JsonNode offset = JsonBody.read(body).path("offset");
             return offset.canConvertToLong() ? new AppendResult.Appended(offset.asLong()) : new AppendResult.Unknown();
         } catch (IOException malformed) {
             return new AppendResult.Unknown();
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/platform/LogFollower.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/platform/LogFollower.java
@@ -1,7 +1,6 @@
 package org.rattanrudder.daemon.platform;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.Base64;
@@ -11,6 +10,7 @@
 import org.rattanrudder.core.log.LogRecord;
 import org.rattanrudder.core.log.LogStream;
 import org.rattanrudder.core.model.Address;
+import org.rattanrudder.daemon.http.JsonBody;
 import org.rattanrudder.daemon.logging.EventLog;
 import org.rattanrudder.wire.http.HttpCaller;
 import org.rattanrudder.wire.http.HttpRequest;
@@ -20,7 +20,6 @@
 
 /** Follows one stream of the platform's log by long polling, from the oldest record on. */
 public final class LogFollower {
-    private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final int LONG_POLL_MILLIS = 2_000;
     private static final HttpTimeouts TIMEOUTS = new HttpTimeouts(1_000, LONG_POLL_MILLIS + 1_000, 2_000);
     private static final long RETRY_DELAY_MILLIS = 250;
@@ -112,7 +111,7 @@
             return;
         }
         try {
-            onPage(MAPPER.readTree(answered.body()));
+            onPage(JsonBody.read(answered.body()));
         } catch (IOException | IllegalArgumentException malformed) {
             onFailure("malformed: " + malformed.getMessage());
             return;
@@ -120,9 +119,11 @@
         poll();
     }
 
-    private void onPage(JsonNode page) {
+    private void onPage(JsonNode page) throws IOException {
+        long first = JsonBody.whole(page, "first");
+        long next = JsonBody.whole(page, "next");
         List<LogRecord> records = new ArrayList<>();
-        for (JsonNode each : page.path("records")) {
+        for (JsonNode each : JsonBody.list(page, "records")) {
             long offset = each.path("offset").asLong();
             // Records before the requested offset were passed on already.
             if (offset >= nextOffset) {
@@ -132,8 +133,8 @@
             }
         }
         // Records that retention dropped can't be read any more; continue with the oldest that is kept.
-        nextOffset = Math.max(nextOffset, page.path("first").asLong());
-        caughtUp = nextOffset >= page.path("next").asLong();
+        nextOffset = Math.max(nextOffset, first);
+        caughtUp = nextOffset >= next;
         if (failing) {
             failing = false;
             availabilityListener.onAvailable(stream);
--- a/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/platform/LogFollowerTest.java
+++ b/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/platform/LogFollowerTest.java
@@ -17,6 +17,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.rattanrudder.core.log.AppendResult;
 import org.rattanrudder.core.log.LogBatch;
 import org.rattanrudder.core.log.LogRecord;
@@ -89,6 +90,28 @@
                         "from=23&wait_millis=2000");
     }
 
+    /** Guards against a page without its content that counts as the end of the log: its reader would be ready. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "{}", "{\"first\":1,\"next\":4}", "{\"next\":4,\"records\":[]}", "[]"})
+    void aPageThatLacksAPartIsNoPage(String body) throws Exception {
+        BlockingQueue<String> reads = new LinkedBlockingQueue<>();
+        BlockingQueue<String> statusChanges = new LinkedBlockingQueue<>();
+        try (TestServer log =
+                new TestServer(exchange -> exchange.getResponseSender().send(body))) {
+            new LogFollower(
+                            caller,
+                            timer,
+                            log.address(),
+                            LogStream.CONFIGURATION,
+                            new RecordingListener(reads),
+                            new RecordingAvailabilityListener(statusChanges))
+                    .poll();
+
+            assertThat(reads.poll(SECONDS, TimeUnit.SECONDS)).isEqualTo("failed");
+        }
+        assertThat(statusChanges.poll()).startsWith("lost: malformed: ");
+    }
+
     private static void answer(HttpServerExchange exchange, BlockingQueue<String> queries, Queue<String> pages) {
         queries.add(exchange.getQueryString());
         String page = pages.poll();
