--- a/rattanrudder-standins/src/test/java/org/rattanrudder/standins/LogEntryOnceTest.java
+++ b/rattanrudder-standins/src/test/java/org/rattanrudder/standins/LogEntryOnceTest.java
@@ -9,6 +9,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.extension.AfterTestExecutionCallback;
+import org.junit.jupiter.api.extension.RegisterExtension;
 import org.rattanrudder.standins.load.Answer;
 import org.rattanrudder.standins.load.Caller;
 
@@ -16,6 +18,9 @@
     private static final String SERVICE = "fuel-ledger";
     private static final long AT_ONCE_MILLIS = 2_000;
 
+    @RegisterExtension
+    final AfterTestExecutionCallback lines = RunningSystem.printLinesOfFailures(() -> this.system);
+
     private RunningSystem system;
     private Caller caller;
 
--- a/rattanrudder-standins/src/test/java/org/rattanrudder/standins/RunningSystem.java
+++ b/rattanrudder-standins/src/test/java/org/rattanrudder/standins/RunningSystem.java
@@ -13,6 +13,7 @@
 import java.util.function.Supplier;
 import java.util.function.UnaryOperator;
 import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.extension.AfterTestExecutionCallback;
 import org.rattanrudder.core.document.TargetSettings;
 import org.rattanrudder.core.model.Address;
@@ -31,6 +32,8 @@
     private static final String DAEMON = "org.rattanrudder.daemon.Rattanrudderd";
     private static final Path EXAMPLES = Path.of("..", "examples", "small");
     private static final int LINES_SHOWN = 20;
+    private static final String START_OF_STACKS = "Full thread dump";
+    private static final String END_OF_STACKS = "JNI global refs";
     private static final Path LOGS = Path.of("target", "process-logs");
 
     private final CallerClient client = new CallerClient();
@@ -67,17 +70,33 @@
             new Readiness(layout, system.client, system::requireAllRun).publishAndWait();
             return system;
         } catch (RuntimeException notReady) {
+            system.dumpStacks();
             notReady.addSuppressed(new IllegalStateException("the processes wrote last:" + system.lastLines()));
             system.close();
             throw notReady;
         }
     }
 
-    /** Returns what prints the last lines of each process once a test has failed. */
+    /** Returns what prints the last lines of each process, with its stacks, once a test has failed. */
     static AfterTestExecutionCallback printLinesOfFailures(Supplier<RunningSystem> system) {
-        return test -> test.getExecutionException()
-                .ifPresent(failed -> System.out.println(
-                        test.getDisplayName() + " failed" + system.get().lastLines()));
+        return test -> test.getExecutionException().ifPresent(failed -> {
+            system.get().dumpStacks();
+            System.out.println(test.getDisplayName() + " failed" + system.get().lastLines());
+        });
+    }
+
+    /** Has each running process write the stacks of its threads to its log, and waits for them for a while. */
+    private void dumpStacks() {
+        List<String> running = processes.keySet().stream()
+                .filter(name -> processes.get(name).isAlive())
+                .toList();
+        running.forEach(name -> signal(name, "QUIT"));
+        try {
+            Await.until(
+                    "stacks", () -> running.stream().allMatch(name -> log(name).contains(END_OF_STACKS)));
+        } catch (AssertionError missing) {
+            System.out.println("a process writes no stacks: " + missing.getMessage());
+        }
     }
 
     private String lastLines() {
@@ -100,7 +119,12 @@
     private String lastLines(String name) {
         try {
             List<String> lines = Files.readAllLines(directory.resolve(name + ".log"));
-            return String.join("\n", lines.subList(Math.max(0, lines.size() - LINES_SHOWN), lines.size()));
+            int stacks = IntStream.range(0, lines.size())
+                    .filter(line -> lines.get(line).startsWith(START_OF_STACKS))
+                    .findFirst()
+                    .orElse(lines.size());
+            int from = Math.max(0, stacks - LINES_SHOWN);
+            return String.join("\n", lines.subList(from, lines.size()));
         } catch (IOException unreadable) {
             throw new UncheckedIOException(unreadable);
         }
