--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TargetConnection.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TargetConnection.java
@@ -26,9 +26,9 @@
  *
  * <p>Nothing that it reads is trusted. A second response to an earlier request may arrive where the next response is
  * due: a response with the ID of another request is skipped. Bytes that arrive while no request is in flight close the
- * connection. A body without a length ends with its connection, but only if that was closed and not reset. A response
- * may arrive before its request was sent in full: the connection isn't reused then, since the target might read the
- * next request as the rest of this one.
+ * connection. Where a body declares no end, an orderly close of the connection ends it, and a reset breaks it off. A
+ * response may arrive before its request was sent in full: the connection isn't reused then, since the target might
+ * read the next request as the rest of this one.
  */
 final class TargetConnection extends ChannelInboundHandlerAdapter {
     private final Channel channel;
@@ -44,7 +44,6 @@
     private boolean keepAlive;
     private boolean closeDelimited;
     private ResponseEnd end;
-    private boolean reset;
     private boolean complete;
     private long keepAliveMillis = -1;
     private long idleSince;
@@ -178,10 +177,6 @@
             sink.onContent(content.content());
         }
         if (last && sink != null) {
-            if (closeDelimited && reset) {
-                fail("reset");
-                return;
-            }
             finish();
         }
     }
@@ -219,13 +214,12 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
-        fail(reset ? "reset" : "closed");
+        fail("closed");
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        // Called before channelInactive; a body without a length must not count as complete after a reset.
-        reset = true;
+        // Before channelInactive, which to the decoder is the end of a body that only its connection ends.
         fail("reset");
     }
 
