Name how a body ended once in a relay's connection and attempt

TargetConnection kept a mark of bodies that only their connection ends beside the end itself, and TargetAttempt's end() was the body's. One is gone, the other says so.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
@@ -336,7 +336,7 @@
 
     @Override
     public void onEnd(ResponseEnd end) {
-        attempt.recordEnd(end, forwarder.position());
+        attempt.recordBodyEnd(end, forwarder.position());
         state.metrics().recordResponseEnd(plan.service(), end, forwarder.position());
         Optional<String> incomplete = ResponseCompleteness.reasonIncomplete(end, forwarder.position());
         if (incomplete.isPresent()) {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/ExchangeLog.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/ExchangeLog.java
@@ -116,7 +116,7 @@
                 reason,
                 afterMillis,
                 answerBegan,
-                attempt.end().orElse("none"),
+                attempt.bodyEnd().orElse("none"),
                 fingerprint.toHex());
     }
 
@@ -179,7 +179,7 @@
                         attempt.map(sent -> Long.toString(sent.firstByteMillis()))
                                 .orElse("none"),
                         "body_end",
-                        attempt.flatMap(TargetAttempt::end).orElse("none"),
+                        attempt.flatMap(TargetAttempt::bodyEnd).orElse("none"),
                         "longest_pause_ms",
                         attempt.map(sent -> Long.toString(sent.maxPauseMillis()))
                                 .orElse("none"),
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/ResponseFraming.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/ResponseFraming.java
@@ -20,7 +20,7 @@
     }
 
     /** Returns whether only the end of the connection ends the body. */
-    static boolean isDelimitedByConnection(HttpResponse head, boolean headRequest) {
+    private static boolean isDelimitedByConnection(HttpResponse head, boolean headRequest) {
         return !headRequest
                 && mayHaveBody(head.status())
                 && !HttpUtil.isContentLengthSet(head)
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TargetAttempt.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TargetAttempt.java
@@ -15,7 +15,7 @@
     private long lastContentAt;
     private long firstByteMillis = -1;
     private long maxPauseMillis;
-    private Optional<String> end = Optional.empty();
+    private Optional<String> bodyEnd = Optional.empty();
 
     TargetAttempt(Target target, TargetConnection connection, RequestPlan.Outgoing outgoing, long sentAt) {
         this.target = target;
@@ -88,13 +88,13 @@
     }
 
     /** Records how the body of the response ended, and where in its content. */
-    void recordEnd(ResponseEnd found, BodyPosition position) {
-        end = Optional.of(found.wireName() + "/" + position.wireName());
+    void recordBodyEnd(ResponseEnd found, BodyPosition position) {
+        bodyEnd = Optional.of(found.wireName() + "/" + position.wireName());
     }
 
     /** Returns how the body ended and where, as words for the log; empty if the relay gave the response up. */
-    Optional<String> end() {
-        return end;
+    Optional<String> bodyEnd() {
+        return bodyEnd;
     }
 
     /** Ends the attempt, whether it succeeded or not. */
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TargetConnection.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TargetConnection.java
@@ -42,7 +42,6 @@
     private boolean skipping;
     private boolean interim;
     private boolean keepAlive;
-    private boolean closeDelimited;
     private ResponseEnd end;
     private boolean complete;
     private long keepAliveMillis = -1;
@@ -157,7 +156,6 @@
         }
         inResponse = true;
         keepAlive = HttpUtil.isKeepAlive(response);
-        closeDelimited = ResponseFraming.isDelimitedByConnection(response, headRequest);
         end = ResponseFraming.endOf(response, headRequest);
         metadata.keepAliveMillis().ifPresent(millis -> keepAliveMillis = millis);
         sink.onHead(response, metadata);
@@ -194,7 +192,7 @@
         if (!complete || !channel.isActive()) {
             return;
         }
-        if (!keepAlive || closeDelimited || !requestWritten) {
+        if (!keepAlive || end instanceof ResponseEnd.ConnectionClosed || !requestWritten) {
             channel.close();
             return;
         }
