--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/FleetTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/FleetTest.java
@@ -9,7 +9,6 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import org.rattanrudder.core.fleet.LoadReport.ReadOffsets;
 import org.rattanrudder.core.model.Address;
 
 class FleetTest {
@@ -61,22 +60,7 @@
     }
 
     private static LoadReport reportOf(Fleet peer, long nowMillis) {
-        return new LoadReport(
-                "relay-2",
-                1,
-                true,
-                List.of(),
-                List.of(),
-                List.of(),
-                List.of(),
-                List.of(),
-                true,
-                new ReadOffsets(0, 0, 0),
-                List.of(),
-                List.of(),
-                List.of(),
-                peer.removedTargets(nowMillis),
-                100);
+        return TestReports.of(List.of(), peer.removedTargets(nowMillis));
     }
 
     private static Fleet withTarget() {
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/TargetNoticesTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/TargetNoticesTest.java
@@ -15,7 +15,6 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.rattanrudder.core.fleet.LoadReport.LeavingTarget;
-import org.rattanrudder.core.fleet.LoadReport.ReadOffsets;
 import org.rattanrudder.core.model.Address;
 
 /** What targets say of themselves, against records and responses that are older or come again. */
@@ -101,22 +100,7 @@
     }
 
     private static LoadReport reportOfPeer(LeavingTarget... leaving) {
-        return new LoadReport(
-                "relay-2",
-                1,
-                true,
-                List.of(),
-                List.of(),
-                List.of(),
-                List.of(),
-                List.of(),
-                true,
-                new ReadOffsets(0, 0, 0),
-                List.of(),
-                List.of(),
-                List.of(leaving),
-                List.of(),
-                100);
+        return TestReports.of(List.of(leaving), List.of());
     }
 
     /** Guards against a relay that the store turns away, which would hear seconds later that a target drains. */
--- /dev/null
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/TestReports.java
@@ -0,0 +1,32 @@
+package org.rattanrudder.core.fleet;
+
+import java.util.List;
+import org.rattanrudder.core.fleet.LoadReport.LeavingTarget;
+import org.rattanrudder.core.fleet.LoadReport.ReadOffsets;
+import org.rattanrudder.core.fleet.LoadReport.RemovedTarget;
+
+/** Full reports of a peer that say only which targets leave and which it has removed. */
+final class TestReports {
+    private static final long INTERVAL_MILLIS = 100;
+
+    private TestReports() {}
+
+    static LoadReport of(List<LeavingTarget> leaving, List<RemovedTarget> removed) {
+        return new LoadReport(
+                "relay-2",
+                1,
+                true,
+                List.of(),
+                List.of(),
+                List.of(),
+                List.of(),
+                List.of(),
+                true,
+                new ReadOffsets(0, 0, 0),
+                List.of(),
+                List.of(),
+                leaving,
+                removed,
+                INTERVAL_MILLIS);
+    }
+}
