Name the version of software at each placement, and the stream that a caller takes up

The hypotheses of the incident can't be told apart by logs: no line names a target's software, or says whether a request takes up a stream, and which. Targets' records are read with their version, and requests with Resumes; request_placed and request_ended name both, and a counter tells continuations within a response from those for a caller. Nothing is decided by them.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/TargetRegistration.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/TargetRegistration.java
@@ -1,6 +1,7 @@
 package org.rattanrudder.core.fleet;
 
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import org.rattanrudder.core.model.Address;
 
@@ -16,6 +17,7 @@
  * @param draining whether it is shutting down and accepts no new requests
  * @param weights the version of each model that it serves
  * @param warmUpMillis how long it still warms up, in ms; empty if not given
+ * @param softwareVersion the version of the software that it runs, not of its weights; empty if not given
  */
 public record TargetRegistration(
         String id,
@@ -26,7 +28,8 @@
         int slots,
         boolean draining,
         Map<String, Long> weights,
-        OptionalLong warmUpMillis) {
+        OptionalLong warmUpMillis,
+        Optional<String> softwareVersion) {
     /** The start time of a target that gives none; sorts before any other. */
     public static final long START_UNKNOWN = 0;
 
@@ -34,7 +37,7 @@
         weights = Map.copyOf(weights);
     }
 
-    /** Creates a registration that doesn't say whether the target warms up. */
+    /** Creates a registration that says neither whether the target warms up nor what software it runs. */
     public TargetRegistration(
             String id,
             long startedAt,
@@ -44,7 +47,17 @@
             int slots,
             boolean draining,
             Map<String, Long> weights) {
-        this(id, startedAt, service, address, failureDomain, slots, draining, weights, OptionalLong.empty());
+        this(
+                id,
+                startedAt,
+                service,
+                address,
+                failureDomain,
+                slots,
+                draining,
+                weights,
+                OptionalLong.empty(),
+                Optional.empty());
     }
 
     /** Returns whether another registration differs in more than the progress of a warm-up. */
@@ -57,6 +70,16 @@
     }
 
     private TargetRegistration withoutWarmUp() {
-        return new TargetRegistration(id, startedAt, service, address, failureDomain, slots, draining, weights);
+        return new TargetRegistration(
+                id,
+                startedAt,
+                service,
+                address,
+                failureDomain,
+                slots,
+                draining,
+                weights,
+                OptionalLong.empty(),
+                softwareVersion);
     }
 }
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/gateway/RequestMetadata.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/gateway/RequestMetadata.java
@@ -16,6 +16,8 @@
  * @param promptTokens the length of the prompt; 0 if unknown
  * @param maxOutputTokens the maximum number of output tokens; 0 if unknown
  * @param lastEventId the event after which a stream resumes; empty to start from the beginning
+ * @param resumedRequestId the ID of the caller's request that brought the first event of the stream that this one
+ *     resumes; empty if not given
  */
 public record RequestMetadata(
         String id,
@@ -26,7 +28,8 @@
         List<PromptPart> parts,
         int promptTokens,
         int maxOutputTokens,
-        Optional<String> lastEventId) {
+        Optional<String> lastEventId,
+        Optional<String> resumedRequestId) {
     public RequestMetadata {
         parts = List.copyOf(parts);
     }
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/WarmUpAdmissionTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/WarmUpAdmissionTest.java
@@ -59,7 +59,8 @@
                             4,
                             false,
                             Map.of("m", 1L),
-                            warmUpMillis)),
+                            warmUpMillis,
+                            Optional.empty())),
                     offset,
                     nowMillis);
         }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
@@ -48,6 +48,7 @@
     private InactivityMonitor inactivity;
     private TargetAttempt attempt;
     private Optional<TargetAttempt> lastAttempt = Optional.empty();
+    private Optional<String> firstSoftware = Optional.empty();
     private String load = "unknown";
     private boolean ended;
 
@@ -65,10 +66,7 @@
         this.body = body;
         this.plan = plan;
         forwarder = new ResponseForwarder(
-                caller,
-                state.platform().requests(),
-                plan.route().repeat(),
-                () -> state.metrics().recordFirstByte(plan.route().name(), state.nowMillis() - plan.arrivedAt()));
+                caller, state.platform().requests(), plan.route().repeat(), this::onFirstByte);
         selection = new TargetSelection(state, plan, history);
         log = new ExchangeLog(state, plan);
         reply = new FinalReply(state, caller, plan);
@@ -76,6 +74,11 @@
         quarantine = new QuarantineCheck(state, plan, head.uri(), body);
     }
 
+    private void onFirstByte() {
+        firstSoftware = attempt.target().registration().softwareVersion();
+        state.metrics().recordFirstByte(plan.route().name(), state.nowMillis() - plan.arrivedAt());
+    }
+
     /** Starts the exchange; the request has been read in full and is admitted. */
     void start() {
         if (ended) {
@@ -180,7 +183,9 @@
         }
         Target target = choice.target();
         history.onPlaced(target);
-        log.placed(choice, history.triedTargets().size());
+        Optional<String> lastEventId = forwarder.lastEventId().or(plan.metadata()::lastEventId);
+        log.placed(choice, history.triedTargets().size(), lastEventId);
+        recordContinuation(target);
         boolean repeatable = plan.route().repeat().repeatable();
         // Counted from now on: otherwise all requests placed while the connection opens would go to the same target.
         Target.RequestCost expected = plan.expectedCost();
@@ -193,6 +198,17 @@
         });
     }
 
+    /** Counts an attempt that continues a stream, by who continues it and whether its target's software began it. */
+    private void recordContinuation(Target target) {
+        Optional<String> software = target.registration().softwareVersion();
+        if (forwarder.hasBegun()) {
+            boolean same = software.isPresent() && software.equals(firstSoftware);
+            state.metrics().recordContinuation("response", same ? "same" : "other");
+        } else if (plan.metadata().lastEventId().isPresent()) {
+            state.metrics().recordContinuation("caller", "unknown");
+        }
+    }
+
     /**
      * Ends the request if its deadline has passed; returns whether it had. While the loop is late, connections open and
      * engines become free in iterations in which the timer of the deadline hasn't run.
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/ExchangeLog.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/ExchangeLog.java
@@ -17,7 +17,13 @@
         this.plan = plan;
     }
 
-    void placed(Placement.Choice choice, int attempt) {
+    /**
+     * Logs where a request is placed.
+     *
+     * @param attempt the number of the attempt, 1 first
+     * @param lastEventId the event after which the attempt continues a stream; empty for the beginning
+     */
+    void placed(Placement.Choice choice, int attempt, Optional<String> lastEventId) {
         state.log()
                 .info(
                         "request_placed",
@@ -45,6 +51,12 @@
                         Boolean.toString(choice.target().isResting(state.nowMillis())),
                         "attempt",
                         Integer.toString(attempt),
+                        "software",
+                        softwareOf(choice.target()),
+                        "after_event",
+                        lastEventId.orElse("none"),
+                        "resumes",
+                        plan.metadata().resumedRequestId().orElse("none"),
                         "left_ms",
                         Long.toString(plan.remainingMillis()),
                         "configuration",
@@ -93,6 +105,10 @@
                         Integer.toString(state.fleet().livePeerCount(now)));
     }
 
+    private static String softwareOf(Target target) {
+        return target.registration().softwareVersion().orElse("unknown");
+    }
+
     private boolean isWarmingUp(Target target, long now) {
         return plan.warmUp()
                 .filter(traits -> state.warmUps().isWarmingUp(target, traits, now))
@@ -172,6 +188,8 @@
                         Long.toString(state.nowMillis() - plan.arrivedAt()),
                         "target",
                         attempt.map(sent -> sent.target().id()).orElse("none"),
+                        "software",
+                        attempt.map(sent -> softwareOf(sent.target())).orElse("none"),
                         "sent_after_ms",
                         attempt.map(sent -> Long.toString(sent.sentAt() - plan.arrivedAt()))
                                 .orElse("none"),
