Continue a stream within its response only at the software that began it

Callers got one response with events of two versions of an engine's software, which don't fit together: after a crash the next attempt went wherever it fitted, since nothing read which software a target runs. Now the first event that is sent on binds the request (StreamBinding), and all that chooses or checks a target for it asks the binding: retries, hedges, requests that waited in line or for a connection, second choices after 421. A stream whose first target names no version, or another one since, isn't continued. Before the first event nothing is bound.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Target.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Target.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
+import org.rattanrudder.core.continuation.StreamOrigin;
 import org.rattanrudder.core.fleet.LoadReport.SeenRateLimit;
 import org.rattanrudder.core.fleet.LoadReport.ServedWeights;
 import org.rattanrudder.core.fleet.LoadReport.TargetLoad;
@@ -86,6 +87,11 @@
         return registration.id();
     }
 
+    /** Returns the software that it runs, to which streams that it begins are bound; empty if it doesn't say. */
+    public Optional<StreamOrigin> software() {
+        return registration.softwareVersion().map(version -> new StreamOrigin(registration.service(), version));
+    }
+
     /** Returns the requests that this relay has sent within the last second, or is about to send. */
     RecentSends recentSends() {
         return recentSends;
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/gateway/EventStreamScanner.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/gateway/EventStreamScanner.java
@@ -86,6 +86,11 @@
         return hasEvents ? BodyPosition.BETWEEN_EVENTS : BodyPosition.BEFORE_FIRST_EVENT;
     }
 
+    /** Returns whether the current response has brought a complete event. */
+    public boolean hasEvents() {
+        return hasEvents;
+    }
+
     /** Returns whether an event, or a line, is incomplete. */
     public boolean isWithinEvent() {
         boolean partialMark = !started && markBytes > 0 && markBytes < BYTE_ORDER_MARK.length;
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/EventFramer.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/EventFramer.java
@@ -72,6 +72,11 @@
         scanner.restart();
     }
 
+    /** Returns whether an event of the current response was forwarded, or a part of one. */
+    boolean hasForwardedEvent() {
+        return partialForwarded || scanner.hasEvents();
+    }
+
     /** Returns whether another response can continue after what was forwarded. */
     boolean isResumable() {
         return !partialForwarded && scanner.isResumable();
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
@@ -48,7 +48,6 @@
     private InactivityMonitor inactivity;
     private TargetAttempt attempt;
     private Optional<TargetAttempt> lastAttempt = Optional.empty();
-    private Optional<String> firstSoftware = Optional.empty();
     private String load = "unknown";
     private boolean ended;
 
@@ -66,7 +65,10 @@
         this.body = body;
         this.plan = plan;
         forwarder = new ResponseForwarder(
-                caller, state.platform().requests(), plan.route().repeat(), this::onFirstByte);
+                caller,
+                state.platform().requests(),
+                plan.route().repeat(),
+                () -> state.metrics().recordFirstByte(plan.route().name(), state.nowMillis() - plan.arrivedAt()));
         selection = new TargetSelection(state, plan, history);
         log = new ExchangeLog(state, plan);
         reply = new FinalReply(state, caller, plan);
@@ -74,11 +76,6 @@
         quarantine = new QuarantineCheck(state, plan, head.uri(), body);
     }
 
-    private void onFirstByte() {
-        firstSoftware = attempt.target().registration().softwareVersion();
-        state.metrics().recordFirstByte(plan.route().name(), state.nowMillis() - plan.arrivedAt());
-    }
-
     /** Starts the exchange; the request has been read in full and is admitted. */
     void start() {
         if (ended) {
@@ -167,7 +164,7 @@
         if (choice.isPresent()) {
             sendTo(choice.get());
         } else if (forwarder.hasBegun()) {
-            finish(reply.abort("no target"));
+            finish(reply.abort(plan.binding().hasBegun() ? "no target of its software" : "no target"));
         } else if (history.mayHaveRun()) {
             finish(reply.fail(ErrorKind.TARGET_FAILED, "no target"));
         } else if (!selection.hasCandidate()) {
@@ -200,9 +197,8 @@
 
     /** Counts an attempt that continues a stream, by who continues it and whether its target's software began it. */
     private void recordContinuation(Target target) {
-        Optional<String> software = target.registration().softwareVersion();
-        if (forwarder.hasBegun()) {
-            boolean same = software.isPresent() && software.equals(firstSoftware);
+        if (plan.binding().hasBegun()) {
+            boolean same = plan.binding().admits(target.software());
             state.metrics().recordContinuation("response", same ? "same" : "other");
         } else if (plan.metadata().lastEventId().isPresent()) {
             state.metrics().recordContinuation("caller", "unknown");
@@ -286,7 +282,7 @@
                 history.possibleRuns() + running,
                 history.unexecutedSends(),
                 forwarder.hasBegun(),
-                forwarder.isResumable(),
+                forwarder.isResumable() && plan.binding().isContinuable(),
                 plan.remainingMillis());
     }
 
@@ -348,6 +344,9 @@
             state.dispatchQueued(plan.service());
         }
         forwarder.content(chunk);
+        if (!plan.binding().hasBegun() && forwarder.hasForwardedEvent()) {
+            plan.binding().onBegun(attempt.software());
+        }
     }
 
     @Override
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RequestPlan.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RequestPlan.java
@@ -6,6 +6,7 @@
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
+import org.rattanrudder.core.continuation.StreamBinding;
 import org.rattanrudder.core.fleet.HoldingQueue;
 import org.rattanrudder.core.fleet.MedianEstimate;
 import org.rattanrudder.core.fleet.PlacementQuery;
@@ -25,7 +26,7 @@
 import org.rattanrudder.core.routing.Hashing;
 import org.rattanrudder.daemon.relay.port.ForwardingMetadata;
 
-/** The parameters of one request that stay fixed until it ends, and the metadata sent to its target. */
+/** The parameters of one request, which targets may run it, and the metadata sent to its target. */
 final class RequestPlan {
     /** Part of the deadline already spent on the network between caller and relay. */
     private static final long CALLER_NETWORK_MILLIS = 2;
@@ -63,6 +64,7 @@
     private final long arrivedAt;
     private final long deadlineAt;
     private final long contextHash;
+    private final StreamBinding binding = new StreamBinding();
 
     RequestPlan(RelayState state, RequestMetadata metadata, AccessDecision.Granted granted, long arrivedAt) {
         this.state = state;
@@ -192,11 +194,18 @@
 
     private List<Target> usable(long now) {
         List<Target> usable = state.admission().usable(service, now);
-        return allowedRegions.names().isEmpty()
+        return allowedRegions.names().isEmpty() && !binding.hasBegun()
                 ? usable
-                : usable.stream()
-                        .filter(target -> allowsDomain(target.registration().failureDomain()))
-                        .toList();
+                : usable.stream().filter(this::mayRunAt).toList();
+    }
+
+    private boolean mayRunAt(Target target) {
+        return allowsDomain(target.registration().failureDomain()) && binding.admits(target.software());
+    }
+
+    /** Returns what binds the request's stream to the software that began it. */
+    StreamBinding binding() {
+        return binding;
     }
 
     /** Returns how the targets of its service warm up; empty if they don't. */
@@ -211,6 +220,9 @@
 
     /** Returns why the request may no longer be sent to the target that was chosen for it, if so. */
     Optional<String> reasonNotToSend(Target target, long now) {
+        if (!binding.admits(target.software())) {
+            return Optional.of("other software");
+        }
         return state.admission().reasonNotToSend(target, warmUp(), now);
     }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/ResponseForwarder.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/ResponseForwarder.java
@@ -56,6 +56,11 @@
         return events && framer.filter(EventFramer::isResumable).isPresent();
     }
 
+    /** Returns whether the current response has brought an event, or a part of one, to the caller. */
+    boolean hasForwardedEvent() {
+        return events && framer.map(EventFramer::hasForwardedEvent).orElseGet(scanner::hasEvents);
+    }
+
     /** Returns the ID of the last event that was forwarded to the caller. */
     Optional<String> lastEventId() {
         return framer.flatMap(EventFramer::lastId);
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TargetAttempt.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TargetAttempt.java
@@ -1,6 +1,7 @@
 package org.rattanrudder.daemon.relay;
 
 import java.util.Optional;
+import org.rattanrudder.core.continuation.StreamOrigin;
 import org.rattanrudder.core.fleet.Target;
 import org.rattanrudder.core.gateway.BodyPosition;
 import org.rattanrudder.core.gateway.ResponseEnd;
@@ -12,6 +13,7 @@
     private final TargetConnection connection;
     private final RequestPlan.Outgoing outgoing;
     private final long sentAt;
+    private final Optional<StreamOrigin> softwareAtSend;
     private long lastContentAt;
     private long firstByteMillis = -1;
     private long maxPauseMillis;
@@ -23,6 +25,7 @@
         this.outgoing = outgoing;
         this.sentAt = sentAt;
         lastContentAt = sentAt;
+        softwareAtSend = target.software();
         target.onSent(outgoing.cost(), sentAt);
     }
 
@@ -34,6 +37,12 @@
         return connection;
     }
 
+    /** Returns the software that runs it; empty if that isn't known, or if the target has named another one since. */
+    Optional<StreamOrigin> software() {
+        return softwareAtSend.filter(
+                software -> target.software().filter(software::equals).isPresent());
+    }
+
     Target.RequestCost cost() {
         return outgoing.cost();
     }
