Continue a stream that its caller takes up only at the software that began it

A caller whose stream was cut comes back at another relay, which sent the rest of the stream to any target: it knew nothing of what had begun the stream, and nothing read whom the caller names in Resumes. Now the relay that sends the first event on records its target's service and software under the customer and the request's ID, and tells two relays that a hash of both names; the relay to which the caller comes back looks in its own memory or asks these two. Unknown means no continuation, said at once (503, not run); so does software that no target runs any more. What is told is soft: bounded in number and time, and its loss costs continuations, never the rule. Within a split route the request goes to the service that began its stream.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/burn/ObjectiveOutcome.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/burn/ObjectiveOutcome.java
@@ -51,6 +51,8 @@
                     LOG_UNAVAILABLE,
                     VERSION_CHANGED,
                     STALE_INCARNATION,
+                    STREAM_ORIGIN_UNKNOWN,
+                    STREAM_SOFTWARE_UNAVAILABLE,
                     TARGET_UNREACHABLE,
                     TARGET_FAILED,
                     TARGET_SILENT,
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/ExchangeLog.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/ExchangeLog.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.rattanrudder.core.continuation.StreamOrigin;
 import org.rattanrudder.core.fleet.Placement;
 import org.rattanrudder.core.fleet.Target;
 import org.rattanrudder.core.gateway.AttemptOutcome;
@@ -65,6 +66,36 @@
                                 .orElse("none"));
     }
 
+    /**
+     * Logs what is known of the stream that a request takes up.
+     *
+     * @param continuable whether any target may continue it
+     * @param waitedMillis how long it took to find out
+     */
+    void takenUp(StreamOriginExchange.Finding found, boolean continuable, long waitedMillis) {
+        state.log()
+                .info(
+                        "stream_taken_up",
+                        "request",
+                        plan.id(),
+                        "resumes",
+                        plan.metadata().resumedRequestId().orElse("none"),
+                        "after_event",
+                        plan.metadata().lastEventId().orElse("none"),
+                        "origin",
+                        found.source().wireName(),
+                        "service",
+                        found.origin().map(StreamOrigin::service).orElse("unknown"),
+                        "software",
+                        found.origin().map(StreamOrigin::softwareVersion).orElse("unknown"),
+                        "age_ms",
+                        Long.toString(found.ageMillis()),
+                        "waited_ms",
+                        Long.toString(waitedMillis),
+                        "continuable",
+                        Boolean.toString(continuable));
+    }
+
     void queued(int queueLength, long untilMillis, List<Target> targets, long now) {
         state.log()
                 .info(
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/FinalReply.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/FinalReply.java
@@ -25,7 +25,9 @@
 
     /** Replies with an error. While all targets want rest, the reply says when the first of them has rested. */
     Ending fail(ErrorKind error, String reason) {
-        boolean overloaded = error == ErrorKind.OVERLOADED || error == ErrorKind.NO_TARGET;
+        boolean overloaded = error == ErrorKind.OVERLOADED
+                || error == ErrorKind.NO_TARGET
+                || error == ErrorKind.STREAM_SOFTWARE_UNAVAILABLE;
         OptionalLong afterRest = overloaded ? plan.retryAfterRestMillis(state.nowMillis()) : OptionalLong.empty();
         if (afterRest.isPresent()) {
             return failUntil(ErrorKind.OVERLOADED, "all targets want rest", afterRest.getAsLong());
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/PeerExchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/PeerExchange.java
@@ -117,6 +117,7 @@
     void start() {
         follower.start();
         state.placementBroadcaster().setListener(this::sendPlacements);
+        state.streamOrigins().setSender((message, relays) -> send(PeerCodec.write(message), List.copyOf(relays)));
         timer.later(this::sendDueReports, ReportSchedule.ROUND_MILLIS);
     }
 
@@ -154,6 +155,9 @@
                 removePeer(record.key());
                 relay.ifPresent(known -> addPeer(record.key(), known));
             }
+            if (listedOnce) {
+                updateOriginHolders();
+            }
         }
 
         /**
@@ -167,6 +171,7 @@
             }
             listedOnce = true;
             relaysListed = true;
+            updateOriginHolders();
         }
     }
 
@@ -212,6 +217,7 @@
         Map<String, String> domains = new HashMap<>(schedule.liveRelayDomains(now));
         domains.put(state.settings().instance(), state.settings().failureDomain());
         state.fleet().updateRelays(state.settings().instance(), domains);
+        updateOriginHolders();
         if (relaysListed && now - permitSharesUpdatedAt >= PERMIT_SHARES_INTERVAL_MILLIS) {
             permitSharesUpdatedAt = now;
             Map<String, String> registered = new HashMap<>(schedule.registeredRelayDomains(now));
@@ -220,6 +226,16 @@
         }
     }
 
+    private void updateOriginHolders() {
+        long now = state.nowMillis();
+        Set<String> live = new HashSet<>(schedule.liveRelayDomains(now).keySet());
+        Set<String> registered =
+                new HashSet<>(schedule.registeredRelayDomains(now).keySet());
+        live.add(state.settings().instance());
+        registered.add(state.settings().instance());
+        state.streamOrigins().updateRelays(live, registered);
+    }
+
     private LoadReport fullReport(long now) {
         return new LoadReport(
                 relayId,
@@ -316,6 +332,8 @@
                 recordDropped(packet.sender(), "unreadable");
             } else if (message.get() instanceof PeerCodec.Message.News news) {
                 listener.onStoreUpdate(news.news());
+            } else if (message.get() instanceof PeerCodec.Message.Origins origins) {
+                state.streamOrigins().onMessage(relays, origins.origins());
             } else if (message.get() instanceof PeerCodec.Message.Load load) {
                 relays.stream()
                         .filter(load.load().relay()::startsWith)
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayMetrics.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayMetrics.java
@@ -32,7 +32,7 @@
     private final Counter restLimited;
     private final Counter sentUnwanted;
     private final Counter unknownHeaders;
-    private final Counter continuations;
+    private final Counter takeUps;
     private final Counter targetsCrashed;
     private final Counter parts;
     private final Counter peerMessagesDropped;
@@ -76,11 +76,11 @@
                 "rattanrudder_relay_response_headers_unknown",
                 "Headers of targets' responses that nothing reads, by name",
                 "name");
-        continuations = counter(
-                "rattanrudder_relay_stream_continuations",
-                "Attempts that continue a stream, within a response or for a caller, by the software that began it",
-                "by",
-                "software");
+        takeUps = counter(
+                "rattanrudder_relay_streams_taken_up",
+                "Streams that callers take up, by how their origin is known and whether a target may continue them",
+                "origin",
+                "outcome");
         targetsCrashed = counter(
                 "rattanrudder_relay_targets_crashed", "Targets that ended in the middle of requests", "service");
         parts = counter("rattanrudder_relay_parts", "Shared parts of prompts, by what was planned for them", "plan");
@@ -157,9 +157,10 @@
         unknownHeaders.labelValues(name).inc();
     }
 
-    /** Records an attempt that continues a stream. */
-    void recordContinuation(String by, String software) {
-        continuations.labelValues(by, software).inc();
+    /** Records that a caller has taken up a stream. */
+    void recordTakeUp(StreamOriginExchange.Source origin, boolean continuable) {
+        takeUps.labelValues(origin.wireName(), continuable ? "continuable" : "refused")
+                .inc();
     }
 
     void recordTargetCrash(String service) {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
@@ -424,6 +424,11 @@
                         () -> state.configuration()
                                 .map(configuration -> (double) configuration.version())
                                 .orElse(0.0));
+        state.metrics()
+                .gauge(
+                        "rattanrudder_relay_stream_origins",
+                        "Streams whose software is known, should their callers take them up",
+                        () -> state.streamOrigins().size());
         state.metrics()
                 .gauge(
                         "rattanrudder_relay_targets",
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
@@ -59,6 +59,7 @@
     private final RateLimitAdmission rateLimits = new RateLimitAdmission(permitShares);
     private final TargetAdmission admission = new TargetAdmission(fleet, warmUps, rateLimits);
     private final SelfReports selfReports = new SelfReports(this);
+    private final StreamOriginExchange streamOrigins = new StreamOriginExchange(this);
     private final PartDirectory directory;
     private final Map<String, WindowedRetryBudget> retryBudgets = new HashMap<>();
     private final DesiredVersions weights = new DesiredVersions();
@@ -214,6 +215,11 @@
         return selfReports;
     }
 
+    /** Returns what knows the software that began streams. */
+    StreamOriginExchange streamOrigins() {
+        return streamOrigins;
+    }
+
     /** Returns how the targets of a service warm up; empty if they don't. */
     Optional<WarmUpTraits> warmUpTraits(String service) {
         return configuration
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RequestPlan.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RequestPlan.java
@@ -7,6 +7,8 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import org.rattanrudder.core.continuation.StreamBinding;
+import org.rattanrudder.core.continuation.StreamKey;
+import org.rattanrudder.core.continuation.StreamOrigin;
 import org.rattanrudder.core.fleet.HoldingQueue;
 import org.rattanrudder.core.fleet.MedianEstimate;
 import org.rattanrudder.core.fleet.PlacementQuery;
@@ -20,6 +22,7 @@
 import org.rattanrudder.core.gateway.ServiceRoute;
 import org.rattanrudder.core.gateway.ServingConfiguration.AccessDecision;
 import org.rattanrudder.core.gateway.WarmUpTraits;
+import org.rattanrudder.core.model.ErrorKind;
 import org.rattanrudder.core.parts.PartKey;
 import org.rattanrudder.core.parts.PartPlan;
 import org.rattanrudder.core.quarantine.RequestFingerprint;
@@ -53,13 +56,19 @@
     /** Callers that were rejected in the same rest are told times that differ by up to this much. */
     private static final long RETURN_SPREAD_MILLIS = 500;
 
+    /** Share of the objective for which peers are waited for that may know a stream's origin. */
+    private static final double ORIGIN_PATIENCE_SHARE = 0.25;
+
+    /** How long a stream's origin is kept beyond its caller's deadline, for clocks and networks. */
+    private static final long RETURN_MARGIN_MILLIS = 1_000;
+
     private final RelayState state;
     private final RequestMetadata metadata;
     private final ServiceRoute route;
     private final Optional<CustomerIdentity> customer;
-    private final String service;
-    private final Optional<BackendService> backend;
-    private final Optional<EngineTraits> engine;
+    private String service;
+    private Optional<BackendService> backend;
+    private Optional<EngineTraits> engine;
     private final AllowedRegions allowedRegions;
     private final long arrivedAt;
     private final long deadlineAt;
@@ -72,11 +81,7 @@
         this.arrivedAt = arrivedAt;
         route = granted.route();
         customer = granted.customer();
-        service = route.serviceFor(metadata.id());
-        backend = state.configuration()
-                .flatMap(configuration ->
-                        Optional.ofNullable(configuration.services().get(service)));
-        engine = backend.flatMap(BackendService::engine);
+        selectService(route.serviceFor(metadata.id()));
         allowedRegions = route.allowedRegions()
                 .and(customer.map(CustomerIdentity::allowedRegions).orElse(AllowedRegions.ANY));
         long wanted = metadata.deadlineMillis().orElse(route.timeoutMillis());
@@ -86,6 +91,14 @@
                 lastShared < 0 ? 0 : Hashing.of(metadata.parts().get(lastShared).id());
     }
 
+    private void selectService(String selected) {
+        service = selected;
+        backend = state.configuration()
+                .flatMap(configuration ->
+                        Optional.ofNullable(configuration.services().get(selected)));
+        engine = backend.flatMap(BackendService::engine);
+    }
+
     /**
      * A request as it is sent to a target.
      *
@@ -208,6 +221,62 @@
         return binding;
     }
 
+    /** Returns the error of a request that no target may run. */
+    ErrorKind noTargetError() {
+        if (!binding.isContinuable()) {
+            return ErrorKind.STREAM_ORIGIN_UNKNOWN;
+        }
+        return binding.hasBegun() ? ErrorKind.STREAM_SOFTWARE_UNAVAILABLE : ErrorKind.NO_TARGET;
+    }
+
+    /** Returns whether the caller has a part of the stream already, which another request brought. */
+    boolean takesUpStream() {
+        return route.repeat().stream()
+                && (metadata.lastEventId().isPresent()
+                        || metadata.resumedRequestId().isPresent());
+    }
+
+    /** Returns the key of the stream that the caller names as the one it takes up; empty if it names none. */
+    Optional<StreamKey> streamTakenUp() {
+        return metadata.resumedRequestId().filter(id -> !id.isBlank()).map(this::streamKey);
+    }
+
+    /** Returns the key of the stream that begins with this request; empty if no later request can name it. */
+    Optional<StreamKey> ownStream() {
+        boolean resumable = route.repeat().stream() && route.repeat().repeatable();
+        return resumable && !metadata.id().isEmpty() ? Optional.of(streamKey(metadata.id())) : Optional.empty();
+    }
+
+    private StreamKey streamKey(String requestId) {
+        return StreamKey.of(customer.map(CustomerIdentity::name).orElse(""), requestId);
+    }
+
+    /** Returns how long the caller may come back to take up its stream, in ms. */
+    long callerRemainingMillis() {
+        long wanted = metadata.deadlineMillis().orElse(route.timeoutMillis());
+        return Math.max(0, arrivedAt + wanted - state.nowMillis()) + RETURN_MARGIN_MILLIS;
+    }
+
+    /** Returns how long peers are waited for that may know a stream's origin, in ms. */
+    long originPatienceMillis() {
+        return (long) (route.objectiveMillis() * ORIGIN_PATIENCE_SHARE);
+    }
+
+    /**
+     * Binds the request to the software that began the stream which it takes up; returns whether its route leads to
+     * that software.
+     *
+     * @param origin the software; empty if it isn't known
+     */
+    boolean continueFrom(Optional<StreamOrigin> origin) {
+        binding.onBegun(origin);
+        Optional<String> wanted = origin.map(StreamOrigin::service)
+                .filter(name -> route.services().stream()
+                        .anyMatch(each -> each.service().equals(name)));
+        wanted.ifPresent(this::selectService);
+        return wanted.isPresent();
+    }
+
     /** Returns how the targets of its service warm up; empty if they don't. */
     Optional<WarmUpTraits> warmUp() {
         return backend.flatMap(BackendService::warmUp);
--- /dev/null
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/StreamContinuation.java
@@ -0,0 +1,50 @@
+package org.rattanrudder.daemon.relay;
+
+import java.util.function.Consumer;
+
+/** Binds one request to the software that began its stream, here or in an earlier request of its caller. */
+final class StreamContinuation {
+    private final RelayState state;
+    private final RequestPlan plan;
+    private final ExchangeLog log;
+
+    StreamContinuation(RelayState state, RequestPlan plan, ExchangeLog log) {
+        this.state = state;
+        this.plan = plan;
+        this.log = log;
+    }
+
+    /**
+     * Finds out which software began the stream that the request takes up, and binds the request to it.
+     *
+     * @param then called once, at once if no peer has to be asked: with whether any target may continue the stream
+     */
+    void takeUp(Consumer<Boolean> then) {
+        long beganAt = state.nowMillis();
+        Consumer<StreamOriginExchange.Finding> bind = found -> then.accept(bind(found, beganAt));
+        plan.streamTakenUp()
+                .ifPresentOrElse(
+                        stream -> state.streamOrigins().find(stream, plan.originPatienceMillis(), bind),
+                        () -> bind.accept(StreamOriginExchange.Finding.NOTHING));
+    }
+
+    private boolean bind(StreamOriginExchange.Finding found, long beganAt) {
+        long now = state.nowMillis();
+        boolean continuable =
+                plan.continueFrom(found.origin()) && !plan.candidates(now).isEmpty();
+        log.takenUp(found, continuable, now - beganAt);
+        state.metrics().recordTakeUp(found.source(), continuable);
+        return continuable;
+    }
+
+    /** Binds the request to the software of its attempt if that has sent the first event, and tells peers. */
+    void onForwarded(TargetAttempt attempt, ResponseForwarder forwarder) {
+        if (plan.binding().hasBegun() || !forwarder.hasForwardedEvent()) {
+            return;
+        }
+        plan.binding().onBegun(attempt.software());
+        plan.ownStream()
+                .ifPresent(stream ->
+                        state.streamOrigins().onBegun(stream, plan.binding().origin(), plan.callerRemainingMillis()));
+    }
+}
--- a/rattanrudder-wire/src/main/java/org/rattanrudder/wire/peer/PeerCodec.java
+++ b/rattanrudder-wire/src/main/java/org/rattanrudder/wire/peer/PeerCodec.java
@@ -5,6 +5,9 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
+import org.rattanrudder.core.continuation.OriginMessage;
+import org.rattanrudder.core.continuation.StreamKey;
+import org.rattanrudder.core.continuation.StreamOrigin;
 import org.rattanrudder.core.fleet.LoadReport;
 import org.rattanrudder.core.fleet.LoadReport.KnownWeights;
 import org.rattanrudder.core.fleet.LoadReport.LeavingTarget;
@@ -29,6 +32,9 @@
 import org.rattanrudder.wire.generated.PeerMessages.RemovedTargetMessage;
 import org.rattanrudder.wire.generated.PeerMessages.ServedWeightsMessage;
 import org.rattanrudder.wire.generated.PeerMessages.StoreLatenessMessage;
+import org.rattanrudder.wire.generated.PeerMessages.StreamKeyMessage;
+import org.rattanrudder.wire.generated.PeerMessages.StreamOriginMessage;
+import org.rattanrudder.wire.generated.PeerMessages.StreamOriginsMessage;
 import org.rattanrudder.wire.generated.PeerMessages.TargetLoadMessage;
 
 /** Writes and reads what relays tell each other. */
@@ -59,6 +65,13 @@
          * @param news the news
          */
         record News(SharedStoreUpdate news) implements Message {}
+
+        /**
+         * The beginnings of streams.
+         *
+         * @param origins what is told and asked
+         */
+        record Origins(OriginMessage origins) implements Message {}
     }
 
     /** Returns the message as bytes. */
@@ -125,6 +138,31 @@
         return PeerMessage.newBuilder().setPartNews(message).build().toByteArray();
     }
 
+    /** Returns the message as bytes. */
+    public static byte[] write(OriginMessage origins) {
+        StreamOriginsMessage.Builder message = StreamOriginsMessage.newBuilder();
+        origins.told().forEach(told -> message.addTold(message(told)));
+        origins.asked().forEach(key -> message.addAsked(message(key)));
+        origins.unknown().forEach(key -> message.addUnknown(message(key)));
+        return PeerMessage.newBuilder().setStreamOrigins(message).build().toByteArray();
+    }
+
+    private static StreamOriginMessage message(OriginMessage.Told told) {
+        StreamOriginMessage.Builder message = StreamOriginMessage.newBuilder()
+                .setKey(message(told.key()))
+                .setKeepMillis((int) Math.min(MOST_MILLIS, told.keepMillis()));
+        told.origin()
+                .ifPresent(origin -> message.setService(origin.service()).setSoftwareVersion(origin.softwareVersion()));
+        return message.build();
+    }
+
+    private static StreamKeyMessage message(StreamKey key) {
+        return StreamKeyMessage.newBuilder()
+                .setFirst(key.first())
+                .setSecond(key.second())
+                .build();
+    }
+
     private static StoreLatenessMessage message(StoreLateness late) {
         return StoreLatenessMessage.newBuilder()
                 .setStore(late.store().toString())
@@ -149,6 +187,7 @@
             return switch (message.getKindCase()) {
                 case LOAD -> Optional.of(new Message.Load(load(message.getLoad())));
                 case PART_NEWS -> Optional.of(new Message.News(news(message.getPartNews())));
+                case STREAM_ORIGINS -> Optional.of(new Message.Origins(origins(message.getStreamOrigins())));
                 case KIND_NOT_SET -> Optional.empty();
             };
         } catch (InvalidProtocolBufferException | IllegalArgumentException malformed) {
@@ -156,6 +195,26 @@
         }
     }
 
+    private static OriginMessage origins(StreamOriginsMessage message) {
+        return new OriginMessage(
+                message.getToldList().stream().map(PeerCodec::told).toList(),
+                message.getAskedList().stream().map(PeerCodec::key).toList(),
+                message.getUnknownList().stream().map(PeerCodec::key).toList());
+    }
+
+    private static OriginMessage.Told told(StreamOriginMessage message) {
+        boolean known =
+                !message.getService().isEmpty() && !message.getSoftwareVersion().isEmpty();
+        Optional<StreamOrigin> origin = known
+                ? Optional.of(new StreamOrigin(message.getService(), message.getSoftwareVersion()))
+                : Optional.empty();
+        return new OriginMessage.Told(key(message.getKey()), origin, within(message.getKeepMillis(), MOST_MILLIS));
+    }
+
+    private static StreamKey key(StreamKeyMessage message) {
+        return new StreamKey(message.getFirst(), message.getSecond());
+    }
+
     private static LoadReport load(RelayLoadMessage message) {
         List<TargetLoad> targets =
                 message.getTargetsList().stream().map(PeerCodec::targetLoad).toList();
--- a/rattanrudder-wire/src/test/java/org/rattanrudder/wire/peer/PeerCodecTest.java
+++ b/rattanrudder-wire/src/test/java/org/rattanrudder/wire/peer/PeerCodecTest.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import net.jqwik.api.ForAll;
@@ -15,6 +16,9 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.rattanrudder.core.continuation.OriginMessage;
+import org.rattanrudder.core.continuation.StreamKey;
+import org.rattanrudder.core.continuation.StreamOrigin;
 import org.rattanrudder.core.fleet.LoadReport;
 import org.rattanrudder.core.fleet.LoadReport.KnownWeights;
 import org.rattanrudder.core.fleet.LoadReport.LeavingTarget;
@@ -64,6 +68,21 @@
                 requests);
     }
 
+    @Property
+    void beginningsOfStreamsAreReadBack(
+            @ForAll long first, @ForAll long second, @ForAll @LongRange(min = 0, max = 600_000) long keepMillis) {
+        StreamKey key = new StreamKey(first, second);
+        Optional<StreamOrigin> origin = Optional.of(new StreamOrigin("llm", "v1.2"));
+        OriginMessage message = new OriginMessage(
+                List.of(
+                        new OriginMessage.Told(key, origin, keepMillis),
+                        new OriginMessage.Told(new StreamKey(second, first), Optional.empty(), 0)),
+                List.of(key, new StreamKey(0, 0)),
+                List.of(key));
+
+        assertThat(PeerCodec.read(PeerCodec.write(message))).contains(new PeerCodec.Message.Origins(message));
+    }
+
     @Property
     void newsOfStoresIsReadBack(
             @ForAll long incarnation, @ForAll @LongRange(min = 0) long next, @ForAll boolean clockKnown) {
