Continue a stream that its caller doesn't name where one software alone may have begun it

What began the stream is certain without a name if all targets of the only service to which its route has led have run the same software since the stream can have begun (two timeouts of its route), by registrations that were followed without a gap, and if a read of the store that is made after the request has arrived finds nothing newer. Where anything of that is missing the request is turned away as before: a store that is away, a relay that has just started, a target without a version, a route that was moved. A stream that is named and unknown is never continued so.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Fleet.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Fleet.java
@@ -11,6 +11,8 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Predicate;
+import org.rattanrudder.core.continuation.SoftwareHistory;
+import org.rattanrudder.core.continuation.StreamOrigin;
 import org.rattanrudder.core.fleet.LoadReport.LeavingTarget;
 import org.rattanrudder.core.fleet.LoadReport.RemovedTarget;
 import org.rattanrudder.core.fleet.LoadReport.SeenRateLimit;
@@ -53,6 +55,7 @@
     private final PeerLoads peers = new PeerLoads();
     private final TargetSharing sharing = new TargetSharing();
     private final Evacuations evacuations = new Evacuations();
+    private final SoftwareHistory software = new SoftwareHistory();
 
     /**
      * False at startup: a relay that has seen no outage must not delay removals that were made while the log was
@@ -104,6 +107,9 @@
         if (registration.isPresent()) {
             return applyRegistration(registration.get(), offset, nowMillis);
         }
+        if (!newestRecords.containsKey(id)) {
+            software.restart(nowMillis);
+        }
         if (!isNewer(id, offset)) {
             return false;
         }
@@ -115,9 +121,9 @@
      * Removes a target whose newest record can't be parsed: it was written by another writer and has no address to send
      * to.
      */
-    public void onUnreadableRecord(String id, long offset) {
+    public void onUnreadableRecord(String id, long offset, long nowMillis) {
         if (isNewer(id, offset)) {
-            removeReplaced(id);
+            removeReplaced(id, nowMillis);
         }
     }
 
@@ -136,6 +142,7 @@
      * may be written or read after one of the newer start and is ignored.
      */
     private boolean applyRegistration(TargetRegistration registration, long offset, long nowMillis) {
+        software.onKnown(registration.service(), registration.softwareVersion(), nowMillis);
         RecordPosition position = newestRecords.getOrDefault(registration.id(), RecordPosition.NONE);
         boolean restarted = registration.startedAt() > position.startedAt();
         if (registration.startedAt() < position.startedAt() || (!restarted && offset <= position.offset())) {
@@ -147,6 +154,7 @@
             noticesOf(registration).onLeaving();
         }
         Target target = targets.get(registration.id());
+        recordSoftware(Optional.ofNullable(target), nowMillis);
         boolean started = listed && (target == null || restarted);
         if (target == null || restarted) {
             target = new Target(registration, noticesOf(registration), peers, sharing);
@@ -201,6 +209,7 @@
      */
     public void applyListing(Set<String> present, long end, long nowMillis) {
         listed = true;
+        software.restart(nowMillis);
         for (String id : List.copyOf(targets.keySet())) {
             if (!present.contains(id) && newestRecords.get(id).offset() < end) {
                 remove(id, end, nowMillis);
@@ -209,11 +218,31 @@
     }
 
     /** Removes a target at whose address another target responded. */
-    public void removeReplaced(String id) {
-        targets.remove(id);
+    public void removeReplaced(String id, long nowMillis) {
+        removeNow(id, nowMillis);
         expired.remove(id);
     }
 
+    private Optional<Target> removeNow(String id, long nowMillis) {
+        Optional<Target> removed = Optional.ofNullable(targets.remove(id));
+        recordSoftware(removed, nowMillis);
+        return removed;
+    }
+
+    private void recordSoftware(Optional<Target> target, long nowMillis) {
+        target.map(Target::registration)
+                .ifPresent(known -> software.onKnown(known.service(), known.softwareVersion(), nowMillis));
+    }
+
+    /**
+     * Returns the software that all targets of a service have run since a time, as far as their registrations were
+     * read; empty if that isn't one version, or isn't known.
+     */
+    public Optional<StreamOrigin> soleSoftware(String service, long sinceMillis, long nowMillis) {
+        all(nowMillis).forEach(target -> recordSoftware(Optional.of(target), nowMillis));
+        return software.sole(service, sinceMillis);
+    }
+
     /** Returns all targets, including those that leave. */
     public Collection<Target> all(long nowMillis) {
         removeExpired(nowMillis);
@@ -241,7 +270,7 @@
                     .ifPresent(target -> target.confirmWeights(served.model(), served.version(), nowMillis));
         }
         report.leaving().forEach(this::onLeavingReported);
-        report.removed().forEach(this::onRemovalReported);
+        report.removed().forEach(removed -> onRemovalReported(removed, nowMillis));
         for (SeenRateLimit seen : report.rateLimits()) {
             find(seen.target()).ifPresent(target -> target.applyRateLimit(seen, nowMillis));
         }
@@ -320,7 +349,7 @@
             expired.putIfAbsent(id, nowMillis);
             return;
         }
-        if (targets.remove(id) != null) {
+        if (removeNow(id, nowMillis).isPresent()) {
             removals.put(id, new Removal(offset, nowMillis));
         }
         expired.remove(id);
@@ -330,13 +359,13 @@
      * Applies a removal that is held back here, since this relay had lost the log, and that a peer which hadn't has
      * applied.
      */
-    private void onRemovalReported(RemovedTarget removed) {
+    private void onRemovalReported(RemovedTarget removed, long nowMillis) {
         boolean asNew = newestRecords
                         .getOrDefault(removed.target(), RecordPosition.NONE)
                         .offset()
                 <= removed.offset();
         if (asNew && expired.remove(removed.target()) != null) {
-            targets.remove(removed.target());
+            removeNow(removed.target(), nowMillis);
         }
     }
 
@@ -354,7 +383,7 @@
             return;
         }
         for (Iterator<String> ids = expired.keySet().iterator(); ids.hasNext(); ) {
-            targets.remove(ids.next());
+            removeNow(ids.next(), nowMillis);
             ids.remove();
         }
     }
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/gateway/RouteTable.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/gateway/RouteTable.java
@@ -23,6 +23,13 @@
         }
     }
 
+    /** Returns all routes. */
+    public List<ServiceRoute> all() {
+        return byHost.values().stream()
+                .flatMap(byPrefix -> byPrefix.values().stream())
+                .toList();
+    }
+
     /**
      * Returns the route of a request.
      *
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/RestartedTargetTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/RestartedTargetTest.java
@@ -76,7 +76,7 @@
         fleet.apply(ID, Optional.of(registration(5_000, false)), 4, NOW);
         fleet.apply("i-2", Optional.of(FleetTest.registration("i-2", false)), 5, NOW);
 
-        fleet.onUnreadableRecord(ID, 6);
+        fleet.onUnreadableRecord(ID, 6, 0);
         assertThat(fleet.activeTargets("llm", NOW)).extracting(Target::id).containsExactly("i-2");
         assertThat(fleet.apply(ID, Optional.of(registration(5_000, false)), 4, NOW))
                 .isFalse();
@@ -90,7 +90,7 @@
         fleet.onLogAvailable(0);
         fleet.apply(ID, Optional.of(registration(5_000, false)), 4, NOW);
 
-        fleet.onUnreadableRecord(ID, 3);
+        fleet.onUnreadableRecord(ID, 3, 0);
 
         assertThat(fleet.activeTargets("llm", NOW)).hasSize(1);
     }
--- /dev/null
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/gateway/RouteHistoryTest.java
@@ -0,0 +1,60 @@
+package org.rattanrudder.core.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Arrays;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class RouteHistoryTest {
+    private final RouteHistory history = new RouteHistory();
+
+    private void configure(long now, String... services) {
+        List<WeightedService> weighted = Arrays.stream(services)
+                .map(service -> new WeightedService(service, 1))
+                .toList();
+        history.update(
+                new RouteTable(List.of(new ServiceRoute(
+                        "check",
+                        "depot.example",
+                        "/check/",
+                        RepeatRule.STREAM_RESUMABLE,
+                        4_000,
+                        400,
+                        300,
+                        1,
+                        weighted,
+                        2,
+                        true))),
+                now);
+    }
+
+    @Test
+    void aConfigurationThatLeavesARouteAloneLeavesItsHistory() {
+        configure(100, "llm");
+        configure(900, "llm");
+
+        assertThat(history.soleService("check", 100)).contains("llm");
+        assertThat(history.soleService("check", 99)).isEmpty();
+    }
+
+    /** Guards against a stream that goes on at the service to which its route has been moved since. */
+    @Test
+    void aRouteThatWasMovedLeadsToItsNewServiceSinceThen() {
+        configure(100, "older");
+        configure(900, "newer");
+
+        assertThat(history.soleService("check", 899)).isEmpty();
+        assertThat(history.soleService("check", 900)).contains("newer");
+    }
+
+    @Test
+    void aSplitRouteAndOneThatIsGoneLeadToNoServiceForCertain() {
+        configure(100, "older", "newer");
+        assertThat(history.soleService("check", 200)).isEmpty();
+
+        configure(300, "newer");
+        history.update(new RouteTable(List.of()), 400);
+        assertThat(history.soleService("check", 500)).isEmpty();
+    }
+}
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/CallResult.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/CallResult.java
@@ -2,7 +2,9 @@
 
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.Optional;
+import java.util.function.BiFunction;
 import org.rattanrudder.daemon.relay.port.StoreDialect;
+import org.rattanrudder.daemon.relay.port.StoreDialect.Topic;
 import org.rattanrudder.daemon.relay.port.StoreResponse;
 
 /** The result of a call. */
@@ -30,11 +32,20 @@
 
     /** Returns the result of an append; without a response, or with a malformed one, the append has failed. */
     default StoreResponse toAppendResponse(StoreDialect store) {
+        return parse(store::readAppend);
+    }
+
+    /** Returns the result of a read of records; without a response, or with a malformed one, the read has failed. */
+    default StoreResponse toRecords(StoreDialect store, Topic topic, long from) {
+        return parse((status, body) -> store.readRecords(topic, from, status, body));
+    }
+
+    private StoreResponse parse(BiFunction<Integer, byte[], StoreResponse> parser) {
         if (!(this instanceof Answered answered)) {
             return new StoreResponse.Failed(0, Optional.of(((Unanswered) this).reason()));
         }
         try {
-            return store.readAppend(answered.status(), answered.body());
+            return parser.apply(answered.status(), answered.body());
         } catch (IllegalArgumentException malformed) {
             return new StoreResponse.Failed(answered.status(), Optional.of(String.valueOf(malformed.getMessage())));
         }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
@@ -338,7 +338,7 @@
         Optional<String> other = metadata.target().filter(id -> !id.equals(target.id()));
         if (other.isPresent()) {
             state.log().warn("target_replaced", "target", target.id(), "found", other.get());
-            state.fleet().removeReplaced(target.id());
+            state.fleet().removeReplaced(target.id(), state.nowMillis());
         } else {
             target.onRejected(state.nowMillis());
         }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
@@ -105,6 +105,9 @@
                 PollIntervals.batched(() -> state.settings().bounds().drainMillis()),
                 InitialRead.NEWEST,
                 new TargetListener());
+        TopicConfirmation confirmation =
+                closer.add(new TopicConfirmation(state, Topic.TARGETS, targetTopic::readOffset, targetTopic::pollNow));
+        state.soleSoftware().setConfirmation(confirmation::confirm);
         rollouts = new RolloutCoordinator(state, incarnation);
         quarantine = closer.add(new QuarantineExchange(state));
         state.crashDetector().setHandlers(pools::probe, quarantine::onCrash);
@@ -318,7 +321,7 @@
             try {
                 read = record.value().map(value -> store.readTarget(record.key(), value));
             } catch (IllegalArgumentException unreadable) {
-                state.fleet().onUnreadableRecord(record.key(), record.offset());
+                state.fleet().onUnreadableRecord(record.key(), record.offset(), now);
                 throw unreadable;
             }
             boolean isNew = state.fleet().apply(record.key(), read, record.offset(), now);
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
@@ -60,6 +60,7 @@
     private final TargetAdmission admission = new TargetAdmission(fleet, warmUps, rateLimits);
     private final SelfReports selfReports = new SelfReports(this);
     private final StreamOriginExchange streamOrigins = new StreamOriginExchange(this);
+    private final SoleSoftware soleSoftware = new SoleSoftware(this);
     private final PartDirectory directory;
     private final Map<String, WindowedRetryBudget> retryBudgets = new HashMap<>();
     private final DesiredVersions weights = new DesiredVersions();
@@ -215,6 +216,11 @@
         return selfReports;
     }
 
+    /** Returns what knows the software of streams whose beginning callers don't name. */
+    SoleSoftware soleSoftware() {
+        return soleSoftware;
+    }
+
     /** Returns what knows the software that began streams. */
     StreamOriginExchange streamOrigins() {
         return streamOrigins;
@@ -241,6 +247,7 @@
             return false;
         }
         configuration = Optional.of(newest);
+        soleSoftware.onConfiguration(newest);
         directory.configure(newest.stores());
         return true;
     }
--- /dev/null
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/SoleSoftware.java
@@ -0,0 +1,65 @@
+package org.rattanrudder.daemon.relay;
+
+import java.util.Optional;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import org.rattanrudder.core.continuation.StreamOrigin;
+import org.rattanrudder.core.gateway.RouteHistory;
+import org.rattanrudder.core.gateway.ServiceRoute;
+import org.rattanrudder.core.gateway.ServingConfiguration;
+import org.rattanrudder.daemon.relay.StreamOriginExchange.Finding;
+import org.rattanrudder.daemon.relay.StreamOriginExchange.Source;
+
+/**
+ * Finds the software of a stream whose caller doesn't name its beginning: it is certain only where all targets that may
+ * have begun the stream run the same software.
+ *
+ * <p>That is read from the registrations of targets, up to the present: a target that has registered just now may have
+ * begun the stream at another relay.
+ */
+final class SoleSoftware {
+    /** How long ago a caller's stream may have begun, in timeouts of its route: its first request, and its return. */
+    private static final int MAX_AGE_TIMEOUTS = 2;
+
+    private final RelayState state;
+    private final RouteHistory routes = new RouteHistory();
+    private BiConsumer<Long, Consumer<Boolean>> confirmation = (patience, then) -> then.accept(false);
+
+    SoleSoftware(RelayState state) {
+        this.state = state;
+    }
+
+    /** Sets what finds out, within a time in ms, whether all registrations that were written until now were read. */
+    void setConfirmation(BiConsumer<Long, Consumer<Boolean>> newConfirmation) {
+        confirmation = newConfirmation;
+    }
+
+    /** Handles a new configuration. */
+    void onConfiguration(ServingConfiguration configuration) {
+        routes.update(configuration.routes(), state.nowMillis());
+    }
+
+    /**
+     * Finds the software that began a stream on a route.
+     *
+     * @param then called once, at once if it is known not to be certain
+     */
+    void find(ServiceRoute route, long patienceMillis, Consumer<Finding> then) {
+        long since = state.nowMillis() - MAX_AGE_TIMEOUTS * route.timeoutMillis();
+        if (sole(route, since).isEmpty()) {
+            then.accept(Finding.NOTHING);
+            return;
+        }
+        confirmation.accept(
+                patienceMillis, confirmed -> then.accept(confirmed ? finding(sole(route, since)) : Finding.NOTHING));
+    }
+
+    private Optional<StreamOrigin> sole(ServiceRoute route, long since) {
+        return routes.soleService(route.name(), since)
+                .flatMap(service -> state.fleet().soleSoftware(service, since, state.nowMillis()));
+    }
+
+    private static Finding finding(Optional<StreamOrigin> sole) {
+        return sole.isPresent() ? new Finding(Source.SOLE, sole, 0) : Finding.NOTHING;
+    }
+}
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/StreamContinuation.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/StreamContinuation.java
@@ -25,7 +25,7 @@
         plan.streamTakenUp()
                 .ifPresentOrElse(
                         stream -> state.streamOrigins().find(stream, plan.originPatienceMillis(), bind),
-                        () -> bind.accept(StreamOriginExchange.Finding.NOTHING));
+                        () -> state.soleSoftware().find(plan.route(), plan.originPatienceMillis(), bind));
     }
 
     private boolean bind(StreamOriginExchange.Finding found, long beganAt) {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/StreamOriginExchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/StreamOriginExchange.java
@@ -54,7 +54,9 @@
         TOLD,
         /** A peer told it when it was asked. */
         ASKED,
-        /** Neither this relay nor a peer that answered knows the stream, or the caller didn't name it. */
+        /** The caller doesn't name the stream, and all targets that may have begun it run the same software. */
+        SOLE,
+        /** Neither this relay nor a peer that answered knows the stream, or the caller doesn't name it. */
         UNKNOWN;
 
         String wireName() {
--- /dev/null
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TopicConfirmation.java
@@ -0,0 +1,109 @@
+package org.rattanrudder.daemon.relay;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import org.rattanrudder.daemon.relay.port.StoreDialect;
+import org.rattanrudder.daemon.relay.port.StoreDialect.Topic;
+import org.rattanrudder.daemon.relay.port.StoreResponse;
+
+/**
+ * Confirms that a follower has read all records that were written to its topic before now.
+ *
+ * <p>Followers read with a delay, and a pending long poll doesn't show whether its connection still works. One call
+ * confirms all requests that were waiting when it was made.
+ */
+final class TopicConfirmation implements AutoCloseable {
+    /** How long a follower gets to read records that it hasn't read yet, before it is asked again. */
+    private static final long RECHECK_MILLIS = 10;
+
+    private final RelayState state;
+    private final Topic topic;
+    private final LongSupplier readOffset;
+    private final Runnable readNow;
+    private final HttpCallClient client;
+    private final StepTimer timer;
+    private List<Pending> waiting = new ArrayList<>();
+
+    /**
+     * Creates a confirmation that makes no calls until it is asked.
+     *
+     * @param readOffset the offset up to which the follower has read
+     * @param readNow has the follower read at once
+     */
+    TopicConfirmation(RelayState state, Topic topic, LongSupplier readOffset, Runnable readNow) {
+        this.state = state;
+        this.topic = topic;
+        this.readOffset = readOffset;
+        this.readNow = readNow;
+        client = new HttpCallClient(state.connector(), state::store);
+        timer = new StepTimer(state.loop());
+    }
+
+    /**
+     * A request for a confirmation.
+     *
+     * @param until when it is given up
+     * @param then receives the result
+     */
+    private record Pending(long until, Consumer<Boolean> then) {}
+
+    /**
+     * Finds out whether the follower has read all that was written before this call.
+     *
+     * @param patienceMillis how long to wait for the store and the follower
+     * @param then called once
+     */
+    void confirm(long patienceMillis, Consumer<Boolean> then) {
+        waiting.add(new Pending(state.nowMillis() + patienceMillis, then));
+        call();
+    }
+
+    private void call() {
+        if (client.isBusy() || waiting.isEmpty()) {
+            return;
+        }
+        List<Pending> asking = waiting;
+        waiting = new ArrayList<>();
+        long now = state.nowMillis();
+        long longest = asking.stream().mapToLong(Pending::until).max().orElse(now) - now;
+        long from = readOffset.getAsLong();
+        StoreDialect dialect = state.platform().store();
+        client.call(dialect.poll(topic, from, 0), Math.max(1, longest), answer -> {
+            state.metrics().recordStoreCall("CONFIRM");
+            onAnswer(asking, from, answer.toRecords(dialect, topic, from));
+        });
+    }
+
+    private void onAnswer(List<Pending> asking, long from, StoreResponse answer) {
+        boolean readable = answer instanceof StoreResponse.Records;
+        if (readable && ((StoreResponse.Records) answer).end() == from) {
+            asking.forEach(each -> each.then().accept(true));
+        } else if (readable && ((StoreResponse.Records) answer).end() > from) {
+            readNow.run();
+            timer.later(() -> askAgain(asking), RECHECK_MILLIS);
+        } else {
+            asking.forEach(each -> each.then().accept(false));
+        }
+        call();
+    }
+
+    private void askAgain(List<Pending> asking) {
+        long now = state.nowMillis();
+        for (Pending each : asking) {
+            if (now < each.until()) {
+                waiting.add(each);
+            } else {
+                each.then().accept(false);
+            }
+        }
+        call();
+    }
+
+    @Override
+    public void close() {
+        timer.close();
+        client.close();
+    }
+}
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TopicFollower.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TopicFollower.java
@@ -312,7 +312,7 @@
     }
 
     /** Polls at once if a poll is scheduled or pending; a pending back-off or listing is left as it is. */
-    private void pollNow() {
+    void pollNow() {
         if (betweenPolls) {
             timer.reschedule(this::poll, 0);
         } else if (polling) {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/port/StoreResponse.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/port/StoreResponse.java
@@ -20,8 +20,9 @@
      *
      * @param records in order
      * @param next the offset to read from next
+     * @param end the offset after the last record of the topic
      */
-    record Records(List<KeyedRecord> records, long next) implements StoreResponse {}
+    record Records(List<KeyedRecord> records, long next, long end) implements StoreResponse {}
 
     /**
      * The requested records are no longer retained.
