Take the software of a target for known only while its registered process answers

A stream is bound to the version in its target's registration, which may be older than what answers there: a target that keeps its ID may start again with other software, and nothing but a later registration says so. From a broken connection or a failed dial on, the software of such a target is unknown until it would have registered again (2.5 s of a log that can be read): streams that it begins aren't continued, and none is continued there. Targets without a start time have a new ID at each start, which the request names and the target checks. An answer that bears another target's ID is nobody's beginning, and no continuation. Checked when a target is chosen, when its connection is open and at the head of its answer.

Whether the log is settled stands in one class now, and a request's form towards a target with the rest of its plan.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Fleet.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Fleet.java
@@ -56,18 +56,11 @@
     private final TargetSharing sharing = new TargetSharing();
     private final Evacuations evacuations = new Evacuations();
     private final SoftwareHistory software = new SoftwareHistory();
-
-    /**
-     * False at startup: a relay that has seen no outage must not delay removals that were made while the log was
-     * available.
-     */
-    private boolean logUnavailable;
+    private final LogAvailability log = new LogAvailability();
 
     /** Whether all targets that were registered at this relay's start are known. */
     private boolean listed;
 
-    private long logRecoveredAt = Long.MIN_VALUE / 2;
-
     /**
      * Position of the newest record that was read of a target.
      *
@@ -88,15 +81,12 @@
 
     /** Handles that the log has become unavailable. */
     public void onLogUnavailable() {
-        logUnavailable = true;
+        log.onUnavailable();
     }
 
-    /** Handles a response of the log. Only the first one after an outage counts as the log's recovery. */
+    /** Handles a response of the log. */
     public void onLogAvailable(long nowMillis) {
-        if (logUnavailable) {
-            logUnavailable = false;
-            logRecoveredAt = nowMillis;
-        }
+        log.onAvailable(nowMillis);
     }
 
     /**
@@ -157,7 +147,7 @@
         recordSoftware(Optional.ofNullable(target), nowMillis);
         boolean started = listed && (target == null || restarted);
         if (target == null || restarted) {
-            target = new Target(registration, noticesOf(registration), peers, sharing);
+            target = new Target(registration, noticesOf(registration), peers, sharing, log);
             targets.put(registration.id(), target);
         } else {
             target.update(registration);
@@ -345,7 +335,7 @@
     }
 
     private void remove(String id, long offset, long nowMillis) {
-        if (logUnavailable || nowMillis - logRecoveredAt < LOG_RECOVERY_GRACE_MILLIS) {
+        if (!log.isSettled(nowMillis)) {
             expired.putIfAbsent(id, nowMillis);
             return;
         }
@@ -379,7 +369,7 @@
     }
 
     private void removeExpired(long nowMillis) {
-        if (expired.isEmpty() || logUnavailable || nowMillis - logRecoveredAt < LOG_RECOVERY_GRACE_MILLIS) {
+        if (expired.isEmpty() || !log.isSettled(nowMillis)) {
             return;
         }
         for (Iterator<String> ids = expired.keySet().iterator(); ids.hasNext(); ) {
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Target.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Target.java
@@ -42,6 +42,7 @@
     private final Map<String, Long> confirmedWeights = new HashMap<>();
     private final PeerLoads peers;
     private final TargetSharing sharing;
+    private final LogAvailability log;
     private final RecentSends recentSends = new RecentSends();
     private final WarmUp warmUp = new WarmUp();
     private final RateLimit rateLimit = new RateLimit();
@@ -63,17 +64,24 @@
     private long lastActivityAt;
     private long loadingWeightsUntil = Long.MIN_VALUE / 2;
     private long confirmedAt = Long.MIN_VALUE / 2;
+    private long mayHaveEndedAt = Long.MIN_VALUE / 2;
 
     private long sharingVersion = -1;
     private boolean shared;
     private Set<String> sharingRelays = Set.of();
 
     /** Creates a target that peers may have requests at. */
-    Target(TargetRegistration registration, TargetNotices notices, PeerLoads peers, TargetSharing sharing) {
+    Target(
+            TargetRegistration registration,
+            TargetNotices notices,
+            PeerLoads peers,
+            TargetSharing sharing,
+            LogAvailability log) {
         this.registration = registration;
         this.notices = notices;
         this.peers = peers;
         this.sharing = sharing;
+        this.log = log;
         idHash = Hashing.of(registration.id());
     }
 
@@ -87,9 +95,20 @@
         return registration.id();
     }
 
-    /** Returns the software that it runs, to which streams that it begins are bound; empty if it doesn't say. */
-    public Optional<StreamOrigin> software() {
-        return registration.softwareVersion().map(version -> new StreamOrigin(registration.service(), version));
+    /**
+     * Returns the software that it runs, to which streams that it begins are bound; empty if it doesn't say, or if
+     * another process may answer in its place: one that started again under its ID and isn't registered yet.
+     */
+    public Optional<StreamOrigin> software(long nowMillis) {
+        boolean keepsId = registration.startedAt() != TargetRegistration.START_UNKNOWN;
+        return keepsId && !log.isSettledSince(mayHaveEndedAt, nowMillis)
+                ? Optional.empty()
+                : registration.softwareVersion().map(version -> new StreamOrigin(registration.service(), version));
+    }
+
+    /** Records a sign that its process may have ended: a connection that broke, or that couldn't be opened. */
+    public void onMayHaveEnded(long nowMillis) {
+        mayHaveEndedAt = nowMillis;
     }
 
     /** Returns the requests that this relay has sent within the last second, or is about to send. */
@@ -359,6 +378,9 @@
             warmUp.onReachableAgain(nowMillis);
         }
         reachability.onDialFinished(opened, nowMillis);
+        if (!opened) {
+            onMayHaveEnded(nowMillis);
+        }
     }
 
     /** Records that a dial has taken longer than a request waits for one. */
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/PlacementTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/PlacementTest.java
@@ -191,6 +191,7 @@
                         Map.of("m", weights)),
                 new TargetNotices(TargetRegistration.START_UNKNOWN),
                 new PeerLoads(),
-                new TargetSharing());
+                new TargetSharing(),
+                new LogAvailability());
     }
 }
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/RestartedTargetTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/RestartedTargetTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
 import net.jqwik.api.Combinators;
@@ -13,12 +14,16 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.rattanrudder.core.continuation.StreamOrigin;
 import org.rattanrudder.core.model.Address;
 
 /** Targets that restart under the same id. */
 class RestartedTargetTest {
     private static final long NOW = 1_000_000;
     private static final String ID = "i-1";
+    private static final StreamOrigin SOFTWARE = new StreamOrigin("llm", "v1");
 
     private final Fleet fleet = new Fleet();
 
@@ -31,7 +36,16 @@
 
     private static TargetRegistration registration(long startedAt, boolean draining) {
         return new TargetRegistration(
-                ID, startedAt, "llm", new Address("10.0.0.1", 80), "north", 8, draining, Map.of("m", 1L));
+                ID,
+                startedAt,
+                "llm",
+                new Address("10.0.0.1", 80),
+                "north",
+                8,
+                draining,
+                Map.of("m", 1L),
+                OptionalLong.empty(),
+                Optional.of("v1"));
     }
 
     /**
@@ -69,6 +83,38 @@
         assertThat(after.inFlight()).isZero();
     }
 
+    /** Guards against streams of a process that started again under its ID, taken for those of the one registered. */
+    @ParameterizedTest
+    @CsvSource({"5000, 2499, false", "5000, 2500, true", "0, 0, true"})
+    void theSoftwareOfATargetThatMayHaveEndedIsKnownOnceItWouldHaveRegisteredAgain(
+            long startedAt, long later, boolean known) {
+        fleet.onLogAvailable(0);
+        fleet.apply(ID, Optional.of(registration(startedAt, false)), 4, NOW);
+        Target target = fleet.find(ID).orElseThrow();
+        assertThat(target.software(NOW)).contains(SOFTWARE);
+
+        target.onMayHaveEnded(NOW);
+
+        assertThat(target.software(NOW + later).isPresent()).isEqualTo(known);
+    }
+
+    /** Guards against the same while the log is away, where its new registration can't be read. */
+    @Test
+    void theSoftwareOfATargetThatMayHaveEndedIsNotKnownWhileTheLogIsAway() {
+        fleet.apply(ID, Optional.of(registration(5_000, false)), 4, NOW);
+        Target target = fleet.find(ID).orElseThrow();
+        target.onMayHaveEnded(NOW);
+        fleet.onLogUnavailable();
+        assertThat(target.software(NOW + 60_000)).isEmpty();
+
+        fleet.onLogAvailable(NOW + 60_000);
+
+        assertThat(target.software(NOW + 60_000 + Fleet.LOG_RECOVERY_GRACE_MILLIS - 1))
+                .isEmpty();
+        assertThat(target.software(NOW + 60_000 + Fleet.LOG_RECOVERY_GRACE_MILLIS))
+                .contains(SOFTWARE);
+    }
+
     /** A record that another writer stored under a server's key removes the server until its own next registration. */
     @Test
     void unreadableRecordRemovesOnlyItsTargetUntilNextRegistration() {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
@@ -1,13 +1,9 @@
 package org.rattanrudder.daemon.relay;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.handler.codec.http.DefaultHttpRequest;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.Locale;
 import java.util.Optional;
@@ -264,11 +260,8 @@
         if (history.onSent()) {
             state.retryBudget(plan.service()).onRequest(state.nowMillis());
         }
-        HttpHeaders headers = state.platform().requests().forTarget(head.headers(), outgoing.forwarding());
-        HttpRequest request = new DefaultHttpRequest(HttpVersion.HTTP_1_1, head.method(), head.uri(), headers);
-        if (body.isReadable() || HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head)) {
-            HttpUtil.setContentLength(request, body.readableBytes());
-        }
+        HttpRequest request =
+                outgoing.toRequest(head, body.readableBytes(), state.platform().requests());
         opened.send(request, body.retainedDuplicate(), plan.id(), this);
         inactivity = new InactivityMonitor(state, plan.route(), attempt, () -> pools.verify(target), this::onInactive);
         inactivity.check();
@@ -316,10 +309,11 @@
     }
 
     private void onForwardable(HttpResponse response) {
-        if (forwarder.accepts(response)) {
-            forwarder.head(response);
+        Optional<String> reason = continuation.reasonNotToForward(attempt, forwarder, response);
+        if (reason.isPresent()) {
+            abortInvalid(reason.get());
         } else {
-            abortInvalid("not the stream that was begun");
+            forwarder.head(response);
         }
     }
 
@@ -426,6 +420,7 @@
             target.recordFailure(after, state.nowMillis());
         }
         if (outcome == AttemptOutcome.BROKEN) {
+            target.onMayHaveEnded(state.nowMillis());
             log.broken(attempt, reason, after, forwarder.hasBegun(), quarantine.fingerprint());
             quarantine.onConnectionBroken(target);
         } else {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RequestPlan.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RequestPlan.java
@@ -1,6 +1,11 @@
 package org.rattanrudder.daemon.relay;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
@@ -28,6 +33,7 @@
 import org.rattanrudder.core.quarantine.RequestFingerprint;
 import org.rattanrudder.core.routing.Hashing;
 import org.rattanrudder.daemon.relay.port.ForwardingMetadata;
+import org.rattanrudder.daemon.relay.port.RequestDialect;
 
 /** The parameters of one request, which targets may run it, and the metadata sent to its target. */
 final class RequestPlan {
@@ -106,6 +112,21 @@
      * @param cost its expected cost at the target
      */
     record Outgoing(ForwardingMetadata forwarding, Target.RequestCost cost) {
+        /**
+         * Returns the request as it is sent to the target, without its body.
+         *
+         * @param head the request as the caller sent it
+         * @param bodyBytes the length of its body
+         */
+        HttpRequest toRequest(HttpRequest head, int bodyBytes, RequestDialect dialect) {
+            HttpHeaders headers = dialect.forTarget(head.headers(), forwarding);
+            HttpRequest request = new DefaultHttpRequest(HttpVersion.HTTP_1_1, head.method(), head.uri(), headers);
+            if (bodyBytes > 0 || HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head)) {
+                HttpUtil.setContentLength(request, bodyBytes);
+            }
+            return request;
+        }
+
         /**
          * Returns the expected time to the first byte at a healthy engine, in ms, if fetching cached parts takes no
          * time.
@@ -209,11 +230,11 @@
         List<Target> usable = state.admission().usable(service, now);
         return allowedRegions.names().isEmpty() && !binding.hasBegun()
                 ? usable
-                : usable.stream().filter(this::mayRunAt).toList();
+                : usable.stream().filter(target -> mayRunAt(target, now)).toList();
     }
 
-    private boolean mayRunAt(Target target) {
-        return allowsDomain(target.registration().failureDomain()) && binding.admits(target.software());
+    private boolean mayRunAt(Target target, long now) {
+        return allowsDomain(target.registration().failureDomain()) && binding.admits(target.software(now));
     }
 
     /** Returns what binds the request's stream to the software that began it. */
@@ -289,7 +310,7 @@
 
     /** Returns why the request may no longer be sent to the target that was chosen for it, if so. */
     Optional<String> reasonNotToSend(Target target, long now) {
-        if (!binding.admits(target.software())) {
+        if (!binding.admits(target.software(now))) {
             return Optional.of("other software");
         }
         return state.admission().reasonNotToSend(target, warmUp(), now);
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/ResponseForwarder.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/ResponseForwarder.java
@@ -71,9 +71,14 @@
         return head == null ? 0 : head.status().code();
     }
 
+    /** Returns whether a response is an event stream. */
+    boolean bringsEvents(HttpResponse response) {
+        return ResponseFraming.isEventStream(response, streamRoute);
+    }
+
     /** Returns whether a response can be forwarded: one that continues a stream must be an event stream too. */
     boolean accepts(HttpResponse response) {
-        return !begun || ResponseFraming.isEventStream(response, streamRoute);
+        return !begun || bringsEvents(response);
     }
 
     /** Accepts the response head; a stream that is resumed at another target keeps its first head. */
@@ -82,7 +87,7 @@
             return;
         }
         head = response;
-        events = ResponseFraming.isEventStream(response, streamRoute);
+        events = bringsEvents(response);
         boolean success = response.status().codeClass() == HttpStatusClass.SUCCESS;
         streamed = streamRoute && !caller.isHeadRequest() && (events || success);
     }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/StreamContinuation.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/StreamContinuation.java
@@ -1,5 +1,7 @@
 package org.rattanrudder.daemon.relay;
 
+import io.netty.handler.codec.http.HttpResponse;
+import java.util.Optional;
 import java.util.function.Consumer;
 
 /** Binds one request to the software that began its stream, here or in an earlier request of its caller. */
@@ -37,12 +39,21 @@
         return continuable;
     }
 
+    /** Returns why a response can't be sent on as the stream, or the rest of it, if so. */
+    Optional<String> reasonNotToForward(TargetAttempt attempt, ResponseForwarder forwarder, HttpResponse response) {
+        if (!forwarder.accepts(response)) {
+            return Optional.of("not the stream that was begun");
+        }
+        boolean fits = !forwarder.bringsEvents(response) || plan.binding().admits(attempt.software(state.nowMillis()));
+        return fits ? Optional.empty() : Optional.of("not the software that began the stream");
+    }
+
     /** Binds the request to the software of its attempt if that has sent the first event, and tells peers. */
     void onForwarded(TargetAttempt attempt, ResponseForwarder forwarder) {
         if (plan.binding().hasBegun() || !forwarder.hasForwardedEvent()) {
             return;
         }
-        plan.binding().onBegun(attempt.software());
+        plan.binding().onBegun(attempt.software(state.nowMillis()));
         plan.ownStream()
                 .ifPresent(stream ->
                         state.streamOrigins().onBegun(stream, plan.binding().origin(), plan.callerRemainingMillis()));
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TargetAttempt.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TargetAttempt.java
@@ -14,6 +14,7 @@
     private final RequestPlan.Outgoing outgoing;
     private final long sentAt;
     private final Optional<StreamOrigin> softwareAtSend;
+    private boolean answeredByOther;
     private long lastContentAt;
     private long firstByteMillis = -1;
     private long maxPauseMillis;
@@ -25,7 +26,7 @@
         this.outgoing = outgoing;
         this.sentAt = sentAt;
         lastContentAt = sentAt;
-        softwareAtSend = target.software();
+        softwareAtSend = target.software(sentAt);
         target.onSent(outgoing.cost(), sentAt);
     }
 
@@ -37,10 +38,15 @@
         return connection;
     }
 
-    /** Returns the software that runs it; empty if that isn't known, or if the target has named another one since. */
-    Optional<StreamOrigin> software() {
-        return softwareAtSend.filter(
-                software -> target.software().filter(software::equals).isPresent());
+    /**
+     * Returns the software that runs it; empty if that isn't known, if the target has named another one since, or if
+     * another target has answered.
+     */
+    Optional<StreamOrigin> software(long nowMillis) {
+        return answeredByOther
+                ? Optional.empty()
+                : softwareAtSend.filter(software ->
+                        target.software(nowMillis).filter(software::equals).isPresent());
     }
 
     Target.RequestCost cost() {
@@ -75,6 +81,7 @@
 
     /** Records what the head of the response says of the request and its weights. */
     void recordHead(ResponseMetadata metadata, Optional<String> model, long nowMillis) {
+        answeredByOther = !metadata.isFrom(target.id());
         if (!metadata.notRun()) {
             target.onAccepted(sentAt);
         }
