Name the members of records and reports that nothing reads

The version of targets' software stood in their records and was dropped where these are read; nothing could show it, since only unknown headers show themselves. Members that are neither read nor known to be not needed are logged once each (member_unread, 32 names) and counted, for targets' records, configurations and engines' reports.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayMetrics.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayMetrics.java
@@ -31,8 +31,19 @@
     private final Counter rateLimited;
     private final Counter restLimited;
     private final Counter sentUnwanted;
-    private final Counter unknownHeaders;
-    private final Counter takeUps;
+    private final Counter unknownHeaders = counter(
+            "rattanrudder_relay_response_headers_unknown",
+            "Headers of targets' responses that nothing reads, by name",
+            "name");
+    private final Counter unreadMembers = counter(
+            "rattanrudder_relay_members_unread",
+            "Members of records and reports that nothing reads, by kind of object and name",
+            "name");
+    private final Counter takeUps = counter(
+            "rattanrudder_relay_streams_taken_up",
+            "Streams that callers take up, by how their origin is known and whether a target may continue them",
+            "origin",
+            "outcome");
     private final Counter targetsCrashed;
     private final Counter parts;
     private final Counter peerMessagesDropped;
@@ -72,15 +83,6 @@
                 "rattanrudder_relay_sent_unwanted",
                 "Requests sent to targets that had said that they leave, or had asked for rest",
                 "notice");
-        unknownHeaders = counter(
-                "rattanrudder_relay_response_headers_unknown",
-                "Headers of targets' responses that nothing reads, by name",
-                "name");
-        takeUps = counter(
-                "rattanrudder_relay_streams_taken_up",
-                "Streams that callers take up, by how their origin is known and whether a target may continue them",
-                "origin",
-                "outcome");
         targetsCrashed = counter(
                 "rattanrudder_relay_targets_crashed", "Targets that ended in the middle of requests", "service");
         parts = counter("rattanrudder_relay_parts", "Shared parts of prompts, by what was planned for them", "plan");
@@ -157,6 +159,11 @@
         unknownHeaders.labelValues(name).inc();
     }
 
+    /** Records a member of a record or report that nothing reads; the caller bounds the number of names. */
+    void recordUnreadMember(String name) {
+        unreadMembers.labelValues(name).inc();
+    }
+
     /** Records that a caller has taken up a stream. */
     void recordTakeUp(StreamOriginExchange.Source origin, boolean continuable) {
         takeUps.labelValues(origin.wireName(), continuable ? "continuable" : "refused")
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
@@ -58,7 +58,7 @@
     private final WarmUpAdmission warmUps = new WarmUpAdmission(fleet.evacuations(), permitShares);
     private final RateLimitAdmission rateLimits = new RateLimitAdmission(permitShares);
     private final TargetAdmission admission = new TargetAdmission(fleet, warmUps, rateLimits);
-    private final SelfReports selfReports = new SelfReports(this);
+    private final SelfReports selfReports;
     private final StreamOriginExchange streamOrigins = new StreamOriginExchange(this);
     private final SoleSoftware soleSoftware = new SoleSoftware(this);
     private final PartDirectory directory;
@@ -96,6 +96,9 @@
         this.log = log;
         this.metrics = metrics;
         this.random = random;
+        selfReports = new SelfReports(this);
+        UnreadNames members = new UnreadNames("member_unread", log, metrics::recordUnreadMember);
+        platform.setUnreadListener(name -> members.record(name, "read_by", settings.instance()));
         directory = new PartDirectory();
         updateWarmUpBounds();
         relayHash = Hashing.of(settings.instance());
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/SelfReports.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/SelfReports.java
@@ -1,7 +1,5 @@
 package org.rattanrudder.daemon.relay;
 
-import java.util.HashSet;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.rattanrudder.core.fleet.LoadReport;
 import org.rattanrudder.core.fleet.RestNotice;
@@ -17,17 +15,15 @@
  * logged once.
  */
 final class SelfReports {
-    /** Names of unknown headers that are told apart; a target that makes up names must not fill log and metrics. */
-    private static final int MAX_UNKNOWN_HEADERS = 32;
-
     private final RelayState state;
-    private final Set<String> unknownHeaders = new HashSet<>();
+    private final UnreadNames unknownHeaders;
 
     /** How many targets left at the last report of a peer. */
     private int knownLeaving;
 
     SelfReports(RelayState state) {
         this.state = state;
+        unknownHeaders = new UnreadNames("response_header_unknown", state.log(), state.metrics()::recordUnknownHeader);
     }
 
     /** Takes in the head of the response to a request. */
@@ -134,14 +130,6 @@
     }
 
     private void onUnknownHeader(String sender, String name) {
-        if (unknownHeaders.contains(name)) {
-            state.metrics().recordUnknownHeader(name);
-        } else if (unknownHeaders.size() < MAX_UNKNOWN_HEADERS) {
-            unknownHeaders.add(name);
-            state.log().warn("response_header_unknown", "name", name, "target", sender);
-            state.metrics().recordUnknownHeader(name);
-        } else {
-            state.metrics().recordUnknownHeader("other");
-        }
+        unknownHeaders.record(name, "target", sender);
     }
 }
