--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/continuation/OriginHolders.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/continuation/OriginHolders.java
@@ -41,11 +41,10 @@
         Comparator<Ranked> order = Comparator.comparingLong(Ranked::rank).thenComparing(Ranked::relay);
         hashes.forEach((relay, hash) -> {
             Ranked next = new Ranked(relay, Hashing.combine(key.first(), hash));
-            if (best.size() == count && order.compare(next, best.get(count - 1)) >= 0) {
-                return;
+            if (best.size() < count || count > 0 && order.compare(next, best.get(count - 1)) < 0) {
+                best.add(next);
+                best.sort(order);
             }
-            best.add(next);
-            best.sort(order);
             if (best.size() > count) {
                 best.remove(count);
             }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/ExchangeLog.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/ExchangeLog.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.rattanrudder.core.continuation.OriginExchange.Finding;
 import org.rattanrudder.core.continuation.StreamOrigin;
 import org.rattanrudder.core.fleet.Placement;
 import org.rattanrudder.core.fleet.Target;
@@ -72,7 +73,7 @@
      * @param continuable whether any target may continue it
      * @param waitedMillis how long it took to find out
      */
-    void takenUp(StreamOriginExchange.Finding found, boolean continuable, long waitedMillis) {
+    void takenUp(Finding found, boolean continuable, long waitedMillis) {
         state.log()
                 .info(
                         "stream_taken_up",
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayMetrics.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayMetrics.java
@@ -10,6 +10,7 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.function.DoubleSupplier;
+import org.rattanrudder.core.continuation.OriginExchange.Source;
 import org.rattanrudder.core.fleet.TargetAdmission;
 import org.rattanrudder.core.gateway.BodyPosition;
 import org.rattanrudder.core.gateway.ResponseEnd;
@@ -165,7 +166,7 @@
     }
 
     /** Records that a caller has taken up a stream. */
-    void recordTakeUp(StreamOriginExchange.Source origin, boolean continuable) {
+    void recordTakeUp(Source origin, boolean continuable) {
         takeUps.labelValues(origin.wireName(), continuable ? "continuable" : "refused")
                 .inc();
     }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
@@ -59,7 +59,7 @@
     private final RateLimitAdmission rateLimits = new RateLimitAdmission(permitShares);
     private final TargetAdmission admission = new TargetAdmission(fleet, warmUps, rateLimits);
     private final SelfReports selfReports;
-    private final StreamOriginExchange streamOrigins = new StreamOriginExchange(this);
+    private final StreamOriginExchange streamOrigins;
     private final SoleSoftware soleSoftware = new SoleSoftware(this);
     private final PartDirectory directory;
     private final Map<String, WindowedRetryBudget> retryBudgets = new HashMap<>();
@@ -97,6 +97,7 @@
         this.metrics = metrics;
         this.random = random;
         selfReports = new SelfReports(this);
+        streamOrigins = new StreamOriginExchange(this, settings.instance());
         UnreadNames members = new UnreadNames("member_unread", log, metrics::recordUnreadMember);
         platform.setUnreadListener(name -> members.record(name, "read_by", settings.instance()));
         directory = new PartDirectory();
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/SoleSoftware.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/SoleSoftware.java
@@ -3,12 +3,12 @@
 import java.util.Optional;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import org.rattanrudder.core.continuation.OriginExchange.Finding;
+import org.rattanrudder.core.continuation.OriginExchange.Source;
 import org.rattanrudder.core.continuation.StreamOrigin;
 import org.rattanrudder.core.gateway.RouteHistory;
 import org.rattanrudder.core.gateway.ServiceRoute;
 import org.rattanrudder.core.gateway.ServingConfiguration;
-import org.rattanrudder.daemon.relay.StreamOriginExchange.Finding;
-import org.rattanrudder.daemon.relay.StreamOriginExchange.Source;
 
 /**
  * Finds the software of a stream whose caller doesn't name its beginning: it is certain only where all targets that may
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/StreamContinuation.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/StreamContinuation.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.Optional;
 import java.util.function.Consumer;
+import org.rattanrudder.core.continuation.OriginExchange.Finding;
 
 /** Binds one request to the software that began its stream, here or in an earlier request of its caller. */
 final class StreamContinuation {
@@ -23,14 +24,14 @@
      */
     void takeUp(Consumer<Boolean> then) {
         long beganAt = state.nowMillis();
-        Consumer<StreamOriginExchange.Finding> bind = found -> then.accept(bind(found, beganAt));
+        Consumer<Finding> bind = found -> then.accept(bind(found, beganAt));
         plan.streamTakenUp()
                 .ifPresentOrElse(
                         stream -> state.streamOrigins().find(stream, plan.originPatienceMillis(), bind),
                         () -> state.soleSoftware().find(plan.route(), plan.originPatienceMillis(), bind));
     }
 
-    private boolean bind(StreamOriginExchange.Finding found, long beganAt) {
+    private boolean bind(Finding found, long beganAt) {
         long now = state.nowMillis();
         boolean continuable =
                 plan.continueFrom(found.origin()) && !plan.candidates(now).isEmpty();
