Let requests pass one that waits for targets of certain software only

A queue is dispatched in order until one request can't be sent. A caller's taking-up may run at the targets of one version only; while these are full it would stand first and hold back all that other targets could serve at once, and a new request would join behind it. Others pass it now; it keeps its place for its own targets. HoldingQueueTest: two tests, six cases; the one on passing fails without the change by construction (there was no way to pass). What a misdirected answer says of its target is taken in where all else is that targets say.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/HoldingQueue.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/HoldingQueue.java
@@ -109,15 +109,36 @@
     }
 
     /**
-     * Dispatches requests in order until one can't be sent.
+     * Dispatches requests in order until one can't be sent that the others have to wait for.
      *
      * @param dispatched returns whether a request was sent; it must have been removed from the queue then
+     * @param mayBePassed returns whether others needn't wait for a request, since it waits for few targets only
      */
-    public void dispatchWhile(Predicate<T> dispatched) {
+    public void dispatch(Predicate<T> dispatched, Predicate<T> mayBePassed) {
         Optional<QueuedRequest<T>> first = first();
         while (first.isPresent() && dispatched.test(first.get().request())) {
             first = first();
         }
+        if (first.isPresent() && mayBePassed.test(first.get().request())) {
+            dispatchOthers(first.get(), dispatched, mayBePassed);
+        }
+    }
+
+    private void dispatchOthers(QueuedRequest<T> stuck, Predicate<T> dispatched, Predicate<T> mayBePassed) {
+        List<T> others = Stream.concat(onTime.stream(), late.stream())
+                .filter(queued -> queued != stuck)
+                .map(QueuedRequest::request)
+                .toList();
+        for (T request : others) {
+            if (!dispatched.test(request) && !mayBePassed.test(request)) {
+                return;
+            }
+        }
+    }
+
+    /** Returns whether all queued requests match. */
+    public boolean allMatch(Predicate<T> matches) {
+        return Stream.concat(onTime.stream(), late.stream()).allMatch(queued -> matches.test(queued.request()));
     }
 
     /**
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/HoldingQueueTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/HoldingQueueTest.java
@@ -28,6 +28,37 @@
                 .isEqualTo("soon");
     }
 
+    /** Guards against requests that wait for nothing behind one that may run at a few full targets only. */
+    @ParameterizedTest
+    @CsvSource({
+        "'', 'bound,large,small'",
+        "small, 'bound,large,small'",
+        "large, 'bound,small'",
+        "'large,small', bound",
+        "'bound,large,small', ''"
+    })
+    void othersAreDispatchedPastARequestThatMayBePassedButNotPastOneThatMayNot(String fitting, String left) {
+        queue.add("bound", 0, 100, 900, 2_000, 4_000);
+        queue.add("large", 1, 100, 900, 2_000, 4_000);
+        queue.add("small", 2, 100, 900, 2_000, 4_000);
+
+        queue.dispatch(
+                request -> fitting.contains(request)
+                        && queue.removeIf(request::equals).size() == 1,
+                request -> request.equals("bound"));
+
+        assertThat(String.join(",", queue.removeIf(request -> true))).isEqualTo(left);
+    }
+
+    @Test
+    void itIsKnownWhetherAllThatWaitMayBePassed() {
+        assertThat(queue.allMatch("bound"::equals)).isTrue();
+        queue.add("bound", 0, 100, 900, 2_000, 4_000);
+        assertThat(queue.allMatch("bound"::equals)).isTrue();
+        queue.add("other", 0, 100, 900, 2_000, 4_000);
+        assertThat(queue.allMatch("bound"::equals)).isFalse();
+    }
+
     @Test
     void matchingRequestsAreRemovedAndFreeTheirTokens() {
         queue.add("late", 0, 9_000, 100, 2_000, 4_000);
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import org.rattanrudder.core.fleet.HoldingQueue;
 import org.rattanrudder.core.fleet.Placement;
 import org.rattanrudder.core.fleet.Target;
 import org.rattanrudder.core.gateway.AttemptOutcome;
@@ -126,12 +127,12 @@
             placeOnAnyTarget();
             return;
         }
-        int ahead = state.holdingQueue(plan.service()).size();
-        if (ahead == 0 && tryPlace()) {
+        HoldingQueue<Exchange> queue = state.holdingQueue(plan.service());
+        if (queue.allMatch(Exchange::isBound) && tryPlace()) {
             return;
         }
         boolean placedBefore = !history.triedTargets().isEmpty();
-        if (plan.isDelayedTooLong(ahead, placedBefore, state.nowMillis())) {
+        if (plan.isDelayedTooLong(queue.size(), placedBefore, state.nowMillis())) {
             refuse(ErrorKind.OVERLOADED, "rate limits of all targets");
         } else {
             queueWait.join(placedBefore);
@@ -148,6 +149,11 @@
         return choice.isPresent();
     }
 
+    /** Returns whether only targets of certain software may run it; others needn't wait behind it for these. */
+    boolean isBound() {
+        return plan.binding().hasBegun();
+    }
+
     /** Rejects the queued request: the queue is too long for one that will be late. The response says when to retry. */
     void refuseQueued() {
         refuse(ErrorKind.OVERLOADED, "line too long");
@@ -297,7 +303,8 @@
                 metadata.status(), metadata.signed(), metadata.notRun(), metadata.misdirected());
         switch (ResponseClassifier.classify(classified, progress(1))) {
             case FORWARD -> onForwardable(response);
-            case MISDIRECTED -> onMisdirected(target, metadata);
+            case MISDIRECTED ->
+                discardResponse(AttemptOutcome.MISDIRECTED, state.selfReports().onMisdirected(target, metadata));
             case REJECTED -> {
                 target.onRejected(state.nowMillis());
                 discardResponse(AttemptOutcome.REJECTED, "rejected with " + metadata.status());
@@ -328,17 +335,6 @@
         onAttemptFailed(outcome, reason);
     }
 
-    private void onMisdirected(Target target, ResponseMetadata metadata) {
-        Optional<String> other = metadata.target().filter(id -> !id.equals(target.id()));
-        if (other.isPresent()) {
-            state.log().warn("target_replaced", "target", target.id(), "found", other.get());
-            state.fleet().removeReplaced(target.id(), state.nowMillis());
-        } else {
-            target.onRejected(state.nowMillis());
-        }
-        discardResponse(AttemptOutcome.MISDIRECTED, other.isPresent() ? "another target" : "other weights");
-    }
-
     @Override
     public void onContent(ByteBuf chunk) {
         if (attempt.onContent(state.nowMillis())) {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
@@ -326,7 +326,7 @@
         }
         loop.execute(() -> {
             scheduledDispatches.remove(service);
-            queue.dispatchWhile(Exchange::tryPlace);
+            queue.dispatch(Exchange::tryPlace, Exchange::isBound);
         });
     }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/SelfReports.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/SelfReports.java
@@ -1,5 +1,6 @@
 package org.rattanrudder.daemon.relay;
 
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.rattanrudder.core.fleet.LoadReport;
 import org.rattanrudder.core.fleet.RestNotice;
@@ -34,6 +35,18 @@
         }
     }
 
+    /** Takes in that a target answered that a request was meant for another, or for other weights; returns which. */
+    String onMisdirected(Target target, ResponseMetadata metadata) {
+        Optional<String> other = metadata.target().filter(id -> !id.equals(target.id()));
+        if (other.isEmpty()) {
+            target.onRejected(state.nowMillis());
+            return "other weights";
+        }
+        state.log().warn("target_replaced", "target", target.id(), "found", other.get());
+        state.fleet().removeReplaced(target.id(), state.nowMillis());
+        return "another target";
+    }
+
     /** Takes in the head of the response to any other call, such as an order. */
     void onCallAnswered(Target target, CallResult result, long sentAt) {
         if (result instanceof CallResult.Answered answered) {
--- a/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelRelay.java
+++ b/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelRelay.java
@@ -242,7 +242,7 @@
     }
 
     private void drain() {
-        line.dispatchWhile(this::sendIfRoom);
+        line.dispatch(this::sendIfRoom, job -> false);
     }
 
     private boolean sendIfRoom(ModelRequest request) {
