Try the one target of a stream's software once more at most

A stream whose only target of its version has crashed was placed there again four times within milliseconds, each time out of the retry budget that all requests share: twenty streams of a crashed engine took eighty retries and sent nothing. A bound request that couldn't be sent to its last target ends now.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
@@ -396,7 +396,8 @@
     /** Retries a failed attempt on another target if that is allowed, or ends the request. */
     private void retryOrEnd(AttemptOutcome outcome, String reason) {
         history.onFailed(outcome);
-        boolean worthwhile = outcome != AttemptOutcome.REJECTED || selection.hasUntried();
+        boolean onlySame = outcome == AttemptOutcome.REJECTED || outcome == AttemptOutcome.NOT_SENT && isBound();
+        boolean worthwhile = !onlySame || selection.hasUntried();
         boolean allowed =
                 worthwhile && RetryPolicy.mayRetry(progress(0), outcome) && !quarantine.mayHaveCausedLastCrash(outcome);
         if (allowed && (!history.isSent() || state.tryAcquireRetry(plan.service()))) {
