Load the classes of streams' origins in the rehearsal, and wait for peers also where a route has no objective

The class archive is dumped from what the rehearsal loads by package; the new package wasn't among them, so the first stream of a relay would load it from its jar. A route without an objective left peers no time to answer; a header that is there and blank takes up nothing.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Rehearsal.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Rehearsal.java
@@ -11,11 +11,15 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.ServiceLoader;
 import java.util.jar.JarEntry;
 import java.util.jar.JarFile;
 import java.util.random.RandomGenerator;
+import org.rattanrudder.core.continuation.OriginMessage;
+import org.rattanrudder.core.continuation.StreamKey;
+import org.rattanrudder.core.continuation.StreamOrigin;
 import org.rattanrudder.core.fleet.LoadReport;
 import org.rattanrudder.core.fleet.ReportSchedule;
 import org.rattanrudder.core.model.Address;
@@ -82,6 +86,10 @@
         StoreUpdate update = new StoreUpdate(
                 1, 2, false, List.of(new PartEvent(new PartKey("w1", "part"), 1, true)), OptionalLong.of(1));
         PeerCodec.read(PeerCodec.write(new SharedStoreUpdate(new Address("127.0.0.1", 1), 1, update, 1)));
+        StreamKey stream = StreamKey.of("customer", "request");
+        OriginMessage.Told told =
+                new OriginMessage.Told(stream, Optional.of(new StreamOrigin("service", "version")), 1);
+        PeerCodec.read(PeerCodec.write(new OriginMessage(List.of(told), List.of(stream), List.of(stream))));
     }
 
     /** Starts a relay on free ports and sends it requests; returns null if another process has taken a port. */
@@ -152,8 +160,9 @@
     }
 
     private static boolean isRelayClass(String name) {
-        return name.matches(".*/(gateway|fleet|parts|quarantine|rollout|relay|port|peer|platform)/[A-Z][^/]*"
-                + "|.*/daemon/(Signals|Settings)[^/]*");
+        return name.matches(
+                ".*/(continuation|gateway|fleet|parts|quarantine|rollout|relay|port|peer|platform)/[A-Z][^/]*"
+                        + "|.*/daemon/(Signals|Settings)[^/]*");
     }
 
     private static Address freeAddress() throws IOException {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RequestPlan.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RequestPlan.java
@@ -65,6 +65,9 @@
     /** Share of the objective for which peers are waited for that may know a stream's origin. */
     private static final double ORIGIN_PATIENCE_SHARE = 0.25;
 
+    /** Time for a question and its answer between failure domains, for routes with short objectives or none. */
+    private static final long MIN_ORIGIN_PATIENCE_MILLIS = 20;
+
     /** How long a stream's origin is kept beyond its caller's deadline, for clocks and networks. */
     private static final long RETURN_MARGIN_MILLIS = 1_000;
 
@@ -252,9 +255,11 @@
 
     /** Returns whether the caller has a part of the stream already, which another request brought. */
     boolean takesUpStream() {
-        return route.repeat().stream()
-                && (metadata.lastEventId().isPresent()
-                        || metadata.resumedRequestId().isPresent());
+        return route.repeat().stream() && (isNamed(metadata.lastEventId()) || isNamed(metadata.resumedRequestId()));
+    }
+
+    private static boolean isNamed(Optional<String> id) {
+        return id.filter(text -> !text.isBlank()).isPresent();
     }
 
     /** Returns the key of the stream that the caller names as the one it takes up; empty if it names none. */
@@ -280,7 +285,7 @@
 
     /** Returns how long peers are waited for that may know a stream's origin, in ms. */
     long originPatienceMillis() {
-        return (long) (route.objectiveMillis() * ORIGIN_PATIENCE_SHARE);
+        return Math.max(MIN_ORIGIN_PATIENCE_MILLIS, (long) (route.objectiveMillis() * ORIGIN_PATIENCE_SHARE));
     }
 
     /**
