Keep a target's software known through an outage of the log that it has shown no sign of an end in

Where targets keep their IDs over starts, all of them counted as unknown while the log was away, though a process whose connections held can't have started again: no stream could have gone on in an outage. The doubt begins with a sign now (a broken connection, a failed dial) and ends once the log has been readable for long enough that a later start would be registered. A removal that is read before the first listing no longer begins a history.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Fleet.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Fleet.java
@@ -87,6 +87,9 @@
     /** Handles a response of the log. */
     public void onLogAvailable(long nowMillis) {
         log.onAvailable(nowMillis);
+        if (log.isSettled(nowMillis)) {
+            targets.values().forEach(target -> target.onRegisteredUntil(nowMillis - LOG_RECOVERY_GRACE_MILLIS));
+        }
     }
 
     /**
@@ -97,7 +100,7 @@
         if (registration.isPresent()) {
             return applyRegistration(registration.get(), offset, nowMillis);
         }
-        if (!newestRecords.containsKey(id)) {
+        if (listed && !newestRecords.containsKey(id)) {
             software.restart(nowMillis);
         }
         if (!isNewer(id, offset)) {
@@ -147,7 +150,7 @@
         recordSoftware(Optional.ofNullable(target), nowMillis);
         boolean started = listed && (target == null || restarted);
         if (target == null || restarted) {
-            target = new Target(registration, noticesOf(registration), peers, sharing, log);
+            target = new Target(registration, noticesOf(registration), peers, sharing);
             targets.put(registration.id(), target);
         } else {
             target.update(registration);
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/LogAvailability.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/LogAvailability.java
@@ -30,9 +30,4 @@
     boolean isSettled(long nowMillis) {
         return !unavailable && nowMillis - recoveredAt >= Fleet.LOG_RECOVERY_GRACE_MILLIS;
     }
-
-    /** Returns whether a target that started at a time would be known by now. */
-    boolean isSettledSince(long startMillis, long nowMillis) {
-        return isSettled(nowMillis) && nowMillis - startMillis >= Fleet.LOG_RECOVERY_GRACE_MILLIS;
-    }
 }
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Target.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Target.java
@@ -39,10 +39,11 @@
     private static final long INITIAL_PAUSE_MILLIS = 250;
     private static final long MAX_PAUSE_MILLIS = 2_000;
 
+    private static final long NEVER = Long.MAX_VALUE;
+
     private final Map<String, Long> confirmedWeights = new HashMap<>();
     private final PeerLoads peers;
     private final TargetSharing sharing;
-    private final LogAvailability log;
     private final RecentSends recentSends = new RecentSends();
     private final WarmUp warmUp = new WarmUp();
     private final RateLimit rateLimit = new RateLimit();
@@ -64,24 +65,18 @@
     private long lastActivityAt;
     private long loadingWeightsUntil = Long.MIN_VALUE / 2;
     private long confirmedAt = Long.MIN_VALUE / 2;
-    private long mayHaveEndedAt = Long.MIN_VALUE / 2;
+    private long mayHaveEndedAt = NEVER;
 
     private long sharingVersion = -1;
     private boolean shared;
     private Set<String> sharingRelays = Set.of();
 
     /** Creates a target that peers may have requests at. */
-    Target(
-            TargetRegistration registration,
-            TargetNotices notices,
-            PeerLoads peers,
-            TargetSharing sharing,
-            LogAvailability log) {
+    Target(TargetRegistration registration, TargetNotices notices, PeerLoads peers, TargetSharing sharing) {
         this.registration = registration;
         this.notices = notices;
         this.peers = peers;
         this.sharing = sharing;
-        this.log = log;
         idHash = Hashing.of(registration.id());
     }
 
@@ -99,9 +94,9 @@
      * Returns the software that it runs, to which streams that it begins are bound; empty if it doesn't say, or if
      * another process may answer in its place: one that started again under its ID and isn't registered yet.
      */
-    public Optional<StreamOrigin> software(long nowMillis) {
+    public Optional<StreamOrigin> software() {
         boolean keepsId = registration.startedAt() != TargetRegistration.START_UNKNOWN;
-        return keepsId && !log.isSettledSince(mayHaveEndedAt, nowMillis)
+        return keepsId && mayHaveEndedAt != NEVER
                 ? Optional.empty()
                 : registration.softwareVersion().map(version -> new StreamOrigin(registration.service(), version));
     }
@@ -111,6 +106,13 @@
         mayHaveEndedAt = nowMillis;
     }
 
+    /** Handles that all targets that had started by a time are registered, so that a later start would be known. */
+    void onRegisteredUntil(long startMillis) {
+        if (mayHaveEndedAt <= startMillis) {
+            mayHaveEndedAt = NEVER;
+        }
+    }
+
     /** Returns the requests that this relay has sent within the last second, or is about to send. */
     RecentSends recentSends() {
         return recentSends;
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
@@ -99,7 +99,7 @@
         selfReports = new SelfReports(this);
         streamOrigins = new StreamOriginExchange(this, settings.instance());
         UnreadNames members = new UnreadNames("member_unread", log, metrics::recordUnreadMember);
-        platform.setUnreadListener(name -> members.record(name, "read_by", settings.instance()));
+        platform.setUnreadListener(members::record);
         directory = new PartDirectory();
         updateWarmUpBounds();
         relayHash = Hashing.of(settings.instance());
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RequestPlan.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RequestPlan.java
@@ -233,11 +233,11 @@
         List<Target> usable = state.admission().usable(service, now);
         return allowedRegions.names().isEmpty() && !binding.hasBegun()
                 ? usable
-                : usable.stream().filter(target -> mayRunAt(target, now)).toList();
+                : usable.stream().filter(this::mayRunAt).toList();
     }
 
-    private boolean mayRunAt(Target target, long now) {
-        return allowsDomain(target.registration().failureDomain()) && binding.admits(target.software(now));
+    private boolean mayRunAt(Target target) {
+        return allowsDomain(target.registration().failureDomain()) && binding.admits(target.software());
     }
 
     /** Returns what binds the request's stream to the software that began it. */
@@ -315,7 +315,7 @@
 
     /** Returns why the request may no longer be sent to the target that was chosen for it, if so. */
     Optional<String> reasonNotToSend(Target target, long now) {
-        if (!binding.admits(target.software(now))) {
+        if (!binding.admits(target.software())) {
             return Optional.of("other software");
         }
         return state.admission().reasonNotToSend(target, warmUp(), now);
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/StreamContinuation.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/StreamContinuation.java
@@ -45,7 +45,7 @@
         if (!forwarder.accepts(response)) {
             return Optional.of("not the stream that was begun");
         }
-        boolean fits = !forwarder.bringsEvents(response) || plan.binding().admits(attempt.software(state.nowMillis()));
+        boolean fits = !forwarder.bringsEvents(response) || plan.binding().admits(attempt.software());
         return fits ? Optional.empty() : Optional.of("not the software that began the stream");
     }
 
@@ -54,7 +54,7 @@
         if (plan.binding().hasBegun() || !forwarder.hasForwardedEvent()) {
             return;
         }
-        plan.binding().onBegun(attempt.software(state.nowMillis()));
+        plan.binding().onBegun(attempt.software());
         plan.ownStream()
                 .ifPresent(stream ->
                         state.streamOrigins().onBegun(stream, plan.binding().origin(), plan.callerRemainingMillis()));
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TargetAttempt.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TargetAttempt.java
@@ -26,7 +26,7 @@
         this.outgoing = outgoing;
         this.sentAt = sentAt;
         lastContentAt = sentAt;
-        softwareAtSend = target.software(sentAt);
+        softwareAtSend = target.software();
         target.onSent(outgoing.cost(), sentAt);
     }
 
@@ -42,11 +42,11 @@
      * Returns the software that runs it; empty if that isn't known, if the target has named another one since, or if
      * another target has answered.
      */
-    Optional<StreamOrigin> software(long nowMillis) {
+    Optional<StreamOrigin> software() {
         return answeredByOther
                 ? Optional.empty()
-                : softwareAtSend.filter(software ->
-                        target.software(nowMillis).filter(software::equals).isPresent());
+                : softwareAtSend.filter(
+                        software -> target.software().filter(software::equals).isPresent());
     }
 
     Target.RequestCost cost() {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/UnreadNames.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/UnreadNames.java
@@ -3,6 +3,7 @@
 import java.util.HashSet;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 import org.rattanrudder.daemon.logging.EventLog;
 
 /** Logs each name once that another side sends and nothing reads, and counts them; bounded in volume. */
@@ -29,8 +30,8 @@
         this.counter = counter;
     }
 
-    /** Records a name, with a field that says where it came from. */
-    void record(String name, String sourceField, String source) {
+    /** Records a name, with further fields for the log. */
+    void record(String name, String... fields) {
         boolean told = names.contains(name);
         if (!told && names.size() >= MAX_NAMES) {
             counter.accept(OTHERS);
@@ -38,7 +39,9 @@
         }
         if (!told) {
             names.add(name);
-            log.warn(event, "name", name, sourceField, source);
+            log.warn(
+                    event,
+                    Stream.concat(Stream.of("name", name), Stream.of(fields)).toArray(String[]::new));
         }
         counter.accept(name);
     }
