Log unread names where the event's name stands with its call

DocumentationTest found no source for response_header_unknown once its name was passed to the class that logs it; the name stands in the call to the log again, for members too.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
@@ -98,7 +98,7 @@
         this.random = random;
         selfReports = new SelfReports(this);
         streamOrigins = new StreamOriginExchange(this, settings.instance());
-        UnreadNames members = new UnreadNames("member_unread", log, metrics::recordUnreadMember);
+        UnreadNames members = new UnreadNames(fields -> log.warn("member_unread", fields), metrics::recordUnreadMember);
         platform.setUnreadListener(members::record);
         directory = new PartDirectory();
         updateWarmUpBounds();
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/SelfReports.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/SelfReports.java
@@ -24,7 +24,8 @@
 
     SelfReports(RelayState state) {
         this.state = state;
-        unknownHeaders = new UnreadNames("response_header_unknown", state.log(), state.metrics()::recordUnknownHeader);
+        unknownHeaders = new UnreadNames(
+                fields -> state.log().warn("response_header_unknown", fields), state.metrics()::recordUnknownHeader);
     }
 
     /** Takes in the head of the response to a request. */
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/UnreadNames.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/UnreadNames.java
@@ -4,7 +4,6 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
-import org.rattanrudder.daemon.logging.EventLog;
 
 /** Logs each name once that another side sends and nothing reads, and counts them; bounded in volume. */
 final class UnreadNames {
@@ -14,18 +13,16 @@
     private static final String OTHERS = "other";
 
     private final Set<String> names = new HashSet<>();
-    private final String event;
-    private final EventLog log;
+    private final Consumer<String[]> log;
     private final Consumer<String> counter;
 
     /**
      * Creates a record of no names.
      *
-     * @param event the event to log a new name as
+     * @param log logs a new name, given the fields of its line
      * @param counter counts a name each time
      */
-    UnreadNames(String event, EventLog log, Consumer<String> counter) {
-        this.event = event;
+    UnreadNames(Consumer<String[]> log, Consumer<String> counter) {
         this.log = log;
         this.counter = counter;
     }
@@ -39,9 +36,7 @@
         }
         if (!told) {
             names.add(name);
-            log.warn(
-                    event,
-                    Stream.concat(Stream.of("name", name), Stream.of(fields)).toArray(String[]::new));
+            log.accept(Stream.concat(Stream.of("name", name), Stream.of(fields)).toArray(String[]::new));
         }
         counter.accept(name);
     }
