--- a/rattanrudder-command/src/test/java/org/rattanrudder/command/CommandLineTest.java
+++ b/rattanrudder-command/src/test/java/org/rattanrudder/command/CommandLineTest.java
@@ -82,6 +82,20 @@
         assertThat(errors()).contains("no line is about request r8");
     }
 
+    @ParameterizedTest
+    @CsvSource({"told, v1.1, true, ''", "unknown, unknown, false, ', which no target can continue'"})
+    void aRequestThatTakesUpAStreamNamesWhatBeganIt(String origin, String software, boolean continuable, String end) {
+        input = "relay-2 time=2026-03-19T17:14:23.500Z level=INFO logger=R event=stream_taken_up request=r7 resumes=r6"
+                + " after_event=4 origin=" + origin + " service=llm software=" + software + " age_ms=70 waited_ms=0"
+                + " continuable=" + continuable + "\n";
+
+        assertThat(run("explain-request", "r7")).isEqualTo(ExitCode.DONE);
+
+        assertThat(output())
+                .contains("takes up the stream of request r6 after event 4; begun by llm " + software + " (" + origin
+                        + ")" + end + "\n");
+    }
+
     /**
      * At shift change clerks say that checks are slow. The logs of all relays tell which step made them late, without a
      * look at single requests.
