--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
@@ -98,8 +98,8 @@
         this.random = random;
         selfReports = new SelfReports(this);
         streamOrigins = new StreamOriginExchange(this, settings.instance());
-        UnreadNames members = new UnreadNames("member_unread", log, metrics::recordUnreadMember);
-        platform.setUnreadListener(name -> members.record(name, "read_by", settings.instance()));
+        UnreadNames members = new UnreadNames(fields -> log.warn("member_unread", fields), metrics::recordUnreadMember);
+        platform.setUnreadListener(members::record);
         directory = new PartDirectory();
         updateWarmUpBounds();
         relayHash = Hashing.of(settings.instance());
@@ -326,7 +326,7 @@
         }
         loop.execute(() -> {
             scheduledDispatches.remove(service);
-            queue.dispatchWhile(Exchange::tryPlace);
+            queue.dispatch(Exchange::tryPlace, Exchange::isBound);
         });
     }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RequestPlan.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RequestPlan.java
@@ -65,6 +65,9 @@
     /** Share of the objective for which peers are waited for that may know a stream's origin. */
     private static final double ORIGIN_PATIENCE_SHARE = 0.25;
 
+    /** Time for a question and its answer between failure domains, for routes with short objectives or none. */
+    private static final long MIN_ORIGIN_PATIENCE_MILLIS = 20;
+
     /** How long a stream's origin is kept beyond its caller's deadline, for clocks and networks. */
     private static final long RETURN_MARGIN_MILLIS = 1_000;
 
@@ -230,11 +233,11 @@
         List<Target> usable = state.admission().usable(service, now);
         return allowedRegions.names().isEmpty() && !binding.hasBegun()
                 ? usable
-                : usable.stream().filter(target -> mayRunAt(target, now)).toList();
+                : usable.stream().filter(this::mayRunAt).toList();
     }
 
-    private boolean mayRunAt(Target target, long now) {
-        return allowsDomain(target.registration().failureDomain()) && binding.admits(target.software(now));
+    private boolean mayRunAt(Target target) {
+        return allowsDomain(target.registration().failureDomain()) && binding.admits(target.software());
     }
 
     /** Returns what binds the request's stream to the software that began it. */
@@ -252,9 +255,11 @@
 
     /** Returns whether the caller has a part of the stream already, which another request brought. */
     boolean takesUpStream() {
-        return route.repeat().stream()
-                && (metadata.lastEventId().isPresent()
-                        || metadata.resumedRequestId().isPresent());
+        return route.repeat().stream() && (isNamed(metadata.lastEventId()) || isNamed(metadata.resumedRequestId()));
+    }
+
+    private static boolean isNamed(Optional<String> id) {
+        return id.filter(text -> !text.isBlank()).isPresent();
     }
 
     /** Returns the key of the stream that the caller names as the one it takes up; empty if it names none. */
@@ -280,7 +285,7 @@
 
     /** Returns how long peers are waited for that may know a stream's origin, in ms. */
     long originPatienceMillis() {
-        return (long) (route.objectiveMillis() * ORIGIN_PATIENCE_SHARE);
+        return Math.max(MIN_ORIGIN_PATIENCE_MILLIS, (long) (route.objectiveMillis() * ORIGIN_PATIENCE_SHARE));
     }
 
     /**
@@ -310,7 +315,7 @@
 
     /** Returns why the request may no longer be sent to the target that was chosen for it, if so. */
     Optional<String> reasonNotToSend(Target target, long now) {
-        if (!binding.admits(target.software(now))) {
+        if (!binding.admits(target.software())) {
             return Optional.of("other software");
         }
         return state.admission().reasonNotToSend(target, warmUp(), now);
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/UnreadNames.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/UnreadNames.java
@@ -3,7 +3,7 @@
 import java.util.HashSet;
 import java.util.Set;
 import java.util.function.Consumer;
-import org.rattanrudder.daemon.logging.EventLog;
+import java.util.stream.Stream;
 
 /** Logs each name once that another side sends and nothing reads, and counts them; bounded in volume. */
 final class UnreadNames {
@@ -13,24 +13,22 @@
     private static final String OTHERS = "other";
 
     private final Set<String> names = new HashSet<>();
-    private final String event;
-    private final EventLog log;
+    private final Consumer<String[]> log;
     private final Consumer<String> counter;
 
     /**
      * Creates a record of no names.
      *
-     * @param event the event to log a new name as
+     * @param log logs a new name, given the fields of its line
      * @param counter counts a name each time
      */
-    UnreadNames(String event, EventLog log, Consumer<String> counter) {
-        this.event = event;
+    UnreadNames(Consumer<String[]> log, Consumer<String> counter) {
         this.log = log;
         this.counter = counter;
     }
 
-    /** Records a name, with a field that says where it came from. */
-    void record(String name, String sourceField, String source) {
+    /** Records a name, with further fields for the log. */
+    void record(String name, String... fields) {
         boolean told = names.contains(name);
         if (!told && names.size() >= MAX_NAMES) {
             counter.accept(OTHERS);
@@ -38,7 +36,7 @@
         }
         if (!told) {
             names.add(name);
-            log.warn(event, "name", name, sourceField, source);
+            log.accept(Stream.concat(Stream.of("name", name), Stream.of(fields)).toArray(String[]::new));
         }
         counter.accept(name);
     }
