--- a/rattanrudder-command/src/main/java/org/rattanrudder/command/RequestStory.java
+++ b/rattanrudder-command/src/main/java/org/rattanrudder/command/RequestStory.java
@@ -92,8 +92,8 @@
             case "request_held" ->
                 "waits in line, engines are full; " + fields.get("in_line") + " wait for " + fields.get("service")
                         + limitedTargets(fields);
-            case "stream_taken_up" ->
-                "takes up the stream of request " + fields.get("resumes") + " after event " + fields.get("after_event")
+            case "stream_resumed" ->
+                "resumes the stream of request " + fields.get("resumes") + " after event " + fields.get("after_event")
                         + "; begun by " + fields.get("service") + " " + fields.get("software") + " ("
                         + fields.get("origin") + ")"
                         + ("false".equals(fields.get("continuable")) ? ", which no target can continue" : "");
--- a/rattanrudder-command/src/test/java/org/rattanrudder/command/CommandLineTest.java
+++ b/rattanrudder-command/src/test/java/org/rattanrudder/command/CommandLineTest.java
@@ -84,15 +84,15 @@
 
     @ParameterizedTest
     @CsvSource({"told, v1.1, true, ''", "unknown, unknown, false, ', which no target can continue'"})
-    void aRequestThatTakesUpAStreamNamesWhatBeganIt(String origin, String software, boolean continuable, String end) {
-        input = "relay-2 time=2026-03-19T17:14:23.500Z level=INFO logger=R event=stream_taken_up request=r7 resumes=r6"
+    void aRequestThatResumesAStreamNamesWhatBeganIt(String origin, String software, boolean continuable, String end) {
+        input = "relay-2 time=2026-03-19T17:14:23.500Z level=INFO logger=R event=stream_resumed request=r7 resumes=r6"
                 + " after_event=4 origin=" + origin + " service=llm software=" + software + " age_ms=70 waited_ms=0"
                 + " continuable=" + continuable + "\n";
 
         assertThat(run("explain-request", "r7")).isEqualTo(ExitCode.DONE);
 
         assertThat(output())
-                .contains("takes up the stream of request r6 after event 4; begun by llm " + software + " (" + origin
+                .contains("resumes the stream of request r6 after event 4; begun by llm " + software + " (" + origin
                         + ")" + end + "\n");
     }
 
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/continuation/OriginExchange.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/continuation/OriginExchange.java
@@ -13,7 +13,7 @@
 import java.util.function.Consumer;
 
 /**
- * Tells a few peers which software began a stream, and finds it out when a caller takes a stream up at this relay.
+ * Tells a few peers which software began a stream, and finds it out when a caller resumes a stream at this relay.
  *
  * <p>Messages may be lost, late or come twice. A stream whose origin nobody tells stays unknown and isn't continued.
  * All times are milliseconds of a monotonic clock.
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/model/ErrorKind.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/model/ErrorKind.java
@@ -46,9 +46,9 @@
     STALE_INCARNATION(503, RunState.NOT_RUN, RetryAdvice.AT_ONCE, Severity.INFO),
     /** Several targets crashed while running this request; it is not sent to any other target for a while. */
     REQUEST_QUARANTINED(503, RunState.NOT_RUN, RetryAdvice.LATER, Severity.WARN),
-    /** The request takes up a stream, and it isn't known which software began that: none can continue it. */
+    /** The request resumes a stream, and it isn't known which software began that: none can continue it. */
     STREAM_ORIGIN_UNKNOWN(503, RunState.NOT_RUN, RetryAdvice.LATER, Severity.INFO),
-    /** The request takes up a stream, and no target that runs the software which began it accepts work. */
+    /** The request resumes a stream, and no target that runs the software which began it accepts work. */
     STREAM_SOFTWARE_UNAVAILABLE(503, RunState.NOT_RUN, RetryAdvice.LATER, Severity.INFO),
     /** The target could not be reached; nothing was sent. */
     TARGET_UNREACHABLE(503, RunState.NOT_RUN, RetryAdvice.LATER, Severity.WARN),
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
@@ -85,14 +85,14 @@
         if (refuseIfQuarantined()) {
             return;
         }
-        if (plan.takesUpStream()) {
-            continuation.takeUp(this::onOriginFound);
+        if (plan.resumesStream()) {
+            continuation.resume(this::onOriginFound);
         } else {
             place();
         }
     }
 
-    /** Places a request that takes up a stream, or rejects it if no target may continue the stream. */
+    /** Places a request that resumes a stream, or rejects it if no target may continue the stream. */
     private void onOriginFound(boolean continuable) {
         if (ended) {
             return;
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/ExchangeLog.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/ExchangeLog.java
@@ -68,15 +68,15 @@
     }
 
     /**
-     * Logs what is known of the stream that a request takes up.
+     * Logs what is known of the stream that a request resumes.
      *
      * @param continuable whether any target may continue it
      * @param waitedMillis how long it took to find out
      */
-    void takenUp(Finding found, boolean continuable, long waitedMillis) {
+    void resumed(Finding found, boolean continuable, long waitedMillis) {
         state.log()
                 .info(
-                        "stream_taken_up",
+                        "stream_resumed",
                         "request",
                         plan.id(),
                         "resumes",
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayMetrics.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayMetrics.java
@@ -40,9 +40,9 @@
             "rattanrudder_relay_members_unread",
             "Members of records and reports that nothing reads, by kind of object and name",
             "name");
-    private final Counter takeUps = counter(
-            "rattanrudder_relay_streams_taken_up",
-            "Streams that callers take up, by how their origin is known and whether a target may continue them",
+    private final Counter resumptions = counter(
+            "rattanrudder_relay_streams_resumed",
+            "Streams that callers resume, by how their origin is known and whether a target may continue them",
             "origin",
             "outcome");
     private final Counter targetsCrashed;
@@ -165,9 +165,10 @@
         unreadMembers.labelValues(name).inc();
     }
 
-    /** Records that a caller has taken up a stream. */
-    void recordTakeUp(Source origin, boolean continuable) {
-        takeUps.labelValues(origin.wireName(), continuable ? "continuable" : "refused")
+    /** Records that a caller has resumed a stream. */
+    void recordResumption(Source origin, boolean continuable) {
+        resumptions
+                .labelValues(origin.wireName(), continuable ? "continuable" : "refused")
                 .inc();
     }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
@@ -430,7 +430,7 @@
         state.metrics()
                 .gauge(
                         "rattanrudder_relay_stream_origins",
-                        "Streams whose software is known, should their callers take them up",
+                        "Streams whose software is known, should their callers resume them",
                         () -> state.streamOrigins().size());
         state.metrics()
                 .gauge(
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RequestPlan.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RequestPlan.java
@@ -254,7 +254,7 @@
     }
 
     /** Returns whether the caller has a part of the stream already, which another request brought. */
-    boolean takesUpStream() {
+    boolean resumesStream() {
         return route.repeat().stream() && (isNamed(metadata.lastEventId()) || isNamed(metadata.resumedRequestId()));
     }
 
@@ -262,8 +262,8 @@
         return id.filter(text -> !text.isBlank()).isPresent();
     }
 
-    /** Returns the key of the stream that the caller names as the one it takes up; empty if it names none. */
-    Optional<StreamKey> streamTakenUp() {
+    /** Returns the key of the stream that the caller names as the one it resumes; empty if it names none. */
+    Optional<StreamKey> resumedStream() {
         return metadata.resumedRequestId().filter(id -> !id.isBlank()).map(this::streamKey);
     }
 
@@ -277,7 +277,7 @@
         return StreamKey.of(customer.map(CustomerIdentity::name).orElse(""), requestId);
     }
 
-    /** Returns how long the caller may come back to take up its stream, in ms. */
+    /** Returns how long the caller may come back to resume its stream, in ms. */
     long callerRemainingMillis() {
         long wanted = metadata.deadlineMillis().orElse(route.timeoutMillis());
         return Math.max(0, arrivedAt + wanted - state.nowMillis()) + RETURN_MARGIN_MILLIS;
@@ -289,7 +289,7 @@
     }
 
     /**
-     * Binds the request to the software that began the stream which it takes up; returns whether its route leads to
+     * Binds the request to the software that began the stream which it resumes; returns whether its route leads to
      * that software.
      *
      * @param origin the software; empty if it isn't known
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/StreamContinuation.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/StreamContinuation.java
@@ -18,14 +18,14 @@
     }
 
     /**
-     * Finds out which software began the stream that the request takes up, and binds the request to it.
+     * Finds out which software began the stream that the request resumes, and binds the request to it.
      *
      * @param then called once, at once if no peer has to be asked: with whether any target may continue the stream
      */
-    void takeUp(Consumer<Boolean> then) {
+    void resume(Consumer<Boolean> then) {
         long beganAt = state.nowMillis();
         Consumer<Finding> bind = found -> then.accept(bind(found, beganAt));
-        plan.streamTakenUp()
+        plan.resumedStream()
                 .ifPresentOrElse(
                         stream -> state.streamOrigins().find(stream, plan.originPatienceMillis(), bind),
                         () -> state.soleSoftware().find(plan.route(), plan.originPatienceMillis(), bind));
@@ -35,8 +35,8 @@
         long now = state.nowMillis();
         boolean continuable =
                 plan.continueFrom(found.origin()) && !plan.candidates(now).isEmpty();
-        log.takenUp(found, continuable, now - beganAt);
-        state.metrics().recordTakeUp(found.source(), continuable);
+        log.resumed(found, continuable, now - beganAt);
+        state.metrics().recordResumption(found.source(), continuable);
         return continuable;
     }
 
--- a/rattanrudder-standins/src/main/java/org/rattanrudder/standins/bench/StreamOriginBench.java
+++ b/rattanrudder-standins/src/main/java/org/rattanrudder/standins/bench/StreamOriginBench.java
@@ -18,8 +18,8 @@
     private static final long SEED = 49;
     private static final int STREAMS = 4_000;
 
-    /** Every so many streams, one is taken up by its caller at another relay. */
-    private static final int TAKEN_UP_EVERY = 20;
+    /** Every so many streams, one is resumed by its caller at another relay. */
+    private static final int RESUMED_EVERY = 20;
 
     private static final long KEPT_MILLIS = 4_000;
     private static final long STEP_MILLIS = 1;
@@ -122,7 +122,7 @@
             return StreamKey.of("customer", "request-" + stream);
         }
 
-        void takeUp(int stream, int beginner) {
+        void resume(int stream, int beginner) {
             if (failure.beginnerDies()) {
                 start(beginner);
             }
@@ -145,11 +145,11 @@
     public static void main(String[] arguments) {
         for (int relays : List.of(6, 33, 300)) {
             System.out.println(
-                    relays + " relays | datagrams, bytes a stream | us a stream | datagrams, bytes a taking-up");
+                    relays + " relays | datagrams, bytes a stream | us a stream | datagrams, bytes a resumption");
             WAYS.forEach(way -> printCost(way, relays));
         }
         for (int relays : List.of(6, 33, 300)) {
-            System.out.println(relays + " relays, share of streams taken up that go on | "
+            System.out.println(relays + " relays, share of resumed streams that go on | "
                     + String.join(" | ", FAILURES.stream().map(Failure::name).toList()));
             WAYS.forEach(way -> printShares(way, relays));
         }
@@ -168,10 +168,10 @@
         double bytes = (double) network.bytes / STREAMS;
         network.datagrams = 0;
         network.bytes = 0;
-        int takenUp = STREAMS / TAKEN_UP_EVERY;
-        for (int each = 0; each < takenUp; each++) {
+        int resumed = STREAMS / RESUMED_EVERY;
+        for (int each = 0; each < resumed; each++) {
             int stream = STREAMS - 1 - each;
-            network.takeUp(stream, beginners[stream]);
+            network.resume(stream, beginners[stream]);
         }
         System.out.printf(
                 Locale.ROOT,
@@ -180,8 +180,8 @@
                 datagrams,
                 bytes,
                 micros,
-                (double) network.datagrams / takenUp,
-                (double) network.bytes / takenUp);
+                (double) network.datagrams / resumed,
+                (double) network.bytes / resumed);
     }
 
     /** Warms up what is timed. */
@@ -196,15 +196,15 @@
         StringBuilder row = new StringBuilder(way.name());
         for (Failure failure : FAILURES) {
             Network network = new Network(way, failure, relays);
-            int takenUp = 0;
+            int resumed = 0;
             for (int stream = 0; stream < STREAMS; stream++) {
                 int beginner = network.begin(stream);
-                if (stream % TAKEN_UP_EVERY == 0) {
-                    takenUp++;
-                    network.takeUp(stream, beginner);
+                if (stream % RESUMED_EVERY == 0) {
+                    resumed++;
+                    network.resume(stream, beginner);
                 }
             }
-            row.append(String.format(Locale.ROOT, " | %.3f", (double) network.known / takenUp));
+            row.append(String.format(Locale.ROOT, " | %.3f", (double) network.known / resumed));
         }
         System.out.println(row);
     }
