Go on following the log whatever becomes of one read

What the listener throws was dropped behind the future of the read, and a read whose call brings no result was waited for without end; either ends a follower for good. Both count as a failed read now, with its reason in log_lost, and are repeated; a page counts as read once its listener has taken it.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/platform/LogFollower.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/platform/LogFollower.java
@@ -24,12 +24,18 @@
     private static final HttpTimeouts TIMEOUTS = new HttpTimeouts(1_000, LONG_POLL_MILLIS + 1_000, 2_000);
     private static final long RETRY_DELAY_MILLIS = 250;
 
+    /** Beyond all timeouts of a call: a read that brings no result at all must not be the last one. */
+    private static final long MAX_READ_MILLIS = 15_000;
+
+    private static final HttpResult NO_RESULT = new HttpResult.Failed(false, "no result of the call");
+
     private final HttpCaller caller;
     private final ScheduledExecutorService timer;
     private final Address log;
     private final LogStream stream;
     private final Listener listener;
     private final AvailabilityListener availabilityListener;
+    private final long maxReadMillis;
     private long nextOffset = 1;
     private boolean caughtUp;
     private boolean failing;
@@ -84,12 +90,24 @@
             LogStream stream,
             Listener listener,
             AvailabilityListener availabilityListener) {
+        this(caller, timer, log, stream, listener, availabilityListener, MAX_READ_MILLIS);
+    }
+
+    LogFollower(
+            HttpCaller caller,
+            ScheduledExecutorService timer,
+            Address log,
+            LogStream stream,
+            Listener listener,
+            AvailabilityListener availabilityListener,
+            long maxReadMillis) {
         this.caller = caller;
         this.timer = timer;
         this.log = log;
         this.stream = stream;
         this.listener = listener;
         this.availabilityListener = availabilityListener;
+        this.maxReadMillis = maxReadMillis;
     }
 
     /** Reads the next page, and then further ones until the caller or the timer is closed. */
@@ -97,7 +115,16 @@
         // No long poll before the first catch-up: it would delay the start of a process whose stream is empty.
         int waitMillis = caughtUp ? LONG_POLL_MILLIS : 0;
         String path = "/log/" + stream.wireName() + "?from=" + nextOffset + "&wait_millis=" + waitMillis;
-        caller.fetch(log, HttpRequest.get(path).within(TIMEOUTS)).thenAccept(this::onResult);
+        caller.fetch(log, HttpRequest.get(path).within(TIMEOUTS))
+                .completeOnTimeout(NO_RESULT, maxReadMillis, TimeUnit.MILLISECONDS)
+                .thenAccept(this::onResult)
+                .exceptionally(this::onUnexpected);
+    }
+
+    /** Handles what the listener threw; nobody else would hear of it, and the stream would be followed no more. */
+    private Void onUnexpected(Throwable failure) {
+        onFailure("unexpected: " + failure.getCause());
+        return null;
     }
 
     private void onResult(HttpResult result) {
@@ -123,31 +150,33 @@
         long first = JsonBody.whole(page, "first");
         long next = JsonBody.whole(page, "next");
         List<LogRecord> records = new ArrayList<>();
+        long read = nextOffset;
         for (JsonNode each : JsonBody.list(page, "records")) {
             long offset = each.path("offset").asLong();
             // Records before the requested offset were passed on already.
-            if (offset >= nextOffset) {
+            if (offset >= read) {
                 byte[] data = Base64.getDecoder().decode(each.path("data").asText());
                 LogCodec.decode(data).ifPresent(batch -> records.add(new LogRecord(offset, batch)));
-                nextOffset = offset + 1;
+                read = offset + 1;
             }
         }
         // Records that retention dropped can't be read any more; continue with the oldest that is kept.
-        nextOffset = Math.max(nextOffset, first);
-        caughtUp = nextOffset >= next;
+        read = Math.max(read, first);
         if (failing) {
             failing = false;
             availabilityListener.onAvailable(stream);
         }
-        listener.onRecords(stream, records, caughtUp);
+        listener.onRecords(stream, records, read >= next);
+        nextOffset = read;
+        caughtUp = read >= next;
     }
 
     private void onFailure(String reason) {
+        timer.schedule(this::poll, RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
         if (!failing) {
             failing = true;
             availabilityListener.onUnavailable(stream, reason);
         }
         listener.onReadFailed(stream);
-        timer.schedule(this::poll, RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
     }
 }
--- a/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/platform/LogFollowerTest.java
+++ b/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/platform/LogFollowerTest.java
@@ -90,6 +90,76 @@
                         "from=23&wait_millis=2000");
     }
 
+    /** Guards against a process that follows the log no more, without a word, since its listener once failed. */
+    @Test
+    void aPageWhoseListenerFailsIsReadAgain() throws Exception {
+        Queue<String> pages = new ArrayDeque<>(List.of(page(1, 3, 1, 2), page(1, 3, 1, 2)));
+        BlockingQueue<String> reads = new LinkedBlockingQueue<>();
+        BlockingQueue<String> statusChanges = new LinkedBlockingQueue<>();
+        RecordingListener recording = new RecordingListener(reads);
+        LogFollower.Listener failingOnce = new LogFollower.Listener() {
+            private boolean failed;
+
+            @Override
+            public void onRecords(LogStream stream, List<LogRecord> records, boolean caughtUp) {
+                if (!failed) {
+                    failed = true;
+                    throw new IllegalStateException("once");
+                }
+                recording.onRecords(stream, records, caughtUp);
+            }
+
+            @Override
+            public void onReadFailed(LogStream stream) {
+                recording.onReadFailed(stream);
+            }
+        };
+        try (TestServer log = new TestServer(exchange -> answer(exchange, new LinkedBlockingQueue<>(), pages))) {
+            new LogFollower(
+                            caller,
+                            timer,
+                            log.address(),
+                            LogStream.CONFIGURATION,
+                            failingOnce,
+                            new RecordingAvailabilityListener(statusChanges))
+                    .poll();
+
+            assertThat(reads.poll(SECONDS, TimeUnit.SECONDS)).isEqualTo("failed");
+            assertThat(reads.poll(SECONDS, TimeUnit.SECONDS)).isEqualTo("[1, 2] true");
+        }
+        assertThat(statusChanges.poll()).contains("once");
+    }
+
+    /** Guards against the same where a call brings no result at all. */
+    @Test
+    void aReadWithoutAResultIsRepeated() throws Exception {
+        BlockingQueue<String> queries = new LinkedBlockingQueue<>();
+        BlockingQueue<String> reads = new LinkedBlockingQueue<>();
+        BlockingQueue<String> statusChanges = new LinkedBlockingQueue<>();
+        try (TestServer log = new TestServer(exchange -> {
+            queries.add(exchange.getQueryString());
+            if (queries.size() == 1) {
+                exchange.dispatch(() -> {});
+            } else {
+                exchange.getResponseSender().send(page(1, 2, 1));
+            }
+        })) {
+            new LogFollower(
+                            caller,
+                            timer,
+                            log.address(),
+                            LogStream.CONFIGURATION,
+                            new RecordingListener(reads),
+                            new RecordingAvailabilityListener(statusChanges),
+                            100)
+                    .poll();
+
+            assertThat(reads.poll(SECONDS, TimeUnit.SECONDS)).isEqualTo("failed");
+            assertThat(reads.poll(SECONDS, TimeUnit.SECONDS)).isEqualTo("[1] true");
+        }
+        assertThat(statusChanges.poll()).isEqualTo("lost: no result of the call");
+    }
+
     /** Guards against a page without its content that counts as the end of the log: its reader would be ready. */
     @ParameterizedTest
     @ValueSource(strings = {"", "{}", "{\"first\":1,\"next\":4}", "{\"next\":4,\"records\":[]}", "[]"})
