--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/CallerConnection.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/CallerConnection.java
@@ -47,8 +47,8 @@
     /** How long a request waits while the event loop is late: one iteration, in which a close sent after it is read. */
     private static final long LATE_START_DELAY_MILLIS = 2;
 
+    private final ServingComponents components;
     private final RelayState state;
-    private final TargetPools pools;
     private final Set<CallerConnection> connections;
     private final Deque<Object> queued = new ArrayDeque<>();
     private ChannelHandlerContext context;
@@ -65,9 +65,9 @@
     private boolean closing;
     private boolean drainingQueue;
 
-    CallerConnection(RelayState state, TargetPools pools, Set<CallerConnection> connections) {
-        this.state = state;
-        this.pools = pools;
+    CallerConnection(ServingComponents components, Set<CallerConnection> connections) {
+        this.components = components;
+        state = components.state();
         this.connections = connections;
     }
 
@@ -205,7 +205,7 @@
             return;
         }
         RequestPlan plan = new RequestPlan(state, metadata, (AccessDecision.Granted) access, arrivedAt);
-        exchange = new Exchange(state, pools, this, head, body, plan);
+        exchange = new Exchange(components, this, head, body, plan);
         if (state.eventLoopLag().isLate(state.nowMillis())) {
             startAfterRead(exchange);
         } else {
--- /dev/null
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/CallerServer.java
@@ -0,0 +1,81 @@
+package org.rattanrudder.daemon.relay;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/** Serves the connections of callers: sets up their channels, checks them periodically, and ends them on shutdown. */
+final class CallerServer {
+    /**
+     * Factor by which the decoder's limit on the head exceeds the configured one; their byte counts differ slightly.
+     */
+    private static final int HEADER_LIMIT_FACTOR = 2;
+
+    private final ServingComponents components;
+    private final Set<CallerConnection> callers = new HashSet<>();
+
+    CallerServer(ServingComponents components) {
+        this.components = components;
+    }
+
+    /** Returns the initializer of channels for callers. */
+    ChannelInitializer<Channel> channels() {
+        RelayState state = components.state();
+        return new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                if (!state.admitsConnection()) {
+                    channel.close();
+                    return;
+                }
+                CallerConnection connection = new CallerConnection(components, callers);
+                channel.pipeline()
+                        .addLast(
+                                new ReadRecorder(connection),
+                                new StrictRequestDecoder(state.limits().maxHeaderBytes() * HEADER_LIMIT_FACTOR),
+                                new HttpResponseEncoder(),
+                                connection);
+            }
+        };
+    }
+
+    /** Returns the number of open connections. */
+    int size() {
+        return callers.size();
+    }
+
+    /** Closes connections whose callers are too slow or idle; called periodically. */
+    void sweep(long nowMillis, boolean closeIdle) {
+        List.copyOf(callers).forEach(caller -> caller.sweep(nowMillis, closeIdle));
+    }
+
+    /** Returns whether a request is being read or served, or a response isn't sent in full. */
+    boolean isBusy() {
+        return callers.stream().anyMatch(CallerConnection::isBusy);
+    }
+
+    /** Ends all requests on shutdown; their callers get a final response. */
+    void onShutdown() {
+        List.copyOf(callers).forEach(CallerConnection::onShutdown);
+    }
+
+    /** Notifies a connection of bytes before they are decoded. */
+    private static final class ReadRecorder extends ChannelInboundHandlerAdapter {
+        private final CallerConnection connection;
+
+        ReadRecorder(CallerConnection connection) {
+            this.connection = connection;
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object message) {
+            connection.onBytesRead();
+            context.fireChannelRead(message);
+        }
+    }
+}
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
@@ -28,6 +28,7 @@
     /** How long before the deadline the caller gets its final response: covers network time and a late timer. */
     private static final long ANSWER_MARGIN_MILLIS = 10;
 
+    private final ServingComponents components;
     private final RelayState state;
     private final TargetPools pools;
     private final CallerConnection caller;
@@ -49,15 +50,10 @@
     private String load = "unknown";
     private boolean ended;
 
-    Exchange(
-            RelayState state,
-            TargetPools pools,
-            CallerConnection caller,
-            HttpRequest head,
-            ByteBuf body,
-            RequestPlan plan) {
-        this.state = state;
-        this.pools = pools;
+    Exchange(ServingComponents components, CallerConnection caller, HttpRequest head, ByteBuf body, RequestPlan plan) {
+        this.components = components;
+        state = components.state();
+        pools = components.pools();
         this.caller = caller;
         this.head = head;
         this.body = body;
@@ -67,12 +63,12 @@
                 state.platform().requests(),
                 plan.route().repeat(),
                 () -> state.metrics().recordFirstByte(plan.route().name(), state.nowMillis() - plan.arrivedAt()));
-        selection = new TargetSelection(state, plan, history);
+        selection = new TargetSelection(components, plan, history);
         log = new ExchangeLog(state, plan);
-        continuation = new StreamContinuation(state, plan, log);
+        continuation = new StreamContinuation(components, plan, log);
         reply = new FinalReply(state, caller, plan);
-        queueWait = new QueueWait(state, plan, this, log);
-        quarantine = new QuarantineCheck(state, plan, head.uri(), body);
+        queueWait = new QueueWait(components, plan, this, log);
+        quarantine = components.quarantine().check(() -> plan.fingerprint(head.uri(), body), plan::features);
     }
 
     /** Starts the exchange; the request has been read in full and is admitted. */
@@ -129,7 +125,7 @@
             placeOnAnyTarget();
             return;
         }
-        HoldingQueue<Exchange> queue = state.holdingQueue(plan.service());
+        HoldingQueue<Exchange> queue = components.queues().holdingQueue(plan.service());
         if (queue.allMatch(Exchange::isBound) && tryPlace()) {
             return;
         }
@@ -209,7 +205,7 @@
         Target.RequestCost expected = plan.expectedCost();
         target.onSent(expected, state.nowMillis());
         target.reserveSend(state.nowMillis());
-        state.placementBroadcaster().recordPlacement(target);
+        components.placements().recordPlacement(target);
         pools.acquire(target, repeatable, opened -> {
             target.onEnded(expected, false);
             onConnected(target, opened);
@@ -269,7 +265,7 @@
         quarantine.onSent();
         lastAttempt = Optional.of(attempt);
         target.onRequestSent(state.nowMillis());
-        state.selfReports().onRequestSent(target);
+        components.selfReports().onRequestSent(target);
         if (history.onSent()) {
             state.retryBudget(plan.service()).onRequest(state.nowMillis());
         }
@@ -304,14 +300,15 @@
     public void onHead(HttpResponse response, ResponseMetadata metadata) {
         Target target = attempt.target();
         metadata.selfReport().load().ifPresent(reported -> load = reported.running() + "/" + reported.queued());
-        state.selfReports().onResponse(target, metadata, attempt.sentAt());
+        components.selfReports().onResponse(target, metadata, attempt.sentAt());
         attempt.recordHead(metadata, plan.metadata().model(), state.nowMillis());
         ResponseClassifier.Head classified = new ResponseClassifier.Head(
                 metadata.status(), metadata.signed(), metadata.notRun(), metadata.misdirected());
         switch (ResponseClassifier.classify(classified, progress(1))) {
             case FORWARD -> onForwardable(response);
             case MISDIRECTED ->
-                discardResponse(AttemptOutcome.MISDIRECTED, state.selfReports().onMisdirected(target, metadata));
+                discardResponse(
+                        AttemptOutcome.MISDIRECTED, components.selfReports().onMisdirected(target, metadata));
             case REJECTED -> {
                 target.onRejected(state.nowMillis());
                 discardResponse(AttemptOutcome.REJECTED, "rejected with " + metadata.status());
@@ -345,10 +342,13 @@
     @Override
     public void onContent(ByteBuf chunk) {
         if (attempt.onContent(state.nowMillis())) {
-            state.fetchLateness().recordFirstByte(attempt, state.directory(), state.nowMillis());
-            state.dispatchQueued(plan.service());
+            components
+                    .fetchLateness()
+                    .recordFirstByte(
+                            attempt.parts(), attempt.firstByteExcessMillis(), state.directory(), state.nowMillis());
+            components.queues().dispatchQueued(plan.service());
         }
-        quarantine.onContent(attempt);
+        quarantine.onContent(attempt.sentAt(), attempt::isFirstProofOfRunning);
         forwarder.content(chunk);
         continuation.onForwarded(attempt, forwarder);
     }
@@ -440,7 +440,7 @@
         attempt = null;
         forwarder.discard();
         state.metrics().recordAttempt(plan.service(), outcome);
-        state.dispatchQueued(plan.service());
+        components.queues().dispatchQueued(plan.service());
     }
 
     private void onDeadline() {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/FetchLatenessRecorder.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/FetchLatenessRecorder.java
@@ -26,10 +26,12 @@
     /**
      * Records the first byte of an answer whose prompt may have been fetched from stores. Its lateness is attributed to
      * the store of the largest part, which takes the longest to fetch; the other parts arrive in the meantime.
+     *
+     * @param parts what was planned for the parts of the prompt
+     * @param excess by how many ms the first byte came later than without fetching; negative if it came earlier
      */
-    void recordFirstByte(TargetAttempt attempt, PartDirectory directory, long nowMillis) {
-        double excess = attempt.firstByteMillis() - attempt.outgoing().millisWithoutFetch();
-        attempt.outgoing().forwarding().parts().sources().stream()
+    void recordFirstByte(PartPlan parts, double excess, PartDirectory directory, long nowMillis) {
+        parts.sources().stream()
                 .flatMap(Optional::stream)
                 .max(Comparator.comparingInt(PartPlan.Source::tokens))
                 .ifPresent(source -> {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/GracefulShutdown.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/GracefulShutdown.java
@@ -1,9 +1,8 @@
 package org.rattanrudder.daemon.relay;
 
-import java.util.List;
-import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.rattanrudder.core.gateway.ShutdownPolicy;
 
 /**
@@ -15,7 +14,8 @@
     private static final long READINESS_CHECK_INTERVAL_MILLIS = 200;
 
     private final RelayState state;
-    private final Set<CallerConnection> callers;
+    private final BooleanSupplier busy;
+    private final Runnable endRequests;
     private final Runnable sweep;
     private final CountDownLatch drained = new CountDownLatch(1);
     private volatile boolean finishedInTime;
@@ -23,12 +23,14 @@
     /**
      * Creates the shutdown of a running relay.
      *
-     * @param callers the connections of its callers
+     * @param busy returns whether a request is running
+     * @param endRequests gives the callers of running requests a final response
      * @param sweep checks all connections immediately
      */
-    GracefulShutdown(RelayState state, Set<CallerConnection> callers, Runnable sweep) {
+    GracefulShutdown(RelayState state, BooleanSupplier busy, Runnable endRequests, Runnable sweep) {
         this.state = state;
-        this.callers = callers;
+        this.busy = busy;
+        this.endRequests = endRequests;
         this.sweep = sweep;
     }
 
@@ -59,13 +61,13 @@
             return;
         }
         long since = now - state.stoppingSince();
-        boolean busy = callers.stream().anyMatch(CallerConnection::isBusy);
-        boolean quiet = state.isRefusingRequests() && !busy;
+        boolean isBusy = busy.getAsBoolean();
+        boolean quiet = state.isRefusingRequests() && !isBusy;
         boolean late = since > graceMillis() - ShutdownPolicy.exitMarginMillis(graceMillis());
         if (quiet || late) {
-            finishedInTime = !busy;
+            finishedInTime = !isBusy;
             // Without an answer, a caller would wait for its own timeout and couldn't know whether to retry.
-            List.copyOf(callers).forEach(CallerConnection::onShutdown);
+            endRequests.run();
             drained.countDown();
         }
     }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/PeerExchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/PeerExchange.java
@@ -56,6 +56,7 @@
     private final RelayState state;
     private final StepTimer timer;
     private final String relayId;
+    private final Components components;
     private final LocalState localState;
     private final Listener listener;
     private final Channel channel;
@@ -71,6 +72,22 @@
 
     private long permitSharesUpdatedAt = Long.MIN_VALUE / 2;
 
+    /**
+     * The components whose content is exchanged with peers.
+     *
+     * @param placements batches new placements, which are sent at once
+     * @param fetchLateness records how late fetches were, for load reports
+     * @param streamOrigins sends and receives the origins of streams
+     * @param selfReports takes in which targets leave, as peers report it
+     * @param queues is told when a peer's report has removed targets
+     */
+    record Components(
+            PlacementBroadcaster placements,
+            FetchLatenessRecorder fetchLateness,
+            StreamOriginExchange streamOrigins,
+            SelfReports selfReports,
+            QueueDispatcher queues) {}
+
     /** Provides the parts of a load report that other components of this relay own. */
     interface LocalState {
         /** Returns the engines that this relay has ordered to load weights and that don't serve them yet. */
@@ -95,9 +112,23 @@
         void onUnreachable(List<String> targets);
     }
 
-    PeerExchange(RelayState state, Bootstrap datagrams, String relayId, LocalState localState, Listener listener)
+    /**
+     * Creates an exchange that sends nothing until {@link #start}.
+     *
+     * @param datagrams opens the socket for datagrams
+     * @param relayId names this process of the relay in its reports
+     * @throws IOException if the address for peers can't be bound
+     */
+    PeerExchange(
+            RelayState state,
+            Bootstrap datagrams,
+            String relayId,
+            Components components,
+            LocalState localState,
+            Listener listener)
             throws IOException {
         this.state = state;
+        this.components = components;
         timer = new StepTimer(state.loop());
         this.relayId = relayId;
         this.localState = localState;
@@ -116,8 +147,8 @@
 
     void start() {
         follower.start();
-        state.placementBroadcaster().setListener(this::sendPlacements);
-        state.streamOrigins().setSender((message, relays) -> send(PeerCodec.write(message), List.copyOf(relays)));
+        components.placements().setListener(this::sendPlacements);
+        components.streamOrigins().setSender((message, relays) -> send(PeerCodec.write(message), List.copyOf(relays)));
         timer.later(this::sendDueReports, ReportSchedule.ROUND_MILLIS);
     }
 
@@ -200,13 +231,13 @@
     private void sendDueReports() {
         long now = state.nowMillis();
         state.onReportRound();
-        state.fetchLateness().nextRound();
+        components.fetchLateness().nextRound();
         updateTargetSharing(now);
         List<ReportSchedule.Due> due = schedule.nextRound(now);
         if (!due.isEmpty()) {
             LoadReport load = fullReport(now);
             for (ReportSchedule.Due group : due) {
-                List<StoreLateness> late = state.fetchLateness().sumOfLast(group.intervalRounds());
+                List<StoreLateness> late = components.fetchLateness().sumOfLast(group.intervalRounds());
                 send(PeerCodec.write(load.withInterval(group.intervalMillis(), late)), group.relays());
             }
         }
@@ -234,7 +265,7 @@
                 new HashSet<>(schedule.registeredRelayDomains(now).keySet());
         live.add(state.settings().instance());
         registered.add(state.settings().instance());
-        state.streamOrigins().updateRelays(live, registered);
+        components.streamOrigins().updateRelays(live, registered);
     }
 
     private LoadReport fullReport(long now) {
@@ -334,7 +365,7 @@
             } else if (message.get() instanceof PeerCodec.Message.News news) {
                 listener.onStoreUpdate(news.news());
             } else if (message.get() instanceof PeerCodec.Message.Origins origins) {
-                state.streamOrigins().onMessage(relays, origins.origins());
+                components.streamOrigins().onMessage(relays, origins.origins());
             } else if (message.get() instanceof PeerCodec.Message.Load load) {
                 relays.stream()
                         .filter(load.load().relay()::startsWith)
@@ -357,7 +388,7 @@
             int before = state.fleet().all(now).size();
             state.fleet().applyLoadReport(load, now);
             logRemoved(relay, before - state.fleet().all(now).size());
-            state.selfReports().onPeerReport(relay, load);
+            components.selfReports().onPeerReport(relay, load);
             load.storeLateness().forEach(late -> state.directory().recordFetchLateness(late, now));
             load.weights()
                     .forEach(known ->
@@ -369,7 +400,7 @@
         private void logRemoved(String relay, int removed) {
             if (removed > 0) {
                 state.log().info("peer_says_removed", "peer", relay, "targets", Integer.toString(removed));
-                state.onUsableTargetsChanged();
+                components.queues().onUsableTargetsChanged();
             }
         }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/QuarantineCheck.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/QuarantineCheck.java
@@ -1,12 +1,16 @@
 package org.rattanrudder.daemon.relay;
 
-import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpStatusClass;
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.function.LongPredicate;
+import java.util.function.Supplier;
 import org.rattanrudder.core.fleet.Target;
 import org.rattanrudder.core.gateway.AttemptOutcome;
+import org.rattanrudder.core.quarantine.Cause;
 import org.rattanrudder.core.quarantine.Feature;
 import org.rattanrudder.core.quarantine.Quarantine;
 import org.rattanrudder.core.quarantine.RequestFingerprint;
@@ -18,34 +22,47 @@
  */
 final class QuarantineCheck {
     private final RelayState state;
-    private final RequestPlan plan;
-    private final String path;
-    private final ByteBuf body;
+    private final CrashDetector crashDetector;
+    private final Consumer<Cause> trials;
+    private final Supplier<RequestFingerprint> fingerprinting;
+    private final Function<RequestFingerprint, List<Feature>> featuring;
     private RequestFingerprint fingerprint;
     private List<Feature> features;
 
     /** Whether it may be sent although it is quarantined. */
     private boolean trial;
 
-    /** Creates a check; doesn't take ownership of the body. */
-    QuarantineCheck(RelayState state, RequestPlan plan, String path, ByteBuf body) {
+    /**
+     * Creates a check of a request.
+     *
+     * @param trials asks for the trial of a quarantined cause; a later request with it may be sent
+     * @param fingerprinting computes the fingerprint of the request
+     * @param featuring returns what other requests may have in common with it, given its fingerprint
+     */
+    QuarantineCheck(
+            RelayState state,
+            CrashDetector crashDetector,
+            Consumer<Cause> trials,
+            Supplier<RequestFingerprint> fingerprinting,
+            Function<RequestFingerprint, List<Feature>> featuring) {
         this.state = state;
-        this.plan = plan;
-        this.path = path;
-        this.body = body;
+        this.crashDetector = crashDetector;
+        this.trials = trials;
+        this.fingerprinting = fingerprinting;
+        this.featuring = featuring;
     }
 
     /** Returns the fingerprint, which is the same each time the request is sent. */
     RequestFingerprint fingerprint() {
         if (fingerprint == null) {
-            fingerprint = plan.fingerprint(path, body);
+            fingerprint = fingerprinting.get();
         }
         return fingerprint;
     }
 
     private List<Feature> features() {
         if (features == null) {
-            features = plan.features(fingerprint());
+            features = featuring.apply(fingerprint());
         }
         return features;
     }
@@ -68,7 +85,7 @@
         if (trial) {
             return OptionalLong.empty();
         }
-        quarantine.causeToTry(features(), now).ifPresent(state::requestTrial);
+        quarantine.causeToTry(features(), now).ifPresent(trials);
         return remaining;
     }
 
@@ -95,14 +112,18 @@
 
     /** Records that the connection to a target broke in the middle of an attempt that was sent at the given time. */
     void onConnectionBroken(Target target, long sentAt) {
-        state.crashDetector().onConnectionBroken(target, Set.copyOf(features()), state.nowMillis() - sentAt);
+        crashDetector.onConnectionBroken(target, Set.copyOf(features()), state.nowMillis() - sentAt);
     }
 
-    /** Records a chunk of the response to an attempt. */
-    void onContent(TargetAttempt attempt) {
+    /**
+     * Records a chunk of the response to the request that was sent at the given time.
+     *
+     * @param provesRunning returns once, given the time, whether the response shows that its target runs the request
+     */
+    void onContent(long sentAt, LongPredicate provesRunning) {
         long now = state.nowMillis();
-        if (attempt.isFirstProofOfRunning(now)) {
-            state.quarantine().onRunning(features(), attempt.sentAt(), now);
+        if (provesRunning.test(now)) {
+            state.quarantine().onRunning(features(), sentAt, now);
         }
     }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/QuarantineExchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/QuarantineExchange.java
@@ -8,12 +8,17 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import org.rattanrudder.core.fleet.Target;
 import org.rattanrudder.core.quarantine.Cause;
 import org.rattanrudder.core.quarantine.Feature;
 import org.rattanrudder.core.quarantine.FeatureAnswer;
 import org.rattanrudder.core.quarantine.Quarantine;
+import org.rattanrudder.core.quarantine.RequestFingerprint;
 import org.rattanrudder.core.quarantine.TargetCrash;
 import org.rattanrudder.core.quarantine.TargetCrash.SuspectRequest;
 import org.rattanrudder.daemon.relay.TopicFollower.InitialRead;
@@ -46,6 +51,7 @@
 
     private final RelayState state;
     private final Quarantine quarantine;
+    private final CrashDetector crashDetector;
     private final HttpCallClient writeClient;
     private final HttpCallClient trialClient;
     private final TopicFollower follower;
@@ -54,9 +60,16 @@
     private long nextClaimAt;
     private boolean closed;
 
-    QuarantineExchange(RelayState state) {
+    /**
+     * Creates an exchange that makes no calls until {@link #start}.
+     *
+     * @param probe dials a target to find out whether it has crashed
+     */
+    QuarantineExchange(RelayState state, BiConsumer<Target, Consumer<DialResult>> probe) {
         this.state = state;
         quarantine = state.quarantine();
+        crashDetector = new CrashDetector(state.loop(), System::currentTimeMillis);
+        crashDetector.setHandlers(probe, this::onCrash);
         writeClient = new HttpCallClient(state.connector(), state::store);
         trialClient = new HttpCallClient(state.connector(), state::store);
         follower = new TopicFollower(
@@ -65,7 +78,17 @@
 
     void start() {
         follower.start();
-        state.setTrialListener(this::claimTrial);
+    }
+
+    /**
+     * Returns the check of one request.
+     *
+     * @param fingerprint computes the fingerprint of the request
+     * @param features returns what other requests may have in common with it, given its fingerprint
+     */
+    QuarantineCheck check(
+            Supplier<RequestFingerprint> fingerprint, Function<RequestFingerprint, List<Feature>> features) {
+        return new QuarantineCheck(state, crashDetector, this::claimTrial, fingerprint, features);
     }
 
     /** Handles the records of all relays. */
@@ -150,7 +173,7 @@
     }
 
     /** Records a target's crash that this relay has observed, and writes it to the store for peers. */
-    void onCrash(Target target, CrashDetector.Broken broken) {
+    private void onCrash(Target target, CrashDetector.Broken broken) {
         state.metrics().recordTargetCrash(target.registration().service());
         Set<Feature> features = broken.requests().stream()
                 .flatMap(request -> request.features().stream())
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/QueueWait.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/QueueWait.java
@@ -7,14 +7,16 @@
 /** Queues a request until an engine has room: first as on time, then as late, until it expires. */
 final class QueueWait {
     private final RelayState state;
+    private final HoldingQueues queues;
     private final RequestPlan plan;
     private final Exchange exchange;
     private final ExchangeLog log;
     private HoldingQueue.QueuedRequest<Exchange> queued;
     private ScheduledFuture<?> expiry;
 
-    QueueWait(RelayState state, RequestPlan plan, Exchange exchange, ExchangeLog log) {
-        this.state = state;
+    QueueWait(ServingComponents components, RequestPlan plan, Exchange exchange, ExchangeLog log) {
+        state = components.state();
+        queues = components.queues();
         this.plan = plan;
         this.exchange = exchange;
         this.log = log;
@@ -27,7 +29,7 @@
      *     late wait
      */
     void join(boolean hasFailedAttempt) {
-        HoldingQueue<Exchange> queue = state.holdingQueue(plan.service());
+        HoldingQueue<Exchange> queue = queues.holdingQueue(plan.service());
         long now = state.nowMillis();
         long onTimeUntil = Math.max(now, plan.onTimeUntil());
         long lateUntil = plan.lateUntil(hasFailedAttempt, now);
@@ -40,14 +42,14 @@
     /** Handles the point from which the request can't be on time; it may stay queued behind those that can. */
     private void onLate(long lateUntil) {
         long millis = Math.max(1, lateUntil - state.nowMillis());
-        expiry = state.loop().schedule(() -> state.expireQueue(plan.service()), millis, TimeUnit.MILLISECONDS);
-        state.expireQueue(plan.service());
+        expiry = state.loop().schedule(() -> queues.expireQueue(plan.service()), millis, TimeUnit.MILLISECONDS);
+        queues.expireQueue(plan.service());
     }
 
     /** Removes the request from the queue if it is queued. */
     void leave() {
         if (queued != null) {
-            state.holdingQueue(plan.service()).remove(queued);
+            queues.holdingQueue(plan.service()).remove(queued);
             expiry.cancel(false);
             queued = null;
         }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayChannels.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayChannels.java
@@ -4,19 +4,16 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpResponseEncoder;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.Set;
 import jdk.net.ExtendedSocketOptions;
+import org.rattanrudder.core.fleet.DialTimeout;
 import org.rattanrudder.core.model.Address;
 
 /**
@@ -32,9 +29,10 @@
     private static final int KEEPALIVE_PROBES = 2;
 
     /**
-     * Factor by which the decoder's limit on the head exceeds the configured one; their byte counts differ slightly.
+     * Timeout for opening a connection. A request waits for it only as long as {@link DialTimeout} allows; a connection
+     * that opens later is kept for the next request.
      */
-    private static final int HEADER_LIMIT_FACTOR = 2;
+    private static final int CONNECT_TIMEOUT_MILLIS = (int) DialTimeout.MAX_MILLIS;
 
     private RelayChannels() {}
 
@@ -48,7 +46,7 @@
                 .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEPALIVE_IDLE_SECONDS)
                 .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEPALIVE_INTERVAL_SECONDS)
                 .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEPALIVE_PROBES)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, TargetPools.CONNECT_TIMEOUT_MILLIS);
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS);
     }
 
     /**
@@ -88,39 +86,4 @@
             throw new IOException("interrupted while listening on " + address, interrupted);
         }
     }
-
-    /** Returns the initializer of channels for callers. */
-    static ChannelInitializer<Channel> callers(RelayState state, TargetPools pools, Set<CallerConnection> open) {
-        return new ChannelInitializer<>() {
-            @Override
-            protected void initChannel(Channel channel) {
-                if (!state.admitsConnection()) {
-                    channel.close();
-                    return;
-                }
-                CallerConnection connection = new CallerConnection(state, pools, open);
-                channel.pipeline()
-                        .addLast(
-                                new ReadRecorder(connection),
-                                new StrictRequestDecoder(state.limits().maxHeaderBytes() * HEADER_LIMIT_FACTOR),
-                                new HttpResponseEncoder(),
-                                connection);
-            }
-        };
-    }
-
-    /** Notifies a connection of bytes before they are decoded. */
-    private static final class ReadRecorder extends ChannelInboundHandlerAdapter {
-        private final CallerConnection connection;
-
-        ReadRecorder(CallerConnection connection) {
-            this.connection = connection;
-        }
-
-        @Override
-        public void channelRead(ChannelHandlerContext context, Object message) {
-            connection.onBytesRead();
-            context.fireChannelRead(message);
-        }
-    }
 }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
@@ -11,10 +11,8 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
@@ -22,7 +20,6 @@
 import org.jboss.logging.Logger;
 import org.rattanrudder.core.fleet.LoadReport.ReadOffsets;
 import org.rattanrudder.core.fleet.Target;
-import org.rattanrudder.core.fleet.TargetRegistration;
 import org.rattanrudder.core.gateway.ContextStore;
 import org.rattanrudder.core.model.Address;
 import org.rattanrudder.core.parts.SharedStoreUpdate;
@@ -50,29 +47,30 @@
  * }</pre>
  */
 public final class RelayProcess implements RunningProcess {
-    /** Interval of the check of all connections. */
-    static final long SWEEP_INTERVAL_MILLIS = 500;
-
     private static final double MILLIS_PER_SECOND = 1_000;
 
     private final Closer closer = new Closer();
     private final RelayState state;
     private final TargetPools pools;
+    private final HoldingQueues queues;
+    private final SelfReports selfReports;
+    private final StreamOriginExchange streamOrigins;
+    private final SoleSoftware soleSoftware;
     private final String incarnation;
     private final TopicFollower desiredState;
     private final TopicFollower targetTopic;
+    private final TargetRegistrations targetRegistrations;
     private final PeerExchange peers;
     private final RolloutCoordinator rollouts;
     private final QuarantineExchange quarantine;
     private final EventLoop loop;
-    private final Set<CallerConnection> callers = new HashSet<>();
+    private final CallerServer callers;
     private final Map<Address, StoreWatch> storeWatches = new HashMap<>();
     private final Channel callerListener;
     private final OutdatedPartEvictor partEvictor;
     private final GracefulShutdown shutdown;
     private final WarmUpLog warmUpLog;
     private final RateLimitLog rateLimitLog;
-    private long targetsChangedOffset;
 
     /**
      * Starts a relay.
@@ -88,31 +86,45 @@
                 settings, platform, loop, RelayChannels.connector(group), log, new RelayMetrics(), random);
         pools = new TargetPools(
                 state.connector(), loop, platform.requests(), state::nowMillis, new ReachabilityHandler());
+        queues = new HoldingQueues(state);
+        selfReports = new SelfReports(state, queues);
+        streamOrigins = new StreamOriginExchange(state, settings.instance());
+        soleSoftware = new SoleSoftware(state);
+        quarantine = new QuarantineExchange(state, pools::probe);
+        PlacementBroadcaster placements = new PlacementBroadcaster(loop);
+        FetchLatenessRecorder fetchLateness = new FetchLatenessRecorder();
+        callers = new CallerServer(new ServingComponents(
+                state, pools, queues, selfReports, streamOrigins, soleSoftware, quarantine, placements, fetchLateness));
         partEvictor = new OutdatedPartEvictor(state, storeWatches);
         warmUpLog = new WarmUpLog(state);
         rateLimitLog = new RateLimitLog(state);
-        shutdown = new GracefulShutdown(state, callers, this::sweep);
+        shutdown = new GracefulShutdown(state, callers::isBusy, callers::onShutdown, this::sweep);
         registerGauges();
-        callerListener = listen(group, settings.callers(), RelayChannels.callers(state, pools, callers));
+        callerListener = listen(group, settings.callers(), callers.channels());
         listen(group, settings.readiness(), new StatusServer(this::readiness));
         listen(group, settings.metrics(), new StatusServer(this::metrics));
         incarnation = settings.instance() + "-" + Long.toHexString(random.nextLong());
         desiredState = new TopicFollower(
                 state, Topic.WISHES, PollIntervals.PROMPT, InitialRead.NEWEST, new DesiredStateListener());
+        targetRegistrations = new TargetRegistrations(state);
         targetTopic = new TopicFollower(
                 state,
                 Topic.TARGETS,
                 PollIntervals.batched(() -> state.settings().bounds().drainMillis()),
                 InitialRead.NEWEST,
-                new TargetListener());
+                targetRegistrations);
         TopicConfirmation confirmation =
                 closer.add(new TopicConfirmation(state, Topic.TARGETS, targetTopic::readOffset, targetTopic::pollNow));
-        state.soleSoftware().setConfirmation(confirmation::confirm);
-        rollouts = new RolloutCoordinator(state, incarnation);
-        quarantine = closer.add(new QuarantineExchange(state));
-        state.crashDetector().setHandlers(pools::probe, quarantine::onCrash);
+        soleSoftware.setConfirmation(confirmation::confirm);
+        rollouts = new RolloutCoordinator(state, selfReports, incarnation);
+        closer.add(quarantine);
         peers = closer.add(new PeerExchange(
-                state, new Bootstrap().group(group), incarnation, new LocalState(), new PeerListener()));
+                state,
+                new Bootstrap().group(group),
+                incarnation,
+                new PeerExchange.Components(placements, fetchLateness, streamOrigins, selfReports, queues),
+                new LocalState(),
+                new PeerListener()));
         loop.execute(this::startComponents);
     }
 
@@ -134,7 +146,7 @@
         peers.start();
         rollouts.start();
         quarantine.start();
-        closer.add(new StepTimer(loop)).every(this::sweep, SWEEP_INTERVAL_MILLIS);
+        closer.add(new StepTimer(loop)).every(this::sweep, RelayState.SWEEP_INTERVAL_MILLIS);
     }
 
     /** Provides the local state that is sent to peers. */
@@ -151,7 +163,8 @@
 
         @Override
         public ReadOffsets readOffsets() {
-            return new ReadOffsets(desiredState.readOffset(), targetsChangedOffset, quarantine.readOffset());
+            return new ReadOffsets(
+                    desiredState.readOffset(), targetRegistrations.changedOffset(), quarantine.readOffset());
         }
     }
 
@@ -188,7 +201,7 @@
         @Override
         public void onReachable(Target target) {
             state.log().info("target_reached_again", "target", target.id());
-            state.dispatchQueued(target.registration().service());
+            queues.dispatchQueued(target.registration().service());
         }
     }
 
@@ -234,7 +247,7 @@
                                             .failureDomain()
                                             .equals(domain))
                                     .count()));
-            state.onUsableTargetsChanged();
+            queues.onUsableTargetsChanged();
         }
 
         private void onDesiredWeights(WeightsVersion weights, long offset) {
@@ -279,6 +292,7 @@
         if (!state.updateConfiguration(configured.configuration())) {
             return;
         }
+        soleSoftware.onConfiguration(configured.configuration());
         state.log()
                 .info(
                         "configured",
@@ -302,70 +316,13 @@
         }
         for (Address address : wanted) {
             if (!storeWatches.containsKey(address)) {
-                StoreWatch watch = new StoreWatch(state, incarnation, address, peers::broadcast);
+                StoreWatch watch = new StoreWatch(state, selfReports, incarnation, address, peers::broadcast);
                 storeWatches.put(address, watch);
                 watch.start();
             }
         }
     }
 
-    /** Handles the registrations of targets. */
-    private final class TargetListener implements TopicFollower.Listener {
-        @Override
-        public void onRecord(KeyedRecord record) {
-            long now = state.nowMillis();
-            StoreDialect store = state.platform().store();
-            Optional<TargetRegistration> before =
-                    state.fleet().find(record.key()).map(Target::registration);
-            Optional<TargetRegistration> read;
-            try {
-                read = record.value().map(value -> store.readTarget(record.key(), value));
-            } catch (IllegalArgumentException unreadable) {
-                state.fleet().onUnreadableRecord(record.key(), record.offset(), now);
-                throw unreadable;
-            }
-            boolean isNew = state.fleet().apply(record.key(), read, record.offset(), now);
-            Optional<TargetRegistration> after =
-                    state.fleet().find(record.key()).map(Target::registration);
-            if (!isNew || isUnchanged(before, after)) {
-                return;
-            }
-            targetsChangedOffset = Math.max(targetsChangedOffset, record.offset() + 1);
-            state.log()
-                    .info(
-                            "target_changed",
-                            "target",
-                            record.key(),
-                            "known",
-                            Boolean.toString(after.isPresent()),
-                            "draining",
-                            Boolean.toString(
-                                    after.map(TargetRegistration::draining).orElse(false)),
-                            "offset",
-                            Long.toString(record.offset()));
-        }
-
-        /** Returns whether peers needn't read a record for what it changes here. */
-        private static boolean isUnchanged(Optional<TargetRegistration> before, Optional<TargetRegistration> after) {
-            return before.isPresent() && after.isPresent() && !after.get().differsFrom(before.get());
-        }
-
-        @Override
-        public void onListed(Set<String> keys, long end) {
-            state.fleet().applyListing(keys, end, state.nowMillis());
-        }
-
-        @Override
-        public void onAvailable() {
-            state.fleet().onLogAvailable(state.nowMillis());
-        }
-
-        @Override
-        public void onUnavailable() {
-            state.fleet().onLogUnavailable();
-        }
-    }
-
     private void sweep() {
         long now = state.nowMillis();
         state.eventLoopLag().onTaskRun(now);
@@ -376,7 +333,7 @@
         // If the event loop is late, callers' data may be unread and their connections only seem idle. During shutdown
         // there is no time to wait for that.
         if (closeIdle || !state.eventLoopLag().isLate(now)) {
-            List.copyOf(callers).forEach(caller -> caller.sweep(now, closeIdle));
+            callers.sweep(now, closeIdle);
         }
         pools.sweep(Set.copyOf(state.fleet().all(now)), now);
         warmUpLog.update(now);
@@ -418,7 +375,7 @@
                 .gauge(
                         "rattanrudder_relay_targets_leaving",
                         "Targets that leave, by their records, their responses or peers",
-                        state.selfReports()::leavingTargets);
+                        selfReports::leavingTargets);
         state.metrics().gauge("rattanrudder_relay_connections", "Callers' connections", callers::size);
         state.metrics()
                 .gauge(
@@ -431,7 +388,7 @@
                 .gauge(
                         "rattanrudder_relay_stream_origins",
                         "Streams whose software is known, should their callers resume them",
-                        () -> state.streamOrigins().size());
+                        () -> streamOrigins.size());
         state.metrics()
                 .gauge(
                         "rattanrudder_relay_targets",
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
@@ -3,15 +3,11 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.EventLoop;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.rattanrudder.core.fleet.Fleet;
-import org.rattanrudder.core.fleet.HoldingQueue;
 import org.rattanrudder.core.fleet.MedianEstimate;
 import org.rattanrudder.core.fleet.PermitShares;
 import org.rattanrudder.core.fleet.RateLimitAdmission;
@@ -29,7 +25,6 @@
 import org.rattanrudder.core.gateway.WindowedRetryBudget;
 import org.rattanrudder.core.model.Address;
 import org.rattanrudder.core.parts.PartDirectory;
-import org.rattanrudder.core.quarantine.Cause;
 import org.rattanrudder.core.quarantine.Quarantine;
 import org.rattanrudder.core.rollout.DesiredVersions;
 import org.rattanrudder.core.routing.Hashing;
@@ -39,6 +34,9 @@
 
 /** Holds the state that a relay's components share. It is confined to the event loop, unless stated otherwise. */
 final class RelayState {
+    /** Interval of the check of all connections. */
+    static final long SWEEP_INTERVAL_MILLIS = 500;
+
     /** Share of the permitted retry ratio that is used, since other parties measure it in windows with other bounds. */
     private static final double USED_RATIO_SHARE = 0.8;
 
@@ -50,9 +48,6 @@
 
     private static final long REPORT_CATCH_UP_MILLIS = 300;
 
-    /** How soon queued requests are dispatched again if only the limits of targets keep them. */
-    private static final long ADMISSION_DISPATCH_MILLIS = 50;
-
     /** Replaced on the event loop only, but read by other threads too. */
     private volatile RelaySettings settings;
 
@@ -67,26 +62,16 @@
     private final WarmUpAdmission warmUps = new WarmUpAdmission(fleet.evacuations(), permitShares);
     private final RateLimitAdmission rateLimits = new RateLimitAdmission(permitShares);
     private final TargetAdmission admission = new TargetAdmission(fleet, warmUps, rateLimits);
-    private final SelfReports selfReports;
-    private final StreamOriginExchange streamOrigins;
-    private final SoleSoftware soleSoftware = new SoleSoftware(this);
     private final PartDirectory directory;
     private final Map<String, WindowedRetryBudget> retryBudgets = new HashMap<>();
     private final DesiredVersions weights = new DesiredVersions();
-    private final Map<String, HoldingQueue<Exchange>> holdingQueues = new HashMap<>();
     private final Map<String, MedianEstimate> callMillis = new HashMap<>();
-    private final Set<String> scheduledDispatches = new HashSet<>();
-    private final Set<String> admissionDispatches = new HashSet<>();
     private Optional<ServingConfiguration> configuration = Optional.empty();
     private final EventLoopLag eventLoopLag;
     private final EventLoopLag reportLag;
     private final ConnectionGate connectionGate;
     private final long relayHash;
-    private final PlacementBroadcaster placementBroadcaster;
-    private final FetchLatenessRecorder fetchLateness = new FetchLatenessRecorder();
-    private final CrashDetector crashDetector;
     private final Quarantine quarantine = new Quarantine();
-    private Consumer<Cause> trialListener = unheard -> {};
     private boolean draining;
     private long drainingSince;
     private boolean stopping;
@@ -108,16 +93,12 @@
         this.log = log;
         this.metrics = metrics;
         this.random = random;
-        selfReports = new SelfReports(this);
-        streamOrigins = new StreamOriginExchange(this, settings.instance());
         UnreadNames members = new UnreadNames(fields -> log.warn("member_unread", fields), metrics::recordUnreadMember);
         platform.setUnreadListener(members::record);
         directory = new PartDirectory();
         updateWarmUpBounds();
         relayHash = Hashing.of(settings.instance());
-        placementBroadcaster = new PlacementBroadcaster(loop);
-        crashDetector = new CrashDetector(loop, System::currentTimeMillis);
-        eventLoopLag = new EventLoopLag(nowMillis(), RelayProcess.SWEEP_INTERVAL_MILLIS);
+        eventLoopLag = new EventLoopLag(nowMillis(), SWEEP_INTERVAL_MILLIS);
         reportLag =
                 new EventLoopLag(nowMillis(), ReportSchedule.ROUND_MILLIS, REPORT_LATE_MILLIS, REPORT_CATCH_UP_MILLIS);
         connectionGate = new ConnectionGate(nowMillis());
@@ -189,36 +170,11 @@
         return connector;
     }
 
-    /** Returns the broadcaster of new placements to peers. */
-    PlacementBroadcaster placementBroadcaster() {
-        return placementBroadcaster;
-    }
-
-    /** Returns the recorder of fetch lateness for load reports. */
-    FetchLatenessRecorder fetchLateness() {
-        return fetchLateness;
-    }
-
-    /** Returns the detector of crashed targets. */
-    CrashDetector crashDetector() {
-        return crashDetector;
-    }
-
     /** Returns what is suspected and quarantined for crashes of targets. */
     Quarantine quarantine() {
         return quarantine;
     }
 
-    /** Sets what gets hold of the trial of a quarantined cause for this relay. */
-    void setTrialListener(Consumer<Cause> listener) {
-        trialListener = listener;
-    }
-
-    /** Asks for the trial of a quarantined cause; a later request with it may be sent. */
-    void requestTrial(Cause cause) {
-        trialListener.accept(cause);
-    }
-
     EventLog log() {
         return log;
     }
@@ -255,21 +211,6 @@
         return admission;
     }
 
-    /** Returns what takes in the things that targets say of themselves. */
-    SelfReports selfReports() {
-        return selfReports;
-    }
-
-    /** Returns what knows the software of streams whose beginning callers don't name. */
-    SoleSoftware soleSoftware() {
-        return soleSoftware;
-    }
-
-    /** Returns what knows the software that began streams. */
-    StreamOriginExchange streamOrigins() {
-        return streamOrigins;
-    }
-
     /** Returns how the targets of a service warm up; empty if they don't. */
     Optional<WarmUpTraits> warmUpTraits(String service) {
         return configuration
@@ -291,7 +232,6 @@
             return false;
         }
         configuration = Optional.of(newest);
-        soleSoftware.onConfiguration(newest);
         directory.configure(newest.stores());
         return true;
     }
@@ -316,60 +256,6 @@
                 service, unseen -> new MedianEstimate(objectiveMillis * CALL_OBJECTIVE_SHARE));
     }
 
-    /** Returns the queue of a service's requests that wait for an engine. */
-    HoldingQueue<Exchange> holdingQueue(String service) {
-        return holdingQueues.computeIfAbsent(service, unseen -> new HoldingQueue<>());
-    }
-
-    /** Moves requests that will miss their deadline behind the others, and refuses those that would wait too long. */
-    void expireQueue(String service) {
-        HoldingQueue<Exchange> queue = holdingQueue(service);
-        long now = nowMillis();
-        long allowed =
-                HoldingQueue.maxLateTokens(fleet.usableTargets(service, now).size(), relayCount(now));
-        queue.expire(now, allowed).forEach(refused -> refused.request().refuseQueued());
-        dispatchQueued(service);
-    }
-
-    /** Sends queued requests to targets that have become usable, and rejects those that no target may run any more. */
-    void onUsableTargetsChanged() {
-        // A rejected caller's next request may be the first that waits for another service.
-        for (String service : Set.copyOf(holdingQueues.keySet())) {
-            holdingQueue(service).removeIf(exchange -> !exchange.hasCandidate()).forEach(Exchange::refuseUnservable);
-            dispatchQueued(service);
-        }
-    }
-
-    /**
-     * Dispatches a service's queued requests once a target that is limited may take another one.
-     *
-     * @param deferral what keeps them
-     */
-    void dispatchWhenAdmitted(String service, TargetAdmission.Deferral deferral) {
-        metrics.recordDeferred(service, deferral);
-        if (admissionDispatches.add(service)) {
-            loop.schedule(
-                    () -> {
-                        admissionDispatches.remove(service);
-                        dispatchQueued(service);
-                    },
-                    ADMISSION_DISPATCH_MILLIS,
-                    TimeUnit.MILLISECONDS);
-        }
-    }
-
-    /** Dispatches a service's queued requests, as far as engines have capacity. */
-    void dispatchQueued(String service) {
-        HoldingQueue<Exchange> queue = holdingQueue(service);
-        if (queue.size() == 0 || !scheduledDispatches.add(service)) {
-            return;
-        }
-        loop.execute(() -> {
-            scheduledDispatches.remove(service);
-            queue.dispatch(Exchange::tryPlace, Exchange::isBound);
-        });
-    }
-
     /** Returns the number of live relays, including this one. */
     int relayCount(long nowMillis) {
         return 1 + fleet.livePeerCount(nowMillis);
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RolloutCoordinator.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RolloutCoordinator.java
@@ -52,6 +52,7 @@
     private static final long APPEND_TIMEOUT_MILLIS = 1_200;
 
     private final RelayState state;
+    private final SelfReports selfReports;
     private final StepTimer timer;
     private final StoreDialect store;
     private final OrderLease lease;
@@ -65,8 +66,9 @@
     private boolean answeredOnce;
     private boolean caughtUp;
 
-    RolloutCoordinator(RelayState state, String relayId) {
+    RolloutCoordinator(RelayState state, SelfReports selfReports, String relayId) {
         this.state = state;
+        this.selfReports = selfReports;
         timer = new StepTimer(state.loop());
         this.relayId = relayId;
         store = state.platform().store();
@@ -247,7 +249,7 @@
         HttpCallClient client = new HttpCallClient(state.connector(), target.registration()::address);
         long asked = state.nowMillis();
         client.call(state.platform().engines().report(Optional.of(target.id())), ENGINE_TIMEOUT_MILLIS, answer -> {
-            state.selfReports().onCallAnswered(target, answer, asked);
+            selfReports.onCallAnswered(target, answer, asked);
             Optional<EngineReport> report = readReport(answer);
             report.ifPresent(read -> applyReport(target, read));
             boolean stale = report.isPresent() && target.weights(weights.model()) < weights.version();
@@ -273,7 +275,7 @@
         target.markLoadingWeights(now + LOAD_MILLIS);
         progressChecksDueAt.put(target.id(), now + FIRST_PROGRESS_CHECK_MILLIS);
         client.call(state.platform().engines().order(order), ENGINE_TIMEOUT_MILLIS, answer -> {
-            state.selfReports().onCallAnswered(target, answer, now);
+            selfReports.onCallAnswered(target, answer, now);
             int status = answer instanceof CallResult.Answered answered ? answered.status() : 0;
             state.log()
                     .info(
@@ -327,7 +329,7 @@
             targetsBeingCalled.add(target.id());
             HttpCallClient client = new HttpCallClient(state.connector(), target.registration()::address);
             client.call(state.platform().engines().report(Optional.of(target.id())), ENGINE_TIMEOUT_MILLIS, answer -> {
-                state.selfReports().onCallAnswered(target, answer, now);
+                selfReports.onCallAnswered(target, answer, now);
                 Optional<EngineReport> report = readReport(answer);
                 report.ifPresent(read -> applyReport(target, read));
                 if (report.isPresent() && !report.get().busy()) {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/SelfReports.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/SelfReports.java
@@ -17,13 +17,16 @@
  */
 final class SelfReports {
     private final RelayState state;
+    private final QueueDispatcher queues;
     private final UnreadNames unknownHeaders;
 
     /** How many targets left at the last report of a peer. */
     private int knownLeaving;
 
-    SelfReports(RelayState state) {
+    /** Creates a reader that has read nothing; {@code queues} is told when other targets have become usable. */
+    SelfReports(RelayState state, QueueDispatcher queues) {
         this.state = state;
+        this.queues = queues;
         unknownHeaders = new UnreadNames(
                 fields -> state.log().warn("response_header_unknown", fields), state.metrics()::recordUnknownHeader);
     }
@@ -73,7 +76,7 @@
         int leaving = leavingTargets();
         if (leaving > knownLeaving) {
             state.log().info("peer_says_leaving", "peer", peer, "targets", Integer.toString(leaving));
-            state.onUsableTargetsChanged();
+            queues.onUsableTargetsChanged();
         }
         knownLeaving = leaving;
     }
@@ -92,11 +95,11 @@
         target.recordSelfReport(report, conclusive, sentAt, now);
         if (target.isLeaving() && !left) {
             state.log().info("target_leaving", "target", target.id(), "status", Integer.toString(metadata.status()));
-            state.onUsableTargetsChanged();
+            queues.onUsableTargetsChanged();
         }
         if (report.rest() instanceof RestNotice.Asked asked) {
             onRestAsked(target, asked, metadata.status(), rested);
-            state.onUsableTargetsChanged();
+            queues.onUsableTargetsChanged();
         } else if (report.rest() instanceof RestNotice.Unreadable unreadable) {
             state.log().warn("rest_unreadable", "target", target.id(), "value", unreadable.value());
         }
@@ -130,7 +133,7 @@
             return;
         }
         state.log().info("rest_ended", "target", target.id(), "sent", Integer.toString(target.sentInRest()));
-        state.dispatchQueued(target.registration().service());
+        queues.dispatchQueued(target.registration().service());
     }
 
     /** Counts a request that is sent to a target that has said that it wants none. */
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/StoreWatch.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/StoreWatch.java
@@ -31,6 +31,7 @@
     private static final long MIN_LISTING_INTERVAL_MILLIS = 5_000;
 
     private final RelayState state;
+    private final SelfReports selfReports;
     private final StepTimer timer;
     private final Address address;
     private final StorePollSchedule pollSchedule;
@@ -44,8 +45,14 @@
     private boolean available = true;
     private boolean behind = true;
 
-    StoreWatch(RelayState state, String relayId, Address address, Consumer<SharedStoreUpdate> updateSender) {
+    StoreWatch(
+            RelayState state,
+            SelfReports selfReports,
+            String relayId,
+            Address address,
+            Consumer<SharedStoreUpdate> updateSender) {
         this.state = state;
+        this.selfReports = selfReports;
         timer = new StepTimer(state.loop());
         this.updateSender = updateSender;
         this.address = address;
@@ -192,7 +199,7 @@
     }
 
     private void heedRest(CallResult answer) {
-        long rest = state.selfReports().onStoreAnswered(address, answer);
+        long rest = selfReports.onStoreAnswered(address, answer);
         if (rest > 0) {
             restUntil = Math.max(restUntil, state.nowMillis() + rest);
         }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/StreamContinuation.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/StreamContinuation.java
@@ -8,11 +8,15 @@
 /** Binds one request to the software that began its stream, here or in an earlier request of its caller. */
 final class StreamContinuation {
     private final RelayState state;
+    private final StreamOriginExchange streamOrigins;
+    private final SoleSoftware soleSoftware;
     private final RequestPlan plan;
     private final ExchangeLog log;
 
-    StreamContinuation(RelayState state, RequestPlan plan, ExchangeLog log) {
-        this.state = state;
+    StreamContinuation(ServingComponents components, RequestPlan plan, ExchangeLog log) {
+        state = components.state();
+        streamOrigins = components.streamOrigins();
+        soleSoftware = components.soleSoftware();
         this.plan = plan;
         this.log = log;
     }
@@ -27,8 +31,8 @@
         Consumer<Finding> bind = found -> then.accept(bind(found, beganAt));
         plan.resumedStream()
                 .ifPresentOrElse(
-                        stream -> state.streamOrigins().find(stream, plan.originPatienceMillis(), bind),
-                        () -> state.soleSoftware().find(plan.route(), plan.originPatienceMillis(), bind));
+                        stream -> streamOrigins.find(stream, plan.originPatienceMillis(), bind),
+                        () -> soleSoftware.find(plan.route(), plan.originPatienceMillis(), bind));
     }
 
     private boolean bind(Finding found, long beganAt) {
@@ -56,7 +60,7 @@
         }
         plan.binding().onBegun(attempt.software());
         plan.ownStream()
-                .ifPresent(stream ->
-                        state.streamOrigins().onBegun(stream, plan.binding().origin(), plan.callerRemainingMillis()));
+                .ifPresent(
+                        stream -> streamOrigins.onBegun(stream, plan.binding().origin(), plan.callerRemainingMillis()));
     }
 }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TargetAttempt.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TargetAttempt.java
@@ -5,6 +5,7 @@
 import org.rattanrudder.core.fleet.Target;
 import org.rattanrudder.core.gateway.BodyPosition;
 import org.rattanrudder.core.gateway.ResponseEnd;
+import org.rattanrudder.core.parts.PartPlan;
 import org.rattanrudder.core.quarantine.Quarantine;
 import org.rattanrudder.daemon.relay.port.ResponseMetadata;
 
@@ -55,10 +56,6 @@
         return outgoing.cost();
     }
 
-    RequestPlan.Outgoing outgoing() {
-        return outgoing;
-    }
-
     long sentAt() {
         return sentAt;
     }
@@ -72,6 +69,16 @@
         return firstByteMillis;
     }
 
+    /** Returns by how many ms the first byte came later than without fetching; negative if it came earlier. */
+    double firstByteExcessMillis() {
+        return firstByteMillis - outgoing.millisWithoutFetch();
+    }
+
+    /** Returns what was planned for the parts of the prompt. */
+    PartPlan parts() {
+        return outgoing.forwarding().parts();
+    }
+
     /** Returns the longest time between two chunks, in ms. */
     long maxPauseMillis() {
         return maxPauseMillis;
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TargetPools.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TargetPools.java
@@ -27,12 +27,6 @@
 
 /** Pools connections to targets, by incarnation, and opens new ones. */
 final class TargetPools {
-    /**
-     * Timeout for opening a connection. A request waits for it only as long as {@link DialTimeout} allows; a connection
-     * that opens later is kept for the next request.
-     */
-    static final int CONNECT_TIMEOUT_MILLIS = (int) DialTimeout.MAX_MILLIS;
-
     /** How long an idle connection is reused if its target announces no keep-alive timeout. */
     private static final long DEFAULT_IDLE_TIMEOUT_MILLIS = 1_500;
 
--- /dev/null
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TargetRegistrations.java
@@ -0,0 +1,74 @@
+package org.rattanrudder.daemon.relay;
+
+import java.util.Optional;
+import java.util.Set;
+import org.rattanrudder.core.fleet.Target;
+import org.rattanrudder.core.fleet.TargetRegistration;
+import org.rattanrudder.daemon.relay.port.KeyedRecord;
+import org.rattanrudder.daemon.relay.port.StoreDialect;
+
+/** Handles the registrations of targets. */
+final class TargetRegistrations implements TopicFollower.Listener {
+    private final RelayState state;
+    private long changedOffset;
+
+    TargetRegistrations(RelayState state) {
+        this.state = state;
+    }
+
+    /** Returns the offset up to which peers should have read, since a registration before it has changed. */
+    long changedOffset() {
+        return changedOffset;
+    }
+
+    @Override
+    public void onRecord(KeyedRecord record) {
+        long now = state.nowMillis();
+        StoreDialect store = state.platform().store();
+        Optional<TargetRegistration> before = state.fleet().find(record.key()).map(Target::registration);
+        Optional<TargetRegistration> read;
+        try {
+            read = record.value().map(value -> store.readTarget(record.key(), value));
+        } catch (IllegalArgumentException unreadable) {
+            state.fleet().onUnreadableRecord(record.key(), record.offset(), now);
+            throw unreadable;
+        }
+        boolean isNew = state.fleet().apply(record.key(), read, record.offset(), now);
+        Optional<TargetRegistration> after = state.fleet().find(record.key()).map(Target::registration);
+        if (!isNew || isUnchanged(before, after)) {
+            return;
+        }
+        changedOffset = Math.max(changedOffset, record.offset() + 1);
+        state.log()
+                .info(
+                        "target_changed",
+                        "target",
+                        record.key(),
+                        "known",
+                        Boolean.toString(after.isPresent()),
+                        "draining",
+                        Boolean.toString(after.map(TargetRegistration::draining).orElse(false)),
+                        "offset",
+                        Long.toString(record.offset()));
+    }
+
+    /** Returns whether peers needn't read a record for what it changes here. */
+    private static boolean isUnchanged(Optional<TargetRegistration> before, Optional<TargetRegistration> after) {
+        return before.isPresent() && after.isPresent() && !after.get().differsFrom(before.get());
+    }
+
+    @Override
+    public void onListed(Set<String> keys, long end) {
+        state.fleet().applyListing(keys, end, state.nowMillis());
+    }
+
+    @Override
+    public void onAvailable() {
+        state.fleet().onLogAvailable(state.nowMillis());
+    }
+
+    @Override
+    public void onUnavailable() {
+        state.fleet().onLogUnavailable();
+    }
+}
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TargetSelection.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TargetSelection.java
@@ -10,11 +10,13 @@
 /** Selects the target of a request's next attempt. */
 final class TargetSelection {
     private final RelayState state;
+    private final HoldingQueues queues;
     private final RequestPlan plan;
     private final AttemptHistory history;
 
-    TargetSelection(RelayState state, RequestPlan plan, AttemptHistory history) {
-        this.state = state;
+    TargetSelection(ServingComponents components, RequestPlan plan, AttemptHistory history) {
+        state = components.state();
+        queues = components.queues();
         this.plan = plan;
         this.history = history;
     }
@@ -45,7 +47,7 @@
                 .orElse(admitted.targets()));
         Optional<Placement.Choice> choice = Placement.choose(open, plan.query(history.triedTargets(), now), now);
         if (choice.isEmpty()) {
-            admitted.deferral().ifPresent(deferral -> state.dispatchWhenAdmitted(plan.service(), deferral));
+            admitted.deferral().ifPresent(deferral -> queues.dispatchWhenAdmitted(plan.service(), deferral));
         }
         return choice;
     }
