--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Rehearsal.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Rehearsal.java
@@ -162,7 +162,7 @@
     private static boolean isRelayClass(String name) {
         return name.matches(
                 ".*/(continuation|gateway|fleet|parts|quarantine|rollout|relay|port|peer|platform)/[A-Z][^/]*"
-                        + "|.*/daemon/(Signals|Settings)[^/]*");
+                        + "|.*/daemon/relay/[a-z]+/[A-Z][^/]*|.*/daemon/(Signals|Settings)[^/]*");
     }
 
     private static Address freeAddress() throws IOException {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/CallResult.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/net/CallResult.java
@@ -1,4 +1,4 @@
-package org.rattanrudder.daemon.relay;
+package org.rattanrudder.daemon.relay.net;
 
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.Optional;
@@ -8,7 +8,7 @@
 import org.rattanrudder.daemon.relay.port.StoreResponse;
 
 /** The result of a call. */
-sealed interface CallResult {
+public sealed interface CallResult {
     /**
      * A response was received to its end. Where it declared no end, the connection was closed in order: that a body was
      * cut shows only in its content, so whoever parses it must reject one that is cut.
@@ -18,7 +18,7 @@
      */
     record Answered(HttpResponse response, byte[] body) implements CallResult {
         /** Returns the HTTP status. */
-        int status() {
+        public int status() {
             return response.status().code();
         }
     }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/HttpCallClient.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/net/HttpCallClient.java
@@ -1,4 +1,4 @@
-package org.rattanrudder.daemon.relay;
+package org.rattanrudder.daemon.relay.net;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
@@ -31,7 +31,7 @@
  * <p>A connection may become permanently unresponsive without a reset while new connections work. A call that times out
  * therefore closes its connection, and the next call opens a new one.
  */
-final class HttpCallClient implements AutoCloseable {
+public final class HttpCallClient implements AutoCloseable {
     private static final int MAX_RESPONSE_BYTES = 64 * 1024 * 1024;
 
     private final Bootstrap bootstrap;
@@ -46,7 +46,7 @@
      *
      * @param address supplies the address to call; a changed address takes effect with the next call
      */
-    HttpCallClient(Bootstrap bootstrap, Supplier<Address> address) {
+    public HttpCallClient(Bootstrap bootstrap, Supplier<Address> address) {
         this.address = address;
         this.bootstrap = bootstrap.clone().handler(new ChannelInitializer<>() {
             @Override
@@ -61,7 +61,7 @@
     }
 
     /** Returns whether a call is in flight. */
-    boolean isBusy() {
+    public boolean isBusy() {
         return pendingCallback != null;
     }
 
@@ -71,7 +71,7 @@
      * @param timeoutMillis time after which the call fails with the reason {@code timeout}
      * @param callback called once with the result, on the event loop; not called after {@link #close}
      */
-    void call(PlatformCall call, long timeoutMillis, Consumer<CallResult> callback) {
+    public void call(PlatformCall call, long timeoutMillis, Consumer<CallResult> callback) {
         pendingCallback = callback;
         EventLoop loop = (EventLoop) bootstrap.config().group().next();
         timeout =
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/InactivityTimer.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/net/InactivityTimer.java
@@ -1,4 +1,4 @@
-package org.rattanrudder.daemon.relay;
+package org.rattanrudder.daemon.relay.net;
 
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.ScheduledFuture;
@@ -11,7 +11,7 @@
  * like inactivity of others while their data is still unread. A check that is itself late is therefore postponed until
  * connections were read.
  */
-final class InactivityTimer {
+public final class InactivityTimer {
     /** A check that is later than this shows that the event loop was stalled: usual timers are late by a few ms. */
     private static final long LATE_THRESHOLD_MILLIS = 50;
 
@@ -28,7 +28,7 @@
     }
 
     /** Starts a timer; must be called, and cancelled, on the event loop. */
-    static InactivityTimer start(EventLoop loop, Runnable check, long millis) {
+    public static InactivityTimer start(EventLoop loop, Runnable check, long millis) {
         InactivityTimer timer = new InactivityTimer(loop, check);
         long dueAt = nowMillis() + millis;
         timer.scheduled = loop.schedule(() -> timer.onDue(dueAt), millis, TimeUnit.MILLISECONDS);
@@ -43,7 +43,8 @@
         }
     }
 
-    void cancel() {
+    /** Prevents the check from running. */
+    public void cancel() {
         scheduled.cancel(false);
     }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayChannels.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/net/RelayChannels.java
@@ -1,4 +1,4 @@
-package org.rattanrudder.daemon.relay;
+package org.rattanrudder.daemon.relay.net;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
@@ -19,7 +19,7 @@
 /**
  * Opens the channels of a relay, all with short TCP keep-alive intervals, since nothing else detects a vanished peer.
  */
-final class RelayChannels {
+public final class RelayChannels {
     private static final int BACKLOG = 1_024;
 
     /** Keep-alive probes on an idle connection detect a vanished peer after about three seconds. */
@@ -37,7 +37,7 @@
     private RelayChannels() {}
 
     /** Returns the bootstrap for outbound connections. */
-    static Bootstrap connector(EventLoopGroup group) {
+    public static Bootstrap connector(EventLoopGroup group) {
         return new Bootstrap()
                 .group(group)
                 .channel(NioSocketChannel.class)
@@ -54,7 +54,7 @@
      *
      * @throws IOException if the address can't be bound
      */
-    static Channel listen(EventLoopGroup group, Address address, ChannelInitializer<Channel> channels)
+    public static Channel listen(EventLoopGroup group, Address address, ChannelInitializer<Channel> channels)
             throws IOException {
         return awaitBound(
                 new ServerBootstrap()
@@ -78,7 +78,7 @@
      *
      * @throws IOException if the wait was interrupted
      */
-    static Channel awaitBound(ChannelFuture binding, Address address) throws IOException {
+    public static Channel awaitBound(ChannelFuture binding, Address address) throws IOException {
         try {
             return binding.sync().channel();
         } catch (InterruptedException interrupted) {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/StepTimer.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/net/StepTimer.java
@@ -1,4 +1,4 @@
-package org.rattanrudder.daemon.relay;
+package org.rattanrudder.daemon.relay.net;
 
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.ScheduledFuture;
@@ -6,7 +6,7 @@
 import org.jboss.logging.Logger;
 
 /** Schedules tasks on the event loop until it is closed; confined to that loop. */
-final class StepTimer implements AutoCloseable {
+public final class StepTimer implements AutoCloseable {
     private static final Logger LOG = Logger.getLogger(StepTimer.class);
 
     /** Delay before a failed task runs again: it must neither stop for good nor flood the log. */
@@ -16,17 +16,18 @@
     private ScheduledFuture<?> pending;
     private boolean closed;
 
-    StepTimer(EventLoop loop) {
+    /** Creates a timer without tasks. */
+    public StepTimer(EventLoop loop) {
         this.loop = loop;
     }
 
     /** Runs a step after a delay in ms, in addition to those already scheduled. */
-    void later(Runnable step, long millis) {
+    public void later(Runnable step, long millis) {
         schedule(step, millis);
     }
 
     /** Runs a step after a delay in ms, in place of the one last scheduled by this method. */
-    void reschedule(Runnable step, long millis) {
+    public void reschedule(Runnable step, long millis) {
         if (pending != null) {
             pending.cancel(false);
         }
@@ -34,7 +35,7 @@
     }
 
     /** Runs a step repeatedly, with a fixed delay between its runs. */
-    void every(Runnable step, long millis) {
+    public void every(Runnable step, long millis) {
         later(
                 () -> {
                     step.run();
@@ -63,7 +64,7 @@
         }
     }
 
-    boolean isClosed() {
+    public boolean isClosed() {
         return closed;
     }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/FetchLatenessRecorder.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/peers/FetchLatenessRecorder.java
@@ -1,4 +1,4 @@
-package org.rattanrudder.daemon.relay;
+package org.rattanrudder.daemon.relay.peers;
 
 import java.util.ArrayDeque;
 import java.util.Comparator;
@@ -16,7 +16,7 @@
  * Records how late this relay's fetches from each store were, for its load reports. With many relays, one alone fetches
  * too rarely to detect in time that a store's link has become slow.
  */
-final class FetchLatenessRecorder {
+public final class FetchLatenessRecorder {
     /** Limit of retained rounds; peers with longer report intervals get only the newest of their rounds. */
     private static final int MAX_ROUNDS = 64;
 
@@ -30,7 +30,7 @@
      * @param parts what was planned for the parts of the prompt
      * @param excess by how many ms the first byte came later than without fetching; negative if it came earlier
      */
-    void recordFirstByte(PartPlan parts, double excess, PartDirectory directory, long nowMillis) {
+    public void recordFirstByte(PartPlan parts, double excess, PartDirectory directory, long nowMillis) {
         parts.sources().stream()
                 .flatMap(Optional::stream)
                 .max(Comparator.comparingInt(PartPlan.Source::tokens))
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/PeerExchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/peers/PeerExchange.java
@@ -1,4 +1,4 @@
-package org.rattanrudder.daemon.relay;
+package org.rattanrudder.daemon.relay.peers;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
@@ -28,10 +28,20 @@
 import org.rattanrudder.core.model.Address;
 import org.rattanrudder.core.parts.SharedStoreUpdate;
 import org.rattanrudder.core.parts.StoreLateness;
-import org.rattanrudder.daemon.relay.TopicFollower.InitialRead;
+import org.rattanrudder.daemon.relay.net.CallResult;
+import org.rattanrudder.daemon.relay.net.HttpCallClient;
+import org.rattanrudder.daemon.relay.net.RelayChannels;
+import org.rattanrudder.daemon.relay.net.StepTimer;
 import org.rattanrudder.daemon.relay.port.KeyedRecord;
 import org.rattanrudder.daemon.relay.port.RelayRegistration;
 import org.rattanrudder.daemon.relay.port.StoreDialect.Topic;
+import org.rattanrudder.daemon.relay.process.RelayState;
+import org.rattanrudder.daemon.relay.store.PollIntervals;
+import org.rattanrudder.daemon.relay.store.TopicFollower;
+import org.rattanrudder.daemon.relay.store.TopicFollower.InitialRead;
+import org.rattanrudder.daemon.relay.streams.StreamOriginExchange;
+import org.rattanrudder.daemon.relay.targets.QueueDispatcher;
+import org.rattanrudder.daemon.relay.targets.SelfReports;
 import org.rattanrudder.wire.peer.PeerCodec;
 
 /**
@@ -40,7 +50,7 @@
  * <p>Relays discover each other through the platform's store, where each registers its address once. A lost datagram is
  * superseded by the next one. A peer whose reports cease is counted as having no requests in flight.
  */
-final class PeerExchange implements AutoCloseable {
+public final class PeerExchange implements AutoCloseable {
     /** How often the relays that share permits are looked at anew; registrations change rarely. */
     private static final long PERMIT_SHARES_INTERVAL_MILLIS = 1_000;
 
@@ -81,7 +91,7 @@
      * @param selfReports takes in which targets leave, as peers report it
      * @param queues is told when a peer's report has removed targets
      */
-    record Components(
+    public record Components(
             PlacementBroadcaster placements,
             FetchLatenessRecorder fetchLateness,
             StreamOriginExchange streamOrigins,
@@ -89,7 +99,7 @@
             QueueDispatcher queues) {}
 
     /** Provides the parts of a load report that other components of this relay own. */
-    interface LocalState {
+    public interface LocalState {
         /** Returns the engines that this relay has ordered to load weights and that don't serve them yet. */
         List<String> loadingTargets();
 
@@ -101,7 +111,7 @@
     }
 
     /** Handles the content of peers' messages that other components of this relay need. */
-    interface Listener {
+    public interface Listener {
         /** Handles a context store's update that a peer has received. */
         void onStoreUpdate(SharedStoreUpdate update);
 
@@ -119,7 +129,7 @@
      * @param relayId names this process of the relay in its reports
      * @throws IOException if the address for peers can't be bound
      */
-    PeerExchange(
+    public PeerExchange(
             RelayState state,
             Bootstrap datagrams,
             String relayId,
@@ -145,7 +155,8 @@
         registrationClient = new HttpCallClient(state.connector(), state::store);
     }
 
-    void start() {
+    /** Starts to read the registrations of relays and to send reports. */
+    public void start() {
         follower.start();
         components.placements().setListener(this::sendPlacements);
         components.streamOrigins().setSender((message, relays) -> send(PeerCodec.write(message), List.copyOf(relays)));
@@ -302,7 +313,7 @@
     }
 
     /** Sends a context store's update to all live peers. */
-    void broadcast(SharedStoreUpdate update) {
+    public void broadcast(SharedStoreUpdate update) {
         send(PeerCodec.write(update), live(addresses.keySet()));
     }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/PlacementBroadcaster.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/peers/PlacementBroadcaster.java
@@ -1,4 +1,4 @@
-package org.rattanrudder.daemon.relay;
+package org.rattanrudder.daemon.relay.peers;
 
 import io.netty.channel.EventLoop;
 import java.util.LinkedHashSet;
@@ -14,7 +14,7 @@
  * <p>The end of a request is reported only in the next regular load report. If it were broadcast at once, all relays
  * would see the same free capacity and fill it together.
  */
-final class PlacementBroadcaster {
+public final class PlacementBroadcaster {
     /**
      * How long placements are batched: requests often arrive in bursts, and a further message costs each relay more
      * than the few bytes of another engine in the same message.
@@ -25,7 +25,8 @@
     private final Set<Target> pendingTargets = new LinkedHashSet<>();
     private Consumer<List<Target>> listener = ignored -> {};
 
-    PlacementBroadcaster(EventLoop loop) {
+    /** Creates a broadcaster without a listener; its batches end on the event loop. */
+    public PlacementBroadcaster(EventLoop loop) {
         this.loop = loop;
     }
 
@@ -35,7 +36,7 @@
     }
 
     /** Records that a request was placed at a target. */
-    void recordPlacement(Target target) {
+    public void recordPlacement(Target target) {
         if (target.registration().weights().isEmpty()) {
             return;
         }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/GracefulShutdown.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/GracefulShutdown.java
@@ -1,4 +1,4 @@
-package org.rattanrudder.daemon.relay;
+package org.rattanrudder.daemon.relay.process;
 
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -10,7 +10,7 @@
  *
  * <p>Confined to the event loop, except for {@link #await}.
  */
-final class GracefulShutdown {
+public final class GracefulShutdown {
     private static final long READINESS_CHECK_INTERVAL_MILLIS = 200;
 
     private final RelayState state;
@@ -27,7 +27,7 @@
      * @param endRequests gives the callers of running requests a final response
      * @param sweep checks all connections immediately
      */
-    GracefulShutdown(RelayState state, BooleanSupplier busy, Runnable endRequests, Runnable sweep) {
+    public GracefulShutdown(RelayState state, BooleanSupplier busy, Runnable endRequests, Runnable sweep) {
         this.state = state;
         this.busy = busy;
         this.endRequests = endRequests;
@@ -35,7 +35,7 @@
     }
 
     /** Starts the shutdown. */
-    void start() {
+    public void start() {
         state.startStopping();
         withdrawReadiness();
     }
@@ -56,7 +56,7 @@
     }
 
     /** Completes the shutdown if no request is running or no time is left. */
-    void checkFinished(long now) {
+    public void checkFinished(long now) {
         if (!state.isDraining()) {
             return;
         }
@@ -73,7 +73,7 @@
     }
 
     /** Waits for the shutdown to complete; returns whether all requests had finished by then. */
-    boolean await() throws InterruptedException {
+    public boolean await() throws InterruptedException {
         long graceMillis = state.settings().bounds().graceMillis();
         return drained.await(graceMillis, TimeUnit.MILLISECONDS) && finishedInTime;
     }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayMetrics.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/RelayMetrics.java
@@ -1,4 +1,4 @@
-package org.rattanrudder.daemon.relay;
+package org.rattanrudder.daemon.relay.process;
 
 import io.prometheus.metrics.core.datapoints.CounterDataPoint;
 import io.prometheus.metrics.core.metrics.Counter;
@@ -16,7 +16,7 @@
 import org.rattanrudder.core.gateway.ResponseEnd;
 
 /** The metrics of a relay. Label values come from fixed sets and the configuration, never from callers. */
-final class RelayMetrics {
+public final class RelayMetrics {
     private static final double MILLIS_PER_SECOND = 1_000;
     private static final double[] FIRST_BYTE_BUCKETS_SECONDS = {
         0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1.2, 2, 4, 8, 12
@@ -53,7 +53,8 @@
     private final CounterDataPoint peerMessagesReceived;
     private final Histogram firstByte;
 
-    RelayMetrics() {
+    /** Creates the metrics in a registry of their own. */
+    public RelayMetrics() {
         requests =
                 counter("rattanrudder_relay_requests", "Requests that ended, by route and outcome", "route", "outcome");
         attempts =
@@ -112,7 +113,8 @@
         return Counter.builder().name(name).help(help).labelNames(labels).register(registry);
     }
 
-    void gauge(String name, String help, DoubleSupplier value) {
+    /** Registers a gauge whose value is read whenever the metrics are. */
+    public void gauge(String name, String help, DoubleSupplier value) {
         GaugeWithCallback.builder()
                 .name(name)
                 .help(help)
@@ -120,33 +122,38 @@
                 .register(registry);
     }
 
-    void recordRequest(String route, String outcome) {
+    /** Records the end of a request. */
+    public void recordRequest(String route, String outcome) {
         requests.labelValues(route, outcome).inc();
     }
 
-    void recordFirstByte(String route, long millis) {
+    /** Records the time from a request's arrival to the first byte of its answer, in ms. */
+    public void recordFirstByte(String route, long millis) {
         firstByte.labelValues(route).observe(millis / MILLIS_PER_SECOND);
     }
 
-    void recordAttempt(String service, String outcome) {
+    /** Records the end of an attempt at a target. */
+    public void recordAttempt(String service, String outcome) {
         attempts.labelValues(service, outcome).inc();
     }
 
     /** Records how the body of a target's response ended, and where in its content. */
-    void recordResponseEnd(String service, ResponseEnd end, BodyPosition position) {
+    public void recordResponseEnd(String service, ResponseEnd end, BodyPosition position) {
         responseEnds.labelValues(service, end.wireName(), position.wireName()).inc();
     }
 
-    void recordStoreCall(String topic) {
+    /** Records a call to the platform's store. */
+    public void recordStoreCall(String topic) {
         storeCalls.labelValues(topic).inc();
     }
 
-    void recordUnreadable(String topic) {
+    /** Records a record of the platform's store that couldn't be read. */
+    public void recordUnreadable(String topic) {
         unreadableRecords.labelValues(topic).inc();
     }
 
     /** Records that a placement was deferred. */
-    void recordDeferred(String service, TargetAdmission.Deferral deferral) {
+    public void recordDeferred(String service, TargetAdmission.Deferral deferral) {
         Counter counter = switch (deferral) {
             case AFTER_REST -> restLimited;
             case WARM_UP -> warmUpLimited;
@@ -155,12 +162,13 @@
         counter.labelValues(service).inc();
     }
 
-    void recordSentUnwanted(String notice) {
+    /** Records a request that was sent to a target that had said that it wants none. */
+    public void recordSentUnwanted(String notice) {
         sentUnwanted.labelValues(notice).inc();
     }
 
     /** Records a header that nothing reads; the caller bounds the number of names. */
-    void recordUnknownHeader(String name) {
+    public void recordUnknownHeader(String name) {
         unknownHeaders.labelValues(name).inc();
     }
 
@@ -170,13 +178,14 @@
     }
 
     /** Records that a caller has resumed a stream. */
-    void recordResumption(Source origin, boolean continuable) {
+    public void recordResumption(Source origin, boolean continuable) {
         resumptions
                 .labelValues(origin.wireName(), continuable ? "continuable" : "refused")
                 .inc();
     }
 
-    void recordTargetCrash(String service) {
+    /** Records that a target ended in the middle of requests. */
+    public void recordTargetCrash(String service) {
         targetsCrashed.labelValues(service).inc();
     }
 
@@ -184,26 +193,30 @@
         connectionsClosedUnread.inc();
     }
 
-    void recordPeerMessageSent() {
+    /** Records a message to another relay. */
+    public void recordPeerMessageSent() {
         peerMessagesSent.inc();
     }
 
-    void recordPeerMessageReceived() {
+    /** Records a message of another relay. */
+    public void recordPeerMessageReceived() {
         peerMessagesReceived.inc();
     }
 
-    void recordPeerMessageDropped(String reason) {
+    /** Records a message that was ignored. */
+    public void recordPeerMessageDropped(String reason) {
         peerMessagesDropped.labelValues(reason).inc();
     }
 
-    void recordParts(String plan, int count) {
+    /** Records shared parts of a prompt for which the same was planned. */
+    public void recordParts(String plan, int count) {
         if (count > 0) {
             parts.labelValues(plan).inc(count);
         }
     }
 
     /** Returns all metrics in the Prometheus text format. */
-    byte[] text() {
+    public byte[] text() {
         ByteArrayOutputStream text = new ByteArrayOutputStream();
         try {
             PrometheusTextFormatWriter.create().write(text, registry.scrape());
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayState.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/RelayState.java
@@ -1,4 +1,4 @@
-package org.rattanrudder.daemon.relay;
+package org.rattanrudder.daemon.relay.process;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.EventLoop;
@@ -33,9 +33,9 @@
 import org.rattanrudder.document.RelaySettings;
 
 /** Holds the state that a relay's components share. It is confined to the event loop, unless stated otherwise. */
-final class RelayState {
+public final class RelayState {
     /** Interval of the check of all connections. */
-    static final long SWEEP_INTERVAL_MILLIS = 500;
+    public static final long SWEEP_INTERVAL_MILLIS = 500;
 
     /** Share of the permitted retry ratio that is used, since other parties measure it in windows with other bounds. */
     private static final double USED_RATIO_SHARE = 0.8;
@@ -78,7 +78,8 @@
     private long stoppingSince;
     private long graceMillisAtStop;
 
-    RelayState(
+    /** Creates the state of a relay that has read no configuration and knows no targets. */
+    public RelayState(
             RelaySettings settings,
             PlatformAdapter platform,
             EventLoop loop,
@@ -105,22 +106,22 @@
     }
 
     /** Returns the time of a monotonic clock, in ms. */
-    long nowMillis() {
+    public long nowMillis() {
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
     }
 
     /** Returns the monitor of the event loop's lag. */
-    EventLoopLag eventLoopLag() {
+    public EventLoopLag eventLoopLag() {
         return eventLoopLag;
     }
 
     /** Records a round of reports to peers, whose delay shows how late the event loop is right now. */
-    void onReportRound() {
+    public void onReportRound() {
         reportLag.onTaskRun(nowMillis());
     }
 
     /** Returns whether a connection that a caller has opened is taken; else it is closed before anything is read. */
-    boolean admitsConnection() {
+    public boolean admitsConnection() {
         long now = nowMillis();
         boolean admitted = connectionGate.admits(reportLag.isLate(now), fleet.anyPeerReady(now), now);
         if (!admitted) {
@@ -129,17 +130,18 @@
         return admitted;
     }
 
-    RelaySettings settings() {
+    /** Returns the settings in force. */
+    public RelaySettings settings() {
         return settings;
     }
 
     /** Returns the address of the platform's store. */
-    Address store() {
+    public Address store() {
         return settings.store();
     }
 
     /** Applies those settings that may change while a relay runs. */
-    void applySettings(RelaySettings read) {
+    public void applySettings(RelaySettings read) {
         settings = settings.takeOver(read);
         RelaySettings.Bounds bounds = settings.bounds();
         retryBudgets
@@ -154,80 +156,89 @@
     }
 
     /** Returns a hash of this relay's name, which orders engines that are about equally loaded. */
-    long relayHash() {
+    public long relayHash() {
         return relayHash;
     }
 
-    PlatformAdapter platform() {
+    /** Returns the adapter of the platform. */
+    public PlatformAdapter platform() {
         return platform;
     }
 
-    EventLoop loop() {
+    /** Returns the event loop, which owns all state. */
+    public EventLoop loop() {
         return loop;
     }
 
-    Bootstrap connector() {
+    /** Returns the bootstrap for outbound connections. */
+    public Bootstrap connector() {
         return connector;
     }
 
     /** Returns what is suspected and quarantined for crashes of targets. */
-    Quarantine quarantine() {
+    public Quarantine quarantine() {
         return quarantine;
     }
 
-    EventLog log() {
+    /** Returns the log of events. */
+    public EventLog log() {
         return log;
     }
 
-    RelayMetrics metrics() {
+    /** Returns the metrics. */
+    public RelayMetrics metrics() {
         return metrics;
     }
 
-    RandomGenerator random() {
+    /** Returns the source of random numbers. */
+    public RandomGenerator random() {
         return random;
     }
 
-    Fleet fleet() {
+    /** Returns the targets and peers that are known. */
+    public Fleet fleet() {
         return fleet;
     }
 
     /** Returns how relays divide the permits of targets. */
-    PermitShares permitShares() {
+    public PermitShares permitShares() {
         return permitShares;
     }
 
     /** Returns the limits of requests to targets that have named one. */
-    RateLimitAdmission rateLimits() {
+    public RateLimitAdmission rateLimits() {
         return rateLimits;
     }
 
     /** Returns the limits of requests to targets that are warming up. */
-    WarmUpAdmission warmUps() {
+    public WarmUpAdmission warmUps() {
         return warmUps;
     }
 
     /** Returns what decides which targets get requests and other calls. */
-    TargetAdmission admission() {
+    public TargetAdmission admission() {
         return admission;
     }
 
     /** Returns how the targets of a service warm up; empty if they don't. */
-    Optional<WarmUpTraits> warmUpTraits(String service) {
+    public Optional<WarmUpTraits> warmUpTraits(String service) {
         return configuration
                 .flatMap(known -> Optional.ofNullable(known.services().get(service)))
                 .flatMap(BackendService::warmUp);
     }
 
-    PartDirectory directory() {
+    /** Returns what context stores hold. */
+    public PartDirectory directory() {
         return directory;
     }
 
-    Optional<ServingConfiguration> configuration() {
+    /** Returns the configuration in force; empty before the first was read. */
+    public Optional<ServingConfiguration> configuration() {
         return configuration;
     }
 
     /** Applies a configuration, unless it isn't newer than the one in force; returns whether it was applied. */
-    boolean updateConfiguration(ServingConfiguration newest) {
+    public boolean updateConfiguration(ServingConfiguration newest) {
         if (configuration.isPresent() && configuration.get().version() >= newest.version()) {
             return false;
         }
@@ -236,12 +247,13 @@
         return true;
     }
 
-    CallerLimits limits() {
+    /** Returns the limits for callers in force. */
+    public CallerLimits limits() {
         return configuration.map(ServingConfiguration::limits).orElse(CallerLimits.BEFORE_CONFIGURATION);
     }
 
     /** Returns the desired versions of weights. */
-    DesiredVersions weights() {
+    public DesiredVersions weights() {
         return weights;
     }
 
@@ -251,23 +263,24 @@
      * @param objectiveMillis the latency objective of the route that asks first: operators set it to some times the
      *     duration of a call
      */
-    MedianEstimate callMillis(String service, long objectiveMillis) {
+    public MedianEstimate callMillis(String service, long objectiveMillis) {
         return callMillis.computeIfAbsent(
                 service, unseen -> new MedianEstimate(objectiveMillis * CALL_OBJECTIVE_SHARE));
     }
 
     /** Returns the number of live relays, including this one. */
-    int relayCount(long nowMillis) {
+    public int relayCount(long nowMillis) {
         return 1 + fleet.livePeerCount(nowMillis);
     }
 
     /** Acquires a retry from a service's budget; returns false if the budget is exhausted. */
-    boolean tryAcquireRetry(String service) {
+    public boolean tryAcquireRetry(String service) {
         long now = nowMillis();
         return retryBudget(service).tryAcquire(relayCount(now), now);
     }
 
-    WindowedRetryBudget retryBudget(String service) {
+    /** Returns the retry budget of a service. */
+    public WindowedRetryBudget retryBudget(String service) {
         return retryBudgets.computeIfAbsent(
                 service,
                 unseen -> new WindowedRetryBudget(
@@ -276,22 +289,22 @@
                         settings.bounds().retryWindowMillis()));
     }
 
-    boolean isDraining() {
+    public boolean isDraining() {
         return draining;
     }
 
     /** Returns whether new requests are refused, since they might not finish before the process exits. */
-    boolean isRefusingRequests() {
+    public boolean isRefusingRequests() {
         return draining && nowMillis() - drainingSince > ShutdownPolicy.callerDrainMillis(graceMillis());
     }
 
     /** Returns whether a request on the route is still accepted. */
-    boolean accepts(ServiceRoute route) {
+    public boolean accepts(ServiceRoute route) {
         return !stopping || ShutdownPolicy.accepts(route, nowMillis() - stoppingSince, graceMillis());
     }
 
     /** Returns whether the process was asked to stop. */
-    boolean isStopping() {
+    public boolean isStopping() {
         return stopping;
     }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/StatusServer.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/StatusServer.java
@@ -1,4 +1,4 @@
-package org.rattanrudder.daemon.relay;
+package org.rattanrudder.daemon.relay.process;
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -16,7 +16,7 @@
 import java.util.function.Function;
 
 /** Serves HTTP pages about the process itself: readiness and metrics. */
-final class StatusServer extends ChannelInitializer<Channel> {
+public final class StatusServer extends ChannelInitializer<Channel> {
     private static final int MAX_REQUEST_BYTES = 16 * 1024;
 
     private final Function<String, Page> pages;
@@ -27,10 +27,10 @@
      * @param status its HTTP status
      * @param body its content
      */
-    record Page(HttpResponseStatus status, byte[] body) {}
+    public record Page(HttpResponseStatus status, byte[] body) {}
 
     /** Creates a server of the pages that the function returns by path. */
-    StatusServer(Function<String, Page> pages) {
+    public StatusServer(Function<String, Page> pages) {
         this.pages = pages;
     }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/UnreadNames.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/UnreadNames.java
@@ -1,4 +1,4 @@
-package org.rattanrudder.daemon.relay;
+package org.rattanrudder.daemon.relay.process;
 
 import java.util.HashSet;
 import java.util.Set;
@@ -6,7 +6,7 @@
 import java.util.stream.Stream;
 
 /** Logs each name once that another side sends and nothing reads, and counts them; bounded in volume. */
-final class UnreadNames {
+public final class UnreadNames {
     /** Names that are told apart; a sender that makes up names must not fill log and metrics. */
     private static final int MAX_NAMES = 32;
 
@@ -22,13 +22,13 @@
      * @param log logs a new name, given the fields of its line
      * @param counter counts a name each time
      */
-    UnreadNames(Consumer<String[]> log, Consumer<String> counter) {
+    public UnreadNames(Consumer<String[]> log, Consumer<String> counter) {
         this.log = log;
         this.counter = counter;
     }
 
     /** Records a name, with further fields for the log. */
-    void record(String name, String... fields) {
+    public void record(String name, String... fields) {
         boolean told = names.contains(name);
         if (!told && names.size() >= MAX_NAMES) {
             counter.accept(OTHERS);
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/CrashDetector.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/quarantine/CrashDetector.java
@@ -1,4 +1,4 @@
-package org.rattanrudder.daemon.relay;
+package org.rattanrudder.daemon.relay.quarantine;
 
 import io.netty.channel.EventLoop;
 import java.util.ArrayList;
@@ -13,6 +13,7 @@
 import org.rattanrudder.core.fleet.Target;
 import org.rattanrudder.core.quarantine.Feature;
 import org.rattanrudder.core.quarantine.TargetCrash.SuspectRequest;
+import org.rattanrudder.daemon.relay.targets.DialResult;
 
 /**
  * Distinguishes a crash of a target from broken connections: after a crash no process listens at its address.
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/QuarantineCheck.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/quarantine/QuarantineCheck.java
@@ -1,4 +1,4 @@
-package org.rattanrudder.daemon.relay;
+package org.rattanrudder.daemon.relay.quarantine;
 
 import io.netty.handler.codec.http.HttpStatusClass;
 import java.util.List;
@@ -14,13 +14,14 @@
 import org.rattanrudder.core.quarantine.Feature;
 import org.rattanrudder.core.quarantine.Quarantine;
 import org.rattanrudder.core.quarantine.RequestFingerprint;
+import org.rattanrudder.daemon.relay.process.RelayState;
 
 /**
  * Checks one request against the quarantine.
  *
  * <p>Its features are computed only when the request fails or is answered, or while anything is quarantined.
  */
-final class QuarantineCheck {
+public final class QuarantineCheck {
     private final RelayState state;
     private final CrashDetector crashDetector;
     private final Consumer<Cause> trials;
@@ -53,7 +54,7 @@
     }
 
     /** Returns the fingerprint, which is the same each time the request is sent. */
-    RequestFingerprint fingerprint() {
+    public RequestFingerprint fingerprint() {
         if (fingerprint == null) {
             fingerprint = fingerprinting.get();
         }
@@ -71,7 +72,7 @@
      * Returns the remaining quarantine time in ms; empty if the request may be sent, be it to find out whether it still
      * crashes targets.
      */
-    OptionalLong remainingMillis() {
+    public OptionalLong remainingMillis() {
         Quarantine quarantine = state.quarantine();
         if (!quarantine.hasCauses() || trial) {
             return OptionalLong.empty();
@@ -90,12 +91,12 @@
     }
 
     /** Records that the request was sent: it isn't sent again as a trial. */
-    void onSent() {
+    public void onSent() {
         trial = false;
     }
 
     /** Returns what the request is refused for; empty if it isn't. */
-    String cause() {
+    public String cause() {
         return state.quarantine().causeOf(features());
     }
 
@@ -103,7 +104,7 @@
      * Returns whether the attempt that has just failed may have caused the last crash before quarantine. At this point
      * it isn't known yet whether the target crashed.
      */
-    boolean mayHaveCausedLastCrash(AttemptOutcome outcome) {
+    public boolean mayHaveCausedLastCrash(AttemptOutcome outcome) {
         Quarantine quarantine = state.quarantine();
         return outcome == AttemptOutcome.BROKEN
                 && !quarantine.isEmpty()
@@ -111,7 +112,7 @@
     }
 
     /** Records that the connection to a target broke in the middle of an attempt that was sent at the given time. */
-    void onConnectionBroken(Target target, long sentAt) {
+    public void onConnectionBroken(Target target, long sentAt) {
         crashDetector.onConnectionBroken(target, Set.copyOf(features()), state.nowMillis() - sentAt);
     }
 
@@ -120,7 +121,7 @@
      *
      * @param provesRunning returns once, given the time, whether the response shows that its target runs the request
      */
-    void onContent(long sentAt, LongPredicate provesRunning) {
+    public void onContent(long sentAt, LongPredicate provesRunning) {
         long now = state.nowMillis();
         if (provesRunning.test(now)) {
             state.quarantine().onRunning(features(), sentAt, now);
@@ -128,7 +129,7 @@
     }
 
     /** Records that a target answered the request that was sent at the given time; only success shows that it ran. */
-    void onAnswered(long sentAt, int status) {
+    public void onAnswered(long sentAt, int status) {
         if (HttpStatusClass.SUCCESS.contains(status)) {
             state.quarantine().onAnswered(features(), sentAt, state.nowMillis());
         }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/QuarantineExchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/quarantine/QuarantineExchange.java
@@ -1,4 +1,4 @@
-package org.rattanrudder.daemon.relay;
+package org.rattanrudder.daemon.relay.quarantine;
 
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.ArrayList;
@@ -21,11 +21,17 @@
 import org.rattanrudder.core.quarantine.RequestFingerprint;
 import org.rattanrudder.core.quarantine.TargetCrash;
 import org.rattanrudder.core.quarantine.TargetCrash.SuspectRequest;
-import org.rattanrudder.daemon.relay.TopicFollower.InitialRead;
+import org.rattanrudder.daemon.relay.net.CallResult;
+import org.rattanrudder.daemon.relay.net.HttpCallClient;
 import org.rattanrudder.daemon.relay.port.KeyedRecord;
 import org.rattanrudder.daemon.relay.port.QuarantineRecord;
 import org.rattanrudder.daemon.relay.port.StoreDialect.Topic;
 import org.rattanrudder.daemon.relay.port.StoreResponse;
+import org.rattanrudder.daemon.relay.process.RelayState;
+import org.rattanrudder.daemon.relay.store.PollIntervals;
+import org.rattanrudder.daemon.relay.store.TopicFollower;
+import org.rattanrudder.daemon.relay.store.TopicFollower.InitialRead;
+import org.rattanrudder.daemon.relay.targets.DialResult;
 
 /**
  * Shares crashes of targets, and what is quarantined for them, with peers through the platform's store.
@@ -33,7 +39,7 @@
  * <p>Requests that crash targets may come to any relay, and relays restart. Crashes are applied only while they are
  * recent; a quarantine record stays in the store until one of the relays that saw a crash removes it.
  */
-final class QuarantineExchange implements AutoCloseable {
+public final class QuarantineExchange implements AutoCloseable {
     private static final long WRITE_TIMEOUT_MILLIS = 1_500;
 
     /** How long this relay doesn't ask again for a trial that it didn't get hold of. */
@@ -65,7 +71,7 @@
      *
      * @param probe dials a target to find out whether it has crashed
      */
-    QuarantineExchange(RelayState state, BiConsumer<Target, Consumer<DialResult>> probe) {
+    public QuarantineExchange(RelayState state, BiConsumer<Target, Consumer<DialResult>> probe) {
         this.state = state;
         quarantine = state.quarantine();
         crashDetector = new CrashDetector(state.loop(), System::currentTimeMillis);
@@ -76,7 +82,8 @@
                 state, Topic.QUARANTINE, PollIntervals.RARE_BURSTS, InitialRead.NEWEST_AND_KEPT, new RecordListener());
     }
 
-    void start() {
+    /** Starts to read the records of all relays. */
+    public void start() {
         follower.start();
     }
 
@@ -86,7 +93,7 @@
      * @param fingerprint computes the fingerprint of the request
      * @param features returns what other requests may have in common with it, given its fingerprint
      */
-    QuarantineCheck check(
+    public QuarantineCheck check(
             Supplier<RequestFingerprint> fingerprint, Function<RequestFingerprint, List<Feature>> features) {
         return new QuarantineCheck(state, crashDetector, this::claimTrial, fingerprint, features);
     }
@@ -235,7 +242,7 @@
     }
 
     /** Expires old entries, and writes records that the store lacks; called periodically. */
-    void sweep() {
+    public void sweep() {
         quarantine.expire(state.nowMillis());
         write();
     }
@@ -309,17 +316,17 @@
     }
 
     /** Returns the offset up to which peers should have read. */
-    long readOffset() {
+    public long readOffset() {
         return Math.max(writtenOffset, follower.readOffset());
     }
 
     /** Handles the offset up to which a peer has read or written. */
-    void onPeerOffset(long readTo) {
+    public void onPeerOffset(long readTo) {
         follower.onPeerOffset(readTo);
     }
 
     /** Reads from the store's new address. */
-    void reconnect() {
+    public void reconnect() {
         follower.reconnect();
     }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RolloutCoordinator.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/rollout/RolloutCoordinator.java
@@ -1,4 +1,4 @@
-package org.rattanrudder.daemon.relay;
+package org.rattanrudder.daemon.relay.rollout;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -13,7 +13,9 @@
 import org.rattanrudder.core.rollout.LeaseRecord;
 import org.rattanrudder.core.rollout.OrderLease;
 import org.rattanrudder.core.rollout.RolloutPlanner;
-import org.rattanrudder.daemon.relay.TopicFollower.InitialRead;
+import org.rattanrudder.daemon.relay.net.CallResult;
+import org.rattanrudder.daemon.relay.net.HttpCallClient;
+import org.rattanrudder.daemon.relay.net.StepTimer;
 import org.rattanrudder.daemon.relay.port.EngineDialect.EngineReport;
 import org.rattanrudder.daemon.relay.port.EngineDialect.LoadOrder;
 import org.rattanrudder.daemon.relay.port.KeyedRecord;
@@ -21,6 +23,11 @@
 import org.rattanrudder.daemon.relay.port.StoreDialect.Topic;
 import org.rattanrudder.daemon.relay.port.StoreResponse;
 import org.rattanrudder.daemon.relay.port.WeightsVersion;
+import org.rattanrudder.daemon.relay.process.RelayState;
+import org.rattanrudder.daemon.relay.store.PollIntervals;
+import org.rattanrudder.daemon.relay.store.TopicFollower;
+import org.rattanrudder.daemon.relay.store.TopicFollower.InitialRead;
+import org.rattanrudder.daemon.relay.targets.SelfReports;
 
 /**
  * Orders engines to load the newest weights while this relay holds the rollout lease.
@@ -28,7 +35,7 @@
  * <p>Before each batch of orders, a record is appended to the lease's log. It renews the lease, its offset is the
  * fencing token, and it lists the engines to which peers send no new work while they load.
  */
-final class RolloutCoordinator implements AutoCloseable {
+public final class RolloutCoordinator implements AutoCloseable {
     /** Poll interval while a rollout is pending: a tenth of the shortest load time. */
     private static final long POLL_INTERVAL_MILLIS = 100;
 
@@ -66,7 +73,12 @@
     private boolean answeredOnce;
     private boolean caughtUp;
 
-    RolloutCoordinator(RelayState state, SelfReports selfReports, String relayId) {
+    /**
+     * Creates a coordinator that reads and orders nothing until {@link #start}.
+     *
+     * @param relayId names this process of the relay in the lease
+     */
+    public RolloutCoordinator(RelayState state, SelfReports selfReports, String relayId) {
         this.state = state;
         this.selfReports = selfReports;
         timer = new StepTimer(state.loop());
@@ -77,7 +89,8 @@
         appendClient = new HttpCallClient(state.connector(), state::store);
     }
 
-    void start() {
+    /** Starts to read the lease's log and to check for pending rollouts. */
+    public void start() {
         follower.start();
         timer.reschedule(this::poll, POLL_INTERVAL_MILLIS);
     }
@@ -110,7 +123,7 @@
     }
 
     /** Polls at once, since new weights were published. */
-    void pollNow() {
+    public void pollNow() {
         timer.reschedule(this::poll, 0);
     }
 
@@ -304,7 +317,7 @@
     }
 
     /** Returns the engines that this relay has ordered and that don't serve their new weights yet. */
-    List<String> loadingTargets() {
+    public List<String> loadingTargets() {
         long now = state.nowMillis();
         return progressChecksDueAt.keySet().stream()
                 .filter(id -> state.fleet()
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/CallerConnection.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/CallerConnection.java
@@ -1,4 +1,4 @@
-package org.rattanrudder.daemon.relay;
+package org.rattanrudder.daemon.relay.serving;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -28,6 +28,7 @@
 import org.rattanrudder.core.gateway.RequestMetadata;
 import org.rattanrudder.core.gateway.ServingConfiguration.AccessDecision;
 import org.rattanrudder.core.model.ErrorKind;
+import org.rattanrudder.daemon.relay.process.RelayState;
 
 /**
  * Serves a caller's connection: reads requests one after the other and writes the responses in order.
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/CallerServer.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/CallerServer.java
@@ -1,4 +1,4 @@
-package org.rattanrudder.daemon.relay;
+package org.rattanrudder.daemon.relay.serving;
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
@@ -8,9 +8,10 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import org.rattanrudder.daemon.relay.process.RelayState;
 
 /** Serves the connections of callers: sets up their channels, checks them periodically, and ends them on shutdown. */
-final class CallerServer {
+public final class CallerServer {
     /**
      * Factor by which the decoder's limit on the head exceeds the configured one; their byte counts differ slightly.
      */
@@ -19,12 +20,13 @@
     private final ServingComponents components;
     private final Set<CallerConnection> callers = new HashSet<>();
 
-    CallerServer(ServingComponents components) {
+    /** Creates a server without connections. */
+    public CallerServer(ServingComponents components) {
         this.components = components;
     }
 
     /** Returns the initializer of channels for callers. */
-    ChannelInitializer<Channel> channels() {
+    public ChannelInitializer<Channel> channels() {
         RelayState state = components.state();
         return new ChannelInitializer<>() {
             @Override
@@ -45,22 +47,22 @@
     }
 
     /** Returns the number of open connections. */
-    int size() {
+    public int size() {
         return callers.size();
     }
 
     /** Closes connections whose callers are too slow or idle; called periodically. */
-    void sweep(long nowMillis, boolean closeIdle) {
+    public void sweep(long nowMillis, boolean closeIdle) {
         List.copyOf(callers).forEach(caller -> caller.sweep(nowMillis, closeIdle));
     }
 
     /** Returns whether a request is being read or served, or a response isn't sent in full. */
-    boolean isBusy() {
+    public boolean isBusy() {
         return callers.stream().anyMatch(CallerConnection::isBusy);
     }
 
     /** Ends all requests on shutdown; their callers get a final response. */
-    void onShutdown() {
+    public void onShutdown() {
         List.copyOf(callers).forEach(CallerConnection::onShutdown);
     }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Exchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/Exchange.java
@@ -1,4 +1,4 @@
-package org.rattanrudder.daemon.relay;
+package org.rattanrudder.daemon.relay.serving;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpRequest;
@@ -19,6 +19,10 @@
 import org.rattanrudder.core.gateway.RetryPolicy;
 import org.rattanrudder.core.model.ErrorKind;
 import org.rattanrudder.daemon.relay.port.ResponseMetadata;
+import org.rattanrudder.daemon.relay.process.RelayState;
+import org.rattanrudder.daemon.relay.quarantine.QuarantineCheck;
+import org.rattanrudder.daemon.relay.targets.ResponseSink;
+import org.rattanrudder.daemon.relay.targets.TargetConnection;
 
 /**
  * Serves one request from admission to its end: picks a target, sends the request, forwards the response, and retries
@@ -30,7 +34,6 @@
 
     private final ServingComponents components;
     private final RelayState state;
-    private final TargetPools pools;
     private final CallerConnection caller;
     private final HttpRequest head;
     private final ByteBuf body;
@@ -53,7 +56,6 @@
     Exchange(ServingComponents components, CallerConnection caller, HttpRequest head, ByteBuf body, RequestPlan plan) {
         this.components = components;
         state = components.state();
-        pools = components.pools();
         this.caller = caller;
         this.head = head;
         this.body = body;
@@ -206,7 +208,7 @@
         target.onSent(expected, state.nowMillis());
         target.reserveSend(state.nowMillis());
         components.placements().recordPlacement(target);
-        pools.acquire(target, repeatable, opened -> {
+        components.pools().acquire(target, repeatable, opened -> {
             target.onEnded(expected, false);
             onConnected(target, opened);
         });
@@ -239,12 +241,12 @@
         }
         if (refuseIfQuarantined()) {
             target.cancelSend();
-            pools.release(target, opened);
+            components.pools().release(target, opened);
             return;
         }
         Optional<String> reason = plan.reasonNotToSend(target, state.nowMillis());
         if (reason.isPresent()) {
-            pools.release(target, opened);
+            components.pools().release(target, opened);
             onNotSent(target, reason.get());
         } else {
             send(target, opened);
@@ -272,7 +274,8 @@
         HttpRequest request =
                 outgoing.toRequest(head, body.readableBytes(), state.platform().requests());
         opened.send(request, body.retainedDuplicate(), plan.id(), this);
-        inactivity = new InactivityMonitor(state, plan.route(), attempt, () -> pools.verify(target), this::onInactive);
+        inactivity = new InactivityMonitor(
+                state, plan.route(), attempt, () -> components.pools().verify(target), this::onInactive);
         inactivity.check();
     }
 
@@ -342,10 +345,7 @@
     @Override
     public void onContent(ByteBuf chunk) {
         if (attempt.onContent(state.nowMillis())) {
-            components
-                    .fetchLateness()
-                    .recordFirstByte(
-                            attempt.parts(), attempt.firstByteExcessMillis(), state.directory(), state.nowMillis());
+            attempt.recordFetchLateness(components.fetchLateness(), state.directory(), state.nowMillis());
             components.queues().dispatchQueued(plan.service());
         }
         quarantine.onContent(attempt.sentAt(), attempt::isFirstProofOfRunning);
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/ExchangeLog.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/ExchangeLog.java
@@ -1,4 +1,4 @@
-package org.rattanrudder.daemon.relay;
+package org.rattanrudder.daemon.relay.serving;
 
 import java.util.List;
 import java.util.Optional;
@@ -9,6 +9,7 @@
 import org.rattanrudder.core.fleet.Target;
 import org.rattanrudder.core.gateway.AttemptOutcome;
 import org.rattanrudder.core.quarantine.RequestFingerprint;
+import org.rattanrudder.daemon.relay.process.RelayState;
 
 /** Logs each decision on a request on one line, with the request ID and the inputs of the decision. */
 final class ExchangeLog {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/FinalReply.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/FinalReply.java
@@ -1,7 +1,8 @@
-package org.rattanrudder.daemon.relay;
+package org.rattanrudder.daemon.relay.serving;
 
 import java.util.OptionalLong;
 import org.rattanrudder.core.model.ErrorKind;
+import org.rattanrudder.daemon.relay.process.RelayState;
 
 /** Tells the caller of one request that it was not served, and when to come back. */
 final class FinalReply {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/HoldingQueues.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/HoldingQueues.java
@@ -1,4 +1,4 @@
-package org.rattanrudder.daemon.relay;
+package org.rattanrudder.daemon.relay.serving;
 
 import java.util.HashMap;
 import java.util.HashSet;
@@ -7,9 +7,11 @@
 import java.util.concurrent.TimeUnit;
 import org.rattanrudder.core.fleet.HoldingQueue;
 import org.rattanrudder.core.fleet.TargetAdmission;
+import org.rattanrudder.daemon.relay.process.RelayState;
+import org.rattanrudder.daemon.relay.targets.QueueDispatcher;
 
 /** Holds the queues of requests that wait for a target, one for each service, and dispatches them. */
-final class HoldingQueues implements QueueDispatcher {
+public final class HoldingQueues implements QueueDispatcher {
     /** How soon queued requests are dispatched again if only the limits of targets keep them. */
     private static final long ADMISSION_DISPATCH_MILLIS = 50;
 
@@ -18,7 +20,8 @@
     private final Set<String> scheduledDispatches = new HashSet<>();
     private final Set<String> admissionDispatches = new HashSet<>();
 
-    HoldingQueues(RelayState state) {
+    /** Creates queues that are empty. */
+    public HoldingQueues(RelayState state) {
         this.state = state;
     }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/InactivityMonitor.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/InactivityMonitor.java
@@ -1,8 +1,10 @@
-package org.rattanrudder.daemon.relay;
+package org.rattanrudder.daemon.relay.serving;
 
 import java.util.function.LongConsumer;
 import org.rattanrudder.core.gateway.ResponseTimeouts;
 import org.rattanrudder.core.gateway.ServiceRoute;
+import org.rattanrudder.daemon.relay.net.InactivityTimer;
+import org.rattanrudder.daemon.relay.process.RelayState;
 
 /**
  * Detects inactivity of one attempt, before the first byte and between chunks.
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/LocalReplies.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/LocalReplies.java
@@ -1,4 +1,4 @@
-package org.rattanrudder.daemon.relay;
+package org.rattanrudder.daemon.relay.serving;
 
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/PartChoiceFormat.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/PartChoiceFormat.java
@@ -1,4 +1,4 @@
-package org.rattanrudder.daemon.relay;
+package org.rattanrudder.daemon.relay.serving;
 
 import java.util.List;
 import java.util.Locale;
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/QueueWait.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/QueueWait.java
@@ -1,8 +1,9 @@
-package org.rattanrudder.daemon.relay;
+package org.rattanrudder.daemon.relay.serving;
 
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import org.rattanrudder.core.fleet.HoldingQueue;
+import org.rattanrudder.daemon.relay.process.RelayState;
 
 /** Queues a request until an engine has room: first as on time, then as late, until it expires. */
 final class QueueWait {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RequestPlan.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/RequestPlan.java
@@ -1,4 +1,4 @@
-package org.rattanrudder.daemon.relay;
+package org.rattanrudder.daemon.relay.serving;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.DefaultHttpRequest;
@@ -35,6 +35,7 @@
 import org.rattanrudder.core.routing.Hashing;
 import org.rattanrudder.daemon.relay.port.ForwardingMetadata;
 import org.rattanrudder.daemon.relay.port.RequestDialect;
+import org.rattanrudder.daemon.relay.process.RelayState;
 
 /** The parameters of one request, which targets may run it, and the metadata sent to its target. */
 final class RequestPlan {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/ResponseForwarder.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/ResponseForwarder.java
@@ -1,4 +1,4 @@
-package org.rattanrudder.daemon.relay;
+package org.rattanrudder.daemon.relay.serving;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
@@ -11,6 +11,8 @@
 import org.rattanrudder.core.gateway.EventStreamScanner;
 import org.rattanrudder.core.gateway.RepeatRule;
 import org.rattanrudder.daemon.relay.port.RequestDialect;
+import org.rattanrudder.daemon.relay.streams.EventFramer;
+import org.rattanrudder.daemon.relay.targets.ResponseFraming;
 
 /**
  * Forwards a target's response to the caller.
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/ResponseWriter.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/ResponseWriter.java
@@ -1,4 +1,4 @@
-package org.rattanrudder.daemon.relay;
+package org.rattanrudder.daemon.relay.serving;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -18,6 +18,8 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.Optional;
 import org.rattanrudder.core.model.ErrorKind;
+import org.rattanrudder.daemon.relay.process.RelayState;
+import org.rattanrudder.daemon.relay.targets.ResponseFraming;
 
 /**
  * Writes responses to one caller's connection.
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/ServingComponents.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/ServingComponents.java
@@ -1,4 +1,13 @@
-package org.rattanrudder.daemon.relay;
+package org.rattanrudder.daemon.relay.serving;
+
+import org.rattanrudder.daemon.relay.peers.FetchLatenessRecorder;
+import org.rattanrudder.daemon.relay.peers.PlacementBroadcaster;
+import org.rattanrudder.daemon.relay.process.RelayState;
+import org.rattanrudder.daemon.relay.quarantine.QuarantineExchange;
+import org.rattanrudder.daemon.relay.streams.SoleSoftware;
+import org.rattanrudder.daemon.relay.streams.StreamOriginExchange;
+import org.rattanrudder.daemon.relay.targets.SelfReports;
+import org.rattanrudder.daemon.relay.targets.TargetPools;
 
 /**
  * The components of the relay that serve requests.
@@ -13,7 +22,7 @@
  * @param placements tells peers of new placements
  * @param fetchLateness records how late fetches were, for load reports
  */
-record ServingComponents(
+public record ServingComponents(
         RelayState state,
         TargetPools pools,
         HoldingQueues queues,
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/StreamContinuation.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/StreamContinuation.java
@@ -1,9 +1,12 @@
-package org.rattanrudder.daemon.relay;
+package org.rattanrudder.daemon.relay.serving;
 
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.rattanrudder.core.continuation.OriginExchange.Finding;
+import org.rattanrudder.daemon.relay.process.RelayState;
+import org.rattanrudder.daemon.relay.streams.SoleSoftware;
+import org.rattanrudder.daemon.relay.streams.StreamOriginExchange;
 
 /** Binds one request to the software that began its stream, here or in an earlier request of its caller. */
 final class StreamContinuation {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/StrictRequestDecoder.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/StrictRequestDecoder.java
@@ -1,4 +1,4 @@
-package org.rattanrudder.daemon.relay;
+package org.rattanrudder.daemon.relay.serving;
 
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TargetAttempt.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/TargetAttempt.java
@@ -1,13 +1,15 @@
-package org.rattanrudder.daemon.relay;
+package org.rattanrudder.daemon.relay.serving;
 
 import java.util.Optional;
 import org.rattanrudder.core.continuation.StreamOrigin;
 import org.rattanrudder.core.fleet.Target;
 import org.rattanrudder.core.gateway.BodyPosition;
 import org.rattanrudder.core.gateway.ResponseEnd;
-import org.rattanrudder.core.parts.PartPlan;
+import org.rattanrudder.core.parts.PartDirectory;
 import org.rattanrudder.core.quarantine.Quarantine;
+import org.rattanrudder.daemon.relay.peers.FetchLatenessRecorder;
 import org.rattanrudder.daemon.relay.port.ResponseMetadata;
+import org.rattanrudder.daemon.relay.targets.TargetConnection;
 
 /** One attempt to run a request at one target; owned by its exchange. */
 final class TargetAttempt {
@@ -69,14 +71,10 @@
         return firstByteMillis;
     }
 
-    /** Returns by how many ms the first byte came later than without fetching; negative if it came earlier. */
-    double firstByteExcessMillis() {
-        return firstByteMillis - outgoing.millisWithoutFetch();
-    }
-
-    /** Returns what was planned for the parts of the prompt. */
-    PartPlan parts() {
-        return outgoing.forwarding().parts();
+    /** Records for the stores of the prompt's parts how much later the first byte came than without fetching. */
+    void recordFetchLateness(FetchLatenessRecorder recorder, PartDirectory directory, long nowMillis) {
+        double excess = firstByteMillis - outgoing.millisWithoutFetch();
+        recorder.recordFirstByte(outgoing.forwarding().parts(), excess, directory, nowMillis);
     }
 
     /** Returns the longest time between two chunks, in ms. */
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TargetSelection.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/TargetSelection.java
@@ -1,4 +1,4 @@
-package org.rattanrudder.daemon.relay;
+package org.rattanrudder.daemon.relay.serving;
 
 import java.util.List;
 import java.util.Optional;
@@ -6,6 +6,7 @@
 import org.rattanrudder.core.fleet.SendWindow;
 import org.rattanrudder.core.fleet.Target;
 import org.rattanrudder.core.fleet.TargetAdmission;
+import org.rattanrudder.daemon.relay.process.RelayState;
 
 /** Selects the target of a request's next attempt. */
 final class TargetSelection {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/OutdatedPartEvictor.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/OutdatedPartEvictor.java
@@ -1,4 +1,4 @@
-package org.rattanrudder.daemon.relay;
+package org.rattanrudder.daemon.relay.store;
 
 import java.util.List;
 import java.util.Map;
@@ -6,9 +6,10 @@
 import org.rattanrudder.core.model.Address;
 import org.rattanrudder.core.parts.PartKey;
 import org.rattanrudder.core.parts.PartRetirement;
+import org.rattanrudder.daemon.relay.process.RelayState;
 
 /** Evicts the parts of weights that no engine serves any more from context stores. */
-final class OutdatedPartEvictor {
+public final class OutdatedPartEvictor {
     private static final int MAX_BATCH_PARTS = 400;
 
     /**
@@ -23,13 +24,14 @@
     private long lastEvictableBefore;
     private long lastScanAt;
 
-    OutdatedPartEvictor(RelayState state, Map<Address, StoreWatch> stores) {
+    /** Creates an evictor for the watched context stores, by address. */
+    public OutdatedPartEvictor(RelayState state, Map<Address, StoreWatch> stores) {
         this.state = state;
         this.stores = stores;
     }
 
     /** Evicts a batch of outdated parts from each store, if a scan is due. */
-    void free(long now) {
+    public void free(long now) {
         retirement.updateOldestServed(oldestServed(now), now);
         long before = retirement.evictableBefore(now);
         boolean due = before != lastEvictableBefore || now - lastScanAt >= RESCAN_MILLIS;
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/PollIntervals.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/PollIntervals.java
@@ -1,4 +1,4 @@
-package org.rattanrudder.daemon.relay;
+package org.rattanrudder.daemon.relay.store;
 
 import java.util.function.IntToLongFunction;
 import java.util.function.LongSupplier;
@@ -11,7 +11,7 @@
  * @param waitMillis how long a call waits for records, by the number of peers; an unresponsive connection is detected
  *     after this wait
  */
-record PollIntervals(IntToLongFunction gapMillis, IntToLongFunction waitMillis) {
+public record PollIntervals(IntToLongFunction gapMillis, IntToLongFunction waitMillis) {
     private static final long MIN_GAP_MILLIS = 20;
 
     /** With more peers than this, records written in quick succession are read in one answer. */
@@ -28,14 +28,14 @@
      * not return it before its wait is over, so the wait itself ends within the bound. With many relays, some peers
      * receive the record earlier and report their read offset.
      */
-    static final PollIntervals PROMPT =
+    public static final PollIntervals PROMPT =
             new PollIntervals(PollIntervals::promptGap, peers -> Math.min(1_500, 1_000 + 100L * peers));
 
     /** For records that are written rarely and may be received late. */
-    static final PollIntervals RARE = new PollIntervals(peers -> MIN_GAP_MILLIS, peers -> 12_000);
+    public static final PollIntervals RARE = new PollIntervals(peers -> MIN_GAP_MILLIS, peers -> 12_000);
 
     /** For rare records that are written in bursts, one by each relay, and may be received late. */
-    static final PollIntervals RARE_BURSTS = new PollIntervals(peers -> 1_000, peers -> 12_000);
+    public static final PollIntervals RARE_BURSTS = new PollIntervals(peers -> 1_000, peers -> 12_000);
 
     private static final long MIN_BATCHED_GAP_MILLIS = 600;
     private static final long BATCHED_GAP_MILLIS_PER_PEER = 60;
@@ -46,7 +46,7 @@
      * relays each polls less often, since peers report the offset of a change that they have read; the gap alone stays
      * within the bound.
      */
-    static PollIntervals batched(LongSupplier boundMillis) {
+    public static PollIntervals batched(LongSupplier boundMillis) {
         return new PollIntervals(peers -> batchedGap(boundMillis.getAsLong(), peers), peers -> 1_000);
     }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/StoreWatch.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/StoreWatch.java
@@ -1,4 +1,4 @@
-package org.rattanrudder.daemon.relay;
+package org.rattanrudder.daemon.relay.store;
 
 import java.util.List;
 import java.util.Optional;
@@ -8,10 +8,15 @@
 import org.rattanrudder.core.parts.SharedStoreUpdate;
 import org.rattanrudder.core.parts.StorePollSchedule;
 import org.rattanrudder.core.parts.StoreUpdate;
+import org.rattanrudder.daemon.relay.net.CallResult;
+import org.rattanrudder.daemon.relay.net.HttpCallClient;
+import org.rattanrudder.daemon.relay.net.StepTimer;
 import org.rattanrudder.daemon.relay.port.EngineDialect;
+import org.rattanrudder.daemon.relay.process.RelayState;
+import org.rattanrudder.daemon.relay.targets.SelfReports;
 
 /** Long-polls one context store for changes of its parts, and passes them to the part directory and to peers. */
-final class StoreWatch implements AutoCloseable {
+public final class StoreWatch implements AutoCloseable {
     /** The wait of a long poll, short enough that the directory stays fresh between two answers. */
     private static final long POLL_WAIT_MILLIS = 400;
 
@@ -45,7 +50,13 @@
     private boolean available = true;
     private boolean behind = true;
 
-    StoreWatch(
+    /**
+     * Creates a watch that makes no calls until {@link #start}.
+     *
+     * @param relayId names this process of the relay, and orders the polls of relays
+     * @param updateSender sends an update of the store to peers
+     */
+    public StoreWatch(
             RelayState state,
             SelfReports selfReports,
             String relayId,
@@ -61,7 +72,8 @@
         client = new HttpCallClient(state.connector(), () -> address);
     }
 
-    void start() {
+    /** Starts to poll the store. */
+    public void start() {
         poll();
     }
 
@@ -112,7 +124,7 @@
     }
 
     /** Applies an update that a peer has received from the store. */
-    void onSharedUpdate(SharedStoreUpdate shared) {
+    public void onSharedUpdate(SharedStoreUpdate shared) {
         if (timer.isClosed() || incarnation < 0) {
             return;
         }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TargetRegistrations.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TargetRegistrations.java
@@ -1,4 +1,4 @@
-package org.rattanrudder.daemon.relay;
+package org.rattanrudder.daemon.relay.store;
 
 import java.util.Optional;
 import java.util.Set;
@@ -6,18 +6,20 @@
 import org.rattanrudder.core.fleet.TargetRegistration;
 import org.rattanrudder.daemon.relay.port.KeyedRecord;
 import org.rattanrudder.daemon.relay.port.StoreDialect;
+import org.rattanrudder.daemon.relay.process.RelayState;
 
 /** Handles the registrations of targets. */
-final class TargetRegistrations implements TopicFollower.Listener {
+public final class TargetRegistrations implements TopicFollower.Listener {
     private final RelayState state;
     private long changedOffset;
 
-    TargetRegistrations(RelayState state) {
+    /** Creates a handler that has handled no registration. */
+    public TargetRegistrations(RelayState state) {
         this.state = state;
     }
 
     /** Returns the offset up to which peers should have read, since a registration before it has changed. */
-    long changedOffset() {
+    public long changedOffset() {
         return changedOffset;
     }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TopicConfirmation.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicConfirmation.java
@@ -1,12 +1,15 @@
-package org.rattanrudder.daemon.relay;
+package org.rattanrudder.daemon.relay.store;
 
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import org.rattanrudder.daemon.relay.net.HttpCallClient;
+import org.rattanrudder.daemon.relay.net.StepTimer;
 import org.rattanrudder.daemon.relay.port.StoreDialect;
 import org.rattanrudder.daemon.relay.port.StoreDialect.Topic;
 import org.rattanrudder.daemon.relay.port.StoreResponse;
+import org.rattanrudder.daemon.relay.process.RelayState;
 
 /**
  * Confirms that a follower has read all records that were written to its topic before now.
@@ -14,7 +17,7 @@
  * <p>Followers read with a delay, and a pending long poll doesn't show whether its connection still works. One call
  * confirms all requests that were waiting when it was made.
  */
-final class TopicConfirmation implements AutoCloseable {
+public final class TopicConfirmation implements AutoCloseable {
     /** How long a follower gets to read records that it hasn't read yet, before it is asked again. */
     private static final long RECHECK_MILLIS = 10;
 
@@ -32,7 +35,7 @@
      * @param readOffset the offset up to which the follower has read
      * @param readNow has the follower read at once
      */
-    TopicConfirmation(RelayState state, Topic topic, LongSupplier readOffset, Runnable readNow) {
+    public TopicConfirmation(RelayState state, Topic topic, LongSupplier readOffset, Runnable readNow) {
         this.state = state;
         this.topic = topic;
         this.readOffset = readOffset;
@@ -55,7 +58,7 @@
      * @param patienceMillis how long to wait for the store and the follower
      * @param then called once
      */
-    void confirm(long patienceMillis, Consumer<Boolean> then) {
+    public void confirm(long patienceMillis, Consumer<Boolean> then) {
         waiting.add(new Pending(state.nowMillis() + patienceMillis, then));
         call();
     }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TopicFollower.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicFollower.java
@@ -1,15 +1,19 @@
-package org.rattanrudder.daemon.relay;
+package org.rattanrudder.daemon.relay.store;
 
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.rattanrudder.daemon.relay.net.CallResult;
+import org.rattanrudder.daemon.relay.net.HttpCallClient;
+import org.rattanrudder.daemon.relay.net.StepTimer;
 import org.rattanrudder.daemon.relay.port.KeyedRecord;
 import org.rattanrudder.daemon.relay.port.PlatformCall;
 import org.rattanrudder.daemon.relay.port.StoreDialect;
 import org.rattanrudder.daemon.relay.port.StoreDialect.Topic;
 import org.rattanrudder.daemon.relay.port.StoreResponse;
+import org.rattanrudder.daemon.relay.process.RelayState;
 
 /**
  * Consumes a topic of the platform's store: first lists the newest record of each key, then long-polls for new records.
@@ -18,7 +22,7 @@
  * unavailable, calls are retried with exponential back-off; the listener is called when the store becomes unavailable
  * and when it is available again.
  */
-final class TopicFollower implements AutoCloseable {
+public final class TopicFollower implements AutoCloseable {
     private static final long LISTING_TIMEOUT_MILLIS = 1_000;
 
     /** Time that an answer may take beyond the long poll's wait; a slow store takes about 250 ms. */
@@ -40,7 +44,7 @@
     private static final int MAX_BACKOFF_DOUBLINGS = 5;
 
     /** Handles a topic's records. */
-    interface Listener {
+    public interface Listener {
         /**
          * Handles a record.
          *
@@ -98,7 +102,7 @@
     private long expectingUntil = Long.MIN_VALUE / 2;
 
     /** Which existing records are read before new ones are polled for. */
-    enum InitialRead {
+    public enum InitialRead {
         /** The newest record of each key. */
         NEWEST,
         /** All retained records of a topic without keys. */
@@ -108,7 +112,8 @@
     }
 
     /** Creates a follower that is idle until {@link #start}. */
-    TopicFollower(RelayState state, Topic topic, PollIntervals intervals, InitialRead reading, Listener listener) {
+    public TopicFollower(
+            RelayState state, Topic topic, PollIntervals intervals, InitialRead reading, Listener listener) {
         this.state = state;
         timer = new StepTimer(state.loop());
         this.topic = topic;
@@ -119,7 +124,8 @@
         client = new HttpCallClient(state.connector(), state::store);
     }
 
-    void start() {
+    /** Starts to read the topic, from the beginning of what is read initially. */
+    public void start() {
         betweenPolls = false;
         if (isKeyed()) {
             list(Optional.empty());
@@ -289,7 +295,7 @@
      * report. If they replaced a pending listing, the relay would poll discarded records again and again, and would
      * never receive a newer configuration.
      */
-    void onPeerOffset(long peerOffset) {
+    public void onPeerOffset(long peerOffset) {
         if (timer.isClosed() || peerOffset <= nextOffset || !answeredOnce) {
             return;
         }
@@ -312,7 +318,7 @@
     }
 
     /** Polls at once if a poll is scheduled or pending; a pending back-off or listing is left as it is. */
-    void pollNow() {
+    public void pollNow() {
         if (betweenPolls) {
             timer.reschedule(this::poll, 0);
         } else if (polling) {
@@ -327,13 +333,13 @@
      * may still be in progress. Otherwise two relays that lost a race for the lease would wait 12 s for the winner's
      * record, and no engine would get new weights in the meantime.
      */
-    void expectRecord() {
+    public void expectRecord() {
         expectingUntil = state.nowMillis() + MAX_EXPECTATION_MILLIS;
         pollNow();
     }
 
     /** Cancels the pending call and lists again, after the store's address has changed. */
-    void reconnect() {
+    public void reconnect() {
         client.close();
         polling = false;
         timer.reschedule(this::start, 0);
@@ -417,7 +423,7 @@
     }
 
     /** Returns the offset up to which the topic has been read. */
-    long readOffset() {
+    public long readOffset() {
         return nextOffset;
     }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/EventFramer.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/streams/EventFramer.java
@@ -1,4 +1,4 @@
-package org.rattanrudder.daemon.relay;
+package org.rattanrudder.daemon.relay.streams;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
@@ -12,7 +12,7 @@
  * <p>A target may fail in the middle of an event. If the partial event were forwarded, the resumed stream couldn't be
  * joined to it: the caller would receive a duplicate or an event mixed from two.
  */
-final class EventFramer {
+public final class EventFramer {
     /** A longer event is forwarded before it is complete, and the stream can't be resumed until it is. */
     static final int MAX_EVENT_BYTES = 256 * 1024;
 
@@ -23,12 +23,12 @@
     private int complete;
 
     /** Creates a framer of a stream that the scanner follows. */
-    EventFramer(EventStreamScanner scanner) {
+    public EventFramer(EventStreamScanner scanner) {
         this.scanner = scanner;
     }
 
     /** Appends bytes of the stream and returns what can be forwarded now: complete events, or a part of a long one. */
-    byte[] append(ByteBuf chunk) {
+    public byte[] append(ByteBuf chunk) {
         scanned = 0;
         complete = 0;
         chunk.forEachByte(this::scan);
@@ -67,23 +67,23 @@
     }
 
     /** Discards an incomplete event; another response may continue the stream. */
-    void restart() {
+    public void restart() {
         pending.reset();
         scanner.restart();
     }
 
     /** Returns whether an event of the current response was forwarded, or a part of one. */
-    boolean hasForwardedEvent() {
+    public boolean hasForwardedEvent() {
         return partialForwarded || scanner.hasEvents();
     }
 
     /** Returns whether another response can continue after what was forwarded. */
-    boolean isResumable() {
+    public boolean isResumable() {
         return !partialForwarded && scanner.isResumable();
     }
 
     /** Returns the ID of the last complete event that has one; empty before the first. */
-    Optional<String> lastId() {
+    public Optional<String> lastId() {
         return scanner.lastId();
     }
 }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/SoleSoftware.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/streams/SoleSoftware.java
@@ -1,4 +1,4 @@
-package org.rattanrudder.daemon.relay;
+package org.rattanrudder.daemon.relay.streams;
 
 import java.util.Optional;
 import java.util.function.BiConsumer;
@@ -9,6 +9,7 @@
 import org.rattanrudder.core.gateway.RouteHistory;
 import org.rattanrudder.core.gateway.ServiceRoute;
 import org.rattanrudder.core.gateway.ServingConfiguration;
+import org.rattanrudder.daemon.relay.process.RelayState;
 
 /**
  * Finds the software of a stream whose caller doesn't name its beginning: it is certain only where all targets that may
@@ -17,7 +18,7 @@
  * <p>That is read from the registrations of targets, up to the present: a target that has registered just now may have
  * begun the stream at another relay.
  */
-final class SoleSoftware {
+public final class SoleSoftware {
     /** How long ago a caller's stream may have begun, in timeouts of its route: its first request, and its return. */
     private static final int MAX_AGE_TIMEOUTS = 2;
 
@@ -25,17 +26,18 @@
     private final RouteHistory routes = new RouteHistory();
     private BiConsumer<Long, Consumer<Boolean>> confirmation = (patience, then) -> then.accept(false);
 
-    SoleSoftware(RelayState state) {
+    /** Creates a finder that knows no route. */
+    public SoleSoftware(RelayState state) {
         this.state = state;
     }
 
     /** Sets what finds out, within a time in ms, whether all registrations that were written until now were read. */
-    void setConfirmation(BiConsumer<Long, Consumer<Boolean>> newConfirmation) {
+    public void setConfirmation(BiConsumer<Long, Consumer<Boolean>> newConfirmation) {
         confirmation = newConfirmation;
     }
 
     /** Handles a new configuration. */
-    void onConfiguration(ServingConfiguration configuration) {
+    public void onConfiguration(ServingConfiguration configuration) {
         routes.update(configuration.routes(), state.nowMillis());
     }
 
@@ -44,7 +46,7 @@
      *
      * @param then called once, at once if it is known not to be certain
      */
-    void find(ServiceRoute route, long patienceMillis, Consumer<Finding> then) {
+    public void find(ServiceRoute route, long patienceMillis, Consumer<Finding> then) {
         long since = state.nowMillis() - MAX_AGE_TIMEOUTS * route.timeoutMillis();
         if (sole(route, since).isEmpty()) {
             then.accept(Finding.NOTHING);
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/StreamOriginExchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/streams/StreamOriginExchange.java
@@ -1,4 +1,4 @@
-package org.rattanrudder.daemon.relay;
+package org.rattanrudder.daemon.relay.streams;
 
 import java.util.Collection;
 import java.util.Optional;
@@ -10,9 +10,10 @@
 import org.rattanrudder.core.continuation.OriginMessage;
 import org.rattanrudder.core.continuation.StreamKey;
 import org.rattanrudder.core.continuation.StreamOrigin;
+import org.rattanrudder.daemon.relay.process.RelayState;
 
 /** Runs the exchange of streams' origins with peers on the event loop. */
-final class StreamOriginExchange {
+public final class StreamOriginExchange {
     /** How long beginnings of streams are gathered for one message. */
     private static final long BATCH_MILLIS = 5;
 
@@ -20,7 +21,8 @@
     private final OriginExchange exchange;
     private OriginExchange.Sender sender = (message, relays) -> {};
 
-    StreamOriginExchange(RelayState state, String self) {
+    /** Creates an exchange that knows no stream; {@code self} is the name of this relay. */
+    public StreamOriginExchange(RelayState state, String self) {
         this.state = state;
         exchange = new OriginExchange(
                 self,
@@ -30,17 +32,17 @@
     }
 
     /** Sets what sends a message to relays. */
-    void setSender(OriginExchange.Sender newSender) {
+    public void setSender(OriginExchange.Sender newSender) {
         sender = newSender;
     }
 
     /** Sets the relays that are heard and those that are registered, each with this one. */
-    void updateRelays(Collection<String> live, Collection<String> registered) {
+    public void updateRelays(Collection<String> live, Collection<String> registered) {
         exchange.updateRelays(live, registered);
     }
 
     /** Returns how many streams are known. */
-    int size() {
+    public int size() {
         return exchange.size();
     }
 
@@ -49,7 +51,7 @@
      *
      * @param keepMillis how long the caller may come back
      */
-    void onBegun(StreamKey key, Optional<StreamOrigin> origin, long keepMillis) {
+    public void onBegun(StreamKey key, Optional<StreamOrigin> origin, long keepMillis) {
         if (exchange.onBegun(key, origin, keepMillis, state.nowMillis())) {
             state.loop().schedule(exchange::tell, BATCH_MILLIS, TimeUnit.MILLISECONDS);
         }
@@ -61,7 +63,7 @@
      * @param patienceMillis how long to wait for peers
      * @param then called once, at once if no peer has to be asked
      */
-    void find(StreamKey key, long patienceMillis, Consumer<Finding> then) {
+    public void find(StreamKey key, long patienceMillis, Consumer<Finding> then) {
         exchange.find(key, state.nowMillis(), then).ifPresent(search -> {
             state.loop().schedule(() -> exchange.askAgain(search), patienceMillis / 2, TimeUnit.MILLISECONDS);
             state.loop().schedule(() -> exchange.giveUp(search), patienceMillis, TimeUnit.MILLISECONDS);
@@ -69,7 +71,7 @@
     }
 
     /** Handles a message of a peer. */
-    void onMessage(Set<String> relays, OriginMessage message) {
+    public void onMessage(Set<String> relays, OriginMessage message) {
         exchange.onMessage(relays, message, state.nowMillis());
     }
 }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/DialResult.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/targets/DialResult.java
@@ -1,4 +1,4 @@
-package org.rattanrudder.daemon.relay;
+package org.rattanrudder.daemon.relay.targets;
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -13,9 +13,9 @@
  * @param outcome how the attempt ended
  * @param channel the connection, if it was opened
  */
-record DialResult(Outcome outcome, Channel channel) {
+public record DialResult(Outcome outcome, Channel channel) {
     /** How a connection attempt ended. */
-    enum Outcome {
+    public enum Outcome {
         /** The connection was opened. */
         OPENED,
         /** The host is reachable, but no process listens on the port. */
@@ -26,7 +26,8 @@
         UNANSWERED
     }
 
-    static DialResult of(ChannelFuture dial) {
+    /** Returns the result of a connection attempt that has ended. */
+    public static DialResult of(ChannelFuture dial) {
         return new DialResult(outcome(dial), dial.channel());
     }
 
@@ -45,7 +46,7 @@
     }
 
     /** Returns whether the connection was opened and still is. */
-    boolean isStillOpen() {
+    public boolean isStillOpen() {
         return channel.isActive();
     }
 }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/QueueDispatcher.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/targets/QueueDispatcher.java
@@ -1,7 +1,7 @@
-package org.rattanrudder.daemon.relay;
+package org.rattanrudder.daemon.relay.targets;
 
 /** Dispatches queued requests when something has changed that may let them run. */
-interface QueueDispatcher {
+public interface QueueDispatcher {
     /** Sends queued requests to targets that have become usable, and rejects those that no target may run any more. */
     void onUsableTargetsChanged();
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RateLimitLog.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/targets/RateLimitLog.java
@@ -1,25 +1,27 @@
-package org.rattanrudder.daemon.relay;
+package org.rattanrudder.daemon.relay.targets;
 
 import java.util.HashMap;
 import java.util.Map;
 import org.rattanrudder.core.fleet.Target;
+import org.rattanrudder.daemon.relay.process.RelayState;
 
 /** Logs when targets name a rate limit, change it, and name none any more. */
-final class RateLimitLog {
+public final class RateLimitLog {
     private final RelayState state;
     private Map<String, Double> limits = Map.of();
 
-    RateLimitLog(RelayState state) {
+    /** Creates a log of targets none of which is limited. */
+    public RateLimitLog(RelayState state) {
         this.state = state;
     }
 
     /** Returns how many targets were limited at the last update. */
-    int limited() {
+    public int limited() {
         return limits.size();
     }
 
     /** Logs the targets whose limit has changed since the last update. */
-    void update(long now) {
+    public void update(long now) {
         Map<String, Double> current = new HashMap<>();
         for (Target target : state.fleet().all(now)) {
             target.rateLimit().ifPresent(limit -> {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/ResponseFraming.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/targets/ResponseFraming.java
@@ -1,4 +1,4 @@
-package org.rattanrudder.daemon.relay;
+package org.rattanrudder.daemon.relay.targets;
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
@@ -9,7 +9,7 @@
 import org.rattanrudder.daemon.http.ContentTypes;
 
 /** What the head of a response says of the end and the content of its body. */
-final class ResponseFraming {
+public final class ResponseFraming {
     private ResponseFraming() {}
 
     /** Returns how a body that was read to its end has ended. */
@@ -28,7 +28,7 @@
     }
 
     /** Returns whether a response with this status may have a body. */
-    static boolean mayHaveBody(HttpResponseStatus status) {
+    public static boolean mayHaveBody(HttpResponseStatus status) {
         return status.codeClass() != HttpStatusClass.INFORMATIONAL
                 && status.code() != HttpResponseStatus.NO_CONTENT.code()
                 && status.code() != HttpResponseStatus.NOT_MODIFIED.code();
@@ -39,7 +39,7 @@
      *
      * @param streamRoute whether successful responses of the route are event streams unless they say otherwise
      */
-    static boolean isEventStream(HttpResponse head, boolean streamRoute) {
+    public static boolean isEventStream(HttpResponse head, boolean streamRoute) {
         if (!ContentTypes.isReadable(head.headers().get(HttpHeaderNames.CONTENT_ENCODING))) {
             return false;
         }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/ResponseSink.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/targets/ResponseSink.java
@@ -1,4 +1,4 @@
-package org.rattanrudder.daemon.relay;
+package org.rattanrudder.daemon.relay.targets;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
@@ -6,7 +6,7 @@
 import org.rattanrudder.daemon.relay.port.ResponseMetadata;
 
 /** Handles a target's response to one request. No call follows {@code onEnd}. */
-interface ResponseSink {
+public interface ResponseSink {
     /** Handles the response head. */
     void onHead(HttpResponse response, ResponseMetadata metadata);
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/SelfReports.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/targets/SelfReports.java
@@ -1,4 +1,4 @@
-package org.rattanrudder.daemon.relay;
+package org.rattanrudder.daemon.relay.targets;
 
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -7,7 +7,10 @@
 import org.rattanrudder.core.fleet.SelfReport;
 import org.rattanrudder.core.fleet.Target;
 import org.rattanrudder.core.model.Address;
+import org.rattanrudder.daemon.relay.net.CallResult;
 import org.rattanrudder.daemon.relay.port.ResponseMetadata;
+import org.rattanrudder.daemon.relay.process.RelayState;
+import org.rattanrudder.daemon.relay.process.UnreadNames;
 
 /**
  * Takes in what targets say of themselves in the heads of their responses, to requests and to all other calls.
@@ -15,7 +18,7 @@
  * <p>Nothing else reads these headers, so what holds for one kind of call holds for all. A name that nothing reads is
  * logged once.
  */
-final class SelfReports {
+public final class SelfReports {
     private final RelayState state;
     private final QueueDispatcher queues;
     private final UnreadNames unknownHeaders;
@@ -24,7 +27,7 @@
     private int knownLeaving;
 
     /** Creates a reader that has read nothing; {@code queues} is told when other targets have become usable. */
-    SelfReports(RelayState state, QueueDispatcher queues) {
+    public SelfReports(RelayState state, QueueDispatcher queues) {
         this.state = state;
         this.queues = queues;
         unknownHeaders = new UnreadNames(
@@ -32,7 +35,7 @@
     }
 
     /** Takes in the head of the response to a request. */
-    void onResponse(Target target, ResponseMetadata metadata, long sentAt) {
+    public void onResponse(Target target, ResponseMetadata metadata, long sentAt) {
         metadata.unknownHeaders().forEach(name -> onUnknownHeader(target.id(), name));
         if (metadata.isFrom(target.id())) {
             apply(target, metadata, sentAt);
@@ -40,7 +43,7 @@
     }
 
     /** Takes in that a target answered that a request was meant for another, or for other weights; returns which. */
-    String onMisdirected(Target target, ResponseMetadata metadata) {
+    public String onMisdirected(Target target, ResponseMetadata metadata) {
         Optional<String> other = metadata.target().filter(id -> !id.equals(target.id()));
         if (other.isEmpty()) {
             target.onRejected(state.nowMillis());
@@ -52,14 +55,14 @@
     }
 
     /** Takes in the head of the response to any other call, such as an order. */
-    void onCallAnswered(Target target, CallResult result, long sentAt) {
+    public void onCallAnswered(Target target, CallResult result, long sentAt) {
         if (result instanceof CallResult.Answered answered) {
             onResponse(target, state.platform().requests().read(answered.response()), sentAt);
         }
     }
 
     /** Takes in the head of a context store's response; returns how long the store wants no further call, in ms. */
-    long onStoreAnswered(Address store, CallResult result) {
+    public long onStoreAnswered(Address store, CallResult result) {
         if (!(result instanceof CallResult.Answered answered)) {
             return 0;
         }
@@ -69,7 +72,7 @@
     }
 
     /** Handles that a peer's report was applied, which may name targets that leave. */
-    void onPeerReport(String peer, LoadReport report) {
+    public void onPeerReport(String peer, LoadReport report) {
         if (report.leaving().isEmpty()) {
             return;
         }
@@ -82,7 +85,7 @@
     }
 
     /** Returns how many known targets leave. */
-    int leavingTargets() {
+    public int leavingTargets() {
         return state.fleet().leavingTargets(state.nowMillis()).size();
     }
 
@@ -137,7 +140,7 @@
     }
 
     /** Counts a request that is sent to a target that has said that it wants none. */
-    void onRequestSent(Target target) {
+    public void onRequestSent(Target target) {
         if (target.isLeaving()) {
             state.metrics().recordSentUnwanted("leaving");
         }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TargetConnection.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/targets/TargetConnection.java
@@ -1,4 +1,4 @@
-package org.rattanrudder.daemon.relay;
+package org.rattanrudder.daemon.relay.targets;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
@@ -30,7 +30,7 @@
  * response may arrive before its request was sent in full: the connection isn't reused then, since the target might
  * read the next request as the rest of this one.
  */
-final class TargetConnection extends ChannelInboundHandlerAdapter {
+public final class TargetConnection extends ChannelInboundHandlerAdapter {
     private final Channel channel;
     private final RequestDialect dialect;
     private final Consumer<TargetConnection> onIdle;
@@ -76,7 +76,7 @@
     }
 
     /** Sends a request and takes ownership of the body. */
-    void send(HttpRequest request, ByteBuf body, String id, ResponseSink answers) {
+    public void send(HttpRequest request, ByteBuf body, String id, ResponseSink answers) {
         sink = answers;
         requestId = id;
         headRequest = request.method().equals(HttpMethod.HEAD);
@@ -98,18 +98,18 @@
     }
 
     /** Closes the connection; the target drops a request whose connection is closed. */
-    void abort() {
+    public void abort() {
         sink = null;
         channel.close();
     }
 
     /** Discards the rest of the response but reads it, so that the connection can be reused. */
-    void detach() {
+    public void detach() {
         sink = DiscardingSink.INSTANCE;
     }
 
     /** Pauses reading while the caller is slow, or resumes it. */
-    void setReading(boolean on) {
+    public void setReading(boolean on) {
         channel.config().setAutoRead(on);
     }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/TargetPools.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/targets/TargetPools.java
@@ -1,4 +1,4 @@
-package org.rattanrudder.daemon.relay;
+package org.rattanrudder.daemon.relay.targets;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
@@ -23,10 +23,11 @@
 import org.rattanrudder.core.fleet.DialTimeout;
 import org.rattanrudder.core.fleet.Target;
 import org.rattanrudder.core.model.Address;
+import org.rattanrudder.daemon.relay.net.InactivityTimer;
 import org.rattanrudder.daemon.relay.port.RequestDialect;
 
 /** Pools connections to targets, by incarnation, and opens new ones. */
-final class TargetPools {
+public final class TargetPools {
     /** How long an idle connection is reused if its target announces no keep-alive timeout. */
     private static final long DEFAULT_IDLE_TIMEOUT_MILLIS = 1_500;
 
@@ -52,7 +53,7 @@
     private final Map<Target, Pool> pools = new HashMap<>();
 
     /** Receives the results of dials without a request. */
-    interface ReachabilityListener {
+    public interface ReachabilityListener {
         /** Returns whether a target is still in use. */
         boolean isKnown(Target target);
 
@@ -66,7 +67,7 @@
      * @param loop schedules dial timeouts and redials
      * @param clock a monotonic clock in milliseconds
      */
-    TargetPools(
+    public TargetPools(
             Bootstrap connector,
             EventLoop loop,
             RequestDialect dialect,
@@ -110,7 +111,7 @@
      * @param repeatable whether the request may be repeated if the connection turns out to be closed
      * @param then called once: with a connection, or with null if none could be opened
      */
-    void acquire(Target target, boolean repeatable, Consumer<TargetConnection> then) {
+    public void acquire(Target target, boolean repeatable, Consumer<TargetConnection> then) {
         long nowMillis = clock.getAsLong();
         Pool pool = pools.computeIfAbsent(target, unseen -> new Pool());
         while (!pool.idle.isEmpty()) {
@@ -127,19 +128,19 @@
     }
 
     /** Takes back a connection that was acquired and not used. */
-    void release(Target target, TargetConnection connection) {
+    public void release(Target target, TargetConnection connection) {
         addIdle(pools.computeIfAbsent(target, unseen -> new Pool()), connection);
     }
 
     /** Dials a target without a request to check that it is reachable; the connection is kept for the next request. */
-    void verify(Target target) {
+    public void verify(Target target) {
         if (target.isProbeUseful(clock.getAsLong())) {
             dialInBackground(target);
         }
     }
 
     /** Dials a target without a request, however recently it was dialed, and passes on the result. */
-    void probe(Target target, Consumer<DialResult> then) {
+    public void probe(Target target, Consumer<DialResult> then) {
         dial(target, pools.computeIfAbsent(target, unseen -> new Pool()), new PendingAcquire(null), then);
     }
 
@@ -226,7 +227,7 @@
     }
 
     /** Closes the connections of removed targets and those that were idle for too long. */
-    void sweep(Set<Target> known, long nowMillis) {
+    public void sweep(Set<Target> known, long nowMillis) {
         for (Iterator<Map.Entry<Target, Pool>> entries = pools.entrySet().iterator(); entries.hasNext(); ) {
             Map.Entry<Target, Pool> entry = entries.next();
             entry.getValue().idle.removeIf(connection -> closeIfExpired(connection, nowMillis));
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/WarmUpLog.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/targets/WarmUpLog.java
@@ -1,4 +1,4 @@
-package org.rattanrudder.daemon.relay;
+package org.rattanrudder.daemon.relay.targets;
 
 import java.util.HashSet;
 import java.util.Optional;
@@ -6,23 +6,25 @@
 import org.rattanrudder.core.fleet.Target;
 import org.rattanrudder.core.fleet.WarmUpAdmission.Knowledge;
 import org.rattanrudder.core.gateway.WarmUpTraits;
+import org.rattanrudder.daemon.relay.process.RelayState;
 
 /** Logs when targets begin and end to warm up, as far as this relay knows. */
-final class WarmUpLog {
+public final class WarmUpLog {
     private final RelayState state;
     private Set<String> warming = Set.of();
 
-    WarmUpLog(RelayState state) {
+    /** Creates a log of targets none of which is warming up. */
+    public WarmUpLog(RelayState state) {
         this.state = state;
     }
 
     /** Returns how many targets were warming up at the last update. */
-    int warming() {
+    public int warming() {
         return warming.size();
     }
 
     /** Logs the targets whose state has changed since the last update. */
-    void update(long now) {
+    public void update(long now) {
         Set<String> before = warming;
         Set<String> current = new HashSet<>();
         for (Target target : state.fleet().all(now)) {
--- a/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/HttpCallClientTest.java
+++ b/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/net/HttpCallClientTest.java
@@ -1,4 +1,4 @@
-package org.rattanrudder.daemon.relay;
+package org.rattanrudder.daemon.relay.net;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- a/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/PlacementBroadcasterTest.java
+++ b/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/peers/PlacementBroadcasterTest.java
@@ -1,4 +1,4 @@
-package org.rattanrudder.daemon.relay;
+package org.rattanrudder.daemon.relay.peers;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.rattanrudder.core.fleet.Target;
+import org.rattanrudder.daemon.relay.targets.TestTargets;
 
 /**
  * Guards against overfilled engines. With load reports ten times a second only, 27 relays filled the same free engine
--- a/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/CrashDetectorTest.java
+++ b/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/quarantine/CrashDetectorTest.java
@@ -1,4 +1,4 @@
-package org.rattanrudder.daemon.relay;
+package org.rattanrudder.daemon.relay.quarantine;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -17,6 +17,8 @@
 import org.rattanrudder.core.quarantine.Feature;
 import org.rattanrudder.core.quarantine.RequestFingerprint;
 import org.rattanrudder.core.quarantine.TargetCrash.SuspectRequest;
+import org.rattanrudder.daemon.relay.targets.DialResult;
+import org.rattanrudder.daemon.relay.targets.TestTargets;
 
 /** A crashed target looked alive while its process was still closing its sockets. */
 class CrashDetectorTest {
--- a/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/PollIntervalsTest.java
+++ b/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/store/PollIntervalsTest.java
@@ -1,4 +1,4 @@
-package org.rattanrudder.daemon.relay;
+package org.rattanrudder.daemon.relay.store;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- a/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/TestTargets.java
+++ b/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/targets/TestTargets.java
@@ -1,4 +1,4 @@
-package org.rattanrudder.daemon.relay;
+package org.rattanrudder.daemon.relay.targets;
 
 import java.util.Map;
 import java.util.Optional;
@@ -8,11 +8,11 @@
 import org.rattanrudder.core.model.Address;
 
 /** Creates targets for tests. */
-final class TestTargets {
+public final class TestTargets {
     private TestTargets() {}
 
     /** Returns a target that was just registered. */
-    static Target target(String id, Map<String, Long> weights, long nowMillis) {
+    public static Target target(String id, Map<String, Long> weights, long nowMillis) {
         Fleet fleet = new Fleet();
         fleet.apply(
                 id,
