Write out the equality of three records that a start compares

The equals and hashCode that records generate are linked at run time, as is a reference to a caller-sensitive method. Address, Feature and StreamKey caused about 25 generated classes between the start and the first requests, and the set-up of the loggers about ten.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/continuation/StreamKey.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/continuation/StreamKey.java
@@ -32,4 +32,15 @@
     public String toString() {
         return HEX.toHexDigits(first) + HEX.toHexDigits(second);
     }
+
+    // Explicit: those that records generate are linked at run time, which slows the start of a relay.
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof StreamKey key && first == key.first && second == key.second;
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * Long.hashCode(first) + Long.hashCode(second);
+    }
 }
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/model/Address.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/model/Address.java
@@ -37,4 +37,15 @@
     public String toString() {
         return host + ":" + port;
     }
+
+    // Explicit: those that records generate are linked at run time, which slows the start of a relay.
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof Address address && port == address.port && host.equals(address.host);
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * host.hashCode() + port;
+    }
 }
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/quarantine/Feature.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/quarantine/Feature.java
@@ -156,4 +156,15 @@
         int order = kind.compareTo(other.kind);
         return order == 0 ? value.compareTo(other.value) : order;
     }
+
+    // Explicit: those that records generate are linked at run time, which slows the start of a relay.
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof Feature feature && kind == feature.kind && value.equals(feature.value);
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * kind.ordinal() + value.hashCode();
+    }
 }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/logging/Logging.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/logging/Logging.java
@@ -34,8 +34,9 @@
          * Loggers of libraries that log each connection reset by a peer, which the daemon logs itself where it matters.
          * They are referenced here because the JDK holds loggers weakly and a collected logger loses its level.
          */
+        // Not a method reference: for a caller-sensitive method, an invoker class would be generated at each start.
         private static final List<Logger> NOISY = Stream.of("io.undertow", "org.xnio", "io.netty", "org.jboss.threads")
-                .map(Logger::getLogger)
+                .map(name -> Logger.getLogger(name))
                 .toList();
 
         static void configure() {
