Try a popular feature in doubt at once, by a request without the rarer ones

Cause: a part that all requests share is blamed in place of several rarer causes, and its one trial in two minutes goes to a request with one of them. Change: Alternatives are the rarer features of a cause's requests at its crashes that no answer has cleared. A cause is in doubt if they explain its crashes but for one. Then the trial begins at once and goes to a request without them, with 20 s precedence over others; one of at most three trials is kept for such a request. AnswersToTell is moved out of Quarantine, without a change of behaviour.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/quarantine/CauseFinder.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/quarantine/CauseFinder.java
@@ -89,6 +89,14 @@
         return crashesByFeature;
     }
 
+    /** Returns what may explain the crashes of a cause in its place. */
+    Alternatives alternativesTo(Cause cause) {
+        return Alternatives.of(
+                cause,
+                evidence.crashes(),
+                (feature, crash) -> isSuspected(feature, crash) && !wasAnswered(feature, crash));
+    }
+
     private Map<Feature, List<Crash>> suspectedCrashes() {
         Map<Feature, List<Crash>> found = new HashMap<>();
         evidence.bySpecificFeature().forEach((feature, crashes) -> {
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/quarantine/CauseTrials.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/quarantine/CauseTrials.java
@@ -1,5 +1,6 @@
 package org.rattanrudder.core.quarantine;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -14,6 +15,12 @@
     /** How many requests with a cause may be sent, over all relays. */
     static final int MAX_TRIALS = 2;
 
+    /** How many of them there are if rarer features may be the cause: one may have been lost, or have had these. */
+    static final int MAX_TRIALS_IN_DOUBT = 3;
+
+    /** How long after the last crash requests aren't tried that have the rarer features too. */
+    private static final long DISTINGUISHING_ONLY_MILLIS = TimeUnit.SECONDS.toMillis(20);
+
     /** How long after the last crash, or the trial before, each trial may begin. */
     private static final List<Long> DELAYS_MILLIS = List.of(TimeUnit.SECONDS.toMillis(5), TimeUnit.MINUTES.toMillis(2));
 
@@ -49,13 +56,40 @@
     }
 
     /**
-     * Returns whether a cause may be tried.
+     * Returns whether a cause may be tried by a request that has it.
      *
      * @param sinceMillis when it was quarantined, or crashed a target last
      */
-    boolean isDue(Cause cause, long sinceMillis, long nowMillis) {
+    boolean isDue(
+            Cause cause, Alternatives alternatives, Collection<Feature> request, long sinceMillis, long nowMillis) {
+        if (!isSuitable(alternatives, request, sinceMillis, nowMillis)) {
+            return false;
+        }
+        if (!alternatives.isDoubtful()) {
+            return isDue(cause, MAX_TRIALS, sinceMillis, nowMillis);
+        }
+        return alternatives.areToldApartBy(request)
+                ? isDueInDoubt(cause, nowMillis)
+                : isDue(cause, MAX_TRIALS - 1, sinceMillis, nowMillis);
+    }
+
+    /** Returns whether a request may be a trial: in doubt, those that settle it have precedence. */
+    private static boolean isSuitable(
+            Alternatives alternatives, Collection<Feature> request, long sinceMillis, long nowMillis) {
+        return !alternatives.isDoubtful()
+                || alternatives.areToldApartBy(request)
+                || nowMillis - sinceMillis >= DISTINGUISHING_ONLY_MILLIS;
+    }
+
+    /** Returns whether it may be tried by a request that tells it from its alternatives: at once, or once more. */
+    private boolean isDueInDoubt(Cause cause, long nowMillis) {
+        Trials own = trials.get(cause);
+        return number(cause) < MAX_TRIALS_IN_DOUBT && (own == null || nowMillis - own.lastAt() >= DELAYS_MILLIS.get(0));
+    }
+
+    private boolean isDue(Cause cause, int maxTrials, long sinceMillis, long nowMillis) {
         int number = number(cause);
-        if (number >= MAX_TRIALS) {
+        if (number >= maxTrials) {
             return false;
         }
         long tried = trials.entrySet().stream()
@@ -66,10 +100,11 @@
         return nowMillis - Math.max(sinceMillis, tried) >= DELAYS_MILLIS.get(number);
     }
 
-    /** Takes the permit to send a request with a cause, if there is one. */
-    boolean take(Cause cause, long nowMillis) {
+    /** Takes the permit to send a request with a cause, if there is one for such a request. */
+    boolean take(
+            Cause cause, Alternatives alternatives, Collection<Feature> request, long sinceMillis, long nowMillis) {
         permits.values().removeIf(since -> nowMillis - since >= PERMIT_MILLIS);
-        return permits.remove(cause) != null;
+        return isSuitable(alternatives, request, sinceMillis, nowMillis) && permits.remove(cause) != null;
     }
 
     /** Forgets trials that are over for long. */
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/quarantine/Feature.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/quarantine/Feature.java
@@ -132,6 +132,11 @@
         return kind.specific;
     }
 
+    /** Returns whether requests that have nothing else in common may have it and be crashed by it. */
+    boolean isShared() {
+        return kind == Kind.PART;
+    }
+
     /**
      * Parses the text of a feature.
      *
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/quarantine/Quarantine.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/quarantine/Quarantine.java
@@ -4,7 +4,6 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -60,9 +59,6 @@
     /** Age from which on a record is removed since its quarantine is over; relays hear of it at different times. */
     private static final long EXPIRING_MILLIS = QUARANTINE_MILLIS - TimeUnit.MINUTES.toMillis(1);
 
-    /** How long a response with a feature isn't told again; relays that have heard of it don't tell it either. */
-    static final long TELL_INTERVAL_MILLIS = 2_000;
-
     /** How often causes are worked out anew for responses: each takes a look at all reports. */
     private static final long MIN_UPDATE_MILLIS = 100;
 
@@ -77,8 +73,10 @@
     private final Set<Cause> ownRecords = new HashSet<>();
     private final Set<Cause> recordsToWithdraw = new HashSet<>();
     private final CauseTrials trials = new CauseTrials();
-    private final Map<Feature, FeatureAnswer> answersToTell = new LinkedHashMap<>();
-    private final Map<FeatureAnswer, Long> toldAt = new HashMap<>();
+    private final AnswersToTell answersToTell = new AnswersToTell();
+    /** Of causes that were asked for since the finder is this one. */
+    private final Map<Cause, Alternatives> alternatives = new HashMap<>();
+
     private CauseFinder finder = CauseFinder.find(evidence, answers);
     private List<Found> found = List.of();
     private long answeredUpdateAt = Long.MIN_VALUE / 2;
@@ -181,23 +179,12 @@
         if (!blamed && crashes.size() < TOLD_CRASHES) {
             return;
         }
-        tellUnlessTold(answer, nowMillis);
-    }
-
-    private void tellUnlessTold(FeatureAnswer answer, long nowMillis) {
-        Long told = toldAt.get(answer);
-        if (told == null || nowMillis - told >= TELL_INTERVAL_MILLIS) {
-            toldAt.put(answer, nowMillis);
-            answersToTell.put(answer.feature(), answer);
-        }
+        answersToTell.add(answer, nowMillis);
     }
 
     /** Records that another relay has told of a response with a feature. */
     public void onAnswerTold(FeatureAnswer answer, long nowMillis) {
-        toldAt.put(answer, nowMillis);
-        if (answersToTell.getOrDefault(answer.feature(), answer).clearsUpToMillis() <= answer.clearsUpToMillis()) {
-            answersToTell.remove(answer.feature());
-        }
+        answersToTell.onTold(answer, nowMillis);
         answers.record(answer, nowMillis);
         removeAnswered(List.of(answer.feature()), answer.clearsUpToMillis() > 0 ? nowMillis : 0, false);
         update();
@@ -205,14 +192,12 @@
 
     /** Returns the responses that other relays have to know of, and regards them as told. */
     public List<FeatureAnswer> takeAnswersToTell() {
-        List<FeatureAnswer> taken = List.copyOf(answersToTell.values());
-        answersToTell.clear();
-        return taken;
+        return answersToTell.take();
     }
 
     /** Takes back answers that couldn't be told; newer ones stay. */
     public void onAnswersUntold(List<FeatureAnswer> untold) {
-        untold.forEach(answer -> answersToTell.putIfAbsent(answer.feature(), answer));
+        answersToTell.onUntold(untold);
     }
 
     /** Removes answered features from the causes of shared records. */
@@ -258,7 +243,7 @@
         if (!cause.answeredBefore() && !isFound(cause)) {
             answeredAmong(cause.features(), nowMillis)
                     .forEach(feature ->
-                            tellUnlessTold(new FeatureAnswer(feature, answers.clearsUpTo(feature)), nowMillis));
+                            answersToTell.add(new FeatureAnswer(feature, answers.clearsUpTo(feature)), nowMillis));
         }
     }
 
@@ -324,7 +309,7 @@
     public void expire(long nowMillis) {
         boolean changed = evidence.removeBefore(nowMillis - 2 * QUARANTINE_MILLIS) || stale;
         lapsed.values().removeIf(since -> nowMillis - since >= QUARANTINE_MILLIS);
-        toldAt.values().removeIf(since -> nowMillis - since >= CLEARED_MILLIS);
+        answersToTell.expire(nowMillis);
         trials.expire(nowMillis);
         for (Map.Entry<Cause, Adopted> entry : List.copyOf(adopted.entrySet())) {
             if (nowMillis - entry.getValue().sinceMillis() >= QUARANTINE_MILLIS) {
@@ -368,6 +353,7 @@
     private void update() {
         stale = false;
         finder = CauseFinder.find(evidence, answers);
+        alternatives.clear();
         found = finder.causes().stream()
                 .filter(each -> each.cause().isSpecific())
                 .filter(each -> each.lastSeenAt() > lapsed.getOrDefault(each.cause(), Long.MIN_VALUE))
@@ -428,8 +414,12 @@
      */
     public Optional<Cause> causeToTry(Collection<Feature> request, long nowMillis) {
         List<Cause> matching = causes(request).toList();
-        return matching.size() == 1 && trials.isDue(matching.get(0), since(matching.get(0)), nowMillis)
-                ? Optional.of(matching.get(0))
+        if (matching.size() != 1) {
+            return Optional.empty();
+        }
+        Cause cause = matching.get(0);
+        return trials.isDue(cause, alternativesTo(cause), request, since(cause), nowMillis)
+                ? Optional.of(cause)
                 : Optional.empty();
     }
 
@@ -446,7 +436,15 @@
     /** Takes the permit to send a request with the given features although it is quarantined, if there is one. */
     public boolean takeTrial(Collection<Feature> request, long nowMillis) {
         List<Cause> matching = causes(request).toList();
-        return matching.size() == 1 && trials.take(matching.get(0), nowMillis);
+        if (matching.size() != 1) {
+            return false;
+        }
+        Cause cause = matching.get(0);
+        return trials.take(cause, alternativesTo(cause), request, since(cause), nowMillis);
+    }
+
+    private Alternatives alternativesTo(Cause cause) {
+        return alternatives.computeIfAbsent(cause, finder::alternativesTo);
     }
 
     /** Returns whether one more crash would quarantine a request with the given features. */
