--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/quarantine/QuarantineModel.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/quarantine/QuarantineModel.java
@@ -26,6 +26,7 @@
     private static final long RETRY_MILLIS = 100;
     private static final long SWEEP_MILLIS = 500;
     private static final long CLAIM_MILLIS = 20;
+    private static final long CLAIM_INTERVAL_MILLIS = 1_000;
 
     /**
      * What is played.
@@ -125,6 +126,8 @@
         private Quarantine quarantine = new Quarantine();
         private long startedAt;
         private long readUntil;
+        private int recordsRead;
+        private long nextClaimAt;
     }
 
     private final Mix mix;
@@ -140,6 +143,8 @@
     private final Map<Long, int[]> seconds = new HashMap<>();
     private final Set<Cause> records = new HashSet<>();
     private final Map<Cause, Integer> trials = new HashMap<>();
+    private final List<TargetCrash> crashRecords = new ArrayList<>();
+    private int recordsWritten;
     private long now;
     private long sequence;
     private int sound;
@@ -309,11 +314,15 @@
 
     /** Writes the record of a trial. The store takes it only from a relay that has read all before it. */
     private void claimTrial(Relay relay, Cause cause) {
-        Quarantine quarantine = relay.quarantine;
-        int number = quarantine.trialsOf(cause) + 1;
-        if (number != 1 + trials.getOrDefault(cause, 0)) {
+        if (now < relay.nextClaimAt) {
+            return;
+        }
+        relay.nextClaimAt = now + CLAIM_INTERVAL_MILLIS;
+        if (relay.recordsRead < recordsWritten) {
             return;
         }
+        Quarantine quarantine = relay.quarantine;
+        int number = quarantine.trialsOf(cause) + 1;
         trials.put(cause, number);
         at(now + CLAIM_MILLIS, () -> quarantine.onTrialGranted(cause, number, now));
         toOthers(relay, other -> other.onRecord(cause, number, now));
@@ -380,17 +389,23 @@
         TargetCrash crash = new TargetCrash(
                 "i-" + target, start, UNIX + crashedAt, suspects, relay.quarantine.answeredAmong(features, now));
         relay.quarantine.onCrash(crash, true, now);
+        crashRecords.add(crash);
         toOthers(relay, other -> other.onCrash(crash, false, now));
         share(relay);
     }
 
     /** Lets all other relays read something, in the order of the log, each with a delay of its own. */
     private void toOthers(Relay relay, Consumer<Quarantine> reading) {
+        recordsWritten++;
+        relay.recordsRead++;
         for (Relay other : relays) {
             if (other != relay) {
                 Quarantine quarantine = other.quarantine;
                 other.readUntil = Math.max(other.readUntil, now + 20 + random.nextInt(300));
-                at(other.readUntil, () -> reading.accept(quarantine));
+                at(other.readUntil, () -> {
+                    other.recordsRead += other.quarantine == quarantine ? 1 : 0;
+                    reading.accept(quarantine);
+                });
             }
         }
     }
@@ -414,11 +429,13 @@
         }
     }
 
-    /** One relay starts again and knows what stands in the records of causes. */
+    /** One relay starts again and knows what stands in the records of crashes and causes. */
     private void restart() {
         Relay relay = relays.get(random.nextInt(relays.size()));
         relay.quarantine = new Quarantine();
         relay.startedAt = now;
+        relay.recordsRead = recordsWritten;
+        crashRecords.forEach(crash -> relay.quarantine.onPastCrash(crash, now));
         records.forEach(cause -> relay.quarantine.onListedRecord(cause, trials.getOrDefault(cause, 0), true, now));
     }
 }
