--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/quarantine/QuarantineModel.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/quarantine/QuarantineModel.java
@@ -25,6 +25,8 @@
     private static final long DOWN_MILLIS = 3_000;
     private static final long RETRY_MILLIS = 100;
     private static final long SWEEP_MILLIS = 500;
+    private static final long CLAIM_MILLIS = 20;
+    private static final long CLAIM_INTERVAL_MILLIS = 1_000;
 
     /**
      * What is played.
@@ -40,6 +42,9 @@
      * @param outageMillis how long it takes until all targets end at once, again and again; 0 for never
      * @param restartMillis how long it takes until a relay starts again; 0 for never
      * @param seconds how long it is played
+     * @param customers how many customers send sound requests; causes are sent by the first
+     * @param soundFromMillis when sound requests begin
+     * @param alternating whether requests with the causes come in turn, at equal distances
      */
     record Mix(
             int relays,
@@ -52,7 +57,39 @@
             int parts,
             long outageMillis,
             long restartMillis,
-            int seconds) {}
+            int seconds,
+            int customers,
+            long soundFromMillis,
+            boolean alternating) {
+        Mix(
+                int relays,
+                int targets,
+                int perSecond,
+                int causes,
+                double causePerSecond,
+                int burst,
+                long beforeMillis,
+                int parts,
+                long outageMillis,
+                long restartMillis,
+                int seconds) {
+            this(
+                    relays,
+                    targets,
+                    perSecond,
+                    causes,
+                    causePerSecond,
+                    burst,
+                    beforeMillis,
+                    parts,
+                    outageMillis,
+                    restartMillis,
+                    seconds,
+                    3,
+                    0,
+                    false);
+        }
+    }
 
     /**
      * What came of it.
@@ -89,6 +126,8 @@
         private Quarantine quarantine = new Quarantine();
         private long startedAt;
         private long readUntil;
+        private int recordsRead;
+        private long nextClaimAt;
     }
 
     private final Mix mix;
@@ -104,6 +143,8 @@
     private final Map<Long, int[]> seconds = new HashMap<>();
     private final Set<Cause> records = new HashSet<>();
     private final Map<Cause, Integer> trials = new HashMap<>();
+    private final List<TargetCrash> crashRecords = new ArrayList<>();
+    private int recordsWritten;
     private long now;
     private long sequence;
     private int sound;
@@ -126,12 +167,15 @@
 
     Result play() {
         for (int request = 0; request < mix.perSecond() * mix.seconds(); request++) {
-            at(random.nextInt(mix.seconds() * 1_000), () -> send(soundRequest()));
+            long when = random.nextInt(mix.seconds() * 1_000);
+            if (when >= mix.soundFromMillis()) {
+                at(when, () -> send(soundRequest()));
+            }
         }
         for (int cause = 0; cause < mix.causes(); cause++) {
             int bursts = (int) (mix.causePerSecond() * mix.seconds() / mix.burst());
             for (int burst = 0; burst < bursts; burst++) {
-                long when = random.nextInt(mix.seconds() * 1_000);
+                long when = mix.alternating() ? inTurn(cause, burst) : random.nextInt(mix.seconds() * 1_000);
                 for (int each = 0; each < mix.burst(); each++) {
                     int number = cause;
                     at(when, () -> send(request(number)));
@@ -165,6 +209,10 @@
                 related == 0 ? 0 : (double) relatedRefused / related);
     }
 
+    private long inTurn(int cause, int burst) {
+        return (long) ((burst * mix.causes() + cause) * 1_000 * mix.burst() / (mix.causePerSecond() * mix.causes()));
+    }
+
     private void at(long time, Runnable run) {
         events.add(new Event(time, sequence++, run));
     }
@@ -188,9 +236,10 @@
             request.cause = cause;
             request.features.add(part("cause", cause));
         }
-        request.features.add(part("own", random.nextInt()));
+        request.features.add(new Feature(Feature.Kind.LAST_PART, Integer.toHexString(random.nextInt())));
         request.features.add(new Feature(Feature.Kind.REQUEST, Integer.toHexString(random.nextInt())));
-        request.features.add(new Feature(Feature.Kind.CUSTOMER, "customer" + (cause >= 0 ? 0 : random.nextInt(3))));
+        request.features.add(
+                new Feature(Feature.Kind.CUSTOMER, "customer" + (cause >= 0 ? 0 : random.nextInt(mix.customers()))));
         return request;
     }
 
@@ -204,8 +253,7 @@
 
     private void send(Request request) {
         request.relay = relays.get(random.nextInt(relays.size()));
-        boolean refused =
-                request.relay.quarantine.remainingMillis(request.features, now).isPresent();
+        boolean refused = isRefused(request.relay, request.features);
         if (request.cause < 0) {
             countSound(request, refused);
         }
@@ -255,18 +303,29 @@
         }
     }
 
-    private boolean tries(Relay relay, List<Feature> features) {
+    private boolean isRefused(Relay relay, List<Feature> features) {
         Quarantine quarantine = relay.quarantine;
-        quarantine.causeToTry(features, now).ifPresent(cause -> {
-            int number = quarantine.trialsOf(cause) + 1;
-            // The store takes a record only from a relay that has read all before it.
-            if (number == 1 + trials.getOrDefault(cause, 0)) {
-                trials.put(cause, number);
-                quarantine.onTrialGranted(cause, number, now);
-                toOthers(relay, other -> other.onRecord(cause, number, now));
-            }
-        });
-        return quarantine.takeTrial(features, now);
+        if (quarantine.remainingMillis(features, now).isEmpty() || quarantine.takeTrial(features, now)) {
+            return false;
+        }
+        quarantine.causeToTry(features, now).ifPresent(cause -> claimTrial(relay, cause));
+        return true;
+    }
+
+    /** Writes the record of a trial. The store takes it only from a relay that has read all before it. */
+    private void claimTrial(Relay relay, Cause cause) {
+        if (now < relay.nextClaimAt) {
+            return;
+        }
+        relay.nextClaimAt = now + CLAIM_INTERVAL_MILLIS;
+        if (relay.recordsRead < recordsWritten) {
+            return;
+        }
+        Quarantine quarantine = relay.quarantine;
+        int number = quarantine.trialsOf(cause) + 1;
+        trials.put(cause, number);
+        at(now + CLAIM_MILLIS, () -> quarantine.onTrialGranted(cause, number, now));
+        toOthers(relay, other -> other.onRecord(cause, number, now));
     }
 
     private void goOn(Request request) {
@@ -330,17 +389,23 @@
         TargetCrash crash = new TargetCrash(
                 "i-" + target, start, UNIX + crashedAt, suspects, relay.quarantine.answeredAmong(features, now));
         relay.quarantine.onCrash(crash, true, now);
+        crashRecords.add(crash);
         toOthers(relay, other -> other.onCrash(crash, false, now));
         share(relay);
     }
 
     /** Lets all other relays read something, in the order of the log, each with a delay of its own. */
     private void toOthers(Relay relay, Consumer<Quarantine> reading) {
+        recordsWritten++;
+        relay.recordsRead++;
         for (Relay other : relays) {
             if (other != relay) {
                 Quarantine quarantine = other.quarantine;
                 other.readUntil = Math.max(other.readUntil, now + 20 + random.nextInt(300));
-                at(other.readUntil, () -> reading.accept(quarantine));
+                at(other.readUntil, () -> {
+                    other.recordsRead += other.quarantine == quarantine ? 1 : 0;
+                    reading.accept(quarantine);
+                });
             }
         }
     }
@@ -364,11 +429,13 @@
         }
     }
 
-    /** One relay starts again and knows what stands in the records of causes. */
+    /** One relay starts again and knows what stands in the records of crashes and causes. */
     private void restart() {
         Relay relay = relays.get(random.nextInt(relays.size()));
         relay.quarantine = new Quarantine();
         relay.startedAt = now;
+        relay.recordsRead = recordsWritten;
+        crashRecords.forEach(crash -> relay.quarantine.onPastCrash(crash, now));
         records.forEach(cause -> relay.quarantine.onListedRecord(cause, trials.getOrDefault(cause, 0), true, now));
     }
 }
