Learn how fast each target is now, and derive placement and windows from it

Placement, send windows and the bound on late requests used constants that suit engines of 100 tokens/ms. On engines of 36 to 43 tokens/ms the window is 330 to 390 ms of work instead of 140, and a target that shares its machine and is slow at the moment gets as many requests as any other.

Windows and bounds are times at that speed, within the configured memory. Relays pick one of the two best engines at random if these are about equally good. Without a reported pace the constants apply.

--- /dev/null
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/FirstEventSample.java
@@ -0,0 +1,52 @@
+package org.rattanrudder.core.fleet;
+
+/**
+ * The time to the first event of one response of an engine, and what it contains.
+ *
+ * @param before the target when the request was sent
+ * @param promptTokens the tokens of its prompt
+ * @param prefillTokens those of them that needed prefill
+ * @param fetchMillis the time that the fetch of the others takes on an idle link, in ms
+ * @param millis the time to the first event, in ms
+ */
+public record FirstEventSample(
+        CapacityAtSend before, int promptTokens, int prefillTokens, double fetchMillis, double millis) {
+    /**
+     * What was known of a target when a request was sent to it, without the request.
+     *
+     * @param aheadTokens prompt tokens that awaited prefill there
+     * @param requests the requests that were there
+     * @param pace the expected pace, 1 for the usual one
+     */
+    public record CapacityAtSend(long aheadTokens, int requests, double pace) {}
+
+    /** Returns the prompt tokens that were prefilled until the first event. */
+    double totalTokens() {
+        return (double) before.aheadTokens() + prefillTokens;
+    }
+
+    /** Returns the time without the fetch, in ms. */
+    double millisWithoutFetch() {
+        return millis - fetchMillis;
+    }
+
+    /**
+     * Returns the pace between sending and the first event: the mean of what was expected before and reported after.
+     */
+    double meanPace(double paceAfter) {
+        return (before.pace() + paceAfter) / 2;
+    }
+
+    /**
+     * Returns how much it says of the target's speed, from 0 to 1. The most is said by a response of an idle target at
+     * an even pace without a fetch; what other requests, fetches and changes of pace contribute is known inexactly.
+     *
+     * @param ownShare the share of the expected time that the request's own prompt takes
+     */
+    double weight(double ownShare, int slots, double paceAfter) {
+        double idle = 1 - 0.5 * Math.min(1, (double) before.requests() / Math.max(1, slots));
+        double steady = Math.min(before.pace(), paceAfter) / Math.max(before.pace(), paceAfter);
+        double unfetched = Math.max(0, 1 - fetchMillis / Math.max(1, millis));
+        return ownShare * ownShare * idle * steady * unfetched;
+    }
+}
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Fleet.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Fleet.java
@@ -52,6 +52,7 @@
     private final Map<String, Long> expired = new HashMap<>();
     private final Map<String, TargetNotices> notices = new HashMap<>();
     private final Map<String, Removal> removals = new LinkedHashMap<>();
+    private final Map<String, ServiceCapacity> capacities = new HashMap<>();
     private final PeerLoads peers = new PeerLoads();
     private final TargetSharing sharing = new TargetSharing();
     private final Evacuations evacuations = new Evacuations();
@@ -150,7 +151,8 @@
         recordSoftware(Optional.ofNullable(target), nowMillis);
         boolean started = listed && (target == null || restarted);
         if (target == null || restarted) {
-            target = new Target(registration, noticesOf(registration), peers, sharing);
+            target =
+                    new Target(registration, noticesOf(registration), peers, sharing, capacity(registration.service()));
             targets.put(registration.id(), target);
         } else {
             target.update(registration);
@@ -289,6 +291,11 @@
         return Optional.ofNullable(targets.get(id));
     }
 
+    /** Returns how fast the targets of a service usually are. */
+    public ServiceCapacity capacity(String service) {
+        return capacities.computeIfAbsent(service, unseen -> new ServiceCapacity());
+    }
+
     /** Returns the failure domains that operators have evacuated. */
     public Evacuations evacuations() {
         return evacuations;
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/HoldingQueue.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/HoldingQueue.java
@@ -7,6 +7,7 @@
 import java.util.TreeSet;
 import java.util.function.Predicate;
 import java.util.stream.Stream;
+import org.rattanrudder.core.gateway.EngineTraits;
 
 /**
  * Queue of the requests of one service that wait at the relay for an engine with free capacity.
@@ -33,11 +34,18 @@
     public static final double LATE_WAIT_RATIO = 2;
 
     /**
-     * Tokens of late requests that may wait per engine, over all relays: about two thirds of an engine's memory, so
-     * that a late request waits for some hundred ms rather than until its deadline.
+     * Tokens of late requests that may wait per engine, over all relays, where targets report no pace: a late request
+     * waits for some hundred ms rather than until its deadline.
      */
     private static final long LATE_TOKENS_PER_ENGINE = 40_000;
 
+    /** The same bound as the time that an engine takes to prefill them at the expected speed. */
+    private static final double LATE_MILLIS_PER_ENGINE =
+            LATE_TOKENS_PER_ENGINE / ServiceCapacity.EXPECTED_TOKENS_PER_MILLI;
+
+    /** Share of an engine's configured memory that late requests which wait for it may need. */
+    private static final double LATE_MEMORY_SHARE = 2.0 / 3;
+
     private final TreeSet<QueuedRequest<T>> onTime =
             new TreeSet<>(Comparator.<QueuedRequest<T>>comparingInt(QueuedRequest::priority)
                     .thenComparingLong(QueuedRequest::onTimeUntilMillis)
@@ -53,8 +61,8 @@
     public HoldingQueue() {}
 
     /**
-     * Returns how many tokens of late requests may wait at one relay. All relays wait for the same engines, so each
-     * gets an equal share.
+     * Returns how many tokens of late requests may wait at one relay where targets report no pace. All relays wait for
+     * the same engines, so each gets an equal share.
      *
      * @param engines the number of engines of the service
      * @param relays the number of relays, including this one
@@ -63,6 +71,25 @@
         return Math.max(1, engines) * LATE_TOKENS_PER_ENGINE / Math.max(1, relays);
     }
 
+    /**
+     * Returns how many tokens of late requests may wait at one relay: by the learned speed and the configured memory of
+     * the engines where targets report a pace.
+     *
+     * @param engines the number of engines of the service
+     * @param relays the number of relays, including this one
+     * @param engine properties of the engines; empty for a plain service
+     */
+    public static long maxLateTokens(
+            int engines, int relays, ServiceCapacity capacity, Optional<EngineTraits> engine, long nowMillis) {
+        if (engine.isEmpty() || !capacity.isPaced(nowMillis)) {
+            return maxLateTokens(engines, relays);
+        }
+        double tokens = Math.min(
+                LATE_MEMORY_SHARE * engine.get().capacityTokens(),
+                LATE_MILLIS_PER_ENGINE * capacity.prefillTokensPerMilli(nowMillis));
+        return (long) (Math.max(1, engines) * tokens / Math.max(1, relays));
+    }
+
     /**
      * A queued request with its deadlines.
      *
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Placement.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Placement.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import org.rattanrudder.core.fleet.LoadReport.TargetLoad;
 import org.rattanrudder.core.gateway.EngineTraits;
 import org.rattanrudder.core.routing.Hashing;
@@ -14,12 +15,16 @@
  * chosen only if no other one is left.
  */
 public final class Placement {
-    /** Prompt tokens that an engine prefills per millisecond; the order of magnitude suffices to compare targets. */
-    private static final double TOKENS_PER_MILLI = 100;
-
-    /** Delay that each running request adds to the steps of an engine, summed over a short response. */
+    /**
+     * Delay that each running request adds to the steps of an engine, summed over a short response, where targets
+     * report no pace.
+     */
     private static final double MILLIS_PER_RUNNING_REQUEST = 2;
 
+    /** The same delay as a number of prompt tokens that take as long at the expected prefill speed. */
+    private static final double TOKENS_PER_RUNNING_REQUEST =
+            MILLIS_PER_RUNNING_REQUEST * ServiceCapacity.EXPECTED_TOKENS_PER_MILLI;
+
     /** Delay equivalent of a certain failure: the retry, and the risk that the request is lost. */
     private static final double FAILURE_MILLIS = 1_500;
 
@@ -71,8 +76,22 @@
 
     /** Returns the best target; empty if the service has none that may start the request. */
     public static Optional<Choice> choose(List<Target> targets, PlacementQuery query, long nowMillis) {
+        return choose(targets, query, nowMillis, () -> false);
+    }
+
+    /**
+     * Returns the best target, or the second best if both are about equally good; empty if the service has none that
+     * may start the request.
+     *
+     * @param coin decides for the second best; asked only where targets report a pace: relays that hear the same pace
+     *     must not all choose the same target
+     */
+    public static Optional<Choice> choose(
+            List<Target> targets, PlacementQuery query, long nowMillis, BooleanSupplier coin) {
         Target best = null;
         double bestMillis = Double.MAX_VALUE;
+        Target second = null;
+        double secondMillis = Double.MAX_VALUE;
         int candidates = 0;
         for (Target target : targets) {
             if (!isEligible(target, query)) {
@@ -81,13 +100,28 @@
             candidates++;
             double expected = expectedMillis(target, query, nowMillis);
             if (expected < bestMillis) {
+                second = best;
+                secondMillis = bestMillis;
                 best = target;
                 bestMillis = expected;
+            } else if (expected < secondMillis) {
+                second = target;
+                secondMillis = expected;
             }
         }
+        if (second != null && secondMillis - bestMillis < equalMillis(best, query, nowMillis) && coin.getAsBoolean()) {
+            return Optional.of(new Choice(second, secondMillis, candidates));
+        }
         return best == null ? Optional.empty() : Optional.of(new Choice(best, bestMillis, candidates));
     }
 
+    /** Returns the difference of two engines that are about equally good: what a relay's own preference makes up. */
+    private static double equalMillis(Target target, PlacementQuery query, long nowMillis) {
+        return query.engine().isPresent() && target.capacity().isPaced(nowMillis)
+                ? relayPreference(query) * preferenceScale(target, nowMillis)
+                : 0;
+    }
+
     private static boolean isEligible(Target target, PlacementQuery query) {
         if (target.inFlight() >= query.connections()) {
             return false;
@@ -116,13 +150,18 @@
     private static double plainMillis(Target target, PlacementQuery query, long nowMillis) {
         int slots = Math.max(1, target.registration().slots());
         double share = (double) (target.inFlight() + target.peerLoad(nowMillis).requests()) / slots;
-        return query.callMillis() * share * (share < 1 ? share : 2 * share);
+        double delay = query.callMillis() * share * (share < 1 ? share : 2 * share);
+        if (!target.capacity().isPaced(nowMillis)) {
+            return delay;
+        }
+        double slowdown = target.capacity().slowdown(nowMillis);
+        boolean full = target.capacity().isBeyondKnee(target.requests(nowMillis), nowMillis);
+        return slowdown * delay + (slowdown - 1) * query.callMillis() + (full ? query.callMillis() : 0);
     }
 
     private static double engineMillis(Target target, PlacementQuery query, EngineTraits engine, long nowMillis) {
         TargetLoad peers = target.peerLoad(nowMillis);
-        double millis = (target.pendingPrefillTokens() + peers.pendingPrefillTokens()) / TOKENS_PER_MILLI
-                + MILLIS_PER_RUNNING_REQUEST * (target.inFlight() + peers.requests());
+        double millis = workMillis(target, query, peers, nowMillis);
         double memory = engine.capacityTokens() * MAX_MEMORY_SHARE;
         long wanted = target.inFlightTokens() + peers.tokens() + query.tokens();
         if (wanted > memory) {
@@ -134,13 +173,43 @@
         if (query.model().isPresent() && target.weights(query.model().get()) < query.newestWeights()) {
             millis += OLD_WEIGHTS_MILLIS;
         }
-        return millis - affinity(target, query);
+        return millis - preferenceScale(target, nowMillis) * affinity(target, query);
+    }
+
+    /**
+     * Returns the delay by the work that is there and, where targets differ in speed, by the request itself. Beyond a
+     * target's knee the request counts twice: it makes the others slower too.
+     */
+    private static double workMillis(Target target, PlacementQuery query, TargetLoad peers, long nowMillis) {
+        long pending = target.pendingPrefillTokens() + peers.pendingPrefillTokens();
+        int running = target.inFlight() + peers.requests();
+        TargetCapacity capacity = target.capacity();
+        if (!capacity.isPaced(nowMillis)) {
+            return pending / ServiceCapacity.EXPECTED_TOKENS_PER_MILLI + MILLIS_PER_RUNNING_REQUEST * running;
+        }
+        double slowdown = capacity.slowdown(nowMillis);
+        double usual = capacity.service().usualMillis(query.tokens());
+        return (pending + TOKENS_PER_RUNNING_REQUEST * running) / capacity.prefillTokensPerMilli(nowMillis)
+                + (slowdown - 1) * usual
+                + (capacity.isBeyondKnee(running, nowMillis) ? slowdown * usual : 0);
     }
 
     private static double affinity(Target target, PlacementQuery query) {
-        double own = Math.min(MAX_RELAY_PREFERENCE_MILLIS, RELAY_PREFERENCE_MILLIS_PER_PEER * query.otherRelays());
         double context = query.affinity() == 0 ? 0 : AFFINITY_MILLIS;
-        return own * uniform(query.relay(), target) + context * uniform(query.affinity(), target);
+        return relayPreference(query) * uniform(query.relay(), target) + context * uniform(query.affinity(), target);
+    }
+
+    private static double relayPreference(PlacementQuery query) {
+        return Math.min(MAX_RELAY_PREFERENCE_MILLIS, RELAY_PREFERENCE_MILLIS_PER_PEER * query.otherRelays());
+    }
+
+    /**
+     * Returns the factor of preferences among engines that are about equally busy: the same work is more time on slower
+     * engines, and a preference must weigh as much against it as at the expected speed.
+     */
+    private static double preferenceScale(Target target, long nowMillis) {
+        return ServiceCapacity.EXPECTED_TOKENS_PER_MILLI
+                / target.capacity().service().prefillTokensPerMilli(nowMillis);
     }
 
     private static double uniform(long hash, Target target) {
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/SelfReport.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/SelfReport.java
@@ -1,6 +1,7 @@
 package org.rattanrudder.core.fleet;
 
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 
 /**
@@ -19,6 +20,8 @@
      *
      * @param running requests that are running
      * @param queued requests in its queue
+     * @param slots requests that it runs at once, if reported
+     * @param pacePercent how long work takes there at this moment, in percent of the usual time, if reported
      */
-    public record Load(int running, int queued) {}
+    public record Load(int running, int queued, OptionalInt slots, OptionalInt pacePercent) {}
 }
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/SendWindow.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/SendWindow.java
@@ -15,9 +15,21 @@
  * only if none of its shared engines accepts work, and only while they have ample room.
  */
 public final class SendWindow {
-    /** Prompt tokens that may await prefill at an engine: enough to keep it busy for a round trip. */
+    /**
+     * Prompt tokens that may await prefill at an engine where targets report no pace: enough to keep it busy for a
+     * round trip.
+     */
     private static final long MAX_PREFILL_TOKENS = 14_000;
 
+    /** The same window as a time, from which it follows for engines whose speed was learned. */
+    private static final double MAX_PREFILL_MILLIS = MAX_PREFILL_TOKENS / ServiceCapacity.EXPECTED_TOKENS_PER_MILLI;
+
+    /**
+     * One prompt alone doesn't close the window of an engine that prefills it within this multiple of the window: the
+     * whole prompt counts until its first event, and the engine would otherwise be idle until the next one arrives.
+     */
+    private static final double ONE_PROMPT_RATIO = 2.5;
+
     /**
      * Share of an engine's memory that on-time requests may fill. Above 1, since parts that requests share are counted
      * once per request.
@@ -32,6 +44,9 @@
 
     private static final long CONSERVATIVE_MAX_PREFILL_TOKENS = 6_000;
 
+    private static final double CONSERVATIVE_MAX_PREFILL_MILLIS =
+            CONSERVATIVE_MAX_PREFILL_TOKENS / ServiceCapacity.EXPECTED_TOKENS_PER_MILLI;
+
     private SendWindow() {}
 
     /** Returns the targets that can accept a request of the given size now. */
@@ -61,8 +76,23 @@
         boolean conservative = late || !target.isShared();
         long prefill = target.pendingPrefillTokens() + peers.pendingPrefillTokens();
         long memory = target.inFlightTokens() + peers.tokens() + tokens;
-        return prefill < (conservative ? CONSERVATIVE_MAX_PREFILL_TOKENS : MAX_PREFILL_TOKENS)
+        return prefill < maxPrefillTokens(target.capacity(), conservative, nowMillis)
                 && memory <= engine.capacityTokens() * (conservative ? CONSERVATIVE_MAX_MEMORY_SHARE : MAX_MEMORY_SHARE)
-                && target.inFlight() + peers.requests() < engine.slots();
+                && target.inFlight() + peers.requests() < engine.slots()
+                && !target.capacity().isBeyondKnee(target.inFlight() + peers.requests(), nowMillis);
+    }
+
+    /** Returns how many prompt tokens may await prefill at a target. */
+    static double maxPrefillTokens(TargetCapacity capacity, boolean conservative, long nowMillis) {
+        if (!capacity.isPaced(nowMillis)) {
+            return conservative ? CONSERVATIVE_MAX_PREFILL_TOKENS : MAX_PREFILL_TOKENS;
+        }
+        double speed = capacity.prefillTokensPerMilli(nowMillis);
+        if (conservative) {
+            return CONSERVATIVE_MAX_PREFILL_MILLIS * speed;
+        }
+        double window = MAX_PREFILL_MILLIS * speed;
+        double onePrompt = capacity.service().largestPrompt() + 1;
+        return Math.max(window, Math.min(ONE_PROMPT_RATIO * window, onePrompt));
     }
 }
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Target.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Target.java
@@ -7,6 +7,7 @@
 import java.util.OptionalDouble;
 import java.util.Set;
 import org.rattanrudder.core.continuation.StreamOrigin;
+import org.rattanrudder.core.fleet.FirstEventSample.CapacityAtSend;
 import org.rattanrudder.core.fleet.LoadReport.SeenRateLimit;
 import org.rattanrudder.core.fleet.LoadReport.ServedWeights;
 import org.rattanrudder.core.fleet.LoadReport.TargetLoad;
@@ -27,15 +28,6 @@
     /** The weight of the newest success or failure. */
     private static final double OUTCOME_WEIGHT = 0.3;
 
-    /** How long the load that a target reports of itself is valid; after that, only this relay's own requests count. */
-    private static final long LOAD_VALID_MILLIS = 1_500;
-
-    /** Assumed prefill tokens of a peer's waiting request: a mean prompt that is partly cached. */
-    private static final long PEER_WAITING_REQUEST_TOKENS = 3_000;
-
-    /** Assumed memory of a peer's running request, in tokens. */
-    private static final long PEER_RUNNING_REQUEST_TOKENS = 4_000;
-
     private static final long INITIAL_PAUSE_MILLIS = 250;
     private static final long MAX_PAUSE_MILLIS = 2_000;
 
@@ -50,13 +42,12 @@
     private final TargetNotices notices;
     private final Reachability reachability = new Reachability();
     private final long idHash;
+    private final TargetCapacity capacity;
+    private final ReportedLoad reportedLoad = new ReportedLoad();
     private TargetRegistration registration;
     private int inFlight;
     private long inFlightTokens;
     private long pendingPrefillTokens;
-    private int peerRunning;
-    private int peerWaiting;
-    private long loadReportedAt = Long.MIN_VALUE / 2;
     private double firstByteExcess;
     private double failureRatio;
     private long decayedAt;
@@ -71,13 +62,19 @@
     private boolean shared;
     private Set<String> sharingRelays = Set.of();
 
-    /** Creates a target that peers may have requests at. */
-    Target(TargetRegistration registration, TargetNotices notices, PeerLoads peers, TargetSharing sharing) {
+    /** Creates a target that peers may have requests at, with the capacity of its service's targets. */
+    Target(
+            TargetRegistration registration,
+            TargetNotices notices,
+            PeerLoads peers,
+            TargetSharing sharing,
+            ServiceCapacity service) {
         this.registration = registration;
         this.notices = notices;
         this.peers = peers;
         this.sharing = sharing;
         idHash = Hashing.of(registration.id());
+        capacity = new TargetCapacity(service, registration.slots());
     }
 
     /** Returns the target's last registration. */
@@ -154,7 +151,10 @@
      * @param sentAt when the request was sent
      */
     public void recordSelfReport(SelfReport report, boolean conclusive, long sentAt, long nowMillis) {
-        report.load().ifPresent(load -> updateReportedLoad(load.running(), load.queued(), nowMillis));
+        report.load().ifPresent(load -> {
+            updateReportedLoad(load.running(), load.queued(), nowMillis);
+            capacity.onReported(load, nowMillis);
+        });
         report.warmUpMillis().ifPresent(remaining -> warmUp.onReported(remaining, nowMillis));
         recordRateLimit(report.rateLimit(), conclusive, sentAt, nowMillis);
         if (report.rest() instanceof RestNotice.Asked asked) {
@@ -346,10 +346,7 @@
 
     /** Records the load that the target reported of itself. */
     public void updateReportedLoad(int running, int waiting, long nowMillis) {
-        // This relay's own requests are known exactly; the rest belongs to peers.
-        peerRunning = Math.max(0, running + waiting - inFlight);
-        peerWaiting = Math.min(waiting, peerRunning);
-        loadReportedAt = nowMillis;
+        reportedLoad.onReported(running, waiting, inFlight, nowMillis);
     }
 
     /** Records a success, and by how many ms its first byte was later than expected of a healthy target. */
@@ -459,14 +456,21 @@
         if (!registration.weights().isEmpty() && peers.liveCount(nowMillis) > 0) {
             return peers.totalAt(id(), nowMillis);
         }
-        if (nowMillis - loadReportedAt > LOAD_VALID_MILLIS) {
-            return TargetLoad.none(id());
-        }
-        return new TargetLoad(
-                id(),
-                peerRunning,
-                peerRunning * PEER_RUNNING_REQUEST_TOKENS,
-                peerWaiting * PEER_WAITING_REQUEST_TOKENS);
+        return reportedLoad.peerLoad(id(), nowMillis);
+    }
+
+    /** Returns the estimate of how fast the target is now. */
+    public TargetCapacity capacity() {
+        return capacity;
+    }
+
+    /** Returns what is known of the target before a request is sent to it, for the samples of its response. */
+    public CapacityAtSend capacityAtSend(long nowMillis) {
+        TargetLoad peerLoad = peerLoad(nowMillis);
+        return new CapacityAtSend(
+                pendingPrefillTokens + peerLoad.pendingPrefillTokens(),
+                inFlight + peerLoad.requests(),
+                capacity.pace(nowMillis));
     }
 
     double firstByteExcess(long nowMillis) {
--- /dev/null
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/TargetCapacity.java
@@ -0,0 +1,130 @@
+package org.rattanrudder.core.fleet;
+
+import org.rattanrudder.core.fleet.FirstEventSample.CapacityAtSend;
+
+/**
+ * The estimate of how fast one target is now: what its service's targets usually reach, times a learned factor of this
+ * target, times its pace.
+ *
+ * <p>Placement, send windows and expected times all use it. While no target of the service reports a pace it yields the
+ * expected figures, whatever was learned. It belongs to an incarnation: a target that restarts starts with a new one.
+ *
+ * <p>All times are milliseconds of a monotonic clock.
+ */
+public final class TargetCapacity {
+    /** Bounds of the whole estimate, so that no report or sample keeps a target from all requests for good. */
+    private static final double MIN_SLOWDOWN = 0.25;
+
+    private static final double MAX_SLOWDOWN = 10;
+
+    private final ServiceCapacity service;
+    private final ReportedPace pace;
+    private final TargetFactor factor = new TargetFactor();
+    private final Knee knee = new Knee();
+    private int slots;
+
+    /** Creates an estimate of a target of a service, whose registration says how many requests it runs at once. */
+    TargetCapacity(ServiceCapacity service, int registeredSlots) {
+        this.service = service;
+        pace = service.newPace();
+        slots = registeredSlots;
+    }
+
+    /** Records what the target reported of its slots and its pace. */
+    void onReported(SelfReport.Load load, long nowMillis) {
+        slots = load.slots().orElse(slots);
+        if (load.pacePercent().isPresent()) {
+            pace.onReported(load.pacePercent().getAsInt(), nowMillis);
+            service.onPaceReported(nowMillis);
+        }
+    }
+
+    /** Records the time to the first event of an engine's successful response. */
+    public void onFirstEvent(FirstEventSample sample, long nowMillis) {
+        if (!service.isPaced(nowMillis)) {
+            return;
+        }
+        double paceAfter = pace.at(nowMillis);
+        if (service.isSettled()) {
+            double expected = service.expectedMillis(sample) * sample.meanPace(paceAfter);
+            double weight = service.weight(sample, paceAfter, slots);
+            factor.record(sample.millisWithoutFetch(), expected, weight);
+            knee.record(sample.before().requests(), slots, sample.millisWithoutFetch() / expected, weight, nowMillis);
+        }
+        service.record(sample, paceAfter, slots);
+    }
+
+    /**
+     * Records how long a successful call of a plain service took, in ms.
+     *
+     * @param usualMillis how long such calls usually take, in ms
+     */
+    public void onCall(CapacityAtSend before, double millis, double usualMillis, long nowMillis) {
+        if (service.isPaced(nowMillis) && before.requests() < slots) {
+            double expected = usualMillis * (before.pace() + pace.at(nowMillis)) / 2;
+            factor.record(millis, expected, 1);
+            knee.record(before.requests(), slots, millis / Math.max(1, expected), 1, nowMillis);
+        }
+    }
+
+    /** Returns whether any target of its service has reported a pace lately; otherwise only expected figures apply. */
+    public boolean isPaced(long nowMillis) {
+        return service.isPaced(nowMillis);
+    }
+
+    /** Returns how long work takes at the target now, as a multiple of what is usual in its service. */
+    public double slowdown(long nowMillis) {
+        return service.isPaced(nowMillis)
+                ? Math.max(MIN_SLOWDOWN, Math.min(MAX_SLOWDOWN, factor.value() * pace.at(nowMillis)))
+                : 1;
+    }
+
+    /** Returns the prefill speed of the target now, in tokens/ms. */
+    public double prefillTokensPerMilli(long nowMillis) {
+        return service.prefillTokensPerMilli(nowMillis) / slowdown(nowMillis);
+    }
+
+    /** Returns the expected time to the first event at the target if it has no other work, in ms. */
+    public double firstEventMillis(double prefillTokens, long nowMillis) {
+        return (service.baseMillis(nowMillis) + prefillTokens / service.prefillTokensPerMilli(nowMillis))
+                * slowdown(nowMillis);
+    }
+
+    /** Returns whether the target has so many requests that more of them make all of its work slower. */
+    public boolean isBeyondKnee(int requests, long nowMillis) {
+        return service.isPaced(nowMillis) && requests >= knee.requests(slots, nowMillis);
+    }
+
+    /** Returns the figures of its service. */
+    public ServiceCapacity service() {
+        return service;
+    }
+
+    /** Returns the expected pace, 1 for the usual one. */
+    double pace(long nowMillis) {
+        return pace.at(nowMillis);
+    }
+
+    /** Returns what determines the estimate, as one word for logs. */
+    public String describe(long nowMillis) {
+        if (!service.isPaced(nowMillis)) {
+            return "expected";
+        }
+        String reported = pace.latestPercent().isPresent()
+                ? pace.latestPercent().getAsInt() + "%/" + pace.ageMillis(nowMillis) + "ms"
+                : "none";
+        return "pace:" + reported + ",factor:" + hundredths(factor.value()) + ",slowdown:"
+                + hundredths(slowdown(nowMillis)) + ",tokens_per_ms:"
+                + hundredths(service.prefillTokensPerMilli(nowMillis)) + ",base_ms:"
+                + Math.round(service.baseMillis(nowMillis)) + ",knee:" + describeKnee(nowMillis);
+    }
+
+    private String describeKnee(long nowMillis) {
+        int known = knee.requests(slots, nowMillis);
+        return known == Knee.NONE ? "none" : Integer.toString(known);
+    }
+
+    private static String hundredths(double value) {
+        return Double.toString(Math.round(value * 100) / 100.0);
+    }
+}
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/PlacementTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/PlacementTest.java
@@ -137,7 +137,7 @@
                 .isEqualTo(expected);
     }
 
-    private static PlacementQuery query(long relay, int otherRelays) {
+    static PlacementQuery query(long relay, int otherRelays) {
         return new PlacementQuery(
                 "llm",
                 "north",
@@ -179,6 +179,10 @@
     }
 
     static Target target(String id, String domain, long weights) {
+        return target(id, domain, weights, new PeerLoads(), new ServiceCapacity());
+    }
+
+    static Target target(String id, String domain, long weights, PeerLoads peers, ServiceCapacity service) {
         return new Target(
                 new TargetRegistration(
                         id,
@@ -190,7 +194,8 @@
                         false,
                         Map.of("m", weights)),
                 new TargetNotices(TargetRegistration.START_UNKNOWN),
-                new PeerLoads(),
-                new TargetSharing());
+                peers,
+                new TargetSharing(),
+                service);
     }
 }
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/TestReports.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/TestReports.java
@@ -4,6 +4,7 @@
 import org.rattanrudder.core.fleet.LoadReport.LeavingTarget;
 import org.rattanrudder.core.fleet.LoadReport.ReadOffsets;
 import org.rattanrudder.core.fleet.LoadReport.RemovedTarget;
+import org.rattanrudder.core.fleet.LoadReport.TargetLoad;
 
 /** Full reports of a peer that say only which targets leave and which it has removed. */
 final class TestReports {
@@ -11,12 +12,22 @@
 
     private TestReports() {}
 
+    /** Returns a full report of requests only. */
+    static LoadReport ofLoads(long sequence, List<TargetLoad> loads) {
+        return of(sequence, loads, List.of(), List.of());
+    }
+
     static LoadReport of(List<LeavingTarget> leaving, List<RemovedTarget> removed) {
+        return of(1, List.of(), leaving, removed);
+    }
+
+    private static LoadReport of(
+            long sequence, List<TargetLoad> loads, List<LeavingTarget> leaving, List<RemovedTarget> removed) {
         return new LoadReport(
                 "relay-2",
-                1,
+                sequence,
                 true,
-                List.of(),
+                loads,
                 List.of(),
                 List.of(),
                 List.of(),
