Explain in explain-request which capacity of a target decided for it

Cause: where targets report their pace, the target with the least work isn't always the one that is picked, and the log didn't say why. Change: TargetCapacity names what determines its estimate (CapacityEstimate), and explain-request puts these fields of request_placed into words. Lines without them read as before.

--- a/rattanrudder-command/src/main/java/org/rattanrudder/command/RequestStory.java
+++ b/rattanrudder-command/src/main/java/org/rattanrudder/command/RequestStory.java
@@ -100,7 +100,8 @@
             case "request_placed" ->
                 "target " + fields.get("target") + " picked out of " + fields.get("candidates") + ", delay of "
                         + fields.get("expected_ms") + " ms expected"
-                        + ("true".equals(fields.get("warming")) ? ", though it is warming up" : "");
+                        + ("true".equals(fields.get("warming")) ? ", though it is warming up" : "")
+                        + capacity(fields);
             case "request_sent" ->
                 "sent; " + fields.get("read") + " of " + fields.get("shared_parts")
                         + " shared parts are read from stores, " + fields.get("saved") + " saved";
@@ -114,6 +115,21 @@
         };
     }
 
+    /** Says what the expected delay rests on where targets report their pace; other lines don't say. */
+    private static String capacity(Map<String, String> fields) {
+        String slowdown = fields.get("slowdown");
+        if (slowdown == null) {
+            return "";
+        }
+        String pace = fields.getOrDefault("pace_percent", "none");
+        return "; it is taken as " + slowdown + " times as slow as usual ("
+                + (pace.equals("none")
+                        ? "no pace reported"
+                        : "pace " + pace + "% reported " + fields.get("pace_age_ms") + " ms before")
+                + ", learned factor " + fields.get("factor") + "), usual are " + fields.get("tokens_per_ms")
+                + " tokens/ms and " + fields.get("base_ms") + " ms";
+    }
+
     /** Says which targets were out of use or limited, if any; lines of older relays don't say. */
     private static String limitedTargets(Map<String, String> fields) {
         String warming = fields.getOrDefault("warming", "0");
--- a/rattanrudder-command/src/test/java/org/rattanrudder/command/CommandLineTest.java
+++ b/rattanrudder-command/src/test/java/org/rattanrudder/command/CommandLineTest.java
@@ -82,6 +82,29 @@
         assertThat(errors()).contains("no line is about request r8");
     }
 
+    /** Guards against a choice that nobody can explain: the target with the least work wasn't picked. */
+    @ParameterizedTest
+    @CsvSource({
+        "'', ''",
+        "pace_percent=250 pace_age_ms=80, 'pace 250% reported 80 ms before'",
+        "pace_percent=none pace_age_ms=0, no pace reported"
+    })
+    void aRequestsTargetIsExplainedByItsCapacity(String pace, String meaning) {
+        input = "relay-2 time=2026-03-19T17:14:23.500Z level=INFO logger=R event=request_placed request=r7 target=i-1"
+                + " candidates=6 expected_ms=12"
+                + (pace.isEmpty() ? "" : " " + pace + " factor=1.1 slowdown=2.4 tokens_per_ms=41.8 base_ms=31") + "\n";
+
+        assertThat(run("explain-request", "r7")).isEqualTo(ExitCode.DONE);
+
+        assertThat(output())
+                .contains("delay of 12 ms expected"
+                        + (pace.isEmpty()
+                                ? ""
+                                : "; it is taken as 2.4 times as slow as usual (" + meaning
+                                        + ", learned factor 1.1), usual are 41.8 tokens/ms and 31 ms")
+                        + "\n");
+    }
+
     @ParameterizedTest
     @CsvSource({"told, v1.1, true, ''", "unknown, unknown, false, ', which no target can continue'"})
     void aRequestThatResumesAStreamNamesWhatBeganIt(String origin, String software, boolean continuable, String end) {
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/TargetCapacity.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/TargetCapacity.java
@@ -1,5 +1,7 @@
 package org.rattanrudder.core.fleet;
 
+import java.util.Optional;
+import java.util.OptionalInt;
 import org.rattanrudder.core.fleet.FirstEventSample.CapacityAtSend;
 
 /**
@@ -105,26 +107,19 @@
         return pace.at(nowMillis);
     }
 
-    /** Returns what determines the estimate, as one word for logs. */
-    public String describe(long nowMillis) {
+    /** Returns what determines the estimate; empty if only expected figures apply. */
+    public Optional<CapacityEstimate> estimate(long nowMillis) {
         if (!service.isPaced(nowMillis)) {
-            return "expected";
+            return Optional.empty();
         }
-        String reported = pace.latestPercent().isPresent()
-                ? pace.latestPercent().getAsInt() + "%/" + pace.ageMillis(nowMillis) + "ms"
-                : "none";
-        return "pace:" + reported + ",factor:" + hundredths(factor.value()) + ",slowdown:"
-                + hundredths(slowdown(nowMillis)) + ",tokens_per_ms:"
-                + hundredths(service.prefillTokensPerMilli(nowMillis)) + ",base_ms:"
-                + Math.round(service.baseMillis(nowMillis)) + ",knee:" + describeKnee(nowMillis);
-    }
-
-    private String describeKnee(long nowMillis) {
-        int known = knee.requests(slots, nowMillis);
-        return known == Knee.NONE ? "none" : Integer.toString(known);
-    }
-
-    private static String hundredths(double value) {
-        return Double.toString(Math.round(value * 100) / 100.0);
+        int knownKnee = knee.requests(slots, nowMillis);
+        return Optional.of(new CapacityEstimate(
+                pace.latestPercent(),
+                pace.ageMillis(nowMillis),
+                factor.value(),
+                slowdown(nowMillis),
+                service.prefillTokensPerMilli(nowMillis),
+                service.baseMillis(nowMillis),
+                knownKnee == Knee.NONE ? OptionalInt.empty() : OptionalInt.of(knownKnee)));
     }
 }
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/TargetCapacityTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/TargetCapacityTest.java
@@ -212,7 +212,8 @@
             capacity.onCall(new CapacityAtSend(0, requests, 1), 20 * ratio, 20, NOW);
         }
 
-        assertThat(capacity.describe(NOW)).endsWith("knee:" + knee);
+        assertThat(capacity.estimate(NOW).orElseThrow().kneeRequests())
+                .isEqualTo(knee.equals("none") ? OptionalInt.empty() : OptionalInt.of(Integer.parseInt(knee)));
         assertThat(capacity.isBeyondKnee(55, NOW)).isFalse();
         assertThat(capacity.isBeyondKnee(56, NOW)).isEqualTo(!knee.equals("none"));
         assertThat(capacity.isBeyondKnee(64, NOW + 31_000)).isFalse();
