Let a learned send window cover the base time and one prompt

Cause: a window of 140 ms of prefill at the learned speed closes while an engine idles: requests that it has received and doesn't prefill yet take up the base time of it, and a prompt in prefill counts whole until its first event. Change: the window is the base time plus 60 ms of prefill, or plus the largest recent prompt (210 ms at most); with nothing learned it is 14,000 tokens as before.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/SendWindow.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/SendWindow.java
@@ -21,14 +21,19 @@
      */
     private static final long MAX_PREFILL_TOKENS = 14_000;
 
-    /** The same window as a time, from which it follows for engines whose speed was learned. */
-    private static final double MAX_PREFILL_MILLIS = MAX_PREFILL_TOKENS / ServiceCapacity.EXPECTED_TOKENS_PER_MILLI;
+    /**
+     * Time until the next request arrives at an engine that has work for so long, where the speed was learned. Together
+     * with the base time, in which an engine has received a request and doesn't prefill it yet, it is the same window
+     * at the expected figures.
+     */
+    private static final double ARRIVAL_MILLIS =
+            MAX_PREFILL_TOKENS / ServiceCapacity.EXPECTED_TOKENS_PER_MILLI - ServiceCapacity.EXPECTED_BASE_MILLIS;
 
     /**
-     * One prompt alone doesn't close the window of an engine that prefills it within this multiple of the window: the
-     * whole prompt counts until its first event, and the engine would otherwise be idle until the next one arrives.
+     * One prompt that is in prefill, for up to this time, doesn't count against the window: it counts whole until its
+     * first event, and the engine would be idle until the next one has arrived.
      */
-    private static final double ONE_PROMPT_RATIO = 2.5;
+    private static final double MAX_ONE_PROMPT_MILLIS = 210;
 
     /**
      * Share of an engine's memory that on-time requests may fill. Above 1, since parts that requests share are counted
@@ -44,8 +49,7 @@
 
     private static final long CONSERVATIVE_MAX_PREFILL_TOKENS = 6_000;
 
-    private static final double CONSERVATIVE_MAX_PREFILL_MILLIS =
-            CONSERVATIVE_MAX_PREFILL_TOKENS / ServiceCapacity.EXPECTED_TOKENS_PER_MILLI;
+    private static final double CONSERVATIVE_SHARE = (double) CONSERVATIVE_MAX_PREFILL_TOKENS / MAX_PREFILL_TOKENS;
 
     private SendWindow() {}
 
@@ -88,11 +92,9 @@
             return conservative ? CONSERVATIVE_MAX_PREFILL_TOKENS : MAX_PREFILL_TOKENS;
         }
         double speed = capacity.prefillTokensPerMilli(nowMillis);
-        if (conservative) {
-            return CONSERVATIVE_MAX_PREFILL_MILLIS * speed;
-        }
-        double window = MAX_PREFILL_MILLIS * speed;
-        double onePrompt = capacity.service().largestPrompt() + 1;
-        return Math.max(window, Math.min(ONE_PROMPT_RATIO * window, onePrompt));
+        double base = capacity.service().baseMillis(nowMillis) * speed;
+        double onePrompt = Math.min(capacity.service().largestPrompt() + 1, MAX_ONE_PROMPT_MILLIS * speed);
+        double window = base + Math.max(ARRIVAL_MILLIS * speed, onePrompt);
+        return conservative ? CONSERVATIVE_SHARE * window : window;
     }
 }
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/TargetCapacityTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/TargetCapacityTest.java
@@ -121,6 +121,15 @@
         assertThat(usual.slowdown(NOW)).isCloseTo(1, within(0.08));
     }
 
+    /** Until something was learned, windows are the former ones, also where targets report a pace. */
+    @Test
+    void windowsBeginAsTheExpectedOnes() {
+        TargetCapacity capacity = paced(new ServiceCapacity(), 100);
+
+        assertThat(SendWindow.maxPrefillTokens(capacity, false, NOW)).isEqualTo(14_000);
+        assertThat(SendWindow.maxPrefillTokens(capacity, true, NOW)).isEqualTo(6_000);
+    }
+
     /** Guards against windows and bounds that are several times longer, in time, at slower engines. */
     @ParameterizedTest
     @CsvSource({"36, 100", "42, 100", "42, 250", "100, 100", "112, 100"})
@@ -140,10 +149,10 @@
 
         assertThat(capacity.firstEventMillis(4_000, NOW))
                 .isCloseTo((80 + 4_000 / tokensPerMilli) * pace / 100, Percentage.withPercentage(4));
+        double window = 80 * speed + Math.max(60 * speed, Math.min(210 * speed, 4_001));
+        assertThat(SendWindow.maxPrefillTokens(capacity, false, NOW)).isCloseTo(window, Percentage.withPercentage(4));
         assertThat(SendWindow.maxPrefillTokens(capacity, true, NOW))
-                .isCloseTo(60 * speed, Percentage.withPercentage(4));
-        assertThat(SendWindow.maxPrefillTokens(capacity, false, NOW))
-                .isCloseTo(Math.max(140 * speed, Math.min(350 * speed, 4_001)), Percentage.withPercentage(4));
+                .isCloseTo(window * 6 / 14, Percentage.withPercentage(4));
         assertThat((double) HoldingQueue.maxLateTokens(10, 2, service, Optional.of(ample), NOW))
                 .isCloseTo(5 * 400 * tokensPerMilli, Percentage.withPercentage(4));
         assertThat(HoldingQueue.maxLateTokens(10, 2, service, Optional.of(small), NOW))
