Use the current capacity of targets in the relay

Cause: the estimate of how fast targets are was used by nothing that runs. Change: attempts record times to the first event, and durations of plain calls, with what they contain; expected times, the bound on late requests and the choice of one of the two best engines rest on the estimate; request_placed names what determined it where targets report a pace, four metrics show learned speed, base time, slowdown and the age of reports. Without a reported pace the relay decides and logs as before. Measured: tests of core.fleet, daemon.relay, DocumentationTest, CommandLineTest pass.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Fleet.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Fleet.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.TreeSet;
 import java.util.function.Predicate;
 import org.rattanrudder.core.continuation.SoftwareHistory;
 import org.rattanrudder.core.continuation.StreamOrigin;
@@ -296,6 +297,17 @@
         return capacities.computeIfAbsent(service, unseen -> new ServiceCapacity());
     }
 
+    /** Returns the services whose targets have reported a pace lately. */
+    public Set<String> pacedServices(long nowMillis) {
+        Set<String> paced = new TreeSet<>();
+        capacities.forEach((service, known) -> {
+            if (known.isPaced(nowMillis)) {
+                paced.add(service);
+            }
+        });
+        return paced;
+    }
+
     /** Returns the failure domains that operators have evacuated. */
     public Evacuations evacuations() {
         return evacuations;
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/TargetCapacity.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/TargetCapacity.java
@@ -102,6 +102,11 @@
         return service;
     }
 
+    /** Returns how old the last report of a pace is, in ms; 0 if there was none. */
+    public long paceAgeMillis(long nowMillis) {
+        return pace.ageMillis(nowMillis);
+    }
+
     /** Returns the expected pace, 1 for the usual one. */
     double pace(long nowMillis) {
         return pace.at(nowMillis);
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/gateway/EngineTraits.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/gateway/EngineTraits.java
@@ -8,4 +8,12 @@
  * @param bytesPerToken the memory of one token, in bytes
  * @param linkMbps the speed of an engine's link for cached context, in Mbit/s
  */
-public record EngineTraits(int slots, long capacityTokens, long bytesPerToken, double linkMbps) {}
+public record EngineTraits(int slots, long capacityTokens, long bytesPerToken, double linkMbps) {
+    /** Bits in a ms at a Mbit/s, by bits in a byte. */
+    private static final double BYTES_PER_MILLI_AND_MBPS = 125;
+
+    /** Returns how long the fetch of so many tokens takes on an idle link, in ms. */
+    public double fetchMillis(int tokens) {
+        return tokens * bytesPerToken / (linkMbps * BYTES_PER_MILLI_AND_MBPS);
+    }
+}
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/parts/PartPlan.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/parts/PartPlan.java
@@ -40,6 +40,13 @@
         return sources.stream().anyMatch(Optional::isPresent);
     }
 
+    /** Returns how many tokens are fetched. */
+    public int fetchedTokens() {
+        return sources.stream()
+                .mapToInt(source -> source.map(Source::tokens).orElse(0))
+                .sum();
+    }
+
     /** Returns whether the plan contains a save. */
     public boolean saves() {
         return destinations.stream().anyMatch(Optional::isPresent);
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
@@ -57,6 +57,7 @@
 import org.rattanrudder.daemon.relay.store.TopicFollower.InitialRead;
 import org.rattanrudder.daemon.relay.streams.SoleSoftware;
 import org.rattanrudder.daemon.relay.streams.StreamOriginExchange;
+import org.rattanrudder.daemon.relay.targets.CapacityGauges;
 import org.rattanrudder.daemon.relay.targets.RateLimitLog;
 import org.rattanrudder.daemon.relay.targets.SelfReports;
 import org.rattanrudder.daemon.relay.targets.TargetPools;
@@ -386,6 +387,7 @@
     }
 
     private void registerGauges() {
+        new CapacityGauges(state).register();
         state.metrics()
                 .gauge(
                         "rattanrudder_relay_domains_evacuated",
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/port/ResponseMetadata.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/port/ResponseMetadata.java
@@ -17,7 +17,8 @@
  * @param weights the version of the weights that it ran on, if reported
  * @param keepAliveMillis how long the target keeps an idle connection open, if reported
  * @param selfReport what it says of the target itself
- * @param unknownHeaders the names of its headers that nothing reads and that aren't known to be meant for callers
+ * @param unknownHeaders the names of its headers that nothing reads and that aren't known to be meant for callers, and
+ *     of figures in headers that can't be read
  */
 public record ResponseMetadata(
         int status,
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/RelayMetrics.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/RelayMetrics.java
@@ -9,7 +9,9 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.Map;
 import java.util.function.DoubleSupplier;
+import java.util.function.Supplier;
 import org.rattanrudder.core.continuation.OriginExchange.Source;
 import org.rattanrudder.core.fleet.TargetAdmission;
 import org.rattanrudder.core.gateway.BodyPosition;
@@ -122,6 +124,16 @@
                 .register(registry);
     }
 
+    /** Registers a gauge for each service; the values by service are read whenever the metrics are. */
+    public void serviceGauge(String name, String help, Supplier<Map<String, Double>> values) {
+        GaugeWithCallback.builder()
+                .name(name)
+                .help(help)
+                .labelNames("service")
+                .callback(callback -> values.get().forEach((service, value) -> callback.call(value, service)))
+                .register(registry);
+    }
+
     /** Records the end of a request. */
     public void recordRequest(String route, String outcome) {
         requests.labelValues(route, outcome).inc();
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/Exchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/Exchange.java
@@ -345,7 +345,8 @@
     @Override
     public void onContent(ByteBuf chunk) {
         if (attempt.onContent(state.nowMillis())) {
-            attempt.recordFetchLateness(components.fetchLateness(), state.directory(), state.nowMillis());
+            attempt.recordFirstByte(
+                    plan, forwarder.status(), components.fetchLateness(), state.directory(), state.nowMillis());
             components.queues().dispatchQueued(plan.service());
         }
         quarantine.onContent(attempt.sentAt(), attempt::isFirstProofOfRunning);
@@ -378,10 +379,7 @@
         } else {
             quarantine.onAnswered(attempt.sentAt(), forwarder.status());
             long taken = plan.route().repeat().stream() ? attempt.firstByteMillis() : now - attempt.sentAt();
-            target.recordSuccess(taken - plan.expectedFirstByteMillis(), now);
-            if (plan.engine().isEmpty()) {
-                plan.callMillis().record(taken);
-            }
+            attempt.recordSuccess(plan, taken, now);
         }
         endAttempt("answered");
         finish(new FinalReply.Ending(Integer.toString(forwarder.status()), "passed on"));
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/ExchangeLog.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/ExchangeLog.java
@@ -5,6 +5,7 @@
 import java.util.stream.Stream;
 import org.rattanrudder.core.continuation.OriginExchange.Finding;
 import org.rattanrudder.core.continuation.StreamOrigin;
+import org.rattanrudder.core.fleet.CapacityEstimate;
 import org.rattanrudder.core.fleet.Placement;
 import org.rattanrudder.core.fleet.Target;
 import org.rattanrudder.core.gateway.AttemptOutcome;
@@ -13,6 +14,8 @@
 
 /** Logs each decision on a request on one line, with the request ID and the inputs of the decision. */
 final class ExchangeLog {
+    private static final double HUNDREDTHS = 100;
+
     private final RelayState state;
     private final RequestPlan plan;
 
@@ -31,42 +34,84 @@
         state.log()
                 .info(
                         "request_placed",
-                        "request",
-                        plan.id(),
-                        "route",
-                        plan.route().name(),
-                        "service",
-                        plan.service(),
-                        "target",
-                        choice.target().id(),
-                        "expected_ms",
-                        Long.toString(Math.round(choice.expectedMillis())),
-                        "candidates",
-                        Integer.toString(choice.candidates()),
-                        "in_flight",
-                        Integer.toString(choice.target().inFlight()),
-                        "warming",
-                        Boolean.toString(isWarmingUp(choice.target(), state.nowMillis())),
-                        "rate_limited",
-                        Boolean.toString(choice.target().rateLimit().isPresent()),
-                        "leaving",
-                        Boolean.toString(choice.target().isLeaving()),
-                        "resting",
-                        Boolean.toString(choice.target().isResting(state.nowMillis())),
-                        "attempt",
-                        Integer.toString(attempt),
-                        "software",
-                        softwareOf(choice.target()),
-                        "after_event",
-                        lastEventId.orElse("none"),
-                        "resumes",
-                        plan.metadata().resumedRequestId().orElse("none"),
-                        "left_ms",
-                        Long.toString(plan.remainingMillis()),
-                        "configuration",
-                        state.configuration()
-                                .map(configuration -> Long.toString(configuration.version()))
-                                .orElse("none"));
+                        Stream.concat(
+                                        Stream.of(
+                                                "request",
+                                                plan.id(),
+                                                "route",
+                                                plan.route().name(),
+                                                "service",
+                                                plan.service(),
+                                                "target",
+                                                choice.target().id(),
+                                                "expected_ms",
+                                                Long.toString(Math.round(choice.expectedMillis())),
+                                                "candidates",
+                                                Integer.toString(choice.candidates()),
+                                                "in_flight",
+                                                Integer.toString(choice.target().inFlight()),
+                                                "warming",
+                                                Boolean.toString(isWarmingUp(choice.target(), state.nowMillis())),
+                                                "rate_limited",
+                                                Boolean.toString(choice.target()
+                                                        .rateLimit()
+                                                        .isPresent()),
+                                                "leaving",
+                                                Boolean.toString(choice.target().isLeaving()),
+                                                "resting",
+                                                Boolean.toString(choice.target().isResting(state.nowMillis())),
+                                                "attempt",
+                                                Integer.toString(attempt),
+                                                "software",
+                                                softwareOf(choice.target()),
+                                                "after_event",
+                                                lastEventId.orElse("none"),
+                                                "resumes",
+                                                plan.metadata()
+                                                        .resumedRequestId()
+                                                        .orElse("none"),
+                                                "left_ms",
+                                                Long.toString(plan.remainingMillis()),
+                                                "configuration",
+                                                state.configuration()
+                                                        .map(configuration -> Long.toString(configuration.version()))
+                                                        .orElse("none")),
+                                        capacity(choice.target()).stream())
+                                .toArray(String[]::new));
+    }
+
+    /** Returns what determined the estimate of the target's speed; nothing where targets report no pace. */
+    private List<String> capacity(Target target) {
+        return target.capacity()
+                .estimate(state.nowMillis())
+                .map(ExchangeLog::capacityFields)
+                .orElse(List.of());
+    }
+
+    private static List<String> capacityFields(CapacityEstimate estimate) {
+        return List.of(
+                "pace_percent",
+                estimate.pacePercent().isPresent()
+                        ? Integer.toString(estimate.pacePercent().getAsInt())
+                        : "none",
+                "pace_age_ms",
+                Long.toString(estimate.paceAgeMillis()),
+                "factor",
+                hundredths(estimate.factor()),
+                "slowdown",
+                hundredths(estimate.slowdown()),
+                "tokens_per_ms",
+                hundredths(estimate.tokensPerMilli()),
+                "base_ms",
+                Long.toString(Math.round(estimate.baseMillis())),
+                "knee",
+                estimate.kneeRequests().isPresent()
+                        ? Integer.toString(estimate.kneeRequests().getAsInt())
+                        : "none");
+    }
+
+    private static String hundredths(double value) {
+        return Double.toString(Math.round(value * HUNDREDTHS) / HUNDREDTHS);
     }
 
     /**
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/HoldingQueues.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/HoldingQueues.java
@@ -3,10 +3,13 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.rattanrudder.core.fleet.HoldingQueue;
 import org.rattanrudder.core.fleet.TargetAdmission;
+import org.rattanrudder.core.gateway.BackendService;
+import org.rattanrudder.core.gateway.EngineTraits;
 import org.rattanrudder.daemon.relay.process.RelayState;
 import org.rattanrudder.daemon.relay.targets.QueueDispatcher;
 
@@ -35,11 +38,21 @@
         HoldingQueue<Exchange> queue = holdingQueue(service);
         long now = state.nowMillis();
         long allowed = HoldingQueue.maxLateTokens(
-                state.fleet().usableTargets(service, now).size(), state.relayCount(now));
+                state.fleet().usableTargets(service, now).size(),
+                state.relayCount(now),
+                state.fleet().capacity(service),
+                engine(service),
+                now);
         queue.expire(now, allowed).forEach(refused -> refused.request().refuseQueued());
         dispatchQueued(service);
     }
 
+    private Optional<EngineTraits> engine(String service) {
+        return state.configuration()
+                .flatMap(known -> Optional.ofNullable(known.services().get(service)))
+                .flatMap(BackendService::engine);
+    }
+
     @Override
     public void onUsableTargetsChanged() {
         // A rejected caller's next request may be the first that waits for another service.
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/RequestPlan.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/RequestPlan.java
@@ -53,11 +53,6 @@
 
     private static final int LATE_PRIORITY = 7;
 
-    /** Time to the first byte that a healthy target needs in addition to prefill. */
-    private static final double ENGINE_BASE_MILLIS = 80;
-
-    private static final double PREFILL_TOKENS_PER_MILLI = 100;
-
     /** Time within which a healthy target of a plain service answers, as a multiple of its median. */
     private static final double PLAIN_CALL_RATIO = 2;
 
@@ -131,14 +126,6 @@
             }
             return request;
         }
-
-        /**
-         * Returns the expected time to the first byte at a healthy engine, in ms, if fetching cached parts takes no
-         * time.
-         */
-        double millisWithoutFetch() {
-            return ENGINE_BASE_MILLIS + cost.prefillTokens() / PREFILL_TOKENS_PER_MILLI;
-        }
     }
 
     String id() {
@@ -220,11 +207,9 @@
                 : Math.max(now, arrivedAt + (long) (route.objectiveMillis() * HoldingQueue.LATE_WAIT_RATIO));
     }
 
-    /** Returns the expected time to the first byte at a healthy target, in ms. */
-    double expectedFirstByteMillis() {
-        return engine.isPresent()
-                ? ENGINE_BASE_MILLIS + metadata.promptTokens() / PREFILL_TOKENS_PER_MILLI
-                : PLAIN_CALL_RATIO * callMillis().millis();
+    /** Returns the time within which a healthy target of its plain service answers, in ms. */
+    double expectedCallMillis(Target target, long now) {
+        return PLAIN_CALL_RATIO * callMillis().millis() * target.capacity().slowdown(now);
     }
 
     /** Returns the targets that may run the request. */
@@ -407,7 +392,7 @@
                 enginePriority());
         return new Outgoing(
                 forwarding,
-                new Target.RequestCost(tokens(), Math.max(0, metadata.promptTokens() - cachedTokens(parts))));
+                new Target.RequestCost(tokens(), Math.max(0, metadata.promptTokens() - parts.fetchedTokens())));
     }
 
     /**
@@ -449,12 +434,6 @@
                         PartChoiceFormat.format(metadata.parts(), parts.choices()));
     }
 
-    private static int cachedTokens(PartPlan parts) {
-        return parts.sources().stream()
-                .mapToInt(source -> source.map(PartPlan.Source::tokens).orElse(0))
-                .sum();
-    }
-
     private static int count(List<? extends Optional<?>> places) {
         return (int) places.stream().filter(Optional::isPresent).count();
     }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/TargetAttempt.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/TargetAttempt.java
@@ -1,11 +1,16 @@
 package org.rattanrudder.daemon.relay.serving;
 
+import io.netty.handler.codec.http.HttpStatusClass;
 import java.util.Optional;
 import org.rattanrudder.core.continuation.StreamOrigin;
+import org.rattanrudder.core.fleet.FirstEventSample;
+import org.rattanrudder.core.fleet.FirstEventSample.CapacityAtSend;
+import org.rattanrudder.core.fleet.MedianEstimate;
 import org.rattanrudder.core.fleet.Target;
 import org.rattanrudder.core.gateway.BodyPosition;
 import org.rattanrudder.core.gateway.ResponseEnd;
 import org.rattanrudder.core.parts.PartDirectory;
+import org.rattanrudder.core.parts.PartPlan;
 import org.rattanrudder.core.quarantine.Quarantine;
 import org.rattanrudder.daemon.relay.peers.FetchLatenessRecorder;
 import org.rattanrudder.daemon.relay.port.ResponseMetadata;
@@ -18,6 +23,8 @@
     private final RequestPlan.Outgoing outgoing;
     private final long sentAt;
     private final Optional<StreamOrigin> softwareAtSend;
+    private final CapacityAtSend capacityAtSend;
+    private double expectedMillis;
     private boolean answeredByOther;
     private boolean provedRunning;
     private long lastContentAt;
@@ -32,6 +39,7 @@
         this.sentAt = sentAt;
         lastContentAt = sentAt;
         softwareAtSend = target.software();
+        capacityAtSend = target.capacityAtSend(sentAt);
         target.onSent(outgoing.cost(), sentAt);
     }
 
@@ -71,10 +79,43 @@
         return firstByteMillis;
     }
 
-    /** Records for the stores of the prompt's parts how much later the first byte came than without fetching. */
-    void recordFetchLateness(FetchLatenessRecorder recorder, PartDirectory directory, long nowMillis) {
-        double excess = firstByteMillis - outgoing.millisWithoutFetch();
-        recorder.recordFirstByte(outgoing.forwarding().parts(), excess, directory, nowMillis);
+    /**
+     * Records for the stores of the prompt's parts how much later the first byte came than without fetching, and for
+     * the target how fast it was.
+     *
+     * @param status the status of the response; errors say nothing of the target's speed
+     */
+    void recordFirstByte(
+            RequestPlan plan, int status, FetchLatenessRecorder recorder, PartDirectory directory, long nowMillis) {
+        int prompt = plan.metadata().promptTokens();
+        PartPlan parts = outgoing.forwarding().parts();
+        double withoutFetch = target.capacity().firstEventMillis(cost().prefillTokens(), nowMillis);
+        recorder.recordFirstByte(parts, firstByteMillis - withoutFetch, directory, nowMillis);
+        expectedMillis = target.capacity().firstEventMillis(prompt, nowMillis);
+        if (plan.engine().isPresent() && HttpStatusClass.SUCCESS.contains(status)) {
+            double fetchMillis = plan.engine().get().fetchMillis(parts.fetchedTokens());
+            FirstEventSample sample =
+                    new FirstEventSample(capacityAtSend, prompt, cost().prefillTokens(), fetchMillis, firstByteMillis);
+            target.capacity().onFirstEvent(sample, nowMillis);
+        }
+    }
+
+    /**
+     * Records that the response is complete.
+     *
+     * @param takenMillis the time to the first byte of a stream, or to the end of any other response
+     */
+    void recordSuccess(RequestPlan plan, long takenMillis, long nowMillis) {
+        if (plan.engine().isPresent()) {
+            int prompt = plan.metadata().promptTokens();
+            double expected = hasBegun() ? expectedMillis : target.capacity().firstEventMillis(prompt, nowMillis);
+            target.recordSuccess(takenMillis - expected, nowMillis);
+            return;
+        }
+        MedianEstimate usual = plan.callMillis();
+        target.recordSuccess(takenMillis - plan.expectedCallMillis(target, nowMillis), nowMillis);
+        target.capacity().onCall(capacityAtSend, takenMillis, usual.millis(), nowMillis);
+        usual.record(takenMillis);
     }
 
     /** Returns the longest time between two chunks, in ms. */
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/TargetSelection.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/TargetSelection.java
@@ -46,7 +46,7 @@
         List<Target> open = history.untried(plan.engine()
                 .map(engine -> SendWindow.targetsWithRoom(admitted.targets(), engine, plan.tokens(), late, now))
                 .orElse(admitted.targets()));
-        Optional<Placement.Choice> choice = Placement.choose(open, plan.query(history.triedTargets(), now), now);
+        Optional<Placement.Choice> choice = choose(open, now);
         if (choice.isEmpty()) {
             admitted.deferral().ifPresent(deferral -> queues.dispatchWhenAdmitted(plan.service(), deferral));
         }
@@ -57,6 +57,10 @@
     Optional<Placement.Choice> selectAny() {
         long now = state.nowMillis();
         List<Target> admitted = plan.admitted(plan.candidates(now), now).targets();
-        return Placement.choose(admitted, plan.query(history.triedTargets(), now), now);
+        return choose(admitted, now);
+    }
+
+    private Optional<Placement.Choice> choose(List<Target> targets, long now) {
+        return Placement.choose(targets, plan.query(history.triedTargets(), now), now, state.random()::nextBoolean);
     }
 }
