--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/SendWindow.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/SendWindow.java
@@ -15,9 +15,26 @@
  * only if none of its shared engines accepts work, and only while they have ample room.
  */
 public final class SendWindow {
-    /** Prompt tokens that may await prefill at an engine: enough to keep it busy for a round trip. */
+    /**
+     * Prompt tokens that may await prefill at an engine where targets report no pace: enough to keep it busy for a
+     * round trip.
+     */
     private static final long MAX_PREFILL_TOKENS = 14_000;
 
+    /**
+     * Time until the next request arrives at an engine that has work for so long, where the speed was learned. Together
+     * with the base time, in which an engine has received a request and doesn't prefill it yet, it is the same window
+     * at the expected figures.
+     */
+    private static final double ARRIVAL_MILLIS =
+            MAX_PREFILL_TOKENS / ServiceCapacity.EXPECTED_TOKENS_PER_MILLI - ServiceCapacity.EXPECTED_BASE_MILLIS;
+
+    /**
+     * One prompt that is in prefill, for up to this time, doesn't count against the window: it counts whole until its
+     * first event, and the engine would be idle until the next one has arrived.
+     */
+    private static final double MAX_ONE_PROMPT_MILLIS = 210;
+
     /**
      * Share of an engine's memory that on-time requests may fill. Above 1, since parts that requests share are counted
      * once per request.
@@ -32,6 +49,8 @@
 
     private static final long CONSERVATIVE_MAX_PREFILL_TOKENS = 6_000;
 
+    private static final double CONSERVATIVE_SHARE = (double) CONSERVATIVE_MAX_PREFILL_TOKENS / MAX_PREFILL_TOKENS;
+
     private SendWindow() {}
 
     /** Returns the targets that can accept a request of the given size now. */
@@ -61,8 +80,21 @@
         boolean conservative = late || !target.isShared();
         long prefill = target.pendingPrefillTokens() + peers.pendingPrefillTokens();
         long memory = target.inFlightTokens() + peers.tokens() + tokens;
-        return prefill < (conservative ? CONSERVATIVE_MAX_PREFILL_TOKENS : MAX_PREFILL_TOKENS)
+        return prefill < maxPrefillTokens(target.capacity(), conservative, nowMillis)
                 && memory <= engine.capacityTokens() * (conservative ? CONSERVATIVE_MAX_MEMORY_SHARE : MAX_MEMORY_SHARE)
-                && target.inFlight() + peers.requests() < engine.slots();
+                && target.inFlight() + peers.requests() < engine.slots()
+                && !target.capacity().isBeyondKnee(target.inFlight() + peers.requests(), nowMillis);
+    }
+
+    /** Returns how many prompt tokens may await prefill at a target. */
+    static double maxPrefillTokens(TargetCapacity capacity, boolean conservative, long nowMillis) {
+        if (!capacity.isPaced(nowMillis)) {
+            return conservative ? CONSERVATIVE_MAX_PREFILL_TOKENS : MAX_PREFILL_TOKENS;
+        }
+        double speed = capacity.prefillTokensPerMilli(nowMillis);
+        double base = capacity.service().baseMillis(nowMillis) * speed;
+        double onePrompt = Math.min(capacity.service().largestPrompt() + 1, MAX_ONE_PROMPT_MILLIS * speed);
+        double window = base + Math.max(ARRIVAL_MILLIS * speed, onePrompt);
+        return conservative ? CONSERVATIVE_SHARE * window : window;
     }
 }
