Add the relay setting earlyRejection

Cause: early rejection must be chosen per deployment. The template of the deployments leaves it out.

--- a/rattanrudder-document/src/main/java/org/rattanrudder/document/RelaySettings.java
+++ b/rattanrudder-document/src/main/java/org/rattanrudder/document/RelaySettings.java
@@ -17,6 +17,7 @@
  * @param store the platform's store
  * @param bounds what it must keep to
  * @param regions the region of each failure domain
+ * @param earlyRejection whether requests that can't be sent while that is of use are rejected at once
  */
 public record RelaySettings(
         String instance,
@@ -27,12 +28,27 @@
         Address metrics,
         Address store,
         Bounds bounds,
-        Map<String, String> regions) {
+        Map<String, String> regions,
+        boolean earlyRejection) {
     public RelaySettings {
         regions = Map.copyOf(regions);
     }
 
-    /** Creates settings without regions. */
+    /** Creates settings without early rejection. */
+    public RelaySettings(
+            String instance,
+            String failureDomain,
+            Address callers,
+            Address readiness,
+            Address peers,
+            Address metrics,
+            Address store,
+            Bounds bounds,
+            Map<String, String> regions) {
+        this(instance, failureDomain, callers, readiness, peers, metrics, store, bounds, regions, false);
+    }
+
+    /** Creates settings without regions and early rejection. */
     public RelaySettings(
             String instance,
             String failureDomain,
@@ -53,6 +69,7 @@
     public static final Set<String> CHANGEABLE = Set.of(
             "store",
             "regions",
+            "earlyRejection",
             "bounds.retryRatio",
             "bounds.retryExtra",
             "bounds.weightsMillis",
@@ -77,7 +94,16 @@
                 read.bounds.warmUpOverage,
                 read.bounds.warmUpSlack);
         return new RelaySettings(
-                instance, failureDomain, callers, readiness, peers, metrics, read.store, changed, read.regions);
+                instance,
+                failureDomain,
+                callers,
+                readiness,
+                peers,
+                metrics,
+                read.store,
+                changed,
+                read.regions,
+                read.earlyRejection);
     }
 
     /** Returns the region of a failure domain; empty if unknown. */
--- a/rattanrudder-document/src/main/java/org/rattanrudder/document/RelaySettingsParser.java
+++ b/rattanrudder-document/src/main/java/org/rattanrudder/document/RelaySettingsParser.java
@@ -44,7 +44,8 @@
                 fields.required("metrics", ValueKind.address()),
                 fields.required("store", ValueKind.address()),
                 bounds(fields.requiredObject("bounds")),
-                regions(fields));
+                regions(fields),
+                fields.optional("earlyRejection", ValueKind.bool(), false));
         fields.finish();
         return settings;
     }
--- a/rattanrudder-document/src/test/java/org/rattanrudder/document/SettingsDifferenceTest.java
+++ b/rattanrudder-document/src/test/java/org/rattanrudder/document/SettingsDifferenceTest.java
@@ -15,7 +15,8 @@
              "bounds": {"retryRatio": 0.25, "retryExtra": 10, "retryWindowSeconds": 20, "leaseMillis": 30,
                "weightsMillis": 40, "drainMillis": 50, "graceSeconds": 60,
                "warmUpOverage": 1.5, "warmUpSlack": 4},
-             "regions": [{"failureDomain": "c", "region": "d"}]}
+             "regions": [{"failureDomain": "c", "region": "d"}],
+             "earlyRejection": true}
             """;
 
     @ParameterizedTest
@@ -57,10 +58,12 @@
                 "60,",
                 "1.5",
                 "4}",
-                "\"d\""
+                "\"d\"",
+                "true"
             })
     void aRelayTakesOverJustTheKeysThatAreNamedChangeable(String value) {
-        String changed = RELAY.replace(value, value.replaceFirst("[abd]|[0-9](?=[^0-9]*$)", "7"));
+        String other = value.equals("true") ? "false" : value.replaceFirst("[abd]|[0-9](?=[^0-9]*$)", "7");
+        String changed = RELAY.replace(value, other);
         RelaySettings running = settings(RELAY);
 
         List<String> keys = SettingsDifference.keys(RELAY, changed);
