Apply learned figures and the choice of fetching where the platform says that callers compete

Cause: learned speeds applied only to engines that report a pace; in one of the two new deployments they report none, and its callers compete for capacity. The relay passed no estimate of computing parts.

Change: the relay's settings hold the platform's features in force, and the platform's adapter says whether they mean that callers compete; then learned figures apply to all engines. Where they apply, each prompt's estimate of computing its shared parts decides how late fetches may be. Without such a feature and without a reported pace nothing changes.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Fleet.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Fleet.java
@@ -54,6 +54,7 @@
     private final Map<String, TargetNotices> notices = new HashMap<>();
     private final Map<String, Removal> removals = new LinkedHashMap<>();
     private final Map<String, ServiceCapacity> capacities = new HashMap<>();
+    private boolean learnedFiguresUsed;
     private final PeerLoads peers = new PeerLoads();
     private final TargetSharing sharing = new TargetSharing();
     private final Evacuations evacuations = new Evacuations();
@@ -292,9 +293,14 @@
         return Optional.ofNullable(targets.get(id));
     }
 
+    /** Sets whether learned figures apply to engines that report no pace too. */
+    public void useLearnedFigures(boolean used) {
+        learnedFiguresUsed = used;
+    }
+
     /** Returns how fast the targets of a service usually are. */
     public ServiceCapacity capacity(String service) {
-        return capacities.computeIfAbsent(service, unseen -> new ServiceCapacity());
+        return capacities.computeIfAbsent(service, unseen -> new ServiceCapacity(() -> learnedFiguresUsed));
     }
 
     /** Returns the services whose targets have reported a pace lately. */
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/ServiceCapacity.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/ServiceCapacity.java
@@ -1,11 +1,13 @@
 package org.rattanrudder.core.fleet;
 
+import java.util.function.BooleanSupplier;
+
 /**
  * How fast the targets of a service usually are: their prefill speed and base time, learned from responses of all of
  * them.
  *
- * <p>The learned figures apply only while targets of the service report a pace. For all other services, and until
- * responses were seen, the expected figures apply.
+ * <p>The learned figures apply while targets of the service report a pace, or where callers compete for capacity. For
+ * all other services, and until responses were seen, the expected figures apply.
  *
  * <p>All times are milliseconds of a monotonic clock.
  */
@@ -29,18 +31,33 @@
     private static final double LARGEST_PROMPT_STEP = 0.002;
 
     private final PrefillRegression prefill = new PrefillRegression(EXPECTED_BASE_MILLIS, EXPECTED_TOKENS_PER_MILLI);
+    private final BooleanSupplier alwaysLearned;
     private final double paceFadeMillis;
     private long pacedUntil = Long.MIN_VALUE;
     private double prefillShare = 1;
     private double largestPrompt;
 
     ServiceCapacity() {
-        this(ReportedPace.USUAL_FADE_MILLIS);
+        this(() -> false);
+    }
+
+    /**
+     * Creates the figures of a service.
+     *
+     * @param alwaysLearned whether learned figures apply although no target reports a pace
+     */
+    ServiceCapacity(BooleanSupplier alwaysLearned) {
+        this(ReportedPace.USUAL_FADE_MILLIS, alwaysLearned);
     }
 
     /** Creates the figures of a service whose targets' reports have no influence from the given age on. */
     ServiceCapacity(double paceFadeMillis) {
+        this(paceFadeMillis, () -> false);
+    }
+
+    private ServiceCapacity(double paceFadeMillis, BooleanSupplier alwaysLearned) {
         this.paceFadeMillis = paceFadeMillis;
+        this.alwaysLearned = alwaysLearned;
     }
 
     /** Returns the estimate of the pace of one target, of which nothing was reported. */
@@ -53,9 +70,9 @@
         pacedUntil = nowMillis + PACED_MILLIS;
     }
 
-    /** Returns whether a target has reported a pace lately, so that learned figures apply. */
+    /** Returns whether a target has reported a pace lately, or learned figures apply in any case. */
     public boolean isPaced(long nowMillis) {
-        return nowMillis < pacedUntil;
+        return nowMillis < pacedUntil || alwaysLearned.getAsBoolean();
     }
 
     /** Records a sample, with the pace that was reported after it. */
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/gateway/RequestMetadata.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/gateway/RequestMetadata.java
@@ -33,4 +33,9 @@
     public RequestMetadata {
         parts = List.copyOf(parts);
     }
+
+    /** Returns the length of the part that no other request shares, in tokens; 0 if the prompt has no parts. */
+    public int lastPartTokens() {
+        return parts.isEmpty() ? 0 : parts.get(parts.size() - 1).tokens();
+    }
 }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/port/PlatformAdapter.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/port/PlatformAdapter.java
@@ -1,5 +1,6 @@
 package org.rattanrudder.daemon.relay.port;
 
+import java.util.Set;
 import java.util.function.Consumer;
 
 /** Adapts the relay to its platform; loaded from the class path by {@link java.util.ServiceLoader}. */
@@ -16,6 +17,14 @@
     /** Returns the protocol of engines and context stores, other than requests. */
     EngineDialect engines();
 
+    /**
+     * Returns whether callers compete for the capacity of targets, so that decisions under load must follow what
+     * targets can do rather than what is usual.
+     *
+     * @param features the features that the platform has in force, by its own names
+     */
+    boolean callersCompete(Set<String> features);
+
     /** Sets what receives the name of each member of a record or report that nothing reads, each time it is there. */
     void setUnreadListener(Consumer<String> listener);
 }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/RelayState.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/RelayState.java
@@ -98,6 +98,7 @@
         platform.setUnreadListener(members::record);
         directory = new PartDirectory();
         updateWarmUpBounds();
+        updateLearnedFigures();
         relayHash = Hashing.of(settings.instance());
         eventLoopLag = new EventLoopLag(nowMillis(), SWEEP_INTERVAL_MILLIS);
         reportLag =
@@ -148,6 +149,16 @@
                 .values()
                 .forEach(budget -> budget.update(bounds.retryRatio() * USED_RATIO_SHARE, bounds.retryExtra()));
         updateWarmUpBounds();
+        updateLearnedFigures();
+    }
+
+    private void updateLearnedFigures() {
+        fleet.useLearnedFigures(callersCompete());
+    }
+
+    /** Returns whether callers compete for the capacity of targets, by the platform's features in force. */
+    public boolean callersCompete() {
+        return platform.callersCompete(settings.features());
     }
 
     private void updateWarmUpBounds() {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/RequestPlan.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/RequestPlan.java
@@ -28,6 +28,7 @@
 import org.rattanrudder.core.gateway.ServingConfiguration.AccessDecision;
 import org.rattanrudder.core.gateway.WarmUpTraits;
 import org.rattanrudder.core.model.ErrorKind;
+import org.rattanrudder.core.parts.ComputeEstimate;
 import org.rattanrudder.core.parts.PartKey;
 import org.rattanrudder.core.parts.PartPlan;
 import org.rattanrudder.core.quarantine.Feature;
@@ -374,7 +375,7 @@
                                         >= state.weights()
                                                 .newest(metadata.model().get()),
                                 route.objectiveMillis(),
-                                Optional.empty(),
+                                computeEstimate(target),
                                 this::allowsDomain,
                                 state.nowMillis())
                 : PartPlan.NONE;
@@ -395,6 +396,22 @@
                 new Target.RequestCost(tokens(), Math.max(0, metadata.promptTokens() - parts.fetchedTokens())));
     }
 
+    /** Returns how soon the target could start by computing shared parts; empty where learned figures don't apply. */
+    private Optional<ComputeEstimate> computeEstimate(Target target) {
+        long now = state.nowMillis();
+        if (!target.capacity().isPaced(now)) {
+            return Optional.empty();
+        }
+        double ready = target.capacity().firstEventMillis(metadata.lastPartTokens(), now);
+        return Optional.of(
+                new ComputeEstimate(target.capacity().prefillTokensPerMilli(now), onTimeMillis(now) - ready));
+    }
+
+    /** Returns the time that is left until the objective; negative if it has passed. */
+    private double onTimeMillis(long now) {
+        return arrivedAt + route.objectiveMillis() - now;
+    }
+
     /**
      * Returns a salt that no other request uses: without a known weights version, parts of different versions can't be
      * distinguished and must not be shared.
--- a/rattanrudder-document/src/main/java/org/rattanrudder/document/RelaySettings.java
+++ b/rattanrudder-document/src/main/java/org/rattanrudder/document/RelaySettings.java
@@ -18,6 +18,7 @@
  * @param bounds what it must keep to
  * @param regions the region of each failure domain
  * @param earlyRejection whether requests that can't be sent while that is of use are rejected at once
+ * @param features the features that the platform has in force, by its own names; unknown ones have no effect
  */
 public record RelaySettings(
         String instance,
@@ -29,12 +30,14 @@
         Address store,
         Bounds bounds,
         Map<String, String> regions,
-        boolean earlyRejection) {
+        boolean earlyRejection,
+        Set<String> features) {
     public RelaySettings {
         regions = Map.copyOf(regions);
+        features = Set.copyOf(features);
     }
 
-    /** Creates settings without early rejection. */
+    /** Creates settings without early rejection and features. */
     public RelaySettings(
             String instance,
             String failureDomain,
@@ -45,7 +48,7 @@
             Address store,
             Bounds bounds,
             Map<String, String> regions) {
-        this(instance, failureDomain, callers, readiness, peers, metrics, store, bounds, regions, false);
+        this(instance, failureDomain, callers, readiness, peers, metrics, store, bounds, regions, false, Set.of());
     }
 
     /** Creates settings without regions and early rejection. */
@@ -70,6 +73,7 @@
             "store",
             "regions",
             "earlyRejection",
+            "features",
             "bounds.retryRatio",
             "bounds.retryExtra",
             "bounds.weightsMillis",
@@ -103,7 +107,8 @@
                 read.store,
                 changed,
                 read.regions,
-                read.earlyRejection);
+                read.earlyRejection,
+                read.features);
     }
 
     /** Returns the region of a failure domain; empty if unknown. */
--- a/rattanrudder-document/src/main/java/org/rattanrudder/document/RelaySettingsParser.java
+++ b/rattanrudder-document/src/main/java/org/rattanrudder/document/RelaySettingsParser.java
@@ -2,9 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.rattanrudder.core.model.CustomerName;
 import org.rattanrudder.core.model.InstanceName;
 import org.rattanrudder.document.RelaySettings.Bounds;
@@ -23,6 +25,9 @@
     private static final ValueKind<String> DOMAIN =
             ValueKind.name("failure domain", text -> new CustomerName(text).value());
 
+    private static final ValueKind<String> FEATURE =
+            ValueKind.text("the name of a feature", text -> text, "placeholder");
+
     /** Reads the text and returns the settings, or all of its problems. */
     public ParseResult<RelaySettings> parse(String text) {
         Problems problems = new Problems();
@@ -45,7 +50,8 @@
                 fields.required("store", ValueKind.address()),
                 bounds(fields.requiredObject("bounds")),
                 regions(fields),
-                fields.optional("earlyRejection", ValueKind.bool(), false));
+                fields.optional("earlyRejection", ValueKind.bool(), false),
+                Set.copyOf(new HashSet<>(fields.values("features", FEATURE))));
         fields.finish();
         return settings;
     }
--- a/rattanrudder-document/src/test/java/org/rattanrudder/document/SettingsDifferenceTest.java
+++ b/rattanrudder-document/src/test/java/org/rattanrudder/document/SettingsDifferenceTest.java
@@ -16,7 +16,7 @@
                "weightsMillis": 40, "drainMillis": 50, "graceSeconds": 60,
                "warmUpOverage": 1.5, "warmUpSlack": 4},
              "regions": [{"failureDomain": "c", "region": "d"}],
-             "earlyRejection": true}
+             "earlyRejection": true, "features": ["e"]}
             """;
 
     @ParameterizedTest
@@ -59,10 +59,11 @@
                 "1.5",
                 "4}",
                 "\"d\"",
-                "true"
+                "true",
+                "\"e\""
             })
     void aRelayTakesOverJustTheKeysThatAreNamedChangeable(String value) {
-        String other = value.equals("true") ? "false" : value.replaceFirst("[abd]|[0-9](?=[^0-9]*$)", "7");
+        String other = value.equals("true") ? "false" : value.replaceFirst("[abde]|[0-9](?=[^0-9]*$)", "7");
         String changed = RELAY.replace(value, other);
         RelaySettings running = settings(RELAY);
 
