--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/entry/PromptQuarantine.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/entry/PromptQuarantine.java
@@ -29,13 +29,26 @@
         if (!isPrompt(terms) || quarantine.isEmpty()) {
             return Optional.empty();
         }
-        OptionalLong left = quarantine.remainingMillis(features(terms, request), millis(nowMicros));
-        return left.isEmpty()
+        List<Feature> prompt = features(terms, request);
+        OptionalLong left = quarantine.remainingMillis(prompt, millis(nowMicros));
+        return left.isEmpty() || isTried(prompt, millis(nowMicros))
                 ? Optional.empty()
                 : Optional.of(new Refusal(
                         ErrorKind.REQUEST_QUARANTINED, left.getAsLong(), "engines ended while they ran this prompt"));
     }
 
+    /**
+     * Returns whether a quarantined prompt is sent to tell a piece that many prompts share from several rarer causes.
+     * Other causes aren't tried, since entries can't bound their trials together.
+     */
+    private boolean isTried(List<Feature> prompt, long nowMillis) {
+        quarantine
+                .causeToTry(prompt, nowMillis)
+                .filter(quarantine::isInDoubt)
+                .ifPresent(cause -> quarantine.onTrialGranted(cause, quarantine.trialsOf(cause) + 1, nowMillis));
+        return quarantine.takeTrial(prompt, nowMillis);
+    }
+
     /** Records a failed attempt and returns whether its prompt is quarantined. */
     boolean onFailed(InFlightRequest inFlight, ErrorKind kind, long nowMicros) {
         boolean ended = kind == ErrorKind.TARGET_FAILED;
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/quarantine/Quarantine.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/quarantine/Quarantine.java
@@ -443,6 +443,11 @@
         return trials.take(cause, alternativesTo(cause), request, since(cause), nowMillis);
     }
 
+    /** Returns whether several rarer causes may explain the crashes of a cause in its place. */
+    public boolean isInDoubt(Cause cause) {
+        return alternativesTo(cause).isDoubtful();
+    }
+
     private Alternatives alternativesTo(Cause cause) {
         return alternatives.computeIfAbsent(cause, finder::alternativesTo);
     }
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/entry/EntryDriver.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/entry/EntryDriver.java
@@ -1,9 +1,11 @@
 package org.rattanrudder.core.entry;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
+import java.util.stream.Stream;
 import org.rattanrudder.core.call.Call;
 import org.rattanrudder.core.call.PromptShape;
 import org.rattanrudder.core.call.Usage;
@@ -121,14 +123,33 @@
         return sendRequest("palivo-llm", "POST", "/v1/chat/completions", "audit", shape, Optional.empty());
     }
 
+    /** Sends a prompt of several pieces that is like no other and returns its sequence number. */
+    long promptOf(String... pieces) {
+        PromptShape shape =
+                new PromptShape(2_100, Stream.of(pieces).map(Digest::of).toList());
+        byte[] body = ("prompt " + sequence).getBytes(StandardCharsets.UTF_8);
+        return sendRequest("palivo-llm", "POST", "/v1/chat/completions", "audit", shape, Optional.empty(), body);
+    }
+
     /** Sends a call that may run at most once and returns its sequence number. */
     long atMostOnceCall(Optional<String> key) {
         return sendRequest("fuel-ledger", "POST", "/entries", "check", PromptShape.NONE, key);
     }
 
     long sendRequest(String service, String method, String path, String name, PromptShape shape, Optional<String> key) {
+        return sendRequest(service, method, path, name, shape, key, new byte[10]);
+    }
+
+    private long sendRequest(
+            String service,
+            String method,
+            String path,
+            String name,
+            PromptShape shape,
+            Optional<String> key,
+            byte[] body) {
         sequence++;
-        Call call = new Call(method, path, List.of(), new byte[10]);
+        Call call = new Call(method, path, List.of(), body);
         CallerRequest request =
                 new CallerRequest(service, Optional.of(TestDocuments.CREDENTIAL), Optional.of(name), key, call, shape);
         handle(new EntryEvent.RequestArrived(sequence, request));
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/entry/RequestDispatcherTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/entry/RequestDispatcherTest.java
@@ -5,6 +5,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -15,6 +16,9 @@
 import org.rattanrudder.core.model.RunState;
 
 class RequestDispatcherTest {
+    /** Engines that may crash under one cause. */
+    private static final int MOST_CRASHES = 5 + 3;
+
     /**
      * A call that may run at most once runs twice: its link is lost, and the entry takes this as proof that the call
      * didn't run and dispatches it to another target while the first one runs it.
@@ -241,6 +245,41 @@
         assertThat(driver.frames(Frame.Cancel.class)).isEqualTo(List.of(new Frame.Cancel(first.attempt())));
     }
 
+    /** Guards against a piece that all prompts share and that is refused for an hour in place of rarer causes. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 3})
+    void promptsWithAPieceInCommonWithSeveralCausesAreServedAfterATrial(int causes) {
+        EntryDriver driver =
+                EntryDriver.ready(TestDocuments.prompts(target(1), target(2), target(3), target(4), target(5)));
+        int failed = 0;
+        for (int call = 0; call < 30; call++) {
+            driver.promptOf("common", "cause-" + call % causes, "own-" + call);
+            while (failed < driver.dispatches().size()) {
+                Refusal ended = new Refusal(ErrorKind.TARGET_FAILED, 0, "the engine is gone");
+                driver.frame(
+                        driver.lastCompanion(),
+                        new Frame.AnswerFailed(driver.lastDispatch().attempt(), ended));
+                failed++;
+            }
+            driver.advance(50_000);
+        }
+        assertThat(driver.dispatches()).hasSizeLessThanOrEqualTo(MOST_CRASHES * causes);
+
+        // The first trial may have gone to the third cause, which was unknown then; the next one may begin 5 s later.
+        for (int step = 0; step < 10; step++) {
+            driver.advance(500_000);
+            IntStream.rangeClosed(1, 5).forEach(companion -> driver.heartbeat(companion, 100, true));
+        }
+        int before = driver.dispatches().size();
+        for (int call = 0; call < 10; call++) {
+            driver.promptOf("common", "sound-" + call);
+            driver.head(driver.lastDispatch());
+            driver.end(driver.lastDispatch(), 0);
+        }
+
+        assertThat(driver.dispatches()).hasSize(before + 10);
+    }
+
     /** A prompt that crashes each engine which runs it is sent repeatedly. */
     @Test
     void aPromptThatCrashedThreeEnginesIsQuarantined() {
