Bound the base time in send windows, and let samples decide it

Cause: a base time that is learned while requests wait at engines would widen the windows, so that more of them wait there; and the expected base time stayed in the fit with so much weight that one of 400 ms was learned with a speed 5 percent too low. Change: windows count at most the expected base time; the expected one keeps a fifth of its former weight in the fit. Measured: TargetCapacityTest with base times from 20 to 400 ms, and with prompts of one size, passes.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/PrefillRegression.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/PrefillRegression.java
@@ -22,7 +22,7 @@
      * Weight with which the expected base time remains in the fit. It decides only where all prompts are of the same
      * size, so that samples say nothing of the base time.
      */
-    private static final double BASE_WEIGHT = 0.5;
+    private static final double BASE_WEIGHT = 0.1;
 
     /** Learned speeds differ from the expected one by at most this factor. */
     private static final double MAX_RATIO = 20;
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/SendWindow.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/SendWindow.java
@@ -92,7 +92,9 @@
             return conservative ? CONSERVATIVE_MAX_PREFILL_TOKENS : MAX_PREFILL_TOKENS;
         }
         double speed = capacity.prefillTokensPerMilli(nowMillis);
-        double base = capacity.service().baseMillis(nowMillis) * speed;
+        // A base time that was learned while requests waited at engines must not let more of them wait there.
+        double baseMillis = Math.min(capacity.service().baseMillis(nowMillis), ServiceCapacity.EXPECTED_BASE_MILLIS);
+        double base = baseMillis * speed;
         double onePrompt = Math.min(capacity.service().largestPrompt() + 1, MAX_ONE_PROMPT_MILLIS * speed);
         double window = base + Math.max(ARRIVAL_MILLIS * speed, onePrompt);
         return conservative ? CONSERVATIVE_SHARE * window : window;
