Don't learn waits for slow links as the engines' time

Cause: samples with fetched parts counted nearly in full, and a wait of 300 ms on a store's link in half of them was learned as a base time of 150 instead of 50 ms. Change: samples with a fetch have a quarter of the weight, and none where a tenth of all samples has no fetch. Measured: TargetCapacityTest with such waits: base time from 45 to 120 ms, speed from 36 to 50 for 40 tokens/ms.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/FirstEventSample.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/FirstEventSample.java
@@ -11,6 +11,12 @@
  */
 public record FirstEventSample(
         CapacityAtSend before, int promptTokens, int prefillTokens, double fetchMillis, double millis) {
+    /**
+     * Weight of a sample with a fetch: its time on a busy or slow link isn't known, and must not be learned as the
+     * target's where other samples say more.
+     */
+    private static final double FETCHED_WEIGHT = 0.25;
+
     /**
      * What was known of a target when a request was sent to it, without the request.
      *
@@ -37,6 +43,10 @@
         return (before.pace() + paceAfter) / 2;
     }
 
+    private double unfetchedWeight() {
+        return fetchMillis > 0 ? FETCHED_WEIGHT * Math.max(0, 1 - fetchMillis / Math.max(1, millis)) : 1;
+    }
+
     /**
      * Returns how much it says of the target's speed, from 0 to 1. The most is said by a response of an idle target at
      * an even pace without a fetch; what other requests, fetches and changes of pace contribute is known inexactly.
@@ -46,7 +56,6 @@
     double weight(double ownShare, int slots, double paceAfter) {
         double idle = 1 - 0.5 * Math.min(1, (double) before.requests() / Math.max(1, slots));
         double steady = Math.min(before.pace(), paceAfter) / Math.max(before.pace(), paceAfter);
-        double unfetched = Math.max(0, 1 - fetchMillis / Math.max(1, millis));
-        return ownShare * ownShare * idle * steady * unfetched;
+        return ownShare * ownShare * idle * steady * unfetchedWeight();
     }
 }
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/ServiceCapacity.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/ServiceCapacity.java
@@ -24,7 +24,13 @@
     /** Samples of full weight from which on the learned figures suffice to compare single targets with them. */
     private static final double SETTLED_SAMPLES = 40;
 
-    /** Share by which a sample moves the mean share of prompts that needs prefill. */
+    /**
+     * Share of samples without a fetch from which on those with one are ignored: a wait for a slow link must not be
+     * learned as the engines' time.
+     */
+    private static final double SUFFICIENT_UNFETCHED = 0.1;
+
+    /** Share by which a sample moves what is usual of prompts. */
     private static final double PROMPT_STEP = 0.02;
 
     /** Share by which a sample lowers the largest prompt: a size that is rare must still be known when it recurs. */
@@ -36,6 +42,7 @@
     private long pacedUntil = Long.MIN_VALUE;
     private double prefillShare = 1;
     private double largestPrompt;
+    private double unfetchedShare;
 
     ServiceCapacity() {
         this(() -> false);
@@ -82,6 +89,7 @@
             prefillShare += PROMPT_STEP * (Math.min(1, share) - prefillShare);
         }
         largestPrompt = Math.max(sample.prefillTokens(), largestPrompt * (1 - LARGEST_PROMPT_STEP));
+        unfetchedShare += PROMPT_STEP * ((sample.fetchMillis() > 0 ? 0 : 1) - unfetchedShare);
         double weight = weight(sample, paceAfter, slots);
         if (weight > 0) {
             prefill.record(sample.totalTokens(), sample.millisWithoutFetch() / sample.meanPace(paceAfter), weight);
@@ -91,7 +99,8 @@
     /** Returns how much a sample says, from 0 to 1. */
     double weight(FirstEventSample sample, double paceAfter, int slots) {
         double ownShare = prefill.expectedMillis(sample.prefillTokens()) / prefill.expectedMillis(sample.totalTokens());
-        return sample.weight(ownShare, slots, paceAfter);
+        double weight = sample.weight(ownShare, slots, paceAfter);
+        return sample.fetchMillis() > 0 ? weight * Math.max(0, 1 - unfetchedShare / SUFFICIENT_UNFETCHED) : weight;
     }
 
     /** Returns the expected time of a sample at the usual pace, in ms. */
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/TargetCapacityTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/TargetCapacityTest.java
@@ -102,6 +102,26 @@
         }
     }
 
+    /** Guards against a slow link that is learned as slow engines. */
+    @ParameterizedTest
+    @CsvSource({"0, 0", "30, 0", "30, 300"})
+    void fetchesAreNotLearnedAsTheEnginesTime(double fetchMillis, double waitMillis) {
+        ServiceCapacity service = new ServiceCapacity();
+        TargetCapacity capacity = paced(service, 100);
+        for (int sample = 0; sample < 2_000; sample++) {
+            boolean fetched = sample % 2 == 0;
+            int prompt = sample % 4 < 2 ? 9_000 : 800;
+            int prefill = fetched ? prompt / 4 : prompt;
+            double fetch = fetched ? fetchMillis : 0;
+            double millis = 50 + prefill / 40.0 + fetch + (fetched ? waitMillis : 0);
+            CapacityAtSend idle = new CapacityAtSend(0, 0, 1);
+            capacity.onFirstEvent(new FirstEventSample(idle, prompt, prefill, fetch, millis), NOW);
+        }
+
+        assertThat(service.baseMillis(NOW)).isBetween(45.0, 120.0);
+        assertThat(service.prefillTokensPerMilli(NOW)).isBetween(36.0, 50.0);
+    }
+
     /** Guards against an engine that is slower than others at the pace that it reports and gets as many requests. */
     @ParameterizedTest
     @CsvSource({"1, 1", "2, 2", "0.7, 0.7", "8, 4"})
