Rehearse a relay's start with a peer and its periodic tasks

The rehearsal ended once three requests were served. Classes and lambdas of messages of peers, of registered relays and of tasks that run after the first seconds weren't in the class archive, nor were those of the process's start and of its settings: a starting relay loaded them from jars and generated the lambdas. The rehearsal now registers a peer, which sends one message of each kind, and goes on for 4 s.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Rehearsal.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Rehearsal.java
@@ -14,6 +14,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.ServiceLoader;
+import java.util.concurrent.TimeUnit;
 import java.util.jar.JarEntry;
 import java.util.jar.JarFile;
 import java.util.random.RandomGenerator;
@@ -40,29 +41,40 @@
  *
  * <p>A restarted relay can't serve requests until its classes are loaded and verified. With the archive they are mapped
  * into memory instead. The rehearsal starts a relay on loopback, together with a store and targets that answer like the
- * platform's, and sends it requests until they are served.
+ * platform's, and sends it requests and messages of a peer until its periodic tasks have run.
  */
 public final class Rehearsal {
     private static final int MAX_START_ATTEMPTS = 5;
     private static final int READ_TIMEOUT_MILLIS = 2_000;
     private static final int MAX_SENDS = 2_000;
+    private static final String PEER = "peer";
     private static final String SUCCESS_STATUS_LINE = "HTTP/1.1 200";
     private static final String STATUS_REQUEST = "GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
 
+    /** From here on the event loop no longer counts as late, and all periodic tasks have run. */
+    private static final long DURATION_MILLIS = 4_000;
+
+    private static final long REQUEST_INTERVAL_MILLIS = 100;
+    private static final String SETTINGS =
+            "{\"instance\":\"rehearsal\",\"failureDomain\":\"z\",\"callers\":\"127.0.0.1:1\","
+                    + "\"readiness\":\"127.0.0.1:2\",\"peers\":\"127.0.0.1:3\",\"metrics\":\"127.0.0.1:4\","
+                    + "\"store\":\"127.0.0.1:5\",\"regions\":[{\"failureDomain\":\"z\",\"region\":\"r\"}],"
+                    + "\"bounds\":{\"retryRatio\":0.2,\"retryExtra\":10,\"retryWindowSeconds\":10,\"leaseMillis\":1000,"
+                    + "\"weightsMillis\":10000,\"drainMillis\":1000,\"graceSeconds\":1}}";
+
     private Rehearsal() {}
 
     /** Runs the rehearsal and ends the process. */
     public static void main(String[] arguments) throws Exception {
         Logging.install();
-        new RelaySettingsParser().parse("{}");
+        new RelaySettingsParser().parse(SETTINGS);
         loadOwnClasses();
-        encodeAndDecodePeerMessages();
         PlatformAdapter adapter =
                 ServiceLoader.load(PlatformAdapter.class).findFirst().orElseThrow();
         try (RehearsalServer server = new RehearsalServer(adapter.rehearsal())) {
             RelayProcess relay = null;
             for (int tries = 0; relay == null && tries < MAX_START_ATTEMPTS; tries++) {
-                relay = tryToStart(adapter, server.address());
+                relay = tryToStart(adapter, server);
             }
             if (relay != null) {
                 relay.close();
@@ -72,28 +84,30 @@
         System.exit(0);
     }
 
-    /** Encodes and decodes the messages that relays exchange. */
-    private static void encodeAndDecodePeerMessages() {
+    /** Returns one of each kind of message that relays exchange. */
+    private static List<byte[]> peerMessages(Address self, long sequence) {
         LoadReport load = LoadReport.ofTargets(
-                        "rehearsal",
-                        1,
+                        PEER,
+                        sequence,
                         true,
-                        List.of(new LoadReport.TargetLoad("target", 1, 1, 1)),
+                        List.of(new LoadReport.TargetLoad("i-1", 1, 1, 1)),
                         true,
                         new LoadReport.ReadOffsets(1, 1, 1))
-                .withInterval(ReportSchedule.ROUND_MILLIS, List.of(StoreLateness.of(new Address("127.0.0.1", 1), 1)));
-        PeerCodec.read(PeerCodec.write(load));
+                .withInterval(ReportSchedule.ROUND_MILLIS, List.of(StoreLateness.of(self, 1)));
         StoreUpdate update = new StoreUpdate(
                 1, 2, false, List.of(new PartEvent(new PartKey("w1", "part"), 1, true)), OptionalLong.of(1));
-        PeerCodec.read(PeerCodec.write(new SharedStoreUpdate(new Address("127.0.0.1", 1), 1, update, 1)));
         StreamKey stream = StreamKey.of("customer", "request");
         OriginMessage.Told told =
                 new OriginMessage.Told(stream, Optional.of(new StreamOrigin("service", "version")), 1);
-        PeerCodec.read(PeerCodec.write(new OriginMessage(List.of(told), List.of(stream), List.of(stream))));
+        return List.of(
+                PeerCodec.write(load),
+                PeerCodec.write(new SharedStoreUpdate(self, 1, update, 1)),
+                PeerCodec.write(new OriginMessage(List.of(told), List.of(stream), List.of(stream))));
     }
 
     /** Starts a relay on free ports and sends it requests; returns null if another process has taken a port. */
-    private static RelayProcess tryToStart(PlatformAdapter adapter, Address store) {
+    private static RelayProcess tryToStart(PlatformAdapter adapter, RehearsalServer server)
+            throws InterruptedException {
         try {
             RelaySettings settings = new RelaySettings(
                     "rehearsal",
@@ -102,11 +116,18 @@
                     freeAddress(),
                     freeAddress(),
                     freeAddress(),
-                    store,
+                    server.address(),
                     new Bounds(0.2, 10, 10_000, 1_000, 10_000, 1_000, 1_000));
             RelayProcess relay = new RelayProcess(settings, adapter, RandomGenerator.getDefault());
-            for (String request : adapter.rehearsal().requests()) {
-                sendUntilServed(settings.callers(), request);
+            long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(DURATION_MILLIS);
+            for (int round = 1; System.nanoTime() < end; round++) {
+                for (String request : adapter.rehearsal().requests()) {
+                    sendUntilServed(settings.callers(), request);
+                }
+                for (byte[] message : peerMessages(server.address(), round)) {
+                    server.sendAsPeer(message, settings.peers());
+                }
+                Thread.sleep(REQUEST_INTERVAL_MILLIS);
             }
             send(settings.readiness(), STATUS_REQUEST);
             send(settings.metrics(), STATUS_REQUEST);
@@ -162,7 +183,9 @@
     private static boolean isRelayClass(String name) {
         return name.matches(
                 ".*/(continuation|gateway|fleet|parts|quarantine|rollout|relay|port|peer|platform)/[A-Z][^/]*"
-                        + "|.*/daemon/relay/[a-z]+/[A-Z][^/]*|.*/daemon/(Signals|Settings)[^/]*");
+                        + "|.*/daemon/relay/[a-z]+/[A-Z][^/]*"
+                        + "|.*/daemon/(Rattanrudderd|RelayStart|Signals|Settings)[^/]*"
+                        + "|.*/document/(Node|ParseResult|ValueKind|RelaySettings)[^/]*");
     }
 
     private static Address freeAddress() throws IOException {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RehearsalServer.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RehearsalServer.java
@@ -3,7 +3,10 @@
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -17,14 +20,21 @@
     private static final String CONTENT_LENGTH = "content-length:";
 
     private final ServerSocket serverSocket;
+    private final DatagramSocket peerSocket;
     private final RehearsalScript script;
 
     RehearsalServer(RehearsalScript script) throws IOException {
         this.script = script;
         serverSocket = new ServerSocket(0, 0, InetAddress.getByName("127.0.0.1"));
+        peerSocket = new DatagramSocket(serverSocket.getLocalSocketAddress());
         runInBackground(this::accept);
     }
 
+    /** Sends a relay a message, as another relay that is registered at the server's address. */
+    void sendAsPeer(byte[] message, Address relay) throws IOException {
+        peerSocket.send(new DatagramPacket(message, message.length, new InetSocketAddress(relay.host(), relay.port())));
+    }
+
     /** Returns the address that the server listens on. */
     Address address() {
         return new Address("127.0.0.1", serverSocket.getLocalPort());
@@ -87,6 +97,7 @@
 
     @Override
     public void close() throws IOException {
+        peerSocket.close();
         serverSocket.close();
     }
 }
