--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/LocalReplies.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/LocalReplies.java
@@ -7,8 +7,8 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import java.math.BigDecimal;
 import java.nio.charset.StandardCharsets;
-import java.util.Locale;
 import java.util.random.RandomGenerator;
 import org.rattanrudder.core.model.ErrorKind;
 import org.rattanrudder.daemon.relay.port.RequestDialect;
@@ -26,7 +26,8 @@
     /** The largest share of a caller's remaining time that it is asked to wait. */
     private static final double RETRY_AFTER_SHARE = 0.3;
 
-    private static final double MILLIS_PER_SECOND = 1_000;
+    /** Decimal places of a number of seconds whose unit of precision is a ms. */
+    private static final int MILLI_DIGITS = 3;
 
     private final RequestDialect dialect;
     private final RandomGenerator random;
@@ -77,6 +78,7 @@
     }
 
     private static String seconds(double millis) {
-        return String.format(Locale.ROOT, "%.3f", millis / MILLIS_PER_SECOND);
+        // Not by String.format: the first use of a formatter costs a starting relay several ms per core.
+        return BigDecimal.valueOf(Math.round(millis), MILLI_DIGITS).toPlainString();
     }
 }
