Move what RelayProcess handles and measures into the packages it belongs to

Change: store.DesiredStateListener handles the published records and store.StoreWatches keeps the watches and evicts outdated parts; StoreWatch and OutdatedPartEvictor are package-private behind it. targets.ReachabilityHandler dispatches queued requests to targets that can be reached again. Gauges are registered by the class whose figures they show; those of the shared state by process.StateGauges. RelayState says whether the relay is ready, and StatusServer has the two pages. The gauge of callers' connections stays in RelayProcess. The coordinator of rollouts is created before the follower of the desired state, since that gets it by constructor; neither does anything until it is started.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
@@ -7,23 +7,15 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
-import java.util.stream.Collectors;
 import org.jboss.logging.Logger;
 import org.rattanrudder.core.fleet.LoadReport.ReadOffsets;
-import org.rattanrudder.core.fleet.Target;
-import org.rattanrudder.core.gateway.ContextStore;
 import org.rattanrudder.core.model.Address;
 import org.rattanrudder.core.parts.SharedStoreUpdate;
-import org.rattanrudder.core.rollout.DesiredVersions;
 import org.rattanrudder.daemon.logging.EventLog;
 import org.rattanrudder.daemon.loop.Closer;
 import org.rattanrudder.daemon.loop.MonotonicClock;
@@ -33,24 +25,21 @@
 import org.rattanrudder.daemon.relay.peers.FetchLatenessRecorder;
 import org.rattanrudder.daemon.relay.peers.PeerExchange;
 import org.rattanrudder.daemon.relay.peers.PlacementBroadcaster;
-import org.rattanrudder.daemon.relay.port.KeyedRecord;
 import org.rattanrudder.daemon.relay.port.PlatformAdapter;
-import org.rattanrudder.daemon.relay.port.StoreDialect;
-import org.rattanrudder.daemon.relay.port.StoreDialect.DesiredState;
 import org.rattanrudder.daemon.relay.port.StoreDialect.Topic;
-import org.rattanrudder.daemon.relay.port.WeightsVersion;
 import org.rattanrudder.daemon.relay.process.GracefulShutdown;
 import org.rattanrudder.daemon.relay.process.RelayMetrics;
 import org.rattanrudder.daemon.relay.process.RelayState;
+import org.rattanrudder.daemon.relay.process.StateGauges;
 import org.rattanrudder.daemon.relay.process.StatusServer;
 import org.rattanrudder.daemon.relay.quarantine.QuarantineExchange;
 import org.rattanrudder.daemon.relay.rollout.RolloutCoordinator;
 import org.rattanrudder.daemon.relay.serving.CallerServer;
 import org.rattanrudder.daemon.relay.serving.HoldingQueues;
 import org.rattanrudder.daemon.relay.serving.ServingComponents;
-import org.rattanrudder.daemon.relay.store.OutdatedPartEvictor;
+import org.rattanrudder.daemon.relay.store.DesiredStateListener;
 import org.rattanrudder.daemon.relay.store.PollIntervals;
-import org.rattanrudder.daemon.relay.store.StoreWatch;
+import org.rattanrudder.daemon.relay.store.StoreWatches;
 import org.rattanrudder.daemon.relay.store.TargetRegistrations;
 import org.rattanrudder.daemon.relay.store.TopicConfirmation;
 import org.rattanrudder.daemon.relay.store.TopicFollower;
@@ -59,6 +48,7 @@
 import org.rattanrudder.daemon.relay.streams.StreamOriginExchange;
 import org.rattanrudder.daemon.relay.targets.CapacityGauges;
 import org.rattanrudder.daemon.relay.targets.RateLimitLog;
+import org.rattanrudder.daemon.relay.targets.ReachabilityHandler;
 import org.rattanrudder.daemon.relay.targets.SelfReports;
 import org.rattanrudder.daemon.relay.targets.TargetPools;
 import org.rattanrudder.daemon.relay.targets.WarmUpLog;
@@ -74,16 +64,9 @@
  * }</pre>
  */
 public final class RelayProcess implements RunningProcess {
-    private static final double MILLIS_PER_SECOND = 1_000;
-
     private final Closer closer = new Closer();
     private final RelayState state;
     private final TargetPools pools;
-    private final HoldingQueues queues;
-    private final SelfReports selfReports;
-    private final StreamOriginExchange streamOrigins;
-    private final SoleSoftware soleSoftware;
-    private final String incarnation;
     private final TopicFollower desiredState;
     private final TopicFollower targetTopic;
     private final TargetRegistrations targetRegistrations;
@@ -92,9 +75,8 @@
     private final QuarantineExchange quarantine;
     private final EventLoop loop;
     private final CallerServer callers;
-    private final Map<Address, StoreWatch> storeWatches = new HashMap<>();
+    private final StoreWatches storeWatches;
     private final Channel callerListener;
-    private final OutdatedPartEvictor partEvictor;
     private final GracefulShutdown shutdown;
     private final WarmUpLog warmUpLog;
     private final RateLimitLog rateLimitLog;
@@ -111,28 +93,36 @@
         EventLog log = new EventLog(Logger.getLogger(RelayProcess.class), new MonotonicClock());
         state = new RelayState(
                 settings, platform, loop, RelayChannels.connector(group), log, new RelayMetrics(), random);
+        HoldingQueues queues = new HoldingQueues(state);
         pools = new TargetPools(
-                state.connector(), loop, platform.requests(), state::nowMillis, new ReachabilityHandler());
-        queues = new HoldingQueues(state);
-        selfReports = new SelfReports(state, queues);
-        streamOrigins = new StreamOriginExchange(state, settings.instance());
-        soleSoftware = new SoleSoftware(state);
+                state.connector(), loop, platform.requests(), state::nowMillis, new ReachabilityHandler(state, queues));
+        SelfReports selfReports = new SelfReports(state, queues);
+        StreamOriginExchange streamOrigins = new StreamOriginExchange(state, settings.instance());
+        SoleSoftware soleSoftware = new SoleSoftware(state);
         quarantine = new QuarantineExchange(state, pools::probe);
         PlacementBroadcaster placements = new PlacementBroadcaster(loop);
         FetchLatenessRecorder fetchLateness = new FetchLatenessRecorder();
         callers = new CallerServer(new ServingComponents(
                 state, pools, queues, selfReports, streamOrigins, soleSoftware, quarantine, placements, fetchLateness));
-        partEvictor = new OutdatedPartEvictor(state, storeWatches);
         warmUpLog = new WarmUpLog(state);
         rateLimitLog = new RateLimitLog(state);
         shutdown = new GracefulShutdown(state, callers::isBusy, callers::onShutdown, this::sweep);
-        registerGauges();
+        new CapacityGauges(state).register();
+        StateGauges.register(state);
+        state.metrics().gauge("rattanrudder_relay_connections", "Callers' connections", callers::size);
         callerListener = listen(group, settings.callers(), callers.channels());
-        listen(group, settings.readiness(), new StatusServer(this::readiness));
-        listen(group, settings.metrics(), new StatusServer(this::metrics));
-        incarnation = settings.instance() + "-" + Long.toHexString(random.nextLong());
+        listen(group, settings.readiness(), StatusServer.readiness(state));
+        listen(group, settings.metrics(), StatusServer.metrics(state.metrics()));
+        String incarnation = settings.instance() + "-" + Long.toHexString(random.nextLong());
+        storeWatches = new StoreWatches(state, selfReports, incarnation, this::broadcast);
+        rollouts = new RolloutCoordinator(state, selfReports, incarnation);
         desiredState = new TopicFollower(
-                state, Topic.WISHES, PollIntervals.PROMPT, InitialRead.NEWEST, new DesiredStateListener());
+                state,
+                Topic.WISHES,
+                PollIntervals.PROMPT,
+                InitialRead.NEWEST,
+                new DesiredStateListener(
+                        state, queues, storeWatches, soleSoftware::onConfiguration, rollouts::pollNow));
         targetRegistrations = new TargetRegistrations(state);
         targetTopic = new TopicFollower(
                 state,
@@ -143,7 +133,6 @@
         TopicConfirmation confirmation =
                 closer.add(new TopicConfirmation(state, Topic.TARGETS, targetTopic::readOffset, targetTopic::pollNow));
         soleSoftware.setConfirmation(confirmation::confirm);
-        rollouts = new RolloutCoordinator(state, selfReports, incarnation);
         closer.add(quarantine);
         peers = closer.add(new PeerExchange(
                 state,
@@ -167,6 +156,10 @@
         }
     }
 
+    private void broadcast(SharedStoreUpdate update) {
+        peers.broadcast(update);
+    }
+
     private void startComponents() {
         desiredState.start();
         targetTopic.start();
@@ -185,7 +178,7 @@
 
         @Override
         public boolean acceptsConnections() {
-            return isReady();
+            return state.isReady();
         }
 
         @Override
@@ -199,10 +192,7 @@
     private final class PeerListener implements PeerExchange.Listener {
         @Override
         public void onStoreUpdate(SharedStoreUpdate update) {
-            StoreWatch watch = storeWatches.get(update.store());
-            if (watch != null) {
-                watch.onSharedUpdate(update);
-            }
+            storeWatches.onSharedUpdate(update);
         }
 
         @Override
@@ -218,138 +208,6 @@
         }
     }
 
-    /** Handles targets that have become reachable again. */
-    private final class ReachabilityHandler implements TargetPools.ReachabilityListener {
-        @Override
-        public boolean isKnown(Target target) {
-            return state.fleet().find(target.id()).filter(target::equals).isPresent();
-        }
-
-        @Override
-        public void onReachable(Target target) {
-            state.log().info("target_reached_again", "target", target.id());
-            queues.dispatchQueued(target.registration().service());
-        }
-    }
-
-    /** Handles the configuration and the weights that operators have published. */
-    private final class DesiredStateListener implements TopicFollower.Listener {
-        /** Whether all records from before this relay's start have been read. */
-        private boolean caughtUp;
-
-        @Override
-        public void onRecord(KeyedRecord record) {
-            StoreDialect store = state.platform().store();
-            store.readDesiredState(record).ifPresent(desired -> {
-                if (desired instanceof DesiredState.DesiredConfiguration configured) {
-                    onConfiguration(configured, record.offset());
-                } else if (desired instanceof DesiredState.DesiredWeights weights) {
-                    onDesiredWeights(weights.weights(), record.offset());
-                } else if (desired instanceof DesiredState.DesiredEvacuation evacuation) {
-                    onDesiredEvacuation(evacuation, record.offset());
-                }
-            });
-        }
-
-        private void onDesiredEvacuation(DesiredState.DesiredEvacuation desired, long offset) {
-            String domain = desired.failureDomain();
-            if (state.fleet().evacuations().apply(domain, desired.evacuated(), offset, state.nowMillis())) {
-                onEvacuationChanged(domain, offset);
-            }
-        }
-
-        private void onEvacuationChanged(String domain, long offset) {
-            state.log()
-                    .info(
-                            "evacuation_changed",
-                            "domain",
-                            domain,
-                            "evacuated",
-                            Boolean.toString(state.fleet().evacuations().isEvacuated(domain)),
-                            "offset",
-                            Long.toString(offset),
-                            "targets",
-                            Long.toString(state.fleet().all(state.nowMillis()).stream()
-                                    .filter(target -> target.registration()
-                                            .failureDomain()
-                                            .equals(domain))
-                                    .count()));
-            queues.onUsableTargetsChanged();
-        }
-
-        private void onDesiredWeights(WeightsVersion weights, long offset) {
-            DesiredVersions versions = state.weights();
-            boolean isNew = caughtUp
-                    ? versions.addDesired(weights.model(), weights.version(), state.nowMillis())
-                    : versions.addFoundAtStart(weights.model(), weights.version());
-            if (isNew) {
-                rollouts.pollNow();
-                state.log()
-                        .info(
-                                "weights_named",
-                                "model",
-                                weights.model(),
-                                "version",
-                                Long.toString(weights.version()),
-                                "offset",
-                                Long.toString(offset),
-                                "before_start",
-                                Boolean.toString(!caughtUp));
-            }
-        }
-
-        /** An older record of the same key would have no effect: versions and the offsets of evacuations increase. */
-        @Override
-        public boolean needsOnlyNewest() {
-            return true;
-        }
-
-        @Override
-        public void onListed(Set<String> keys, long end) {
-            caughtUp = true;
-            Set<String> evacuated = state.platform().store().evacuatedDomains(keys);
-            state.fleet()
-                    .evacuations()
-                    .applyListing(evacuated, end, state.nowMillis())
-                    .forEach(domain -> onEvacuationChanged(domain, end));
-        }
-    }
-
-    private void onConfiguration(DesiredState.DesiredConfiguration configured, long offset) {
-        if (!state.updateConfiguration(configured.configuration())) {
-            return;
-        }
-        soleSoftware.onConfiguration(configured.configuration());
-        state.log()
-                .info(
-                        "configured",
-                        "version",
-                        Long.toString(configured.configuration().version()),
-                        "offset",
-                        Long.toString(offset),
-                        "services",
-                        Integer.toString(configured.configuration().services().size()),
-                        "stores",
-                        Integer.toString(configured.configuration().stores().size()));
-        watchStores(configured.configuration().stores());
-    }
-
-    private void watchStores(List<ContextStore> configured) {
-        Set<Address> wanted = configured.stream().map(ContextStore::address).collect(Collectors.toSet());
-        for (Address removed : List.copyOf(storeWatches.keySet())) {
-            if (!wanted.contains(removed)) {
-                storeWatches.remove(removed).close();
-            }
-        }
-        for (Address address : wanted) {
-            if (!storeWatches.containsKey(address)) {
-                StoreWatch watch = new StoreWatch(state, selfReports, incarnation, address, peers::broadcast);
-                storeWatches.put(address, watch);
-                watch.start();
-            }
-        }
-    }
-
     private void sweep() {
         long now = state.nowMillis();
         state.eventLoopLag().onTaskRun(now);
@@ -365,86 +223,11 @@
         pools.sweep(Set.copyOf(state.fleet().all(now)), now);
         warmUpLog.update(now);
         rateLimitLog.update(now);
-        partEvictor.free(now);
+        storeWatches.evictOutdatedParts(now);
         quarantine.sweep();
         shutdown.checkFinished(now);
     }
 
-    private StatusServer.Page readiness(String path) {
-        boolean ready = isReady();
-        byte[] text = (ready ? "ready\n" : "not ready\n").getBytes(StandardCharsets.UTF_8);
-        return new StatusServer.Page(ready ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE, text);
-    }
-
-    private boolean isReady() {
-        return state.configuration().isPresent()
-                && !state.isDraining()
-                && !state.fleet().all(state.nowMillis()).isEmpty();
-    }
-
-    private StatusServer.Page metrics(String path) {
-        return new StatusServer.Page(HttpResponseStatus.OK, state.metrics().text());
-    }
-
-    private void registerGauges() {
-        new CapacityGauges(state).register();
-        state.metrics()
-                .gauge(
-                        "rattanrudder_relay_domains_evacuated",
-                        "Failure domains whose targets get no requests",
-                        () -> state.fleet().evacuations().evacuated().size());
-        state.metrics().gauge("rattanrudder_relay_targets_warming", "Targets that are warming up", warmUpLog::warming);
-        state.metrics()
-                .gauge(
-                        "rattanrudder_relay_targets_rate_limited",
-                        "Targets that have named a rate limit",
-                        rateLimitLog::limited);
-        state.metrics()
-                .gauge(
-                        "rattanrudder_relay_targets_leaving",
-                        "Targets that leave, by their records, their responses or peers",
-                        selfReports::leavingTargets);
-        state.metrics().gauge("rattanrudder_relay_connections", "Callers' connections", callers::size);
-        state.metrics()
-                .gauge(
-                        "rattanrudder_relay_configuration",
-                        "The version of the configuration in force",
-                        () -> state.configuration()
-                                .map(configuration -> (double) configuration.version())
-                                .orElse(0.0));
-        state.metrics()
-                .gauge(
-                        "rattanrudder_relay_stream_origins",
-                        "Streams whose software is known, should their callers resume them",
-                        () -> streamOrigins.size());
-        state.metrics()
-                .gauge(
-                        "rattanrudder_relay_targets",
-                        "Targets that are known",
-                        () -> state.fleet().all(state.nowMillis()).size());
-        state.metrics()
-                .gauge(
-                        "rattanrudder_relay_requests_suspected",
-                        "Requests that were at a target when it ended",
-                        () -> state.quarantine().suspectCount());
-        state.metrics()
-                .gauge(
-                        "rattanrudder_relay_requests_quarantined",
-                        "Requests that are sent to no target, since several ended under them",
-                        () -> state.quarantine().quarantinedCount());
-        double startedAt = System.currentTimeMillis() / MILLIS_PER_SECOND;
-        state.metrics()
-                .gauge(
-                        "rattanrudder_relay_started_seconds",
-                        "When the process started, in Unix seconds",
-                        () -> startedAt);
-        state.metrics()
-                .gauge(
-                        "rattanrudder_relay_stopping",
-                        "1 once the process was asked to stop",
-                        () -> state.isStopping() ? 1 : 0);
-    }
-
     /** Applies those reloaded settings that may change while a relay runs. */
     public void applySettings(RelaySettings read) {
         loop.execute(() -> {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/RelayState.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/RelayState.java
@@ -304,6 +304,11 @@
         return draining;
     }
 
+    /** Returns whether callers should connect to this relay: it is configured, knows targets and isn't leaving. */
+    public boolean isReady() {
+        return configuration.isPresent() && !draining && !fleet.all(nowMillis()).isEmpty();
+    }
+
     /** Returns whether new requests are refused, since they might not finish before the process exits. */
     public boolean isRefusingRequests() {
         return draining && nowMillis() - drainingSince > ShutdownPolicy.callerDrainMillis(graceMillis());
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/StatusServer.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/StatusServer.java
@@ -13,13 +13,14 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import java.util.function.Function;
+import java.nio.charset.StandardCharsets;
+import java.util.function.Supplier;
 
-/** Serves HTTP pages about the process itself: readiness and metrics. */
+/** Serves an HTTP page about the process itself, at any path: its readiness or its metrics. */
 public final class StatusServer extends ChannelInitializer<Channel> {
     private static final int MAX_REQUEST_BYTES = 16 * 1024;
 
-    private final Function<String, Page> pages;
+    private final Supplier<Page> page;
 
     /**
      * A page.
@@ -27,11 +28,24 @@
      * @param status its HTTP status
      * @param body its content
      */
-    public record Page(HttpResponseStatus status, byte[] body) {}
+    private record Page(HttpResponseStatus status, byte[] body) {}
 
-    /** Creates a server of the pages that the function returns by path. */
-    public StatusServer(Function<String, Page> pages) {
-        this.pages = pages;
+    private StatusServer(Supplier<Page> page) {
+        this.page = page;
+    }
+
+    /** Creates a server whose page says, in its status too, whether the relay takes callers' connections. */
+    public static StatusServer readiness(RelayState state) {
+        return new StatusServer(() -> {
+            boolean ready = state.isReady();
+            byte[] text = (ready ? "ready\n" : "not ready\n").getBytes(StandardCharsets.UTF_8);
+            return new Page(ready ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE, text);
+        });
+    }
+
+    /** Creates a server whose page has the metrics, in the Prometheus text format. */
+    public static StatusServer metrics(RelayMetrics metrics) {
+        return new StatusServer(() -> new Page(HttpResponseStatus.OK, metrics.text()));
     }
 
     @Override
@@ -44,10 +58,10 @@
     private final class PageHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
-            Page page = pages.apply(request.uri());
+            Page current = page.get();
             DefaultFullHttpResponse response = new DefaultFullHttpResponse(
-                    HttpVersion.HTTP_1_1, page.status(), Unpooled.wrappedBuffer(page.body()));
-            HttpUtil.setContentLength(response, page.body().length);
+                    HttpVersion.HTTP_1_1, current.status(), Unpooled.wrappedBuffer(current.body()));
+            HttpUtil.setContentLength(response, current.body().length);
             boolean keep = HttpUtil.isKeepAlive(request);
             HttpUtil.setKeepAlive(response, keep);
             var written = context.writeAndFlush(response);
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/quarantine/QuarantineExchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/quarantine/QuarantineExchange.java
@@ -80,6 +80,20 @@
         trialClient = new HttpCallClient(state.connector(), state::store);
         follower = new TopicFollower(
                 state, Topic.QUARANTINE, PollIntervals.RARE_BURSTS, InitialRead.NEWEST_AND_KEPT, new RecordListener());
+        registerGauges();
+    }
+
+    private void registerGauges() {
+        state.metrics()
+                .gauge(
+                        "rattanrudder_relay_requests_suspected",
+                        "Requests that were at a target when it ended",
+                        () -> quarantine.suspectCount());
+        state.metrics()
+                .gauge(
+                        "rattanrudder_relay_requests_quarantined",
+                        "Requests that are sent to no target, since several ended under them",
+                        () -> quarantine.quarantinedCount());
     }
 
     /** Starts to read the records of all relays. */
--- /dev/null
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/DesiredStateListener.java
@@ -0,0 +1,140 @@
+package org.rattanrudder.daemon.relay.store;
+
+import java.util.Set;
+import java.util.function.Consumer;
+import org.rattanrudder.core.gateway.ServingConfiguration;
+import org.rattanrudder.core.rollout.DesiredVersions;
+import org.rattanrudder.daemon.relay.port.KeyedRecord;
+import org.rattanrudder.daemon.relay.port.StoreDialect;
+import org.rattanrudder.daemon.relay.port.StoreDialect.DesiredState;
+import org.rattanrudder.daemon.relay.port.WeightsVersion;
+import org.rattanrudder.daemon.relay.process.RelayState;
+import org.rattanrudder.daemon.relay.targets.QueueDispatcher;
+
+/** Handles the configuration, the weights and the evacuations that operators have published. */
+public final class DesiredStateListener implements TopicFollower.Listener {
+    private final RelayState state;
+    private final QueueDispatcher queues;
+    private final StoreWatches storeWatches;
+    private final Consumer<ServingConfiguration> onConfiguration;
+    private final Runnable onNewWeights;
+
+    /** Whether all records from before this relay's start have been read. */
+    private boolean caughtUp;
+
+    /**
+     * Creates a listener that has handled no record.
+     *
+     * @param queues is told when an evacuation has begun or ended
+     * @param storeWatches watches the context stores of the configuration
+     * @param onConfiguration receives each configuration that has come into force
+     * @param onNewWeights is run when a newer version of weights was published
+     */
+    public DesiredStateListener(
+            RelayState state,
+            QueueDispatcher queues,
+            StoreWatches storeWatches,
+            Consumer<ServingConfiguration> onConfiguration,
+            Runnable onNewWeights) {
+        this.state = state;
+        this.queues = queues;
+        this.storeWatches = storeWatches;
+        this.onConfiguration = onConfiguration;
+        this.onNewWeights = onNewWeights;
+    }
+
+    @Override
+    public void onRecord(KeyedRecord record) {
+        StoreDialect store = state.platform().store();
+        store.readDesiredState(record).ifPresent(desired -> {
+            if (desired instanceof DesiredState.DesiredConfiguration configured) {
+                onDesiredConfiguration(configured.configuration(), record.offset());
+            } else if (desired instanceof DesiredState.DesiredWeights weights) {
+                onDesiredWeights(weights.weights(), record.offset());
+            } else if (desired instanceof DesiredState.DesiredEvacuation evacuation) {
+                onDesiredEvacuation(evacuation, record.offset());
+            }
+        });
+    }
+
+    private void onDesiredConfiguration(ServingConfiguration configuration, long offset) {
+        if (!state.updateConfiguration(configuration)) {
+            return;
+        }
+        onConfiguration.accept(configuration);
+        state.log()
+                .info(
+                        "configured",
+                        "version",
+                        Long.toString(configuration.version()),
+                        "offset",
+                        Long.toString(offset),
+                        "services",
+                        Integer.toString(configuration.services().size()),
+                        "stores",
+                        Integer.toString(configuration.stores().size()));
+        storeWatches.update(configuration.stores());
+    }
+
+    private void onDesiredEvacuation(DesiredState.DesiredEvacuation desired, long offset) {
+        String domain = desired.failureDomain();
+        if (state.fleet().evacuations().apply(domain, desired.evacuated(), offset, state.nowMillis())) {
+            onEvacuationChanged(domain, offset);
+        }
+    }
+
+    private void onEvacuationChanged(String domain, long offset) {
+        state.log()
+                .info(
+                        "evacuation_changed",
+                        "domain",
+                        domain,
+                        "evacuated",
+                        Boolean.toString(state.fleet().evacuations().isEvacuated(domain)),
+                        "offset",
+                        Long.toString(offset),
+                        "targets",
+                        Long.toString(state.fleet().all(state.nowMillis()).stream()
+                                .filter(target ->
+                                        target.registration().failureDomain().equals(domain))
+                                .count()));
+        queues.onUsableTargetsChanged();
+    }
+
+    private void onDesiredWeights(WeightsVersion weights, long offset) {
+        DesiredVersions versions = state.weights();
+        boolean isNew = caughtUp
+                ? versions.addDesired(weights.model(), weights.version(), state.nowMillis())
+                : versions.addFoundAtStart(weights.model(), weights.version());
+        if (isNew) {
+            onNewWeights.run();
+            state.log()
+                    .info(
+                            "weights_named",
+                            "model",
+                            weights.model(),
+                            "version",
+                            Long.toString(weights.version()),
+                            "offset",
+                            Long.toString(offset),
+                            "before_start",
+                            Boolean.toString(!caughtUp));
+        }
+    }
+
+    /** An older record of the same key would have no effect: versions and the offsets of evacuations increase. */
+    @Override
+    public boolean needsOnlyNewest() {
+        return true;
+    }
+
+    @Override
+    public void onListed(Set<String> keys, long end) {
+        caughtUp = true;
+        Set<String> evacuated = state.platform().store().evacuatedDomains(keys);
+        state.fleet()
+                .evacuations()
+                .applyListing(evacuated, end, state.nowMillis())
+                .forEach(domain -> onEvacuationChanged(domain, end));
+    }
+}
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/OutdatedPartEvictor.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/OutdatedPartEvictor.java
@@ -9,7 +9,7 @@
 import org.rattanrudder.daemon.relay.process.RelayState;
 
 /** Evicts the parts of weights that no engine serves any more from context stores. */
-public final class OutdatedPartEvictor {
+final class OutdatedPartEvictor {
     private static final int MAX_BATCH_PARTS = 400;
 
     /**
@@ -25,13 +25,13 @@
     private long lastScanAt;
 
     /** Creates an evictor for the watched context stores, by address. */
-    public OutdatedPartEvictor(RelayState state, Map<Address, StoreWatch> stores) {
+    OutdatedPartEvictor(RelayState state, Map<Address, StoreWatch> stores) {
         this.state = state;
         this.stores = stores;
     }
 
     /** Evicts a batch of outdated parts from each store, if a scan is due. */
-    public void free(long now) {
+    void free(long now) {
         retirement.updateOldestServed(oldestServed(now), now);
         long before = retirement.evictableBefore(now);
         boolean due = before != lastEvictableBefore || now - lastScanAt >= RESCAN_MILLIS;
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/StoreWatch.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/StoreWatch.java
@@ -16,7 +16,7 @@
 import org.rattanrudder.daemon.relay.targets.SelfReports;
 
 /** Long-polls one context store for changes of its parts, and passes them to the part directory and to peers. */
-public final class StoreWatch implements AutoCloseable {
+final class StoreWatch implements AutoCloseable {
     /** The wait of a long poll, short enough that the directory stays fresh between two answers. */
     private static final long POLL_WAIT_MILLIS = 400;
 
@@ -56,7 +56,7 @@
      * @param relayId names this process of the relay, and orders the polls of relays
      * @param updateSender sends an update of the store to peers
      */
-    public StoreWatch(
+    StoreWatch(
             RelayState state,
             SelfReports selfReports,
             String relayId,
@@ -73,7 +73,7 @@
     }
 
     /** Starts to poll the store. */
-    public void start() {
+    void start() {
         poll();
     }
 
@@ -124,7 +124,7 @@
     }
 
     /** Applies an update that a peer has received from the store. */
-    public void onSharedUpdate(SharedStoreUpdate shared) {
+    void onSharedUpdate(SharedStoreUpdate shared) {
         if (timer.isClosed() || incarnation < 0) {
             return;
         }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/streams/StreamOriginExchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/streams/StreamOriginExchange.java
@@ -29,6 +29,11 @@
                 OriginExchange.HOLDERS,
                 OriginExchange.HOLDERS,
                 (message, relays) -> sender.send(message, relays));
+        state.metrics()
+                .gauge(
+                        "rattanrudder_relay_stream_origins",
+                        "Streams whose software is known, should their callers resume them",
+                        exchange::size);
     }
 
     /** Sets what sends a message to relays. */
@@ -41,11 +46,6 @@
         exchange.updateRelays(live, registered);
     }
 
-    /** Returns how many streams are known. */
-    public int size() {
-        return exchange.size();
-    }
-
     /**
      * Records which software sent the first event of a stream, and tells peers.
      *
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/targets/RateLimitLog.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/targets/RateLimitLog.java
@@ -13,11 +13,11 @@
     /** Creates a log of targets none of which is limited. */
     public RateLimitLog(RelayState state) {
         this.state = state;
-    }
-
-    /** Returns how many targets were limited at the last update. */
-    public int limited() {
-        return limits.size();
+        state.metrics()
+                .gauge(
+                        "rattanrudder_relay_targets_rate_limited",
+                        "Targets that have named a rate limit",
+                        () -> limits.size());
     }
 
     /** Logs the targets whose limit has changed since the last update. */
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/targets/SelfReports.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/targets/SelfReports.java
@@ -32,6 +32,11 @@
         this.queues = queues;
         unknownHeaders = new UnreadNames(
                 fields -> state.log().warn("response_header_unknown", fields), state.metrics()::recordUnknownHeader);
+        state.metrics()
+                .gauge(
+                        "rattanrudder_relay_targets_leaving",
+                        "Targets that leave, by their records, their responses or peers",
+                        this::leavingTargets);
     }
 
     /** Takes in the head of the response to a request. */
@@ -85,7 +90,7 @@
     }
 
     /** Returns how many known targets leave. */
-    public int leavingTargets() {
+    private int leavingTargets() {
         return state.fleet().leavingTargets(state.nowMillis()).size();
     }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/targets/WarmUpLog.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/targets/WarmUpLog.java
@@ -16,11 +16,8 @@
     /** Creates a log of targets none of which is warming up. */
     public WarmUpLog(RelayState state) {
         this.state = state;
-    }
-
-    /** Returns how many targets were warming up at the last update. */
-    public int warming() {
-        return warming.size();
+        state.metrics()
+                .gauge("rattanrudder_relay_targets_warming", "Targets that are warming up", () -> warming.size());
     }
 
     /** Logs the targets whose state has changed since the last update. */
