Split TopicFollower into classes with one responsibility each

Cause: TopicFollower (435 lines) made and parsed calls, decided when to poll, kept what was read and listed, delivered records, and logged losses of the store, so that none of this could be tested without a store.

All new classes are package-private.

--- /dev/null
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/RecordDelivery.java
@@ -0,0 +1,78 @@
+package org.rattanrudder.daemon.relay.store;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.rattanrudder.daemon.relay.port.KeyedRecord;
+import org.rattanrudder.daemon.relay.port.StoreDialect.Topic;
+import org.rattanrudder.daemon.relay.process.RelayState;
+
+/** Passes a topic's records to its listener; those that are malformed are counted, logged and skipped. */
+final class RecordDelivery {
+    private final RelayState state;
+    private final Topic topic;
+    private final boolean keyed;
+    private final TopicFollower.Listener listener;
+
+    /** Creates the delivery of a topic's records, each of which must have a key if the topic is {@code keyed}. */
+    RecordDelivery(RelayState state, Topic topic, boolean keyed, TopicFollower.Listener listener) {
+        this.state = state;
+        this.topic = topic;
+        this.keyed = keyed;
+        this.listener = listener;
+    }
+
+    /** Delivers the records of a listing's page. */
+    void deliverListed(List<KeyedRecord> records) {
+        records.forEach(record -> deliver(record, listener::onListedRecord));
+    }
+
+    /** Delivers the records of a poll: all of them, or the newest of each key if the listener needs no others. */
+    void deliver(List<KeyedRecord> records) {
+        if (listener.needsOnlyNewest()) {
+            deliverNewest(records);
+        } else {
+            records.forEach(record -> deliver(record, listener::onRecord));
+        }
+    }
+
+    /**
+     * Delivers the last well-formed record of each key. After a pause, or during a burst of changes, one answer may
+     * hold many records of the same key, and parsing each of them would block the event loop and delay requests.
+     */
+    private void deliverNewest(List<KeyedRecord> records) {
+        Set<String> delivered = new HashSet<>();
+        for (int index = records.size() - 1; index >= 0; index--) {
+            KeyedRecord record = records.get(index);
+            if (!delivered.contains(record.key()) && deliver(record, listener::onRecord)) {
+                delivered.add(record.key());
+            }
+        }
+    }
+
+    /** Passes a record to the handler, and returns whether it was well-formed. */
+    private boolean deliver(KeyedRecord record, Consumer<KeyedRecord> handler) {
+        try {
+            if (keyed && record.key().isEmpty()) {
+                throw new IllegalArgumentException("no key");
+            }
+            handler.accept(record);
+            return true;
+        } catch (IllegalArgumentException unreadable) {
+            state.metrics().recordUnreadable(topic.name());
+            state.log()
+                    .warn(
+                            "record_unreadable",
+                            "topic",
+                            topic.name(),
+                            "key",
+                            record.key(),
+                            "offset",
+                            Long.toString(record.offset()),
+                            "reason",
+                            String.valueOf(unreadable.getMessage()));
+            return false;
+        }
+    }
+}
--- /dev/null
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicPosition.java
@@ -0,0 +1,94 @@
+package org.rattanrudder.daemon.relay.store;
+
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.rattanrudder.daemon.relay.port.KeyedRecord;
+import org.rattanrudder.daemon.relay.port.StoreResponse;
+
+/** How far a topic has been read, by listings of the newest record of each key and by polls. */
+final class TopicPosition {
+    private final TopicFollower.InitialRead reading;
+    private final Set<String> listedKeys = new HashSet<>();
+    private long nextOffset;
+    private long firstRetainedOffset;
+    private long listingEnd = -1;
+
+    /** Creates the position of a topic that hasn't been read. */
+    TopicPosition(TopicFollower.InitialRead reading) {
+        this.reading = reading;
+    }
+
+    /** Returns whether the topic's records have keys, so that it is listed. */
+    boolean isKeyed() {
+        return reading != TopicFollower.InitialRead.KEPT;
+    }
+
+    /** Returns the offset up to which the topic has been read. */
+    long nextOffset() {
+        return nextOffset;
+    }
+
+    /** Returns whether a page of the current listing, or of the last one, has been read. */
+    boolean hasListed() {
+        return listingEnd >= 0;
+    }
+
+    /** Returns the offset at which the current listing ends, or the last one; -1 before its first page. */
+    long listingEnd() {
+        return listingEnd;
+    }
+
+    /** Returns the keys in the current listing, or in the last one. */
+    Set<String> listedKeys() {
+        return Set.copyOf(listedKeys);
+    }
+
+    /** Begins a new listing. */
+    void beginListing() {
+        listedKeys.clear();
+        listingEnd = -1;
+    }
+
+    /** Adds a page to the listing; returns the key after which the next page begins, or empty after the last page. */
+    Optional<String> addPage(StoreResponse.Listing page) {
+        // Pages aren't a snapshot: records written between pages have offsets after the first page's end.
+        listingEnd = listingEnd < 0 ? page.end() : Math.min(listingEnd, page.end());
+        page.records().forEach(record -> listedKeys.add(record.key()));
+        if (!page.morePages() || page.records().isEmpty()) {
+            return Optional.empty();
+        }
+        KeyedRecord last = page.records().get(page.records().size() - 1);
+        return Optional.of(last.key()).filter(key -> !key.isEmpty());
+    }
+
+    /**
+     * Returns whether the complete listing is as new as what was read before it. A listing that ends before the read
+     * offset is stale: a key that is missing from it may still exist.
+     */
+    boolean isListingCurrent() {
+        return listingEnd >= nextOffset;
+    }
+
+    /** Continues after the complete listing, or at the first retained record if all of them are read. */
+    void applyListing() {
+        nextOffset = reading == TopicFollower.InitialRead.NEWEST_AND_KEPT
+                ? Math.min(firstRetainedOffset, listingEnd)
+                : listingEnd;
+    }
+
+    /** Continues after the records that a poll has returned. */
+    void advanceTo(long next) {
+        nextOffset = next;
+    }
+
+    /** Handles that the store has discarded unread records; {@code first} is the first retained one, if it is known. */
+    void onForgotten(OptionalLong first) {
+        if (!isKeyed()) {
+            // Without keys there is no listing to catch up from: continue at the first retained record.
+            nextOffset = Math.max(nextOffset + 1, first.orElse(0));
+        }
+        firstRetainedOffset = first.orElse(Long.MAX_VALUE);
+    }
+}
