Keep classes of the relay that only their package uses behind its front classes

Cause: seven classes in process, targets and store were public only because RelayProcess created each of them.

Change: store.StoreTopics follows the desired state and the targets; DesiredStateListener, TargetRegistrations and TopicConfirmation are package-private behind it. targets.TargetStateLog has the logs of warm-ups and rate limits, which are package-private, and TargetPools creates its ReachabilityHandler. RelayState registers its own gauges.

The string literals of the module's sources are the same; no method of another module or of a test differs, nor a file beside Java and docs.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
@@ -26,32 +26,23 @@
 import org.rattanrudder.daemon.relay.peers.PeerExchange;
 import org.rattanrudder.daemon.relay.peers.PlacementBroadcaster;
 import org.rattanrudder.daemon.relay.port.PlatformAdapter;
-import org.rattanrudder.daemon.relay.port.StoreDialect.Topic;
 import org.rattanrudder.daemon.relay.process.GracefulShutdown;
 import org.rattanrudder.daemon.relay.process.RelayMetrics;
 import org.rattanrudder.daemon.relay.process.RelayState;
-import org.rattanrudder.daemon.relay.process.StateGauges;
 import org.rattanrudder.daemon.relay.process.StatusServer;
 import org.rattanrudder.daemon.relay.quarantine.QuarantineExchange;
 import org.rattanrudder.daemon.relay.rollout.RolloutCoordinator;
 import org.rattanrudder.daemon.relay.serving.CallerServer;
 import org.rattanrudder.daemon.relay.serving.HoldingQueues;
 import org.rattanrudder.daemon.relay.serving.ServingComponents;
-import org.rattanrudder.daemon.relay.store.DesiredStateListener;
-import org.rattanrudder.daemon.relay.store.PollIntervals;
+import org.rattanrudder.daemon.relay.store.StoreTopics;
 import org.rattanrudder.daemon.relay.store.StoreWatches;
-import org.rattanrudder.daemon.relay.store.TargetRegistrations;
-import org.rattanrudder.daemon.relay.store.TopicConfirmation;
-import org.rattanrudder.daemon.relay.store.TopicFollower;
-import org.rattanrudder.daemon.relay.store.TopicFollower.InitialRead;
 import org.rattanrudder.daemon.relay.streams.SoleSoftware;
 import org.rattanrudder.daemon.relay.streams.StreamOriginExchange;
 import org.rattanrudder.daemon.relay.targets.CapacityGauges;
-import org.rattanrudder.daemon.relay.targets.RateLimitLog;
-import org.rattanrudder.daemon.relay.targets.ReachabilityHandler;
 import org.rattanrudder.daemon.relay.targets.SelfReports;
 import org.rattanrudder.daemon.relay.targets.TargetPools;
-import org.rattanrudder.daemon.relay.targets.WarmUpLog;
+import org.rattanrudder.daemon.relay.targets.TargetStateLog;
 import org.rattanrudder.document.RelaySettings;
 
 /**
@@ -67,9 +58,7 @@
     private final Closer closer = new Closer();
     private final RelayState state;
     private final TargetPools pools;
-    private final TopicFollower desiredState;
-    private final TopicFollower targetTopic;
-    private final TargetRegistrations targetRegistrations;
+    private final StoreTopics topics;
     private final PeerExchange peers;
     private final RolloutCoordinator rollouts;
     private final QuarantineExchange quarantine;
@@ -78,8 +67,7 @@
     private final StoreWatches storeWatches;
     private final Channel callerListener;
     private final GracefulShutdown shutdown;
-    private final WarmUpLog warmUpLog;
-    private final RateLimitLog rateLimitLog;
+    private final TargetStateLog targetStateLog;
 
     /**
      * Starts a relay.
@@ -94,8 +82,7 @@
         state = new RelayState(
                 settings, platform, loop, RelayChannels.connector(group), log, new RelayMetrics(), random);
         HoldingQueues queues = new HoldingQueues(state);
-        pools = new TargetPools(
-                state.connector(), loop, platform.requests(), state::nowMillis, new ReachabilityHandler(state, queues));
+        pools = new TargetPools(state, queues);
         SelfReports selfReports = new SelfReports(state, queues);
         StreamOriginExchange streamOrigins = new StreamOriginExchange(state, settings.instance());
         SoleSoftware soleSoftware = new SoleSoftware(state);
@@ -104,11 +91,9 @@
         FetchLatenessRecorder fetchLateness = new FetchLatenessRecorder();
         callers = new CallerServer(new ServingComponents(
                 state, pools, queues, selfReports, streamOrigins, soleSoftware, quarantine, placements, fetchLateness));
-        warmUpLog = new WarmUpLog(state);
-        rateLimitLog = new RateLimitLog(state);
+        targetStateLog = new TargetStateLog(state);
         shutdown = new GracefulShutdown(state, callers::isBusy, callers::onShutdown, this::sweep);
         new CapacityGauges(state).register();
-        StateGauges.register(state);
         state.metrics().gauge("rattanrudder_relay_connections", "Callers' connections", callers::size);
         callerListener = listen(group, settings.callers(), callers.channels());
         listen(group, settings.readiness(), StatusServer.readiness(state));
@@ -116,23 +101,9 @@
         String incarnation = settings.instance() + "-" + Long.toHexString(random.nextLong());
         storeWatches = new StoreWatches(state, selfReports, incarnation, this::broadcast);
         rollouts = new RolloutCoordinator(state, selfReports, incarnation);
-        desiredState = new TopicFollower(
-                state,
-                Topic.WISHES,
-                PollIntervals.PROMPT,
-                InitialRead.NEWEST,
-                new DesiredStateListener(
-                        state, queues, storeWatches, soleSoftware::onConfiguration, rollouts::pollNow));
-        targetRegistrations = new TargetRegistrations(state);
-        targetTopic = new TopicFollower(
-                state,
-                Topic.TARGETS,
-                PollIntervals.batched(() -> state.settings().bounds().drainMillis()),
-                InitialRead.NEWEST,
-                targetRegistrations);
-        TopicConfirmation confirmation =
-                closer.add(new TopicConfirmation(state, Topic.TARGETS, targetTopic::readOffset, targetTopic::pollNow));
-        soleSoftware.setConfirmation(confirmation::confirm);
+        topics = closer.add(
+                new StoreTopics(state, queues, storeWatches, soleSoftware::onConfiguration, rollouts::pollNow));
+        soleSoftware.setConfirmation(topics::confirmTargets);
         closer.add(quarantine);
         peers = closer.add(new PeerExchange(
                 state,
@@ -161,8 +132,7 @@
     }
 
     private void startComponents() {
-        desiredState.start();
-        targetTopic.start();
+        topics.start();
         peers.start();
         rollouts.start();
         quarantine.start();
@@ -183,8 +153,7 @@
 
         @Override
         public ReadOffsets readOffsets() {
-            return new ReadOffsets(
-                    desiredState.readOffset(), targetRegistrations.changedOffset(), quarantine.readOffset());
+            return new ReadOffsets(topics.desiredStateOffset(), topics.targetsChangedOffset(), quarantine.readOffset());
         }
     }
 
@@ -197,8 +166,7 @@
 
         @Override
         public void onReadOffsets(ReadOffsets others) {
-            desiredState.onPeerOffset(others.desiredConfiguration());
-            targetTopic.onPeerOffset(others.targetsChanged());
+            topics.onPeerOffsets(others);
             quarantine.onPeerOffset(others.quarantine());
         }
 
@@ -221,8 +189,7 @@
             callers.sweep(now, closeIdle);
         }
         pools.sweep(Set.copyOf(state.fleet().all(now)), now);
-        warmUpLog.update(now);
-        rateLimitLog.update(now);
+        targetStateLog.update(now);
         storeWatches.evictOutdatedParts(now);
         quarantine.sweep();
         shutdown.checkFinished(now);
@@ -234,8 +201,7 @@
             Address before = state.store();
             state.applySettings(read);
             if (!state.store().equals(before)) {
-                desiredState.reconnect();
-                targetTopic.reconnect();
+                topics.reconnect();
                 quarantine.reconnect();
             }
         });
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/RelayState.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/RelayState.java
@@ -104,6 +104,7 @@
         reportLag =
                 new EventLoopLag(nowMillis(), ReportSchedule.ROUND_MILLIS, REPORT_LATE_MILLIS, REPORT_CATCH_UP_MILLIS);
         connectionGate = new ConnectionGate(nowMillis());
+        StateGauges.register(this);
     }
 
     /** Returns the time of a monotonic clock, in ms. */
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/StateGauges.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/StateGauges.java
@@ -1,13 +1,13 @@
 package org.rattanrudder.daemon.relay.process;
 
 /** Registers the gauges of the state that the relay's components share. */
-public final class StateGauges {
+final class StateGauges {
     private static final double MILLIS_PER_SECOND = 1_000;
 
     private StateGauges() {}
 
-    /** Registers the gauges, which are read whenever the metrics are. Called once, when the process starts. */
-    public static void register(RelayState state) {
+    /** Registers the gauges, which are read whenever the metrics are; called once, when the process starts. */
+    static void register(RelayState state) {
         RelayMetrics metrics = state.metrics();
         metrics.gauge(
                 "rattanrudder_relay_domains_evacuated",
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/DesiredStateListener.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/DesiredStateListener.java
@@ -12,7 +12,7 @@
 import org.rattanrudder.daemon.relay.targets.QueueDispatcher;
 
 /** Handles the configuration, the weights and the evacuations that operators have published. */
-public final class DesiredStateListener implements TopicFollower.Listener {
+final class DesiredStateListener implements TopicFollower.Listener {
     private final RelayState state;
     private final QueueDispatcher queues;
     private final StoreWatches storeWatches;
@@ -30,7 +30,7 @@
      * @param onConfiguration receives each configuration that has come into force
      * @param onNewWeights is run when a newer version of weights was published
      */
-    public DesiredStateListener(
+    DesiredStateListener(
             RelayState state,
             QueueDispatcher queues,
             StoreWatches storeWatches,
--- /dev/null
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/StoreTopics.java
@@ -0,0 +1,90 @@
+package org.rattanrudder.daemon.relay.store;
+
+import java.util.function.Consumer;
+import org.rattanrudder.core.fleet.LoadReport.ReadOffsets;
+import org.rattanrudder.core.gateway.ServingConfiguration;
+import org.rattanrudder.daemon.relay.port.StoreDialect.Topic;
+import org.rattanrudder.daemon.relay.process.RelayState;
+import org.rattanrudder.daemon.relay.targets.QueueDispatcher;
+
+/** Follows the topics of the platform's store that say what to serve and where: the desired state, and the targets. */
+public final class StoreTopics implements AutoCloseable {
+    private final TopicFollower desiredState;
+    private final TargetRegistrations registrations;
+    private final TopicFollower targets;
+    private final TopicConfirmation targetsConfirmation;
+
+    /**
+     * Creates followers that are idle until {@link #start}.
+     *
+     * @param queues is told when an evacuation has begun or ended
+     * @param storeWatches watches the context stores of the configuration
+     * @param onConfiguration receives each configuration that has come into force
+     * @param onNewWeights is run when a newer version of weights was published
+     */
+    public StoreTopics(
+            RelayState state,
+            QueueDispatcher queues,
+            StoreWatches storeWatches,
+            Consumer<ServingConfiguration> onConfiguration,
+            Runnable onNewWeights) {
+        desiredState = new TopicFollower(
+                state,
+                Topic.WISHES,
+                PollIntervals.PROMPT,
+                TopicFollower.InitialRead.NEWEST,
+                new DesiredStateListener(state, queues, storeWatches, onConfiguration, onNewWeights));
+        registrations = new TargetRegistrations(state);
+        targets = new TopicFollower(
+                state,
+                Topic.TARGETS,
+                PollIntervals.batched(() -> state.settings().bounds().drainMillis()),
+                TopicFollower.InitialRead.NEWEST,
+                registrations);
+        targetsConfirmation = new TopicConfirmation(state, Topic.TARGETS, targets::readOffset, targets::pollNow);
+    }
+
+    /** Starts to read the topics. */
+    public void start() {
+        desiredState.start();
+        targets.start();
+    }
+
+    /** Reads from the store's new address. */
+    public void reconnect() {
+        desiredState.reconnect();
+        targets.reconnect();
+    }
+
+    /**
+     * Finds out whether all registrations of targets that were written before this call have been read.
+     *
+     * @param patienceMillis how long to wait for the store
+     * @param then called once
+     */
+    public void confirmTargets(long patienceMillis, Consumer<Boolean> then) {
+        targetsConfirmation.confirm(patienceMillis, then);
+    }
+
+    /** Returns the offset up to which the desired state has been read. */
+    public long desiredStateOffset() {
+        return desiredState.readOffset();
+    }
+
+    /** Returns the offset up to which peers should have read the registrations of targets. */
+    public long targetsChangedOffset() {
+        return registrations.changedOffset();
+    }
+
+    /** Handles the offsets up to which a peer has read. */
+    public void onPeerOffsets(ReadOffsets others) {
+        desiredState.onPeerOffset(others.desiredConfiguration());
+        targets.onPeerOffset(others.targetsChanged());
+    }
+
+    /** Cancels confirmations; the followers end with the event loop. */
+    @Override
+    public void close() {
+        targetsConfirmation.close();
+    }
+}
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TargetRegistrations.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TargetRegistrations.java
@@ -9,17 +9,17 @@
 import org.rattanrudder.daemon.relay.process.RelayState;
 
 /** Handles the registrations of targets. */
-public final class TargetRegistrations implements TopicFollower.Listener {
+final class TargetRegistrations implements TopicFollower.Listener {
     private final RelayState state;
     private long changedOffset;
 
     /** Creates a handler that has handled no registration. */
-    public TargetRegistrations(RelayState state) {
+    TargetRegistrations(RelayState state) {
         this.state = state;
     }
 
     /** Returns the offset up to which peers should have read, since a registration before it has changed. */
-    public long changedOffset() {
+    long changedOffset() {
         return changedOffset;
     }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicConfirmation.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicConfirmation.java
@@ -17,7 +17,7 @@
  * <p>Followers read with a delay, and a pending long poll doesn't show whether its connection still works. One call
  * confirms all requests that were waiting when it was made.
  */
-public final class TopicConfirmation implements AutoCloseable {
+final class TopicConfirmation implements AutoCloseable {
     /** How long a follower gets to read records that it hasn't read yet, before it is asked again. */
     private static final long RECHECK_MILLIS = 10;
 
@@ -35,7 +35,7 @@
      * @param readOffset the offset up to which the follower has read
      * @param readNow has the follower read at once
      */
-    public TopicConfirmation(RelayState state, Topic topic, LongSupplier readOffset, Runnable readNow) {
+    TopicConfirmation(RelayState state, Topic topic, LongSupplier readOffset, Runnable readNow) {
         this.state = state;
         this.topic = topic;
         this.readOffset = readOffset;
@@ -58,7 +58,7 @@
      * @param patienceMillis how long to wait for the store and the follower
      * @param then called once
      */
-    public void confirm(long patienceMillis, Consumer<Boolean> then) {
+    void confirm(long patienceMillis, Consumer<Boolean> then) {
         waiting.add(new Pending(state.nowMillis() + patienceMillis, then));
         call();
     }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/targets/RateLimitLog.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/targets/RateLimitLog.java
@@ -6,12 +6,12 @@
 import org.rattanrudder.daemon.relay.process.RelayState;
 
 /** Logs when targets name a rate limit, change it, and name none any more. */
-public final class RateLimitLog {
+final class RateLimitLog {
     private final RelayState state;
     private Map<String, Double> limits = Map.of();
 
     /** Creates a log of targets none of which is limited. */
-    public RateLimitLog(RelayState state) {
+    RateLimitLog(RelayState state) {
         this.state = state;
         state.metrics()
                 .gauge(
@@ -21,7 +21,7 @@
     }
 
     /** Logs the targets whose limit has changed since the last update. */
-    public void update(long now) {
+    void update(long now) {
         Map<String, Double> current = new HashMap<>();
         for (Target target : state.fleet().all(now)) {
             target.rateLimit().ifPresent(limit -> {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/targets/ReachabilityHandler.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/targets/ReachabilityHandler.java
@@ -4,12 +4,12 @@
 import org.rattanrudder.daemon.relay.process.RelayState;
 
 /** Dispatches queued requests to targets that have become reachable again. */
-public final class ReachabilityHandler implements TargetPools.ReachabilityListener {
+final class ReachabilityHandler implements TargetPools.ReachabilityListener {
     private final RelayState state;
     private final QueueDispatcher queues;
 
     /** Creates a handler for the targets of the fleet. */
-    public ReachabilityHandler(RelayState state, QueueDispatcher queues) {
+    ReachabilityHandler(RelayState state, QueueDispatcher queues) {
         this.state = state;
         this.queues = queues;
     }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/targets/TargetPools.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/targets/TargetPools.java
@@ -25,6 +25,7 @@
 import org.rattanrudder.core.model.Address;
 import org.rattanrudder.daemon.relay.net.InactivityTimer;
 import org.rattanrudder.daemon.relay.port.RequestDialect;
+import org.rattanrudder.daemon.relay.process.RelayState;
 
 /** Pools connections to targets, by incarnation, and opens new ones. */
 public final class TargetPools {
@@ -53,7 +54,7 @@
     private final Map<Target, Pool> pools = new HashMap<>();
 
     /** Receives the results of dials without a request. */
-    public interface ReachabilityListener {
+    interface ReachabilityListener {
         /** Returns whether a target is still in use. */
         boolean isKnown(Target target);
 
@@ -61,23 +62,13 @@
         void onReachable(Target target);
     }
 
-    /**
-     * Creates empty pools.
-     *
-     * @param loop schedules dial timeouts and redials
-     * @param clock a monotonic clock in milliseconds
-     */
-    public TargetPools(
-            Bootstrap connector,
-            EventLoop loop,
-            RequestDialect dialect,
-            LongSupplier clock,
-            ReachabilityListener reachability) {
-        this.connector = connector;
-        this.loop = loop;
-        this.dialect = dialect;
-        this.clock = clock;
-        this.reachability = reachability;
+    /** Creates empty pools; {@code queues} is told when a target can be reached again. */
+    public TargetPools(RelayState state, QueueDispatcher queues) {
+        connector = state.connector();
+        loop = state.loop();
+        dialect = state.platform().requests();
+        clock = state::nowMillis;
+        reachability = new ReachabilityHandler(state, queues);
     }
 
     /** The connections to one target. */
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/targets/WarmUpLog.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/targets/WarmUpLog.java
@@ -9,19 +9,19 @@
 import org.rattanrudder.daemon.relay.process.RelayState;
 
 /** Logs when targets begin and end to warm up, as far as this relay knows. */
-public final class WarmUpLog {
+final class WarmUpLog {
     private final RelayState state;
     private Set<String> warming = Set.of();
 
     /** Creates a log of targets none of which is warming up. */
-    public WarmUpLog(RelayState state) {
+    WarmUpLog(RelayState state) {
         this.state = state;
         state.metrics()
                 .gauge("rattanrudder_relay_targets_warming", "Targets that are warming up", () -> warming.size());
     }
 
     /** Logs the targets whose state has changed since the last update. */
-    public void update(long now) {
+    void update(long now) {
         Set<String> before = warming;
         Set<String> current = new HashSet<>();
         for (Target target : state.fleet().all(now)) {
