Try another port if the rehearsal's is taken for datagrams

The rehearsal's server listens for calls and for messages of peers on one port number. A port that is free for the one may be taken for the other, which would end the build without a class archive.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Rehearsal.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Rehearsal.java
@@ -71,7 +71,7 @@
         loadOwnClasses();
         PlatformAdapter adapter =
                 ServiceLoader.load(PlatformAdapter.class).findFirst().orElseThrow();
-        try (RehearsalServer server = new RehearsalServer(adapter.rehearsal())) {
+        try (RehearsalServer server = startServer(adapter)) {
             RelayProcess relay = null;
             for (int tries = 0; relay == null && tries < MAX_START_ATTEMPTS; tries++) {
                 relay = tryToStart(adapter, server);
@@ -84,6 +84,17 @@
         System.exit(0);
     }
 
+    private static RehearsalServer startServer(PlatformAdapter adapter) throws IOException {
+        for (int tries = 1; tries < MAX_START_ATTEMPTS; tries++) {
+            try {
+                return new RehearsalServer(adapter.rehearsal());
+            } catch (IOException taken) {
+                System.err.println("rehearsal: " + taken.getMessage());
+            }
+        }
+        return new RehearsalServer(adapter.rehearsal());
+    }
+
     /** Returns one of each kind of message that relays exchange. */
     private static List<byte[]> peerMessages(Address self, long sequence) {
         LoadReport load = LoadReport.ofTargets(
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RehearsalServer.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RehearsalServer.java
@@ -23,10 +23,20 @@
     private final DatagramSocket peerSocket;
     private final RehearsalScript script;
 
+    /**
+     * Listens on a free port.
+     *
+     * @throws IOException if the port is taken for datagrams; another one may not be
+     */
     RehearsalServer(RehearsalScript script) throws IOException {
         this.script = script;
         serverSocket = new ServerSocket(0, 0, InetAddress.getByName("127.0.0.1"));
-        peerSocket = new DatagramSocket(serverSocket.getLocalSocketAddress());
+        try {
+            peerSocket = new DatagramSocket(serverSocket.getLocalSocketAddress());
+        } catch (IOException taken) {
+            serverSocket.close();
+            throw taken;
+        }
         runInBackground(this::accept);
     }
 
