Take back reading the newest connections first after a start

Cause: with returnAdmission, connections wait without being read, so that the relay doesn't see that their callers have closed them.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/RelayMetrics.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/RelayMetrics.java
@@ -49,7 +49,6 @@
             "outcome");
     private final Counter targetsCrashed;
     private final Counter connectionsClosedUnread;
-    private final Counter connectionsClosedAfterStart;
     private final Counter parts;
     private final Counter peerMessagesDropped;
     private final CounterDataPoint peerMessagesSent;
@@ -94,10 +93,6 @@
         connectionsClosedUnread = counter(
                 "rattanrudder_relay_connections_closed_unread",
                 "Callers' new connections that were closed unread, since there were too many");
-        connectionsClosedAfterStart = counter(
-                "rattanrudder_relay_connections_closed_after_start",
-                "Callers' new connections that were closed unread after a start or a suspension, by reason",
-                "reason");
         parts = counter("rattanrudder_relay_parts", "Shared parts of prompts, by what was planned for them", "plan");
         peerMessagesDropped = counter(
                 "rattanrudder_relay_peer_messages_dropped",
@@ -206,11 +201,6 @@
         targetsCrashed.labelValues(service).inc();
     }
 
-    /** Counts a connection that was closed unread after a start or a suspension. */
-    public void recordConnectionClosedAfterStart(String reason) {
-        connectionsClosedAfterStart.labelValues(reason).inc();
-    }
-
     void recordConnectionClosedUnread() {
         connectionsClosedUnread.inc();
     }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/CallerConnection.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/CallerConnection.java
@@ -65,7 +65,6 @@
     private long partialHeadSince = -1;
     private boolean closing;
     private boolean drainingQueue;
-    private Runnable firstRequestListener = () -> {};
 
     CallerConnection(ServingComponents components, Set<CallerConnection> connections) {
         this.components = components;
@@ -93,24 +92,6 @@
         return !context.channel().isActive();
     }
 
-    /** Sets what is called once the first request was sent on, rejected or abandoned. */
-    void onFirstRequestDone(Runnable listener) {
-        firstRequestListener = listener;
-    }
-
-    /** Acts as if the first request was done if it isn't complete; its caller may take long to send the rest. */
-    void releaseUnlessComplete() {
-        if (exchange == null) {
-            firstRequestDone();
-        }
-    }
-
-    private void firstRequestDone() {
-        Runnable listener = firstRequestListener;
-        firstRequestListener = () -> {};
-        listener.run();
-    }
-
     /** Records raw bytes, which may be a part of a request head. */
     void onBytesRead() {
         lastReadAt = state.nowMillis();
@@ -221,7 +202,6 @@
             logDenied(error);
             refuse(error, metadata == null ? "" : metadata.id(), remainingMillis());
             body.release();
-            firstRequestDone();
             nextRequest();
             return;
         }
@@ -231,7 +211,6 @@
             startAfterRead(exchange);
         } else {
             exchange.start();
-            firstRequestDone();
         }
     }
 
@@ -242,12 +221,7 @@
      */
     private void startAfterRead(Exchange waiting) {
         EventExecutor loop = context.executor();
-        loop.execute(() -> loop.schedule(() -> start(waiting), LATE_START_DELAY_MILLIS, TimeUnit.MILLISECONDS));
-    }
-
-    private void start(Exchange waiting) {
-        waiting.start();
-        firstRequestDone();
+        loop.execute(() -> loop.schedule(waiting::start, LATE_START_DELAY_MILLIS, TimeUnit.MILLISECONDS));
     }
 
     private long remainingMillis() {
@@ -439,7 +413,6 @@
     @Override
     public void channelInactive(ChannelHandlerContext active) {
         connections.remove(this);
-        firstRequestDone();
         closing = true;
         releaseQueued();
         if (exchange != null) {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/CallerServer.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/CallerServer.java
@@ -7,7 +7,6 @@
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Optional;
 import java.util.Set;
 import org.rattanrudder.daemon.relay.process.RelayState;
 
@@ -29,8 +28,6 @@
     /** Returns the initializer of channels for callers. */
     public ChannelInitializer<Channel> channels() {
         RelayState state = components.state();
-        Optional<CallerAdmission> admission =
-                state.settings().returnAdmission().map(traits -> new CallerAdmission(state, traits, this::addHandlers));
         return new ChannelInitializer<>() {
             @Override
             protected void initChannel(Channel channel) {
@@ -38,22 +35,17 @@
                     channel.close();
                     return;
                 }
-                admission.ifPresentOrElse(present -> present.onOpened(channel), () -> addHandlers(channel));
+                CallerConnection connection = new CallerConnection(components, callers);
+                channel.pipeline()
+                        .addLast(
+                                new ReadRecorder(connection),
+                                new StrictRequestDecoder(state.limits().maxHeaderBytes() * HEADER_LIMIT_FACTOR),
+                                new HttpResponseEncoder(),
+                                connection);
             }
         };
     }
 
-    private CallerConnection addHandlers(Channel channel) {
-        CallerConnection connection = new CallerConnection(components, callers);
-        channel.pipeline()
-                .addLast(
-                        new ReadRecorder(connection),
-                        new StrictRequestDecoder(components.state().limits().maxHeaderBytes() * HEADER_LIMIT_FACTOR),
-                        new HttpResponseEncoder(),
-                        connection);
-        return connection;
-    }
-
     /** Returns the number of open connections. */
     public int size() {
         return callers.size();
--- a/rattanrudder-document/src/main/java/org/rattanrudder/document/Fields.java
+++ b/rattanrudder-document/src/main/java/org/rattanrudder/document/Fields.java
@@ -98,11 +98,6 @@
         return take(key).map(node -> nested(key, node)).orElseGet(() -> empty(key, problems));
     }
 
-    /** Returns what an object is read as; empty if it is absent. */
-    <T> Optional<T> object(String key, Function<Fields, T> reader) {
-        return take(key).map(node -> reader.apply(nested(key, node)));
-    }
-
     /** Notes a problem if the key stands here, since it makes no sense for the given reason. */
     void forbid(String key, String reason) {
         forbidden.add(key);
--- a/rattanrudder-document/src/main/java/org/rattanrudder/document/RelaySettings.java
+++ b/rattanrudder-document/src/main/java/org/rattanrudder/document/RelaySettings.java
@@ -3,7 +3,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import org.rattanrudder.core.gateway.ReturnAdmission;
 import org.rattanrudder.core.model.Address;
 
 /**
@@ -20,7 +19,6 @@
  * @param regions the region of each failure domain
  * @param earlyRejection whether requests that can't be sent while that is of use are rejected at once
  * @param features the features that the platform has in force, by its own names; unknown ones have no effect
- * @param returnAdmission how it limits new connections after a start; empty if it reads all of them at once
  */
 public record RelaySettings(
         String instance,
@@ -33,14 +31,13 @@
         Bounds bounds,
         Map<String, String> regions,
         boolean earlyRejection,
-        Set<String> features,
-        Optional<ReturnAdmission.Traits> returnAdmission) {
+        Set<String> features) {
     public RelaySettings {
         regions = Map.copyOf(regions);
         features = Set.copyOf(features);
     }
 
-    /** Creates settings without early rejection, features and limits of new connections. */
+    /** Creates settings without early rejection and features. */
     public RelaySettings(
             String instance,
             String failureDomain,
@@ -51,19 +48,7 @@
             Address store,
             Bounds bounds,
             Map<String, String> regions) {
-        this(
-                instance,
-                failureDomain,
-                callers,
-                readiness,
-                peers,
-                metrics,
-                store,
-                bounds,
-                regions,
-                false,
-                Set.of(),
-                Optional.empty());
+        this(instance, failureDomain, callers, readiness, peers, metrics, store, bounds, regions, false, Set.of());
     }
 
     /** Creates settings without regions and early rejection. */
@@ -99,8 +84,6 @@
 
     static final double DEFAULT_WARM_UP_OVERAGE = 1;
     static final double DEFAULT_WARM_UP_SLACK = 0;
-    static final int DEFAULT_CONCURRENT = 1;
-    static final long DEFAULT_HOLD_MILLIS = 10_000;
 
     /** Returns the settings of a relay that runs on these and has read others: only what may change is theirs. */
     public RelaySettings takeOver(RelaySettings read) {
@@ -125,8 +108,7 @@
                 changed,
                 read.regions,
                 read.earlyRejection,
-                read.features,
-                returnAdmission);
+                read.features);
     }
 
     /** Returns the region of a failure domain; empty if unknown. */
--- a/rattanrudder-document/src/main/java/org/rattanrudder/document/RelaySettingsParser.java
+++ b/rattanrudder-document/src/main/java/org/rattanrudder/document/RelaySettingsParser.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import org.rattanrudder.core.gateway.ReturnAdmission;
 import org.rattanrudder.core.model.CustomerName;
 import org.rattanrudder.core.model.InstanceName;
 import org.rattanrudder.document.RelaySettings.Bounds;
@@ -52,21 +51,11 @@
                 bounds(fields.requiredObject("bounds")),
                 regions(fields),
                 fields.optional("earlyRejection", ValueKind.bool(), false),
-                Set.copyOf(new HashSet<>(fields.values("features", FEATURE))),
-                fields.object("returnAdmission", RelaySettingsParser::returnAdmission));
+                Set.copyOf(new HashSet<>(fields.values("features", FEATURE))));
         fields.finish();
         return settings;
     }
 
-    private static ReturnAdmission.Traits returnAdmission(Fields fields) {
-        ReturnAdmission.Traits traits = new ReturnAdmission.Traits(
-                fields.optional("concurrent", ValueKind.integer(1, 10_000), RelaySettings.DEFAULT_CONCURRENT),
-                fields.optional(
-                        "holdMillis", ValueKind.longInteger(0, LONGEST_MILLIS), RelaySettings.DEFAULT_HOLD_MILLIS));
-        fields.finish();
-        return traits;
-    }
-
     private static Map<String, String> regions(Fields fields) {
         Map<String, String> regions = new HashMap<>();
         fields.objects("regions", RelaySettingsParser::domain).forEach(domain -> {
