Forecast when a queued request is sent, and reject early what comes too late

Cause: an overloaded service holds requests until they are late, serves many of them late, and rejects the rest after twice their objective, when a retry is of little use.

Nothing calls these in the relay yet.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/HoldingQueue.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/HoldingQueue.java
@@ -54,6 +54,8 @@
             new TreeSet<>(Comparator.<QueuedRequest<T>>comparingInt(QueuedRequest::priority)
                     .thenComparingLong(QueuedRequest::deadlineMillis)
                     .thenComparingLong(QueuedRequest::sequence));
+    private final QueueBacklog onTimeBacklog = new QueueBacklog();
+    private final QueueBacklog lateBacklog = new QueueBacklog();
     private long lateTokens;
     private long nextSequence;
 
@@ -111,22 +113,81 @@
             long deadlineMillis,
             long sequence) {}
 
+    /**
+     * What queued requests amount to.
+     *
+     * @param requests their number
+     * @param tokens their total size in tokens
+     */
+    public record Work(int requests, long tokens) {
+        private Work plus(Work other) {
+            return new Work(requests + other.requests, tokens + other.tokens);
+        }
+    }
+
+    /**
+     * Tells whether a queued request can't be sent in time.
+     *
+     * @param <T> the type of requests
+     */
+    @FunctionalInterface
+    interface HopelessTest<T> {
+        /**
+         * Returns whether a request can't be sent in time.
+         *
+         * @param late whether it is judged as late request, by what is ahead of those
+         * @param requestsAhead how many requests are ahead of it
+         * @param tokensAhead their total size
+         */
+        boolean isHopeless(QueuedRequest<T> queued, boolean late, int requestsAhead, long tokensAhead);
+    }
+
+    /** Returns what is ahead of a request that is added now, as long as it can be on time. */
+    public Work aheadOf(int priority, long onTimeUntilMillis) {
+        return onTimeBacklog.before(priority, onTimeUntilMillis);
+    }
+
+    /** Returns what is ahead of a request once it is late, as far as it is queued now. */
+    public Work aheadOfLate(int priority, long deadlineMillis) {
+        return onTimeBacklog.all().plus(lateBacklog.before(priority, deadlineMillis));
+    }
+
     /** Adds a request. */
     public QueuedRequest<T> add(
             T request, int priority, int tokens, long onTimeUntilMillis, long lateUntilMillis, long deadlineMillis) {
         QueuedRequest<T> queued = new QueuedRequest<>(
                 request, priority, tokens, onTimeUntilMillis, lateUntilMillis, deadlineMillis, nextSequence++);
-        onTime.add(queued);
+        addOnTime(queued);
         return queued;
     }
 
     /** Removes a request. */
     public void remove(QueuedRequest<T> queued) {
-        if (!onTime.remove(queued) && late.remove(queued)) {
+        if (!removeOnTime(queued) && late.remove(queued)) {
             lateTokens -= queued.tokens();
+            lateBacklog.remove(queued.priority(), queued.deadlineMillis(), queued.tokens());
         }
     }
 
+    private void addOnTime(QueuedRequest<T> queued) {
+        onTime.add(queued);
+        onTimeBacklog.add(queued.priority(), queued.onTimeUntilMillis(), queued.tokens());
+    }
+
+    private boolean removeOnTime(QueuedRequest<T> queued) {
+        boolean removed = onTime.remove(queued);
+        if (removed) {
+            onTimeBacklog.remove(queued.priority(), queued.onTimeUntilMillis(), queued.tokens());
+        }
+        return removed;
+    }
+
+    private void addLate(QueuedRequest<T> queued) {
+        late.add(queued);
+        lateTokens += queued.tokens();
+        lateBacklog.add(queued.priority(), queued.deadlineMillis(), queued.tokens());
+    }
+
     /** Returns the request to dispatch next. */
     public Optional<QueuedRequest<T>> first() {
         if (!onTime.isEmpty()) {
@@ -183,17 +244,57 @@
                 .filter(queued -> queued.onTimeUntilMillis() <= nowMillis)
                 .toList();
         for (QueuedRequest<T> queued : expired) {
-            onTime.remove(queued);
+            removeOnTime(queued);
             if (lateTokens + queued.tokens() > maxLateTokens) {
                 rejected.add(queued);
             } else {
-                late.add(queued);
-                lateTokens += queued.tokens();
+                addLate(queued);
             }
         }
         return rejected;
     }
 
+    /**
+     * Removes and returns the requests that can't be sent in time, in order. What is removed is no longer ahead of
+     * those behind it. A request that may still be on time is removed only if it couldn't be sent as a late one either.
+     */
+    List<QueuedRequest<T>> removeHopeless(HopelessTest<T> test) {
+        List<QueuedRequest<T>> hopeless = new ArrayList<>();
+        int requests = 0;
+        long tokens = 0;
+        int removedRequests = 0;
+        long removedTokens = 0;
+        for (QueuedRequest<T> queued : onTime) {
+            if (test.isHopeless(queued, false, requests, tokens)
+                    && isHopelessAsLate(queued, test, removedRequests, removedTokens)) {
+                hopeless.add(queued);
+                removedRequests++;
+                removedTokens += queued.tokens();
+            } else {
+                requests++;
+                tokens += queued.tokens();
+            }
+        }
+        for (QueuedRequest<T> queued : late) {
+            if (test.isHopeless(queued, true, requests, tokens)) {
+                hopeless.add(queued);
+            } else {
+                requests++;
+                tokens += queued.tokens();
+            }
+        }
+        hopeless.forEach(this::remove);
+        return hopeless;
+    }
+
+    private boolean isHopelessAsLate(
+            QueuedRequest<T> queued, HopelessTest<T> test, int removedRequests, long removedTokens) {
+        Work ahead = aheadOfLate(queued.priority(), queued.deadlineMillis());
+        // The request itself is among those that can be on time.
+        return test.isHopeless(
+                queued, true, ahead.requests() - removedRequests - 1, ahead.tokens() - removedTokens - queued.tokens());
+    }
+
     /** Removes the requests that match, and returns them in order. */
     public List<T> removeIf(Predicate<T> matches) {
         List<QueuedRequest<T>> removed = Stream.concat(onTime.stream(), late.stream())
