Reject queued requests early in the relay, where the settings say so

Cause: the forecast of a queued request's turn was known in the core only. Change: QueueRejection, owned by the queues, decides before a body is read (it is dropped; a caller that asks before it sends one is answered and its connection closed), before a request queues, and every 50 ms while any waits; Retry-After follows from the forecast. What may have run at a target, and what only some targets may run, waits as before. Without the setting nothing is kept, logged or rejected.

--- a/rattanrudder-command/src/main/java/org/rattanrudder/command/RequestStory.java
+++ b/rattanrudder-command/src/main/java/org/rattanrudder/command/RequestStory.java
@@ -92,6 +92,13 @@
             case "request_held" ->
                 "waits in line, engines are full; " + fields.get("in_line") + " wait for " + fields.get("service")
                         + limitedTargets(fields);
+            case "request_forecast" ->
+                "unknown".equals(fields.get("forecast_ms"))
+                        ? "too little is known to say when it will be sent"
+                        : "expected to be sent " + turn(fields);
+            case "request_rejected_early" ->
+                "rejected, since it would be sent " + turn(fields) + " and that is of use for "
+                        + fields.get("useful_ms") + " ms; to be retried after " + fields.get("retry_after_ms") + " ms";
             case "stream_resumed" ->
                 "resumes the stream of request " + fields.get("resumes") + " after event " + fields.get("after_event")
                         + "; begun by " + fields.get("service") + " " + fields.get("software") + " ("
@@ -130,6 +137,14 @@
                 + " tokens/ms and " + fields.get("base_ms") + " ms";
     }
 
+    /** Says when a request would be sent, and from what that was forecast. */
+    private static String turn(Map<String, String> fields) {
+        return ("true".equals(fields.get("as_late")) ? "late, " : "") + "in " + fields.get("forecast_ms") + " ms: "
+                + fields.get("ahead") + " requests of " + fields.get("ahead_tokens") + " tokens are ahead, "
+                + fields.get("requests_per_s") + " requests and " + fields.get("tokens_per_s")
+                + " tokens a second were served, known for " + fields.get("rate_age_ms") + " ms,";
+    }
+
     /** Says which targets were out of use or limited, if any; lines of older relays don't say. */
     private static String limitedTargets(Map<String, String> fields) {
         String warming = fields.getOrDefault("warming", "0");
--- a/rattanrudder-command/src/test/java/org/rattanrudder/command/CommandLineTest.java
+++ b/rattanrudder-command/src/test/java/org/rattanrudder/command/CommandLineTest.java
@@ -119,6 +119,27 @@
                         + ")" + end + "\n");
     }
 
+    /** A caller asks why its request was rejected at once: what the relay expected, and from what. */
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "request_forecast | forecast_ms=420 as_late=false | expected to be sent in 420 ms: 9 requests of 900"
+                        + " tokens are ahead, 20.5 requests and 2050 tokens a second were served, known for 12 ms",
+                "request_forecast | forecast_ms=unknown as_late=unknown | too little is known to say when it will be"
+                        + " sent",
+                "request_rejected_early | forecast_ms=5000 as_late=true useful_ms=800 retry_after_ms=240 | rejected,"
+                        + " since it would be sent late, in 5000 ms: 9 requests"
+            })
+    void aRequestIsExplainedByTheForecastOfItsTurn(String event, String fields, String words) {
+        input = "relay-1 time=2026-03-19T17:14:23.500Z level=INFO logger=R event=" + event + " request=r7 " + fields
+                + " ahead=9 ahead_tokens=900 requests_per_s=20.5 tokens_per_s=2050 rate_age_ms=12\n";
+
+        assertThat(run("explain-request", "r7")).isEqualTo(ExitCode.DONE);
+
+        assertThat(output()).contains(words);
+    }
+
     /**
      * At shift change clerks say that checks are slow. The logs of all relays tell which step made them late, without a
      * look at single requests.
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/RelayMetrics.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/RelayMetrics.java
@@ -2,6 +2,7 @@
 
 import io.prometheus.metrics.core.datapoints.CounterDataPoint;
 import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
@@ -10,9 +11,11 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.DoubleSupplier;
 import java.util.function.Supplier;
 import org.rattanrudder.core.continuation.OriginExchange.Source;
+import org.rattanrudder.core.fleet.QueueForecast.Forecast;
 import org.rattanrudder.core.fleet.TargetAdmission;
 import org.rattanrudder.core.gateway.BodyPosition;
 import org.rattanrudder.core.gateway.ResponseEnd;
@@ -47,6 +50,25 @@
             "Streams that callers resume, by how their origin is known and whether a target may continue them",
             "origin",
             "outcome");
+    private final Counter rejectedEarly = counter(
+            "rattanrudder_relay_rejected_early",
+            "Requests that were rejected since their turn would have come too late, by where",
+            "service",
+            "stage");
+    private final Counter unforecast = counter(
+            "rattanrudder_relay_queue_unforecast",
+            "Requests that would queue while too little was known for a forecast",
+            "service");
+    private final Gauge queueRate = gauge(
+            "rattanrudder_relay_queue_rate",
+            "Rate at which the queue was served, in a second, as in the last forecast",
+            "service",
+            "unit");
+    private final Gauge queueAhead = gauge(
+            "rattanrudder_relay_queue_ahead", "What was ahead of a request in the last forecast", "service", "unit");
+    private final Gauge queueRateAge =
+            gauge("rattanrudder_relay_queue_rate_age_seconds", "Age of the rate in the last forecast", "service");
+    private final Histogram queueForecast;
     private final Counter targetsCrashed;
     private final Counter connectionsClosedUnread;
     private final Counter connectionsClosedAfterStart;
@@ -107,15 +129,30 @@
                 counter("rattanrudder_relay_peer_messages", "Messages of and to other relays", "direction");
         peerMessagesSent = peerMessages.labelValues("sent");
         peerMessagesReceived = peerMessages.labelValues("received");
-        firstByte = Histogram.builder()
-                .name("rattanrudder_relay_first_byte_seconds")
-                .help("Time from a request's arrival to the first byte of its answer")
-                .labelNames("route")
+        firstByte = histogram(
+                "rattanrudder_relay_first_byte_seconds",
+                "Time from a request's arrival to the first byte of its answer",
+                "route");
+        queueForecast = histogram(
+                "rattanrudder_relay_queue_forecast_seconds",
+                "Forecast of the time until a request is sent that would queue",
+                "service");
+    }
+
+    private Histogram histogram(String name, String help, String label) {
+        return Histogram.builder()
+                .name(name)
+                .help(help)
+                .labelNames(label)
                 .classicOnly()
                 .classicUpperBounds(FIRST_BYTE_BUCKETS_SECONDS)
                 .register(registry);
     }
 
+    private Gauge gauge(String name, String help, String... labels) {
+        return Gauge.builder().name(name).help(help).labelNames(labels).register(registry);
+    }
+
     private Counter counter(String name, String help, String... labels) {
         return Counter.builder().name(name).help(help).labelNames(labels).register(registry);
     }
@@ -201,6 +238,26 @@
                 .inc();
     }
 
+    /** Records the forecast for a request that would queue; empty if too little was known. */
+    public void recordForecast(String service, Optional<Forecast> forecast) {
+        if (forecast.isEmpty()) {
+            unforecast.labelValues(service).inc();
+            return;
+        }
+        Forecast found = forecast.get();
+        queueForecast.labelValues(service).observe(found.waitMillis() / MILLIS_PER_SECOND);
+        queueRate.labelValues(service, "requests").set(found.requestsPerSecond());
+        queueRate.labelValues(service, "tokens").set(found.tokensPerSecond());
+        queueAhead.labelValues(service, "requests").set(found.ahead().requests());
+        queueAhead.labelValues(service, "tokens").set(found.ahead().tokens());
+        queueRateAge.labelValues(service).set(found.ageMillis() / MILLIS_PER_SECOND);
+    }
+
+    /** Records that a request was rejected since its turn would have come too late. */
+    public void recordRejectedEarly(String service, String stage) {
+        rejectedEarly.labelValues(service, stage).inc();
+    }
+
     /** Records that a target ended in the middle of requests. */
     public void recordTargetCrash(String service) {
         targetsCrashed.labelValues(service).inc();
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/CallerConnection.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/CallerConnection.java
@@ -23,6 +23,7 @@
 import io.netty.util.concurrent.EventExecutor;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.rattanrudder.core.gateway.RequestMetadata;
@@ -59,6 +60,8 @@
     private AccessDecision access;
     private ErrorKind problem;
     private ByteBuf body;
+    private RequestPlan plan;
+    private Optional<QueueRejection.Rejection> rejection = Optional.empty();
     private Exchange exchange;
     private long arrivedAt;
     private long lastReadAt;
@@ -155,6 +158,8 @@
         problem = null;
         access = null;
         metadata = null;
+        plan = null;
+        rejection = Optional.empty();
         body = Unpooled.buffer(0);
         if (request.decoderResult().isFailure()) {
             refuseUnread(decodeError(request.decoderResult().cause()));
@@ -167,7 +172,14 @@
             return;
         }
         admit();
-        if (problem == null && HttpUtil.is100ContinueExpected(request)) {
+        boolean bodyFollows = !HttpUtil.is100ContinueExpected(request);
+        if (rejection.isPresent() && !bodyFollows) {
+            // The caller may send the body or not; what follows can't be told from another request.
+            replyRejected();
+            releaseBody();
+            head = null;
+            closeGracefully();
+        } else if (problem == null && !bodyFollows) {
             context.writeAndFlush(new DefaultFullHttpResponse(
                     HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
         }
@@ -193,6 +205,9 @@
             problem = denied.error();
         } else if (!state.accepts(((AccessDecision.Granted) access).route())) {
             problem = ErrorKind.DRAINING;
+        } else if (components.queues().rejection().isOn()) {
+            plan = new RequestPlan(state, metadata, (AccessDecision.Granted) access, arrivedAt);
+            rejection = components.queues().rejection().onHead(plan);
         }
     }
 
@@ -206,7 +221,7 @@
             refuseUnread(ErrorKind.BODY_TOO_LARGE);
             return;
         }
-        if (problem == null) {
+        if (problem == null && rejection.isEmpty()) {
             body.writeBytes(content.content());
         }
         if (content instanceof LastHttpContent) {
@@ -225,7 +240,15 @@
             nextRequest();
             return;
         }
-        RequestPlan plan = new RequestPlan(state, metadata, (AccessDecision.Granted) access, arrivedAt);
+        if (rejection.isPresent()) {
+            replyRejected();
+            body.release();
+            nextRequest();
+            return;
+        }
+        if (plan == null) {
+            plan = new RequestPlan(state, metadata, (AccessDecision.Granted) access, arrivedAt);
+        }
         exchange = new Exchange(components, this, head, body, plan);
         if (state.eventLoopLag().isLate(state.nowMillis())) {
             startAfterRead(exchange);
@@ -235,6 +258,15 @@
         }
     }
 
+    /** Tells the caller when to retry a request that was rejected by its head; its body has been dropped. */
+    private void replyRejected() {
+        refuseWithRetryAfter(
+                ErrorKind.OVERLOADED, metadata.id(), rejection.get().retryAfterMillis());
+        FinalReply.Ending ending = new FinalReply.Ending(ErrorKind.OVERLOADED.wireName(), QueueRejection.REASON);
+        state.metrics().recordRequest(plan.route().name(), ending.outcome());
+        new ExchangeLog(state, plan).ended(ending, Optional.empty(), "unknown", 0, 0);
+    }
+
     /**
      * Starts an exchange once the event loop has read its connections again. The delay is scheduled from a task:
      * scheduled while connections are read, it could expire in the same iteration if many are ready, before their close
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/Exchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/Exchange.java
@@ -92,10 +92,7 @@
 
     /** Places a request that resumes a stream, or rejects it if no target may continue the stream. */
     private void onOriginFound(boolean continuable) {
-        if (ended) {
-            return;
-        }
-        if (continuable) {
+        if (continuable && !ended) {
             place();
         } else {
             refuse(plan.noTargetError(), "no target may continue the stream");
@@ -109,13 +106,7 @@
             return false;
         }
         String reason = "quarantined for " + quarantine.cause();
-        if (forwarder.hasBegun()) {
-            finish(reply.abort(reason));
-        } else if (history.mayHaveRun()) {
-            finish(reply.fail(ErrorKind.TARGET_FAILED, reason));
-        } else {
-            finish(reply.failUntil(ErrorKind.REQUEST_QUARANTINED, reason, left.getAsLong()));
-        }
+        finish(reply.quarantined(forwarder.hasBegun(), history.mayHaveRun(), reason, left.getAsLong()));
         return true;
     }
 
@@ -142,7 +133,7 @@
     boolean tryPlace() {
         Optional<Placement.Choice> choice = selection.selectWithRoom();
         choice.ifPresent(found -> {
-            queueWait.leave();
+            queueWait.leaveToBeSent();
             sendTo(found);
         });
         return choice.isPresent();
@@ -155,7 +146,21 @@
 
     /** Rejects the queued request: the queue is too long for one that will be late. The response says when to retry. */
     void refuseQueued() {
-        refuse(ErrorKind.OVERLOADED, "line too long");
+        refuse(ErrorKind.OVERLOADED, QueueRejection.LINE_TOO_LONG);
+    }
+
+    /** Rejects the request, which hasn't run and isn't at a target; the response says when to retry. */
+    void refuseUntil(String reason, long retryAfterMillis) {
+        finish(reply.failUntil(ErrorKind.OVERLOADED, reason, retryAfterMillis));
+    }
+
+    /** Returns whether the request may be told that it hasn't run, and waits for the same targets as others. */
+    boolean mayBeRejectedEarly() {
+        return !ended && !history.mayHaveRun() && !isBound();
+    }
+
+    RequestPlan plan() {
+        return plan;
     }
 
     /** Returns whether any target may run the request. */
@@ -183,14 +188,8 @@
         Optional<Placement.Choice> choice = selection.selectAny();
         if (choice.isPresent()) {
             sendTo(choice.get());
-        } else if (forwarder.hasBegun()) {
-            finish(reply.abort(plan.binding().hasBegun() ? "no target of its software" : "no target"));
-        } else if (history.mayHaveRun()) {
-            finish(reply.fail(ErrorKind.TARGET_FAILED, "no target"));
-        } else if (!selection.hasCandidate()) {
-            finish(reply.fail(plan.noTargetError(), "no target"));
         } else {
-            finish(reply.fail(ErrorKind.OVERLOADED, "no target may take it"));
+            finish(reply.unplaceable(forwarder.hasBegun(), history.mayHaveRun(), selection.hasCandidate()));
         }
     }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/ExchangeLog.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/ExchangeLog.java
@@ -1,12 +1,15 @@
 package org.rattanrudder.daemon.relay.serving;
 
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
+import java.util.function.Function;
 import java.util.stream.Stream;
 import org.rattanrudder.core.continuation.OriginExchange.Finding;
 import org.rattanrudder.core.continuation.StreamOrigin;
 import org.rattanrudder.core.fleet.CapacityEstimate;
 import org.rattanrudder.core.fleet.Placement;
+import org.rattanrudder.core.fleet.QueueForecast.Forecast;
 import org.rattanrudder.core.fleet.Target;
 import org.rattanrudder.core.gateway.AttemptOutcome;
 import org.rattanrudder.core.quarantine.RequestFingerprint;
@@ -184,6 +187,65 @@
                         Integer.toString(state.fleet().livePeerCount(now)));
     }
 
+    /** Logs when a request that joins the queue would be sent. */
+    void forecast(Optional<Forecast> forecast) {
+        state.log()
+                .info(
+                        "request_forecast",
+                        Stream.concat(
+                                        Stream.of("request", plan.id(), "service", plan.service()),
+                                        forecastFields(forecast))
+                                .toArray(String[]::new));
+    }
+
+    /** Logs that a request is rejected since its turn comes too late. */
+    void rejectedEarly(QueueRejection.Rejection rejection) {
+        Stream<String> fields = Stream.of(
+                "request",
+                plan.id(),
+                "route",
+                plan.route().name(),
+                "service",
+                plan.service(),
+                "stage",
+                rejection.stage().wireName(),
+                "useful_ms",
+                Long.toString(rejection.usefulMillis()),
+                "retry_after_ms",
+                Long.toString(rejection.retryAfterMillis()),
+                "left_ms",
+                Long.toString(plan.remainingMillis()));
+        state.log()
+                .info(
+                        "request_rejected_early",
+                        Stream.concat(fields, forecastFields(Optional.of(rejection.forecast())))
+                                .toArray(String[]::new));
+    }
+
+    private Stream<String> forecastFields(Optional<Forecast> forecast) {
+        return Stream.of(
+                "priority",
+                Integer.toString(plan.priority()),
+                "forecast_ms",
+                text(forecast, Forecast::waitMillis),
+                "as_late",
+                text(forecast, Forecast::late),
+                "ahead",
+                text(forecast, found -> found.ahead().requests()),
+                "ahead_tokens",
+                text(forecast, found -> found.ahead().tokens()),
+                "requests_per_s",
+                text(forecast, found -> String.format(Locale.ROOT, "%.1f", found.requestsPerSecond())),
+                "tokens_per_s",
+                text(forecast, found -> Math.round(found.tokensPerSecond())),
+                "rate_age_ms",
+                text(forecast, Forecast::ageMillis));
+    }
+
+    private static String text(Optional<Forecast> forecast, Function<Forecast, Object> figure) {
+        return forecast.map(figure).map(Object::toString).orElse("unknown");
+    }
+
     private static String softwareOf(Target target) {
         return target.registration().softwareVersion().orElse("unknown");
     }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/FinalReply.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/FinalReply.java
@@ -43,6 +43,41 @@
         return new Ending(error.wireName(), reason);
     }
 
+    /**
+     * Ends a request that is quarantined.
+     *
+     * @param begun whether its response has begun
+     * @param mayHaveRun whether a target may have run it
+     * @param leftMillis how long the quarantine lasts
+     */
+    Ending quarantined(boolean begun, boolean mayHaveRun, String reason, long leftMillis) {
+        if (begun) {
+            return abort(reason);
+        }
+        return mayHaveRun
+                ? fail(ErrorKind.TARGET_FAILED, reason)
+                : failUntil(ErrorKind.REQUEST_QUARANTINED, reason, leftMillis);
+    }
+
+    /**
+     * Ends a request that no target may be sent now.
+     *
+     * @param begun whether its response has begun
+     * @param mayHaveRun whether a target may have run it
+     * @param hasCandidate whether any target may run it later
+     */
+    Ending unplaceable(boolean begun, boolean mayHaveRun, boolean hasCandidate) {
+        if (begun) {
+            return abort(plan.binding().hasBegun() ? "no target of its software" : "no target");
+        }
+        if (mayHaveRun) {
+            return fail(ErrorKind.TARGET_FAILED, "no target");
+        }
+        return hasCandidate
+                ? fail(ErrorKind.OVERLOADED, "no target may take it")
+                : fail(plan.noTargetError(), "no target");
+    }
+
     /** Ends a response that has begun and can't be completed. */
     Ending abort(String reason) {
         caller.abort();
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/HoldingQueues.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/HoldingQueues.java
@@ -19,6 +19,7 @@
     private static final long ADMISSION_DISPATCH_MILLIS = 50;
 
     private final RelayState state;
+    private final QueueRejection rejection;
     private final Map<String, HoldingQueue<Exchange>> holdingQueues = new HashMap<>();
     private final Set<String> scheduledDispatches = new HashSet<>();
     private final Set<String> admissionDispatches = new HashSet<>();
@@ -26,6 +27,12 @@
     /** Creates queues that are empty. */
     public HoldingQueues(RelayState state) {
         this.state = state;
+        rejection = new QueueRejection(state, this);
+    }
+
+    /** Returns what rejects requests early whose turn in their service's queue comes too late. */
+    QueueRejection rejection() {
+        return rejection;
     }
 
     /** Returns the queue of a service's requests that wait for an engine. */
@@ -43,7 +50,7 @@
                 state.fleet().capacity(service),
                 engine(service),
                 now);
-        queue.expire(now, allowed).forEach(refused -> refused.request().refuseQueued());
+        queue.expire(now, allowed).forEach(refused -> rejection.refuseExpired(refused.request()));
         dispatchQueued(service);
     }
 
