Tell requests that are rejected while waiting what was ahead of them

Cause: the forecast for a request that is rejected while it waits was made after all such requests had left the queue: 0 ms, nothing ahead, to be retried at once (seen in the lines of the platform's EarlyRejectionTest). Change: the pass over the queue returns the forecast by which it rejects. Forecasts of requests that are only read on are no longer counted twice.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/EarlyRejection.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/EarlyRejection.java
@@ -1,8 +1,10 @@
 package org.rattanrudder.core.fleet;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Predicate;
+import java.util.stream.IntStream;
 import org.rattanrudder.core.fleet.QueueForecast.Forecast;
 import org.rattanrudder.core.fleet.QueueForecast.Place;
 
@@ -49,21 +51,40 @@
     }
 
     /**
-     * Removes and returns the queued requests that can no longer be sent while that is of use. The queue is
-     * walked once; what is rejected is no longer ahead of those behind it.
+     * A queued request that is rejected.
+     *
+     * @param queued the request, which is no longer queued
+     * @param reason when it would have been sent
+     * @param <T> the type of requests
+     */
+    public record RejectedWaiting<T>(HoldingQueue.QueuedRequest<T> queued, Forecast reason) {}
+
+    /**
+     * Removes and returns the queued requests that can no longer be sent while that is of use. The queue is walked
+     * once; what is rejected is no longer ahead of those behind it.
      *
      * @param mayReject returns whether a request may be rejected: one that may have run at a target waits on
      */
-    public static <T> List<HoldingQueue.QueuedRequest<T>> rejectWaiting(
+    public static <T> List<RejectedWaiting<T>> rejectWaiting(
             QueueForecast forecasts, HoldingQueue<T> queue, Predicate<T> mayReject, long nowMillis) {
         if (!forecasts.isKnown(nowMillis)) {
             return List.of();
         }
-        return queue.removeHopeless((queued, late, requests, tokens) -> {
+        // A request is removed once it is hopeless as a late one too, so there is one reason for each that is removed.
+        List<Forecast> reasons = new ArrayList<>();
+        List<HoldingQueue.QueuedRequest<T>> rejected = queue.removeHopeless((queued, late, requests, tokens) -> {
             long wait = forecasts.waitMillis(requests, tokens, queued.priority(), late);
             long until =
                     late ? Math.min(queued.lateUntilMillis(), queued.deadlineMillis()) : queued.onTimeUntilMillis();
-            return requests > 0 && nowMillis + wait > until && mayReject.test(queued.request());
+            boolean hopeless = requests > 0 && nowMillis + wait > until && mayReject.test(queued.request());
+            if (hopeless && late) {
+                HoldingQueue.Work ahead = new HoldingQueue.Work(requests, tokens);
+                reasons.add(forecasts.forecast(wait, true, ahead, queued.priority(), nowMillis));
+            }
+            return hopeless;
         });
+        return IntStream.range(0, rejected.size())
+                .mapToObj(index -> new RejectedWaiting<>(rejected.get(index), reasons.get(index)))
+                .toList();
     }
 }
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/QueueForecast.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/QueueForecast.java
@@ -165,15 +165,20 @@
         HoldingQueue.Work ahead = queue.aheadOf(place.priority(), place.onTimeUntilMillis());
         long wait = waitMillis(ahead.requests(), ahead.tokens(), place.priority(), false);
         if (nowMillis + wait <= place.onTimeUntilMillis()) {
-            return Optional.of(forecast(wait, false, ahead, place, nowMillis));
+            return Optional.of(forecast(wait, false, ahead, place.priority(), nowMillis));
         }
         HoldingQueue.Work aheadOfLate = queue.aheadOfLate(place.priority(), place.deadlineMillis());
         long lateWait = waitMillis(aheadOfLate.requests(), aheadOfLate.tokens(), place.priority(), true);
         return Optional.of(forecast(
-                Math.max(place.onTimeUntilMillis() - nowMillis, lateWait), true, aheadOfLate, place, nowMillis));
+                Math.max(place.onTimeUntilMillis() - nowMillis, lateWait),
+                true,
+                aheadOfLate,
+                place.priority(),
+                nowMillis));
     }
 
-    private Forecast forecast(long wait, boolean late, HoldingQueue.Work ahead, Place place, long nowMillis) {
+    /** Returns a forecast with what it is taken from. */
+    Forecast forecast(long wait, boolean late, HoldingQueue.Work ahead, int priority, long nowMillis) {
         return new Forecast(
                 wait,
                 late,
@@ -181,7 +186,7 @@
                 sum(servedRequests, LEVELS) * MILLIS_PER_SECOND / measuredMillis,
                 sum(servedTokens, LEVELS) * MILLIS_PER_SECOND / measuredMillis,
                 nowMillis - lastServedAt,
-                prioritiesInUse(QueueBacklog.level(place.priority()), nowMillis),
+                prioritiesInUse(QueueBacklog.level(priority), nowMillis),
                 prioritiesInUse(QueueBacklog.PRIORITIES, nowMillis));
     }
 
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/EarlyRejectionTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/EarlyRejectionTest.java
@@ -68,10 +68,14 @@
     void lastRequestOfThoseThatCanNotBeSentInTimeAreRemovedWhileWaiting() {
         enqueue(60, 1, 1_000);
         // Of 60 requests 8 can be sent in the 400 ms in which they are on time; for late ones half of the rate is left.
-        List<HoldingQueue.QueuedRequest<Integer>> rejected =
+        List<EarlyRejection.RejectedWaiting<Integer>> rejected =
                 EarlyRejection.rejectWaiting(forecasts, queue, request -> true, NOW);
 
-        assertThat(rejected).extracting(HoldingQueue.QueuedRequest::request).isSubsetOf(range(9, 60));
+        assertThat(rejected).extracting(each -> each.queued().request()).isSubsetOf(range(9, 60));
+        assertThat(rejected)
+                .as("each is told what was ahead of it")
+                .allMatch(
+                        each -> NOW + each.reason().waitMillis() > each.queued().lateUntilMillis());
         assertThat(queue.size()).isBetween(9, 18);
         assertThat(EarlyRejection.rejectWaiting(forecasts, queue, request -> true, NOW))
                 .as("those that stay have their time")
@@ -89,7 +93,7 @@
 
         assertThat(EarlyRejection.rejectWaiting(forecasts, queue, request -> request % 2 == 0, NOW))
                 .isNotEmpty()
-                .allMatch(queued -> queued.request() % 2 == 0);
+                .allMatch(rejected -> rejected.queued().request() % 2 == 0);
     }
 
     /** A large request is rejected no sooner than a small one at its place. */
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/OverloadPlay.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/OverloadPlay.java
@@ -268,7 +268,7 @@
             queue.removeIf(call -> call.deadline() <= now).forEach(call -> call.endedAt = now);
             if (settings.early && now % CHECK_MILLIS == 0) {
                 EarlyRejection.rejectWaiting(forecast, queue, call -> true, now)
-                        .forEach(queued -> rejectQueued(queued, forecast, queue, now));
+                        .forEach(rejected -> reject(rejected.queued().request(), Optional.of(rejected.reason()), now));
             }
             forecast.onQueueChanged(queue.size() > 0, now);
         }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/QueueRejection.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/QueueRejection.java
@@ -113,11 +113,13 @@
         Place place = new Place(plan.priority(), Math.max(now, plan.onTimeUntil()), lateUntil, plan.deadlineAt());
         EarlyRejection.Decision decision =
                 EarlyRejection.onArrival(forecast(plan.service()), queues.holdingQueue(plan.service()), place, now);
-        state.metrics().recordForecast(plan.service(), decision.forecast());
         if (decision instanceof EarlyRejection.Rejected rejected) {
+            state.metrics().recordForecast(plan.service(), decision.forecast());
             return Optional.of(rejection(plan, stage, rejected.reason(), place.usefulUntilMillis() - now, log));
         }
+        // A request that is read on is decided again once it would queue.
         if (stage == Stage.ARRIVAL) {
+            state.metrics().recordForecast(plan.service(), decision.forecast());
             log.forecast(decision.forecast());
         }
         return Optional.empty();
@@ -182,16 +184,11 @@
         }
     }
 
-    /** Rejects a request that was removed from the queue; it waits no more, whether or not there is a forecast. */
-    private void refuse(HoldingQueue.QueuedRequest<Exchange> queued) {
+    private void refuse(EarlyRejection.RejectedWaiting<Exchange> rejected) {
+        HoldingQueue.QueuedRequest<Exchange> queued = rejected.queued();
         long useful = Math.min(queued.lateUntilMillis(), queued.deadlineMillis()) - state.nowMillis();
         RequestPlan plan = queued.request().plan();
-        Optional<Forecast> forecast = forecastNow(plan);
-        if (forecast.isEmpty()) {
-            queued.request().refuseQueued();
-            return;
-        }
-        Rejection rejection = rejection(plan, Stage.WAITING, forecast.get(), useful, new ExchangeLog(state, plan));
+        Rejection rejection = rejection(plan, Stage.WAITING, rejected.reason(), useful, new ExchangeLog(state, plan));
         queued.request().refuseUntil(REASON, rejection.retryAfterMillis());
     }
 
