--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/QueueRejection.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/QueueRejection.java
@@ -13,6 +13,7 @@
 import org.rattanrudder.core.fleet.QueueForecast.Forecast;
 import org.rattanrudder.core.fleet.QueueForecast.Place;
 import org.rattanrudder.core.fleet.ReturnTime;
+import org.rattanrudder.core.fleet.ServiceCapacity;
 import org.rattanrudder.core.routing.Hashing;
 import org.rattanrudder.daemon.relay.process.RelayState;
 
@@ -141,7 +142,17 @@
                         plan.route().objectiveMillis(),
                         state.nowMillis() - plan.arrivedAt(),
                         plan.remainingMillis(),
-                        (long) plan.expectedFirstByteMillis()));
+                        neededMillis(plan)));
+    }
+
+    /** Returns the time that a target at the usual pace needs until its first byte, in ms. */
+    private long neededMillis(RequestPlan plan) {
+        if (plan.engine().isEmpty()) {
+            return (long) plan.callMillis().millis();
+        }
+        ServiceCapacity capacity = state.fleet().capacity(plan.service());
+        long now = state.nowMillis();
+        return (long) (capacity.baseMillis(now) + plan.metadata().promptTokens() / capacity.prefillTokensPerMilli(now));
     }
 
     /** Rejects a request that the queue itself has removed; a forecast says when to retry it, if there is one. */
