Clarify names and comments of learned capacity, fetch tolerance and quarantine

Cause: several comments said that learned figures apply only where targets report a pace; they also apply where callers compete. Some comments named no unit, or were hard to follow (the two times of SendWindow, the scale of preferences in Placement), and some names were figurative or incomplete (coin, areToldApartBy, MIN and MAX of TargetFactor).

Change: the comments state the condition, the units and the effect of each bound.

Result: no change of behaviour. PlacementTest, SendWindowTest, TargetCapacityTest, UnpacedServiceTest, FetchToleranceTest and QuarantineTrialTest pass; other tests of the module weren't run.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/FirstEventSample.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/FirstEventSample.java
@@ -52,6 +52,8 @@
      * an even pace without a fetch; what other requests, fetches and changes of pace contribute is known inexactly.
      *
      * @param ownShare the share of the expected time that the request's own prompt takes
+     * @param slots how many requests the target runs at once
+     * @param paceAfter the pace expected when the first event arrived, 1 for the usual one
      */
     double weight(double ownShare, int slots, double paceAfter) {
         double idle = 1 - 0.5 * Math.min(1, (double) before.requests() / Math.max(1, slots));
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Fleet.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Fleet.java
@@ -303,7 +303,7 @@
         return capacities.computeIfAbsent(service, unseen -> new ServiceCapacity(() -> learnedFiguresUsed));
     }
 
-    /** Returns the services whose targets have reported a pace lately. */
+    /** Returns the services to which learned figures apply. */
     public Set<String> pacedServices(long nowMillis) {
         Set<String> paced = new TreeSet<>();
         capacities.forEach((service, known) -> {
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Knee.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Knee.java
@@ -28,6 +28,7 @@
     /** Share of the past of a range that a sample of full weight replaces. */
     private static final double FORGOTTEN_SHARE = 0.05;
 
+    /** Ratios above this are recorded as this, so that an outlier has a bounded effect. */
     private static final double MAX_RATIO = 4;
 
     /**
@@ -44,6 +45,7 @@
      * Records a sample.
      *
      * @param requests how many requests the target had
+     * @param slots how many requests it runs at once
      * @param ratio the observed time as a multiple of the expected one
      * @param weight how much the sample says, from 0 to 1
      */
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Placement.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Placement.java
@@ -83,11 +83,11 @@
      * Returns the best target, or the second best if both are about equally good; empty if the service has none that
      * may start the request.
      *
-     * @param coin decides for the second best; asked only where targets report a pace: relays that hear the same pace
-     *     must not all choose the same target
+     * @param preferSecond decides at random whether the second best is chosen if both are about equally good: relays
+     *     that hear the same pace must not all choose the same target; asked only where learned figures apply
      */
     public static Optional<Choice> choose(
-            List<Target> targets, PlacementQuery query, long nowMillis, BooleanSupplier coin) {
+            List<Target> targets, PlacementQuery query, long nowMillis, BooleanSupplier preferSecond) {
         Target best = null;
         double bestMillis = Double.MAX_VALUE;
         Target second = null;
@@ -109,7 +109,9 @@
                 secondMillis = expected;
             }
         }
-        if (second != null && secondMillis - bestMillis < equalMillis(best, query, nowMillis) && coin.getAsBoolean()) {
+        if (second != null
+                && secondMillis - bestMillis < equalMillis(best, query, nowMillis)
+                && preferSecond.getAsBoolean()) {
             return Optional.of(new Choice(second, secondMillis, candidates));
         }
         return best == null ? Optional.empty() : Optional.of(new Choice(best, bestMillis, candidates));
@@ -204,8 +206,8 @@
     }
 
     /**
-     * Returns the factor of preferences among engines that are about equally busy: the same work is more time on slower
-     * engines, and a preference must weigh as much against it as at the expected speed.
+     * Returns the factor by which preferences in ms are scaled. The same work takes longer on slower engines, where an
+     * unscaled preference would outweigh less of it than at the expected speed.
      */
     private static double preferenceScale(Target target, long nowMillis) {
         return ServiceCapacity.EXPECTED_TOKENS_PER_MILLI
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/PrefillRegression.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/PrefillRegression.java
@@ -30,6 +30,7 @@
     /** Multiple of the usual distance from the line beyond which a sample is an outlier. */
     private static final double OUTLIER_RATIO = 3;
 
+    /** Share by which a sample of full weight moves the usual distance from the line. */
     private static final double DEVIATION_STEP = 0.05;
 
     /** The largest distance of a sample that is believed, as a multiple of what was expected of it. */
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/SendWindow.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/SendWindow.java
@@ -22,16 +22,16 @@
     private static final long MAX_PREFILL_TOKENS = 14_000;
 
     /**
-     * Time until the next request arrives at an engine that has work for so long, where the speed was learned. Together
-     * with the base time, in which an engine has received a request and doesn't prefill it yet, it is the same window
-     * at the expected figures.
+     * Prefill work that keeps an engine busy until the next request arrives, in ms, where learned figures apply. The
+     * window adds the base time, in which an engine has received a request and doesn't prefill it yet: at the expected
+     * figures, both together are {@link #MAX_PREFILL_TOKENS}.
      */
     private static final double ARRIVAL_MILLIS =
             MAX_PREFILL_TOKENS / ServiceCapacity.EXPECTED_TOKENS_PER_MILLI - ServiceCapacity.EXPECTED_BASE_MILLIS;
 
     /**
-     * One prompt that is in prefill, for up to this time, doesn't count against the window: it counts whole until its
-     * first event, and the engine would be idle until the next one has arrived.
+     * Longest prompt that a window has room for beside the base time, as its time in prefill, in ms. A prompt
+     * counts whole until its first event; in a smaller window the engine would be idle until the next one has arrived.
      */
     private static final double MAX_ONE_PROMPT_MILLIS = 210;
 
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/ServiceCapacity.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/ServiceCapacity.java
@@ -15,7 +15,7 @@
     /** Expected prefill speed of an engine, in tokens/ms. */
     public static final double EXPECTED_TOKENS_PER_MILLI = 100;
 
-    /** Expected time to the first event of a healthy engine in addition to prefill. */
+    /** Expected time to the first event of a healthy engine in addition to prefill, in ms. */
     public static final double EXPECTED_BASE_MILLIS = 80;
 
     /** How long targets count as reporting a pace after the last report. */
@@ -30,7 +30,7 @@
      */
     private static final double SUFFICIENT_UNFETCHED = 0.1;
 
-    /** Share by which a sample moves what is usual of prompts. */
+    /** Share by which a sample moves the running means over prompts. */
     private static final double PROMPT_STEP = 0.02;
 
     /** Share by which a sample lowers the largest prompt: a size that is rare must still be known when it recurs. */
@@ -77,7 +77,7 @@
         pacedUntil = nowMillis + PACED_MILLIS;
     }
 
-    /** Returns whether a target has reported a pace lately, or learned figures apply in any case. */
+    /** Returns whether learned figures apply: a target has reported a pace lately, or they apply in any case. */
     public boolean isPaced(long nowMillis) {
         return nowMillis < pacedUntil || alwaysLearned.getAsBoolean();
     }
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/TargetCapacity.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/TargetCapacity.java
@@ -8,8 +8,9 @@
  * The estimate of how fast one target is now: what its service's targets usually reach, times a learned factor of this
  * target, times its pace.
  *
- * <p>Placement, send windows and expected times all use it. While no target of the service reports a pace it yields the
- * expected figures, whatever was learned. It belongs to an incarnation: a target that restarts starts with a new one.
+ * <p>Placement, send windows and expected times all use it. Where learned figures don't apply to the service (see
+ * {@link ServiceCapacity}), it yields the expected figures, whatever was learned. It belongs to an incarnation: a
+ * target that restarts starts with a new one.
  *
  * <p>All times are milliseconds of a monotonic clock.
  */
@@ -69,7 +70,7 @@
         }
     }
 
-    /** Returns whether any target of its service has reported a pace lately; otherwise only expected figures apply. */
+    /** Returns whether learned figures apply to its service; otherwise only expected figures do. */
     public boolean isPaced(long nowMillis) {
         return service.isPaced(nowMillis);
     }
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/TargetFactor.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/TargetFactor.java
@@ -7,8 +7,10 @@
  * <p>It is the ratio of the sums of observed and expected times, with some samples' worth of a target like all others.
  */
 final class TargetFactor {
-    private static final double MIN = 0.5;
-    private static final double MAX = 4;
+    /** Bounds of the ratio that one sample records, so that an outlier has a bounded effect. */
+    private static final double MIN_RATIO = 0.5;
+
+    private static final double MAX_RATIO = 4;
 
     /** Share of the past that a sample of full weight replaces. */
     private static final double FORGOTTEN_SHARE = 0.03;
@@ -22,7 +24,7 @@
     /** Records an observed and an expected time, both in ms, with a weight from 0 to 1. */
     void record(double observedMillis, double expectedMillis, double weight) {
         double kept = 1 - FORGOTTEN_SHARE * weight;
-        double ratio = Math.max(MIN, Math.min(MAX, observedMillis / Math.max(1, expectedMillis)));
+        double ratio = Math.max(MIN_RATIO, Math.min(MAX_RATIO, observedMillis / Math.max(1, expectedMillis)));
         observed = observed * kept + weight * ratio;
         expected = expected * kept + weight;
     }
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/quarantine/Alternatives.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/quarantine/Alternatives.java
@@ -17,7 +17,7 @@
  * has the cause and none of the rarer features tells which of both it is.
  *
  * @param features the rarer features that may be causes
- * @param isDoubtful whether they explain the crashes of the cause, but for one at most
+ * @param isDoubtful whether they explain all crashes of the cause, or all but one
  */
 record Alternatives(Set<Feature> features, boolean isDoubtful) {
     /** Number of crashes without a rarer feature from which on the cause itself is certain. */
@@ -46,17 +46,17 @@
     }
 
     private static Set<Feature> rarer(Cause cause, Crash crash, BiPredicate<Feature, Crash> isSuspected) {
-        Set<Feature> there = new HashSet<>();
-        crash.requests().keySet().stream().filter(cause::matches).forEach(there::addAll);
-        return there.stream()
+        Set<Feature> present = new HashSet<>();
+        crash.requests().keySet().stream().filter(cause::matches).forEach(present::addAll);
+        return present.stream()
                 .filter(Feature::isSpecific)
                 .filter(feature -> !cause.features().contains(feature))
                 .filter(feature -> isSuspected.test(feature, crash))
                 .collect(Collectors.toSet());
     }
 
-    /** Returns whether the outcome of a request with the cause tells the cause from its alternatives. */
-    boolean areToldApartBy(Collection<Feature> request) {
+    /** Returns whether the outcome of a request with the cause distinguishes the cause from its alternatives. */
+    boolean areDistinguishedBy(Collection<Feature> request) {
         return request.stream().noneMatch(features::contains);
     }
 }
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/quarantine/CauseTrials.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/quarantine/CauseTrials.java
@@ -68,7 +68,7 @@
         if (!alternatives.isDoubtful()) {
             return isDue(cause, MAX_TRIALS, sinceMillis, nowMillis);
         }
-        return alternatives.areToldApartBy(request)
+        return alternatives.areDistinguishedBy(request)
                 ? isDueInDoubt(cause, nowMillis)
                 : isDue(cause, MAX_TRIALS - 1, sinceMillis, nowMillis);
     }
@@ -77,7 +77,7 @@
     private static boolean isSuitable(
             Alternatives alternatives, Collection<Feature> request, long sinceMillis, long nowMillis) {
         return !alternatives.isDoubtful()
-                || alternatives.areToldApartBy(request)
+                || alternatives.areDistinguishedBy(request)
                 || nowMillis - sinceMillis >= DISTINGUISHING_ONLY_MILLIS;
     }
 
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/quarantine/Quarantine.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/quarantine/Quarantine.java
@@ -74,7 +74,7 @@
     private final Set<Cause> recordsToWithdraw = new HashSet<>();
     private final CauseTrials trials = new CauseTrials();
     private final AnswersToTell answersToTell = new AnswersToTell();
-    /** Of causes that were asked for since the finder is this one. */
+    /** Alternatives to causes, computed when needed and kept until the causes are found anew. */
     private final Map<Cause, Alternatives> alternatives = new HashMap<>();
 
     private CauseFinder finder = CauseFinder.find(evidence, answers);
