--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/ExchangeLog.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/ExchangeLog.java
@@ -80,7 +80,7 @@
                                 .toArray(String[]::new));
     }
 
-    /** Returns what determined the estimate of the target's speed; nothing where targets report no pace. */
+    /** Returns what determined the estimate of the target's speed; nothing where only expected figures apply. */
     private List<String> capacity(Target target) {
         return target.capacity()
                 .estimate(state.nowMillis())
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/StoreTopics.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/StoreTopics.java
@@ -59,11 +59,11 @@
     /**
      * Finds out whether all registrations of targets that were written before this call have been read.
      *
-     * @param patienceMillis how long to wait for the store
+     * @param timeoutMillis how long to wait for the store, in ms
      * @param then called once
      */
-    public void confirmTargets(long patienceMillis, Consumer<Boolean> then) {
-        targetsConfirmation.confirm(patienceMillis, then);
+    public void confirmTargets(long timeoutMillis, Consumer<Boolean> then) {
+        targetsConfirmation.confirm(timeoutMillis, then);
     }
 
     /** Returns the offset up to which the desired state has been read. */
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicConfirmation.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicConfirmation.java
@@ -55,11 +55,11 @@
     /**
      * Finds out whether the follower has read all that was written before this call.
      *
-     * @param patienceMillis how long to wait for the store and the follower
+     * @param timeoutMillis how long to wait for the store and the follower, in ms
      * @param then called once
      */
-    void confirm(long patienceMillis, Consumer<Boolean> then) {
-        waiting.add(new Pending(state.nowMillis() + patienceMillis, then));
+    void confirm(long timeoutMillis, Consumer<Boolean> then) {
+        waiting.add(new Pending(state.nowMillis() + timeoutMillis, then));
         call();
     }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/streams/SoleSoftware.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/streams/SoleSoftware.java
@@ -24,7 +24,7 @@
 
     private final RelayState state;
     private final RouteHistory routes = new RouteHistory();
-    private BiConsumer<Long, Consumer<Boolean>> confirmation = (patience, then) -> then.accept(false);
+    private BiConsumer<Long, Consumer<Boolean>> confirmation = (timeoutMillis, then) -> then.accept(false);
 
     /** Creates a finder that knows no route. */
     public SoleSoftware(RelayState state) {
@@ -44,16 +44,17 @@
     /**
      * Finds the software that began a stream on a route.
      *
+     * @param timeoutMillis how long to wait for the confirmation that all registrations were read, in ms
      * @param then called once, at once if it is known not to be certain
      */
-    public void find(ServiceRoute route, long patienceMillis, Consumer<Finding> then) {
+    public void find(ServiceRoute route, long timeoutMillis, Consumer<Finding> then) {
         long since = state.nowMillis() - MAX_AGE_TIMEOUTS * route.timeoutMillis();
         if (sole(route, since).isEmpty()) {
             then.accept(Finding.NOTHING);
             return;
         }
         confirmation.accept(
-                patienceMillis, confirmed -> then.accept(confirmed ? finding(sole(route, since)) : Finding.NOTHING));
+                timeoutMillis, confirmed -> then.accept(confirmed ? finding(sole(route, since)) : Finding.NOTHING));
     }
 
     private Optional<StreamOrigin> sole(ServiceRoute route, long since) {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/streams/StreamOriginExchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/streams/StreamOriginExchange.java
@@ -60,13 +60,13 @@
     /**
      * Finds out which software began a stream; asks peers if this relay doesn't know.
      *
-     * @param patienceMillis how long to wait for peers
+     * @param timeoutMillis how long to wait for peers, in ms
      * @param then called once, at once if no peer has to be asked
      */
-    public void find(StreamKey key, long patienceMillis, Consumer<Finding> then) {
+    public void find(StreamKey key, long timeoutMillis, Consumer<Finding> then) {
         exchange.find(key, state.nowMillis(), then).ifPresent(search -> {
-            state.loop().schedule(() -> exchange.askAgain(search), patienceMillis / 2, TimeUnit.MILLISECONDS);
-            state.loop().schedule(() -> exchange.giveUp(search), patienceMillis, TimeUnit.MILLISECONDS);
+            state.loop().schedule(() -> exchange.askAgain(search), timeoutMillis / 2, TimeUnit.MILLISECONDS);
+            state.loop().schedule(() -> exchange.giveUp(search), timeoutMillis, TimeUnit.MILLISECONDS);
         });
     }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/targets/CapacityGauges.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/targets/CapacityGauges.java
@@ -8,7 +8,7 @@
 import org.rattanrudder.core.fleet.TargetCapacity;
 import org.rattanrudder.daemon.relay.process.RelayState;
 
-/** Metrics of how fast targets are, for services whose targets report a pace. */
+/** Metrics of how fast targets are, for services to which learned figures apply. */
 public final class CapacityGauges {
     private static final double MILLIS_PER_SECOND = 1_000;
 
