--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Fleet.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Fleet.java
@@ -304,10 +304,10 @@
     }
 
     /** Returns the services to which learned figures apply. */
-    public Set<String> pacedServices(long nowMillis) {
+    public Set<String> servicesWithLearnedFigures(long nowMillis) {
         Set<String> paced = new TreeSet<>();
         capacities.forEach((service, known) -> {
-            if (known.isPaced(nowMillis)) {
+            if (known.usesLearnedFigures(nowMillis)) {
                 paced.add(service);
             }
         });
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/HoldingQueue.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/HoldingQueue.java
@@ -34,8 +34,8 @@
     public static final double LATE_WAIT_RATIO = 2;
 
     /**
-     * Tokens of late requests that may wait per engine, over all relays, where targets report no pace: a late request
-     * waits for some hundred ms rather than until its deadline.
+     * Tokens of late requests that may wait per engine, over all relays, where learned figures don't apply: a late
+     * request waits for some hundred ms rather than until its deadline.
      */
     private static final long LATE_TOKENS_PER_ENGINE = 40_000;
 
@@ -63,8 +63,8 @@
     public HoldingQueue() {}
 
     /**
-     * Returns how many tokens of late requests may wait at one relay where targets report no pace. All relays wait for
-     * the same engines, so each gets an equal share.
+     * Returns how many tokens of late requests may wait at one relay where learned figures don't apply. All relays wait
+     * for the same engines, so each gets an equal share.
      *
      * @param engines the number of engines of the service
      * @param relays the number of relays, including this one
@@ -83,7 +83,7 @@
      */
     public static long maxLateTokens(
             int engines, int relays, ServiceCapacity capacity, Optional<EngineTraits> engine, long nowMillis) {
-        if (engine.isEmpty() || !capacity.isPaced(nowMillis)) {
+        if (engine.isEmpty() || !capacity.usesLearnedFigures(nowMillis)) {
             return maxLateTokens(engines, relays);
         }
         double tokens = Math.min(
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Placement.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Placement.java
@@ -16,8 +16,8 @@
  */
 public final class Placement {
     /**
-     * Delay that each running request adds to the steps of an engine, summed over a short response, where targets
-     * report no pace.
+     * Delay that each running request adds to the steps of an engine, summed over a short response, where learned
+     * figures don't apply.
      */
     private static final double MILLIS_PER_RUNNING_REQUEST = 2;
 
@@ -119,7 +119,7 @@
 
     /** Returns the difference of two engines that are about equally good: what a relay's own preference makes up. */
     private static double equalMillis(Target target, PlacementQuery query, long nowMillis) {
-        return query.engine().isPresent() && target.capacity().isPaced(nowMillis)
+        return query.engine().isPresent() && target.capacity().usesLearnedFigures(nowMillis)
                 ? relayPreference(query) * preferenceScale(target, nowMillis)
                 : 0;
     }
@@ -153,7 +153,7 @@
         int slots = Math.max(1, target.registration().slots());
         double share = (double) (target.inFlight() + target.peerLoad(nowMillis).requests()) / slots;
         double delay = query.callMillis() * share * (share < 1 ? share : 2 * share);
-        if (!target.capacity().isPaced(nowMillis)) {
+        if (!target.capacity().usesLearnedFigures(nowMillis)) {
             return delay;
         }
         double slowdown = target.capacity().slowdown(nowMillis);
@@ -186,7 +186,7 @@
         long pending = target.pendingPrefillTokens() + peers.pendingPrefillTokens();
         int running = target.inFlight() + peers.requests();
         TargetCapacity capacity = target.capacity();
-        if (!capacity.isPaced(nowMillis)) {
+        if (!capacity.usesLearnedFigures(nowMillis)) {
             return pending / ServiceCapacity.EXPECTED_TOKENS_PER_MILLI + MILLIS_PER_RUNNING_REQUEST * running;
         }
         double slowdown = capacity.slowdown(nowMillis);
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/SendWindow.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/SendWindow.java
@@ -16,7 +16,7 @@
  */
 public final class SendWindow {
     /**
-     * Prompt tokens that may await prefill at an engine where targets report no pace: enough to keep it busy for a
+     * Prompt tokens that may await prefill at an engine where learned figures don't apply: enough to keep it busy for a
      * round trip.
      */
     private static final long MAX_PREFILL_TOKENS = 14_000;
@@ -88,7 +88,7 @@
 
     /** Returns how many prompt tokens may await prefill at a target. */
     static double maxPrefillTokens(TargetCapacity capacity, boolean conservative, long nowMillis) {
-        if (!capacity.isPaced(nowMillis)) {
+        if (!capacity.usesLearnedFigures(nowMillis)) {
             return conservative ? CONSERVATIVE_MAX_PREFILL_TOKENS : MAX_PREFILL_TOKENS;
         }
         double speed = capacity.prefillTokensPerMilli(nowMillis);
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/ServiceCapacity.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/ServiceCapacity.java
@@ -78,7 +78,7 @@
     }
 
     /** Returns whether learned figures apply: a target has reported a pace lately, or they apply in any case. */
-    public boolean isPaced(long nowMillis) {
+    public boolean usesLearnedFigures(long nowMillis) {
         return nowMillis < pacedUntil || alwaysLearned.getAsBoolean();
     }
 
@@ -115,12 +115,12 @@
 
     /** Returns the prefill speed of its engines at the usual pace, in tokens/ms. */
     public double prefillTokensPerMilli(long nowMillis) {
-        return isPaced(nowMillis) ? prefill.tokensPerMilli() : EXPECTED_TOKENS_PER_MILLI;
+        return usesLearnedFigures(nowMillis) ? prefill.tokensPerMilli() : EXPECTED_TOKENS_PER_MILLI;
     }
 
     /** Returns the time to the first event of its engines at the usual pace without prefill, in ms. */
     public double baseMillis(long nowMillis) {
-        return isPaced(nowMillis) ? prefill.baseMillis() : EXPECTED_BASE_MILLIS;
+        return usesLearnedFigures(nowMillis) ? prefill.baseMillis() : EXPECTED_BASE_MILLIS;
     }
 
     /** Returns the learned time to the first event of a request with so many tokens at the usual pace, in ms. */
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/TargetCapacity.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/TargetCapacity.java
@@ -44,7 +44,7 @@
 
     /** Records the time to the first event of an engine's successful response. */
     public void onFirstEvent(FirstEventSample sample, long nowMillis) {
-        if (!service.isPaced(nowMillis)) {
+        if (!service.usesLearnedFigures(nowMillis)) {
             return;
         }
         double paceAfter = pace.at(nowMillis);
@@ -63,7 +63,7 @@
      * @param usualMillis how long such calls usually take, in ms
      */
     public void onCall(CapacityAtSend before, double millis, double usualMillis, long nowMillis) {
-        if (service.isPaced(nowMillis) && before.requests() < slots) {
+        if (service.usesLearnedFigures(nowMillis) && before.requests() < slots) {
             double expected = usualMillis * (before.pace() + pace.at(nowMillis)) / 2;
             factor.record(millis, expected, 1);
             knee.record(before.requests(), slots, millis / Math.max(1, expected), 1, nowMillis);
@@ -71,13 +71,13 @@
     }
 
     /** Returns whether learned figures apply to its service; otherwise only expected figures do. */
-    public boolean isPaced(long nowMillis) {
-        return service.isPaced(nowMillis);
+    public boolean usesLearnedFigures(long nowMillis) {
+        return service.usesLearnedFigures(nowMillis);
     }
 
     /** Returns how long work takes at the target now, as a multiple of what is usual in its service. */
     public double slowdown(long nowMillis) {
-        return service.isPaced(nowMillis)
+        return service.usesLearnedFigures(nowMillis)
                 ? Math.max(MIN_SLOWDOWN, Math.min(MAX_SLOWDOWN, factor.value() * pace.at(nowMillis)))
                 : 1;
     }
@@ -95,7 +95,7 @@
 
     /** Returns whether the target has so many requests that more of them make all of its work slower. */
     public boolean isBeyondKnee(int requests, long nowMillis) {
-        return service.isPaced(nowMillis) && requests >= knee.requests(slots, nowMillis);
+        return service.usesLearnedFigures(nowMillis) && requests >= knee.requests(slots, nowMillis);
     }
 
     /** Returns the figures of its service. */
@@ -115,7 +115,7 @@
 
     /** Returns what determines the estimate; empty if only expected figures apply. */
     public Optional<CapacityEstimate> estimate(long nowMillis) {
-        if (!service.isPaced(nowMillis)) {
+        if (!service.usesLearnedFigures(nowMillis)) {
             return Optional.empty();
         }
         int knownKnee = knee.requests(slots, nowMillis);
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/TargetCapacityTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/TargetCapacityTest.java
@@ -247,7 +247,7 @@
 
         TargetCapacity after = fleet.find("i-1").orElseThrow().capacity();
         assertThat(after.slowdown(NOW)).isEqualTo(1);
-        assertThat(after.isPaced(NOW)).isTrue();
+        assertThat(after.usesLearnedFigures(NOW)).isTrue();
     }
 
     /** Guards against a target that is filled although its last requests made all of them slower. */
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/RequestPlan.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/RequestPlan.java
@@ -399,7 +399,7 @@
     /** Returns how soon the target could start by computing shared parts; empty where learned figures don't apply. */
     private Optional<ComputeEstimate> computeEstimate(Target target) {
         long now = state.nowMillis();
-        if (!target.capacity().isPaced(now)) {
+        if (!target.capacity().usesLearnedFigures(now)) {
             return Optional.empty();
         }
         double ready = target.capacity().firstEventMillis(metadata.lastPartTokens(), now);
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/targets/CapacityGauges.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/targets/CapacityGauges.java
@@ -45,7 +45,7 @@
 
     private Map<String, Double> byService(ToDoubleFunction<ServiceCapacity> figure) {
         Map<String, Double> values = new TreeMap<>();
-        for (String service : state.fleet().pacedServices(state.nowMillis())) {
+        for (String service : state.fleet().servicesWithLearnedFigures(state.nowMillis())) {
             values.put(service, figure.applyAsDouble(state.fleet().capacity(service)));
         }
         return values;
@@ -53,7 +53,7 @@
 
     private Map<String, Double> meanOfTargets(ToDoubleFunction<TargetCapacity> figure) {
         Map<String, Double> values = new TreeMap<>();
-        for (String service : state.fleet().pacedServices(state.nowMillis())) {
+        for (String service : state.fleet().servicesWithLearnedFigures(state.nowMillis())) {
             state.fleet().activeTargets(service, state.nowMillis()).stream()
                     .map(Target::capacity)
                     .mapToDouble(figure)
