--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Fleet.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Fleet.java
@@ -303,11 +303,11 @@
         return capacities.computeIfAbsent(service, unseen -> new ServiceCapacity(() -> learnedFiguresUsed));
     }
 
-    /** Returns the services whose targets have reported a pace lately. */
-    public Set<String> pacedServices(long nowMillis) {
+    /** Returns the services to which learned figures apply. */
+    public Set<String> servicesWithLearnedFigures(long nowMillis) {
         Set<String> paced = new TreeSet<>();
         capacities.forEach((service, known) -> {
-            if (known.isPaced(nowMillis)) {
+            if (known.usesLearnedFigures(nowMillis)) {
                 paced.add(service);
             }
         });
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Placement.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Placement.java
@@ -16,8 +16,8 @@
  */
 public final class Placement {
     /**
-     * Delay that each running request adds to the steps of an engine, summed over a short response, where targets
-     * report no pace.
+     * Delay that each running request adds to the steps of an engine, summed over a short response, where learned
+     * figures don't apply.
      */
     private static final double MILLIS_PER_RUNNING_REQUEST = 2;
 
@@ -83,11 +83,11 @@
      * Returns the best target, or the second best if both are about equally good; empty if the service has none that
      * may start the request.
      *
-     * @param coin decides for the second best; asked only where targets report a pace: relays that hear the same pace
-     *     must not all choose the same target
+     * @param preferSecond decides at random whether the second best is chosen if both are about equally good: relays
+     *     that hear the same pace must not all choose the same target; asked only where learned figures apply
      */
     public static Optional<Choice> choose(
-            List<Target> targets, PlacementQuery query, long nowMillis, BooleanSupplier coin) {
+            List<Target> targets, PlacementQuery query, long nowMillis, BooleanSupplier preferSecond) {
         Target best = null;
         double bestMillis = Double.MAX_VALUE;
         Target second = null;
@@ -109,7 +109,9 @@
                 secondMillis = expected;
             }
         }
-        if (second != null && secondMillis - bestMillis < equalMillis(best, query, nowMillis) && coin.getAsBoolean()) {
+        if (second != null
+                && secondMillis - bestMillis < equalMillis(best, query, nowMillis)
+                && preferSecond.getAsBoolean()) {
             return Optional.of(new Choice(second, secondMillis, candidates));
         }
         return best == null ? Optional.empty() : Optional.of(new Choice(best, bestMillis, candidates));
@@ -117,7 +119,7 @@
 
     /** Returns the difference of two engines that are about equally good: what a relay's own preference makes up. */
     private static double equalMillis(Target target, PlacementQuery query, long nowMillis) {
-        return query.engine().isPresent() && target.capacity().isPaced(nowMillis)
+        return query.engine().isPresent() && target.capacity().usesLearnedFigures(nowMillis)
                 ? relayPreference(query) * preferenceScale(target, nowMillis)
                 : 0;
     }
@@ -151,7 +153,7 @@
         int slots = Math.max(1, target.registration().slots());
         double share = (double) (target.inFlight() + target.peerLoad(nowMillis).requests()) / slots;
         double delay = query.callMillis() * share * (share < 1 ? share : 2 * share);
-        if (!target.capacity().isPaced(nowMillis)) {
+        if (!target.capacity().usesLearnedFigures(nowMillis)) {
             return delay;
         }
         double slowdown = target.capacity().slowdown(nowMillis);
@@ -184,7 +186,7 @@
         long pending = target.pendingPrefillTokens() + peers.pendingPrefillTokens();
         int running = target.inFlight() + peers.requests();
         TargetCapacity capacity = target.capacity();
-        if (!capacity.isPaced(nowMillis)) {
+        if (!capacity.usesLearnedFigures(nowMillis)) {
             return pending / ServiceCapacity.EXPECTED_TOKENS_PER_MILLI + MILLIS_PER_RUNNING_REQUEST * running;
         }
         double slowdown = capacity.slowdown(nowMillis);
@@ -204,8 +206,8 @@
     }
 
     /**
-     * Returns the factor of preferences among engines that are about equally busy: the same work is more time on slower
-     * engines, and a preference must weigh as much against it as at the expected speed.
+     * Returns the factor by which preferences in ms are scaled. The same work takes longer on slower engines, where an
+     * unscaled preference would outweigh less of it than at the expected speed.
      */
     private static double preferenceScale(Target target, long nowMillis) {
         return ServiceCapacity.EXPECTED_TOKENS_PER_MILLI
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/SendWindow.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/SendWindow.java
@@ -16,22 +16,22 @@
  */
 public final class SendWindow {
     /**
-     * Prompt tokens that may await prefill at an engine where targets report no pace: enough to keep it busy for a
+     * Prompt tokens that may await prefill at an engine where learned figures don't apply: enough to keep it busy for a
      * round trip.
      */
     private static final long MAX_PREFILL_TOKENS = 14_000;
 
     /**
-     * Time until the next request arrives at an engine that has work for so long, where the speed was learned. Together
-     * with the base time, in which an engine has received a request and doesn't prefill it yet, it is the same window
-     * at the expected figures.
+     * Prefill work that keeps an engine busy until the next request arrives, in ms, where learned figures apply. The
+     * window adds the base time, in which an engine has received a request and doesn't prefill it yet: at the expected
+     * figures, both together are {@link #MAX_PREFILL_TOKENS}.
      */
     private static final double ARRIVAL_MILLIS =
             MAX_PREFILL_TOKENS / ServiceCapacity.EXPECTED_TOKENS_PER_MILLI - ServiceCapacity.EXPECTED_BASE_MILLIS;
 
     /**
-     * One prompt that is in prefill, for up to this time, doesn't count against the window: it counts whole until its
-     * first event, and the engine would be idle until the next one has arrived.
+     * Longest prompt that a window has room for beside the base time, as its time in prefill, in ms. A prompt
+     * counts whole until its first event; in a smaller window the engine would be idle until the next one has arrived.
      */
     private static final double MAX_ONE_PROMPT_MILLIS = 210;
 
@@ -88,7 +88,7 @@
 
     /** Returns how many prompt tokens may await prefill at a target. */
     static double maxPrefillTokens(TargetCapacity capacity, boolean conservative, long nowMillis) {
-        if (!capacity.isPaced(nowMillis)) {
+        if (!capacity.usesLearnedFigures(nowMillis)) {
             return conservative ? CONSERVATIVE_MAX_PREFILL_TOKENS : MAX_PREFILL_TOKENS;
         }
         double speed = capacity.prefillTokensPerMilli(nowMillis);
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/targets/CapacityGauges.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/targets/CapacityGauges.java
@@ -8,7 +8,7 @@
 import org.rattanrudder.core.fleet.TargetCapacity;
 import org.rattanrudder.daemon.relay.process.RelayState;
 
-/** Metrics of how fast targets are, for services whose targets report a pace. */
+/** Metrics of how fast targets are, for services to which learned figures apply. */
 public final class CapacityGauges {
     private static final double MILLIS_PER_SECOND = 1_000;
 
@@ -45,7 +45,7 @@
 
     private Map<String, Double> byService(ToDoubleFunction<ServiceCapacity> figure) {
         Map<String, Double> values = new TreeMap<>();
-        for (String service : state.fleet().pacedServices(state.nowMillis())) {
+        for (String service : state.fleet().servicesWithLearnedFigures(state.nowMillis())) {
             values.put(service, figure.applyAsDouble(state.fleet().capacity(service)));
         }
         return values;
@@ -53,7 +53,7 @@
 
     private Map<String, Double> meanOfTargets(ToDoubleFunction<TargetCapacity> figure) {
         Map<String, Double> values = new TreeMap<>();
-        for (String service : state.fleet().pacedServices(state.nowMillis())) {
+        for (String service : state.fleet().servicesWithLearnedFigures(state.nowMillis())) {
             state.fleet().activeTargets(service, state.nowMillis()).stream()
                     .map(Target::capacity)
                     .mapToDouble(figure)
