--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/RelayState.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/RelayState.java
@@ -104,6 +104,7 @@
         reportLag =
                 new EventLoopLag(nowMillis(), ReportSchedule.ROUND_MILLIS, REPORT_LATE_MILLIS, REPORT_CATCH_UP_MILLIS);
         connectionGate = new ConnectionGate(nowMillis());
+        StateGauges.register(this);
     }
 
     /** Returns the time of a monotonic clock, in ms. */
@@ -304,6 +305,11 @@
         return draining;
     }
 
+    /** Returns whether callers should connect to this relay: it is configured, knows targets and isn't leaving. */
+    public boolean isReady() {
+        return configuration.isPresent() && !draining && !fleet.all(nowMillis()).isEmpty();
+    }
+
     /** Returns whether new requests are refused, since they might not finish before the process exits. */
     public boolean isRefusingRequests() {
         return draining && nowMillis() - drainingSince > ShutdownPolicy.callerDrainMillis(graceMillis());
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/CallerConnection.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/CallerConnection.java
@@ -23,6 +23,7 @@
 import io.netty.util.concurrent.EventExecutor;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.rattanrudder.core.gateway.RequestMetadata;
@@ -59,13 +60,14 @@
     private AccessDecision access;
     private ErrorKind problem;
     private ByteBuf body;
+    private RequestPlan plan;
+    private Optional<QueueRejection.Rejection> rejection = Optional.empty();
     private Exchange exchange;
     private long arrivedAt;
     private long lastReadAt;
     private long partialHeadSince = -1;
     private boolean closing;
     private boolean drainingQueue;
-    private Runnable firstRequestListener = () -> {};
 
     CallerConnection(ServingComponents components, Set<CallerConnection> connections) {
         this.components = components;
@@ -93,24 +95,6 @@
         return !context.channel().isActive();
     }
 
-    /** Sets what is called once the first request was sent on, rejected or abandoned. */
-    void onFirstRequestDone(Runnable listener) {
-        firstRequestListener = listener;
-    }
-
-    /** Acts as if the first request was done if it isn't complete; its caller may take long to send the rest. */
-    void releaseUnlessComplete() {
-        if (exchange == null) {
-            firstRequestDone();
-        }
-    }
-
-    private void firstRequestDone() {
-        Runnable listener = firstRequestListener;
-        firstRequestListener = () -> {};
-        listener.run();
-    }
-
     /** Records raw bytes, which may be a part of a request head. */
     void onBytesRead() {
         lastReadAt = state.nowMillis();
@@ -155,6 +139,8 @@
         problem = null;
         access = null;
         metadata = null;
+        plan = null;
+        rejection = Optional.empty();
         body = Unpooled.buffer(0);
         if (request.decoderResult().isFailure()) {
             refuseUnread(decodeError(request.decoderResult().cause()));
@@ -167,7 +153,14 @@
             return;
         }
         admit();
-        if (problem == null && HttpUtil.is100ContinueExpected(request)) {
+        boolean bodyFollows = !HttpUtil.is100ContinueExpected(request);
+        if (rejection.isPresent() && !bodyFollows) {
+            // The caller may send the body or not; what follows can't be told from another request.
+            replyRejected();
+            releaseBody();
+            head = null;
+            closeGracefully();
+        } else if (problem == null && !bodyFollows) {
             context.writeAndFlush(new DefaultFullHttpResponse(
                     HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
         }
@@ -193,6 +186,9 @@
             problem = denied.error();
         } else if (!state.accepts(((AccessDecision.Granted) access).route())) {
             problem = ErrorKind.DRAINING;
+        } else if (components.queues().rejection().isOn()) {
+            plan = new RequestPlan(state, metadata, (AccessDecision.Granted) access, arrivedAt);
+            rejection = components.queues().rejection().onHead(plan);
         }
     }
 
@@ -206,7 +202,7 @@
             refuseUnread(ErrorKind.BODY_TOO_LARGE);
             return;
         }
-        if (problem == null) {
+        if (problem == null && rejection.isEmpty()) {
             body.writeBytes(content.content());
         }
         if (content instanceof LastHttpContent) {
@@ -221,20 +217,35 @@
             logDenied(error);
             refuse(error, metadata == null ? "" : metadata.id(), remainingMillis());
             body.release();
-            firstRequestDone();
             nextRequest();
             return;
         }
-        RequestPlan plan = new RequestPlan(state, metadata, (AccessDecision.Granted) access, arrivedAt);
+        if (rejection.isPresent()) {
+            replyRejected();
+            body.release();
+            nextRequest();
+            return;
+        }
+        if (plan == null) {
+            plan = new RequestPlan(state, metadata, (AccessDecision.Granted) access, arrivedAt);
+        }
         exchange = new Exchange(components, this, head, body, plan);
         if (state.eventLoopLag().isLate(state.nowMillis())) {
             startAfterRead(exchange);
         } else {
             exchange.start();
-            firstRequestDone();
         }
     }
 
+    /** Tells the caller when to retry a request that was rejected by its head; its body has been dropped. */
+    private void replyRejected() {
+        refuseWithRetryAfter(
+                ErrorKind.OVERLOADED, metadata.id(), rejection.get().retryAfterMillis());
+        FinalReply.Ending ending = new FinalReply.Ending(ErrorKind.OVERLOADED.wireName(), QueueRejection.REASON);
+        state.metrics().recordRequest(plan.route().name(), ending.outcome());
+        new ExchangeLog(state, plan).ended(ending, Optional.empty(), "unknown", 0, 0);
+    }
+
     /**
      * Starts an exchange once the event loop has read its connections again. The delay is scheduled from a task:
      * scheduled while connections are read, it could expire in the same iteration if many are ready, before their close
@@ -242,12 +253,7 @@
      */
     private void startAfterRead(Exchange waiting) {
         EventExecutor loop = context.executor();
-        loop.execute(() -> loop.schedule(() -> start(waiting), LATE_START_DELAY_MILLIS, TimeUnit.MILLISECONDS));
-    }
-
-    private void start(Exchange waiting) {
-        waiting.start();
-        firstRequestDone();
+        loop.execute(() -> loop.schedule(waiting::start, LATE_START_DELAY_MILLIS, TimeUnit.MILLISECONDS));
     }
 
     private long remainingMillis() {
@@ -439,7 +445,6 @@
     @Override
     public void channelInactive(ChannelHandlerContext active) {
         connections.remove(this);
-        firstRequestDone();
         closing = true;
         releaseQueued();
         if (exchange != null) {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/streams/StreamOriginExchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/streams/StreamOriginExchange.java
@@ -29,6 +29,11 @@
                 OriginExchange.HOLDERS,
                 OriginExchange.HOLDERS,
                 (message, relays) -> sender.send(message, relays));
+        state.metrics()
+                .gauge(
+                        "rattanrudder_relay_stream_origins",
+                        "Streams whose software is known, should their callers resume them",
+                        exchange::size);
     }
 
     /** Sets what sends a message to relays. */
@@ -41,11 +46,6 @@
         exchange.updateRelays(live, registered);
     }
 
-    /** Returns how many streams are known. */
-    public int size() {
-        return exchange.size();
-    }
-
     /**
      * Records which software sent the first event of a stream, and tells peers.
      *
@@ -60,13 +60,13 @@
     /**
      * Finds out which software began a stream; asks peers if this relay doesn't know.
      *
-     * @param patienceMillis how long to wait for peers
+     * @param timeoutMillis how long to wait for peers, in ms
      * @param then called once, at once if no peer has to be asked
      */
-    public void find(StreamKey key, long patienceMillis, Consumer<Finding> then) {
+    public void find(StreamKey key, long timeoutMillis, Consumer<Finding> then) {
         exchange.find(key, state.nowMillis(), then).ifPresent(search -> {
-            state.loop().schedule(() -> exchange.askAgain(search), patienceMillis / 2, TimeUnit.MILLISECONDS);
-            state.loop().schedule(() -> exchange.giveUp(search), patienceMillis, TimeUnit.MILLISECONDS);
+            state.loop().schedule(() -> exchange.askAgain(search), timeoutMillis / 2, TimeUnit.MILLISECONDS);
+            state.loop().schedule(() -> exchange.giveUp(search), timeoutMillis, TimeUnit.MILLISECONDS);
         });
     }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/targets/RateLimitLog.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/targets/RateLimitLog.java
@@ -6,22 +6,22 @@
 import org.rattanrudder.daemon.relay.process.RelayState;
 
 /** Logs when targets name a rate limit, change it, and name none any more. */
-public final class RateLimitLog {
+final class RateLimitLog {
     private final RelayState state;
     private Map<String, Double> limits = Map.of();
 
     /** Creates a log of targets none of which is limited. */
-    public RateLimitLog(RelayState state) {
+    RateLimitLog(RelayState state) {
         this.state = state;
-    }
-
-    /** Returns how many targets were limited at the last update. */
-    public int limited() {
-        return limits.size();
+        state.metrics()
+                .gauge(
+                        "rattanrudder_relay_targets_rate_limited",
+                        "Targets that have named a rate limit",
+                        () -> limits.size());
     }
 
     /** Logs the targets whose limit has changed since the last update. */
-    public void update(long now) {
+    void update(long now) {
         Map<String, Double> current = new HashMap<>();
         for (Target target : state.fleet().all(now)) {
             target.rateLimit().ifPresent(limit -> {
