--- a/review/standins/Engine.java
+++ b/review/standins/Engine.java
@@ -30,11 +30,17 @@
     private final Semaphore prefill = new Semaphore(1, true);
     private final Map<String, Integer> kept = new LinkedHashMap<>(16, 0.75f, true);
     private Runnable onLoaded = () -> {};
+    private Orders orderListener = (engine, holder, fence) -> {};
     private int version = 1;
     private int orders;
     private boolean loading;
     private int active;
 
+    /** Told of each order that arrives, whatever becomes of it. */
+    interface Orders {
+        void onOrder(String engine, String holder, long fence);
+    }
+
     Engine(String id, String zone, Record record, KvStore kv, Judge judge) throws IOException {
         this.id = id;
         this.zone = zone;
@@ -48,6 +54,10 @@
         return id;
     }
 
+    void whenOrdered(Orders listener) {
+        orderListener = listener;
+    }
+
     void whenLoaded(Runnable then) {
         onLoaded = then;
     }
@@ -83,6 +93,10 @@
     }
 
     private synchronized int order(String body) {
+        orderListener.onOrder(
+                id,
+                body.replaceAll(".*\"holder\":\"([^\"]*)\".*", "$1"),
+                Long.parseLong(body.replaceAll(".*\"fence\":(\\d+).*", "$1")));
         if (loading) {
             return 409;
         }
--- a/review/standins/Store.java
+++ b/review/standins/Store.java
@@ -6,9 +6,11 @@
 import java.net.URLDecoder;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.Base64;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.BooleanSupplier;
@@ -17,6 +19,7 @@
 final class Store implements AutoCloseable {
     private static final class Topic {
         final TreeMap<Long, byte[]> records = new TreeMap<>();
+        final Map<Long, Long> writtenAt = new HashMap<>();
         final Map<String, Long> newest = new LinkedHashMap<>();
         final Map<String, byte[]> values = new HashMap<>();
         long first;
@@ -31,6 +34,8 @@
     private final Map<String, Topic> topics = new HashMap<>();
     private final Http.Server server;
     private final Listener listener;
+    private volatile boolean away;
+    private volatile int era = 1;
 
     Store(Listener listener) throws IOException {
         this.listener = listener;
@@ -85,6 +90,13 @@
         Topic topic = topics.computeIfAbsent(name, unseen -> new Topic());
         long offset = topic.end++;
         topic.records.put(offset, record);
+        topic.writtenAt.put(offset, System.nanoTime());
+        index(name, topic, offset, record);
+        notifyAll();
+        return offset;
+    }
+
+    private static void index(String name, Topic topic, long offset, byte[] record) {
         if (name.startsWith("keyed.")) {
             int length = record[0] & 0xFF;
             String key = new String(record, 1, length, StandardCharsets.UTF_8);
@@ -94,25 +106,63 @@
                 topic.values.put(key, java.util.Arrays.copyOfRange(record, 1 + length, record.length));
             }
         }
+    }
+
+    /** Answers all calls with 503, or serves them again. */
+    void setAway(boolean now) {
+        away = now;
+        synchronized (this) {
+            notifyAll();
+        }
+    }
+
+    /**
+     * Comes back from a copy: what was written in the last seconds is gone, and its offsets are given out again. What
+     * the operator and the servers wrote is written again, at new offsets.
+     */
+    synchronized void returnFromCopy(double seconds) {
+        long copiedAt = System.nanoTime() - (long) (seconds * 1e9);
+        era++;
+        topics.forEach((name, topic) -> {
+            List<byte[]> lost = new ArrayList<>();
+            while (!topic.records.isEmpty() && topic.writtenAt.get(topic.records.lastKey()) > copiedAt) {
+                lost.add(0, topic.records.pollLastEntry().getValue());
+            }
+            topic.end -= lost.size();
+            topic.newest.clear();
+            topic.values.clear();
+            topic.records.forEach((offset, record) -> index(name, topic, offset, record));
+            if (name.equals("keyed.op") || name.equals("keyed.servers")) {
+                lost.forEach(record -> append(name, record));
+            }
+        });
         notifyAll();
-        return offset;
     }
 
     private void handle(Http.Message request, OutputStream out, BooleanSupplier refusing)
             throws IOException, InterruptedException {
-        if (refusing.getAsBoolean()) {
-            Http.json(out, 503, "{}");
+        if (away || refusing.getAsBoolean()) {
+            json(out, 503, "{}");
             return;
         }
         String topic = URLDecoder.decode(request.query("topic"), StandardCharsets.UTF_8);
         switch (request.path()) {
-            case "/log-newest" -> Http.json(out, 200, listing(topic));
+            case "/log-newest" -> json(out, 200, listing(topic));
             case "/log-read" -> read(request, topic, out, refusing);
             case "/log-append" -> append(request, topic, out);
-            default -> Http.json(out, 404, "{}");
+            default -> json(out, 404, "{}");
         }
     }
 
+    private String eraHeader() {
+        return "Store-Era: " + era + "\r\n";
+    }
+
+    private void json(OutputStream out, int status, String body) throws IOException {
+        String headers = "Content-Type: application/json\r\n" + eraHeader();
+        Http.answer(out, status, headers, body.getBytes(StandardCharsets.UTF_8));
+    }
+
     private synchronized String listing(String name) {
         Topic topic = topics.computeIfAbsent(name, unseen -> new Topic());
         StringBuilder items = new StringBuilder();
@@ -130,27 +180,30 @@
         long until = System.nanoTime() + 1_000_000L * (wait.isEmpty() ? 0 : Long.parseLong(wait));
         ByteArrayOutputStream content = new ByteArrayOutputStream();
         long first;
+        long end;
         synchronized (this) {
             Topic topic = topics.computeIfAbsent(name, unseen -> new Topic());
-            while (from >= topic.end
+            while (from == topic.end
                     && from >= topic.first
                     && !refusing.getAsBoolean()
+                    && !away
                     && until - System.nanoTime() > 1_000_000) {
                 wait((until - System.nanoTime()) / 1_000_000);
             }
             first = topic.first;
+            end = topic.end;
             content.writeBytes(ByteBuffer.allocate(16).putLong(topic.end).putLong(first).array());
             topic.records.tailMap(from).values().forEach(record -> {
                 content.writeBytes(ByteBuffer.allocate(4).putInt(record.length).array());
                 content.writeBytes(record);
             });
         }
-        if (refusing.getAsBoolean()) {
-            Http.json(out, 503, "{}");
-        } else if (from < first) {
-            Http.json(out, 410, "{\"first\":" + first + "}");
+        if (away || refusing.getAsBoolean()) {
+            json(out, 503, "{}");
+        } else if (from < first || from > end) {
+            json(out, 410, "{\"first\":" + first + "}");
         } else {
-            Http.answer(out, 200, "", content.toByteArray());
+            Http.answer(out, 200, eraHeader(), content.toByteArray());
         }
     }
 
@@ -174,7 +227,7 @@
                 answer = "{\"offset\":" + offset + ",\"end\":" + topic.end + "}";
             }
         }
-        Http.json(out, status, answer);
+        json(out, status, answer);
     }
 
     @Override
