--- a/review/standins/Relay.java
+++ b/review/standins/Relay.java
@@ -38,6 +38,8 @@
                         + "\"leaseMillis\":" + leaseMillis + ",\"weightsMillis\":10000,\"drainMillis\":2000,"
                         + "\"graceSeconds\":8}}");
         start();
+        // Also if the case is ended from outside.
+        Runtime.getRuntime().addShutdownHook(new Thread(this::close));
     }
 
     String name() {
