--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/RequestPlan.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/RequestPlan.java
@@ -447,6 +447,10 @@
                         Integer.toString(read),
                         "saved",
                         Integer.toString(saved),
+                        "fetch_until",
+                        parts.untilMillis().isPresent()
+                                ? Long.toString(parts.untilMillis().getAsLong())
+                                : "none",
                         "parts",
                         PartChoiceFormat.format(metadata.parts(), parts.choices()));
     }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/OutdatedPartEvictor.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/OutdatedPartEvictor.java
@@ -21,6 +21,7 @@
     private final RelayState state;
     private final Map<Address, StoreWatch> stores;
     private final PartRetirement retirement = new PartRetirement();
+    private long lastOldestServed;
     private long lastEvictableBefore;
     private long lastScanAt;
 
@@ -32,7 +33,9 @@
 
     /** Evicts a batch of outdated parts from each store, if a scan is due. */
     void free(long now) {
-        retirement.updateOldestServed(oldestServed(now), now);
+        long oldestServed = oldestServed(now);
+        logIfChanged(oldestServed, now);
+        retirement.updateOldestServed(oldestServed, now);
         long before = retirement.evictableBefore(now);
         boolean due = before != lastEvictableBefore || now - lastScanAt >= RESCAN_MILLIS;
         if (before > 0 && due) {
@@ -46,7 +49,20 @@
         List<PartKey> parts = state.directory().outdatedParts(address, before);
         if (!parts.isEmpty()) {
             List<PartKey> batch = parts.subList(0, Math.min(parts.size(), MAX_BATCH_PARTS));
-            watch.free(batch, state.directory().incarnation(address));
+            watch.free(batch, before, state.directory().incarnation(address));
+        }
+    }
+
+    private void logIfChanged(long oldestServed, long now) {
+        if (oldestServed != lastOldestServed) {
+            lastOldestServed = oldestServed;
+            state.log()
+                    .info(
+                            "oldest_weights_changed",
+                            "version",
+                            Long.toString(oldestServed),
+                            "targets",
+                            Integer.toString(state.fleet().all(now).size()));
         }
     }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/StoreWatch.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/StoreWatch.java
@@ -166,8 +166,12 @@
         });
     }
 
-    /** Evicts parts that no request reads any more. */
-    void free(List<PartKey> parts, long inIncarnation) {
+    /**
+     * Evicts parts that no request reads any more.
+     *
+     * @param weightsBefore the version of weights before which parts are outdated
+     */
+    void free(List<PartKey> parts, long weightsBefore, long inIncarnation) {
         if (state.nowMillis() < restUntil) {
             return;
         }
@@ -181,6 +185,8 @@
                             address.toString(),
                             "parts",
                             Integer.toString(parts.size()),
+                            "weights_before",
+                            Long.toString(weightsBefore),
                             "answer",
                             answer instanceof CallResult.Answered answered
                                     ? Integer.toString(answered.status())
