Free the parts of old weights only once a majority of relays has them fetched no more

Cause: a relay freed the parts of old weights 2.5 s after all targets that it knew had newer ones. A relay that has lost the platform's log keeps targets that were removed meanwhile, sends to them, and has parts of their weights fetched, for as long as the log is lost: in the traced run 2.2 s and 2.3 s after the relay that freed had seen the last of its targets change, both fetches bounded to 2.0 s, the freeing within them.

Change: relays vote in their load reports to retire weights, and never take it back. Parts are fetched only while a majority hasn't voted by reports of the last 2 s, or while the log says that the weights are the newest; they are freed 2.5 s after all relays that know the same relays have voted, or 5 s after a majority has, and not before newer weights have been named for 6.5 s. Two majorities share a relay, so who still fetches hears of the votes or hears nothing, and stops by its own clock. A relay that starts fetches nothing until it has read the log, then only the newest weights.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/LoadReport.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/LoadReport.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.OptionalDouble;
+import org.rattanrudder.core.parts.RetirementReport;
 import org.rattanrudder.core.parts.StoreLateness;
 
 /**
@@ -21,6 +22,7 @@
  * @param rateLimits what this relay has seen of the rate limits of targets; only in full reports
  * @param leaving targets that leave, by their registrations or their responses; only in full reports
  * @param removed targets whose removal the relay has lately read while the log was available; only in full reports
+ * @param retirement the weights whose parts the relay no longer fetches; only in full reports
  * @param intervalMillis the time until the next full report to the same peer; 0 in incremental reports
  */
 public record LoadReport(
@@ -38,6 +40,7 @@
         List<SeenRateLimit> rateLimits,
         List<LeavingTarget> leaving,
         List<RemovedTarget> removed,
+        RetirementReport retirement,
         long intervalMillis) {
     public LoadReport {
         targets = List.copyOf(targets);
@@ -55,8 +58,22 @@
     public static LoadReport ofTargets(
             String relay, long sequence, boolean whole, List<TargetLoad> targets, boolean ready, ReadOffsets readTo) {
         return new LoadReport(
-                relay, sequence, whole, targets, List.of(), List.of(), List.of(), List.of(), ready, readTo, List.of(),
-                List.of(), List.of(), List.of(), 0);
+                relay,
+                sequence,
+                whole,
+                targets,
+                List.of(),
+                List.of(),
+                List.of(),
+                List.of(),
+                ready,
+                readTo,
+                List.of(),
+                List.of(),
+                List.of(),
+                List.of(),
+                RetirementReport.NONE,
+                0);
     }
 
     /**
@@ -79,6 +96,7 @@
                 rateLimits,
                 leaving,
                 removed,
+                retirement,
                 millis);
     }
 
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/parts/PartChoice.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/parts/PartChoice.java
@@ -12,6 +12,8 @@
     SAVED,
     /** No store holds it, and it isn't saved since its weights are being replaced. */
     REPLACED,
+    /** Its weights are retired, or this relay can't tell whether they are: it is neither fetched nor saved. */
+    RETIRED,
     /** The stores that have room restarted too recently to accept it. */
     UNSETTLED,
     /** No store has room for it. */
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/parts/PartDirectory.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/parts/PartDirectory.java
@@ -114,8 +114,7 @@
      *
      * @param salt limits which requests may use the parts
      * @param parts the prompt in order; its last part isn't shared and is skipped
-     * @param saves whether to save parts that no store holds; false while their weights are being replaced, since they
-     * wouldn't be worth their space
+     * @param access what the request may do with parts in stores
      * @param objectiveMillis when the response should start, in ms from now; engines don't wait for fetches much longer
      * @param compute what computing the parts would take; empty to tolerate the same lateness for all prompts
      * @param domainAllowed whether parts may be saved in a failure domain
@@ -124,7 +123,7 @@
             String salt,
             List<PromptPart> parts,
             String engineDomain,
-            boolean saves,
+            PartAccess access,
             long objectiveMillis,
             Optional<ComputeEstimate> compute,
             Predicate<String> domainAllowed,
@@ -133,6 +132,10 @@
             return PartPlan.NONE;
         }
         List<PromptPart> shared = parts.subList(0, parts.size() - 1);
+        if (access == PartAccess.NONE) {
+            return PartPlan.ofRetired(shared.size());
+        }
+        boolean saves = access == PartAccess.FETCH_AND_SAVE;
         List<Optional<PartPlan.Source>> sources = new ArrayList<>();
         List<Optional<Address>> destinations = new ArrayList<>();
         List<PartChoice> choices = new ArrayList<>();
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/parts/PartPlan.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/parts/PartPlan.java
@@ -1,5 +1,6 @@
 package org.rattanrudder.core.parts;
 
+import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -27,6 +28,12 @@
         choices = List.copyOf(choices);
     }
 
+    /** Returns a plan without fetches and saves, for a number of shared parts whose weights are retired. */
+    static PartPlan ofRetired(int sharedParts) {
+        return new PartPlan(
+                List.of(), List.of(), OptionalLong.empty(), Collections.nCopies(sharedParts, PartChoice.RETIRED));
+    }
+
     /**
      * A store to fetch a part from.
      *
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/parts/PartRetirement.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/parts/PartRetirement.java
@@ -19,8 +19,21 @@
     /** Since when all engines have served a version or a newer one. */
     private final TreeMap<Long, Long> sinceByVersion = new TreeMap<>();
 
+    private final long waitMillis;
+
     /** Creates a state in which no part may be evicted. */
-    public PartRetirement() {}
+    public PartRetirement() {
+        this(WAIT_MILLIS);
+    }
+
+    /**
+     * Creates such a state with a wait of its own.
+     *
+     * @param waitMillis how long fetches may continue after no engine serves their weights, in ms
+     */
+    PartRetirement(long waitMillis) {
+        this.waitMillis = waitMillis;
+    }
 
     /**
      * Updates the oldest weights that any engine serves.
@@ -46,7 +59,7 @@
                 : sinceByVersion.firstKey();
     }
 
-    private static boolean isOver(long sinceMillis, long nowMillis) {
-        return nowMillis - sinceMillis >= WAIT_MILLIS;
+    private boolean isOver(long sinceMillis, long nowMillis) {
+        return nowMillis - sinceMillis >= waitMillis;
     }
 }
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/PeerLoadsTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/PeerLoadsTest.java
@@ -13,6 +13,7 @@
 import org.rattanrudder.core.fleet.LoadReport.ReadOffsets;
 import org.rattanrudder.core.fleet.LoadReport.TargetLoad;
 import org.rattanrudder.core.gateway.EngineTraits;
+import org.rattanrudder.core.parts.RetirementReport;
 
 class PeerLoadsTest {
     private static final EngineTraits ENGINE = new EngineTraits(128, 65_000, 18_432, 180_000);
@@ -155,6 +156,7 @@
                         List.of(),
                         List.of(),
                         List.of(),
+                        RetirementReport.NONE,
                         0),
                 NOW);
 
@@ -210,6 +212,7 @@
                         List.of(),
                         List.of(),
                         List.of(),
+                        RetirementReport.NONE,
                         0),
                 NOW);
 
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/TestReports.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/TestReports.java
@@ -5,6 +5,7 @@
 import org.rattanrudder.core.fleet.LoadReport.ReadOffsets;
 import org.rattanrudder.core.fleet.LoadReport.RemovedTarget;
 import org.rattanrudder.core.fleet.LoadReport.TargetLoad;
+import org.rattanrudder.core.parts.RetirementReport;
 
 /** Full reports of a peer that say only which targets leave and which it has removed. */
 final class TestReports {
@@ -38,6 +39,7 @@
                 List.of(),
                 leaving,
                 removed,
+                RetirementReport.NONE,
                 INTERVAL_MILLIS);
     }
 }
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/parts/PartDirectoryTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/parts/PartDirectoryTest.java
@@ -17,6 +17,7 @@
 import org.rattanrudder.core.model.Address;
 
 class PartDirectoryTest {
+    private static final PartAccess BOTH = PartAccess.FETCH_AND_SAVE;
     private static final Address STORE = new Address("10.0.0.9", 80);
     private static final List<PromptPart> PROMPT =
             List.of(new PromptPart("sheet", 2_500), new PromptPart("record", 5_000), new PromptPart("own", 1_600));
@@ -36,17 +37,17 @@
     @Test
     void partIsFetchedOnceCompleteAndSavedOnlyOnce() {
         directory.applyStoreUpdate(STORE, update(1), SETTLED, SETTLED);
-        PartPlan first = directory.plan("w1", PROMPT, "north", true, OBJECTIVE, Optional.empty(), ANY_DOMAIN, SETTLED);
+        PartPlan first = directory.plan("w1", PROMPT, "north", BOTH, OBJECTIVE, Optional.empty(), ANY_DOMAIN, SETTLED);
         assertThat(first.saves()).isTrue();
         assertThat(first.reads()).isFalse();
         assertThat(directory
-                        .plan("w1", PROMPT, "north", true, OBJECTIVE, Optional.empty(), ANY_DOMAIN, SETTLED + 5)
+                        .plan("w1", PROMPT, "north", BOTH, OBJECTIVE, Optional.empty(), ANY_DOMAIN, SETTLED + 5)
                         .saves())
                 .isFalse();
 
         directory.applyStoreUpdate(STORE, update(1, held("w1", "sheet", 2_500)), SETTLED + 300, SETTLED + 300);
         PartPlan second =
-                directory.plan("w1", PROMPT, "north", true, OBJECTIVE, Optional.empty(), ANY_DOMAIN, SETTLED + 310);
+                directory.plan("w1", PROMPT, "north", BOTH, OBJECTIVE, Optional.empty(), ANY_DOMAIN, SETTLED + 310);
         assertThat(second.sources())
                 .containsExactly(Optional.of(new PartPlan.Source(STORE, 2_500)), Optional.empty(), Optional.empty());
     }
@@ -55,17 +56,17 @@
     @Test
     void planHasChoiceForEachSharedPart() {
         assertThat(directory
-                        .plan("w1", PROMPT, "north", true, OBJECTIVE, Optional.empty(), ANY_DOMAIN, BEGIN)
+                        .plan("w1", PROMPT, "north", BOTH, OBJECTIVE, Optional.empty(), ANY_DOMAIN, BEGIN)
                         .choices())
                 .containsExactly(PartChoice.UNSETTLED, PartChoice.UNSETTLED);
 
         directory.applyStoreUpdate(STORE, update(1, held("w1", "sheet", 2_500)), SETTLED, SETTLED);
         assertThat(directory
-                        .plan("w1", PROMPT, "north", true, OBJECTIVE, Optional.empty(), ANY_DOMAIN, SETTLED)
+                        .plan("w1", PROMPT, "north", BOTH, OBJECTIVE, Optional.empty(), ANY_DOMAIN, SETTLED)
                         .choices())
                 .containsExactly(PartChoice.FETCHED, PartChoice.SAVED);
         assertThat(directory
-                        .plan("w1", PROMPT, "north", true, OBJECTIVE, Optional.empty(), ANY_DOMAIN, SETTLED)
+                        .plan("w1", PROMPT, "north", BOTH, OBJECTIVE, Optional.empty(), ANY_DOMAIN, SETTLED)
                         .choices())
                 .containsExactly(PartChoice.FETCHED, PartChoice.BEING_SAVED);
         assertThat(directory
@@ -73,7 +74,7 @@
                                 "w1",
                                 PROMPT,
                                 "north",
-                                true,
+                                BOTH,
                                 OBJECTIVE,
                                 Optional.empty(),
                                 ANY_DOMAIN,
@@ -83,14 +84,14 @@
 
         directory.applyStoreUpdate(STORE, update(1, held("w1", "all", 95_000)), SETTLED, SETTLED);
         assertThat(directory
-                        .plan("w2", PROMPT, "north", true, OBJECTIVE, Optional.empty(), ANY_DOMAIN, SETTLED)
+                        .plan("w2", PROMPT, "north", BOTH, OBJECTIVE, Optional.empty(), ANY_DOMAIN, SETTLED)
                         .choices())
                 .containsExactly(PartChoice.NO_ROOM, PartChoice.NO_ROOM);
 
         directory.recordFetchLateness(new StoreLateness(STORE, 200, 9_000), SETTLED);
-        directory.plan("w1", PROMPT, "north", true, OBJECTIVE, Optional.empty(), ANY_DOMAIN, SETTLED);
+        directory.plan("w1", PROMPT, "north", BOTH, OBJECTIVE, Optional.empty(), ANY_DOMAIN, SETTLED);
         assertThat(directory
-                        .plan("w1", PROMPT, "north", true, OBJECTIVE, Optional.empty(), ANY_DOMAIN, SETTLED)
+                        .plan("w1", PROMPT, "north", BOTH, OBJECTIVE, Optional.empty(), ANY_DOMAIN, SETTLED)
                         .choices()
                         .get(0))
                 .isEqualTo(PartChoice.SLOW_STORE);
@@ -103,7 +104,7 @@
         directory.applyStoreUpdate(STORE, update(1), SETTLED, SETTLED);
 
         PartPlan plan =
-                directory.plan("w1", PROMPT, "north", true, OBJECTIVE, Optional.empty(), allowed::equals, SETTLED);
+                directory.plan("w1", PROMPT, "north", BOTH, OBJECTIVE, Optional.empty(), allowed::equals, SETTLED);
 
         assertThat(plan.saves()).isEqualTo(saved);
     }
@@ -113,7 +114,8 @@
     void nothingIsSavedUnderReplacedWeights() {
         directory.applyStoreUpdate(STORE, update(1, held("w1", "sheet", 2_500)), SETTLED, SETTLED);
 
-        PartPlan plan = directory.plan("w1", PROMPT, "north", false, OBJECTIVE, Optional.empty(), ANY_DOMAIN, SETTLED);
+        PartPlan plan = directory.plan(
+                "w1", PROMPT, "north", PartAccess.FETCH_ONLY, OBJECTIVE, Optional.empty(), ANY_DOMAIN, SETTLED);
 
         assertThat(plan.saves()).isFalse();
         assertThat(plan.choices()).containsExactly(PartChoice.FETCHED, PartChoice.REPLACED);
@@ -126,7 +128,7 @@
         directory.applyStoreUpdate(STORE, update(1, held("w1", "sheet", 2_500)), SETTLED, SETTLED);
 
         assertThat(directory
-                        .plan("w1", PROMPT, "north", true, objective, Optional.empty(), ANY_DOMAIN, SETTLED + 100)
+                        .plan("w1", PROMPT, "north", BOTH, objective, Optional.empty(), ANY_DOMAIN, SETTLED + 100)
                         .untilMillis())
                 .hasValue(SETTLED + 100 + fetchMillis);
     }
@@ -137,11 +139,11 @@
         directory.applyStoreUpdate(STORE, update(1, held("w1", "sheet", 2_500)), SETTLED, SETTLED);
 
         assertThat(directory
-                        .plan("w1", PROMPT, "north", true, OBJECTIVE, Optional.empty(), ANY_DOMAIN, SETTLED + 700)
+                        .plan("w1", PROMPT, "north", BOTH, OBJECTIVE, Optional.empty(), ANY_DOMAIN, SETTLED + 700)
                         .untilMillis())
                 .hasValue(SETTLED + 700 + PartDirectory.FETCH_AFTER_SENT_MILLIS);
         assertThat(directory
-                        .plan("w1", PROMPT, "north", true, OBJECTIVE, Optional.empty(), ANY_DOMAIN, SETTLED + 2_300)
+                        .plan("w1", PROMPT, "north", BOTH, OBJECTIVE, Optional.empty(), ANY_DOMAIN, SETTLED + 2_300)
                         .untilMillis())
                 .hasValue(SETTLED + PartDirectory.FETCH_AFTER_UPDATE_MILLIS);
     }
@@ -151,7 +153,7 @@
         directory.applyStoreUpdate(STORE, update(1), SETTLED, SETTLED);
 
         assertThat(directory
-                        .plan("w1", PROMPT, "north", true, OBJECTIVE, Optional.empty(), ANY_DOMAIN, SETTLED)
+                        .plan("w1", PROMPT, "north", BOTH, OBJECTIVE, Optional.empty(), ANY_DOMAIN, SETTLED)
                         .destinations()
                         .get(2))
                 .isEmpty();
@@ -170,19 +172,19 @@
         other.applyStoreUpdate(STORE, update(2), restart, restart);
 
         long lastUse = SETTLED + PartDirectory.FRESH_MILLIS;
-        PartPlan latest = directory.plan("w1", PROMPT, "north", true, OBJECTIVE, Optional.empty(), ANY_DOMAIN, lastUse);
+        PartPlan latest = directory.plan("w1", PROMPT, "north", BOTH, OBJECTIVE, Optional.empty(), ANY_DOMAIN, lastUse);
         assertThat(latest.reads()).isTrue();
         assertThat(directory
-                        .plan("w1", PROMPT, "north", true, OBJECTIVE, Optional.empty(), ANY_DOMAIN, lastUse + 1)
+                        .plan("w1", PROMPT, "north", BOTH, OBJECTIVE, Optional.empty(), ANY_DOMAIN, lastUse + 1)
                         .reads())
                 .isFalse();
 
         long firstSave = restart + PartDirectory.SETTLED_MILLIS;
         other.applyStoreUpdate(STORE, update(2), firstSave - 1, firstSave - 1);
-        assertThat(other.plan("w1", PROMPT, "north", true, OBJECTIVE, Optional.empty(), ANY_DOMAIN, firstSave - 1)
+        assertThat(other.plan("w1", PROMPT, "north", BOTH, OBJECTIVE, Optional.empty(), ANY_DOMAIN, firstSave - 1)
                         .saves())
                 .isFalse();
-        assertThat(other.plan("w1", PROMPT, "north", true, OBJECTIVE, Optional.empty(), ANY_DOMAIN, firstSave)
+        assertThat(other.plan("w1", PROMPT, "north", BOTH, OBJECTIVE, Optional.empty(), ANY_DOMAIN, firstSave)
                         .saves())
                 .isTrue();
         assertThat(latest.untilMillis().orElseThrow()).isLessThan(firstSave);
@@ -199,7 +201,7 @@
 
         assertThat(reads(100, SETTLED)).isBetween(1, 10);
         assertThat(directory
-                        .plan("w1", PROMPT, "north", true, OBJECTIVE, Optional.empty(), ANY_DOMAIN, SETTLED)
+                        .plan("w1", PROMPT, "north", BOTH, OBJECTIVE, Optional.empty(), ANY_DOMAIN, SETTLED)
                         .destinations()
                         .get(1))
                 .isEmpty();
@@ -243,7 +245,7 @@
         int reads = 0;
         for (int plan = 0; plan < plans; plan++) {
             reads += directory
-                            .plan("w1", PROMPT, "north", true, OBJECTIVE, Optional.empty(), ANY_DOMAIN, nowMillis)
+                            .plan("w1", PROMPT, "north", BOTH, OBJECTIVE, Optional.empty(), ANY_DOMAIN, nowMillis)
                             .reads()
                     ? 1
                     : 0;
@@ -256,7 +258,7 @@
         directory.applyStoreUpdate(STORE, update(1, held("w1", "other", 96_000)), SETTLED, SETTLED);
 
         assertThat(directory
-                        .plan("w1", PROMPT, "north", true, OBJECTIVE, Optional.empty(), ANY_DOMAIN, SETTLED)
+                        .plan("w1", PROMPT, "north", BOTH, OBJECTIVE, Optional.empty(), ANY_DOMAIN, SETTLED)
                         .destinations()
                         .get(1))
                 .isEmpty();
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/peers/PeerExchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/peers/PeerExchange.java
@@ -277,6 +277,9 @@
         live.add(state.settings().instance());
         registered.add(state.settings().instance());
         components.streamOrigins().updateRelays(live, registered);
+        if (relaysListed) {
+            state.retiredWeights().updateRelays(registered);
+        }
     }
 
     private LoadReport fullReport(long now) {
@@ -295,6 +298,7 @@
                 rateLimits(now),
                 state.fleet().leavingTargets(now),
                 state.fleet().removedTargets(now),
+                state.retiredWeights().report(),
                 0);
     }
 
@@ -404,6 +408,9 @@
             load.weights()
                     .forEach(known ->
                             state.weights().applyPeerAge(known.model(), known.version(), known.ageMillis(), now));
+            if (load.full()) {
+                state.retiredWeights().onPeerReport(relay, load.retirement(), !state.isReportRoundLate(), now);
+            }
             listener.onReadOffsets(load.readOffsets());
             listener.onUnreachable(load.unreachable());
         }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/RelayState.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/RelayState.java
@@ -25,6 +25,7 @@
 import org.rattanrudder.core.gateway.WindowedRetryBudget;
 import org.rattanrudder.core.model.Address;
 import org.rattanrudder.core.parts.PartDirectory;
+import org.rattanrudder.core.parts.RetiredWeights;
 import org.rattanrudder.core.quarantine.Quarantine;
 import org.rattanrudder.core.rollout.DesiredVersions;
 import org.rattanrudder.core.routing.Hashing;
@@ -63,6 +64,7 @@
     private final RateLimitAdmission rateLimits = new RateLimitAdmission(permitShares);
     private final TargetAdmission admission = new TargetAdmission(fleet, warmUps, rateLimits);
     private final PartDirectory directory;
+    private final RetiredWeights retiredWeights;
     private final Map<String, WindowedRetryBudget> retryBudgets = new HashMap<>();
     private final DesiredVersions weights = new DesiredVersions();
     private final Map<String, MedianEstimate> callMillis = new HashMap<>();
@@ -97,6 +99,7 @@
         UnreadNames members = new UnreadNames(fields -> log.warn("member_unread", fields), metrics::recordUnreadMember);
         platform.setUnreadListener(members::record);
         directory = new PartDirectory();
+        retiredWeights = new RetiredWeights(settings.instance());
         updateWarmUpBounds();
         updateLearnedFigures();
         relayHash = Hashing.of(settings.instance());
@@ -122,10 +125,15 @@
         reportLag.onTaskRun(nowMillis());
     }
 
+    /** Returns whether messages of peers may have waited unread for longer than a moment, as after a freeze. */
+    public boolean isReportRoundLate() {
+        return reportLag.isLate(nowMillis());
+    }
+
     /** Returns whether a connection that a caller has opened is taken; else it is closed before anything is read. */
     public boolean admitsConnection() {
         long now = nowMillis();
-        boolean admitted = connectionGate.admits(reportLag.isLate(now), fleet.anyPeerReady(now), now);
+        boolean admitted = connectionGate.admits(isReportRoundLate(), fleet.anyPeerReady(now), now);
         if (!admitted) {
             metrics.recordConnectionClosedUnread();
         }
@@ -244,6 +252,11 @@
         return directory;
     }
 
+    /** Returns the weights whose parts are no longer fetched. */
+    public RetiredWeights retiredWeights() {
+        return retiredWeights;
+    }
+
     /** Returns the configuration in force; empty before the first was read. */
     public Optional<ServingConfiguration> configuration() {
         return configuration;
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/StateGauges.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/StateGauges.java
@@ -23,6 +23,10 @@
                 "rattanrudder_relay_targets",
                 "Targets that are known",
                 () -> state.fleet().all(state.nowMillis()).size());
+        metrics.gauge(
+                "rattanrudder_relay_weights_retired_before",
+                "The version of weights before which this relay fetches no parts",
+                () -> state.retiredWeights().retiredBefore());
         double startedAt = System.currentTimeMillis() / MILLIS_PER_SECOND;
         metrics.gauge(
                 "rattanrudder_relay_started_seconds", "When the process started, in Unix seconds", () -> startedAt);
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/RequestPlan.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/RequestPlan.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
@@ -29,6 +30,8 @@
 import org.rattanrudder.core.gateway.WarmUpTraits;
 import org.rattanrudder.core.model.ErrorKind;
 import org.rattanrudder.core.parts.ComputeEstimate;
+import org.rattanrudder.core.parts.PartAccess;
+import org.rattanrudder.core.parts.PartChoice;
 import org.rattanrudder.core.parts.PartKey;
 import org.rattanrudder.core.parts.PartPlan;
 import org.rattanrudder.core.quarantine.Feature;
@@ -371,9 +374,7 @@
                                 salt.get(),
                                 metadata.parts(),
                                 target.registration().failureDomain(),
-                                weights.get()
-                                        >= state.weights()
-                                                .newest(metadata.model().get()),
+                                partAccess(weights.get()),
                                 route.objectiveMillis(),
                                 computeEstimate(target),
                                 this::allowsDomain,
@@ -396,6 +397,14 @@
                 new Target.RequestCost(tokens(), Math.max(0, metadata.promptTokens() - parts.fetchedTokens())));
     }
 
+    private PartAccess partAccess(long version) {
+        long newest = state.weights().newest(metadata.model().orElseThrow());
+        if (!state.retiredWeights().mayFetch(version, newest, state.nowMillis())) {
+            return PartAccess.NONE;
+        }
+        return version >= newest ? PartAccess.FETCH_AND_SAVE : PartAccess.FETCH_ONLY;
+    }
+
     /** Returns how soon the target could start by computing shared parts; empty where learned figures don't apply. */
     private Optional<ComputeEstimate> computeEstimate(Target target) {
         long now = state.nowMillis();
@@ -432,6 +441,7 @@
         int saved = count(parts.destinations());
         state.metrics().recordParts("read", read);
         state.metrics().recordParts("saved", saved);
+        state.metrics().recordParts("retired", Collections.frequency(parts.choices(), PartChoice.RETIRED));
         state.log()
                 .info(
                         "request_sent",
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/DesiredStateListener.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/DesiredStateListener.java
@@ -128,8 +128,18 @@
         return true;
     }
 
+    @Override
+    public void onReadToEnd(long askedAtMillis) {
+        state.retiredWeights().onLogRead(askedAtMillis);
+    }
+
     @Override
     public void onListed(Set<String> keys, long end) {
+        if (!caughtUp) {
+            DesiredVersions versions = state.weights();
+            state.retiredWeights()
+                    .onStarted(versions.onlyModel().map(versions::newest).orElse(0L));
+        }
         caughtUp = true;
         Set<String> evacuated = state.platform().store().evacuatedDomains(keys);
         state.fleet()
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/OutdatedPartEvictor.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/OutdatedPartEvictor.java
@@ -5,7 +5,7 @@
 import java.util.Optional;
 import org.rattanrudder.core.model.Address;
 import org.rattanrudder.core.parts.PartKey;
-import org.rattanrudder.core.parts.PartRetirement;
+import org.rattanrudder.core.parts.RetiredWeights;
 import org.rattanrudder.daemon.relay.process.RelayState;
 
 /** Evicts the parts of weights that no engine serves any more from context stores. */
@@ -20,8 +20,9 @@
 
     private final RelayState state;
     private final Map<Address, StoreWatch> stores;
-    private final PartRetirement retirement = new PartRetirement();
+    private final RetiredWeights retired;
     private long lastOldestServed;
+    private long lastRetiredBefore;
     private long lastEvictableBefore;
     private long lastScanAt;
 
@@ -29,14 +30,16 @@
     OutdatedPartEvictor(RelayState state, Map<Address, StoreWatch> stores) {
         this.state = state;
         this.stores = stores;
+        retired = state.retiredWeights();
     }
 
     /** Evicts a batch of outdated parts from each store, if a scan is due. */
     void free(long now) {
         long oldestServed = oldestServed(now);
         logIfChanged(oldestServed, now);
-        retirement.updateOldestServed(oldestServed, now);
-        long before = retirement.evictableBefore(now);
+        retired.updateOldestServed(oldestServed);
+        logIfRetired();
+        long before = retired.evictableBefore(newestNamed(), now);
         boolean due = before != lastEvictableBefore || now - lastScanAt >= RESCAN_MILLIS;
         if (before > 0 && due) {
             lastEvictableBefore = before;
@@ -66,6 +69,23 @@
         }
     }
 
+    private void logIfRetired() {
+        if (retired.retiredBefore() != lastRetiredBefore) {
+            lastRetiredBefore = retired.retiredBefore();
+            state.log()
+                    .info(
+                            "weights_retired",
+                            "before",
+                            Long.toString(lastRetiredBefore),
+                            "oldest_served",
+                            Long.toString(lastOldestServed));
+        }
+    }
+
+    private long newestNamed() {
+        return state.weights().onlyModel().map(state.weights()::newest).orElse(0L);
+    }
+
     /** Returns the oldest version that an engine serves; 0 if it is unknown, or if there isn't exactly one model. */
     private long oldestServed(long now) {
         Optional<String> model = state.weights().onlyModel();
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicFollower.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicFollower.java
@@ -42,6 +42,9 @@
         /** Handles the end of a complete listing, with the keys in it. */
         default void onListed(Set<String> keys, long end) {}
 
+        /** Called when all records that were written before a call have been handled; with the time of that call. */
+        default void onReadToEnd(long askedAtMillis) {}
+
         /** Called after each successful answer of the store. */
         default void onAvailable() {}
 
@@ -60,6 +63,7 @@
     private final StoreAvailability availability;
     private int consecutiveTruncations;
     private boolean betweenPolls;
+    private long askedAt;
 
     /** Which existing records are read before new ones are polled for. */
     public enum InitialRead {
@@ -88,6 +92,7 @@
     /** Starts to read the topic, from the beginning of what is read initially. */
     public void start() {
         betweenPolls = false;
+        askedAt = state.nowMillis();
         if (position.isKeyed()) {
             position.beginListing();
             reader.list(Optional.empty(), this::onResult);
@@ -101,7 +106,8 @@
             return;
         }
         betweenPolls = false;
-        schedule.onPoll(state.nowMillis());
+        askedAt = state.nowMillis();
+        schedule.onPoll(askedAt);
         // If the topic has no records, the first answer would come only after the full wait.
         long wait = availability.hasAnswered() ? schedule.waitMillis() : 0;
         reader.poll(position.nextOffset(), wait, this::onResult);
@@ -143,6 +149,7 @@
         if (position.isListingCurrent()) {
             listener.onListed(keys, position.listingEnd());
             position.applyListing();
+            listener.onReadToEnd(askedAt);
         }
         state.log()
                 .info(
@@ -163,6 +170,9 @@
             schedule.onRecordsFound();
         }
         delivery.deliver(records.records());
+        if (records.next() >= records.end()) {
+            listener.onReadToEnd(askedAt);
+        }
         betweenPolls = true;
         timer.reschedule(this::poll, schedule.onAnswered(state.nowMillis()));
     }
--- a/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelRelay.java
+++ b/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelRelay.java
@@ -29,6 +29,7 @@
 import org.rattanrudder.core.fleet.WarmUpAdmission;
 import org.rattanrudder.core.gateway.EngineTraits;
 import org.rattanrudder.core.model.Address;
+import org.rattanrudder.core.parts.RetirementReport;
 import org.rattanrudder.core.routing.Hashing;
 import org.rattanrudder.standins.model.ModelPolicy.RestWay;
 
@@ -169,6 +170,7 @@
                 whole ? seenLimits() : List.of(),
                 List.of(),
                 List.of(),
+                RetirementReport.NONE,
                 everyMillis);
         for (ModelRelay peer : peers) {
             if (hears.test(peer)) {
--- a/rattanrudder-wire/src/main/java/org/rattanrudder/wire/peer/PeerCodec.java
+++ b/rattanrudder-wire/src/main/java/org/rattanrudder/wire/peer/PeerCodec.java
@@ -19,6 +19,7 @@
 import org.rattanrudder.core.model.Address;
 import org.rattanrudder.core.parts.PartEvent;
 import org.rattanrudder.core.parts.PartKey;
+import org.rattanrudder.core.parts.RetirementReport;
 import org.rattanrudder.core.parts.SharedStoreUpdate;
 import org.rattanrudder.core.parts.StoreLateness;
 import org.rattanrudder.core.parts.StoreUpdate;
@@ -82,7 +83,10 @@
                 .setPartial(!load.full())
                 .setWishesReadTo(load.readOffsets().desiredConfiguration())
                 .setTargetsChangedTo(load.readOffsets().targetsChanged())
-                .setQuarantineReadTo(load.readOffsets().quarantine());
+                .setQuarantineReadTo(load.readOffsets().quarantine())
+                .setRetiredBefore(load.retirement().retiredBefore())
+                .setLogRead(load.retirement().logRead())
+                .setRelaysHash(load.retirement().relaysHash());
         for (TargetLoad target : load.targets()) {
             message.addTargets(TargetLoadMessage.newBuilder()
                     .setTarget(target.target())
@@ -246,6 +250,10 @@
                 message.getRemovedList().stream()
                         .map(each -> new RemovedTarget(each.getTarget(), within(each.getOffset(), Long.MAX_VALUE)))
                         .toList(),
+                new RetirementReport(
+                        within(message.getRetiredBefore(), Long.MAX_VALUE),
+                        message.getLogRead(),
+                        message.getRelaysHash()),
                 within(message.getEveryMillis(), MOST_MILLIS));
     }
 
--- a/rattanrudder-wire/src/test/java/org/rattanrudder/wire/peer/PeerCodecTest.java
+++ b/rattanrudder-wire/src/test/java/org/rattanrudder/wire/peer/PeerCodecTest.java
@@ -30,6 +30,7 @@
 import org.rattanrudder.core.model.Address;
 import org.rattanrudder.core.parts.PartEvent;
 import org.rattanrudder.core.parts.PartKey;
+import org.rattanrudder.core.parts.RetirementReport;
 import org.rattanrudder.core.parts.SharedStoreUpdate;
 import org.rattanrudder.core.parts.StoreLateness;
 import org.rattanrudder.core.parts.StoreUpdate;
@@ -65,6 +66,7 @@
                         new SeenRateLimit("i-2", OptionalDouble.empty(), requests, 0)),
                 List.of(new LeavingTarget("i-5", tokens), new LeavingTarget("i-6", 0)),
                 List.of(new RemovedTarget("i-7", tokens)),
+                new RetirementReport(tokens, sequence % 2 == 0, -sequence),
                 requests);
     }
 
