Read messages of relays whole that are longer than 2,048 bytes

What was seen: a full report of a relay with requests at 400 targets was dropped as unreadable (PeerMessagesTest, "targets leaving is still 0.0" before).

Cause: the socket for datagrams took netty's default buffer of 2,048 bytes; the rest of a longer datagram is lost without an error. A peer that has too much to report looks silent: its load, its notices and its vote on old weights are not heard. Updates of context stores, up to 13 KB by the limit on their events, were lost the same way and polled for anew.

Change: the buffer takes 16 KB, and a relay doesn't send what is longer: it logs and counts it. Found while every reader of others' bytes was looked at for its bound. Measured: the test failed before (22 s, to its time limit), holds now.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/peers/PeerExchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/peers/PeerExchange.java
@@ -5,6 +5,8 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
@@ -60,6 +62,12 @@
      */
     private static final long SERVED_WEIGHTS_MILLIS = 2_500;
 
+    /**
+     * Limit of a message. The load at some hundred targets fits in, and the buffer that each received
+     * message takes stays small.
+     */
+    private static final int MAX_MESSAGE_BYTES = 16 * 1_024;
+
     private static final long REGISTER_RETRY_MILLIS = 1_000;
     private static final long REGISTER_TIMEOUT_MILLIS = 1_500;
 
@@ -147,6 +155,7 @@
         channel = RelayChannels.awaitBound(
                 datagrams
                         .channel(NioDatagramChannel.class)
+                        .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(MAX_MESSAGE_BYTES))
                         .handler(new MessageHandler())
                         .bind(new InetSocketAddress(address.host(), address.port())),
                 address);
@@ -327,6 +336,11 @@
     }
 
     private void send(byte[] bytes, List<String> relays) {
+        if (bytes.length > MAX_MESSAGE_BYTES) {
+            state.metrics().recordPeerMessageDropped("too_long");
+            state.log().warn("peer_message_too_long", "bytes", Integer.toString(bytes.length));
+            return;
+        }
         for (String relay : relays) {
             InetSocketAddress address = addresses.get(relay);
             if (address != null) {
