Log ignored messages of others once a second at most

What was seen: a sender of messages that are none has a relay write a line for each (2,000 sent, over 20 lines, in PeerMessagesTest, which failed before); nothing bounds it, and lines cost processor time.

Cause: the port for peers is open to any sender, and each ignored datagram was logged. Change: they are all counted, and one line a second says how many there were.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/peers/PeerExchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/peers/PeerExchange.java
@@ -379,18 +379,20 @@
 
     /** Handles received datagrams. */
     private final class MessageHandler extends SimpleChannelInboundHandler<DatagramPacket> {
+        private final DroppedMessageLog dropped = new DroppedMessageLog(state);
+
         @Override
         protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
             state.metrics().recordPeerMessageReceived();
             // A reused address may also be in the remaining registration of its former relay.
             Set<String> relays = relaysByAddress.getOrDefault(packet.sender(), Set.of());
             if (relays.isEmpty()) {
-                recordDropped(packet.sender(), "unknown_sender");
+                dropped.record(packet.sender(), "unknown_sender");
                 return;
             }
             Optional<PeerCodec.Message> message = PeerCodec.read(ByteBufUtil.getBytes(packet.content()));
             if (message.isEmpty()) {
-                recordDropped(packet.sender(), "unreadable");
+                dropped.record(packet.sender(), "unreadable");
             } else if (message.get() instanceof PeerCodec.Message.News news) {
                 listener.onStoreUpdate(news.news());
             } else if (message.get() instanceof PeerCodec.Message.Origins origins) {
@@ -401,16 +403,10 @@
                         .findFirst()
                         .ifPresentOrElse(
                                 relay -> onLoadReport(relay, load.load()),
-                                () -> recordDropped(packet.sender(), "other_name"));
+                                () -> dropped.record(packet.sender(), "other_name"));
             }
         }
 
-        /** Counts and logs an ignored datagram: the port is open to any sender. */
-        private void recordDropped(InetSocketAddress sender, String reason) {
-            state.metrics().recordPeerMessageDropped(reason);
-            state.log().info("peer_message_dropped", "sender", String.valueOf(sender), "reason", reason);
-        }
-
         private void onLoadReport(String relay, LoadReport load) {
             long now = state.nowMillis();
             schedule.onReport(relay, now);
