Close connections to targets that write without end what is no response

What callers saw: nothing, or a reset late: they got their end by the deadline. But the relay read on: a rejection whose body has no end kept its connection, and was read for good, at any speed; interim answers, and answers to other requests, were decoded as fast as they came until the deadline (over 24 MB in 4 s for one request, in the thread that serves all).

Cause: a response that isn't passed on is read to its end so that its connection can be reused, with no bound; the decoder bounds a line and a head, but not how many of them it takes, and drops blank lines before it counts anything.

Change: raw bytes are counted before they are decoded. 256 KB in a row that are no part of a response which is passed on end the attempt as broken (so never as "not run"), a discarded response is read for half a second more, and any byte on an idle connection closes it.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/targets/TargetConnection.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/targets/TargetConnection.java
@@ -16,6 +16,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.rattanrudder.core.gateway.ResponseEnd;
 import org.rattanrudder.daemon.relay.port.RequestDialect;
@@ -29,8 +30,18 @@
  * connection. Where a body declares no end, an orderly close of the connection ends it, and a reset breaks it off. A
  * response may arrive before its request was sent in full: the connection isn't reused then, since the target might
  * read the next request as the rest of this one.
+ *
+ * <p>Bytes that are no part of a response that is passed on may go on without end: a head, interim responses, a chunk's
+ * size, trailers, a response that is discarded. So only {@link #MAX_UNUSED_BYTES} of them are taken, and a discarded
+ * response is read on for {@link #DISCARD_MILLIS}; then the connection is closed.
  */
 public final class TargetConnection extends ChannelInboundHandlerAdapter {
+    /** Limit of bytes in a row that are no part of a response that is passed on; a late response may be among them. */
+    private static final long MAX_UNUSED_BYTES = 256 * 1_024;
+
+    /** How long the rest of a discarded response is read: a new connection takes less. */
+    private static final long DISCARD_MILLIS = 500;
+
     private final Channel channel;
     private final RequestDialect dialect;
     private final Consumer<TargetConnection> onIdle;
@@ -46,6 +57,8 @@
     private boolean complete;
     private long keepAliveMillis = -1;
     private long idleSince;
+    private long unusedBytes;
+    private boolean discardEnds;
 
     TargetConnection(Channel channel, RequestDialect dialect, Consumer<TargetConnection> whenFree) {
         this.channel = channel;
@@ -85,6 +98,8 @@
         skipping = false;
         keepAlive = false;
         complete = false;
+        unusedBytes = 0;
+        discardEnds = false;
         DefaultHttpRequest head =
                 new DefaultHttpRequest(request.protocolVersion(), request.method(), request.uri(), request.headers());
         channel.write(head);
@@ -113,6 +128,20 @@
         channel.config().setAutoRead(on);
     }
 
+    /** Records raw bytes before they are decoded; returns whether to decode them. */
+    boolean onBytesRead(int count) {
+        unusedBytes += count;
+        if (sink == null) {
+            channel.close();
+            return false;
+        }
+        if (unusedBytes > MAX_UNUSED_BYTES) {
+            fail("too many bytes that are no response");
+            return false;
+        }
+        return true;
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         try {
@@ -172,6 +201,7 @@
             return;
         }
         if (content.content().isReadable()) {
+            unusedBytes = sink == DiscardingSink.INSTANCE ? unusedBytes : 0;
             sink.onContent(content.content());
         }
         if (last && sink != null) {
@@ -189,6 +219,10 @@
 
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
+        if (sink == DiscardingSink.INSTANCE && !complete && !discardEnds) {
+            discardEnds = true;
+            channel.eventLoop().schedule(this::endDiscard, DISCARD_MILLIS, TimeUnit.MILLISECONDS);
+        }
         if (!complete || !channel.isActive()) {
             return;
         }
@@ -201,6 +235,12 @@
         onIdle.accept(this);
     }
 
+    private void endDiscard() {
+        if (discardEnds && sink == DiscardingSink.INSTANCE) {
+            channel.close();
+        }
+    }
+
     private void fail(String reason) {
         ResponseSink failed = sink;
         sink = null;
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/targets/TargetPools.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/targets/TargetPools.java
@@ -24,6 +24,7 @@
 import org.rattanrudder.core.fleet.Target;
 import org.rattanrudder.core.model.Address;
 import org.rattanrudder.daemon.relay.net.InactivityTimer;
+import org.rattanrudder.daemon.relay.net.RawByteCounter;
 import org.rattanrudder.daemon.relay.port.RequestDialect;
 import org.rattanrudder.daemon.relay.process.RelayState;
 
@@ -166,7 +167,11 @@
                     protected void initChannel(Channel channel) {
                         created[0] = new TargetConnection(channel, dialect, connection -> addIdle(pool, connection));
                         channel.pipeline()
-                                .addLast(new ResponseDecoder(created[0]), new HttpRequestEncoder(), created[0]);
+                                .addLast(
+                                        new RawByteCounter(created[0]::onBytesRead),
+                                        new ResponseDecoder(created[0]),
+                                        new HttpRequestEncoder(),
+                                        created[0]);
                     }
                 })
                 .connect(new InetSocketAddress(address.host(), address.port()))
