Bound what a relay's calls to stores and engines read, and skip interim answers

What was seen: a relay's calls (platform's log, context stores, reports, orders) took bodies of up to 64 MB, in a heap of 96; blank lines behind an answer were read on an idle connection for good; and an interim answer was taken for the answer to the call, so that the true one closed the connection.

Cause: one limit for all calls, far above what any answer holds; the decoder drops blank lines before it counts; nothing looked whether a call is in flight; the aggregator hands on an interim answer like any other.

Change: raw bytes are counted before they are decoded: twice 256 KB for a report, an order or an append, twice 8 MB for lists and records (a body at most 256 KB and 8 MB). Bytes without a call close the connection. Interim answers are skipped. The timeout of a call bounds the rest, as before.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/net/HttpCallClient.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/net/HttpCallClient.java
@@ -16,6 +16,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
@@ -30,24 +31,47 @@
  *
  * <p>A connection may become permanently unresponsive without a reset while new connections work. A call that times out
  * therefore closes its connection, and the next call opens a new one.
+ *
+ * <p>A response may go on without end, in its head, between interim responses, in its body or behind it. The timeout
+ * bounds how long a call reads it, and a limit how much; bytes that arrive while no call is in flight close the
+ * connection.
  */
 public final class HttpCallClient implements AutoCloseable {
-    private static final int MAX_RESPONSE_BYTES = 64 * 1024 * 1024;
+    /** Limit of a response to a call that reads no list: a report, an order or an append. */
+    private static final int MAX_SHORT_RESPONSE_BYTES = 256 * 1_024;
+
+    /** Limit of a response with records or a list, of which platforms send a megabyte or two at a time. */
+    private static final int MAX_LIST_RESPONSE_BYTES = 8 * 1_024 * 1_024;
+
+    /** How many times as long a response may be on the wire as its body: chunks have heads of their own. */
+    private static final int MAX_RAW_RATIO = 2;
 
     private final Bootstrap bootstrap;
     private final Supplier<Address> address;
+    private final int maxResponseBytes;
+    private long receivedBytes;
     private Address connectedTo;
     private Channel channel;
     private Consumer<CallResult> pendingCallback;
     private InactivityTimer timeout;
 
     /**
-     * Creates a client without a connection.
+     * Creates a client without a connection, for calls with short responses.
      *
      * @param address supplies the address to call; a changed address takes effect with the next call
      */
     public HttpCallClient(Bootstrap bootstrap, Supplier<Address> address) {
+        this(bootstrap, address, MAX_SHORT_RESPONSE_BYTES);
+    }
+
+    /** Returns a client without a connection, for calls whose responses are lists. */
+    public static HttpCallClient forLists(Bootstrap bootstrap, Supplier<Address> address) {
+        return new HttpCallClient(bootstrap, address, MAX_LIST_RESPONSE_BYTES);
+    }
+
+    private HttpCallClient(Bootstrap bootstrap, Supplier<Address> address, int maxResponseBytes) {
         this.address = address;
+        this.maxResponseBytes = maxResponseBytes;
         this.bootstrap = bootstrap.clone().handler(new ChannelInitializer<>() {
             @Override
             protected void initChannel(Channel opened) {
@@ -57,7 +81,26 @@
     }
 
     private void initializePipeline(ChannelPipeline pipeline) {
-        pipeline.addLast(new HttpClientCodec(), new HttpObjectAggregator(MAX_RESPONSE_BYTES), new ResponseHandler());
+        Channel opened = pipeline.channel();
+        pipeline.addLast(
+                new RawByteCounter(count -> onBytesRead(opened, count)),
+                new HttpClientCodec(),
+                new HttpObjectAggregator(maxResponseBytes),
+                new ResponseHandler());
+    }
+
+    /** Records raw bytes before they are decoded; returns whether to decode them. */
+    private boolean onBytesRead(Channel from, int count) {
+        if (from != channel || pendingCallback == null) {
+            from.close();
+            return false;
+        }
+        receivedBytes += count;
+        if (receivedBytes > (long) MAX_RAW_RATIO * maxResponseBytes) {
+            complete(new CallResult.Unanswered("too_long"), true);
+            return false;
+        }
+        return true;
     }
 
     /** Returns whether a call is in flight. */
@@ -73,6 +116,7 @@
      */
     public void call(PlatformCall call, long timeoutMillis, Consumer<CallResult> callback) {
         pendingCallback = callback;
+        receivedBytes = 0;
         EventLoop loop = (EventLoop) bootstrap.config().group().next();
         timeout =
                 InactivityTimer.start(loop, () -> complete(new CallResult.Unanswered("timeout"), true), timeoutMillis);
@@ -150,6 +194,9 @@
                 context.close();
                 return;
             }
+            if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+                return;
+            }
             byte[] body = ByteBufUtil.getBytes(response.content());
             HttpResponse head =
                     new DefaultHttpResponse(response.protocolVersion(), response.status(), response.headers());
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/StoreWatch.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/StoreWatch.java
@@ -69,7 +69,7 @@
         this.address = address;
         pollSchedule = new StorePollSchedule(relayId, address);
         dialect = state.platform().engines();
-        client = new HttpCallClient(state.connector(), () -> address);
+        client = HttpCallClient.forLists(state.connector(), () -> address);
     }
 
     /** Starts to poll the store. */
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicReader.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicReader.java
@@ -29,7 +29,7 @@
         this.state = state;
         this.topic = topic;
         dialect = state.platform().store();
-        client = new HttpCallClient(state.connector(), state::store);
+        client = HttpCallClient.forLists(state.connector(), state::store);
     }
 
     /** The result of a call. */
