Vote on old weights with each report, and believe reports for a second

Change: votes are updated right before each report; a report is believed for a second (or half a second longer than the time to the next one, before many peers), the log for 3 s. The waits follow from these: 4 s after a majority, 5.5 s after naming.

RetiredWeightsModelTest and platform.RetiredWeightsTest hold.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/ReportSchedule.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/ReportSchedule.java
@@ -134,13 +134,29 @@
         return due.stream().filter(group -> !group.relays().isEmpty()).toList();
     }
 
+    /** Returns the longest time between two reports to one peer. */
+    public long longestIntervalMillis() {
+        long far = peers.values().stream().filter(peer -> !peer.near).count();
+        long near = peers.size() - far;
+        return peers.size() <= MAX_PEERS_EVERY_ROUND
+                ? ROUND_MILLIS
+                : Math.max(
+                                intervalRounds(MIN_NEAR_INTERVAL_MILLIS, INTERVAL_MILLIS_PER_RELAY, near),
+                                intervalRounds(MIN_FAR_INTERVAL_MILLIS, INTERVAL_MILLIS_PER_RELAY, far))
+                        * ROUND_MILLIS;
+    }
+
+    private static int intervalRounds(long minMillis, long millisPerRelay, long relays) {
+        long wanted = Math.max(minMillis, millisPerRelay * relays);
+        return (int) ((wanted + ROUND_MILLIS - 1) / ROUND_MILLIS);
+    }
+
     private Due due(Predicate<Peer> group, long minMillis, long millisPerRelay, long nowMillis) {
         List<String> names = peers.entrySet().stream()
                 .filter(entry -> group.test(entry.getValue()))
                 .map(Map.Entry::getKey)
                 .toList();
-        long wanted = Math.max(minMillis, millisPerRelay * names.size());
-        int rounds = (int) ((wanted + ROUND_MILLIS - 1) / ROUND_MILLIS);
+        int rounds = intervalRounds(minMillis, millisPerRelay, names.size());
         boolean includeUnresponsive = round / rounds % Math.max(1, UNRESPONSIVE_PEER_ROUNDS / rounds) == 0;
         List<String> relays = new ArrayList<>();
         for (int index = (int) (round % rounds); index < names.size(); index += rounds) {
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/parts/RetiredWeights.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/parts/RetiredWeights.java
@@ -30,21 +30,20 @@
  * monotonic clock.
  */
 public final class RetiredWeights {
-    /** How long a peer's report shows that it hasn't voted. */
-    static final long REPORT_VALID_MILLIS = 2_000;
+    /** How long a peer's report shows that it hasn't voted at least, so that some reports may be lost. */
+    static final long MIN_REPORT_VALID_MILLIS = 1_000;
 
     /** How long a report may be under way, and wait to be read by a relay that isn't late. */
     static final long REPORT_DELAY_MILLIS = 500;
 
-    /** How long an answer of the log shows which weights are the newest; several polls fail within it. */
-    static final long LOG_READ_VALID_MILLIS = 4_000;
+    /** How long an answer of the log shows which weights are the newest, from when it was asked for: two long polls. */
+    static final long LOG_READ_VALID_MILLIS = 3_000;
 
     /** How long after all relays have voted a part may be fetched: each has stopped before it sent its vote. */
     static final long WAIT_AFTER_ALL_MILLIS = PartRetirement.WAIT_MILLIS;
 
     /** The same after a majority has voted: others may go by earlier reports of that majority. */
-    static final long WAIT_AFTER_MAJORITY_MILLIS =
-            REPORT_VALID_MILLIS + REPORT_DELAY_MILLIS + PartRetirement.WAIT_MILLIS;
+    static final long MIN_WAIT_AFTER_MAJORITY_MILLIS = waitAfterMajorityMillis(MIN_REPORT_VALID_MILLIS);
 
     /** How long after newer weights were named a part may be fetched on the word of the log. */
     static final long WAIT_AFTER_NAMED_MILLIS = LOG_READ_VALID_MILLIS + PartRetirement.WAIT_MILLIS;
@@ -54,10 +53,11 @@
     private final String self;
     private final Map<String, PeerVote> peers = new HashMap<>();
     private final PartRetirement afterAll = new PartRetirement(WAIT_AFTER_ALL_MILLIS);
-    private final PartRetirement afterMajority = new PartRetirement(WAIT_AFTER_MAJORITY_MILLIS);
+    private PartRetirement afterMajority = new PartRetirement(MIN_WAIT_AFTER_MAJORITY_MILLIS);
     private final PartRetirement afterNamed = new PartRetirement(WAIT_AFTER_NAMED_MILLIS);
     private Set<String> relays = Set.of();
     private long relaysHash;
+    private long reportValidMillis = MIN_REPORT_VALID_MILLIS;
     private long retiredBefore;
     private boolean started;
     private long logReadAt = NEVER;
@@ -82,8 +82,21 @@
         this.self = self;
     }
 
-    /** Sets the relays that are registered, including this one; none until they are known. */
-    public void updateRelays(Set<String> registered) {
+    private static long waitAfterMajorityMillis(long reportValidMillis) {
+        return reportValidMillis + REPORT_DELAY_MILLIS + PartRetirement.WAIT_MILLIS;
+    }
+
+    /**
+     * Sets the relays that are registered, including this one; none until they are known.
+     *
+     * @param reportIntervalMillis the longest time between two reports of one relay to another
+     */
+    public void updateRelays(Set<String> registered, long reportIntervalMillis) {
+        long valid = Math.max(MIN_REPORT_VALID_MILLIS, reportIntervalMillis + REPORT_DELAY_MILLIS);
+        if (valid != reportValidMillis) {
+            reportValidMillis = valid;
+            afterMajority = new PartRetirement(waitAfterMajorityMillis(valid));
+        }
         if (!relays.equals(registered)) {
             relays = Set.copyOf(registered);
             relaysHash = relays.stream().mapToLong(Hashing::of).reduce(0, (left, right) -> left ^ right);
@@ -164,7 +177,7 @@
         }
         long otherHolders = otherVotes().stream()
                 .filter(peer -> peer.retiredBefore() <= version)
-                .filter(peer -> nowMillis - peer.heardAt() <= REPORT_VALID_MILLIS)
+                .filter(peer -> nowMillis - peer.heardAt() <= reportValidMillis)
                 .count();
         return 1 + otherHolders >= majority();
     }
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/parts/RetiredWeightsModel.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/parts/RetiredWeightsModel.java
@@ -70,7 +70,7 @@
                 return;
             }
             known = names();
-            retired.updateRelays(known);
+            retired.updateRelays(known, REPORT_INTERVAL);
             newestNamed = now >= NAMED_AT ? 2 : 1;
             if (!started) {
                 retired.onStarted(newestNamed);
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/parts/RetiredWeightsModelTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/parts/RetiredWeightsModelTest.java
@@ -27,6 +27,6 @@
 
         assertThat(model.lastFetchEnd()).isLessThanOrEqualTo(model.firstEvictionAt());
         assertThat(model.firstEvictionAt())
-                .isLessThanOrEqualTo(LAST_VIEW_AT + RetiredWeights.WAIT_AFTER_MAJORITY_MILLIS + 1_000);
+                .isLessThanOrEqualTo(LAST_VIEW_AT + RetiredWeights.MIN_WAIT_AFTER_MAJORITY_MILLIS + 1_000);
     }
 }
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/parts/RetiredWeightsTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/parts/RetiredWeightsTest.java
@@ -6,6 +6,7 @@
 import org.junit.jupiter.api.Test;
 
 class RetiredWeightsTest {
+    private static final long INTERVAL = 100;
     private static final long NAMED_AT = 10_000;
     private static final long NOW = NAMED_AT + RetiredWeights.WAIT_AFTER_NAMED_MILLIS;
     private static final Set<String> THREE = Set.of("one", "two", "three");
@@ -15,7 +16,7 @@
 
     private static RetiredWeights relay(String name, Set<String> relays) {
         RetiredWeights relay = new RetiredWeights(name);
-        relay.updateRelays(relays);
+        relay.updateRelays(relays, INTERVAL);
         relay.onStarted(0);
         relay.evictableBefore(2, NAMED_AT);
         return relay;
@@ -60,9 +61,9 @@
         hear("two", vote(2), NOW);
 
         assertThat(retired.evictableBefore(2, NOW)).isZero();
-        assertThat(retired.evictableBefore(2, NOW + RetiredWeights.WAIT_AFTER_MAJORITY_MILLIS - 1))
+        assertThat(retired.evictableBefore(2, NOW + RetiredWeights.MIN_WAIT_AFTER_MAJORITY_MILLIS - 1))
                 .isZero();
-        assertThat(retired.evictableBefore(2, NOW + RetiredWeights.WAIT_AFTER_MAJORITY_MILLIS))
+        assertThat(retired.evictableBefore(2, NOW + RetiredWeights.MIN_WAIT_AFTER_MAJORITY_MILLIS))
                 .isEqualTo(2);
     }
 
@@ -77,9 +78,9 @@
         hear("three", vote(2), NOW);
 
         retired.evictableBefore(2, NOW);
-        assertThat(retired.evictableBefore(2, NOW + RetiredWeights.WAIT_AFTER_MAJORITY_MILLIS - 1))
+        assertThat(retired.evictableBefore(2, NOW + RetiredWeights.MIN_WAIT_AFTER_MAJORITY_MILLIS - 1))
                 .isZero();
-        assertThat(retired.evictableBefore(2, NOW + RetiredWeights.WAIT_AFTER_MAJORITY_MILLIS))
+        assertThat(retired.evictableBefore(2, NOW + RetiredWeights.MIN_WAIT_AFTER_MAJORITY_MILLIS))
                 .isEqualTo(2);
     }
 
@@ -115,10 +116,10 @@
     @Test
     void aRelayThatHearsNobodyStopsFetching() {
         hear("two", vote(1), NOW);
-        assertThat(retired.mayFetch(1, 1, NOW + RetiredWeights.REPORT_VALID_MILLIS))
+        assertThat(retired.mayFetch(1, 1, NOW + RetiredWeights.MIN_REPORT_VALID_MILLIS))
                 .isTrue();
 
-        assertThat(retired.mayFetch(1, 1, NOW + RetiredWeights.REPORT_VALID_MILLIS + 1))
+        assertThat(retired.mayFetch(1, 1, NOW + RetiredWeights.MIN_REPORT_VALID_MILLIS + 1))
                 .isFalse();
     }
 
@@ -168,7 +169,7 @@
     @Test
     void aRelayThatHasNotReadTheLogFetchesNothing() {
         RetiredWeights started = new RetiredWeights("one");
-        started.updateRelays(THREE);
+        started.updateRelays(THREE, INTERVAL);
         started.onPeerReport("two", vote(1), true, NOW);
 
         assertThat(started.mayFetch(1, 1, NOW)).isFalse();
@@ -188,6 +189,21 @@
         assertThat(retired.mayFetch(1, 2, NOW)).isFalse();
     }
 
+    /** Guards against a short wait in a large fleet, where peers believe each report until the next one is due. */
+    @Test
+    void partsWaitAsLongAsReportsAreBelieved() {
+        retired.updateRelays(THREE, 6_000);
+        retired.updateOldestServed(2);
+        hear("two", vote(2), NOW);
+        hear("three", vote(1), NOW);
+        retired.evictableBefore(2, NOW);
+        long later = 6_000 + RetiredWeights.REPORT_DELAY_MILLIS - RetiredWeights.MIN_REPORT_VALID_MILLIS;
+        long wait = RetiredWeights.MIN_WAIT_AFTER_MAJORITY_MILLIS + later;
+
+        assertThat(retired.evictableBefore(2, NOW + wait - 1)).isEqualTo(1);
+        assertThat(retired.evictableBefore(2, NOW + wait)).isEqualTo(2);
+    }
+
     /** Guards against a relay that takes itself for the only one since it lost the log before others registered. */
     @Test
     void aRelayThatKnowsOfNoOtherNeedsTheLog() {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
@@ -146,6 +146,11 @@
             return rollouts.loadingTargets();
         }
 
+        @Override
+        public void updateVotes(long nowMillis) {
+            storeWatches.updateVotes(nowMillis);
+        }
+
         @Override
         public boolean acceptsConnections() {
             return state.isReady();
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/peers/PeerExchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/peers/PeerExchange.java
@@ -111,6 +111,9 @@
         /** Returns the engines that this relay has ordered to load weights and that don't serve them yet. */
         List<String> loadingTargets();
 
+        /** Updates which weights this relay votes to retire, by the targets that it knows. */
+        void updateVotes(long nowMillis);
+
         /** Returns whether this relay accepts new connections. */
         boolean acceptsConnections();
 
@@ -255,6 +258,7 @@
         updateTargetSharing(now);
         List<ReportSchedule.Due> due = schedule.nextRound(now);
         if (!due.isEmpty()) {
+            localState.updateVotes(now);
             LoadReport load = fullReport(now);
             for (ReportSchedule.Due group : due) {
                 List<StoreLateness> late = components.fetchLateness().sumOfLast(group.intervalRounds());
@@ -287,7 +291,7 @@
         registered.add(state.settings().instance());
         components.streamOrigins().updateRelays(live, registered);
         if (relaysListed) {
-            state.retiredWeights().updateRelays(registered);
+            state.retiredWeights().updateRelays(registered, schedule.longestIntervalMillis());
         }
     }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/OutdatedPartEvictor.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/OutdatedPartEvictor.java
@@ -33,12 +33,17 @@
         retired = state.retiredWeights();
     }
 
-    /** Evicts a batch of outdated parts from each store, if a scan is due. */
-    void free(long now) {
+    /** Updates which weights this relay votes to retire, by the targets that it knows. */
+    void updateVotes(long now) {
         long oldestServed = oldestServed(now);
         logIfChanged(oldestServed, now);
         retired.updateOldestServed(oldestServed);
         logIfRetired();
+    }
+
+    /** Evicts a batch of outdated parts from each store, if a scan is due. */
+    void free(long now) {
+        updateVotes(now);
         long before = retired.evictableBefore(newestNamed(), now);
         boolean due = before != lastEvictableBefore || now - lastScanAt >= RESCAN_MILLIS;
         if (before > 0 && due) {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/StoreWatches.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/StoreWatches.java
@@ -61,6 +61,11 @@
         }
     }
 
+    /** Updates which weights this relay votes to retire, by the targets that it knows. */
+    public void updateVotes(long nowMillis) {
+        partEvictor.updateVotes(nowMillis);
+    }
+
     /** Evicts a batch of outdated parts from each store, if a scan is due; called periodically. */
     public void evictOutdatedParts(long nowMillis) {
         partEvictor.free(nowMillis);
