Bound calls of entries, companions and the command in time and bytes, and close their sockets at once

What was seen: a fetch of an answer that goes on slowly in its body never ended (the time between two parts was bounded, not their sum), and after a fetch had failed its connection was read on for good: chunk sizes, extensions and trailers without end kept an I/O thread busy (116 MB in 10 s, then the test stopped). An interim answer was taken for the answer.

Cause, by the stack of the thread: the client's close ends its writing side and reads until the other side closes (ConnectionUtils of the HTTP library). What its decoder skips reaches no reader that could count it.

Change: a whole answer has a time (connection, head, and five times the time between two parts) and a number of raw bytes (twice its limit and 64 KB, by the connection's own counter, looked at each 100 ms); a socket is closed itself; an interim answer other than 100 ends the call as failed, since the client can't go on to the next.

--- a/rattanrudder-wire/src/main/java/org/rattanrudder/wire/http/ConnectionPool.java
+++ b/rattanrudder-wire/src/main/java/org/rattanrudder/wire/http/ConnectionPool.java
@@ -8,7 +8,6 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.rattanrudder.core.model.Address;
-import org.xnio.IoUtils;
 
 /** Keeps idle connections for a short while, a few for each address. */
 final class ConnectionPool {
@@ -35,7 +34,7 @@
     void keep(Address address, PooledConnection pooled) {
         pooled.whenClosed(() -> remove(address, pooled));
         if (!pooled.isOpen() || !add(address, pooled)) {
-            IoUtils.safeClose(pooled.connection());
+            pooled.close();
         }
     }
 
@@ -65,13 +64,13 @@
 
     private void expire(Address address, PooledConnection pooled) {
         if (remove(address, pooled)) {
-            IoUtils.safeClose(pooled.connection());
+            pooled.close();
         }
     }
 
     void close() {
         // Closing a connection calls back into this pool, so it is done on a copy, after the pool let go of them.
-        letGo().forEach(pooled -> IoUtils.safeClose(pooled.connection()));
+        letGo().forEach(PooledConnection::close);
     }
 
     private synchronized List<PooledConnection> letGo() {
--- a/rattanrudder-wire/src/main/java/org/rattanrudder/wire/http/HttpCall.java
+++ b/rattanrudder-wire/src/main/java/org/rattanrudder/wire/http/HttpCall.java
@@ -1,5 +1,6 @@
 package org.rattanrudder.wire.http;
 
+import io.undertow.UndertowOptions;
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
 import io.undertow.client.ClientExchange;
@@ -23,7 +24,6 @@
 import org.rattanrudder.core.gateway.ResponseEnd;
 import org.rattanrudder.core.model.Address;
 import org.xnio.IoFuture;
-import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
@@ -32,16 +32,25 @@
 
 /** One call under way. All of its state belongs to one I/O thread; the public methods may be called from any. */
 public final class HttpCall {
+    /** The connection counts what it receives. */
+    private static final OptionMap COUNTED = OptionMap.create(UndertowOptions.ENABLE_STATISTICS, true);
+
+    private static final int RAW_CHECK_MILLIS = 100;
+
     private final Address address;
     private final HttpRequest request;
     private final HttpAnswer answer;
     private final XnioIoThread thread;
     private final ByteBufferPool buffers;
     private final ConnectionPool pool;
+    private final FetchBounds bounds;
 
     private PooledConnection connection;
     private StreamSourceChannel source;
     private XnioExecutor.Key timer;
+    private XnioExecutor.Key wholeTimer;
+    private XnioExecutor.Key rawTimer;
+    private long readBefore;
     private long promised;
     private ResponseEnd end;
     private long received;
@@ -57,13 +66,15 @@
             HttpAnswer answer,
             XnioIoThread thread,
             ByteBufferPool buffers,
-            ConnectionPool pool) {
+            ConnectionPool pool,
+            FetchBounds bounds) {
         this.address = address;
         this.request = request;
         this.answer = answer;
         this.thread = thread;
         this.buffers = buffers;
         this.pool = pool;
+        this.bounds = bounds;
     }
 
     /** Reads on after a part that was answered with false; without effect otherwise. */
@@ -83,6 +94,7 @@
 
     void start(PooledConnection pooled) {
         answer.started(this);
+        thread.execute(this::expectWhole);
         if (pooled != null) {
             thread.execute(() -> send(pooled));
             return;
@@ -90,13 +102,31 @@
         thread.execute(this::connect);
     }
 
+    private void expectWhole() {
+        if (!ended && bounds.millis() > 0) {
+            wholeTimer = thread.executeAfter(
+                    () -> fail("no whole answer in " + bounds.millis() + " ms"),
+                    bounds.millis(),
+                    TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** What a decoder skips, such as a chunk's extensions, reaches no reader that could count it. */
+    private void checkRawBytes() {
+        long read = connection.connection().getStatistics().getRead() - readBefore;
+        if (read > bounds.rawBytes()) {
+            fail("over " + bounds.rawBytes() + " bytes received");
+        } else if (!ended) {
+            rawTimer = thread.executeAfter(this::checkRawBytes, RAW_CHECK_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
     private void connect() {
         if (ended) {
             return;
         }
         URI uri = URI.create("http://" + address);
-        IoFuture<ClientConnection> connecting =
-                UndertowClient.getInstance().connect(uri, thread, buffers, OptionMap.EMPTY);
+        IoFuture<ClientConnection> connecting = UndertowClient.getInstance().connect(uri, thread, buffers, COUNTED);
         expect(request.timeouts().connectMillis(), () -> {
             connecting.cancel();
             fail("no connection in " + request.timeouts().connectMillis() + " ms");
@@ -119,12 +149,16 @@
 
     private void send(PooledConnection opened) {
         if (ended) {
-            IoUtils.safeClose(opened.connection());
+            opened.close();
             return;
         }
         connection = opened;
         // From here on a byte of the request may be on its way, whatever happens: a failure is never "nothing sent".
         requestHandedOver = true;
+        if (bounds.rawBytes() > 0) {
+            readBefore = opened.connection().getStatistics().getRead();
+            checkRawBytes();
+        }
         expect(
                 request.timeouts().headMillis(),
                 () -> fail("no answer in " + request.timeouts().headMillis() + " ms"));
@@ -200,19 +234,24 @@
         if (ended) {
             return;
         }
+        int status = exchange.getResponse().getResponseCode();
+        if (status < StatusCodes.OK) {
+            fail("the interim answer " + status + " in place of one");
+            return;
+        }
         List<Header> headers = new ArrayList<>();
         for (HeaderValues values : exchange.getResponse().getResponseHeaders()) {
             values.forEach(
                     value -> headers.add(new Header(values.getHeaderName().toString(), value)));
         }
         String length = exchange.getResponse().getResponseHeaders().getFirst(Headers.CONTENT_LENGTH);
-        boolean bodiless = hasNoBody(exchange.getResponse().getResponseCode());
+        boolean bodiless = hasNoBody(status);
         promised = length == null || bodiless ? 0 : Long.parseLong(length);
         boolean declared = bodiless
                 || length != null
                 || exchange.getResponse().getResponseHeaders().contains(Headers.TRANSFER_ENCODING);
         end = declared ? new ResponseEnd.Declared() : new ResponseEnd.ConnectionClosed();
-        answer.head(exchange.getResponse().getResponseCode(), headers);
+        answer.head(status, headers);
         source = exchange.getResponseChannel();
         source.getReadSetter().set(ready -> read());
         read();
@@ -273,7 +312,7 @@
             return;
         }
         ended = true;
-        stopTimer();
+        stopTimers();
         if (request.reuse()) {
             pool.keep(address, connection);
         } else {
@@ -292,13 +331,13 @@
 
     private void close() {
         ended = true;
-        stopTimer();
+        stopTimers();
         closeConnection();
     }
 
     private void closeConnection() {
         if (connection != null) {
-            IoUtils.safeClose(connection.connection());
+            connection.close();
         }
     }
 
@@ -309,13 +348,23 @@
         }
     }
 
-    private void stopTimer() {
-        if (timer != null) {
-            timer.remove();
-            timer = null;
+    private void stopTimers() {
+        stopTimer();
+        stop(wholeTimer);
+        stop(rawTimer);
+    }
+
+    private static void stop(XnioExecutor.Key pending) {
+        if (pending != null) {
+            pending.remove();
         }
     }
 
+    private void stopTimer() {
+        stop(timer);
+        timer = null;
+    }
+
     private ClientCallback<ClientExchange> callback(Consumer<ClientExchange> completed) {
         return new ClientCallback<>() {
             @Override
--- a/rattanrudder-wire/src/main/java/org/rattanrudder/wire/http/HttpCaller.java
+++ b/rattanrudder-wire/src/main/java/org/rattanrudder/wire/http/HttpCaller.java
@@ -55,10 +55,14 @@
 
     /** Makes a call whose answer is streamed. */
     public HttpCall call(Address address, HttpRequest request, HttpAnswer answer) {
+        return call(address, request, answer, FetchBounds.NONE);
+    }
+
+    private HttpCall call(Address address, HttpRequest request, HttpAnswer answer, FetchBounds bounds) {
         PooledConnection pooled = request.reuse() ? pool.take(address) : null;
         XnioIoThread thread =
                 pooled == null ? worker.getIoThread() : pooled.connection().getIoThread();
-        HttpCall call = new HttpCall(address, request, answer, thread, buffers, pool);
+        HttpCall call = new HttpCall(address, request, answer, thread, buffers, pool, bounds);
         call.start(pooled);
         return call;
     }
@@ -71,7 +75,7 @@
     /** Makes a call whose answer is wanted whole, up to so many bytes. Never ends exceptionally. */
     public CompletableFuture<HttpResult> fetch(Address address, HttpRequest request, int limitBytes) {
         WholeAnswer whole = new WholeAnswer(limitBytes);
-        call(address, request, whole);
+        call(address, request, whole, FetchBounds.of(request, limitBytes));
         return whole.result();
     }
 
--- a/rattanrudder-wire/src/main/java/org/rattanrudder/wire/http/PooledConnection.java
+++ b/rattanrudder-wire/src/main/java/org/rattanrudder/wire/http/PooledConnection.java
@@ -1,6 +1,8 @@
 package org.rattanrudder.wire.http;
 
 import io.undertow.client.ClientConnection;
+import java.io.IOException;
+import org.xnio.IoUtils;
 import org.xnio.XnioExecutor;
 
 /** A connection with its one close listener, so that calls that share it one after another don't pile listeners up. */
@@ -38,4 +40,13 @@
             expiry = null;
         }
     }
+
+    /** Closes the socket itself: the client's own close reads on until the other side closes, which it may never do. */
+    void close() {
+        try {
+            IoUtils.safeClose(connection.performUpgrade());
+        } catch (IOException alreadyClosed) {
+            IoUtils.safeClose(connection);
+        }
+    }
 }
