Take a peer's word on a target's weights only for the process that it saw

What would be seen: a target that has loaded new weights and restarts under its ID with the old ones within 2.5 s is taken, by a relay that reads its registration before a peer's last report of the new weights, for one that serves these: for good, so that its requests name weights which it turns away, and the holder of the lease orders no load there.

Cause: a report of served weights named the target and not its start. Change: it names both, as the one of targets that leave does, and what is said of another start is dropped; relays of an older release name none, which counts only for targets that tell no start. RestartedTargetTest.weightsThatAPeerSawBeforeTheRestartAreIgnored failed before (2 for 1).

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Fleet.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Fleet.java
@@ -262,10 +262,7 @@
         report.loading()
                 .forEach(id -> find(id).ifPresent(
                                 target -> target.markLoadingWeights(nowMillis + LOADING_REPORT_VALID_MILLIS)));
-        for (ServedWeights served : report.served()) {
-            find(served.target())
-                    .ifPresent(target -> target.confirmWeights(served.model(), served.version(), nowMillis));
-        }
+        report.served().forEach(served -> onServedReported(served, nowMillis));
         report.leaving().forEach(this::onLeavingReported);
         report.removed().forEach(removed -> onRemovalReported(removed, nowMillis));
         for (SeenRateLimit seen : report.rateLimits()) {
@@ -273,6 +270,13 @@
         }
     }
 
+    /** An incarnation that has restarted serves the weights that it started with, whatever the earlier one served. */
+    private void onServedReported(ServedWeights served, long nowMillis) {
+        find(served.target())
+                .filter(target -> target.registration().startedAt() == served.startedAt())
+                .ifPresent(target -> target.confirmWeights(served.model(), served.version(), nowMillis));
+    }
+
     /** Returns whether any live peer accepts new connections. */
     public boolean anyPeerReady(long nowMillis) {
         return peers.anyReady(nowMillis);
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/LoadReport.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/LoadReport.java
@@ -111,13 +111,14 @@
     public record ReadOffsets(long desiredConfiguration, long targetsChanged, long quarantine) {}
 
     /**
-     * The weights that a target serves.
+     * The weights that an incarnation of a target serves.
      *
      * @param target the target's id
+     * @param startedAt when it started, see {@link TargetRegistration#startedAt}
      * @param model the model
      * @param version the version of the weights
      */
-    public record ServedWeights(String target, String model, long version) {}
+    public record ServedWeights(String target, long startedAt, String model, long version) {}
 
     /**
      * A desired version of weights.
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Target.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Target.java
@@ -288,7 +288,7 @@
             return List.of();
         }
         return confirmedWeights.entrySet().stream()
-                .map(served -> new ServedWeights(id(), served.getKey(), served.getValue()))
+                .map(served -> new ServedWeights(id(), registration.startedAt(), served.getKey(), served.getValue()))
                 .toList();
     }
 
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/RestartedTargetTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/RestartedTargetTest.java
@@ -17,6 +17,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.rattanrudder.core.continuation.StreamOrigin;
+import org.rattanrudder.core.fleet.LoadReport.ServedWeights;
 import org.rattanrudder.core.model.Address;
 
 /** Targets that restart under the same id. */
@@ -83,6 +84,24 @@
         assertThat(after.inFlight()).isZero();
     }
 
+    /** Guards against new weights that a peer has seen before a restart, taken for those of the process after it. */
+    @Test
+    void weightsThatAPeerSawBeforeTheRestartAreIgnored() {
+        fleet.onLogAvailable(0);
+        fleet.apply(ID, Optional.of(registration(5_000, false)), 4, NOW);
+        fleet.find(ID).orElseThrow().confirmWeights("m", 2, NOW);
+        List<ServedWeights> seenBefore = fleet.find(ID).orElseThrow().weightsConfirmedSince(NOW);
+        fleet.apply(ID, Optional.of(registration(7_000, false)), 5, NOW);
+
+        fleet.applyLoadReport(TestReports.ofServed(seenBefore), NOW);
+        assertThat(fleet.find(ID).orElseThrow().weights("m")).isEqualTo(1);
+
+        fleet.find(ID).orElseThrow().confirmWeights("m", 3, NOW);
+        List<ServedWeights> seenAfter = fleet.find(ID).orElseThrow().weightsConfirmedSince(NOW);
+        fleet.applyLoadReport(TestReports.ofServed(seenAfter), NOW);
+        assertThat(fleet.find(ID).orElseThrow().weights("m")).isEqualTo(3);
+    }
+
     /** Guards against streams of a process that started again under its ID, taken for those of the one registered. */
     @ParameterizedTest
     @CsvSource({"5000, 2499, false", "5000, 2500, true", "0, 0, true"})
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/TestReports.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/TestReports.java
@@ -4,6 +4,7 @@
 import org.rattanrudder.core.fleet.LoadReport.LeavingTarget;
 import org.rattanrudder.core.fleet.LoadReport.ReadOffsets;
 import org.rattanrudder.core.fleet.LoadReport.RemovedTarget;
+import org.rattanrudder.core.fleet.LoadReport.ServedWeights;
 import org.rattanrudder.core.fleet.LoadReport.TargetLoad;
 import org.rattanrudder.core.parts.RetirementReport;
 
@@ -15,22 +16,31 @@
 
     /** Returns a full report of requests only. */
     static LoadReport ofLoads(long sequence, List<TargetLoad> loads) {
-        return of(sequence, loads, List.of(), List.of());
+        return of(sequence, loads, List.of(), List.of(), List.of());
+    }
+
+    /** Returns a full report of weights that targets were seen to serve. */
+    static LoadReport ofServed(List<ServedWeights> served) {
+        return of(1, List.of(), served, List.of(), List.of());
     }
 
     static LoadReport of(List<LeavingTarget> leaving, List<RemovedTarget> removed) {
-        return of(1, List.of(), leaving, removed);
+        return of(1, List.of(), List.of(), leaving, removed);
     }
 
     private static LoadReport of(
-            long sequence, List<TargetLoad> loads, List<LeavingTarget> leaving, List<RemovedTarget> removed) {
+            long sequence,
+            List<TargetLoad> loads,
+            List<ServedWeights> served,
+            List<LeavingTarget> leaving,
+            List<RemovedTarget> removed) {
         return new LoadReport(
                 "relay-2",
                 sequence,
                 true,
                 loads,
                 List.of(),
-                List.of(),
+                served,
                 List.of(),
                 List.of(),
                 true,
--- a/rattanrudder-wire/src/main/java/org/rattanrudder/wire/peer/PeerCodec.java
+++ b/rattanrudder-wire/src/main/java/org/rattanrudder/wire/peer/PeerCodec.java
@@ -103,6 +103,7 @@
         for (ServedWeights served : load.served()) {
             message.addServed(ServedWeightsMessage.newBuilder()
                     .setTarget(served.target())
+                    .setStartedAt(served.startedAt())
                     .setModel(served.model())
                     .setVersion(served.version()));
         }
@@ -227,7 +228,11 @@
                         each.getModel(), each.getVersion(), within(each.getAgeMillis(), Long.MAX_VALUE)))
                 .toList();
         List<ServedWeights> served = message.getServedList().stream()
-                .map(each -> new ServedWeights(each.getTarget(), each.getModel(), each.getVersion()))
+                .map(each -> new ServedWeights(
+                        each.getTarget(),
+                        within(each.getStartedAt(), Long.MAX_VALUE),
+                        each.getModel(),
+                        each.getVersion()))
                 .toList();
         ReadOffsets readTo = new ReadOffsets(
                 message.getWishesReadTo(), message.getTargetsChangedTo(), message.getQuarantineReadTo());
--- a/rattanrudder-wire/src/test/java/org/rattanrudder/wire/peer/PeerCodecTest.java
+++ b/rattanrudder-wire/src/test/java/org/rattanrudder/wire/peer/PeerCodecTest.java
@@ -53,7 +53,7 @@
                 sequence % 3 == 0,
                 List.of(new TargetLoad("i-1", requests, tokens, tokens / 2), new TargetLoad("i-2", 1, 2, 3)),
                 List.of(new KnownWeights("m", 7, tokens)),
-                List.of(new ServedWeights("i-1", "m", 7)),
+                List.of(new ServedWeights("i-1", tokens, "m", 7)),
                 List.of("i-2"),
                 List.of("i-3", "i-4"),
                 sequence % 2 == 0,
