Bound what a relay reads of requests for its readiness and metrics

What was seen: a client of these pages that writes without end (blank lines slowly, header lines that are too many, chunks, a chunk's extension) was read for good, 6 of 12 cases of EndlessRequestTest over 15 s; all hold now.

Cause: the decoder drops what comes behind a malformed head, and nothing looked at how long a request takes. Change: 16 KB of raw bytes and 2 s for a request, and a malformed one closes its connection.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/StatusServer.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/StatusServer.java
@@ -14,12 +14,18 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import org.rattanrudder.daemon.relay.net.RawByteCounter;
 
 /** Serves an HTTP page about the process itself, at any path: its readiness or its metrics. */
 public final class StatusServer extends ChannelInitializer<Channel> {
     private static final int MAX_REQUEST_BYTES = 16 * 1024;
 
+    /** How long a request may take to arrive: clients are near, and send a few lines. */
+    private static final long REQUEST_MILLIS = 2_000;
+
     private final Supplier<Page> page;
 
     /**
@@ -50,14 +56,53 @@
 
     @Override
     protected void initChannel(Channel channel) {
+        PageHandler pages = new PageHandler(channel);
         channel.pipeline()
-                .addLast(new HttpServerCodec(), new HttpObjectAggregator(MAX_REQUEST_BYTES), new PageHandler());
+                .addLast(
+                        new RawByteCounter(pages::onBytesRead),
+                        new HttpServerCodec(),
+                        new HttpObjectAggregator(MAX_REQUEST_BYTES),
+                        pages);
     }
 
     /** Handles the requests of a connection. */
     private final class PageHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
+        private final Channel channel;
+        private int partialBytes;
+        private Future<?> partialEnd;
+
+        PageHandler(Channel channel) {
+            this.channel = channel;
+        }
+
+        /** Records raw bytes before they are decoded; returns whether to decode them. */
+        boolean onBytesRead(int count) {
+            partialBytes += count;
+            if (partialBytes > MAX_REQUEST_BYTES) {
+                channel.close();
+                return false;
+            }
+            if (partialEnd == null) {
+                partialEnd = channel.eventLoop().schedule(() -> channel.close(), REQUEST_MILLIS, TimeUnit.MILLISECONDS);
+            }
+            return true;
+        }
+
+        private void onRequestEnded() {
+            partialBytes = 0;
+            if (partialEnd != null) {
+                partialEnd.cancel(false);
+                partialEnd = null;
+            }
+        }
+
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+            onRequestEnded();
+            if (request.decoderResult().isFailure()) {
+                context.close();
+                return;
+            }
             Page current = page.get();
             DefaultFullHttpResponse response = new DefaultFullHttpResponse(
                     HttpVersion.HTTP_1_1, current.status(), Unpooled.wrappedBuffer(current.body()));
@@ -70,6 +115,11 @@
             }
         }
 
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            onRequestEnded();
+        }
+
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
             // The client has disconnected or doesn't speak HTTP, so no answer is expected.
