Bound how long a relay reads a caller's body

What was seen: a caller whose body, or a chunk's extension in it, goes on without end in a request that is refused anyway was read for good (3 of 12 cases of EndlessRequestTest, over 15 s); one that is accepted is bounded in size, not in time.

Cause: a body was given up only if nothing arrived for the idle timeout. Change: a body that is dropped may take as long as a head may, another one until its caller's deadline or the idle timeout, whichever is longer.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/CallerConnection.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/CallerConnection.java
@@ -385,6 +385,15 @@
         context.executor().schedule(() -> context.close(), millis, TimeUnit.MILLISECONDS);
     }
 
+    /** Returns how long a body may take to arrive, in ms: while it is of use; less if it is dropped. */
+    private long maxBodyMillis() {
+        return problem != null || rejection.isPresent()
+                ? state.limits().headerTimeoutMillis()
+                : Math.max(
+                        state.limits().idleTimeoutMillis(),
+                        metadata.deadlineMillis().orElse(0));
+    }
+
     /** Closes the connection if the caller is too slow or idle; called periodically. */
     void sweep(long nowMillis, boolean closeIdle) {
         if (exchange != null || closing) {
@@ -393,10 +402,11 @@
         if (head != null || partialHeadSince >= 0) {
             boolean slowHead = head == null
                     && nowMillis - partialHeadSince > state.limits().headerTimeoutMillis();
-            boolean slowBody =
+            boolean idleBody =
                     head != null && nowMillis - lastReadAt > state.limits().idleTimeoutMillis();
-            if (slowHead || slowBody) {
-                refuseUnread(ErrorKind.REQUEST_TIMEOUT);
+            boolean slowBody = head != null && nowMillis - arrivedAt > maxBodyMillis();
+            if (slowHead || idleBody || slowBody) {
+                refuseUnread(problem == null ? ErrorKind.REQUEST_TIMEOUT : problem);
             }
             return;
         }
