Call the clock of retired weights by what it does

It waits for what three decisions found, not for engines alone: PartRetirement.updateOldestServed is update now, and its pages speak of weights in use.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/parts/PartRetirement.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/parts/PartRetirement.java
@@ -3,12 +3,12 @@
 import java.util.TreeMap;
 
 /**
- * Decides when the parts of older weights may be evicted.
+ * Waits until the parts of older weights may be evicted, from when they were found out of use.
  *
  * <p>Stores fill up, and parts computed under new weights find no room until those of the old weights are evicted. A
- * part must not be evicted while an engine fetches it. An engine rejects requests for weights that it no longer serves,
- * and its pending fetches end within a known time; so once all engines have served a version or a newer one for that
- * time, no engine reads older parts.
+ * part must not be evicted while an engine fetches it, and pending fetches end within a known time; so once all weights
+ * in use were of a version or a newer one for that time, no engine reads older parts. {@link RetiredWeights} decides
+ * which weights are in use.
  *
  * <p>Times are milliseconds of a monotonic clock.
  */
@@ -16,7 +16,7 @@
     /** How long fetches may continue after no engine serves their weights, including timer delays. */
     static final long WAIT_MILLIS = PartDirectory.FETCH_AFTER_SENT_MILLIS + 500;
 
-    /** Since when all engines have served a version or a newer one. */
+    /** Since when all weights in use were of a version or a newer one. */
     private final TreeMap<Long, Long> sinceByVersion = new TreeMap<>();
 
     private final long waitMillis;
@@ -29,18 +29,18 @@
     /**
      * Creates such a state with a wait of its own.
      *
-     * @param waitMillis how long fetches may continue after no engine serves their weights, in ms
+     * @param waitMillis how long fetches may continue after their weights were found out of use, in ms
      */
     PartRetirement(long waitMillis) {
         this.waitMillis = waitMillis;
     }
 
     /**
-     * Updates the oldest weights that any engine serves.
+     * Updates the oldest weights in use.
      *
      * @param version their version; 0 if unknown
      */
-    public void updateOldestServed(long version, long nowMillis) {
+    public void update(long version, long nowMillis) {
         // An engine that was unknown, or that restarted with older weights than the others, uses older parts again.
         sinceByVersion.tailMap(version, false).clear();
         if (version > 0) {
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/parts/RetiredWeights.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/parts/RetiredWeights.java
@@ -188,9 +188,9 @@
      * @param newestNamed the newest version that this relay has read of in the log; 0 if there is none
      */
     public long evictableBefore(long newestNamed, long nowMillis) {
-        afterNamed.updateOldestServed(newestNamed, nowMillis);
-        afterAll.updateOldestServed(unanimousVote(), nowMillis);
-        afterMajority.updateOldestServed(majorityVote(), nowMillis);
+        afterNamed.update(newestNamed, nowMillis);
+        afterAll.update(unanimousVote(), nowMillis);
+        afterMajority.update(majorityVote(), nowMillis);
         long agreed = Math.max(afterAll.evictableBefore(nowMillis), afterMajority.evictableBefore(nowMillis));
         return Math.min(agreed, afterNamed.evictableBefore(nowMillis));
     }
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/parts/PartRetirementTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/parts/PartRetirementTest.java
@@ -15,8 +15,8 @@
      */
     @Test
     void partsAreEvictableAfterLastPossibleFetch() {
-        retirement.updateOldestServed(1, 0);
-        retirement.updateOldestServed(2, 5_000);
+        retirement.update(1, 0);
+        retirement.update(2, 5_000);
 
         assertThat(retirement.evictableBefore(5_000 + WAIT - 1)).isEqualTo(1);
         assertThat(retirement.evictableBefore(5_000 + WAIT)).isEqualTo(2);
@@ -25,11 +25,11 @@
     /** An engine loses power while it fetches and restarts with the weights that it had. */
     @Test
     void engineRestartedWithOldWeightsKeepsTheirParts() {
-        retirement.updateOldestServed(2, 0);
-        retirement.updateOldestServed(1, 100);
+        retirement.update(2, 0);
+        retirement.update(1, 100);
         assertThat(retirement.evictableBefore(100 + WAIT)).isEqualTo(1);
 
-        retirement.updateOldestServed(2, 200);
+        retirement.update(2, 200);
         assertThat(retirement.evictableBefore(200 + WAIT - 1)).isEqualTo(1);
         assertThat(retirement.evictableBefore(200 + WAIT)).isEqualTo(2);
     }
@@ -40,10 +40,10 @@
      */
     @Test
     void versionsBecomeEvictableIndependently() {
-        retirement.updateOldestServed(1, 0);
-        retirement.updateOldestServed(2, 4_000);
-        retirement.updateOldestServed(2, 6_000);
-        retirement.updateOldestServed(3, 6_100);
+        retirement.update(1, 0);
+        retirement.update(2, 4_000);
+        retirement.update(2, 6_000);
+        retirement.update(3, 6_100);
 
         assertThat(retirement.evictableBefore(4_000 + WAIT)).isEqualTo(2);
         assertThat(retirement.evictableBefore(6_100 + WAIT)).isEqualTo(3);
@@ -51,11 +51,11 @@
 
     @Test
     void nothingIsEvictableWhileWeightsAreUnknown() {
-        retirement.updateOldestServed(0, 0);
+        retirement.update(0, 0);
         assertThat(retirement.evictableBefore(60_000)).isZero();
 
-        retirement.updateOldestServed(2, 60_000);
-        retirement.updateOldestServed(0, 60_001);
+        retirement.update(2, 60_000);
+        retirement.update(0, 60_001);
         assertThat(retirement.evictableBefore(120_000)).isZero();
     }
 }
