Log why broken connections to a target weren't taken for its crash

What a relay had found by dialling the target was in no log line, so the run doesn't tell a dial that was answered by a socket still open from one that wasn't answered in time, or from an attempt that wasn't taken for a broken connection at all.

target_survived now says how the last dial ended and how many there were.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/quarantine/CrashDetector.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/quarantine/CrashDetector.java
@@ -35,21 +35,35 @@
     private final LongSupplier unixMillis;
     private final Map<Target, Broken> brokenByTarget = new HashMap<>();
     private BiConsumer<Target, Consumer<DialResult>> probe = (target, then) -> {};
-    private BiConsumer<Target, Broken> listener = (target, broken) -> {};
+    private BiConsumer<Target, Broken> crashListener = (target, broken) -> {};
+    private BiConsumer<Target, Survival> survivalListener = (target, survival) -> {};
 
     /** The requests whose connections to a target broke, and when the first one did, as a Unix time. */
     record Broken(long atMillis, List<SuspectRequest> requests) {}
 
+    /** Why broken connections of so many requests weren't taken for a crash: how many dials, and how the last ended. */
+    record Survival(DialResult.Outcome lastDial, int dials, int requests) {}
+
     /** Creates a detector with a clock that gives Unix times in ms. */
     CrashDetector(EventLoop loop, LongSupplier unixMillis) {
         this.loop = loop;
         this.unixMillis = unixMillis;
     }
 
-    /** Sets the probe that dials a target, and the listener for crashes with the requests that were running there. */
-    void setHandlers(BiConsumer<Target, Consumer<DialResult>> newProbe, BiConsumer<Target, Broken> newListener) {
+    /**
+     * Sets the handlers.
+     *
+     * @param newProbe dials a target
+     * @param newCrashListener takes crashes, with the requests that were running there
+     * @param newSurvivalListener takes the targets whose connections broke without a crash
+     */
+    void setHandlers(
+            BiConsumer<Target, Consumer<DialResult>> newProbe,
+            BiConsumer<Target, Broken> newCrashListener,
+            BiConsumer<Target, Survival> newSurvivalListener) {
         probe = newProbe;
-        listener = newListener;
+        crashListener = newCrashListener;
+        survivalListener = newSurvivalListener;
     }
 
     /**
@@ -75,20 +89,26 @@
 
     private void onDialed(Target target, DialResult found, int dials) {
         switch (found.outcome()) {
-            case REFUSED -> schedule(() -> listener.accept(target, brokenByTarget.remove(target)), COLLECT_MILLIS);
+            case REFUSED -> schedule(() -> crashListener.accept(target, brokenByTarget.remove(target)), COLLECT_MILLIS);
             case OPENED, BROKEN -> schedule(() -> recheck(target, found, dials), MIN_OPEN_MILLIS);
-            default -> brokenByTarget.remove(target);
+            default -> endAsSurvived(target, found, dials);
         }
     }
 
     private void recheck(Target target, DialResult found, int dials) {
         if (found.isStillOpen() || dials >= MAX_DIALS) {
-            brokenByTarget.remove(target);
+            endAsSurvived(target, found, dials);
         } else {
             dial(target, dials + 1);
         }
     }
 
+    private void endAsSurvived(Target target, DialResult found, int dials) {
+        Broken broken = brokenByTarget.remove(target);
+        survivalListener.accept(
+                target, new Survival(found.outcome(), dials, broken.requests().size()));
+    }
+
     private void schedule(Runnable step, long millis) {
         loop.schedule(step, millis, TimeUnit.MILLISECONDS);
     }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/quarantine/QuarantineExchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/quarantine/QuarantineExchange.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -75,7 +76,7 @@
         this.state = state;
         quarantine = state.quarantine();
         crashDetector = new CrashDetector(state.loop(), System::currentTimeMillis);
-        crashDetector.setHandlers(probe, this::onCrash);
+        crashDetector.setHandlers(probe, this::onCrash, this::onSurvived);
         writeClient = new HttpCallClient(state.connector(), state::store);
         trialClient = new HttpCallClient(state.connector(), state::store);
         follower = new TopicFollower(
@@ -215,6 +216,20 @@
         write();
     }
 
+    private void onSurvived(Target target, CrashDetector.Survival survival) {
+        state.log()
+                .info(
+                        "target_survived",
+                        "target",
+                        target.id(),
+                        "requests",
+                        Integer.toString(survival.requests()),
+                        "last_dial",
+                        survival.lastDial().name().toLowerCase(Locale.ROOT),
+                        "dials",
+                        Integer.toString(survival.dials()));
+    }
+
     private void logCrash(Target target, TargetCrash crash) {
         state.log()
                 .warn(
