--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/peers/PeerExchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/peers/PeerExchange.java
@@ -20,11 +20,7 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.rattanrudder.core.fleet.LoadReport;
-import org.rattanrudder.core.fleet.LoadReport.KnownWeights;
 import org.rattanrudder.core.fleet.LoadReport.ReadOffsets;
-import org.rattanrudder.core.fleet.LoadReport.SeenRateLimit;
-import org.rattanrudder.core.fleet.LoadReport.ServedWeights;
-import org.rattanrudder.core.fleet.LoadReport.TargetLoad;
 import org.rattanrudder.core.fleet.ReportSchedule;
 import org.rattanrudder.core.fleet.Target;
 import org.rattanrudder.core.model.Address;
@@ -56,12 +52,6 @@
     /** How often the relays that share permits are looked at anew; registrations change rarely. */
     private static final long PERMIT_SHARES_INTERVAL_MILLIS = 1_000;
 
-    /**
-     * How long a target's newly confirmed weights are reported: until its registration shows them, even if some
-     * messages are lost.
-     */
-    private static final long SERVED_WEIGHTS_MILLIS = 2_500;
-
     /**
      * Limit of a message. The load at some hundred targets fits in, and the buffer that each received
      * message takes stays small.
@@ -73,7 +63,7 @@
 
     private final RelayState state;
     private final StepTimer timer;
-    private final String relayId;
+    private final LoadReportFactory reports;
     private final Components components;
     private final LocalState localState;
     private final Listener listener;
@@ -83,8 +73,6 @@
     private final ReportSchedule schedule = new ReportSchedule();
     private final Map<String, InetSocketAddress> addresses = new HashMap<>();
     private final Map<InetSocketAddress, Set<String>> relaysByAddress = new HashMap<>();
-    private long sequence;
-
     /** Whether all relays that were registered at this relay's start are known. */
     private boolean relaysListed;
 
@@ -151,8 +139,8 @@
         this.state = state;
         this.components = components;
         timer = new StepTimer(state.loop());
-        this.relayId = relayId;
         this.localState = localState;
+        reports = new LoadReportFactory(state, relayId, localState);
         this.listener = listener;
         Address address = state.settings().peers();
         channel = RelayChannels.awaitBound(
@@ -210,7 +198,7 @@
                 relay.ifPresent(known -> addPeer(record.key(), known));
             }
             if (listedOnce) {
-                updateOriginHolders();
+                updateRelays();
             }
         }
 
@@ -225,7 +213,7 @@
             }
             listedOnce = true;
             relaysListed = true;
-            updateOriginHolders();
+            updateRelays();
         }
     }
 
@@ -259,7 +247,7 @@
         List<ReportSchedule.Due> due = schedule.nextRound(now);
         if (!due.isEmpty()) {
             localState.updateVotes(now);
-            LoadReport load = fullReport(now);
+            LoadReport load = reports.full(now);
             for (ReportSchedule.Due group : due) {
                 List<StoreLateness> late = components.fetchLateness().sumOfLast(group.intervalRounds());
                 send(PeerCodec.write(load.withInterval(group.intervalMillis(), late)), group.relays());
@@ -273,7 +261,7 @@
         Map<String, String> domains = new HashMap<>(schedule.liveRelayDomains(now));
         domains.put(state.settings().instance(), state.settings().failureDomain());
         state.fleet().updateRelays(state.settings().instance(), domains);
-        updateOriginHolders();
+        updateRelays();
         if (relaysListed && now - permitSharesUpdatedAt >= PERMIT_SHARES_INTERVAL_MILLIS) {
             permitSharesUpdatedAt = now;
             Map<String, String> registered = new HashMap<>(schedule.registeredRelayDomains(now));
@@ -282,7 +270,8 @@
         }
     }
 
-    private void updateOriginHolders() {
+    /** Tells the components that depend on the other relays which are live and which are registered. */
+    private void updateRelays() {
         long now = state.nowMillis();
         Set<String> live = new HashSet<>(schedule.liveRelayDomains(now).keySet());
         Set<String> registered =
@@ -295,38 +284,15 @@
         }
     }
 
-    private LoadReport fullReport(long now) {
-        return new LoadReport(
-                relayId,
-                sequence++,
-                true,
-                ownLoads(),
-                knownWeights(now),
-                servedWeights(now),
-                localState.loadingTargets(),
-                state.fleet().unreachableTargets(now),
-                localState.acceptsConnections(),
-                localState.readOffsets(),
-                List.of(),
-                rateLimits(now),
-                state.fleet().leavingTargets(now),
-                state.fleet().removedTargets(now),
-                state.retiredWeights().report(),
-                0);
-    }
-
     /**
      * Sends new placements at once to the relays that share the targets, which would otherwise place their own requests
      * there too.
      */
     private void sendPlacements(List<Target> sentTo) {
-        List<TargetLoad> changed = sentTo.stream().map(Target::ownLoad).toList();
         Set<String> sharers = sentTo.stream()
                 .flatMap(target -> target.sharingRelays().stream())
                 .collect(Collectors.toSet());
-        LoadReport load = LoadReport.ofTargets(
-                relayId, sequence++, false, changed, localState.acceptsConnections(), localState.readOffsets());
-        send(PeerCodec.write(load), live(sharers));
+        send(PeerCodec.write(reports.partial(sentTo)), live(sharers));
     }
 
     /** Sends a context store's update to all live peers. */
@@ -355,32 +321,6 @@
         channel.flush();
     }
 
-    private List<TargetLoad> ownLoads() {
-        return state.fleet().all(state.nowMillis()).stream()
-                .filter(target ->
-                        target.inFlight() > 0 && target.registration().weights().size() > 0)
-                .map(Target::ownLoad)
-                .toList();
-    }
-
-    private List<KnownWeights> knownWeights(long now) {
-        return state.weights().versionsWithKnownAge().stream()
-                .map(named -> new KnownWeights(named.model(), named.version(), now - named.sinceMillis()))
-                .toList();
-    }
-
-    private List<ServedWeights> servedWeights(long now) {
-        return state.fleet().all(now).stream()
-                .flatMap(target -> target.weightsConfirmedSince(now - SERVED_WEIGHTS_MILLIS).stream())
-                .toList();
-    }
-
-    private List<SeenRateLimit> rateLimits(long now) {
-        return state.fleet().all(now).stream()
-                .flatMap(target -> target.rateLimitToReport(now).stream())
-                .toList();
-    }
-
     /** Handles received datagrams. */
     private final class MessageHandler extends SimpleChannelInboundHandler<DatagramPacket> {
         private final DroppedMessageLog dropped = new DroppedMessageLog(state);
