Share the answers without end between the tests of both HTTP clients

The list of answers and the server that writes them stood twice, in the tests of the client of relays and of that of the other processes. They are in EndlessAnswers now, which the module of the second provides in a jar of its tests.

CallerConnection.abort had the Javadoc of closeGracefully; it has its own.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/CallerConnection.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/CallerConnection.java
@@ -326,11 +326,7 @@
         writer.end();
     }
 
-    /**
-     * Closes the connection once everything written was sent. The linger time starts then: started at the last write,
-     * it would cut off what a slow reader hasn't received yet. A caller that reads nothing any more is closed after the
-     * idle timeout.
-     */
+    /** Closes the connection at once, in the middle of a response. */
     void abort() {
         closing = true;
         writer.abort();
--- a/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/net/HttpCallClientTest.java
+++ b/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/net/HttpCallClientTest.java
@@ -11,21 +11,18 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
-import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.rattanrudder.core.model.Address;
 import org.rattanrudder.daemon.relay.port.PlatformCall;
+import org.rattanrudder.wire.http.EndlessAnswers;
 
 class HttpCallClientTest {
     private static final int TIMEOUT_MILLIS = 10_000;
@@ -89,54 +86,15 @@
         return result;
     }
 
-    /** Writes the same bytes until the other side closes the connection; returns how many it took or buffered. */
-    private long writeWithoutEnd(String begin, String repeated, long pauseMillis) throws Exception {
-        long written = 0;
-        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MILLIS);
-        try (Socket socket = listening.accept()) {
-            socket.getOutputStream().write(begin.getBytes(StandardCharsets.ISO_8859_1));
-            byte[] bytes = repeated.getBytes(StandardCharsets.ISO_8859_1);
-            while (System.nanoTime() < end) {
-                socket.getOutputStream().write(bytes);
-                written += bytes.length;
-                if (pauseMillis > 0) {
-                    new CountDownLatch(1).await(pauseMillis, TimeUnit.MILLISECONDS);
-                }
-            }
-        } catch (SocketException closed) {
-            return written;
-        }
-        throw new AssertionError("not closed after " + written + " bytes");
-    }
-
-    private static Stream<Arguments> endlessAnswers() {
-        String head = "HTTP/1.1 200 OK\r\n";
-        String chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
-        return Stream.of(
-                        new String[] {"no answer", "", "\u0001\u0002 no answer "},
-                        new String[] {"blank lines", "", "\r\n"},
-                        new String[] {"status line", "HTTP/1.1 200 OK", " and more"},
-                        new String[] {"header line", head + "X-Long: ", "and more "},
-                        new String[] {"headers", head, "X-More: 1\r\n"},
-                        new String[] {"interim answers", "", "HTTP/1.1 103 Early Hints\r\n\r\n"},
-                        new String[] {"chunk size", chunked, "0"},
-                        new String[] {"chunk extension", chunked + "1;", "name=value;"},
-                        new String[] {"trailers", chunked + "0\r\n", "X-More: 1\r\n"},
-                        new String[] {"chunks", chunked, "2\r\nok\r\n"},
-                        new String[] {"declared body", head + "Content-Length: 9000000000\r\n\r\n", "more of it "},
-                        new String[] {"body", head + "\r\n", "more of it "})
-                .flatMap(play -> Stream.of(0L, 10L).map(pause -> Arguments.of(play[0], play[1], play[2], pause)));
-    }
-
     /** Guards against answers without end that fill the memory, or are read for longer than the call may take. */
     @ParameterizedTest(name = "{0}, {3} ms apart")
-    @MethodSource("endlessAnswers")
+    @MethodSource("org.rattanrudder.wire.http.EndlessAnswers#all")
     void anAnswerWithoutEndFailsInTimeAndIsReadNoFurther(String name, String begin, String repeated, long pauseMillis)
             throws Exception {
         long began = System.nanoTime();
         CompletableFuture<CallResult> result = call(SHORT_TIMEOUT_MILLIS);
 
-        long written = writeWithoutEnd(begin, repeated, pauseMillis);
+        long written = EndlessAnswers.write(listening, begin, repeated, pauseMillis, TIMEOUT_MILLIS);
 
         assertThat(result.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)).isInstanceOf(CallResult.Unanswered.class);
         assertThat(System.nanoTime() - began)
@@ -150,7 +108,8 @@
     void bytesBehindAWholeAnswerEndTheConnection(long pauseMillis) throws Exception {
         CompletableFuture<CallResult> result = call(TIMEOUT_MILLIS);
 
-        long written = writeWithoutEnd("HTTP/1.1 200 OK\r\n" + framed("length"), "\r\n", pauseMillis);
+        long written = EndlessAnswers.write(
+                listening, "HTTP/1.1 200 OK\r\n" + framed("length"), "\r\n", pauseMillis, TIMEOUT_MILLIS);
 
         assertThat(result.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)).isInstanceOf(CallResult.Answered.class);
         assertThat(written).isLessThan(MOST_BYTES);
