--- a/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/platform/LogFollowerTest.java
+++ b/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/platform/LogFollowerTest.java
@@ -30,8 +30,9 @@
 class LogFollowerTest {
     private static final int SECONDS = 10;
 
-    /** Until a call without a result is given up; one with a result takes less, on a busy machine too. */
-    private static final long WAIT_MILLIS = 1_500;
+    /** How long a read may bring no result; one that brings a page takes less, on a busy machine too. */
+    private static final long MAX_READ_MILLIS = 1_500;
+
     private static final LogBatch BATCH = new LogBatch(7, 1, List.of());
 
     private final HttpCaller caller = HttpCaller.create(1);
@@ -154,7 +155,7 @@
                             LogStream.CONFIGURATION,
                             new RecordingListener(reads),
                             new RecordingAvailabilityListener(statusChanges),
-                            WAIT_MILLIS)
+                            MAX_READ_MILLIS)
                     .poll();
 
             assertThat(reads.poll(SECONDS, TimeUnit.SECONDS)).isEqualTo("failed");
