Believe reports for the same time in failure domains of any size

Votes on old weights count while a peer's report is believed, and parts are evicted once nobody believes an earlier one any more. For how long is worked out from the longest time between two reports; that was taken from how many peers are in this relay's failure domain and how many outside, so relays in domains of different size differed: by the constants, with 200 relays in domains of 100, 50 and 50, the first would wait 1 s less than the others believe. Both sides of the bound must be the same.

It is worked out from the number of all peers now. Up to 8 peers nothing changes, up to 40 it is 800 ms as before, beyond that up to twice as long. ReportScheduleTest.longestIntervalIsTheSame... failed before (900 for 800).

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/ReportSchedule.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/ReportSchedule.java
@@ -134,19 +134,17 @@
         return due.stream().filter(group -> !group.relays().isEmpty()).toList();
     }
 
-    /** Returns the longest time between two reports to one peer. */
+    /**
+     * Returns the longest time between two reports of any relay to one peer. It is the same for all relays that know
+     * each other, however many are in the failure domain of each.
+     */
     public long longestIntervalMillis() {
-        long far = peers.values().stream().filter(peer -> !peer.near).count();
-        long near = peers.size() - far;
         return peers.size() <= MAX_PEERS_EVERY_ROUND
                 ? ROUND_MILLIS
-                : Math.max(
-                                intervalRounds(MIN_NEAR_INTERVAL_MILLIS, INTERVAL_MILLIS_PER_RELAY, near),
-                                intervalRounds(MIN_FAR_INTERVAL_MILLIS, INTERVAL_MILLIS_PER_RELAY, far))
-                        * ROUND_MILLIS;
+                : intervalRounds(MIN_FAR_INTERVAL_MILLIS, INTERVAL_MILLIS_PER_RELAY, peers.size()) * ROUND_MILLIS;
     }
 
-    private static int intervalRounds(long minMillis, long millisPerRelay, long relays) {
+    private static int intervalRounds(long minMillis, long millisPerRelay, int relays) {
         long wanted = Math.max(minMillis, millisPerRelay * relays);
         return (int) ((wanted + ROUND_MILLIS - 1) / ROUND_MILLIS);
     }
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/ReportScheduleTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/ReportScheduleTest.java
@@ -69,6 +69,21 @@
         assertThat(messages / 60).isLessThanOrEqualTo(MAX_PER_SECOND);
     }
 
+    /** Guards against a relay that believes reports for longer than one in a domain of another size waits for it. */
+    @Property(tries = 60)
+    void longestIntervalIsTheSameForRelaysInDomainsOfAnySize(
+            @ForAll @IntRange(max = 120) int near, @ForAll @IntRange(max = 300) int far) {
+        ReportSchedule other = new ReportSchedule();
+        for (int number = 0; number < near + far; number++) {
+            other.addRelay("relay-" + number, "there", false, now);
+        }
+        schedule = new ReportSchedule();
+        register(near, far);
+
+        assertThat(schedule.longestIntervalMillis()).isEqualTo(other.longestIntervalMillis());
+        assertThat(round(near, far)).allMatch(due -> due.intervalMillis() <= schedule.longestIntervalMillis());
+    }
+
     @Test
     void peersInSameFailureDomainGetReportsMoreOften() {
         register(7, 26);
