Keep nothing of a request for the next one on its connection

A caller that had got a 404 and then sent the next head too slowly was answered 404 again, with the ID of the request before: what was known of a request was forgotten when the next head was whole, which this one never was.

All of it is forgotten when a request ends. SlowCallerTest failed before (404 for 408) and holds.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/CallerConnection.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/CallerConnection.java
@@ -136,11 +136,6 @@
         partialHeadSince = -1;
         head = request;
         arrivedAt = state.nowMillis();
-        problem = null;
-        access = null;
-        metadata = null;
-        plan = null;
-        rejection = Optional.empty();
         body = Unpooled.buffer(0);
         if (request.decoderResult().isFailure()) {
             refuseUnread(decodeError(request.decoderResult().cause()));
@@ -339,8 +334,7 @@
     }
 
     private void nextRequest() {
-        head = null;
-        body = null;
+        forgetRequest();
         lastReadAt = state.nowMillis();
         if (closing) {
             closeGracefully();
@@ -359,6 +353,17 @@
         }
     }
 
+    /** Nothing of a request may be taken for a part of the next one, not even if that is never read whole. */
+    private void forgetRequest() {
+        head = null;
+        body = null;
+        problem = null;
+        access = null;
+        metadata = null;
+        plan = null;
+        rejection = Optional.empty();
+    }
+
     /**
      * Closes the connection once everything written was sent. The linger time starts then: started at the last write,
      * it would cut off what a slow reader hasn't received yet. A caller that reads nothing any more is closed after the
