Tell a caller that was rejected by its head so, when its body comes too late

A request that an overloaded relay rejects by its head is answered when its body has arrived, so that the connection can be used on. If the body came too late, the caller got 408 in place of the 503 with the time to return, though the rejection was known for seconds.

EarlyRejectionTest. rejectedCallerWhoseBodyComesTooLate... failed before (408 for 503) and holds.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/CallerConnection.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/CallerConnection.java
@@ -151,10 +151,7 @@
         boolean bodyFollows = !HttpUtil.is100ContinueExpected(request);
         if (rejection.isPresent() && !bodyFollows) {
             // The caller may send the body or not; what follows can't be told from another request.
-            replyRejected();
-            releaseBody();
-            head = null;
-            closeGracefully();
+            rejectUnread();
         } else if (problem == null && !bodyFollows) {
             context.writeAndFlush(new DefaultFullHttpResponse(
                     HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
@@ -286,6 +283,14 @@
         closeGracefully();
     }
 
+    /** Replies to a request that was rejected by its head, before its body is read, and closes the connection. */
+    private void rejectUnread() {
+        replyRejected();
+        releaseBody();
+        head = null;
+        closeGracefully();
+    }
+
     /** Writes a local error reply. */
     void refuse(ErrorKind error, String requestId, long remainingMillis) {
         closing |= !writer.error(head, error, requestId, remainingMillis);
@@ -406,7 +411,9 @@
             boolean idleBody =
                     head != null && nowMillis - lastReadAt > state.limits().idleTimeoutMillis();
             boolean slowBody = head != null && nowMillis - arrivedAt > maxBodyMillis();
-            if (slowHead || idleBody || slowBody) {
+            if (rejection.isPresent() && (idleBody || slowBody)) {
+                rejectUnread();
+            } else if (slowHead || idleBody || slowBody) {
                 refuseUnread(problem == null ? ErrorKind.REQUEST_TIMEOUT : problem);
             }
             return;
