Name what isn't known of a broken connection, what is evicted, and who reads the log, as they are

- target_survived claimed more than a dial shows where it was broken or not answered: crash_unconfirmed, UnconfirmedCrash.
- logRead was both a report's word on a relay's start and whether the log was read lately: the second is readsLog.
- What the evictor of old parts does was free in its methods and evict in all that is said of them: evict.
The log's parts_freed keeps its name.
- Three tests of RetiredWeights share their three assertions, all of which the third one now makes too.

No behaviour is changed but the name of one log line.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/parts/RetiredWeights.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/parts/RetiredWeights.java
@@ -163,16 +163,16 @@
         if (!started || version < retiredBefore) {
             return false;
         }
-        boolean logRead = nowMillis - logReadAt <= LOG_READ_VALID_MILLIS;
-        return logRead && version >= newestNamed || isHeldByMajority(version, logRead, nowMillis);
+        boolean readsLog = nowMillis - logReadAt <= LOG_READ_VALID_MILLIS;
+        return readsLog && version >= newestNamed || isHeldByMajority(version, readsLog, nowMillis);
     }
 
     /**
      * Returns whether a majority, this relay among it, hasn't voted to retire a version by its latest reports. A relay
      * that knows of no other one may have missed that others have registered, unless it still reads the log.
      */
-    private boolean isHeldByMajority(long version, boolean logRead, long nowMillis) {
-        if (!relays.contains(self) || relays.size() == 1 && !logRead) {
+    private boolean isHeldByMajority(long version, boolean readsLog, long nowMillis) {
+        if (!relays.contains(self) || relays.size() == 1 && !readsLog) {
             return false;
         }
         long otherHolders = otherVotes().stream()
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/parts/RetiredWeightsModel.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/parts/RetiredWeightsModel.java
@@ -47,7 +47,7 @@
         private boolean started;
         private long newestNamed;
         private long frozenUntil;
-        private long thawedAt = -END;
+        private long resumedAt = -END;
         private long seesLastTargetLeaveAt;
 
         private Member(String name) {
@@ -145,14 +145,14 @@
                 members.stream().filter(this::isTroubled).forEach(this::drawTrouble);
                 joinMaybe();
             }
-            // A frozen relay finds its messages when it thaws.
+            // A frozen relay finds its messages when it resumes.
             List<Message> unread = new ArrayList<>();
             while (!underWay.isEmpty() && underWay.peek().at <= now) {
                 Message message = underWay.poll();
                 if (message.to.isFrozen()) {
                     unread.add(message);
                 } else {
-                    boolean current = now - message.to.thawedAt > STEP;
+                    boolean current = now - message.to.resumedAt > STEP;
                     message.to.retired.onPeerReport(message.from, message.report, current, now);
                 }
             }
@@ -184,7 +184,7 @@
         }
         if (random.nextInt(8) == 0) {
             member.frozenUntil = now + random.nextInt(6_000);
-            member.thawedAt = member.frozenUntil;
+            member.resumedAt = member.frozenUntil;
         } else if (random.nextInt(6) == 0) {
             member.start();
         }
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/parts/RetiredWeightsTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/parts/RetiredWeightsTest.java
@@ -30,6 +30,12 @@
         retired.onPeerReport(relay, report, true, now);
     }
 
+    private void assertEvictableAfter(long waitMillis) {
+        assertThat(retired.evictableBefore(2, NOW)).isZero();
+        assertThat(retired.evictableBefore(2, NOW + waitMillis - 1)).isZero();
+        assertThat(retired.evictableBefore(2, NOW + waitMillis)).isEqualTo(2);
+    }
+
     /** Guards against parts that are evicted while a peer sends requests to a target that only it knows. */
     @Test
     void partsStayWhileNoMajorityHasVoted() {
@@ -47,11 +53,7 @@
         hear("two", vote(2), NOW);
         hear("three", vote(2), NOW);
 
-        assertThat(retired.evictableBefore(2, NOW)).isZero();
-        assertThat(retired.evictableBefore(2, NOW + RetiredWeights.WAIT_AFTER_ALL_MILLIS - 1))
-                .isZero();
-        assertThat(retired.evictableBefore(2, NOW + RetiredWeights.WAIT_AFTER_ALL_MILLIS))
-                .isEqualTo(2);
+        assertEvictableAfter(RetiredWeights.WAIT_AFTER_ALL_MILLIS);
     }
 
     /** Guards against stores that stay full of old parts while a peer is cut off or has ended. */
@@ -60,11 +62,7 @@
         retired.updateOldestServed(2);
         hear("two", vote(2), NOW);
 
-        assertThat(retired.evictableBefore(2, NOW)).isZero();
-        assertThat(retired.evictableBefore(2, NOW + RetiredWeights.MIN_WAIT_AFTER_MAJORITY_MILLIS - 1))
-                .isZero();
-        assertThat(retired.evictableBefore(2, NOW + RetiredWeights.MIN_WAIT_AFTER_MAJORITY_MILLIS))
-                .isEqualTo(2);
+        assertEvictableAfter(RetiredWeights.MIN_WAIT_AFTER_MAJORITY_MILLIS);
     }
 
     /** Guards against the short wait while a relay that this one hasn't read of goes by earlier reports of a peer. */
@@ -77,11 +75,7 @@
         hear("two", ofFour, NOW);
         hear("three", vote(2), NOW);
 
-        retired.evictableBefore(2, NOW);
-        assertThat(retired.evictableBefore(2, NOW + RetiredWeights.MIN_WAIT_AFTER_MAJORITY_MILLIS - 1))
-                .isZero();
-        assertThat(retired.evictableBefore(2, NOW + RetiredWeights.MIN_WAIT_AFTER_MAJORITY_MILLIS))
-                .isEqualTo(2);
+        assertEvictableAfter(RetiredWeights.MIN_WAIT_AFTER_MAJORITY_MILLIS);
     }
 
     /** Guards against eviction before a relay that goes by the log alone must have read of newer weights. */
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/quarantine/CrashDetector.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/quarantine/CrashDetector.java
@@ -36,13 +36,13 @@
     private final Map<Target, Broken> brokenByTarget = new HashMap<>();
     private BiConsumer<Target, Consumer<DialResult>> probe = (target, then) -> {};
     private BiConsumer<Target, Broken> crashListener = (target, broken) -> {};
-    private BiConsumer<Target, Survival> survivalListener = (target, survival) -> {};
+    private BiConsumer<Target, UnconfirmedCrash> unconfirmedListener = (target, unconfirmed) -> {};
 
     /** The requests whose connections to a target broke, and when the first one did, as a Unix time. */
     record Broken(long atMillis, List<SuspectRequest> requests) {}
 
     /** Why broken connections of so many requests weren't taken for a crash: how many dials, and how the last ended. */
-    record Survival(DialResult.Outcome lastDial, int dials, int requests) {}
+    record UnconfirmedCrash(DialResult.Outcome lastDial, int dials, int requests) {}
 
     /** Creates a detector with a clock that gives Unix times in ms. */
     CrashDetector(EventLoop loop, LongSupplier unixMillis) {
@@ -55,15 +55,15 @@
      *
      * @param newProbe dials a target
      * @param newCrashListener takes crashes, with the requests that were running there
-     * @param newSurvivalListener takes the targets whose connections broke without a crash
+     * @param newUnconfirmedListener takes the targets whose connections broke, and of which no dial has shown a crash
      */
     void setHandlers(
             BiConsumer<Target, Consumer<DialResult>> newProbe,
             BiConsumer<Target, Broken> newCrashListener,
-            BiConsumer<Target, Survival> newSurvivalListener) {
+            BiConsumer<Target, UnconfirmedCrash> newUnconfirmedListener) {
         probe = newProbe;
         crashListener = newCrashListener;
-        survivalListener = newSurvivalListener;
+        unconfirmedListener = newUnconfirmedListener;
     }
 
     /**
@@ -91,22 +91,23 @@
         switch (found.outcome()) {
             case REFUSED -> schedule(() -> crashListener.accept(target, brokenByTarget.remove(target)), COLLECT_MILLIS);
             case OPENED, BROKEN -> schedule(() -> recheck(target, found, dials), MIN_OPEN_MILLIS);
-            default -> endAsSurvived(target, found, dials);
+            default -> endUnconfirmed(target, found, dials);
         }
     }
 
     private void recheck(Target target, DialResult found, int dials) {
         if (found.isStillOpen() || dials >= MAX_DIALS) {
-            endAsSurvived(target, found, dials);
+            endUnconfirmed(target, found, dials);
         } else {
             dial(target, dials + 1);
         }
     }
 
-    private void endAsSurvived(Target target, DialResult found, int dials) {
+    private void endUnconfirmed(Target target, DialResult found, int dials) {
         Broken broken = brokenByTarget.remove(target);
-        survivalListener.accept(
-                target, new Survival(found.outcome(), dials, broken.requests().size()));
+        unconfirmedListener.accept(
+                target,
+                new UnconfirmedCrash(found.outcome(), dials, broken.requests().size()));
     }
 
     private void schedule(Runnable step, long millis) {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/quarantine/QuarantineExchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/quarantine/QuarantineExchange.java
@@ -76,7 +76,7 @@
         this.state = state;
         quarantine = state.quarantine();
         crashDetector = new CrashDetector(state.loop(), System::currentTimeMillis);
-        crashDetector.setHandlers(probe, this::onCrash, this::onSurvived);
+        crashDetector.setHandlers(probe, this::onCrash, this::logUnconfirmed);
         writeClient = new HttpCallClient(state.connector(), state::store);
         trialClient = new HttpCallClient(state.connector(), state::store);
         follower = new TopicFollower(
@@ -216,18 +216,18 @@
         write();
     }
 
-    private void onSurvived(Target target, CrashDetector.Survival survival) {
+    private void logUnconfirmed(Target target, CrashDetector.UnconfirmedCrash crash) {
         state.log()
                 .info(
-                        "target_survived",
+                        "crash_unconfirmed",
                         "target",
                         target.id(),
                         "requests",
-                        Integer.toString(survival.requests()),
+                        Integer.toString(crash.requests()),
                         "last_dial",
-                        survival.lastDial().name().toLowerCase(Locale.ROOT),
+                        crash.lastDial().name().toLowerCase(Locale.ROOT),
                         "dials",
-                        Integer.toString(survival.dials()));
+                        Integer.toString(crash.dials()));
     }
 
     private void logCrash(Target target, TargetCrash crash) {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/OutdatedPartEvictor.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/OutdatedPartEvictor.java
@@ -42,22 +42,22 @@
     }
 
     /** Evicts a batch of outdated parts from each store, if a scan is due. */
-    void free(long now) {
+    void evict(long now) {
         updateVotes(now);
         long before = retired.evictableBefore(newestNamed(), now);
         boolean due = before != lastEvictableBefore || now - lastScanAt >= RESCAN_MILLIS;
         if (before > 0 && due) {
             lastEvictableBefore = before;
             lastScanAt = now;
-            stores.forEach((address, watch) -> free(address, watch, before));
+            stores.forEach((address, watch) -> evict(address, watch, before));
         }
     }
 
-    private void free(Address address, StoreWatch watch, long before) {
+    private void evict(Address address, StoreWatch watch, long before) {
         List<PartKey> parts = state.directory().outdatedParts(address, before);
         if (!parts.isEmpty()) {
             List<PartKey> batch = parts.subList(0, Math.min(parts.size(), MAX_BATCH_PARTS));
-            watch.free(batch, before, state.directory().incarnation(address));
+            watch.evict(batch, before, state.directory().incarnation(address));
         }
     }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/StoreWatch.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/StoreWatch.java
@@ -171,7 +171,7 @@
      *
      * @param weightsBefore the version of weights before which parts are outdated
      */
-    void free(List<PartKey> parts, long weightsBefore, long inIncarnation) {
+    void evict(List<PartKey> parts, long weightsBefore, long inIncarnation) {
         if (state.nowMillis() < restUntil) {
             return;
         }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/StoreWatches.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/StoreWatches.java
@@ -68,6 +68,6 @@
 
     /** Evicts a batch of outdated parts from each store, if a scan is due; called periodically. */
     public void evictOutdatedParts(long nowMillis) {
-        partEvictor.free(nowMillis);
+        partEvictor.evict(nowMillis);
     }
 }
--- a/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/quarantine/CrashDetectorTest.java
+++ b/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/quarantine/CrashDetectorTest.java
@@ -29,7 +29,7 @@
     private final EmbeddedChannel channel = new EmbeddedChannel();
     private final Deque<DialResult> dials = new ArrayDeque<>();
     private final List<CrashDetector.Broken> crashes = new ArrayList<>();
-    private final List<CrashDetector.Survival> survivals = new ArrayList<>();
+    private final List<CrashDetector.UnconfirmedCrash> unconfirmed = new ArrayList<>();
     private final CrashDetector detector = new CrashDetector(channel.eventLoop(), () -> NOW);
 
     @BeforeEach
@@ -38,7 +38,7 @@
         detector.setHandlers(
                 (target, then) -> then.accept(dials.remove()),
                 (target, broken) -> crashes.add(broken),
-                (target, survival) -> survivals.add(survival));
+                (target, crash) -> unconfirmed.add(crash));
     }
 
     @Test
@@ -69,7 +69,7 @@
         dials.add(DialResult.of(new EmbeddedChannel().newSucceededFuture()));
 
         assertThat(crashesAfterBrokenConnection()).isEmpty();
-        assertThat(survivals).containsExactly(new CrashDetector.Survival(DialResult.Outcome.OPENED, 1, 1));
+        assertThat(unconfirmed).containsExactly(new CrashDetector.UnconfirmedCrash(DialResult.Outcome.OPENED, 1, 1));
     }
 
     @Test
@@ -80,8 +80,9 @@
 
         assertThat(crashesAfterBrokenConnection()).isEmpty();
         assertThat(dials).isEmpty();
-        assertThat(survivals)
-                .containsExactly(new CrashDetector.Survival(DialResult.Outcome.BROKEN, CrashDetector.MAX_DIALS, 1));
+        assertThat(unconfirmed)
+                .containsExactly(
+                        new CrashDetector.UnconfirmedCrash(DialResult.Outcome.BROKEN, CrashDetector.MAX_DIALS, 1));
     }
 
     private static CrashDetector.Broken crashOfRequest() {
