Hold no more bytes of requests than a share of the heap, and give large bodies their turns

Cause: each bound was one of a message, a connection or a time; nothing knew the sum. The evidence stands in the postmortem: what filled the heap were byte arrays of bodies that were being read.

ByteBudget (core.memory) knows for whom and for what bytes are held, half of the heap at the most, and is asked before more is read. Each use has a guaranteed part; one caller leaves room for another. UploadLine gives bodies over 64 KB their turn: room for all of it before any of it is read, so that no body that is being read waits for another; until then its connection isn't read. What can't have its turn in time is rejected at once as not run, with a time to come back, and the rest of its body is read and dropped, so that a reset doesn't overtake the answer. Bytes are given back when the last user of the buffer releases it. Pipelined requests and heads that haven't arrived in full are counted too. A declared body over the limit gets 413 before it is read.

Metrics and one log line tell the hypotheses apart: rattanrudder_relay_held_bytes, _buffer_bytes, _heap_bytes, _rejected_for_memory, rejected_for_memory.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
@@ -34,6 +34,7 @@
 import org.rattanrudder.daemon.relay.rollout.RolloutCoordinator;
 import org.rattanrudder.daemon.relay.serving.CallerServer;
 import org.rattanrudder.daemon.relay.serving.HoldingQueues;
+import org.rattanrudder.daemon.relay.serving.MemoryAdmission;
 import org.rattanrudder.daemon.relay.serving.ServingComponents;
 import org.rattanrudder.daemon.relay.store.StoreTopics;
 import org.rattanrudder.daemon.relay.store.StoreWatches;
@@ -57,6 +58,7 @@
 public final class RelayProcess implements RunningProcess {
     private final Closer closer = new Closer();
     private final RelayState state;
+    private final MemoryAdmission memory;
     private final TargetPools pools;
     private final StoreTopics topics;
     private final PeerExchange peers;
@@ -81,6 +83,7 @@
         EventLog log = new EventLog(Logger.getLogger(RelayProcess.class), new MonotonicClock());
         state = new RelayState(
                 settings, platform, loop, RelayChannels.connector(group), log, new RelayMetrics(), random);
+        memory = new MemoryAdmission(state);
         HoldingQueues queues = new HoldingQueues(state);
         pools = new TargetPools(state, queues);
         SelfReports selfReports = new SelfReports(state, queues);
@@ -90,7 +93,16 @@
         PlacementBroadcaster placements = new PlacementBroadcaster(loop);
         FetchLatenessRecorder fetchLateness = new FetchLatenessRecorder();
         callers = new CallerServer(new ServingComponents(
-                state, pools, queues, selfReports, streamOrigins, soleSoftware, quarantine, placements, fetchLateness));
+                state,
+                pools,
+                memory,
+                queues,
+                selfReports,
+                streamOrigins,
+                soleSoftware,
+                quarantine,
+                placements,
+                fetchLateness));
         targetStateLog = new TargetStateLog(state);
         shutdown = new GracefulShutdown(state, callers::isBusy, callers::onShutdown, this::sweep);
         new CapacityGauges(state).register();
@@ -193,6 +205,7 @@
         if (closeIdle || !state.eventLoopLag().isLate(now)) {
             callers.sweep(now, closeIdle);
         }
+        memory.update();
         pools.sweep(Set.copyOf(state.fleet().all(now)), now);
         targetStateLog.update(now);
         storeWatches.evictOutdatedParts(now);
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/RelayMetrics.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/RelayMetrics.java
@@ -19,6 +19,7 @@
 import org.rattanrudder.core.fleet.TargetAdmission;
 import org.rattanrudder.core.gateway.BodyPosition;
 import org.rattanrudder.core.gateway.ResponseEnd;
+import org.rattanrudder.core.memory.ByteUse;
 
 /** The metrics of a relay. Label values come from fixed sets and the configuration, never from callers. */
 public final class RelayMetrics {
@@ -70,6 +71,10 @@
             gauge("rattanrudder_relay_queue_rate_age_seconds", "Age of the rate in the last forecast", "service");
     private final Histogram queueForecast;
     private final Counter targetsCrashed;
+    private final Counter rejectedForMemory = counter(
+            "rattanrudder_relay_rejected_for_memory",
+            "Requests that were rejected since the process may hold no more bytes, by what for",
+            "use");
     private final Counter connectionsClosedUnread;
     private final Counter parts;
     private final Counter peerMessagesDropped;
@@ -163,14 +168,24 @@
 
     /** Registers a gauge for each service; the values by service are read whenever the metrics are. */
     public void serviceGauge(String name, String help, Supplier<Map<String, Double>> values) {
+        labelledGauge(name, help, "service", values);
+    }
+
+    /** Registers a gauge with one label; the values by label value are read whenever the metrics are. */
+    void labelledGauge(String name, String help, String label, Supplier<Map<String, Double>> values) {
         GaugeWithCallback.builder()
                 .name(name)
                 .help(help)
-                .labelNames("service")
-                .callback(callback -> values.get().forEach((service, value) -> callback.call(value, service)))
+                .labelNames(label)
+                .callback(callback -> values.get().forEach((found, value) -> callback.call(value, found)))
                 .register(registry);
     }
 
+    /** Records a request that was rejected since the process may hold no more bytes. */
+    public void recordRejectedForMemory(ByteUse use) {
+        rejectedForMemory.labelValues(use.wireName()).inc();
+    }
+
     /** Records the end of a request. */
     public void recordRequest(String route, String outcome) {
         requests.labelValues(route, outcome).inc();
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/RelayState.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/RelayState.java
@@ -23,6 +23,7 @@
 import org.rattanrudder.core.gateway.ShutdownPolicy;
 import org.rattanrudder.core.gateway.WarmUpTraits;
 import org.rattanrudder.core.gateway.WindowedRetryBudget;
+import org.rattanrudder.core.memory.ByteBudget;
 import org.rattanrudder.core.model.Address;
 import org.rattanrudder.core.parts.PartDirectory;
 import org.rattanrudder.core.parts.RetiredWeights;
@@ -74,6 +75,7 @@
     private final ConnectionGate connectionGate;
     private final long relayHash;
     private final Quarantine quarantine = new Quarantine();
+    private final ByteBudget heldBytes = ByteBudget.ofHeap(Runtime.getRuntime().maxMemory());
     private boolean draining;
     private long drainingSince;
     private boolean stopping;
@@ -200,6 +202,11 @@
         return quarantine;
     }
 
+    /** Returns what is held of the bytes of others, and how much may be. */
+    public ByteBudget heldBytes() {
+        return heldBytes;
+    }
+
     /** Returns the log of events. */
     public EventLog log() {
         return log;
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/StateGauges.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/StateGauges.java
@@ -1,5 +1,13 @@
 package org.rattanrudder.daemon.relay.process;
 
+import io.netty.buffer.UnpooledByteBufAllocator;
+import java.util.Arrays;
+import java.util.Map;
+import java.util.function.ToDoubleFunction;
+import java.util.stream.Collectors;
+import org.rattanrudder.core.memory.ByteBudget;
+import org.rattanrudder.core.memory.ByteUse;
+
 /** Registers the gauges of the state that the relay's components share. */
 final class StateGauges {
     private static final double MILLIS_PER_SECOND = 1_000;
@@ -34,5 +42,41 @@
                 "rattanrudder_relay_stopping",
                 "1 once the process was asked to stop",
                 () -> state.isStopping() ? 1 : 0);
+        registerMemory(metrics, state.heldBytes());
+    }
+
+    /** Registers what tells apart whose bytes fill the heap: those of callers and others, by use, or anything else. */
+    private static void registerMemory(RelayMetrics metrics, ByteBudget held) {
+        metrics.labelledGauge(
+                "rattanrudder_relay_held_bytes",
+                "Bytes of others that the process holds, by what for",
+                "use",
+                () -> byUse(held::held));
+        metrics.labelledGauge(
+                "rattanrudder_relay_held_bytes_limit",
+                "Bytes of others that the process may hold now, by what for",
+                "use",
+                () -> byUse(held::limit));
+        UnpooledByteBufAllocator buffers = UnpooledByteBufAllocator.DEFAULT;
+        metrics.labelledGauge(
+                "rattanrudder_relay_buffer_bytes",
+                "Bytes of network buffers other than bodies of requests, by area",
+                "area",
+                () -> Map.of(
+                        "heap", (double) buffers.metric().usedHeapMemory(),
+                        "direct", (double) buffers.metric().usedDirectMemory()));
+        Runtime runtime = Runtime.getRuntime();
+        metrics.labelledGauge(
+                "rattanrudder_relay_heap_bytes",
+                "Bytes of the heap, garbage included; maximum is the largest size that it may have",
+                "state",
+                () -> Map.of(
+                        "used", (double) (runtime.totalMemory() - runtime.freeMemory()),
+                        "committed", (double) runtime.totalMemory(),
+                        "maximum", (double) runtime.maxMemory()));
+    }
+
+    private static Map<String, Double> byUse(ToDoubleFunction<ByteUse> bytes) {
+        return Arrays.stream(ByteUse.values()).collect(Collectors.toMap(ByteUse::wireName, bytes::applyAsDouble));
     }
 }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/CallerConnection.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/CallerConnection.java
@@ -6,28 +6,22 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.nio.AbstractNioChannel;
-import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.handler.codec.http.TooLongHttpHeaderException;
-import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.EventExecutor;
-import java.util.ArrayDeque;
-import java.util.Deque;
-import java.util.Optional;
+import java.net.InetSocketAddress;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import org.rattanrudder.core.gateway.RequestMetadata;
-import org.rattanrudder.core.gateway.ServingConfiguration.AccessDecision;
+import org.rattanrudder.core.memory.ByteUse;
+import org.rattanrudder.core.memory.Holding;
+import org.rattanrudder.core.memory.UploadLine;
 import org.rattanrudder.core.model.ErrorKind;
 import org.rattanrudder.daemon.relay.process.RelayState;
 
@@ -38,46 +32,44 @@
  * head is read, and answered or sent on once its body is complete.
  */
 final class CallerConnection extends ChannelInboundHandlerAdapter {
-    /** Messages of later requests that are queued while one is served; beyond that, reading is paused. */
-    private static final int MAX_QUEUED_MESSAGES = 64;
-
-    /**
-     * How long a connection that the relay closes is still read, so that a reset doesn't overtake the last response.
-     */
-    private static final long LINGER_MILLIS = 500;
-
     /** How long a request waits while the event loop is late: one iteration, in which a close sent after it is read. */
     private static final long LATE_START_DELAY_MILLIS = 2;
 
     private final ServingComponents components;
     private final RelayState state;
     private final Set<CallerConnection> connections;
-    private final Deque<Object> queued = new ArrayDeque<>();
+    private final MemoryAdmission memory;
+    private final StrictRequestDecoder decoder;
+    private QueuedMessages queued;
+    private Holding partialHead;
+    private String address;
     private ChannelHandlerContext context;
     private ResponseWriter writer;
-    private HttpRequest head;
-    private RequestMetadata metadata;
-    private AccessDecision access;
-    private ErrorKind problem;
-    private ByteBuf body;
-    private RequestPlan plan;
-    private Optional<QueueRejection.Rejection> rejection = Optional.empty();
+    private IncomingRequest request;
+    private boolean waitsForRoom;
     private Exchange exchange;
-    private long arrivedAt;
     private long lastReadAt;
     private long partialHeadSince = -1;
     private boolean closing;
     private boolean drainingQueue;
 
-    CallerConnection(ServingComponents components, Set<CallerConnection> connections) {
+    /** Creates a connection whose requests are parsed by a decoder, and which is among the connections while open. */
+    CallerConnection(ServingComponents components, StrictRequestDecoder decoder, Set<CallerConnection> connections) {
         this.components = components;
+        this.decoder = decoder;
         state = components.state();
+        memory = components.memory();
         this.connections = connections;
     }
 
     @Override
     public void channelActive(ChannelHandlerContext active) {
         context = active;
+        address = active.channel().remoteAddress() instanceof InetSocketAddress remote
+                ? remote.getAddress().getHostAddress()
+                : "unknown";
+        queued = new QueuedMessages(memory.holding(ByteUse.REQUEST, address));
+        partialHead = memory.holding(ByteUse.REQUEST, address);
         writer = new ResponseWriter(state, active);
         lastReadAt = state.nowMillis();
         connections.add(this);
@@ -98,7 +90,7 @@
     /** Records raw bytes, which may be a part of a request head. */
     void onBytesRead() {
         lastReadAt = state.nowMillis();
-        if (partialHeadSince < 0 && head == null) {
+        if (partialHeadSince < 0 && request == null) {
             partialHeadSince = lastReadAt;
         }
     }
@@ -109,22 +101,57 @@
             ReferenceCountUtil.release(message);
             return;
         }
-        if (exchange != null || !queued.isEmpty()) {
-            queued.add(message);
-            if (queued.size() > MAX_QUEUED_MESSAGES) {
-                context.channel().config().setAutoRead(false);
-            }
+        if (exchange != null || waitsForRoom || !queued.isEmpty()) {
+            queue(message);
             return;
         }
         handle(message);
     }
 
+    private void queue(Object message) {
+        if (!queued.tryAdd(message)) {
+            onNoRoom();
+        } else if (queued.isFull()) {
+            context.channel().config().setAutoRead(false);
+        }
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext active) {
+        long partialBytes = HeadSize.ofPartial(decoder.partialBytes());
+        partialHead.shrinkTo(partialBytes);
+        if (!closing && !partialHead.tryGrowTo(partialBytes)) {
+            onNoRoom();
+        }
+        active.fireChannelReadComplete();
+    }
+
+    /** Rejects the request that is read, or drops those behind one that is served: callers see that by the close. */
+    private void onNoRoom() {
+        if (exchange != null) {
+            memory.onRejected(ByteUse.REQUEST, address, "", 0);
+            closing = true;
+            queued.clear();
+        } else if (waitsForRoom) {
+            memory.withdraw(this);
+            onUploadRejected(memory.smallRetryMillis());
+        } else if (request == null) {
+            memory.onRejected(ByteUse.REQUEST, address, "", 0);
+            refuseUnread(ErrorKind.OVERLOADED);
+        } else if (request.problem().isPresent()) {
+            refuseUnread(request.problem().get());
+        } else {
+            request.rejectForMemory(ByteUse.REQUEST, 0, memory.smallRetryMillis());
+            rejectUnread();
+        }
+    }
+
     private void handle(Object message) {
         try {
-            if (message instanceof HttpRequest request) {
-                handleHead(request);
+            if (message instanceof HttpRequest head) {
+                handleHead(head);
             }
-            if (message instanceof HttpContent content && head != null) {
+            if (message instanceof HttpContent content && request != null) {
                 handleContent(content);
             }
         } finally {
@@ -132,56 +159,59 @@
         }
     }
 
-    private void handleHead(HttpRequest request) {
+    private void handleHead(HttpRequest head) {
         partialHeadSince = -1;
-        head = request;
-        arrivedAt = state.nowMillis();
-        body = Unpooled.buffer(0);
-        if (request.decoderResult().isFailure()) {
-            refuseUnread(decodeError(request.decoderResult().cause()));
-            return;
-        }
-        try {
-            metadata = state.platform().requests().read(request);
-        } catch (IllegalArgumentException malformed) {
-            problem = ErrorKind.MALFORMED_REQUEST;
-            return;
+        request = new IncomingRequest(components, head, address);
+        switch (request.decide()) {
+            case REFUSE_UNREAD -> refuseUnread(request.problem().orElseThrow());
+            case WAIT -> waitForTurn(request.declaredBytes());
+            case READ -> {
+                if (request.rejection().isPresent() && request.expectsContinue()) {
+                    // The caller may send the body or not; what follows can't be told from another request.
+                    rejectUnread();
+                } else if (!request.isRefused()) {
+                    continueIfExpected();
+                }
+            }
+            default -> throw new IllegalStateException("unknown decision");
         }
-        admit();
-        boolean bodyFollows = !HttpUtil.is100ContinueExpected(request);
-        if (rejection.isPresent() && !bodyFollows) {
-            // The caller may send the body or not; what follows can't be told from another request.
-            rejectUnread();
-        } else if (problem == null && !bodyFollows) {
+    }
+
+    private void continueIfExpected() {
+        if (request.expectsContinue()) {
             context.writeAndFlush(new DefaultFullHttpResponse(
                     HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
         }
     }
 
-    private static ErrorKind decodeError(Throwable cause) {
-        boolean tooLong = cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException;
-        return tooLong ? ErrorKind.HEADERS_TOO_LARGE : ErrorKind.MALFORMED_REQUEST;
+    /** Reads the large body that follows once the process may hold it. */
+    private void waitForTurn(long bytes) {
+        waitsForRoom = true;
+        context.channel().config().setAutoRead(false);
+        RequestPlan wanted = request.planForNow();
+        memory.ask(new UploadLine.Upload<>(
+                this,
+                request.body().largeHolding(),
+                bytes,
+                wanted.priority(),
+                request.arrivedAt(),
+                wanted.deadlineAt()));
+    }
+
+    /** Reads on: there is room for the whole body. */
+    void onUploadGranted() {
+        waitsForRoom = false;
+        request.body().onGranted(request.declaredBytes(), state.nowMillis());
+        lastReadAt = state.nowMillis();
+        continueIfExpected();
+        handleQueued();
     }
 
-    private void admit() {
-        if (state.isRefusingRequests()) {
-            problem = ErrorKind.DRAINING;
-            return;
-        }
-        if (state.configuration().isEmpty()) {
-            // Without a configuration it isn't known whether the request is valid, so the caller isn't at fault.
-            problem = ErrorKind.LOG_UNAVAILABLE;
-            return;
-        }
-        access = state.configuration().get().authorize(metadata.host(), head.uri(), metadata.credential());
-        if (access instanceof AccessDecision.Denied denied) {
-            problem = denied.error();
-        } else if (!state.accepts(((AccessDecision.Granted) access).route())) {
-            problem = ErrorKind.DRAINING;
-        } else if (components.queues().rejection().isOn()) {
-            plan = new RequestPlan(state, metadata, (AccessDecision.Granted) access, arrivedAt);
-            rejection = components.queues().rejection().onHead(plan);
-        }
+    /** Rejects the request at once: there won't be room for its body in time. */
+    void onUploadRejected(long retryAfterMillis) {
+        waitsForRoom = false;
+        request.rejectForMemory(ByteUse.UPLOAD, request.declaredBytes(), retryAfterMillis);
+        rejectUnread();
     }
 
     private void handleContent(HttpContent content) {
@@ -189,39 +219,49 @@
             refuseUnread(ErrorKind.MALFORMED_REQUEST);
             return;
         }
-        if (body.readableBytes() + (long) content.content().readableBytes()
-                > state.limits().maxBodyBytes()) {
-            refuseUnread(ErrorKind.BODY_TOO_LARGE);
+        if (request.body() != null && !append(content)) {
             return;
         }
-        if (problem == null && rejection.isEmpty()) {
-            body.writeBytes(content.content());
-        }
         if (content instanceof LastHttpContent) {
             onRequestComplete();
         }
     }
 
+    /** Appends a part of the body; returns false if the request is refused for it, or waits with it for room. */
+    private boolean append(HttpContent content) {
+        RequestBody body = request.body();
+        ByteBuf part = content.content();
+        if (body.readableBytes() + (long) part.readableBytes() > body.maxBytes()) {
+            refuseUnread(ErrorKind.BODY_TOO_LARGE);
+            return false;
+        }
+        if (body.tryAppend(part)) {
+            return true;
+        }
+        boolean kept = queued.tryReturn(content.retain());
+        if (kept && body.outgrowsSmall(part)) {
+            waitForTurn(body.maxBytes());
+        } else {
+            onNoRoom();
+        }
+        return false;
+    }
+
     /** Rejects the complete request or starts its exchange. */
     private void onRequestComplete() {
-        if (problem != null) {
-            ErrorKind error = problem;
-            logDenied(error);
-            refuse(error, metadata == null ? "" : metadata.id(), remainingMillis());
-            body.release();
+        if (request.problem().isPresent()) {
+            ErrorKind error = request.problem().get();
+            request.logDenied(error);
+            refuse(error, request.id(), request.remainingMillis());
             nextRequest();
             return;
         }
-        if (rejection.isPresent()) {
+        if (request.rejection().isPresent()) {
             replyRejected();
-            body.release();
             nextRequest();
             return;
         }
-        if (plan == null) {
-            plan = new RequestPlan(state, metadata, (AccessDecision.Granted) access, arrivedAt);
-        }
-        exchange = new Exchange(components, this, head, body, plan);
+        exchange = request.toExchange(this);
         if (state.eventLoopLag().isLate(state.nowMillis())) {
             startAfterRead(exchange);
         } else {
@@ -229,13 +269,13 @@
         }
     }
 
-    /** Tells the caller when to retry a request that was rejected by its head; its body has been dropped. */
+    /** Tells the caller when to retry a request that was rejected by its head. */
     private void replyRejected() {
         refuseWithRetryAfter(
-                ErrorKind.OVERLOADED, metadata.id(), rejection.get().retryAfterMillis());
-        FinalReply.Ending ending = new FinalReply.Ending(ErrorKind.OVERLOADED.wireName(), QueueRejection.REASON);
-        state.metrics().recordRequest(plan.route().name(), ending.outcome());
-        new ExchangeLog(state, plan).ended(ending, Optional.empty(), "unknown", 0, 0);
+                ErrorKind.OVERLOADED,
+                request.id(),
+                request.rejection().orElseThrow().retryAfterMillis());
+        request.logRejected();
     }
 
     /**
@@ -248,72 +288,55 @@
         loop.execute(() -> loop.schedule(waiting::start, LATE_START_DELAY_MILLIS, TimeUnit.MILLISECONDS));
     }
 
-    private long remainingMillis() {
-        return metadata == null ? 0 : metadata.deadlineMillis().orElse(0) - (state.nowMillis() - arrivedAt);
-    }
-
-    private void logDenied(ErrorKind error) {
-        state.metrics().recordRequest("none", error.wireName());
-        state.log()
-                .info(
-                        "request_denied",
-                        "request",
-                        metadata == null ? "" : metadata.id(),
-                        "error",
-                        error.wireName(),
-                        "host",
-                        metadata == null ? "" : metadata.host(),
-                        "path",
-                        head == null ? "" : head.uri(),
-                        "configuration",
-                        state.configuration()
-                                .map(configuration -> Long.toString(configuration.version()))
-                                .orElse("none"));
-    }
-
     /**
      * Rejects a request before it is read in full and closes the connection; the rest would be parsed as another
      * request.
      */
     private void refuseUnread(ErrorKind error) {
-        logDenied(error);
-        refuse(error, metadata == null ? "" : metadata.id(), 0);
-        releaseBody();
-        head = null;
+        if (request == null) {
+            refuse(error, "", 0);
+        } else {
+            request.logDenied(error);
+            request.endConnection();
+            refuse(error, request.id(), 0);
+        }
         closeGracefully();
     }
 
     /** Replies to a request that was rejected by its head, before its body is read, and closes the connection. */
     private void rejectUnread() {
+        request.endConnection();
         replyRejected();
-        releaseBody();
-        head = null;
-        closeGracefully();
+        closeWith(new GracefulClose(context, state::nowMillis, () -> lastReadAt).afterBody());
+    }
+
+    private HttpRequest head() {
+        return request == null ? null : request.head();
     }
 
     /** Writes a local error reply. */
     void refuse(ErrorKind error, String requestId, long remainingMillis) {
-        closing |= !writer.error(head, error, requestId, remainingMillis);
+        closing |= !writer.error(head(), error, requestId, remainingMillis);
     }
 
     /** Writes a local error reply that asks the caller to retry after the given time, regardless of its deadline. */
     void refuseWithRetryAfter(ErrorKind error, String requestId, long millis) {
-        closing |= !writer.errorWithRetryAfter(head, error, requestId, millis);
+        closing |= !writer.errorWithRetryAfter(head(), error, requestId, millis);
     }
 
     /** Returns whether the request that is being served is a HEAD request, whose response has no body. */
     boolean isHeadRequest() {
-        return head.method().equals(HttpMethod.HEAD);
+        return request.isHead();
     }
 
     /** Writes a target's complete response. */
     void answer(HttpResponse from, HttpHeaders headers, ByteBuf content) {
-        closing |= !writer.full(head, from, headers, content);
+        closing |= !writer.full(head(), from, headers, content);
     }
 
     /** Writes the head of a response that is sent in chunks. */
     void begin(HttpResponse from, HttpHeaders headers) {
-        closing |= !writer.begin(head, from, headers);
+        closing |= !writer.begin(head(), from, headers);
     }
 
     /** Writes a chunk of the body and takes ownership of it. */
@@ -339,94 +362,82 @@
     }
 
     private void nextRequest() {
-        forgetRequest();
+        // Nothing of a request may be taken for a part of the next one, not even if that is never read whole.
+        request = null;
         lastReadAt = state.nowMillis();
         if (closing) {
             closeGracefully();
             return;
         }
+        handleQueued();
+    }
+
+    private void handleQueued() {
         if (drainingQueue) {
             return;
         }
         drainingQueue = true;
-        while (exchange == null && !closing && !queued.isEmpty()) {
+        while (exchange == null && !waitsForRoom && !closing && !queued.isEmpty()) {
             handle(queued.poll());
         }
         drainingQueue = false;
-        if (queued.isEmpty()) {
+        if (queued.isEmpty() && !waitsForRoom) {
             context.channel().config().setAutoRead(true);
         }
     }
 
-    /** Nothing of a request may be taken for a part of the next one, not even if that is never read whole. */
-    private void forgetRequest() {
-        head = null;
-        body = null;
-        problem = null;
-        access = null;
-        metadata = null;
-        plan = null;
-        rejection = Optional.empty();
-    }
-
-    /**
-     * Closes the connection once everything written was sent. The linger time starts then: started at the last write,
-     * it would cut off what a slow reader hasn't received yet. A caller that reads nothing any more is closed after the
-     * idle timeout.
-     */
+    /** Drops what was read of requests and closes the connection once everything written was sent. */
     private void closeGracefully() {
-        closing = true;
-        releaseQueued();
-        context.channel().config().setAutoRead(true);
-        if (context.channel() instanceof SocketChannel socket && socket.isActive()) {
-            context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(written -> {
-                socket.shutdownOutput();
-                closeAfter(LINGER_MILLIS);
-            });
-            closeAfter(Math.max(LINGER_MILLIS, state.limits().idleTimeoutMillis()));
-        }
+        closeWith(new GracefulClose(context, state::nowMillis, () -> lastReadAt));
     }
 
-    private void closeAfter(long millis) {
-        context.executor().schedule(() -> context.close(), millis, TimeUnit.MILLISECONDS);
+    private void closeWith(GracefulClose close) {
+        closing = true;
+        forgetUnserved();
+        request = null;
+        close.start(state.limits().idleTimeoutMillis());
     }
 
-    /** Returns how long a body may take to arrive, in ms: while it is of use; less if it is dropped. */
-    private long maxBodyMillis() {
-        return problem != null || rejection.isPresent()
-                ? state.limits().headerTimeoutMillis()
-                : Math.max(
-                        state.limits().idleTimeoutMillis(),
-                        metadata.deadlineMillis().orElse(0));
+    /** Gives back all that is held for requests that no exchange serves. */
+    private void forgetUnserved() {
+        queued.clear();
+        partialHead.close();
+        if (request != null) {
+            request.release();
+        }
     }
 
     /** Closes the connection if the caller is too slow or idle; called periodically. */
     void sweep(long nowMillis, boolean closeIdle) {
-        if (exchange != null || closing) {
+        if (exchange != null || closing || waitsForRoom) {
             return;
         }
-        if (head != null || partialHeadSince >= 0) {
-            boolean slowHead = head == null
-                    && nowMillis - partialHeadSince > state.limits().headerTimeoutMillis();
-            boolean idleBody =
-                    head != null && nowMillis - lastReadAt > state.limits().idleTimeoutMillis();
-            boolean slowBody = head != null && nowMillis - arrivedAt > maxBodyMillis();
-            if (rejection.isPresent() && (idleBody || slowBody)) {
-                rejectUnread();
-            } else if (slowHead || idleBody || slowBody) {
-                refuseUnread(problem == null ? ErrorKind.REQUEST_TIMEOUT : problem);
+        if (request != null) {
+            sweepUnread(nowMillis);
+        } else if (partialHeadSince >= 0) {
+            if (nowMillis - partialHeadSince > state.limits().headerTimeoutMillis()) {
+                refuseUnread(ErrorKind.REQUEST_TIMEOUT);
             }
-            return;
-        }
-        if (closeIdle || nowMillis - lastReadAt > state.limits().idleTimeoutMillis()) {
+        } else if (closeIdle || nowMillis - lastReadAt > state.limits().idleTimeoutMillis()) {
             closing = true;
             context.close();
         }
     }
 
+    /** Answers a request whose body comes too slowly. */
+    private void sweepUnread(long nowMillis) {
+        boolean idle = nowMillis - lastReadAt > state.limits().idleTimeoutMillis();
+        boolean slow = nowMillis - request.arrivedAt() > request.maxBodyMillis();
+        if (request.rejection().isPresent() && (idle || slow)) {
+            rejectUnread();
+        } else if (idle || slow) {
+            refuseUnread(request.problem().orElse(ErrorKind.REQUEST_TIMEOUT));
+        }
+    }
+
     /** Returns whether a request is being read or served, or a response isn't sent in full. */
     boolean isBusy() {
-        return exchange != null || head != null || partialHeadSince >= 0 || hasUnsent();
+        return exchange != null || request != null || partialHeadSince >= 0 || hasUnsent();
     }
 
     private boolean hasUnsent() {
@@ -438,18 +449,10 @@
     void onShutdown() {
         if (exchange != null) {
             exchange.onShutdown();
-        }
-    }
-
-    private void releaseQueued() {
-        queued.forEach(ReferenceCountUtil::release);
-        queued.clear();
-    }
-
-    private void releaseBody() {
-        if (body != null) {
-            body.release();
-            body = null;
+        } else if (waitsForRoom) {
+            memory.withdraw(this);
+            waitsForRoom = false;
+            refuseUnread(ErrorKind.DRAINING);
         }
     }
 
@@ -464,12 +467,14 @@
     public void channelInactive(ChannelHandlerContext active) {
         connections.remove(this);
         closing = true;
-        releaseQueued();
+        if (waitsForRoom) {
+            waitsForRoom = false;
+            memory.withdraw(this);
+        }
         if (exchange != null) {
             exchange.onCallerDisconnected();
-        } else if (head != null) {
-            releaseBody();
         }
+        forgetUnserved();
     }
 
     @Override
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/CallerServer.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/CallerServer.java
@@ -35,13 +35,11 @@
                     channel.close();
                     return;
                 }
-                CallerConnection connection = new CallerConnection(components, callers);
+                StrictRequestDecoder decoder =
+                        new StrictRequestDecoder(state.limits().maxHeaderBytes() * HEADER_LIMIT_FACTOR);
+                CallerConnection connection = new CallerConnection(components, decoder, callers);
                 channel.pipeline()
-                        .addLast(
-                                new ReadRecorder(connection),
-                                new StrictRequestDecoder(state.limits().maxHeaderBytes() * HEADER_LIMIT_FACTOR),
-                                new HttpResponseEncoder(),
-                                connection);
+                        .addLast(new ReadRecorder(connection), decoder, new HttpResponseEncoder(), connection);
             }
         };
     }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/ServingComponents.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/ServingComponents.java
@@ -14,6 +14,7 @@
  *
  * @param state the state that all components share
  * @param pools the connections to targets
+ * @param memory asks whether the process may hold more bytes
  * @param queues the queues of requests that wait for a target
  * @param selfReports takes in what targets say of themselves
  * @param streamOrigins knows the software that began streams
@@ -25,6 +26,7 @@
 public record ServingComponents(
         RelayState state,
         TargetPools pools,
+        MemoryAdmission memory,
         HoldingQueues queues,
         SelfReports selfReports,
         StreamOriginExchange streamOrigins,
