Count responses to the relay's own calls in the budget of held bytes

Each call's response had a bound of its own (8 MB for lists); lists of several stores and topics at once had none in sum.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/memory/ByteUse.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/memory/ByteUse.java
@@ -11,7 +11,7 @@
     /** Responses that callers haven't received yet. */
     RESPONSE(0.15, 0.35),
     /** Responses to the process's own calls: records, lists and reports. */
-    OWN_CALL(0.10, 0.35);
+    OWN_CALL(0.10, 0.45);
 
     private final double guaranteedShare;
     private final double largestShare;
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/net/HttpCallClient.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/net/HttpCallClient.java
@@ -23,6 +23,9 @@
 import java.net.InetSocketAddress;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import org.rattanrudder.core.memory.ByteBudget;
+import org.rattanrudder.core.memory.ByteUse;
+import org.rattanrudder.core.memory.Holding;
 import org.rattanrudder.core.model.Address;
 import org.rattanrudder.daemon.relay.port.PlatformCall;
 
@@ -32,6 +35,9 @@
  * <p>A connection may become permanently unresponsive without a reset while new connections work. A call that times out
  * therefore closes its connection, and the next call opens a new one.
  *
+ * <p>What has arrived of a response counts in the budget of held bytes until its call has ended; a call whose response
+ * finds no room fails with the reason {@code no_room}.
+ *
  * <p>A response may go on without end, in its head, between interim responses, in its body or behind it. The timeout
  * bounds how long a call reads it, and a limit how much; bytes that arrive while no call is in flight close the
  * connection.
@@ -46,7 +52,11 @@
     /** How many times as long a response may be on the wire as its body: chunks have heads of their own. */
     private static final int MAX_RAW_RATIO = 2;
 
+    /** How many times its size a response takes: as it arrives, and as it is handed over. */
+    private static final int HELD_RATIO = 2;
+
     private final Bootstrap bootstrap;
+    private final Holding held;
     private final Supplier<Address> address;
     private final int maxResponseBytes;
     private long receivedBytes;
@@ -58,18 +68,20 @@
     /**
      * Creates a client without a connection, for calls with short responses.
      *
+     * @param budget counts what has arrived of responses
      * @param address supplies the address to call; a changed address takes effect with the next call
      */
-    public HttpCallClient(Bootstrap bootstrap, Supplier<Address> address) {
-        this(bootstrap, address, MAX_SHORT_RESPONSE_BYTES);
+    public HttpCallClient(Bootstrap bootstrap, ByteBudget budget, Supplier<Address> address) {
+        this(bootstrap, budget, address, MAX_SHORT_RESPONSE_BYTES);
     }
 
     /** Returns a client without a connection, for calls whose responses are lists. */
-    public static HttpCallClient forLists(Bootstrap bootstrap, Supplier<Address> address) {
-        return new HttpCallClient(bootstrap, address, MAX_LIST_RESPONSE_BYTES);
+    public static HttpCallClient forLists(Bootstrap bootstrap, ByteBudget budget, Supplier<Address> address) {
+        return new HttpCallClient(bootstrap, budget, address, MAX_LIST_RESPONSE_BYTES);
     }
 
-    private HttpCallClient(Bootstrap bootstrap, Supplier<Address> address, int maxResponseBytes) {
+    private HttpCallClient(Bootstrap bootstrap, ByteBudget budget, Supplier<Address> address, int maxResponseBytes) {
+        held = budget.holding(ByteUse.OWN_CALL, address.get().toString());
         this.address = address;
         this.maxResponseBytes = maxResponseBytes;
         this.bootstrap = bootstrap.clone().handler(new ChannelInitializer<>() {
@@ -100,6 +112,10 @@
             complete(new CallResult.Unanswered("too_long"), true);
             return false;
         }
+        if (!held.tryGrowTo(HELD_RATIO * receivedBytes)) {
+            complete(new CallResult.Unanswered("no_room"), true);
+            return false;
+        }
         return true;
     }
 
@@ -167,6 +183,7 @@
             closeConnection();
         }
         callback.accept(answer);
+        held.shrinkTo(0);
     }
 
     private void closeConnection() {
@@ -180,6 +197,7 @@
     @Override
     public void close() {
         pendingCallback = null;
+        held.shrinkTo(0);
         if (timeout != null) {
             timeout.cancel();
         }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/peers/PeerExchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/peers/PeerExchange.java
@@ -152,7 +152,7 @@
                 address);
         follower = new TopicFollower(
                 state, Topic.RELAYS, PollIntervals.RARE_BURSTS, InitialRead.NEWEST, new RegistrationListener());
-        registrationClient = new HttpCallClient(state.connector(), state::store);
+        registrationClient = new HttpCallClient(state.connector(), state.heldBytes(), state::store);
     }
 
     /** Starts to read the registrations of relays and to send reports. */
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/rollout/RolloutCoordinator.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/rollout/RolloutCoordinator.java
@@ -86,7 +86,7 @@
         store = state.platform().store();
         lease = new OrderLease(relayId, state.settings().bounds().leaseMillis());
         follower = new TopicFollower(state, Topic.ORDERS, PollIntervals.RARE, InitialRead.KEPT, new LeaseListener());
-        appendClient = new HttpCallClient(state.connector(), state::store);
+        appendClient = new HttpCallClient(state.connector(), state.heldBytes(), state::store);
     }
 
     /** Starts to read the lease's log and to check for pending rollouts. */
@@ -259,7 +259,8 @@
             return;
         }
         targetsBeingCalled.add(target.id());
-        HttpCallClient client = new HttpCallClient(state.connector(), target.registration()::address);
+        HttpCallClient client =
+                new HttpCallClient(state.connector(), state.heldBytes(), target.registration()::address);
         long asked = state.nowMillis();
         client.call(state.platform().engines().report(Optional.of(target.id())), ENGINE_TIMEOUT_MILLIS, answer -> {
             selfReports.onCallAnswered(target, answer, asked);
@@ -340,7 +341,8 @@
             }
             progressChecksDueAt.put(target.id(), now + PROGRESS_CHECK_INTERVAL_MILLIS);
             targetsBeingCalled.add(target.id());
-            HttpCallClient client = new HttpCallClient(state.connector(), target.registration()::address);
+            HttpCallClient client =
+                    new HttpCallClient(state.connector(), state.heldBytes(), target.registration()::address);
             client.call(state.platform().engines().report(Optional.of(target.id())), ENGINE_TIMEOUT_MILLIS, answer -> {
                 selfReports.onCallAnswered(target, answer, now);
                 Optional<EngineReport> report = readReport(answer);
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/StoreWatch.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/StoreWatch.java
@@ -69,7 +69,7 @@
         this.address = address;
         pollSchedule = new StorePollSchedule(relayId, address);
         dialect = state.platform().engines();
-        client = HttpCallClient.forLists(state.connector(), () -> address);
+        client = HttpCallClient.forLists(state.connector(), state.heldBytes(), () -> address);
     }
 
     /** Starts to poll the store. */
@@ -175,7 +175,7 @@
         if (state.nowMillis() < restUntil) {
             return;
         }
-        HttpCallClient evictionClient = new HttpCallClient(state.connector(), () -> address);
+        HttpCallClient evictionClient = new HttpCallClient(state.connector(), state.heldBytes(), () -> address);
         evictionClient.call(dialect.evict(parts, inIncarnation), TIMEOUT_MILLIS, answer -> {
             heedRest(answer);
             state.log()
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicConfirmation.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicConfirmation.java
@@ -40,7 +40,7 @@
         this.topic = topic;
         this.readOffset = readOffset;
         this.readNow = readNow;
-        client = HttpCallClient.forLists(state.connector(), state::store);
+        client = HttpCallClient.forLists(state.connector(), state.heldBytes(), state::store);
         timer = new StepTimer(state.loop());
     }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicReader.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicReader.java
@@ -29,7 +29,7 @@
         this.state = state;
         this.topic = topic;
         dialect = state.platform().store();
-        client = HttpCallClient.forLists(state.connector(), state::store);
+        client = HttpCallClient.forLists(state.connector(), state.heldBytes(), state::store);
     }
 
     /** The result of a call. */
--- a/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/net/HttpCallClientTest.java
+++ b/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/net/HttpCallClientTest.java
@@ -20,6 +20,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.rattanrudder.core.memory.ByteBudget;
 import org.rattanrudder.core.model.Address;
 import org.rattanrudder.daemon.relay.port.PlatformCall;
 import org.rattanrudder.wire.http.EndlessAnswers;
@@ -38,6 +39,7 @@
 
     private MultiThreadIoEventLoopGroup group;
     private ServerSocket listening;
+    private ByteBudget budget = new ByteBudget(64 << 20);
 
     @BeforeEach
     void listen() throws IOException {
@@ -73,6 +75,22 @@
         }
     }
 
+    /** Guards against lists of many stores at once that fill the memory, and against bytes that stay counted. */
+    @ParameterizedTest
+    @CsvSource({"0, false", "1000, true"})
+    void aResponseThatFindsNoRoomFailsAndGivesBackWhatItHeld(int responses, boolean fits) throws Exception {
+        budget = new ByteBudget(responses * 10L * BODY.length());
+        CompletableFuture<CallResult> result = call();
+
+        answer("HTTP/1.1 200 OK\r\n" + framed("length"), false);
+
+        CallResult ended = result.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        assertThat(ended instanceof CallResult.Answered).isEqualTo(fits);
+        assertThat(fits || ended.equals(new CallResult.Unanswered("no_room"))).isTrue();
+        group.next().submit(() -> {}).sync();
+        assertThat(budget.held()).isZero();
+    }
+
     private CompletableFuture<CallResult> call() {
         return call(TIMEOUT_MILLIS);
     }
@@ -81,7 +99,7 @@
         Address address = new Address("127.0.0.1", listening.getLocalPort());
         CompletableFuture<CallResult> result = new CompletableFuture<>();
         EventLoop loop = (EventLoop) group.next();
-        loop.execute(() -> new HttpCallClient(RelayChannels.connector(group), () -> address)
+        loop.execute(() -> new HttpCallClient(RelayChannels.connector(group), budget, () -> address)
                 .call(CALL, timeoutMillis, result::complete));
         return result;
     }
