Bound the bodies of an entry by the same class as a relay's

BodyReader had a sum of its own, a quarter of the heap; it asks ByteBudget now, which keeps a part for small requests and leaves room beside one caller, by address. EntryHttpTest.bodiesBeyondTheBudget... holds as before, with a budget in which one of its bodies fits and two don't.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/memory/ByteBudget.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/memory/ByteBudget.java
@@ -24,6 +24,9 @@
  * <p>Several threads may use it.
  */
 public final class ByteBudget {
+    /** Size of a request's body up to which it is held as {@link ByteUse#REQUEST}; above, as an upload. */
+    public static final int SMALL_REQUEST_BYTES = 64 * 1_024;
+
     /** Share of the heap; the rest is for the process's own state and for garbage that isn't collected yet. */
     private static final double HEAP_SHARE = 0.5;
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/entry/EntryProcess.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/entry/EntryProcess.java
@@ -17,6 +17,7 @@
 import org.rattanrudder.core.frame.Frame;
 import org.rattanrudder.core.log.LogRecord;
 import org.rattanrudder.core.log.LogStream;
+import org.rattanrudder.core.memory.ByteBudget;
 import org.rattanrudder.core.model.Address;
 import org.rattanrudder.daemon.http.BodyReader;
 import org.rattanrudder.daemon.http.HealthHandler;
@@ -39,7 +40,6 @@
 /** An entry that runs: the machine on its ring and every adapter around it. */
 public final class EntryProcess implements RunningProcess, LogFollower.Listener {
     private static final int HTTP_THREADS = 2;
-    private static final int BODIES_PART_OF_HEAP = 4;
 
     private final ProcessSettings settings;
     private final Closer closer = new Closer();
@@ -94,7 +94,7 @@
         Consumer<EntryEvent> publish = loop::publish;
         BodyReader bodies = new BodyReader(
                 settings.limits(),
-                Runtime.getRuntime().maxMemory() / BODIES_PART_OF_HEAP,
+                ByteBudget.ofHeap(Runtime.getRuntime().maxMemory()),
                 (exchange, refusal) ->
                         log.info("request_refused", "kind", refusal.kind().wireName(), "detail", refusal.detail()));
         OperatorHandler operators = new OperatorHandler(
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/http/BodyReader.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/http/BodyReader.java
@@ -6,9 +6,11 @@
 import io.undertow.util.SameThreadExecutor;
 import java.io.IOException;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import org.rattanrudder.core.memory.ByteBudget;
+import org.rattanrudder.core.memory.ByteUse;
+import org.rattanrudder.core.memory.Holding;
 import org.rattanrudder.core.model.ErrorKind;
 import org.rattanrudder.core.model.Refusal;
 import org.rattanrudder.document.ProcessSettings.ProcessLimits;
@@ -25,20 +27,20 @@
     private static final long RETRY_AFTER_MILLIS = 1_000;
 
     private final ProcessLimits limits;
-    private final long budgetBytes;
-    private final AtomicLong reservedBytes = new AtomicLong();
+    private final ByteBudget budget;
     private final BiConsumer<HttpServerExchange, Refusal> refusalListener;
 
     /**
      * Creates a reader.
      *
      * @param limits the limits of the process
-     * @param budgetBytes the maximum total size of the bodies of all requests in flight
+     * @param budget bounds the bodies of all requests in flight
      * @param refusalListener called for each refusal, for logging
      */
-    public BodyReader(ProcessLimits limits, long budgetBytes, BiConsumer<HttpServerExchange, Refusal> refusalListener) {
+    public BodyReader(
+            ProcessLimits limits, ByteBudget budget, BiConsumer<HttpServerExchange, Refusal> refusalListener) {
         this.limits = limits;
-        this.budgetBytes = budgetBytes;
+        this.budget = budget;
         this.refusalListener = refusalListener;
     }
 
@@ -54,7 +56,9 @@
         }
         if (!reserve(exchange)) {
             Refusal refusal = new Refusal(
-                    ErrorKind.OVERLOADED, RETRY_AFTER_MILLIS, "too many large bodies are under way in this process");
+                    ErrorKind.OVERLOADED,
+                    RETRY_AFTER_MILLIS,
+                    "too many bodies are under way in this process, or of this caller");
             refuse(exchange, refusal);
             return;
         }
@@ -78,12 +82,14 @@
         if (declaredBytes < 0) {
             exchange.setMaxEntitySize(maxUndeclaredBytes);
         }
-        if (reservedBytes.addAndGet(bytes) > budgetBytes) {
-            reservedBytes.addAndGet(-bytes);
+        Holding holding = budget.holding(
+                bytes > ByteBudget.SMALL_REQUEST_BYTES ? ByteUse.UPLOAD : ByteUse.REQUEST,
+                exchange.getSourceAddress().getAddress().getHostAddress());
+        if (!holding.tryGrow(bytes)) {
             return false;
         }
         exchange.addExchangeCompleteListener((completed, next) -> {
-            reservedBytes.addAndGet(-bytes);
+            holding.close();
             next.proceed();
         });
         return true;
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/RequestBody.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/RequestBody.java
@@ -14,7 +14,7 @@
  */
 final class RequestBody {
     /** A body up to this size needs no turn among the large ones. */
-    static final int SMALL_BYTES = 64 * 1_024;
+    static final int SMALL_BYTES = ByteBudget.SMALL_REQUEST_BYTES;
 
     private final Holding small;
     private final Holding large;
--- a/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/entry/EntryHttpTest.java
+++ b/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/entry/EntryHttpTest.java
@@ -30,6 +30,7 @@
 import org.rattanrudder.core.call.Header;
 import org.rattanrudder.core.entry.CallerRequest;
 import org.rattanrudder.core.entry.EntryEvent;
+import org.rattanrudder.core.memory.ByteBudget;
 import org.rattanrudder.core.model.ErrorKind;
 import org.rattanrudder.core.model.Refusal;
 import org.rattanrudder.daemon.http.BodyReader;
@@ -46,7 +47,10 @@
 class EntryHttpTest {
     private static final int SECONDS = 10;
     private static final ProcessLimits LIMITS = new ProcessLimits(10_000, 2_000, 200, 100);
-    private static final long BUDGET = 12_000;
+
+    /** Room for one body of 9,000 bytes, and not for two. */
+    private static final long BUDGET_BYTES = 34_000;
+
     private static final String CHAT = "{\"model\":\"m\",\"stream\":%s,\"messages\":[{\"role\":\"u\"}]}";
     private static final List<Header> EVENT_STREAM = List.of(new Header("Content-Type", "text/event-stream"));
 
@@ -63,7 +67,7 @@
         threads = ProcessThreads.start(1);
         EventLog log = new EventLog(Logger.getLogger(EntryHttpTest.class), new MonotonicClock());
         PieceSizes sizes = new PieceSizes();
-        BodyReader bodies = new BodyReader(LIMITS, BUDGET, (exchange, refusal) -> {});
+        BodyReader bodies = new BodyReader(LIMITS, new ByteBudget(BUDGET_BYTES), (exchange, refusal) -> {});
         EntryHttp http = new EntryHttp(
                 new CallerHandler(31, callers, sizes, credentials, bodies, events::add, log),
                 new OperatorHandler(Credential.digest("operator"), sizes, bodies, events::add, () -> null),
--- a/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/http/BodyReaderTest.java
+++ b/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/http/BodyReaderTest.java
@@ -17,6 +17,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.rattanrudder.core.memory.ByteBudget;
 import org.rattanrudder.document.ProcessSettings.ProcessLimits;
 import org.xnio.OptionMap;
 import org.xnio.Options;
@@ -30,7 +31,7 @@
     private final CountDownLatch reading = new CountDownLatch(1);
     private final CountDownLatch returned = new CountDownLatch(1);
     private final ExecutorService executor = Executors.newSingleThreadExecutor();
-    private final BodyReader reader = new BodyReader(LIMITS, Long.MAX_VALUE, (exchange, refusal) -> {});
+    private final BodyReader reader = new BodyReader(LIMITS, new ByteBudget(1 << 30), (exchange, refusal) -> {});
     private XnioWorker worker;
     private HttpServer server;
 
