--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/Exchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/Exchange.java
@@ -435,6 +435,8 @@
     private void endAttempt(String outcome) {
         inactivity.stop();
         attempt.finish();
+        // Paused for a slow caller, it would never read the response to its next request.
+        attempt.connection().setReading(true);
         attempt = null;
         forwarder.discard();
         state.metrics().recordAttempt(plan.service(), outcome);
