Name what forwards and replies write to, and split the model of uploads

ResponseForwarder and FinalReply write to a ResponseWriter, no longer to the connection: writer. UnsentBytes names its receiver. No behaviour is changed.

--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/bench/UploadPolicyBench.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/bench/UploadPolicyBench.java
@@ -13,10 +13,10 @@
 
 /**
  * Weighs two ways to bound the memory of large bodies, in a model with the same seeds: keeping bodies within a budget,
- * and passing each on as it comes, which holds a place at a target until its slow caller has sent it.
+ * and passing each on as it comes, which holds a place at a target until its slow caller has sent all.
  *
- * <p>Some callers stall and some leave. A target that is full rejects a request without running it; a body that was kept
- * is offered again to another target, a passed on one is gone.
+ * <p>Some callers stall and some leave. A kept body waits for a place once it is whole; one that would be passed on is
+ * rejected while all places are taken.
  */
 public final class UploadPolicyBench {
     private static final int SEEDS = 60;
@@ -108,68 +108,91 @@
     }
 
     private static void play(int seed, int places, int perSecond, boolean keeps, Score score) {
-        Random random = new Random(seed);
-        List<Upload> coming = new ArrayList<>();
-        for (double at = 0;
-                at < END_MILLIS - DEADLINE_MILLIS;
-                at += -Math.log(1 - random.nextDouble()) * 1_000 / perSecond) {
-            coming.add(new Upload((long) at, random));
+        new Play(new Random(seed), places, perSecond, keeps, score).run();
+    }
+
+    /** One minute of uploads by one of the ways. */
+    private static final class Play {
+        private final int places;
+        private final boolean keeps;
+        private final Score score;
+        private final List<Upload> coming = new ArrayList<>();
+        private final List<Upload> active = new ArrayList<>();
+        private final Map<Upload, Long> running = new HashMap<>();
+        private final ByteBudget budget = new ByteBudget(BUDGET_BYTES);
+        private final UploadLine<Upload> line = new UploadLine<>(budget);
+        private long now;
+
+        Play(Random random, int places, int perSecond, boolean keeps, Score score) {
+            this.places = places;
+            this.keeps = keeps;
+            this.score = score;
+            double at = 0;
+            while (at < END_MILLIS - DEADLINE_MILLIS) {
+                coming.add(new Upload((long) at, random));
+                at -= Math.log(1 - random.nextDouble()) * 1_000 / perSecond;
+            }
         }
-        ByteBudget budget = new ByteBudget(BUDGET_BYTES);
-        UploadLine<Upload> line = new UploadLine<>(budget);
-        List<Upload> active = new ArrayList<>();
-        Map<Upload, Long> running = new HashMap<>();
-        for (long now = 0; now < END_MILLIS; now += STEP_MILLIS) {
-            long time = now;
-            while (!coming.isEmpty() && coming.get(0).arrivesAt <= now) {
-                Upload next = coming.remove(0);
-                if (keeps) {
-                    next.holding = budget.holding(ByteUse.UPLOAD, "caller");
-                    line.add(new UploadLine.Upload<>(next, next.holding, next.bytes, 1, now, now + DEADLINE_MILLIS));
-                    active.add(next);
-                } else if (running.size() < places) {
-                    next.reading = true;
-                    running.put(next, now);
-                    active.add(next);
-                } else {
-                    score.rejectedAtOnce++;
+
+        void run() {
+            for (now = 0; now < END_MILLIS; now += STEP_MILLIS) {
+                while (!coming.isEmpty() && coming.get(0).arrivesAt <= now) {
+                    arrive(coming.remove(0));
                 }
-            }
-            if (keeps) {
                 UploadLine.Outcome<Upload> outcome = line.update(now);
                 outcome.granted().forEach(upload -> upload.reading = true);
                 score.rejectedAtOnce += outcome.rejected().size();
                 active.removeAll(outcome.rejected());
+                List.copyOf(active).forEach(this::advance);
+                score.placeMillis += (long) running.size() * STEP_MILLIS;
+                long held = keeps ? budget.held() : active.size() * 2 * PIECE_BYTES;
+                score.peakBytes = Math.max(score.peakBytes, held);
+                score.smallMillis.add(running.size() < places ? 0 : waitForPlace(running, now));
             }
-            for (Upload upload : List.copyOf(active)) {
-                if (upload.reading && upload.received < upload.bytes) {
-                    upload.receive();
-                }
-                if (upload.received >= upload.bytes
-                        && upload.servedAt < 0
-                        && (running.containsKey(upload) || running.size() < places)) {
-                    running.putIfAbsent(upload, now);
-                    upload.servedAt = now + WORK_MILLIS;
-                }
-                boolean served = upload.servedAt >= 0 && now >= upload.servedAt;
-                if (served || upload.isOver(now)) {
-                    score.served += served ? 1 : 0;
-                    score.late += served || upload.leaves ? 0 : 1;
-                    Long since = running.remove(upload);
-                    score.runsOfPartialBodies += since != null && upload.received < upload.bytes ? 1 : 0;
-                    active.remove(upload);
-                    line.remove(upload);
-                    if (upload.holding != null && upload.holding.bytes() > 0) {
-                        line.onGivenBack(Math.max(1, now - upload.arrivesAt));
-                    }
-                    if (upload.holding != null) {
-                        upload.holding.close();
-                    }
+        }
+
+        private void arrive(Upload next) {
+            if (!keeps && running.size() >= places) {
+                score.rejectedAtOnce++;
+                return;
+            }
+            active.add(next);
+            if (keeps) {
+                next.holding = budget.holding(ByteUse.UPLOAD, "caller");
+                line.add(new UploadLine.Upload<>(next, next.holding, next.bytes, 1, now, now + DEADLINE_MILLIS));
+            } else {
+                next.reading = true;
+                running.put(next, now);
+            }
+        }
+
+        private void advance(Upload upload) {
+            if (upload.reading && upload.received < upload.bytes) {
+                upload.receive();
+            }
+            boolean whole = upload.received >= upload.bytes;
+            if (whole && upload.servedAt < 0 && (running.containsKey(upload) || running.size() < places)) {
+                running.putIfAbsent(upload, now);
+                upload.servedAt = now + WORK_MILLIS;
+            }
+            boolean served = upload.servedAt >= 0 && now >= upload.servedAt;
+            if (served || upload.isOver(now)) {
+                end(upload, served, whole);
+            }
+        }
+
+        private void end(Upload upload, boolean served, boolean whole) {
+            score.served += served ? 1 : 0;
+            score.late += served || upload.leaves ? 0 : 1;
+            score.runsOfPartialBodies += running.remove(upload) != null && !whole ? 1 : 0;
+            active.remove(upload);
+            line.remove(upload);
+            if (upload.holding != null) {
+                if (upload.holding.bytes() > 0) {
+                    line.onGivenBack(Math.max(1, now - upload.arrivesAt));
                 }
+                upload.holding.close();
             }
-            score.placeMillis += (long) running.size() * STEP_MILLIS;
-            score.peakBytes = Math.max(score.peakBytes, keeps ? budget.held() : active.size() * 2 * PIECE_BYTES);
-            score.smallMillis.add(running.size() < places ? 0 : waitForPlace(running, time));
         }
     }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/FinalReply.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/FinalReply.java
@@ -7,12 +7,12 @@
 /** Tells the caller of one request that it was not served, and when to come back. */
 final class FinalReply {
     private final RelayState state;
-    private final ResponseWriter caller;
+    private final ResponseWriter writer;
     private final RequestPlan plan;
 
-    FinalReply(RelayState state, ResponseWriter caller, RequestPlan plan) {
+    FinalReply(RelayState state, ResponseWriter writer, RequestPlan plan) {
         this.state = state;
-        this.caller = caller;
+        this.writer = writer;
         this.plan = plan;
     }
 
@@ -33,13 +33,13 @@
         if (afterRest.isPresent()) {
             return failUntil(ErrorKind.OVERLOADED, "all targets want rest", afterRest.getAsLong());
         }
-        caller.error(error, plan.id(), plan.remainingMillis());
+        writer.error(error, plan.id(), plan.remainingMillis());
         return new Ending(error.wireName(), reason);
     }
 
     /** Replies with an error that asks the caller to retry after the given time, regardless of its deadline. */
     Ending failUntil(ErrorKind error, String reason, long retryAfterMillis) {
-        caller.errorWithRetryAfter(error, plan.id(), retryAfterMillis);
+        writer.errorWithRetryAfter(error, plan.id(), retryAfterMillis);
         return new Ending(error.wireName(), reason);
     }
 
@@ -80,7 +80,7 @@
 
     /** Ends a response that has begun and can't be completed. */
     Ending abort(String reason) {
-        caller.abort();
+        writer.abort();
         return new Ending("broken_off", reason);
     }
 }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/ResponseForwarder.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/ResponseForwarder.java
@@ -28,7 +28,7 @@
 
     private static final int INITIAL_BUFFER_BYTES = 1_024;
 
-    private final ResponseWriter caller;
+    private final ResponseWriter writer;
     private final RequestDialect dialect;
     private final Runnable onFirstByte;
     private final boolean streamRoute;
@@ -42,8 +42,8 @@
     private boolean begun;
 
     /** Creates a forwarder; {@code onFirstByte} runs before the first byte is written to the caller. */
-    ResponseForwarder(ResponseWriter caller, RequestDialect dialect, RepeatRule repeat, Runnable whenBegun) {
-        this.caller = caller;
+    ResponseForwarder(ResponseWriter writer, RequestDialect dialect, RepeatRule repeat, Runnable whenBegun) {
+        this.writer = writer;
         this.dialect = dialect;
         this.onFirstByte = whenBegun;
         streamRoute = repeat.stream();
@@ -93,7 +93,7 @@
         head = response;
         events = bringsEvents(response);
         boolean success = response.status().codeClass() == HttpStatusClass.SUCCESS;
-        streamed = streamRoute && !caller.isHeadRequest() && (events || success);
+        streamed = streamRoute && !writer.isHeadRequest() && (events || success);
     }
 
     /** Returns where the body stands. */
@@ -125,24 +125,24 @@
     private void stream(byte[] ready) {
         if (ready.length > 0) {
             begin();
-            caller.content(Unpooled.wrappedBuffer(ready));
+            writer.content(Unpooled.wrappedBuffer(ready));
         }
     }
 
     private void buffer(ByteBuf chunk) {
         if (begun) {
-            caller.content(chunk.retain());
+            writer.content(chunk.retain());
             return;
         }
         if (buffered == null) {
-            held = caller.newHolding();
+            held = writer.newHolding();
             buffered = Unpooled.buffer(Math.max(INITIAL_BUFFER_BYTES, chunk.readableBytes()));
         }
         buffered.writeBytes(chunk);
         if (buffered.readableBytes() > MAX_BUFFERED_BYTES || !held.tryGrowTo(buffered.capacity())) {
             begin();
             held.close();
-            caller.content(buffered);
+            writer.content(buffered);
             buffered = null;
         }
     }
@@ -153,7 +153,7 @@
         }
         begun = true;
         onFirstByte.run();
-        caller.begin(head, headers());
+        writer.begin(head, headers());
     }
 
     private HttpHeaders headers() {
@@ -164,12 +164,12 @@
     void complete() {
         if (begun || streamed) {
             begin();
-            caller.end();
+            writer.end();
             return;
         }
         begun = true;
         onFirstByte.run();
-        caller.full(head, headers(), buffered, buffered == null ? caller.newHolding() : held);
+        writer.full(head, headers(), buffered, buffered == null ? writer.newHolding() : held);
         buffered = null;
     }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/ResponseWriter.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/ResponseWriter.java
@@ -54,7 +54,7 @@
 
     /** Names who receives the responses from now on, for the count of what is held for it. */
     void setReceiver(String name) {
-        unsent.setCaller(name);
+        unsent.setReceiver(name);
     }
 
     /** Returns whether the connection ends with a response that was begun. */
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/UnsentBytes.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/UnsentBytes.java
@@ -8,30 +8,30 @@
 final class UnsentBytes {
     private final MemoryAdmission memory;
     private final Runnable onSent;
-    private String caller;
+    private String receiver;
     private long bytes;
     private boolean overflowed;
 
     /**
      * Creates a count of nothing.
      *
-     * @param caller who receives the responses until another one is named
+     * @param receiver who receives the responses until another one is named
      * @param onSent runs whenever something was sent that had to wait
      */
-    UnsentBytes(MemoryAdmission memory, String caller, Runnable onSent) {
+    UnsentBytes(MemoryAdmission memory, String receiver, Runnable onSent) {
         this.memory = memory;
-        this.caller = caller;
+        this.receiver = receiver;
         this.onSent = onSent;
     }
 
     /** Names who receives the responses from now on. */
-    void setCaller(String receiver) {
-        caller = receiver;
+    void setReceiver(String name) {
+        receiver = name;
     }
 
     /** Returns an empty holding for what isn't written yet of a response. */
     Holding newHolding() {
-        return memory.holding(ByteUse.RESPONSE, caller);
+        return memory.holding(ByteUse.RESPONSE, receiver);
     }
 
     /** Counts what was written until it is sent, if the caller doesn't take it at once. */
