--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/memory/ByteBudget.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/memory/ByteBudget.java
@@ -1,6 +1,6 @@
 package org.rattanrudder.core.memory;
 
-import java.util.EnumMap;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.Map;
 
@@ -34,13 +34,13 @@
     private static final int CALLER_RATIO = 4;
 
     private final long capacityBytes;
-    private final Map<ByteUse, Use> uses = new EnumMap<>(ByteUse.class);
+    private final Use[] uses = new Use[ByteUse.values().length];
 
     /** Creates a budget of which nothing is held. */
     public ByteBudget(long capacityBytes) {
         this.capacityBytes = capacityBytes;
         for (ByteUse use : ByteUse.values()) {
-            uses.put(use, new Use(use, capacityBytes));
+            uses[use.ordinal()] = new Use(use, capacityBytes);
         }
     }
 
@@ -92,13 +92,13 @@
         if (bytes > 0 && bytes > roomFor(use, caller)) {
             return false;
         }
-        uses.get(use).add(caller, bytes);
+        uses[use.ordinal()].add(caller, bytes);
         return true;
     }
 
     /** Returns how many bytes more a caller may hold now. */
     public synchronized long roomFor(ByteUse use, String caller) {
-        Use wanted = uses.get(use);
+        Use wanted = uses[use.ordinal()];
         long free = limit(use) - wanted.heldBytes;
         long own = wanted.heldBy(caller);
         if (wanted.heldBytes == 0) {
@@ -110,9 +110,9 @@
 
     /** Returns how many bytes may be held for a use now, by all callers, given what is held for the others. */
     public synchronized long limit(ByteUse use) {
-        Use wanted = uses.get(use);
+        Use wanted = uses[use.ordinal()];
         long others = -wanted.reservedBytes();
-        for (Use each : uses.values()) {
+        for (Use each : uses) {
             others += each.reservedBytes();
         }
         return Math.max(0, Math.min(wanted.largestBytes, capacityBytes - others));
@@ -125,22 +125,22 @@
 
     /** Returns the most that may ever be held for a use, in bytes. */
     public long largest(ByteUse use) {
-        return uses.get(use).largestBytes;
+        return uses[use.ordinal()].largestBytes;
     }
 
     /** Returns how many bytes are held for a use. */
     public synchronized long held(ByteUse use) {
-        return uses.get(use).heldBytes;
+        return uses[use.ordinal()].heldBytes;
     }
 
     /** Returns how many bytes a caller holds for a use. */
     public synchronized long heldBy(ByteUse use, String caller) {
-        return uses.get(use).heldBy(caller);
+        return uses[use.ordinal()].heldBy(caller);
     }
 
     /** Returns how many bytes are held for all uses. */
     public synchronized long held() {
-        return uses.values().stream().mapToLong(use -> use.heldBytes).sum();
+        return Arrays.stream(uses).mapToLong(use -> use.heldBytes).sum();
     }
 
     /** Returns how many bytes may be held. */
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/IncomingRequest.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/IncomingRequest.java
@@ -26,6 +26,7 @@
     private final HttpRequest head;
     private final String address;
     private final long arrivedAt;
+    private long declaredBytes;
     private Optional<RequestMetadata> metadata = Optional.empty();
     private Optional<AccessDecision.Granted> granted = Optional.empty();
     private Optional<ErrorKind> problem = Optional.empty();
@@ -74,7 +75,8 @@
         }
         problem = authorize();
         int maxBytes = (int) Math.min(Integer.MAX_VALUE, state.limits().maxBodyBytes());
-        if (HttpUtil.getContentLength(head, 0L) > maxBytes) {
+        declaredBytes = HttpUtil.getContentLength(head, 0L);
+        if (declaredBytes > maxBytes) {
             problem = problem.or(() -> Optional.of(ErrorKind.BODY_TOO_LARGE));
             return Next.REFUSE_UNREAD;
         }
@@ -197,7 +199,7 @@
 
     /** Returns the length of the body; 0 if it isn't known. */
     int declaredBytes() {
-        return (int) HttpUtil.getContentLength(head, 0L);
+        return (int) declaredBytes;
     }
 
     /** Lets the response say that the connection isn't used on. */
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/UnsentBytes.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/UnsentBytes.java
@@ -47,6 +47,10 @@
     /** Counts what was written and is held already until it is sent. */
     void onWritten(ChannelFuture written, Holding holding) {
         long count = holding.bytes();
+        if (written.isDone()) {
+            holding.close();
+            return;
+        }
         bytes += count;
         written.addListener(sent -> {
             bytes -= count;
