Say of requests and engines what a relay believes of their weights, and since when

No line told the hypotheses of the incident apart. request_sent now has the version that is asked for, the newest version known, for how long it is known to be desired, and how that is known (read, found at the start, from a peer); engine_behind says every 5 s of each engine with older weights what it is taken to serve and by what, who holds the lease, whether it takes calls, and the last order with its status; rattanrudder_relay_targets_behind counts them.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Target.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Target.java
@@ -269,6 +269,11 @@
         return Math.max(registration.weights().getOrDefault(model, 0L), confirmedWeights.getOrDefault(model, 0L));
     }
 
+    /** Returns whether its record names the version that it is taken to serve, and not only what was seen since. */
+    public boolean isWeightsRecorded(String model) {
+        return registration.weights().getOrDefault(model, 0L) == weights(model);
+    }
+
     /**
      * Records a version of weights that the target was seen to serve. A newer version means that the target has
      * finished loading. A known version doesn't: runs that the target finishes before it loads report that version too.
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/rollout/DesiredVersions.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/rollout/DesiredVersions.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
@@ -25,7 +26,25 @@
     /** The time of a version whose true time is unknown: longer ago than any time limit. */
     private static final long LONG_AGO = Long.MIN_VALUE / 2;
 
-    private final Map<String, TreeMap<Long, Long>> sinceByModel = new HashMap<>();
+    private final Map<String, TreeMap<Long, Since>> sinceByModel = new HashMap<>();
+
+    /** How a relay knows since when a version is desired. */
+    public enum Source {
+        /** It read of it after its start. */
+        READ,
+        /** It found it at its start, so that it doesn't know. */
+        FOUND_AT_START,
+        /** A peer reported it. */
+        PEER;
+
+        /** Returns the name in logs. */
+        public String wireName() {
+            return name().toLowerCase(Locale.ROOT);
+        }
+    }
+
+    /** Since when a version is desired, and how that is known. */
+    private record Since(long millis, Source source) {}
 
     /**
      * A desired version of a model's weights.
@@ -33,12 +52,13 @@
      * @param model the model
      * @param version the version
      * @param sinceMillis when it became desired at the latest
+     * @param source how that is known
      */
-    public record DesiredVersion(String model, long version, long sinceMillis) {}
+    public record DesiredVersion(String model, long version, long sinceMillis, Source source) {}
 
     /** Adds a version that has just become desired; returns whether it is the newest. */
     public boolean addDesired(String model, long version, long nowMillis) {
-        return add(model, version, nowMillis);
+        return add(model, version, new Since(nowMillis, Source.READ));
     }
 
     /**
@@ -47,13 +67,13 @@
      * started on old weights 14 s after the change, where 10 s were allowed.
      */
     public boolean addFoundAtStart(String model, long version) {
-        return add(model, version, LONG_AGO);
+        return add(model, version, new Since(LONG_AGO, Source.FOUND_AT_START));
     }
 
-    private boolean add(String model, long version, long sinceMillis) {
-        TreeMap<Long, Long> versions = sinceByModel.computeIfAbsent(model, unseen -> new TreeMap<>());
+    private boolean add(String model, long version, Since since) {
+        TreeMap<Long, Since> versions = sinceByModel.computeIfAbsent(model, unseen -> new TreeMap<>());
         boolean newest = versions.isEmpty() || versions.lastKey() < version;
-        versions.putIfAbsent(version, sinceMillis);
+        versions.putIfAbsent(version, since);
         if (versions.size() > MAX_VERSIONS) {
             versions.pollFirstEntry();
         }
@@ -62,24 +82,21 @@
 
     /** Applies for how long a peer has known a version, if the same or a newer version is known here. */
     public void applyPeerAge(String model, long version, long ageMillis, long nowMillis) {
-        TreeMap<Long, Long> versions = sinceByModel.get(model);
+        TreeMap<Long, Since> versions = sinceByModel.get(model);
         // New versions are accepted only from the store. Of versions before them the relay may have read no record.
         if (versions != null && versions.lastKey() >= version) {
-            versions.merge(version, nowMillis - ageMillis, DesiredVersions::earlier);
+            versions.merge(version, new Since(nowMillis - ageMillis, Source.PEER), DesiredVersions::earlier);
         }
     }
 
     /** Returns the earlier time, or the other one if the first is unknown. */
-    private static long earlier(long one, long other) {
-        if (one == LONG_AGO) {
-            return other;
-        }
-        return Math.min(one, other);
+    private static Since earlier(Since one, Since other) {
+        return one.millis() == LONG_AGO || other.millis() < one.millis() ? other : one;
     }
 
     /** Returns the newest desired version of a model; 0 if there is none. */
     public long newest(String model) {
-        TreeMap<Long, Long> versions = sinceByModel.get(model);
+        TreeMap<Long, Since> versions = sinceByModel.get(model);
         return versions == null ? 0 : versions.lastKey();
     }
 
@@ -89,9 +106,9 @@
      * @param allowedMillis how long older versions may be used after a newer one became desired
      */
     public long oldestAllowed(String model, long allowedMillis, long nowMillis) {
-        TreeMap<Long, Long> versions = sinceByModel.getOrDefault(model, new TreeMap<>());
+        TreeMap<Long, Since> versions = sinceByModel.getOrDefault(model, new TreeMap<>());
         return versions.descendingMap().entrySet().stream()
-                .filter(version -> nowMillis - version.getValue() >= allowedMillis)
+                .filter(version -> nowMillis - version.getValue().millis() >= allowedMillis)
                 .map(Map.Entry::getKey)
                 .findFirst()
                 .orElse(0L);
@@ -108,13 +125,24 @@
     public List<DesiredVersion> versionsWithKnownAge() {
         List<DesiredVersion> all = new ArrayList<>();
         sinceByModel.forEach((model, versions) -> versions.forEach((version, since) -> {
-            if (since != LONG_AGO) {
-                all.add(new DesiredVersion(model, version, since));
+            if (since.millis() != LONG_AGO) {
+                all.add(new DesiredVersion(model, version, since.millis(), since.source()));
             }
         }));
         return all;
     }
 
+    /** Returns the newest desired version of a model, and since when it is known to be desired; empty if none is. */
+    public Optional<DesiredVersion> newestKnown(String model) {
+        return Optional.ofNullable(sinceByModel.get(model))
+                .map(TreeMap::lastEntry)
+                .map(newest -> new DesiredVersion(
+                        model,
+                        newest.getKey(),
+                        newest.getValue().millis(),
+                        newest.getValue().source()));
+    }
+
     /** Returns the models that have desired versions. */
     public List<String> models() {
         return List.copyOf(sinceByModel.keySet());
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/rollout/OrderLease.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/rollout/OrderLease.java
@@ -102,6 +102,11 @@
                 && heldUntilWall - wallMillis < 2 * LEASE_MILLIS;
     }
 
+    /** Returns the other process whose record was read last; empty if none was. */
+    public String lastOtherHolder() {
+        return lastHolder;
+    }
+
     /** Returns the fencing token of the lease that was held last; -1 if none was. */
     public long fencingToken() {
         return fencingToken;
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/rollout/DesiredVersionsTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/rollout/DesiredVersionsTest.java
@@ -6,6 +6,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.rattanrudder.core.rollout.DesiredVersions.DesiredVersion;
+import org.rattanrudder.core.rollout.DesiredVersions.Source;
 
 class DesiredVersionsTest {
     private static final long ALLOWED = 13_000;
@@ -22,7 +23,7 @@
         versions.applyPeerAge("m", 2, 10_000, 50_100);
         versions.applyPeerAge("m", 2, 3_000, 50_200);
 
-        assertThat(versions.versionsWithKnownAge()).containsExactly(new DesiredVersion("m", 2, 40_100));
+        assertThat(versions.versionsWithKnownAge()).containsExactly(new DesiredVersion("m", 2, 40_100, Source.PEER));
     }
 
     @Test
@@ -91,7 +92,7 @@
 
         assertThat(versions.oldestAllowed("m", ALLOWED, 28_999)).isZero();
         assertThat(versions.oldestAllowed("m", ALLOWED, 29_000)).isEqualTo(3);
-        assertThat(versions.versionsWithKnownAge()).containsExactly(new DesiredVersion("m", 3, 16_000));
+        assertThat(versions.versionsWithKnownAge()).containsExactly(new DesiredVersion("m", 3, 16_000, Source.PEER));
     }
 
     @Test
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/rollout/RolloutCoordinator.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/rollout/RolloutCoordinator.java
@@ -69,6 +69,7 @@
     private final Map<String, RolloutPlanner> planners = new HashMap<>();
     private final Map<String, Long> progressChecksDueAt = new HashMap<>();
     private final Map<String, Integer> reportedInFlight = new HashMap<>();
+    private final RolloutLog rolloutLog;
     private final Set<String> targetsBeingCalled = new HashSet<>();
     private boolean answeredOnce;
     private boolean caughtUp;
@@ -84,6 +85,7 @@
         timer = new StepTimer(state.loop());
         this.relayId = relayId;
         store = state.platform().store();
+        rolloutLog = new RolloutLog(state);
         lease = new OrderLease(relayId, state.settings().bounds().leaseMillis());
         follower = new TopicFollower(state, Topic.ORDERS, PollIntervals.RARE, InitialRead.KEPT, new LeaseListener());
         appendClient = new HttpCallClient(state.connector(), state.heldBytes(), state::store);
@@ -129,12 +131,27 @@
 
     private void poll() {
         List<PendingRollout> pending = pendingRollouts();
+        logBehind(pending);
         if (!pending.isEmpty() && !state.isDraining()) {
             advance(pending);
         }
         timer.reschedule(this::poll, pending.isEmpty() ? IDLE_POLL_INTERVAL_MILLIS : POLL_INTERVAL_MILLIS);
     }
 
+    private void logBehind(List<PendingRollout> pending) {
+        long now = state.nowMillis();
+        boolean held = lease.isHeld(now, System.currentTimeMillis());
+        String holder = held ? "self" : lease.lastOtherHolder();
+        rolloutLog.behind(
+                pending.stream()
+                        .flatMap(rollout -> rollout.targets().stream()
+                                .map(target -> new RolloutLog.Pending(
+                                        target, rollout.weights(), targetsBeingCalled.contains(target.id()))))
+                        .toList(),
+                holder,
+                now);
+    }
+
     /** A model's newest weights, and the targets of a service that serve the model, not all of them in that version. */
     private record PendingRollout(String service, WeightsVersion weights, List<Target> targets) {}
 
@@ -291,19 +308,7 @@
         client.call(state.platform().engines().order(order), ENGINE_TIMEOUT_MILLIS, answer -> {
             selfReports.onCallAnswered(target, answer, now);
             int status = answer instanceof CallResult.Answered answered ? answered.status() : 0;
-            state.log()
-                    .info(
-                            "order_given",
-                            "target",
-                            target.id(),
-                            "model",
-                            weights.model(),
-                            "version",
-                            Long.toString(weights.version()),
-                            "token",
-                            Long.toString(order.fencingToken()),
-                            "status",
-                            Integer.toString(status));
+            rolloutLog.ordered(target, order, status, state.nowMillis());
             if (status == 0) {
                 // The engine may load the weights later or never; until then it serves requests.
                 plan.onUnanswered(target.id());
@@ -352,19 +357,7 @@
                     planner(rollout).onRefused(target.id());
                     target.markLoadingWeights(state.nowMillis());
                 }
-                state.log()
-                        .info(
-                                "engine_looked_at",
-                                "target",
-                                target.id(),
-                                "busy",
-                                report.map(read -> Boolean.toString(read.busy()))
-                                        .orElse("unknown"),
-                                "weights",
-                                Long.toString(target.weights(rollout.weights().model())),
-                                "in_flight",
-                                report.map(read -> Integer.toString(read.inFlight()))
-                                        .orElse("unknown"));
+                rolloutLog.lookedAt(target, report, rollout.weights().model());
                 targetsBeingCalled.remove(target.id());
                 client.close();
             });
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/RequestPlan.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/RequestPlan.java
@@ -36,6 +36,8 @@
 import org.rattanrudder.core.parts.PartPlan;
 import org.rattanrudder.core.quarantine.Feature;
 import org.rattanrudder.core.quarantine.RequestFingerprint;
+import org.rattanrudder.core.rollout.DesiredVersions.DesiredVersion;
+import org.rattanrudder.core.rollout.DesiredVersions.Source;
 import org.rattanrudder.core.routing.Hashing;
 import org.rattanrudder.daemon.relay.port.ForwardingMetadata;
 import org.rattanrudder.daemon.relay.port.RequestDialect;
@@ -451,6 +453,16 @@
                         target.id(),
                         "salt",
                         salt.orElse("own"),
+                        "weights",
+                        metadata.model()
+                                .map(name -> Long.toString(target.weights(name)))
+                                .orElse("none"),
+                        "newest",
+                        metadata.model()
+                                .flatMap(state.weights()::newestKnown)
+                                .map(known -> known.version() + "/" + ageOf(known) + "/"
+                                        + known.source().wireName())
+                                .orElse("none"),
                         "shared_parts",
                         Integer.toString(Math.max(0, metadata.parts().size() - 1)),
                         "read",
@@ -465,6 +477,12 @@
                         PartChoiceFormat.format(metadata.parts(), parts.choices()));
     }
 
+    private String ageOf(DesiredVersion known) {
+        return known.source() == Source.FOUND_AT_START
+                ? "unknown"
+                : Long.toString(state.nowMillis() - known.sinceMillis());
+    }
+
     private static int count(List<? extends Optional<?>> places) {
         return (int) places.stream().filter(Optional::isPresent).count();
     }
