Count the bound on older weights from a time at which the newer ones weren't desired yet

Cause: DesiredVersions counted from when a relay read of a version. Relays that all stood still while it was named counted from their return; a relay that had stood still told its late age to others that had started again, which took it in place of 'long ago'; an age waited in a socket for as long as its reader was paused.

Change: a version has a time at which it wasn't desired yet, proved by the last complete read that didn't find it (the time at which that read was asked for). What the first read finds counts as desired long ago, until a peer answers a question: the answer counts as if sent when the question was, so no wait in a socket makes it younger. Of two proved times the later one holds. Versions that were overwritten unread are covered by the next one that is remembered; forgotten ones leave their time to it.

Two ways weighed: a longer margin (no margin covers a pause of any length), and each relay by its own reads alone (a relay that restarts in a rollout would refuse all engines that still have to load, 13 s long; relayThatRestartsLearnsTheTimeFromItsPeers).

VersionBoundTest fails in both directions of its mutants (time of reading, age counted from receipt). The engines that get their orders late are another fault, and still late.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/LoadReport.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/LoadReport.java
@@ -4,6 +4,7 @@
 import java.util.OptionalDouble;
 import org.rattanrudder.core.parts.RetirementReport;
 import org.rattanrudder.core.parts.StoreLateness;
+import org.rattanrudder.core.rollout.VersionQuestion;
 
 /**
  * The load that one relay has at the targets, as it reports it to its peers.
@@ -12,7 +13,7 @@
  * @param sequence increases with each report of the relay
  * @param full whether the targets are all those that it has requests at, or only those whose load has changed
  * @param targets the load at each target
- * @param weights the newest versions of weights that the relay knows
+ * @param weights the newest desired versions of weights that the relay knows
  * @param served targets that recently switched to the given weights
  * @param loading targets that the relay has ordered to load weights and that accept no requests meanwhile
  * @param unreachable targets that the relay failed to connect to recently
@@ -23,6 +24,8 @@
  * @param leaving targets that leave, by their registrations or their responses; only in full reports
  * @param removed targets whose removal the relay has lately read while the log was available; only in full reports
  * @param retirement the weights whose parts the relay no longer fetches; only in full reports
+ * @param question what the relay asks of the times of {@code weights}, and whose questions this report answers; only in
+ *     full reports
  * @param intervalMillis the time until the next full report to the same peer; 0 in incremental reports
  */
 public record LoadReport(
@@ -41,6 +44,7 @@
         List<LeavingTarget> leaving,
         List<RemovedTarget> removed,
         RetirementReport retirement,
+        VersionQuestion question,
         long intervalMillis) {
     public LoadReport {
         targets = List.copyOf(targets);
@@ -73,6 +77,7 @@
                 List.of(),
                 List.of(),
                 RetirementReport.NONE,
+                VersionQuestion.NONE,
                 0);
     }
 
@@ -97,6 +102,7 @@
                 leaving,
                 removed,
                 retirement,
+                question,
                 millis);
     }
 
@@ -125,7 +131,7 @@
      *
      * @param model the model
      * @param version the version
-     * @param ageMillis how long the relay has known the version
+     * @param ageMillis for how long it can have been desired at most
      */
     public record KnownWeights(String model, long version, long ageMillis) {}
 
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/rollout/DesiredVersions.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/rollout/DesiredVersions.java
@@ -9,32 +9,36 @@
 import java.util.TreeMap;
 
 /**
- * The desired versions of each model's weights, and since when each has been desired.
+ * The desired versions of each model's weights, and for each of them a time before which it wasn't desired.
  *
- * <p>Some time after a newer version became desired, no request may start on older weights. Three faults would extend
- * that time. A relay that was restarted or frozen would count from a later moment than the others; relays therefore
- * exchange for how long they have known a version, and the longest time counts. If all relays lost power, none of them
- * knows the time: a version that is found at startup counts as desired long ago until a peer reports since when. And if
- * only the newest version were remembered, each new one would restart the time; each version therefore has its own.
+ * <p>Some time after a newer version became desired, no request may start on older weights. When a relay reads of a
+ * version says little: it may have been suspended, restarted or without the log. What proves the time is a read that
+ * didn't find it: all that such a read doesn't return was written after the read began. A version that was found by the
+ * first read has no such time, and counts as desired long ago, until a peer tells one that it has proved.
+ *
+ * <p>Of two times for one version the later one is used, since each is proved by itself. Versions may be overwritten
+ * before they are read. So this holds for each version that was ever desired: the first one from it on that a relay
+ * remembers has a time at which neither was desired yet, and requests on anything older end in time.
  *
  * <p>Times are milliseconds of a monotonic clock.
  */
 public final class DesiredVersions {
-    /** Maximum number of remembered versions per model; older ones are past every time limit. */
+    /** Maximum number of remembered versions per model. */
     private static final int MAX_VERSIONS = 16;
 
-    /** The time of a version whose true time is unknown: longer ago than any time limit. */
+    /** The time of a version that may have been desired for any time: longer ago than any time limit. */
     private static final long LONG_AGO = Long.MIN_VALUE / 2;
 
     private final Map<String, TreeMap<Long, Since>> sinceByModel = new HashMap<>();
+    private long lastReadAskedAt = LONG_AGO;
 
-    /** How a relay knows since when a version is desired. */
+    /** What proves that a version wasn't desired before a time. */
     public enum Source {
-        /** It read of it after its start. */
+        /** A read of this relay that didn't find it. */
         READ,
-        /** It found it at its start, so that it doesn't know. */
+        /** Nothing: the first read found it. */
         FOUND_AT_START,
-        /** A peer reported it. */
+        /** A peer's answer. */
         PEER;
 
         /** Returns the name in logs. */
@@ -43,55 +47,87 @@
         }
     }
 
-    /** Since when a version is desired, and how that is known. */
-    private record Since(long millis, Source source) {}
+    /**
+     * The earliest time at which a version can have become desired.
+     *
+     * @param earliestMillis the time, or {@link #LONG_AGO}
+     * @param foundAtMillis when this relay read of the version, which was desired by then
+     * @param source what proves the time
+     */
+    private record Since(long earliestMillis, long foundAtMillis, Source source) {
+        Since later(Since other) {
+            return other.earliestMillis() > earliestMillis
+                    ? new Since(other.earliestMillis(), foundAtMillis, other.source())
+                    : this;
+        }
+    }
 
     /**
      * A desired version of a model's weights.
      *
      * @param model the model
      * @param version the version
-     * @param sinceMillis when it became desired at the latest
-     * @param source how that is known
+     * @param sinceMillis the earliest time at which it can have become desired
+     * @param source what proves that time
      */
     public record DesiredVersion(String model, long version, long sinceMillis, Source source) {}
 
-    /** Adds a version that has just become desired; returns whether it is the newest. */
-    public boolean addDesired(String model, long version, long nowMillis) {
-        return add(model, version, new Since(nowMillis, Source.READ));
+    /** Handles that a read which began at a time has returned all records that were there, which were added before. */
+    public void onReadToEnd(long askedAtMillis) {
+        lastReadAskedAt = Math.max(lastReadAskedAt, askedAtMillis);
     }
 
-    /**
-     * Adds a version that became desired before this relay started; returns whether it is the newest. When all relays
-     * lost power six seconds after a change of the desired version and restarted the time on their return, requests
-     * started on old weights 14 s after the change, where 10 s were allowed.
-     */
-    public boolean addFoundAtStart(String model, long version) {
-        return add(model, version, new Since(LONG_AGO, Source.FOUND_AT_START));
+    /** Adds a version that was read; returns whether it is the newest. */
+    public boolean add(String model, long version, long nowMillis) {
+        TreeMap<Long, Since> versions = sinceByModel.computeIfAbsent(model, unseen -> new TreeMap<>());
+        if (!versions.isEmpty() && versions.lastKey() >= version) {
+            return false;
+        }
+        Source source = lastReadAskedAt == LONG_AGO ? Source.FOUND_AT_START : Source.READ;
+        versions.put(version, new Since(lastReadAskedAt, nowMillis, source));
+        forgetOldest(versions);
+        return true;
     }
 
-    private boolean add(String model, long version, Since since) {
-        TreeMap<Long, Since> versions = sinceByModel.computeIfAbsent(model, unseen -> new TreeMap<>());
-        boolean newest = versions.isEmpty() || versions.lastKey() < version;
-        versions.putIfAbsent(version, since);
-        if (versions.size() > MAX_VERSIONS) {
-            versions.pollFirstEntry();
+    /** The next version stands in for one that is forgotten: it gets its time, so that nothing older lasts longer. */
+    private static void forgetOldest(TreeMap<Long, Since> versions) {
+        while (versions.size() > MAX_VERSIONS) {
+            Since oldest = versions.pollFirstEntry().getValue();
+            versions.merge(
+                    versions.firstKey(),
+                    oldest,
+                    (next, forgotten) ->
+                            new Since(forgotten.earliestMillis(), next.foundAtMillis(), forgotten.source()));
         }
-        return newest;
     }
 
-    /** Applies for how long a peer has known a version, if the same or a newer version is known here. */
-    public void applyPeerAge(String model, long version, long ageMillis, long nowMillis) {
+    /**
+     * Applies what a peer has proved of a version, if the same or a newer version is known here. All that the peer
+     * remembers of a model must be applied.
+     *
+     * @param earliestMillis a time at which the version wasn't desired yet
+     */
+    public void applyPeerTime(String model, long version, long earliestMillis, long nowMillis) {
         TreeMap<Long, Since> versions = sinceByModel.get(model);
-        // New versions are accepted only from the store. Of versions before them the relay may have read no record.
-        if (versions != null && versions.lastKey() >= version) {
-            versions.merge(version, new Since(nowMillis - ageMillis, Source.PEER), DesiredVersions::earlier);
+        // New versions are accepted only from the store.
+        if (versions == null || versions.lastKey() < version) {
+            return;
         }
+        versions.merge(version, new Since(earliestMillis, nowMillis, Source.PEER), Since::later);
+        forgetOldest(versions);
     }
 
-    /** Returns the earlier time, or the other one if the first is unknown. */
-    private static Since earlier(Since one, Since other) {
-        return one.millis() == LONG_AGO || other.millis() < one.millis() ? other : one;
+    /**
+     * Returns whether peers may know better: a version was found lately whose time is much earlier, or unknown.
+     *
+     * @param usualMillis the usual time between two reads
+     * @param limitMillis how long ago a version must have been found so that its time no longer matters
+     */
+    public boolean needsPeers(long usualMillis, long limitMillis, long nowMillis) {
+        return sinceByModel.values().stream()
+                .flatMap(versions -> versions.values().stream())
+                .anyMatch(since -> since.foundAtMillis() - since.earliestMillis() > usualMillis
+                        && nowMillis - since.foundAtMillis() < limitMillis);
     }
 
     /** Returns the newest desired version of a model; 0 if there is none. */
@@ -108,7 +144,7 @@
     public long oldestAllowed(String model, long allowedMillis, long nowMillis) {
         TreeMap<Long, Since> versions = sinceByModel.getOrDefault(model, new TreeMap<>());
         return versions.descendingMap().entrySet().stream()
-                .filter(version -> nowMillis - version.getValue().millis() >= allowedMillis)
+                .filter(version -> nowMillis - version.getValue().earliestMillis() >= allowedMillis)
                 .map(Map.Entry::getKey)
                 .findFirst()
                 .orElse(0L);
@@ -121,25 +157,22 @@
                 : Optional.empty();
     }
 
-    /** Returns the remembered versions for which the time is known. */
-    public List<DesiredVersion> versionsWithKnownAge() {
+    /** Returns all remembered versions, the oldest of each model first. */
+    public List<DesiredVersion> versions() {
         List<DesiredVersion> all = new ArrayList<>();
-        sinceByModel.forEach((model, versions) -> versions.forEach((version, since) -> {
-            if (since.millis() != LONG_AGO) {
-                all.add(new DesiredVersion(model, version, since.millis(), since.source()));
-            }
-        }));
+        sinceByModel.forEach((model, versions) -> versions.forEach((version, since) ->
+                all.add(new DesiredVersion(model, version, since.earliestMillis(), since.source()))));
         return all;
     }
 
-    /** Returns the newest desired version of a model, and since when it is known to be desired; empty if none is. */
+    /** Returns the newest desired version of a model; empty if there is none. */
     public Optional<DesiredVersion> newestKnown(String model) {
         return Optional.ofNullable(sinceByModel.get(model))
                 .map(TreeMap::lastEntry)
                 .map(newest -> new DesiredVersion(
                         model,
                         newest.getKey(),
-                        newest.getValue().millis(),
+                        newest.getValue().earliestMillis(),
                         newest.getValue().source()));
     }
 
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/PeerLoadsTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/PeerLoadsTest.java
@@ -14,6 +14,7 @@
 import org.rattanrudder.core.fleet.LoadReport.TargetLoad;
 import org.rattanrudder.core.gateway.EngineTraits;
 import org.rattanrudder.core.parts.RetirementReport;
+import org.rattanrudder.core.rollout.VersionQuestion;
 
 class PeerLoadsTest {
     private static final EngineTraits ENGINE = new EngineTraits(128, 65_000, 18_432, 180_000);
@@ -157,6 +158,7 @@
                         List.of(),
                         List.of(),
                         RetirementReport.NONE,
+                        VersionQuestion.NONE,
                         0),
                 NOW);
 
@@ -213,6 +215,7 @@
                         List.of(),
                         List.of(),
                         RetirementReport.NONE,
+                        VersionQuestion.NONE,
                         0),
                 NOW);
 
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/TestReports.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/TestReports.java
@@ -7,6 +7,7 @@
 import org.rattanrudder.core.fleet.LoadReport.ServedWeights;
 import org.rattanrudder.core.fleet.LoadReport.TargetLoad;
 import org.rattanrudder.core.parts.RetirementReport;
+import org.rattanrudder.core.rollout.VersionQuestion;
 
 /** Full reports of a peer that say only which targets leave and which it has removed. */
 final class TestReports {
@@ -50,6 +51,7 @@
                 leaving,
                 removed,
                 RetirementReport.NONE,
+                VersionQuestion.NONE,
                 INTERVAL_MILLIS);
     }
 }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/peers/LoadReportFactory.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/peers/LoadReportFactory.java
@@ -51,6 +51,7 @@
                 state.fleet().leavingTargets(now),
                 state.fleet().removedTargets(now),
                 state.retiredWeights().report(),
+                state.versionExchange().next(state.settings().bounds().weightsMillis(), now),
                 0);
     }
 
@@ -74,7 +75,7 @@
     }
 
     private List<KnownWeights> knownWeights(long now) {
-        return state.weights().versionsWithKnownAge().stream()
+        return state.weights().versions().stream()
                 .map(named -> new KnownWeights(named.model(), named.version(), now - named.sinceMillis()))
                 .toList();
     }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/peers/PeerExchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/peers/PeerExchange.java
@@ -26,6 +26,7 @@
 import org.rattanrudder.core.model.Address;
 import org.rattanrudder.core.parts.SharedStoreUpdate;
 import org.rattanrudder.core.parts.StoreLateness;
+import org.rattanrudder.core.rollout.VersionQuestion;
 import org.rattanrudder.daemon.relay.net.CallResult;
 import org.rattanrudder.daemon.relay.net.HttpCallClient;
 import org.rattanrudder.daemon.relay.net.RelayChannels;
@@ -66,6 +67,7 @@
     private final LoadReportFactory reports;
     private final Components components;
     private final LocalState localState;
+    private final String relayId;
     private final Listener listener;
     private final Channel channel;
     private final TopicFollower follower;
@@ -140,6 +142,7 @@
         this.components = components;
         timer = new StepTimer(state.loop());
         this.localState = localState;
+        this.relayId = relayId;
         reports = new LoadReportFactory(state, relayId, localState);
         this.listener = listener;
         Address address = state.settings().peers();
@@ -359,9 +362,7 @@
             logRemoved(relay, before - state.fleet().all(now).size());
             components.selfReports().onPeerReport(relay, load);
             load.storeLateness().forEach(late -> state.directory().recordFetchLateness(late, now));
-            load.weights()
-                    .forEach(known ->
-                            state.weights().applyPeerAge(known.model(), known.version(), known.ageMillis(), now));
+            onVersionQuestion(load, now);
             if (load.full()) {
                 state.retiredWeights().onPeerReport(relay, load.retirement(), !state.isReportRoundLate(), now);
             }
@@ -369,6 +370,20 @@
             listener.onUnreachable(load.unreachable());
         }
 
+        private void onVersionQuestion(LoadReport load, long now) {
+            VersionQuestion question = load.question();
+            question.askedAt().ifPresent(askedAt -> state.versionExchange().onAsked(load.relay(), askedAt, now));
+            question.answered().stream()
+                    .filter(answered -> answered.relay().equals(relayId))
+                    .forEach(answered -> load.weights()
+                            .forEach(known -> state.weights()
+                                    .applyPeerTime(
+                                            known.model(),
+                                            known.version(),
+                                            answered.askedAt() - known.ageMillis(),
+                                            now)));
+        }
+
         private void logRemoved(String relay, int removed) {
             if (removed > 0) {
                 state.log().info("peer_says_removed", "peer", relay, "targets", Integer.toString(removed));
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/RelayState.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/RelayState.java
@@ -29,6 +29,7 @@
 import org.rattanrudder.core.parts.RetiredWeights;
 import org.rattanrudder.core.quarantine.Quarantine;
 import org.rattanrudder.core.rollout.DesiredVersions;
+import org.rattanrudder.core.rollout.VersionExchange;
 import org.rattanrudder.core.routing.Hashing;
 import org.rattanrudder.daemon.logging.EventLog;
 import org.rattanrudder.daemon.relay.port.PlatformAdapter;
@@ -68,6 +69,7 @@
     private final RetiredWeights retiredWeights;
     private final Map<String, WindowedRetryBudget> retryBudgets = new HashMap<>();
     private final DesiredVersions weights = new DesiredVersions();
+    private final VersionExchange versionExchange = new VersionExchange(weights);
     private final Map<String, MedianEstimate> callMillis = new HashMap<>();
     private Optional<ServingConfiguration> configuration = Optional.empty();
     private final EventLoopLag eventLoopLag;
@@ -289,6 +291,11 @@
         return weights;
     }
 
+    /** Returns what asks peers for the times of desired versions of weights. */
+    public VersionExchange versionExchange() {
+        return versionExchange;
+    }
+
     /**
      * Returns the estimate of how long calls of a plain service take at a healthy target.
      *
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/DesiredStateListener.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/DesiredStateListener.java
@@ -102,10 +102,7 @@
     }
 
     private void onDesiredWeights(WeightsVersion weights, long offset) {
-        DesiredVersions versions = state.weights();
-        boolean isNew = caughtUp
-                ? versions.addDesired(weights.model(), weights.version(), state.nowMillis())
-                : versions.addFoundAtStart(weights.model(), weights.version());
+        boolean isNew = state.weights().add(weights.model(), weights.version(), state.nowMillis());
         if (isNew) {
             onNewWeights.run();
             state.log()
@@ -130,6 +127,7 @@
 
     @Override
     public void onReadToEnd(long askedAtMillis) {
+        state.weights().onReadToEnd(askedAtMillis);
         state.retiredWeights().onLogRead(askedAtMillis);
     }
 
--- a/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelRelay.java
+++ b/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelRelay.java
@@ -30,6 +30,7 @@
 import org.rattanrudder.core.gateway.EngineTraits;
 import org.rattanrudder.core.model.Address;
 import org.rattanrudder.core.parts.RetirementReport;
+import org.rattanrudder.core.rollout.VersionQuestion;
 import org.rattanrudder.core.routing.Hashing;
 import org.rattanrudder.standins.model.ModelPolicy.RestWay;
 
@@ -171,6 +172,7 @@
                 List.of(),
                 List.of(),
                 RetirementReport.NONE,
+                VersionQuestion.NONE,
                 everyMillis);
         for (ModelRelay peer : peers) {
             if (hears.test(peer)) {
--- a/rattanrudder-wire/src/main/java/org/rattanrudder/wire/peer/PeerCodec.java
+++ b/rattanrudder-wire/src/main/java/org/rattanrudder/wire/peer/PeerCodec.java
@@ -23,6 +23,7 @@
 import org.rattanrudder.core.parts.SharedStoreUpdate;
 import org.rattanrudder.core.parts.StoreLateness;
 import org.rattanrudder.core.parts.StoreUpdate;
+import org.rattanrudder.core.rollout.VersionQuestion;
 import org.rattanrudder.wire.generated.PeerMessages.KnownWeightsMessage;
 import org.rattanrudder.wire.generated.PeerMessages.LeavingTargetMessage;
 import org.rattanrudder.wire.generated.PeerMessages.PartEventMessage;
@@ -37,6 +38,7 @@
 import org.rattanrudder.wire.generated.PeerMessages.StreamOriginMessage;
 import org.rattanrudder.wire.generated.PeerMessages.StreamOriginsMessage;
 import org.rattanrudder.wire.generated.PeerMessages.TargetLoadMessage;
+import org.rattanrudder.wire.generated.PeerMessages.VersionsAnsweredMessage;
 
 /** Writes and reads what relays tell each other. */
 public final class PeerCodec {
@@ -120,6 +122,12 @@
                 .forEach(each -> message.addRemoved(RemovedTargetMessage.newBuilder()
                         .setTarget(each.target())
                         .setOffset(each.offset())));
+        load.question().askedAt().ifPresent(message::setVersionsAskedAt);
+        load.question()
+                .answered()
+                .forEach(each -> message.addVersionsAnswered(VersionsAnsweredMessage.newBuilder()
+                        .setRelay(each.relay())
+                        .setAskedAt(each.askedAt())));
         message.setEveryMillis((int) load.intervalMillis());
         return PeerMessage.newBuilder().setLoad(message).build().toByteArray();
     }
@@ -259,9 +267,20 @@
                         within(message.getRetiredBefore(), Long.MAX_VALUE),
                         message.getLogRead(),
                         message.getRelaysHash()),
+                question(message),
                 within(message.getEveryMillis(), MOST_MILLIS));
     }
 
+    private static VersionQuestion question(RelayLoadMessage message) {
+        OptionalLong askedAt =
+                message.hasVersionsAskedAt() ? OptionalLong.of(message.getVersionsAskedAt()) : OptionalLong.empty();
+        return new VersionQuestion(
+                askedAt,
+                message.getVersionsAnsweredList().stream()
+                        .map(each -> new VersionQuestion.Answered(each.getRelay(), each.getAskedAt()))
+                        .toList());
+    }
+
     private static TargetLoad targetLoad(TargetLoadMessage message) {
         return new TargetLoad(
                 message.getTarget(),
--- a/rattanrudder-wire/src/test/java/org/rattanrudder/wire/peer/PeerCodecTest.java
+++ b/rattanrudder-wire/src/test/java/org/rattanrudder/wire/peer/PeerCodecTest.java
@@ -34,6 +34,7 @@
 import org.rattanrudder.core.parts.SharedStoreUpdate;
 import org.rattanrudder.core.parts.StoreLateness;
 import org.rattanrudder.core.parts.StoreUpdate;
+import org.rattanrudder.core.rollout.VersionQuestion;
 
 class PeerCodecTest {
     @Property
@@ -67,6 +68,7 @@
                 List.of(new LeavingTarget("i-5", tokens), new LeavingTarget("i-6", 0)),
                 List.of(new RemovedTarget("i-7", tokens)),
                 new RetirementReport(tokens, sequence % 2 == 0, -sequence),
+                VersionQuestion.NONE,
                 requests);
     }
 
