Order engines that leave orders unanswered after all others, and don't forget that they do

What was seen: an engine got its first order 16 to 18 s after a version was named, while others got seven in that time, and two to four of eight engines were late (VERSION). Cause: engines were sorted by weights, requests and ID, so that those whose unanswered order had timed out came first again; and a look at an engine that wasn't loading dropped what was known of its order, so that it was ordered again at once and counted as never ordered. Two engines without answers kept both places.

Change: the fewest unanswered orders go first, then the oldest weights; a report that an engine isn't loading frees it only if it had answered its order.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/rollout/RolloutPlanner.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/rollout/RolloutPlanner.java
@@ -16,8 +16,9 @@
  * continue across the load: if they had to finish first, an engine would be idle for longer than it loads.
  *
  * <p>An engine counts as loading until it serves the version, or until its order times out. An engine whose order got
- * no response may load at any time or never, so it doesn't count against the limit. Engines with the oldest weights go
- * first, since the time for which these may be used ends first, then those with the fewest requests.
+ * no response may load at any time or never, so it doesn't count against the limit. Engines that have left the fewest
+ * orders without a response go first: others would wait behind those that never respond. Then come those with the
+ * oldest weights, since the time for which these may be used ends first, then those with the fewest requests.
  */
 public final class RolloutPlanner {
     /**
@@ -97,18 +98,22 @@
             }
         }
         orders.keySet().retainAll(present);
-        waiting.sort(Comparator.comparingLong(Engine::weights)
+        waiting.sort(Comparator.comparingInt((Engine engine) -> unansweredInARow(engine.id(), newest))
+                .thenComparingLong(Engine::weights)
                 .thenComparingInt(Engine::inFlight)
                 .thenComparing(Engine::id));
         int room = Math.max(MIN_LOADING, (int) (engines.size() * MAX_LOADING_SHARE)) - loading;
         return List.copyOf(waiting.subList(0, Math.min(waiting.size(), Math.max(0, room))));
     }
 
+    private int unansweredInARow(String id, long version) {
+        Order last = orders.get(id);
+        return last == null || last.version() != version ? 0 : last.unansweredInARow();
+    }
+
     /** Records that an order is being sent to an engine. */
     public void onOrdered(String id, long version, long nowMillis) {
-        Order last = orders.get(id);
-        int unanswered = last == null || last.version() != version ? 0 : last.unansweredInARow();
-        orders.put(id, new Order(version, nowMillis, false, unanswered));
+        orders.put(id, new Order(version, nowMillis, false, unansweredInARow(id, version)));
     }
 
     /** Records that an order got no response. */
@@ -117,8 +122,16 @@
                 id, (same, order) -> new Order(order.version(), order.sentAtMillis(), true, order.unansweredBefore()));
     }
 
-    /** Records that an engine refused or failed to execute its order, so that it can be ordered again. */
+    /** Records that an engine refused its order, so that it can be ordered again. */
     public void onRefused(String id) {
         orders.remove(id);
     }
+
+    /**
+     * Records that an engine reports that it isn't loading: it can be ordered again, unless it may still execute an
+     * order that got no response.
+     */
+    public void onNotLoading(String id) {
+        orders.computeIfPresent(id, (same, order) -> order.unanswered() ? order : null);
+    }
 }
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/rollout/RolloutPlannerTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/rollout/RolloutPlannerTest.java
@@ -2,12 +2,22 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.rattanrudder.core.rollout.RolloutPlanner.Engine;
 
 class RolloutPlannerTest {
+    private static final long POLL_MILLIS = 100;
+
+    /** How long an answer to an order is waited for. */
+    private static final long ANSWER_MILLIS = 900;
+
     private final RolloutPlanner plan = new RolloutPlanner();
 
     /**
@@ -113,4 +123,35 @@
                 .extracting(Engine::weights)
                 .containsExactly(1L, 2L);
     }
+
+    /**
+     * No engine answers its orders. Those that were ordered first were ordered again and again, and the last of eight
+     * got its first order after 17 s.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {3, 8, 30})
+    void enginesWithoutAnOrderComeBeforeThoseThatDoNotAnswer(int count) {
+        List<Engine> engines = IntStream.range(0, count)
+                .mapToObj(number -> new Engine("i-" + number, number % 2, 3))
+                .toList();
+        Map<String, Long> orderedAt = new HashMap<>();
+        Map<Long, List<Engine>> unansweredAt = new HashMap<>();
+        int mostAtOnce = plan.nextEngines(engines, 2, 0).size();
+        long lastFirstOrderAt = (count + mostAtOnce - 1L) / mostAtOnce * (ANSWER_MILLIS + POLL_MILLIS);
+        for (long now = 0; now <= lastFirstOrderAt; now += POLL_MILLIS) {
+            unansweredAt.getOrDefault(now, List.of()).forEach(engine -> {
+                plan.onUnanswered(engine.id());
+                plan.onNotLoading(engine.id());
+            });
+            for (Engine next : plan.nextEngines(engines, 2, now)) {
+                orderedAt.putIfAbsent(next.id(), now);
+                plan.onOrdered(next.id(), 2, now);
+                unansweredAt
+                        .computeIfAbsent(now + ANSWER_MILLIS, unseen -> new ArrayList<>())
+                        .add(next);
+            }
+        }
+
+        assertThat(orderedAt).hasSize(count);
+    }
 }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/rollout/RolloutCoordinator.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/rollout/RolloutCoordinator.java
@@ -353,8 +353,8 @@
                 Optional<EngineReport> report = readReport(answer);
                 report.ifPresent(read -> applyReport(target, read));
                 if (report.isPresent() && !report.get().busy()) {
-                    // The load has finished or never started: in both cases the engine is free for the next order.
-                    planner(rollout).onRefused(target.id());
+                    // The load has finished or never started.
+                    planner(rollout).onNotLoading(target.id());
                     target.markLoadingWeights(state.nowMillis());
                 }
                 rolloutLog.lookedAt(target, report, rollout.weights().model());
