Ask one place on which weights a request may begin, at the choice, at the send and until it has begun

What callers saw: a prompt that was sent in time to an engine with older weights began past the bound (VERSION). Cause: the bound was looked at when an engine was chosen, 2 s before its end; behind that lie the connection, the engine's queue, a fetch of up to 2 s and the prefill, and nothing looked again.

Change: WeightsAdmission decides, and is asked by whatever chooses a target (first attempts, retries, requests in line, resumed streams), again when the connection is open, and while the attempt has brought nothing: 0.5 s before the bound of the first newer version it is withdrawn and goes to another engine where the route allows that. An engine whose version isn't known is asked for the newest one, and turns away what isn't for it, in place of being asked for none.

Two ways weighed: a wider margin at the choice, which refuses for seconds what would have begun in time and still bounds nothing; and a deadline for the engine at the bound, which would cut streams that had begun before it.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/rollout/DesiredVersions.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/rollout/DesiredVersions.java
@@ -70,7 +70,12 @@
      * @param sinceMillis the earliest time at which it can have become desired
      * @param source what proves that time
      */
-    public record DesiredVersion(String model, long version, long sinceMillis, Source source) {}
+    public record DesiredVersion(String model, long version, long sinceMillis, Source source) {
+        /** Returns for how long it can have been desired at most, in ms, for logs; "unknown" if nothing proves that. */
+        public String ageText(long nowMillis) {
+            return source == Source.FOUND_AT_START ? "unknown" : Long.toString(nowMillis - sinceMillis);
+        }
+    }
 
     /** Handles that a read which began at a time has returned all records that were there, which were added before. */
     public void onReadToEnd(long askedAtMillis) {
@@ -150,6 +155,14 @@
                 .orElse(0L);
     }
 
+    /** Returns the earliest time at which a newer version can have become desired; far away if none is known. */
+    public long firstNewerSince(String model, long version) {
+        return sinceByModel.getOrDefault(model, new TreeMap<>()).tailMap(version, false).values().stream()
+                .mapToLong(Since::earliestMillis)
+                .min()
+                .orElse(Long.MAX_VALUE);
+    }
+
     /** Returns the only model with desired versions; empty if there are none or several. */
     public Optional<String> onlyModel() {
         return sinceByModel.size() == 1
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/RelayState.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/RelayState.java
@@ -30,6 +30,7 @@
 import org.rattanrudder.core.quarantine.Quarantine;
 import org.rattanrudder.core.rollout.DesiredVersions;
 import org.rattanrudder.core.rollout.VersionExchange;
+import org.rattanrudder.core.rollout.WeightsAdmission;
 import org.rattanrudder.core.routing.Hashing;
 import org.rattanrudder.daemon.logging.EventLog;
 import org.rattanrudder.daemon.relay.port.PlatformAdapter;
@@ -70,6 +71,8 @@
     private final Map<String, WindowedRetryBudget> retryBudgets = new HashMap<>();
     private final DesiredVersions weights = new DesiredVersions();
     private final VersionExchange versionExchange = new VersionExchange(weights);
+    private final WeightsAdmission weightsAdmission =
+            new WeightsAdmission(weights, () -> settings().bounds().weightsMillis());
     private final Map<String, MedianEstimate> callMillis = new HashMap<>();
     private Optional<ServingConfiguration> configuration = Optional.empty();
     private final EventLoopLag eventLoopLag;
@@ -291,6 +294,11 @@
         return weights;
     }
 
+    /** Returns what decides on which weights requests may begin. */
+    public WeightsAdmission weightsAdmission() {
+        return weightsAdmission;
+    }
+
     /** Returns what asks peers for the times of desired versions of weights. */
     public VersionExchange versionExchange() {
         return versionExchange;
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/rollout/RolloutLog.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/rollout/RolloutLog.java
@@ -8,7 +8,6 @@
 import java.util.stream.Collectors;
 import org.rattanrudder.core.fleet.Target;
 import org.rattanrudder.core.rollout.DesiredVersions.DesiredVersion;
-import org.rattanrudder.core.rollout.DesiredVersions.Source;
 import org.rattanrudder.daemon.relay.port.EngineDialect.EngineReport;
 import org.rattanrudder.daemon.relay.port.EngineDialect.LoadOrder;
 import org.rattanrudder.daemon.relay.port.WeightsVersion;
@@ -114,7 +113,7 @@
                         "newest",
                         Long.toString(pending.weights().version()),
                         "newest_age_ms",
-                        newest.map(known -> age(known, now)).orElse("unknown"),
+                        newest.map(known -> known.ageText(now)).orElse("unknown"),
                         "newest_by",
                         newest.map(known -> known.source().wireName()).orElse("none"),
                         "holder",
@@ -132,9 +131,4 @@
                         "last_order_age_ms",
                         order.map(last -> Long.toString(now - last.at())).orElse("none"));
     }
-
-    /** Returns for how long a version has been desired, in ms, as far as known. */
-    static String age(DesiredVersion known, long now) {
-        return known.source() == Source.FOUND_AT_START ? "unknown" : Long.toString(now - known.sinceMillis());
-    }
 }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/Exchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/Exchange.java
@@ -49,8 +49,6 @@
     private ScheduledFuture<?> deadline;
     private InactivityMonitor inactivity;
     private TargetAttempt attempt;
-    private Optional<TargetAttempt> lastAttempt = Optional.empty();
-    private String load = "unknown";
     private boolean ended;
 
     Exchange(ServingComponents components, CallerConnection caller, HttpRequest head, ByteBuf body, RequestPlan plan) {
@@ -264,7 +262,7 @@
         RequestPlan.Outgoing outgoing = plan.outgoing(target, forwarder.lastEventId());
         attempt = new TargetAttempt(target, opened, outgoing, state.nowMillis());
         quarantine.onSent();
-        lastAttempt = Optional.of(attempt);
+        log.sent(attempt);
         target.onRequestSent(state.nowMillis());
         components.selfReports().onRequestSent(target);
         if (history.onSent()) {
@@ -274,13 +272,18 @@
                 outgoing.toRequest(head, body.readableBytes(), state.platform().requests());
         opened.send(request, body.retainedDuplicate(), plan.id(), this);
         inactivity = new InactivityMonitor(
-                state, plan.route(), attempt, () -> components.pools().verify(target), this::onInactive);
+                components,
+                plan,
+                attempt,
+                this::onInactive,
+                () -> abortAttempt(AttemptOutcome.SILENT, "weights too old to begin"));
         inactivity.check();
     }
 
     /** Called when the target has been inactive for too long: retries on another target if that is allowed. */
     private void onInactive(long idleMillis) {
-        if (RetryPolicy.mayRetry(progress(1), AttemptOutcome.SILENT) && state.tryAcquireRetry(plan.service())) {
+        if (RetryPolicy.mayRetry(history.progress(plan, forwarder, 1), AttemptOutcome.SILENT)
+                && state.tryAcquireRetry(plan.service())) {
             attempt.connection().abort();
             failAttempt(AttemptOutcome.SILENT, "silent for " + idleMillis + " ms");
             history.onFailed(AttemptOutcome.SILENT);
@@ -288,19 +291,15 @@
         }
     }
 
-    private RetryPolicy.Progress progress(int running) {
-        return history.progress(plan, forwarder, running);
-    }
-
     @Override
     public void onHead(HttpResponse response, ResponseMetadata metadata) {
         Target target = attempt.target();
-        metadata.selfReport().load().ifPresent(reported -> load = reported.running() + "/" + reported.queued());
+        metadata.selfReport().load().ifPresent(log::loadReported);
         components.selfReports().onResponse(target, metadata, attempt.sentAt());
         attempt.recordHead(metadata, plan.metadata().model(), state.nowMillis());
         ResponseClassifier.Head classified = new ResponseClassifier.Head(
                 metadata.status(), metadata.signed(), metadata.notRun(), metadata.misdirected());
-        switch (ResponseClassifier.classify(classified, progress(1))) {
+        switch (ResponseClassifier.classify(classified, history.progress(plan, forwarder, 1))) {
             case FORWARD -> onForwardable(response);
             case MISDIRECTED ->
                 discardResponse(
@@ -309,7 +308,7 @@
                 target.onRejected(state.nowMillis());
                 discardResponse(AttemptOutcome.REJECTED, "rejected with " + metadata.status());
             }
-            case INVALID_RESPONSE -> abortInvalid("success without a signature");
+            case INVALID_RESPONSE -> abortAttempt(AttemptOutcome.BROKEN, "success without a signature");
             case RETRY_OR_FAIL -> discardResponse(AttemptOutcome.FAILED, "failed with " + metadata.status());
             default -> throw new IllegalStateException("unknown verdict");
         }
@@ -318,15 +317,15 @@
     private void onForwardable(HttpResponse response) {
         Optional<String> reason = continuation.reasonNotToForward(attempt, forwarder, response);
         if (reason.isPresent()) {
-            abortInvalid(reason.get());
+            abortAttempt(AttemptOutcome.BROKEN, reason.get());
         } else {
             forwarder.head(response);
         }
     }
 
-    private void abortInvalid(String reason) {
+    private void abortAttempt(AttemptOutcome outcome, String reason) {
         attempt.connection().abort();
-        onAttemptFailed(AttemptOutcome.BROKEN, reason);
+        onAttemptFailed(outcome, reason);
     }
 
     /** Ignores the rest of a response; its connection can be reused. */
@@ -404,8 +403,9 @@
         history.onFailed(outcome);
         boolean onlySame = outcome == AttemptOutcome.REJECTED || outcome == AttemptOutcome.NOT_SENT && isBound();
         boolean worthwhile = !onlySame || selection.hasUntried();
-        boolean allowed =
-                worthwhile && RetryPolicy.mayRetry(progress(0), outcome) && !quarantine.mayHaveCausedLastCrash(outcome);
+        boolean allowed = worthwhile
+                && RetryPolicy.mayRetry(history.progress(plan, forwarder, 0), outcome)
+                && !quarantine.mayHaveCausedLastCrash(outcome);
         if (allowed && (!history.isSent() || state.tryAcquireRetry(plan.service()))) {
             place();
         } else if (forwarder.hasBegun()) {
@@ -494,7 +494,7 @@
         forwarder.discard();
         body.release();
         state.metrics().recordRequest(plan.route().name(), ending.outcome());
-        log.ended(ending, lastAttempt, load, history.possibleRuns(), history.unexecutedSends());
+        log.ended(ending, history.possibleRuns(), history.unexecutedSends());
         caller.onExchangeEnded();
     }
 }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/ExchangeLog.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/ExchangeLog.java
@@ -10,6 +10,7 @@
 import org.rattanrudder.core.fleet.CapacityEstimate;
 import org.rattanrudder.core.fleet.Placement;
 import org.rattanrudder.core.fleet.QueueForecast.Forecast;
+import org.rattanrudder.core.fleet.SelfReport;
 import org.rattanrudder.core.fleet.Target;
 import org.rattanrudder.core.gateway.AttemptOutcome;
 import org.rattanrudder.core.quarantine.RequestFingerprint;
@@ -21,12 +22,24 @@
 
     private final RelayState state;
     private final RequestPlan plan;
+    private Optional<TargetAttempt> attempt = Optional.empty();
+    private String load = "unknown";
 
     ExchangeLog(RelayState state, RequestPlan plan) {
         this.state = state;
         this.plan = plan;
     }
 
+    /** Notes the attempt that was sent last, for the line on the request's end. */
+    void sent(TargetAttempt sent) {
+        attempt = Optional.of(sent);
+    }
+
+    /** Notes the load that a target has reported last, for the line on the request's end. */
+    void loadReported(SelfReport.Load reported) {
+        load = reported.running() + "/" + reported.queued();
+    }
+
     /**
      * Logs where a request is placed.
      *
@@ -309,11 +322,10 @@
     /**
      * Logs the end of a request.
      *
-     * @param attempt the last attempt that was sent
      * @param runs attempts that may have run, not counting one that was answered
      * @param notRunSends attempts that certainly did not run
      */
-    void ended(FinalReply.Ending ending, Optional<TargetAttempt> attempt, String load, int runs, int notRunSends) {
+    void ended(FinalReply.Ending ending, int runs, int notRunSends) {
         state.log()
                 .info(
                         "request_ended",
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/InactivityMonitor.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/InactivityMonitor.java
@@ -7,7 +7,7 @@
 import org.rattanrudder.daemon.relay.process.RelayState;
 
 /**
- * Detects inactivity of one attempt, before the first byte and between chunks.
+ * Detects inactivity of one attempt, before the first byte and between chunks, and that it may no longer begin.
  *
  * <p>An inactive target is dialed: a crashed one is detected that way within a tenth of a second instead of some
  * seconds. Only requests that may run more than once are then retried on another target; for the others nothing can be
@@ -15,32 +15,46 @@
  */
 final class InactivityMonitor {
     private final RelayState state;
+    private final RequestPlan plan;
     private final ServiceRoute route;
     private final TargetAttempt attempt;
     private final Runnable probe;
     private final LongConsumer onTimeout;
+    private final Runnable onTooLate;
     private InactivityTimer timer;
     private boolean stopped;
 
     /**
      * Creates a monitor; {@link #check} starts it.
      *
-     * @param probe runs when the target has been inactive for a while and may have crashed
      * @param onTimeout receives the inactive time in ms when another target could be faster; called repeatedly until
      *     the attempt is abandoned
+     * @param onTooLate runs when the attempt hasn't begun and its target's weights have become too old to begin on
      */
     InactivityMonitor(
-            RelayState state, ServiceRoute route, TargetAttempt attempt, Runnable probe, LongConsumer onTimeout) {
-        this.state = state;
-        this.route = route;
+            ServingComponents components,
+            RequestPlan plan,
+            TargetAttempt attempt,
+            LongConsumer onTimeout,
+            Runnable onTooLate) {
+        state = components.state();
+        this.plan = plan;
+        route = plan.route();
         this.attempt = attempt;
-        this.probe = probe;
+        probe = () -> components.pools().verify(attempt.target());
         this.onTimeout = onTimeout;
+        this.onTooLate = onTooLate;
     }
 
     /** Checks now, and schedules the next check for when the target may have been inactive for too long. */
     void check() {
-        long idleMillis = state.nowMillis() - attempt.lastContentAt();
+        long now = state.nowMillis();
+        long beginsUntil = attempt.hasBegun() ? Long.MAX_VALUE : plan.beginsUntil(attempt.weights());
+        if (now >= beginsUntil) {
+            onTooLate.run();
+            return;
+        }
+        long idleMillis = now - attempt.lastContentAt();
         boolean unreachable = attempt.target().isUnreachable();
         long timeoutMillis = ResponseTimeouts.timeoutMillis(route, attempt.hasBegun(), unreachable);
         boolean servesOtherRequests = attempt.target().lastActivityAt() > attempt.lastContentAt();
@@ -51,7 +65,8 @@
         if (!stopped && idleMillis >= probeAfterMillis && !servesOtherRequests) {
             probe.run();
         }
-        scheduleCheck(idleMillis < probeAfterMillis ? probeAfterMillis - idleMillis + 1 : probeAfterMillis);
+        long nextMillis = idleMillis < probeAfterMillis ? probeAfterMillis - idleMillis + 1 : probeAfterMillis;
+        scheduleCheck(Math.min(nextMillis, beginsUntil - now));
     }
 
     private boolean mayRetryElsewhere(long idleMillis, boolean servesOtherRequests) {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/IncomingRequest.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/IncomingRequest.java
@@ -265,6 +265,6 @@
         FinalReply.Ending ending = new FinalReply.Ending(
                 ErrorKind.OVERLOADED.wireName(), rejection.orElseThrow().reason());
         state.metrics().recordRequest(plan().route().name(), ending.outcome());
-        new ExchangeLog(state, plan()).ended(ending, Optional.empty(), "unknown", 0, 0);
+        new ExchangeLog(state, plan()).ended(ending, 0, 0);
     }
 }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/RequestPlan.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/RequestPlan.java
@@ -6,7 +6,6 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
@@ -31,13 +30,10 @@
 import org.rattanrudder.core.model.ErrorKind;
 import org.rattanrudder.core.parts.ComputeEstimate;
 import org.rattanrudder.core.parts.PartAccess;
-import org.rattanrudder.core.parts.PartChoice;
 import org.rattanrudder.core.parts.PartKey;
 import org.rattanrudder.core.parts.PartPlan;
 import org.rattanrudder.core.quarantine.Feature;
 import org.rattanrudder.core.quarantine.RequestFingerprint;
-import org.rattanrudder.core.rollout.DesiredVersions.DesiredVersion;
-import org.rattanrudder.core.rollout.DesiredVersions.Source;
 import org.rattanrudder.core.routing.Hashing;
 import org.rattanrudder.daemon.relay.port.ForwardingMetadata;
 import org.rattanrudder.daemon.relay.port.RequestDialect;
@@ -48,12 +44,6 @@
     /** Part of the deadline already spent on the network between caller and relay. */
     private static final long CALLER_NETWORK_MILLIS = 2;
 
-    /**
-     * Stops using replaced weights this long before their staleness bound: the relay reads a new version with a delay,
-     * and a request may wait in the engine's queue before it starts.
-     */
-    private static final long STALE_WEIGHTS_MARGIN_MILLIS = 2_000;
-
     /** Engine priorities of requests that can still be on time and of those that can't. */
     private static final int ON_TIME_PRIORITY = 4;
 
@@ -320,6 +310,11 @@
         if (!binding.admits(target.software())) {
             return Optional.of("other software");
         }
+        if (metadata.model()
+                .filter(name -> target.weights(name) < oldestWeights(now))
+                .isPresent()) {
+            return Optional.of("older weights");
+        }
         return state.admission().reasonNotToSend(target, warmUp(), now);
     }
 
@@ -343,7 +338,6 @@
     }
 
     PlacementQuery query(Set<String> tried, long now) {
-        long allowed = state.settings().bounds().weightsMillis() - STALE_WEIGHTS_MARGIN_MILLIS;
         Optional<String> model = metadata.model();
         return new PlacementQuery(
                 service,
@@ -351,8 +345,7 @@
                 engine,
                 metadata.model(),
                 model.map(state.weights()::newest).orElse(0L),
-                model.map(name -> state.weights().oldestAllowed(name, allowed, now))
-                        .orElse(0L),
+                oldestWeights(now),
                 tokens(),
                 contextHash,
                 state.relayHash(),
@@ -362,13 +355,28 @@
                 tried);
     }
 
+    private long oldestWeights(long now) {
+        return metadata.model()
+                .map(name -> state.weightsAdmission().oldestToSend(name, now))
+                .orElse(0L);
+    }
+
+    /** Returns the time until which the request may begin at a target that was asked for a version of its weights. */
+    long beginsUntil(OptionalLong weights) {
+        return metadata.model()
+                .map(name -> state.weightsAdmission().beginsUntil(name, weights.orElse(0)))
+                .orElse(Long.MAX_VALUE);
+    }
+
     private int connections(long now) {
         return backend.map(known -> known.connectionsPerRelay(state.relayCount(now)))
                 .orElse(Integer.MAX_VALUE);
     }
 
     Outgoing outgoing(Target target, Optional<String> lastEventId) {
-        Optional<Long> weights = metadata.model().map(target::weights).filter(version -> version > 0);
+        Optional<Long> weights = metadata.model()
+                .map(name -> state.weightsAdmission().versionToExpect(name, target.weights(name)))
+                .filter(version -> version > 0);
         Optional<String> salt = weights.map(version -> PartKey.salt(version, customer));
         PartPlan parts = salt.isPresent() && engine.isPresent()
                 ? state.directory()
@@ -383,7 +391,7 @@
                                 state.nowMillis())
                 : PartPlan.NONE;
         if (engine.isPresent()) {
-            recordParts(target, salt, parts);
+            SentPrompts.record(state, metadata, target, salt, parts);
         }
         ForwardingMetadata forwarding = new ForwardingMetadata(
                 Math.max(1, remainingMillis()),
@@ -437,53 +445,4 @@
         }
         return OptionalInt.of(state.nowMillis() <= onTimeUntil() ? ON_TIME_PRIORITY : LATE_PRIORITY);
     }
-
-    private void recordParts(Target target, Optional<String> salt, PartPlan parts) {
-        int read = count(parts.sources());
-        int saved = count(parts.destinations());
-        state.metrics().recordParts("read", read);
-        state.metrics().recordParts("saved", saved);
-        state.metrics().recordParts("retired", Collections.frequency(parts.choices(), PartChoice.RETIRED));
-        state.log()
-                .info(
-                        "request_sent",
-                        "request",
-                        metadata.id(),
-                        "target",
-                        target.id(),
-                        "salt",
-                        salt.orElse("own"),
-                        "weights",
-                        metadata.model()
-                                .map(name -> Long.toString(target.weights(name)))
-                                .orElse("none"),
-                        "newest",
-                        metadata.model()
-                                .flatMap(state.weights()::newestKnown)
-                                .map(known -> known.version() + "/" + ageOf(known) + "/"
-                                        + known.source().wireName())
-                                .orElse("none"),
-                        "shared_parts",
-                        Integer.toString(Math.max(0, metadata.parts().size() - 1)),
-                        "read",
-                        Integer.toString(read),
-                        "saved",
-                        Integer.toString(saved),
-                        "fetch_until",
-                        parts.untilMillis().isPresent()
-                                ? Long.toString(parts.untilMillis().getAsLong())
-                                : "none",
-                        "parts",
-                        PartChoiceFormat.format(metadata.parts(), parts.choices()));
-    }
-
-    private String ageOf(DesiredVersion known) {
-        return known.source() == Source.FOUND_AT_START
-                ? "unknown"
-                : Long.toString(state.nowMillis() - known.sinceMillis());
-    }
-
-    private static int count(List<? extends Optional<?>> places) {
-        return (int) places.stream().filter(Optional::isPresent).count();
-    }
 }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/TargetAttempt.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/TargetAttempt.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpStatusClass;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.rattanrudder.core.continuation.StreamOrigin;
 import org.rattanrudder.core.fleet.FirstEventSample;
 import org.rattanrudder.core.fleet.FirstEventSample.CapacityAtSend;
@@ -66,6 +67,11 @@
         return outgoing.cost();
     }
 
+    /** Returns the version of weights that the target was asked for; empty if it was asked for none. */
+    OptionalLong weights() {
+        return outgoing.forwarding().weights();
+    }
+
     long sentAt() {
         return sentAt;
     }
