Let callers that wait for long resume a stream without a name only where one software may have begun it all that time

With relay processes that are all killed while two versions serve, or just after the older one has left, named and unnamed resumptions are refused as not run: it held on the code as it was (RejoinedStreamsTest, five tests). One way was open: without a name, a stream goes on where one software alone has run for two timeouts of the route; a caller may want to wait for longer than that, and its stream then went on at the newer software two timeouts after the relays' return, with nothing in the answer to show it.

Change: that time is at least the longest deadline that callers of the route have named in the last ten minutes. aCallerThatMayHaveBegunLongAgoIsRefusedTwoTimeoutsAfterTheKill failed without it (200 in place of 503).

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/StreamContinuation.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/StreamContinuation.java
@@ -22,6 +22,9 @@
         soleSoftware = components.soleSoftware();
         this.plan = plan;
         this.log = log;
+        if (plan.route().repeat().stream()) {
+            plan.metadata().deadlineMillis().ifPresent(millis -> soleSoftware.onDeadline(plan.route(), millis));
+        }
     }
 
     /**
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/streams/SoleSoftware.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/streams/SoleSoftware.java
@@ -6,6 +6,7 @@
 import org.rattanrudder.core.continuation.OriginExchange.Finding;
 import org.rattanrudder.core.continuation.OriginExchange.Source;
 import org.rattanrudder.core.continuation.StreamOrigin;
+import org.rattanrudder.core.gateway.LongestDeadlines;
 import org.rattanrudder.core.gateway.RouteHistory;
 import org.rattanrudder.core.gateway.ServiceRoute;
 import org.rattanrudder.core.gateway.ServingConfiguration;
@@ -19,11 +20,15 @@
  * begun the stream at another relay.
  */
 public final class SoleSoftware {
-    /** How long ago a caller's stream may have begun, in timeouts of its route: its first request, and its return. */
+    /**
+     * How long ago a caller's stream may have begun at least, in timeouts of its route: its first request, and its
+     * return. Callers that want to wait for longer may have begun it earlier.
+     */
     private static final int MAX_AGE_TIMEOUTS = 2;
 
     private final RelayState state;
     private final RouteHistory routes = new RouteHistory();
+    private final LongestDeadlines deadlines = new LongestDeadlines();
     private BiConsumer<Long, Consumer<Boolean>> confirmation = (timeoutMillis, then) -> then.accept(false);
 
     /** Creates a finder that knows no route. */
@@ -41,6 +46,11 @@
         routes.update(configuration.routes(), state.nowMillis());
     }
 
+    /** Records how long the caller of a stream wants to wait, in ms from now. */
+    public void onDeadline(ServiceRoute route, long deadlineMillis) {
+        deadlines.record(route.name(), deadlineMillis, state.nowMillis());
+    }
+
     /**
      * Finds the software that began a stream on a route.
      *
@@ -48,7 +58,8 @@
      * @param then called once, at once if it is known not to be certain
      */
     public void find(ServiceRoute route, long timeoutMillis, Consumer<Finding> then) {
-        long since = state.nowMillis() - MAX_AGE_TIMEOUTS * route.timeoutMillis();
+        long now = state.nowMillis();
+        long since = now - Math.max(MAX_AGE_TIMEOUTS * route.timeoutMillis(), deadlines.millis(route.name(), now));
         if (sole(route, since).isEmpty()) {
             then.accept(Finding.NOTHING);
             return;
