--- a/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/net/HttpCallClientTest.java
+++ b/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/net/HttpCallClientTest.java
@@ -168,4 +168,27 @@
                     .isInstanceOf(complete ? CallResult.Answered.class : CallResult.Unanswered.class);
         }
     }
+
+    /** Guards against a head that stops in the middle and is taken for a whole one with an empty body. */
+    @ParameterizedTest
+    @CsvSource({
+        "length, false",
+        "length, true",
+        "chunks, false",
+        "chunks, true",
+        "connection, false",
+        "connection, true"
+    })
+    void aHeadThatStopsAtAnyByteIsNoAnswer(String framing, boolean reset) throws Exception {
+        String whole = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n" + framed(framing);
+        int headEnds = whole.indexOf("\r\n\r\n") + 4;
+        for (int cut = 0; cut < headEnds; cut++) {
+            CompletableFuture<CallResult> result = call();
+            answer(whole.substring(0, cut), reset);
+
+            assertThat(result.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS))
+                    .as("cut at %d of %d", cut, headEnds)
+                    .isInstanceOf(CallResult.Unanswered.class);
+        }
+    }
 }
--- a/rattanrudder-wire/src/test/java/org/rattanrudder/wire/http/AnswerEndTest.java
+++ b/rattanrudder-wire/src/test/java/org/rattanrudder/wire/http/AnswerEndTest.java
@@ -83,6 +83,34 @@
         }
     }
 
+    /** Guards against a head that stops in the middle and is taken for a whole one with an empty body. */
+    @ParameterizedTest
+    @CsvSource({
+        "length, false",
+        "length, true",
+        "chunks, false",
+        "chunks, true",
+        "connection, false",
+        "connection, true"
+    })
+    void aHeadThatStopsAtAnyByteIsNoAnswer(String framing, boolean reset) throws Exception {
+        String whole = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n" + framed(framing, BODY);
+        int headEnds = whole.indexOf("\r\n\r\n") + 4;
+        try (ServerSocket listening = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+                HttpCaller caller = HttpCaller.create(1)) {
+            Address address = new Address("127.0.0.1", listening.getLocalPort());
+            for (int cut = 0; cut < headEnds; cut++) {
+                CompletableFuture<ResponseEnd> ended = new CompletableFuture<>();
+                caller.call(address, HttpRequest.get("/"), new EndRecorder(ended));
+                answer(listening, whole.substring(0, cut), reset);
+
+                assertThat(ended.get(SECONDS, TimeUnit.SECONDS))
+                        .as("end when cut at %d of %d", cut, headEnds)
+                        .isInstanceOf(ResponseEnd.BrokenOff.class);
+            }
+        }
+    }
+
     /** Guards against an end that nobody declared and that is told as one that somebody did. */
     @ParameterizedTest
     @CsvSource({"length, true", "chunks, true", "connection, false"})
