Serve nothing before all pages of what operators want were read

What callers saw: requests begin on weights that were replaced long ago, at a relay that has just started, until the page that names the newer version comes (VERSION). A configuration that grows to a page's size, or a store that is slow between two pages, is enough.

Change: what is found at the start is applied once all records were read, whether by the listing's last page or, after a page that failed, by reading on from the first record.

ListingPagesTest.nothingIsServedBeforeAllPagesWereRead failed before (200 in place of 503, on version 1 of 2) and holds.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/DesiredStateListener.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/DesiredStateListener.java
@@ -1,5 +1,6 @@
 package org.rattanrudder.daemon.relay.store;
 
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.rattanrudder.core.gateway.ServingConfiguration;
@@ -22,6 +23,14 @@
     /** Whether all records from before this relay's start have been read. */
     private boolean caughtUp;
 
+    /** Whether all records that were there were read at some time. */
+    private boolean readOnce;
+
+    private Optional<FoundConfiguration> found = Optional.empty();
+
+    /** A configuration that was found before all records were read, and the offset of its record. */
+    private record FoundConfiguration(ServingConfiguration configuration, long offset) {}
+
     /**
      * Creates a listener that has handled no record.
      *
@@ -57,7 +66,17 @@
         });
     }
 
+    /**
+     * Applies a configuration, at the relay's start only once all records were read: it lets requests be served, and
+     * the weights on which they may begin may stand in another page of the listing.
+     */
     private void onDesiredConfiguration(ServingConfiguration configuration, long offset) {
+        if (!readOnce) {
+            boolean older = found.filter(known -> known.configuration().version() >= configuration.version())
+                    .isPresent();
+            found = older ? found : Optional.of(new FoundConfiguration(configuration, offset));
+            return;
+        }
         if (!state.updateConfiguration(configuration)) {
             return;
         }
@@ -128,6 +147,9 @@
     @Override
     public void onReadToEnd(long askedAtMillis) {
         state.weights().onReadToEnd(askedAtMillis);
+        readOnce = true;
+        found.ifPresent(first -> onDesiredConfiguration(first.configuration(), first.offset()));
+        found = Optional.empty();
         state.retiredWeights().onLogRead(askedAtMillis);
     }
 
