Let a relay that has restarted go on with the lease of its own earlier process at once

Cause: a process waited for the lapse of any other process's lease, its own instance's included. An instance runs one process at a time, which owns its addresses, so its successor has nobody to wait for; the rule that two holders keep three seconds apart is one on machines.

Change: a last record of the own instance leaves the lease free for it; other instances wait as before.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/rollout/OrderLease.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/rollout/OrderLease.java
@@ -4,10 +4,10 @@
  * The lease of the one process that sends orders to engines, kept as a log of its own.
  *
  * <p>A record is appended only at the end of the log that its writer has read, so that only one of two concurrent
- * writers succeeds. The holder may send orders for {@link #LEASE_MILLIS} from when it sent the append. Other processes
- * wait for that time plus the handover time, counted from when they read the record. The monotonic clock may not
- * advance while a process is suspended, so the elapsed wall clock time is compared as well: a holder that was suspended
- * loses its lease.
+ * writers succeeds. The holder may send orders for {@link #LEASE_MILLIS} from when it sent the append. Processes of
+ * other instances wait for that time plus the handover time, counted from when they read the record; a process that
+ * succeeds one of its own instance goes on at once. The monotonic clock may not advance while a process is suspended,
+ * so the elapsed wall clock time is compared as well: a holder that was suspended loses its lease.
  *
  * <p>Times are milliseconds of a monotonic clock.
  */
@@ -24,6 +24,7 @@
     /** If the wall clock is ahead of the monotonic clock by this much, the process was suspended. */
     private static final long PAUSE_DETECTION_MILLIS = 200;
 
+    private final String instance;
     private final String self;
     private final long handoverMillis;
     private long end;
@@ -37,10 +38,12 @@
     /**
      * Creates the state of a process that doesn't hold the lease.
      *
-     * @param self its name; a restarted process has another name
+     * @param instance the name of its instance, which runs one process at a time
+     * @param self its own name: that of the instance, a hyphen and what no other process of it is called
      * @param handoverMillis the minimum time between the orders of two holders
      */
-    public OrderLease(String self, long handoverMillis) {
+    public OrderLease(String instance, String self, long handoverMillis) {
+        this.instance = instance;
         this.self = self;
         this.handoverMillis = handoverMillis;
     }
@@ -54,13 +57,20 @@
     /** Handles a record that was read. */
     public void onRecord(long offset, LeaseRecord record, long nowMillis) {
         advanceTo(offset + 1);
-        if (!record.holder().equals(self)) {
-            lastHolder = record.holder();
-            lastReadAt = nowMillis;
-            if (offset > fencingToken) {
-                heldUntil = Long.MIN_VALUE / 2;
-            }
+        if (record.holder().equals(self)) {
+            return;
         }
+        // Once it is succeeded, an earlier process of the instance sends no orders: there is nothing to wait for.
+        lastHolder = isEarlierProcess(record.holder()) ? "" : record.holder();
+        lastReadAt = nowMillis;
+        if (offset > fencingToken) {
+            heldUntil = Long.MIN_VALUE / 2;
+        }
+    }
+
+    private boolean isEarlierProcess(String holder) {
+        int hyphen = holder.lastIndexOf('-');
+        return hyphen >= 0 && holder.substring(0, hyphen).equals(instance);
     }
 
     /** Returns whether to append a record, to acquire or renew the lease. */
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/rollout/OrderLeaseTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/rollout/OrderLeaseTest.java
@@ -9,6 +9,8 @@
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class OrderLeaseTest {
     private static final long HANDOVER = 3_000;
@@ -16,11 +18,12 @@
     /** Two relays that both considered themselves holders would make engines load two versions alternately. */
     @Property
     void twoHoldersNeverSendOrdersWithinHandoverTime(
-            @ForAll @Size(max = 120) List<@IntRange(max = 5) Integer> actions,
+            @ForAll @Size(max = 120) List<@IntRange(max = 7) Integer> actions,
             @ForAll @Size(min = 120, max = 120) List<@IntRange(min = 1, max = 900) Integer> pauses) {
         List<LeaseRecord> log = new ArrayList<>();
-        OrderLease[] leases = {new OrderLease("a", HANDOVER), new OrderLease("b", HANDOVER)};
+        OrderLease[] leases = {started("a", 0), started("b", 0)};
         int[] read = new int[2];
+        String[] names = {name(0, 0), name(1, 0)};
         long[] lastOrder = {Long.MIN_VALUE / 2, Long.MIN_VALUE / 2};
         long now = 0;
         for (int index = 0; index < actions.size(); index++) {
@@ -32,7 +35,11 @@
                 }
                 leases[who].advanceTo(log.size());
             } else if (actions.get(index) / 2 == 1 && leases[who].shouldAppend(now)) {
-                append(log, leases[who], who, now);
+                append(log, leases[who], names[who], now);
+            } else if (actions.get(index) / 2 == 3) {
+                names[who] = name(who, index + 1);
+                leases[who] = started(who == 0 ? "a" : "b", index + 1);
+                read[who] = 0;
             }
             if (leases[who].isHeld(now, now)) {
                 lastOrder[who] = now;
@@ -41,12 +48,20 @@
         }
     }
 
-    private static void append(List<LeaseRecord> log, OrderLease lease, int who, long now) {
+    private static String name(int who, int start) {
+        return (who == 0 ? "a-" : "b-") + start;
+    }
+
+    private static OrderLease started(String instance, int start) {
+        return new OrderLease(instance, instance + "-" + start, HANDOVER);
+    }
+
+    private static void append(List<LeaseRecord> log, OrderLease lease, String name, long now) {
         if (lease.appendOffset() != log.size()) {
             lease.onConflict();
             return;
         }
-        log.add(new LeaseRecord(who == 0 ? "a" : "b", List.of()));
+        log.add(new LeaseRecord(name, List.of()));
         lease.onAppended(log.size() - 1, now, now);
     }
 
@@ -55,11 +70,35 @@
      */
     @Test
     void suspendedHolderLosesLease() {
-        OrderLease lease = new OrderLease("a", HANDOVER);
+        OrderLease lease = started("a", 0);
         lease.advanceTo(0);
         lease.onAppended(0, 1_000, 500_000);
 
         assertThat(lease.isHeld(1_100, 500_100)).isTrue();
         assertThat(lease.isHeld(1_100, 505_100)).isFalse();
     }
+
+    /**
+     * The holder ends in a rollout and is back a second later. It waited for the lease of its own earlier process, and
+     * engines got no order for seconds after each end of the holder.
+     */
+    @Test
+    void instanceThatRestartsGoesOnWithItsLeaseAtOnce() {
+        OrderLease restarted = started("a", 1);
+        restarted.onRecord(0, new LeaseRecord("a-0", List.of()), 1_000);
+
+        assertThat(restarted.isHeld(1_000, 1_000)).isFalse();
+        assertThat(restarted.shouldAppend(1_000)).isTrue();
+    }
+
+    /** Whose record is the last one counts, and names that only begin alike are those of others. */
+    @ParameterizedTest
+    @ValueSource(strings = {"b-0", "a-b-0", "aa-0", "a"})
+    void leaseOfAnotherInstanceIsWaitedFor(String last) {
+        OrderLease restarted = started("a", 1);
+        restarted.onRecord(0, new LeaseRecord("a-0", List.of()), 1_000);
+        restarted.onRecord(1, new LeaseRecord(last, List.of()), 1_000);
+
+        assertThat(restarted.shouldAppend(1_000)).isFalse();
+    }
 }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/rollout/RolloutCoordinator.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/rollout/RolloutCoordinator.java
@@ -86,7 +86,8 @@
         this.relayId = relayId;
         store = state.platform().store();
         rolloutLog = new RolloutLog(state);
-        lease = new OrderLease(relayId, state.settings().bounds().leaseMillis());
+        lease = new OrderLease(
+                state.settings().instance(), relayId, state.settings().bounds().leaseMillis());
         follower = new TopicFollower(state, Topic.ORDERS, PollIntervals.RARE, InitialRead.KEPT, new LeaseListener());
         appendClient = new HttpCallClient(state.connector(), state.heldBytes(), state::store);
     }
