--- /dev/null
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/rollout/EngineOrders.java
@@ -0,0 +1,190 @@
+package org.rattanrudder.daemon.relay.rollout;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.rattanrudder.core.fleet.Target;
+import org.rattanrudder.core.rollout.OrderLease;
+import org.rattanrudder.core.rollout.RolloutPlanner;
+import org.rattanrudder.daemon.relay.net.CallResult;
+import org.rattanrudder.daemon.relay.net.HttpCallClient;
+import org.rattanrudder.daemon.relay.port.EngineDialect.EngineReport;
+import org.rattanrudder.daemon.relay.port.EngineDialect.LoadOrder;
+import org.rattanrudder.daemon.relay.port.WeightsVersion;
+import org.rattanrudder.daemon.relay.process.RelayState;
+import org.rattanrudder.daemon.relay.targets.SelfReports;
+
+/**
+ * Calls engines to order them to load weights, and to look how far they are.
+ *
+ * <p>An engine is called once at a time. It is ordered only while the lease is held, after a report that shows that it
+ * has older weights and isn't loading.
+ */
+final class EngineOrders {
+    /** How long an engine gets no new work after an order; weights usually load within this time. */
+    private static final long LOAD_MILLIS = 5_000;
+
+    /**
+     * Delay between an order and the first check of its progress, and the interval of further checks. An engine's
+     * report is some 100 ms old, the shortest load takes 900 ms, and each check costs as much as a health check.
+     */
+    private static final long FIRST_PROGRESS_CHECK_MILLIS = 900;
+
+    private static final long PROGRESS_CHECK_INTERVAL_MILLIS = 200;
+    private static final long ENGINE_TIMEOUT_MILLIS = 900;
+
+    private final RelayState state;
+    private final SelfReports selfReports;
+    private final OrderLease lease;
+    private final RolloutLog rolloutLog;
+    private final Map<String, Long> progressChecksDueAt = new HashMap<>();
+    private final Map<String, Integer> reportedInFlight = new HashMap<>();
+    private final Set<String> targetsBeingCalled = new HashSet<>();
+
+    EngineOrders(RelayState state, SelfReports selfReports, OrderLease lease, RolloutLog rolloutLog) {
+        this.state = state;
+        this.selfReports = selfReports;
+        this.lease = lease;
+        this.rolloutLog = rolloutLog;
+    }
+
+    /** Returns whether an engine can be called now; a record of the lease is written for nothing otherwise. */
+    boolean mayCall(Target target, long now) {
+        return state.admission().mayCall(target, now) && !targetsBeingCalled.contains(target.id());
+    }
+
+    /** Returns whether an engine is being called right now. */
+    boolean isCalling(Target target) {
+        return targetsBeingCalled.contains(target.id());
+    }
+
+    /** Returns whether an engine was ordered and is looked at until it serves its new weights. */
+    boolean isLookedAt(Target target) {
+        return progressChecksDueAt.containsKey(target.id());
+    }
+
+    /**
+     * Returns the requests in flight at an engine: its own report while its progress is checked, else the relays'
+     * count.
+     */
+    int inFlight(Target target) {
+        Integer reported = reportedInFlight.get(target.id());
+        return reported != null && progressChecksDueAt.containsKey(target.id())
+                ? reported
+                : target.requests(state.nowMillis());
+    }
+
+    /** Asks an engine for its report, and orders it to load weights if it hasn't and isn't loading. */
+    void order(Target target, WeightsVersion weights, RolloutPlanner plan) {
+        if (!mayCall(target, state.nowMillis())) {
+            return;
+        }
+        targetsBeingCalled.add(target.id());
+        HttpCallClient client =
+                new HttpCallClient(state.connector(), state.heldBytes(), target.registration()::address);
+        long asked = state.nowMillis();
+        client.call(state.platform().engines().report(Optional.of(target.id())), ENGINE_TIMEOUT_MILLIS, answer -> {
+            selfReports.onCallAnswered(target, answer, asked);
+            Optional<EngineReport> report = readReport(answer);
+            report.ifPresent(read -> applyReport(target, read));
+            boolean stale = report.isPresent() && target.weights(weights.model()) < weights.version();
+            long now = state.nowMillis();
+            if (!stale
+                    || report.get().busy()
+                    || !state.admission().mayCall(target, now)
+                    || !lease.isHeld(now, System.currentTimeMillis())) {
+                client.close();
+                targetsBeingCalled.remove(target.id());
+                return;
+            }
+            sendOrder(target, weights, report.get(), plan, client);
+        });
+    }
+
+    private void sendOrder(
+            Target target, WeightsVersion weights, EngineReport report, RolloutPlanner plan, HttpCallClient client) {
+        LoadOrder order = new LoadOrder(
+                weights, state.settings().instance(), lease.fencingToken(), report.acceptedOrders(), target.id());
+        long now = state.nowMillis();
+        plan.onOrdered(target.id(), weights.version(), now);
+        target.markLoadingWeights(now + LOAD_MILLIS);
+        progressChecksDueAt.put(target.id(), now + FIRST_PROGRESS_CHECK_MILLIS);
+        client.call(state.platform().engines().order(order), ENGINE_TIMEOUT_MILLIS, answer -> {
+            selfReports.onCallAnswered(target, answer, now);
+            int status = answer instanceof CallResult.Answered answered ? answered.status() : 0;
+            rolloutLog.ordered(target, order, status, state.nowMillis());
+            if (status == 0) {
+                // The engine may load the weights later or never; until then it serves requests.
+                plan.onUnanswered(target.id());
+                target.markLoadingWeights(state.nowMillis());
+            } else if (!state.platform().engines().isOrderAccepted(status)) {
+                plan.onRefused(target.id());
+                target.markLoadingWeights(state.nowMillis());
+            }
+            client.close();
+            targetsBeingCalled.remove(target.id());
+        });
+    }
+
+    /** Returns the engines that this relay has ordered and that don't serve their new weights yet. */
+    List<String> loadingTargets() {
+        long now = state.nowMillis();
+        return progressChecksDueAt.keySet().stream()
+                .filter(id -> state.fleet()
+                        .find(id)
+                        .filter(target -> target.isLoadingWeights(now))
+                        .isPresent())
+                .toList();
+    }
+
+    /** Requests reports from ordered engines whose progress check is due. */
+    void checkProgress(List<Target> targets, WeightsVersion weights, RolloutPlanner plan, long now) {
+        for (Target target : targets) {
+            Long due = progressChecksDueAt.get(target.id());
+            if (due == null || now < due || !mayCall(target, now)) {
+                continue;
+            }
+            if (target.weights(weights.model()) >= weights.version()) {
+                progressChecksDueAt.remove(target.id());
+                continue;
+            }
+            progressChecksDueAt.put(target.id(), now + PROGRESS_CHECK_INTERVAL_MILLIS);
+            targetsBeingCalled.add(target.id());
+            HttpCallClient client =
+                    new HttpCallClient(state.connector(), state.heldBytes(), target.registration()::address);
+            client.call(state.platform().engines().report(Optional.of(target.id())), ENGINE_TIMEOUT_MILLIS, answer -> {
+                selfReports.onCallAnswered(target, answer, now);
+                Optional<EngineReport> report = readReport(answer);
+                report.ifPresent(read -> applyReport(target, read));
+                if (report.isPresent() && !report.get().busy()) {
+                    // The load has finished or never started.
+                    plan.onNotLoading(target.id());
+                    target.markLoadingWeights(state.nowMillis());
+                }
+                rolloutLog.lookedAt(target, report, weights.model());
+                targetsBeingCalled.remove(target.id());
+                client.close();
+            });
+        }
+    }
+
+    private void applyReport(Target target, EngineReport report) {
+        reportedInFlight.put(target.id(), report.inFlight());
+        report.weights().forEach(each -> target.confirmWeights(each.model(), each.version(), state.nowMillis()));
+    }
+
+    private Optional<EngineReport> readReport(CallResult answer) {
+        if (!(answer instanceof CallResult.Answered answered)) {
+            return Optional.empty();
+        }
+        try {
+            return state.platform().engines().readReport(answered.status(), answered.body());
+        } catch (IllegalArgumentException malformed) {
+            state.log().warn("report_unreadable", "reason", String.valueOf(malformed.getMessage()));
+            return Optional.empty();
+        }
+    }
+}
