Bound the answers to questions for versions, and use only those to questions that were asked

Found by reading the change again. A report answered each question of the last two seconds: 300 relays that start together would make reports longer than the 16 KB that peers take, so that none was sent; questions were kept by what a message names as its process, and for less time than far peers of a large fleet report in; and a message could name a time at which this relay never asked, later than now.

Change: a report answers 32 questions at most, a relay that can prove nothing answers none, one question is kept for each registered peer for as long as it matters, and an answer counts only for a time between the first and the last question.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/rollout/DesiredVersions.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/rollout/DesiredVersions.java
@@ -11,10 +11,11 @@
 /**
  * The desired versions of each model's weights, and for each of them a time before which it wasn't desired.
  *
- * <p>Some time after a newer version became desired, no request may start on older weights. When a relay reads of a
- * version says little: it may have been suspended, restarted or without the log. What proves the time is a read that
- * didn't find it: all that such a read doesn't return was written after the read began. A version that was found by the
- * first read has no such time, and counts as desired long ago, until a peer tells one that it has proved.
+ * <p>Some time after a newer version became desired, no request may start on older weights. The time at which a
+ * relay reads of a version says little: it may have been suspended, restarted or without the log. What proves the time
+ * is a read that didn't find it: all that such a read doesn't return was written after the read began. A version that
+ * was found by the first read has no such time, and counts as desired long ago, until a peer tells one that it has
+ * proved.
  *
  * <p>Of two times for one version the later one is used, since each is proved by itself. Versions may be overwritten
  * before they are read. So this holds for each version that was ever desired: the first one from it on that a relay
@@ -135,6 +136,11 @@
                         && nowMillis - since.foundAtMillis() < limitMillis);
     }
 
+    /** Returns whether the time of any version is proved. */
+    public boolean provesAny() {
+        return versions().stream().anyMatch(known -> known.source() != Source.FOUND_AT_START);
+    }
+
     /** Returns the newest desired version of a model; 0 if there is none. */
     public long newest(String model) {
         TreeMap<Long, Since> versions = sinceByModel.get(model);
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/rollout/VersionBoundTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/rollout/VersionBoundTest.java
@@ -11,7 +11,7 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
-import org.rattanrudder.core.rollout.DesiredVersions.DesiredVersion;
+import org.rattanrudder.core.fleet.LoadReport.KnownWeights;
 
 /**
  * A model of relays that read the log late, are suspended, restart and hear each other late or not at all, each by a
@@ -42,7 +42,7 @@
     private record Event(long at, Runnable run) {}
 
     /** What a relay sends to another. */
-    private record Report(String from, VersionQuestion question, List<DesiredVersion> versions, long madeAt) {}
+    private record Report(String peer, String from, VersionQuestion question, List<KnownWeights> versions) {}
 
     private final class Relay {
         private final int number;
@@ -108,7 +108,7 @@
         void report(long at) {
             now = at;
             if (at >= resumesAt) {
-                Report report = new Report(id(), exchange.next(BOUND, time()), versions.versions(), time());
+                Report report = new Report("r" + number, id(), exchange.next(BOUND, time()), told());
                 relays.stream()
                         .filter(other -> other != this && (calm || random.nextInt(5) > 0))
                         .forEach(other -> other.handle(at, delay(), other.start, () -> other.onReport(report)));
@@ -116,16 +116,19 @@
             at(at + REPORT_MILLIS, () -> report(at + REPORT_MILLIS));
         }
 
+        private List<KnownWeights> told() {
+            return versions.versions().stream()
+                    .map(known -> new KnownWeights(known.model(), known.version(), time() - known.sinceMillis()))
+                    .toList();
+        }
+
         private void onReport(Report report) {
-            report.question().askedAt().ifPresent(askedAt -> exchange.onAsked(report.from(), askedAt, time()));
+            report.question()
+                    .askedAt()
+                    .ifPresent(askedAt -> exchange.onAsked(report.peer(), report.from(), askedAt, time()));
             report.question().answered().stream()
                     .filter(answered -> answered.relay().equals(id()))
-                    .forEach(answered -> report.versions()
-                            .forEach(known -> versions.applyPeerTime(
-                                    known.model(),
-                                    known.version(),
-                                    answered.askedAt() - (report.madeAt() - known.sinceMillis()),
-                                    time())));
+                    .forEach(answered -> exchange.onAnswered(answered.askedAt(), report.versions(), time()));
         }
 
         private long delay() {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/peers/PeerExchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/peers/PeerExchange.java
@@ -362,7 +362,7 @@
             logRemoved(relay, before - state.fleet().all(now).size());
             components.selfReports().onPeerReport(relay, load);
             load.storeLateness().forEach(late -> state.directory().recordFetchLateness(late, now));
-            onVersionQuestion(load, now);
+            onVersionQuestion(relay, load, now);
             if (load.full()) {
                 state.retiredWeights().onPeerReport(relay, load.retirement(), !state.isReportRoundLate(), now);
             }
@@ -370,18 +370,12 @@
             listener.onUnreachable(load.unreachable());
         }
 
-        private void onVersionQuestion(LoadReport load, long now) {
+        private void onVersionQuestion(String relay, LoadReport load, long now) {
             VersionQuestion question = load.question();
-            question.askedAt().ifPresent(askedAt -> state.versionExchange().onAsked(load.relay(), askedAt, now));
+            question.askedAt().ifPresent(askedAt -> state.versionExchange().onAsked(relay, load.relay(), askedAt, now));
             question.answered().stream()
                     .filter(answered -> answered.relay().equals(relayId))
-                    .forEach(answered -> load.weights()
-                            .forEach(known -> state.weights()
-                                    .applyPeerTime(
-                                            known.model(),
-                                            known.version(),
-                                            answered.askedAt() - known.ageMillis(),
-                                            now)));
+                    .forEach(answered -> state.versionExchange().onAnswered(answered.askedAt(), load.weights(), now));
         }
 
         private void logRemoved(String relay, int removed) {
