Blame no engine for a request that the relay has withdrawn

Found by reading the change again: a request that was taken back right before the bound on older weights counted as a silence of its engine, which lowered the engine's standing for all requests. It is an outcome of its own now; its caller gets what one of a silent engine gets (it may have run), and it may go to another engine by the same rules. RetryPolicyTest and ResponseClassifierTest hold.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/gateway/AttemptOutcome.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/gateway/AttemptOutcome.java
@@ -12,6 +12,8 @@
     BROKEN(true),
     /** The response timed out; the request may have run. */
     SILENT(true),
+    /** The relay took the request back before its response began; the request may have run. */
+    WITHDRAWN(true),
     /** The target ran the request and responded with an error. */
     FAILED(true);
 
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/gateway/RetryPolicy.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/gateway/RetryPolicy.java
@@ -67,6 +67,7 @@
         if (possibleRuns == 0) {
             return outcome == AttemptOutcome.REJECTED ? ErrorKind.OVERLOADED : ErrorKind.NO_TARGET;
         }
-        return outcome == AttemptOutcome.SILENT ? ErrorKind.TARGET_SILENT : ErrorKind.TARGET_FAILED;
+        boolean unanswered = outcome == AttemptOutcome.SILENT || outcome == AttemptOutcome.WITHDRAWN;
+        return unanswered ? ErrorKind.TARGET_SILENT : ErrorKind.TARGET_FAILED;
     }
 }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/Exchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/Exchange.java
@@ -276,7 +276,7 @@
                 plan,
                 attempt,
                 this::onInactive,
-                () -> abortAttempt(AttemptOutcome.SILENT, "weights too old to begin"));
+                () -> abortAttempt(AttemptOutcome.WITHDRAWN, "weights too old to begin"));
         inactivity.check();
     }
 
@@ -419,7 +419,7 @@
     private void failAttempt(AttemptOutcome outcome, String reason) {
         Target target = attempt.target();
         long after = state.nowMillis() - attempt.sentAt();
-        if (outcome.mayHaveRun()) {
+        if (outcome.mayHaveRun() && outcome != AttemptOutcome.WITHDRAWN) {
             target.recordFailure(after, state.nowMillis());
         }
         if (outcome == AttemptOutcome.BROKEN) {
