Remember the longest deadlines for each customer, and across the end of a period

Found by reading the change again: one caller with a long deadline had the nameless resumptions of all customers of the route refused for ten minutes, and the longest deadline was missing right after its ten minutes, until it was named again. LongestDeadlinesTest has a test of each.

--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/gateway/LongestDeadlinesTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/gateway/LongestDeadlinesTest.java
@@ -7,25 +7,37 @@
 class LongestDeadlinesTest {
     private final LongestDeadlines deadlines = new LongestDeadlines();
 
+    private static final long REMEMBERED = LongestDeadlines.REMEMBERED_MILLIS;
+
     @Test
     void longestDeadlineOfARouteCounts() {
-        deadlines.record("check", 4_000, 0);
-        deadlines.record("check", 9_000, 10);
-        deadlines.record("check", 1_000, 20);
-        deadlines.record("audit", 30_000, 30);
+        deadlines.record("check", "mine", 4_000, 0);
+        deadlines.record("check", "mine", 9_000, 10);
+        deadlines.record("check", "mine", 1_000, 20);
+        deadlines.record("audit", "mine", 30_000, 30);
+
+        assertThat(deadlines.millis("check", "mine", 40)).isEqualTo(9_000);
+        assertThat(deadlines.millis("post", "mine", 40)).isZero();
+    }
+
+    /** One customer that would wait for a day must not have the streams of others refused. */
+    @Test
+    void longDeadlineCountsForItsCustomerAlone() {
+        deadlines.record("check", "patient", 86_400_000, 0);
+        deadlines.record("check", "mine", 4_000, 0);
 
-        assertThat(deadlines.millis("check", 40)).isEqualTo(9_000);
-        assertThat(deadlines.millis("post", 40)).isZero();
+        assertThat(deadlines.millis("check", "patient", 10)).isEqualTo(REMEMBERED);
+        assertThat(deadlines.millis("check", "mine", 10)).isEqualTo(4_000);
     }
 
-    /** One caller that would wait for a day must not count for all others for good. */
+    /** A deadline that was named again and again must not be missing between two periods. */
     @Test
-    void longDeadlineIsForgotten() {
-        deadlines.record("check", 86_400_000, 0);
-        assertThat(deadlines.millis("check", 10)).isEqualTo(LongestDeadlines.REMEMBERED_MILLIS);
+    void deadlineIsRememberedAcrossPeriodsAndThenForgotten() {
+        deadlines.record("check", "mine", 9_000, REMEMBERED - 1);
+        deadlines.record("check", "mine", 1_000, 2 * REMEMBERED - 1);
 
-        deadlines.record("check", 4_000, LongestDeadlines.REMEMBERED_MILLIS);
-        assertThat(deadlines.millis("check", LongestDeadlines.REMEMBERED_MILLIS))
-                .isEqualTo(4_000);
+        assertThat(deadlines.millis("check", "mine", 2 * REMEMBERED)).isEqualTo(9_000);
+        assertThat(deadlines.millis("check", "mine", 3 * REMEMBERED)).isEqualTo(1_000);
+        assertThat(deadlines.millis("check", "mine", 5 * REMEMBERED)).isZero();
     }
 }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/StreamContinuation.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/StreamContinuation.java
@@ -23,7 +23,9 @@
         this.plan = plan;
         this.log = log;
         if (plan.route().repeat().stream()) {
-            plan.metadata().deadlineMillis().ifPresent(millis -> soleSoftware.onDeadline(plan.route(), millis));
+            plan.metadata()
+                    .deadlineMillis()
+                    .ifPresent(millis -> soleSoftware.onDeadline(plan.route(), plan.customerName(), millis));
         }
     }
 
@@ -38,7 +40,7 @@
         plan.resumedStream()
                 .ifPresentOrElse(
                         stream -> streamOrigins.find(stream, plan.originPatienceMillis(), bind),
-                        () -> soleSoftware.find(plan.route(), plan.originPatienceMillis(), bind));
+                        () -> soleSoftware.find(plan.route(), plan.customerName(), plan.originPatienceMillis(), bind));
     }
 
     private boolean bind(Finding found, long beganAt) {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/streams/SoleSoftware.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/streams/SoleSoftware.java
@@ -46,20 +46,22 @@
         routes.update(configuration.routes(), state.nowMillis());
     }
 
-    /** Records how long the caller of a stream wants to wait, in ms from now. */
-    public void onDeadline(ServiceRoute route, long deadlineMillis) {
-        deadlines.record(route.name(), deadlineMillis, state.nowMillis());
+    /** Records how long a customer's caller of a stream wants to wait, in ms from now. */
+    public void onDeadline(ServiceRoute route, String customer, long deadlineMillis) {
+        deadlines.record(route.name(), customer, deadlineMillis, state.nowMillis());
     }
 
     /**
      * Finds the software that began a stream on a route.
      *
+     * @param customer the name of the caller's customer; empty if the route is open to all
      * @param timeoutMillis how long to wait for the confirmation that all registrations were read, in ms
      * @param then called once, at once if it is known not to be certain
      */
-    public void find(ServiceRoute route, long timeoutMillis, Consumer<Finding> then) {
+    public void find(ServiceRoute route, String customer, long timeoutMillis, Consumer<Finding> then) {
         long now = state.nowMillis();
-        long since = now - Math.max(MAX_AGE_TIMEOUTS * route.timeoutMillis(), deadlines.millis(route.name(), now));
+        long since =
+                now - Math.max(MAX_AGE_TIMEOUTS * route.timeoutMillis(), deadlines.millis(route.name(), customer, now));
         if (sole(route, since).isEmpty()) {
             then.accept(Finding.NOTHING);
             return;
