Let only a process at the same address go on with a lease, and name what sends orders apart from companions' orders

Found by reading the change again: a relay went on at once with the lease of any earlier process of its name; where a machine was replaced under its name while the older one still runs unseen, two machines could order within the time between holders. The holder's name in the lease has the address that the process has bound, so the earlier one has ended; a replacement elsewhere waits as any other. EngineOrders was the name of a class of the companions too: OrderSender. OrderLeaseTest holds.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/rollout/OrderLease.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/rollout/OrderLease.java
@@ -38,8 +38,8 @@
     /**
      * Creates the state of a process that doesn't hold the lease.
      *
-     * @param instance the name of its instance, which runs one process at a time
-     * @param self its own name: that of the instance, a hyphen and what no other process of it is called
+     * @param instance the name of its instance and its address, which one process at a time can have
+     * @param self its own name: the same, a hyphen and what no other process of it is called
      * @param handoverMillis the minimum time between the orders of two holders
      */
     public OrderLease(String instance, String self, long handoverMillis) {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/rollout/EngineOrders.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/rollout/OrderSender.java
@@ -23,7 +23,7 @@
  * <p>An engine is called once at a time. It is ordered only while the lease is held, after a report that shows that it
  * has older weights and isn't loading.
  */
-final class EngineOrders {
+final class OrderSender {
     /** How long an engine gets no new work after an order; weights usually load within this time. */
     private static final long LOAD_MILLIS = 5_000;
 
@@ -44,7 +44,7 @@
     private final Map<String, Integer> reportedInFlight = new HashMap<>();
     private final Set<String> targetsBeingCalled = new HashSet<>();
 
-    EngineOrders(RelayState state, SelfReports selfReports, OrderLease lease, RolloutLog rolloutLog) {
+    OrderSender(RelayState state, SelfReports selfReports, OrderLease lease, RolloutLog rolloutLog) {
         this.state = state;
         this.selfReports = selfReports;
         this.lease = lease;
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/rollout/RolloutCoordinator.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/rollout/RolloutCoordinator.java
@@ -49,29 +49,30 @@
     private final StepTimer timer;
     private final StoreDialect store;
     private final OrderLease lease;
-    private final String relayId;
+    private final String holder;
     private final TopicFollower follower;
     private final HttpCallClient appendClient;
     private final Map<String, RolloutPlanner> planners = new HashMap<>();
     private final RolloutLog rolloutLog;
-    private final EngineOrders orders;
+    private final OrderSender orders;
     private boolean answeredOnce;
     private boolean caughtUp;
 
     /**
      * Creates a coordinator that reads and orders nothing until {@link #start}.
      *
-     * @param relayId names this process of the relay in the lease
+     * @param relayId names this process of the relay; what follows its last hyphen is its own in the lease too
      */
     public RolloutCoordinator(RelayState state, SelfReports selfReports, String relayId) {
         this.state = state;
         timer = new StepTimer(state.loop());
-        this.relayId = relayId;
         store = state.platform().store();
         rolloutLog = new RolloutLog(state);
-        lease = new OrderLease(
-                state.settings().instance(), relayId, state.settings().bounds().leaseMillis());
-        orders = new EngineOrders(state, selfReports, lease, rolloutLog);
+        // A process that has bound its address is the only one there: an instance's name alone could be that of two.
+        String place = state.settings().instance() + "@" + state.settings().peers();
+        holder = place + "-" + relayId.substring(relayId.lastIndexOf('-') + 1);
+        lease = new OrderLease(place, holder, state.settings().bounds().leaseMillis());
+        orders = new OrderSender(state, selfReports, lease, rolloutLog);
         follower = new TopicFollower(state, Topic.ORDERS, PollIntervals.RARE, InitialRead.KEPT, new LeaseListener());
         appendClient = new HttpCallClient(state.connector(), state.heldBytes(), state::store);
     }
@@ -92,7 +93,7 @@
             long now = state.nowMillis();
             lease.onRecord(record.offset(), read, now);
             // Records from before the start are outdated: after a restart all engines would seem to be loading.
-            if (caughtUp && !read.holder().equals(relayId)) {
+            if (caughtUp && !read.holder().equals(holder)) {
                 read.loading()
                         .forEach(id -> state.fleet()
                                 .find(id)
@@ -210,7 +211,7 @@
         long sentAtWall = System.currentTimeMillis();
         long at = lease.appendOffset();
         appendClient.call(
-                store.append(Topic.ORDERS, new LeaseRecord(relayId, ids), OptionalLong.of(at)),
+                store.append(Topic.ORDERS, new LeaseRecord(holder, ids), OptionalLong.of(at)),
                 APPEND_TIMEOUT_MILLIS,
                 answer -> onLeaseAnswer(answer, batch, sentAt, sentAtWall, at));
     }
