--- a/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/net/HttpCallClientTest.java
+++ b/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/net/HttpCallClientTest.java
@@ -147,14 +147,7 @@
 
     /** Guards against half an answer of the store that counts as a whole one, also after a reset. */
     @ParameterizedTest
-    @CsvSource({
-        "length, false",
-        "length, true",
-        "chunks, false",
-        "chunks, true",
-        "connection, false",
-        "connection, true"
-    })
+    @MethodSource("org.rattanrudder.wire.http.AnswerFramings#withEnds")
     void anAnswerIsWholeOnlyIfItsEndSaysSo(String framing, boolean reset) throws Exception {
         String whole = framed(framing);
         int from = framing.equals("connection") ? "\r\n".length() : whole.indexOf("\r\n\r\n");
@@ -171,14 +164,7 @@
 
     /** Guards against a head that stops in the middle and is taken for a whole one with an empty body. */
     @ParameterizedTest
-    @CsvSource({
-        "length, false",
-        "length, true",
-        "chunks, false",
-        "chunks, true",
-        "connection, false",
-        "connection, true"
-    })
+    @MethodSource("org.rattanrudder.wire.http.AnswerFramings#withEnds")
     void aHeadThatStopsAtAnyByteIsNoAnswer(String framing, boolean reset) throws Exception {
         String whole = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n" + framed(framing);
         int headEnds = whole.indexOf("\r\n\r\n") + 4;
--- a/rattanrudder-wire/src/test/java/org/rattanrudder/wire/http/AnswerEndTest.java
+++ b/rattanrudder-wire/src/test/java/org/rattanrudder/wire/http/AnswerEndTest.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.rattanrudder.core.call.Header;
 import org.rattanrudder.core.gateway.ResponseEnd;
 import org.rattanrudder.core.model.Address;
@@ -45,14 +46,7 @@
 
     /** Guards against half an answer that is taken for a whole one. */
     @ParameterizedTest
-    @CsvSource({
-        "length, false",
-        "length, true",
-        "chunks, false",
-        "chunks, true",
-        "connection, false",
-        "connection, true"
-    })
+    @MethodSource("org.rattanrudder.wire.http.AnswerFramings#withEnds")
     void anAnswerIsWholeOnlyIfItsEndSaysSo(String framing, boolean reset) throws Exception {
         String whole = framed(framing, BODY);
         int bodyAt = whole.indexOf("\r\n\r\n");
@@ -85,14 +79,7 @@
 
     /** Guards against a head that stops in the middle and is taken for a whole one with an empty body. */
     @ParameterizedTest
-    @CsvSource({
-        "length, false",
-        "length, true",
-        "chunks, false",
-        "chunks, true",
-        "connection, false",
-        "connection, true"
-    })
+    @MethodSource("org.rattanrudder.wire.http.AnswerFramings#withEnds")
     void aHeadThatStopsAtAnyByteIsNoAnswer(String framing, boolean reset) throws Exception {
         String whole = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n" + framed(framing, BODY);
         int headEnds = whole.indexOf("\r\n\r\n") + 4;
