--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/quarantine/Quarantine.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/quarantine/Quarantine.java
@@ -69,9 +69,7 @@
     private final AnsweredFeatures answers = new AnsweredFeatures();
     private final Map<Cause, Adopted> adopted = new HashMap<>();
     private final Map<Cause, Long> lapsed = new HashMap<>();
-    private final Set<Cause> recorded = new HashSet<>();
-    private final Set<Cause> ownRecords = new HashSet<>();
-    private final Set<Cause> recordsToWithdraw = new HashSet<>();
+    private final CauseRecords records = new CauseRecords();
     private final CauseTrials trials = new CauseTrials();
     private final AnswersToTell answersToTell = new AnswersToTell();
     /** Alternatives to causes, computed when needed and kept until the causes are found anew. */
@@ -216,10 +214,8 @@
             }
         }
         if (ownAnswer) {
-            recorded.stream()
-                    .filter(cause -> features.stream().anyMatch(cause.features()::contains))
-                    .filter(cause -> cause.anyOf() || !isLeft(cause))
-                    .forEach(recordsToWithdraw::add);
+            records.withdrawIf(cause ->
+                    features.stream().anyMatch(cause.features()::contains) && (cause.anyOf() || !isLeft(cause)));
         }
     }
 
@@ -239,7 +235,7 @@
      */
     public void onRecord(Cause cause, int trialsSoFar, long nowMillis) {
         trials.onTold(cause, trialsSoFar, nowMillis);
-        recorded.add(cause);
+        records.onRecorded(cause);
         if (!cause.answeredBefore() && !isFound(cause)) {
             answeredAmong(cause.features(), nowMillis)
                     .forEach(feature ->
@@ -255,14 +251,14 @@
      */
     public void onListedRecord(Cause cause, int trialsSoFar, boolean foundAtStart, long nowMillis) {
         onRecord(cause, trialsSoFar, nowMillis);
-        if (isFound(cause) || recordsToWithdraw.contains(cause)) {
+        if (isFound(cause) || records.isToWithdraw(cause)) {
             return;
         }
         Cause left = cause.answeredBefore() ? cause : withoutAnswered(cause, nowMillis);
         if (left.isSpecific()) {
             adopted.putIfAbsent(left, new Adopted(nowMillis, foundAtStart));
         } else {
-            recordsToWithdraw.add(cause);
+            records.withdraw(cause);
         }
     }
 
@@ -272,21 +268,16 @@
 
     /** Handles that this relay has written the record of a cause: it replaces those of less certain ones. */
     public void onRecordWritten(Cause cause) {
-        recorded.stream()
-                .filter(each -> !isFound(each) && each.features().containsAll(cause.features()))
-                .forEach(recordsToWithdraw::add);
-        recorded.add(cause);
-        ownRecords.add(cause);
+        records.withdrawIf(each -> !isFound(each) && each.features().containsAll(cause.features()));
+        records.onWritten(cause);
         if (!isFound(cause) && !adopted.containsKey(cause) && !isLeft(cause)) {
-            recordsToWithdraw.add(cause);
+            records.withdraw(cause);
         }
     }
 
     /** Handles that another relay has withdrawn its record, since the cause is another one or its time has passed. */
     public void onRecordWithdrawn(Cause cause, long nowMillis) {
-        recorded.remove(cause);
-        ownRecords.remove(cause);
-        recordsToWithdraw.remove(cause);
+        records.onWithdrawn(cause);
         Adopted known = adopted.remove(cause);
         if (known != null && nowMillis - known.sinceMillis() >= EXPIRING_MILLIS) {
             lapsed.put(cause, nowMillis);
@@ -302,7 +293,7 @@
 
     /** Handles a listing of all records: records that were lost are written again. */
     public void onRecordsListed(Set<Cause> listed) {
-        recorded.retainAll(listed);
+        records.onListed(listed);
     }
 
     /** Forgets what is too old, and lifts quarantines whose time has passed. */
@@ -329,8 +320,8 @@
     }
 
     private void expireRecord(Cause cause, boolean ownsRecord) {
-        if (ownsRecord && recorded.contains(cause)) {
-            recordsToWithdraw.add(cause);
+        if (ownsRecord && records.isRecorded(cause)) {
+            records.withdraw(cause);
         }
     }
 
@@ -358,9 +349,7 @@
                 .filter(each -> each.cause().isSpecific())
                 .filter(each -> each.lastSeenAt() > lapsed.getOrDefault(each.cause(), Long.MIN_VALUE))
                 .toList();
-        ownRecords.stream()
-                .filter(cause -> !isFound(cause) && !adopted.containsKey(cause))
-                .forEach(recordsToWithdraw::add);
+        records.withdrawOwnIf(cause -> !isFound(cause) && !adopted.containsKey(cause));
     }
 
     /** Returns for how much longer a request with the given features is quarantined; empty if it isn't. */
@@ -480,17 +469,15 @@
 
     /** Returns the causes whose record this relay has to write. */
     public List<Cause> recordsToWrite() {
-        List<Cause> missing = new ArrayList<>();
-        for (Found each : found) {
-            if (each.isSeenLocally() && !recorded.contains(each.cause()) && !recordsToWithdraw.contains(each.cause())) {
-                missing.add(each.cause());
-            }
-        }
-        return missing;
+        return found.stream()
+                .filter(Found::isSeenLocally)
+                .map(Found::cause)
+                .filter(cause -> !records.isRecorded(cause) && !records.isToWithdraw(cause))
+                .toList();
     }
 
     /** Returns the causes whose record this relay has to withdraw. */
     public List<Cause> recordsToWithdraw() {
-        return List.copyOf(recordsToWithdraw);
+        return records.toWithdraw();
     }
 }
