Log suspensions of the machine and jumps of the time of day

Requests began on older weights past the bound after their relay's machine had been suspended, and no line said so: System.nanoTime() doesn't count the suspension, and the ages in request_sent are told by it.

ElapsedTime is fed readings of the monotonic clock, the time of day and the first figure of /proc/uptime, and keeps what must be added to the first, at least and at most. /proc/uptime is believed only after it has kept in step with the monotonic clock: ten seconds to confirm what the time of day shows, a minute to contradict it, since it may belong to another world than the process's clocks. No decision uses it yet.

Tests: ElapsedTimeTest (19 cases and two properties), ProcessClockTest.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
@@ -17,8 +17,10 @@
 import org.rattanrudder.core.model.Address;
 import org.rattanrudder.core.parts.SharedStoreUpdate;
 import org.rattanrudder.daemon.logging.EventLog;
+import org.rattanrudder.daemon.loop.ClockSource;
 import org.rattanrudder.daemon.loop.Closer;
 import org.rattanrudder.daemon.loop.MonotonicClock;
+import org.rattanrudder.daemon.loop.ProcessClock;
 import org.rattanrudder.daemon.loop.RunningProcess;
 import org.rattanrudder.daemon.relay.net.RelayChannels;
 import org.rattanrudder.daemon.relay.net.StepTimer;
@@ -81,8 +83,9 @@
         closer.add(() -> group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS));
         loop = (EventLoop) group.next();
         EventLog log = new EventLog(Logger.getLogger(RelayProcess.class), new MonotonicClock());
+        ProcessClock clock = new ProcessClock(ClockSource.system());
         state = new RelayState(
-                settings, platform, loop, RelayChannels.connector(group), log, new RelayMetrics(), random);
+                settings, platform, clock, loop, RelayChannels.connector(group), log, new RelayMetrics(), random);
         memory = new MemoryAdmission(state);
         HoldingQueues queues = new HoldingQueues(state);
         pools = new TargetPools(state, queues);
@@ -194,6 +197,7 @@
     }
 
     private void sweep() {
+        state.clock().check();
         long now = state.nowMillis();
         state.eventLoopLag().onTaskRun(now);
         boolean closeIdle = state.isRefusingRequests();
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/RelayState.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/RelayState.java
@@ -33,6 +33,7 @@
 import org.rattanrudder.core.rollout.WeightsAdmission;
 import org.rattanrudder.core.routing.Hashing;
 import org.rattanrudder.daemon.logging.EventLog;
+import org.rattanrudder.daemon.loop.ProcessClock;
 import org.rattanrudder.daemon.relay.port.PlatformAdapter;
 import org.rattanrudder.document.RelaySettings;
 
@@ -56,6 +57,7 @@
     private volatile RelaySettings settings;
 
     private final PlatformAdapter platform;
+    private final ProcessClock clock;
     private final EventLoop loop;
     private final Bootstrap connector;
     private final EventLog log;
@@ -91,6 +93,7 @@
     public RelayState(
             RelaySettings settings,
             PlatformAdapter platform,
+            ProcessClock clock,
             EventLoop loop,
             Bootstrap connector,
             EventLog log,
@@ -98,6 +101,7 @@
             RandomGenerator random) {
         this.settings = settings;
         this.platform = platform;
+        this.clock = clock;
         this.loop = loop;
         this.connector = connector;
         this.log = log;
@@ -115,6 +119,7 @@
                 new EventLoopLag(nowMillis(), ReportSchedule.ROUND_MILLIS, REPORT_LATE_MILLIS, REPORT_CATCH_UP_MILLIS);
         connectionGate = new ConnectionGate(nowMillis());
         StateGauges.register(this);
+        ClockLog.register(this);
     }
 
     /** Returns the time of a monotonic clock, in ms. */
@@ -122,6 +127,11 @@
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
     }
 
+    /** Returns the clock of this process. */
+    public ProcessClock clock() {
+        return clock;
+    }
+
     /** Returns the monitor of the event loop's lag. */
     public EventLoopLag eventLoopLag() {
         return eventLoopLag;
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/SentPrompts.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/SentPrompts.java
@@ -40,6 +40,9 @@
                                 .map(known -> known.version() + "/" + known.ageText(state.nowMillis()) + "/"
                                         + known.source().wireName())
                                 .orElse("none"),
+                        "suspended_ms",
+                        state.clock().certainSurplusMillis() + "/"
+                                + state.clock().possibleSurplusMillis(),
                         "shared_parts",
                         Integer.toString(Math.max(0, metadata.parts().size() - 1)),
                         "read",
