Tell apart why a relay has an older configuration: unread, read from a listing behind, passed over, or not used

What users saw: one relay, in touch, answered by an older configuration than was acknowledged.

Change, no decision depends on it: - not read: the gauge rattanrudder_relay_topic_unread_seconds, the time since the last proof that all records of a topic were read (an empty long poll proves its whole wait, once that is over; any other read the time at which it was asked for); `configured` says when its read was asked for and for how long its record may have been there; `store_regained` says how many calls failed. - read from a listing that is behind: `topic_listed` has the offset that was read before, and the time at which the listing was asked for. - read and not put in force: `configuration_not_newer` and `configuration_held_back`; malformed records were logged already. - in force and not used: `decided_by` in `request_placed` and `request_denied`, beside the version in force.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/RelayMetrics.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/RelayMetrics.java
@@ -172,7 +172,7 @@
     }
 
     /** Registers a gauge with one label; the values by label value are read whenever the metrics are. */
-    void labelledGauge(String name, String help, String label, Supplier<Map<String, Double>> values) {
+    public void labelledGauge(String name, String help, String label, Supplier<Map<String, Double>> values) {
         GaugeWithCallback.builder()
                 .name(name)
                 .help(help)
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/ExchangeLog.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/ExchangeLog.java
@@ -88,6 +88,8 @@
                                                         .orElse("none"),
                                                 "left_ms",
                                                 Long.toString(plan.remainingMillis()),
+                                                "decided_by",
+                                                Long.toString(plan.decidedBy()),
                                                 "configuration",
                                                 state.configuration()
                                                         .map(configuration -> Long.toString(configuration.version()))
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/IncomingRequest.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/IncomingRequest.java
@@ -5,8 +5,10 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.rattanrudder.core.gateway.CustomerIdentity;
 import org.rattanrudder.core.gateway.RequestMetadata;
+import org.rattanrudder.core.gateway.ServingConfiguration;
 import org.rattanrudder.core.gateway.ServingConfiguration.AccessDecision;
 import org.rattanrudder.core.memory.ByteUse;
 import org.rattanrudder.core.model.ErrorKind;
@@ -29,6 +31,7 @@
     private long declaredBytes;
     private Optional<RequestMetadata> metadata = Optional.empty();
     private Optional<AccessDecision.Granted> granted = Optional.empty();
+    private OptionalLong decidedBy = OptionalLong.empty();
     private Optional<ErrorKind> problem = Optional.empty();
     private Optional<Rejection> rejection = Optional.empty();
     private RequestPlan plan;
@@ -96,9 +99,10 @@
             // Without a configuration it isn't known whether the request is valid, so the caller isn't at fault.
             return Optional.of(ErrorKind.LOG_UNAVAILABLE);
         }
-        AccessDecision access = state.configuration()
-                .get()
-                .authorize(metadata.get().host(), head.uri(), metadata.get().credential());
+        ServingConfiguration configuration = state.configuration().get();
+        decidedBy = OptionalLong.of(configuration.version());
+        AccessDecision access = configuration.authorize(
+                metadata.get().host(), head.uri(), metadata.get().credential());
         if (access instanceof AccessDecision.Denied denied) {
             return Optional.of(denied.error());
         }
@@ -144,7 +148,8 @@
     }
 
     private RequestPlan newPlan() {
-        return new RequestPlan(state, metadata.orElseThrow(), granted.orElseThrow(), arrivedAt);
+        return new RequestPlan(
+                state, metadata.orElseThrow(), granted.orElseThrow(), decidedBy.orElseThrow(), arrivedAt);
     }
 
     /** Returns the plan of a request that is served or rejected, by the configuration in force at the first call. */
@@ -255,6 +260,8 @@
                         metadata.map(RequestMetadata::host).orElse(""),
                         "path",
                         head.uri(),
+                        "decided_by",
+                        decidedBy.isPresent() ? Long.toString(decidedBy.getAsLong()) : "none",
                         "configuration",
                         state.configuration()
                                 .map(configuration -> Long.toString(configuration.version()))
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/RequestPlan.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/RequestPlan.java
@@ -72,13 +72,25 @@
     private Optional<BackendService> backend;
     private Optional<EngineTraits> engine;
     private final AllowedRegions allowedRegions;
+    private final long decidedBy;
     private final long arrivedAt;
     private final long deadlineAt;
     private final long contextHash;
     private final StreamBinding binding = new StreamBinding();
 
-    RequestPlan(RelayState state, RequestMetadata metadata, AccessDecision.Granted granted, long arrivedAt) {
+    /**
+     * Creates the plan of a request that may be served.
+     *
+     * @param decidedBy the version of the configuration by which it may
+     */
+    RequestPlan(
+            RelayState state,
+            RequestMetadata metadata,
+            AccessDecision.Granted granted,
+            long decidedBy,
+            long arrivedAt) {
         this.state = state;
+        this.decidedBy = decidedBy;
         this.metadata = metadata;
         this.arrivedAt = arrivedAt;
         route = granted.route();
@@ -144,6 +156,11 @@
         return engine;
     }
 
+    /** Returns the version of the configuration that has allowed the request and selected its route. */
+    long decidedBy() {
+        return decidedBy;
+    }
+
     long arrivedAt() {
         return arrivedAt;
     }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/DesiredStateListener.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/DesiredStateListener.java
@@ -27,6 +27,8 @@
     private boolean readOnce;
 
     private Optional<FoundConfiguration> found = Optional.empty();
+    private long askedAt;
+    private long unreadMillis;
 
     /** A configuration that was found before all records were read, and the offset of its record. */
     private record FoundConfiguration(ServingConfiguration configuration, long offset) {}
@@ -72,12 +74,20 @@
      */
     private void onDesiredConfiguration(ServingConfiguration configuration, long offset) {
         if (!readOnce) {
+            state.log()
+                    .info(
+                            "configuration_held_back",
+                            "version",
+                            Long.toString(configuration.version()),
+                            "offset",
+                            Long.toString(offset));
             boolean older = found.filter(known -> known.configuration().version() >= configuration.version())
                     .isPresent();
             found = older ? found : Optional.of(new FoundConfiguration(configuration, offset));
             return;
         }
         if (!state.updateConfiguration(configuration)) {
+            logNotNewer(configuration, offset);
             return;
         }
         onConfiguration.accept(configuration);
@@ -88,6 +98,10 @@
                         Long.toString(configuration.version()),
                         "offset",
                         Long.toString(offset),
+                        "asked_ms",
+                        Long.toString(state.nowMillis() - askedAt),
+                        "unread_ms",
+                        Long.toString(unreadMillis),
                         "services",
                         Integer.toString(configuration.services().size()),
                         "stores",
@@ -95,6 +109,20 @@
         storeWatches.update(configuration.stores());
     }
 
+    private void logNotNewer(ServingConfiguration configuration, long offset) {
+        state.log()
+                .info(
+                        "configuration_not_newer",
+                        "version",
+                        Long.toString(configuration.version()),
+                        "in_force",
+                        state.configuration()
+                                .map(known -> Long.toString(known.version()))
+                                .orElse("none"),
+                        "offset",
+                        Long.toString(offset));
+    }
+
     private void onDesiredEvacuation(DesiredState.DesiredEvacuation desired, long offset) {
         String domain = desired.failureDomain();
         if (state.fleet().evacuations().apply(domain, desired.evacuated(), offset, state.nowMillis())) {
@@ -138,6 +166,12 @@
         }
     }
 
+    @Override
+    public void onRecordsRead(long askedAtMillis, long notReadForMillis) {
+        askedAt = askedAtMillis;
+        unreadMillis = notReadForMillis;
+    }
+
     /** An older record of the same key would have no effect: versions and the offsets of evacuations increase. */
     @Override
     public boolean needsOnlyNewest() {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/StoreAvailability.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/StoreAvailability.java
@@ -26,9 +26,10 @@
 
     /** Handles a successful answer. */
     void onSuccess() {
+        int failures = consecutiveFailures;
         consecutiveFailures = 0;
         if (!available || !answeredOnce) {
-            log.info("store_regained", "topic", topic.name());
+            log.info("store_regained", "topic", topic.name(), "failures", Integer.toString(failures));
         }
         available = true;
         answeredOnce = true;
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/StoreTopics.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/StoreTopics.java
@@ -1,5 +1,6 @@
 package org.rattanrudder.daemon.relay.store;
 
+import java.util.Map;
 import java.util.function.Consumer;
 import org.rattanrudder.core.fleet.LoadReport.ReadOffsets;
 import org.rattanrudder.core.gateway.ServingConfiguration;
@@ -9,6 +10,8 @@
 
 /** Follows the topics of the platform's store that say what to serve and where: the desired state, and the targets. */
 public final class StoreTopics implements AutoCloseable {
+    private static final double MILLIS_PER_SECOND = 1_000;
+
     private final TopicFollower desiredState;
     private final TargetRegistrations registrations;
     private final TopicFollower targets;
@@ -42,6 +45,18 @@
                 TopicFollower.InitialRead.NEWEST,
                 registrations);
         targetsConfirmation = new TopicConfirmation(state, Topic.TARGETS, targets::readOffset, targets::pollNow);
+        state.metrics()
+                .labelledGauge(
+                        "rattanrudder_relay_topic_unread_seconds",
+                        "For how long records of a topic may exist that were not read",
+                        "topic",
+                        this::unreadSeconds);
+    }
+
+    private Map<String, Double> unreadSeconds() {
+        return Map.of(
+                Topic.WISHES.name(), desiredState.unreadMillis() / MILLIS_PER_SECOND,
+                Topic.TARGETS.name(), targets.unreadMillis() / MILLIS_PER_SECOND);
     }
 
     /** Starts to read the topics. */
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicFollower.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicFollower.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.Set;
+import org.rattanrudder.core.topics.ReadFreshness;
 import org.rattanrudder.daemon.relay.net.StepTimer;
 import org.rattanrudder.daemon.relay.port.KeyedRecord;
 import org.rattanrudder.daemon.relay.port.StoreDialect.Topic;
@@ -45,6 +46,14 @@
         /** Called when all records that were written before a call have been handled; with the time of that call. */
         default void onReadToEnd(long askedAtMillis) {}
 
+        /**
+         * Called before the records of an answer are handled.
+         *
+         * @param askedAtMillis when the answer, or the first page of its listing, was asked for
+         * @param unreadMillis for how long the records may have existed
+         */
+        default void onRecordsRead(long askedAtMillis, long unreadMillis) {}
+
         /** Called after each successful answer of the store. */
         default void onAvailable() {}
 
@@ -62,8 +71,10 @@
     private final RecordDelivery delivery;
     private final StoreAvailability availability;
     private int consecutiveTruncations;
+    private final ReadFreshness freshness;
     private boolean betweenPolls;
     private long askedAt;
+    private long askedWaitMillis;
 
     /** Which existing records are read before new ones are polled for. */
     public enum InitialRead {
@@ -87,6 +98,7 @@
         schedule = new PollSchedule(intervals, state.fleet()::livePeerCount);
         delivery = new RecordDelivery(state, topic, position.isKeyed(), listener);
         availability = new StoreAvailability(state.log(), topic, listener);
+        freshness = new ReadFreshness(state.nowMillis());
     }
 
     /** Starts to read the topic, from the beginning of what is read initially. */
@@ -109,8 +121,8 @@
         askedAt = state.nowMillis();
         schedule.onPoll(askedAt);
         // If the topic has no records, the first answer would come only after the full wait.
-        long wait = availability.hasAnswered() ? schedule.waitMillis() : 0;
-        reader.poll(position.nextOffset(), wait, this::onResult);
+        askedWaitMillis = availability.hasAnswered() ? schedule.waitMillis() : 0;
+        reader.poll(position.nextOffset(), askedWaitMillis, this::onResult);
     }
 
     private void onResult(TopicReader.Result result) {
@@ -140,6 +152,7 @@
 
     private void onListing(StoreResponse.Listing page) {
         Optional<String> last = position.addPage(page);
+        listener.onRecordsRead(askedAt, unreadMillis());
         delivery.deliverListed(page.records());
         if (last.isPresent()) {
             reader.list(last, this::onResult);
@@ -149,6 +162,7 @@
         if (position.isListingCurrent()) {
             listener.onListed(keys, position.listingEnd());
             position.applyListing();
+            freshness.onReadToEnd(askedAt);
             listener.onReadToEnd(askedAt);
         }
         state.log()
@@ -159,7 +173,11 @@
                         "keys",
                         Integer.toString(keys.size()),
                         "end",
-                        Long.toString(position.listingEnd()));
+                        Long.toString(position.listingEnd()),
+                        "read",
+                        Long.toString(position.nextOffset()),
+                        "asked_ms",
+                        Long.toString(state.nowMillis() - askedAt));
         poll();
     }
 
@@ -169,14 +187,24 @@
         if (!records.records().isEmpty()) {
             schedule.onRecordsFound();
         }
+        listener.onRecordsRead(askedAt, unreadMillis());
         delivery.deliver(records.records());
         if (records.next() >= records.end()) {
-            listener.onReadToEnd(askedAt);
+            onReadToEnd(records.records().isEmpty());
         }
         betweenPolls = true;
         timer.reschedule(this::poll, schedule.onAnswered(state.nowMillis()));
     }
 
+    private void onReadToEnd(boolean empty) {
+        if (empty) {
+            freshness.onEmptyPoll(askedAt, askedWaitMillis, state.nowMillis());
+        } else {
+            freshness.onReadToEnd(askedAt);
+        }
+        listener.onReadToEnd(askedAt);
+    }
+
     /**
      * Restarts with a new listing after the store has discarded unread records. If the store keeps discarding what it
      * has just listed, each relay would list fifty times a second without end, so the delay between listings doubles.
@@ -268,6 +296,11 @@
         return position.nextOffset();
     }
 
+    /** Returns for how long records may exist that were not read, in ms. */
+    public long unreadMillis() {
+        return freshness.ageMillis(state.nowMillis());
+    }
+
     @Override
     public void close() {
         timer.close();
