Write down what a stop may cut, and log what ends in one

New lines: request_in_stop for each request that ends while a relay is stopping (when it was taken, what it was, whether a target got it, what ended it), connection_cut for a connection that is closed while it owes its caller bytes or answers. No decision changes.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/RelayState.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/RelayState.java
@@ -361,7 +361,7 @@
     }
 
     /** Returns when the process was asked to stop. */
-    long stoppingSince() {
+    public long stoppingSince() {
         return stoppingSince;
     }
 
@@ -373,7 +373,7 @@
     }
 
     /** Returns the grace period of the shutdown, in ms; it is fixed once the process was asked to stop. */
-    long graceMillis() {
+    public long graceMillis() {
         return stopping ? graceMillisAtStop : settings.bounds().graceMillis();
     }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/CallerConnection.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/CallerConnection.java
@@ -392,6 +392,7 @@
                 refuseUnread(ErrorKind.REQUEST_TIMEOUT);
             }
         } else if (closeIdle || nowMillis - lastReadAt > state.limits().idleTimeoutMillis()) {
+            logIfCut("sweep");
             closing = true;
             context.close();
         }
@@ -412,8 +413,12 @@
     }
 
     private boolean hasUnsent() {
+        return unsentBytes() > 0;
+    }
+
+    private long unsentBytes() {
         ChannelOutboundBuffer unsent = context.channel().unsafe().outboundBuffer();
-        return unsent != null && unsent.totalPendingWriteBytes() > 0;
+        return unsent == null ? 0 : unsent.totalPendingWriteBytes();
     }
 
     /** Ends the exchange on shutdown; its caller gets a final response. */
@@ -427,6 +432,13 @@
         }
     }
 
+    /** Logs what the caller is still owed on a connection that is closed. */
+    private void logIfCut(String cause) {
+        if (hasUnsent() || !queued.isEmpty()) {
+            new StopLog(state).connectionCut(cause, unsentBytes(), !queued.isEmpty());
+        }
+    }
+
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext active) {
         onCallerProgress();
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/ExchangeLog.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/ExchangeLog.java
@@ -22,12 +22,14 @@
 
     private final RelayState state;
     private final RequestPlan plan;
+    private final StopLog stopLog;
     private Optional<TargetAttempt> attempt = Optional.empty();
     private String load = "unknown";
 
     ExchangeLog(RelayState state, RequestPlan plan) {
         this.state = state;
         this.plan = plan;
+        stopLog = new StopLog(state);
     }
 
     /** Notes the attempt that was sent last, for the line on the request's end. */
@@ -326,6 +328,9 @@
      * @param notRunSends attempts that certainly did not run
      */
     void ended(FinalReply.Ending ending, int runs, int notRunSends) {
+        if (state.isStopping()) {
+            stopLog.requestEnded(plan, ending, attempt.isPresent());
+        }
         state.log()
                 .info(
                         "request_ended",
