Log what a resumption without a name was judged by

One line for each such resumption, unnamed_stream_judged: the window in which its stream may have begun, for how long registrations have been read without a gap, the versions of the window, and whether the store has confirmed that all was read. stream_resumed said no more than sole or unknown, so that the hypotheses of streams that are taken up by a relay out of step couldn't be told apart. No change of logic: SoleSoftwareTest and SoftwareVersionTest hold.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/continuation/SoftwareHistory.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/continuation/SoftwareHistory.java
@@ -3,6 +3,9 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.SortedSet;
+import java.util.TreeSet;
 
 /**
  * Which software the targets of each service have lately run, as far as one relay has read their registrations.
@@ -12,12 +15,22 @@
  */
 public final class SoftwareHistory {
     private static final long NEVER = Long.MAX_VALUE;
+    private static final String UNNAMED = "";
 
     /** By service: when each version was last known to run; an empty version is that of targets that name none. */
     private final Map<String, Map<Optional<String>, Long>> lastKnown = new HashMap<>();
 
     private long completeSince = NEVER;
 
+    /**
+     * What the history says of a service.
+     *
+     * @param sole the software that all its targets have run; empty if that isn't one version, or isn't known
+     * @param versions the versions that they have run; an empty text is that of targets that name none
+     * @param completeMillis for how long registrations have been read without a gap; empty if they haven't
+     */
+    public record Evidence(Optional<StreamOrigin> sole, SortedSet<String> versions, OptionalLong completeMillis) {}
+
     /** Creates a history of which nothing was read. */
     public SoftwareHistory() {}
 
@@ -31,25 +44,18 @@
         completeSince = nowMillis;
     }
 
-    /**
-     * Returns the software that all targets of a service have run since a time; empty if there was more than one
-     * version, if a target named none, or if the history doesn't reach back so far.
-     */
-    public Optional<StreamOrigin> sole(String service, long sinceMillis) {
-        if (completeSince > sinceMillis) {
-            return Optional.empty();
-        }
-        Map<Optional<String>, Long> versions = lastKnown.getOrDefault(service, Map.of());
-        Optional<String> only = Optional.empty();
-        for (Map.Entry<Optional<String>, Long> version : versions.entrySet()) {
-            if (version.getValue() < sinceMillis) {
-                continue;
-            }
-            if (version.getKey().isEmpty() || only.isPresent()) {
-                return Optional.empty();
+    /** Returns what is known of the software that all targets of a service have run since a time. */
+    public Evidence evidence(String service, long sinceMillis, long nowMillis) {
+        SortedSet<String> versions = new TreeSet<>();
+        lastKnown.getOrDefault(service, Map.of()).forEach((version, knownAt) -> {
+            if (knownAt >= sinceMillis) {
+                versions.add(version.orElse(UNNAMED));
             }
-            only = version.getKey();
-        }
-        return only.map(version -> new StreamOrigin(service, version));
+        });
+        boolean certain = completeSince <= sinceMillis && versions.size() == 1 && !versions.contains(UNNAMED);
+        return new Evidence(
+                certain ? Optional.of(new StreamOrigin(service, versions.first())) : Optional.empty(),
+                versions,
+                completeSince == NEVER ? OptionalLong.empty() : OptionalLong.of(nowMillis - completeSince));
     }
 }
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Fleet.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Fleet.java
@@ -13,7 +13,6 @@
 import java.util.TreeSet;
 import java.util.function.Predicate;
 import org.rattanrudder.core.continuation.SoftwareHistory;
-import org.rattanrudder.core.continuation.StreamOrigin;
 import org.rattanrudder.core.fleet.LoadReport.LeavingTarget;
 import org.rattanrudder.core.fleet.LoadReport.RemovedTarget;
 import org.rattanrudder.core.fleet.LoadReport.SeenRateLimit;
@@ -231,13 +230,10 @@
                 .ifPresent(known -> software.onKnown(known.service(), known.softwareVersion(), nowMillis));
     }
 
-    /**
-     * Returns the software that all targets of a service have run since a time, as far as their registrations were
-     * read; empty if that isn't one version, or isn't known.
-     */
-    public Optional<StreamOrigin> soleSoftware(String service, long sinceMillis, long nowMillis) {
+    /** Returns what registrations say of the software that all targets of a service have run since a time. */
+    public SoftwareHistory.Evidence softwareSince(String service, long sinceMillis, long nowMillis) {
         all(nowMillis).forEach(target -> recordSoftware(Optional.of(target), nowMillis));
-        return software.sole(service, sinceMillis);
+        return software.evidence(service, sinceMillis, nowMillis);
     }
 
     /** Returns all targets, including those that leave. */
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/SoleSoftwareTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/SoleSoftwareTest.java
@@ -52,7 +52,7 @@
         }
 
         Optional<StreamOrigin> sole(long since, long now) {
-            return fleet.soleSoftware(SERVICE, since, now);
+            return fleet.softwareSince(SERVICE, since, now).sole();
         }
 
         void list(long now, String... ids) {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/streams/SoleSoftware.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/streams/SoleSoftware.java
@@ -1,10 +1,12 @@
 package org.rattanrudder.daemon.relay.streams;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.rattanrudder.core.continuation.OriginExchange.Finding;
 import org.rattanrudder.core.continuation.OriginExchange.Source;
+import org.rattanrudder.core.continuation.SoftwareHistory.Evidence;
 import org.rattanrudder.core.continuation.StreamOrigin;
 import org.rattanrudder.core.gateway.LongestDeadlines;
 import org.rattanrudder.core.gateway.RouteHistory;
@@ -62,17 +64,60 @@
         long now = state.nowMillis();
         long since =
                 now - Math.max(MAX_AGE_TIMEOUTS * route.timeoutMillis(), deadlines.millis(route.name(), customer, now));
-        if (sole(route, since).isEmpty()) {
+        Judgement first = judge(route, since, now);
+        if (first.sole().isEmpty()) {
+            log(route, first, "not_asked", now);
             then.accept(Finding.NOTHING);
             return;
         }
-        confirmation.accept(
-                timeoutMillis, confirmed -> then.accept(confirmed ? finding(sole(route, since)) : Finding.NOTHING));
+        confirmation.accept(timeoutMillis, confirmed -> {
+            Judgement last = judge(route, since, now);
+            log(route, last, Boolean.toString(confirmed), now);
+            then.accept(confirmed ? finding(last.sole()) : Finding.NOTHING);
+        });
     }
 
-    private Optional<StreamOrigin> sole(ServiceRoute route, long since) {
-        return routes.soleService(route.name(), since)
-                .flatMap(service -> state.fleet().soleSoftware(service, since, state.nowMillis()));
+    /**
+     * What is known of a stream's beginning.
+     *
+     * @param service the only service to which its route has led
+     * @param evidence what is known of that service's software
+     */
+    private record Judgement(long windowMillis, Optional<String> service, Optional<Evidence> evidence) {
+        Optional<StreamOrigin> sole() {
+            return evidence.flatMap(Evidence::sole);
+        }
+    }
+
+    private Judgement judge(ServiceRoute route, long since, long askedAt) {
+        Optional<String> service = routes.soleService(route.name(), since);
+        return new Judgement(
+                askedAt - since,
+                service,
+                service.map(name -> state.fleet().softwareSince(name, since, state.nowMillis())));
+    }
+
+    private void log(ServiceRoute route, Judgement judged, String confirmed, long askedAt) {
+        OptionalLong complete = judged.evidence().map(Evidence::completeMillis).orElse(OptionalLong.empty());
+        state.log()
+                .info(
+                        "unnamed_stream_judged",
+                        "route",
+                        route.name(),
+                        "service",
+                        judged.service().orElse("unknown"),
+                        "window_ms",
+                        Long.toString(judged.windowMillis()),
+                        "complete_ms",
+                        complete.isPresent() ? Long.toString(complete.getAsLong()) : "unknown",
+                        "versions",
+                        judged.evidence()
+                                .map(known -> String.join(",", known.versions()))
+                                .orElse("unknown"),
+                        "confirmed",
+                        confirmed,
+                        "waited_ms",
+                        Long.toString(state.nowMillis() - askedAt));
     }
 
     private static Finding finding(Optional<StreamOrigin> sole) {
