Continue no stream without a name where configurations are unread

What callers saw: a stream that another relay had begun at the service to which its route had just been moved went on at the former service, at other software, at a relay that hadn't read the move.

Cause: the route's history is what this relay has read, and the read that confirms it covered registrations alone. Configurations that are superseded when they are read are never applied, and left no trace in the history.

It counts once reads of registrations and of configurations, both asked for after the request came, find nothing new. A superseded record, or a new listing, begins the routes' history anew. The window covers a former, longer timeout of the route, and for how long other relays may still send by what this relay has read to be changed: drain time and the store's recovery.

Why it works: what was written before the request came is either read or shows as an end beyond what was read; what was written and never read restarts the history, which then doesn't reach back to the beginning of the stream.

--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/gateway/RouteHistoryTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/gateway/RouteHistoryTest.java
@@ -10,6 +10,10 @@
     private final RouteHistory history = new RouteHistory();
 
     private void configure(long now, String... services) {
+        configure(now, 4_000, services);
+    }
+
+    private void configure(long now, long timeoutMillis, String... services) {
         List<WeightedService> weighted = Arrays.stream(services)
                 .map(service -> new WeightedService(service, 1))
                 .toList();
@@ -19,7 +23,7 @@
                         "depot.example",
                         "/check/",
                         RepeatRule.STREAM_RESUMABLE,
-                        4_000,
+                        timeoutMillis,
                         400,
                         300,
                         1,
@@ -57,4 +61,25 @@
         history.update(new RouteTable(List.of()), 400);
         assertThat(history.soleService("check", 500)).isEmpty();
     }
+
+    /** Guards against a route that was moved and back by configurations that weren't read. */
+    @Test
+    void whereARouteLedBeforeConfigurationsWereMissedIsNotKnown() {
+        configure(100, "llm");
+        history.restart(900);
+
+        assertThat(history.soleService("check", 899)).isEmpty();
+        assertThat(history.soleService("check", 900)).contains("llm");
+    }
+
+    /** Guards against streams that were begun under a longer timeout and come back after it was shortened. */
+    @Test
+    void aLongerTimeoutCountsForAsLongAsItsCallersMayComeBack() {
+        configure(100, 4_000, "llm");
+        configure(500, 1_000, "llm");
+
+        assertThat(history.longestTimeoutMillis("check", 8_500)).isEqualTo(4_000);
+        assertThat(history.longestTimeoutMillis("check", 8_501)).isEqualTo(1_000);
+        assertThat(history.longestTimeoutMillis("other", 600)).isZero();
+    }
 }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
@@ -113,9 +113,14 @@
         String incarnation = settings.instance() + "-" + Long.toHexString(random.nextLong());
         storeWatches = new StoreWatches(state, selfReports, incarnation, this::broadcast);
         rollouts = new RolloutCoordinator(state, selfReports, incarnation);
-        topics = closer.add(
-                new StoreTopics(state, queues, storeWatches, soleSoftware::onConfiguration, rollouts::pollNow));
-        soleSoftware.setConfirmation(topics::confirmTargets);
+        topics = closer.add(new StoreTopics(
+                state,
+                queues,
+                storeWatches,
+                soleSoftware::onConfiguration,
+                rollouts::pollNow,
+                soleSoftware::onConfigurationsMissed));
+        soleSoftware.setConfirmation(topics::confirmAllRead);
         closer.add(quarantine);
         peers = closer.add(new PeerExchange(
                 state,
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/DesiredStateListener.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/DesiredStateListener.java
@@ -19,6 +19,7 @@
     private final StoreWatches storeWatches;
     private final Consumer<ServingConfiguration> onConfiguration;
     private final Runnable onNewWeights;
+    private final Runnable onConfigurationsMissed;
 
     /** Whether all records from before this relay's start have been read. */
     private boolean caughtUp;
@@ -38,18 +39,21 @@
      * @param storeWatches watches the context stores of the configuration
      * @param onConfiguration receives each configuration that has come into force
      * @param onNewWeights is run when a newer version of weights was published
+     * @param onConfigurationsMissed is run when configurations may have been published that weren't read
      */
     DesiredStateListener(
             RelayState state,
             QueueDispatcher queues,
             StoreWatches storeWatches,
             Consumer<ServingConfiguration> onConfiguration,
-            Runnable onNewWeights) {
+            Runnable onNewWeights,
+            Runnable onConfigurationsMissed) {
         this.state = state;
         this.queues = queues;
         this.storeWatches = storeWatches;
         this.onConfiguration = onConfiguration;
         this.onNewWeights = onNewWeights;
+        this.onConfigurationsMissed = onConfigurationsMissed;
     }
 
     @Override
@@ -144,6 +148,11 @@
         return true;
     }
 
+    @Override
+    public void onSuperseded(KeyedRecord record) {
+        onConfigurationsMissed.run();
+    }
+
     @Override
     public void onReadToEnd(long askedAtMillis) {
         state.weights().onReadToEnd(askedAtMillis);
@@ -155,6 +164,7 @@
 
     @Override
     public void onListed(Set<String> keys, long end) {
+        onConfigurationsMissed.run();
         if (!caughtUp) {
             DesiredVersions versions = state.weights();
             state.retiredWeights()
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/RecordDelivery.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/RecordDelivery.java
@@ -45,7 +45,9 @@
         Set<String> delivered = new HashSet<>();
         for (int index = records.size() - 1; index >= 0; index--) {
             KeyedRecord record = records.get(index);
-            if (!delivered.contains(record.key()) && deliver(record, listener::onRecord)) {
+            if (delivered.contains(record.key())) {
+                listener.onSuperseded(record);
+            } else if (deliver(record, listener::onRecord)) {
                 delivered.add(record.key());
             }
         }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/StoreTopics.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/StoreTopics.java
@@ -12,6 +12,7 @@
     private final TopicFollower desiredState;
     private final TargetRegistrations registrations;
     private final TopicFollower targets;
+    private final TopicConfirmation desiredStateConfirmation;
     private final TopicConfirmation targetsConfirmation;
 
     /**
@@ -21,19 +22,24 @@
      * @param storeWatches watches the context stores of the configuration
      * @param onConfiguration receives each configuration that has come into force
      * @param onNewWeights is run when a newer version of weights was published
+     * @param onConfigurationsMissed is run when configurations may have been published that weren't read
      */
     public StoreTopics(
             RelayState state,
             QueueDispatcher queues,
             StoreWatches storeWatches,
             Consumer<ServingConfiguration> onConfiguration,
-            Runnable onNewWeights) {
+            Runnable onNewWeights,
+            Runnable onConfigurationsMissed) {
         desiredState = new TopicFollower(
                 state,
                 Topic.WISHES,
                 PollIntervals.PROMPT,
                 TopicFollower.InitialRead.NEWEST,
-                new DesiredStateListener(state, queues, storeWatches, onConfiguration, onNewWeights));
+                new DesiredStateListener(
+                        state, queues, storeWatches, onConfiguration, onNewWeights, onConfigurationsMissed));
+        desiredStateConfirmation =
+                new TopicConfirmation(state, Topic.WISHES, desiredState::readOffset, desiredState::pollNow);
         registrations = new TargetRegistrations(state);
         targets = new TopicFollower(
                 state,
@@ -57,13 +63,16 @@
     }
 
     /**
-     * Finds out whether all registrations of targets that were written before this call have been read.
+     * Finds out whether all registrations of targets and all configurations that were written before this call have
+     * been read.
      *
      * @param timeoutMillis how long to wait for the store, in ms
      * @param then called once
      */
-    public void confirmTargets(long timeoutMillis, Consumer<Boolean> then) {
-        targetsConfirmation.confirm(timeoutMillis, then);
+    public void confirmAllRead(long timeoutMillis, Consumer<Boolean> then) {
+        AllConfirmed both = new AllConfirmed(2, then);
+        desiredStateConfirmation.confirm(timeoutMillis, both);
+        targetsConfirmation.confirm(timeoutMillis, both);
     }
 
     /** Returns the offset up to which the desired state has been read. */
@@ -85,6 +94,7 @@
     /** Cancels confirmations; the followers end with the event loop. */
     @Override
     public void close() {
+        desiredStateConfirmation.close();
         targetsConfirmation.close();
     }
 }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicFollower.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicFollower.java
@@ -39,6 +39,9 @@
             return false;
         }
 
+        /** Handles a record that isn't delivered, since only the newest of its key is needed. */
+        default void onSuperseded(KeyedRecord record) {}
+
         /** Handles the end of a complete listing, with the keys in it. */
         default void onListed(Set<String> keys, long end) {}
 
