Keep the history of targets' software by the log of registrations alone

What callers saw: a stream without a name could go on at other software than the one that began it, at a relay that had forgotten a registered target of that software.

Seen to fail before the change (SoleSoftwareTest): a target was taken out of use since another one had answered at its address, and one whose newest record can't be read; a window later each was forgotten, and the other version was taken for the only one ("Expecting an empty Optional but was containing value: StreamOrigin[service=llm, softwareVersion=v1]").

Cause: the history followed what the relay holds and not what the log holds. Others go on to use a target that this relay doesn't.

Change: the history has each target's registration from the log until its next one or its removal is read. A record that can't be read may be of any service and software, so nothing is certain while it stands, and the history begins anew after it. Where the log ends before what was read of it (a store that was restored), registrations may have been missed: nothing is certain until the next full listing.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Fleet.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Fleet.java
@@ -108,6 +108,7 @@
         if (!isNewer(id, offset)) {
             return false;
         }
+        software.onRemoved(id, nowMillis);
         remove(id, offset, nowMillis);
         return true;
     }
@@ -118,6 +119,7 @@
      */
     public void onUnreadableRecord(String id, long offset, long nowMillis) {
         if (isNewer(id, offset)) {
+            software.onUnreadable(id, nowMillis);
             removeReplaced(id, nowMillis);
         }
     }
@@ -144,12 +146,12 @@
             return false;
         }
         newestRecords.put(registration.id(), new RecordPosition(registration.startedAt(), offset));
+        software.onRegistered(registration.id(), registration.service(), registration.softwareVersion(), nowMillis);
         expired.remove(registration.id());
         if (registration.draining()) {
             noticesOf(registration).onLeaving();
         }
         Target target = targets.get(registration.id());
-        recordSoftware(Optional.ofNullable(target), nowMillis);
         boolean started = listed && (target == null || restarted);
         if (target == null || restarted) {
             target =
@@ -205,7 +207,7 @@
      */
     public void applyListing(Set<String> present, long end, long nowMillis) {
         listed = true;
-        software.restart(nowMillis);
+        software.onListed(present, nowMillis);
         for (String id : List.copyOf(targets.keySet())) {
             if (!present.contains(id) && newestRecords.get(id).offset() < end) {
                 remove(id, end, nowMillis);
@@ -213,6 +215,11 @@
         }
     }
 
+    /** Handles that registrations may exist that were never read, since the log ends before what was read of it. */
+    public void onRegistrationsMissed() {
+        software.onRegistrationsMissed();
+    }
+
     /** Removes a target at whose address another target responded. */
     public void removeReplaced(String id, long nowMillis) {
         removeNow(id, nowMillis);
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/SoleSoftwareTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/SoleSoftwareTest.java
@@ -95,6 +95,48 @@
         assertThat(view.sole(500, 600)).isPresent();
     }
 
+    /** Guards against a target that peers go on to use, forgotten since another one answered at its address. */
+    @Test
+    void aTargetThatIsUsedNoMoreHereStillRunsItsSoftware() {
+        view.register(1, 1, 0);
+        view.register(2, 2, 0);
+        view.list(0, "i-1", "i-2");
+
+        view.fleet.removeReplaced("i-2", 100);
+
+        assertThat(view.sole(10_000, 20_000)).isEmpty();
+        view.remove(2, 30_000);
+        assertThat(view.sole(29_999, 40_000)).isEmpty();
+        assertThat(view.sole(30_001, 40_000)).contains(new StreamOrigin(SERVICE, "v1"));
+    }
+
+    /** Guards against a target of any service and software behind a record that can't be read. */
+    @Test
+    void nothingIsCertainWhileARecordCannotBeRead() {
+        view.register(1, 1, 0);
+        view.list(0, "i-1");
+
+        view.fleet.onUnreadableRecord("i-2", view.offset++, 100);
+
+        assertThat(view.sole(10_000, 20_000)).isEmpty();
+        view.remove(2, 30_000);
+        assertThat(view.sole(29_999, 40_000)).isEmpty();
+        assertThat(view.sole(30_001, 40_000)).contains(new StreamOrigin(SERVICE, "v1"));
+    }
+
+    /** Guards against targets that were registered in a restored log, at offsets that were read before. */
+    @Test
+    void nothingIsCertainAfterTheLogWasBehindUntilAllTargetsAreListed() {
+        view.register(1, 1, 0);
+        view.list(0, "i-1");
+
+        view.fleet.onRegistrationsMissed();
+
+        assertThat(view.sole(10_000, 20_000)).isEmpty();
+        view.list(30_000, "i-1");
+        assertThat(view.sole(30_000, 40_000)).contains(new StreamOrigin(SERVICE, "v1"));
+    }
+
     /** Guards against a guess where two versions may have begun a stream, or a target that doesn't say. */
     @Property
     void whatIsCertainIsWhatEachTargetRanSince(
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TargetRegistrations.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TargetRegistrations.java
@@ -64,6 +64,11 @@
         state.fleet().applyListing(keys, end, state.nowMillis());
     }
 
+    @Override
+    public void onStoreBehind() {
+        state.fleet().onRegistrationsMissed();
+    }
+
     @Override
     public void onAvailable() {
         state.fleet().onLogAvailable(state.nowMillis());
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicFollower.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicFollower.java
@@ -48,6 +48,9 @@
         /** Called when all records that were written before a call have been handled; with the time of that call. */
         default void onReadToEnd(long askedAtMillis) {}
 
+        /** Called when the store ends before what was read: it may hold other records at offsets that were read. */
+        default void onStoreBehind() {}
+
         /** Called after each successful answer of the store. */
         default void onAvailable() {}
 
@@ -176,6 +179,9 @@
         if (records.next() >= records.end()) {
             listener.onReadToEnd(askedAt);
         }
+        if (records.next() > records.end()) {
+            listener.onStoreBehind();
+        }
         betweenPolls = true;
         timer.reschedule(this::poll, schedule.onAnswered(state.nowMillis()));
     }
