Count a doubtful target's software as known by when the log was asked

What callers could see: a target that keeps its ID restarts with other software while a relay stands still. The relay then takes its software for the registered one, begins streams under a wrong origin and goes on with streams of the former software there.

Cause: from a broken connection on, the software is unknown until the target would have registered again, 2.5 s later. That was counted by when an answer of the log is handled. One that was asked before a pause of the relay shows the log of before it, however late it is handled.

Seen to fail before (RestartedTargetTest.whatWasAskedBeforeAPause...): StreamOrigin v1 where nothing is known. Now it counts by when a read to the log's end was asked for. The two tests of the same bound now say so by the new call, with the same figures and outcomes: the bound is exact at 2,499 and 2,500 ms as before. A long poll that waits makes it known later by its wait.

Measured: RestartedTargetTest, FleetTest, RejoinedStreamsTest (6 tests, relay processes) and ResumedOutOfStepTest hold.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Fleet.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Fleet.java
@@ -89,8 +89,12 @@
     /** Handles a response of the log. */
     public void onLogAvailable(long nowMillis) {
         log.onAvailable(nowMillis);
-        if (log.isSettled(nowMillis)) {
-            targets.values().forEach(target -> target.onRegisteredUntil(nowMillis - LOG_RECOVERY_GRACE_MILLIS));
+    }
+
+    /** Handles that all registrations have been read that were there when the log was asked. */
+    public void onReadToEnd(long askedAtMillis) {
+        if (log.isSettled(askedAtMillis)) {
+            targets.values().forEach(target -> target.onRegisteredUntil(askedAtMillis - LOG_RECOVERY_GRACE_MILLIS));
         }
     }
 
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/RestartedTargetTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/RestartedTargetTest.java
@@ -113,11 +113,27 @@
         assertThat(target.software()).contains(SOFTWARE);
 
         target.onMayHaveEnded(NOW);
-        fleet.onLogAvailable(NOW + later);
+        fleet.onReadToEnd(NOW + later);
 
         assertThat(target.software().isPresent()).isEqualTo(known);
     }
 
+    /** Guards against an answer that was handled after a pause of this relay and shows the log of before it. */
+    @Test
+    void whatWasAskedBeforeAPauseShowsNoRegistrationThatWasWrittenInIt() {
+        fleet.onLogAvailable(0);
+        fleet.apply(ID, Optional.of(registration(5_000, false)), 4, NOW);
+        Target target = fleet.find(ID).orElseThrow();
+        target.onMayHaveEnded(NOW);
+
+        fleet.onLogAvailable(NOW + 60_000);
+        fleet.onReadToEnd(NOW + 2_499);
+        assertThat(target.software()).isEmpty();
+
+        fleet.onReadToEnd(NOW + 60_000);
+        assertThat(target.software()).contains(SOFTWARE);
+    }
+
     /** Guards against the same while the log is away, where its new registration can't be read. */
     @Test
     void theSoftwareOfATargetThatMayHaveEndedIsNotKnownWhileTheLogIsAway() {
@@ -128,10 +144,10 @@
 
         target.onMayHaveEnded(NOW);
         fleet.onLogAvailable(NOW + 60_000);
-        fleet.onLogAvailable(NOW + 60_000 + Fleet.LOG_RECOVERY_GRACE_MILLIS - 1);
+        fleet.onReadToEnd(NOW + 60_000 + Fleet.LOG_RECOVERY_GRACE_MILLIS - 1);
         assertThat(target.software()).isEmpty();
 
-        fleet.onLogAvailable(NOW + 60_000 + Fleet.LOG_RECOVERY_GRACE_MILLIS);
+        fleet.onReadToEnd(NOW + 60_000 + Fleet.LOG_RECOVERY_GRACE_MILLIS);
         assertThat(target.software()).contains(SOFTWARE);
     }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TargetRegistrations.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TargetRegistrations.java
@@ -64,6 +64,11 @@
         state.fleet().applyListing(keys, end, state.nowMillis());
     }
 
+    @Override
+    public void onReadToEnd(long askedAtMillis) {
+        state.fleet().onReadToEnd(askedAtMillis);
+    }
+
     @Override
     public void onStoreBehind() {
         state.fleet().onRegistrationsMissed();
