--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Fleet.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Fleet.java
@@ -89,8 +89,12 @@
     /** Handles a response of the log. */
     public void onLogAvailable(long nowMillis) {
         log.onAvailable(nowMillis);
-        if (log.isSettled(nowMillis)) {
-            targets.values().forEach(target -> target.onRegisteredUntil(nowMillis - LOG_RECOVERY_GRACE_MILLIS));
+    }
+
+    /** Handles that all registrations have been read that were there when the log was asked. */
+    public void onReadToEnd(long askedAtMillis) {
+        if (log.isSettled(askedAtMillis)) {
+            targets.values().forEach(target -> target.onRegisteredUntil(askedAtMillis - LOG_RECOVERY_GRACE_MILLIS));
         }
     }
 
@@ -108,6 +112,7 @@
         if (!isNewer(id, offset)) {
             return false;
         }
+        software.onRemoved(id, nowMillis);
         remove(id, offset, nowMillis);
         return true;
     }
@@ -118,6 +123,7 @@
      */
     public void onUnreadableRecord(String id, long offset, long nowMillis) {
         if (isNewer(id, offset)) {
+            software.onUnreadable(id, nowMillis);
             removeReplaced(id, nowMillis);
         }
     }
@@ -144,12 +150,12 @@
             return false;
         }
         newestRecords.put(registration.id(), new RecordPosition(registration.startedAt(), offset));
+        software.onRegistered(registration.id(), registration.service(), registration.softwareVersion(), nowMillis);
         expired.remove(registration.id());
         if (registration.draining()) {
             noticesOf(registration).onLeaving();
         }
         Target target = targets.get(registration.id());
-        recordSoftware(Optional.ofNullable(target), nowMillis);
         boolean started = listed && (target == null || restarted);
         if (target == null || restarted) {
             target =
@@ -205,7 +211,7 @@
      */
     public void applyListing(Set<String> present, long end, long nowMillis) {
         listed = true;
-        software.restart(nowMillis);
+        software.onListed(present, nowMillis);
         for (String id : List.copyOf(targets.keySet())) {
             if (!present.contains(id) && newestRecords.get(id).offset() < end) {
                 remove(id, end, nowMillis);
@@ -213,6 +219,11 @@
         }
     }
 
+    /** Handles that registrations may exist that were never read, since the log ends before what was read of it. */
+    public void onRegistrationsMissed() {
+        software.onRegistrationsMissed();
+    }
+
     /** Removes a target at whose address another target responded. */
     public void removeReplaced(String id, long nowMillis) {
         removeNow(id, nowMillis);
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicFollower.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicFollower.java
@@ -57,6 +57,9 @@
          */
         default void onRecordsRead(long askedAtMillis, long unreadMillis) {}
 
+        /** Called when the store ends before what was read: it may hold other records at offsets that were read. */
+        default void onStoreBehind() {}
+
         /** Called after each successful answer of the store. */
         default void onAvailable() {}
 
@@ -195,6 +198,9 @@
         if (records.next() >= records.end()) {
             onReadToEnd(records.records().isEmpty());
         }
+        if (records.next() > records.end()) {
+            listener.onStoreBehind();
+        }
         betweenPolls = true;
         timer.reschedule(this::poll, schedule.onAnswered(state.nowMillis()));
     }
