Count the bound on older weights by the longest time that may have passed

Callers saw answers that began on older weights past the bound: the relays' machine had been suspended, and System.nanoTime(), by which versions' times, peers' answers, sends and withdrawals were counted, didn't count that time.

RelayState.nowMillis() is now the shortest time that may have passed, and atMostMillis() the longest. All of the bound counts by the longest: when a read was asked for, the ages that peers are told, their answers, whom a request is sent to, and until when it may begin. Nothing else does: a jump of the time of day that can't be told from a suspension ends neither callers' deadlines nor idle connections, and makes no peer or target look dead.

VersionBoundTest's relays have clocks of their own now: machines that are suspended without counting, time of day that jumps, with and without a clock that counts suspensions. In the other direction a jump of 3 s ahead and back loses nothing of the bound where another clock contradicts it, and 3 s where nothing does. The oracle allows 150 ms more in plays with jumps, which are new in it; the other plays are as strict as before.

--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/rollout/VersionBoundTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/rollout/VersionBoundTest.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.TreeMap;
@@ -12,6 +13,7 @@
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
 import org.rattanrudder.core.fleet.LoadReport.KnownWeights;
+import org.rattanrudder.core.time.ElapsedTime;
 
 /**
  * A model of relays that read the log late, are suspended, restart and hear each other late or not at all, each by a
@@ -29,6 +31,15 @@
     private static final long READ_GAP = 50;
     private static final long REPORT_MILLIS = 100;
 
+    /** What a time of day that falls back by under 30 ms hides, each time. */
+    private static final long JUMP_SLACK_MILLIS = 150;
+
+    /** How often a relay compares its clocks. */
+    private static final long SWEEP_MILLIS = 500;
+
+    /** Until when relays have seen for long enough that their clocks keep in step. */
+    private static final long PROVED_MILLIS = 65_000;
+
     /** What a relay that nothing happens to loses of the bound: two reads, and the way of their answers. */
     private static final long LOST_MILLIS = 2 * (READ_WAIT + READ_GAP) + 200;
 
@@ -38,6 +49,9 @@
     private Random random;
     private boolean calm;
 
+    /** Whether relays have a clock that counts suspensions beside the time of day. */
+    private boolean bootClocks;
+
     /** Something that happens at a time. */
     private record Event(long at, Runnable run) {}
 
@@ -50,12 +64,48 @@
         private int start;
         private DesiredVersions versions = new DesiredVersions();
         private VersionExchange exchange = new VersionExchange(versions);
+        private final long dayOffset;
         private long resumesAt;
-        private long disturbedAt;
+        private long uncounted;
+        private long jumped;
+        private boolean jumps;
+        private ElapsedTime elapsed;
 
         Relay(int number) {
             this.number = number;
             clockOffset = random.nextInt(1_000_000);
+            dayOffset = random.nextInt(1_000_000_000);
+            elapsed = new ElapsedTime(monotonic(0), timeOfDay(0), boot(0));
+        }
+
+        /** Doesn't count the time for which the machine was suspended. */
+        private long monotonic(long at) {
+            return at + clockOffset - uncounted;
+        }
+
+        private long timeOfDay(long at) {
+            return at + dayOffset + jumped;
+        }
+
+        private OptionalLong boot(long at) {
+            return bootClocks ? OptionalLong.of(at / 10 * 10) : OptionalLong.empty();
+        }
+
+        void sweep(long at) {
+            if (at >= resumesAt) {
+                elapsed.onReading(monotonic(at), timeOfDay(at), boot(at));
+            }
+            at(at + SWEEP_MILLIS, () -> sweep(at + SWEEP_MILLIS));
+        }
+
+        /** The longest time that may have passed. */
+        private long time(long at) {
+            if (elapsed.isDisturbed(monotonic(at), timeOfDay(at))) {
+                elapsed.onReading(monotonic(at), timeOfDay(at), boot(at));
+            } else {
+                elapsed.follow(monotonic(at), timeOfDay(at));
+            }
+            return monotonic(at) + elapsed.possibleSurplusMillis();
         }
 
         String id() {
@@ -67,14 +117,15 @@
             int reader = start;
             long known = versions.newest("m");
             long found = namedAt.tailMap(known, false).isEmpty() ? now + READ_WAIT : now + 1 + random.nextInt(30);
-            at(found, () -> answer(now, found, reader));
+            long asked = time(now);
+            at(found, () -> answer(asked, found, reader));
         }
 
-        private void answer(long askedAt, long now, int reader) {
+        private void answer(long asked, long now, int reader) {
             long newest = namedAt.isEmpty() ? 1 : namedAt.lastKey();
             handle(now, delay(), reader, () -> {
                 versions.add("m", newest, time());
-                versions.onReadToEnd(askedAt + clockOffset);
+                versions.onReadToEnd(asked);
                 at(this.now + READ_GAP, () -> {
                     if (reader == start) {
                         read(this.now);
@@ -86,7 +137,7 @@
         private long now;
 
         private long time() {
-            return now + clockOffset;
+            return time(now);
         }
 
         /** Runs a task of this process once it has arrived and the process isn't suspended. */
@@ -135,14 +186,35 @@
             return calm || random.nextInt(20) > 0 ? random.nextInt(40) : random.nextInt(5_000);
         }
 
+        /** Stands still with its machine, whose monotonic clock doesn't count that time. */
         void suspend(long at, long millis) {
-            disturbedAt = at + millis;
-            resumesAt = at + millis;
+            long until = Math.max(resumesAt, at + millis);
+            uncounted += until - Math.max(resumesAt, at);
+            resumesAt = until;
+        }
+
+        /** Stands still alone. */
+        void pause(long at, long millis) {
+            resumesAt = Math.max(resumesAt, at + millis);
+        }
+
+        /** Its time of day jumps while it runs; without another clock nothing shows a suspension that a jump hides. */
+        void jump(long at, long millis) {
+            if (at >= resumesAt) {
+                time(at);
+                jumps = true;
+                jumped += millis;
+                time(at);
+            }
+        }
+
+        long clockSlackMillis() {
+            return jumps ? JUMP_SLACK_MILLIS : 0;
         }
 
         void restart(long at) {
-            disturbedAt = at;
             start++;
+            elapsed = new ElapsedTime(monotonic(at), timeOfDay(at), boot(at));
             versions = new DesiredVersions();
             exchange = new VersionExchange(versions);
             int reader = start;
@@ -155,7 +227,7 @@
 
         /** Returns the oldest version on which it lets requests begin; all if it has read nothing yet. */
         long oldest(long at) {
-            return versions.oldestAllowed("m", BOUND, at + clockOffset);
+            return versions.oldestAllowed("m", BOUND, time(at));
         }
     }
 
@@ -174,6 +246,7 @@
             long first = random.nextInt(500);
             at(first, () -> relay.read(first));
             at(first, () -> relay.report(first));
+            at(first, () -> relay.sweep(first));
         }
     }
 
@@ -202,7 +275,8 @@
      * version lets requests begin on older ones past its bound.
      */
     @Property(tries = 400)
-    void nothingBeginsPastTheBound(@ForAll long seed) {
+    void nothingBeginsPastTheBound(@ForAll long seed, @ForAll boolean withBootClocks) {
+        bootClocks = withBootClocks;
         begin(seed);
         for (long at = 2_000; at < END; at += 300 + random.nextInt(12_000)) {
             name(at);
@@ -212,28 +286,31 @@
             boolean all = random.nextInt(3) == 0;
             Relay one = relays.get(random.nextInt(RELAYS));
             long millis = random.nextInt(12_000);
-            boolean restart = random.nextBoolean();
+            int kind = random.nextInt(4);
             at(
                     when,
                     () -> (all ? relays : List.of(one)).forEach(relay -> {
-                        if (restart) {
-                            relay.restart(when);
-                        } else {
-                            relay.suspend(when, millis);
+                        switch (kind) {
+                            case 0 -> relay.restart(when);
+                            case 1 -> relay.suspend(when, millis);
+                            case 2 -> relay.pause(when, millis);
+                            default -> relay.jump(when, millis - 6_000);
                         }
                     }));
         }
 
         run(
                 END,
-                now -> relays.forEach(relay -> namedAt.headMap(relay.versions.newest("m"), true)
-                        .forEach((version, named) -> {
-                            if (now >= named + BOUND) {
-                                assertThat(relay.oldest(now))
-                                        .as("%s at %d: %d was named at %d", relay.id(), now, version, named)
-                                        .isGreaterThanOrEqualTo(version);
-                            }
-                        })));
+                now -> relays.stream()
+                        .filter(relay -> now >= relay.resumesAt)
+                        .forEach(relay -> namedAt.headMap(relay.versions.newest("m"), true)
+                                .forEach((version, named) -> {
+                                    if (now >= named + BOUND + relay.clockSlackMillis()) {
+                                        assertThat(relay.oldest(now))
+                                                .as("%s at %d: %d was named at %d", relay.id(), now, version, named)
+                                                .isGreaterThanOrEqualTo(version);
+                                    }
+                                })));
     }
 
     /** What could be served is: relays that nothing happens to serve on older weights for nearly all of the bound. */
@@ -284,4 +361,33 @@
             }
         });
     }
+
+    /** The time of day jumps ahead and back in a rollout; relays left out engines that still had to load. */
+    @Property(tries = 50)
+    void jumpThatAnotherClockContradictsLosesNothingOfTheBound(@ForAll long seed) {
+        calm = true;
+        bootClocks = true;
+        assertServesThroughJump(seed, 0);
+    }
+
+    /** Without another clock a jump ahead may be a suspension: the bound ends earlier by its length, and no more. */
+    @Property(tries = 50)
+    void jumpAloneLosesItsLengthOfTheBound(@ForAll long seed) {
+        calm = true;
+        assertServesThroughJump(seed, 3_000);
+    }
+
+    private void assertServesThroughJump(long seed, long lostMillis) {
+        begin(seed);
+        long named = PROVED_MILLIS + random.nextInt(3_000);
+        name(named);
+        at(named + 4_000, () -> relays.forEach(relay -> relay.jump(named + 4_000, 3_000)));
+        at(named + 8_000, () -> relays.forEach(relay -> relay.jump(named + 8_000, -3_000)));
+
+        run(
+                named + BOUND - LOST_MILLIS - lostMillis,
+                now -> relays.forEach(relay -> assertThat(relay.oldest(now))
+                        .as("at %d, named at %d", now, named)
+                        .isLessThan(2)));
+    }
 }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/loop/ProcessClock.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/loop/ProcessClock.java
@@ -46,6 +46,18 @@
         return new Moment(monotonic + elapsed.certainSurplusMillis(), monotonic + elapsed.possibleSurplusMillis());
     }
 
+    /** Returns the shortest time that may have passed, in ms since some start: {@link Moment#atLeastMillis}. */
+    public synchronized long atLeastMillis() {
+        update();
+        return monotonicMillis() + elapsed.certainSurplusMillis();
+    }
+
+    /** Returns the longest time that may have passed, in ms since some start: {@link Moment#atMostMillis}. */
+    public synchronized long atMostMillis() {
+        update();
+        return monotonicMillis() + elapsed.possibleSurplusMillis();
+    }
+
     /** Returns the suspended time that has passed for certain, in ms. */
     public synchronized long certainSurplusMillis() {
         return elapsed.certainSurplusMillis();
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/peers/LoadReportFactory.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/peers/LoadReportFactory.java
@@ -40,7 +40,7 @@
                 sequence++,
                 true,
                 ownLoads(),
-                knownWeights(now),
+                knownWeights(),
                 servedWeights(now),
                 localState.loadingTargets(),
                 state.fleet().unreachableTargets(now),
@@ -51,7 +51,7 @@
                 state.fleet().leavingTargets(now),
                 state.fleet().removedTargets(now),
                 state.retiredWeights().report(),
-                state.versionExchange().next(state.settings().bounds().weightsMillis(), now),
+                state.versionExchange().next(state.settings().bounds().weightsMillis(), state.atMostMillis()),
                 0);
     }
 
@@ -74,7 +74,8 @@
                 .toList();
     }
 
-    private List<KnownWeights> knownWeights(long now) {
+    private List<KnownWeights> knownWeights() {
+        long now = state.atMostMillis();
         return state.weights().versions().stream()
                 .map(named -> new KnownWeights(named.model(), named.version(), now - named.sinceMillis()))
                 .toList();
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/peers/PeerExchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/peers/PeerExchange.java
@@ -362,7 +362,7 @@
             logRemoved(relay, before - state.fleet().all(now).size());
             components.selfReports().onPeerReport(relay, load);
             load.storeLateness().forEach(late -> state.directory().recordFetchLateness(late, now));
-            onVersionQuestion(relay, load, now);
+            onVersionQuestion(relay, load);
             if (load.full()) {
                 state.retiredWeights().onPeerReport(relay, load.retirement(), !state.isReportRoundLate(), now);
             }
@@ -370,7 +370,8 @@
             listener.onUnreachable(load.unreachable());
         }
 
-        private void onVersionQuestion(String relay, LoadReport load, long now) {
+        private void onVersionQuestion(String relay, LoadReport load) {
+            long now = state.atMostMillis();
             VersionQuestion question = load.question();
             question.askedAt().ifPresent(askedAt -> state.versionExchange().onAsked(relay, load.relay(), askedAt, now));
             question.answered().stream()
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/RelayState.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/RelayState.java
@@ -5,7 +5,6 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import org.rattanrudder.core.fleet.Fleet;
 import org.rattanrudder.core.fleet.MedianEstimate;
@@ -122,9 +121,17 @@
         ClockLog.register(this);
     }
 
-    /** Returns the time of a monotonic clock, in ms. */
+    /** Returns the shortest time that may have passed, in ms: a suspension counts once two clocks show it. */
     public long nowMillis() {
-        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+        return clock.atLeastMillis();
+    }
+
+    /**
+     * Returns the longest time that may have passed, in ms: what forbids something after a while counts by it. It is
+     * never compared with times of {@link #nowMillis}.
+     */
+    public long atMostMillis() {
+        return clock.atMostMillis();
     }
 
     /** Returns the clock of this process. */
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/rollout/RolloutLog.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/rollout/RolloutLog.java
@@ -113,7 +113,7 @@
                         "newest",
                         Long.toString(pending.weights().version()),
                         "newest_age_ms",
-                        newest.map(known -> known.ageText(now)).orElse("unknown"),
+                        newest.map(known -> known.ageText(state.atMostMillis())).orElse("unknown"),
                         "newest_by",
                         newest.map(known -> known.source().wireName()).orElse("none"),
                         "holder",
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/InactivityMonitor.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/InactivityMonitor.java
@@ -49,8 +49,9 @@
     /** Checks now, and schedules the next check for when the target may have been inactive for too long. */
     void check() {
         long now = state.nowMillis();
-        long beginsUntil = attempt.hasBegun() ? Long.MAX_VALUE : plan.beginsUntil(attempt.weights());
-        if (now >= beginsUntil) {
+        long beginsWithin =
+                attempt.hasBegun() ? Long.MAX_VALUE : plan.beginsUntil(attempt.weights()) - state.atMostMillis();
+        if (beginsWithin <= 0) {
             onTooLate.run();
             return;
         }
@@ -66,7 +67,7 @@
             probe.run();
         }
         long nextMillis = idleMillis < probeAfterMillis ? probeAfterMillis - idleMillis + 1 : probeAfterMillis;
-        scheduleCheck(Math.min(nextMillis, beginsUntil - now));
+        scheduleCheck(Math.min(nextMillis, beginsWithin));
     }
 
     private boolean mayRetryElsewhere(long idleMillis, boolean servesOtherRequests) {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/RequestPlan.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/RequestPlan.java
@@ -311,7 +311,7 @@
             return Optional.of("other software");
         }
         if (metadata.model()
-                .filter(name -> target.weights(name) < oldestWeights(now))
+                .filter(name -> target.weights(name) < oldestWeights())
                 .isPresent()) {
             return Optional.of("older weights");
         }
@@ -345,7 +345,7 @@
                 engine,
                 metadata.model(),
                 model.map(state.weights()::newest).orElse(0L),
-                oldestWeights(now),
+                oldestWeights(),
                 tokens(),
                 contextHash,
                 state.relayHash(),
@@ -355,13 +355,16 @@
                 tried);
     }
 
-    private long oldestWeights(long now) {
+    private long oldestWeights() {
         return metadata.model()
-                .map(name -> state.weightsAdmission().oldestToSend(name, now))
+                .map(name -> state.weightsAdmission().oldestToSend(name, state.atMostMillis()))
                 .orElse(0L);
     }
 
-    /** Returns the time until which the request may begin at a target that was asked for a version of its weights. */
+    /**
+     * Returns the time until which the request may begin at a target that was asked for a version of its weights, by
+     * {@link RelayState#atMostMillis}.
+     */
     long beginsUntil(OptionalLong weights) {
         return metadata.model()
                 .map(name -> state.weightsAdmission().beginsUntil(name, weights.orElse(0)))
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/SentPrompts.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/SentPrompts.java
@@ -37,7 +37,7 @@
                         "newest",
                         metadata.model()
                                 .flatMap(state.weights()::newestKnown)
-                                .map(known -> known.version() + "/" + known.ageText(state.nowMillis()) + "/"
+                                .map(known -> known.version() + "/" + known.ageText(state.atMostMillis()) + "/"
                                         + known.source().wireName())
                                 .orElse("none"),
                         "suspended_ms",
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/DesiredStateListener.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/DesiredStateListener.java
@@ -5,6 +5,7 @@
 import java.util.function.Consumer;
 import org.rattanrudder.core.gateway.ServingConfiguration;
 import org.rattanrudder.core.rollout.DesiredVersions;
+import org.rattanrudder.core.time.Moment;
 import org.rattanrudder.daemon.relay.port.KeyedRecord;
 import org.rattanrudder.daemon.relay.port.StoreDialect;
 import org.rattanrudder.daemon.relay.port.StoreDialect.DesiredState;
@@ -121,7 +122,7 @@
     }
 
     private void onDesiredWeights(WeightsVersion weights, long offset) {
-        boolean isNew = state.weights().add(weights.model(), weights.version(), state.nowMillis());
+        boolean isNew = state.weights().add(weights.model(), weights.version(), state.atMostMillis());
         if (isNew) {
             onNewWeights.run();
             state.log()
@@ -145,12 +146,12 @@
     }
 
     @Override
-    public void onReadToEnd(long askedAtMillis) {
-        state.weights().onReadToEnd(askedAtMillis);
+    public void onReadToEnd(Moment askedAt) {
+        state.weights().onReadToEnd(askedAt.atMostMillis());
         readOnce = true;
         found.ifPresent(first -> onDesiredConfiguration(first.configuration(), first.offset()));
         found = Optional.empty();
-        state.retiredWeights().onLogRead(askedAtMillis);
+        state.retiredWeights().onLogRead(askedAt.atLeastMillis());
     }
 
     @Override
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicFollower.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicFollower.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.Set;
+import org.rattanrudder.core.time.Moment;
 import org.rattanrudder.daemon.relay.net.StepTimer;
 import org.rattanrudder.daemon.relay.port.KeyedRecord;
 import org.rattanrudder.daemon.relay.port.StoreDialect.Topic;
@@ -43,7 +44,7 @@
         default void onListed(Set<String> keys, long end) {}
 
         /** Called when all records that were written before a call have been handled; with the time of that call. */
-        default void onReadToEnd(long askedAtMillis) {}
+        default void onReadToEnd(Moment askedAt) {}
 
         /** Called after each successful answer of the store. */
         default void onAvailable() {}
@@ -63,7 +64,7 @@
     private final StoreAvailability availability;
     private int consecutiveTruncations;
     private boolean betweenPolls;
-    private long askedAt;
+    private Moment askedAt = new Moment(0, 0);
 
     /** Which existing records are read before new ones are polled for. */
     public enum InitialRead {
@@ -92,7 +93,7 @@
     /** Starts to read the topic, from the beginning of what is read initially. */
     public void start() {
         betweenPolls = false;
-        askedAt = state.nowMillis();
+        askedAt = state.clock().now();
         if (position.isKeyed()) {
             position.beginListing();
             reader.list(Optional.empty(), this::onResult);
@@ -106,8 +107,8 @@
             return;
         }
         betweenPolls = false;
-        askedAt = state.nowMillis();
-        schedule.onPoll(askedAt);
+        askedAt = state.clock().now();
+        schedule.onPoll(askedAt.atLeastMillis());
         // If the topic has no records, the first answer would come only after the full wait.
         long wait = availability.hasAnswered() ? schedule.waitMillis() : 0;
         reader.poll(position.nextOffset(), wait, this::onResult);
