Count a lease of orders by the longest time for its holder, by the shortest for others

The holder compared the time of day with the monotonic clock and took up to 200 ms of difference for none; who waited for the lease counted by the monotonic clock alone, and a jump of the time of day by over 2.4 s back ended a lease that was held.

Holders count by the longest time that may have passed, those who wait by the shortest, so that no machine's clock makes two of them send orders at once. The comparison of its own is gone.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/rollout/OrderLease.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/rollout/OrderLease.java
@@ -1,15 +1,15 @@
 package org.rattanrudder.core.rollout;
 
+import org.rattanrudder.core.time.Moment;
+
 /**
  * The lease of the one process that sends orders to engines, kept as a log of its own.
  *
  * <p>A record is appended only at the end of the log that its writer has read, so that only one of two concurrent
  * writers succeeds. The holder may send orders for {@link #LEASE_MILLIS} from when it sent the append. Processes of
  * other instances wait for that time plus the handover time, counted from when they read the record; a process that
- * succeeds one of its own instance goes on at once. The monotonic clock may not advance while a process is suspended,
- * so the elapsed wall clock time is compared as well: a holder that was suspended loses its lease.
- *
- * <p>Times are milliseconds of a monotonic clock.
+ * succeeds one of its own instance goes on at once. A machine may be suspended: the holder counts the longest time that
+ * may have passed, the others count the shortest.
  */
 public final class OrderLease {
     /** Duration of the lease: each renewal costs a write, and a crashed holder delays a rollout by this time. */
@@ -21,9 +21,6 @@
     /** Margin for clock drift and read delays when waiting for a lease to expire. */
     private static final long CLOCK_MARGIN_MILLIS = 300;
 
-    /** If the wall clock is ahead of the monotonic clock by this much, the process was suspended. */
-    private static final long PAUSE_DETECTION_MILLIS = 200;
-
     private final String instance;
     private final String self;
     private final long handoverMillis;
@@ -33,7 +30,6 @@
     private long lastReadAt = Long.MIN_VALUE / 2;
     private long fencingToken = -1;
     private long heldUntil = Long.MIN_VALUE / 2;
-    private long heldUntilWall = Long.MIN_VALUE / 2;
 
     /**
      * Creates the state of a process that doesn't hold the lease.
@@ -55,14 +51,14 @@
     }
 
     /** Handles a record that was read. */
-    public void onRecord(long offset, LeaseRecord record, long nowMillis) {
+    public void onRecord(long offset, LeaseRecord record, Moment now) {
         advanceTo(offset + 1);
         if (record.holder().equals(self)) {
             return;
         }
         // Once it is succeeded, an earlier process of the instance sends no orders: there is nothing to wait for.
         lastHolder = isEarlierProcess(record.holder()) ? "" : record.holder();
-        lastReadAt = nowMillis;
+        lastReadAt = now.atLeastMillis();
         if (offset > fencingToken) {
             heldUntil = Long.MIN_VALUE / 2;
         }
@@ -74,14 +70,14 @@
     }
 
     /** Returns whether to append a record, to acquire or renew the lease. */
-    public boolean shouldAppend(long nowMillis) {
+    public boolean shouldAppend(Moment now) {
         if (!endKnown) {
             return false;
         }
-        if (nowMillis < heldUntil) {
-            return heldUntil - nowMillis < RENEW_BEFORE_EXPIRY_MILLIS;
+        if (isHeld(now)) {
+            return heldUntil - now.atMostMillis() < RENEW_BEFORE_EXPIRY_MILLIS;
         }
-        boolean waited = nowMillis - lastReadAt > LEASE_MILLIS + handoverMillis + CLOCK_MARGIN_MILLIS;
+        boolean waited = now.atLeastMillis() - lastReadAt > LEASE_MILLIS + handoverMillis + CLOCK_MARGIN_MILLIS;
         return lastHolder.isEmpty() || waited;
     }
 
@@ -91,11 +87,10 @@
     }
 
     /** Handles a successful append of this process. */
-    public void onAppended(long offset, long sentAtMillis, long sentAtWallMillis) {
+    public void onAppended(long offset, Moment sentAt) {
         advanceTo(offset + 1);
         fencingToken = offset;
-        heldUntil = sentAtMillis + LEASE_MILLIS;
-        heldUntilWall = sentAtWallMillis + LEASE_MILLIS;
+        heldUntil = sentAt.atMostMillis() + LEASE_MILLIS;
     }
 
     /** Handles a failed append: another process has written a record at the expected offset. */
@@ -105,11 +100,8 @@
     }
 
     /** Returns whether this process may send orders now. */
-    public boolean isHeld(long nowMillis, long wallMillis) {
-        long remaining = heldUntil - nowMillis;
-        return remaining > 0
-                && heldUntilWall - wallMillis > -PAUSE_DETECTION_MILLIS
-                && heldUntilWall - wallMillis < 2 * LEASE_MILLIS;
+    public boolean isHeld(Moment now) {
+        return now.atMostMillis() < heldUntil;
     }
 
     /** Returns the other process whose record was read last; empty if none was. */
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/rollout/OrderSender.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/rollout/OrderSender.java
@@ -95,7 +95,7 @@
             if (!stale
                     || report.get().busy()
                     || !state.admission().mayCall(target, now)
-                    || !lease.isHeld(now, System.currentTimeMillis())) {
+                    || !lease.isHeld(state.clock().now())) {
                 client.close();
                 targetsBeingCalled.remove(target.id());
                 return;
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/rollout/RolloutCoordinator.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/rollout/RolloutCoordinator.java
@@ -10,6 +10,7 @@
 import org.rattanrudder.core.rollout.LeaseRecord;
 import org.rattanrudder.core.rollout.OrderLease;
 import org.rattanrudder.core.rollout.RolloutPlanner;
+import org.rattanrudder.core.time.Moment;
 import org.rattanrudder.daemon.relay.net.CallResult;
 import org.rattanrudder.daemon.relay.net.HttpCallClient;
 import org.rattanrudder.daemon.relay.net.StepTimer;
@@ -91,7 +92,7 @@
             lease.advanceTo(record.offset() + 1);
             LeaseRecord read = store.readLease(record.value().orElseThrow());
             long now = state.nowMillis();
-            lease.onRecord(record.offset(), read, now);
+            lease.onRecord(record.offset(), read, state.clock().now());
             // Records from before the start are outdated: after a restart all engines would seem to be loading.
             if (caughtUp && !read.holder().equals(holder)) {
                 read.loading()
@@ -126,7 +127,7 @@
 
     private void logBehind(List<PendingRollout> pending) {
         long now = state.nowMillis();
-        boolean held = lease.isHeld(now, System.currentTimeMillis());
+        boolean held = lease.isHeld(state.clock().now());
         String holder = held ? "self" : lease.lastOtherHolder();
         rolloutLog.behind(
                 pending.stream()
@@ -186,8 +187,8 @@
                         .ifPresent(target -> batch.put(target, each.weights()));
             }
         }
-        boolean held = lease.isHeld(now, System.currentTimeMillis());
-        boolean free = lease.shouldAppend(now);
+        boolean held = lease.isHeld(state.clock().now());
+        boolean free = lease.shouldAppend(state.clock().now());
         if (!batch.isEmpty() && (held || free)) {
             appendLeaseRecord(batch);
         }
@@ -207,24 +208,22 @@
 
     private void appendLeaseRecord(Map<Target, WeightsVersion> batch) {
         List<String> ids = batch.keySet().stream().map(Target::id).sorted().toList();
-        long sentAt = state.nowMillis();
-        long sentAtWall = System.currentTimeMillis();
+        Moment sentAt = state.clock().now();
         long at = lease.appendOffset();
         appendClient.call(
                 store.append(Topic.ORDERS, new LeaseRecord(holder, ids), OptionalLong.of(at)),
                 APPEND_TIMEOUT_MILLIS,
-                answer -> onLeaseAnswer(answer, batch, sentAt, sentAtWall, at));
+                answer -> onLeaseAnswer(answer, batch, sentAt, at));
     }
 
-    private void onLeaseAnswer(
-            CallResult answer, Map<Target, WeightsVersion> batch, long sentAt, long sentAtWall, long at) {
+    private void onLeaseAnswer(CallResult answer, Map<Target, WeightsVersion> batch, Moment sentAt, long at) {
         if (timer.isClosed()) {
             return;
         }
         state.metrics().recordStoreCall("APPEND");
         StoreResponse read = answer.toAppendResponse(store);
         if (read instanceof StoreResponse.Appended appended) {
-            lease.onAppended(appended.offset(), sentAt, sentAtWall);
+            lease.onAppended(appended.offset(), sentAt);
             state.log()
                     .info(
                             "lease_taken",
