--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/DesiredStateListener.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/DesiredStateListener.java
@@ -5,6 +5,7 @@
 import java.util.function.Consumer;
 import org.rattanrudder.core.gateway.ServingConfiguration;
 import org.rattanrudder.core.rollout.DesiredVersions;
+import org.rattanrudder.core.time.Moment;
 import org.rattanrudder.daemon.relay.port.KeyedRecord;
 import org.rattanrudder.daemon.relay.port.StoreDialect;
 import org.rattanrudder.daemon.relay.port.StoreDialect.DesiredState;
@@ -28,7 +29,7 @@
     private boolean readOnce;
 
     private Optional<FoundConfiguration> found = Optional.empty();
-    private long askedAt;
+    private Moment askedAt = new Moment(0, 0);
     private long unreadMillis;
 
     /** A configuration that was found before all records were read, and the offset of its record. */
@@ -103,7 +104,7 @@
                         "offset",
                         Long.toString(offset),
                         "asked_ms",
-                        Long.toString(state.nowMillis() - askedAt),
+                        Long.toString(state.atMostMillis() - askedAt.atMostMillis()),
                         "unread_ms",
                         Long.toString(unreadMillis),
                         "services",
@@ -153,7 +154,7 @@
     }
 
     private void onDesiredWeights(WeightsVersion weights, long offset) {
-        boolean isNew = state.weights().add(weights.model(), weights.version(), state.nowMillis());
+        boolean isNew = state.weights().add(weights.model(), weights.version(), state.atMostMillis());
         if (isNew) {
             onNewWeights.run();
             state.log()
@@ -171,8 +172,8 @@
     }
 
     @Override
-    public void onRecordsRead(long askedAtMillis, long notReadForMillis) {
-        askedAt = askedAtMillis;
+    public void onRecordsRead(Moment recordsAskedAt, long notReadForMillis) {
+        askedAt = recordsAskedAt;
         unreadMillis = notReadForMillis;
     }
 
@@ -188,12 +189,12 @@
     }
 
     @Override
-    public void onReadToEnd(long askedAtMillis) {
-        state.weights().onReadToEnd(askedAtMillis);
+    public void onReadToEnd(Moment askedAt) {
+        state.weights().onReadToEnd(askedAt.atMostMillis());
         readOnce = true;
         found.ifPresent(first -> onDesiredConfiguration(first.configuration(), first.offset()));
         found = Optional.empty();
-        state.retiredWeights().onLogRead(askedAtMillis);
+        state.retiredWeights().onLogRead(askedAt.atLeastMillis());
     }
 
     @Override
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TargetRegistrations.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TargetRegistrations.java
@@ -4,6 +4,7 @@
 import java.util.Set;
 import org.rattanrudder.core.fleet.Target;
 import org.rattanrudder.core.fleet.TargetRegistration;
+import org.rattanrudder.core.time.Moment;
 import org.rattanrudder.daemon.relay.port.KeyedRecord;
 import org.rattanrudder.daemon.relay.port.StoreDialect;
 import org.rattanrudder.daemon.relay.process.RelayState;
@@ -65,8 +66,8 @@
     }
 
     @Override
-    public void onReadToEnd(long askedAtMillis) {
-        state.fleet().onReadToEnd(askedAtMillis);
+    public void onReadToEnd(Moment askedAt) {
+        state.fleet().onReadToEnd(askedAt.atLeastMillis());
     }
 
     @Override
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicFollower.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicFollower.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.Set;
+import org.rattanrudder.core.time.Moment;
 import org.rattanrudder.core.topics.ReadFreshness;
 import org.rattanrudder.daemon.relay.net.StepTimer;
 import org.rattanrudder.daemon.relay.port.KeyedRecord;
@@ -47,15 +48,15 @@
         default void onListed(Set<String> keys, long end) {}
 
         /** Called when all records that were written before a call have been handled; with the time of that call. */
-        default void onReadToEnd(long askedAtMillis) {}
+        default void onReadToEnd(Moment askedAt) {}
 
         /**
          * Called before the records of an answer are handled.
          *
-         * @param askedAtMillis when the answer, or the first page of its listing, was asked for
+         * @param askedAt when the answer, or the first page of its listing, was asked for
          * @param unreadMillis for how long the records may have existed
          */
-        default void onRecordsRead(long askedAtMillis, long unreadMillis) {}
+        default void onRecordsRead(Moment askedAt, long unreadMillis) {}
 
         /** Called when the store ends before what was read: it may hold other records at offsets that were read. */
         default void onStoreBehind() {}
@@ -79,7 +80,7 @@
     private int consecutiveTruncations;
     private final ReadFreshness freshness;
     private boolean betweenPolls;
-    private long askedAt;
+    private Moment askedAt = new Moment(0, 0);
     private long askedWaitMillis;
 
     /** Which existing records are read before new ones are polled for. */
@@ -104,13 +105,13 @@
         schedule = new PollSchedule(intervals, state.fleet()::livePeerCount);
         delivery = new RecordDelivery(state, topic, position.isKeyed(), listener);
         availability = new StoreAvailability(state.log(), topic, listener);
-        freshness = new ReadFreshness(state.nowMillis());
+        freshness = new ReadFreshness(state.atMostMillis());
     }
 
     /** Starts to read the topic, from the beginning of what is read initially. */
     public void start() {
         betweenPolls = false;
-        askedAt = state.nowMillis();
+        askedAt = state.clock().now();
         if (position.isKeyed()) {
             position.beginListing();
             reader.list(Optional.empty(), this::onResult);
@@ -124,8 +125,8 @@
             return;
         }
         betweenPolls = false;
-        askedAt = state.nowMillis();
-        schedule.onPoll(askedAt);
+        askedAt = state.clock().now();
+        schedule.onPoll(askedAt.atLeastMillis());
         // If the topic has no records, the first answer would come only after the full wait.
         askedWaitMillis = availability.hasAnswered() ? schedule.waitMillis() : 0;
         reader.poll(position.nextOffset(), askedWaitMillis, this::onResult);
@@ -168,7 +169,7 @@
         if (position.isListingCurrent()) {
             listener.onListed(keys, position.listingEnd());
             position.applyListing();
-            freshness.onReadToEnd(askedAt);
+            freshness.onReadToEnd(askedAt.atMostMillis());
             listener.onReadToEnd(askedAt);
         }
         state.log()
@@ -183,7 +184,7 @@
                         "read",
                         Long.toString(position.nextOffset()),
                         "asked_ms",
-                        Long.toString(state.nowMillis() - askedAt));
+                        Long.toString(state.atMostMillis() - askedAt.atMostMillis()));
         poll();
     }
 
@@ -207,9 +208,9 @@
 
     private void onReadToEnd(boolean empty) {
         if (empty) {
-            freshness.onEmptyPoll(askedAt, askedWaitMillis, state.nowMillis());
+            freshness.onEmptyPoll(askedAt.atMostMillis(), askedWaitMillis, state.atMostMillis());
         } else {
-            freshness.onReadToEnd(askedAt);
+            freshness.onReadToEnd(askedAt.atMostMillis());
         }
         listener.onReadToEnd(askedAt);
     }
@@ -307,7 +308,7 @@
 
     /** Returns for how long records may exist that were not read, in ms. */
     public long unreadMillis() {
-        return freshness.ageMillis(state.nowMillis());
+        return freshness.ageMillis(state.atMostMillis());
     }
 
     @Override
