Keep the sum of a relay's waits for a record within its bound, though connections to the store fall silent

What callers saw: a relay in touch refused a request, and sent another to an old service, by an older configuration than was acknowledged long before.

Cause, of a class that explains it: waits were chosen one by one, each within the bound, and nothing added them up. A gap (20 to 400 ms by the number of peers), a poll's wait (1,000 to 1,500), 700 for its answer, a back-off and a second call: 1,770 to 2,650 ms and an answer on one silent connection, with 2,000 allowed; twice that on two in a row. Drains: 600 to 1,200 + 1,000 + 700. The bound itself reached no relay.

Change: the bound for configurations is a setting (bounds.configurationMillis, 2,000 if it isn't named). ReadTiming divides the bound: gap and wait take what late answer, repeat and putting in force leave. A call whose answer is late is repeated on a new connection after 200 ms, and twice more after 150 ms each (RepeatPolicy, RepeatingCallClient), listings too; the first usable answer counts, and a refused repeat doesn't hide another's answer. A peer's report brings such a repeat forward in place of giving up the pending poll for a new one with its full wait. The first poll after a failure doesn't wait.

SettingsDifferenceTest names the new key.

Why it works: every wait on the way is one term of a sum that is derived from the bound, so none can grow without another one shrinking.

--- /dev/null
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/topics/RepeatPolicy.java
@@ -0,0 +1,34 @@
+package org.rattanrudder.core.topics;
+
+import java.util.OptionalLong;
+
+/**
+ * When a call to the platform's store is repeated on a new connection, since its answer is late.
+ *
+ * <p>A connection may fall silent for good, without a reset, while new ones work. The first answer counts; a call that
+ * was answered slowly has been made twice. All times are in ms.
+ */
+public final class RepeatPolicy {
+    /** Maximum number of times a call is made, the first included: several connections in a row may be silent. */
+    public static final int MAX_CALLS = 4;
+
+    /** Time after the end of its wait from which a call's answer is late. */
+    static final long LATE_ANSWER_MILLIS = 200;
+
+    /** Time between two repeats. */
+    static final long REPEAT_INTERVAL_MILLIS = 150;
+
+    private RepeatPolicy() {}
+
+    /**
+     * Returns after which time a call is repeated, counted from when it was first made; empty if it isn't any more.
+     *
+     * @param calls how many times it was made
+     * @param waitMillis how long the store waits for a record before it answers the first call
+     */
+    public static OptionalLong repeatAfterMillis(int calls, long waitMillis) {
+        return calls < MAX_CALLS
+                ? OptionalLong.of(waitMillis + LATE_ANSWER_MILLIS + (calls - 1) * REPEAT_INTERVAL_MILLIS)
+                : OptionalLong.empty();
+    }
+}
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/PollIntervals.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/PollIntervals.java
@@ -1,7 +1,9 @@
 package org.rattanrudder.daemon.relay.store;
 
+import java.util.function.IntFunction;
 import java.util.function.IntToLongFunction;
 import java.util.function.LongSupplier;
+import org.rattanrudder.core.topics.ReadTiming;
 
 /**
  * The intervals at which a relay polls a topic of the platform's store.
@@ -24,12 +26,14 @@
     private static final long HINTED_GAP_MILLIS = 500;
 
     /**
-     * For records that must be received within two seconds. A long poll that begins while a record is being written may
-     * not return it before its wait is over, so the wait itself ends within the bound. With many relays, some peers
-     * receive the record earlier and report their read offset.
+     * For records that must be in force within a bound. A long poll that begins while a record is being written may not
+     * return it before its wait is over, so the wait itself ends within the bound.
+     *
+     * @param boundMillis the bound in ms, as it is now
      */
-    public static final PollIntervals PROMPT =
-            new PollIntervals(PollIntervals::promptGap, peers -> Math.min(1_500, 1_000 + 100L * peers));
+    public static PollIntervals prompt(LongSupplier boundMillis) {
+        return within(boundMillis, PollIntervals::promptGap);
+    }
 
     /** For records that are written rarely and may be received late. */
     public static final PollIntervals RARE = new PollIntervals(peers -> MIN_GAP_MILLIS, peers -> 12_000);
@@ -42,12 +46,21 @@
     private static final double MAX_BATCHED_GAP_SHARE = 0.6;
 
     /**
-     * For records that are written often and must be received within a bound: several are read in one answer. With many
-     * relays each polls less often, since peers report the offset of a change that they have read; the gap alone stays
-     * within the bound.
+     * For records that are written often and must be in force within a bound: several are read in one answer. With many
+     * relays each polls less often, since peers report the offset of a change that they have read.
+     *
+     * @param boundMillis the bound in ms, as it is now
      */
     public static PollIntervals batched(LongSupplier boundMillis) {
-        return new PollIntervals(peers -> batchedGap(boundMillis.getAsLong(), peers), peers -> 1_000);
+        return within(boundMillis, peers -> batchedGap(boundMillis.getAsLong(), peers));
+    }
+
+    private static PollIntervals within(LongSupplier boundMillis, IntToLongFunction wantedGapMillis) {
+        IntFunction<ReadTiming> timing =
+                peers -> ReadTiming.within(boundMillis.getAsLong(), wantedGapMillis.applyAsLong(peers));
+        return new PollIntervals(
+                peers -> timing.apply(peers).gapMillis(),
+                peers -> timing.apply(peers).waitMillis());
     }
 
     private static long promptGap(int peers) {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/StoreAvailability.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/StoreAvailability.java
@@ -24,6 +24,11 @@
         return answeredOnce;
     }
 
+    /** Returns whether the store has answered the last call. */
+    boolean isAnswering() {
+        return answeredOnce && available;
+    }
+
     /** Handles a successful answer. */
     void onSuccess() {
         int failures = consecutiveFailures;
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/StoreTopics.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/StoreTopics.java
@@ -34,7 +34,7 @@
         desiredState = new TopicFollower(
                 state,
                 Topic.WISHES,
-                PollIntervals.PROMPT,
+                PollIntervals.prompt(() -> state.settings().bounds().configurationMillis()),
                 TopicFollower.InitialRead.NEWEST,
                 new DesiredStateListener(state, queues, storeWatches, onConfiguration, onNewWeights));
         registrations = new TargetRegistrations(state);
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicFollower.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicFollower.java
@@ -74,7 +74,6 @@
     private final ReadFreshness freshness;
     private boolean betweenPolls;
     private long askedAt;
-    private long askedWaitMillis;
 
     /** Which existing records are read before new ones are polled for. */
     public enum InitialRead {
@@ -120,9 +119,10 @@
         betweenPolls = false;
         askedAt = state.nowMillis();
         schedule.onPoll(askedAt);
-        // If the topic has no records, the first answer would come only after the full wait.
-        askedWaitMillis = availability.hasAnswered() ? schedule.waitMillis() : 0;
-        reader.poll(position.nextOffset(), askedWaitMillis, this::onResult);
+        // Without records, an answer that shows that the store is available again would come only after the full wait;
+        // and after a pause, a record may be unread for so long that the wait would pass its bound.
+        long wait = availability.isAnswering() ? schedule.waitMillis() : 0;
+        reader.poll(position.nextOffset(), wait, this::onResult);
     }
 
     private void onResult(TopicReader.Result result) {
@@ -130,7 +130,7 @@
             onFailure(failed.reason());
         } else if (result instanceof TopicReader.Result.Read read) {
             availability.onSuccess();
-            handle(read.response());
+            handle(read);
         }
     }
 
@@ -140,12 +140,13 @@
         timer.reschedule(pollable ? this::poll : this::start, pause);
     }
 
-    private void handle(StoreResponse read) {
-        if (read instanceof StoreResponse.Listing listing) {
+    private void handle(TopicReader.Result.Read read) {
+        if (read.response() instanceof StoreResponse.Listing listing) {
             onListing(listing);
-        } else if (read instanceof StoreResponse.Records records) {
-            onRecords(records);
-        } else if (read instanceof StoreResponse.Forgotten forgotten) {
+        } else if (read.response() instanceof StoreResponse.Records records) {
+            askedAt = read.askedAtMillis();
+            onRecords(records, read.waitMillis());
+        } else if (read.response() instanceof StoreResponse.Forgotten forgotten) {
             onTruncated(forgotten);
         }
     }
@@ -181,7 +182,7 @@
         poll();
     }
 
-    private void onRecords(StoreResponse.Records records) {
+    private void onRecords(StoreResponse.Records records, long waitMillis) {
         consecutiveTruncations = 0;
         position.advanceTo(records.next());
         if (!records.records().isEmpty()) {
@@ -190,15 +191,15 @@
         listener.onRecordsRead(askedAt, unreadMillis());
         delivery.deliver(records.records());
         if (records.next() >= records.end()) {
-            onReadToEnd(records.records().isEmpty());
+            onReadToEnd(records.records().isEmpty(), waitMillis);
         }
         betweenPolls = true;
         timer.reschedule(this::poll, schedule.onAnswered(state.nowMillis()));
     }
 
-    private void onReadToEnd(boolean empty) {
+    private void onReadToEnd(boolean empty, long waitMillis) {
         if (empty) {
-            freshness.onEmptyPoll(askedAt, askedWaitMillis, state.nowMillis());
+            freshness.onEmptyPoll(askedAt, waitMillis, state.nowMillis());
         } else {
             freshness.onReadToEnd(askedAt);
         }
@@ -237,7 +238,7 @@
     /**
      * Handles the read offset of a peer. If the peer has read a record that was not read here, the next poll is brought
      * forward. A poll that has been pending for longer than an answer takes is on an unresponsive connection, and is
-     * repeated on a new one.
+     * repeated on a new one; the pending one is not given up, since the new connection may fall silent as well.
      *
      * <p>Only the gap between two polls is shortened, since every peer reports its offset many times a second. If
      * reports also cut the back-off after a failure short, a store that refuses this relay would get a call for each
@@ -250,7 +251,7 @@
         }
         if (betweenPolls) {
             timer.reschedule(this::poll, schedule.hintedDelayMillis(state.nowMillis()));
-        } else if (reader.isPolling() && schedule.isStalled(state.nowMillis())) {
+        } else if (reader.isPolling() && !reader.isRepeated() && schedule.isStalled(state.nowMillis())) {
             state.log()
                     .warn(
                             "store_connection_silent",
@@ -260,7 +261,7 @@
                             Long.toString(position.nextOffset()),
                             "others_read",
                             Long.toString(peerOffset));
-            pollNow();
+            reader.repeatNow();
         }
     }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicReader.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicReader.java
@@ -4,13 +4,19 @@
 import java.util.function.Consumer;
 import org.rattanrudder.daemon.relay.net.CallResult;
 import org.rattanrudder.daemon.relay.net.HttpCallClient;
+import org.rattanrudder.daemon.relay.net.RepeatingCallClient;
+import org.rattanrudder.daemon.relay.net.RepeatingCallClient.Outcome;
+import org.rattanrudder.daemon.relay.net.RepeatingCallClient.RepeatableCall;
 import org.rattanrudder.daemon.relay.port.PlatformCall;
 import org.rattanrudder.daemon.relay.port.StoreDialect;
 import org.rattanrudder.daemon.relay.port.StoreDialect.Topic;
 import org.rattanrudder.daemon.relay.port.StoreResponse;
 import org.rattanrudder.daemon.relay.process.RelayState;
 
-/** Calls the platform's store for the records of one topic, and parses its answers. Only one call may be in flight. */
+/**
+ * Calls the platform's store for the records of one topic, and parses its answers. Only one call may be in flight; it
+ * is repeated on new connections while its answer is late.
+ */
 final class TopicReader implements AutoCloseable {
     private static final long LISTING_TIMEOUT_MILLIS = 1_000;
 
@@ -20,7 +26,7 @@
     private final RelayState state;
     private final Topic topic;
     private final StoreDialect dialect;
-    private final HttpCallClient client;
+    private final RepeatingCallClient client;
     private boolean closed;
     private boolean polling;
 
@@ -29,13 +35,21 @@
         this.state = state;
         this.topic = topic;
         dialect = state.platform().store();
-        client = HttpCallClient.forLists(state.connector(), state.heldBytes(), state::store);
+        client = new RepeatingCallClient(
+                state.loop(),
+                state::nowMillis,
+                () -> HttpCallClient.forLists(state.connector(), state.heldBytes(), state::store));
     }
 
     /** The result of a call. */
     sealed interface Result {
-        /** The store's answer. */
-        record Read(StoreResponse response) implements Result {}
+        /**
+         * The store's answer.
+         *
+         * @param askedAtMillis when it was asked for
+         * @param waitMillis how long the store was to wait for a record before it answers
+         */
+        record Read(StoreResponse response, long askedAtMillis, long waitMillis) implements Result {}
 
         /** The call got no answer, or one that refuses it or can't be read. */
         record Failed(String reason) implements Result {}
@@ -51,6 +65,16 @@
         return client.isBusy();
     }
 
+    /** Returns whether the call in flight was repeated. */
+    boolean isRepeated() {
+        return client.isRepeated();
+    }
+
+    /** Repeats the call in flight at once on a new connection, if it may be repeated. */
+    void repeatNow() {
+        client.repeatNow();
+    }
+
     /** Returns whether a poll is in flight. */
     boolean isPolling() {
         return polling;
@@ -63,7 +87,8 @@
      * @param then called with the result, unless the call is cancelled
      */
     void list(Optional<String> after, Consumer<Result> then) {
-        call(dialect.list(topic, after), LISTING_TIMEOUT_MILLIS, dialect::readListing, then);
+        PlatformCall list = dialect.list(topic, after);
+        call(new RepeatableCall(list, list, 0, LISTING_TIMEOUT_MILLIS), dialect::readListing, then);
     }
 
     /**
@@ -76,28 +101,50 @@
     void poll(long from, long waitMillis, Consumer<Result> then) {
         polling = true;
         call(
-                dialect.poll(topic, from, waitMillis),
-                waitMillis + ANSWER_MARGIN_MILLIS,
+                new RepeatableCall(
+                        dialect.poll(topic, from, waitMillis),
+                        dialect.poll(topic, from, 0),
+                        waitMillis,
+                        waitMillis + ANSWER_MARGIN_MILLIS),
                 (status, body) -> dialect.readRecords(topic, from, status, body),
                 then);
     }
 
-    private void call(PlatformCall call, long timeoutMillis, AnswerParser parser, Consumer<Result> then) {
-        client.call(call, timeoutMillis, answer -> {
+    private void call(RepeatableCall call, AnswerParser parser, Consumer<Result> then) {
+        client.call(call, outcome -> {
             polling = false;
             if (closed) {
                 return;
             }
-            state.metrics().recordStoreCall(topic.name());
-            then.accept(parse(answer, parser));
+            recordCalls(call, outcome);
+            then.accept(parse(outcome, outcome.repeated() ? 0 : call.waitMillis(), parser));
         });
     }
 
-    private static Result parse(CallResult answer, AnswerParser parser) {
-        if (answer instanceof CallResult.Unanswered unanswered) {
+    private void recordCalls(RepeatableCall call, Outcome outcome) {
+        for (int made = 0; made < outcome.calls(); made++) {
+            state.metrics().recordStoreCall(topic.name());
+        }
+        if (outcome.repeated() && outcome.result() instanceof CallResult.Answered) {
+            state.log()
+                    .warn(
+                            "store_answer_late",
+                            "topic",
+                            topic.name(),
+                            "wait_ms",
+                            Long.toString(call.waitMillis()),
+                            "answered_after_ms",
+                            Long.toString(state.nowMillis() - outcome.beganAtMillis()),
+                            "calls",
+                            Integer.toString(outcome.calls()));
+        }
+    }
+
+    private static Result parse(Outcome outcome, long waitMillis, AnswerParser parser) {
+        if (outcome.result() instanceof CallResult.Unanswered unanswered) {
             return new Result.Failed(unanswered.reason());
         }
-        CallResult.Answered answered = (CallResult.Answered) answer;
+        CallResult.Answered answered = (CallResult.Answered) outcome.result();
         StoreResponse read;
         try {
             read = parser.parse(answered.status(), answered.body());
@@ -106,12 +153,12 @@
         }
         return read instanceof StoreResponse.Failed failed
                 ? new Result.Failed("status " + failed.status())
-                : new Result.Read(read);
+                : new Result.Read(read, outcome.askedAtMillis(), waitMillis);
     }
 
     /** Cancels the call in flight, and closes the connection; the next call opens a new one. */
     void cancel() {
-        client.close();
+        client.cancel();
         polling = false;
     }
 
--- /dev/null
+++ b/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/net/RepeatingCallClientTest.java
@@ -0,0 +1,122 @@
+package org.rattanrudder.daemon.relay.net;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.rattanrudder.core.memory.ByteBudget;
+import org.rattanrudder.core.model.Address;
+import org.rattanrudder.daemon.relay.net.RepeatingCallClient.Outcome;
+import org.rattanrudder.daemon.relay.net.RepeatingCallClient.RepeatableCall;
+import org.rattanrudder.daemon.relay.port.PlatformCall;
+
+class RepeatingCallClientTest {
+    private static final int TIMEOUT_MILLIS = 5_000;
+
+    /** Longer than any test: calls are repeated by the test, not by their timer. */
+    private static final long HOUR_MILLIS = 3_600_000;
+
+    private static final String SILENT = "0";
+    private static final PlatformCall CALL =
+            new PlatformCall(HttpMethod.GET, "/log-read", EmptyHttpHeaders.INSTANCE, new byte[0]);
+
+    private final List<Socket> accepted = new ArrayList<>();
+    private MultiThreadIoEventLoopGroup group;
+    private ServerSocket listening;
+
+    @BeforeEach
+    void listen() throws IOException {
+        group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        listening = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    }
+
+    @AfterEach
+    void close() throws IOException {
+        listening.close();
+        for (Socket socket : accepted) {
+            socket.close();
+        }
+        group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * Guards against a refused repeat that hides the answer of another, and against a repeat on the connection that has
+     * brought the refusal. Zero stands for a silent connection.
+     */
+    @ParameterizedTest
+    @CsvSource({
+        "200, 200",
+        "0 200, 200",
+        "0 0 200, 200",
+        "0 0 0 200, 200",
+        "0 503 200, 200",
+        "0 429 0 410, 410",
+        "503, 503"
+    })
+    void theFirstUsableAnswerCounts(String connections, int status) throws Exception {
+        String[] statuses = connections.split(" ");
+        EventLoop loop = group.next();
+        RepeatingCallClient client = client(loop);
+        CompletableFuture<Outcome> called = new CompletableFuture<>();
+        loop.execute(() -> client.call(new RepeatableCall(CALL, CALL, HOUR_MILLIS, HOUR_MILLIS), called::complete));
+        for (int index = 0; index < statuses.length; index++) {
+            if (index > 0) {
+                loop.execute(client::repeatNow);
+            }
+            serve(statuses[index], index == statuses.length - 1);
+        }
+
+        Outcome outcome = called.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+
+        assertThat(((CallResult.Answered) outcome.result()).status()).isEqualTo(status);
+        assertThat(outcome.calls()).isEqualTo(statuses.length);
+        assertThat(outcome.repeated()).isEqualTo(statuses.length > 1);
+        loop.submit(client::close).get();
+    }
+
+    private RepeatingCallClient client(EventLoop loop) {
+        Bootstrap connector = RelayChannels.connector(group);
+        ByteBudget budget = new ByteBudget(64 << 20);
+        Address address = new Address("127.0.0.1", listening.getLocalPort());
+        return new RepeatingCallClient(
+                loop,
+                () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()),
+                () -> HttpCallClient.forLists(connector, budget, () -> address));
+    }
+
+    private void serve(String status, boolean last) throws IOException {
+        Socket socket = listening.accept();
+        accepted.add(socket);
+        socket.setSoTimeout(TIMEOUT_MILLIS);
+        byte[] request = new byte[1_024];
+        int read = socket.getInputStream().read(request);
+        assertThat(read).isPositive();
+        if (SILENT.equals(status)) {
+            return;
+        }
+        socket.getOutputStream()
+                .write(("HTTP/1.1 " + status + " x\r\nContent-Length: 0\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+        if (!last) {
+            assertThat(socket.getInputStream().read())
+                    .as("end of a refused connection")
+                    .isNegative();
+        }
+    }
+}
--- a/rattanrudder-document/src/main/java/org/rattanrudder/document/RelaySettings.java
+++ b/rattanrudder-document/src/main/java/org/rattanrudder/document/RelaySettings.java
@@ -78,10 +78,14 @@
             "bounds.retryExtra",
             "bounds.weightsMillis",
             "bounds.drainMillis",
+            "bounds.configurationMillis",
             "bounds.graceSeconds",
             "bounds.warmUpOverage",
             "bounds.warmUpSlack");
 
+    /** The shortest bound that is usual. */
+    static final long DEFAULT_CONFIGURATION_MILLIS = 2_000;
+
     static final double DEFAULT_WARM_UP_OVERAGE = 1;
     static final double DEFAULT_WARM_UP_SLACK = 0;
 
@@ -94,6 +98,7 @@
                 bounds.leaseMillis,
                 read.bounds.weightsMillis,
                 read.bounds.drainMillis,
+                read.bounds.configurationMillis,
                 read.bounds.graceMillis,
                 read.bounds.warmUpOverage,
                 read.bounds.warmUpSlack);
@@ -125,6 +130,7 @@
      * @param leaseMillis the time in which two processes may not both give orders
      * @param weightsMillis from naming a version of weights until no request may begin on an older one
      * @param drainMillis from a target's word that it leaves until no request may reach it
+     * @param configurationMillis from a configuration's acknowledgement until no request may be decided by an older one
      * @param graceMillis from the request to stop until the process is ended by force
      * @param warmUpOverage how much more than the rate that it tolerates a warming target survives, as a factor
      * @param warmUpSlack requests a second that it survives on top of that
@@ -136,10 +142,11 @@
             long leaseMillis,
             long weightsMillis,
             long drainMillis,
+            long configurationMillis,
             long graceMillis,
             double warmUpOverage,
             double warmUpSlack) {
-        /** Creates bounds under which a warming target survives just the rate that it tolerates. */
+        /** Creates bounds with the usual one for configurations; a warming target survives just what it tolerates. */
         public Bounds(
                 double retryRatio,
                 double retryExtra,
@@ -155,6 +162,7 @@
                     leaseMillis,
                     weightsMillis,
                     drainMillis,
+                    DEFAULT_CONFIGURATION_MILLIS,
                     graceMillis,
                     DEFAULT_WARM_UP_OVERAGE,
                     DEFAULT_WARM_UP_SLACK);
--- a/rattanrudder-document/src/main/java/org/rattanrudder/document/RelaySettingsParser.java
+++ b/rattanrudder-document/src/main/java/org/rattanrudder/document/RelaySettingsParser.java
@@ -82,6 +82,10 @@
                 fields.required("leaseMillis", ValueKind.longInteger(1, LONGEST_MILLIS)),
                 fields.required("weightsMillis", ValueKind.longInteger(1, LONGEST_MILLIS)),
                 fields.required("drainMillis", ValueKind.longInteger(1, LONGEST_MILLIS)),
+                fields.optional(
+                        "configurationMillis",
+                        ValueKind.longInteger(1, LONGEST_MILLIS),
+                        RelaySettings.DEFAULT_CONFIGURATION_MILLIS),
                 fields.required("graceSeconds", ValueKind.integer(1, 3_600)) * 1_000L,
                 fields.optional("warmUpOverage", ValueKind.number("1", "1000"), RelaySettings.DEFAULT_WARM_UP_OVERAGE),
                 fields.optional("warmUpSlack", ValueKind.number("0", "1000000"), RelaySettings.DEFAULT_WARM_UP_SLACK));
--- a/rattanrudder-document/src/test/java/org/rattanrudder/document/SettingsDifferenceTest.java
+++ b/rattanrudder-document/src/test/java/org/rattanrudder/document/SettingsDifferenceTest.java
@@ -13,7 +13,7 @@
             {"instance": "a", "failureDomain": "b", "callers": "10.0.0.1:1", "readiness": "10.0.0.1:2",
              "peers": "10.0.0.1:3", "metrics": "10.0.0.1:4", "store": "10.0.0.1:5",
              "bounds": {"retryRatio": 0.25, "retryExtra": 10, "retryWindowSeconds": 20, "leaseMillis": 30,
-               "weightsMillis": 40, "drainMillis": 50, "graceSeconds": 60,
+               "weightsMillis": 40, "drainMillis": 50, "configurationMillis": 70, "graceSeconds": 60,
                "warmUpOverage": 1.5, "warmUpSlack": 4},
              "regions": [{"failureDomain": "c", "region": "d"}],
              "earlyRejection": true, "features": ["e"]}
@@ -56,6 +56,7 @@
                 "40,",
                 "50,",
                 "60,",
+                "70,",
                 "1.5",
                 "4}",
                 "\"d\"",
