Poll for desired state no more rarely than before, where the bound leaves room for longer waits

A read of the desired state also proves up to when newer weights were named, and that parts of older ones may be fetched; that proof counts for 3,000 ms from when the read was asked for (RetiredWeights.LOG_READ_VALID_MILLIS). With waits of all that a bound of 3,000 ms leaves, two polls take up to 4.7 s, so that a relay without peers would fetch no parts for a third of the time.

Change: ReadTiming shortens a wanted gap and a wanted wait as far as the bound needs, and no longer stretches the wait. The wanted ones are those from before.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/topics/ReadTiming.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/topics/ReadTiming.java
@@ -23,14 +23,15 @@
     private static final long MIN_WAIT_MILLIS = 200;
 
     /**
-     * Returns the longest intervals that keep to a bound.
+     * Returns the intervals that are wanted, shortened as far as a bound needs it.
      *
      * @param boundMillis the time from a record's acknowledgement until it has to be in force, in ms
-     * @param wantedGapMillis the gap that is wanted, in ms; it is shorter if the bound leaves no room for it
+     * @param wantedGapMillis the gap that is wanted, in ms; it comes before the wait
+     * @param wantedWaitMillis the wait that is wanted, in ms
      */
-    public static ReadTiming within(long boundMillis, long wantedGapMillis) {
+    public static ReadTiming within(long boundMillis, long wantedGapMillis, long wantedWaitMillis) {
         long cycle = boundMillis - RESERVE_MILLIS;
         long gap = Math.max(0, Math.min(wantedGapMillis, cycle - MIN_WAIT_MILLIS));
-        return new ReadTiming(gap, Math.max(MIN_WAIT_MILLIS, cycle - gap));
+        return new ReadTiming(gap, Math.min(wantedWaitMillis, Math.max(MIN_WAIT_MILLIS, cycle - gap)));
     }
 }
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/topics/ReadTimingTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/topics/ReadTimingTest.java
@@ -17,8 +17,9 @@
     void aRecordIsInForceWithinTheBoundThoughOneOrTwoConnectionsAreSilent(
             @ForAll @LongRange(min = 1_000, max = 20_000) long bound,
             @ForAll @LongRange(max = 20_000) long wantedGap,
+            @ForAll @LongRange(max = 20_000) long wantedWait,
             @ForAll @IntRange(max = 2) int silent) {
-        ReadTiming timing = ReadTiming.within(bound, wantedGap);
+        ReadTiming timing = ReadTiming.within(bound, wantedGap, wantedWait);
         long answer = silent == 2 ? 100 : 200;
 
         assertThat(inForceAfter(timing.gapMillis(), timing.waitMillis(), silent, answer))
@@ -33,9 +34,9 @@
 
     /** Guards against polls that are more often than the bound needs: the store's calls are limited and priced. */
     @ParameterizedTest
-    @CsvSource({"2000, 400, 400, 1000", "2000, 1200, 1200, 200", "3000, 400, 400, 2000", "3000, 1800, 1800, 600"})
-    void gapAndWaitTakeAllThatTheBoundLeaves(long bound, long wantedGap, long gap, long wait) {
-        assertThat(ReadTiming.within(bound, wantedGap)).isEqualTo(new ReadTiming(gap, wait));
+    @CsvSource({"2000, 400, 400, 1000", "2000, 1200, 1200, 200", "3000, 400, 400, 1500", "3000, 1800, 1800, 600"})
+    void gapAndWaitAreShortenedNoFurtherThanTheBoundNeeds(long bound, long wantedGap, long gap, long wait) {
+        assertThat(ReadTiming.within(bound, wantedGap, 1_500)).isEqualTo(new ReadTiming(gap, wait));
     }
 
     /** Returns when a record is in force that was written just after an empty answer was formed, in ms. */
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/PollIntervals.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/PollIntervals.java
@@ -22,6 +22,11 @@
     private static final long PROMPT_GAP_MILLIS_PER_PEER = 12;
     private static final long MAX_PROMPT_GAP_MILLIS = 400;
 
+    private static final long MIN_PROMPT_WAIT_MILLIS = 1_000;
+    private static final long MAX_PROMPT_WAIT_MILLIS = 1_500;
+    private static final long PROMPT_WAIT_MILLIS_PER_PEER = 100;
+    private static final long MAX_BATCHED_WAIT_MILLIS = 1_000;
+
     /** Minimum time between an answer and the next call, with many peers of which one has read a newer record. */
     private static final long HINTED_GAP_MILLIS = 500;
 
@@ -32,7 +37,12 @@
      * @param boundMillis the bound in ms, as it is now
      */
     public static PollIntervals prompt(LongSupplier boundMillis) {
-        return within(boundMillis, PollIntervals::promptGap);
+        return within(boundMillis, PollIntervals::promptGap, PollIntervals::promptWait);
+    }
+
+    /** A relay with few peers proves more often that it has read all: it can't rely on what others have read. */
+    private static long promptWait(int peers) {
+        return Math.min(MAX_PROMPT_WAIT_MILLIS, MIN_PROMPT_WAIT_MILLIS + PROMPT_WAIT_MILLIS_PER_PEER * peers);
     }
 
     /** For records that are written rarely and may be received late. */
@@ -52,12 +62,14 @@
      * @param boundMillis the bound in ms, as it is now
      */
     public static PollIntervals batched(LongSupplier boundMillis) {
-        return within(boundMillis, peers -> batchedGap(boundMillis.getAsLong(), peers));
+        return within(
+                boundMillis, peers -> batchedGap(boundMillis.getAsLong(), peers), peers -> MAX_BATCHED_WAIT_MILLIS);
     }
 
-    private static PollIntervals within(LongSupplier boundMillis, IntToLongFunction wantedGapMillis) {
-        IntFunction<ReadTiming> timing =
-                peers -> ReadTiming.within(boundMillis.getAsLong(), wantedGapMillis.applyAsLong(peers));
+    private static PollIntervals within(
+            LongSupplier boundMillis, IntToLongFunction wantedGap, IntToLongFunction wantedWait) {
+        IntFunction<ReadTiming> timing = peers ->
+                ReadTiming.within(boundMillis.getAsLong(), wantedGap.applyAsLong(peers), wantedWait.applyAsLong(peers));
         return new PollIntervals(
                 peers -> timing.apply(peers).gapMillis(),
                 peers -> timing.apply(peers).waitMillis());
