--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/StoreTopics.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/StoreTopics.java
@@ -37,7 +37,7 @@
         desiredState = new TopicFollower(
                 state,
                 Topic.WISHES,
-                PollIntervals.PROMPT,
+                PollIntervals.prompt(() -> state.settings().bounds().configurationMillis()),
                 TopicFollower.InitialRead.NEWEST,
                 new DesiredStateListener(
                         state, queues, storeWatches, onConfiguration, onNewWeights, onConfigurationsMissed));
