Let a relay's timers count suspensions that are certain

After a suspension each deadline, withdrawal, drain and timeout fired late by its length: Netty's event loop schedules by System.nanoTime().

The event loop gets a ticker of the process's clock, which adds suspensions that two clocks show, so that what is due runs when the machine resumes; InactivityTimer reads the same ticker and postpones late checks as it does after a pause. What may only have been a jump of the time of day moves no timer; the bound on older weights is looked at each 250 ms instead while a request hasn't begun.

RelayEventLoopsTest, seen to fail with Netty's own ticker (the timers of an hour hadn't run 20 s after two suspended hours; two of three tests), and with the ticker but the old wait of the selector (a timer of 20 ms hadn't run after 20 s).

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/loop/ProcessClock.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/loop/ProcessClock.java
@@ -58,12 +58,18 @@
         return monotonicMillis() + elapsed.possibleSurplusMillis();
     }
 
-    /** Returns the suspended time that has passed for certain, in ms. */
+    /** Looks at the clocks, and returns the suspended time that has passed for certain, in ms. */
+    public synchronized long suspendedMillis() {
+        update();
+        return elapsed.certainSurplusMillis();
+    }
+
+    /** Returns the suspended time that has passed for certain by the last look at the clocks, in ms. */
     public synchronized long certainSurplusMillis() {
         return elapsed.certainSurplusMillis();
     }
 
-    /** Returns the suspended time that may have passed, in ms. */
+    /** Returns the suspended time that may have passed by the last look at the clocks, in ms. */
     public synchronized long possibleSurplusMillis() {
         return elapsed.possibleSurplusMillis();
     }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
@@ -5,8 +5,6 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.util.List;
 import java.util.Set;
@@ -23,6 +21,7 @@
 import org.rattanrudder.daemon.loop.ProcessClock;
 import org.rattanrudder.daemon.loop.RunningProcess;
 import org.rattanrudder.daemon.relay.net.RelayChannels;
+import org.rattanrudder.daemon.relay.net.RelayEventLoops;
 import org.rattanrudder.daemon.relay.net.StepTimer;
 import org.rattanrudder.daemon.relay.peers.FetchLatenessRecorder;
 import org.rattanrudder.daemon.relay.peers.PeerExchange;
@@ -79,11 +78,11 @@
      * @throws IOException if it can't listen on one of its addresses
      */
     public RelayProcess(RelaySettings settings, PlatformAdapter platform, RandomGenerator random) throws IOException {
-        MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        ProcessClock clock = new ProcessClock(ClockSource.system());
+        EventLoopGroup group = new RelayEventLoops(clock);
         closer.add(() -> group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS));
-        loop = (EventLoop) group.next();
+        loop = group.next();
         EventLog log = new EventLog(Logger.getLogger(RelayProcess.class), new MonotonicClock());
-        ProcessClock clock = new ProcessClock(ClockSource.system());
         state = new RelayState(
                 settings, platform, clock, loop, RelayChannels.connector(group), log, new RelayMetrics(), random);
         memory = new MemoryAdmission(state);
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/net/InactivityTimer.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/net/InactivityTimer.java
@@ -30,7 +30,7 @@
     /** Starts a timer; must be called, and cancelled, on the event loop. */
     public static InactivityTimer start(EventLoop loop, Runnable check, long millis) {
         InactivityTimer timer = new InactivityTimer(loop, check);
-        long dueAt = nowMillis() + millis;
+        long dueAt = timer.nowMillis() + millis;
         timer.scheduled = loop.schedule(() -> timer.onDue(dueAt), millis, TimeUnit.MILLISECONDS);
         return timer;
     }
@@ -48,7 +48,8 @@
         scheduled.cancel(false);
     }
 
-    private static long nowMillis() {
-        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    /** By the clock of the event loop, which counts suspensions of the machine. */
+    private long nowMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(loop.ticker().nanoTime());
     }
 }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/InactivityMonitor.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/InactivityMonitor.java
@@ -14,6 +14,12 @@
  * done, but later requests avoid the target.
  */
 final class InactivityMonitor {
+    /** Half the time that the bound leaves for a late event loop. */
+    private static final long BOUND_CHECK_MILLIS = 250;
+
+    /** More than any bound: nothing ends the time in which the attempt may begin. */
+    private static final long LONG_MILLIS = Long.MAX_VALUE / 2;
+
     private final RelayState state;
     private final RequestPlan plan;
     private final ServiceRoute route;
@@ -67,7 +73,12 @@
             probe.run();
         }
         long nextMillis = idleMillis < probeAfterMillis ? probeAfterMillis - idleMillis + 1 : probeAfterMillis;
-        scheduleCheck(Math.min(nextMillis, beginsWithin));
+        scheduleCheck(Math.min(nextMillis, boundCheckMillis(beginsWithin)));
+    }
+
+    /** Timers don't count what may only have been a suspension; the bound does, so it is looked at now and then. */
+    private static long boundCheckMillis(long beginsWithinMillis) {
+        return beginsWithinMillis < LONG_MILLIS ? Math.min(beginsWithinMillis, BOUND_CHECK_MILLIS) : LONG_MILLIS;
     }
 
     private boolean mayRetryElsewhere(long idleMillis, boolean servesOtherRequests) {
--- a/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/loop/MachineClocks.java
+++ b/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/loop/MachineClocks.java
@@ -4,21 +4,23 @@
 import java.util.concurrent.TimeUnit;
 
 /** The clocks of a machine that a test suspends, and whose time of day it changes. */
-final class MachineClocks implements ClockSource {
-    private long monotonicMillis = 5_000;
-    private long timeOfDayMillis = 900_000;
-    private long bootMillis = 40_000;
-    private boolean bootReadable = true;
+public final class MachineClocks implements ClockSource {
+    private volatile long monotonicMillis = 5_000;
+    private volatile long timeOfDayMillis = 900_000;
+    private volatile long bootMillis = 40_000;
+    private volatile boolean bootReadable = true;
 
     /** Run before the boot clock is read, once. */
-    private Runnable beforeBoot = () -> {};
+    private volatile Runnable beforeBoot = () -> {};
 
-    void pass(long millis) {
+    /** Passes time. */
+    public void pass(long millis) {
         monotonicMillis += millis;
         suspend(millis);
     }
 
-    void suspend(long millis) {
+    /** Passes time that the monotonic clock doesn't count. */
+    public void suspend(long millis) {
         timeOfDayMillis += millis;
         bootMillis += millis;
     }
