Take no message for fresh that may have waited while the machine was suspended

A relay whose machine is suspended finds old reports in its socket. Whether they may have waited was told by how late a round of reports is, by the monotonic clock, which didn't count the suspension: they counted as fresh, and by them and by a read of the log from before the suspension parts were fetched that others may have freed. By the same clock, requests of callers that had left meanwhile were sent on without a look at their connections.

Both lags, the reads and the reports by which parts are fetched count by the longest time. When parts may be freed still counts by the shortest, and new connections are turned away only after a lag that is certain.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/parts/RetiredWeights.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/parts/RetiredWeights.java
@@ -123,15 +123,19 @@
         retiredBefore = Math.max(retiredBefore, version);
     }
 
-    /** Handles a peer's report; one that may have waited unread for longer than a moment shows only its vote. */
-    public void onPeerReport(String relay, RetirementReport report, boolean current, long nowMillis) {
+    /**
+     * Handles a peer's report; one that may have waited unread for longer than a moment shows only its vote.
+     *
+     * @param atMostMillis the longest time that may have passed
+     */
+    public void onPeerReport(String relay, RetirementReport report, boolean current, long atMostMillis) {
         PeerVote before = peers.getOrDefault(relay, PeerVote.UNHEARD);
         peers.put(
                 relay,
                 new PeerVote(
                         Math.max(before.retiredBefore(), report.retiredBefore()),
                         report.relaysHash(),
-                        current && report.logRead() ? nowMillis : before.heardAt()));
+                        current && report.logRead() ? atMostMillis : before.heardAt()));
         adoptMajority();
     }
 
@@ -139,9 +143,9 @@
         vote(majorityVote());
     }
 
-    /** Handles that the log's newest weights were read, and when the answer was asked for. */
-    public void onLogRead(long askedAtMillis) {
-        logReadAt = Math.max(logReadAt, askedAtMillis);
+    /** Handles that the log's newest weights were read, and when the answer was asked for, by the longest time. */
+    public void onLogRead(long askedAtMostMillis) {
+        logReadAt = Math.max(logReadAt, askedAtMostMillis);
     }
 
     /** Returns what to report to peers. */
@@ -158,26 +162,27 @@
      * Returns whether parts of the given weights may be fetched.
      *
      * @param newestNamed the newest version that this relay has read of in the log; 0 if there is none
+     * @param atMostMillis the longest time that may have passed
      */
-    public boolean mayFetch(long version, long newestNamed, long nowMillis) {
+    public boolean mayFetch(long version, long newestNamed, long atMostMillis) {
         if (!started || version < retiredBefore) {
             return false;
         }
-        boolean readsLog = nowMillis - logReadAt <= LOG_READ_VALID_MILLIS;
-        return readsLog && version >= newestNamed || isHeldByMajority(version, readsLog, nowMillis);
+        boolean readsLog = atMostMillis - logReadAt <= LOG_READ_VALID_MILLIS;
+        return readsLog && version >= newestNamed || isHeldByMajority(version, readsLog, atMostMillis);
     }
 
     /**
      * Returns whether a majority, this relay among it, hasn't voted to retire a version by its latest reports. A relay
      * that knows of no other one may have missed that others have registered, unless it still reads the log.
      */
-    private boolean isHeldByMajority(long version, boolean readsLog, long nowMillis) {
+    private boolean isHeldByMajority(long version, boolean readsLog, long atMostMillis) {
         if (!relays.contains(self) || relays.size() == 1 && !readsLog) {
             return false;
         }
         long otherHolders = otherVotes().stream()
                 .filter(peer -> peer.retiredBefore() <= version)
-                .filter(peer -> nowMillis - peer.heardAt() <= reportValidMillis)
+                .filter(peer -> atMostMillis - peer.heardAt() <= reportValidMillis)
                 .count();
         return 1 + otherHolders >= majority();
     }
@@ -186,6 +191,7 @@
      * Returns the version before which parts may be evicted; 0 if none may.
      *
      * @param newestNamed the newest version that this relay has read of in the log; 0 if there is none
+     * @param nowMillis the shortest time that may have passed
      */
     public long evictableBefore(long newestNamed, long nowMillis) {
         afterNamed.update(newestNamed, nowMillis);
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
@@ -198,14 +198,14 @@
     private void sweep() {
         state.clock().check();
         long now = state.nowMillis();
-        state.eventLoopLag().onTaskRun(now);
+        state.onSweep();
         boolean closeIdle = state.isRefusingRequests();
         if (closeIdle && callerListener.isOpen()) {
             callerListener.close();
         }
         // If the event loop is late, callers' data may be unread and their connections only seem idle. During shutdown
         // there is no time to wait for that.
-        if (closeIdle || !state.eventLoopLag().isLate(now)) {
+        if (closeIdle || !state.isEventLoopLate()) {
             callers.sweep(now, closeIdle);
         }
         memory.update();
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/peers/PeerExchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/peers/PeerExchange.java
@@ -364,7 +364,8 @@
             load.storeLateness().forEach(late -> state.directory().recordFetchLateness(late, now));
             onVersionQuestion(relay, load);
             if (load.full()) {
-                state.retiredWeights().onPeerReport(relay, load.retirement(), !state.isReportRoundLate(), now);
+                state.retiredWeights()
+                        .onPeerReport(relay, load.retirement(), !state.mayReportsHaveWaited(), state.atMostMillis());
             }
             listener.onReadOffsets(load.readOffsets());
             listener.onUnreachable(load.unreachable());
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/RelayState.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/RelayState.java
@@ -78,6 +78,7 @@
     private Optional<ServingConfiguration> configuration = Optional.empty();
     private final EventLoopLag eventLoopLag;
     private final EventLoopLag reportLag;
+    private final EventLoopLag possibleReportLag;
     private final ConnectionGate connectionGate;
     private final long relayHash;
     private final Quarantine quarantine = new Quarantine();
@@ -113,14 +114,18 @@
         updateWarmUpBounds();
         updateLearnedFigures();
         relayHash = Hashing.of(settings.instance());
-        eventLoopLag = new EventLoopLag(nowMillis(), SWEEP_INTERVAL_MILLIS);
-        reportLag =
-                new EventLoopLag(nowMillis(), ReportSchedule.ROUND_MILLIS, REPORT_LATE_MILLIS, REPORT_CATCH_UP_MILLIS);
+        eventLoopLag = new EventLoopLag(atMostMillis(), SWEEP_INTERVAL_MILLIS);
+        reportLag = newReportLag(nowMillis());
+        possibleReportLag = newReportLag(atMostMillis());
         connectionGate = new ConnectionGate(nowMillis());
         StateGauges.register(this);
         ClockLog.register(this);
     }
 
+    private static EventLoopLag newReportLag(long nowMillis) {
+        return new EventLoopLag(nowMillis, ReportSchedule.ROUND_MILLIS, REPORT_LATE_MILLIS, REPORT_CATCH_UP_MILLIS);
+    }
+
     /** Returns the shortest time that may have passed, in ms: a suspension counts once two clocks show it. */
     public long nowMillis() {
         return clock.atLeastMillis();
@@ -139,25 +144,31 @@
         return clock;
     }
 
-    /** Returns the monitor of the event loop's lag. */
-    public EventLoopLag eventLoopLag() {
-        return eventLoopLag;
+    /** Records a run of the sweep, whose delay shows how late the event loop is. */
+    public void onSweep() {
+        eventLoopLag.onTaskRun(atMostMillis());
+    }
+
+    /** Returns whether requests may have waited unprocessed, as after a pause or a suspension. */
+    public boolean isEventLoopLate() {
+        return eventLoopLag.isLate(atMostMillis());
     }
 
     /** Records a round of reports to peers, whose delay shows how late the event loop is right now. */
     public void onReportRound() {
         reportLag.onTaskRun(nowMillis());
+        possibleReportLag.onTaskRun(atMostMillis());
     }
 
-    /** Returns whether messages of peers may have waited unread for longer than a moment, as after a freeze. */
-    public boolean isReportRoundLate() {
-        return reportLag.isLate(nowMillis());
+    /** Returns whether messages of peers may have waited unread for longer than a moment, as after a suspension. */
+    public boolean mayReportsHaveWaited() {
+        return possibleReportLag.isLate(atMostMillis());
     }
 
     /** Returns whether a connection that a caller has opened is taken; else it is closed before anything is read. */
     public boolean admitsConnection() {
         long now = nowMillis();
-        boolean admitted = connectionGate.admits(isReportRoundLate(), fleet.anyPeerReady(now), now);
+        boolean admitted = connectionGate.admits(reportLag.isLate(now), fleet.anyPeerReady(now), now);
         if (!admitted) {
             metrics.recordConnectionClosedUnread();
         }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/CallerConnection.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/CallerConnection.java
@@ -277,7 +277,7 @@
             return;
         }
         exchange = request.toExchange(this);
-        if (state.eventLoopLag().isLate(state.nowMillis())) {
+        if (state.isEventLoopLate()) {
             startAfterRead(exchange);
         } else {
             exchange.start();
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/Exchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/Exchange.java
@@ -224,7 +224,7 @@
     }
 
     private void onConnected(Target target, TargetConnection opened) {
-        boolean left = state.eventLoopLag().isLate(state.nowMillis()) && caller.hasDisconnected();
+        boolean left = state.isEventLoopLate() && caller.hasDisconnected();
         if (ended || left || endIfOverdue()) {
             target.cancelSend();
             if (opened != null) {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/RequestPlan.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/RequestPlan.java
@@ -412,7 +412,7 @@
 
     private PartAccess partAccess(long version) {
         long newest = state.weights().newest(metadata.model().orElseThrow());
-        if (!state.retiredWeights().mayFetch(version, newest, state.nowMillis())) {
+        if (!state.retiredWeights().mayFetch(version, newest, state.atMostMillis())) {
             return PartAccess.NONE;
         }
         return version >= newest ? PartAccess.FETCH_AND_SAVE : PartAccess.FETCH_ONLY;
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/DesiredStateListener.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/DesiredStateListener.java
@@ -151,7 +151,7 @@
         readOnce = true;
         found.ifPresent(first -> onDesiredConfiguration(first.configuration(), first.offset()));
         found = Optional.empty();
-        state.retiredWeights().onLogRead(askedAt.atLeastMillis());
+        state.retiredWeights().onLogRead(askedAt.atMostMillis());
     }
 
     @Override
