Refuse nothing for good by a configuration that may be older than the newest

What callers saw: 401 or 404, which they don't repeat, by a relay whose configuration was older than the acknowledged one.

Cause: a relay didn't know for how long its configuration may have been old; it answered by it in the same way after an hour without the store.

Change: the age of the last proof that all desired state was read is part of the relay's state. Above the bound for configurations, a request that the configuration in force would refuse is answered 503 with a time to come back; all that it allows goes on. The first read after it logs configuration_unproven.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/RelayState.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/RelayState.java
@@ -32,6 +32,7 @@
 import org.rattanrudder.core.rollout.VersionExchange;
 import org.rattanrudder.core.rollout.WeightsAdmission;
 import org.rattanrudder.core.routing.Hashing;
+import org.rattanrudder.core.topics.ReadFreshness;
 import org.rattanrudder.daemon.logging.EventLog;
 import org.rattanrudder.daemon.relay.port.PlatformAdapter;
 import org.rattanrudder.document.RelaySettings;
@@ -75,6 +76,7 @@
             new WeightsAdmission(weights, () -> settings().bounds().weightsMillis());
     private final Map<String, MedianEstimate> callMillis = new HashMap<>();
     private Optional<ServingConfiguration> configuration = Optional.empty();
+    private final ReadFreshness desiredStateRead = new ReadFreshness(nowMillis());
     private final EventLoopLag eventLoopLag;
     private final EventLoopLag reportLag;
     private final ConnectionGate connectionGate;
@@ -274,6 +276,16 @@
         return configuration;
     }
 
+    /** Returns up to when the desired state, and so the configuration, is known to have been read. */
+    public ReadFreshness desiredStateRead() {
+        return desiredStateRead;
+    }
+
+    /** Returns whether no newer configuration than the one in force can have existed for longer than the bound. */
+    public boolean isConfigurationCurrent() {
+        return desiredStateRead.ageMillis(nowMillis()) <= settings.bounds().configurationMillis();
+    }
+
     /** Applies a configuration, unless it isn't newer than the one in force; returns whether it was applied. */
     public boolean updateConfiguration(ServingConfiguration newest) {
         if (configuration.isPresent() && configuration.get().version() >= newest.version()) {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/IncomingRequest.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/IncomingRequest.java
@@ -104,7 +104,8 @@
         AccessDecision access = configuration.authorize(
                 metadata.get().host(), head.uri(), metadata.get().credential());
         if (access instanceof AccessDecision.Denied denied) {
-            return Optional.of(denied.error());
+            // A newer configuration may allow it, and callers repeat a request that was refused for now.
+            return Optional.of(state.isConfigurationCurrent() ? denied.error() : ErrorKind.LOG_UNAVAILABLE);
         }
         granted = Optional.of((AccessDecision.Granted) access);
         if (!state.accepts(granted.get().route())) {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/DesiredStateListener.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/DesiredStateListener.java
@@ -170,6 +170,16 @@
     public void onRecordsRead(long askedAtMillis, long notReadForMillis) {
         askedAt = askedAtMillis;
         unreadMillis = notReadForMillis;
+        long boundMillis = state.settings().bounds().configurationMillis();
+        if (readOnce && notReadForMillis > boundMillis) {
+            state.log()
+                    .warn(
+                            "configuration_unproven",
+                            "unread_ms",
+                            Long.toString(notReadForMillis),
+                            "bound_ms",
+                            Long.toString(boundMillis));
+        }
     }
 
     /** An older record of the same key would have no effect: versions and the offsets of evacuations increase. */
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/StoreTopics.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/StoreTopics.java
@@ -36,7 +36,8 @@
                 Topic.WISHES,
                 PollIntervals.prompt(() -> state.settings().bounds().configurationMillis()),
                 TopicFollower.InitialRead.NEWEST,
-                new DesiredStateListener(state, queues, storeWatches, onConfiguration, onNewWeights));
+                new DesiredStateListener(state, queues, storeWatches, onConfiguration, onNewWeights),
+                state.desiredStateRead());
         registrations = new TargetRegistrations(state);
         targets = new TopicFollower(
                 state,
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicFollower.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicFollower.java
@@ -88,6 +88,21 @@
     /** Creates a follower that is idle until {@link #start}. */
     public TopicFollower(
             RelayState state, Topic topic, PollIntervals intervals, InitialRead reading, Listener listener) {
+        this(state, topic, intervals, reading, listener, new ReadFreshness(state.nowMillis()));
+    }
+
+    /**
+     * Creates a follower that is idle until {@link #start}.
+     *
+     * @param freshness is told up to when the topic is known to have been read
+     */
+    TopicFollower(
+            RelayState state,
+            Topic topic,
+            PollIntervals intervals,
+            InitialRead reading,
+            Listener listener,
+            ReadFreshness freshness) {
         this.state = state;
         timer = new StepTimer(state.loop());
         this.topic = topic;
@@ -97,7 +112,7 @@
         schedule = new PollSchedule(intervals, state.fleet()::livePeerCount);
         delivery = new RecordDelivery(state, topic, position.isKeyed(), listener);
         availability = new StoreAvailability(state.log(), topic, listener);
-        freshness = new ReadFreshness(state.nowMillis());
+        this.freshness = freshness;
     }
 
     /** Starts to read the topic, from the beginning of what is read initially. */
