Ask the configuration in force before each send, not only on a request's arrival

What callers saw: a request whose first target failed was run by a second one though its key, its route or its customer had been taken away in between.

Cause: RequestPlan kept route, customer and regions of the request's arrival. Lines, retries and connections that open late all end in usable() or reasonNotToSend(), which asked for targets, weights and rates only.

Change: CurrentAccess decides anew whenever another version is in force. Denied, the request has no candidates; it ends with the denial if it hasn't run, with 502 if it may have. A key that is another customer's now counts as gone. Regions, priority and isolation are the newest. Streams that have begun go on.

Not part of it: the service of a route that moved; a request goes on with the one that was chosen on its arrival.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/IncomingRequest.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/IncomingRequest.java
@@ -150,7 +150,7 @@
 
     private RequestPlan newPlan() {
         return new RequestPlan(
-                state, metadata.orElseThrow(), granted.orElseThrow(), decidedBy.orElseThrow(), arrivedAt);
+                state, metadata.orElseThrow(), head.uri(), granted.orElseThrow(), decidedBy.orElseThrow(), arrivedAt);
     }
 
     /** Returns the plan of a request that is served or rejected, by the configuration in force at the first call. */
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/RequestPlan.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/RequestPlan.java
@@ -19,7 +19,6 @@
 import org.rattanrudder.core.fleet.PlacementQuery;
 import org.rattanrudder.core.fleet.Target;
 import org.rattanrudder.core.fleet.TargetAdmission;
-import org.rattanrudder.core.gateway.AllowedRegions;
 import org.rattanrudder.core.gateway.BackendService;
 import org.rattanrudder.core.gateway.CustomerIdentity;
 import org.rattanrudder.core.gateway.EngineTraits;
@@ -67,11 +66,10 @@
     private final RelayState state;
     private final RequestMetadata metadata;
     private final ServiceRoute route;
-    private final Optional<CustomerIdentity> customer;
+    private final CurrentAccess access;
     private String service;
     private Optional<BackendService> backend;
     private Optional<EngineTraits> engine;
-    private final AllowedRegions allowedRegions;
     private final long decidedBy;
     private final long arrivedAt;
     private final long deadlineAt;
@@ -81,11 +79,13 @@
     /**
      * Creates the plan of a request that may be served.
      *
+     * @param target the request target: a path with or without a query
      * @param decidedBy the version of the configuration by which it may
      */
     RequestPlan(
             RelayState state,
             RequestMetadata metadata,
+            String target,
             AccessDecision.Granted granted,
             long decidedBy,
             long arrivedAt) {
@@ -94,10 +94,8 @@
         this.metadata = metadata;
         this.arrivedAt = arrivedAt;
         route = granted.route();
-        customer = granted.customer();
+        access = new CurrentAccess(state, metadata, target, granted, decidedBy);
         selectService(route.serviceFor(metadata.id()));
-        allowedRegions = route.allowedRegions()
-                .and(customer.map(CustomerIdentity::allowedRegions).orElse(AllowedRegions.ANY));
         long wanted = metadata.deadlineMillis().orElse(route.timeoutMillis());
         deadlineAt = arrivedAt + Math.min(wanted - CALLER_NETWORK_MILLIS, route.timeoutMillis());
         int lastShared = metadata.parts().size() - 2;
@@ -185,7 +183,7 @@
 
     /** Returns the name of its customer; empty if the route is open to all. */
     String customerName() {
-        return customer.map(CustomerIdentity::name).orElse("");
+        return access.customer().map(CustomerIdentity::name).orElse("");
     }
 
     /** Returns the average memory use over the run, in tokens: the prompt and half of the output. */
@@ -200,7 +198,7 @@
 
     /** Returns the priority; that of the customer takes precedence over that of the route. */
     int priority() {
-        OptionalInt own = customer.map(CustomerIdentity::priority).orElse(OptionalInt.empty());
+        OptionalInt own = access.customer().map(CustomerIdentity::priority).orElse(OptionalInt.empty());
         return own.orElse(route.priority());
     }
 
@@ -238,9 +236,17 @@
                 : rest;
     }
 
+    /** Returns why the configuration in force no longer allows it; a stream that has begun may go on. */
+    private Optional<ErrorKind> denial() {
+        return binding.hasBegun() ? Optional.empty() : access.denial();
+    }
+
     private List<Target> usable(long now) {
+        if (denial().isPresent()) {
+            return List.of();
+        }
         List<Target> usable = state.admission().usable(service, now);
-        return allowedRegions.names().isEmpty() && !binding.hasBegun()
+        return access.allowedRegions().names().isEmpty() && !binding.hasBegun()
                 ? usable
                 : usable.stream().filter(this::mayRunAt).toList();
     }
@@ -256,6 +262,9 @@
 
     /** Returns the error of a request that no target may run. */
     ErrorKind noTargetError() {
+        if (denial().isPresent()) {
+            return denial().get();
+        }
         if (!binding.isContinuable()) {
             return ErrorKind.STREAM_ORIGIN_UNKNOWN;
         }
@@ -324,6 +333,9 @@
 
     /** Returns why the request may no longer be sent to the target that was chosen for it, if so. */
     Optional<String> reasonNotToSend(Target target, long now) {
+        if (denial().isPresent()) {
+            return Optional.of("denied by a newer configuration");
+        }
         if (!binding.admits(target.software())) {
             return Optional.of("other software");
         }
@@ -346,7 +358,7 @@
     }
 
     private boolean allowsDomain(String failureDomain) {
-        return allowedRegions.allows(state.settings().regionOf(failureDomain));
+        return access.allowedRegions().allows(state.settings().regionOf(failureDomain));
     }
 
     /** Returns the estimate of how long calls of its plain service take. */
@@ -394,7 +406,7 @@
         Optional<Long> weights = metadata.model()
                 .map(name -> state.weightsAdmission().versionToExpect(name, target.weights(name)))
                 .filter(version -> version > 0);
-        Optional<String> salt = weights.map(version -> PartKey.salt(version, customer));
+        Optional<String> salt = weights.map(version -> PartKey.salt(version, access.customer()));
         PartPlan parts = salt.isPresent() && engine.isPresent()
                 ? state.directory()
                         .plan(
@@ -413,7 +425,7 @@
         ForwardingMetadata forwarding = new ForwardingMetadata(
                 Math.max(1, remainingMillis()),
                 target.id(),
-                customer.map(CustomerIdentity::name),
+                access.customer().map(CustomerIdentity::name),
                 weights.map(OptionalLong::of).orElse(OptionalLong.empty()),
                 salt.or(this::uniqueSalt),
                 parts,
