Go on reading a topic after an unexpected failure in handling a record or a listing

What callers saw, or would: one relay serves by its configuration for as long as it runs, whatever is published, while all others have the newer one; no line and no metric says so, and its readiness holds.

Cause: a listener's exception other than IllegalArgumentException, which stands for a malformed record, left the callback of the call before the next poll was scheduled. The client took it for an error of its connection and closed that without a word; nothing polled the topic again, and peers' reports didn't either, since no poll was due or pending.

Change: a record that can't be handled for any reason is passed over and logged with its cause; a failure anywhere else in handling an answer is logged (read_failed) and the read is repeated with the usual back-off.

That a listener failed so on the users' relay isn't shown: it is one of the ways to a relay that is old for good.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/RecordDelivery.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/RecordDelivery.java
@@ -8,7 +8,7 @@
 import org.rattanrudder.daemon.relay.port.StoreDialect.Topic;
 import org.rattanrudder.daemon.relay.process.RelayState;
 
-/** Passes a topic's records to its listener; those that are malformed are counted, logged and skipped. */
+/** Passes a topic's records to its listener; those that it can't handle are counted, logged and skipped. */
 final class RecordDelivery {
     private final RelayState state;
     private final Topic topic;
@@ -51,7 +51,13 @@
         }
     }
 
-    /** Passes a record to the handler, and returns whether it was well-formed. */
+    private static String reasonOf(RuntimeException unreadable) {
+        return unreadable instanceof IllegalArgumentException
+                ? String.valueOf(unreadable.getMessage())
+                : "unexpected: " + unreadable;
+    }
+
+    /** Passes a record to the handler, and returns whether it was handled. */
     private boolean deliver(KeyedRecord record, Consumer<KeyedRecord> handler) {
         try {
             if (keyed && record.key().isEmpty()) {
@@ -59,7 +65,7 @@
             }
             handler.accept(record);
             return true;
-        } catch (IllegalArgumentException unreadable) {
+        } catch (RuntimeException unreadable) {
             state.metrics().recordUnreadable(topic.name());
             state.log()
                     .warn(
@@ -71,7 +77,7 @@
                             "offset",
                             Long.toString(record.offset()),
                             "reason",
-                            String.valueOf(unreadable.getMessage()));
+                            reasonOf(unreadable));
             return false;
         }
     }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicFollower.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicFollower.java
@@ -140,12 +140,22 @@
         reader.poll(position.nextOffset(), wait, this::onResult);
     }
 
+    /** Handles a result; if that fails, the call is retried, since nothing else would read the topic on. */
     private void onResult(TopicReader.Result result) {
+        try {
+            handle(result);
+        } catch (RuntimeException failed) {
+            state.log().warn("read_failed", "topic", topic.name(), "cause", failed.toString());
+            onFailure("unexpected");
+        }
+    }
+
+    private void handle(TopicReader.Result result) {
         if (result instanceof TopicReader.Result.Failed failed) {
             onFailure(failed.reason());
         } else if (result instanceof TopicReader.Result.Read read) {
             availability.onSuccess();
-            handle(read);
+            handleAnswer(read);
         }
     }
 
@@ -155,7 +165,7 @@
         timer.reschedule(pollable ? this::poll : this::start, pause);
     }
 
-    private void handle(TopicReader.Result.Read read) {
+    private void handleAnswer(TopicReader.Result.Read read) {
         if (read.response() instanceof StoreResponse.Listing listing) {
             onListing(listing);
         } else if (read.response() instanceof StoreResponse.Records records) {
