--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/RelayState.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/RelayState.java
@@ -31,6 +31,7 @@
 import org.rattanrudder.core.rollout.VersionExchange;
 import org.rattanrudder.core.rollout.WeightsAdmission;
 import org.rattanrudder.core.routing.Hashing;
+import org.rattanrudder.core.topics.ReadFreshness;
 import org.rattanrudder.daemon.logging.EventLog;
 import org.rattanrudder.daemon.loop.ProcessClock;
 import org.rattanrudder.daemon.relay.port.PlatformAdapter;
@@ -76,6 +77,7 @@
             new WeightsAdmission(weights, () -> settings().bounds().weightsMillis());
     private final Map<String, MedianEstimate> callMillis = new HashMap<>();
     private Optional<ServingConfiguration> configuration = Optional.empty();
+    private final ReadFreshness desiredStateRead;
     private final EventLoopLag eventLoopLag;
     private final EventLoopLag reportLag;
     private final EventLoopLag possibleReportLag;
@@ -114,6 +116,7 @@
         updateWarmUpBounds();
         updateLearnedFigures();
         relayHash = Hashing.of(settings.instance());
+        desiredStateRead = new ReadFreshness(atMostMillis());
         eventLoopLag = new EventLoopLag(atMostMillis(), SWEEP_INTERVAL_MILLIS);
         reportLag = newReportLag(nowMillis());
         possibleReportLag = newReportLag(atMostMillis());
@@ -302,6 +305,16 @@
         return configuration;
     }
 
+    /** Returns up to when the desired state, and so the configuration, is known to have been read. */
+    public ReadFreshness desiredStateRead() {
+        return desiredStateRead;
+    }
+
+    /** Returns whether no newer configuration than the one in force can have existed for longer than the bound. */
+    public boolean isConfigurationCurrent() {
+        return desiredStateRead.ageMillis(atMostMillis()) <= settings.bounds().configurationMillis();
+    }
+
     /** Applies a configuration, unless it isn't newer than the one in force; returns whether it was applied. */
     public boolean updateConfiguration(ServingConfiguration newest) {
         if (configuration.isPresent() && configuration.get().version() >= newest.version()) {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/StoreTopics.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/StoreTopics.java
@@ -40,7 +40,8 @@
                 PollIntervals.prompt(() -> state.settings().bounds().configurationMillis()),
                 TopicFollower.InitialRead.NEWEST,
                 new DesiredStateListener(
-                        state, queues, storeWatches, onConfiguration, onNewWeights, onConfigurationsMissed));
+                        state, queues, storeWatches, onConfiguration, onNewWeights, onConfigurationsMissed),
+                state.desiredStateRead());
         desiredStateConfirmation =
                 new TopicConfirmation(state, Topic.WISHES, desiredState::readOffset, desiredState::pollNow);
         registrations = new TargetRegistrations(state);
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicFollower.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicFollower.java
@@ -95,6 +95,21 @@
     /** Creates a follower that is idle until {@link #start}. */
     public TopicFollower(
             RelayState state, Topic topic, PollIntervals intervals, InitialRead reading, Listener listener) {
+        this(state, topic, intervals, reading, listener, new ReadFreshness(state.atMostMillis()));
+    }
+
+    /**
+     * Creates a follower that is idle until {@link #start}.
+     *
+     * @param freshness is told up to when the topic is known to have been read
+     */
+    TopicFollower(
+            RelayState state,
+            Topic topic,
+            PollIntervals intervals,
+            InitialRead reading,
+            Listener listener,
+            ReadFreshness freshness) {
         this.state = state;
         timer = new StepTimer(state.loop());
         this.topic = topic;
@@ -104,7 +119,7 @@
         schedule = new PollSchedule(intervals, state.fleet()::livePeerCount);
         delivery = new RecordDelivery(state, topic, position.isKeyed(), listener);
         availability = new StoreAvailability(state.log(), topic, listener);
-        freshness = new ReadFreshness(state.atMostMillis());
+        this.freshness = freshness;
     }
 
     /** Starts to read the topic, from the beginning of what is read initially. */
@@ -132,12 +147,22 @@
         reader.poll(position.nextOffset(), wait, this::onResult);
     }
 
+    /** Handles a result; if that fails, the call is retried, since nothing else would read the topic on. */
     private void onResult(TopicReader.Result result) {
+        try {
+            handle(result);
+        } catch (RuntimeException failed) {
+            state.log().warn("read_failed", "topic", topic.name(), "cause", failed.toString());
+            onFailure("unexpected");
+        }
+    }
+
+    private void handle(TopicReader.Result result) {
         if (result instanceof TopicReader.Result.Failed failed) {
             onFailure(failed.reason());
         } else if (result instanceof TopicReader.Result.Read read) {
             availability.onSuccess();
-            handle(read);
+            handleAnswer(read);
         }
     }
 
@@ -147,7 +172,7 @@
         timer.reschedule(pollable ? this::poll : this::start, pause);
     }
 
-    private void handle(TopicReader.Result.Read read) {
+    private void handleAnswer(TopicReader.Result.Read read) {
         if (read.response() instanceof StoreResponse.Listing listing) {
             onListing(listing);
         } else if (read.response() instanceof StoreResponse.Records records) {
