Take in a stop only what is known to end in time, and look at the time again before the first send

Callers saw: a stream whose head came early in a stop, and whose body or turn came late, was passed on at 3.4 s of a grace of 5 s and ended by the stop at its end. Streams were taken for 2.6 s whatever they last; plain requests of routes with long timeouts were refused from the signal on, though they take 0.1 s. Cause: the time was looked at when a head came, and not when the request was passed on; what was known of a request's end was its route's timeout alone. A refusal for a stop doesn't wait for the body. Exchange hands the record of an attempt's end to TargetAttempt, for its length.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/gateway/ShutdownPolicy.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/gateway/ShutdownPolicy.java
@@ -1,11 +1,13 @@
 package org.rattanrudder.core.gateway;
 
+import java.util.OptionalLong;
+
 /**
  * Decides which requests a relay still accepts after it was asked to stop.
  *
- * <p>Accepted requests must end before the process is killed. A plain request ends by its route's timeout at the
- * latest. A stream may run for many seconds, so one is accepted only while callers can't yet know that the relay is
- * stopping.
+ * <p>Accepted requests must end before the process is killed. A request ends by its route's timeout and its caller's
+ * deadline at the latest, and is expected to take no longer than those before it on its route. A stream that takes
+ * longer can only be cut, so one is accepted only while callers can't yet know that the relay is stopping.
  */
 public final class ShutdownPolicy {
     /**
@@ -57,17 +59,31 @@
         return Math.min(MAX_EXIT_MARGIN_MILLIS, (long) (graceMillis * EXIT_MARGIN_SHARE));
     }
 
+    /** Returns how long before the process is killed answers that aren't sent in full are cut. */
+    public static long cutMarginMillis(long graceMillis) {
+        return exitMarginMillis(graceMillis) / 2;
+    }
+
     /**
      * Returns whether a request is accepted.
      *
-     * @param route its route
+     * @param stream whether its response is a stream
+     * @param boundMillis the time after which it ends at the latest, by its deadline
+     * @param usualMillis how long such requests take at most; empty if unknown
      * @param sinceMillis how long ago the relay was asked to stop
      * @param graceMillis the time from the stop request until the process is killed
      */
-    public static boolean accepts(ServiceRoute route, long sinceMillis, long graceMillis) {
-        if (route.repeat().stream()) {
-            return sinceMillis <= callerDrainMillis(graceMillis);
+    public static boolean accepts(
+            boolean stream, long boundMillis, OptionalLong usualMillis, long sinceMillis, long graceMillis) {
+        if (stream && sinceMillis > callerDrainMillis(graceMillis)) {
+            return false;
         }
-        return sinceMillis + route.timeoutMillis() <= graceMillis - exitMarginMillis(graceMillis);
+        return finishes(boundMillis, usualMillis, sinceMillis, graceMillis);
+    }
+
+    /** Returns whether a request that is sent to a target now is known to end in time; parameters as above. */
+    public static boolean finishes(long boundMillis, OptionalLong usualMillis, long sinceMillis, long graceMillis) {
+        long longest = Math.min(boundMillis, usualMillis.orElse(Long.MAX_VALUE));
+        return sinceMillis + longest <= graceMillis - exitMarginMillis(graceMillis);
     }
 }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/RelayMetrics.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/RelayMetrics.java
@@ -10,6 +10,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.DoubleSupplier;
@@ -17,6 +18,7 @@
 import org.rattanrudder.core.continuation.OriginExchange.Source;
 import org.rattanrudder.core.fleet.QueueForecast.Forecast;
 import org.rattanrudder.core.fleet.TargetAdmission;
+import org.rattanrudder.core.gateway.AttemptOutcome;
 import org.rattanrudder.core.gateway.BodyPosition;
 import org.rattanrudder.core.gateway.ResponseEnd;
 import org.rattanrudder.core.memory.ByteUse;
@@ -201,6 +203,11 @@
         attempts.labelValues(service, outcome).inc();
     }
 
+    /** Records an attempt that failed, by its outcome. */
+    public void recordFailedAttempt(String service, AttemptOutcome outcome) {
+        recordAttempt(service, outcome.name().toLowerCase(Locale.ROOT));
+    }
+
     /** Records how the body of a target's response ended, and where in its content. */
     public void recordResponseEnd(String service, ResponseEnd end, BodyPosition position) {
         responseEnds.labelValues(service, end.wireName(), position.wireName()).inc();
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/RelayState.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/RelayState.java
@@ -18,6 +18,7 @@
 import org.rattanrudder.core.gateway.CallerLimits;
 import org.rattanrudder.core.gateway.ConnectionGate;
 import org.rattanrudder.core.gateway.EventLoopLag;
+import org.rattanrudder.core.gateway.RecentDurations;
 import org.rattanrudder.core.gateway.ServiceRoute;
 import org.rattanrudder.core.gateway.ServingConfiguration;
 import org.rattanrudder.core.gateway.ShutdownPolicy;
@@ -74,6 +75,7 @@
     private final WeightsAdmission weightsAdmission =
             new WeightsAdmission(weights, () -> settings().bounds().weightsMillis());
     private final Map<String, MedianEstimate> callMillis = new HashMap<>();
+    private final Map<String, RecentDurations> durations = new HashMap<>();
     private Optional<ServingConfiguration> configuration = Optional.empty();
     private final EventLoopLag eventLoopLag;
     private final EventLoopLag reportLag;
@@ -350,9 +352,29 @@
         return draining && nowMillis() - drainingSince > ShutdownPolicy.callerDrainMillis(graceMillis());
     }
 
-    /** Returns whether a request on the route is still accepted. */
-    public boolean accepts(ServiceRoute route) {
-        return !stopping || ShutdownPolicy.accepts(route, nowMillis() - stoppingSince, graceMillis());
+    /** Returns whether a request on the route is still accepted that ends by a deadline. */
+    public boolean accepts(ServiceRoute route, long deadlineAt) {
+        long now = nowMillis();
+        return !stopping
+                || ShutdownPolicy.accepts(
+                        route.repeat().stream(),
+                        deadlineAt - now,
+                        durations(route).limitMillis(),
+                        now - stoppingSince,
+                        graceMillis());
+    }
+
+    /** Returns whether a request that is sent to a target now is known to end before the process does. */
+    public boolean finishesBeforeStop(ServiceRoute route, long deadlineAt) {
+        long now = nowMillis();
+        return !stopping
+                || ShutdownPolicy.finishes(
+                        deadlineAt - now, durations(route).limitMillis(), now - stoppingSince, graceMillis());
+    }
+
+    /** Returns how long the last requests on a route took. */
+    public RecentDurations durations(ServiceRoute route) {
+        return durations.computeIfAbsent(route.name(), unseen -> new RecentDurations());
     }
 
     /** Returns whether the process was asked to stop. */
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/Exchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/Exchange.java
@@ -3,9 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.concurrent.ScheduledFuture;
-import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
@@ -171,11 +169,7 @@
         refuse(plan.noTargetError(), "no target");
     }
 
-    /**
-     * Ends the request before its response has begun, unless it has ended.
-     *
-     * @param notRun the error if no target may have run it
-     */
+    /** Ends the request before its response has begun, unless it has ended; the error says that it hasn't run. */
     private void refuse(ErrorKind notRun, String reason) {
         if (!ended) {
             finish(reply.fail(history.mayHaveRun() ? ErrorKind.TARGET_FAILED : notRun, reason));
@@ -192,7 +186,7 @@
     }
 
     private void sendTo(Placement.Choice choice) {
-        if (refuseIfQuarantined() || endIfOverdue()) {
+        if (refuseIfQuarantined() || endIfOverdue() || refuseIfStopComesFirst()) {
             return;
         }
         Target target = choice.target();
@@ -223,6 +217,15 @@
         return true;
     }
 
+    /** Refuses the request if it hasn't run and may still run when the process ends; returns whether it did. */
+    private boolean refuseIfStopComesFirst() {
+        if (history.mayHaveRun() || state.finishesBeforeStop(plan.route(), plan.deadlineAt())) {
+            return false;
+        }
+        finish(reply.fail(ErrorKind.DRAINING, "the process may end first"));
+        return true;
+    }
+
     private void onConnected(Target target, TargetConnection opened) {
         boolean left = state.eventLoopLag().isLate(state.nowMillis()) && caller.hasDisconnected();
         if (ended || left || endIfOverdue()) {
@@ -236,7 +239,7 @@
             onNotSent(target, "unreachable");
             return;
         }
-        if (refuseIfQuarantined()) {
+        if (refuseIfQuarantined() || refuseIfStopComesFirst()) {
             target.cancelSend();
             components.pools().release(target, opened);
             return;
@@ -253,8 +256,7 @@
     private void onNotSent(Target target, String reason) {
         target.cancelSend();
         log.failed(target.id(), AttemptOutcome.NOT_SENT, reason, 0, forwarder.hasBegun());
-        state.metrics()
-                .recordAttempt(plan.service(), AttemptOutcome.NOT_SENT.name().toLowerCase(Locale.ROOT));
+        state.metrics().recordFailedAttempt(plan.service(), AttemptOutcome.NOT_SENT);
         retryOrEnd(AttemptOutcome.NOT_SENT, reason);
     }
 
@@ -371,16 +373,13 @@
             return;
         }
         forwarder.complete();
-        Target target = attempt.target();
         long now = state.nowMillis();
-        if (forwarder.status() >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code()) {
-            target.recordFailure(0, now);
-        } else {
+        if (attempt.recordComplete(plan, forwarder.status(), now)) {
             quarantine.onAnswered(attempt.sentAt(), forwarder.status());
-            long taken = plan.route().repeat().stream() ? attempt.firstByteMillis() : now - attempt.sentAt();
-            attempt.recordSuccess(plan, taken, now);
         }
-        endAttempt("answered");
+        state.durations(plan.route()).record(now - plan.arrivedAt());
+        endAttempt();
+        state.metrics().recordAttempt(plan.service(), "answered");
         finish(new FinalReply.Ending(Integer.toString(forwarder.status()), "passed on"));
     }
 
@@ -418,45 +417,44 @@
     /** Records and ends a failed attempt. */
     private void failAttempt(AttemptOutcome outcome, String reason) {
         Target target = attempt.target();
-        long after = state.nowMillis() - attempt.sentAt();
-        if (outcome.mayHaveRun() && outcome != AttemptOutcome.WITHDRAWN) {
-            target.recordFailure(after, state.nowMillis());
-        }
+        long after = attempt.recordFailure(outcome, state.nowMillis());
         if (outcome == AttemptOutcome.BROKEN) {
-            target.onMayHaveEnded(state.nowMillis());
             log.broken(attempt, reason, after, forwarder.hasBegun(), quarantine.fingerprint());
             quarantine.onConnectionBroken(target, attempt.sentAt());
         } else {
             log.failed(target.id(), outcome, reason, after, forwarder.hasBegun());
         }
-        endAttempt(outcome.name().toLowerCase(Locale.ROOT));
+        endAttempt();
+        state.metrics().recordFailedAttempt(plan.service(), outcome);
     }
 
-    private void endAttempt(String outcome) {
+    private void endAttempt() {
         inactivity.stop();
         attempt.finish();
         // Paused for a slow caller, it would never read the response to its next request.
         attempt.connection().setReading(true);
         attempt = null;
         forwarder.discard();
-        state.metrics().recordAttempt(plan.service(), outcome);
         components.queues().dispatchQueued(plan.service());
     }
 
     private void onDeadline() {
+        state.durations(plan.route()).record(state.nowMillis() - plan.arrivedAt());
         abandon(ErrorKind.DEADLINE_UNREACHABLE, "deadline");
     }
 
-    /** Called when the process shuts down before the request has ended. */
-    void onShutdown() {
+    /** Gives the caller a final response since the process ends soon; one that has begun may go on until the cut. */
+    boolean onShutdown() {
+        return !forwarder.hasBegun() && cut();
+    }
+
+    /** Ends the request since the process ends now; returns true. */
+    boolean cut() {
         abandon(ErrorKind.DRAINING, "process ends");
+        return true;
     }
 
-    /**
-     * Ends the request regardless of its attempt's state.
-     *
-     * @param unsent the error for a request that was never sent
-     */
+    /** Ends the request regardless of its attempt's state; the error is for one that was never sent. */
     private void abandon(ErrorKind unsent, String reason) {
         if (ended) {
             return;
@@ -480,7 +478,8 @@
         }
         if (attempt != null) {
             attempt.connection().abort();
-            endAttempt("cancelled");
+            endAttempt();
+            state.metrics().recordAttempt(plan.service(), "cancelled");
         }
         finish(new FinalReply.Ending("cancelled", "caller left"));
     }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/IncomingRequest.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/IncomingRequest.java
@@ -80,9 +80,21 @@
             problem = problem.or(() -> Optional.of(ErrorKind.BODY_TOO_LARGE));
             return Next.REFUSE_UNREAD;
         }
+        if (isRefusedForStop()) {
+            return hasBody() ? Next.REFUSE_UNREAD : Next.READ;
+        }
         return isRefused() ? Next.READ : openBody(maxBytes);
     }
 
+    /** Returns whether the request is refused because the relay is stopping; its caller should go elsewhere. */
+    boolean isRefusedForStop() {
+        return problem.filter(ErrorKind.DRAINING::equals).isPresent();
+    }
+
+    private boolean hasBody() {
+        return declaredBytes > 0 || HttpUtil.isTransferEncodingChunked(head);
+    }
+
     private static ErrorKind decodeError(Throwable cause) {
         boolean tooLong = cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException;
         return tooLong ? ErrorKind.HEADERS_TOO_LARGE : ErrorKind.MALFORMED_REQUEST;
@@ -103,7 +115,7 @@
             return Optional.of(denied.error());
         }
         granted = Optional.of((AccessDecision.Granted) access);
-        if (!state.accepts(granted.get().route())) {
+        if (!state.accepts(granted.get().route(), planForNow().deadlineAt())) {
             return Optional.of(ErrorKind.DRAINING);
         }
         if (components.queues().rejection().isOn()) {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/TargetAttempt.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/TargetAttempt.java
@@ -1,5 +1,6 @@
 package org.rattanrudder.daemon.relay.serving;
 
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -8,6 +9,7 @@
 import org.rattanrudder.core.fleet.FirstEventSample.CapacityAtSend;
 import org.rattanrudder.core.fleet.MedianEstimate;
 import org.rattanrudder.core.fleet.Target;
+import org.rattanrudder.core.gateway.AttemptOutcome;
 import org.rattanrudder.core.gateway.BodyPosition;
 import org.rattanrudder.core.gateway.ResponseEnd;
 import org.rattanrudder.core.parts.PartDirectory;
@@ -106,12 +108,34 @@
         }
     }
 
+    /** Records that the attempt has failed; returns how long after it was sent, in ms. */
+    long recordFailure(AttemptOutcome outcome, long nowMillis) {
+        long after = nowMillis - sentAt;
+        if (outcome.mayHaveRun() && outcome != AttemptOutcome.WITHDRAWN) {
+            target.recordFailure(after, nowMillis);
+        }
+        if (outcome == AttemptOutcome.BROKEN) {
+            target.onMayHaveEnded(nowMillis);
+        }
+        return after;
+    }
+
+    /** Records that a response with a status is complete; returns whether the target has succeeded. */
+    boolean recordComplete(RequestPlan plan, int status, long nowMillis) {
+        if (status >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code()) {
+            target.recordFailure(0, nowMillis);
+            return false;
+        }
+        recordSuccess(plan, plan.route().repeat().stream() ? firstByteMillis : nowMillis - sentAt, nowMillis);
+        return true;
+    }
+
     /**
      * Records that the response is complete.
      *
      * @param takenMillis the time to the first byte of a stream, or to the end of any other response
      */
-    void recordSuccess(RequestPlan plan, long takenMillis, long nowMillis) {
+    private void recordSuccess(RequestPlan plan, long takenMillis, long nowMillis) {
         if (plan.engine().isPresent()) {
             int prompt = plan.metadata().promptTokens();
             double expected = hasBegun() ? expectedMillis : target.capacity().firstEventMillis(prompt, nowMillis);
