End a stop once callers are owed nothing, and cut nothing before its end

Callers saw: 2.6 s after SIGTERM connections were closed whose answers weren't sent in full yet, and the process ended with 4 s of grace left; requests that were read behind another, or still being read, got no answer. Cause: five places asked what is still owed, and each knew a part: the look at idle connections, the idle timeout, the drain, the end of the grace, the exit. Change: CallerConnection.owes is asked by all. The idle timeout counts from the last byte that the caller took. An answer in front of requests that were read keeps its connection while the relay stops, and each of them is answered. Near the end whoever waits gets a last answer, also for a request that is still read; answers that have begun go on until half of the margin is left and are then cut so that they don't look complete. The stop has a timer of its own. Why it works: the exit can't come before the last byte has left, and whoever closes a connection asks the same question.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
@@ -104,7 +104,7 @@
                 placements,
                 fetchLateness));
         targetStateLog = new TargetStateLog(state);
-        shutdown = new GracefulShutdown(state, callers::isBusy, callers::onShutdown, this::sweep);
+        shutdown = new GracefulShutdown(state, callers, this::stopListening);
         new CapacityGauges(state).register();
         state.metrics().gauge("rattanrudder_relay_connections", "Callers' connections", callers::size);
         callerListener = listen(group, settings.callers(), callers.channels());
@@ -196,21 +196,19 @@
     private void sweep() {
         long now = state.nowMillis();
         state.eventLoopLag().onTaskRun(now);
-        boolean closeIdle = state.isRefusingRequests();
-        if (closeIdle && callerListener.isOpen()) {
-            callerListener.close();
-        }
-        // If the event loop is late, callers' data may be unread and their connections only seem idle. During shutdown
-        // there is no time to wait for that.
-        if (closeIdle || !state.eventLoopLag().isLate(now)) {
-            callers.sweep(now, closeIdle);
+        // If the event loop is late, callers' data may be unread and their connections only seem idle.
+        if (!state.eventLoopLag().isLate(now)) {
+            callers.sweep(now, false);
         }
         memory.update();
         pools.sweep(Set.copyOf(state.fleet().all(now)), now);
         targetStateLog.update(now);
         storeWatches.evictOutdatedParts(now);
         quarantine.sweep();
-        shutdown.checkFinished(now);
+    }
+
+    private void stopListening() {
+        callerListener.close();
     }
 
     /** Applies those reloaded settings that may change while a relay runs. */
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/CallerConnection.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/CallerConnection.java
@@ -1,20 +1,12 @@
 package org.rattanrudder.daemon.relay.serving;
 
-import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelOutboundBuffer;
-import io.netty.channel.nio.AbstractNioChannel;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.EventExecutor;
-import java.net.InetSocketAddress;
-import java.net.SocketAddress;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.rattanrudder.core.memory.ByteUse;
@@ -43,6 +35,7 @@
     private String address;
     private ChannelHandlerContext context;
     private ResponseWriter writer;
+    private CallerSocket socket;
     private IncomingRequest request;
     private boolean waitsForRoom;
     private Exchange exchange;
@@ -63,28 +56,19 @@
     @Override
     public void channelActive(ChannelHandlerContext active) {
         context = active;
-        address = hostOf(active.channel().remoteAddress());
+        lastReadAt = state.nowMillis();
+        socket = new CallerSocket(active.channel(), lastReadAt);
+        address = socket.host();
         queued = new QueuedMessages(memory.holding(ByteUse.REQUEST, address));
         partialHead = memory.holding(ByteUse.REQUEST, address);
-        writer = new ResponseWriter(state, active, new UnsentBytes(memory, address, this::onCallerProgress));
-        lastReadAt = state.nowMillis();
+        UnsentBytes unsent = new UnsentBytes(memory, address, this::onCallerProgress);
+        writer = new ResponseWriter(state, active, unsent, () -> !queued.isEmpty());
         connections.add(this);
     }
 
-    private static String hostOf(SocketAddress remote) {
-        return remote instanceof InetSocketAddress known ? known.getAddress().getHostAddress() : "unknown";
-    }
-
-    /**
-     * Reads pending bytes without waiting for the next iteration of the event loop, and returns whether the connection
-     * was closed; its exchange is cancelled soon after. Iterations are long while CPU is short, and ready connections
-     * are handled in any order: a request would be sent on before the close of its connection is read.
-     */
+    /** Reads pending bytes at once; returns whether the connection was closed, so that its exchange is cancelled. */
     boolean hasDisconnected() {
-        if (context.channel().isActive() && context.channel().unsafe() instanceof AbstractNioChannel.NioUnsafe socket) {
-            socket.read();
-        }
-        return !context.channel().isActive();
+        return socket.hasDisconnected();
     }
 
     /** Records raw bytes, which may be a part of a request head. */
@@ -178,7 +162,12 @@
         request = new IncomingRequest(components, head, address);
         writer.onRequest(head);
         switch (request.decide()) {
-            case REFUSE_UNREAD -> refuseUnread(request.problem().orElseThrow());
+            case REFUSE_UNREAD -> {
+                // Behind it a whole request may wait, which needs a response too.
+                if (!request.isRefusedForStop() || queued.isEmpty()) {
+                    refuseUnread(request.problem().orElseThrow());
+                }
+            }
             case WAIT -> waitForTurn(request.declaredBytes());
             case READ -> {
                 if (request.rejection().isPresent() && request.expectsContinue()) {
@@ -194,8 +183,7 @@
 
     private void continueIfExpected() {
         if (request.expectsContinue()) {
-            context.writeAndFlush(new DefaultFullHttpResponse(
-                    HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+            writer.goOn();
         }
     }
 
@@ -267,6 +255,9 @@
         if (request.problem().isPresent()) {
             ErrorKind error = request.problem().get();
             request.logDenied(error);
+            if (request.isRefusedForStop() && queued.isEmpty()) {
+                request.endConnection();
+            }
             writer.error(error, request.id(), request.remainingMillis());
             nextRequest();
             return;
@@ -313,16 +304,16 @@
         } else {
             request.logDenied(error);
             request.endConnection();
-            writer.error(error, request.id(), 0);
+            writer.error(error, request.id(), request.remainingMillis());
         }
-        closeGracefully();
+        closeWith(error == ErrorKind.DRAINING ? gracefulClose().afterBody() : gracefulClose());
     }
 
     /** Replies to a request that was rejected by its head, before its body is read, and closes the connection. */
     private void rejectUnread() {
         request.endConnection();
         replyRejected();
-        closeWith(new GracefulClose(context, state::nowMillis, () -> lastReadAt).afterBody());
+        closeWith(gracefulClose().afterBody());
     }
 
     /** Continues with the next request after an exchange has ended. */
@@ -359,14 +350,18 @@
 
     /** Drops what was read of requests and closes the connection once everything written was sent. */
     private void closeGracefully() {
-        closeWith(new GracefulClose(context, state::nowMillis, () -> lastReadAt));
+        closeWith(gracefulClose());
+    }
+
+    private GracefulClose gracefulClose() {
+        return new GracefulClose(context, state::nowMillis, () -> lastReadAt);
     }
 
     private void closeWith(GracefulClose close) {
         closing = true;
         forgetUnserved();
         request = null;
-        close.start(state.limits().idleTimeoutMillis());
+        close.start();
     }
 
     /** Gives back all that is held for requests that no exchange serves. */
@@ -380,63 +375,94 @@
 
     /** Closes the connection if the caller is too slow or idle; called periodically. */
     void sweep(long nowMillis, boolean closeIdle) {
-        if (exchange != null || isClosing() || waitsForRoom) {
+        socket.update(nowMillis);
+        long idleTimeout = state.limits().idleTimeoutMillis();
+        if (exchange != null || waitsForRoom) {
             return;
         }
-        if (request != null) {
+        if (isClosing() || request == null && partialHeadSince < 0 && owes()) {
+            if (socket.isStalled(nowMillis, idleTimeout)) {
+                cut("stalled");
+            }
+        } else if (request != null) {
             if (request.isOverdue(lastReadAt)) {
-                onOverdue();
+                refusePartial(ErrorKind.REQUEST_TIMEOUT);
             }
         } else if (partialHeadSince >= 0 && queued.isEmpty()) {
             if (nowMillis - partialHeadSince > state.limits().headerTimeoutMillis()) {
                 refuseUnread(ErrorKind.REQUEST_TIMEOUT);
             }
-        } else if (closeIdle || nowMillis - lastReadAt > state.limits().idleTimeoutMillis()) {
-            logIfCut("sweep");
+        } else if (closeIdle || nowMillis - lastReadAt > idleTimeout) {
+            closeIdle();
+        }
+    }
+
+    /** Closes the connection unless a request waits unread in its socket. */
+    private void closeIdle() {
+        if (!hasDisconnected() && !owes()) {
             closing = true;
             context.close();
         }
     }
 
-    /** Answers a request whose body comes too slowly. */
-    private void onOverdue() {
+    /** Answers a request that isn't read in full and won't be; the error is that of one which isn't refused yet. */
+    private void refusePartial(ErrorKind error) {
         if (request.rejection().isPresent()) {
             rejectUnread();
         } else {
-            refuseUnread(request.problem().orElse(ErrorKind.REQUEST_TIMEOUT));
+            refuseUnread(request.problem().orElse(error));
         }
     }
 
-    /** Returns whether a request is being read or served, or a response isn't sent in full. */
-    boolean isBusy() {
-        return exchange != null || request != null || partialHeadSince >= 0 || hasUnsent();
-    }
-
-    private boolean hasUnsent() {
-        return unsentBytes() > 0;
-    }
-
-    private long unsentBytes() {
-        ChannelOutboundBuffer unsent = context.channel().unsafe().outboundBuffer();
-        return unsent == null ? 0 : unsent.totalPendingWriteBytes();
+    /**
+     * Returns whether the caller is owed anything: the response to a request that is read or served, bytes of a
+     * response, or the time to receive them before the connection is closed.
+     */
+    boolean owes() {
+        return exchange != null
+                || request != null
+                || partialHeadSince >= 0
+                || !queued.isEmpty()
+                || socket.unsentBytes() > 0
+                || isClosing();
     }
 
-    /** Ends the exchange on shutdown; its caller gets a final response. */
-    void onShutdown() {
+    /**
+     * Gives a caller that waits a final response since the process ends soon; a response that has begun goes on.
+     * Returns whether it did.
+     */
+    boolean onShutdown() {
         if (exchange != null) {
-            exchange.onShutdown();
-        } else if (waitsForRoom) {
+            return exchange.onShutdown();
+        }
+        if (isClosing() || request == null && partialHeadSince < 0) {
+            return false;
+        }
+        if (waitsForRoom) {
             memory.withdraw(this);
             waitsForRoom = false;
+        }
+        if (request == null) {
             refuseUnread(ErrorKind.DRAINING);
+        } else {
+            refusePartial(ErrorKind.DRAINING);
         }
+        return true;
     }
 
-    /** Logs what the caller is still owed on a connection that is closed. */
-    private void logIfCut(String cause) {
-        if (hasUnsent() || !queued.isEmpty()) {
-            new StopLog(state).connectionCut(cause, unsentBytes(), !queued.isEmpty());
+    /** Ends a response that isn't sent in full so that it doesn't look complete; returns whether there was one. */
+    boolean cut(String cause) {
+        long unsent = socket.unsentBytes();
+        if (exchange == null && unsent == 0) {
+            return false;
+        }
+        new StopLog(state).connectionCut(cause, unsent, !queued.isEmpty());
+        if (exchange != null) {
+            return exchange.cut();
         }
+        closing = true;
+        writer.abort();
+        return true;
     }
 
     @Override
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/CallerServer.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/CallerServer.java
@@ -8,10 +8,11 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import org.rattanrudder.daemon.relay.process.GracefulShutdown;
 import org.rattanrudder.daemon.relay.process.RelayState;
 
 /** Serves the connections of callers: sets up their channels, checks them periodically, and ends them on shutdown. */
-public final class CallerServer {
+public final class CallerServer implements GracefulShutdown.Callers {
     /**
      * Factor by which the decoder's limit on the head exceeds the configured one; their byte counts differ slightly.
      */
@@ -54,14 +55,28 @@
         List.copyOf(callers).forEach(caller -> caller.sweep(nowMillis, closeIdle));
     }
 
-    /** Returns whether a request is being read or served, or a response isn't sent in full. */
-    public boolean isBusy() {
-        return callers.stream().anyMatch(CallerConnection::isBusy);
+    @Override
+    public void closeIdle() {
+        sweep(components.state().nowMillis(), true);
     }
 
-    /** Ends all requests on shutdown; their callers get a final response. */
-    public void onShutdown() {
-        List.copyOf(callers).forEach(CallerConnection::onShutdown);
+    @Override
+    public boolean areOwed() {
+        return callers.stream().anyMatch(CallerConnection::owes);
+    }
+
+    @Override
+    public long endRequests() {
+        return List.copyOf(callers).stream()
+                .filter(CallerConnection::onShutdown)
+                .count();
+    }
+
+    @Override
+    public long cut() {
+        return List.copyOf(callers).stream()
+                .filter(caller -> caller.cut("process ends"))
+                .count();
     }
 
     /** Notifies a connection of bytes before they are decoded. */
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/GracefulClose.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/GracefulClose.java
@@ -11,7 +11,7 @@
  * last response: callers may send all of a request before they read its response.
  *
  * <p>The linger time starts once all was sent: started at the last write, it would cut off what a slow reader hasn't
- * received yet. A caller that reads nothing any more is closed after the idle timeout.
+ * received yet. Whoever looks at connections periodically closes one whose caller takes nothing any more.
  */
 final class GracefulClose {
     /** How long the connection is still read after its last byte. */
@@ -44,7 +44,7 @@
     }
 
     /** Begins to close; what arrives from now on should be dropped. */
-    void start(long idleTimeoutMillis) {
+    void start() {
         context.channel().config().setAutoRead(true);
         if (context.channel() instanceof SocketChannel socket && socket.isActive()) {
             context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(written -> {
@@ -52,7 +52,6 @@
                 lingersSince = clock.getAsLong();
                 after(LINGER_MILLIS, this::closeIfIdle);
             });
-            after(maxLingerMillis + idleTimeoutMillis, context::close);
         }
     }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/ResponseWriter.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/ResponseWriter.java
@@ -13,10 +13,12 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import org.rattanrudder.core.memory.Holding;
 import org.rattanrudder.core.model.ErrorKind;
 import org.rattanrudder.daemon.relay.process.RelayState;
@@ -31,15 +33,21 @@
     private final LocalReplies localReplies;
     private final ChannelHandlerContext context;
     private final UnsentBytes unsent;
+    private final BooleanSupplier followed;
     private HttpRequest head;
     private boolean chunked;
     private boolean connectionEnds;
 
-    /** Creates a writer that counts what the caller doesn't take at once. */
-    ResponseWriter(RelayState state, ChannelHandlerContext context, UnsentBytes unsent) {
+    /**
+     * Creates a writer that counts what the caller doesn't take at once.
+     *
+     * @param followed returns whether more was read behind the request whose response is written
+     */
+    ResponseWriter(RelayState state, ChannelHandlerContext context, UnsentBytes unsent, BooleanSupplier followed) {
         this.state = state;
         this.context = context;
         this.unsent = unsent;
+        this.followed = followed;
         localReplies = new LocalReplies(state.platform().requests(), state.random());
     }
 
@@ -82,6 +90,12 @@
         return context.channel().isWritable() && unsent.allowsMore();
     }
 
+    /** Asks the caller for the body of its request. */
+    void goOn() {
+        context.writeAndFlush(
+                new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+    }
+
     /**
      * Writes a local error reply.
      *
@@ -163,7 +177,7 @@
     private void setKeepAlive(HttpResponse response) {
         boolean keep = head != null
                 && HttpUtil.isKeepAlive(head)
-                && !state.isDraining()
+                && (!state.isDraining() || followed.getAsBoolean())
                 && !head.decoderResult().isFailure();
         connectionEnds |= !keep;
         if (!keep) {
