Close a connection whose caller takes next to nothing of its answer for the idle timeout

With the idle timeout counted from the last byte taken, a caller that takes a byte now and then could hold an answer's rest for hours, where it had one idle timeout before. The deadline of a request is looked at only while the relay is stopping: before that it isn't needed.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/CallerSocket.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/CallerSocket.java
@@ -4,17 +4,17 @@
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.nio.AbstractNioChannel;
 import java.net.InetSocketAddress;
+import org.rattanrudder.core.gateway.SendProgress;
 
 /** The socket of a caller: whether the caller is still there, and takes what was written. */
 final class CallerSocket {
     private final Channel channel;
-    private long unsentBefore;
-    private long progressAt;
+    private final SendProgress progress;
 
     /** Creates one for a channel to which nothing was written. */
     CallerSocket(Channel channel, long nowMillis) {
         this.channel = channel;
-        progressAt = nowMillis;
+        progress = new SendProgress(nowMillis);
     }
 
     /** Returns the caller's address, without its port. */
@@ -45,15 +45,12 @@
     /** Records how much waits now; called periodically. */
     void update(long nowMillis) {
         ChannelOutboundBuffer unsent = channel.unsafe().outboundBuffer();
-        long now = unsent == null ? 0 : unsent.totalPendingWriteBytes() - unsent.currentProgress();
-        if (now == 0 || now != unsentBefore) {
-            progressAt = nowMillis;
-        }
-        unsentBefore = now;
+        long bytes = unsent == null ? 0 : unsent.totalPendingWriteBytes() - unsent.currentProgress();
+        progress.update(bytes, nowMillis);
     }
 
-    /** Returns whether the caller has taken nothing of what waits for longer than the given time. */
+    /** Returns whether the caller has taken next to nothing of what waits for longer than the given time. */
     boolean isStalled(long nowMillis, long idleTimeoutMillis) {
-        return unsentBytes() > 0 && nowMillis - progressAt > idleTimeoutMillis;
+        return unsentBytes() > 0 && progress.isStalled(nowMillis, idleTimeoutMillis);
     }
 }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/IncomingRequest.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/IncomingRequest.java
@@ -115,7 +115,8 @@
             return Optional.of(denied.error());
         }
         granted = Optional.of((AccessDecision.Granted) access);
-        if (!state.accepts(granted.get().route(), planForNow().deadlineAt())) {
+        if (state.isStopping()
+                && !state.accepts(granted.get().route(), planForNow().deadlineAt())) {
             return Optional.of(ErrorKind.DRAINING);
         }
         if (components.queues().rejection().isOn()) {
