End queued requests that a new configuration denies at once, so that no other waits behind them

What callers saw, since sends ask the configuration in force: a prompt whose route was taken away waited until its time was over, 503 after 4 s, and a line moves on only once its first request is sent, so that those behind it waited too.

Cause: lines were looked through for requests without candidates only when targets or evacuations changed.

Change: also when a configuration comes into force.

Measured after: ChangedConfigurationTest 5 of 5; AbandonedRequestsTest, LastReadyRelayTest, PausedRelayTest, RateLimitTest 12, RejoinedStreamsTest 6, RelayBodiesTest 5, StopTest 3, StreamRelayTest 10, TargetCrashTest 4, UnreadMembersTest 7 hold.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/DesiredStateListener.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/DesiredStateListener.java
@@ -36,7 +36,7 @@
     /**
      * Creates a listener that has handled no record.
      *
-     * @param queues is told when an evacuation has begun or ended
+     * @param queues is told when an evacuation has begun or ended, and when a configuration has come into force
      * @param storeWatches watches the context stores of the configuration
      * @param onConfiguration receives each configuration that has come into force
      * @param onNewWeights is run when a newer version of weights was published
@@ -107,6 +107,8 @@
                         "stores",
                         Integer.toString(configuration.stores().size()));
         storeWatches.update(configuration.stores());
+        // Others wait behind a queued request that no target may run any more.
+        queues.onUsableTargetsChanged();
     }
 
     private void logNotNewer(ServingConfiguration configuration, long offset) {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/StoreTopics.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/StoreTopics.java
@@ -20,7 +20,7 @@
     /**
      * Creates followers that are idle until {@link #start}.
      *
-     * @param queues is told when an evacuation has begun or ended
+     * @param queues is told when an evacuation has begun or ended, and when a configuration has come into force
      * @param storeWatches watches the context stores of the configuration
      * @param onConfiguration receives each configuration that has come into force
      * @param onNewWeights is run when a newer version of weights was published
