Take idle connections that a target has all closed for a sign of its end

What callers could see: a target that keeps its ID restarts with other software between two requests of a relay. Its streams were taken for those of the registered software and went on there, in one whole answer.

Seen to fail before (RestartedUnseenTest with the idle connections closed): the answer ended whole, its rest sent by another engine (expected: false but was: true). Now the software is unknown from then on until the target would have registered again, as after a broken request, and the stream is broken off; without the close it goes on as before.

Only targets whose records name a start are concerned: others have a new ID after each start. Cost: one that closes idle connections early counts as doubtful for some seconds. A first variant, only with no request in flight, didn't act: a request that waits for its connection is counted as in flight.

Measured: RestartedUnseenTest (2 cases) holds.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/targets/TargetPools.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/targets/TargetPools.java
@@ -76,6 +76,11 @@
     private static final class Pool {
         private final Deque<TargetConnection> idle = new ArrayDeque<>();
         private boolean redialScheduled;
+
+        /** Returns whether its target has closed all of its idle connections, as one does that ends. */
+        boolean isClosedByTarget() {
+            return !idle.isEmpty() && idle.stream().noneMatch(TargetConnection::isActive);
+        }
     }
 
     /** A request that waits for a connection until it gets one or times out. */
@@ -106,6 +111,7 @@
     public void acquire(Target target, boolean repeatable, Consumer<TargetConnection> then) {
         long nowMillis = clock.getAsLong();
         Pool pool = pools.computeIfAbsent(target, unseen -> new Pool());
+        noticeClosed(target, pool);
         while (!pool.idle.isEmpty()) {
             TargetConnection connection = pool.idle.pollLast();
             if (connection.isActive() && isReusable(connection, repeatable, nowMillis)) {
@@ -119,6 +125,13 @@
         InactivityTimer.start(loop, () -> onDialTimeout(target, pending), dialTimeout.millis());
     }
 
+    /** Has the target's software count as unknown if its process may have ended while no request was at it. */
+    private void noticeClosed(Target target, Pool pool) {
+        if (pool.isClosedByTarget()) {
+            target.onMayHaveEnded(clock.getAsLong());
+        }
+    }
+
     /** Takes back a connection that was acquired and not used. */
     public void release(Target target, TargetConnection connection) {
         addIdle(pools.computeIfAbsent(target, unseen -> new Pool()), connection);
@@ -133,7 +146,9 @@
 
     /** Dials a target without a request, however recently it was dialed, and passes on the result. */
     public void probe(Target target, Consumer<DialResult> then) {
-        dial(target, pools.computeIfAbsent(target, unseen -> new Pool()), new PendingAcquire(null), then);
+        Pool pool = pools.computeIfAbsent(target, unseen -> new Pool());
+        noticeClosed(target, pool);
+        dial(target, pool, new PendingAcquire(null), then);
     }
 
     private void dialInBackground(Target target) {
@@ -226,6 +241,7 @@
     public void sweep(Set<Target> known, long nowMillis) {
         for (Iterator<Map.Entry<Target, Pool>> entries = pools.entrySet().iterator(); entries.hasNext(); ) {
             Map.Entry<Target, Pool> entry = entries.next();
+            noticeClosed(entry.getKey(), entry.getValue());
             entry.getValue().idle.removeIf(connection -> closeIfExpired(connection, nowMillis));
             if (!known.contains(entry.getKey())) {
                 entry.getValue().idle.forEach(TargetConnection::abort);
