Let engines that load by a late order leave their places to others

An engine that had left its orders unanswered and reported a load stayed the next to be ordered until it had loaded: it got no order, since it was busy, the lease was renewed for it each 100 to 200 ms, and two of them kept both places.

A busy report that no accepted order explains now counts like an order without a response that has arrived: the engine waits 2 s from its last report, is looked at, and others are ordered. Once it is idle on older weights it is the next again at once.

RolloutPlannerTest.enginesThatLoadByALateOrderLeaveTheirPlacesToOthers, seen first with the report passed over: ["a", "b"] for ["c", "d"].

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/rollout/RolloutPlanner.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/rollout/RolloutPlanner.java
@@ -58,28 +58,41 @@
      */
     public record Engine(String id, long weights, int inFlight) {}
 
+    /** What is known of an order. */
+    private enum Progress {
+        /** It was sent, and wasn't left without a response. */
+        SENT,
+        UNANSWERED,
+        /** It got no response, but the engine has reported since that it is loading. */
+        LOADING_LATE
+    }
+
     /**
      * An order that was sent.
      *
      * @param version the version to load
-     * @param sentAtMillis when it was sent
-     * @param unanswered whether it got no response
+     * @param sentAtMillis when it was sent, or when the engine last reported that it loads late
+     * @param progress what is known of it
      * @param unansweredBefore how many orders to the engine just before it got no response
      */
-    private record Order(long version, long sentAtMillis, boolean unanswered, int unansweredBefore) {
+    private record Order(long version, long sentAtMillis, Progress progress, int unansweredBefore) {
         boolean isPending(Engine engine, long nowMillis) {
             return engine.weights() < version && nowMillis - sentAtMillis < timeoutMillis();
         }
 
         private long timeoutMillis() {
-            if (!unanswered) {
+            if (isAnswered()) {
                 return ORDER_TIMEOUT_MILLIS;
             }
             return unansweredBefore == 0 ? UNANSWERED_TIMEOUT_MILLIS : REPEATED_UNANSWERED_TIMEOUT_MILLIS;
         }
 
+        boolean isAnswered() {
+            return progress == Progress.SENT;
+        }
+
         int unansweredInARow() {
-            return unanswered ? unansweredBefore + 1 : 0;
+            return isAnswered() ? 0 : unansweredBefore + 1;
         }
     }
 
@@ -92,7 +105,7 @@
             present.add(engine.id());
             Order order = orders.get(engine.id());
             if (order != null && order.isPending(engine, nowMillis)) {
-                loading += order.unanswered() ? 0 : 1;
+                loading += order.isAnswered() ? 1 : 0;
             } else if (engine.weights() < newest) {
                 waiting.add(engine);
             }
@@ -113,13 +126,15 @@
 
     /** Records that an order is being sent to an engine. */
     public void onOrdered(String id, long version, long nowMillis) {
-        orders.put(id, new Order(version, nowMillis, false, unansweredInARow(id, version)));
+        orders.put(id, new Order(version, nowMillis, Progress.SENT, unansweredInARow(id, version)));
     }
 
     /** Records that an order got no response. */
     public void onUnanswered(String id) {
         orders.computeIfPresent(
-                id, (same, order) -> new Order(order.version(), order.sentAtMillis(), true, order.unansweredBefore()));
+                id,
+                (same, order) -> new Order(
+                        order.version(), order.sentAtMillis(), Progress.UNANSWERED, order.unansweredBefore()));
     }
 
     /** Records that an engine refused its order, so that it can be ordered again. */
@@ -127,11 +142,22 @@
         orders.remove(id);
     }
 
+    /**
+     * Records that an engine reports that it is loading. If no accepted order explains it, one without a response has
+     * arrived late: the engine leaves its place among the next to others, and doesn't count against the limit.
+     */
+    public void onLoading(String id, long version, long nowMillis) {
+        Order last = orders.get(id);
+        if (last == null || last.version() != version || !last.isAnswered()) {
+            orders.put(id, new Order(version, nowMillis, Progress.LOADING_LATE, 0));
+        }
+    }
+
     /**
      * Records that an engine reports that it isn't loading: it can be ordered again, unless it may still execute an
      * order that got no response.
      */
     public void onNotLoading(String id) {
-        orders.computeIfPresent(id, (same, order) -> order.unanswered() ? order : null);
+        orders.computeIfPresent(id, (same, order) -> order.progress() == Progress.UNANSWERED ? order : null);
     }
 }
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/rollout/RolloutPlannerTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/rollout/RolloutPlannerTest.java
@@ -40,6 +40,42 @@
         assertThat(plan.nextEngines(loaded, 2, 1_000)).extracting(Engine::id).containsExactly("d", "a");
     }
 
+    /** Engines that loaded by a late order stayed the next to be ordered: the lease was renewed for them in vain. */
+    @Test
+    void enginesThatLoadByALateOrderLeaveTheirPlacesToOthers() {
+        List<Engine> engines =
+                List.of(new Engine("a", 1, 0), new Engine("b", 1, 0), new Engine("c", 1, 0), new Engine("d", 1, 0));
+        engines.forEach(engine -> {
+            plan.onOrdered(engine.id(), 2, 0);
+            plan.onUnanswered(engine.id());
+        });
+        long due = RolloutPlanner.UNANSWERED_TIMEOUT_MILLIS;
+        assertThat(plan.nextEngines(engines, 2, due)).extracting(Engine::id).containsExactly("a", "b");
+
+        plan.onLoading("a", 2, due);
+        plan.onLoading("b", 2, due);
+        assertThat(plan.nextEngines(engines, 2, due + POLL_MILLIS))
+                .extracting(Engine::id)
+                .containsExactly("c", "d");
+
+        // The late order was for older weights: it is over, and the engine is the next again.
+        plan.onNotLoading("a");
+        assertThat(plan.nextEngines(engines, 2, due + 2 * POLL_MILLIS))
+                .extracting(Engine::id)
+                .containsExactly("a", "c");
+    }
+
+    /** An order that was accepted still counts as a load, whatever its engine reports. */
+    @Test
+    void engineThatLoadsByAnAcceptedOrderCountsAsLoading() {
+        List<Engine> engines = List.of(new Engine("a", 1, 0), new Engine("b", 1, 0), new Engine("c", 1, 0));
+        plan.onOrdered("a", 2, 0);
+        plan.onOrdered("b", 2, 0);
+        plan.onLoading("a", 2, 1_000);
+
+        assertThat(plan.nextEngines(engines, 2, 1_000)).isEmpty();
+    }
+
     /**
      * Engines may leave orders without a response and execute them late or never. Other engines must not wait for them,
      * and they are ordered again well within the time in which requests may start on old weights.
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/rollout/OrderSender.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/rollout/OrderSender.java
@@ -92,6 +92,10 @@
             report.ifPresent(read -> applyReport(target, read));
             boolean stale = report.isPresent() && target.weights(weights.model()) < weights.version();
             long now = state.nowMillis();
+            if (stale && report.get().busy()) {
+                plan.onLoading(target.id(), weights.version(), now);
+                progressChecksDueAt.put(target.id(), now + PROGRESS_CHECK_INTERVAL_MILLIS);
+            }
             if (!stale
                     || report.get().busy()
                     || !state.admission().mayCall(target, now)
@@ -159,7 +163,9 @@
                 selfReports.onCallAnswered(target, answer, now);
                 Optional<EngineReport> report = readReport(answer);
                 report.ifPresent(read -> applyReport(target, read));
-                if (report.isPresent() && !report.get().busy()) {
+                if (report.isPresent() && report.get().busy()) {
+                    plan.onLoading(target.id(), weights.version(), state.nowMillis());
+                } else if (report.isPresent()) {
                     // The load has finished or never started.
                     plan.onNotLoading(target.id());
                     target.markLoadingWeights(state.nowMillis());
