Look at the bound on older weights without dialing targets more often

The checks of the bound each 250 ms ran the check of inactivity too, which dials a silent target each time: while a rollout went on, silent engines were dialed up to every 250 ms. The check of inactivity has its own time again; only the bound is looked at in between. No test of its own; PausedRelayTest, DarkTargetTest, TargetCrashTest, RolloutPlayTest, AnswerEndTest and ListingPagesTest hold.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/InactivityMonitor.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/InactivityMonitor.java
@@ -28,6 +28,7 @@
     private final LongConsumer onTimeout;
     private final Runnable onTooLate;
     private InactivityTimer timer;
+    private long inactivityCheckDueAt = Long.MIN_VALUE;
     private boolean stopped;
 
     /**
@@ -54,13 +55,29 @@
 
     /** Checks now, and schedules the next check for when the target may have been inactive for too long. */
     void check() {
-        long now = state.nowMillis();
-        long beginsWithin =
-                attempt.hasBegun() ? Long.MAX_VALUE : plan.beginsUntil(attempt.weights()) - state.atMostMillis();
-        if (beginsWithin <= 0) {
+        if (beginsWithinMillis() <= 0) {
             onTooLate.run();
             return;
         }
+        long now = state.nowMillis();
+        if (now >= inactivityCheckDueAt) {
+            checkInactivity(now);
+        }
+        scheduleCheck(Math.min(inactivityCheckDueAt - now, boundCheckMillis()));
+    }
+
+    /** Returns how long the attempt may still take to begin; far away if it has begun, or nothing ends that time. */
+    private long beginsWithinMillis() {
+        return attempt.hasBegun() ? Long.MAX_VALUE : plan.beginsUntil(attempt.weights()) - state.atMostMillis();
+    }
+
+    /** Timers don't count what may only have been a suspension; the bound does, so it is looked at now and then. */
+    private long boundCheckMillis() {
+        long beginsWithin = beginsWithinMillis();
+        return beginsWithin < LONG_MILLIS ? Math.min(beginsWithin, BOUND_CHECK_MILLIS) : LONG_MILLIS;
+    }
+
+    private void checkInactivity(long now) {
         long idleMillis = now - attempt.lastContentAt();
         boolean unreachable = attempt.target().isUnreachable();
         long timeoutMillis = ResponseTimeouts.timeoutMillis(route, attempt.hasBegun(), unreachable);
@@ -73,12 +90,7 @@
             probe.run();
         }
         long nextMillis = idleMillis < probeAfterMillis ? probeAfterMillis - idleMillis + 1 : probeAfterMillis;
-        scheduleCheck(Math.min(nextMillis, boundCheckMillis(beginsWithin)));
-    }
-
-    /** Timers don't count what may only have been a suspension; the bound does, so it is looked at now and then. */
-    private static long boundCheckMillis(long beginsWithinMillis) {
-        return beginsWithinMillis < LONG_MILLIS ? Math.min(beginsWithinMillis, BOUND_CHECK_MILLIS) : LONG_MILLIS;
+        inactivityCheckDueAt = now + nextMillis;
     }
 
     private boolean mayRetryElsewhere(long idleMillis, boolean servesOtherRequests) {
