Bound the lines of a response's head, not its bytes alone

What callers saw: many targets answer with heads of thousands of lines of two bytes and bodies that go on. The relay's process ends by itself for want of memory, and all requests of other callers with it.

Cause: the decoder bounds names and values, 8 KB a head. 3,900 lines of two bytes fit into that and take, by estimate, some 150 bytes of memory each. The head is kept while its body goes on.

Change: a head, or its trailers, with more than 128 lines is malformed, for targets and for the relay's own calls.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/net/HttpCallClient.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/net/HttpCallClient.java
@@ -96,7 +96,10 @@
         Channel opened = pipeline.channel();
         pipeline.addLast(
                 new RawByteCounter(count -> onBytesRead(opened, count)),
-                new HttpClientCodec(),
+                new HttpClientCodec(
+                        BoundedHeaders.decoderConfiguration(),
+                        HttpClientCodec.DEFAULT_PARSE_HTTP_AFTER_CONNECT_REQUEST,
+                        HttpClientCodec.DEFAULT_FAIL_ON_MISSING_RESPONSE),
                 new HttpObjectAggregator(maxResponseBytes),
                 new ResponseHandler());
     }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/targets/TargetPools.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/targets/TargetPools.java
@@ -23,6 +23,7 @@
 import org.rattanrudder.core.fleet.DialTimeout;
 import org.rattanrudder.core.fleet.Target;
 import org.rattanrudder.core.model.Address;
+import org.rattanrudder.daemon.relay.net.BoundedHeaders;
 import org.rattanrudder.daemon.relay.net.InactivityTimer;
 import org.rattanrudder.daemon.relay.net.RawByteCounter;
 import org.rattanrudder.daemon.relay.port.RequestDialect;
@@ -247,6 +248,7 @@
         private final TargetConnection connection;
 
         ResponseDecoder(TargetConnection connection) {
+            super(BoundedHeaders.decoderConfiguration());
             this.connection = connection;
         }
 
