Count events of streams that aren't complete yet among held bytes

What callers saw: many engines send events that never end. The relay's process ends by itself for want of memory.

Cause: a stream that may go on at another target is passed on event by event, and up to 256 KB of an unfinished one are kept for each stream. The budget of held bytes didn't count them: 400 streams are 100 MB by estimate, twice that while their buffers grow, of a heap of 96 MB.

Change: from 4 KB on they count as response, twice their size. An event that finds no room is passed on in parts, as one over 256 KB always was: its stream can't go on elsewhere within it.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/ResponseForwarder.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/ResponseForwarder.java
@@ -28,6 +28,12 @@
 
     private static final int INITIAL_BUFFER_BYTES = 1_024;
 
+    /** An event is counted among held bytes once more of it is kept. */
+    private static final int MAX_UNCOUNTED_EVENT_BYTES = 4_096;
+
+    /** How many times its size an event takes whose buffer grows. */
+    private static final long GROWING_RATIO = 2;
+
     private final ResponseWriter writer;
     private final RequestDialect dialect;
     private final Runnable onFirstByte;
@@ -105,6 +111,7 @@
     void content(ByteBuf chunk) {
         if (events && streamed && framer.isPresent()) {
             stream(framer.get().append(chunk));
+            holdPending(framer.get());
             return;
         }
         if (events) {
@@ -117,6 +124,20 @@
         }
     }
 
+    /** Counts a long event that isn't complete yet; one that finds no room is forwarded in parts. */
+    private void holdPending(EventFramer events) {
+        long wanted = events.pendingBytes() > MAX_UNCOUNTED_EVENT_BYTES ? GROWING_RATIO * events.pendingBytes() : 0;
+        if (wanted == 0 && held == null) {
+            return;
+        }
+        held = held == null ? writer.newHolding() : held;
+        held.shrinkTo(wanted);
+        if (!held.tryGrowTo(wanted)) {
+            held.shrinkTo(0);
+            stream(events.takePending());
+        }
+    }
+
     private boolean scan(byte value) {
         scanner.accept(value);
         return true;
@@ -171,15 +192,19 @@
         onFirstByte.run();
         writer.full(head, headers(), buffered, buffered == null ? writer.newHolding() : held);
         buffered = null;
+        held = null;
     }
 
     /** Discards what was not forwarded of a response that won't be completed. */
     void discard() {
         if (buffered != null) {
             buffered.release();
-            held.close();
             buffered = null;
         }
+        if (held != null) {
+            held.close();
+            held = null;
+        }
         if (!begun) {
             head = null;
         }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/streams/EventFramer.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/streams/EventFramer.java
@@ -17,7 +17,9 @@
     static final int MAX_EVENT_BYTES = 256 * 1024;
 
     private final EventStreamScanner scanner;
-    private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
+    /** Replaced once it is taken: a reset would keep the array that has grown. */
+    private ByteArrayOutputStream pending = new ByteArrayOutputStream();
+
     private boolean partialForwarded;
     private int scanned;
     private int complete;
@@ -57,7 +59,7 @@
         if (complete > 0 && pending.size() > 0) {
             pending.writeBytes(ready);
             ready = pending.toByteArray();
-            pending.reset();
+            pending = new ByteArrayOutputStream();
         }
         if (complete < chunk.readableBytes()) {
             pending.writeBytes(
@@ -66,9 +68,22 @@
         return ready;
     }
 
+    /** Returns how many bytes of an incomplete event are kept. */
+    public int pendingBytes() {
+        return pending.size();
+    }
+
+    /** Takes what is kept of an incomplete event, to forward it: the stream can't be resumed until it is complete. */
+    public byte[] takePending() {
+        byte[] ready = pending.toByteArray();
+        pending = new ByteArrayOutputStream();
+        partialForwarded = true;
+        return ready;
+    }
+
     /** Discards an incomplete event; another response may continue the stream. */
     public void restart() {
-        pending.reset();
+        pending = new ByteArrayOutputStream();
         scanner.restart();
     }
 
