Join small chunks of one read, and let senders of very many take turns

What callers saw: many targets send bodies in chunks of two bytes, without end. No caller of the relay has an answer for 20 s, whatever target it asked; where their callers don't read, small requests of others fail or wait 3.5 to 5.3 s.

Cause: up to 16 reads of 64 KB of one connection were decoded before the next one's turn, and each chunk was written on by itself, with a system call for each, and (by estimate) several hundred bytes of memory for each chunk until its caller takes it, of which two were counted.

Change: the small chunks that one read brings are joined. A connection that brings over 256 messages in a turn isn't read until its own turn comes, one such connection a millisecond. Reads are of 16 KB, two in a turn. Of interim responses and of responses to other requests, 64 are taken for a request.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/net/RelayChannels.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/net/RelayChannels.java
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
@@ -34,6 +35,15 @@
      */
     private static final int CONNECT_TIMEOUT_MILLIS = (int) DialTimeout.MAX_MILLIS;
 
+    private static final int MIN_READ_BYTES = 64;
+
+    private static final int FIRST_READ_BYTES = 2_048;
+
+    private static final int MAX_READ_BYTES = 16_384;
+
+    /** How many reads of one connection are made before those of others. */
+    private static final int READS_IN_TURN = 2;
+
     private RelayChannels() {}
 
     /** Returns the bootstrap for outbound connections. */
@@ -41,6 +51,7 @@
         return new Bootstrap()
                 .group(group)
                 .channel(NioSocketChannel.class)
+                .option(ChannelOption.RECVBUF_ALLOCATOR, reads())
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.SO_KEEPALIVE, true)
                 .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEPALIVE_IDLE_SECONDS)
@@ -49,6 +60,14 @@
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS);
     }
 
+    /** Returns the sizes of reads: with many senders that are always ready, the others wait for one turn of each. */
+    private static AdaptiveRecvByteBufAllocator reads() {
+        AdaptiveRecvByteBufAllocator reads =
+                new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES);
+        reads.maxMessagesPerRead(READS_IN_TURN);
+        return reads;
+    }
+
     /**
      * Binds and listens on an address.
      *
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/targets/TargetConnection.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/targets/TargetConnection.java
@@ -39,12 +39,20 @@
     /** Limit of bytes in a row that are no part of a response that is passed on; a late response may be among them. */
     private static final long MAX_UNUSED_BYTES = 256 * 1_024;
 
+    /** Limit of interim responses, and of responses to other requests, that arrive for one request. */
+    private static final int MAX_UNUSED_RESPONSES = 64;
+
     /** How long the rest of a discarded response is read: a new connection takes less. */
     private static final long DISCARD_MILLIS = 500;
 
+    /** A connection whose read brings more messages waits for its turn before the next read. */
+    private static final int MAX_MESSAGES_IN_TURN = 256;
+
     private final Channel channel;
     private final RequestDialect dialect;
     private final Consumer<TargetConnection> onIdle;
+    private final ReadTurns turns;
+    private final GatheredContent gathered = new GatheredContent();
     private ResponseSink sink;
     private String requestId = "";
     private boolean headRequest;
@@ -58,11 +66,16 @@
     private long keepAliveMillis = -1;
     private long idleSince;
     private long unusedBytes;
+    private int unusedResponses;
     private boolean discardEnds;
+    private boolean wanted = true;
+    private boolean awaitsTurn;
+    private int messagesInTurn;
 
-    TargetConnection(Channel channel, RequestDialect dialect, Consumer<TargetConnection> whenFree) {
+    TargetConnection(Channel channel, RequestDialect dialect, ReadTurns turns, Consumer<TargetConnection> whenFree) {
         this.channel = channel;
         this.dialect = dialect;
+        this.turns = turns;
         this.onIdle = whenFree;
     }
 
@@ -99,6 +112,7 @@
         keepAlive = false;
         complete = false;
         unusedBytes = 0;
+        unusedResponses = 0;
         discardEnds = false;
         DefaultHttpRequest head =
                 new DefaultHttpRequest(request.protocolVersion(), request.method(), request.uri(), request.headers());
@@ -115,17 +129,32 @@
     /** Closes the connection; the target drops a request whose connection is closed. */
     public void abort() {
         sink = null;
+        gathered.clear();
         channel.close();
     }
 
     /** Discards the rest of the response but reads it, so that the connection can be reused. */
     public void detach() {
+        gathered.clear();
         sink = DiscardingSink.INSTANCE;
     }
 
     /** Pauses reading while the caller is slow, or resumes it. */
     public void setReading(boolean on) {
-        channel.config().setAutoRead(on);
+        wanted = on;
+        channel.config().setAutoRead(wanted && !awaitsTurn);
+    }
+
+    /** Resumes reading after a read that brought very many messages. */
+    void onReadTurn() {
+        awaitsTurn = false;
+        setReading(wanted);
+    }
+
+    private void awaitTurn() {
+        awaitsTurn = true;
+        setReading(wanted);
+        turns.await(this);
     }
 
     /** Records raw bytes before they are decoded; returns whether to decode them. */
@@ -144,6 +173,10 @@
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
+        messagesInTurn++;
+        if (messagesInTurn > MAX_MESSAGES_IN_TURN && !awaitsTurn) {
+            awaitTurn();
+        }
         try {
             if (sink == null || complete) {
                 channel.close();
@@ -166,6 +199,11 @@
     }
 
     private void head(HttpResponse response) {
+        unusedResponses++;
+        if (unusedResponses > MAX_UNUSED_RESPONSES) {
+            fail("too many responses that aren't passed on");
+            return;
+        }
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             interim = true;
             return;
@@ -202,13 +240,40 @@
         }
         if (content.content().isReadable()) {
             unusedBytes = sink == DiscardingSink.INSTANCE ? unusedBytes : 0;
-            sink.onContent(content.content());
+            pass(content.content());
+        }
+        if (last) {
+            passGathered();
         }
         if (last && sink != null) {
             finish();
         }
     }
 
+    private void pass(ByteBuf chunk) {
+        if (gathered.tryAdd(chunk)) {
+            return;
+        }
+        passGathered();
+        if (sink != null) {
+            sink.onContent(chunk);
+        }
+    }
+
+    private void passGathered() {
+        ByteBuf chunk = gathered.take();
+        if (chunk == null) {
+            return;
+        }
+        try {
+            if (sink != null) {
+                sink.onContent(chunk);
+            }
+        } finally {
+            chunk.release();
+        }
+    }
+
     private void finish() {
         ResponseSink done = sink;
         inResponse = false;
@@ -219,6 +284,8 @@
 
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
+        messagesInTurn = 0;
+        passGathered();
         if (sink == DiscardingSink.INSTANCE && !complete && !discardEnds) {
             discardEnds = true;
             channel.eventLoop().schedule(this::endDiscard, DISCARD_MILLIS, TimeUnit.MILLISECONDS);
@@ -242,6 +309,7 @@
     }
 
     private void fail(String reason) {
+        passGathered();
         ResponseSink failed = sink;
         sink = null;
         channel.close();
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/targets/TargetPools.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/targets/TargetPools.java
@@ -48,6 +48,7 @@
 
     private final Bootstrap connector;
     private final EventLoop loop;
+    private final ReadTurns turns;
     private final RequestDialect dialect;
     private final LongSupplier clock;
     private final ReachabilityListener reachability;
@@ -68,6 +69,7 @@
     public TargetPools(RelayState state, QueueDispatcher queues) {
         connector = state.connector();
         loop = state.loop();
+        turns = new ReadTurns(loop);
         dialect = state.platform().requests();
         clock = state::nowMillis;
         reachability = new ReachabilityHandler(state, queues);
@@ -166,7 +168,8 @@
                 .handler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        created[0] = new TargetConnection(channel, dialect, connection -> addIdle(pool, connection));
+                        created[0] =
+                                new TargetConnection(channel, dialect, turns, connection -> addIdle(pool, connection));
                         channel.pipeline()
                                 .addLast(
                                         new RawByteCounter(created[0]::onBytesRead),
