Let sockets to targets and stores keep 128 KB of what isn't read

What callers saw: nothing by itself; where bytes that are received and not yet read count as memory of the process, many paused connections end it.

Cause: left to itself, the system makes room for megabytes in the socket of a connection that was read fast before its caller became slow.

Change: SO_RCVBUF is set for outbound connections.

It bounds what a connection brings in one round trip, too; no far connection was measured.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/net/RelayChannels.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/net/RelayChannels.java
@@ -44,6 +44,9 @@
     /** How many reads of one connection are made before those of others. */
     private static final int READS_IN_TURN = 2;
 
+    /** What the system may keep of a connection that isn't read; left to itself, it makes room for megabytes. */
+    private static final int SOCKET_BYTES = 128 * 1_024;
+
     private RelayChannels() {}
 
     /** Returns the bootstrap for outbound connections. */
@@ -52,6 +55,7 @@
                 .group(group)
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.RECVBUF_ALLOCATOR, reads())
+                .option(ChannelOption.SO_RCVBUF, SOCKET_BYTES)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.SO_KEEPALIVE, true)
                 .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEPALIVE_IDLE_SECONDS)
