--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Reachability.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Reachability.java
@@ -3,10 +3,9 @@
 /**
  * Tracks whether connections to one target can be opened.
  *
- * <p>A machine without power doesn't respond to a dial at all. When each relay sent a request to each such engine every
- * two seconds, and the request waited until its dial timed out, a quarter of all prompts were late until the engines'
- * registrations expired. Requests therefore wait for a dial only as long as a healthy target needs, and an unreachable
- * target gets no requests until a dial without a request has succeeded.
+ * <p>A machine without power doesn't respond to a dial at all, and a request that waits for one is late. Requests
+ * therefore wait for a dial only as long as a healthy target needs, and an unreachable target gets no requests until a
+ * dial without a request has succeeded.
  *
  * <p>All times are milliseconds of a monotonic clock.
  */
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/gateway/ShutdownPolicy.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/gateway/ShutdownPolicy.java
@@ -12,10 +12,9 @@
 public final class ShutdownPolicy {
     /**
      * How long a stopping relay stays ready while no other relay is. Without it, a rolling restart that is faster than
-     * each relay needs to finish its requests and come back would leave no relay ready: three of three were down for
-     * two seconds. Callers must have moved to other relays four seconds after the stop request, and new connections
-     * arrive until two readiness checks a second apart have failed: with 2.8 s, two of six relays still got new ones
-     * after that.
+     * each relay needs to finish its requests and come back would leave no relay ready. Callers must have moved to
+     * other relays four seconds after the stop request, and new connections arrive until two readiness checks a second
+     * apart have failed.
      */
     private static final long MAX_READINESS_HOLD_MILLIS = 1_800;
 
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/rollout/RolloutPlanner.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/rollout/RolloutPlanner.java
@@ -40,8 +40,8 @@
     static final long REPEATED_UNANSWERED_TIMEOUT_MILLIS = 1_000;
 
     /**
-     * The share of a service's engines that may load concurrently. Weights come from a store whose rate grows with the
-     * service: two of six or eight engines load without slowing each other down, ten of 35, eleven of 40.
+     * The share of a service's engines that may load concurrently without slowing each other down. Weights come from a
+     * store whose rate grows with the service.
      */
     private static final double MAX_LOADING_SHARE = 0.28;
 
