Close a connection that nobody reads though requests wait behind its answers

Callers that had stopped taking their answers, and sent one more request afterwards, kept their connection and the answers that were held for them for good: nothing but the end of the process closed it.

The bytes of that request set the time since which a head is read, and the request was queued, since the channel wasn't writable. The look at connections took neither of its branches for that: not the one for what is owed, as a head seemed to be read, nor the one for slow heads, as something was queued; the last one closes only what is owed nothing.

What is queued behind unsent answers now counts as waiting for the caller.

StalledCallerTest.aCallerThatTakesNothingIsClosedThoughItHasSentMoreRequests: before, open after 10 s with an idle timeout of 2 s (60 requests were passed on); after, closed. The other cases of its class hold.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/CallerConnection.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/CallerConnection.java
@@ -380,7 +380,7 @@
         if (exchange != null || waitsForRoom) {
             return;
         }
-        if (isClosing() || request == null && partialHeadSince < 0 && owes()) {
+        if (isClosing() || request == null && (partialHeadSince < 0 ? owes() : !queued.isEmpty())) {
             if (socket.isStalled(nowMillis, idleTimeout)) {
                 cut("stalled");
             }
@@ -388,7 +388,7 @@
             if (request.isOverdue(lastReadAt)) {
                 refusePartial(ErrorKind.REQUEST_TIMEOUT);
             }
-        } else if (partialHeadSince >= 0 && queued.isEmpty()) {
+        } else if (partialHeadSince >= 0) {
             if (nowMillis - partialHeadSince > state.limits().headerTimeoutMillis()) {
                 refuseUnread(ErrorKind.REQUEST_TIMEOUT);
             }
