Let a relay in calm show that it is current after a record that its poll waited for

Beside four peers, in calm, a wrong key got 503 in place of 401 for about half a second after a record of what operators want, and "configuration_unproven" was written (unread_ms 2,496 and 2,576 of 2,000).

A poll that brings a record shows only what existed when it was asked for, up to a whole wait ago; then follow the gap and another whole wait, together up to 2.8 s. The next poll now waits only for what is left of the bound, but for 100 ms at least: at most one more call for each record.

WaitingPollTest: [401, 503] before, [401] after, with no such line. SilentStoreConnectionTest, StaleConfigurationTest, UnnoticedRecordTest and FailedRecordTest hold.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicFollower.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicFollower.java
@@ -61,6 +61,11 @@
         /** Called when the store ends before what was read: it may hold other records at offsets that were read. */
         default void onStoreBehind() {}
 
+        /** Returns for how long records may exist unread, in ms, while the store answers. */
+        default long maxUnreadMillis() {
+            return Long.MAX_VALUE;
+        }
+
         /** Called after each successful answer of the store. */
         default void onAvailable() {}
 
@@ -68,6 +73,12 @@
         default void onUnavailable() {}
     }
 
+    /** Time in which a poll is answered once its wait is over. */
+    private static final long ANSWER_MILLIS = 300;
+
+    /** Shorter waits would make the calls too many under a bound that can't be kept. */
+    private static final long MIN_WAIT_MILLIS = 100;
+
     private final RelayState state;
     private final StepTimer timer;
     private final Topic topic;
@@ -141,12 +152,16 @@
         betweenPolls = false;
         askedAt = state.clock().now();
         schedule.onPoll(askedAt.atLeastMillis());
-        // Without records, an answer that shows that the store is available again would come only after the full wait;
-        // and after a pause, a record may be unread for so long that the wait would pass its bound.
-        long wait = availability.isAnswering() ? schedule.waitMillis() : 0;
+        // Without records, an answer that shows that the store is available again would come only after the full wait.
+        long wait = availability.isAnswering() ? Math.min(schedule.waitMillis(), maxWaitMillis()) : 0;
         reader.poll(position.nextOffset(), wait, this::onResult);
     }
 
+    /** An answer with records shows only what existed when it was asked for, which may be a whole wait ago. */
+    private long maxWaitMillis() {
+        return Math.max(MIN_WAIT_MILLIS, listener.maxUnreadMillis() - ANSWER_MILLIS - unreadMillis());
+    }
+
     /** Handles a result; if that fails, the call is retried, since nothing else would read the topic on. */
     private void onResult(TopicReader.Result result) {
         try {
