Read two clocks in place of four for each look at the time

A relay looks at the time more than a hundred times for a request, and its event loop does at each timer. Each look read the monotonic clock twice and the time of day once, and the monotonic clock again for the result.

A pause between the first two readings only makes the time of day seem further ahead. So readings that show nothing new need no third one, and the first one is the result.

ElapsedTimeTest, ProcessClockTest, RelayEventLoopsTest, SuspendedMachineTest and VersionBoundTest hold.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/time/ElapsedTime.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/time/ElapsedTime.java
@@ -39,6 +39,12 @@
         anchorBoot(monotonicMillis, bootMillis);
     }
 
+    /** Returns whether readings of two clocks show nothing that isn't counted yet. */
+    public boolean isCounted(long monotonicMillis, long timeOfDayMillis) {
+        long lead = timeOfDayLead(monotonicMillis, timeOfDayMillis);
+        return lead <= followed && lead >= -TOLERANCE_MILLIS;
+    }
+
     /** Returns whether the time of day has left the monotonic clock by so much that all clocks must be read. */
     public boolean isDisturbed(long monotonicMillis, long timeOfDayMillis) {
         return Math.abs(timeOfDayLead(monotonicMillis, timeOfDayMillis)) > TOLERANCE_MILLIS;
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/loop/ProcessClock.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/loop/ProcessClock.java
@@ -41,21 +41,20 @@
 
     /** Returns the current moment. */
     public synchronized Moment now() {
-        update();
-        long monotonic = monotonicMillis();
+        long monotonic = update();
         return new Moment(monotonic + elapsed.certainSurplusMillis(), monotonic + elapsed.possibleSurplusMillis());
     }
 
     /** Returns the shortest time that may have passed, in ms since some start: {@link Moment#atLeastMillis}. */
     public synchronized long atLeastMillis() {
-        update();
-        return monotonicMillis() + elapsed.certainSurplusMillis();
+        long monotonic = update();
+        return monotonic + elapsed.certainSurplusMillis();
     }
 
     /** Returns the longest time that may have passed, in ms since some start: {@link Moment#atMostMillis}. */
     public synchronized long atMostMillis() {
-        update();
-        return monotonicMillis() + elapsed.possibleSurplusMillis();
+        long monotonic = update();
+        return monotonic + elapsed.possibleSurplusMillis();
     }
 
     /** Looks at the clocks, and returns the suspended time that has passed for certain, in ms. */
@@ -79,19 +78,27 @@
         return elapsed.isBootClockBelieved(TimeUnit.NANOSECONDS.toMillis(source.monotonicNanos()));
     }
 
-    /** Takes notice of what clocks say. */
-    private void update() {
+    /**
+     * Takes notice of what clocks say, and returns the time of the monotonic one, in ms. A pause between two readings
+     * only makes the time of day seem further ahead, so readings that show nothing new need no third one.
+     */
+    private long update() {
+        long before = monotonicMillis();
         for (int attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
-            long before = monotonicMillis();
             long timeOfDay = source.timeOfDayMillis();
-            if (monotonicMillis() - before > MOMENT_MILLIS) {
-                continue;
+            if (elapsed.isCounted(before, timeOfDay)) {
+                return before;
             }
-            if (!elapsed.isDisturbed(before, timeOfDay) || !readAll()) {
-                elapsed.follow(before, timeOfDay);
+            long after = monotonicMillis();
+            if (after - before <= MOMENT_MILLIS) {
+                if (!elapsed.isDisturbed(before, timeOfDay) || !readAll()) {
+                    elapsed.follow(before, timeOfDay);
+                }
+                return after;
             }
-            return;
+            before = after;
         }
+        return before;
     }
 
     /** Returns whether all clocks could be read at one moment. */
