Ask a slow store no more than once again, and later, until it answers in time

What callers saw: nothing at first.

Cause: a late answer was taken for a silent connection each time anew.

Change: RepeatSchedule remembers that the first call's own connection answered late; then a call is repeated once, 500 ms after its wait, until an answer comes in time.

Calls of a fleet before a slow store weren't measured.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/topics/RepeatPolicy.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/topics/RepeatPolicy.java
@@ -5,8 +5,8 @@
 /**
  * When a call to the platform's store is repeated on a new connection, since its answer is late.
  *
- * <p>A connection may fall silent for good, without a reset, while new ones work. The first answer counts; a call that
- * was answered slowly has been made twice. All times are in ms.
+ * <p>A connection may fall silent for good, without a reset, while new ones work. The first answer counts. A store that
+ * answers slowly gets calls more than once, see {@link RepeatSchedule}. All times are in ms.
  */
 public final class RepeatPolicy {
     /** Maximum number of times a call is made, the first included: several connections in a row may be silent. */
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/net/RepeatingCallClient.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/net/RepeatingCallClient.java
@@ -8,6 +8,7 @@
 import java.util.stream.Stream;
 import org.rattanrudder.core.time.Moment;
 import org.rattanrudder.core.topics.RepeatPolicy;
+import org.rattanrudder.core.topics.RepeatSchedule;
 import org.rattanrudder.daemon.relay.port.PlatformCall;
 
 /**
@@ -23,6 +24,7 @@
 
     private final Supplier<Moment> clock;
     private final StepTimer timer;
+    private final RepeatSchedule schedule = new RepeatSchedule();
     private final List<HttpCallClient> clients;
     private final List<HttpCallClient> inFlight = new ArrayList<>();
     private HttpCallClient kept;
@@ -103,7 +105,7 @@
         long elapsed = now.atLeastMillis() - current.beganAt().atLeastMillis();
         made++;
         inFlight.add(client);
-        RepeatPolicy.repeatAfterMillis(made, current.call().waitMillis())
+        schedule.repeatAfterMillis(made, current.call().waitMillis())
                 .ifPresent(after -> timer.reschedule(() -> repeat(current), Math.max(0, after - elapsed)));
         client.call(
                 call,
@@ -123,6 +125,10 @@
             from.close();
             return;
         }
+        if (!outcome.repeated() && isUsable(outcome.result())) {
+            long taken = clock.get().atLeastMillis() - outcome.askedAt().atLeastMillis();
+            schedule.onFirstCallAnswered(taken, pending.call().waitMillis());
+        }
         Consumer<Outcome> callback = pending.callback();
         pending = null;
         closeInFlight();
