Let one long request of late not refuse a route's streams for a whole stop

Cause: what was known of a request's end was 1.25 times the longest of the last 64.

Change: as long as callers can't know of the stop, one in sixteen may be longer than usual; later all count, as before.

Seen to fail: RecentDurationsTest.aFewLongRequestsAreUnusual with none left out. Holds now, with ShutdownPolicyTest and StopOwesNothingTest.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/gateway/RecentDurations.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/gateway/RecentDurations.java
@@ -11,9 +11,12 @@
     /** Number of requests from which on a limit is known. */
     static final int MIN_SAMPLES = 8;
 
-    /** Factor by which the next request may exceed all that are remembered. */
+    /** Factor by which the next request may exceed those that are remembered. */
     private static final double ALLOWANCE = 1.25;
 
+    /** Of so many requests, one may take longer than usual. */
+    private static final int ONE_UNUSUAL_OF = 16;
+
     private final long[] millis = new long[REMEMBERED];
     private long count;
 
@@ -25,10 +28,20 @@
 
     /** Returns the time within which the next request is expected to end, in ms; empty if too few were seen. */
     public OptionalLong limitMillis() {
+        return limitMillis(0);
+    }
+
+    /** Returns the same, without the few requests that took longest. */
+    public OptionalLong usualLimitMillis() {
+        return limitMillis((int) Math.min(count, REMEMBERED) / ONE_UNUSUAL_OF);
+    }
+
+    private OptionalLong limitMillis(int unusual) {
         if (count < MIN_SAMPLES) {
             return OptionalLong.empty();
         }
-        long longest = Arrays.stream(millis).max().orElseThrow();
-        return OptionalLong.of((long) Math.ceil(longest * ALLOWANCE));
+        long[] sorted = millis.clone();
+        Arrays.sort(sorted);
+        return OptionalLong.of((long) Math.ceil(sorted[REMEMBERED - 1 - unusual] * ALLOWANCE));
     }
 }
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/gateway/ShutdownPolicy.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/gateway/ShutdownPolicy.java
@@ -53,6 +53,11 @@
         return Math.min(MAX_CALLER_DRAIN_MILLIS, (long) (graceMillis * CALLER_DRAIN_SHARE));
     }
 
+    /** Returns whether callers may not know of the stop yet; from then on what is refused goes elsewhere at once. */
+    public static boolean mayCallersBeUnaware(long sinceMillis, long graceMillis) {
+        return sinceMillis <= callerDrainMillis(graceMillis);
+    }
+
     /** Returns how long before the process is killed all requests must have ended. */
     public static long exitMarginMillis(long graceMillis) {
         return Math.min(MAX_EXIT_MARGIN_MILLIS, (long) (graceMillis * EXIT_MARGIN_SHARE));
@@ -74,7 +79,7 @@
      */
     public static boolean accepts(
             boolean stream, long boundMillis, OptionalLong usualMillis, long sinceMillis, long graceMillis) {
-        if (stream && sinceMillis > callerDrainMillis(graceMillis)) {
+        if (stream && !mayCallersBeUnaware(sinceMillis, graceMillis)) {
             return false;
         }
         return finishes(boundMillis, usualMillis, sinceMillis, graceMillis);
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/gateway/RecentDurationsTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/gateway/RecentDurationsTest.java
@@ -36,4 +36,16 @@
 
         assertThat(durations.limitMillis()).isEqualTo(OptionalLong.of(125));
     }
+
+    /** Guards against a route whose streams are all refused in a stop since one of its last requests took long. */
+    @Test
+    void aFewLongRequestsAreUnusual() {
+        record(RecentDurations.REMEMBERED - 4, 100);
+        record(4, 9_000);
+        assertThat(durations.usualLimitMillis()).hasValue(125);
+
+        record(1, 9_000);
+
+        assertThat(durations.usualLimitMillis()).hasValue(11_250);
+    }
 }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/RelayState.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/RelayState.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.random.RandomGenerator;
 import org.rattanrudder.core.fleet.Fleet;
 import org.rattanrudder.core.fleet.MedianEstimate;
@@ -400,7 +401,7 @@
                 || ShutdownPolicy.accepts(
                         route.repeat().stream(),
                         deadlineAt - now,
-                        durations(route).limitMillis(),
+                        expectedMillis(route, now),
                         now - stoppingSince,
                         graceMillis());
     }
@@ -410,7 +411,15 @@
         long now = nowMillis();
         return !stopping
                 || ShutdownPolicy.finishes(
-                        deadlineAt - now, durations(route).limitMillis(), now - stoppingSince, graceMillis());
+                        deadlineAt - now, expectedMillis(route, now), now - stoppingSince, graceMillis());
+    }
+
+    /** At first, one long request of late must not have a route refused whose callers can't know of the stop. */
+    private OptionalLong expectedMillis(ServiceRoute route, long now) {
+        RecentDurations recent = durations(route);
+        return ShutdownPolicy.mayCallersBeUnaware(now - stoppingSince, graceMillis())
+                ? recent.usualLimitMillis()
+                : recent.limitMillis();
     }
 
     /** Returns how long the last requests on a route took. */
