Take no jump of the time of day for the end of a poll's wait

An empty answer that came before its wait was over counted as proof up to the wait's end, if the time of day had jumped ahead meanwhile: a relay took itself for current for up to a wait too long. Whether the wait is over counts by the shortest time now, what it proves by the longest.

Seen to fail: ReadFreshnessTest.anEmptyAnswerAfterAJump..., 2,010 ms for 3,010. Holds now, with StaleConfigurationTest and SilentStoreConnectionTest.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/topics/ReadFreshness.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/topics/ReadFreshness.java
@@ -1,5 +1,7 @@
 package org.rattanrudder.core.topics;
 
+import org.rattanrudder.core.time.Moment;
+
 /**
  * The time up to which all records of a topic are known to have been read.
  *
@@ -28,11 +30,12 @@
      *
      * @param askedAt when the poll was asked for
      * @param waitMillis how long the store was to wait for a record
-     * @param now when the answer has arrived; one that arrives before the wait is over proves only what existed when
-     *     it was asked for
+     * @param now when the answer has arrived; one that may have come before the wait is over proves only what existed
+     *     when it was asked for
      */
-    public void onEmptyPoll(long askedAt, long waitMillis, long now) {
-        onReadToEnd(now >= askedAt + waitMillis ? askedAt + waitMillis : askedAt);
+    public void onEmptyPoll(Moment askedAt, long waitMillis, Moment now) {
+        boolean waitIsOver = now.atLeastMillis() >= askedAt.atLeastMillis() + waitMillis;
+        onReadToEnd(waitIsOver ? askedAt.atMostMillis() + waitMillis : askedAt.atMostMillis());
     }
 
     /** Returns for how long records may exist that were not read. */
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/topics/ReadFreshnessTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/topics/ReadFreshnessTest.java
@@ -2,8 +2,10 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.rattanrudder.core.time.Moment;
 
 class ReadFreshnessTest {
     private static final long ASKED = 10_000;
@@ -15,11 +17,21 @@
     void anEmptyPollProvesItsWaitOnlyOnceThatIsOver(long answeredAt, long ageMillis) {
         ReadFreshness freshness = new ReadFreshness(0);
 
-        freshness.onEmptyPoll(ASKED, WAIT, answeredAt);
+        freshness.onEmptyPoll(new Moment(ASKED, ASKED), WAIT, new Moment(answeredAt, answeredAt));
 
         assertThat(freshness.ageMillis(answeredAt)).isEqualTo(ageMillis);
     }
 
+    /** Guards against a jump of the time of day that is taken for the end of a poll's wait. */
+    @Test
+    void anEmptyAnswerAfterAJumpMayHaveComeBeforeItsWaitWasOver() {
+        ReadFreshness freshness = new ReadFreshness(0);
+
+        freshness.onEmptyPoll(new Moment(ASKED, ASKED), WAIT, new Moment(ASKED + 10, ASKED + 3_010));
+
+        assertThat(freshness.ageMillis(ASKED + 3_010)).isEqualTo(3_010);
+    }
+
     /** Guards against an answer to an earlier call that makes the reader look older than it is. */
     @ParameterizedTest
     @CsvSource({"9000, 500", "10500, 0"})
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicFollower.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicFollower.java
@@ -249,7 +249,7 @@
 
     private void onReadToEnd(boolean empty, long waitMillis) {
         if (empty) {
-            freshness.onEmptyPoll(askedAt.atMostMillis(), waitMillis, state.atMostMillis());
+            freshness.onEmptyPoll(askedAt, waitMillis, state.clock().now());
         } else {
             freshness.onReadToEnd(askedAt.atMostMillis());
         }
