List a topic again when a record has failed unexpectedly

Traced by reading: an exception that isn't for a malformed record was logged and the record passed over, so that a relay that fails once to handle the newest configuration hasn't got it until the next change. The test met it when its second configuration was written before the first listing was answered; otherwise the record that failed was one that nobody asked for any more.

Change: topics that a listing holds in full are listed again after a delay, up to three times in a row; until then they don't count as read to the end. A record that keeps failing is passed over as before. Ruled out: going on until it is handled, since one such record would keep a starting relay from serving.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/RecordDelivery.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/RecordDelivery.java
@@ -14,6 +14,7 @@
     private final Topic topic;
     private final boolean keyed;
     private final TopicFollower.Listener listener;
+    private boolean failed;
 
     /** Creates the delivery of a topic's records, each of which must have a key if the topic is {@code keyed}. */
     RecordDelivery(RelayState state, Topic topic, boolean keyed, TopicFollower.Listener listener) {
@@ -53,10 +54,22 @@
         }
     }
 
+    /** Returns whether a record of the deliveries since the last {@link #forgetFailures} has failed unexpectedly. */
+    boolean hasFailed() {
+        return failed;
+    }
+
+    /** Begins to look for unexpected failures anew. */
+    void forgetFailures() {
+        failed = false;
+    }
+
+    private static boolean isMalformed(RuntimeException unreadable) {
+        return unreadable instanceof IllegalArgumentException;
+    }
+
     private static String reasonOf(RuntimeException unreadable) {
-        return unreadable instanceof IllegalArgumentException
-                ? String.valueOf(unreadable.getMessage())
-                : "unexpected: " + unreadable;
+        return isMalformed(unreadable) ? String.valueOf(unreadable.getMessage()) : "unexpected: " + unreadable;
     }
 
     /** Passes a record to the handler, and returns whether it was handled. */
@@ -68,6 +81,7 @@
             handler.accept(record);
             return true;
         } catch (RuntimeException unreadable) {
+            failed |= !isMalformed(unreadable);
             state.metrics().recordUnreadable(topic.name());
             state.log()
                     .warn(
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicFollower.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicFollower.java
@@ -79,6 +79,9 @@
     /** Shorter waits would make the calls too many under a bound that can't be kept. */
     private static final long MIN_WAIT_MILLIS = 100;
 
+    /** How often in a row a topic is listed again for records that it failed to handle. */
+    private static final int MAX_REPEATED_LISTINGS = 3;
+
     private final RelayState state;
     private final StepTimer timer;
     private final Topic topic;
@@ -89,6 +92,7 @@
     private final RecordDelivery delivery;
     private final StoreAvailability availability;
     private int consecutiveTruncations;
+    private int repeatedListings;
     private final ReadFreshness freshness;
     private boolean betweenPolls;
     private Moment askedAt = new Moment(0, 0);
@@ -206,6 +210,9 @@
             reader.list(last, this::onResult);
             return;
         }
+        if (listsAgain()) {
+            return;
+        }
         Set<String> keys = position.listedKeys();
         if (position.isListingCurrent()) {
             listener.onListed(keys, position.listingEnd());
@@ -237,6 +244,9 @@
         }
         listener.onRecordsRead(askedAt, unreadMillis());
         delivery.deliver(records.records());
+        if (listsAgain()) {
+            return;
+        }
         if (records.next() >= records.end()) {
             onReadToEnd(records.records().isEmpty(), waitMillis);
         }
@@ -247,6 +257,24 @@
         timer.reschedule(this::poll, schedule.onAnswered(state.nowMillis()));
     }
 
+    /**
+     * Lists the topic again, after a delay, if a record has failed unexpectedly: until it is handled, what operators
+     * want may not be in force. A record that keeps failing is passed over, so that the others are read on.
+     *
+     * @return whether it is listed again
+     */
+    private boolean listsAgain() {
+        boolean failed = delivery.hasFailed();
+        delivery.forgetFailures();
+        if (!failed || !position.isReadByListing() || repeatedListings == MAX_REPEATED_LISTINGS) {
+            repeatedListings = 0;
+            return false;
+        }
+        timer.reschedule(this::start, BackOff.millis(repeatedListings));
+        repeatedListings++;
+        return true;
+    }
+
     private void onReadToEnd(boolean empty, long waitMillis) {
         if (empty) {
             freshness.onEmptyPoll(askedAt, waitMillis, state.clock().now());
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicPosition.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicPosition.java
@@ -25,6 +25,11 @@
         return reading != TopicFollower.InitialRead.KEPT;
     }
 
+    /** Returns whether a listing holds all that is read of the topic. */
+    boolean isReadByListing() {
+        return reading == TopicFollower.InitialRead.NEWEST;
+    }
+
     /** Returns the offset up to which the topic has been read. */
     long nextOffset() {
         return nextOffset;
