Name the topic of the desired state as its listener and its records do

Cause: the port's topic was WISHES, a word for which a newcomer has to look up the listener; its records are DesiredState.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/port/StoreDialect.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/port/StoreDialect.java
@@ -14,7 +14,7 @@
     /** The topics of the store that a relay uses. */
     enum Topic {
         /** The desired state: the configuration, and the weights of each model. */
-        WISHES,
+        DESIRED_STATE,
         /** The registrations of targets. */
         TARGETS,
         /** The lease of the process that sends orders. */
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/StoreTopics.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/StoreTopics.java
@@ -36,14 +36,14 @@
             Runnable onConfigurationsMissed) {
         desiredState = new TopicFollower(
                 state,
-                Topic.WISHES,
+                Topic.DESIRED_STATE,
                 PollIntervals.prompt(() -> state.settings().bounds().configurationMillis()),
                 TopicFollower.InitialRead.NEWEST,
                 new DesiredStateListener(
                         state, queues, storeWatches, onConfiguration, onNewWeights, onConfigurationsMissed),
                 state.desiredStateRead());
         desiredStateConfirmation =
-                new TopicConfirmation(state, Topic.WISHES, desiredState::readOffset, desiredState::pollNow);
+                new TopicConfirmation(state, Topic.DESIRED_STATE, desiredState::readOffset, desiredState::pollNow);
         registrations = new TargetRegistrations(state);
         targets = new TopicFollower(
                 state,
@@ -62,7 +62,7 @@
 
     private Map<String, Double> unreadSeconds() {
         return Map.of(
-                Topic.WISHES.name(), desiredState.unreadMillis() / MILLIS_PER_SECOND,
+                Topic.DESIRED_STATE.name(), desiredState.unreadMillis() / MILLIS_PER_SECOND,
                 Topic.TARGETS.name(), targets.unreadMillis() / MILLIS_PER_SECOND);
     }
 
