Refuse what waits for a target and can't end before the process, at once

Seen: in a stop, a request that waited behind a full engine was refused 947 ms after the signal, as too late, with the stop known from the start; one whose turn came earlier was refused then. Nothing was sent wrongly; its caller lost that time.

Cause: the look whether a request can still end stood only before a send.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/GracefulShutdown.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/GracefulShutdown.java
@@ -25,6 +25,9 @@
 
     /** The connections of callers. */
     public interface Callers {
+        /** Refuses requests that wait for a target and aren't known to end before the process does. */
+        void refuseQueued();
+
         /** Closes connections whose callers are owed nothing. */
         void closeIdle();
 
@@ -53,6 +56,7 @@
     public void start() {
         state.startStopping();
         withdrawReadiness();
+        checkUntilFinished();
     }
 
     /** Withdraws readiness, unless no peer is ready and there is still time to wait for one. */
@@ -65,7 +69,6 @@
         }
         state.startDraining();
         state.log().info("leaving", "after_ms", Long.toString(waited));
-        checkUntilFinished();
     }
 
     private void checkUntilFinished() {
@@ -78,6 +81,7 @@
 
     /** Completes the shutdown if callers are owed nothing or no time is left. */
     private void check() {
+        callers.refuseQueued();
         if (!state.isRefusingRequests()) {
             return;
         }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/CallerServer.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/CallerServer.java
@@ -55,6 +55,11 @@
         List.copyOf(callers).forEach(caller -> caller.sweep(nowMillis, closeIdle));
     }
 
+    @Override
+    public void refuseQueued() {
+        components.queues().refuseForStop();
+    }
+
     @Override
     public void closeIdle() {
         sweep(components.state().nowMillis(), true);
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/Exchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/Exchange.java
@@ -140,11 +140,6 @@
         return plan.binding().hasBegun();
     }
 
-    /** Rejects the queued request: the queue is too long for one that will be late. The response says when to retry. */
-    void refuseQueued() {
-        refuse(ErrorKind.OVERLOADED, QueueRejection.LINE_TOO_LONG);
-    }
-
     /** Rejects the request, which hasn't run and isn't at a target; the response says when to retry. */
     void refuseUntil(String reason, long retryAfterMillis) {
         finish(reply.failUntil(ErrorKind.OVERLOADED, reason, retryAfterMillis));
@@ -164,13 +159,8 @@
         return selection.hasCandidate();
     }
 
-    /** Rejects the queued request: no target is left that may run it. */
-    void refuseUnservable() {
-        refuse(plan.noTargetError(), "no target");
-    }
-
     /** Ends the request before its response has begun, unless it has ended; the error says that it hasn't run. */
-    private void refuse(ErrorKind notRun, String reason) {
+    void refuse(ErrorKind notRun, String reason) {
         if (!ended) {
             finish(reply.fail(history.mayHaveRun() ? ErrorKind.TARGET_FAILED : notRun, reason));
         }
@@ -186,7 +176,7 @@
     }
 
     private void sendTo(Placement.Choice choice) {
-        if (refuseIfQuarantined() || endIfOverdue() || refuseIfStopComesFirst()) {
+        if (refuseIfQuarantined() || endIfOverdue() || refuseIfOutlivingProcess()) {
             return;
         }
         Target target = choice.target();
@@ -217,13 +207,22 @@
         return true;
     }
 
-    /** Refuses the request if it hasn't run and may still run when the process ends; returns whether it did. */
-    private boolean refuseIfStopComesFirst() {
-        if (history.mayHaveRun() || state.finishesBeforeStop(plan.route(), plan.deadlineAt())) {
-            return false;
+    /** Returns whether the request hasn't run, and may still run when the process ends. */
+    boolean mayOutliveProcess() {
+        return !history.mayHaveRun() && !state.finishesBeforeStop(plan.route(), plan.deadlineAt());
+    }
+
+    /** Rejects the request, which hasn't run: the process may end first. */
+    void refuseForStop() {
+        refuse(ErrorKind.DRAINING, "the process may end first");
+    }
+
+    private boolean refuseIfOutlivingProcess() {
+        boolean refused = mayOutliveProcess();
+        if (refused) {
+            refuseForStop();
         }
-        finish(reply.fail(ErrorKind.DRAINING, "the process may end first"));
-        return true;
+        return refused;
     }
 
     private void onConnected(Target target, TargetConnection opened) {
@@ -239,7 +238,7 @@
             onNotSent(target, "unreachable");
             return;
         }
-        if (refuseIfQuarantined() || refuseIfStopComesFirst()) {
+        if (refuseIfQuarantined() || refuseIfOutlivingProcess()) {
             target.cancelSend();
             components.pools().release(target, opened);
             return;
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/HoldingQueues.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/HoldingQueues.java
@@ -64,7 +64,17 @@
     public void onUsableTargetsChanged() {
         // A rejected caller's next request may be the first that waits for another service.
         for (String service : Set.copyOf(holdingQueues.keySet())) {
-            holdingQueue(service).removeIf(exchange -> !exchange.hasCandidate()).forEach(Exchange::refuseUnservable);
+            holdingQueue(service)
+                    .removeIf(exchange -> !exchange.hasCandidate())
+                    .forEach(exchange -> exchange.refuse(exchange.plan().noTargetError(), "no target"));
+            dispatchQueued(service);
+        }
+    }
+
+    /** Refuses requests that haven't run and may still run when the process ends, before it is their turn. */
+    void refuseForStop() {
+        for (String service : Set.copyOf(holdingQueues.keySet())) {
+            holdingQueue(service).removeIf(Exchange::mayOutliveProcess).forEach(Exchange::refuseForStop);
             dispatchQueued(service);
         }
     }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/QueueRejection.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/QueueRejection.java
@@ -14,6 +14,7 @@
 import org.rattanrudder.core.fleet.QueueForecast.Place;
 import org.rattanrudder.core.fleet.ReturnTime;
 import org.rattanrudder.core.fleet.ServiceCapacity;
+import org.rattanrudder.core.model.ErrorKind;
 import org.rattanrudder.core.routing.Hashing;
 import org.rattanrudder.daemon.relay.process.RelayState;
 
@@ -162,7 +163,7 @@
         if (forecast.isPresent()) {
             exchange.refuseUntil(LINE_TOO_LONG, retryAfterMillis(exchange.plan(), forecast.get()));
         } else {
-            exchange.refuseQueued();
+            exchange.refuse(ErrorKind.OVERLOADED, LINE_TOO_LONG);
         }
     }
 
