Give the listener of a topic a file of its own

TopicFollower held the interface that its listeners implement, a quarter of its lines, before its own fields.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/peers/PeerExchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/peers/PeerExchange.java
@@ -38,6 +38,7 @@
 import org.rattanrudder.daemon.relay.store.PollIntervals;
 import org.rattanrudder.daemon.relay.store.TopicFollower;
 import org.rattanrudder.daemon.relay.store.TopicFollower.InitialRead;
+import org.rattanrudder.daemon.relay.store.TopicListener;
 import org.rattanrudder.daemon.relay.streams.StreamOriginExchange;
 import org.rattanrudder.daemon.relay.targets.QueueDispatcher;
 import org.rattanrudder.daemon.relay.targets.SelfReports;
@@ -186,7 +187,7 @@
     }
 
     /** Handles the registrations of relays. */
-    private final class RegistrationListener implements TopicFollower.Listener {
+    private final class RegistrationListener implements TopicListener {
         private boolean listedOnce;
         private boolean registered;
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/quarantine/QuarantineExchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/quarantine/QuarantineExchange.java
@@ -32,6 +32,7 @@
 import org.rattanrudder.daemon.relay.store.PollIntervals;
 import org.rattanrudder.daemon.relay.store.TopicFollower;
 import org.rattanrudder.daemon.relay.store.TopicFollower.InitialRead;
+import org.rattanrudder.daemon.relay.store.TopicListener;
 import org.rattanrudder.daemon.relay.targets.DialResult;
 
 /**
@@ -114,7 +115,7 @@
     }
 
     /** Handles the records of all relays. */
-    private final class RecordListener implements TopicFollower.Listener {
+    private final class RecordListener implements TopicListener {
         private final Map<String, Cause> recorded = new HashMap<>();
         private boolean listedOnce;
         private long endAtStart;
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/rollout/RolloutCoordinator.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/rollout/RolloutCoordinator.java
@@ -23,6 +23,7 @@
 import org.rattanrudder.daemon.relay.store.PollIntervals;
 import org.rattanrudder.daemon.relay.store.TopicFollower;
 import org.rattanrudder.daemon.relay.store.TopicFollower.InitialRead;
+import org.rattanrudder.daemon.relay.store.TopicListener;
 import org.rattanrudder.daemon.relay.targets.SelfReports;
 
 /**
@@ -85,7 +86,7 @@
     }
 
     /** Handles the records of the lease's log. */
-    private final class LeaseListener implements TopicFollower.Listener {
+    private final class LeaseListener implements TopicListener {
         @Override
         public void onRecord(KeyedRecord record) {
             // A malformed record takes up an offset too, so the next append gets a later one.
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/DesiredStateListener.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/DesiredStateListener.java
@@ -14,7 +14,7 @@
 import org.rattanrudder.daemon.relay.targets.QueueDispatcher;
 
 /** Handles the configuration, the weights and the evacuations that operators have published. */
-final class DesiredStateListener implements TopicFollower.Listener {
+final class DesiredStateListener implements TopicListener {
     private final RelayState state;
     private final QueueDispatcher queues;
     private final StoreWatches storeWatches;
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/RecordDelivery.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/RecordDelivery.java
@@ -13,11 +13,11 @@
     private final RelayState state;
     private final Topic topic;
     private final boolean keyed;
-    private final TopicFollower.Listener listener;
+    private final TopicListener listener;
     private boolean failed;
 
     /** Creates the delivery of a topic's records, each of which must have a key if the topic is {@code keyed}. */
-    RecordDelivery(RelayState state, Topic topic, boolean keyed, TopicFollower.Listener listener) {
+    RecordDelivery(RelayState state, Topic topic, boolean keyed, TopicListener listener) {
         this.state = state;
         this.topic = topic;
         this.keyed = keyed;
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/StoreAvailability.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/StoreAvailability.java
@@ -7,13 +7,13 @@
 final class StoreAvailability {
     private final EventLog log;
     private final Topic topic;
-    private final TopicFollower.Listener listener;
+    private final TopicListener listener;
     private boolean available = true;
     private boolean answeredOnce;
     private int consecutiveFailures;
 
     /** Creates a record of no calls; {@code listener} is told how each call has ended. */
-    StoreAvailability(EventLog log, Topic topic, TopicFollower.Listener listener) {
+    StoreAvailability(EventLog log, Topic topic, TopicListener listener) {
         this.log = log;
         this.topic = topic;
         this.listener = listener;
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TargetRegistrations.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TargetRegistrations.java
@@ -10,7 +10,7 @@
 import org.rattanrudder.daemon.relay.process.RelayState;
 
 /** Handles the registrations of targets. */
-final class TargetRegistrations implements TopicFollower.Listener {
+final class TargetRegistrations implements TopicListener {
     private final RelayState state;
     private long changedOffset;
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicFollower.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicFollower.java
@@ -5,7 +5,6 @@
 import org.rattanrudder.core.time.Moment;
 import org.rattanrudder.core.topics.ReadFreshness;
 import org.rattanrudder.daemon.relay.net.StepTimer;
-import org.rattanrudder.daemon.relay.port.KeyedRecord;
 import org.rattanrudder.daemon.relay.port.StoreDialect.Topic;
 import org.rattanrudder.daemon.relay.port.StoreResponse;
 import org.rattanrudder.daemon.relay.process.RelayState;
@@ -18,61 +17,6 @@
  * and when it is available again.
  */
 public final class TopicFollower implements AutoCloseable {
-    /** Handles a topic's records. */
-    public interface Listener {
-        /**
-         * Handles a record.
-         *
-         * @throws IllegalArgumentException if the record is malformed
-         */
-        void onRecord(KeyedRecord record);
-
-        /**
-         * Handles a record from a listing, which may be old.
-         *
-         * @throws IllegalArgumentException if the record is malformed
-         */
-        default void onListedRecord(KeyedRecord record) {
-            onRecord(record);
-        }
-
-        /** Returns whether only the last well-formed record of each key matters, and the order of keys doesn't. */
-        default boolean needsOnlyNewest() {
-            return false;
-        }
-
-        /** Handles a record that isn't delivered, since only the newest of its key is needed. */
-        default void onSuperseded(KeyedRecord record) {}
-
-        /** Handles the end of a complete listing, with the keys in it. */
-        default void onListed(Set<String> keys, long end) {}
-
-        /** Called when all records that were written before a call have been handled; with the time of that call. */
-        default void onReadToEnd(Moment askedAt) {}
-
-        /**
-         * Called before the records of an answer are handled.
-         *
-         * @param askedAt when the answer, or the first page of its listing, was asked for
-         * @param unreadMillis for how long the records may have existed
-         */
-        default void onRecordsRead(Moment askedAt, long unreadMillis) {}
-
-        /** Called when the store ends before what was read: it may hold other records at offsets that were read. */
-        default void onStoreBehind() {}
-
-        /** Returns for how long records may exist unread, in ms, while the store answers. */
-        default long maxUnreadMillis() {
-            return Long.MAX_VALUE;
-        }
-
-        /** Called after each successful answer of the store. */
-        default void onAvailable() {}
-
-        /** Called when the store doesn't answer or refuses a call. */
-        default void onUnavailable() {}
-    }
-
     /** Time in which a poll is answered once its wait is over. */
     private static final long ANSWER_MILLIS = 300;
 
@@ -85,7 +29,7 @@
     private final RelayState state;
     private final StepTimer timer;
     private final Topic topic;
-    private final Listener listener;
+    private final TopicListener listener;
     private final TopicReader reader;
     private final TopicPosition position;
     private final PollSchedule schedule;
@@ -109,7 +53,7 @@
 
     /** Creates a follower that is idle until {@link #start}. */
     public TopicFollower(
-            RelayState state, Topic topic, PollIntervals intervals, InitialRead reading, Listener listener) {
+            RelayState state, Topic topic, PollIntervals intervals, InitialRead reading, TopicListener listener) {
         this(state, topic, intervals, reading, listener, new ReadFreshness(state.atMostMillis()));
     }
 
@@ -123,7 +67,7 @@
             Topic topic,
             PollIntervals intervals,
             InitialRead reading,
-            Listener listener,
+            TopicListener listener,
             ReadFreshness freshness) {
         this.state = state;
         timer = new StepTimer(state.loop());
