Run a request that wasn't sent yet for the customer that its key was moved to

Callers saw 401 for a key that every version of the configuration holds: it was moved to another customer while their request waited for a place or a connection, and a request ran for the customer of its arrival or not at all. Targets may have run it for that customer only once it was sent; until then, and after attempts that certainly didn't run it, the customer is now that of the configuration in force.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/CurrentAccess.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/CurrentAccess.java
@@ -21,6 +21,7 @@
     private Optional<ErrorKind> denial = Optional.empty();
     private AllowedRegions allowedRegions;
     private long decidedBy;
+    private boolean customerFixed;
 
     /**
      * Creates the access of a request that was granted.
@@ -55,6 +56,17 @@
         return allowedRegions;
     }
 
+    /** Fixes the customer: a target is sent the request for it now, and another one may not get its answer. */
+    void fixCustomer() {
+        customerFixed = true;
+    }
+
+    /** Lets the customer change with the configuration again: no target has run the request. */
+    void releaseCustomer() {
+        customerFixed = false;
+        state.configuration().ifPresent(this::decide);
+    }
+
     private void grant(AccessDecision.Granted access) {
         granted = access;
         allowedRegions = access.route()
@@ -74,12 +86,11 @@
             return;
         }
         AccessDecision.Granted found = (AccessDecision.Granted) decision;
-        // Targets run a request for the customer that was named at first: another one may not get its answer.
-        if (nameOf(found).equals(nameOf(granted))) {
+        if (customerFixed && !nameOf(found).equals(nameOf(granted))) {
+            denial = Optional.of(ErrorKind.UNAUTHENTICATED);
+        } else {
             denial = Optional.empty();
             grant(found);
-        } else {
-            denial = Optional.of(ErrorKind.UNAUTHENTICATED);
         }
     }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/Exchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/Exchange.java
@@ -261,6 +261,7 @@
 
     private void send(Target target, TargetConnection opened) {
         RequestPlan.Outgoing outgoing = plan.outgoing(target, forwarder.lastEventId());
+        plan.onSent();
         attempt = new TargetAttempt(target, opened, outgoing, state.nowMillis());
         quarantine.onSent();
         log.sent(attempt);
@@ -399,6 +400,7 @@
     /** Retries a failed attempt on another target if that is allowed, or ends the request. */
     private void retryOrEnd(AttemptOutcome outcome, String reason) {
         history.onFailed(outcome);
+        plan.onFailed(history.mayHaveRun());
         boolean onlySame = outcome == AttemptOutcome.REJECTED || outcome == AttemptOutcome.NOT_SENT && isBound();
         boolean worthwhile = !onlySame || selection.hasUntried();
         boolean allowed = worthwhile
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/RequestPlan.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/RequestPlan.java
@@ -236,6 +236,18 @@
                 : rest;
     }
 
+    /** Records that a target is sent the request for its customer. */
+    void onSent() {
+        access.fixCustomer();
+    }
+
+    /** Records that an attempt has failed; if no target may have run it, it may run for another customer. */
+    void onFailed(boolean mayHaveRun) {
+        if (!mayHaveRun) {
+            access.releaseCustomer();
+        }
+    }
+
     /** Returns why the configuration in force no longer allows it; a stream that has begun may go on. */
     private Optional<ErrorKind> denial() {
         return binding.hasBegun() ? Optional.empty() : access.denial();
