Take the text of a known revision from the log's edit, and from peers while it is missing

Cause: a companion whose link opens before its first read of the log asks its peer, whose answer comes in several frames: an index of the revisions, then one text each. If the log is read between them, the rest of the frames is dropped, since the log is readable now; and the records in the log are passed over, since the index has taken the reader to their offset. The revision is known, its text never comes, until a refresh is written.

Now a record that was applied before still brings the text of its edit if the revision in force is the record's, its text is missing and no other edit of the service is in the record (of two, one is void, and it isn't known which). Records from peers are taken, and asked for, while a text is missing.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/companion/ActiveDocuments.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/companion/ActiveDocuments.java
@@ -40,7 +40,7 @@
                     .ifPresent(request -> send(link, request, context));
         } else if (frame instanceof Frame.ConfigurationRequest request) {
             peers.answer(request).forEach(answer -> send(link, answer, context));
-        } else if (frame instanceof Frame.ConfigurationRecords received && peers.needsPeers()) {
+        } else if (frame instanceof Frame.ConfigurationRecords received && peers.acceptsRecords()) {
             return apply(received.records(), context);
         }
         return false;
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/configuration/ConfigurationLedger.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/configuration/ConfigurationLedger.java
@@ -53,9 +53,9 @@
     public List<EditDecision> apply(LogRecord record) {
         List<EditDecision> decisions = new ArrayList<>();
         if (record.offset() <= lastOffset) {
-            // A record that was applied before must not be decided again against a newer state. Its refreshes are still
-            // valid.
-            applyLateTexts(record.batch());
+            // A record that was applied before must not be decided again against a newer state. Its texts are still
+            // valid: a peer's index may have brought a revision alone.
+            applyLateTexts(record);
             return decisions;
         }
         if (record.offset() != lastOffset + 1) {
@@ -105,6 +105,17 @@
         return complete;
     }
 
+    /** Returns whether the text of a known revision hasn't been read yet. */
+    public boolean lacksText() {
+        return documents.values().stream().anyMatch(each -> each.text().isEmpty());
+    }
+
+    /** Returns whether the text of a service's known revision hasn't been read yet. */
+    boolean lacksText(ServiceName service) {
+        DocumentRevision document = documents.get(service);
+        return document != null && document.text().isEmpty();
+    }
+
     /** Returns the number of valid indexes applied so far. */
     public long indexCount() {
         return indexCount;
@@ -169,14 +180,34 @@
         return edit.baseRevision() == revision(edit.service()) ? Verdict.ACCEPTED : Verdict.VOID;
     }
 
-    private void applyLateTexts(LogBatch batch) {
-        for (LogEntry entry : batch.entries()) {
+    private void applyLateTexts(LogRecord record) {
+        for (LogEntry entry : record.batch().entries()) {
             if (entry instanceof LogEntry.DocumentRefresh refresh && !hasText(refresh)) {
                 applyRefresh(refresh, UNKNOWN_TEXT_INDEX);
+            } else if (entry instanceof LogEntry.DocumentEdit edit
+                    && isMissingText(edit, record.offset())
+                    && isOnlyEditOfItsService(edit, record.batch())) {
+                put(edit.service(), record.offset(), Optional.of(edit.text()), UNKNOWN_TEXT_INDEX);
             }
         }
     }
 
+    private boolean isMissingText(LogEntry.DocumentEdit edit, long offset) {
+        DocumentRevision document = documents.get(edit.service());
+        return document != null
+                && document.revision() == offset
+                && document.text().isEmpty();
+    }
+
+    /** Returns whether no other edit of the record can be the accepted one: of two, it isn't known which is void. */
+    private static boolean isOnlyEditOfItsService(LogEntry.DocumentEdit edit, LogBatch batch) {
+        return batch.entries().stream()
+                        .filter(each -> each instanceof LogEntry.DocumentEdit other
+                                && other.service().equals(edit.service()))
+                        .count()
+                == 1;
+    }
+
     private boolean hasText(LogEntry.DocumentRefresh refresh) {
         DocumentRevision document = documents.get(refresh.service());
         return document != null
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/configuration/PeerConfigurationExchange.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/configuration/PeerConfigurationExchange.java
@@ -41,6 +41,11 @@
         return !logReadable || !ledger.isComplete();
     }
 
+    /** Returns whether records from peers are of use: they may bring documents that this process doesn't have. */
+    public boolean acceptsRecords() {
+        return needsPeers() || ledger.lacksText();
+    }
+
     /**
      * Returns the request to send to a peer whose link has just opened, if any: a process that starts during an outage
      * of the log has no configuration, and its peer may have it.
@@ -50,17 +55,23 @@
     }
 
     /**
-     * Returns the request to send to a peer whose heartbeat lists newer revisions, if any.
+     * Returns the request to send to a peer whose heartbeat lists newer revisions, or one whose text is missing here,
+     * if any.
      *
      * @param revisions the revisions in force at the peer
      * @param nowMicros the time in microseconds
      */
     public Optional<Frame> requestOnHeartbeat(List<Frame.ServiceRevision> revisions, long nowMicros) {
-        if (!needsPeers() || nowMicros < nextRequestMicros) {
+        if (!acceptsRecords() || nowMicros < nextRequestMicros) {
             return Optional.empty();
         }
-        boolean newer = revisions.stream().anyMatch(each -> each.revision() > ledger.revision(each.service()));
-        return newer ? newRequest(nowMicros) : Optional.empty();
+        return revisions.stream().anyMatch(this::isWanted) ? newRequest(nowMicros) : Optional.empty();
+    }
+
+    private boolean isWanted(Frame.ServiceRevision offered) {
+        long known = ledger.revision(offered.service());
+        return needsPeers() && offered.revision() > known
+                || offered.revision() >= known && ledger.lacksText(offered.service());
     }
 
     /**
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/entry/Configuration.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/entry/Configuration.java
@@ -75,9 +75,9 @@
         peers.answer(request).forEach(answer -> outbox.send(companion, answer));
     }
 
-    /** Applies records that a companion sent, unless the log itself can be read. */
+    /** Applies records that a companion sent, unless all that they can bring has been read from the log. */
     void onConfigurationRecords(List<LogRecord> records) {
-        if (peers.needsPeers()) {
+        if (peers.acceptsRecords()) {
             apply(records);
         }
     }
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/companion/CompanionMachineTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/companion/CompanionMachineTest.java
@@ -9,8 +9,12 @@
 import static org.rattanrudder.core.companion.CompanionDriver.id;
 import static org.rattanrudder.core.companion.CompanionDriver.prompt;
 
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.rattanrudder.core.frame.Frame;
+import org.rattanrudder.core.log.LogBatch;
+import org.rattanrudder.core.log.LogEntry;
+import org.rattanrudder.core.log.LogRecord;
 import org.rattanrudder.core.model.Digest;
 import org.rattanrudder.core.model.ErrorKind;
 
@@ -47,6 +51,19 @@
         assertThat(companion.called()).containsExactly(id(1), id(2), id(3));
     }
 
+    /** Guards against a companion without documents: a peer told the revision alone, and then the log was read. */
+    @Test
+    void aLogReadBetweenAPeersIndexAndItsTextsBringsTheDocument() {
+        CompanionDriver fresh = new CompanionDriver();
+        fresh.openLink(1);
+        LogEntry index = new LogEntry.RevisionIndex(0, List.of(new LogEntry.Revision(CompanionDriver.PROMPTS, 1)));
+        LogRecord record = new LogRecord(1, new LogBatch(0, 0, List.of(index)));
+        fresh.frame(1, new Frame.ConfigurationRecords(List.of(record)));
+        fresh.publish(document(CompanionDriver.PROMPTS, 2, 8, false));
+
+        assertThat(fresh.effectsOf(CompanionEffect.WatchTarget.class)).hasSize(1);
+    }
+
     @Test
     void watchesExactlyTheTargetsAssignedToItsAddress() {
         CompanionDriver fresh = new CompanionDriver();
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/configuration/ConfigurationLedgerTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/configuration/ConfigurationLedgerTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.rattanrudder.core.configuration.EditDecision.Verdict;
 import org.rattanrudder.core.log.LogBatch;
 import org.rattanrudder.core.log.LogEntry;
@@ -17,6 +18,7 @@
 
 class ConfigurationLedgerTest {
     private static final ServiceName PALIVO = new ServiceName("palivo-llm");
+    private static final ServiceName LEDGER = new ServiceName("fuel-ledger");
 
     private final ConfigurationLedger ledger = new ConfigurationLedger();
 
@@ -106,6 +108,39 @@
         assertThat(started.isComplete()).isTrue();
     }
 
+    /** Guards against a service whose revision is known, from a peer, and whose text in the log is passed over. */
+    @ParameterizedTest(name = "{0} records of the peer, the log, the rest of the peer")
+    @ValueSource(ints = {0, 1, 2, 3})
+    void aLogReadBetweenAPeersRecordsBringsAllTexts(int recordsBefore) {
+        List<LogRecord> log = List.of(
+                record(1, edit(0, "one")),
+                record(2, new LogEntry.DocumentEdit(LEDGER, 0, "a")),
+                record(3, edit(1, "two")));
+        log.forEach(ledger::apply);
+        ConfigurationLedger started = new ConfigurationLedger();
+        ledger.snapshot().subList(0, recordsBefore).forEach(started::apply);
+        log.forEach(started::apply);
+        assertThat(started.lacksText()).isFalse();
+        assertThat(started.documents())
+                .extracting(each -> each.text().orElse("none"))
+                .containsExactly("a", "two");
+        assertThat(started.isComplete()).isTrue();
+    }
+
+    /** Guards against the text of an edit that is void, beside the accepted one of the same record. */
+    @Test
+    void ofTwoEditsInOneRecordNeitherIsTakenForAKnownRevision() {
+        LogRecord both = new LogRecord(2, new LogBatch(1, 2, List.of(edit(0, "void"), edit(1, "two"))));
+        List<LogRecord> log = List.of(record(1, edit(0, "one")), both);
+        log.forEach(ledger::apply);
+        ConfigurationLedger started = new ConfigurationLedger();
+        started.apply(ledger.snapshot().get(0));
+        log.forEach(started::apply);
+        assertThat(started.lacksText()).isTrue();
+        ledger.snapshot().forEach(started::apply);
+        assertThat(started.document(PALIVO).flatMap(DocumentRevision::text)).hasValue("two");
+    }
+
     private static LogEntry edit(long base, String text) {
         return new LogEntry.DocumentEdit(PALIVO, base, text);
     }
