Close no connection of another call by cancelling one that has ended, and give up calls whose result is cancelled

HttpCall.cancel closed the connection also after the call's end, when the pool had given it to the next call. Found by reading; HttpCallerTest.cancellingACallThatHasEndedClosesNoConnection, ten calls on one connection, each cancelled after its end, failed before. Whoever cancels the result of a fetch, or completes it first, now gives the call up: its connection is closed, and the other side hears that nobody waits (aCallWhoseResultIsCancelledClosesItsConnection).

--- a/rattanrudder-wire/src/main/java/org/rattanrudder/wire/http/HttpCall.java
+++ b/rattanrudder-wire/src/main/java/org/rattanrudder/wire/http/HttpCall.java
@@ -45,6 +45,7 @@
     private final ConnectionPool pool;
     private final FetchBounds bounds;
 
+    private IoFuture<ClientConnection> connecting;
     private PooledConnection connection;
     private StreamSourceChannel source;
     private XnioExecutor.Key timer;
@@ -87,9 +88,13 @@
         });
     }
 
-    /** Gives the call up: its connection is closed and its answer hears nothing more. */
+    /** Gives the call up unless it has ended: its connection is closed and its answer hears nothing more. */
     public void cancel() {
-        thread.execute(this::close);
+        thread.execute(() -> {
+            if (!ended) {
+                close();
+            }
+        });
     }
 
     void start(PooledConnection pooled) {
@@ -126,9 +131,8 @@
             return;
         }
         URI uri = URI.create("http://" + address);
-        IoFuture<ClientConnection> connecting = UndertowClient.getInstance().connect(uri, thread, buffers, COUNTED);
+        connecting = UndertowClient.getInstance().connect(uri, thread, buffers, COUNTED);
         expect(request.timeouts().connectMillis(), () -> {
-            connecting.cancel();
             fail("no connection in " + request.timeouts().connectMillis() + " ms");
         });
         connecting.addNotifier((future, unused) -> thread.execute(() -> connected(future)), null);
@@ -338,6 +342,8 @@
     private void closeConnection() {
         if (connection != null) {
             connection.close();
+        } else if (connecting != null) {
+            connecting.cancel();
         }
     }
 
--- a/rattanrudder-wire/src/main/java/org/rattanrudder/wire/http/HttpCaller.java
+++ b/rattanrudder-wire/src/main/java/org/rattanrudder/wire/http/HttpCaller.java
@@ -67,15 +67,19 @@
         return call;
     }
 
-    /** Makes a call whose answer is wanted whole, up to {@link #FETCH_LIMIT_BYTES}. Never ends exceptionally. */
+    /**
+     * Makes a call whose answer is wanted whole, up to {@link #FETCH_LIMIT_BYTES}. Never ends exceptionally, unless who
+     * takes the result cancels it: then the call is given up.
+     */
     public CompletableFuture<HttpResult> fetch(Address address, HttpRequest request) {
         return fetch(address, request, FETCH_LIMIT_BYTES);
     }
 
-    /** Makes a call whose answer is wanted whole, up to so many bytes. Never ends exceptionally. */
+    /** Makes a call as {@link #fetch(Address, HttpRequest)} does, whose answer's body has up to so many bytes. */
     public CompletableFuture<HttpResult> fetch(Address address, HttpRequest request, int limitBytes) {
         WholeAnswer whole = new WholeAnswer(limitBytes);
         call(address, request, whole, FetchBounds.of(request, limitBytes));
+        whole.result().whenComplete((result, failure) -> whole.giveUp());
         return whole.result();
     }
 
--- a/rattanrudder-wire/src/main/java/org/rattanrudder/wire/http/HttpRequest.java
+++ b/rattanrudder-wire/src/main/java/org/rattanrudder/wire/http/HttpRequest.java
@@ -57,6 +57,11 @@
         return new HttpRequest(method, path, headers, body, reuse, other);
     }
 
+    /** Returns the same request, on a connection of its own. */
+    public HttpRequest onNewConnection() {
+        return new HttpRequest(method, path, headers, body, false, timeouts);
+    }
+
     /** Returns the same request, allowed on a pooled connection. */
     public HttpRequest reusing() {
         return new HttpRequest(method, path, headers, body, true, timeouts);
--- a/rattanrudder-wire/src/main/java/org/rattanrudder/wire/http/WholeAnswer.java
+++ b/rattanrudder-wire/src/main/java/org/rattanrudder/wire/http/WholeAnswer.java
@@ -12,6 +12,7 @@
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private final CompletableFuture<HttpResult> result = new CompletableFuture<>();
     private volatile HttpCall call;
+    private volatile boolean over;
     private int status;
     private List<Header> headers = List.of();
 
@@ -23,6 +24,13 @@
         return result;
     }
 
+    /** Gives the call up if it isn't over. */
+    void giveUp() {
+        if (!over) {
+            call.cancel();
+        }
+    }
+
     @Override
     public void started(HttpCall begun) {
         call = begun;
@@ -38,6 +46,7 @@
     public boolean part(byte[] bytes) {
         if (body.size() + bytes.length > limitBytes) {
             call.cancel();
+            over = true;
             result.complete(new HttpResult.Failed(false, "the answer is over " + limitBytes + " bytes"));
             return false;
         }
@@ -47,11 +56,13 @@
 
     @Override
     public void end(ResponseEnd end) {
+        over = true;
         result.complete(new HttpResult.Answered(status, headers, body.toByteArray()));
     }
 
     @Override
     public void failed(boolean nothingSent, String detail) {
+        over = true;
         result.complete(new HttpResult.Failed(nothingSent, detail));
     }
 }
--- a/rattanrudder-wire/src/test/java/org/rattanrudder/wire/http/HttpCallerTest.java
+++ b/rattanrudder-wire/src/test/java/org/rattanrudder/wire/http/HttpCallerTest.java
@@ -139,6 +139,38 @@
                         failed -> assertThat(failed.nothingSent()).isFalse());
     }
 
+    /** Guards against calls that nobody waits for, and that keep a place at their target until it answers. */
+    @Test
+    void aCallWhoseResultIsCancelledClosesItsConnection() throws Exception {
+        try (ServerSocket silent = new ServerSocket(0)) {
+            Address address = new Address("127.0.0.1", silent.getLocalPort());
+            CompletableFuture<HttpResult> result = caller.fetch(address, HttpRequest.get("/"));
+            try (Socket accepted = silent.accept()) {
+                accepted.setSoTimeout(SECONDS * 1_000);
+                assertThat(accepted.getInputStream().read()).isEqualTo('G');
+                result.cancel(false);
+                assertThat(accepted.getInputStream().readAllBytes()).isNotEmpty();
+            }
+        }
+    }
+
+    /** Guards against a call that is given up after its end, and closes the connection of the next one. */
+    @Test
+    void cancellingACallThatHasEndedClosesNoConnection() throws Exception {
+        Set<Integer> ports = ConcurrentHashMap.newKeySet();
+        Address address = serve(exchange -> {
+            ports.add(exchange.getSourceAddress().getPort());
+            exchange.endExchange();
+        });
+        for (int call = 0; call < 10; call++) {
+            BlockingQueue<Integer> parts = new LinkedBlockingQueue<>();
+            HttpCall ended = caller.call(address, HttpRequest.get("/"), new Pausing(parts));
+            assertThat(parts.poll(SECONDS, TimeUnit.SECONDS)).isEqualTo(Pausing.END);
+            ended.cancel();
+        }
+        assertThat(ports).hasSize(1);
+    }
+
     /**
      * A poller hangs for good: its target accepts connections and says nothing.
      * Cause: no bound on the time until the answer's head.
