--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/StateMachine.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/StateMachine.java
@@ -1,6 +1,7 @@
 package org.rattanrudder.core;
 
 import java.util.function.Consumer;
+import org.rattanrudder.core.time.EventTime;
 
 /**
  * A deterministic state machine: the same events at the same times produce the same effects.
@@ -10,7 +11,7 @@
  *
  * <pre>{@code
  * List<EntryEffect> effects = new ArrayList<>();
- * machine.handle(new EntryEvent.Tick(), clock.nowMicros(), effects::add);
+ * machine.handle(new EntryEvent.Tick(), clock.now(), effects::add);
  * }</pre>
  *
  * @param <V> the type of the events that it handles
@@ -22,8 +23,13 @@
      * Handles one event and emits the effects to carry out, in order.
      *
      * @param event the event
-     * @param nowMicros the time of the event in microseconds on the process's monotonic clock; never decreases
+     * @param now the time of the event since some start of the process; never decreases
      * @param effects receives each effect
      */
-    void handle(V event, long nowMicros, Consumer<? super F> effects);
+    void handle(V event, EventTime now, Consumer<? super F> effects);
+
+    /** Handles one event at a time of which no part is in doubt, in microseconds. */
+    default void handle(V event, long nowMicros, Consumer<? super F> effects) {
+        handle(event, EventTime.certain(nowMicros), effects);
+    }
 }
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/claims/KeyClaims.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/claims/KeyClaims.java
@@ -14,6 +14,7 @@
 import org.rattanrudder.core.model.Digest;
 import org.rattanrudder.core.model.InstanceName;
 import org.rattanrudder.core.model.ServiceName;
+import org.rattanrudder.core.time.EventTime;
 
 /**
  * Ensures that each call with an idempotency key runs at most once across all companions: a companion appends a claim
@@ -23,7 +24,7 @@
  * outcome of each run:
  *
  * <pre>{@code
- * KeyDecision decision = claims.admit(attempt, KeyedCall.of(service, customer, key, call), now, now + deadline);
+ * KeyDecision decision = claims.admit(attempt, KeyedCall.of(service, customer, key, call), now, deadline);
  * claims.onRecords(records, caughtUp, now, (held, laterDecision) -> decidePending(held, laterDecision));
  * claims.recordAnswer(attempt, status, headers, body);
  * claims.sendDue(now, appender);
@@ -77,22 +78,22 @@
      *
      * @param attempt the attempt; each attempt is passed only once
      * @param call the call that it would run
-     * @param nowMicros the time
-     * @param deadlineMicros the deadline of its answer
+     * @param now the time
+     * @param deadlineMicros how long its answer is wanted, in microseconds from now on
      */
-    public KeyDecision admit(AttemptId attempt, KeyedCall call, long nowMicros, long deadlineMicros) {
+    public KeyDecision admit(AttemptId attempt, KeyedCall call, EventTime now, long deadlineMicros) {
         PendingKey pending = pendingKeys.find(call.key());
         if (pending != null && pending.phase == PendingKey.Phase.RUNNING) {
             return refusals.inProgressOrReused(pending.call, call);
         }
         Optional<KeyState> state = ledger.state(call.key());
         if (state.isPresent() && !(pending != null && pending.outcome instanceof LogEntry.KeyRelease)) {
-            return decideRepeat(call, state.get(), nowMicros);
+            return decideRepeat(call, state.get(), now.atLeastMicros());
         }
         if (pending != null && pending.phase == PendingKey.Phase.CLAIMING) {
-            return joinPendingClaim(pending, attempt, call, nowMicros, deadlineMicros);
+            return joinPendingClaim(pending, attempt, call, now, deadlineMicros);
         }
-        return claim(attempt, call, nowMicros, deadlineMicros);
+        return claim(attempt, call, now, deadlineMicros);
     }
 
     /** Cancels an attempt that hasn't run. No decision on it follows. */
@@ -120,22 +121,22 @@
     }
 
     /** Applies records read from the claims stream, and decides on the attempts whose claims are among them. */
-    public void onRecords(List<LogRecord> records, boolean reachedEnd, long nowMicros, KeyDecision.Listener listener) {
+    public void onRecords(List<LogRecord> records, boolean reachedEnd, EventTime now, KeyDecision.Listener listener) {
         // Failure: this process is paused for longer than a key's retention and another companion runs the call
         // meanwhile. On resuming, this process reads back its old claim as the valid one and runs the call a second
         // time. Attempts that waited too long are therefore dropped before the records are applied; the claim timeout
         // is far shorter than any retention.
-        expireTimedOutAttempts(nowMicros, listener);
+        expireTimedOutAttempts(now, listener);
         writer.onRecords(records, reachedEnd);
         for (LogRecord record : records) {
             trackOffset(record.offset());
-            if (!deduplicator.admit(record, nowMicros)) {
+            if (!deduplicator.admit(record, now.atLeastMicros())) {
                 continue;
             }
             for (LogEntry entry : record.batch().entries()) {
-                boolean accepted = ledger.apply(record.offset(), record.batch().writer(), entry, nowMicros);
+                boolean accepted = ledger.apply(record.offset(), record.batch().writer(), entry, now.atLeastMicros());
                 if (record.batch().writer() == incarnation) {
-                    onOwnEntry(entry, accepted, nowMicros, listener);
+                    onOwnEntry(entry, accepted, now, listener);
                 }
             }
         }
@@ -156,14 +157,14 @@
     }
 
     /** Times out attempts that waited too long for their claims, and records expired keys; call it at each tick. */
-    public void tick(long nowMicros, KeyDecision.Listener listener) {
-        expireTimedOutAttempts(nowMicros, listener);
+    public void tick(EventTime now, KeyDecision.Listener listener) {
+        expireTimedOutAttempts(now, listener);
         // Failure: this process is paused for longer than the log retains records, and its own entries are dropped
         // before it reads them: their keys would be refused for ever. If such a claim is read after all, it is
         // released.
-        pendingKeys.removeClaimedBefore(nowMicros - settings.logRetentionMicros());
+        pendingKeys.removeClaimedBefore(now.atMostMicros() - settings.logRetentionMicros());
         if (caughtUp) {
-            expiry.entriesDue(nowMicros).forEach(writer::record);
+            expiry.entriesDue(now.atLeastMicros()).forEach(writer::record);
         }
     }
 
@@ -212,44 +213,45 @@
     }
 
     private KeyDecision joinPendingClaim(
-            PendingKey claiming, AttemptId attempt, KeyedCall call, long nowMicros, long deadlineMicros) {
+            PendingKey claiming, AttemptId attempt, KeyedCall call, EventTime now, long deadlineMicros) {
         if (claiming.attempt != null) {
             return refusals.inProgressOrReused(claiming.call, call);
         }
         if (!claiming.call.equals(call)) {
-            return logUnavailable(nowMicros, "an earlier claim of the key is not settled");
+            return logUnavailable(now, "an earlier claim of the key is not settled");
         }
         // The attempt for which this claim was written was answered "not run" and never runs. The caller's retry may
         // use the claim instead, whether it is already in the log or still in flight.
-        if (!writer.isAvailable(nowMicros)) {
-            return logUnavailable(nowMicros, "the log doesn't answer");
+        if (!writer.isAvailable(now.atLeastMicros())) {
+            return logUnavailable(now, "the log doesn't answer");
         }
-        hold(claiming, attempt, nowMicros, deadlineMicros);
+        hold(claiming, attempt, now, deadlineMicros);
         return new KeyDecision.Hold();
     }
 
-    private KeyDecision claim(AttemptId attempt, KeyedCall call, long nowMicros, long deadlineMicros) {
+    private KeyDecision claim(AttemptId attempt, KeyedCall call, EventTime now, long deadlineMicros) {
         if (!caughtUp) {
-            return logUnavailable(nowMicros, "the claims are still being read");
+            return logUnavailable(now, "the claims are still being read");
         }
         if (pendingKeys.size() >= settings.maxPendingKeys()) {
             return refusals.overloaded();
         }
-        PendingKey key = new PendingKey(call, incarnation, lastOffset, nowMicros);
-        LogWriter.OfferResult offer = writer.offer(key.claim, nowMicros);
+        PendingKey key = new PendingKey(call, incarnation, lastOffset, now.atMostMicros());
+        LogWriter.OfferResult offer = writer.offer(key.claim, now.atLeastMicros());
         if (offer == LogWriter.OfferResult.UNAVAILABLE) {
-            return logUnavailable(nowMicros, "the log doesn't answer");
+            return logUnavailable(now, "the log doesn't answer");
         }
         if (offer == LogWriter.OfferResult.FULL) {
             return refusals.overloaded();
         }
         pendingKeys.add(key);
-        hold(key, attempt, nowMicros, deadlineMicros);
+        hold(key, attempt, now, deadlineMicros);
         return new KeyDecision.Hold();
     }
 
-    private void hold(PendingKey key, AttemptId attempt, long nowMicros, long deadlineMicros) {
-        pendingKeys.attach(key, attempt, Math.min(deadlineMicros, nowMicros + settings.claimTimeoutMicros()));
+    private void hold(PendingKey key, AttemptId attempt, EventTime now, long deadlineMicros) {
+        long timeoutMicros = Math.min(deadlineMicros, settings.claimTimeoutMicros());
+        pendingKeys.attach(key, attempt, now.atMostMicros() + timeoutMicros);
     }
 
     private void recordStarted() {
@@ -269,33 +271,33 @@
         expiry.onRead(offset);
     }
 
-    private void onOwnEntry(LogEntry entry, boolean accepted, long nowMicros, KeyDecision.Listener listener) {
+    private void onOwnEntry(LogEntry entry, boolean accepted, EventTime now, KeyDecision.Listener listener) {
         if (entry instanceof LogEntry.KeyClaim claim) {
             PendingKey key = pendingKeys.find(claim.key());
             if (key == null && accepted) {
                 writer.record(new LogEntry.KeyRelease(claim.key()));
             } else if (key != null && key.phase == PendingKey.Phase.CLAIMING) {
-                onOwnClaim(key, accepted, nowMicros, listener);
+                onOwnClaim(key, accepted, now, listener);
             }
             return;
         }
         pendingKeys.removeCompletedBy(entry);
     }
 
-    private void onOwnClaim(PendingKey key, boolean accepted, long nowMicros, KeyDecision.Listener listener) {
+    private void onOwnClaim(PendingKey key, boolean accepted, EventTime now, KeyDecision.Listener listener) {
         AttemptId attempt = key.attempt;
         if (!accepted) {
             pendingKeys.remove(key);
             if (attempt != null) {
                 pendingKeys.detach(key);
                 KeyState state = ledger.state(key.call.key()).orElseThrow();
-                listener.onDecision(attempt, decideRepeat(key.call, state, nowMicros));
+                listener.onDecision(attempt, decideRepeat(key.call, state, now.atLeastMicros()));
             }
             return;
         }
-        if (attempt != null && nowMicros - key.claimedMicros >= expiry.maxClaimAgeMicros(key.call.service())) {
+        if (attempt != null && isTooOld(key, now)) {
             pendingKeys.detach(key);
-            listener.onDecision(attempt, logUnavailable(nowMicros, "the claim is too old"));
+            listener.onDecision(attempt, logUnavailable(now, "the claim is too old"));
         }
         if (key.attempt == null) {
             // Failure: the caller is answered "not run" because the log doesn't respond, and the claim appears in the
@@ -309,6 +311,10 @@
         listener.onDecision(attempt, new KeyDecision.Run());
     }
 
+    private boolean isTooOld(PendingKey key, EventTime now) {
+        return now.atMostMicros() - key.claimedAtMostMicros >= expiry.maxClaimAgeMicros(key.call.service());
+    }
+
     private void recordOutcome(AttemptId attempt, Function<Digest, LogEntry> entry) {
         PendingKey key = pendingKeys.find(attempt);
         if (key == null || key.phase != PendingKey.Phase.RUNNING) {
@@ -333,18 +339,18 @@
         }
     }
 
-    private void expireTimedOutAttempts(long nowMicros, KeyDecision.Listener listener) {
-        for (PendingKey key : pendingKeys.timedOut(nowMicros)) {
+    private void expireTimedOutAttempts(EventTime now, KeyDecision.Listener listener) {
+        for (PendingKey key : pendingKeys.timedOut(now.atMostMicros())) {
             AttemptId attempt = key.attempt;
             if (attempt == null) {
                 continue;
             }
             abandon(key);
-            listener.onDecision(attempt, logUnavailable(nowMicros, "the claim was not read back in time"));
+            listener.onDecision(attempt, logUnavailable(now, "the claim was not read back in time"));
         }
     }
 
-    private KeyDecision logUnavailable(long nowMicros, String detail) {
-        return refusals.logUnavailable(writer.retryAfterMillis(nowMicros), detail);
+    private KeyDecision logUnavailable(EventTime now, String detail) {
+        return refusals.logUnavailable(writer.retryAfterMillis(now.atLeastMicros()), detail);
     }
 }
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/claims/PendingKey.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/claims/PendingKey.java
@@ -7,19 +7,21 @@
 final class PendingKey {
     final KeyedCall call;
     final LogEntry.KeyClaim claim;
-    final long claimedMicros;
+    /** When the key was claimed, by the longest time that may have passed since some start, as its timeout. */
+    final long claimedAtMostMicros;
+
     Phase phase = Phase.CLAIMING;
     /** The one attempt that may run under the claim; null if it was cancelled or timed out. */
     AttemptId attempt;
 
-    long timeoutAtMicros;
+    long timeoutAtMostMicros;
     /** The entry that records the outcome; null until there is one. */
     LogEntry outcome;
 
-    PendingKey(KeyedCall call, long claimant, long readOffset, long nowMicros) {
+    PendingKey(KeyedCall call, long claimant, long readOffset, long atMostMicros) {
         this.call = call;
         this.claim = new LogEntry.KeyClaim(call.key(), call.request(), claimant, call.service(), readOffset);
-        this.claimedMicros = nowMicros;
+        this.claimedAtMostMicros = atMostMicros;
     }
 
     /** The state of the key at this process. */
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/claims/PendingKeys.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/claims/PendingKeys.java
@@ -8,11 +8,14 @@
 import org.rattanrudder.core.model.AttemptId;
 import org.rattanrudder.core.model.Digest;
 
-/** The keys that this process has claimed or is claiming, by digest and by attempt. */
+/**
+ * The keys that this process has claimed or is claiming, by digest and by attempt. All times are the longest that may
+ * have passed, in microseconds: an attempt must not run under a claim that others may hold expired.
+ */
 final class PendingKeys {
     private final Map<Digest, PendingKey> byDigest = new HashMap<>();
     private final Map<AttemptId, PendingKey> byAttempt = new HashMap<>();
-    private long earliestTimeoutMicros = Long.MAX_VALUE;
+    private long earliestTimeoutAtMostMicros = Long.MAX_VALUE;
 
     /** Returns the key, or null if it isn't pending at this process. */
     PendingKey find(Digest key) {
@@ -37,11 +40,11 @@
     }
 
     /** Makes an attempt wait for the key's claim until its timeout. */
-    void attach(PendingKey key, AttemptId attempt, long timeoutAtMicros) {
+    void attach(PendingKey key, AttemptId attempt, long timeoutAtMostMicros) {
         key.attempt = attempt;
-        key.timeoutAtMicros = timeoutAtMicros;
+        key.timeoutAtMostMicros = timeoutAtMostMicros;
         byAttempt.put(attempt, key);
-        earliestTimeoutMicros = Math.min(earliestTimeoutMicros, timeoutAtMicros);
+        earliestTimeoutAtMostMicros = Math.min(earliestTimeoutAtMostMicros, timeoutAtMostMicros);
     }
 
     /** Removes the key's attempt, if it has one. */
@@ -51,25 +54,25 @@
     }
 
     /** Returns the keys whose attempts have timed out while waiting for their claims. */
-    List<PendingKey> timedOut(long nowMicros) {
+    List<PendingKey> timedOut(long atMostMicros) {
         List<PendingKey> overdue = new ArrayList<>();
-        if (nowMicros < earliestTimeoutMicros) {
+        if (atMostMicros < earliestTimeoutAtMostMicros) {
             return overdue;
         }
-        earliestTimeoutMicros = Long.MAX_VALUE;
+        earliestTimeoutAtMostMicros = Long.MAX_VALUE;
         for (PendingKey key : byAttempt.values()) {
-            if (key.phase == PendingKey.Phase.CLAIMING && nowMicros >= key.timeoutAtMicros) {
+            if (key.phase == PendingKey.Phase.CLAIMING && atMostMicros >= key.timeoutAtMostMicros) {
                 overdue.add(key);
             } else if (key.phase == PendingKey.Phase.CLAIMING) {
-                earliestTimeoutMicros = Math.min(earliestTimeoutMicros, key.timeoutAtMicros);
+                earliestTimeoutAtMostMicros = Math.min(earliestTimeoutAtMostMicros, key.timeoutAtMostMicros);
             }
         }
         return overdue;
     }
 
     /** Removes the keys without an attempt that were claimed before a time. */
-    void removeClaimedBefore(long micros) {
-        byDigest.values().removeIf(key -> key.attempt == null && key.claimedMicros < micros);
+    void removeClaimedBefore(long atMostMicros) {
+        byDigest.values().removeIf(key -> key.attempt == null && key.claimedAtMostMicros < atMostMicros);
     }
 
     /** Removes the key whose outcome this log entry records, if there is one. */
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/companion/CompanionMachine.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/companion/CompanionMachine.java
@@ -11,6 +11,7 @@
 import org.rattanrudder.core.log.LogStream;
 import org.rattanrudder.core.model.ErrorKind;
 import org.rattanrudder.core.orders.OrderSettings;
+import org.rattanrudder.core.time.EventTime;
 
 /**
  * State machine of a companion: decides which attempts its targets run, and in which order.
@@ -71,8 +72,8 @@
     }
 
     @Override
-    public void handle(CompanionEvent event, long nowMicros, Consumer<? super CompanionEffect> effects) {
-        EventContext context = new EventContext(nowMicros, effects);
+    public void handle(CompanionEvent event, EventTime now, Consumer<? super CompanionEffect> effects) {
+        EventContext context = new EventContext(now, effects);
         if (!handleTargetEvent(event, context) && !handleEntryEvent(event, context)) {
             handleOtherEvent(event, context);
         }
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/companion/EngineOrders.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/companion/EngineOrders.java
@@ -17,6 +17,7 @@
 import org.rattanrudder.core.orders.OrderSettings;
 import org.rattanrudder.core.orders.TargetKey;
 import org.rattanrudder.core.orders.TargetOrders;
+import org.rattanrudder.core.time.EventTime;
 
 /** Sends orders to this companion's engines until they have the state that their documents specify. */
 final class EngineOrders implements CompanionPart {
@@ -26,7 +27,7 @@
     private final OrderLedger ledger = new OrderLedger();
     private final Map<TargetName, TargetOrders> orders = new TreeMap<>(Comparator.comparing(TargetName::value));
     private final Map<TargetName, AssignedTarget> targets = new TreeMap<>(Comparator.comparing(TargetName::value));
-    private long lastEventMicros = Long.MAX_VALUE;
+    private long lastEventAtMostMicros = Long.MAX_VALUE;
 
     EngineOrders(long incarnation, OrderSettings settings, RandomGenerator random) {
         this.incarnation = incarnation;
@@ -50,16 +51,17 @@
     @Override
     public void handle(CompanionEvent event, EventContext context) {
         long nowMicros = context.nowMicros();
-        if (nowMicros - lastEventMicros > settings.pauseThresholdMicros()) {
+        long pauseMicros = context.now().atMostMicros() - lastEventAtMostMicros;
+        lastEventAtMostMicros = context.now().atMostMicros();
+        if (pauseMicros > settings.pauseThresholdMicros()) {
             // A companion that was frozen, with its machine or by a signal, would resume where it stopped and could
             // send an order after another took over. Ticks come every 50 ms, so a gap between events shows the pause.
             orders.values().forEach(TargetOrders::onPause);
             ledger.onPause(nowMicros, settings.staleReadMicros());
-            context.logEvent("paused", "micros", Long.toString(nowMicros - lastEventMicros));
+            context.logEvent("paused", "micros", Long.toString(pauseMicros));
         }
-        lastEventMicros = nowMicros;
         if (event instanceof CompanionEvent.LogRead read && read.stream() == LogStream.ORDERS) {
-            onLogRead(read, nowMicros);
+            onLogRead(read, context.now());
         } else if (event instanceof CompanionEvent.LogReadFailed failed && failed.stream() == LogStream.ORDERS) {
             log.onReadFailed();
         } else if (event instanceof CompanionEvent.AppendSettled settled && settled.stream() == LogStream.ORDERS) {
@@ -68,11 +70,12 @@
             orders.get(reported.target()).onVersionReported(reported.load().weightVersion(), nowMicros);
         } else if (event instanceof CompanionEvent.OrderAnswered answered && orders.containsKey(answered.target())) {
             orders.get(answered.target())
-                    .onAnswer(answered.fencing(), answered.outcome(), nowMicros, actions(answered.target(), context));
+                    .onAnswer(
+                            answered.fencing(), answered.outcome(), context.now(), actions(answered.target(), context));
         } else if (!(event instanceof CompanionEvent.Tick)) {
             return;
         }
-        orders.forEach((name, each) -> each.advance(nowMicros, actions(name, context)));
+        orders.forEach((name, each) -> each.advance(context.now(), actions(name, context)));
         log.sendDue(nowMicros, (stream, batch) -> context.emit(new CompanionEffect.Append(stream, batch)));
     }
 
@@ -80,20 +83,20 @@
         return new TargetOrders(new TargetKey(target.service(), target.name()), incarnation, ledger, settings);
     }
 
-    private void onLogRead(CompanionEvent.LogRead read, long nowMicros) {
+    private void onLogRead(CompanionEvent.LogRead read, EventTime now) {
         for (LogRecord record : read.records()) {
-            if (ledger.apply(record, nowMicros) && record.batch().writer() == incarnation) {
-                record.batch().entries().forEach(entry -> onReadBack(entry, record.offset(), nowMicros));
+            if (ledger.apply(record, now.atLeastMicros()) && record.batch().writer() == incarnation) {
+                record.batch().entries().forEach(entry -> onReadBack(entry, record.offset(), now));
             }
         }
         if (read.caughtUp()) {
-            ledger.onEndReached(nowMicros);
+            ledger.onEndReached(now.atLeastMicros());
         }
         log.onRecords(read.records(), read.caughtUp());
     }
 
-    private void onReadBack(LogEntry entry, long offset, long nowMicros) {
-        orders.values().forEach(each -> each.onReadBack(entry, offset, nowMicros));
+    private void onReadBack(LogEntry entry, long offset, EventTime now) {
+        orders.values().forEach(each -> each.onReadBack(entry, offset, now));
     }
 
     private OrderActions actions(TargetName name, EventContext context) {
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/companion/LogIdempotencyGate.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/companion/LogIdempotencyGate.java
@@ -62,8 +62,7 @@
                 dispatch.idempotencyKey().get(),
                 dispatch.call());
         AttemptId attempt = dispatch.attempt();
-        long deadline = context.nowMicros() + dispatch.deadlineMicros();
-        KeyDecision decision = claims.admit(attempt, call, context.nowMicros(), deadline);
+        KeyDecision decision = claims.admit(attempt, call, context.now(), dispatch.deadlineMicros());
         if (decision instanceof KeyDecision.Hold) {
             pendingCallbacks.put(attempt, callback);
         } else {
@@ -123,13 +122,13 @@
         long now = context.nowMicros();
         KeyDecision.Listener listener = (attempt, decision) -> decidePending(attempt, decision, context);
         if (event instanceof CompanionEvent.LogRead read && read.stream() == LogStream.CLAIMS) {
-            claims.onRecords(read.records(), read.caughtUp(), now, listener);
+            claims.onRecords(read.records(), read.caughtUp(), context.now(), listener);
         } else if (event instanceof CompanionEvent.LogReadFailed failed && failed.stream() == LogStream.CLAIMS) {
             claims.onReadFailed();
         } else if (event instanceof CompanionEvent.AppendSettled settled && settled.stream() == LogStream.CLAIMS) {
             claims.onAppendResult(settled.sequence(), settled.result(), now);
         } else if (event instanceof CompanionEvent.Tick) {
-            claims.tick(now, listener);
+            claims.tick(context.now(), listener);
         } else if (event instanceof CompanionEvent.DrainRequested) {
             drainDeadlineMicros = Math.min(drainDeadlineMicros, now + DRAIN_TIMEOUT_MICROS);
         }
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/entry/EntryMachine.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/entry/EntryMachine.java
@@ -17,6 +17,7 @@
 import org.rattanrudder.core.model.Refusal;
 import org.rattanrudder.core.routing.AffinityPolicy;
 import org.rattanrudder.core.routing.RoutingPolicy;
+import org.rattanrudder.core.time.EventTime;
 
 /**
  * The state machine of an entry: admits callers' requests, dispatches each to a target's companion and forwards the
@@ -24,8 +25,8 @@
  *
  * <pre>{@code
  * EntryMachine entry = new EntryMachine(settings, reader, new SplittableRandom(seed));
- * entry.handle(new EntryEvent.LogRead(Stream.CONFIGURATION, records, true), clock.nowMicros(), effects::add);
- * entry.handle(new EntryEvent.RequestArrived(1, request), clock.nowMicros(), effects::add);
+ * entry.handle(new EntryEvent.LogRead(Stream.CONFIGURATION, records, true), clock.now(), effects::add);
+ * entry.handle(new EntryEvent.RequestArrived(1, request), clock.now(), effects::add);
  * }</pre>
  */
 public final class EntryMachine implements StateMachine<EntryEvent, EntryEffect> {
@@ -99,7 +100,8 @@
     }
 
     @Override
-    public void handle(EntryEvent event, long nowMicros, Consumer<? super EntryEffect> effects) {
+    public void handle(EntryEvent event, EventTime now, Consumer<? super EntryEffect> effects) {
+        long nowMicros = now.atLeastMicros();
         outbox.bind(effects);
         if (event instanceof EntryEvent.FrameArrived arrived) {
             handleFrame(arrived.companion(), arrived.frame(), nowMicros);
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/orders/LogBackedLease.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/orders/LogBackedLease.java
@@ -4,7 +4,7 @@
 
 /**
  * A lease or claim of this process that is backed by a record in the log. Its term counts from the time before the
- * record was sent.
+ * record was sent. All times are the longest that may have passed, in microseconds: the term forbids to go on.
  *
  * <p>At most one record is pending at a time. Otherwise a record that is read back could be mistaken for a later one,
  * whose term ends later.
@@ -23,10 +23,10 @@
         this.termMicros = termMicros;
     }
 
-    void onSent(LogEntry entry, long nowMicros) {
+    void onSent(LogEntry entry, long atMostMicros) {
         pending = entry;
-        isRenewal = isHeld(nowMicros);
-        lastSentMicros = nowMicros;
+        isRenewal = isHeld(atMostMicros);
+        lastSentMicros = atMostMicros;
     }
 
     boolean isPending() {
@@ -34,7 +34,7 @@
     }
 
     /** Handles a record that was read back from the log; ignored unless it is the pending one. */
-    void onReadBack(LogEntry entry, long readOffset, long nowMicros) {
+    void onReadBack(LogEntry entry, long readOffset, long atMostMicros) {
         if (!entry.equals(pending)) {
             return;
         }
@@ -43,7 +43,7 @@
         // A renewal that is read back after the term has ended must not count: other companions may have treated the
         // lease as expired before they read the renewal, and may have taken it over. The holder's own term is the
         // shorter one, so it can't know whether they did, and has to acquire the lease again.
-        expiryMicros = isRenewal && !isHeld(nowMicros) ? NEVER : lastSentMicros + termMicros;
+        expiryMicros = isRenewal && !isHeld(atMostMicros) ? NEVER : lastSentMicros + termMicros;
     }
 
     /** Gives up the lease; reading back a pending record doesn't restore it. */
@@ -52,12 +52,12 @@
         lastSentMicros = NEVER;
     }
 
-    boolean isHeld(long nowMicros) {
-        return nowMicros < expiryMicros;
+    boolean isHeld(long atMostMicros) {
+        return atMostMicros < expiryMicros;
     }
 
-    boolean needsRenewal(long nowMicros) {
-        return !isPending() && nowMicros >= expiryMicros - termMicros / 2;
+    boolean needsRenewal(long atMostMicros) {
+        return !isPending() && atMostMicros >= expiryMicros - termMicros / 2;
     }
 
     /** Returns the log offset of the last record, which is the fencing number of an order lease. */
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/orders/TargetOrders.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/orders/TargetOrders.java
@@ -5,6 +5,7 @@
 import java.util.stream.Stream;
 import org.rattanrudder.core.companion.CompanionEvent.OrderOutcome;
 import org.rattanrudder.core.log.LogEntry;
+import org.rattanrudder.core.time.EventTime;
 
 /**
  * Brings one target to its desired state. Each order requires a lease and a load claim that were read back from the
@@ -90,11 +91,11 @@
     }
 
     /** Handles a record of this companion that was read back from the log. */
-    public void onReadBack(LogEntry entry, long offset, long nowMicros) {
+    public void onReadBack(LogEntry entry, long offset, EventTime now) {
         if (entry instanceof LogEntry.OrderLease) {
-            lease.onReadBack(entry, offset, nowMicros);
+            lease.onReadBack(entry, offset, now.atMostMicros());
         } else if (entry instanceof LogEntry.LoadClaim) {
-            claim.onReadBack(entry, offset, nowMicros);
+            claim.onReadBack(entry, offset, now.atMostMicros());
         }
     }
 
@@ -104,20 +105,20 @@
     }
 
     /** Handles the answer to an order or to a query of the last order. */
-    public void onAnswer(long fencing, OrderOutcome outcome, long nowMicros, OrderActions actions) {
+    public void onAnswer(long fencing, OrderOutcome outcome, EventTime now, OrderActions actions) {
         switch (phase) {
-            case ORDERING -> onOrderAnswer(fencing, outcome, nowMicros, actions);
-            case QUERYING, LOADING -> onLastOrderAnswer(fencing, outcome, nowMicros, actions);
+            case ORDERING -> onOrderAnswer(fencing, outcome, now, actions);
+            case QUERYING, LOADING -> onLastOrderAnswer(fencing, outcome, now, actions);
             default -> {}
         }
     }
 
     /** Takes the next step if one is due. Called after each event. */
-    public void advance(long nowMicros, OrderActions actions) {
+    public void advance(EventTime now, OrderActions actions) {
         if (desired == null || reportedVersion.isEmpty()) {
             return;
         }
-        if (phase == Phase.SETTLED && needsOrder(nowMicros)) {
+        if (phase == Phase.SETTLED && needsOrder(now.atLeastMicros())) {
             phase = Phase.ACQUIRING;
             lease.drop();
         } else if (phase == Phase.ACQUIRING && reportsDesired() && !hasPredecessorClaim()) {
@@ -135,14 +136,14 @@
             phase = phase == Phase.ORDERING ? Phase.ORDERING : Phase.ACQUIRING;
             return;
         }
-        maintainClaim(nowMicros, actions);
-        if (nowMicros < notBeforeMicros) {
+        maintainClaim(now, actions);
+        if (now.atLeastMicros() < notBeforeMicros) {
             return;
         }
         if (phase == Phase.ACQUIRING) {
-            acquire(nowMicros, actions);
+            acquire(now, actions);
         } else if (phase == Phase.LOADING) {
-            queryLastOrder(Phase.LOADING, nowMicros, actions);
+            queryLastOrder(Phase.LOADING, now, actions);
         }
     }
 
@@ -181,25 +182,25 @@
         return !confirmed.equals(desired) || deviatingSinceMicros != Long.MAX_VALUE && deviates;
     }
 
-    private void acquire(long nowMicros, OrderActions actions) {
-        if (!mayLoad(nowMicros) && !hasPredecessorClaim()) {
+    private void acquire(EventTime now, OrderActions actions) {
+        if (!mayLoad(now) && !hasPredecessorClaim()) {
             return;
         }
         // If each took a new lease while the other's is unexpired, two companions of one target, of which the older one
         // has resumed after a pause, would supersede each other's leases forever.
-        if (lease.needsRenewal(nowMicros) && ledger.isFreeFor(target, claimant.holder())) {
+        if (lease.needsRenewal(now.atMostMicros()) && ledger.isFreeFor(target, claimant.holder())) {
             LogEntry entry = new LogEntry.OrderLease(
                     target.service(),
                     target.target(),
                     claimant.holder(),
                     settings.leaseTermMicros() / MICROS_PER_MILLI);
             if (actions.append(entry)) {
-                lease.onSent(entry, nowMicros);
+                lease.onSent(entry, now.atMostMicros());
                 logEvent("order_lease_asked", actions);
             }
         }
-        if (mayOrder(nowMicros)) {
-            queryLastOrder(Phase.QUERYING, nowMicros, actions);
+        if (mayOrder(now)) {
+            queryLastOrder(Phase.QUERYING, now, actions);
         }
     }
 
@@ -207,20 +208,20 @@
      * Renews the claim from the time at which an order is needed to the end of the load. An expired claim is appended
      * again, behind the claims of others.
      */
-    private void maintainClaim(long nowMicros, OrderActions actions) {
+    private void maintainClaim(EventTime now, OrderActions actions) {
         // A successor may have released the claim of this companion when it seemed dead.
-        boolean releasedByOther = claim.isHeld(nowMicros) && !claim.isPending() && !ledger.hasClaim(claimant);
-        if (!releasedByOther && !claim.needsRenewal(nowMicros)) {
+        boolean releasedByOther = claim.isHeld(now.atMostMicros()) && !claim.isPending() && !ledger.hasClaim(claimant);
+        if (!releasedByOther && !claim.needsRenewal(now.atMostMicros())) {
             return;
         }
-        if (!claim.isHeld(nowMicros) && claim.offset() != 0) {
+        if (!claim.isHeld(now.atMostMicros()) && claim.offset() != 0) {
             // Some readers may have seen it expire and others not. Releasing it first gives it one position for all.
             actions.append(releaseEntry(claimant));
         }
         LogEntry entry = new LogEntry.LoadClaim(
                 target.service(), target.target(), claimant.holder(), settings.loadTermMicros() / MICROS_PER_MILLI);
         if (actions.append(entry)) {
-            claim.onSent(entry, nowMicros);
+            claim.onSent(entry, now.atMostMicros());
         }
     }
 
@@ -246,25 +247,25 @@
      * ends before the term that any later holder counts from reading it. Each holder also waits until all earlier
      * leases of others have expired.
      */
-    private boolean mayOrder(long nowMicros) {
-        return lease.isHeld(nowMicros)
+    private boolean mayOrder(EventTime now) {
+        return lease.isHeld(now.atMostMicros())
                 && ledger.haveOthersExpired(target)
                 && !ledger.hasSuccessor(target, claimant.holder());
     }
 
-    private boolean mayLoad(long nowMicros) {
-        return claim.isHeld(nowMicros) && ledger.mayLoad(claimant);
+    private boolean mayLoad(EventTime now) {
+        return claim.isHeld(now.atMostMicros()) && ledger.mayLoad(claimant);
     }
 
-    private void queryLastOrder(Phase next, long nowMicros, OrderActions actions) {
+    private void queryLastOrder(Phase next, EventTime now, OrderActions actions) {
         phase = next;
-        notBeforeMicros = nowMicros + settings.pollIntervalMicros();
+        notBeforeMicros = now.atLeastMicros() + settings.pollIntervalMicros();
         actions.queryLastOrder();
     }
 
-    private void onLastOrderAnswer(long fencing, OrderOutcome outcome, long nowMicros, OrderActions actions) {
+    private void onLastOrderAnswer(long fencing, OrderOutcome outcome, EventTime now, OrderActions actions) {
         if (outcome == OrderOutcome.LOST) {
-            retry(phase == Phase.LOADING ? Phase.LOADING : Phase.ACQUIRING, settings.pollIntervalMicros(), nowMicros);
+            retry(phase == Phase.LOADING ? Phase.LOADING : Phase.ACQUIRING, settings.pollIntervalMicros(), now);
             return;
         }
         if (outcome == OrderOutcome.STARTED) {
@@ -276,22 +277,22 @@
             return;
         }
         if (fencing > lease.offset()) {
-            onSuperseded(fencing, nowMicros, actions);
+            onSuperseded(fencing, now, actions);
             return;
         }
         if (isForeign(fencing) && !mayOverrideForeign) {
-            onForeignOrder(fencing, nowMicros, actions);
+            onForeignOrder(fencing, now, actions);
             return;
         }
-        if (mayOrder(nowMicros)) {
+        if (mayOrder(now)) {
             // The predecessor can't send orders any more and its load isn't running: its claim only blocks others.
             ledger.claimsOfOthers(claimant).forEach(each -> releasePredecessor(each, actions));
         }
         if (reportsDesired()) {
-            retry(Phase.ACQUIRING, settings.pollIntervalMicros(), nowMicros);
+            retry(Phase.ACQUIRING, settings.pollIntervalMicros(), now);
             return;
         }
-        if (mayOrder(nowMicros) && mayLoad(nowMicros)) {
+        if (mayOrder(now) && mayLoad(now)) {
             ordered = desired;
             mayOverrideForeign = false;
             orderedFencing = lease.offset();
@@ -300,7 +301,7 @@
             logEvent("order_given", actions, "version", ordered.version(), "fencing", Long.toString(orderedFencing));
             return;
         }
-        retry(Phase.ACQUIRING, settings.pollIntervalMicros(), nowMicros);
+        retry(Phase.ACQUIRING, settings.pollIntervalMicros(), now);
     }
 
     private void releasePredecessor(OrderLedger.Claimant predecessor, OrderActions actions) {
@@ -309,17 +310,17 @@
         }
     }
 
-    private void onOrderAnswer(long fencing, OrderOutcome outcome, long nowMicros, OrderActions actions) {
+    private void onOrderAnswer(long fencing, OrderOutcome outcome, EventTime now, OrderActions actions) {
         if (fencing != orderedFencing) {
             return;
         }
         switch (outcome) {
             case DONE -> onDone(actions);
-            case STARTED -> retry(Phase.LOADING, settings.pollIntervalMicros(), nowMicros);
+            case STARTED -> retry(Phase.LOADING, settings.pollIntervalMicros(), now);
             // The order may have taken effect, so the target is queried first.
-            case LOST -> retry(Phase.ACQUIRING, settings.pollIntervalMicros(), nowMicros);
-            case FENCED -> onSuperseded(fencing, nowMicros, actions);
-            default -> onRefused(nowMicros, actions);
+            case LOST -> retry(Phase.ACQUIRING, settings.pollIntervalMicros(), now);
+            case FENCED -> onSuperseded(fencing, now, actions);
+            default -> onRefused(now, actions);
         }
     }
 
@@ -333,15 +334,15 @@
     }
 
     /** Handles an order of a newer lease at the target: a new lease is needed, at a later log offset. */
-    private void onSuperseded(long fencing, long nowMicros, OrderActions actions) {
+    private void onSuperseded(long fencing, EventTime now, OrderActions actions) {
         lease.drop();
         boolean leaseIsOurs = ledger.lease(target)
                 .filter(each -> each.holder() == claimant.holder())
                 .isPresent();
         if (leaseIsOurs) {
-            onForeignOrder(fencing, nowMicros, actions);
+            onForeignOrder(fencing, now, actions);
         } else {
-            retry(Phase.ACQUIRING, settings.pollIntervalMicros(), nowMicros);
+            retry(Phase.ACQUIRING, settings.pollIntervalMicros(), now);
         }
     }
 
@@ -361,26 +362,26 @@
      * belongs to no lease of this target. So this companion backs off, logs an event for operators, and sends an order
      * again only after a new document.
      */
-    private void onForeignOrder(long fencing, long nowMicros, OrderActions actions) {
+    private void onForeignOrder(long fencing, EventTime now, OrderActions actions) {
         logEvent("foreign_order", actions, "fencing", Long.toString(fencing));
-        backOff(nowMicros);
+        backOff(now);
     }
 
-    private void onRefused(long nowMicros, OrderActions actions) {
+    private void onRefused(EventTime now, OrderActions actions) {
         logEvent("order_refused", actions, "version", ordered.version());
         ordered = null;
-        backOff(nowMicros);
+        backOff(now);
     }
 
-    private void backOff(long nowMicros) {
+    private void backOff(EventTime now) {
         long wait = settings.baseBackoffMicros() << Math.min(refusals, MAX_BACKOFF_DOUBLINGS);
         refusals++;
-        retry(Phase.ACQUIRING, wait, nowMicros);
+        retry(Phase.ACQUIRING, wait, now);
     }
 
-    private void retry(Phase next, long waitMicros, long nowMicros) {
+    private void retry(Phase next, long waitMicros, EventTime now) {
         phase = next;
-        notBeforeMicros = nowMicros + waitMicros;
+        notBeforeMicros = now.atLeastMicros() + waitMicros;
     }
 
     private void logEvent(String event, OrderActions actions, String... fields) {
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/claims/ClaimSimulation.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/claims/ClaimSimulation.java
@@ -15,6 +15,7 @@
 import org.rattanrudder.core.model.AttemptId;
 import org.rattanrudder.core.model.Digest;
 import org.rattanrudder.core.model.ServiceName;
+import org.rattanrudder.core.time.EventTime;
 
 /** Simulates three companions on one faulty log, and records all runs and decisions. */
 final class ClaimSimulation {
@@ -61,7 +62,8 @@
     AttemptId ask(SimulatedCompanion companion, KeyedCall call) {
         AttemptId attempt = new AttemptId(1, ++attempts, 1);
         calls.put(attempt, call);
-        KeyDecision decision = companion.claims.admit(attempt, call, nowMicros, nowMicros + 10 * MICROS_PER_SECOND);
+        KeyDecision decision =
+                companion.claims.admit(attempt, call, EventTime.certain(nowMicros), 10 * MICROS_PER_SECOND);
         if (!(decision instanceof KeyDecision.Hold)) {
             onDecision(attempt, decision);
         }
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/claims/KeyClaimsTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/claims/KeyClaimsTest.java
@@ -10,6 +10,7 @@
 import org.rattanrudder.core.log.AppendResult;
 import org.rattanrudder.core.model.AttemptId;
 import org.rattanrudder.core.model.ErrorKind;
+import org.rattanrudder.core.time.EventTime;
 
 class KeyClaimsTest {
     private static final KeyedCall CALL = ClaimSimulation.call(0, 0);
@@ -266,7 +267,7 @@
         simulation.settle();
 
         KeyedDecision replay = new KeyedDecision(
-                second.claims.admit(new AttemptId(2, 1, 1), CALL, simulation.nowMicros, simulation.nowMicros));
+                second.claims.admit(new AttemptId(2, 1, 1), CALL, EventTime.certain(simulation.nowMicros), 0));
         assertThat(replay.answer().status()).isEqualTo(201);
         assertThat(replay.answer().body()).isEmpty();
         assertThat(replay.answer().isComplete()).isFalse();
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/claims/SimulatedCompanion.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/claims/SimulatedCompanion.java
@@ -13,6 +13,7 @@
 import org.rattanrudder.core.log.LogWriterSettings;
 import org.rattanrudder.core.model.AttemptId;
 import org.rattanrudder.core.model.InstanceName;
+import org.rattanrudder.core.time.EventTime;
 
 /** One incarnation of a companion, with its claims, its runs and its position in the log. */
 final class SimulatedCompanion {
@@ -50,7 +51,7 @@
     }
 
     void tick(long now) {
-        claims.tick(now, listener);
+        claims.tick(EventTime.certain(now), listener);
         sendDue(now);
     }
 
@@ -64,7 +65,7 @@
         if (!records.isEmpty()) {
             position = records.get(records.size() - 1).offset();
         }
-        claims.onRecords(records, records.size() < maxRecords, now, listener);
+        claims.onRecords(records, records.size() < maxRecords, EventTime.certain(now), listener);
         sendDue(now);
     }
 
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/claims/bench/ClaimRateSimulation.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/claims/bench/ClaimRateSimulation.java
@@ -17,6 +17,7 @@
 import org.rattanrudder.core.model.Digest;
 import org.rattanrudder.core.model.InstanceName;
 import org.rattanrudder.core.model.ServiceName;
+import org.rattanrudder.core.time.EventTime;
 
 /** Simulates companions that claim the keys of calls at a given rate, and records the latencies that callers see. */
 final class ClaimRateSimulation {
@@ -54,9 +55,9 @@
             InstanceName name = new InstanceName("companion-" + number);
             claims = new KeyClaims(number, name, ClaimSettings.DEFAULT, writer, new Random(number));
             claims.setKeyRetention(SERVICE, 86_400 * MICROS_PER_SECOND);
-            claims.onRecords(List.of(), true, 0, this::decided);
+            claims.onRecords(List.of(), true, EventTime.certain(0), this::decided);
             log.subscribe(record -> {
-                claims.onRecords(List.of(record), true, events.now(), this::decided);
+                claims.onRecords(List.of(record), true, now(), this::decided);
                 pump();
             });
             events.schedule(number * tickMicros / 100, this::tick);
@@ -66,9 +67,9 @@
             if (log.down) {
                 claims.onReadFailed();
             } else {
-                claims.onRecords(List.of(), true, events.now(), this::decided);
+                claims.onRecords(List.of(), true, now(), this::decided);
             }
-            claims.tick(events.now(), this::decided);
+            claims.tick(now(), this::decided);
             pump();
             events.schedule(tickMicros, this::tick);
         }
@@ -77,13 +78,17 @@
             AttemptId attempt = new AttemptId(1, ++sequence, 1);
             askedMicros.put(attempt, events.now());
             asked++;
-            KeyDecision decision = claims.admit(attempt, call, events.now(), events.now() + 10 * MICROS_PER_SECOND);
+            KeyDecision decision = claims.admit(attempt, call, now(), 10 * MICROS_PER_SECOND);
             if (!(decision instanceof KeyDecision.Hold)) {
                 decided(attempt, decision);
             }
             pump();
         }
 
+        private EventTime now() {
+            return EventTime.certain(events.now());
+        }
+
         private void decided(AttemptId attempt, KeyDecision decision) {
             long waited = events.now() - askedMicros.remove(attempt);
             if (decision instanceof KeyDecision.Run) {
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/companion/CompanionDriver.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/companion/CompanionDriver.java
@@ -33,6 +33,7 @@
 import org.rattanrudder.core.model.InstanceName;
 import org.rattanrudder.core.model.ServiceName;
 import org.rattanrudder.core.model.TargetName;
+import org.rattanrudder.core.time.EventTime;
 
 /** Drives the state machine of one companion with a simulated clock, and collects its effects. */
 public final class CompanionDriver {
@@ -55,6 +56,7 @@
     private final Set<AttemptId> openCalls = new LinkedHashSet<>();
     private final Set<AttemptId> startedAnswers = new HashSet<>();
     private long nowMicros = 1_000_000;
+    private long doubtfulMicros;
     private long offset;
 
     public CompanionDriver() {
@@ -141,7 +143,7 @@
         } else if (event instanceof CompanionEvent.TargetAnswerStarted begun) {
             startedAnswers.add(begun.attempt());
         }
-        machine.handle(event, nowMicros, this::take);
+        machine.handle(event, new EventTime(nowMicros, nowMicros + doubtfulMicros), this::take);
     }
 
     private void take(CompanionEffect effect) {
@@ -166,6 +168,11 @@
         return startedAnswers.contains(attempt);
     }
 
+    /** Suspends the machine, or sets the time of day ahead: which of the two, the process doesn't know. */
+    void suspendOrJump(long millis) {
+        doubtfulMicros += millis * 1_000;
+    }
+
     /** Advances the clock without ticks, as if the process were frozen. */
     void freeze(long millis) {
         nowMicros += millis * 1_000;
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/companion/CompanionStagesTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/companion/CompanionStagesTest.java
@@ -13,6 +13,7 @@
 import org.rattanrudder.core.model.AttemptId;
 import org.rattanrudder.core.model.ErrorKind;
 import org.rattanrudder.core.model.Refusal;
+import org.rattanrudder.core.time.EventTime;
 
 class CompanionStagesTest {
     private static final IdempotencyGate GRANTING_GATE =
@@ -151,7 +152,7 @@
     }
 
     private void decide(int claim, IdempotencyGate.Decision decision) {
-        claims.get(claim).onDecision(decision, new EventContext(20_000_000, companion.effects::add));
+        claims.get(claim).onDecision(decision, new EventContext(EventTime.certain(20_000_000), companion.effects::add));
     }
 
     /** A gate whose decisions are made by the test. */
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/companion/EngineOrdersTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/companion/EngineOrdersTest.java
@@ -8,6 +8,7 @@
 import org.rattanrudder.core.log.AppendResult;
 import org.rattanrudder.core.log.LogRecord;
 import org.rattanrudder.core.log.LogStream;
+import org.rattanrudder.core.orders.OrderSettings;
 
 class EngineOrdersTest {
     private final CompanionDriver driver = CompanionDriver.ready();
@@ -28,6 +29,16 @@
                 });
     }
 
+    /** Guards against an order by a lease that others have taken over in a suspension that isn't certain. */
+    @Test
+    void sendsNoOrderByALeaseThatMayHaveEndedWhileItsMachineWasSuspended() {
+        driver.reportVersion("v0");
+        exchangeWithLog(4);
+        driver.suspendOrJump(OrderSettings.DEFAULT.leaseTermMicros() / 1_000);
+        driver.handle(new CompanionEvent.OrderAnswered(CompanionDriver.ENGINE, 0, OrderOutcome.REFUSED));
+        assertThat(driver.effectsOf(CompanionEffect.SendOrder.class)).isEmpty();
+    }
+
     @Test
     void appendsNothingForAnEngineAtTheDesiredVersion() {
         driver.reportVersion("v1");
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/companion/LogIdempotencyGateTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/companion/LogIdempotencyGateTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.rattanrudder.core.call.Header;
+import org.rattanrudder.core.claims.ClaimSettings;
 import org.rattanrudder.core.claims.RecordedAnswer;
 import org.rattanrudder.core.frame.Frame;
 import org.rattanrudder.core.log.AppendResult;
@@ -72,6 +73,17 @@
         assertThat(driver.called()).containsExactly(CompanionDriver.id(2));
     }
 
+    /** Guards against a second run: the claim is read back after a suspension in which the key may have expired. */
+    @Test
+    void aClaimThatIsReadBackAfterItsMachineMayHaveBeenSuspendedRunsNothing() {
+        readLog();
+        driver.frame(1, keyed(1));
+        driver.suspendOrJump(ClaimSettings.DEFAULT.claimTimeoutMicros() / 1_000);
+        readLog();
+        assertThat(driver.called()).isEmpty();
+        assertThat(driver.sent(1, Frame.NotRun.class)).hasSize(1);
+    }
+
     @Test
     void callThatWasUnsentOrCancelledReleasesItsKey() {
         readLog();
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/orders/OrderLedgerTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/orders/OrderLedgerTest.java
@@ -12,6 +12,7 @@
 import org.rattanrudder.core.log.LogRecord;
 import org.rattanrudder.core.model.ServiceName;
 import org.rattanrudder.core.model.TargetName;
+import org.rattanrudder.core.time.EventTime;
 
 class OrderLedgerTest {
     private static final ServiceName SERVICE = new ServiceName("palivo-llm");
@@ -77,19 +78,19 @@
         orders.onVersionReported("v0", 0);
         ledger.apply(new LogRecord(1, new LogBatch(OTHER, 1, List.of(claim(OTHER), release(OTHER)))), 0);
         ledger.onEndReached(0);
-        orders.advance(0, actions);
+        orders.advance(EventTime.certain(0), actions);
         readBack(orders, 2, actions, 0);
-        orders.advance(0, actions);
+        orders.advance(EventTime.certain(0), actions);
         ledger.apply(new LogRecord(3, new LogBatch(OTHER, 2, List.of(lease(OTHER)))), 0);
         readBack(orders, 4, actions, 0);
-        orders.advance(0, actions);
+        orders.advance(EventTime.certain(0), actions);
         assertThat(actions.queryCount)
                 .as("queries while the other's lease is unexpired")
                 .isZero();
         long expiryMicros = OrderSettings.observedTermMicros(SETTINGS.leaseTermMicros());
         for (long now = 0; now <= 2 * expiryMicros && actions.queryCount == 0; now += OrderSimulation.TICK_MICROS) {
             ledger.onEndReached(now);
-            orders.advance(now, actions);
+            orders.advance(EventTime.certain(now), actions);
             readBack(orders, 5 + now, actions, now);
             assertThat(actions.queryCount == 0 || now >= expiryMicros).isTrue();
         }
@@ -101,7 +102,7 @@
         actions.sent.clear();
         if (!sent.isEmpty()) {
             ledger.apply(new LogRecord(offset, new LogBatch(MINE, offset, sent)), now);
-            sent.forEach(entry -> orders.onReadBack(entry, offset, now));
+            sent.forEach(entry -> orders.onReadBack(entry, offset, EventTime.certain(now)));
         }
     }
 
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/orders/OrderSimulation.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/orders/OrderSimulation.java
@@ -13,6 +13,7 @@
 import org.rattanrudder.core.log.LogRecord;
 import org.rattanrudder.core.model.ServiceName;
 import org.rattanrudder.core.model.TargetName;
+import org.rattanrudder.core.time.EventTime;
 
 /**
  * Simulates companions, engines and a log in one thread. Appends and orders are delayed or lost, and appends
@@ -30,6 +31,9 @@
     final List<Companion> companions = new ArrayList<>();
     long nowMicros;
     boolean logDown;
+    /** Whether machines are suspended while their companions are frozen, which only the time of day shows. */
+    boolean clocksStandStill;
+
     int maxConcurrentLoads;
     private long incarnations;
 
@@ -151,6 +155,7 @@
         private int lastReadEnd;
         private long sequence;
         private long lastTickMicros = Long.MIN_VALUE;
+        private long hiddenMicros;
 
         Companion(Engine engine, TargetName name, long incarnation) {
             this.engine = engine;
@@ -171,10 +176,17 @@
             due.forEach(Runnable::run);
         }
 
+        private EventTime now() {
+            return new EventTime(nowMicros - hiddenMicros, nowMicros);
+        }
+
         void tick() {
+            if (clocksStandStill && lastTickMicros != Long.MIN_VALUE) {
+                hiddenMicros += Math.max(0, nowMicros - lastTickMicros - TICK_MICROS);
+            }
             if (lastTickMicros != Long.MIN_VALUE && nowMicros - lastTickMicros > SETTINGS.pauseThresholdMicros()) {
                 orders.onPause();
-                ledger.onPause(nowMicros, SETTINGS.staleReadMicros());
+                ledger.onPause(now().atLeastMicros(), SETTINGS.staleReadMicros());
                 handleStaleRead();
             }
             lastTickMicros = nowMicros;
@@ -185,14 +197,14 @@
             List<Runnable> due = List.copyOf(answers);
             answers.clear();
             due.forEach(Runnable::run);
-            orders.onVersionReported(engine.version, nowMicros);
-            orders.advance(nowMicros, this);
+            orders.onVersionReported(engine.version, now().atLeastMicros());
+            orders.advance(now(), this);
         }
 
         /** Handles the result of a log read from before the pause, with the end of the log at that time. */
         private void handleStaleRead() {
             read(lastReadEnd);
-            ledger.onEndReached(nowMicros);
+            ledger.onEndReached(now().atLeastMicros());
         }
 
         /** Appends one batch, and a duplicate if the answer was lost. */
@@ -215,15 +227,16 @@
             read(end);
             lastReadEnd = log.size();
             if (toEnd) {
-                ledger.onEndReached(nowMicros);
+                ledger.onEndReached(now().atLeastMicros());
             }
         }
 
         private void read(int end) {
             while (position < end) {
                 LogRecord record = log.get(position++);
-                if (ledger.apply(record, nowMicros) && record.batch().writer() == incarnation) {
-                    record.batch().entries().forEach(entry -> orders.onReadBack(entry, record.offset(), nowMicros));
+                if (ledger.apply(record, now().atLeastMicros())
+                        && record.batch().writer() == incarnation) {
+                    record.batch().entries().forEach(entry -> orders.onReadBack(entry, record.offset(), now()));
                 }
             }
         }
@@ -260,7 +273,7 @@
 
         private void answer(long fencing, OrderOutcome outcome) {
             boolean lost = random.nextDouble() < lossRatio;
-            answers.add(() -> orders.onAnswer(fencing, lost ? OrderOutcome.LOST : outcome, nowMicros, this));
+            answers.add(() -> orders.onAnswer(fencing, lost ? OrderOutcome.LOST : outcome, now(), this));
         }
     }
 
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/orders/TargetOrdersPropertyTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/orders/TargetOrdersPropertyTest.java
@@ -17,7 +17,19 @@
     @Property(seed = "20262", tries = 150)
     void ordersTakeEffectInLogOrderAndAtMostTwoEnginesLoad(
             @ForAll long seed, @ForAll @IntRange(min = 1, max = 5) int engines) {
-        OrderSimulation world = run(seed, engines);
+        check(run(new OrderSimulation(seed), engines), engines);
+    }
+
+    /** Guards against orders and loads by leases and claims that ended while the holder's clock stood still. */
+    @Property(seed = "20264", tries = 150)
+    void theSameHoldsWhereFrozenCompanionsAreSuspendedMachines(
+            @ForAll long seed, @ForAll @IntRange(min = 1, max = 5) int engines) {
+        OrderSimulation world = new OrderSimulation(seed);
+        world.clocksStandStill = true;
+        check(run(world, engines), engines);
+    }
+
+    private static void check(OrderSimulation world, int engines) {
         assertThat(world.maxConcurrentLoads)
                 .as("concurrent loads")
                 .isLessThanOrEqualTo(OrderLedger.MAX_CONCURRENT_LOADS);
@@ -29,8 +41,7 @@
         assertThat(world.countVersions()).as("final versions").isEqualTo(Map.of("last", engines));
     }
 
-    static OrderSimulation run(long seed, int engines) {
-        OrderSimulation world = new OrderSimulation(seed);
+    private static OrderSimulation run(OrderSimulation world, int engines) {
         for (int count = 0; count < engines; count++) {
             world.companion(world.engine(world.random.nextBoolean(), (1 + world.random.nextInt(4)) * SECOND));
         }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/companion/CompanionProcess.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/companion/CompanionProcess.java
@@ -25,9 +25,11 @@
 import org.rattanrudder.daemon.http.HttpServer;
 import org.rattanrudder.daemon.http.MetricsHandler;
 import org.rattanrudder.daemon.logging.EventLog;
+import org.rattanrudder.daemon.loop.ClockLog;
+import org.rattanrudder.daemon.loop.ClockSource;
 import org.rattanrudder.daemon.loop.Closer;
 import org.rattanrudder.daemon.loop.DrainLatch;
-import org.rattanrudder.daemon.loop.MonotonicClock;
+import org.rattanrudder.daemon.loop.ProcessClock;
 import org.rattanrudder.daemon.loop.ProcessThreads;
 import org.rattanrudder.daemon.loop.RunningProcess;
 import org.rattanrudder.daemon.loop.StateMachineLoop;
@@ -63,19 +65,21 @@
      */
     public CompanionProcess(ProcessSettings settings, long incarnation, String release) throws IOException {
         this.settings = settings;
-        MonotonicClock clock = new MonotonicClock();
-        log = new EventLog(Logger.getLogger(CompanionProcess.class), clock);
+        ProcessClock clock = new ProcessClock(ClockSource.system());
+        log = new EventLog(Logger.getLogger(CompanionProcess.class), clock::atLeastMicros);
         PrometheusRegistry registry = new PrometheusRegistry();
         metrics = new CompanionMetrics(registry);
+        ClockLog.register(clock, log, "rattanrudder", metrics::gauge);
         Address advertised = settings.link().orElseThrow();
         CompanionSettings identity =
                 new CompanionSettings(settings.instance(), incarnation, advertised, settings.failureDomain(), release);
         CompanionMachine machine =
                 new CompanionMachine(identity, new ServiceDocumentParser(), new SplittableRandom(incarnation));
-        loop = new StateMachineLoop<>(counting(machine), clock, StateMachineLoop.RING_SIZE);
+        loop = new StateMachineLoop<>(counting(machine), clock::eventTime, StateMachineLoop.RING_SIZE);
         links = new EntryLinks(loop, log);
         try {
             ProcessThreads threads = closer.add(ProcessThreads.start(HTTP_THREADS));
+            threads.scheduleAtFixedRate(ProcessClock.CHECK_INTERVAL_MILLIS, clock::check);
             start(threads);
             Frame.Hello hello = new Frame.Hello(settings.instance(), incarnation, settings.failureDomain(), release);
             closer.add(new LinkServer(
@@ -99,9 +103,9 @@
     }
 
     private StateMachine<CompanionEvent, CompanionEffect> counting(CompanionMachine machine) {
-        return (event, nowMicros, effects) -> {
+        return (event, now, effects) -> {
             metrics.count(event);
-            machine.handle(event, nowMicros, effects);
+            machine.handle(event, now, effects);
             if (event instanceof CompanionEvent.FrameArrived arrived
                     && arrived.frame() instanceof Frame.ConfigurationRecords) {
                 // The log is down, and a peer has told what is in force.
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/entry/EntryProcess.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/entry/EntryProcess.java
@@ -19,14 +19,17 @@
 import org.rattanrudder.core.log.LogStream;
 import org.rattanrudder.core.memory.ByteBudget;
 import org.rattanrudder.core.model.Address;
+import org.rattanrudder.core.time.EventTime;
 import org.rattanrudder.daemon.http.BodyReader;
 import org.rattanrudder.daemon.http.HealthHandler;
 import org.rattanrudder.daemon.http.HttpServer;
 import org.rattanrudder.daemon.http.MetricsHandler;
 import org.rattanrudder.daemon.logging.EventLog;
+import org.rattanrudder.daemon.loop.ClockLog;
+import org.rattanrudder.daemon.loop.ClockSource;
 import org.rattanrudder.daemon.loop.Closer;
 import org.rattanrudder.daemon.loop.DrainLatch;
-import org.rattanrudder.daemon.loop.MonotonicClock;
+import org.rattanrudder.daemon.loop.ProcessClock;
 import org.rattanrudder.daemon.loop.ProcessThreads;
 import org.rattanrudder.daemon.loop.RunningProcess;
 import org.rattanrudder.daemon.loop.StateMachineLoop;
@@ -47,6 +50,7 @@
     private final PieceSizes pieceSizes = new PieceSizes();
     private final KnownCredentials credentials = new KnownCredentials();
     private final DrainLatch drain = new DrainLatch();
+    private final ProcessClock clock;
     private final EventLog log;
     private final EntryMachine machine;
     private final StateMachineLoop<EntryEvent, EntryEffect> loop;
@@ -64,12 +68,12 @@
      */
     public EntryProcess(ProcessSettings settings, long incarnation, String release) throws IOException {
         this.settings = settings;
-        MonotonicClock clock = new MonotonicClock();
-        log = new EventLog(Logger.getLogger(EntryProcess.class), clock);
+        clock = new ProcessClock(ClockSource.system());
+        log = new EventLog(Logger.getLogger(EntryProcess.class), clock::atLeastMicros);
         EntrySettings identity = new EntrySettings(
                 settings.instance(), incarnation, settings.failureDomain(), release, settings.peers());
         machine = new EntryMachine(identity, new ServiceDocumentParser(), new SplittableRandom(incarnation));
-        loop = new StateMachineLoop<EntryEvent, EntryEffect>(this::handle, clock, StateMachineLoop.RING_SIZE);
+        loop = new StateMachineLoop<EntryEvent, EntryEffect>(this::handle, clock::eventTime, StateMachineLoop.RING_SIZE);
         callers = new Callers(loop::publish);
         try {
             ProcessThreads threads = closer.add(ProcessThreads.start(HTTP_THREADS));
@@ -85,12 +89,14 @@
     private HttpServer start(ProcessThreads threads, EntrySettings identity) throws IOException {
         PrometheusRegistry registry = new PrometheusRegistry();
         EntryMetrics metrics = new EntryMetrics(registry);
+        ClockLog.register(clock, log, "rattanrudder", metrics::gauge);
+        threads.scheduleAtFixedRate(ProcessClock.CHECK_INTERVAL_MILLIS, clock::check);
         metrics.gauge("rattanrudder_callers", "Requests whose answers are under way", callers::count);
         metrics.gauge("rattanrudder_ring_waiting", "Events that wait in the ring", loop::pendingEvents);
         metrics.gauge("rattanrudder_companions", "Companions with an open link", links::count);
         metrics.gauge("rattanrudder_link_sent_bytes", "Bytes of frames sent to companions", links::sentBytes);
         metrics.gauge("rattanrudder_link_received_bytes", "Bytes of frames from companions", links::receivedBytes);
-        RequestAccounts accounts = new RequestAccounts(identity, metrics);
+        RequestAccounts accounts = new RequestAccounts(identity, metrics, clock);
         Consumer<EntryEvent> publish = loop::publish;
         BodyReader bodies = new BodyReader(
                 settings.limits(),
@@ -140,8 +146,8 @@
     }
 
     /** Gives an event to the machine, and takes out what I/O threads may know of it; on the handler thread. */
-    private void handle(EntryEvent event, long nowMicros, Consumer<? super EntryEffect> effects) {
-        machine.handle(event, nowMicros, effects);
+    private void handle(EntryEvent event, EventTime now, Consumer<? super EntryEffect> effects) {
+        machine.handle(event, now, effects);
         if (event instanceof EntryEvent.Tick) {
             health.setReady(machine.isReady() && links.count() > 0);
         } else if (event instanceof EntryEvent.LogRead || isRecords(event)) {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/entry/RequestAccounts.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/entry/RequestAccounts.java
@@ -1,23 +1,26 @@
 package org.rattanrudder.daemon.entry;
 
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import org.rattanrudder.core.burn.BurnLedger;
 import org.rattanrudder.core.burn.BurnSnapshot;
 import org.rattanrudder.core.document.RequestClass;
 import org.rattanrudder.core.entry.EntrySettings;
 import org.rattanrudder.core.entry.RequestSummary;
+import org.rattanrudder.daemon.loop.ProcessClock;
 import org.rattanrudder.daemon.metrics.EntryMetrics;
 
 /** Counts ended requests for metrics and for the burn report. */
 final class RequestAccounts implements RequestRecorder {
     private final long startMillis = System.currentTimeMillis();
-    private final long startNanos = System.nanoTime();
+    private final ProcessClock clock;
+    private final long startedAt;
     private final BurnLedger burn;
     private final EntryMetrics metrics;
 
-    RequestAccounts(EntrySettings settings, EntryMetrics metrics) {
+    RequestAccounts(EntrySettings settings, EntryMetrics metrics, ProcessClock clock) {
         this.metrics = metrics;
+        this.clock = clock;
+        startedAt = clock.atLeastMillis();
         burn = new BurnLedger(
                 Long.toHexString(settings.incarnation()),
                 settings.instance().value(),
@@ -38,6 +41,6 @@
 
     /** The time of day, counted on from the start, so that a wall clock that is set never makes counts vanish. */
     private long nowMillis() {
-        return startMillis + TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+        return startMillis + clock.atLeastMillis() - startedAt;
     }
 }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/ClockLog.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/loop/ClockLog.java
@@ -1,30 +1,40 @@
-package org.rattanrudder.daemon.relay.process;
+package org.rattanrudder.daemon.loop;
 
 import java.util.concurrent.TimeUnit;
+import java.util.function.DoubleSupplier;
 import org.rattanrudder.core.time.ClockDisturbance;
 import org.rattanrudder.daemon.logging.EventLog;
-import org.rattanrudder.daemon.loop.ProcessClock;
 
 /** Logs suspensions of the machine and jumps of the time of day, and shows what is counted of them. */
-final class ClockLog {
+public final class ClockLog {
     private static final double MILLIS_PER_SECOND = TimeUnit.SECONDS.toMillis(1);
 
     private ClockLog() {}
 
-    static void register(RelayState state) {
-        ProcessClock clock = state.clock();
-        clock.setListener(disturbance -> write(state.log(), disturbance));
-        RelayMetrics metrics = state.metrics();
+    /** Registers gauges whose values are read whenever the metrics are. */
+    @FunctionalInterface
+    public interface Gauges {
+        /** Registers a gauge. */
+        void gauge(String name, String help, DoubleSupplier value);
+    }
+
+    /**
+     * Logs what a clock notices from now on.
+     *
+     * @param prefix what the names of the gauges begin with
+     */
+    public static void register(ProcessClock clock, EventLog log, String prefix, Gauges metrics) {
+        clock.setListener(disturbance -> write(log, disturbance));
         metrics.gauge(
-                "rattanrudder_relay_suspended_seconds",
+                prefix + "_suspended_seconds",
                 "For how long the machine was suspended for certain since the start",
                 () -> clock.certainSurplusMillis() / MILLIS_PER_SECOND);
         metrics.gauge(
-                "rattanrudder_relay_suspended_at_most_seconds",
+                prefix + "_suspended_at_most_seconds",
                 "For how long the machine may have been suspended since the start",
                 () -> clock.possibleSurplusMillis() / MILLIS_PER_SECOND);
         metrics.gauge(
-                "rattanrudder_relay_boot_clock_believed",
+                prefix + "_boot_clock_believed",
                 "1 if the clock that counts suspensions is believed against the time of day",
                 () -> clock.isBootClockBelieved() ? 1 : 0);
     }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/loop/ProcessClock.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/loop/ProcessClock.java
@@ -5,6 +5,7 @@
 import java.util.function.Consumer;
 import org.rattanrudder.core.time.ClockDisturbance;
 import org.rattanrudder.core.time.ElapsedTime;
+import org.rattanrudder.core.time.EventTime;
 import org.rattanrudder.core.time.Moment;
 
 /**
@@ -12,6 +13,9 @@
  * several threads.
  */
 public final class ProcessClock {
+    /** The interval at which a process compares all clocks. */
+    public static final long CHECK_INTERVAL_MILLIS = 500;
+
     /** Clocks that are read one after the other are taken for one moment if at most this much passes meanwhile. */
     private static final long MOMENT_MILLIS = 5;
 
@@ -19,14 +23,16 @@
     private static final int MAX_ATTEMPTS = 4;
 
     private final ClockSource source;
+    private final long startNanos;
     private final ElapsedTime elapsed;
     private Consumer<ClockDisturbance> listener = unheard -> {};
 
     /** Creates a clock that counts from now on. */
     public ProcessClock(ClockSource source) {
         this.source = source;
+        startNanos = source.monotonicNanos();
         elapsed = new ElapsedTime(
-                TimeUnit.NANOSECONDS.toMillis(source.monotonicNanos()), source.timeOfDayMillis(), source.bootMillis());
+                TimeUnit.NANOSECONDS.toMillis(startNanos), source.timeOfDayMillis(), source.bootMillis());
     }
 
     /** Sets what is told of suspensions and of jumps of the time of day; it must not block. */
@@ -45,6 +51,20 @@
         return new Moment(monotonic + elapsed.certainSurplusMillis(), monotonic + elapsed.possibleSurplusMillis());
     }
 
+    /** Returns the time of an event that is handled now, since this clock was created. */
+    public synchronized EventTime eventTime() {
+        update();
+        long monotonic = TimeUnit.NANOSECONDS.toMicros(source.monotonicNanos() - startNanos);
+        return new EventTime(
+                monotonic + TimeUnit.MILLISECONDS.toMicros(elapsed.certainSurplusMillis()),
+                monotonic + TimeUnit.MILLISECONDS.toMicros(elapsed.possibleSurplusMillis()));
+    }
+
+    /** Returns the shortest time that may have passed since this clock was created, in microseconds. */
+    public long atLeastMicros() {
+        return eventTime().atLeastMicros();
+    }
+
     /** Returns the shortest time that may have passed, in ms since some start: {@link Moment#atLeastMillis}. */
     public synchronized long atLeastMillis() {
         long monotonic = update();
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/loop/StateMachineLoop.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/loop/StateMachineLoop.java
@@ -13,16 +13,18 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
-import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import org.jboss.logging.Logger;
 import org.rattanrudder.core.StateMachine;
+import org.rattanrudder.core.time.EventTime;
 
 /**
  * The event loop of a process: I/O threads publish events to a ring buffer; a single handler thread passes them to the
  * state machine and executes the resulting effects.
  *
  * <pre>{@code
- * StateMachineLoop<EntryEvent, EntryEffect> loop = new StateMachineLoop<>(machine, clock, StateMachineLoop.RING_SIZE);
+ * StateMachineLoop<EntryEvent, EntryEffect> loop =
+ *         new StateMachineLoop<>(machine, clock::eventTime, StateMachineLoop.RING_SIZE);
  * loop.start(effects);
  * loop.publish(new EntryEvent.Tick());
  * }</pre>
@@ -41,7 +43,7 @@
     private static final BooleanSupplier ALWAYS = () -> true;
 
     private final StateMachine<V, F> machine;
-    private final LongSupplier clock;
+    private final Supplier<EventTime> clock;
     private final Disruptor<Slot<V>> disruptor;
     private final RingBuffer<Slot<V>> ring;
     private final Queue<V> handlerEvents = new ArrayDeque<>();
@@ -52,10 +54,10 @@
      * Creates a loop; it handles events from {@link #start} on.
      *
      * @param machine the state machine; from now on only the handler thread may access it
-     * @param clock the state machine's clock, in microseconds
+     * @param clock returns the time at which an event is handled
      * @param ringSize the capacity in events, a power of two
      */
-    public StateMachineLoop(StateMachine<V, F> machine, LongSupplier clock, int ringSize) {
+    public StateMachineLoop(StateMachine<V, F> machine, Supplier<EventTime> clock, int ringSize) {
         this.machine = machine;
         this.clock = clock;
         // The blocking strategy costs a wake-up when an event arrives at an idle handler, but uses no CPU while idle;
@@ -126,7 +128,7 @@
             return;
         }
         for (V next = event; next != null; next = handlerEvents.poll()) {
-            machine.handle(next, clock.getAsLong(), effects);
+            machine.handle(next, clock.get(), effects);
         }
     }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/metrics/CompanionMetrics.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/metrics/CompanionMetrics.java
@@ -4,7 +4,7 @@
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.util.Locale;
-import java.util.function.LongSupplier;
+import java.util.function.DoubleSupplier;
 import org.rattanrudder.core.companion.CompanionEvent;
 
 /** The metrics of a companion, updated from the events of its state machine. */
@@ -27,11 +27,11 @@
     }
 
     /** Registers a gauge whose value is read on each scrape. */
-    public void gauge(String name, String help, LongSupplier value) {
+    public void gauge(String name, String help, DoubleSupplier value) {
         GaugeWithCallback.builder()
                 .name(name)
                 .help(help)
-                .callback(callback -> callback.call(value.getAsLong()))
+                .callback(callback -> callback.call(value.getAsDouble()))
                 .register(registry);
     }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/metrics/EntryMetrics.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/metrics/EntryMetrics.java
@@ -5,7 +5,7 @@
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.util.Optional;
-import java.util.function.LongSupplier;
+import java.util.function.DoubleSupplier;
 import org.rattanrudder.core.document.RequestClass;
 import org.rattanrudder.core.entry.RequestSummary;
 import org.rattanrudder.core.model.ErrorKind;
@@ -46,11 +46,11 @@
     }
 
     /** Registers a gauge whose value is read on each scrape. */
-    public void gauge(String name, String help, LongSupplier value) {
+    public void gauge(String name, String help, DoubleSupplier value) {
         GaugeWithCallback.builder()
                 .name(name)
                 .help(help)
-                .callback(callback -> callback.call(value.getAsLong()))
+                .callback(callback -> callback.call(value.getAsDouble()))
                 .register(registry);
     }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/RelayState.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/RelayState.java
@@ -35,6 +35,7 @@
 import org.rattanrudder.core.routing.Hashing;
 import org.rattanrudder.core.topics.ReadFreshness;
 import org.rattanrudder.daemon.logging.EventLog;
+import org.rattanrudder.daemon.loop.ClockLog;
 import org.rattanrudder.daemon.loop.ProcessClock;
 import org.rattanrudder.daemon.relay.port.PlatformAdapter;
 import org.rattanrudder.document.RelaySettings;
@@ -125,7 +126,7 @@
         possibleReportLag = newReportLag(atMostMillis());
         connectionGate = new ConnectionGate(nowMillis());
         StateGauges.register(this);
-        ClockLog.register(this);
+        ClockLog.register(clock, log, "rattanrudder_relay", metrics::gauge);
     }
 
     private static EventLoopLag newReportLag(long nowMillis) {
--- a/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/loop/StateMachineLoopTest.java
+++ b/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/loop/StateMachineLoopTest.java
@@ -20,7 +20,25 @@
     }
 
     private static StateMachineLoop<String, String> loop(StateMachine<String, String> machine, int ringSize) {
-        return new StateMachineLoop<>(machine, new MonotonicClock(), ringSize);
+        return new StateMachineLoop<>(machine, new ProcessClock(ClockSource.system())::eventTime, ringSize);
+    }
+
+    /** Guards against a machine that takes what waited while it was suspended for fresh. */
+    @Test
+    void eventsAreHandledAtTheTimeThatMayHavePassedInASuspension() throws Exception {
+        MachineClocks clocks = new MachineClocks();
+        StateMachine<String, String> machine =
+                (event, now, effects) -> effects.accept(now.atLeastMicros() + " " + now.atMostMicros());
+        try (StateMachineLoop<String, String> loop =
+                new StateMachineLoop<>(machine, new ProcessClock(clocks)::eventTime, 4)) {
+            loop.start(executed::add);
+            clocks.pass(10);
+            loop.publish("before");
+            assertThat(next()).isEqualTo("10000 10000");
+            clocks.suspend(6_000);
+            loop.publish("after");
+            assertThat(next()).isEqualTo("10000 6010000");
+        }
     }
 
     @Test
