Hold no read of entries and companions open at the log, and repeat one whose answer is late

A follower waited 2,000 ms at the log, 1,000 for the answer and 250 before its next read: one silent connection took 3,250 ms and an answer, two in a row 6,500, where a configuration is to be in force within 4,000. And each companion held three reads open, an entry one: 3,700 at the size to design for, which take the places of a log that serves a number of calls at a time, so that appends of claims and orders wait.

Now no read waits at the log. The gap between two is 100 ms while records come or one that this process appends is expected, and doubles up to 2,000 (ReadPace; ReadTiming gives the longest for the bound); what was appended is read at once. A late answer is repeated by RepeatSchedule, as at relays, three times at most, and the calls that nobody waits for are closed. A page after missed records isn't repeated, since it may be long. Failed reads are retried after 250 ms, then rarer, up to 2,000.

LogFollowerTest.aRecordIsReadWithinTheBoundThoughConnectionsFallSilent: with one to three silent connections the follower as it was reported a failed read 3 s after it had begun; now the record is there within the bound in all four cases. whatThisProcessAppendsIsReadAtOnce is new. recordsAreReadOnceAndInOrder asks for the same reads in the same order, with wait_millis=0 in place of 2000.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/companion/CompanionProcess.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/companion/CompanionProcess.java
@@ -5,6 +5,7 @@
 import io.undertow.server.HttpServerExchange;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
@@ -36,6 +37,7 @@
 import org.rattanrudder.daemon.metrics.CompanionMetrics;
 import org.rattanrudder.daemon.platform.LogAppender;
 import org.rattanrudder.daemon.platform.LogFollower;
+import org.rattanrudder.daemon.platform.LogFollowers;
 import org.rattanrudder.document.ProcessSettings;
 import org.rattanrudder.document.ServiceDocumentParser;
 import org.rattanrudder.wire.link.LinkServer;
@@ -80,7 +82,14 @@
         try {
             ProcessThreads threads = closer.add(ProcessThreads.start(HTTP_THREADS));
             threads.scheduleAtFixedRate(ProcessClock.CHECK_INTERVAL_MILLIS, clock::check);
-            start(threads);
+            LogFollowers followers = new LogFollowers(
+                    threads.caller(),
+                    threads.timer(),
+                    settings.platform().log(),
+                    EnumSet.allOf(LogStream.class),
+                    this,
+                    LogFollower.AvailabilityListener.loggingTo(log));
+            start(threads, followers);
             Frame.Hello hello = new Frame.Hello(settings.instance(), incarnation, settings.failureDomain(), release);
             closer.add(new LinkServer(
                     threads.links(),
@@ -95,7 +104,9 @@
                             settings.http().host(), settings.http().port()),
                     settings.limits(),
                     http(new MetricsHandler(registry))));
-            follow(threads);
+            followers.start();
+            threads.scheduleAtFixedRate(
+                    StateMachineLoop.TICK_INTERVAL_MILLIS, () -> loop.tryPublish(new CompanionEvent.Tick()));
         } catch (IOException | RuntimeException failed) {
             closer.close();
             throw failed;
@@ -114,7 +125,7 @@
         };
     }
 
-    private void start(ProcessThreads threads) {
+    private void start(ProcessThreads threads, LogFollowers followers) {
         TargetCalls calls = new TargetCalls(threads.caller(), loop);
         metrics.gauge("rattanrudder_target_calls", "Calls to targets under way", calls::count);
         metrics.gauge("rattanrudder_ring_waiting", "Events that wait in the ring", loop::pendingEvents);
@@ -128,7 +139,7 @@
                 new BlockCopier(threads.caller(), publish),
                 new Orders(threads.caller(), publish),
                 new TargetWatches(threads.caller(), threads.timer(), loop),
-                new LogAppender(threads.caller(), settings.platform().log()),
+                new LogAppender(threads.caller(), settings.platform().log(), followers),
                 publish,
                 log,
                 drain::onDrained);
@@ -151,21 +162,6 @@
         }
     }
 
-    private void follow(ProcessThreads threads) {
-        for (LogStream stream : LogStream.values()) {
-            new LogFollower(
-                            threads.caller(),
-                            threads.timer(),
-                            settings.platform().log(),
-                            stream,
-                            this,
-                            LogFollower.AvailabilityListener.loggingTo(log))
-                    .poll();
-        }
-        threads.scheduleAtFixedRate(
-                StateMachineLoop.TICK_INTERVAL_MILLIS, () -> loop.tryPublish(new CompanionEvent.Tick()));
-    }
-
     @Override
     public void onRecords(LogStream stream, List<LogRecord> records, boolean caughtUp) {
         loop.publish(new CompanionEvent.LogRead(stream, records, caughtUp));
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/entry/EntryProcess.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/entry/EntryProcess.java
@@ -3,6 +3,7 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -37,6 +38,7 @@
 import org.rattanrudder.daemon.platform.InstanceListReader;
 import org.rattanrudder.daemon.platform.LogAppender;
 import org.rattanrudder.daemon.platform.LogFollower;
+import org.rattanrudder.daemon.platform.LogFollowers;
 import org.rattanrudder.document.ProcessSettings;
 import org.rattanrudder.document.ServiceDocumentParser;
 
@@ -96,6 +98,13 @@
         metrics.gauge("rattanrudder_companions", "Companions with an open link", links::count);
         metrics.gauge("rattanrudder_link_sent_bytes", "Bytes of frames sent to companions", links::sentBytes);
         metrics.gauge("rattanrudder_link_received_bytes", "Bytes of frames from companions", links::receivedBytes);
+        LogFollowers followers = new LogFollowers(
+                threads.caller(),
+                threads.timer(),
+                settings.platform().log(),
+                EnumSet.of(LogStream.CONFIGURATION),
+                this,
+                LogFollower.AvailabilityListener.loggingTo(log));
         RequestAccounts accounts = new RequestAccounts(identity, metrics, clock);
         Consumer<EntryEvent> publish = loop::publish;
         BodyReader bodies = new BodyReader(
@@ -108,7 +117,7 @@
         EntryEffects effects = new EntryEffects(
                 callers,
                 links,
-                new LogAppender(threads.caller(), settings.platform().log()),
+                new LogAppender(threads.caller(), settings.platform().log(), followers),
                 operators,
                 publish,
                 accounts,
@@ -123,19 +132,12 @@
                 new InetSocketAddress(settings.http().host(), settings.http().port()),
                 settings.limits(),
                 new EntryHttp(callerHandler, operators, health, new MetricsHandler(registry), log)));
-        follow(threads);
+        followers.start();
+        pollInstances(threads);
         return listening;
     }
 
-    private void follow(ProcessThreads threads) {
-        new LogFollower(
-                        threads.caller(),
-                        threads.timer(),
-                        settings.platform().log(),
-                        LogStream.CONFIGURATION,
-                        this,
-                        LogFollower.AvailabilityListener.loggingTo(log))
-                .poll();
+    private void pollInstances(ProcessThreads threads) {
         InstanceListReader instances = new InstanceListReader(
                 threads.caller(),
                 settings.platform().instances(),
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/platform/LogAppender.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/platform/LogAppender.java
@@ -14,7 +14,7 @@
 import org.rattanrudder.wire.http.HttpTimeouts;
 import org.rattanrudder.wire.log.LogCodec;
 
-/** Appends batches to the platform's log, without retries. */
+/** Appends batches to the platform's log, without retries, and has their stream read at once. */
 public final class LogAppender {
     private static final HttpTimeouts TIMEOUTS = new HttpTimeouts(1_000, 2_000, 1_000);
     private static final int TOO_MANY_REQUESTS = 429;
@@ -22,16 +22,19 @@
 
     private final HttpCaller caller;
     private final Address log;
+    private final LogFollowers followers;
 
     /**
      * Creates an appender.
      *
      * @param caller the HTTP client
      * @param log the address of the log service
+     * @param followers read the streams that are appended to
      */
-    public LogAppender(HttpCaller caller, Address log) {
+    public LogAppender(HttpCaller caller, Address log, LogFollowers followers) {
         this.caller = caller;
         this.log = log;
+        this.followers = followers;
     }
 
     /** Sends a batch once and passes the result to the listener. */
@@ -39,7 +42,15 @@
         HttpRequest request = HttpRequest.of("POST", "/log/" + stream.wireName());
         HttpRequest withBody = new HttpRequest(
                 request.method(), request.path(), request.headers(), LogCodec.encode(batch), false, TIMEOUTS);
-        caller.fetch(log, withBody).thenAccept(result -> listener.accept(resultOf(result)));
+        followers.onAppending(stream);
+        caller.fetch(log, withBody).thenAccept(result -> onResult(stream, resultOf(result), listener));
+    }
+
+    private void onResult(LogStream stream, AppendResult result, Consumer<AppendResult> listener) {
+        listener.accept(result);
+        if (!(result instanceof AppendResult.Refused)) {
+            followers.onAppended(stream);
+        }
     }
 
     private static AppendResult resultOf(HttpResult result) {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/platform/LogFollower.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/platform/LogFollower.java
@@ -5,11 +5,15 @@
 import java.util.ArrayList;
 import java.util.Base64;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import org.rattanrudder.core.log.LogRecord;
 import org.rattanrudder.core.log.LogStream;
+import org.rattanrudder.core.log.ReadPace;
 import org.rattanrudder.core.model.Address;
+import org.rattanrudder.core.topics.ReadTiming;
 import org.rattanrudder.daemon.http.JsonBody;
 import org.rattanrudder.daemon.logging.EventLog;
 import org.rattanrudder.wire.http.HttpCaller;
@@ -18,11 +22,27 @@
 import org.rattanrudder.wire.http.HttpTimeouts;
 import org.rattanrudder.wire.log.LogCodec;
 
-/** Follows one stream of the platform's log by long polling, from the oldest record on. */
+/**
+ * Follows one stream of the platform's log from the oldest record on, so that each record is read within a bound, also
+ * if a connection falls silent.
+ *
+ * <p>The log holds none of its reads open: held reads of all processes would take the places that appends need. The gap
+ * between two reads grows while nothing comes, and is short when a record is expected.
+ */
 public final class LogFollower {
-    private static final int LONG_POLL_MILLIS = 2_000;
-    private static final HttpTimeouts TIMEOUTS = new HttpTimeouts(1_000, LONG_POLL_MILLIS + 1_000, 2_000);
-    private static final long RETRY_DELAY_MILLIS = 250;
+    /** Time from a record's append until it is to be in force here. */
+    static final long IN_FORCE_MILLIS = 4_000;
+
+    /** A longer gap saves few calls; the bound would allow one. */
+    private static final long WANTED_GAP_MILLIS = 2_000;
+
+    private static final ReadTiming TIMING = ReadTiming.within(IN_FORCE_MILLIS, WANTED_GAP_MILLIS, 0);
+    private static final long LATE_MILLIS = 1_000;
+    private static final long FIRST_RETRY_MILLIS = 250;
+    private static final long LAST_RETRY_MILLIS = 2_000;
+
+    /** A page of records that were missed may be long: its head and its pauses are bounded, and it isn't repeated. */
+    private static final HttpTimeouts TIMEOUTS = new HttpTimeouts(1_000, 3_000, 2_000);
 
     /** Beyond all timeouts of a call: a read that brings no result at all must not be the last one. */
     private static final long MAX_READ_MILLIS = 15_000;
@@ -36,9 +56,15 @@
     private final Listener listener;
     private final AvailabilityListener availabilityListener;
     private final long maxReadMillis;
+    private final RepeatingReads repeating;
+    private final ReadPace pace = new ReadPace(TIMING.gapMillis());
     private long nextOffset = 1;
     private boolean caughtUp;
     private boolean failing;
+    private boolean reading;
+    private boolean readAgain;
+    private long retryMillis = FIRST_RETRY_MILLIS;
+    private ScheduledFuture<?> nextRead;
 
     /** Receives the records that were read. */
     public interface Listener {
@@ -74,10 +100,10 @@
     }
 
     /**
-     * Creates a follower; it reads from the first call of {@link #poll} on.
+     * Creates a follower; it reads from {@link #start} on.
      *
      * @param caller the HTTP client
-     * @param timer delays retries after a failure
+     * @param timer runs the reads after the first
      * @param log the address of the log service
      * @param stream the stream to follow
      * @param listener receives the records
@@ -108,17 +134,56 @@
         this.listener = listener;
         this.availabilityListener = availabilityListener;
         this.maxReadMillis = maxReadMillis;
+        repeating = new RepeatingReads(caller, timer, log, LATE_MILLIS);
     }
 
     /** Reads the next page, and then further ones until the caller or the timer is closed. */
-    public void poll() {
-        // No long poll before the first catch-up: it would delay the start of a process whose stream is empty.
-        int waitMillis = caughtUp ? LONG_POLL_MILLIS : 0;
-        String path = "/log/" + stream.wireName() + "?from=" + nextOffset + "&wait_millis=" + waitMillis;
-        caller.fetch(log, HttpRequest.get(path).within(TIMEOUTS))
-                .completeOnTimeout(NO_RESULT, maxReadMillis, TimeUnit.MILLISECONDS)
-                .thenAccept(this::onResult)
-                .exceptionally(this::onUnexpected);
+    public void start() {
+        read();
+    }
+
+    /** Reads soon: a record is expected, such as one that this process appends. */
+    public synchronized void expectRecord() {
+        pace.onRecordExpected();
+        if (nextRead != null && nextRead.getDelay(TimeUnit.MILLISECONDS) > ReadPace.SHORTEST_GAP_MILLIS) {
+            readIn(ReadPace.SHORTEST_GAP_MILLIS);
+        }
+    }
+
+    /** Reads at once, or again if a read is in flight: its answer may lack what has just been appended. */
+    public synchronized void readNow() {
+        pace.onRecordExpected();
+        if (reading) {
+            readAgain = true;
+        } else if (nextRead != null) {
+            readIn(0);
+        }
+    }
+
+    private synchronized void readIn(long millis) {
+        if (nextRead != null) {
+            nextRead.cancel(false);
+        }
+        nextRead = timer.schedule(this::read, millis, TimeUnit.MILLISECONDS);
+    }
+
+    private void read() {
+        synchronized (this) {
+            if (reading) {
+                return;
+            }
+            reading = true;
+            readAgain = false;
+            nextRead = null;
+        }
+        HttpRequest request = HttpRequest.get("/log/" + stream.wireName() + "?from=" + nextOffset + "&wait_millis=0")
+                .within(TIMEOUTS);
+        CompletableFuture<HttpResult> result = caughtUp && !failing ? repeating.read(request) : readOnce(request);
+        result.thenAccept(this::onResult).exceptionally(this::onUnexpected);
+    }
+
+    private CompletableFuture<HttpResult> readOnce(HttpRequest request) {
+        return caller.fetch(log, request).completeOnTimeout(NO_RESULT, maxReadMillis, TimeUnit.MILLISECONDS);
     }
 
     /** Handles what the listener threw; nobody else would hear of it, and the stream would be followed no more. */
@@ -137,16 +202,24 @@
             onFailure("status " + answered.status());
             return;
         }
+        boolean broughtRecords;
         try {
-            onPage(JsonBody.read(answered.body()));
+            broughtRecords = onPage(JsonBody.read(answered.body()));
         } catch (IOException | IllegalArgumentException malformed) {
             onFailure("malformed: " + malformed.getMessage());
             return;
         }
-        poll();
+        readOn(broughtRecords);
     }
 
-    private void onPage(JsonNode page) throws IOException {
+    private synchronized void readOn(boolean broughtRecords) {
+        reading = false;
+        retryMillis = FIRST_RETRY_MILLIS;
+        readIn(readAgain || !caughtUp ? 0 : pace.onReadToEnd(broughtRecords));
+    }
+
+    /** Passes a page on; returns whether it brought records. */
+    private boolean onPage(JsonNode page) throws IOException {
         long first = JsonBody.whole(page, "first");
         long next = JsonBody.whole(page, "next");
         List<LogRecord> records = new ArrayList<>();
@@ -167,14 +240,21 @@
             availabilityListener.onAvailable(stream);
         }
         listener.onRecords(stream, records, read >= next);
+        boolean broughtRecords = read > nextOffset;
         nextOffset = read;
         caughtUp = read >= next;
+        return broughtRecords;
     }
 
     private void onFailure(String reason) {
-        timer.schedule(this::poll, RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
-        if (!failing) {
-            failing = true;
+        boolean first = !failing;
+        failing = true;
+        synchronized (this) {
+            reading = false;
+            readIn(retryMillis);
+            retryMillis = Math.min(LAST_RETRY_MILLIS, 2 * retryMillis);
+        }
+        if (first) {
             availabilityListener.onUnavailable(stream, reason);
         }
         listener.onReadFailed(stream);
--- /dev/null
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/platform/RepeatingReads.java
@@ -0,0 +1,133 @@
+package org.rattanrudder.daemon.platform;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.rattanrudder.core.model.Address;
+import org.rattanrudder.core.topics.RepeatSchedule;
+import org.rattanrudder.wire.http.HttpCaller;
+import org.rattanrudder.wire.http.HttpRequest;
+import org.rattanrudder.wire.http.HttpResult;
+
+/**
+ * Reads from one service of the platform, one read at a time, and repeats a read on new connections while its answer is
+ * late.
+ *
+ * <p>The first usable answer counts, and the other calls are given up. A refusal counts only once no other answer is
+ * awaited.
+ */
+final class RepeatingReads {
+    private static final int TOO_MANY_REQUESTS = 429;
+    private static final int SERVER_ERRORS = 500;
+
+    private final HttpCaller caller;
+    private final ScheduledExecutorService timer;
+    private final Address address;
+    private final long timeoutMillis;
+    private final HttpResult late;
+    private final RepeatSchedule schedule = new RepeatSchedule();
+
+    /**
+     * Creates a reader that makes no call.
+     *
+     * @param caller the HTTP client
+     * @param timer runs the repeats
+     * @param address where the service listens
+     * @param timeoutMillis time after which a read fails, repeats included
+     */
+    RepeatingReads(HttpCaller caller, ScheduledExecutorService timer, Address address, long timeoutMillis) {
+        this.caller = caller;
+        this.timer = timer;
+        this.address = address;
+        this.timeoutMillis = timeoutMillis;
+        late = new HttpResult.Failed(false, "no answer in " + timeoutMillis + " ms");
+    }
+
+    /** Makes a read that may be repeated. The result never ends exceptionally. */
+    CompletableFuture<HttpResult> read(HttpRequest request) {
+        Reading reading = new Reading(request);
+        reading.result.completeOnTimeout(late, timeoutMillis, TimeUnit.MILLISECONDS);
+        reading.make();
+        return reading.result;
+    }
+
+    private static boolean isUsable(HttpResult result) {
+        return result instanceof HttpResult.Answered answered
+                && answered.status() != TOO_MANY_REQUESTS
+                && answered.status() < SERVER_ERRORS;
+    }
+
+    /** One read and its calls. */
+    private final class Reading {
+        private final HttpRequest request;
+        private final long beganNanos = System.nanoTime();
+        private final CompletableFuture<HttpResult> result = new CompletableFuture<>();
+        private final List<CompletableFuture<HttpResult>> inFlight = new ArrayList<>();
+        private int made;
+
+        Reading(HttpRequest request) {
+            this.request = request;
+            result.thenRun(this::giveUp);
+        }
+
+        private void make() {
+            boolean first;
+            OptionalLong repeatAfter;
+            synchronized (schedule) {
+                made++;
+                first = made == 1;
+                repeatAfter = schedule.repeatAfterMillis(made, 0);
+            }
+            CompletableFuture<HttpResult> call = caller.fetch(address, first ? request : request.onNewConnection());
+            add(call);
+            call.thenAccept(answer -> onResult(call, answer, first));
+            repeatAfter.ifPresent(
+                    after -> timer.schedule(this::repeat, Math.max(0, after - elapsedMillis()), TimeUnit.MILLISECONDS));
+        }
+
+        private void repeat() {
+            if (!result.isDone()) {
+                make();
+            }
+        }
+
+        private void add(CompletableFuture<HttpResult> call) {
+            synchronized (schedule) {
+                inFlight.add(call);
+            }
+            if (result.isDone()) {
+                giveUp();
+            }
+        }
+
+        private void onResult(CompletableFuture<HttpResult> call, HttpResult answer, boolean first) {
+            boolean usable = isUsable(answer);
+            synchronized (schedule) {
+                inFlight.remove(call);
+                if (!usable && !inFlight.isEmpty()) {
+                    return;
+                }
+                if (usable && first) {
+                    schedule.onFirstCallAnswered(elapsedMillis(), 0);
+                }
+            }
+            result.complete(answer);
+        }
+
+        private void giveUp() {
+            List<CompletableFuture<HttpResult>> left;
+            synchronized (schedule) {
+                left = List.copyOf(inFlight);
+                inFlight.clear();
+            }
+            left.forEach(call -> call.cancel(false));
+        }
+
+        private long elapsedMillis() {
+            return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - beganNanos);
+        }
+    }
+}
--- a/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/platform/LogFollowerTest.java
+++ b/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/platform/LogFollowerTest.java
@@ -5,6 +5,7 @@
 import io.undertow.server.HttpServerExchange;
 import java.util.ArrayDeque;
 import java.util.Base64;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.Queue;
 import java.util.concurrent.BlockingQueue;
@@ -12,6 +13,9 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.Collectors;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -33,6 +37,11 @@
     /** How long a read may bring no result; one that brings a page takes less, on a busy machine too. */
     private static final long MAX_READ_MILLIS = 1_500;
 
+    /** Reads that bring nothing, after which the gap between two reads is the longest. */
+    private static final int EMPTY_READS = 6;
+
+    private static final long LONGEST_GAP_MILLIS = 2_000;
+
     private static final LogBatch BATCH = new LogBatch(7, 1, List.of());
 
     private final HttpCaller caller = HttpCaller.create(1);
@@ -71,7 +80,7 @@
                             LogStream.CONFIGURATION,
                             new RecordingListener(reads),
                             new RecordingAvailabilityListener(statusChanges))
-                    .poll();
+                    .start();
 
             List<String> expected =
                     List.of("[1, 2] false", "[3] true", "failed", "[20, 21, 22] true", "[] true", "failed");
@@ -89,9 +98,9 @@
                 .containsExactly(
                         "from=1&wait_millis=0",
                         "from=3&wait_millis=0",
-                        "from=4&wait_millis=2000",
-                        "from=4&wait_millis=2000",
-                        "from=23&wait_millis=2000");
+                        "from=4&wait_millis=0",
+                        "from=4&wait_millis=0",
+                        "from=23&wait_millis=0");
     }
 
     /** Guards against a process that follows the log no more, without a word, since its listener once failed. */
@@ -126,7 +135,7 @@
                             LogStream.CONFIGURATION,
                             failingOnce,
                             new RecordingAvailabilityListener(statusChanges))
-                    .poll();
+                    .start();
 
             assertThat(reads.poll(SECONDS, TimeUnit.SECONDS)).isEqualTo("failed");
             assertThat(reads.poll(SECONDS, TimeUnit.SECONDS)).isEqualTo("[1, 2] true");
@@ -156,7 +165,7 @@
                             new RecordingListener(reads),
                             new RecordingAvailabilityListener(statusChanges),
                             MAX_READ_MILLIS)
-                    .poll();
+                    .start();
 
             assertThat(reads.poll(SECONDS, TimeUnit.SECONDS)).isEqualTo("failed");
             assertThat(reads.poll(SECONDS, TimeUnit.SECONDS)).isEqualTo("[1] true");
@@ -164,6 +173,69 @@
         assertThat(statusChanges.poll()).isEqualTo("lost: no result of the call");
     }
 
+    /**
+     * Guards against a configuration that is in force late, since the connection on which it is read falls silent: the
+     * waits of a reader add up.
+     */
+    @ParameterizedTest(name = "{0} connections fall silent")
+    @ValueSource(ints = {0, 1, 2, 3})
+    void aRecordIsReadWithinTheBoundThoughConnectionsFallSilent(int silent) throws Exception {
+        AtomicInteger asked = new AtomicInteger();
+        AtomicLong lastEmptyNanos = new AtomicLong();
+        BlockingQueue<String> reads = new LinkedBlockingQueue<>();
+        try (TestServer log = new TestServer(exchange -> {
+            int number = asked.incrementAndGet();
+            if (number <= EMPTY_READS) {
+                lastEmptyNanos.set(System.nanoTime());
+                exchange.getResponseSender().send(page(1, 1));
+            } else if (number <= EMPTY_READS + silent) {
+                exchange.dispatch(() -> {});
+            } else {
+                exchange.getResponseSender().send(page(1, 2, 1));
+            }
+        })) {
+            followers(log.address(), reads).start();
+            for (int read = 0; read < EMPTY_READS; read++) {
+                assertThat(reads.poll(SECONDS, TimeUnit.SECONDS)).isEqualTo("[] true");
+            }
+            assertThat(reads.poll(SECONDS, TimeUnit.SECONDS)).isEqualTo("[1] true");
+        }
+        assertThat(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - lastEmptyNanos.get()))
+                .isLessThan(LogFollower.IN_FORCE_MILLIS);
+    }
+
+    /** Guards against a caller that waits for the gap between two reads: its claim is in the log, and unread. */
+    @Test
+    void whatThisProcessAppendsIsReadAtOnce() throws Exception {
+        BlockingQueue<String> reads = new LinkedBlockingQueue<>();
+        AtomicBoolean appended = new AtomicBoolean();
+        try (TestServer log = new TestServer(exchange -> {
+            boolean append = exchange.getRequestMethod().toString().equals("POST");
+            appended.compareAndSet(false, append);
+            String records = appended.get() ? page(1, 2, 1) : page(1, 1);
+            exchange.getResponseSender().send(append ? "{\"offset\":1}" : records);
+        })) {
+            LogFollowers followers = followers(log.address(), reads);
+            followers.start();
+            for (int read = 0; read < EMPTY_READS; read++) {
+                assertThat(reads.poll(SECONDS, TimeUnit.SECONDS)).isEqualTo("[] true");
+            }
+            new LogAppender(caller, log.address(), followers).append(LogStream.CLAIMS, BATCH, result -> {});
+            assertThat(reads.poll(LONGEST_GAP_MILLIS / 2, TimeUnit.MILLISECONDS))
+                    .isEqualTo("[1] true");
+        }
+    }
+
+    private LogFollowers followers(Address log, BlockingQueue<String> reads) {
+        return new LogFollowers(
+                caller,
+                timer,
+                log,
+                EnumSet.of(LogStream.CLAIMS),
+                new RecordingListener(reads),
+                new RecordingAvailabilityListener(new LinkedBlockingQueue<>()));
+    }
+
     /** Guards against a page without its content that counts as the end of the log: its reader would be ready. */
     @ParameterizedTest
     @ValueSource(strings = {"", "{}", "{\"first\":1,\"next\":4}", "{\"next\":4,\"records\":[]}", "[]"})
@@ -179,7 +251,7 @@
                             LogStream.CONFIGURATION,
                             new RecordingListener(reads),
                             new RecordingAvailabilityListener(statusChanges))
-                    .poll();
+                    .start();
 
             assertThat(reads.poll(SECONDS, TimeUnit.SECONDS)).isEqualTo("failed");
         }
@@ -229,7 +301,8 @@
 
     private AppendResult append(Address log) throws Exception {
         CompletableFuture<AppendResult> result = new CompletableFuture<>();
-        new LogAppender(caller, log).append(LogStream.CLAIMS, BATCH, result::complete);
+        LogFollowers unread = followers(log, new LinkedBlockingQueue<>());
+        new LogAppender(caller, log, unread).append(LogStream.CLAIMS, BATCH, result::complete);
         return result.get(SECONDS, TimeUnit.SECONDS);
     }
 
