Give callers of an entry a last answer at the end of its grace, and end once they have taken it

At the end of drainSeconds an entry closed its callers' connections: whoever still waited got no answer, and a stream no error at its end.

Now, in the last second of the grace (a quarter of a short one), requests that are still read are refused as not run, and requests without an answer end as unknown; answers that have begun go on until half of it is left and are then broken off with an error. The process counts requests from their head to the last byte of their answer (before: from when they were whole), has each answer that begins while it drains end its connection, and waits for callers to close theirs, 0.5 s at most. Such answers stay chunked: without that, one that is broken off would look whole.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/entry/EntryEvent.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/entry/EntryEvent.java
@@ -101,6 +101,13 @@
     /** The process was asked to stop. */
     record DrainRequested() implements EntryEvent {}
 
+    /**
+     * The process is about to end: whoever still waits gets a last answer.
+     *
+     * @param alsoBegun whether answers that have begun are broken off, too
+     */
+    record GraceEnding(boolean alsoBegun) implements EntryEvent {}
+
     /**
      * One instance of the platform's list.
      *
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/entry/EntryMachine.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/entry/EntryMachine.java
@@ -58,6 +58,7 @@
     private final Set<Address> bootstrapCompanions;
     private boolean logReachable;
     private long drainStartMicros = NOT_DRAINING;
+    private boolean graceEnding;
     private boolean drained;
 
     /**
@@ -139,6 +140,10 @@
             handleOperatorCall(called.handle(), called.call(), nowMicros);
         } else if (event instanceof EntryEvent.DrainRequested) {
             drain(nowMicros);
+        } else if (event instanceof EntryEvent.GraceEnding ends) {
+            graceEnding = true;
+            dispatcher.endAll(ends.alsoBegun(), nowMicros);
+            publisher.endAll(nowMicros);
         }
     }
 
@@ -176,7 +181,7 @@
 
     private void handleRequest(EntryEvent.RequestArrived arrived, long nowMicros) {
         CallerRequest request = arrived.request();
-        if (drainStartMicros != NOT_DRAINING && nowMicros - drainStartMicros >= DRAIN_GRACE_MICROS) {
+        if (isLeaving(nowMicros)) {
             Refusal leaving = new Refusal(ErrorKind.DRAINING, 0, "this entry leaves");
             Admission.Refused refused = new Admission.Refused(leaving, "", "");
             completer.refuseUnadmitted(arrived.sequence(), request, refused, nowMicros);
@@ -255,9 +260,13 @@
         }
     }
 
+    /** Returns whether requests are refused, since the process stops. */
+    private boolean isLeaving(long nowMicros) {
+        return graceEnding || drainStartMicros != NOT_DRAINING && nowMicros - drainStartMicros >= DRAIN_GRACE_MICROS;
+    }
+
     private void finishDraining(long nowMicros) {
-        boolean graceOver = drainStartMicros != NOT_DRAINING && nowMicros - drainStartMicros >= DRAIN_GRACE_MICROS;
-        if (graceOver && !drained && requests.isEmpty() && publisher.isIdle()) {
+        if (isLeaving(nowMicros) && !drained && requests.isEmpty() && publisher.isIdle()) {
             drained = true;
             outbox.emit(new EntryEffect.Drained());
         }
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/entry/InFlightRequests.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/entry/InFlightRequests.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.PriorityQueue;
+import java.util.function.Predicate;
 import org.rattanrudder.core.model.Address;
 import org.rattanrudder.core.model.AttemptId;
 
@@ -52,14 +53,15 @@
 
     /** Returns the requests whose current attempt was sent to this companion, in the order of their arrival. */
     List<InFlightRequest> withCompanion(Address companion) {
-        List<InFlightRequest> found = new ArrayList<>();
-        for (InFlightRequest inFlight : requests.values()) {
-            if (companion.equals(inFlight.companion())) {
-                found.add(inFlight);
-            }
-        }
-        found.sort(Comparator.comparingLong(inFlight -> inFlight.sequence));
-        return found;
+        return matching(inFlight -> companion.equals(inFlight.companion()));
+    }
+
+    /** Returns the requests that match, in the order of their arrival. */
+    List<InFlightRequest> matching(Predicate<InFlightRequest> condition) {
+        return requests.values().stream()
+                .filter(condition)
+                .sorted(Comparator.comparingLong(inFlight -> inFlight.sequence))
+                .toList();
     }
 
     /** Schedules a check of the request unless an earlier one is already scheduled. */
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/entry/Publisher.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/entry/Publisher.java
@@ -78,17 +78,25 @@
     void tick(long nowMicros) {
         boolean down = !log.isAvailable(nowMicros) || !configuration.isFollowingLog();
         for (PendingEdit each : List.copyOf(pending)) {
-            if (!down && nowMicros - each.sinceMicros() < READ_BACK_TIMEOUT_MICROS) {
-                continue;
+            if (down || nowMicros - each.sinceMicros() >= READ_BACK_TIMEOUT_MICROS) {
+                giveUp(each, nowMicros);
             }
-            pending.remove(each);
-            // An append whose answer was lost could still take effect after the operator was told that the edit didn't
-            // run. So only an edit that was in no append is reported as not run; otherwise the outcome is unknown.
-            boolean neverSent = log.retract(each.edit());
-            refuse(each.handle(), neverSent ? logUnavailable(nowMicros) : outcomeUnknown());
         }
     }
 
+    /** Stops waiting for all edits, since this process ends. */
+    void endAll(long nowMicros) {
+        List.copyOf(pending).forEach(each -> giveUp(each, nowMicros));
+    }
+
+    private void giveUp(PendingEdit edit, long nowMicros) {
+        pending.remove(edit);
+        // An append whose answer was lost could still take effect after the operator was told that the edit didn't run.
+        // So only an edit that was in no append is reported as not run; otherwise the outcome is unknown.
+        boolean neverSent = log.retract(edit.edit());
+        refuse(edit.handle(), neverSent ? logUnavailable(nowMicros) : outcomeUnknown());
+    }
+
     boolean isIdle() {
         return pending.isEmpty();
     }
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/entry/RequestDispatcher.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/entry/RequestDispatcher.java
@@ -198,6 +198,20 @@
         onFailed(inFlight, new Refusal(kind, 0, "the target's companion was lost during the attempt"), nowMicros);
     }
 
+    /**
+     * Gives requests a last answer, since this process ends. Their attempts may run, so the outcome is unknown.
+     *
+     * @param alsoBegun whether answers that have begun are broken off, too
+     */
+    void endAll(boolean alsoBegun, long nowMicros) {
+        for (InFlightRequest inFlight : requests.matching(each -> alsoBegun || !each.answerStarted)) {
+            abandon(inFlight);
+            releaseTarget(inFlight);
+            inFlight.mayHaveRun = true;
+            completer.refuse(inFlight, new Refusal(ErrorKind.DRAINING, 0, "this entry ends"), nowMicros);
+        }
+    }
+
     /** Cancels a request whose caller has disconnected. */
     void cancel(InFlightRequest inFlight, long nowMicros) {
         abandon(inFlight);
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/entry/EntryMachineTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/entry/EntryMachineTest.java
@@ -34,6 +34,26 @@
         assertThat(driver.effectsOf(EntryEffect.RequestEnded.class)).hasSize(1);
     }
 
+    /** Guards against callers whose connection ends with the process, without an answer. */
+    @Test
+    void atTheEndOfTheGraceWhoeverStillWaitsGetsALastAnswer() {
+        EntryDriver driver = EntryDriver.ready(TestDocuments.prompts(target(1)));
+        long waiting = driver.prompt("waiting");
+        long begun = driver.prompt("begun");
+        driver.head(driver.lastDispatch());
+        driver.handle(new EntryEvent.DrainRequested());
+
+        driver.handle(new EntryEvent.GraceEnding(false));
+        assertThat(driver.refusal(waiting)).isEqualTo(ErrorKind.OUTCOME_UNKNOWN);
+        assertThat(driver.frames(Frame.Cancel.class)).hasSize(1);
+        assertThat(driver.refusal(driver.prompt("late"))).isEqualTo(ErrorKind.DRAINING);
+        assertThat(driver.effectsOf(EntryEffect.Drained.class)).isEmpty();
+
+        driver.handle(new EntryEvent.GraceEnding(true));
+        assertThat(driver.refusal(begun)).isEqualTo(ErrorKind.OUTCOME_UNKNOWN);
+        assertThat(driver.effectsOf(EntryEffect.Drained.class)).hasSize(1);
+    }
+
     @ParameterizedTest
     @EnumSource(
             value = ErrorKind.class,
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/companion/CompanionProcess.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/companion/CompanionProcess.java
@@ -8,6 +8,7 @@
 import java.util.EnumSet;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.jboss.logging.Logger;
 import org.rattanrudder.core.StateMachine;
@@ -184,7 +185,7 @@
     public boolean drain() throws InterruptedException {
         health.startDraining();
         loop.publish(new CompanionEvent.DrainRequested());
-        return drain.await(settings.drainSeconds(), links::hasPending);
+        return drain.await(TimeUnit.SECONDS.toMillis(settings.drainSeconds()), links::hasPending);
     }
 
     @Override
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/entry/EntryProcess.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/entry/EntryProcess.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.jboss.logging.Logger;
 import org.rattanrudder.core.document.ServiceDocument;
@@ -20,11 +21,14 @@
 import org.rattanrudder.core.log.LogStream;
 import org.rattanrudder.core.memory.ByteBudget;
 import org.rattanrudder.core.model.Address;
+import org.rattanrudder.core.model.ErrorKind;
+import org.rattanrudder.core.model.Refusal;
 import org.rattanrudder.core.time.EventTime;
 import org.rattanrudder.daemon.http.BodyReader;
 import org.rattanrudder.daemon.http.HealthHandler;
 import org.rattanrudder.daemon.http.HttpServer;
 import org.rattanrudder.daemon.http.MetricsHandler;
+import org.rattanrudder.daemon.http.OpenExchanges;
 import org.rattanrudder.daemon.logging.EventLog;
 import org.rattanrudder.daemon.loop.ClockLog;
 import org.rattanrudder.daemon.loop.ClockSource;
@@ -46,17 +50,27 @@
 public final class EntryProcess implements RunningProcess, LogFollower.Listener {
     private static final int HTTP_THREADS = 2;
 
+    /** The end of the grace, in which whoever still waits gets a last answer; of a short one, a part. */
+    private static final long LAST_ANSWERS_MILLIS = 1_000;
+
+    private static final int LAST_ANSWERS_DIVISOR = 4;
+
+    /** Time for callers to read their last answers and to close their connections. */
+    private static final long CLOSE_MILLIS = 500;
+
     private final ProcessSettings settings;
     private final Closer closer = new Closer();
     private final HealthHandler health = new HealthHandler();
     private final PieceSizes pieceSizes = new PieceSizes();
     private final KnownCredentials credentials = new KnownCredentials();
     private final DrainLatch drain = new DrainLatch();
+    private final OpenExchanges exchanges = new OpenExchanges();
     private final ProcessClock clock;
     private final EventLog log;
     private final EntryMachine machine;
     private final StateMachineLoop<EntryEvent, EntryEffect> loop;
     private final Callers callers;
+    private BodyReader bodies;
     private final CompanionLinks links;
     private final HttpServer server;
 
@@ -75,7 +89,8 @@
         EntrySettings identity = new EntrySettings(
                 settings.instance(), incarnation, settings.failureDomain(), release, settings.peers());
         machine = new EntryMachine(identity, new ServiceDocumentParser(), new SplittableRandom(incarnation));
-        loop = new StateMachineLoop<EntryEvent, EntryEffect>(this::handle, clock::eventTime, StateMachineLoop.RING_SIZE);
+        loop = new StateMachineLoop<EntryEvent, EntryEffect>(
+                this::handle, clock::eventTime, StateMachineLoop.RING_SIZE);
         callers = new Callers(loop::publish);
         try {
             ProcessThreads threads = closer.add(ProcessThreads.start(HTTP_THREADS));
@@ -107,7 +122,7 @@
                 LogFollower.AvailabilityListener.loggingTo(log));
         RequestAccounts accounts = new RequestAccounts(identity, metrics, clock);
         Consumer<EntryEvent> publish = loop::publish;
-        BodyReader bodies = new BodyReader(
+        bodies = new BodyReader(
                 settings.limits(),
                 ByteBudget.ofHeap(Runtime.getRuntime().maxMemory()),
                 (exchange, refusal) ->
@@ -131,7 +146,12 @@
                 threads.worker(),
                 new InetSocketAddress(settings.http().host(), settings.http().port()),
                 settings.limits(),
-                new EntryHttp(callerHandler, operators, health, new MetricsHandler(registry), log)));
+                new EntryHttp(
+                        exchanges.counting(callerHandler),
+                        exchanges.counting(operators),
+                        health,
+                        new MetricsHandler(registry),
+                        log)));
         followers.start();
         pollInstances(threads);
         return listening;
@@ -185,8 +205,27 @@
     @Override
     public boolean drain() throws InterruptedException {
         health.startDraining();
+        exchanges.startDraining();
         loop.publish(new EntryEvent.DrainRequested());
-        return drain.await(settings.drainSeconds(), () -> callers.count() > 0);
+        long graceMillis = TimeUnit.SECONDS.toMillis(settings.drainSeconds());
+        long lastAnswersMillis = Math.min(LAST_ANSWERS_MILLIS, graceMillis / LAST_ANSWERS_DIVISOR);
+        boolean finished = drain.await(graceMillis - lastAnswersMillis, exchanges::hasOpen);
+        if (!finished) {
+            giveLastAnswers(lastAnswersMillis / 2);
+        }
+        DrainLatch.awaitEnd(Math.min(CLOSE_MILLIS, lastAnswersMillis / 2), exchanges::hasUnclosed);
+        return finished;
+    }
+
+    /** Answers whoever still waits; answers that have begun go on for half of the time, and are cut then. */
+    private void giveLastAnswers(long millis) throws InterruptedException {
+        log.warn("grace_ending", "callers", Integer.toString(callers.count()));
+        bodies.refusePending(new Refusal(ErrorKind.DRAINING, 0, "this entry ends"));
+        loop.publish(new EntryEvent.GraceEnding(false));
+        if (!drain.await(millis / 2, exchanges::hasOpen)) {
+            loop.publish(new EntryEvent.GraceEnding(true));
+            drain.await(millis / 2, exchanges::hasOpen);
+        }
     }
 
     @Override
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/http/BodyReader.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/http/BodyReader.java
@@ -5,6 +5,8 @@
 import io.undertow.util.Headers;
 import io.undertow.util.SameThreadExecutor;
 import java.io.IOException;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
@@ -29,6 +31,7 @@
     private final ProcessLimits limits;
     private final ByteBudget budget;
     private final BiConsumer<HttpServerExchange, Refusal> refusalListener;
+    private final Set<PendingBody> pendingBodies = ConcurrentHashMap.newKeySet();
 
     /**
      * Creates a reader.
@@ -63,6 +66,11 @@
             return;
         }
         PendingBody pending = new PendingBody(exchange, consumer);
+        pendingBodies.add(pending);
+        exchange.addExchangeCompleteListener((completed, next) -> {
+            pendingBodies.remove(pending);
+            next.proceed();
+        });
         // Without a timeout, a caller that sends byte by byte or stops would hold its connection and the memory
         // forever.
         pending.timer =
@@ -70,6 +78,11 @@
         exchange.getRequestReceiver().receiveFullBytes(pending::onBody, pending::onFailure);
     }
 
+    /** Refuses the requests whose bodies are still read. */
+    public void refusePending(Refusal refusal) {
+        pendingBodies.forEach(pending -> pending.exchange.getIoThread().execute(() -> pending.refuseUnread(refusal)));
+    }
+
     /**
      * Reserves the body's bytes in the budget until the answer is complete; the body is kept that long for retries.
      * Without a budget, a few dozen callers with large bodies would exhaust the memory of the process, and all of its
@@ -161,11 +174,18 @@
             }
         }
 
+        void refuseUnread(Refusal refusal) {
+            if (complete()) {
+                refuse(exchange, refusal);
+            }
+        }
+
         private boolean complete() {
             if (completed) {
                 return false;
             }
             completed = true;
+            pendingBodies.remove(this);
             if (timer != null) {
                 timer.remove();
             }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/loop/DrainLatch.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/loop/DrainLatch.java
@@ -19,19 +19,29 @@
     /**
      * Waits until the state machine has drained and its last answers have left the process.
      *
-     * @param seconds the timeout
+     * @param millis the timeout
      * @param unsent returns whether answers are still waiting to be sent
      * @return whether all of it finished before the timeout
      */
-    public boolean await(int seconds, BooleanSupplier unsent) throws InterruptedException {
-        long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(seconds);
-        if (!drained.await(seconds, TimeUnit.SECONDS)) {
-            return false;
-        }
-        while (unsent.getAsBoolean()) {
-            if (System.nanoTime() >= deadline) {
+    public boolean await(long millis, BooleanSupplier unsent) throws InterruptedException {
+        return awaitEnd(millis, () -> drained.getCount() > 0 || unsent.getAsBoolean());
+    }
+
+    /**
+     * Waits until something is over.
+     *
+     * @param millis the timeout
+     * @return whether it was over before the timeout
+     */
+    public static boolean awaitEnd(long millis, BooleanSupplier goesOn) throws InterruptedException {
+        long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
+        while (goesOn.getAsBoolean()) {
+            if (System.nanoTime() - deadline >= 0) {
                 return false;
             }
+            if (Thread.interrupted()) {
+                throw new InterruptedException();
+            }
             LockSupport.parkNanos(POLL_NANOS);
         }
         return true;
--- a/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/entry/EntryHttpTest.java
+++ b/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/entry/EntryHttpTest.java
@@ -39,7 +39,9 @@
 import org.rattanrudder.daemon.http.HealthHandler;
 import org.rattanrudder.daemon.http.HttpServer;
 import org.rattanrudder.daemon.http.MetricsHandler;
+import org.rattanrudder.daemon.http.OpenExchanges;
 import org.rattanrudder.daemon.logging.EventLog;
+import org.rattanrudder.daemon.loop.DrainLatch;
 import org.rattanrudder.daemon.loop.MonotonicClock;
 import org.rattanrudder.daemon.loop.ProcessThreads;
 import org.rattanrudder.document.Credential;
@@ -59,6 +61,8 @@
     private final BlockingQueue<EntryEvent> events = new LinkedBlockingQueue<>();
     private final Callers callers = new Callers(events::add);
     private final KnownCredentials credentials = new KnownCredentials();
+    private final OpenExchanges exchanges = new OpenExchanges();
+    private BodyReader bodies;
     private ProcessThreads threads;
     private HttpServer server;
     private Socket socket;
@@ -66,17 +70,21 @@
 
     @BeforeEach
     void start() throws IOException {
+        start(LIMITS);
+    }
+
+    private void start(ProcessLimits limits) throws IOException {
         threads = ProcessThreads.start(1);
         EventLog log = new EventLog(Logger.getLogger(EntryHttpTest.class), new MonotonicClock());
         PieceSizes sizes = new PieceSizes();
-        BodyReader bodies = new BodyReader(LIMITS, new ByteBudget(BUDGET_BYTES), (exchange, refusal) -> {});
+        bodies = new BodyReader(limits, new ByteBudget(BUDGET_BYTES), (exchange, refusal) -> {});
         EntryHttp http = new EntryHttp(
-                new CallerHandler(31, callers, sizes, credentials, bodies, events::add, log),
+                exchanges.counting(new CallerHandler(31, callers, sizes, credentials, bodies, events::add, log)),
                 new OperatorHandler(Credential.digest("operator"), sizes, bodies, events::add, () -> null),
                 new HealthHandler(),
                 new MetricsHandler(new PrometheusRegistry()),
                 log);
-        server = new HttpServer(threads.worker(), new InetSocketAddress("127.0.0.1", 0), LIMITS, http);
+        server = new HttpServer(threads.worker(), new InetSocketAddress("127.0.0.1", 0), limits, http);
         connect();
     }
 
@@ -126,6 +134,40 @@
         return type.cast(event);
     }
 
+    /** Guards against a request that is still sent at the end of the grace, and gets no answer. */
+    @Test
+    void aBodyThatIsStillReadIsRefusedAtTheEndOfTheGrace() throws Exception {
+        stop();
+        start(new ProcessLimits(10_000, 2_000, TimeUnit.SECONDS.toMillis(SECONDS), 100));
+        send("POST /services/s/ HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\nhalf");
+        assertThat(DrainLatch.awaitEnd(TimeUnit.SECONDS.toMillis(SECONDS), () -> !exchanges.hasOpen()))
+                .isTrue();
+
+        bodies.refusePending(new Refusal(ErrorKind.DRAINING, 0, "ends"));
+
+        assertThat(readAll()).startsWith("HTTP/1.1 503").contains("draining");
+    }
+
+    /** Guards against a process that ends while its last answer is sent, or read by its caller. */
+    @Test
+    void whileDrainingAnAnswerCountsUntilItsCallerHasClosed() throws Exception {
+        send(post("/services/s/", "x"));
+        EntryEvent.RequestArrived arrived = next(EntryEvent.RequestArrived.class);
+        assertThat(exchanges.hasOpen()).isTrue();
+        exchanges.startDraining();
+        CallerExchange caller = callers.find(arrived.sequence()).orElseThrow();
+        caller.begin(200, List.of());
+        caller.send(new byte[] {'y'});
+        caller.end();
+
+        assertThat(readAll()).contains("Connection: close").endsWith("0\n");
+        assertThat(exchanges.hasUnclosed()).isTrue();
+        socket.close();
+        assertThat(DrainLatch.awaitEnd(
+                        TimeUnit.SECONDS.toMillis(SECONDS), () -> exchanges.hasUnclosed() || exchanges.hasOpen()))
+                .isTrue();
+    }
+
     /** A stranger sends what is no JSON. It must be told that it isn't known, and nothing about what it sent. */
     @ParameterizedTest
     @ValueSource(strings = {"", "Authorization: Bearer wrong", "Authorization: Basic secret"})
