--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/entry/EntryMachine.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/entry/EntryMachine.java
@@ -17,6 +17,7 @@
 import org.rattanrudder.core.model.Refusal;
 import org.rattanrudder.core.routing.AffinityPolicy;
 import org.rattanrudder.core.routing.RoutingPolicy;
+import org.rattanrudder.core.time.EventTime;
 
 /**
  * The state machine of an entry: admits callers' requests, dispatches each to a target's companion and forwards the
@@ -24,8 +25,8 @@
  *
  * <pre>{@code
  * EntryMachine entry = new EntryMachine(settings, reader, new SplittableRandom(seed));
- * entry.handle(new EntryEvent.LogRead(Stream.CONFIGURATION, records, true), clock.nowMicros(), effects::add);
- * entry.handle(new EntryEvent.RequestArrived(1, request), clock.nowMicros(), effects::add);
+ * entry.handle(new EntryEvent.LogRead(Stream.CONFIGURATION, records, true), clock.now(), effects::add);
+ * entry.handle(new EntryEvent.RequestArrived(1, request), clock.now(), effects::add);
  * }</pre>
  */
 public final class EntryMachine implements StateMachine<EntryEvent, EntryEffect> {
@@ -57,6 +58,7 @@
     private final Set<Address> bootstrapCompanions;
     private boolean logReachable;
     private long drainStartMicros = NOT_DRAINING;
+    private boolean graceEnding;
     private boolean drained;
 
     /**
@@ -99,7 +101,8 @@
     }
 
     @Override
-    public void handle(EntryEvent event, long nowMicros, Consumer<? super EntryEffect> effects) {
+    public void handle(EntryEvent event, EventTime now, Consumer<? super EntryEffect> effects) {
+        long nowMicros = now.atLeastMicros();
         outbox.bind(effects);
         if (event instanceof EntryEvent.FrameArrived arrived) {
             handleFrame(arrived.companion(), arrived.frame(), nowMicros);
@@ -137,6 +140,10 @@
             handleOperatorCall(called.handle(), called.call(), nowMicros);
         } else if (event instanceof EntryEvent.DrainRequested) {
             drain(nowMicros);
+        } else if (event instanceof EntryEvent.GraceEnding ends) {
+            graceEnding = true;
+            dispatcher.endAll(ends.alsoBegun(), nowMicros);
+            publisher.endAll(nowMicros);
         }
     }
 
@@ -174,7 +181,7 @@
 
     private void handleRequest(EntryEvent.RequestArrived arrived, long nowMicros) {
         CallerRequest request = arrived.request();
-        if (drainStartMicros != NOT_DRAINING && nowMicros - drainStartMicros >= DRAIN_GRACE_MICROS) {
+        if (isLeaving(nowMicros)) {
             Refusal leaving = new Refusal(ErrorKind.DRAINING, 0, "this entry leaves");
             Admission.Refused refused = new Admission.Refused(leaving, "", "");
             completer.refuseUnadmitted(arrived.sequence(), request, refused, nowMicros);
@@ -253,9 +260,13 @@
         }
     }
 
+    /** Returns whether requests are refused, since the process stops. */
+    private boolean isLeaving(long nowMicros) {
+        return graceEnding || drainStartMicros != NOT_DRAINING && nowMicros - drainStartMicros >= DRAIN_GRACE_MICROS;
+    }
+
     private void finishDraining(long nowMicros) {
-        boolean graceOver = drainStartMicros != NOT_DRAINING && nowMicros - drainStartMicros >= DRAIN_GRACE_MICROS;
-        if (graceOver && !drained && requests.isEmpty() && publisher.isIdle()) {
+        if (isLeaving(nowMicros) && !drained && requests.isEmpty() && publisher.isIdle()) {
             drained = true;
             outbox.emit(new EntryEffect.Drained());
         }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/companion/CompanionProcess.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/companion/CompanionProcess.java
@@ -5,8 +5,10 @@
 import io.undertow.server.HttpServerExchange;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.jboss.logging.Logger;
 import org.rattanrudder.core.StateMachine;
@@ -25,15 +27,18 @@
 import org.rattanrudder.daemon.http.HttpServer;
 import org.rattanrudder.daemon.http.MetricsHandler;
 import org.rattanrudder.daemon.logging.EventLog;
+import org.rattanrudder.daemon.loop.ClockLog;
+import org.rattanrudder.daemon.loop.ClockSource;
 import org.rattanrudder.daemon.loop.Closer;
 import org.rattanrudder.daemon.loop.DrainLatch;
-import org.rattanrudder.daemon.loop.MonotonicClock;
+import org.rattanrudder.daemon.loop.ProcessClock;
 import org.rattanrudder.daemon.loop.ProcessThreads;
 import org.rattanrudder.daemon.loop.RunningProcess;
 import org.rattanrudder.daemon.loop.StateMachineLoop;
 import org.rattanrudder.daemon.metrics.CompanionMetrics;
 import org.rattanrudder.daemon.platform.LogAppender;
 import org.rattanrudder.daemon.platform.LogFollower;
+import org.rattanrudder.daemon.platform.LogFollowers;
 import org.rattanrudder.document.ProcessSettings;
 import org.rattanrudder.document.ServiceDocumentParser;
 import org.rattanrudder.wire.link.LinkServer;
@@ -63,20 +68,29 @@
      */
     public CompanionProcess(ProcessSettings settings, long incarnation, String release) throws IOException {
         this.settings = settings;
-        MonotonicClock clock = new MonotonicClock();
-        log = new EventLog(Logger.getLogger(CompanionProcess.class), clock);
+        ProcessClock clock = new ProcessClock(ClockSource.system());
+        log = new EventLog(Logger.getLogger(CompanionProcess.class), clock::atLeastMicros);
         PrometheusRegistry registry = new PrometheusRegistry();
         metrics = new CompanionMetrics(registry);
+        ClockLog.register(clock, log, "rattanrudder", metrics::gauge);
         Address advertised = settings.link().orElseThrow();
         CompanionSettings identity =
                 new CompanionSettings(settings.instance(), incarnation, advertised, settings.failureDomain(), release);
         CompanionMachine machine =
                 new CompanionMachine(identity, new ServiceDocumentParser(), new SplittableRandom(incarnation));
-        loop = new StateMachineLoop<>(counting(machine), clock, StateMachineLoop.RING_SIZE);
+        loop = new StateMachineLoop<>(counting(machine), clock::eventTime, StateMachineLoop.RING_SIZE);
         links = new EntryLinks(loop, log);
         try {
             ProcessThreads threads = closer.add(ProcessThreads.start(HTTP_THREADS));
-            start(threads);
+            threads.scheduleAtFixedRate(ProcessClock.CHECK_INTERVAL_MILLIS, clock::check);
+            LogFollowers followers = new LogFollowers(
+                    threads.caller(),
+                    threads.timer(),
+                    settings.platform().log(),
+                    EnumSet.allOf(LogStream.class),
+                    this,
+                    LogFollower.AvailabilityListener.loggingTo(log));
+            start(threads, followers);
             Frame.Hello hello = new Frame.Hello(settings.instance(), incarnation, settings.failureDomain(), release);
             closer.add(new LinkServer(
                     threads.links(),
@@ -91,7 +105,9 @@
                             settings.http().host(), settings.http().port()),
                     settings.limits(),
                     http(new MetricsHandler(registry))));
-            follow(threads);
+            followers.start();
+            threads.scheduleAtFixedRate(
+                    StateMachineLoop.TICK_INTERVAL_MILLIS, () -> loop.tryPublish(new CompanionEvent.Tick()));
         } catch (IOException | RuntimeException failed) {
             closer.close();
             throw failed;
@@ -99,9 +115,9 @@
     }
 
     private StateMachine<CompanionEvent, CompanionEffect> counting(CompanionMachine machine) {
-        return (event, nowMicros, effects) -> {
+        return (event, now, effects) -> {
             metrics.count(event);
-            machine.handle(event, nowMicros, effects);
+            machine.handle(event, now, effects);
             if (event instanceof CompanionEvent.FrameArrived arrived
                     && arrived.frame() instanceof Frame.ConfigurationRecords) {
                 // The log is down, and a peer has told what is in force.
@@ -110,7 +126,7 @@
         };
     }
 
-    private void start(ProcessThreads threads) {
+    private void start(ProcessThreads threads, LogFollowers followers) {
         TargetCalls calls = new TargetCalls(threads.caller(), loop);
         metrics.gauge("rattanrudder_target_calls", "Calls to targets under way", calls::count);
         metrics.gauge("rattanrudder_ring_waiting", "Events that wait in the ring", loop::pendingEvents);
@@ -124,7 +140,7 @@
                 new BlockCopier(threads.caller(), publish),
                 new Orders(threads.caller(), publish),
                 new TargetWatches(threads.caller(), threads.timer(), loop),
-                new LogAppender(threads.caller(), settings.platform().log()),
+                new LogAppender(threads.caller(), settings.platform().log(), followers),
                 publish,
                 log,
                 drain::onDrained);
@@ -147,21 +163,6 @@
         }
     }
 
-    private void follow(ProcessThreads threads) {
-        for (LogStream stream : LogStream.values()) {
-            new LogFollower(
-                            threads.caller(),
-                            threads.timer(),
-                            settings.platform().log(),
-                            stream,
-                            this,
-                            LogFollower.AvailabilityListener.loggingTo(log))
-                    .poll();
-        }
-        threads.scheduleAtFixedRate(
-                StateMachineLoop.TICK_INTERVAL_MILLIS, () -> loop.tryPublish(new CompanionEvent.Tick()));
-    }
-
     @Override
     public void onRecords(LogStream stream, List<LogRecord> records, boolean caughtUp) {
         loop.publish(new CompanionEvent.LogRead(stream, records, caughtUp));
@@ -184,7 +185,7 @@
     public boolean drain() throws InterruptedException {
         health.startDraining();
         loop.publish(new CompanionEvent.DrainRequested());
-        return drain.await(settings.drainSeconds(), links::hasPending);
+        return drain.await(TimeUnit.SECONDS.toMillis(settings.drainSeconds()), links::hasPending);
     }
 
     @Override
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/entry/EntryProcess.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/entry/EntryProcess.java
@@ -3,10 +3,12 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.jboss.logging.Logger;
 import org.rattanrudder.core.document.ServiceDocument;
@@ -19,14 +21,20 @@
 import org.rattanrudder.core.log.LogStream;
 import org.rattanrudder.core.memory.ByteBudget;
 import org.rattanrudder.core.model.Address;
+import org.rattanrudder.core.model.ErrorKind;
+import org.rattanrudder.core.model.Refusal;
+import org.rattanrudder.core.time.EventTime;
 import org.rattanrudder.daemon.http.BodyReader;
 import org.rattanrudder.daemon.http.HealthHandler;
 import org.rattanrudder.daemon.http.HttpServer;
 import org.rattanrudder.daemon.http.MetricsHandler;
+import org.rattanrudder.daemon.http.OpenExchanges;
 import org.rattanrudder.daemon.logging.EventLog;
+import org.rattanrudder.daemon.loop.ClockLog;
+import org.rattanrudder.daemon.loop.ClockSource;
 import org.rattanrudder.daemon.loop.Closer;
 import org.rattanrudder.daemon.loop.DrainLatch;
-import org.rattanrudder.daemon.loop.MonotonicClock;
+import org.rattanrudder.daemon.loop.ProcessClock;
 import org.rattanrudder.daemon.loop.ProcessThreads;
 import org.rattanrudder.daemon.loop.RunningProcess;
 import org.rattanrudder.daemon.loop.StateMachineLoop;
@@ -34,6 +42,7 @@
 import org.rattanrudder.daemon.platform.InstanceListReader;
 import org.rattanrudder.daemon.platform.LogAppender;
 import org.rattanrudder.daemon.platform.LogFollower;
+import org.rattanrudder.daemon.platform.LogFollowers;
 import org.rattanrudder.document.ProcessSettings;
 import org.rattanrudder.document.ServiceDocumentParser;
 
@@ -41,16 +50,27 @@
 public final class EntryProcess implements RunningProcess, LogFollower.Listener {
     private static final int HTTP_THREADS = 2;
 
+    /** The end of the grace, in which whoever still waits gets a last answer; of a short one, a part. */
+    private static final long LAST_ANSWERS_MILLIS = 1_000;
+
+    private static final int LAST_ANSWERS_DIVISOR = 4;
+
+    /** Time for callers to read their last answers and to close their connections. */
+    private static final long CLOSE_MILLIS = 500;
+
     private final ProcessSettings settings;
     private final Closer closer = new Closer();
     private final HealthHandler health = new HealthHandler();
     private final PieceSizes pieceSizes = new PieceSizes();
     private final KnownCredentials credentials = new KnownCredentials();
     private final DrainLatch drain = new DrainLatch();
+    private final OpenExchanges exchanges = new OpenExchanges();
+    private final ProcessClock clock;
     private final EventLog log;
     private final EntryMachine machine;
     private final StateMachineLoop<EntryEvent, EntryEffect> loop;
     private final Callers callers;
+    private BodyReader bodies;
     private final CompanionLinks links;
     private final HttpServer server;
 
@@ -64,12 +84,13 @@
      */
     public EntryProcess(ProcessSettings settings, long incarnation, String release) throws IOException {
         this.settings = settings;
-        MonotonicClock clock = new MonotonicClock();
-        log = new EventLog(Logger.getLogger(EntryProcess.class), clock);
+        clock = new ProcessClock(ClockSource.system());
+        log = new EventLog(Logger.getLogger(EntryProcess.class), clock::atLeastMicros);
         EntrySettings identity = new EntrySettings(
                 settings.instance(), incarnation, settings.failureDomain(), release, settings.peers());
         machine = new EntryMachine(identity, new ServiceDocumentParser(), new SplittableRandom(incarnation));
-        loop = new StateMachineLoop<EntryEvent, EntryEffect>(this::handle, clock, StateMachineLoop.RING_SIZE);
+        loop = new StateMachineLoop<EntryEvent, EntryEffect>(
+                this::handle, clock::eventTime, StateMachineLoop.RING_SIZE);
         callers = new Callers(loop::publish);
         try {
             ProcessThreads threads = closer.add(ProcessThreads.start(HTTP_THREADS));
@@ -85,14 +106,23 @@
     private HttpServer start(ProcessThreads threads, EntrySettings identity) throws IOException {
         PrometheusRegistry registry = new PrometheusRegistry();
         EntryMetrics metrics = new EntryMetrics(registry);
+        ClockLog.register(clock, log, "rattanrudder", metrics::gauge);
+        threads.scheduleAtFixedRate(ProcessClock.CHECK_INTERVAL_MILLIS, clock::check);
         metrics.gauge("rattanrudder_callers", "Requests whose answers are under way", callers::count);
         metrics.gauge("rattanrudder_ring_waiting", "Events that wait in the ring", loop::pendingEvents);
         metrics.gauge("rattanrudder_companions", "Companions with an open link", links::count);
         metrics.gauge("rattanrudder_link_sent_bytes", "Bytes of frames sent to companions", links::sentBytes);
         metrics.gauge("rattanrudder_link_received_bytes", "Bytes of frames from companions", links::receivedBytes);
-        RequestAccounts accounts = new RequestAccounts(identity, metrics);
+        LogFollowers followers = new LogFollowers(
+                threads.caller(),
+                threads.timer(),
+                settings.platform().log(),
+                EnumSet.of(LogStream.CONFIGURATION),
+                this,
+                LogFollower.AvailabilityListener.loggingTo(log));
+        RequestAccounts accounts = new RequestAccounts(identity, metrics, clock);
         Consumer<EntryEvent> publish = loop::publish;
-        BodyReader bodies = new BodyReader(
+        bodies = new BodyReader(
                 settings.limits(),
                 ByteBudget.ofHeap(Runtime.getRuntime().maxMemory()),
                 (exchange, refusal) ->
@@ -102,7 +132,7 @@
         EntryEffects effects = new EntryEffects(
                 callers,
                 links,
-                new LogAppender(threads.caller(), settings.platform().log()),
+                new LogAppender(threads.caller(), settings.platform().log(), followers),
                 operators,
                 publish,
                 accounts,
@@ -116,20 +146,18 @@
                 threads.worker(),
                 new InetSocketAddress(settings.http().host(), settings.http().port()),
                 settings.limits(),
-                new EntryHttp(callerHandler, operators, health, new MetricsHandler(registry), log)));
-        follow(threads);
+                new EntryHttp(
+                        exchanges.counting(callerHandler),
+                        exchanges.counting(operators),
+                        health,
+                        new MetricsHandler(registry),
+                        log)));
+        followers.start();
+        pollInstances(threads);
         return listening;
     }
 
-    private void follow(ProcessThreads threads) {
-        new LogFollower(
-                        threads.caller(),
-                        threads.timer(),
-                        settings.platform().log(),
-                        LogStream.CONFIGURATION,
-                        this,
-                        LogFollower.AvailabilityListener.loggingTo(log))
-                .poll();
+    private void pollInstances(ProcessThreads threads) {
         InstanceListReader instances = new InstanceListReader(
                 threads.caller(),
                 settings.platform().instances(),
@@ -140,8 +168,8 @@
     }
 
     /** Gives an event to the machine, and takes out what I/O threads may know of it; on the handler thread. */
-    private void handle(EntryEvent event, long nowMicros, Consumer<? super EntryEffect> effects) {
-        machine.handle(event, nowMicros, effects);
+    private void handle(EntryEvent event, EventTime now, Consumer<? super EntryEffect> effects) {
+        machine.handle(event, now, effects);
         if (event instanceof EntryEvent.Tick) {
             health.setReady(machine.isReady() && links.count() > 0);
         } else if (event instanceof EntryEvent.LogRead || isRecords(event)) {
@@ -177,8 +205,27 @@
     @Override
     public boolean drain() throws InterruptedException {
         health.startDraining();
+        exchanges.startDraining();
         loop.publish(new EntryEvent.DrainRequested());
-        return drain.await(settings.drainSeconds(), () -> callers.count() > 0);
+        long graceMillis = TimeUnit.SECONDS.toMillis(settings.drainSeconds());
+        long lastAnswersMillis = Math.min(LAST_ANSWERS_MILLIS, graceMillis / LAST_ANSWERS_DIVISOR);
+        boolean finished = drain.await(graceMillis - lastAnswersMillis, exchanges::hasOpen);
+        if (!finished) {
+            giveLastAnswers(lastAnswersMillis / 2);
+        }
+        DrainLatch.awaitEnd(Math.min(CLOSE_MILLIS, lastAnswersMillis / 2), exchanges::hasUnclosed);
+        return finished;
+    }
+
+    /** Answers whoever still waits; answers that have begun go on for half of the time, and are cut then. */
+    private void giveLastAnswers(long millis) throws InterruptedException {
+        log.warn("grace_ending", "callers", Integer.toString(callers.count()));
+        bodies.refusePending(new Refusal(ErrorKind.DRAINING, 0, "this entry ends"));
+        loop.publish(new EntryEvent.GraceEnding(false));
+        if (!drain.await(millis / 2, exchanges::hasOpen)) {
+            loop.publish(new EntryEvent.GraceEnding(true));
+            drain.await(millis / 2, exchanges::hasOpen);
+        }
     }
 
     @Override
