Repeat a read of the log at once whose connection breaks, and log reads that were answered late

A pooled connection may have been closed by the log while it was idle. The one read that met it counted as a loss of the log: log_lost, and keyed calls refused until the next read, 250 ms later. Reads have gaps since they don't wait at the log, so this is likelier than it was. The first failure of a call is now followed by one on a new connection, which decides. log_answer_late says that a read needed repeats: nothing showed a silent connection any more.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/platform/LogFollower.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/platform/LogFollower.java
@@ -83,7 +83,10 @@
         /** Called for the first successful read after a failure. */
         void onAvailable(LogStream stream);
 
-        /** Returns a listener that logs both to the event log. */
+        /** Called for a read that was answered only after a repeat. */
+        default void onLateAnswer(LogStream stream, int calls, long afterMillis) {}
+
+        /** Returns a listener that logs all of it to the event log. */
         static AvailabilityListener loggingTo(EventLog events) {
             return new AvailabilityListener() {
                 @Override
@@ -95,6 +98,18 @@
                 public void onAvailable(LogStream stream) {
                     events.info("log_regained", "stream", stream.wireName());
                 }
+
+                @Override
+                public void onLateAnswer(LogStream stream, int calls, long afterMillis) {
+                    events.warn(
+                            "log_answer_late",
+                            "stream",
+                            stream.wireName(),
+                            "answered_after_ms",
+                            Long.toString(afterMillis),
+                            "calls",
+                            Integer.toString(calls));
+                }
             };
         }
     }
@@ -134,7 +149,12 @@
         this.listener = listener;
         this.availabilityListener = availabilityListener;
         this.maxReadMillis = maxReadMillis;
-        repeating = new RepeatingReads(caller, timer, log, LATE_MILLIS);
+        repeating = new RepeatingReads(
+                caller,
+                timer,
+                log,
+                LATE_MILLIS,
+                (calls, afterMillis) -> availabilityListener.onLateAnswer(stream, calls, afterMillis));
     }
 
     /** Reads the next page, and then further ones until the caller or the timer is closed. */
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/platform/RepeatingReads.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/platform/RepeatingReads.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.rattanrudder.core.model.Address;
+import org.rattanrudder.core.topics.RepeatPolicy;
 import org.rattanrudder.core.topics.RepeatSchedule;
 import org.rattanrudder.wire.http.HttpCaller;
 import org.rattanrudder.wire.http.HttpRequest;
@@ -27,7 +28,8 @@
     private final ScheduledExecutorService timer;
     private final Address address;
     private final long timeoutMillis;
-    private final HttpResult late;
+    private final LateAnswerListener lateAnswers;
+    private final HttpResult timedOut;
     private final RepeatSchedule schedule = new RepeatSchedule();
 
     /**
@@ -37,19 +39,33 @@
      * @param timer runs the repeats
      * @param address where the service listens
      * @param timeoutMillis time after which a read fails, repeats included
+     * @param lateAnswers told of reads that were answered only after a repeat
      */
-    RepeatingReads(HttpCaller caller, ScheduledExecutorService timer, Address address, long timeoutMillis) {
+    RepeatingReads(
+            HttpCaller caller,
+            ScheduledExecutorService timer,
+            Address address,
+            long timeoutMillis,
+            LateAnswerListener lateAnswers) {
         this.caller = caller;
         this.timer = timer;
         this.address = address;
         this.timeoutMillis = timeoutMillis;
-        late = new HttpResult.Failed(false, "no answer in " + timeoutMillis + " ms");
+        this.lateAnswers = lateAnswers;
+        timedOut = new HttpResult.Failed(false, "no answer in " + timeoutMillis + " ms");
+    }
+
+    /** Notified of reads that were answered only after a repeat. */
+    @FunctionalInterface
+    interface LateAnswerListener {
+        /** Called with the number of calls and the time from the first one to the answer. */
+        void onLateAnswer(int calls, long afterMillis);
     }
 
     /** Makes a read that may be repeated. The result never ends exceptionally. */
     CompletableFuture<HttpResult> read(HttpRequest request) {
         Reading reading = new Reading(request);
-        reading.result.completeOnTimeout(late, timeoutMillis, TimeUnit.MILLISECONDS);
+        reading.result.completeOnTimeout(timedOut, timeoutMillis, TimeUnit.MILLISECONDS);
         reading.make();
         return reading.result;
     }
@@ -89,11 +105,17 @@
         }
 
         private void repeat() {
-            if (!result.isDone()) {
+            if (!result.isDone() && calls() < RepeatPolicy.MAX_CALLS) {
                 make();
             }
         }
 
+        private int calls() {
+            synchronized (schedule) {
+                return made;
+            }
+        }
+
         private void add(CompletableFuture<HttpResult> call) {
             synchronized (schedule) {
                 inFlight.add(call);
@@ -105,8 +127,10 @@
 
         private void onResult(CompletableFuture<HttpResult> call, HttpResult answer, boolean first) {
             boolean usable = isUsable(answer);
+            boolean onlyCall;
             synchronized (schedule) {
                 inFlight.remove(call);
+                onlyCall = made == 1;
                 if (!usable && !inFlight.isEmpty()) {
                     return;
                 }
@@ -114,7 +138,14 @@
                     schedule.onFirstCallAnswered(elapsedMillis(), 0);
                 }
             }
-            result.complete(answer);
+            if (onlyCall && answer instanceof HttpResult.Failed) {
+                // Its connection may have been closed while it was idle, which says nothing of the service.
+                repeat();
+                return;
+            }
+            if (result.complete(answer) && usable && calls() > 1) {
+                lateAnswers.onLateAnswer(calls(), elapsedMillis());
+            }
         }
 
         private void giveUp() {
--- a/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/platform/LogFollowerTest.java
+++ b/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/platform/LogFollowerTest.java
@@ -46,6 +46,7 @@
 
     private final HttpCaller caller = HttpCaller.create(1);
     private final ScheduledThreadPoolExecutor timer = new ScheduledThreadPoolExecutor(1);
+    private final BlockingQueue<String> statusChanges = new LinkedBlockingQueue<>();
 
     @AfterEach
     void close() {
@@ -71,7 +72,6 @@
                 List.of(page(1, 4, 1, 2), page(1, 4, 2, 3), "not JSON", page(20, 23, 20, 21, 22), page(20, 23)));
         BlockingQueue<String> queries = new LinkedBlockingQueue<>();
         BlockingQueue<String> reads = new LinkedBlockingQueue<>();
-        BlockingQueue<String> statusChanges = new LinkedBlockingQueue<>();
         try (TestServer log = new TestServer(exchange -> answer(exchange, queries, pages))) {
             new LogFollower(
                             caller,
@@ -108,7 +108,6 @@
     void aPageWhoseListenerFailsIsReadAgain() throws Exception {
         Queue<String> pages = new ArrayDeque<>(List.of(page(1, 3, 1, 2), page(1, 3, 1, 2)));
         BlockingQueue<String> reads = new LinkedBlockingQueue<>();
-        BlockingQueue<String> statusChanges = new LinkedBlockingQueue<>();
         RecordingListener recording = new RecordingListener(reads);
         LogFollower.Listener failingOnce = new LogFollower.Listener() {
             private boolean failed;
@@ -148,7 +147,6 @@
     void aReadWithoutAResultIsRepeated() throws Exception {
         BlockingQueue<String> queries = new LinkedBlockingQueue<>();
         BlockingQueue<String> reads = new LinkedBlockingQueue<>();
-        BlockingQueue<String> statusChanges = new LinkedBlockingQueue<>();
         try (TestServer log = new TestServer(exchange -> {
             queries.add(exchange.getQueryString());
             if (queries.size() == 1) {
@@ -204,6 +202,26 @@
                 .isLessThan(LogFollower.IN_FORCE_MILLIS);
     }
 
+    /** Guards against a log that counts as lost, so that keyed calls are refused, since one connection to it broke. */
+    @Test
+    void aConnectionThatBreaksIsNoLossOfTheLog() throws Exception {
+        AtomicInteger asked = new AtomicInteger();
+        BlockingQueue<String> reads = new LinkedBlockingQueue<>();
+        try (TestServer log = new TestServer(exchange -> {
+            if (asked.incrementAndGet() == 2) {
+                exchange.getConnection().close();
+            } else {
+                exchange.getResponseSender().send(asked.get() == 1 ? page(1, 1) : page(1, 2, 1));
+            }
+        })) {
+            followers(log.address(), reads).start();
+            assertThat(reads.poll(SECONDS, TimeUnit.SECONDS)).isEqualTo("[] true");
+            assertThat(reads.poll(SECONDS, TimeUnit.SECONDS)).isEqualTo("[1] true");
+        }
+        assertThat(statusChanges.poll(SECONDS, TimeUnit.SECONDS)).isEqualTo("late: 2");
+        assertThat(statusChanges).isEmpty();
+    }
+
     /** Guards against a caller that waits for the gap between two reads: its claim is in the log, and unread. */
     @Test
     void whatThisProcessAppendsIsReadAtOnce() throws Exception {
@@ -233,7 +251,7 @@
                 log,
                 EnumSet.of(LogStream.CLAIMS),
                 new RecordingListener(reads),
-                new RecordingAvailabilityListener(new LinkedBlockingQueue<>()));
+                new RecordingAvailabilityListener(statusChanges));
     }
 
     /** Guards against a page without its content that counts as the end of the log: its reader would be ready. */
@@ -241,7 +259,6 @@
     @ValueSource(strings = {"", "{}", "{\"first\":1,\"next\":4}", "{\"next\":4,\"records\":[]}", "[]"})
     void aPageThatLacksAPartIsNoPage(String body) throws Exception {
         BlockingQueue<String> reads = new LinkedBlockingQueue<>();
-        BlockingQueue<String> statusChanges = new LinkedBlockingQueue<>();
         try (TestServer log =
                 new TestServer(exchange -> exchange.getResponseSender().send(body))) {
             new LogFollower(
@@ -329,5 +346,10 @@
         public void onAvailable(LogStream stream) {
             statusChanges.add("regained");
         }
+
+        @Override
+        public void onLateAnswer(LogStream stream, int calls, long afterMillis) {
+            statusChanges.add("late: " + calls);
+        }
     }
 }
