--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/companion/CompanionProcess.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/companion/CompanionProcess.java
@@ -72,7 +72,7 @@
         log = new EventLog(Logger.getLogger(CompanionProcess.class), clock::atLeastMicros);
         PrometheusRegistry registry = new PrometheusRegistry();
         metrics = new CompanionMetrics(registry);
-        ClockLog.register(clock, log, "rattanrudder", metrics::gauge);
+        ClockLog.register(clock, log, ClockLog.GaugeNames.ENTRY_OR_COMPANION, metrics::gauge);
         Address advertised = settings.link().orElseThrow();
         CompanionSettings identity =
                 new CompanionSettings(settings.instance(), incarnation, advertised, settings.failureDomain(), release);
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/entry/EntryProcess.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/entry/EntryProcess.java
@@ -106,7 +106,7 @@
     private HttpServer start(ProcessThreads threads, EntrySettings identity) throws IOException {
         PrometheusRegistry registry = new PrometheusRegistry();
         EntryMetrics metrics = new EntryMetrics(registry);
-        ClockLog.register(clock, log, "rattanrudder", metrics::gauge);
+        ClockLog.register(clock, log, ClockLog.GaugeNames.ENTRY_OR_COMPANION, metrics::gauge);
         threads.scheduleAtFixedRate(ProcessClock.CHECK_INTERVAL_MILLIS, clock::check);
         metrics.gauge("rattanrudder_callers", "Requests whose answers are under way", callers::count);
         metrics.gauge("rattanrudder_ring_waiting", "Events that wait in the ring", loop::pendingEvents);
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/loop/ClockLog.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/loop/ClockLog.java
@@ -11,6 +11,30 @@
 
     private ClockLog() {}
 
+    /** How the gauges are called. */
+    public enum GaugeNames {
+        /** At a relay. */
+        RELAY(
+                "rattanrudder_relay_suspended_seconds",
+                "rattanrudder_relay_suspended_at_most_seconds",
+                "rattanrudder_relay_boot_clock_believed"),
+        /** At an entry or a companion. */
+        ENTRY_OR_COMPANION(
+                "rattanrudder_suspended_seconds",
+                "rattanrudder_suspended_at_most_seconds",
+                "rattanrudder_boot_clock_believed");
+
+        private final String suspended;
+        private final String suspendedAtMost;
+        private final String bootClockBelieved;
+
+        GaugeNames(String suspended, String suspendedAtMost, String bootClockBelieved) {
+            this.suspended = suspended;
+            this.suspendedAtMost = suspendedAtMost;
+            this.bootClockBelieved = bootClockBelieved;
+        }
+    }
+
     /** Registers gauges whose values are read whenever the metrics are. */
     @FunctionalInterface
     public interface Gauges {
@@ -21,20 +45,20 @@
     /**
      * Logs what a clock notices from now on.
      *
-     * @param prefix what the names of the gauges begin with
+     * @param names the names of the gauges
      */
-    public static void register(ProcessClock clock, EventLog log, String prefix, Gauges metrics) {
+    public static void register(ProcessClock clock, EventLog log, GaugeNames names, Gauges metrics) {
         clock.setListener(disturbance -> write(log, disturbance));
         metrics.gauge(
-                prefix + "_suspended_seconds",
+                names.suspended,
                 "For how long the machine was suspended for certain since the start",
                 () -> clock.certainSurplusMillis() / MILLIS_PER_SECOND);
         metrics.gauge(
-                prefix + "_suspended_at_most_seconds",
+                names.suspendedAtMost,
                 "For how long the machine may have been suspended since the start",
                 () -> clock.possibleSurplusMillis() / MILLIS_PER_SECOND);
         metrics.gauge(
-                prefix + "_boot_clock_believed",
+                names.bootClockBelieved,
                 "1 if the clock that counts suspensions is believed against the time of day",
                 () -> clock.isBootClockBelieved() ? 1 : 0);
     }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/RelayState.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/RelayState.java
@@ -126,7 +126,7 @@
         possibleReportLag = newReportLag(atMostMillis());
         connectionGate = new ConnectionGate(nowMillis());
         StateGauges.register(this);
-        ClockLog.register(clock, log, "rattanrudder_relay", metrics::gauge);
+        ClockLog.register(clock, log, ClockLog.GaugeNames.RELAY, metrics::gauge);
     }
 
     private static EventLoopLag newReportLag(long nowMillis) {
