Let no engine that reports slowly keep others from their new weights

Cause: an engine is asked for its report right before its order. Where none came within 0.9 s, nobody told the planner: the engine stayed first in line, and the next batch was the same two engines, for each of which the lease was renewed. Nor was a report any use that came after the end of the lease.

Change: an engine without a report counts as one that left an order unanswered, so that others come first; from then on it gets 3 s for a report. A report that comes when the lease is over is kept for 4 s, and its engine is ordered as soon as the lease is taken again. The order names the count of accepted orders that the report gave, so that an engine that was ordered meanwhile refuses it.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/rollout/RolloutPlanner.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/rollout/RolloutPlanner.java
@@ -17,7 +17,8 @@
  *
  * <p>An engine counts as loading until it serves the version, or until its order times out. An engine whose order got
  * no response may load at any time or never, so it doesn't count against the limit. Engines that have left the fewest
- * orders without a response go first: others would wait behind those that never respond. Then come those with the
+ * orders without a response go first: others would wait behind those that never respond. An engine that didn't even
+ * report before it was ordered counts as one that left an order without a response. Then come those with the
  * oldest weights, since the time for which these may be used ends first, then those with the fewest requests.
  */
 public final class RolloutPlanner {
@@ -63,6 +64,8 @@
         /** It was sent, and wasn't left without a response. */
         SENT,
         UNANSWERED,
+        /** It wasn't sent, since the engine gave no report. */
+        NOT_REPORTED,
         /** It got no response, but the engine has reported since that it is loading. */
         LOADING_LATE
     }
@@ -84,7 +87,9 @@
             if (isAnswered()) {
                 return ORDER_TIMEOUT_MILLIS;
             }
-            return unansweredBefore == 0 ? UNANSWERED_TIMEOUT_MILLIS : REPEATED_UNANSWERED_TIMEOUT_MILLIS;
+            return unansweredBefore == 0 && progress != Progress.NOT_REPORTED
+                    ? UNANSWERED_TIMEOUT_MILLIS
+                    : REPEATED_UNANSWERED_TIMEOUT_MILLIS;
         }
 
         boolean isAnswered() {
@@ -119,6 +124,11 @@
         return List.copyOf(waiting.subList(0, Math.min(waiting.size(), Math.max(0, room))));
     }
 
+    /** Returns whether the engine was the last time asked or ordered in vain. */
+    public boolean isUnanswered(String id, long version) {
+        return unansweredInARow(id, version) > 0;
+    }
+
     private int unansweredInARow(String id, long version) {
         Order last = orders.get(id);
         return last == null || last.version() != version ? 0 : last.unansweredInARow();
@@ -137,6 +147,11 @@
                         order.version(), order.sentAtMillis(), Progress.UNANSWERED, order.unansweredBefore()));
     }
 
+    /** Records that an engine gave no report, so that it wasn't ordered: it leaves its place among the next to others. */
+    public void onNotReported(String id, long version, long nowMillis) {
+        orders.put(id, new Order(version, nowMillis, Progress.NOT_REPORTED, unansweredInARow(id, version)));
+    }
+
     /** Records that an engine refused its order, so that it can be ordered again. */
     public void onRefused(String id) {
         orders.remove(id);
@@ -158,6 +173,10 @@
      * order that got no response.
      */
     public void onNotLoading(String id) {
-        orders.computeIfPresent(id, (same, order) -> order.progress() == Progress.UNANSWERED ? order : null);
+        orders.computeIfPresent(
+                id,
+                (same, order) -> order.progress() == Progress.UNANSWERED || order.progress() == Progress.NOT_REPORTED
+                        ? order
+                        : null);
     }
 }
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/rollout/RolloutPlannerTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/rollout/RolloutPlannerTest.java
@@ -190,4 +190,23 @@
 
         assertThat(orderedAt).hasSize(count);
     }
+
+    /** Engines whose reports never came stayed the next to be asked, and no other engine was ordered. */
+    @ParameterizedTest
+    @ValueSource(ints = {3, 8, 30})
+    void enginesThatDoNotReportLeaveTheirPlacesToOthers(int count) {
+        List<Engine> engines = IntStream.range(0, count)
+                .mapToObj(number -> new Engine("i-" + number, 1, 0))
+                .toList();
+        List<Engine> silent = plan.nextEngines(engines, 2, 0);
+        silent.forEach(engine -> plan.onNotReported(engine.id(), 2, 0));
+
+        assertThat(plan.nextEngines(engines, 2, POLL_MILLIS)).isNotEmpty().doesNotContainAnyElementsOf(silent);
+        assertThat(silent).allMatch(engine -> plan.isUnanswered(engine.id(), 2));
+        List<Engine> othersLoaded = engines.stream()
+                .map(engine -> silent.contains(engine) ? engine : new Engine(engine.id(), 2, 0))
+                .toList();
+        assertThat(plan.nextEngines(othersLoaded, 2, RolloutPlanner.REPEATED_UNANSWERED_TIMEOUT_MILLIS))
+                .hasSameElementsAs(silent);
+    }
 }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/rollout/OrderSender.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/rollout/OrderSender.java
@@ -36,14 +36,31 @@
     private static final long PROGRESS_CHECK_INTERVAL_MILLIS = 200;
     private static final long ENGINE_TIMEOUT_MILLIS = 900;
 
+    /** The same for an engine that was last asked in vain: a busy one may take seconds for a report. */
+    private static final long SLOW_ENGINE_TIMEOUT_MILLIS = 3_000;
+
+    /**
+     * How long a report is used that came too late for the lease. An order names the count of orders that the report
+     * gave, so that an engine that was ordered since refuses it.
+     */
+    private static final long REPORT_VALID_MILLIS = 4_000;
+
     private final RelayState state;
     private final SelfReports selfReports;
     private final OrderLease lease;
     private final RolloutLog rolloutLog;
     private final Map<String, Long> progressChecksDueAt = new HashMap<>();
     private final Map<String, Integer> reportedInFlight = new HashMap<>();
+    private final Map<String, KeptReport> keptReports = new HashMap<>();
     private final Set<String> targetsBeingCalled = new HashSet<>();
 
+    /** A report of an engine that couldn't be ordered when it came, since the lease was over by then. */
+    private record KeptReport(EngineReport report, long at) {
+        boolean isUsable(long now) {
+            return now - at < REPORT_VALID_MILLIS;
+        }
+    }
+
     OrderSender(RelayState state, SelfReports selfReports, OrderLease lease, RolloutLog rolloutLog) {
         this.state = state;
         this.selfReports = selfReports;
@@ -77,37 +94,78 @@
                 : target.requests(state.nowMillis());
     }
 
+    /** Returns whether an engine can be ordered at once, since its report came when the lease was over. */
+    boolean awaitsOrder(Target target, WeightsVersion weights, long now) {
+        KeptReport kept = keptReports.get(target.id());
+        return kept != null
+                && kept.isUsable(now)
+                && target.weights(weights.model()) < weights.version()
+                && mayCall(target, now);
+    }
+
     /** Asks an engine for its report, and orders it to load weights if it hasn't and isn't loading. */
     void order(Target target, WeightsVersion weights, RolloutPlanner plan) {
-        if (!mayCall(target, state.nowMillis())) {
+        long now = state.nowMillis();
+        if (!mayCall(target, now)) {
             return;
         }
         targetsBeingCalled.add(target.id());
         HttpCallClient client =
                 new HttpCallClient(state.connector(), state.heldBytes(), target.registration()::address);
+        Optional<KeptReport> kept =
+                Optional.ofNullable(keptReports.remove(target.id())).filter(each -> each.isUsable(now));
+        if (kept.isPresent()) {
+            orderIfDue(target, weights, kept.get().report(), plan, client);
+        } else {
+            ask(target, weights, plan, client);
+        }
+    }
+
+    private void ask(Target target, WeightsVersion weights, RolloutPlanner plan, HttpCallClient client) {
         long asked = state.nowMillis();
-        client.call(state.platform().engines().report(Optional.of(target.id())), ENGINE_TIMEOUT_MILLIS, answer -> {
+        long timeout =
+                plan.isUnanswered(target.id(), weights.version()) ? SLOW_ENGINE_TIMEOUT_MILLIS : ENGINE_TIMEOUT_MILLIS;
+        client.call(state.platform().engines().report(Optional.of(target.id())), timeout, answer -> {
             selfReports.onCallAnswered(target, answer, asked);
             Optional<EngineReport> report = readReport(answer);
-            report.ifPresent(read -> applyReport(target, read));
-            boolean stale = report.isPresent() && target.weights(weights.model()) < weights.version();
-            long now = state.nowMillis();
-            if (stale && report.get().busy()) {
-                plan.onLoading(target.id(), weights.version(), now);
-                progressChecksDueAt.put(target.id(), now + PROGRESS_CHECK_INTERVAL_MILLIS);
-            }
-            if (!stale
-                    || report.get().busy()
-                    || !state.admission().mayCall(target, now)
-                    || !lease.isHeld(state.clock().now())) {
-                client.close();
-                targetsBeingCalled.remove(target.id());
+            if (report.isEmpty()) {
+                plan.onNotReported(target.id(), weights.version(), state.nowMillis());
+                rolloutLog.notReported(target);
+                endCall(target, client);
                 return;
             }
-            sendOrder(target, weights, report.get(), plan, client);
+            applyReport(target, report.get());
+            orderIfDue(target, weights, report.get(), plan, client);
         });
     }
 
+    /** Orders an engine unless its report shows that there is no need; keeps the report if the lease is over. */
+    private void orderIfDue(
+            Target target, WeightsVersion weights, EngineReport report, RolloutPlanner plan, HttpCallClient client) {
+        long now = state.nowMillis();
+        boolean stale = target.weights(weights.model()) < weights.version();
+        if (stale && report.busy()) {
+            plan.onLoading(target.id(), weights.version(), now);
+            progressChecksDueAt.put(target.id(), now + PROGRESS_CHECK_INTERVAL_MILLIS);
+        }
+        if (!stale || report.busy() || !state.admission().mayCall(target, now)) {
+            endCall(target, client);
+            return;
+        }
+        if (!lease.isHeld(state.clock().now())) {
+            keptReports.values().removeIf(kept -> !kept.isUsable(now));
+            keptReports.put(target.id(), new KeptReport(report, now));
+            endCall(target, client);
+            return;
+        }
+        sendOrder(target, weights, report, plan, client);
+    }
+
+    private void endCall(Target target, HttpCallClient client) {
+        client.close();
+        targetsBeingCalled.remove(target.id());
+    }
+
     private void sendOrder(
             Target target, WeightsVersion weights, EngineReport report, RolloutPlanner plan, HttpCallClient client) {
         LoadOrder order = new LoadOrder(
@@ -128,8 +186,7 @@
                 plan.onRefused(target.id());
                 target.markLoadingWeights(state.nowMillis());
             }
-            client.close();
-            targetsBeingCalled.remove(target.id());
+            endCall(target, client);
         });
     }
 
@@ -171,8 +228,7 @@
                     target.markLoadingWeights(state.nowMillis());
                 }
                 rolloutLog.lookedAt(target, report, weights.model());
-                targetsBeingCalled.remove(target.id());
-                client.close();
+                endCall(target, client);
             });
         }
     }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/rollout/RolloutCoordinator.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/rollout/RolloutCoordinator.java
@@ -173,21 +173,9 @@
             return;
         }
         Map<Target, WeightsVersion> batch = new HashMap<>();
-        for (PendingRollout each : pending) {
-            RolloutPlanner plan = planner(each);
-            List<RolloutPlanner.Engine> engines = each.targets().stream()
-                    .filter(target -> state.admission().mayCall(target, now) || orders.isLookedAt(target))
-                    .map(target -> new RolloutPlanner.Engine(
-                            target.id(), target.weights(each.weights().model()), orders.inFlight(target)))
-                    .toList();
-            for (RolloutPlanner.Engine next :
-                    plan.nextEngines(engines, each.weights().version(), now)) {
-                state.fleet()
-                        .find(next.id())
-                        .filter(target -> orders.mayCall(target, now))
-                        .ifPresent(target -> batch.put(target, each.weights()));
-            }
-        }
+        pending.forEach(each -> next(each, now).stream()
+                .filter(target -> orders.mayCall(target, now))
+                .forEach(target -> batch.put(target, each.weights())));
         boolean held = lease.isHeld(state.clock().now());
         boolean free = lease.shouldAppend(state.clock().now());
         if (!batch.isEmpty() && (held || free)) {
@@ -195,6 +183,25 @@
         }
     }
 
+    /** Engines whose reports came after the end of the lease go first: they can be ordered as soon as it is renewed. */
+    private List<Target> next(PendingRollout rollout, long now) {
+        List<Target> reported = rollout.targets().stream()
+                .filter(target -> orders.awaitsOrder(target, rollout.weights(), now))
+                .toList();
+        return reported.isEmpty() ? nextByPlan(rollout, now) : reported;
+    }
+
+    private List<Target> nextByPlan(PendingRollout rollout, long now) {
+        List<RolloutPlanner.Engine> engines = rollout.targets().stream()
+                .filter(target -> state.admission().mayCall(target, now) || orders.isLookedAt(target))
+                .map(target -> new RolloutPlanner.Engine(
+                        target.id(), target.weights(rollout.weights().model()), orders.inFlight(target)))
+                .toList();
+        return planner(rollout).nextEngines(engines, rollout.weights().version(), now).stream()
+                .flatMap(next -> state.fleet().find(next.id()).stream())
+                .toList();
+    }
+
     private RolloutPlanner planner(PendingRollout rollout) {
         return planner(rollout.service(), rollout.weights());
     }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/rollout/RolloutLog.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/rollout/RolloutLog.java
@@ -61,6 +61,11 @@
                         Integer.toString(status));
     }
 
+    /** Logs that an engine wasn't ordered, since it gave no report. */
+    void notReported(Target target) {
+        state.log().info("engine_not_reported", "target", target.id());
+    }
+
     /** Logs how far an engine is that was ordered; the report is empty if it sent none. */
     void lookedAt(Target target, Optional<EngineReport> report, String model) {
         state.log()
