Let a lease last long enough for a store that appends slowly

Cause: a lease lasted 1.2 s from when its record was sent, and an answer was waited for no longer. A store that is slow, or in which an append waits behind other calls, carries the append out and answers when the lease is over. The relay took that for a conflict, read its own record, and began anew.

Change: a record names its term. The next one's is longer by what the last append took, twice the last after an append without an answer, and 3.2 s at most. An answer is waited for 0.8 s longer than the term: it tells the end of the log without a read, and how slow the store is. Others wait for the longest term of which they have read, the handover and the margin. Records without a term, of earlier releases, have the usual one. An earlier release beside this one waits out the usual term only, so the two are safe beside each other as long as appends are answered within 0.3 s, from which on terms become longer.

OrderLeaseTest.holdersWithSlowAppends... plays late and lost answers; it fails if others wait for the usual term only.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/rollout/OrderLease.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/rollout/OrderLease.java
@@ -6,15 +6,24 @@
  * The lease of the one process that sends orders to engines, kept as a log of its own.
  *
  * <p>A record is appended only at the end of the log that its writer has read, so that only one of two concurrent
- * writers succeeds. The holder may send orders for {@link #LEASE_MILLIS} from when it sent the append. Processes of
- * other instances wait for that time plus the handover time, counted from when they read the record; a process that
- * succeeds one of its own instance goes on at once. A machine may be suspended: the holder counts the longest time that
- * may have passed, the others count the shortest.
+ * writers succeeds. The holder may send orders for the term that the record names, from when it sent the append.
+ * Processes of other instances wait for that time plus the handover time, counted from when they read the record; a
+ * process that succeeds one of its own instance goes on at once. A machine may be suspended: the holder counts the
+ * longest time that may have passed, the others count the shortest.
+ *
+ * <p>An append uses up the term. So the term is longer while appends are slow: otherwise it would be over whenever one
+ * is answered, and nobody could send orders.
  */
 public final class OrderLease {
-    /** Duration of the lease: each renewal costs a write, and a crashed holder delays a rollout by this time. */
+    /** The usual term: each renewal costs a write, and a crashed holder delays a rollout by this time. */
     public static final long LEASE_MILLIS = 1_200;
 
+    /** The longest term, which leaves the time of a usual one for orders if the store takes two seconds to append. */
+    static final long MAX_LEASE_MILLIS = 3_200;
+
+    /** Appends that take longer than this use up so much of the usual term that it is extended. */
+    private static final long USUAL_APPEND_MILLIS = 300;
+
     /** The holder renews when this much time is left: an append takes some ms, or hundreds when the log is slow. */
     public static final long RENEW_BEFORE_EXPIRY_MILLIS = 600;
 
@@ -27,7 +36,8 @@
     private long end;
     private boolean endKnown;
     private String lastHolder = "";
-    private long lastReadAt = Long.MIN_VALUE / 2;
+    private long othersUntil = Long.MIN_VALUE / 2;
+    private long termMillis = LEASE_MILLIS;
     private long fencingToken = -1;
     private long heldUntil = Long.MIN_VALUE / 2;
 
@@ -57,8 +67,11 @@
             return;
         }
         // Once it is succeeded, an earlier process of the instance sends no orders: there is nothing to wait for.
-        lastHolder = isEarlierProcess(record.holder()) ? "" : record.holder();
-        lastReadAt = now.atLeastMillis();
+        boolean earlier = isEarlierProcess(record.holder());
+        lastHolder = earlier ? "" : record.holder();
+        long term = Math.min(record.termMillis(), MAX_LEASE_MILLIS);
+        long until = now.atLeastMillis() + term + handoverMillis + CLOCK_MARGIN_MILLIS;
+        othersUntil = earlier ? Long.MIN_VALUE / 2 : Math.max(othersUntil, until);
         if (offset > fencingToken) {
             heldUntil = Long.MIN_VALUE / 2;
         }
@@ -77,8 +90,7 @@
         if (isHeld(now)) {
             return heldUntil - now.atMostMillis() < RENEW_BEFORE_EXPIRY_MILLIS;
         }
-        boolean waited = now.atLeastMillis() - lastReadAt > LEASE_MILLIS + handoverMillis + CLOCK_MARGIN_MILLIS;
-        return lastHolder.isEmpty() || waited;
+        return lastHolder.isEmpty() || now.atLeastMillis() > othersUntil;
     }
 
     /** Returns the offset at which the next append must be written to be valid. */
@@ -86,11 +98,23 @@
         return end;
     }
 
-    /** Handles a successful append of this process. */
-    public void onAppended(long offset, Moment sentAt) {
+    /** Returns the term that the next record names, in ms. */
+    public long termMillis() {
+        return termMillis;
+    }
+
+    /**
+     * Handles a successful append of this process.
+     *
+     * @param record what was appended
+     * @param sentAt when it was sent
+     */
+    public void onAppended(long offset, LeaseRecord record, Moment sentAt, Moment now) {
         advanceTo(offset + 1);
         fencingToken = offset;
-        heldUntil = sentAt.atMostMillis() + LEASE_MILLIS;
+        heldUntil = sentAt.atMostMillis() + record.termMillis();
+        long taken = now.atMostMillis() - sentAt.atMostMillis();
+        termMillis = taken <= USUAL_APPEND_MILLIS ? LEASE_MILLIS : Math.min(MAX_LEASE_MILLIS, LEASE_MILLIS + taken);
     }
 
     /** Handles a failed append: another process has written a record at the expected offset. */
@@ -99,6 +123,12 @@
         heldUntil = Long.MIN_VALUE / 2;
     }
 
+    /** Handles an append without an answer: it may have been carried out, and the next one gets more time. */
+    public void onUnanswered() {
+        onConflict();
+        termMillis = Math.min(MAX_LEASE_MILLIS, 2 * termMillis);
+    }
+
     /** Returns whether this process may send orders now. */
     public boolean isHeld(Moment now) {
         return now.atMostMillis() < heldUntil;
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/rollout/RolloutPlanner.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/rollout/RolloutPlanner.java
@@ -147,7 +147,7 @@
                         order.version(), order.sentAtMillis(), Progress.UNANSWERED, order.unansweredBefore()));
     }
 
-    /** Records that an engine gave no report, so that it wasn't ordered: it leaves its place among the next to others. */
+    /** Records that an engine gave no report and wasn't ordered: it leaves its place among the next to others. */
     public void onNotReported(String id, long version, long nowMillis) {
         orders.put(id, new Order(version, nowMillis, Progress.NOT_REPORTED, unansweredInARow(id, version)));
     }
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/rollout/OrderLeaseTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/rollout/OrderLeaseTest.java
@@ -17,6 +17,9 @@
 class OrderLeaseTest {
     private static final long HANDOVER = 3_000;
 
+    /** How much longer than its term an answer to an append is waited for. */
+    private static final long LATE_ANSWER_MILLIS = 800;
+
     /** Two relays that both considered themselves holders would make engines load two versions alternately. */
     @Property
     void twoHoldersNeverSendOrdersWithinHandoverTime(
@@ -110,13 +113,18 @@
         return new OrderLease(instance, instance + "-" + start, HANDOVER);
     }
 
+    private static LeaseRecord record(String holder) {
+        return new LeaseRecord(holder, OrderLease.LEASE_MILLIS, List.of());
+    }
+
     private static void append(List<LeaseRecord> log, OrderLease lease, String name, Moment now) {
         if (lease.appendOffset() != log.size()) {
             lease.onConflict();
             return;
         }
-        log.add(new LeaseRecord(name, List.of()));
-        lease.onAppended(log.size() - 1, now);
+        LeaseRecord record = new LeaseRecord(name, lease.termMillis(), List.of());
+        log.add(record);
+        lease.onAppended(log.size() - 1, record, now, now);
     }
 
     /** A holder is suspended for seconds right before it sends an order, and only its time of day shows it. */
@@ -124,7 +132,7 @@
     void suspendedHolderLosesLease() {
         OrderLease lease = started("a", 0);
         lease.advanceTo(0);
-        lease.onAppended(0, at(1_000));
+        lease.onAppended(0, record("a-0"), at(1_000), at(1_000));
 
         assertThat(lease.isHeld(at(1_100))).isTrue();
         assertThat(lease.isHeld(new Moment(1_100, 6_100))).isFalse();
@@ -137,7 +145,7 @@
     @Test
     void instanceThatRestartsGoesOnWithItsLeaseAtOnce() {
         OrderLease restarted = started("a", 1);
-        restarted.onRecord(0, new LeaseRecord("a-0", List.of()), at(1_000));
+        restarted.onRecord(0, record("a-0"), at(1_000));
 
         assertThat(restarted.isHeld(at(1_000))).isFalse();
         assertThat(restarted.shouldAppend(at(1_000))).isTrue();
@@ -148,9 +156,139 @@
     @ValueSource(strings = {"b-0", "a-b-0", "aa-0", "a"})
     void leaseOfAnotherInstanceIsWaitedFor(String last) {
         OrderLease restarted = started("a", 1);
-        restarted.onRecord(0, new LeaseRecord("a-0", List.of()), at(1_000));
-        restarted.onRecord(1, new LeaseRecord(last, List.of()), at(1_000));
+        restarted.onRecord(0, record("a-0"), at(1_000));
+        restarted.onRecord(1, record(last), at(1_000));
 
         assertThat(restarted.shouldAppend(at(1_000))).isFalse();
     }
+
+    /** Each append took longer than the term, so that the lease was over before any order could be sent. */
+    @ParameterizedTest
+    @ValueSource(longs = {50, 600, 1_000, 1_300, 2_000, 2_900})
+    void leaseLastsBeyondSlowAppends(long appendMillis) {
+        OrderLease lease = started("a", 0);
+        lease.advanceTo(0);
+        long now = 0;
+        for (int tries = 0; tries < 4 && !lease.isHeld(at(now)); tries++) {
+            LeaseRecord record = new LeaseRecord("a-0", lease.termMillis(), List.of());
+            long givenUpAfter = record.termMillis() + LATE_ANSWER_MILLIS;
+            long answeredAt = now + Math.min(appendMillis, givenUpAfter);
+            if (appendMillis < givenUpAfter) {
+                lease.onAppended(lease.appendOffset(), record, at(now), at(answeredAt));
+            } else {
+                lease.onUnanswered();
+                lease.advanceTo(lease.appendOffset() + 1);
+            }
+            now = answeredAt;
+        }
+
+        assertThat(lease.isHeld(at(now + 100))).isTrue();
+    }
+
+    /** An append of a process, which the store carries out some time after it was sent, and answers later. */
+    private record Append(LeaseRecord record, long offset, long sentAt, long carriedOutAt, long answeredAt) {
+        long givenUpAt() {
+            return sentAt + record.termMillis() + LATE_ANSWER_MILLIS;
+        }
+    }
+
+    /** A store that takes seconds for appends, and goes on with those that were given up. */
+    private static final class SlowStore {
+        private final List<LeaseRecord> log = new ArrayList<>();
+        private final List<Append> received = new ArrayList<>();
+        private final List<Append> written = new ArrayList<>();
+
+        void carryOutUntil(long now) {
+            received.removeIf(append -> {
+                boolean due = now >= append.carriedOutAt();
+                if (due && log.size() == append.offset()) {
+                    log.add(append.record());
+                    written.add(append);
+                }
+                return due;
+            });
+        }
+    }
+
+    /** A process that makes one append at a time. */
+    private static final class SlowAppender {
+        private final String name;
+        private final OrderLease lease;
+        private final SlowStore store;
+        private final Random random;
+        private Append inFlight;
+        private int read;
+
+        SlowAppender(String instance, SlowStore store, Random random) {
+            name = instance + "-0";
+            lease = started(instance, 0);
+            this.store = store;
+            this.random = random;
+        }
+
+        void hearAnswer(long now) {
+            if (inFlight == null || now < Math.min(inFlight.answeredAt(), inFlight.givenUpAt())) {
+                return;
+            }
+            if (now < inFlight.answeredAt()) {
+                lease.onUnanswered();
+            } else if (store.written.contains(inFlight)) {
+                lease.onAppended(inFlight.offset(), inFlight.record(), at(inFlight.sentAt()), at(now));
+            } else {
+                lease.onConflict();
+            }
+            inFlight = null;
+        }
+
+        void readLog(long now) {
+            for (; read < store.log.size(); read++) {
+                lease.onRecord(read, store.log.get(read), at(now));
+            }
+            lease.advanceTo(read);
+        }
+
+        void appendIfDue(long now) {
+            if (inFlight != null || !lease.shouldAppend(at(now))) {
+                return;
+            }
+            long carriedOutAt = now + random.nextInt(random.nextInt(4) == 0 ? 6_000 : 400);
+            long answeredAt = carriedOutAt + random.nextInt(2_000);
+            LeaseRecord record = new LeaseRecord(name, lease.termMillis(), List.of());
+            inFlight = new Append(record, lease.appendOffset(), now, carriedOutAt, answeredAt);
+            store.received.add(inFlight);
+        }
+    }
+
+    /**
+     * The store takes seconds to carry out appends and to answer them, also those that were given up. A successor that
+     * knew only of the usual term sent orders beside a holder with a longer one.
+     */
+    @Property(tries = 2_000)
+    void holdersWithSlowAppendsNeverSendOrdersBesideTheirSuccessors(@ForAll long seed) {
+        Random random = new Random(seed);
+        SlowStore store = new SlowStore();
+        List<SlowAppender> processes =
+                List.of(new SlowAppender("a", store, random), new SlowAppender("b", store, random));
+        long[] lastOrder = {Long.MIN_VALUE / 2, Long.MIN_VALUE / 2};
+        long now = 0;
+        for (int step = 0; step < 300; step++) {
+            now += 1 + random.nextInt(300);
+            store.carryOutUntil(now);
+            for (SlowAppender process : processes) {
+                process.hearAnswer(now);
+            }
+            SlowAppender acting = processes.get(random.nextInt(2));
+            if (random.nextBoolean()) {
+                acting.readLog(now);
+            } else {
+                acting.appendIfDue(now);
+            }
+            for (int who = 0; who < 2; who++) {
+                if (processes.get(who).lease.isHeld(at(now))) {
+                    lastOrder[who] = now;
+                    assertThat(now - lastOrder[1 - who]).isGreaterThanOrEqualTo(HANDOVER);
+                }
+            }
+        }
+    }
 }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/rollout/RolloutCoordinator.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/rollout/RolloutCoordinator.java
@@ -45,7 +45,8 @@
      */
     private static final long PEER_LOAD_MILLIS = 1_500;
 
-    private static final long APPEND_TIMEOUT_MILLIS = 1_200;
+    /** Time for an answer that comes when the term is over: it tells the end of the log and how slow the store is. */
+    private static final long LATE_ANSWER_MILLIS = 800;
 
     private final RelayState state;
     private final StepTimer timer;
@@ -214,44 +215,60 @@
         return planners.computeIfAbsent(service + "/" + weights.model(), unseen -> new RolloutPlanner());
     }
 
+    /** A record that is appended at an offset, and when that was asked for. */
+    private record SentRecord(LeaseRecord record, long offset, Moment at) {}
+
     private void appendLeaseRecord(Map<Target, WeightsVersion> batch) {
         List<String> ids = batch.keySet().stream().map(Target::id).sorted().toList();
         Moment sentAt = state.clock().now();
-        long at = lease.appendOffset();
+        SentRecord sent =
+                new SentRecord(new LeaseRecord(holder, lease.termMillis(), ids), lease.appendOffset(), sentAt);
         appendClient.call(
-                store.append(Topic.ORDERS, new LeaseRecord(holder, ids), OptionalLong.of(at)),
-                APPEND_TIMEOUT_MILLIS,
-                answer -> onLeaseAnswer(answer, batch, sentAt, at));
+                store.append(Topic.ORDERS, sent.record(), OptionalLong.of(sent.offset())),
+                sent.record().termMillis() + LATE_ANSWER_MILLIS,
+                answer -> onLeaseAnswer(answer, batch, sent));
     }
 
-    private void onLeaseAnswer(CallResult answer, Map<Target, WeightsVersion> batch, Moment sentAt, long at) {
+    private void onLeaseAnswer(CallResult answer, Map<Target, WeightsVersion> batch, SentRecord sent) {
         if (timer.isClosed()) {
             return;
         }
         state.metrics().recordStoreCall("APPEND");
         StoreResponse read = answer.toAppendResponse(store);
         if (read instanceof StoreResponse.Appended appended) {
-            lease.onAppended(appended.offset(), sentAt);
+            Moment now = state.clock().now();
+            lease.onAppended(appended.offset(), sent.record(), sent.at(), now);
             state.log()
                     .info(
                             "lease_taken",
                             "token",
                             Long.toString(appended.offset()),
                             "orders",
-                            Integer.toString(batch.size()));
+                            Integer.toString(batch.size()),
+                            "taken_ms",
+                            Long.toString(now.atMostMillis() - sent.at().atMostMillis()),
+                            "term_ms",
+                            Long.toString(sent.record().termMillis()));
             batch.forEach((target, weights) -> orders.order(target, weights, planner(target, weights)));
             return;
         }
         // A peer wrote first, or the outcome of the append is unknown: the log is read before the next attempt.
-        lease.onConflict();
+        if (answer instanceof CallResult.Answered) {
+            lease.onConflict();
+        } else {
+            lease.onUnanswered();
+        }
         follower.expectRecord();
         state.log()
                 .info(
                         "lease_not_taken",
                         "at",
-                        Long.toString(at),
+                        Long.toString(sent.offset()),
                         "answer",
-                        read.getClass().getSimpleName());
+                        read.getClass().getSimpleName(),
+                        "taken_ms",
+                        Long.toString(
+                                state.clock().now().atMostMillis() - sent.at().atMostMillis()));
     }
 
     /** Returns the engines that this relay has ordered and that don't serve their new weights yet. */
