Take a request late in an entry's stop only if its like end before the grace does

An entry took every request of the first 2 s after the signal, whatever it lasts; one that outlasted the grace was cut, or since lately told that its outcome is unknown, which helps nobody who may not repeat it. Now it is taken if the last of its class were answered within what is left (RecentDurations, ShutdownPolicy, as at relays), or, where fewer than eight are known, if its deadline is; else it is refused at once as not run. The margins at the end of the grace are ShutdownPolicy's, too, in place of a second set of them.

EntryMachineTest.whileDrainingOnlyRequestsWhoseLikeEndInTimeAreTaken: one of three cases failed before (dispatched).

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/entry/EntryEvent.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/entry/EntryEvent.java
@@ -98,8 +98,12 @@
     /** A timer tick, about every 50 ms. */
     record Tick() implements EntryEvent {}
 
-    /** The process was asked to stop. */
-    record DrainRequested() implements EntryEvent {}
+    /**
+     * The process was asked to stop.
+     *
+     * @param graceMillis after which time it ends at the latest
+     */
+    record DrainRequested(long graceMillis) implements EntryEvent {}
 
     /**
      * The process is about to end: whoever still waits gets a last answer.
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/entry/EntryMachine.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/entry/EntryMachine.java
@@ -36,7 +36,7 @@
      */
     public static final long DRAIN_GRACE_MICROS = 2_000_000;
 
-    private static final long NOT_DRAINING = -1;
+    private static final Refusal LEAVING = new Refusal(ErrorKind.DRAINING, 0, "this entry leaves");
 
     /** The timeouts are long because operators wait longer for a slow log than callers would. */
     private static final LogWriterSettings LOG_SETTINGS =
@@ -57,8 +57,7 @@
     private final OperatorQueries operators;
     private final Set<Address> bootstrapCompanions;
     private boolean logReachable;
-    private long drainStartMicros = NOT_DRAINING;
-    private boolean graceEnding;
+    private final EntryDrain drain = new EntryDrain();
     private boolean drained;
 
     /**
@@ -92,7 +91,7 @@
 
     /** Returns whether the entry has a configuration and isn't draining. */
     public boolean isReady() {
-        return configuration.isKnown() && drainStartMicros == NOT_DRAINING;
+        return configuration.isKnown() && !drain.isStarted();
     }
 
     /** Returns the documents in force. */
@@ -138,10 +137,10 @@
             membership.onInstancesListed(listed.instances(), nowMicros);
         } else if (event instanceof EntryEvent.OperatorCalled called) {
             handleOperatorCall(called.handle(), called.call(), nowMicros);
-        } else if (event instanceof EntryEvent.DrainRequested) {
-            drain(nowMicros);
+        } else if (event instanceof EntryEvent.DrainRequested requested) {
+            startDrain(requested.graceMillis(), nowMicros);
         } else if (event instanceof EntryEvent.GraceEnding ends) {
-            graceEnding = true;
+            drain.end();
             dispatcher.endAll(ends.alsoBegun(), nowMicros);
             publisher.endAll(nowMicros);
         }
@@ -181,9 +180,8 @@
 
     private void handleRequest(EntryEvent.RequestArrived arrived, long nowMicros) {
         CallerRequest request = arrived.request();
-        if (isLeaving(nowMicros)) {
-            Refusal leaving = new Refusal(ErrorKind.DRAINING, 0, "this entry leaves");
-            Admission.Refused refused = new Admission.Refused(leaving, "", "");
+        if (drain.refusesAll(nowMicros)) {
+            Admission.Refused refused = new Admission.Refused(LEAVING, "", "");
             completer.refuseUnadmitted(arrived.sequence(), request, refused, nowMicros);
             return;
         }
@@ -197,10 +195,12 @@
     }
 
     private void handleAdmitted(EntryEvent.RequestArrived arrived, Admission.Terms terms, long nowMicros) {
-        Optional<Refusal> quarantined = quarantine.refusal(terms, arrived.request(), nowMicros);
-        if (quarantined.isPresent()) {
+        Optional<Refusal> refusal = drain.refuses(terms, nowMicros)
+                ? Optional.of(LEAVING)
+                : quarantine.refusal(terms, arrived.request(), nowMicros);
+        if (refusal.isPresent()) {
             Admission.Refused refused = new Admission.Refused(
-                    quarantined.get(),
+                    refusal.get(),
                     terms.customer().name().value(),
                     terms.requestClass().name());
             completer.refuseUnadmitted(arrived.sequence(), arrived.request(), refused, nowMicros);
@@ -248,11 +248,11 @@
         quarantine.tick(nowMicros);
     }
 
-    private void drain(long nowMicros) {
-        if (drainStartMicros != NOT_DRAINING) {
+    private void startDrain(long graceMillis, long nowMicros) {
+        if (drain.isStarted()) {
             return;
         }
-        drainStartMicros = nowMicros;
+        drain.start(graceMillis, nowMicros);
         for (CompanionLink link : membership.links()) {
             if (link.isOpen()) {
                 outbox.send(link.address, new Frame.Leaving());
@@ -260,13 +260,8 @@
         }
     }
 
-    /** Returns whether requests are refused, since the process stops. */
-    private boolean isLeaving(long nowMicros) {
-        return graceEnding || drainStartMicros != NOT_DRAINING && nowMicros - drainStartMicros >= DRAIN_GRACE_MICROS;
-    }
-
     private void finishDraining(long nowMicros) {
-        if (isLeaving(nowMicros) && !drained && requests.isEmpty() && publisher.isIdle()) {
+        if (drain.refusesAll(nowMicros) && !drained && requests.isEmpty() && publisher.isIdle()) {
             drained = true;
             outbox.emit(new EntryEffect.Drained());
         }
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/entry/RequestCompleter.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/entry/RequestCompleter.java
@@ -9,6 +9,7 @@
 
 /** Completes each request with exactly one final answer and records its summary. */
 final class RequestCompleter {
+    private static final long MICROS_PER_MILLI = 1_000;
     private static final int CLIENT_CLOSED_STATUS = ErrorKind.CANCELLED.status();
 
     private final long entryIncarnation;
@@ -39,6 +40,9 @@
         quarantine.onAnswered(inFlight, nowMicros);
         outbox.emit(new EntryEffect.EndAnswer(inFlight.sequence));
         inFlight.service().retryAfterScheduler().onAnswered(nowMicros);
+        inFlight.service()
+                .durations(inFlight.requestClass())
+                .record((nowMicros - inFlight.arrivedMicros) / MICROS_PER_MILLI);
         inFlight.service().pool().recordServiceTime(nowMicros - inFlight.arrivedMicros - inFlight.usage.queuedMicros());
         finish(inFlight, Optional.empty(), inFlight.status, nowMicros);
     }
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/entry/ServedService.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/entry/ServedService.java
@@ -8,8 +8,10 @@
 import java.util.random.RandomGenerator;
 import org.rattanrudder.core.document.CustomerSettings;
 import org.rattanrudder.core.document.ModelSettings;
+import org.rattanrudder.core.document.RequestClass;
 import org.rattanrudder.core.document.ServiceDocument;
 import org.rattanrudder.core.document.StoreSettings;
+import org.rattanrudder.core.gateway.RecentDurations;
 import org.rattanrudder.core.model.Digest;
 import org.rattanrudder.core.routing.ContextCosts;
 import org.rattanrudder.core.routing.RoutableTarget;
@@ -25,6 +27,7 @@
     private final CustomerLimits limits = new CustomerLimits();
     private final RetryAfterScheduler retryAfterScheduler;
     private final Map<Digest, CustomerSettings> customers = new HashMap<>();
+    private final Map<String, RecentDurations> durations = new HashMap<>();
     private ServiceDocument document;
     private long revision;
     private String documentText;
@@ -49,6 +52,9 @@
         revision = newerRevision;
         documentText = newerText;
         customers.clear();
+        durations
+                .keySet()
+                .retainAll(newer.classes().stream().map(RequestClass::name).toList());
         for (CustomerSettings customer : newer.customers()) {
             customer.credentials().forEach(credential -> customers.put(credential, customer));
         }
@@ -100,6 +106,11 @@
         return retryAfterScheduler;
     }
 
+    /** Returns how long the last requests of a class took that were answered. */
+    RecentDurations durations(RequestClass requestClass) {
+        return durations.computeIfAbsent(requestClass.name(), name -> new RecentDurations());
+    }
+
     Optional<CustomerSettings> customer(Digest credential) {
         return Optional.ofNullable(customers.get(credential));
     }
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/entry/EntryMachineTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/entry/EntryMachineTest.java
@@ -34,6 +34,36 @@
         assertThat(driver.effectsOf(EntryEffect.RequestEnded.class)).hasSize(1);
     }
 
+    /** Guards against requests that are taken late, and cut at the end of the grace. */
+    @ParameterizedTest(name = "eight took {0} s, the grace is {1} s: {2}")
+    @CsvSource({"5, 30, DISPATCHED", "5, 6, REFUSED", "5, 8, DISPATCHED"})
+    void whileDrainingOnlyRequestsWhoseLikeEndInTimeAreTaken(long tookSeconds, long graceSeconds, Fate fate) {
+        EntryDriver driver = EntryDriver.ready(TestDocuments.prompts(target(1)));
+        for (int answered = 0; answered < 8; answered++) {
+            driver.prompt("sheet " + answered);
+            driver.head(driver.lastDispatch());
+            driver.chunk(driver.lastDispatch(), 0);
+            for (long second = 0; second < tookSeconds; second++) {
+                driver.advance(1_000_000);
+                driver.heartbeat(1, 100, true);
+            }
+            driver.end(driver.lastDispatch(), 1);
+        }
+        int before = driver.dispatches().size();
+        driver.handle(new EntryEvent.DrainRequested(graceSeconds * 1_000));
+        long late = driver.prompt("late");
+
+        assertThat(driver.dispatches()).hasSize(fate == Fate.DISPATCHED ? before + 1 : before);
+        if (fate == Fate.REFUSED) {
+            assertThat(driver.refusal(late)).isEqualTo(ErrorKind.DRAINING);
+        }
+    }
+
+    private enum Fate {
+        DISPATCHED,
+        REFUSED
+    }
+
     /** Guards against callers whose connection ends with the process, without an answer. */
     @Test
     void atTheEndOfTheGraceWhoeverStillWaitsGetsALastAnswer() {
@@ -41,7 +71,7 @@
         long waiting = driver.prompt("waiting");
         long begun = driver.prompt("begun");
         driver.head(driver.lastDispatch());
-        driver.handle(new EntryEvent.DrainRequested());
+        driver.handle(new EntryEvent.DrainRequested(30_000));
 
         driver.handle(new EntryEvent.GraceEnding(false));
         assertThat(driver.refusal(waiting)).isEqualTo(ErrorKind.OUTCOME_UNKNOWN);
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/entry/MembershipTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/entry/MembershipTest.java
@@ -162,7 +162,7 @@
     @Test
     void aDrainingEntryServesLateRequestsAndExitsWhenNoneIsInFlight() {
         EntryDriver driver = EntryDriver.ready(TestDocuments.prompts(target(1)));
-        driver.handle(new EntryEvent.DrainRequested());
+        driver.handle(new EntryEvent.DrainRequested(30_000));
         assertThat(driver.isReady()).isFalse();
         assertThat(driver.frames(Frame.Leaving.class)).hasSize(1);
         driver.prompt("sheet");
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/entry/EntryProcess.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/entry/EntryProcess.java
@@ -17,6 +17,7 @@
 import org.rattanrudder.core.entry.EntryMachine;
 import org.rattanrudder.core.entry.EntrySettings;
 import org.rattanrudder.core.frame.Frame;
+import org.rattanrudder.core.gateway.ShutdownPolicy;
 import org.rattanrudder.core.log.LogRecord;
 import org.rattanrudder.core.log.LogStream;
 import org.rattanrudder.core.memory.ByteBudget;
@@ -50,14 +51,6 @@
 public final class EntryProcess implements RunningProcess, LogFollower.Listener {
     private static final int HTTP_THREADS = 2;
 
-    /** The end of the grace, in which whoever still waits gets a last answer; of a short one, a part. */
-    private static final long LAST_ANSWERS_MILLIS = 1_000;
-
-    private static final int LAST_ANSWERS_DIVISOR = 4;
-
-    /** Time for callers to read their last answers and to close their connections. */
-    private static final long CLOSE_MILLIS = 500;
-
     private final ProcessSettings settings;
     private final Closer closer = new Closer();
     private final HealthHandler health = new HealthHandler();
@@ -206,25 +199,26 @@
     public boolean drain() throws InterruptedException {
         health.startDraining();
         exchanges.startDraining();
-        loop.publish(new EntryEvent.DrainRequested());
         long graceMillis = TimeUnit.SECONDS.toMillis(settings.drainSeconds());
-        long lastAnswersMillis = Math.min(LAST_ANSWERS_MILLIS, graceMillis / LAST_ANSWERS_DIVISOR);
-        boolean finished = drain.await(graceMillis - lastAnswersMillis, exchanges::hasOpen);
+        loop.publish(new EntryEvent.DrainRequested(graceMillis));
+        long exitMillis = ShutdownPolicy.exitMarginMillis(graceMillis);
+        long cutMillis = ShutdownPolicy.cutMarginMillis(graceMillis);
+        boolean finished = drain.await(graceMillis - exitMillis, exchanges::hasOpen);
         if (!finished) {
-            giveLastAnswers(lastAnswersMillis / 2);
+            giveLastAnswers(exitMillis - cutMillis, cutMillis / 2);
         }
-        DrainLatch.awaitEnd(Math.min(CLOSE_MILLIS, lastAnswersMillis / 2), exchanges::hasUnclosed);
+        DrainLatch.awaitEnd(cutMillis / 2, exchanges::hasUnclosed);
         return finished;
     }
 
-    /** Answers whoever still waits; answers that have begun go on for half of the time, and are cut then. */
-    private void giveLastAnswers(long millis) throws InterruptedException {
+    /** Answers whoever still waits; answers that have begun go on for a while, and are cut then. */
+    private void giveLastAnswers(long begunMillis, long cutMillis) throws InterruptedException {
         log.warn("grace_ending", "callers", Integer.toString(callers.count()));
         bodies.refusePending(new Refusal(ErrorKind.DRAINING, 0, "this entry ends"));
         loop.publish(new EntryEvent.GraceEnding(false));
-        if (!drain.await(millis / 2, exchanges::hasOpen)) {
+        if (!drain.await(begunMillis, exchanges::hasOpen)) {
             loop.publish(new EntryEvent.GraceEnding(true));
-            drain.await(millis / 2, exchanges::hasOpen);
+            drain.await(cutMillis, exchanges::hasOpen);
         }
     }
 
