Take no revision of a document that was never given

A refresh or an index of another writer that named a revision above its own offset stayed in force for good: no edit has such a base, and no later refresh a higher revision. A revision is the offset of an edit, so none is above the offset of the record that names it.

ConfigurationLedgerTest.aRevisionThatWasNeverGivenChangesNothing failed for both of its revisions before (the odd text was in force).

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/configuration/ConfigurationLedger.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/configuration/ConfigurationLedger.java
@@ -55,7 +55,7 @@
         if (record.offset() <= lastOffset) {
             // A record that was applied before must not be decided again against a newer state. Its refreshes are still
             // valid.
-            applyLateTexts(record.batch());
+            applyLateTexts(record);
             return decisions;
         }
         if (record.offset() != lastOffset + 1) {
@@ -69,7 +69,8 @@
             if (entry instanceof LogEntry.DocumentEdit edit) {
                 decisions.add(decide(edit, record));
             } else if (entry instanceof LogEntry.DocumentRefresh refresh) {
-                applyRefresh(refresh, record.batch().writer() == SNAPSHOT_WRITER ? UNKNOWN_TEXT_INDEX : indexCount);
+                long textIndex = record.batch().writer() == SNAPSHOT_WRITER ? UNKNOWN_TEXT_INDEX : indexCount;
+                applyRefresh(refresh, record, textIndex);
             } else if (entry instanceof LogEntry.RevisionIndex index) {
                 applyIndex(index, record);
             }
@@ -169,10 +170,10 @@
         return edit.baseRevision() == revision(edit.service()) ? Verdict.ACCEPTED : Verdict.VOID;
     }
 
-    private void applyLateTexts(LogBatch batch) {
-        for (LogEntry entry : batch.entries()) {
+    private void applyLateTexts(LogRecord record) {
+        for (LogEntry entry : record.batch().entries()) {
             if (entry instanceof LogEntry.DocumentRefresh refresh && !hasText(refresh)) {
-                applyRefresh(refresh, UNKNOWN_TEXT_INDEX);
+                applyRefresh(refresh, record, UNKNOWN_TEXT_INDEX);
             }
         }
     }
@@ -184,7 +185,11 @@
                 && document.text().isPresent();
     }
 
-    private void applyRefresh(LogEntry.DocumentRefresh refresh, long textIndex) {
+    private void applyRefresh(LogEntry.DocumentRefresh refresh, LogRecord record, long textIndex) {
+        // A revision that was never given would stay in force for good.
+        if (refresh.revision() > record.offset()) {
+            return;
+        }
         // A refresh whose writer had not yet read a newer edit would revert it if its own offset counted. It carries
         // the offset of the edit whose text it repeats, and only a higher one replaces the revision in force.
         if (refresh.revision() >= revision(refresh.service())) {
@@ -195,7 +200,7 @@
     private void applyIndex(LogEntry.RevisionIndex index, LogRecord record) {
         // A record between those that the writer had read and the index may contain an edit that the index lacks; a
         // reader that started from this index would lose it. Such an index is void, and another one follows.
-        if (index.previousOffset() != record.offset() - 1 || hasEdit(record.batch())) {
+        if (index.previousOffset() != record.offset() - 1 || hasEdit(record.batch()) || isAhead(index, record)) {
             return;
         }
         for (LogEntry.Revision each : index.revisions()) {
@@ -208,6 +213,11 @@
         indexCount++;
     }
 
+    /** Returns whether an index names a revision that was never given. */
+    private static boolean isAhead(LogEntry.RevisionIndex index, LogRecord record) {
+        return index.revisions().stream().anyMatch(each -> each.revision() > record.offset());
+    }
+
     private static boolean hasEdit(LogBatch batch) {
         return batch.entries().stream().anyMatch(LogEntry.DocumentEdit.class::isInstance);
     }
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/configuration/ConfigurationLedgerTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/configuration/ConfigurationLedgerTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.rattanrudder.core.configuration.EditDecision.Verdict;
 import org.rattanrudder.core.log.LogBatch;
 import org.rattanrudder.core.log.LogEntry;
@@ -40,6 +41,20 @@
         assertThat(ledger.revision(PALIVO)).isEqualTo(verdict == Verdict.ACCEPTED ? 4 : 2);
     }
 
+    /** Guards against a document that no edit ever replaces, by a revision of another writer that was never given. */
+    @ParameterizedTest
+    @ValueSource(longs = {3, Long.MAX_VALUE})
+    void aRevisionThatWasNeverGivenChangesNothing(long revision) {
+        ledger.apply(record(1, edit(0, "first")));
+        ledger.apply(record(2, refresh(revision, "odd")));
+        ledger.apply(record(
+                3, new LogEntry.RevisionIndex(2, List.of(new LogEntry.Revision(PALIVO, Math.max(4, revision))))));
+        assertThat(ledger.document(PALIVO)).hasValue(new DocumentRevision(PALIVO, 1, Optional.of("first"), 0));
+
+        ledger.apply(record(4, edit(1, "second")));
+        assertThat(ledger.revision(PALIVO)).isEqualTo(4);
+    }
+
     @Test
     void aRefreshByALaggingProcessDoesNotRevertANewerEdit() {
         // Failure: an accepted edit is reverted. A process that had not yet read the edit refreshes the older document,
