Let no keys expire that are yet to be claimed

An expiry up to an offset above its own, as another writer may leave it, dropped all claims of its service and all that would follow: calls with the same key could have run twice.

KeyLedgerTest.anExpiryOfWhatIsYetToBeClaimedChangesNothing failed before (the claim was gone).

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/claims/KeyLedger.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/claims/KeyLedger.java
@@ -82,7 +82,8 @@
             close(unresolved.key(), writer).ifPresent(claimed -> claimed.unresolved = true);
         } else if (entry instanceof LogEntry.KeyRelease release) {
             release(release.key(), writer);
-        } else if (entry instanceof LogEntry.KeysExpired keysExpired) {
+        } else if (entry instanceof LogEntry.KeysExpired keysExpired && keysExpired.upToOffset() <= offset) {
+            // One that names a later offset would have keys expire that are yet to be claimed.
             expire(keysExpired.service(), keysExpired.upToOffset());
         } else if (entry instanceof LogEntry.ClaimantStarted started) {
             onClaimantStarted(started.instance(), writer);
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/claims/KeyLedgerTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/claims/KeyLedgerTest.java
@@ -54,6 +54,18 @@
         assertThat(answer(ledger, 2).body()).hasSize(50);
     }
 
+    /** Guards against keys that may be used again at once, by an offset of another writer that is yet to come. */
+    @Test
+    void anExpiryOfWhatIsYetToBeClaimedChangesNothing() {
+        KeyLedger ledger = new KeyLedger(100);
+        ledger.apply(1, 1, claim(0, 1, 0), 0);
+
+        ledger.apply(2, 7, new LogEntry.KeysExpired(service(0), Long.MAX_VALUE), 0);
+
+        assertThat(ledger.state(key(0))).isPresent();
+        assertThat(ledger.expiredUpTo(service(0))).isZero();
+    }
+
     private record LoggedEntry(long offset, long writer, LogEntry entry) {}
 
     private static LogEntry randomEntry(Random random, int offset) {
