Count no weights as served that no operator has published

One response, report or entry that named a version above the newest published one kept an engine from ever being ordered again, and each request to it named that version, so that it rejected them all. Nobody serves what wasn't published: such a version counts as unknown, and as served once it is published, or once a peer says that it is. An engine whose entry names such a version only is ordered by what its own report says.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Fleet.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Fleet.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.Predicate;
+import java.util.function.ToLongFunction;
 import org.rattanrudder.core.continuation.SoftwareHistory;
 import org.rattanrudder.core.fleet.LoadReport.LeavingTarget;
 import org.rattanrudder.core.fleet.LoadReport.RemovedTarget;
@@ -59,6 +60,7 @@
     private final Evacuations evacuations = new Evacuations();
     private final SoftwareHistory software = new SoftwareHistory();
     private final LogAvailability log = new LogAvailability();
+    private final ToLongFunction<String> newestServable;
 
     /** Whether all targets that were registered at this relay's start are known. */
     private boolean listed;
@@ -81,6 +83,20 @@
      */
     private record Removal(long offset, long at) {}
 
+    /** Creates a registry without targets that takes for true whatever weights are said to be served. */
+    public Fleet() {
+        this(model -> Long.MAX_VALUE);
+    }
+
+    /**
+     * Creates a registry without targets.
+     *
+     * @param newestServable returns the newest version of a model's weights that a target can serve
+     */
+    public Fleet(ToLongFunction<String> newestServable) {
+        this.newestServable = newestServable;
+    }
+
     /** Handles that the log has become unavailable. */
     public void onLogUnavailable() {
         log.onUnavailable();
@@ -158,8 +174,13 @@
         Target target = targets.get(registration.id());
         boolean started = listed && (target == null || restarted);
         if (target == null || restarted) {
-            target =
-                    new Target(registration, noticesOf(registration), peers, sharing, capacity(registration.service()));
+            target = new Target(
+                    registration,
+                    noticesOf(registration),
+                    peers,
+                    sharing,
+                    capacity(registration.service()),
+                    newestServable);
             targets.put(registration.id(), target);
         } else {
             target.update(registration);
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Target.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Target.java
@@ -1,11 +1,10 @@
 package org.rattanrudder.core.fleet;
 
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
+import java.util.function.ToLongFunction;
 import org.rattanrudder.core.continuation.StreamOrigin;
 import org.rattanrudder.core.fleet.FirstEventSample.CapacityAtSend;
 import org.rattanrudder.core.fleet.LoadReport.SeenRateLimit;
@@ -33,7 +32,7 @@
 
     private static final long NEVER = Long.MAX_VALUE;
 
-    private final Map<String, Long> confirmedWeights = new HashMap<>();
+    private final ServedVersions versions;
     private final PeerLoads peers;
     private final TargetSharing sharing;
     private final RecentSends recentSends = new RecentSends();
@@ -55,24 +54,29 @@
     private long pausedUntil = Long.MIN_VALUE / 2;
     private long lastActivityAt;
     private long loadingWeightsUntil = Long.MIN_VALUE / 2;
-    private long confirmedAt = Long.MIN_VALUE / 2;
     private long mayHaveEndedAt = NEVER;
 
     private long sharingVersion = -1;
     private boolean shared;
     private Set<String> sharingRelays = Set.of();
 
-    /** Creates a target that peers may have requests at, with the capacity of its service's targets. */
+    /**
+     * Creates a target that peers may have requests at, with the capacity of its service's targets.
+     *
+     * @param newestServable returns the newest version of a model's weights that a target can serve
+     */
     Target(
             TargetRegistration registration,
             TargetNotices notices,
             PeerLoads peers,
             TargetSharing sharing,
-            ServiceCapacity service) {
+            ServiceCapacity service,
+            ToLongFunction<String> newestServable) {
         this.registration = registration;
         this.notices = notices;
         this.peers = peers;
         this.sharing = sharing;
+        versions = new ServedVersions(registration, newestServable);
         idHash = Hashing.of(registration.id());
         capacity = new TargetCapacity(service, registration.slots());
     }
@@ -256,9 +260,7 @@
 
     /** Applies a newer registration. If it lists a newer version of weights, the target has finished loading. */
     void update(TargetRegistration newest) {
-        boolean loaded =
-                newest.weights().entrySet().stream().anyMatch(served -> served.getValue() > weights(served.getKey()));
-        if (loaded) {
+        if (versions.update(newest)) {
             loadingWeightsUntil = Long.MIN_VALUE / 2;
         }
         registration = newest;
@@ -266,12 +268,17 @@
 
     /** Returns the version of a model's weights that the target serves; 0 if unknown. */
     public long weights(String model) {
-        return Math.max(registration.weights().getOrDefault(model, 0L), confirmedWeights.getOrDefault(model, 0L));
+        return versions.version(model);
+    }
+
+    /** Returns whether the target serves a model, in whichever version. */
+    public boolean serves(String model) {
+        return versions.serves(model);
     }
 
     /** Returns whether its record names the version that it is taken to serve, and not only what was seen since. */
     public boolean isWeightsRecorded(String model) {
-        return registration.weights().getOrDefault(model, 0L) == weights(model);
+        return versions.isRegistered(model);
     }
 
     /**
@@ -279,22 +286,14 @@
      * finished loading. A known version doesn't: runs that the target finishes before it loads report that version too.
      */
     public void confirmWeights(String model, long version, long nowMillis) {
-        if (version <= weights(model)) {
-            return;
+        if (versions.confirm(model, version, nowMillis)) {
+            loadingWeightsUntil = Long.MIN_VALUE / 2;
         }
-        loadingWeightsUntil = Long.MIN_VALUE / 2;
-        confirmedWeights.put(model, version);
-        confirmedAt = nowMillis;
     }
 
     /** Returns the confirmed weights if any was confirmed since the given time. */
     public List<ServedWeights> weightsConfirmedSince(long sinceMillis) {
-        if (confirmedAt < sinceMillis) {
-            return List.of();
-        }
-        return confirmedWeights.entrySet().stream()
-                .map(served -> new ServedWeights(id(), registration.startedAt(), served.getKey(), served.getValue()))
-                .toList();
+        return versions.confirmedSince(sinceMillis);
     }
 
     /** Records that the target accepts no requests until the given time, since it loads weights. */
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/rollout/DesiredVersions.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/rollout/DesiredVersions.java
@@ -31,6 +31,10 @@
     private static final long LONG_AGO = Long.MIN_VALUE / 2;
 
     private final Map<String, TreeMap<Long, Since>> sinceByModel = new HashMap<>();
+
+    /** The newest version of each model that a peer knows, and that this relay may not have read yet. */
+    private final Map<String, Long> newestAtPeers = new HashMap<>();
+
     private long lastReadAskedAt = LONG_AGO;
 
     /** What proves that a version wasn't desired before a time. */
@@ -147,6 +151,20 @@
         return versions == null ? 0 : versions.lastKey();
     }
 
+    /** Records a version that a peer knows. It is desired here only once it was read from the store. */
+    public void onKnownAtPeer(String model, long version) {
+        newestAtPeers.merge(model, version, Math::max);
+    }
+
+    /**
+     * Returns the newest version of a model that a target can serve, as far as known: nobody serves what no operator
+     * has published. There is no bound while no version of the model was published.
+     */
+    public long newestServable(String model) {
+        TreeMap<Long, Since> versions = sinceByModel.get(model);
+        return versions == null ? Long.MAX_VALUE : Math.max(versions.lastKey(), newestAtPeers.getOrDefault(model, 0L));
+    }
+
     /**
      * Returns the oldest version on which a request may start.
      *
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/PlacementTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/PlacementTest.java
@@ -196,6 +196,7 @@
                 new TargetNotices(TargetRegistration.START_UNKNOWN),
                 peers,
                 new TargetSharing(),
-                service);
+                service,
+                model -> Long.MAX_VALUE);
     }
 }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/peers/PeerExchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/peers/PeerExchange.java
@@ -358,6 +358,7 @@
         private void onLoadReport(String relay, LoadReport load) {
             long now = state.nowMillis();
             schedule.onReport(relay, now);
+            load.weights().forEach(known -> state.weights().onKnownAtPeer(known.model(), known.version()));
             int before = state.fleet().all(now).size();
             state.fleet().applyLoadReport(load, now);
             logRemoved(relay, before - state.fleet().all(now).size());
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/RelayState.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/RelayState.java
@@ -65,7 +65,8 @@
     private final EventLog log;
     private final RelayMetrics metrics;
     private final RandomGenerator random;
-    private final Fleet fleet = new Fleet();
+    private final DesiredVersions weights = new DesiredVersions();
+    private final Fleet fleet = new Fleet(weights::newestServable);
     private final PermitShares permitShares = new PermitShares();
     private final WarmUpAdmission warmUps = new WarmUpAdmission(fleet.evacuations(), permitShares);
     private final RateLimitAdmission rateLimits = new RateLimitAdmission(permitShares);
@@ -73,7 +74,6 @@
     private final PartDirectory directory;
     private final RetiredWeights retiredWeights;
     private final Map<String, WindowedRetryBudget> retryBudgets = new HashMap<>();
-    private final DesiredVersions weights = new DesiredVersions();
     private final VersionExchange versionExchange = new VersionExchange(weights);
     private final WeightsAdmission weightsAdmission =
             new WeightsAdmission(weights, () -> settings().bounds().weightsMillis());
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/rollout/RolloutCoordinator.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/rollout/RolloutCoordinator.java
@@ -155,9 +155,8 @@
             List<Target> targets = state.fleet().activeTargets(service.name(), state.nowMillis());
             state.weights().models().forEach(model -> {
                 long newest = state.weights().newest(model);
-                List<Target> serving = targets.stream()
-                        .filter(target -> target.weights(model) > 0)
-                        .toList();
+                List<Target> serving =
+                        targets.stream().filter(target -> target.serves(model)).toList();
                 if (serving.stream().anyMatch(target -> target.weights(model) < newest)) {
                     pending.add(new PendingRollout(service.name(), new WeightsVersion(model, newest), serving));
                 }
