Let what sends no report keep no engine from being ordered

An order follows a report. An entry without a server behind it sends none, was chosen again as the next to be ordered, and kept its place: with six such entries, whose keys sort before the engine's, no order was sent to the engine at all. What sent no report comes after the others now, and is asked again ever more rarely, each time with a record of the lease before it.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/rollout/RolloutPlanner.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/rollout/RolloutPlanner.java
@@ -63,6 +63,8 @@
         /** It was sent, and wasn't left without a response. */
         SENT,
         UNANSWERED,
+        /** It wasn't sent, since the engine sent no report. */
+        NOT_SENT,
         /** It got no response, but the engine has reported since that it is loading. */
         LOADING_LATE
     }
@@ -84,6 +86,9 @@
             if (isAnswered()) {
                 return ORDER_TIMEOUT_MILLIS;
             }
+            if (progress == Progress.NOT_SENT) {
+                return Math.min(ORDER_TIMEOUT_MILLIS, unansweredBefore * REPEATED_UNANSWERED_TIMEOUT_MILLIS);
+            }
             return unansweredBefore == 0 ? UNANSWERED_TIMEOUT_MILLIS : REPEATED_UNANSWERED_TIMEOUT_MILLIS;
         }
 
@@ -137,6 +142,14 @@
                         order.version(), order.sentAtMillis(), Progress.UNANSWERED, order.unansweredBefore()));
     }
 
+    /**
+     * Records that an engine sent no report, without which it isn't ordered. It may be none at all: others go first,
+     * and it is asked again ever more rarely.
+     */
+    public void onNotReported(String id, long version, long nowMillis) {
+        orders.put(id, new Order(version, nowMillis, Progress.NOT_SENT, unansweredInARow(id, version)));
+    }
+
     /** Records that an engine refused its order, so that it can be ordered again. */
     public void onRefused(String id) {
         orders.remove(id);
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/rollout/RolloutPlannerTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/rollout/RolloutPlannerTest.java
@@ -65,6 +65,40 @@
                 .containsExactly("a", "c");
     }
 
+    /** Guards against engines that are never ordered, since those that send no report stay the next ones. */
+    @Test
+    void enginesThatSendNoReportLeaveTheirPlacesToOthers() {
+        List<Engine> engines = List.of(new Engine("a", 1, 0), new Engine("b", 1, 0), new Engine("c", 1, 9));
+
+        long now = 0;
+        for (int round = 0; round < 20; round++) {
+            now += ANSWER_MILLIS;
+            for (Engine next : plan.nextEngines(engines, 2, now)) {
+                if (next.id().equals("c")) {
+                    assertThat(round).isEqualTo(1);
+                    return;
+                }
+                plan.onNotReported(next.id(), 2, now);
+            }
+        }
+        throw new AssertionError("c was never the next");
+    }
+
+    /** Guards against calls without end, each with a record of the lease before it, to what is no engine. */
+    @Test
+    void anEngineThatSendsNoReportIsAskedAgainEverMoreRarely() {
+        List<Engine> engines = List.of(new Engine("a", 1, 0));
+        int asked = 0;
+        for (long now = 0; now < 60_000; now += POLL_MILLIS) {
+            for (Engine next : plan.nextEngines(engines, 2, now)) {
+                plan.onNotReported(next.id(), 2, now);
+                asked++;
+            }
+        }
+
+        assertThat(asked).isBetween(10, 16);
+    }
+
     /** An order that was accepted still counts as a load, whatever its engine reports. */
     @Test
     void engineThatLoadsByAnAcceptedOrderCountsAsLoading() {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/rollout/OrderSender.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/rollout/OrderSender.java
@@ -89,7 +89,9 @@
         client.call(state.platform().engines().report(Optional.of(target.id())), ENGINE_TIMEOUT_MILLIS, answer -> {
             selfReports.onCallAnswered(target, answer, asked);
             Optional<EngineReport> report = readReport(answer);
-            report.ifPresent(read -> applyReport(target, read));
+            report.ifPresentOrElse(
+                    read -> applyReport(target, read),
+                    () -> plan.onNotReported(target.id(), weights.version(), state.nowMillis()));
             boolean stale = report.isPresent() && target.weights(weights.model()) < weights.version();
             long now = state.nowMillis();
             if (stale && report.get().busy()) {
