End a listing at a page without a new key

A key whose bytes aren't text is read with replacement characters in their place, which the store may sort before the key itself. The listing then asked for what follows them, got the same page, and went on like this without end: the topic was read no further.

TopicPositionTest.aPageWithoutANewKeyIsTheLast failed before (the same page was asked for again).

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicPosition.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicPosition.java
@@ -56,12 +56,16 @@
         listingEnd = -1;
     }
 
-    /** Adds a page to the listing; returns the key after which the next page begins, or empty after the last page. */
+    /**
+     * Adds a page to the listing; returns the key after which the next page begins, or empty after the last page. A
+     * page without a new key is the last one: the next would be the same again.
+     */
     Optional<String> addPage(StoreResponse.Listing page) {
         // Pages aren't a snapshot: records written between pages have offsets after the first page's end.
         listingEnd = listingEnd < 0 ? page.end() : Math.min(listingEnd, page.end());
+        int known = listedKeys.size();
         page.records().forEach(record -> listedKeys.add(record.key()));
-        if (!page.morePages() || page.records().isEmpty()) {
+        if (!page.morePages() || listedKeys.size() == known) {
             return Optional.empty();
         }
         KeyedRecord last = page.records().get(page.records().size() - 1);
--- a/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/store/TopicPositionTest.java
+++ b/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/store/TopicPositionTest.java
@@ -33,6 +33,16 @@
         assertThat(new TopicPosition(InitialRead.NEWEST).addPage(page(true, 7))).isEqualTo(Optional.empty());
     }
 
+    /** Guards against an endless listing by a key that its store sorts otherwise than the text that was read of it. */
+    @Test
+    void aPageWithoutANewKeyIsTheLast() {
+        TopicPosition position = new TopicPosition(InitialRead.NEWEST);
+        assertThat(position.addPage(page(true, 7, "a", "\ufffd"))).contains("\ufffd");
+        assertThat(position.addPage(page(true, 7, "b", "\ufffd"))).contains("\ufffd");
+
+        assertThat(position.addPage(page(true, 7, "b", "\ufffd"))).isEmpty();
+    }
+
     /** Guards against keys that are taken for removed since a stale listing lacks them. */
     @ParameterizedTest
     @CsvSource({"4, false", "5, true", "6, true"})
