Log once for a key and a reason that a record can't be read

An odd entry that is rewritten each second wrote a line each second at every relay, with up to 2,000 characters of its text in the reason.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/RecordDelivery.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/RecordDelivery.java
@@ -10,10 +10,13 @@
 
 /** Passes a topic's records to its listener; those that it can't handle are counted, logged and skipped. */
 final class RecordDelivery {
+    private static final int MAX_REASON_CHARS = 200;
+
     private final RelayState state;
     private final Topic topic;
     private final boolean keyed;
     private final TopicListener listener;
+    private final LoggedReasons logged = new LoggedReasons();
     private boolean failed;
 
     /** Creates the delivery of a topic's records, each of which must have a key if the topic is {@code keyed}. */
@@ -69,7 +72,25 @@
     }
 
     private static String reasonOf(RuntimeException unreadable) {
-        return isMalformed(unreadable) ? String.valueOf(unreadable.getMessage()) : "unexpected: " + unreadable;
+        String reason = isMalformed(unreadable) ? String.valueOf(unreadable.getMessage()) : "unexpected: " + unreadable;
+        return reason.substring(0, Math.min(MAX_REASON_CHARS, reason.length()));
+    }
+
+    private void logUnreadable(KeyedRecord record, String reason) {
+        if (!logged.add(record.key(), reason)) {
+            return;
+        }
+        state.log()
+                .warn(
+                        "record_unreadable",
+                        "topic",
+                        topic.name(),
+                        "key",
+                        record.key(),
+                        "offset",
+                        Long.toString(record.offset()),
+                        "reason",
+                        reason);
     }
 
     /** Passes a record to the handler, and returns whether it was handled. */
@@ -83,17 +104,7 @@
         } catch (RuntimeException unreadable) {
             failed |= !isMalformed(unreadable);
             state.metrics().recordUnreadable(topic.name());
-            state.log()
-                    .warn(
-                            "record_unreadable",
-                            "topic",
-                            topic.name(),
-                            "key",
-                            record.key(),
-                            "offset",
-                            Long.toString(record.offset()),
-                            "reason",
-                            reasonOf(unreadable));
+            logUnreadable(record, reasonOf(unreadable));
             return false;
         }
     }
