Let a relay send no request to itself

An entry with the address at which a relay itself listens got its share of the requests. The relay took each for a new one of a caller, and could send it to itself again. Entries with an own address are passed over like those that can't be read. Another relay's address does no such harm: that relay passes the entry over and sends the request to a server.

OddEntriesTest.anEntryWithTheRelaysOwnAddressGetsNoRequest failed before (the entry counted as a target).

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TargetRegistrations.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TargetRegistrations.java
@@ -1,5 +1,6 @@
 package org.rattanrudder.daemon.relay.store;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import org.rattanrudder.core.fleet.Target;
@@ -8,6 +9,7 @@
 import org.rattanrudder.daemon.relay.port.KeyedRecord;
 import org.rattanrudder.daemon.relay.port.StoreDialect;
 import org.rattanrudder.daemon.relay.process.RelayState;
+import org.rattanrudder.document.RelaySettings;
 
 /** Handles the registrations of targets. */
 final class TargetRegistrations implements TopicListener {
@@ -31,7 +33,7 @@
         Optional<TargetRegistration> before = state.fleet().find(record.key()).map(Target::registration);
         Optional<TargetRegistration> read;
         try {
-            read = record.value().map(value -> store.readTarget(record.key(), value));
+            read = record.value().map(value -> withoutOwnAddress(store.readTarget(record.key(), value)));
         } catch (IllegalArgumentException unreadable) {
             state.fleet().onUnreadableRecord(record.key(), record.offset(), now);
             throw unreadable;
@@ -55,6 +57,15 @@
                         Long.toString(record.offset()));
     }
 
+    /** A relay would send requests that it gets from itself to itself again, without end. */
+    private TargetRegistration withoutOwnAddress(TargetRegistration read) {
+        RelaySettings own = state.settings();
+        if (List.of(own.callers(), own.readiness(), own.metrics()).contains(read.address())) {
+            throw new IllegalArgumentException("the address of this relay");
+        }
+        return read;
+    }
+
     /** Returns whether peers needn't read a record for what it changes here. */
     private static boolean isUnchanged(Optional<TargetRegistration> before, Optional<TargetRegistration> after) {
         return before.isPresent() && after.isPresent() && !after.get().differsFrom(before.get());
