List a topic whose records can't be read at once, in place of asking for them for good

A read whose answer is longer than 8 MB, or can't be read, was made again for the same records without end: the topic was followed no more. An odd entry of 300 KB that is rewritten 30 times while nobody reads is enough, where the store sends all records at once. What can't be read is passed over by a listing now, which has the newest record of each key.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicFollower.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicFollower.java
@@ -116,22 +116,23 @@
             handle(result);
         } catch (RuntimeException failed) {
             state.log().warn("read_failed", "topic", topic.name(), "cause", failed.toString());
-            onFailure("unexpected");
+            onFailure("unexpected", false);
         }
     }
 
     private void handle(TopicReader.Result result) {
         if (result instanceof TopicReader.Result.Failed failed) {
-            onFailure(failed.reason());
+            onFailure(failed.reason(), failed.unreadable());
         } else if (result instanceof TopicReader.Result.Read read) {
             availability.onSuccess();
             handleAnswer(read);
         }
     }
 
-    private void onFailure(String reason) {
+    /** Records that can't be read, or are too many to be read at once, are passed over by a listing. */
+    private void onFailure(String reason, boolean unreadable) {
         long pause = availability.onFailure(reason);
-        boolean pollable = availability.hasAnswered() && (!position.isKeyed() || position.hasListed());
+        boolean pollable = availability.hasAnswered() && (!position.isKeyed() || position.hasListed() && !unreadable);
         timer.reschedule(pollable ? this::poll : this::start, pause);
     }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicReader.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicReader.java
@@ -1,6 +1,7 @@
 package org.rattanrudder.daemon.relay.store;
 
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.rattanrudder.core.time.Moment;
 import org.rattanrudder.daemon.relay.net.CallResult;
@@ -24,6 +25,9 @@
     /** Time that an answer may take beyond the long poll's wait; a slow store takes about 250 ms. */
     private static final long ANSWER_MARGIN_MILLIS = 700;
 
+    /** Why an answer wasn't taken whole, though it came. */
+    private static final Set<String> UNREADABLE = Set.of("malformed", "too_long");
+
     private final RelayState state;
     private final Topic topic;
     private final StoreDialect dialect;
@@ -52,8 +56,12 @@
          */
         record Read(StoreResponse response, Moment askedAt, long waitMillis) implements Result {}
 
-        /** The call got no answer, or one that refuses it or can't be read. */
-        record Failed(String reason) implements Result {}
+        /**
+         * The call got no answer, or one that refuses it or can't be read.
+         *
+         * @param unreadable whether an answer came that can't be read; the same call would get it again
+         */
+        record Failed(String reason, boolean unreadable) implements Result {}
     }
 
     /** Parses the body of an answer. */
@@ -143,17 +151,17 @@
 
     private static Result parse(Outcome outcome, long waitMillis, AnswerParser parser) {
         if (outcome.result() instanceof CallResult.Unanswered unanswered) {
-            return new Result.Failed(unanswered.reason());
+            return new Result.Failed(unanswered.reason(), UNREADABLE.contains(unanswered.reason()));
         }
         CallResult.Answered answered = (CallResult.Answered) outcome.result();
         StoreResponse read;
         try {
             read = parser.parse(answered.status(), answered.body());
         } catch (IllegalArgumentException malformed) {
-            return new Result.Failed("malformed: " + malformed.getMessage());
+            return new Result.Failed("malformed: " + malformed.getMessage(), true);
         }
         return read instanceof StoreResponse.Failed failed
-                ? new Result.Failed("status " + failed.status())
+                ? new Result.Failed("status " + failed.status(), false)
                 : new Result.Read(read, outcome.askedAt(), waitMillis);
     }
 
