Let no peer's load count for hours, nor news be later than now

A message of a peer told up to an hour until its next one. Its load counts for three times that, so that of a peer that has ended for three hours; no relay keeps an interval above some seconds. News of a context store with an age below 0 were taken for later than now.

PeerCodecTest failed before for 2 intervals and for the age.

--- a/rattanrudder-wire/src/main/java/org/rattanrudder/wire/peer/PeerCodec.java
+++ b/rattanrudder-wire/src/main/java/org/rattanrudder/wire/peer/PeerCodec.java
@@ -51,6 +51,9 @@
     private static final long MOST_TOKENS = 1_000_000_000_000L;
     private static final long MOST_MILLIS = 3_600_000;
 
+    /** Longer than the time between two reports of any relay. */
+    private static final long MOST_INTERVAL_MILLIS = 60_000;
+
     private PeerCodec() {}
 
     /** What a datagram holds. */
@@ -268,7 +271,7 @@
                         message.getLogRead(),
                         message.getRelaysHash()),
                 question(message),
-                within(message.getEveryMillis(), MOST_MILLIS));
+                within(message.getEveryMillis(), MOST_INTERVAL_MILLIS));
     }
 
     private static VersionQuestion question(RelayLoadMessage message) {
@@ -334,6 +337,9 @@
                 message.hasClockMillis() ? OptionalLong.of(message.getClockMillis()) : OptionalLong.empty();
         StoreUpdate news = new StoreUpdate(message.getIncarnation(), message.getNext(), false, events, clock);
         return new SharedStoreUpdate(
-                Address.parse(message.getStore()), message.getSince(), news, message.getAgeMillis());
+                Address.parse(message.getStore()),
+                message.getSince(),
+                news,
+                within(message.getAgeMillis(), Long.MAX_VALUE));
     }
 }
--- a/rattanrudder-wire/src/test/java/org/rattanrudder/wire/peer/PeerCodecTest.java
+++ b/rattanrudder-wire/src/test/java/org/rattanrudder/wire/peer/PeerCodecTest.java
@@ -153,4 +153,22 @@
 
         assertThat(PeerCodec.read(PeerCodec.write(odd))).isEmpty();
     }
+
+    /** Guards against the load of a peer that has ended and counts for hours, as long as its next report is due in. */
+    @ParameterizedTest
+    @CsvSource({"60000, true", "60001, false", "3600000, false", "-1, false"})
+    void anIntervalThatNoRelayKeepsIsRefused(long intervalMillis, boolean read) {
+        LoadReport load = load(6, 1, 1).withInterval(intervalMillis, List.of());
+
+        assertThat(PeerCodec.read(PeerCodec.write(load)).isPresent()).isEqualTo(read);
+    }
+
+    /** Guards against news of a store that are taken for later than now. */
+    @Test
+    void newsOfAnAgeBelowZeroAreRefused() {
+        StoreUpdate news = new StoreUpdate(1, 2, false, List.of(), OptionalLong.empty());
+
+        assertThat(PeerCodec.read(PeerCodec.write(new SharedStoreUpdate(new Address("10.0.0.1", 80), 0, news, -1))))
+                .isEmpty();
+    }
 }
