--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/rollout/RolloutPlanner.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/rollout/RolloutPlanner.java
@@ -87,9 +87,10 @@
             if (isAnswered()) {
                 return ORDER_TIMEOUT_MILLIS;
             }
-            return unansweredBefore == 0 && progress != Progress.NOT_REPORTED
-                    ? UNANSWERED_TIMEOUT_MILLIS
-                    : REPEATED_UNANSWERED_TIMEOUT_MILLIS;
+            if (progress == Progress.NOT_REPORTED) {
+                return Math.min(ORDER_TIMEOUT_MILLIS, (unansweredBefore + 1) * REPEATED_UNANSWERED_TIMEOUT_MILLIS);
+            }
+            return unansweredBefore == 0 ? UNANSWERED_TIMEOUT_MILLIS : REPEATED_UNANSWERED_TIMEOUT_MILLIS;
         }
 
         boolean isAnswered() {
@@ -147,7 +148,10 @@
                         order.version(), order.sentAtMillis(), Progress.UNANSWERED, order.unansweredBefore()));
     }
 
-    /** Records that an engine gave no report and wasn't ordered: it leaves its place among the next to others. */
+    /**
+     * Records that an engine gave no report, without which it isn't ordered. It may be none at all: others go first,
+     * and it is asked again ever more rarely.
+     */
     public void onNotReported(String id, long version, long nowMillis) {
         orders.put(id, new Order(version, nowMillis, Progress.NOT_REPORTED, unansweredInARow(id, version)));
     }
