Count the calls of a relay that await an answer of the store, and how long answers take

Nothing said how many calls of a relay the platform's store has before it at once, or how long reads wait there: a relay whose configuration is late by a queue at the store looked as one whose connection is silent. The gauges rattanrudder_relay_store_calls_in_flight and rattanrudder_relay_peers and the histogram rattanrudder_relay_store_answer_seconds, by topic, say it; the time that a read waits for a record isn't counted.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/net/HttpCallClient.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/net/HttpCallClient.java
@@ -59,6 +59,7 @@
     private final Holding held;
     private final Supplier<Address> address;
     private final int maxResponseBytes;
+    private final CallsInFlight calls;
     private long receivedBytes;
     private Address connectedTo;
     private Channel channel;
@@ -72,17 +73,40 @@
      * @param address supplies the address to call; a changed address takes effect with the next call
      */
     public HttpCallClient(Bootstrap bootstrap, ByteBudget budget, Supplier<Address> address) {
-        this(bootstrap, budget, address, MAX_SHORT_RESPONSE_BYTES);
+        this(bootstrap, budget, address, new CallsInFlight());
+    }
+
+    /**
+     * Creates a client without a connection, for calls with short responses.
+     *
+     * @param budget counts what has arrived of responses
+     * @param address supplies the address to call; a changed address takes effect with the next call
+     * @param calls counts the calls of this client and others
+     */
+    public HttpCallClient(Bootstrap bootstrap, ByteBudget budget, Supplier<Address> address, CallsInFlight calls) {
+        this(bootstrap, budget, address, calls, MAX_SHORT_RESPONSE_BYTES);
     }
 
     /** Returns a client without a connection, for calls whose responses are lists. */
     public static HttpCallClient forLists(Bootstrap bootstrap, ByteBudget budget, Supplier<Address> address) {
-        return new HttpCallClient(bootstrap, budget, address, MAX_LIST_RESPONSE_BYTES);
+        return forLists(bootstrap, budget, address, new CallsInFlight());
     }
 
-    private HttpCallClient(Bootstrap bootstrap, ByteBudget budget, Supplier<Address> address, int maxResponseBytes) {
+    /** Returns such a client whose calls are counted with those of others. */
+    public static HttpCallClient forLists(
+            Bootstrap bootstrap, ByteBudget budget, Supplier<Address> address, CallsInFlight calls) {
+        return new HttpCallClient(bootstrap, budget, address, calls, MAX_LIST_RESPONSE_BYTES);
+    }
+
+    private HttpCallClient(
+            Bootstrap bootstrap,
+            ByteBudget budget,
+            Supplier<Address> address,
+            CallsInFlight calls,
+            int maxResponseBytes) {
         held = budget.holding(ByteUse.OWN_CALL, address.get().toString());
         this.address = address;
+        this.calls = calls;
         this.maxResponseBytes = maxResponseBytes;
         this.bootstrap = bootstrap.clone().handler(new ChannelInitializer<>() {
             @Override
@@ -135,6 +159,7 @@
      */
     public void call(PlatformCall call, long timeoutMillis, Consumer<CallResult> callback) {
         pendingCallback = callback;
+        calls.onCall();
         receivedBytes = 0;
         EventLoop loop = (EventLoop) bootstrap.config().group().next();
         timeout =
@@ -181,6 +206,7 @@
             return;
         }
         pendingCallback = null;
+        calls.onEnd();
         timeout.cancel();
         if (dropConnection) {
             closeConnection();
@@ -199,6 +225,9 @@
     /** Cancels the call in flight without calling its callback, and closes the connection. */
     @Override
     public void close() {
+        if (pendingCallback != null) {
+            calls.onEnd();
+        }
         pendingCallback = null;
         held.shrinkTo(0);
         if (timeout != null) {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/peers/PeerExchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/peers/PeerExchange.java
@@ -156,7 +156,9 @@
                 address);
         follower = new TopicFollower(
                 state, Topic.RELAYS, PollIntervals.RARE_BURSTS, InitialRead.NEWEST, new RegistrationListener());
-        registrationClient = new HttpCallClient(state.connector(), state.heldBytes(), state::store);
+        state.metrics()
+                .gauge("rattanrudder_relay_peers", "Other relays that are registered and known", addresses::size);
+        registrationClient = new HttpCallClient(state.connector(), state.heldBytes(), state::store, state.storeCalls());
     }
 
     /** Starts to read the registrations of relays and to send reports. */
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/RelayMetrics.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/RelayMetrics.java
@@ -35,6 +35,7 @@
     private final Counter attempts;
     private final Counter responseEnds;
     private final Counter storeCalls;
+    private final Histogram storeAnswers;
     private final Counter unreadableRecords;
     private final Counter warmUpLimited;
     private final Counter rateLimited;
@@ -97,6 +98,10 @@
                 "end",
                 "position");
         storeCalls = counter("rattanrudder_relay_store_calls", "Calls to the platform's store", "topic");
+        storeAnswers = histogram(
+                "rattanrudder_relay_store_answer_seconds",
+                "Time from a read of the platform's store to its answer, repeats included",
+                "topic");
         unreadableRecords = counter(
                 "rattanrudder_relay_records_unreadable",
                 "Records of the platform's store that couldn't be read",
@@ -218,6 +223,11 @@
         storeCalls.labelValues(topic).inc();
     }
 
+    /** Records the time from a read of the platform's store to its answer, in ms. */
+    public void recordStoreAnswer(String topic, long millis) {
+        storeAnswers.labelValues(topic).observe(millis / MILLIS_PER_SECOND);
+    }
+
     /** Records a record of the platform's store that couldn't be read. */
     public void recordUnreadable(String topic) {
         unreadableRecords.labelValues(topic).inc();
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/RelayState.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/RelayState.java
@@ -36,6 +36,7 @@
 import org.rattanrudder.core.topics.ReadFreshness;
 import org.rattanrudder.daemon.logging.EventLog;
 import org.rattanrudder.daemon.loop.ProcessClock;
+import org.rattanrudder.daemon.relay.net.CallsInFlight;
 import org.rattanrudder.daemon.relay.port.PlatformAdapter;
 import org.rattanrudder.document.RelaySettings;
 
@@ -64,6 +65,7 @@
     private final Bootstrap connector;
     private final EventLog log;
     private final RelayMetrics metrics;
+    private final CallsInFlight storeCalls = new CallsInFlight();
     private final RandomGenerator random;
     private final Fleet fleet = new Fleet();
     private final PermitShares permitShares = new PermitShares();
@@ -191,6 +193,11 @@
         return settings.store();
     }
 
+    /** Returns the count of calls to the platform's store that await an answer. */
+    public CallsInFlight storeCalls() {
+        return storeCalls;
+    }
+
     /** Applies those settings that may change while a relay runs. */
     public void applySettings(RelaySettings read) {
         settings = settings.takeOver(read);
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/StateGauges.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/StateGauges.java
@@ -31,6 +31,10 @@
                 "rattanrudder_relay_targets",
                 "Targets that are known",
                 () -> state.fleet().all(state.nowMillis()).size());
+        metrics.gauge(
+                "rattanrudder_relay_store_calls_in_flight",
+                "Calls to the platform's store that await an answer",
+                () -> state.storeCalls().count());
         metrics.gauge(
                 "rattanrudder_relay_weights_retired_before",
                 "The version of weights before which this relay fetches no parts",
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/quarantine/QuarantineExchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/quarantine/QuarantineExchange.java
@@ -78,8 +78,8 @@
         quarantine = state.quarantine();
         crashDetector = new CrashDetector(state.loop(), System::currentTimeMillis);
         crashDetector.setHandlers(probe, this::onCrash, this::logUnconfirmed);
-        writeClient = new HttpCallClient(state.connector(), state.heldBytes(), state::store);
-        trialClient = new HttpCallClient(state.connector(), state.heldBytes(), state::store);
+        writeClient = new HttpCallClient(state.connector(), state.heldBytes(), state::store, state.storeCalls());
+        trialClient = new HttpCallClient(state.connector(), state.heldBytes(), state::store, state.storeCalls());
         follower = new TopicFollower(
                 state, Topic.QUARANTINE, PollIntervals.RARE_BURSTS, InitialRead.NEWEST_AND_KEPT, new RecordListener());
         registerGauges();
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/rollout/RolloutCoordinator.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/rollout/RolloutCoordinator.java
@@ -76,7 +76,7 @@
         lease = new OrderLease(place, holder, state.settings().bounds().leaseMillis());
         orders = new OrderSender(state, selfReports, lease, rolloutLog);
         follower = new TopicFollower(state, Topic.ORDERS, PollIntervals.RARE, InitialRead.KEPT, new LeaseListener());
-        appendClient = new HttpCallClient(state.connector(), state.heldBytes(), state::store);
+        appendClient = new HttpCallClient(state.connector(), state.heldBytes(), state::store, state.storeCalls());
     }
 
     /** Starts to read the lease's log and to check for pending rollouts. */
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicConfirmation.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicConfirmation.java
@@ -40,7 +40,7 @@
         this.topic = topic;
         this.readOffset = readOffset;
         this.readNow = readNow;
-        client = HttpCallClient.forLists(state.connector(), state.heldBytes(), state::store);
+        client = HttpCallClient.forLists(state.connector(), state.heldBytes(), state::store, state.storeCalls());
         timer = new StepTimer(state.loop());
     }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicReader.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicReader.java
@@ -39,7 +39,7 @@
         client = new RepeatingCallClient(
                 state.loop(),
                 state.clock()::now,
-                () -> HttpCallClient.forLists(state.connector(), state.heldBytes(), state::store));
+                () -> HttpCallClient.forLists(state.connector(), state.heldBytes(), state::store, state.storeCalls()));
     }
 
     /** The result of a call. */
@@ -126,7 +126,12 @@
         for (int made = 0; made < outcome.calls(); made++) {
             state.metrics().recordStoreCall(topic.name());
         }
-        if (outcome.repeated() && outcome.result() instanceof CallResult.Answered) {
+        if (!(outcome.result() instanceof CallResult.Answered)) {
+            return;
+        }
+        long takenMillis = state.nowMillis() - outcome.beganAt().atLeastMillis();
+        state.metrics().recordStoreAnswer(topic.name(), Math.max(0, takenMillis - call.waitMillis()));
+        if (outcome.repeated()) {
             state.log()
                     .warn(
                             "store_answer_late",
@@ -135,7 +140,7 @@
                             "wait_ms",
                             Long.toString(call.waitMillis()),
                             "answered_after_ms",
-                            Long.toString(state.nowMillis() - outcome.beganAt().atLeastMillis()),
+                            Long.toString(takenMillis),
                             "calls",
                             Integer.toString(outcome.calls()));
         }
