Hold no read at the platform's store, and bound the calls of a relay that await an answer

Callers saw configurations and weights come into force late at every relay of a large deployment. A relay followed five topics by reads that the store held open for 1.0 to 12 s, 110 for 22 relays, and repeated late ones up to three times beside those in flight. A store that serves a number of calls at a time had its places taken by reads for records that hardly come; urgent reads queued behind them, were taken for late and were repeated, which made the queue longer.

Now every poll is answered at once. Desired state and targets are polled each 1,000 ms and 100 ms a peer (at most 1,500 and 2,400, and at most what the bound leaves after a late answer, its repeat and the time to put a record in force). Intervals count from when an answer was asked for; after a start or a peer's word they are spread, so that relays don't poll together from then on. Orders, relays and quarantine are polled each 12 s, and sooner when something tells of a record: a lost race for the lease (each 150 ms for 5 s at most), a pending rollout (each 300 ms to 1 s), a message of an unknown sender (1 s apart, doubling while none is found), a peer's offset of quarantine. Rare topics' calls aren't repeated; of the others the first call and one repeat at most await an answer, and a store that answers nothing gets one repeat. A read is given up after 1,500 ms in place of 700 after its wait: one that waits a second before the store is answered and not made again.

What an empty poll's wait proved exists no more. - Tests that waited for a relay to ask for what follows a record ask its metrics how far it has read (rattanrudder_relay_topic_read_offset): the next poll is an interval later. Peers are told of by a message of an unknown sender, as relays do it.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/topics/RepeatPolicy.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/topics/RepeatPolicy.java
@@ -12,7 +12,10 @@
     /** Maximum number of times a call is made, the first included: several connections in a row may be silent. */
     public static final int MAX_CALLS = 4;
 
-    /** Time after the end of its wait from which a call's answer is late. */
+    /** Maximum number of a call's attempts that await an answer: a further repeat ends the one before it. */
+    public static final int MAX_IN_FLIGHT = 2;
+
+    /** Time from which a call's answer is late. */
     static final long LATE_ANSWER_MILLIS = 200;
 
     /** Time between two repeats. */
@@ -24,11 +27,10 @@
      * Returns after which time a call is repeated, counted from when it was first made; empty if it isn't any more.
      *
      * @param calls how many times it was made
-     * @param waitMillis how long the store waits for a record before it answers the first call
      */
-    public static OptionalLong repeatAfterMillis(int calls, long waitMillis) {
+    public static OptionalLong repeatAfterMillis(int calls) {
         return calls < MAX_CALLS
-                ? OptionalLong.of(waitMillis + LATE_ANSWER_MILLIS + (calls - 1) * REPEAT_INTERVAL_MILLIS)
+                ? OptionalLong.of(LATE_ANSWER_MILLIS + (calls - 1) * REPEAT_INTERVAL_MILLIS)
                 : OptionalLong.empty();
     }
 }
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/topics/ReadFreshnessTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/topics/ReadFreshnessTest.java
@@ -2,36 +2,23 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import org.rattanrudder.core.time.Moment;
 
 class ReadFreshnessTest {
     private static final long ASKED = 10_000;
-    private static final long WAIT = 1_000;
 
-    /** Guards against a reader that takes itself for current by an answer that may be older than its wait. */
+    /** Guards against a reader that takes itself for current by an answer that holds only what there was before it. */
     @ParameterizedTest
-    @CsvSource({"11000, 0", "11200, 200", "10999, 999", "10003, 3"})
-    void anEmptyPollProvesItsWaitOnlyOnceThatIsOver(long answeredAt, long ageMillis) {
+    @CsvSource({"10000, 0", "10003, 3", "11200, 1200"})
+    void aReadProvesOnlyWhatWasThereWhenItWasAskedFor(long answeredAt, long ageMillis) {
         ReadFreshness freshness = new ReadFreshness(0);
 
-        freshness.onEmptyPoll(new Moment(ASKED, ASKED), WAIT, new Moment(answeredAt, answeredAt));
+        freshness.onReadToEnd(ASKED);
 
         assertThat(freshness.ageMillis(answeredAt)).isEqualTo(ageMillis);
     }
 
-    /** Guards against a jump of the time of day that is taken for the end of a poll's wait. */
-    @Test
-    void anEmptyAnswerAfterAJumpMayHaveComeBeforeItsWaitWasOver() {
-        ReadFreshness freshness = new ReadFreshness(0);
-
-        freshness.onEmptyPoll(new Moment(ASKED, ASKED), WAIT, new Moment(ASKED + 10, ASKED + 3_010));
-
-        assertThat(freshness.ageMillis(ASKED + 3_010)).isEqualTo(3_010);
-    }
-
     /** Guards against an answer to an earlier call that makes the reader look older than it is. */
     @ParameterizedTest
     @CsvSource({"9000, 500", "10500, 0"})
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/topics/ReadTimingTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/topics/ReadTimingTest.java
@@ -16,35 +16,32 @@
     @Property
     void aRecordIsInForceWithinTheBoundThoughOneOrTwoConnectionsAreSilent(
             @ForAll @LongRange(min = 1_000, max = 20_000) long bound,
-            @ForAll @LongRange(max = 20_000) long wantedGap,
-            @ForAll @LongRange(max = 20_000) long wantedWait,
+            @ForAll @LongRange(max = 20_000) long wanted,
             @ForAll @IntRange(max = 2) int silent) {
-        ReadTiming timing = ReadTiming.within(bound, wantedGap, wantedWait);
+        long interval = ReadTiming.intervalMillis(bound, wanted);
         long answer = silent == 2 ? 100 : 200;
 
-        assertThat(inForceAfter(timing.gapMillis(), timing.waitMillis(), silent, answer))
-                .isLessThanOrEqualTo(bound);
+        assertThat(inForceAfter(interval, silent, answer)).isLessThanOrEqualTo(bound);
     }
 
-    /** Guards against a long wait after a pause that was long already. */
+    /** Guards against a long interval after a pause that was long already. */
     @Property
     void aRecordIsInForceWithinTheShortestBoundAfterAPauseToo(@ForAll @IntRange(max = 3) int silent) {
-        assertThat(inForceAfter(LAST_PAUSE_MILLIS, 0, silent, 250)).isLessThanOrEqualTo(2_000);
+        assertThat(inForceAfter(LAST_PAUSE_MILLIS, silent, 250)).isLessThanOrEqualTo(2_000);
     }
 
-    /** Guards against polls that are more often than the bound needs: the store's calls are limited and priced. */
+    /** Guards against reads that are more often than the bound needs: the store's calls are limited and priced. */
     @ParameterizedTest
-    @CsvSource({"2000, 400, 400, 1000", "2000, 1200, 1200, 200", "3000, 400, 400, 1500", "3000, 1800, 1800, 600"})
-    void gapAndWaitAreShortenedNoFurtherThanTheBoundNeeds(long bound, long wantedGap, long gap, long wait) {
-        assertThat(ReadTiming.within(bound, wantedGap, 1_500)).isEqualTo(new ReadTiming(gap, wait));
+    @CsvSource({"2000, 1000, 1000", "2000, 1500, 1400", "3000, 1500, 1500", "3000, 2600, 2400", "700, 1500, 200"})
+    void anIntervalIsShortenedNoFurtherThanTheBoundNeeds(long bound, long wanted, long interval) {
+        assertThat(ReadTiming.intervalMillis(bound, wanted)).isEqualTo(interval);
     }
 
-    /** Returns when a record is in force that was written just after an empty answer was formed, in ms. */
-    private static long inForceAfter(long gap, long wait, int silent, long answer) {
-        long polledAt = answer / 2 + gap;
+    /** Returns when a record is in force that was written just after a read was looked at, in ms from then. */
+    private static long inForceAfter(long interval, int silent, long answer) {
         long askedAt = silent == 0
-                ? polledAt
-                : polledAt + RepeatPolicy.repeatAfterMillis(silent, wait).orElseThrow();
+                ? interval
+                : interval + RepeatPolicy.repeatAfterMillis(silent).orElseThrow();
         return askedAt + answer + ReadTiming.APPLY_MILLIS;
     }
 }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/net/RepeatingCallClient.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/net/RepeatingCallClient.java
@@ -16,7 +16,8 @@
  * is late.
  *
  * <p>The first usable answer counts; its connection is kept for the next call, and the others are closed. A refusal
- * counts only once no other answer is awaited.
+ * counts only once no other answer is awaited. The first attempt and one repeat at most await an answer: a further
+ * repeat closes the connection of the one before it.
  */
 public final class RepeatingCallClient implements AutoCloseable {
     private static final int TOO_MANY_REQUESTS = 429;
@@ -25,6 +26,7 @@
     private final Supplier<Moment> clock;
     private final StepTimer timer;
     private final RepeatSchedule schedule = new RepeatSchedule();
+    private final int maxCalls;
     private final List<HttpCallClient> clients;
     private final List<HttpCallClient> inFlight = new ArrayList<>();
     private HttpCallClient kept;
@@ -35,25 +37,19 @@
      * Creates a client without a connection.
      *
      * @param clock returns the time
+     * @param maxCalls how many times a call is made at most, the first included
      * @param client creates a client for the address, without a connection
      */
-    public RepeatingCallClient(EventLoop loop, Supplier<Moment> clock, Supplier<HttpCallClient> client) {
+    public RepeatingCallClient(EventLoop loop, Supplier<Moment> clock, int maxCalls, Supplier<HttpCallClient> client) {
         this.clock = clock;
+        this.maxCalls = maxCalls;
         timer = new StepTimer(loop);
-        clients = Stream.generate(client).limit(RepeatPolicy.MAX_CALLS).toList();
+        clients = Stream.generate(client)
+                .limit(Math.min(maxCalls, RepeatPolicy.MAX_IN_FLIGHT))
+                .toList();
         kept = clients.get(0);
     }
 
-    /**
-     * A call that may be made more than once.
-     *
-     * @param first the call as it is made first
-     * @param repeat the call as it is made again
-     * @param waitMillis how long the other side waits before it answers the first call, in ms
-     * @param timeoutMillis time after which the call fails, in ms
-     */
-    public record RepeatableCall(PlatformCall first, PlatformCall repeat, long waitMillis, long timeoutMillis) {}
-
     /**
      * How a call has ended.
      *
@@ -65,51 +61,47 @@
      */
     public record Outcome(CallResult result, Moment beganAt, Moment askedAt, boolean repeated, int calls) {}
 
-    private record Pending(RepeatableCall call, Moment beganAt, Consumer<Outcome> callback) {}
+    private record Pending(PlatformCall call, long timeoutMillis, Moment beganAt, Consumer<Outcome> callback) {}
 
     /** Returns whether a call is in flight. */
     public boolean isBusy() {
         return pending != null;
     }
 
-    /** Returns whether the call in flight was made more than once. */
-    public boolean isRepeated() {
-        return pending != null && made > 1;
-    }
-
     /**
      * Makes a call. Only one may be in flight.
      *
+     * @param timeoutMillis time after which the call fails, in ms
      * @param callback called once with the outcome, on the event loop; not called after {@link #cancel}
      */
-    public void call(RepeatableCall call, Consumer<Outcome> callback) {
-        pending = new Pending(call, clock.get(), callback);
+    public void call(PlatformCall call, long timeoutMillis, Consumer<Outcome> callback) {
+        pending = new Pending(call, timeoutMillis, clock.get(), callback);
         made = 0;
-        make(kept, call.first(), false);
+        make(kept, false);
     }
 
     /** Repeats the call in flight at once, if there is one that may be repeated. */
-    public void repeatNow() {
-        if (pending == null || made == RepeatPolicy.MAX_CALLS) {
+    void repeatNow() {
+        if (pending == null || made == maxCalls) {
             return;
         }
-        clients.stream()
-                .filter(client -> client != kept && !client.isBusy())
-                .findFirst()
-                .ifPresent(client -> make(client, pending.call().repeat(), true));
+        if (inFlight.size() == clients.size()) {
+            inFlight.remove(inFlight.size() - 1).close();
+        }
+        clients.stream().filter(client -> !client.isBusy()).findFirst().ifPresent(client -> make(client, true));
     }
 
-    private void make(HttpCallClient client, PlatformCall call, boolean repeated) {
+    private void make(HttpCallClient client, boolean repeated) {
         Pending current = pending;
         Moment now = clock.get();
         long elapsed = now.atLeastMillis() - current.beganAt().atLeastMillis();
         made++;
         inFlight.add(client);
-        schedule.repeatAfterMillis(made, current.call().waitMillis())
+        schedule.repeatAfterMillis(made)
                 .ifPresent(after -> timer.reschedule(() -> repeat(current), Math.max(0, after - elapsed)));
         client.call(
-                call,
-                Math.max(1, current.call().timeoutMillis() - elapsed),
+                current.call(),
+                Math.max(1, current.timeoutMillis() - elapsed),
                 result -> onResult(client, new Outcome(result, current.beganAt(), now, repeated, made)));
     }
 
@@ -125,10 +117,7 @@
             from.close();
             return;
         }
-        if (!outcome.repeated() && isUsable(outcome.result())) {
-            long taken = clock.get().atLeastMillis() - outcome.askedAt().atLeastMillis();
-            schedule.onFirstCallAnswered(taken, pending.call().waitMillis());
-        }
+        updateSchedule(outcome);
         Consumer<Outcome> callback = pending.callback();
         pending = null;
         closeInFlight();
@@ -136,6 +125,15 @@
         callback.accept(outcome);
     }
 
+    private void updateSchedule(Outcome outcome) {
+        if (!outcome.repeated() && isUsable(outcome.result())) {
+            schedule.onFirstCallAnswered(
+                    clock.get().atLeastMillis() - outcome.askedAt().atLeastMillis());
+        } else if (outcome.calls() > 1 && outcome.result() instanceof CallResult.Unanswered) {
+            schedule.onUnanswered();
+        }
+    }
+
     private static boolean isUsable(CallResult result) {
         return result instanceof CallResult.Answered answered
                 && answered.status() != TOO_MANY_REQUESTS
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/peers/PeerExchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/peers/PeerExchange.java
@@ -74,6 +74,7 @@
     private final TopicFollower follower;
     private final HttpCallClient registrationClient;
     private final ReportSchedule schedule = new ReportSchedule();
+    private final UnknownSenders unknownSenders = new UnknownSenders();
     private final Map<String, InetSocketAddress> addresses = new HashMap<>();
     private final Map<InetSocketAddress, Set<String>> relaysByAddress = new HashMap<>();
     /** Whether all relays that were registered at this relay's start are known. */
@@ -155,7 +156,7 @@
                         .bind(new InetSocketAddress(address.host(), address.port())),
                 address);
         follower = new TopicFollower(
-                state, Topic.RELAYS, PollIntervals.RARE_BURSTS, InitialRead.NEWEST, new RegistrationListener());
+                state, Topic.RELAYS, PollIntervals.RARE, InitialRead.NEWEST, new RegistrationListener());
         state.metrics()
                 .gauge("rattanrudder_relay_peers", "Other relays that are registered and known", addresses::size);
         registrationClient = new HttpCallClient(state.connector(), state.heldBytes(), state::store, state.storeCalls());
@@ -202,6 +203,7 @@
             } else {
                 removePeer(record.key());
                 relay.ifPresent(known -> addPeer(record.key(), known));
+                unknownSenders.onRegistration();
             }
             if (listedOnce) {
                 updateRelays();
@@ -338,6 +340,9 @@
             Set<String> relays = relaysByAddress.getOrDefault(packet.sender(), Set.of());
             if (relays.isEmpty()) {
                 dropped.record(packet.sender(), "unknown_sender");
+                if (unknownSenders.leadToRead(state.nowMillis())) {
+                    follower.pollNow();
+                }
                 return;
             }
             Optional<PeerCodec.Message> message = PeerCodec.read(ByteBufUtil.getBytes(packet.content()));
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/port/StoreDialect.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/port/StoreDialect.java
@@ -53,8 +53,8 @@
     /** Returns the call for a page of the newest records: the page after the given key, or the first one. */
     PlatformCall list(Topic topic, Optional<String> after);
 
-    /** Returns the long-polling call for records from an offset on. */
-    PlatformCall poll(Topic topic, long from, long waitMillis);
+    /** Returns the call for the records from an offset on, which is answered at once though there be none. */
+    PlatformCall read(Topic topic, long from);
 
     /** Returns the call that appends a record; if an offset is given, only if the topic ends there. */
     PlatformCall append(Topic topic, LeaseRecord record, OptionalLong at);
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/quarantine/QuarantineExchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/quarantine/QuarantineExchange.java
@@ -81,7 +81,7 @@
         writeClient = new HttpCallClient(state.connector(), state.heldBytes(), state::store, state.storeCalls());
         trialClient = new HttpCallClient(state.connector(), state.heldBytes(), state::store, state.storeCalls());
         follower = new TopicFollower(
-                state, Topic.QUARANTINE, PollIntervals.RARE_BURSTS, InitialRead.NEWEST_AND_KEPT, new RecordListener());
+                state, Topic.QUARANTINE, PollIntervals.RARE, InitialRead.NEWEST_AND_KEPT, new RecordListener());
         registerGauges();
     }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/rollout/RolloutCoordinator.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/rollout/RolloutCoordinator.java
@@ -120,6 +120,9 @@
     private void poll() {
         List<PendingRollout> pending = pendingRollouts();
         logBehind(pending);
+        if (!pending.isEmpty()) {
+            follower.pollWithin(PollIntervals.pendingMillis(state.fleet().livePeerCount(state.nowMillis())));
+        }
         if (!pending.isEmpty() && !state.isDraining()) {
             advance(pending);
         }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/DesiredStateListener.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/DesiredStateListener.java
@@ -189,11 +189,6 @@
         }
     }
 
-    @Override
-    public long maxUnreadMillis() {
-        return state.settings().bounds().configurationMillis();
-    }
-
     /** An older record of the same key would have no effect: versions and the offsets of evacuations increase. */
     @Override
     public boolean needsOnlyNewest() {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/PollIntervals.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/PollIntervals.java
@@ -1,60 +1,45 @@
 package org.rattanrudder.daemon.relay.store;
 
-import java.util.function.IntFunction;
 import java.util.function.IntToLongFunction;
 import java.util.function.LongSupplier;
 import org.rattanrudder.core.topics.ReadTiming;
+import org.rattanrudder.core.topics.RepeatPolicy;
 
 /**
- * The intervals at which a relay polls a topic of the platform's store.
+ * How a relay polls a topic of the platform's store.
  *
- * @param gapMillis the time between an answer and the next call, by the number of peers; records that arrive in the gap
- *     are returned in one answer
- * @param waitMillis how long a call waits for records, by the number of peers; an unresponsive connection is detected
- *     after this wait
+ * @param intervalMillis the time from a poll to the next one, in ms, by the number of peers
+ * @param maxCalls how many times a poll is made at most while its answer is late, the first included
  */
-public record PollIntervals(IntToLongFunction gapMillis, IntToLongFunction waitMillis) {
-    private static final long MIN_GAP_MILLIS = 20;
-
+public record PollIntervals(IntToLongFunction intervalMillis, int maxCalls) {
     /** With more peers than this, records written in quick succession are read in one answer. */
     private static final int FEW_PEERS = 8;
 
-    private static final long PROMPT_GAP_MILLIS_PER_PEER = 12;
-    private static final long MAX_PROMPT_GAP_MILLIS = 400;
-
-    private static final long MIN_PROMPT_WAIT_MILLIS = 1_000;
-    private static final long MAX_PROMPT_WAIT_MILLIS = 1_500;
-    private static final long PROMPT_WAIT_MILLIS_PER_PEER = 100;
-    private static final long MAX_BATCHED_WAIT_MILLIS = 1_000;
+    private static final long MIN_PROMPT_MILLIS = 1_000;
+    private static final long PROMPT_MILLIS_PER_PEER = 100;
+    private static final long MAX_PROMPT_MILLIS = 1_500;
+    private static final long MAX_BATCHED_MILLIS = 2_400;
+    private static final long RARE_MILLIS = 12_000;
 
-    /** Minimum time between an answer and the next call, with many peers of which one has read a newer record. */
+    /** Minimum time between an answer and the next poll, with many peers of which one has read a newer record. */
     private static final long HINTED_GAP_MILLIS = 500;
 
+    private static final long MIN_PENDING_MILLIS = 300;
+    private static final long PENDING_MILLIS_PER_PEER = 20;
+    private static final long MAX_PENDING_MILLIS = 1_000;
+
+    /** For records that are written rarely and may be received late, unless something tells of them. */
+    public static final PollIntervals RARE = new PollIntervals(peers -> RARE_MILLIS, 1);
+
     /**
-     * For records that must be in force within a bound. A long poll that begins while a record is being written may not
-     * return it before its wait is over, so the wait itself ends within the bound.
+     * For records that must be in force within a bound.
      *
      * @param boundMillis the bound in ms, as it is now
      */
     public static PollIntervals prompt(LongSupplier boundMillis) {
-        return within(boundMillis, PollIntervals::promptGap, PollIntervals::promptWait);
-    }
-
-    /** A relay with few peers proves more often that it has read all: it can't rely on what others have read. */
-    private static long promptWait(int peers) {
-        return Math.min(MAX_PROMPT_WAIT_MILLIS, MIN_PROMPT_WAIT_MILLIS + PROMPT_WAIT_MILLIS_PER_PEER * peers);
+        return within(boundMillis, MAX_PROMPT_MILLIS);
     }
 
-    /** For records that are written rarely and may be received late. */
-    public static final PollIntervals RARE = new PollIntervals(peers -> MIN_GAP_MILLIS, peers -> 12_000);
-
-    /** For rare records that are written in bursts, one by each relay, and may be received late. */
-    public static final PollIntervals RARE_BURSTS = new PollIntervals(peers -> 1_000, peers -> 12_000);
-
-    private static final long MIN_BATCHED_GAP_MILLIS = 600;
-    private static final long BATCHED_GAP_MILLIS_PER_PEER = 60;
-    private static final double MAX_BATCHED_GAP_SHARE = 0.6;
-
     /**
      * For records that are written often and must be in force within a bound: several are read in one answer. With many
      * relays each polls less often, since peers report the offset of a change that they have read.
@@ -62,22 +47,16 @@
      * @param boundMillis the bound in ms, as it is now
      */
     public static PollIntervals batched(LongSupplier boundMillis) {
-        return within(
-                boundMillis, peers -> batchedGap(boundMillis.getAsLong(), peers), peers -> MAX_BATCHED_WAIT_MILLIS);
+        return within(boundMillis, MAX_BATCHED_MILLIS);
     }
 
-    private static PollIntervals within(
-            LongSupplier boundMillis, IntToLongFunction wantedGap, IntToLongFunction wantedWait) {
-        IntFunction<ReadTiming> timing = peers ->
-                ReadTiming.within(boundMillis.getAsLong(), wantedGap.applyAsLong(peers), wantedWait.applyAsLong(peers));
+    /** A relay with few peers polls more often: it can't rely on what others have read. */
+    private static PollIntervals within(LongSupplier boundMillis, long maxMillis) {
         return new PollIntervals(
-                peers -> timing.apply(peers).gapMillis(),
-                peers -> timing.apply(peers).waitMillis());
-    }
-
-    private static long promptGap(int peers) {
-        long wanted = PROMPT_GAP_MILLIS_PER_PEER * (peers - FEW_PEERS);
-        return Math.max(MIN_GAP_MILLIS, Math.min(MAX_PROMPT_GAP_MILLIS, wanted));
+                peers -> ReadTiming.intervalMillis(
+                        boundMillis.getAsLong(),
+                        Math.min(maxMillis, MIN_PROMPT_MILLIS + PROMPT_MILLIS_PER_PEER * peers)),
+                RepeatPolicy.MAX_CALLS);
     }
 
     /**
@@ -88,8 +67,8 @@
         return peers <= FEW_PEERS ? 0 : HINTED_GAP_MILLIS;
     }
 
-    private static long batchedGap(long boundMillis, int peers) {
-        long longest = (long) (boundMillis * MAX_BATCHED_GAP_SHARE);
-        return Math.max(MIN_BATCHED_GAP_MILLIS, Math.min(longest, BATCHED_GAP_MILLIS_PER_PEER * peers));
+    /** Returns the time from a poll to the next one, in ms, while something waits for what a rare topic says. */
+    public static long pendingMillis(int peers) {
+        return Math.min(MAX_PENDING_MILLIS, Math.max(MIN_PENDING_MILLIS, PENDING_MILLIS_PER_PEER * peers));
     }
 }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/PollSchedule.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/PollSchedule.java
@@ -1,23 +1,29 @@
 package org.rattanrudder.daemon.relay.store;
 
+import java.util.function.DoubleSupplier;
 import java.util.function.LongToIntFunction;
 
-/** Decides when a topic is polled next, and how long a poll waits for records. All times are in ms. */
+/** Decides when a topic is polled next. All times are in ms. */
 final class PollSchedule {
-    /** A read pending for longer than this is treated as stalled once a peer has reported a newer record. */
-    private static final long STALLED_READ_MILLIS = 600;
-
-    /** The wait of a long poll while a record is known to be due: such a poll is usually answered at once. */
-    private static final long EXPECTED_RECORD_WAIT_MILLIS = 200;
+    /** The interval while a record is known to be due: it is usually there at the first poll. */
+    private static final long EXPECTED_RECORD_INTERVAL_MILLIS = 150;
 
     /** How long a record is expected: an append that got no answer may have written nothing. */
     private static final long MAX_EXPECTATION_MILLIS = 5_000;
 
+    /** Minimum time between an answer and the next poll, so that a slow store isn't polled without end. */
+    private static final long MIN_GAP_MILLIS = 20;
+
+    /** The shortest part of the interval after a poll that was brought forward. */
+    private static final double MIN_SPREAD_SHARE = 0.5;
+
     private final PollIntervals intervals;
     private final LongToIntFunction livePeers;
+    private final DoubleSupplier random;
     private long polledAt;
     private long answeredAt;
     private long nextPollAt;
+    private boolean together = true;
 
     /** Time until which an unread record is expected to exist. */
     private long expectingUntil = Long.MIN_VALUE / 2;
@@ -26,10 +32,12 @@
      * Creates the schedule of a topic that hasn't been polled.
      *
      * @param livePeers returns the number of live peers at a time
+     * @param random returns random numbers from 0 to 1
      */
-    PollSchedule(PollIntervals intervals, LongToIntFunction livePeers) {
+    PollSchedule(PollIntervals intervals, LongToIntFunction livePeers, DoubleSupplier random) {
         this.intervals = intervals;
         this.livePeers = livePeers;
+        this.random = random;
     }
 
     /** Records that a poll begins. */
@@ -37,39 +45,50 @@
         polledAt = now;
     }
 
-    /** Returns how long the poll that begins waits for records. */
-    long waitMillis() {
-        long usual = intervals.waitMillis().applyAsLong(livePeers.applyAsInt(polledAt));
-        return polledAt < expectingUntil ? Math.min(usual, EXPECTED_RECORD_WAIT_MILLIS) : usual;
-    }
-
     /** Records that the last poll has returned records, so that none is expected any more. */
     void onRecordsFound() {
         expectingUntil = polledAt;
     }
 
-    /** Records that the last poll was answered; returns the time until the next one. */
-    long onAnswered(long now) {
+    /**
+     * Records that the last poll was answered; returns the time until the next one.
+     *
+     * @param askedAt when the answer was asked for
+     */
+    long onAnswered(long askedAt, long now) {
         answeredAt = now;
-        long gap = gapMillis(now);
-        nextPollAt = answeredAt + gap;
-        return gap;
+        nextPollAt = Math.max(now + MIN_GAP_MILLIS, askedAt + nextIntervalMillis(now));
+        together = false;
+        return nextPollAt - now;
+    }
+
+    /** Relays that have started together, or were told of a record together, don't poll together from then on. */
+    private long nextIntervalMillis(long now) {
+        long usual = intervalMillis(now);
+        if (now < expectingUntil) {
+            return Math.min(usual, EXPECTED_RECORD_INTERVAL_MILLIS);
+        }
+        double share = together ? MIN_SPREAD_SHARE + (1 - MIN_SPREAD_SHARE) * random.getAsDouble() : 1;
+        return Math.round(share * usual);
     }
 
-    /** Returns the usual time between an answer and the next call. */
-    long gapMillis(long now) {
-        return intervals.gapMillis().applyAsLong(livePeers.applyAsInt(now));
+    /** Returns the usual time from a poll to the next one. */
+    long intervalMillis(long now) {
+        return intervals.intervalMillis().applyAsLong(livePeers.applyAsInt(now));
     }
 
-    /** Returns the time until the next poll, now that a peer has read a record that was not read here. */
-    long hintedDelayMillis(long now) {
+    /** Brings the next poll forward, as a peer has read a record that was not read here; returns the time until it. */
+    long onHint(long now) {
         long wanted = PollIntervals.hintedGapMillis(livePeers.applyAsInt(now));
-        return Math.max(0, Math.min(nextPollAt, answeredAt + wanted) - now);
+        together = true;
+        nextPollAt = Math.min(nextPollAt, answeredAt + wanted);
+        return Math.max(0, nextPollAt - now);
     }
 
-    /** Returns whether the poll in flight has been pending for longer than an answer takes. */
-    boolean isStalled(long now) {
-        return now - polledAt > STALLED_READ_MILLIS;
+    /** Brings the next poll forward, to so long after the last one at the latest; returns the time until it. */
+    long pollWithin(long millis, long now) {
+        nextPollAt = Math.min(nextPollAt, polledAt + millis);
+        return Math.max(0, nextPollAt - now);
     }
 
     /** Records that the store has indicated an unread record. */
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/StoreTopics.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/StoreTopics.java
@@ -58,6 +58,18 @@
                         "For how long records of a topic may exist that were not read",
                         "topic",
                         this::unreadSeconds);
+        state.metrics()
+                .labelledGauge(
+                        "rattanrudder_relay_topic_read_offset",
+                        "The offset up to which a topic was read",
+                        "topic",
+                        this::readOffsets);
+    }
+
+    private Map<String, Double> readOffsets() {
+        return Map.of(
+                Topic.DESIRED_STATE.name(), (double) desiredState.readOffset(),
+                Topic.TARGETS.name(), (double) targets.readOffset());
     }
 
     private Map<String, Double> unreadSeconds() {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicConfirmation.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicConfirmation.java
@@ -14,7 +14,7 @@
 /**
  * Confirms that a follower has read all records that were written to its topic before now.
  *
- * <p>Followers read with a delay, and a pending long poll doesn't show whether its connection still works. One call
+ * <p>Followers read with a delay, and a pending read doesn't show whether its connection still works. One call
  * confirms all requests that were waiting when it was made.
  */
 final class TopicConfirmation implements AutoCloseable {
@@ -73,7 +73,7 @@
         long longest = asking.stream().mapToLong(Pending::until).max().orElse(now) - now;
         long from = readOffset.getAsLong();
         StoreDialect dialect = state.platform().store();
-        client.call(dialect.poll(topic, from, 0), Math.max(1, longest), answer -> {
+        client.call(dialect.read(topic, from), Math.max(1, longest), answer -> {
             state.metrics().recordStoreCall("CONFIRM");
             onAnswer(asking, from, answer.toRecords(dialect, topic, from));
         });
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicFollower.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicFollower.java
@@ -10,19 +10,16 @@
 import org.rattanrudder.daemon.relay.process.RelayState;
 
 /**
- * Consumes a topic of the platform's store: first lists the newest record of each key, then long-polls for new records.
+ * Consumes a topic of the platform's store: first lists the newest record of each key, then polls for new records.
  *
  * <p>If the store has discarded records before they were read, the newest ones are listed again. If the store is
  * unavailable, calls are retried with exponential back-off; the listener is called when the store becomes unavailable
  * and when it is available again.
+ *
+ * <p>No read waits at the store for a record: such reads of many relays would take up the calls that a store serves at
+ * a time, and urgent ones would queue behind them.
  */
 public final class TopicFollower implements AutoCloseable {
-    /** Time in which a poll is answered once its wait is over. */
-    private static final long ANSWER_MILLIS = 300;
-
-    /** Shorter waits would make the calls too many under a bound that can't be kept. */
-    private static final long MIN_WAIT_MILLIS = 100;
-
     /** How often in a row a topic is listed again for records that it failed to handle. */
     private static final int MAX_REPEATED_LISTINGS = 3;
 
@@ -73,9 +70,9 @@
         timer = new StepTimer(state.loop());
         this.topic = topic;
         this.listener = listener;
-        reader = new TopicReader(state, topic);
+        reader = new TopicReader(state, topic, intervals.maxCalls());
         position = new TopicPosition(reading);
-        schedule = new PollSchedule(intervals, state.fleet()::livePeerCount);
+        schedule = new PollSchedule(intervals, state.fleet()::livePeerCount, state.random()::nextDouble);
         delivery = new RecordDelivery(state, topic, position.isKeyed(), listener);
         availability = new StoreAvailability(state.log(), topic, listener);
         this.freshness = freshness;
@@ -100,14 +97,7 @@
         betweenPolls = false;
         askedAt = state.clock().now();
         schedule.onPoll(askedAt.atLeastMillis());
-        // Without records, an answer that shows that the store is available again would come only after the full wait.
-        long wait = availability.isAnswering() ? Math.min(schedule.waitMillis(), maxWaitMillis()) : 0;
-        reader.poll(position.nextOffset(), wait, this::onResult);
-    }
-
-    /** An answer with records shows only what existed when it was asked for, which may be a whole wait ago. */
-    private long maxWaitMillis() {
-        return Math.max(MIN_WAIT_MILLIS, listener.maxUnreadMillis() - ANSWER_MILLIS - unreadMillis());
+        reader.poll(position.nextOffset(), this::onResult);
     }
 
     /** Handles a result; if that fails, the call is retried, since nothing else would read the topic on. */
@@ -140,7 +130,7 @@
             onListing(listing);
         } else if (read.response() instanceof StoreResponse.Records records) {
             askedAt = read.askedAt();
-            onRecords(records, read.waitMillis());
+            onRecords(records);
         } else if (read.response() instanceof StoreResponse.Forgotten forgotten) {
             onTruncated(forgotten);
         }
@@ -180,7 +170,7 @@
         poll();
     }
 
-    private void onRecords(StoreResponse.Records records, long waitMillis) {
+    private void onRecords(StoreResponse.Records records) {
         consecutiveTruncations = 0;
         position.advanceTo(records.next());
         if (!records.records().isEmpty()) {
@@ -192,13 +182,14 @@
             return;
         }
         if (records.next() >= records.end()) {
-            onReadToEnd(records.records().isEmpty(), waitMillis);
+            freshness.onReadToEnd(askedAt.atMostMillis());
+            listener.onReadToEnd(askedAt);
         }
         if (records.next() > records.end()) {
             listener.onStoreBehind();
         }
         betweenPolls = true;
-        timer.reschedule(this::poll, schedule.onAnswered(state.nowMillis()));
+        timer.reschedule(this::poll, schedule.onAnswered(askedAt.atLeastMillis(), state.nowMillis()));
     }
 
     /**
@@ -219,15 +210,6 @@
         return true;
     }
 
-    private void onReadToEnd(boolean empty, long waitMillis) {
-        if (empty) {
-            freshness.onEmptyPoll(askedAt, waitMillis, state.clock().now());
-        } else {
-            freshness.onReadToEnd(askedAt.atMostMillis());
-        }
-        listener.onReadToEnd(askedAt);
-    }
-
     /**
      * Restarts with a new listing after the store has discarded unread records. If the store keeps discarding what it
      * has just listed, each relay would list fifty times a second without end, so the delay between listings doubles.
@@ -252,56 +234,40 @@
     }
 
     private long truncationPauseMillis() {
-        return consecutiveTruncations == 0
-                ? 0
-                : Math.max(schedule.gapMillis(state.nowMillis()), BackOff.millis(consecutiveTruncations - 1));
+        return consecutiveTruncations == 0 ? 0 : BackOff.millis(consecutiveTruncations - 1);
     }
 
     /**
      * Handles the read offset of a peer. If the peer has read a record that was not read here, the next poll is brought
-     * forward. A poll that has been pending for longer than an answer takes is on an unresponsive connection, and is
-     * repeated on a new one; the pending one is not given up, since the new connection may fall silent as well.
+     * forward.
      *
-     * <p>Only the gap between two polls is shortened, since every peer reports its offset many times a second. If
+     * <p>Only the time between two polls is shortened, since every peer reports its offset many times a second. If
      * reports also cut the back-off after a failure short, a store that refuses this relay would get a call for each
      * report. If they replaced a pending listing, the relay would poll discarded records again and again, and would
      * never receive a newer configuration.
      */
     public void onPeerOffset(long peerOffset) {
-        if (timer.isClosed() || peerOffset <= position.nextOffset() || !availability.hasAnswered()) {
-            return;
-        }
-        if (betweenPolls) {
-            timer.reschedule(this::poll, schedule.hintedDelayMillis(state.nowMillis()));
-        } else if (reader.isPolling() && !reader.isRepeated() && schedule.isStalled(state.nowMillis())) {
-            state.log()
-                    .warn(
-                            "store_connection_silent",
-                            "topic",
-                            topic.name(),
-                            "from",
-                            Long.toString(position.nextOffset()),
-                            "others_read",
-                            Long.toString(peerOffset));
-            reader.repeatNow();
+        if (betweenPolls && peerOffset > position.nextOffset()) {
+            timer.reschedule(this::poll, schedule.onHint(state.nowMillis()));
         }
     }
 
-    /** Polls at once if a poll is scheduled or pending; a pending back-off or listing is left as it is. */
+    /** Polls at once if a poll is scheduled; a pending poll, back-off or listing is left as it is. */
     public void pollNow() {
+        pollWithin(0);
+    }
+
+    /** Brings the next poll forward if one is scheduled, to so many ms after the last one at the latest. */
+    public void pollWithin(long millis) {
         if (betweenPolls) {
-            timer.reschedule(this::poll, 0);
-        } else if (reader.isPolling()) {
-            reader.cancel();
-            poll();
+            timer.reschedule(this::poll, schedule.pollWithin(millis, state.nowMillis()));
         }
     }
 
     /**
-     * Polls at once, and with short waits until a record arrives, since the store has indicated an unread record. A
-     * long poll that began while the record was being written may not return it before its wait is over, and the write
-     * may still be in progress. Otherwise two relays that lost a race for the lease would wait 12 s for the winner's
-     * record, and no engine would get new weights in the meantime.
+     * Polls at once, and often until a record arrives, since the store has indicated an unread record; its write may
+     * still be in progress. Otherwise two relays that lost a race for the lease would learn of the winner's record by
+     * the next usual poll, and no engine would get new weights in the meantime.
      */
     public void expectRecord() {
         schedule.expectRecord(state.nowMillis());
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicListener.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicListener.java
@@ -47,11 +47,6 @@
     /** Called when the store ends before what was read: it may hold other records at offsets that were read. */
     default void onStoreBehind() {}
 
-    /** Returns for how long records may exist unread, in ms, while the store answers. */
-    default long maxUnreadMillis() {
-        return Long.MAX_VALUE;
-    }
-
     /** Called after each successful answer of the store. */
     default void onAvailable() {}
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicReader.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicReader.java
@@ -7,7 +7,6 @@
 import org.rattanrudder.daemon.relay.net.HttpCallClient;
 import org.rattanrudder.daemon.relay.net.RepeatingCallClient;
 import org.rattanrudder.daemon.relay.net.RepeatingCallClient.Outcome;
-import org.rattanrudder.daemon.relay.net.RepeatingCallClient.RepeatableCall;
 import org.rattanrudder.daemon.relay.port.PlatformCall;
 import org.rattanrudder.daemon.relay.port.StoreDialect;
 import org.rattanrudder.daemon.relay.port.StoreDialect.Topic;
@@ -15,30 +14,32 @@
 import org.rattanrudder.daemon.relay.process.RelayState;
 
 /**
- * Calls the platform's store for the records of one topic, and parses its answers. Only one call may be in flight; it
- * is repeated on new connections while its answer is late.
+ * Calls the platform's store for the records of one topic, and parses its answers. Only one call may be in flight; one
+ * that may be made more than once is repeated on new connections while its answer is late.
  */
 final class TopicReader implements AutoCloseable {
-    private static final long LISTING_TIMEOUT_MILLIS = 1_000;
-
-    /** Time that an answer may take beyond the long poll's wait; a slow store takes about 250 ms. */
-    private static final long ANSWER_MARGIN_MILLIS = 700;
+    /** Time after which a call fails; a store with many calls before it may take a second. */
+    private static final long TIMEOUT_MILLIS = 1_500;
 
     private final RelayState state;
     private final Topic topic;
     private final StoreDialect dialect;
     private final RepeatingCallClient client;
     private boolean closed;
-    private boolean polling;
 
-    /** Creates a reader that makes no calls until it is asked. */
-    TopicReader(RelayState state, Topic topic) {
+    /**
+     * Creates a reader that makes no calls until it is asked.
+     *
+     * @param maxCalls how many times a call is made at most while its answer is late, the first included
+     */
+    TopicReader(RelayState state, Topic topic, int maxCalls) {
         this.state = state;
         this.topic = topic;
         dialect = state.platform().store();
         client = new RepeatingCallClient(
                 state.loop(),
                 state.clock()::now,
+                maxCalls,
                 () -> HttpCallClient.forLists(state.connector(), state.heldBytes(), state::store, state.storeCalls()));
     }
 
@@ -48,9 +49,8 @@
          * The store's answer.
          *
          * @param askedAt when it was asked for
-         * @param waitMillis how long the store was to wait for a record before it answers
          */
-        record Read(StoreResponse response, Moment askedAt, long waitMillis) implements Result {}
+        record Read(StoreResponse response, Moment askedAt) implements Result {}
 
         /** The call got no answer, or one that refuses it or can't be read. */
         record Failed(String reason) implements Result {}
@@ -66,21 +66,6 @@
         return client.isBusy();
     }
 
-    /** Returns whether the call in flight was repeated. */
-    boolean isRepeated() {
-        return client.isRepeated();
-    }
-
-    /** Repeats the call in flight at once on a new connection, if it may be repeated. */
-    void repeatNow() {
-        client.repeatNow();
-    }
-
-    /** Returns whether a poll is in flight. */
-    boolean isPolling() {
-        return polling;
-    }
-
     /**
      * Lists the newest record of each key.
      *
@@ -88,41 +73,30 @@
      * @param then called with the result, unless the call is cancelled
      */
     void list(Optional<String> after, Consumer<Result> then) {
-        PlatformCall list = dialect.list(topic, after);
-        call(new RepeatableCall(list, list, 0, LISTING_TIMEOUT_MILLIS), dialect::readListing, then);
+        call(dialect.list(topic, after), dialect::readListing, then);
     }
 
     /**
-     * Polls for records.
+     * Polls for records; without any, the store answers at once.
      *
      * @param from the offset of the first record to read
-     * @param waitMillis how long the store waits for a record
      * @param then called with the result, unless the call is cancelled
      */
-    void poll(long from, long waitMillis, Consumer<Result> then) {
-        polling = true;
-        call(
-                new RepeatableCall(
-                        dialect.poll(topic, from, waitMillis),
-                        dialect.poll(topic, from, 0),
-                        waitMillis,
-                        waitMillis + ANSWER_MARGIN_MILLIS),
-                (status, body) -> dialect.readRecords(topic, from, status, body),
-                then);
+    void poll(long from, Consumer<Result> then) {
+        call(dialect.read(topic, from), (status, body) -> dialect.readRecords(topic, from, status, body), then);
     }
 
-    private void call(RepeatableCall call, AnswerParser parser, Consumer<Result> then) {
-        client.call(call, outcome -> {
-            polling = false;
+    private void call(PlatformCall call, AnswerParser parser, Consumer<Result> then) {
+        client.call(call, TIMEOUT_MILLIS, outcome -> {
             if (closed) {
                 return;
             }
-            recordCalls(call, outcome);
-            then.accept(parse(outcome, outcome.repeated() ? 0 : call.waitMillis(), parser));
+            recordCalls(outcome);
+            then.accept(parse(outcome, parser));
         });
     }
 
-    private void recordCalls(RepeatableCall call, Outcome outcome) {
+    private void recordCalls(Outcome outcome) {
         for (int made = 0; made < outcome.calls(); made++) {
             state.metrics().recordStoreCall(topic.name());
         }
@@ -130,15 +104,13 @@
             return;
         }
         long takenMillis = state.nowMillis() - outcome.beganAt().atLeastMillis();
-        state.metrics().recordStoreAnswer(topic.name(), Math.max(0, takenMillis - call.waitMillis()));
+        state.metrics().recordStoreAnswer(topic.name(), takenMillis);
         if (outcome.repeated()) {
             state.log()
                     .warn(
                             "store_answer_late",
                             "topic",
                             topic.name(),
-                            "wait_ms",
-                            Long.toString(call.waitMillis()),
                             "answered_after_ms",
                             Long.toString(takenMillis),
                             "calls",
@@ -146,7 +118,7 @@
         }
     }
 
-    private static Result parse(Outcome outcome, long waitMillis, AnswerParser parser) {
+    private static Result parse(Outcome outcome, AnswerParser parser) {
         if (outcome.result() instanceof CallResult.Unanswered unanswered) {
             return new Result.Failed(unanswered.reason());
         }
@@ -159,13 +131,12 @@
         }
         return read instanceof StoreResponse.Failed failed
                 ? new Result.Failed("status " + failed.status())
-                : new Result.Read(read, outcome.askedAt(), waitMillis);
+                : new Result.Read(read, outcome.askedAt());
     }
 
     /** Cancels the call in flight, and closes the connection; the next call opens a new one. */
     void cancel() {
         client.cancel();
-        polling = false;
     }
 
     @Override
--- a/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/net/RepeatingCallClientTest.java
+++ b/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/net/RepeatingCallClientTest.java
@@ -19,25 +19,27 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.rattanrudder.core.memory.ByteBudget;
 import org.rattanrudder.core.model.Address;
 import org.rattanrudder.core.time.Moment;
+import org.rattanrudder.core.topics.RepeatPolicy;
 import org.rattanrudder.daemon.relay.net.RepeatingCallClient.Outcome;
-import org.rattanrudder.daemon.relay.net.RepeatingCallClient.RepeatableCall;
 import org.rattanrudder.daemon.relay.port.PlatformCall;
 
 class RepeatingCallClientTest {
     private static final int TIMEOUT_MILLIS = 5_000;
 
-    /** Longer than any test: calls are repeated by the test, not by their timer. */
     private static final long HOUR_MILLIS = 3_600_000;
 
     private static final String SILENT = "0";
     private static final PlatformCall CALL =
             new PlatformCall(HttpMethod.GET, "/log-read", EmptyHttpHeaders.INSTANCE, new byte[0]);
 
+    private final CallsInFlight calls = new CallsInFlight();
+    private long now;
     private final List<Socket> accepted = new ArrayList<>();
     private MultiThreadIoEventLoopGroup group;
     private ServerSocket listening;
@@ -76,7 +78,7 @@
         EventLoop loop = group.next();
         RepeatingCallClient client = client(loop);
         CompletableFuture<Outcome> called = new CompletableFuture<>();
-        loop.execute(() -> client.call(new RepeatableCall(CALL, CALL, HOUR_MILLIS, HOUR_MILLIS), called::complete));
+        loop.execute(() -> client.call(CALL, HOUR_MILLIS, called::complete));
         for (int index = 0; index < statuses.length; index++) {
             if (index > 0) {
                 loop.execute(client::repeatNow);
@@ -92,12 +94,35 @@
         loop.submit(client::close).get();
     }
 
+    /** Guards against a store that gets ever more calls at once, since it answers none. */
+    @Test
+    void oneRepeatAtATimeAwaitsAnAnswerBesideTheFirstCall() throws Exception {
+        EventLoop loop = group.next();
+        RepeatingCallClient client = client(loop);
+        loop.execute(() -> client.call(CALL, HOUR_MILLIS, ignored -> {}));
+        serve(SILENT, true);
+        for (int repeats = 1; repeats < RepeatPolicy.MAX_CALLS; repeats++) {
+            loop.execute(client::repeatNow);
+            serve(SILENT, true);
+
+            assertThat(loop.submit(calls::count).get()).isEqualTo(RepeatPolicy.MAX_IN_FLIGHT);
+        }
+        for (Socket replaced : accepted.subList(1, accepted.size() - 1)) {
+            assertThat(replaced.getInputStream().read()).isNegative();
+        }
+        loop.submit(client::close).get();
+        assertThat(calls.count()).isZero();
+    }
+
     private RepeatingCallClient client(EventLoop loop) {
         Bootstrap connector = RelayChannels.connector(group);
         ByteBudget budget = new ByteBudget(64 << 20);
         Address address = new Address("127.0.0.1", listening.getLocalPort());
         return new RepeatingCallClient(
-                loop, RepeatingCallClientTest::now, () -> HttpCallClient.forLists(connector, budget, () -> address));
+                loop,
+                this::now,
+                RepeatPolicy.MAX_CALLS,
+                () -> HttpCallClient.forLists(connector, budget, () -> address, calls));
     }
 
     private void serve(String status, boolean last) throws IOException {
@@ -119,8 +144,9 @@
         }
     }
 
-    private static Moment now() {
-        long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
-        return new Moment(millis, millis);
+    /** Returns ever earlier times: calls are repeated by the test, not by their timer. */
+    private Moment now() {
+        now -= HOUR_MILLIS;
+        return new Moment(now, now);
     }
 }
--- a/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/store/PollIntervalsTest.java
+++ b/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/store/PollIntervalsTest.java
@@ -20,25 +20,31 @@
 
     /** Many relays must not make a call each for every change; few relays must not receive a change late. */
     @ParameterizedTest
-    @CsvSource({"0, 20, 0", "2, 20, 0", "8, 20, 0", "26, 216, 500", "32, 288, 500", "300, 400, 500"})
-    void gapsGrowWithTheNumberOfPeers(int peers, long promptGap, long hintedGap) {
-        assertThat(PollIntervals.prompt(() -> BOUND_MILLIS).gapMillis().applyAsLong(peers))
-                .isEqualTo(promptGap);
+    @CsvSource({"0, 1000, 0", "2, 1200, 0", "8, 1400, 0", "26, 1400, 500", "300, 1400, 500"})
+    void intervalsGrowWithTheNumberOfPeers(int peers, long prompt, long hintedGap) {
+        assertThat(PollIntervals.prompt(() -> BOUND_MILLIS).intervalMillis().applyAsLong(peers))
+                .isEqualTo(prompt);
         assertThat(PollIntervals.hintedGapMillis(peers)).isEqualTo(hintedGap);
     }
 
-    /** A gap, a wait and the repeat of a call on a silent connection together must not exceed the bound. */
+    /** Guards against many relays that wait for a rare record and make more calls than the store takes. */
+    @ParameterizedTest
+    @CsvSource({"0, 300", "2, 300", "21, 420", "32, 640", "299, 1000"})
+    void aPendingRecordIsPolledForTheLessOftenTheMoreRelaysDo(int peers, long interval) {
+        assertThat(PollIntervals.pendingMillis(peers)).isEqualTo(interval);
+    }
+
+    /** An interval and the repeats of a call on silent connections together must not exceed the bound. */
     @Property
-    void gapPlusWaitPlusRepeatsStayWithinTheBound(
+    void intervalPlusRepeatsStayWithinTheBound(
             @ForAll @IntRange(max = 2_000) int peers,
             @ForAll @LongRange(min = 1_000, max = 10_000) long bound,
             @ForAll @IntRange(min = 1, max = 2) int silent) {
         for (PollIntervals intervals : List.of(PollIntervals.prompt(() -> bound), PollIntervals.batched(() -> bound))) {
-            long gap = intervals.gapMillis().applyAsLong(peers);
-            long wait = intervals.waitMillis().applyAsLong(peers);
-            long repeatedAfter = RepeatPolicy.repeatAfterMillis(silent, wait).orElseThrow();
+            long interval = intervals.intervalMillis().applyAsLong(peers);
+            long repeatedAfter = RepeatPolicy.repeatAfterMillis(silent).orElseThrow();
 
-            assertThat(gap + repeatedAfter + ANSWER_MILLIS).isLessThanOrEqualTo(bound);
+            assertThat(interval + repeatedAfter + ANSWER_MILLIS).isLessThanOrEqualTo(bound);
         }
     }
 }
