--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/platform/LogFollower.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/platform/LogFollower.java
@@ -36,7 +36,7 @@
     /** A longer gap saves few calls; the bound would allow one. */
     private static final long WANTED_GAP_MILLIS = 2_000;
 
-    private static final ReadTiming TIMING = ReadTiming.within(IN_FORCE_MILLIS, WANTED_GAP_MILLIS, 0);
+    private static final long LONGEST_GAP_MILLIS = ReadTiming.intervalMillis(IN_FORCE_MILLIS, WANTED_GAP_MILLIS);
     private static final long LATE_MILLIS = 1_000;
     private static final long FIRST_RETRY_MILLIS = 250;
     private static final long LAST_RETRY_MILLIS = 2_000;
@@ -57,7 +57,7 @@
     private final AvailabilityListener availabilityListener;
     private final long maxReadMillis;
     private final RepeatingReads repeating;
-    private final ReadPace pace = new ReadPace(TIMING.gapMillis());
+    private final ReadPace pace = new ReadPace(LONGEST_GAP_MILLIS);
     private long nextOffset = 1;
     private boolean caughtUp;
     private boolean failing;
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/platform/RepeatingReads.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/platform/RepeatingReads.java
@@ -95,7 +95,7 @@
             synchronized (schedule) {
                 made++;
                 first = made == 1;
-                repeatAfter = schedule.repeatAfterMillis(made, 0);
+                repeatAfter = schedule.repeatAfterMillis(made);
             }
             CompletableFuture<HttpResult> call = caller.fetch(address, first ? request : request.onNewConnection());
             add(call);
@@ -135,7 +135,7 @@
                     return;
                 }
                 if (usable && first) {
-                    schedule.onFirstCallAnswered(elapsedMillis(), 0);
+                    schedule.onFirstCallAnswered(elapsedMillis());
                 }
             }
             if (onlyCall && answer instanceof HttpResult.Failed) {
