Tell peers at once that a record of quarantine was written

No read waits at the store for records of quarantine any more, so peers read them once a report names a higher offset: each 100 ms up to nine relays, 200 to 800 ms beyond. Meanwhile they would go on sending what ends targets. The writer now tells all live peers its offsets once the store has the record.

QuarantineNoticeTest, without the notice: the first word of the record is a regular report. It holds with it; QuarantineTest 11 of 11, PeerMessagesTest 2 of 2.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
@@ -131,6 +131,7 @@
                 new PeerExchange.Components(placements, fetchLateness, streamOrigins, selfReports, queues),
                 new LocalState(),
                 new PeerListener()));
+        quarantine.setOnWritten(peers::announceReadOffsets);
         loop.execute(this::startComponents);
     }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/peers/PeerExchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/peers/PeerExchange.java
@@ -303,6 +303,11 @@
         send(PeerCodec.write(reports.partial(sentTo)), live(sharers));
     }
 
+    /** Tells all live peers at once how far this relay has read and written the platform's topics. */
+    public void announceReadOffsets() {
+        send(PeerCodec.write(reports.partial(List.of())), live(addresses.keySet()));
+    }
+
     /** Sends a context store's update to all live peers. */
     public void broadcast(SharedStoreUpdate update) {
         send(PeerCodec.write(update), live(addresses.keySet()));
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/quarantine/QuarantineExchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/quarantine/QuarantineExchange.java
@@ -64,6 +64,7 @@
     private final HttpCallClient trialClient;
     private final TopicFollower follower;
     private final List<TargetCrash> unwrittenCrashes = new ArrayList<>();
+    private Runnable onWritten = () -> {};
     private long writtenOffset;
     private long nextClaimAt;
     private boolean closed;
@@ -98,6 +99,11 @@
                         () -> quarantine.quarantinedCount());
     }
 
+    /** Sets what is run after records were written, so that peers read them at once. */
+    public void setOnWritten(Runnable newOnWritten) {
+        onWritten = newOnWritten;
+    }
+
     /** Starts to read the records of all relays. */
     public void start() {
         follower.start();
@@ -306,6 +312,7 @@
                         return;
                     }
                     writtenOffset = offset + records.size();
+                    onWritten.run();
                     unwrittenCrashes.removeAll(crashes);
                     unrecorded.forEach(quarantine::onRecordWritten);
                     outdated.forEach(cause -> quarantine.onRecordWithdrawn(cause, state.nowMillis()));
@@ -331,6 +338,7 @@
                 return;
             }
             writtenOffset = at + records.size();
+            onWritten.run();
             quarantine.onTrialGranted(cause, number, state.nowMillis());
             state.log().info("quarantine_tried", "features", cause.toText(), "number", Integer.toString(number));
         });
