Let two calls at most await one answer of the log

While the log is slow each read of an entry or a companion was open up to four times at once. A further repeat now gives up the one before it, as at relays. RepeatingReadsTest.aFurtherRepeatGivesUp... is new; it also holds that the calls that an answer makes needless are closed.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/platform/RepeatingReads.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/platform/RepeatingReads.java
@@ -18,11 +18,12 @@
  * late.
  *
  * <p>The first usable answer counts, and the other calls are given up. A refusal counts only once no other answer is
- * awaited.
+ * awaited. The first call and one repeat at most await an answer: a further repeat gives up the one before it.
  */
 final class RepeatingReads {
     private static final int TOO_MANY_REQUESTS = 429;
     private static final int SERVER_ERRORS = 500;
+    private static final int MAX_IN_FLIGHT = 2;
 
     private final HttpCaller caller;
     private final ScheduledExecutorService timer;
@@ -97,6 +98,7 @@
                 first = made == 1;
                 repeatAfter = schedule.repeatAfterMillis(made, 0);
             }
+            giveUpLastRepeat();
             CompletableFuture<HttpResult> call = caller.fetch(address, first ? request : request.onNewConnection());
             add(call);
             call.thenAccept(answer -> onResult(call, answer, first));
@@ -104,6 +106,17 @@
                     after -> timer.schedule(this::repeat, Math.max(0, after - elapsedMillis()), TimeUnit.MILLISECONDS));
         }
 
+        private void giveUpLastRepeat() {
+            CompletableFuture<HttpResult> superseded;
+            synchronized (schedule) {
+                if (inFlight.size() < MAX_IN_FLIGHT) {
+                    return;
+                }
+                superseded = inFlight.remove(inFlight.size() - 1);
+            }
+            superseded.cancel(false);
+        }
+
         private void repeat() {
             if (!result.isDone() && calls() < RepeatPolicy.MAX_CALLS) {
                 make();
