--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/platform/RepeatingReads.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/platform/RepeatingReads.java
@@ -23,7 +23,6 @@
 final class RepeatingReads {
     private static final int TOO_MANY_REQUESTS = 429;
     private static final int SERVER_ERRORS = 500;
-    private static final int MAX_IN_FLIGHT = 2;
 
     private final HttpCaller caller;
     private final ScheduledExecutorService timer;
@@ -87,7 +86,7 @@
 
         Reading(HttpRequest request) {
             this.request = request;
-            result.thenRun(this::giveUp);
+            result.thenAccept(this::onEnd);
         }
 
         private void make() {
@@ -96,7 +95,7 @@
             synchronized (schedule) {
                 made++;
                 first = made == 1;
-                repeatAfter = schedule.repeatAfterMillis(made, 0);
+                repeatAfter = schedule.repeatAfterMillis(made);
             }
             giveUpLastRepeat();
             CompletableFuture<HttpResult> call = caller.fetch(address, first ? request : request.onNewConnection());
@@ -109,7 +108,7 @@
         private void giveUpLastRepeat() {
             CompletableFuture<HttpResult> superseded;
             synchronized (schedule) {
-                if (inFlight.size() < MAX_IN_FLIGHT) {
+                if (inFlight.size() < RepeatPolicy.MAX_IN_FLIGHT) {
                     return;
                 }
                 superseded = inFlight.remove(inFlight.size() - 1);
@@ -148,7 +147,7 @@
                     return;
                 }
                 if (usable && first) {
-                    schedule.onFirstCallAnswered(elapsedMillis(), 0);
+                    schedule.onFirstCallAnswered(elapsedMillis());
                 }
             }
             if (onlyCall && answer instanceof HttpResult.Failed) {
@@ -161,6 +160,15 @@
             }
         }
 
+        private void onEnd(HttpResult ended) {
+            synchronized (schedule) {
+                if (made > 1 && ended instanceof HttpResult.Failed) {
+                    schedule.onUnanswered();
+                }
+            }
+            giveUp();
+        }
+
         private void giveUp() {
             List<CompletableFuture<HttpResult>> left;
             synchronized (schedule) {
