Know a target again only later by an entry at whose address another one responds

An entry of another writer with the address of a sound server is removed when that server turns a request away. Its next rewrite, the same but for its offset, brought it back, so that each rewrite could cost another request. The same registration isn't known again for 10 s now; another one is, and so is a sound record behind one that couldn't be read.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Fleet.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Fleet.java
@@ -48,11 +48,18 @@
      */
     public static final long LOADING_REPORT_VALID_MILLIS = 1_000;
 
+    /**
+     * How long a target isn't known again by the registration that it had when another one responded at its address:
+     * each time, a request might be lost to it.
+     */
+    static final long REPLACED_MILLIS = 10_000;
+
     private final Map<String, Target> targets = new LinkedHashMap<>();
     private final Map<String, RecordPosition> newestRecords = new HashMap<>();
     private final Map<String, Long> expired = new HashMap<>();
     private final Map<String, TargetNotices> notices = new HashMap<>();
     private final Map<String, Removal> removals = new LinkedHashMap<>();
+    private final Map<String, Replaced> replaced = new HashMap<>();
     private final Map<String, ServiceCapacity> capacities = new HashMap<>();
     private boolean learnedFiguresUsed;
     private final PeerLoads peers = new PeerLoads();
@@ -83,6 +90,14 @@
      */
     private record Removal(long offset, long at) {}
 
+    /**
+     * A target that was removed since another one responded at its address.
+     *
+     * @param registration its last registration
+     * @param at when it was removed
+     */
+    private record Replaced(TargetRegistration registration, long at) {}
+
     /** Creates a registry without targets that takes for true whatever weights are said to be served. */
     public Fleet() {
         this(model -> Long.MAX_VALUE);
@@ -140,7 +155,7 @@
     public void onUnreadableRecord(String id, long offset, long nowMillis) {
         if (isNewer(id, offset)) {
             software.onUnreadable(id, nowMillis);
-            removeReplaced(id, nowMillis);
+            removeAtOnce(id, nowMillis);
         }
     }
 
@@ -166,6 +181,9 @@
             return false;
         }
         newestRecords.put(registration.id(), new RecordPosition(registration.startedAt(), offset));
+        if (isReplaced(registration, nowMillis)) {
+            return false;
+        }
         software.onRegistered(registration.id(), registration.service(), registration.softwareVersion(), nowMillis);
         expired.remove(registration.id());
         if (registration.draining()) {
@@ -245,10 +263,28 @@
         software.onRegistrationsMissed();
     }
 
-    /** Removes a target at whose address another target responded. */
+    /** Removes a target at whose address another target responded; it isn't known again by the same registration. */
     public void removeReplaced(String id, long nowMillis) {
-        removeNow(id, nowMillis);
+        removeAtOnce(id, nowMillis)
+                .ifPresent(removed -> replaced.put(id, new Replaced(removed.registration(), nowMillis)));
+    }
+
+    private Optional<Target> removeAtOnce(String id, long nowMillis) {
         expired.remove(id);
+        return removeNow(id, nowMillis);
+    }
+
+    /** Returns whether another target has responded lately at the address of just this registration. */
+    private boolean isReplaced(TargetRegistration registration, long nowMillis) {
+        Replaced last = replaced.get(registration.id());
+        if (last == null) {
+            return false;
+        }
+        boolean same = nowMillis - last.at() < REPLACED_MILLIS && !registration.differsFrom(last.registration());
+        if (!same) {
+            replaced.remove(registration.id());
+        }
+        return same;
     }
 
     private Optional<Target> removeNow(String id, long nowMillis) {
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/FleetTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/FleetTest.java
@@ -59,6 +59,35 @@
                 .isEmpty();
     }
 
+    /** Guards against a target that is known again by each rewrite of an entry at whose address another responds. */
+    @Test
+    void aReplacedTargetIsKnownAgainByAnotherRegistrationOrLater() {
+        fleet.onLogAvailable(START);
+        fleet.apply("i-1", Optional.of(registration("i-1", false)), 1, SETTLED);
+        fleet.removeReplaced("i-1", SETTLED);
+
+        fleet.apply("i-1", Optional.of(registration("i-1", false)), 2, SETTLED + 1_000);
+        assertThat(fleet.find("i-1")).isEmpty();
+        fleet.apply("i-1", Optional.of(registration("i-1", true)), 3, SETTLED + 2_000);
+        assertThat(fleet.find("i-1")).isPresent();
+
+        fleet.removeReplaced("i-1", SETTLED + 3_000);
+        fleet.apply("i-1", Optional.of(registration("i-1", true)), 4, SETTLED + 3_000 + Fleet.REPLACED_MILLIS);
+        assertThat(fleet.find("i-1")).isPresent();
+    }
+
+    /** Guards against a sound record that isn't taken since another writer's stood in its place. */
+    @Test
+    void aTargetWhoseRecordWasUnreadableIsKnownAgainAtOnce() {
+        fleet.onLogAvailable(START);
+        fleet.apply("i-1", Optional.of(registration("i-1", false)), 1, SETTLED);
+        fleet.onUnreadableRecord("i-1", 2, SETTLED);
+        assertThat(fleet.find("i-1")).isEmpty();
+
+        fleet.apply("i-1", Optional.of(registration("i-1", false)), 3, SETTLED);
+        assertThat(fleet.find("i-1")).isPresent();
+    }
+
     private static LoadReport reportOf(Fleet peer, long nowMillis) {
         return TestReports.of(List.of(), peer.removedTargets(nowMillis));
     }
