Let a repeat live as long as an answer is expected

Repeats came after 200, 350 and 500 ms, and each closed the one before it. If the first connection was silent and answers took more than 150 ms, the first two repeats were closed before theirs came, and only the last was answered: after 500 ms and the time of the answer, where ReadTiming reserves 200 ms and that time.

Two repeats may now await an answer beside the first attempt. The third comes after 550 ms and closes the earliest, which has lived 350 ms by then; an answer is expected within 300. The first attempt lives on.

Tests, each failing before: in RepeatingCallClientTest, with a silent first connection and answers after 200 ms, the attempt that was answered was made after 547 ms, now before the second repeat. ReadTimingTest's model ends repeats as the client does, with answers of 300 ms on one silent connection and 150 ms on two: a record was in force after more than a bound of 1,000 ms.

The test of the attempts in flight expects three in place of two, since two can't do it: with two in silent connections the third repeat would have to wait until the second had its time. It checks each step against MAX_IN_FLIGHT, and that the earliest repeat is closed.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/topics/RepeatPolicy.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/topics/RepeatPolicy.java
@@ -1,5 +1,6 @@
 package org.rattanrudder.core.topics;
 
+import java.util.List;
 import java.util.OptionalLong;
 
 /**
@@ -9,17 +10,27 @@
  * answers slowly gets calls more than once, see {@link RepeatSchedule}. All times are in ms.
  */
 public final class RepeatPolicy {
-    /** Maximum number of times a call is made, the first included: several connections in a row may be silent. */
-    public static final int MAX_CALLS = 4;
-
-    /** Maximum number of a call's attempts that await an answer: a further repeat ends the one before it. */
-    public static final int MAX_IN_FLIGHT = 2;
+    /**
+     * Maximum number of a call's attempts that await an answer: the first, and two repeats. A further repeat ends the
+     * earliest one, which has had its time for an answer by then.
+     */
+    public static final int MAX_IN_FLIGHT = 3;
 
     /** Time from which a call's answer is late. */
     static final long LATE_ANSWER_MILLIS = 200;
 
-    /** Time between two repeats. */
-    static final long REPEAT_INTERVAL_MILLIS = 150;
+    /** Time from the first repeat to the second. */
+    private static final long SECOND_REPEAT_MILLIS = 150;
+
+    /** Time from the first repeat, which the third one ends, to the third. */
+    private static final long THIRD_REPEAT_MILLIS = ReadTiming.ANSWER_MILLIS + 50;
+
+    /** When repeats are made, counted from the first call. */
+    private static final List<Long> REPEATS_AFTER_MILLIS = List.of(
+            LATE_ANSWER_MILLIS, LATE_ANSWER_MILLIS + SECOND_REPEAT_MILLIS, LATE_ANSWER_MILLIS + THIRD_REPEAT_MILLIS);
+
+    /** Maximum number of times a call is made, the first included: several connections in a row may be silent. */
+    public static final int MAX_CALLS = 1 + REPEATS_AFTER_MILLIS.size();
 
     private RepeatPolicy() {}
 
@@ -29,8 +40,6 @@
      * @param calls how many times it was made
      */
     public static OptionalLong repeatAfterMillis(int calls) {
-        return calls < MAX_CALLS
-                ? OptionalLong.of(LATE_ANSWER_MILLIS + (calls - 1) * REPEAT_INTERVAL_MILLIS)
-                : OptionalLong.empty();
+        return calls < MAX_CALLS ? OptionalLong.of(REPEATS_AFTER_MILLIS.get(calls - 1)) : OptionalLong.empty();
     }
 }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/net/RepeatingCallClient.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/net/RepeatingCallClient.java
@@ -16,8 +16,8 @@
  * is late.
  *
  * <p>The first usable answer counts; its connection is kept for the next call, and the others are closed. A refusal
- * counts only once no other answer is awaited. The first attempt and one repeat at most await an answer: a further
- * repeat closes the connection of the one before it.
+ * counts only once no other answer is awaited. Few attempts await an answer at a time: a further repeat closes the
+ * connection of the earliest one, and the first attempt lives on, as a slow store answers it first.
  */
 public final class RepeatingCallClient implements AutoCloseable {
     private static final int TOO_MANY_REQUESTS = 429;
@@ -86,11 +86,16 @@
             return;
         }
         if (inFlight.size() == clients.size()) {
-            inFlight.remove(inFlight.size() - 1).close();
+            inFlight.remove(earliestRepeat()).close();
         }
         clients.stream().filter(client -> !client.isBusy()).findFirst().ifPresent(client -> make(client, true));
     }
 
+    /** Returns the index of the earliest repeat in flight; a first attempt that has failed is no longer there. */
+    private int earliestRepeat() {
+        return inFlight.get(0) == kept ? 1 : 0;
+    }
+
     private void make(HttpCallClient client, boolean repeated) {
         Pending current = pending;
         Moment now = clock.get();
