Keep a lease's longer term after one fast append, and the usual one after one lost answer

One fast append cut the term to the usual one, so that the next slow append used it up: in a play before a store whose places are held (22 relays, 64 calls at a time) each group of engines took two leases, one of 1.7 to 2.8 s without an order and one for the orders. And a single lost answer doubled the term, for which others wait if the holder ends. The term now goes half way back after a fast append, and doubles after two appends without an answer.

OrderLeaseTest.oneFastAppendDoesNotCutTheTerm and oneLostAnswerDoesNotExtendTheTerm say so.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/rollout/OrderLease.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/rollout/OrderLease.java
@@ -38,6 +38,7 @@
     private String lastHolder = "";
     private long othersUntil = Long.MIN_VALUE / 2;
     private long termMillis = LEASE_MILLIS;
+    private boolean lastUnanswered;
     private long fencingToken = -1;
     private long heldUntil = Long.MIN_VALUE / 2;
 
@@ -112,9 +113,12 @@
     public void onAppended(long offset, LeaseRecord record, Moment sentAt, Moment now) {
         advanceTo(offset + 1);
         fencingToken = offset;
+        lastUnanswered = false;
         heldUntil = sentAt.atMostMillis() + record.termMillis();
         long taken = now.atMostMillis() - sentAt.atMostMillis();
-        termMillis = taken <= USUAL_APPEND_MILLIS ? LEASE_MILLIS : Math.min(MAX_LEASE_MILLIS, LEASE_MILLIS + taken);
+        long needed = taken <= USUAL_APPEND_MILLIS ? LEASE_MILLIS : Math.min(MAX_LEASE_MILLIS, LEASE_MILLIS + taken);
+        // One append that was fast doesn't show that the next one will be.
+        termMillis = Math.max(needed, (termMillis + LEASE_MILLIS) / 2);
     }
 
     /** Handles a failed append: another process has written a record at the expected offset. */
@@ -123,10 +127,13 @@
         heldUntil = Long.MIN_VALUE / 2;
     }
 
-    /** Handles an append without an answer: it may have been carried out, and the next one gets more time. */
+    /** Handles an append without an answer, which may have been carried out; a second one shows that appends are slow. */
     public void onUnanswered() {
         onConflict();
-        termMillis = Math.min(MAX_LEASE_MILLIS, 2 * termMillis);
+        if (lastUnanswered) {
+            termMillis = Math.min(MAX_LEASE_MILLIS, 2 * termMillis);
+        }
+        lastUnanswered = true;
     }
 
     /** Returns whether this process may send orders now. */
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/rollout/OrderLeaseTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/rollout/OrderLeaseTest.java
@@ -185,6 +185,29 @@
         assertThat(lease.isHeld(at(now + 100))).isTrue();
     }
 
+    /** Every other append was slow, and each of those took up the whole term, which the fast one before it had cut. */
+    @Test
+    void oneFastAppendDoesNotCutTheTerm() {
+        OrderLease lease = started("a", 0);
+        lease.advanceTo(0);
+        lease.onAppended(0, record("a-0"), at(0), at(1_900));
+        long slowTerm = lease.termMillis();
+        lease.onAppended(1, record("a-0"), at(2_000), at(2_010));
+
+        assertThat(slowTerm).isEqualTo(OrderLease.LEASE_MILLIS + 1_900);
+        assertThat(lease.termMillis()).isBetween(OrderLease.LEASE_MILLIS + 900, slowTerm);
+    }
+
+    /** A single answer was lost: a longer term would only make others wait if the holder ends. */
+    @Test
+    void oneLostAnswerDoesNotExtendTheTerm() {
+        OrderLease lease = started("a", 0);
+        lease.advanceTo(0);
+        lease.onUnanswered();
+
+        assertThat(lease.termMillis()).isEqualTo(OrderLease.LEASE_MILLIS);
+    }
+
     /** An append of a process, which the store carries out some time after it was sent, and answers later. */
     private record Append(LeaseRecord record, long offset, long sentAt, long carriedOutAt, long answeredAt) {
         long givenUpAt() {
