--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/rollout/RolloutCoordinator.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/rollout/RolloutCoordinator.java
@@ -77,7 +77,7 @@
         lease = new OrderLease(place, holder, state.settings().bounds().leaseMillis());
         orders = new OrderSender(state, selfReports, lease, rolloutLog);
         follower = new TopicFollower(state, Topic.ORDERS, PollIntervals.RARE, InitialRead.KEPT, new LeaseListener());
-        appendClient = new HttpCallClient(state.connector(), state.heldBytes(), state::store);
+        appendClient = new HttpCallClient(state.connector(), state.heldBytes(), state::store, state.storeCalls());
     }
 
     /** Starts to read the lease's log and to check for pending rollouts. */
@@ -121,6 +121,9 @@
     private void poll() {
         List<PendingRollout> pending = pendingRollouts();
         logBehind(pending);
+        if (!pending.isEmpty()) {
+            follower.pollWithin(PollIntervals.pendingMillis(state.fleet().livePeerCount(state.nowMillis())));
+        }
         if (!pending.isEmpty() && !state.isDraining()) {
             advance(pending);
         }
