Keep to the usual term of a lease beside an instance of an earlier release

A process of an earlier release waits for the usual term of 1,200 ms from its read of a record, whatever term the record names. In a rolling upgrade a holder with slow appends extended its term to as much as 3,200 ms, and its last orders went out within the handover time of the next holder's.

A record now says whether it names a term; while the newest record of any other instance names none, the own term is the usual one. An instance that writes with a term again, being upgraded, no longer counts.

An instance of an earlier release that has written no record that is retained isn't known, and still isn't heeded.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/rollout/LeaseRecord.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/rollout/LeaseRecord.java
@@ -1,16 +1,28 @@
 package org.rattanrudder.core.rollout;
 
 import java.util.List;
+import java.util.OptionalLong;
 
 /**
  * A log record that acquires or renews the lease; its log offset is the fencing token.
  *
  * @param holder the process that wrote it; a restarted process has another name
- * @param termMillis for how long the holder may send orders from when it sent this record, in ms
+ * @param namedTermMillis for how long the holder may send orders from when it sent this record, in ms; empty if it was
+ *     written by an earlier release, which knows the usual term alone
  * @param loading ids of the engines that are loading weights by order of the holder
  */
-public record LeaseRecord(String holder, long termMillis, List<String> loading) {
+public record LeaseRecord(String holder, OptionalLong namedTermMillis, List<String> loading) {
     public LeaseRecord {
         loading = List.copyOf(loading);
     }
+
+    /** Creates a record that names its term, in ms. */
+    public LeaseRecord(String holder, long termMillis, List<String> loading) {
+        this(holder, OptionalLong.of(termMillis), loading);
+    }
+
+    /** Returns the term that the record names, or the usual one, in ms. */
+    public long termMillis() {
+        return namedTermMillis.orElse(OrderLease.LEASE_MILLIS);
+    }
 }
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/rollout/OrderLease.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/rollout/OrderLease.java
@@ -1,5 +1,7 @@
 package org.rattanrudder.core.rollout;
 
+import java.util.HashSet;
+import java.util.Set;
 import org.rattanrudder.core.time.Moment;
 
 /**
@@ -12,7 +14,8 @@
  * longest time that may have passed, the others count the shortest.
  *
  * <p>An append uses up the term. So the term is longer while appends are slow: otherwise it would be over whenever one
- * is answered, and nobody could send orders.
+ * is answered, and nobody could send orders. It is the usual one while another instance is known whose newest record
+ * names no term: its release waits for the usual term only.
  */
 public final class OrderLease {
     /** The usual term: each renewal costs a write, and a crashed holder delays a rollout by this time. */
@@ -33,6 +36,10 @@
     private final String instance;
     private final String self;
     private final long handoverMillis;
+
+    /** Instances whose newest record names no term. */
+    private final Set<String> instancesWithoutTerms = new HashSet<>();
+
     private long end;
     private boolean endKnown;
     private String lastHolder = "";
@@ -67,6 +74,7 @@
         if (record.holder().equals(self)) {
             return;
         }
+        noteTermOf(record);
         // Once it is succeeded, an earlier process of the instance sends no orders: there is nothing to wait for.
         boolean earlier = isEarlierProcess(record.holder());
         lastHolder = earlier ? "" : record.holder();
@@ -78,9 +86,21 @@
         }
     }
 
+    private void noteTermOf(LeaseRecord record) {
+        if (record.namedTermMillis().isEmpty() && !isEarlierProcess(record.holder())) {
+            instancesWithoutTerms.add(instanceOf(record.holder()));
+        } else {
+            instancesWithoutTerms.remove(instanceOf(record.holder()));
+        }
+    }
+
     private boolean isEarlierProcess(String holder) {
+        return instanceOf(holder).equals(instance) && !holder.equals(instance);
+    }
+
+    private static String instanceOf(String holder) {
         int hyphen = holder.lastIndexOf('-');
-        return hyphen >= 0 && holder.substring(0, hyphen).equals(instance);
+        return hyphen < 0 ? holder : holder.substring(0, hyphen);
     }
 
     /** Returns whether to append a record, to acquire or renew the lease. */
@@ -101,7 +121,7 @@
 
     /** Returns the term that the next record names, in ms. */
     public long termMillis() {
-        return termMillis;
+        return instancesWithoutTerms.isEmpty() ? termMillis : LEASE_MILLIS;
     }
 
     /**
@@ -127,7 +147,7 @@
         heldUntil = Long.MIN_VALUE / 2;
     }
 
-    /** Handles an append without an answer, which may have been carried out; a second one shows that appends are slow. */
+    /** Handles an append without an answer, which may have been carried out; a second one shows a slow store. */
     public void onUnanswered() {
         onConflict();
         if (lastUnanswered) {
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/rollout/OrderLeaseTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/rollout/OrderLeaseTest.java
@@ -4,7 +4,9 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.Random;
+import java.util.function.UnaryOperator;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
@@ -239,14 +241,25 @@
         private final OrderLease lease;
         private final SlowStore store;
         private final Random random;
+        private final UnaryOperator<LeaseRecord> asRead;
         private Append inFlight;
         private int read;
 
         SlowAppender(String instance, SlowStore store, Random random) {
+            this(instance, store, random, UnaryOperator.identity());
+        }
+
+        SlowAppender(String instance, SlowStore store, Random random, UnaryOperator<LeaseRecord> asRead) {
             name = instance + "-0";
             lease = started(instance, 0);
             this.store = store;
             this.random = random;
+            this.asRead = asRead;
+        }
+
+        /** Creates a process that neither reads nor writes terms. */
+        static SlowAppender ofEarlierRelease(String instance, SlowStore store, Random random) {
+            return new SlowAppender(instance, store, random, OrderLeaseTest::withoutTerm);
         }
 
         void hearAnswer(long now) {
@@ -265,7 +278,7 @@
 
         void readLog(long now) {
             for (; read < store.log.size(); read++) {
-                lease.onRecord(read, store.log.get(read), at(now));
+                lease.onRecord(read, asRead.apply(store.log.get(read)), at(now));
             }
             lease.advanceTo(read);
         }
@@ -276,7 +289,7 @@
             }
             long carriedOutAt = now + random.nextInt(random.nextInt(4) == 0 ? 6_000 : 400);
             long answeredAt = carriedOutAt + random.nextInt(2_000);
-            LeaseRecord record = new LeaseRecord(name, lease.termMillis(), List.of());
+            LeaseRecord record = asRead.apply(new LeaseRecord(name, lease.termMillis(), List.of()));
             inFlight = new Append(record, lease.appendOffset(), now, carriedOutAt, answeredAt);
             store.received.add(inFlight);
         }
@@ -290,8 +303,43 @@
     void holdersWithSlowAppendsNeverSendOrdersBesideTheirSuccessors(@ForAll long seed) {
         Random random = new Random(seed);
         SlowStore store = new SlowStore();
-        List<SlowAppender> processes =
-                List.of(new SlowAppender("a", store, random), new SlowAppender("b", store, random));
+        assertThatTurnsAreApart(
+                store, List.of(new SlowAppender("a", store, random), new SlowAppender("b", store, random)), random);
+    }
+
+    /**
+     * In a rolling upgrade, a process of an earlier release waits for the usual term only. One that had written to the
+     * log sent orders within the handover time of a holder with a longer term.
+     */
+    @Property(tries = 2_000)
+    void holderBesideAnEarlierReleaseKeepsToTheUsualTerm(@ForAll long seed) {
+        Random random = new Random(seed);
+        SlowStore store = new SlowStore();
+        store.log.add(withoutTerm(record("b-earlier")));
+        assertThatTurnsAreApart(
+                store,
+                List.of(new SlowAppender("a", store, random), SlowAppender.ofEarlierRelease("b", store, random)),
+                random);
+    }
+
+    private static LeaseRecord withoutTerm(LeaseRecord record) {
+        return new LeaseRecord(record.holder(), OptionalLong.empty(), record.loading());
+    }
+
+    /** The earlier release's instance is upgraded: it waits for the whole term now. */
+    @Test
+    void termIsExtendedAgainOnceTheOtherInstanceNamesItsTerm() {
+        OrderLease lease = started("a", 0);
+        lease.onRecord(0, withoutTerm(record("b-0")), at(0));
+        lease.onAppended(1, record("a-0"), at(10_000), at(11_900));
+        long besideEarlierRelease = lease.termMillis();
+        lease.onRecord(2, record("b-1"), at(20_000));
+
+        assertThat(besideEarlierRelease).isEqualTo(OrderLease.LEASE_MILLIS);
+        assertThat(lease.termMillis()).isEqualTo(OrderLease.LEASE_MILLIS + 1_900);
+    }
+
+    private static void assertThatTurnsAreApart(SlowStore store, List<SlowAppender> processes, Random random) {
         long[] lastOrder = {Long.MIN_VALUE / 2, Long.MIN_VALUE / 2};
         long now = 0;
         for (int step = 0; step < 300; step++) {
