Take weights whose version is unread for unknown, not for unpublished

An engine may have the newest version before a relay has read that it was published: it starts with it, and entries and desired versions are polled apart. Since such a version counted as unpublished, the relay ordered the engine back to older weights, sent it nothing, and asked an engine whose responses named it for the older version of its entry.

A version above the newest known one now counts with its claim until a read of the desired versions that began after it was first claimed has gone to the end without it; the claim asks for that read, once a second at most. From then on it counts as unknown until it is published, however often it is claimed.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Fleet.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Fleet.java
@@ -12,7 +12,6 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.Predicate;
-import java.util.function.ToLongFunction;
 import org.rattanrudder.core.continuation.SoftwareHistory;
 import org.rattanrudder.core.fleet.LoadReport.LeavingTarget;
 import org.rattanrudder.core.fleet.LoadReport.RemovedTarget;
@@ -60,7 +59,7 @@
     private final Evacuations evacuations = new Evacuations();
     private final SoftwareHistory software = new SoftwareHistory();
     private final LogAvailability log = new LogAvailability();
-    private final ToLongFunction<String> newestServable;
+    private final PublishedVersions published;
 
     /** Whether all targets that were registered at this relay's start are known. */
     private boolean listed;
@@ -85,16 +84,16 @@
 
     /** Creates a registry without targets that takes for true whatever weights are said to be served. */
     public Fleet() {
-        this(model -> Long.MAX_VALUE);
+        this(PublishedVersions.ANY);
     }
 
     /**
      * Creates a registry without targets.
      *
-     * @param newestServable returns the newest version of a model's weights that a target can serve
+     * @param published what is known of the published versions of weights
      */
-    public Fleet(ToLongFunction<String> newestServable) {
-        this.newestServable = newestServable;
+    public Fleet(PublishedVersions published) {
+        this.published = published;
     }
 
     /** Handles that the log has become unavailable. */
@@ -175,12 +174,7 @@
         boolean started = listed && (target == null || restarted);
         if (target == null || restarted) {
             target = new Target(
-                    registration,
-                    noticesOf(registration),
-                    peers,
-                    sharing,
-                    capacity(registration.service()),
-                    newestServable);
+                    registration, noticesOf(registration), peers, sharing, capacity(registration.service()), published);
             targets.put(registration.id(), target);
         } else {
             target.update(registration);
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/ServedVersions.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/ServedVersions.java
@@ -3,13 +3,12 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.ToLongFunction;
 import org.rattanrudder.core.fleet.LoadReport.ServedWeights;
 
 /**
  * The versions of models' weights that one target is known to serve, by its registration and by what was seen since.
  *
- * <p>A version that was never published counts as unknown, whoever has told it.
+ * <p>A version that was never published counts as unknown, whoever has told it. Until a read shows that, it counts.
  */
 final class ServedVersions {
     private final Map<String, Long> confirmed = new HashMap<>();
@@ -17,29 +16,29 @@
     /** Versions that the target was seen to serve before they were known to be published. */
     private final Map<String, Long> unpublished = new HashMap<>();
 
-    private final ToLongFunction<String> newestServable;
+    private final PublishedVersions published;
     private TargetRegistration registration;
     private long confirmedAt = Long.MIN_VALUE / 2;
 
     /**
      * Creates the versions of a target.
      *
-     * @param newestServable returns the newest version of a model's weights that a target can serve
+     * @param published what is known of the published versions of weights
      */
-    ServedVersions(TargetRegistration registration, ToLongFunction<String> newestServable) {
+    ServedVersions(TargetRegistration registration, PublishedVersions published) {
         this.registration = registration;
-        this.newestServable = newestServable;
+        this.published = published;
+        registration.weights().forEach(published::onClaimed);
     }
 
     /** Returns the version of a model that the target serves; 0 if unknown. */
     long version(String model) {
-        long newest = newestServable.applyAsLong(model);
-        long seen = Math.max(confirmed.getOrDefault(model, 0L), servable(unpublished.getOrDefault(model, 0L), newest));
-        return Math.max(servable(registered(registration, model), newest), seen);
+        long seen = Math.max(confirmed.getOrDefault(model, 0L), credible(model, unpublished.getOrDefault(model, 0L)));
+        return Math.max(credible(model, registered(registration, model)), seen);
     }
 
-    private static long servable(long version, long newest) {
-        return version <= newest ? version : 0;
+    private long credible(String model, long version) {
+        return published.mayBePublished(model, version) ? version : 0;
     }
 
     private static long registered(TargetRegistration registration, String model) {
@@ -58,25 +57,24 @@
 
     /** Applies a newer registration; returns whether it lists a newer version. */
     boolean update(TargetRegistration newest) {
+        newest.weights().forEach(published::onClaimed);
         boolean newer = newest.weights().entrySet().stream()
-                .anyMatch(served -> servable(served.getValue(), newestServable.applyAsLong(served.getKey()))
-                        > version(served.getKey()));
+                .anyMatch(served -> credible(served.getKey(), served.getValue()) > version(served.getKey()));
         registration = newest;
         return newer;
     }
 
     /** Records a version that the target was seen to serve; returns whether it is newer. */
     boolean confirm(String model, long version, long nowMillis) {
-        if (version > newestServable.applyAsLong(model)) {
-            unpublished.put(model, version);
-            return false;
+        published.onClaimed(model, version);
+        boolean newer = credible(model, version) > version(model);
+        if (!published.isPublished(model, version)) {
+            unpublished.merge(model, version, (known, seen) -> newer || credible(model, known) == 0 ? seen : known);
+        } else if (newer) {
+            confirmed.put(model, version);
+            confirmedAt = nowMillis;
         }
-        if (version <= version(model)) {
-            return false;
-        }
-        confirmed.put(model, version);
-        confirmedAt = nowMillis;
-        return true;
+        return newer;
     }
 
     /** Returns all confirmed versions if any was confirmed since the given time. */
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Target.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Target.java
@@ -4,7 +4,6 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
-import java.util.function.ToLongFunction;
 import org.rattanrudder.core.continuation.StreamOrigin;
 import org.rattanrudder.core.fleet.FirstEventSample.CapacityAtSend;
 import org.rattanrudder.core.fleet.LoadReport.SeenRateLimit;
@@ -63,7 +62,7 @@
     /**
      * Creates a target that peers may have requests at, with the capacity of its service's targets.
      *
-     * @param newestServable returns the newest version of a model's weights that a target can serve
+     * @param published what is known of the published versions of weights
      */
     Target(
             TargetRegistration registration,
@@ -71,12 +70,12 @@
             PeerLoads peers,
             TargetSharing sharing,
             ServiceCapacity service,
-            ToLongFunction<String> newestServable) {
+            PublishedVersions published) {
         this.registration = registration;
         this.notices = notices;
         this.peers = peers;
         this.sharing = sharing;
-        versions = new ServedVersions(registration, newestServable);
+        versions = new ServedVersions(registration, published);
         idHash = Hashing.of(registration.id());
         capacity = new TargetCapacity(service, registration.slots());
     }
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/rollout/DesiredVersions.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/rollout/DesiredVersions.java
@@ -87,6 +87,11 @@
         lastReadAskedAt = Math.max(lastReadAskedAt, askedAtMillis);
     }
 
+    /** Returns whether a read that began after a time has returned all records that were there. */
+    boolean isReadSince(long millis) {
+        return lastReadAskedAt > millis;
+    }
+
     /** Adds a version that was read; returns whether it is the newest. */
     public boolean add(String model, long version, long nowMillis) {
         TreeMap<Long, Since> versions = sinceByModel.computeIfAbsent(model, unseen -> new TreeMap<>());
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/RelayState.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/RelayState.java
@@ -29,6 +29,7 @@
 import org.rattanrudder.core.parts.PartDirectory;
 import org.rattanrudder.core.parts.RetiredWeights;
 import org.rattanrudder.core.quarantine.Quarantine;
+import org.rattanrudder.core.rollout.ClaimedVersions;
 import org.rattanrudder.core.rollout.DesiredVersions;
 import org.rattanrudder.core.rollout.VersionExchange;
 import org.rattanrudder.core.rollout.WeightsAdmission;
@@ -69,7 +70,8 @@
     private final CallsInFlight storeCalls = new CallsInFlight();
     private final RandomGenerator random;
     private final DesiredVersions weights = new DesiredVersions();
-    private final Fleet fleet = new Fleet(weights::newestServable);
+    private final ClaimedVersions claimedWeights = new ClaimedVersions(weights, this::atMostMillis);
+    private final Fleet fleet = new Fleet(claimedWeights);
     private final PermitShares permitShares = new PermitShares();
     private final WarmUpAdmission warmUps = new WarmUpAdmission(fleet.evacuations(), permitShares);
     private final RateLimitAdmission rateLimits = new RateLimitAdmission(permitShares);
@@ -351,6 +353,11 @@
         return weightsAdmission;
     }
 
+    /** Returns the weights that engines are said to serve and that aren't known to be published. */
+    public ClaimedVersions claimedWeights() {
+        return claimedWeights;
+    }
+
     /** Returns what asks peers for the times of desired versions of weights. */
     public VersionExchange versionExchange() {
         return versionExchange;
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/StoreTopics.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/StoreTopics.java
@@ -42,6 +42,7 @@
                 new DesiredStateListener(
                         state, queues, storeWatches, onConfiguration, onNewWeights, onConfigurationsMissed),
                 state.desiredStateRead());
+        state.claimedWeights().setRead(desiredState::pollNow);
         desiredStateConfirmation =
                 new TopicConfirmation(state, Topic.DESIRED_STATE, desiredState::readOffset, desiredState::pollNow);
         registrations = new TargetRegistrations(state);
