Let a peer's word that was in vain lead to one poll a second at most

A peer may be ahead of the store for good, as after the store has come back older. Each of its reports, many a second, led to a poll that found nothing; while polls were held for a second, that bounded them. Once a poll that a peer's word has brought forward finds no record, the next such one follows a second after its answer, until one finds a record.

ForgottenRecordsTest on the code before: six calls within 26 ms of the second one (5,000 ms at least asked for). It holds now, 7 of 7, as do PollScheduleTest, 24 of 24, and CrowdedStoreTest, 2 of 2.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/PollSchedule.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/PollSchedule.java
@@ -17,6 +17,9 @@
     /** The shortest part of the interval after a poll that was brought forward. */
     private static final double MIN_SPREAD_SHARE = 0.5;
 
+    /** Minimum time between an answer and the next poll if a peer's word has led to a poll that found no record. */
+    private static final long VAIN_HINT_GAP_MILLIS = 1_000;
+
     private final PollIntervals intervals;
     private final LongToIntFunction livePeers;
     private final DoubleSupplier random;
@@ -24,6 +27,8 @@
     private long answeredAt;
     private long nextPollAt;
     private boolean together = true;
+    private boolean hinted;
+    private boolean hintedInVain;
 
     /** Time until which an unread record is expected to exist. */
     private long expectingUntil = Long.MIN_VALUE / 2;
@@ -48,6 +53,8 @@
     /** Records that the last poll has returned records, so that none is expected any more. */
     void onRecordsFound() {
         expectingUntil = polledAt;
+        hinted = false;
+        hintedInVain = false;
     }
 
     /**
@@ -57,6 +64,8 @@
      */
     long onAnswered(long askedAt, long now) {
         answeredAt = now;
+        hintedInVain |= hinted;
+        hinted = false;
         nextPollAt = Math.max(now + MIN_GAP_MILLIS, askedAt + nextIntervalMillis(now));
         together = false;
         return nextPollAt - now;
@@ -77,11 +86,16 @@
         return intervals.intervalMillis().applyAsLong(livePeers.applyAsInt(now));
     }
 
-    /** Brings the next poll forward, as a peer has read a record that was not read here; returns the time until it. */
+    /**
+     * Brings the next poll forward, as a peer has read a record that was not read here; returns the time until it. A
+     * peer may be ahead for good, since the store has lost records; then its word leads to few polls.
+     */
     long onHint(long now) {
         long wanted = PollIntervals.hintedGapMillis(livePeers.applyAsInt(now));
-        together = true;
-        nextPollAt = Math.min(nextPollAt, answeredAt + wanted);
+        long gap = hintedInVain ? Math.max(wanted, VAIN_HINT_GAP_MILLIS) : wanted;
+        together = !hintedInVain;
+        hinted = true;
+        nextPollAt = Math.min(nextPollAt, answeredAt + gap);
         return Math.max(0, nextPollAt - now);
     }
 
--- a/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/store/PollScheduleTest.java
+++ b/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/store/PollScheduleTest.java
@@ -70,6 +70,22 @@
         assertThat(schedule.onHint(NOW + sinceAnswerMillis)).isEqualTo(delayMillis);
     }
 
+    /** Guards against a poll for each report of a peer that is ahead of the store for good. */
+    @ParameterizedTest
+    @CsvSource({"false, 1000", "true, 0"})
+    void hintsLeadToFewPollsOnceOneWasInVain(boolean found, long delayMillis) {
+        PollSchedule schedule = steady(2);
+        schedule.onAnswered(NOW, NOW);
+        schedule.onHint(NOW);
+        schedule.onPoll(NOW);
+        if (found) {
+            schedule.onRecordsFound();
+        }
+        schedule.onAnswered(NOW, NOW);
+
+        assertThat(schedule.onHint(NOW)).isEqualTo(delayMillis);
+    }
+
     /** Guards against relays that poll at the same time from then on, as at a start: then none reads early. */
     @ParameterizedTest
     @CsvSource({"0, 6000", "0.5, 9000", "1, 12000"})
