Spread the retries of relays, and retry rare topics less often

After an outage, or a common start, all relays retried in phase, and rare topics as often as urgent ones: each after 50 to 800 ms, so that three of a relay's five retries were for topics that are polled each 12 s otherwise.

A delay below the limit is now chosen at random between the old one and twice that, so that relays come apart before they reach the limit. The limit stays at 800 ms for topics with a bound, as the sums of ReadTimingTest need it, and is 3,200 ms for rare ones; the first retry comes after 50 to 100 ms for both.

The calls saved in an outage were not measured.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/PollIntervals.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/PollIntervals.java
@@ -10,8 +10,9 @@
  *
  * @param intervalMillis the time from a poll to the next one, in ms, by the number of peers
  * @param maxCalls how many times a poll is made at most while its answer is late, the first included
+ * @param maxBackOffMillis limit of the time until a call that has failed is retried, in ms
  */
-public record PollIntervals(IntToLongFunction intervalMillis, int maxCalls) {
+public record PollIntervals(IntToLongFunction intervalMillis, int maxCalls, long maxBackOffMillis) {
     /** With more peers than this, records written in quick succession are read in one answer. */
     private static final int FEW_PEERS = 8;
 
@@ -20,6 +21,8 @@
     private static final long MAX_PROMPT_MILLIS = 1_500;
     private static final long MAX_BATCHED_MILLIS = 2_400;
     private static final long RARE_MILLIS = 12_000;
+    private static final long MAX_PROMPT_BACK_OFF_MILLIS = 800;
+    private static final long MAX_RARE_BACK_OFF_MILLIS = 3_200;
 
     /** Minimum time between an answer and the next poll, with many peers of which one has read a newer record. */
     private static final long HINTED_GAP_MILLIS = 500;
@@ -29,7 +32,7 @@
     private static final long MAX_PENDING_MILLIS = 1_000;
 
     /** For records that are written rarely and may be received late, unless something tells of them. */
-    public static final PollIntervals RARE = new PollIntervals(peers -> RARE_MILLIS, 1);
+    public static final PollIntervals RARE = new PollIntervals(peers -> RARE_MILLIS, 1, MAX_RARE_BACK_OFF_MILLIS);
 
     /**
      * For records that must be in force within a bound.
@@ -56,7 +59,8 @@
                 peers -> ReadTiming.intervalMillis(
                         boundMillis.getAsLong(),
                         Math.min(maxMillis, MIN_PROMPT_MILLIS + PROMPT_MILLIS_PER_PEER * peers)),
-                RepeatPolicy.MAX_CALLS);
+                RepeatPolicy.MAX_CALLS,
+                MAX_PROMPT_BACK_OFF_MILLIS);
     }
 
     /**
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/StoreAvailability.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/StoreAvailability.java
@@ -7,15 +7,17 @@
 final class StoreAvailability {
     private final EventLog log;
     private final Topic topic;
+    private final BackOff backOff;
     private final TopicListener listener;
     private boolean available = true;
     private boolean answeredOnce;
     private int consecutiveFailures;
 
     /** Creates a record of no calls; {@code listener} is told how each call has ended. */
-    StoreAvailability(EventLog log, Topic topic, TopicListener listener) {
+    StoreAvailability(EventLog log, Topic topic, BackOff backOff, TopicListener listener) {
         this.log = log;
         this.topic = topic;
+        this.backOff = backOff;
         this.listener = listener;
     }
 
@@ -48,7 +50,7 @@
         }
         available = false;
         listener.onUnavailable();
-        long pause = BackOff.millis(consecutiveFailures);
+        long pause = backOff.millis(consecutiveFailures);
         consecutiveFailures++;
         return pause;
     }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicFollower.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicFollower.java
@@ -32,6 +32,7 @@
     private final PollSchedule schedule;
     private final RecordDelivery delivery;
     private final StoreAvailability availability;
+    private final BackOff backOff;
     private int consecutiveTruncations;
     private int repeatedListings;
     private final ReadFreshness freshness;
@@ -74,7 +75,8 @@
         position = new TopicPosition(reading);
         schedule = new PollSchedule(intervals, state.fleet()::livePeerCount, state.random()::nextDouble);
         delivery = new RecordDelivery(state, topic, position.isKeyed(), listener);
-        availability = new StoreAvailability(state.log(), topic, listener);
+        backOff = new BackOff(intervals.maxBackOffMillis(), state.random()::nextDouble);
+        availability = new StoreAvailability(state.log(), topic, backOff, listener);
         this.freshness = freshness;
     }
 
@@ -206,7 +208,7 @@
             repeatedListings = 0;
             return false;
         }
-        timer.reschedule(this::start, BackOff.millis(repeatedListings));
+        timer.reschedule(this::start, backOff.millis(repeatedListings));
         repeatedListings++;
         return true;
     }
@@ -235,7 +237,7 @@
     }
 
     private long truncationPauseMillis() {
-        return consecutiveTruncations == 0 ? 0 : BackOff.millis(consecutiveTruncations - 1);
+        return consecutiveTruncations == 0 ? 0 : backOff.millis(consecutiveTruncations - 1);
     }
 
     /**
--- a/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/store/PollScheduleTest.java
+++ b/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/store/PollScheduleTest.java
@@ -9,7 +9,7 @@
 
 class PollScheduleTest {
     private static final long INTERVAL_MILLIS = 12_000;
-    private static final PollIntervals INTERVALS = new PollIntervals(peers -> INTERVAL_MILLIS, 1);
+    private static final PollIntervals INTERVALS = new PollIntervals(peers -> INTERVAL_MILLIS, 1, 800);
     private static final long NOW = 100_000;
 
     private static PollSchedule schedule(int peers, double random) {
