Wait for another holder of the lease though a record names an earlier process

A record whose holder is named like an earlier process of the own instance ended every wait, since such a process, when it wrote, had waited for those before it. That holds for what is in the log when a process starts. A record that is read later isn't one of an earlier process that is alive; an odd one let this process take the lease at once beside a holder that went on until it read of it.

Such a record ends waits only until the log has been read to its end once. OrderLeaseTest.recordNamedLikeAnEarlierProcessDoesNotEndTheWaitForTheHolder failed before: no other holder was known ("" for "b-0"). instanceThatRestartsDoesNotWaitForTheHolderBeforeItsEarlierProcess holds before and after. An odd record that is in the log at the start still ends the wait: it can't be told from a real one.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/rollout/OrderLease.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/rollout/OrderLease.java
@@ -42,6 +42,7 @@
 
     private long end;
     private boolean endKnown;
+    private boolean caughtUp;
     private String lastHolder = "";
     private long othersUntil = Long.MIN_VALUE / 2;
     private long termMillis = LEASE_MILLIS;
@@ -68,6 +69,11 @@
         endKnown = true;
     }
 
+    /** Records that all records were read that existed when this process started. */
+    public void onCaughtUp() {
+        caughtUp = true;
+    }
+
     /** Handles a record that was read. */
     public void onRecord(long offset, LeaseRecord record, Moment now) {
         advanceTo(offset + 1);
@@ -75,12 +81,15 @@
             return;
         }
         noteTermOf(record);
-        // Once it is succeeded, an earlier process of the instance sends no orders: there is nothing to wait for.
-        boolean earlier = isEarlierProcess(record.holder());
-        lastHolder = earlier ? "" : record.holder();
-        long term = Math.min(record.termMillis(), MAX_LEASE_MILLIS);
-        long until = now.atLeastMillis() + term + handoverMillis + CLOCK_MARGIN_MILLIS;
-        othersUntil = earlier ? Long.MIN_VALUE / 2 : Math.max(othersUntil, until);
+        if (!isEarlierProcess(record.holder())) {
+            long term = Math.min(record.termMillis(), MAX_LEASE_MILLIS);
+            lastHolder = record.holder();
+            othersUntil = Math.max(othersUntil, now.atLeastMillis() + term + handoverMillis + CLOCK_MARGIN_MILLIS);
+        } else if (!caughtUp) {
+            // It had waited for those before it and sends no orders any more. No such process writes later.
+            lastHolder = "";
+            othersUntil = Long.MIN_VALUE / 2;
+        }
         if (offset > fencingToken) {
             heldUntil = Long.MIN_VALUE / 2;
         }
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/rollout/OrderLeaseTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/rollout/OrderLeaseTest.java
@@ -41,6 +41,7 @@
                     leases[who].onRecord(read[who], log.get(read[who]), at(now));
                 }
                 leases[who].advanceTo(log.size());
+                leases[who].onCaughtUp();
             } else if (actions.get(index) / 2 == 1 && leases[who].shouldAppend(at(now))) {
                 append(log, leases[who], names[who], at(now));
             } else if (actions.get(index) / 2 == 3) {
@@ -97,6 +98,7 @@
                     leases[who].onRecord(read[who], log.get(read[who]), clocks[who]);
                 }
                 leases[who].advanceTo(log.size());
+                leases[who].onCaughtUp();
             } else if (leases[who].shouldAppend(clocks[who])) {
                 append(log, leases[who], name(who, 0), clocks[who]);
             }
@@ -153,6 +155,33 @@
         assertThat(restarted.shouldAppend(at(1_000))).isTrue();
     }
 
+    /** The log tells of an earlier holder too, whose time was over before the own earlier process wrote. */
+    @Test
+    void instanceThatRestartsDoesNotWaitForTheHolderBeforeItsEarlierProcess() {
+        OrderLease restarted = started("a", 1);
+        restarted.onRecord(0, record("b-0"), at(1_000));
+        restarted.onRecord(1, record("a-0"), at(1_000));
+        restarted.onCaughtUp();
+
+        assertThat(restarted.shouldAppend(at(1_000))).isTrue();
+    }
+
+    /** A record named like one of an earlier process ended the wait for a holder that went on: there were two. */
+    @Test
+    void recordNamedLikeAnEarlierProcessDoesNotEndTheWaitForTheHolder() {
+        OrderLease lease = started("a", 1);
+        lease.advanceTo(0);
+        lease.onCaughtUp();
+        lease.onRecord(0, record("b-0"), at(1_000));
+        lease.onRecord(1, record("a-odd"), at(1_010));
+        long usualWait = OrderLease.LEASE_MILLIS + HANDOVER;
+
+        assertThat(lease.lastOtherHolder()).isEqualTo("b-0");
+        assertThat(lease.shouldAppend(at(1_010))).isFalse();
+        assertThat(lease.shouldAppend(at(1_000 + usualWait))).isFalse();
+        assertThat(lease.shouldAppend(at(1_500 + usualWait))).isTrue();
+    }
+
     /** Whose record is the last one counts, and names that only begin alike are those of others. */
     @ParameterizedTest
     @ValueSource(strings = {"b-0", "a-b-0", "aa-0", "a"})
@@ -281,6 +310,7 @@
                 lease.onRecord(read, asRead.apply(store.log.get(read)), at(now));
             }
             lease.advanceTo(read);
+            lease.onCaughtUp();
         }
 
         void appendIfDue(long now) {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/rollout/RolloutCoordinator.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/rollout/RolloutCoordinator.java
@@ -111,6 +111,11 @@
             answeredOnce = true;
             lease.advanceTo(follower.readOffset());
         }
+
+        @Override
+        public void onReadToEnd(Moment askedAt) {
+            lease.onCaughtUp();
+        }
     }
 
     /** Polls at once, since new weights were published. */
