--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/rollout/OrderLease.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/rollout/OrderLease.java
@@ -127,7 +127,7 @@
         heldUntil = Long.MIN_VALUE / 2;
     }
 
-    /** Handles an append without an answer, which may have been carried out; a second one shows that appends are slow. */
+    /** Handles an append without an answer, which may be carried out; a second one shows that appends are slow. */
     public void onUnanswered() {
         onConflict();
         if (lastUnanswered) {
