--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/platform/RepeatingReads.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/platform/RepeatingReads.java
@@ -18,7 +18,7 @@
  * late.
  *
  * <p>The first usable answer counts, and the other calls are given up. A refusal counts only once no other answer is
- * awaited.
+ * awaited. The first call and one repeat at most await an answer: a further repeat gives up the one before it.
  */
 final class RepeatingReads {
     private static final int TOO_MANY_REQUESTS = 429;
@@ -86,7 +86,7 @@
 
         Reading(HttpRequest request) {
             this.request = request;
-            result.thenRun(this::giveUp);
+            result.thenAccept(this::onEnd);
         }
 
         private void make() {
@@ -97,6 +97,7 @@
                 first = made == 1;
                 repeatAfter = schedule.repeatAfterMillis(made);
             }
+            giveUpLastRepeat();
             CompletableFuture<HttpResult> call = caller.fetch(address, first ? request : request.onNewConnection());
             add(call);
             call.thenAccept(answer -> onResult(call, answer, first));
@@ -104,6 +105,17 @@
                     after -> timer.schedule(this::repeat, Math.max(0, after - elapsedMillis()), TimeUnit.MILLISECONDS));
         }
 
+        private void giveUpLastRepeat() {
+            CompletableFuture<HttpResult> superseded;
+            synchronized (schedule) {
+                if (inFlight.size() < RepeatPolicy.MAX_IN_FLIGHT) {
+                    return;
+                }
+                superseded = inFlight.remove(inFlight.size() - 1);
+            }
+            superseded.cancel(false);
+        }
+
         private void repeat() {
             if (!result.isDone() && calls() < RepeatPolicy.MAX_CALLS) {
                 make();
@@ -148,6 +160,15 @@
             }
         }
 
+        private void onEnd(HttpResult ended) {
+            synchronized (schedule) {
+                if (made > 1 && ended instanceof HttpResult.Failed) {
+                    schedule.onUnanswered();
+                }
+            }
+            giveUp();
+        }
+
         private void giveUp() {
             List<CompletableFuture<HttpResult>> left;
             synchronized (schedule) {
