Read a topic on after a stack overflow

A record that is nested deeply enough makes its reader throw a StackOverflowError. TopicFollower and RecordDelivery caught exceptions only, so that the topic was read no more for as long as the relay ran. A stack overflow is now handled as an unexpected exception is: the record is counted, logged and read again by a listing, and skipped if it keeps failing. Other errors still go on to the event loop.

TopicFollowerTest, whose listener overflows once for a record or for a listing, failed before: nothing was read to the end within 10 s. Afterwards both cases pass.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/RecordDelivery.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/RecordDelivery.java
@@ -67,11 +67,11 @@
         failed = false;
     }
 
-    private static boolean isMalformed(RuntimeException unreadable) {
+    private static boolean isMalformed(Throwable unreadable) {
         return unreadable instanceof IllegalArgumentException;
     }
 
-    private static String reasonOf(RuntimeException unreadable) {
+    private static String reasonOf(Throwable unreadable) {
         String reason = isMalformed(unreadable) ? String.valueOf(unreadable.getMessage()) : "unexpected: " + unreadable;
         return reason.substring(0, Math.min(MAX_REASON_CHARS, reason.length()));
     }
@@ -101,7 +101,7 @@
             }
             handler.accept(record);
             return true;
-        } catch (RuntimeException unreadable) {
+        } catch (RuntimeException | StackOverflowError unreadable) {
             failed |= !isMalformed(unreadable);
             state.metrics().recordUnreadable(topic.name());
             logUnreadable(record, reasonOf(unreadable));
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicFollower.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicFollower.java
@@ -104,7 +104,7 @@
     private void onResult(TopicReader.Result result) {
         try {
             handle(result);
-        } catch (RuntimeException failed) {
+        } catch (RuntimeException | StackOverflowError failed) {
             state.log().warn("read_failed", "topic", topic.name(), "cause", failed.toString());
             onFailure("unexpected", false);
         }
