Read the log on after a call that fails at once

LogFollower set `reading` before it called, and an exception of the call itself went past what handles failures: `reading` stayed true, no read was scheduled, and the stream was followed no more. The call is now made within the chain that handles what the listener throws, so that it is reported and retried like any failed read.

LogFollowerTest.aReadThatFailsAtOnceIsRepeated, with a closed HTTP client, failed before with RejectedExecutionException out of start(). Afterwards all 22 tests of LogFollowerTest pass.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/platform/LogFollower.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/platform/LogFollower.java
@@ -157,7 +157,7 @@
                 (calls, afterMillis) -> availabilityListener.onLateAnswer(stream, calls, afterMillis));
     }
 
-    /** Reads the next page, and then further ones until the caller or the timer is closed. */
+    /** Reads the next page, and then further ones until the timer is closed. */
     public void start() {
         read();
     }
@@ -198,15 +198,21 @@
         }
         HttpRequest request = HttpRequest.get("/log/" + stream.wireName() + "?from=" + nextOffset + "&wait_millis=0")
                 .within(TIMEOUTS);
-        CompletableFuture<HttpResult> result = caughtUp && !failing ? repeating.read(request) : readOnce(request);
-        result.thenAccept(this::onResult).exceptionally(this::onUnexpected);
+        CompletableFuture.completedFuture(request)
+                .thenCompose(this::call)
+                .thenAccept(this::onResult)
+                .exceptionally(this::onUnexpected);
+    }
+
+    private CompletableFuture<HttpResult> call(HttpRequest request) {
+        return caughtUp && !failing ? repeating.read(request) : readOnce(request);
     }
 
     private CompletableFuture<HttpResult> readOnce(HttpRequest request) {
         return caller.fetch(log, request).completeOnTimeout(NO_RESULT, maxReadMillis, TimeUnit.MILLISECONDS);
     }
 
-    /** Handles what the listener threw; nobody else would hear of it, and the stream would be followed no more. */
+    /** Handles what a call or the listener threw: nobody else would hear of it, and nothing more would be read. */
     private Void onUnexpected(Throwable failure) {
         onFailure("unexpected: " + failure.getCause());
         return null;
--- a/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/platform/LogFollowerTest.java
+++ b/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/platform/LogFollowerTest.java
@@ -171,6 +171,27 @@
         assertThat(statusChanges.poll()).isEqualTo("lost: no result of the call");
     }
 
+    /** Guards against the same where a call fails before it has a result to wait for. */
+    @Test
+    void aReadThatFailsAtOnceIsRepeated() throws Exception {
+        BlockingQueue<String> reads = new LinkedBlockingQueue<>();
+        HttpCaller closed = HttpCaller.create(1);
+        closed.close();
+
+        new LogFollower(
+                        closed,
+                        timer,
+                        new Address("127.0.0.1", 1),
+                        LogStream.CONFIGURATION,
+                        new RecordingListener(reads),
+                        new RecordingAvailabilityListener(statusChanges))
+                .start();
+
+        assertThat(reads.poll(SECONDS, TimeUnit.SECONDS)).isEqualTo("failed");
+        assertThat(reads.poll(SECONDS, TimeUnit.SECONDS)).isEqualTo("failed");
+        assertThat(statusChanges.poll()).startsWith("lost: unexpected: ");
+    }
+
     /**
      * Guards against a configuration that is in force late, since the connection on which it is read falls silent: the
      * waits of a reader add up.
