Hand on the time that is left for sure

A retry was given the deadline less the shortest time that may have passed. After a suspension that the time of day shows alone it was given more than was left, and its target worked past the caller's deadline; with nothing left, it was sent all the same. The dispatcher now counts what is left by the longest time, and refuses as not run where nothing is left. The entry's timeouts, which end requests, still count by the shortest. Components that need the longest time of the current event get it as they get the event's effects, from an object that is bound to it.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/entry/EntryMachine.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/entry/EntryMachine.java
@@ -43,6 +43,7 @@
             new LogWriterSettings(10_000, 256, 256 * 1024, 4096, 200_000, 2_000_000, 20_000, 2_000_000);
 
     private final Outbox outbox = new Outbox();
+    private final LongestTime longestTime = new LongestTime();
     private final ServiceTable services;
     private final InFlightRequests requests;
     private final Admission admission;
@@ -78,7 +79,7 @@
         admission = new Admission(services);
         quarantine = new PromptQuarantine();
         completer = new RequestCompleter(settings.incarnation(), requests, services, outbox, quarantine);
-        dispatcher = new RequestDispatcher(requests, completer, policy, outbox, quarantine);
+        dispatcher = new RequestDispatcher(requests, completer, policy, outbox, quarantine, longestTime);
         answers = new AnswerRelay(requests, dispatcher, completer, outbox);
         membership = new Membership(settings, services, outbox, random, dispatcher);
         dispatcher.setMembership(membership);
@@ -103,6 +104,7 @@
     public void handle(EntryEvent event, EventTime now, Consumer<? super EntryEffect> effects) {
         long nowMicros = now.atLeastMicros();
         outbox.bind(effects);
+        longestTime.bind(now);
         if (event instanceof EntryEvent.FrameArrived arrived) {
             handleFrame(arrived.companion(), arrived.frame(), nowMicros);
         } else if (event instanceof EntryEvent.RequestArrived arrived) {
@@ -206,7 +208,8 @@
             completer.refuseUnadmitted(arrived.sequence(), arrived.request(), refused, nowMicros);
             return;
         }
-        dispatcher.start(new InFlightRequest(arrived.sequence(), arrived.request(), terms, nowMicros), nowMicros);
+        EventTime now = new EventTime(nowMicros, longestTime.micros());
+        dispatcher.start(new InFlightRequest(arrived.sequence(), arrived.request(), terms, now), nowMicros);
     }
 
     private void handleFrame(Address companion, Frame frame, long nowMicros) {
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/entry/InFlightRequest.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/entry/InFlightRequest.java
@@ -12,6 +12,7 @@
 import org.rattanrudder.core.routing.Affinity;
 import org.rattanrudder.core.routing.Route;
 import org.rattanrudder.core.routing.RoutingQuery;
+import org.rattanrudder.core.time.EventTime;
 
 /** The state of an admitted request until its final answer, with its current attempt. */
 final class InFlightRequest {
@@ -21,6 +22,7 @@
     final CallerRequest request;
     final Admission.Terms terms;
     final long arrivedMicros;
+    private final long arrivedAtMostMicros;
 
     /** Targets that already had an attempt. */
     final Set<TargetName> triedTargets = new HashSet<>();
@@ -60,12 +62,13 @@
     long nextCheckMicros = Long.MAX_VALUE;
     Usage usage = Usage.NONE;
 
-    InFlightRequest(long sequence, CallerRequest request, Admission.Terms terms, long arrivedMicros) {
+    InFlightRequest(long sequence, CallerRequest request, Admission.Terms terms, EventTime arrivedAt) {
         this.sequence = sequence;
         this.request = request;
         this.terms = terms;
-        this.arrivedMicros = arrivedMicros;
-        this.progressMicros = arrivedMicros;
+        arrivedMicros = arrivedAt.atLeastMicros();
+        arrivedAtMostMicros = arrivedAt.atMostMicros();
+        progressMicros = arrivedMicros;
     }
 
     ServedService service() {
@@ -91,7 +94,16 @@
 
     /** Returns the time at which the first byte is due, in microseconds. */
     long deadlineMicros() {
-        return arrivedMicros + requestClass().deadlineMillis() * MICROS_PER_MILLI;
+        return arrivedMicros + deadlineAfterMicros();
+    }
+
+    /** Returns the time that is left for sure until the first byte is due, in microseconds; negative if none. */
+    long certainlyLeftMicros(LongestTime now) {
+        return arrivedAtMostMicros + deadlineAfterMicros() - now.micros();
+    }
+
+    private long deadlineAfterMicros() {
+        return requestClass().deadlineMillis() * MICROS_PER_MILLI;
     }
 
     /** Returns the maximum time without progress of a running attempt, in microseconds. */
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/entry/RequestDispatcher.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/entry/RequestDispatcher.java
@@ -54,6 +54,7 @@
     private final RoutingPolicy policy;
     private final Outbox outbox;
     private final PromptQuarantine quarantine;
+    private final LongestTime longestTime;
     private final Map<Address, List<AttemptId>> abandoned = new HashMap<>();
     private Membership membership;
 
@@ -62,12 +63,14 @@
             RequestCompleter completer,
             RoutingPolicy policy,
             Outbox outbox,
-            PromptQuarantine quarantine) {
+            PromptQuarantine quarantine,
+            LongestTime longestTime) {
         this.requests = requests;
         this.completer = completer;
         this.policy = policy;
         this.outbox = outbox;
         this.quarantine = quarantine;
+        this.longestTime = longestTime;
     }
 
     /** Sets the membership, which can't be a constructor parameter since it needs this object as its listener. */
@@ -99,7 +102,7 @@
             return;
         }
         Route route = found.get();
-        long remainingMicros = inFlight.deadlineMicros() - nowMicros;
+        long remainingMicros = inFlight.certainlyLeftMicros(longestTime);
         if (remainingMicros <= 0 || cannotMeetDeadline(inFlight, route, remainingMicros)) {
             long after = Math.max(0, route.estimateMicros() - remainingMicros) / 1_000;
             String detail = "the first byte can't be there before its deadline";
@@ -184,7 +187,8 @@
         inFlight.mayHaveRun = true;
         boolean quarantined = quarantine.onFailed(inFlight, refusal.kind(), nowMicros);
         boolean mayRepeat = inFlight.terms.idempotent() && !inFlight.answerStarted && !quarantined;
-        boolean mayAttemptAgain = nowMicros < inFlight.deadlineMicros() && inFlight.attemptCount < MAX_ATTEMPTS;
+        boolean isTimeLeft = inFlight.certainlyLeftMicros(longestTime) > 0;
+        boolean mayAttemptAgain = isTimeLeft && inFlight.attemptCount < MAX_ATTEMPTS;
         if (mayRepeat && mayAttemptAgain && inFlight.service().retries().tryRetry()) {
             dispatch(inFlight, refusal, nowMicros);
             return;
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/entry/EntryDriver.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/entry/EntryDriver.java
@@ -21,6 +21,7 @@
 import org.rattanrudder.core.model.InstanceName;
 import org.rattanrudder.core.model.Refusal;
 import org.rattanrudder.core.model.TargetName;
+import org.rattanrudder.core.time.EventTime;
 
 /** Drives an entry's state machine in tests: sets the time, sends events and records the effects. */
 final class EntryDriver {
@@ -30,6 +31,7 @@
     final List<EntryEffect> effects = new ArrayList<>();
     private final EntryMachine machine;
     private long nowMicros = 1_000_000;
+    private long doubtfulMicros;
     private long sequence;
     private long offset;
 
@@ -56,7 +58,7 @@
     }
 
     void handle(EntryEvent event) {
-        machine.handle(event, nowMicros, effects::add);
+        machine.handle(event, new EventTime(nowMicros, nowMicros + doubtfulMicros), effects::add);
     }
 
     boolean isReady() {
@@ -113,6 +115,12 @@
         handle(new EntryEvent.Tick());
     }
 
+    /** Advances the longest time that may have passed alone. */
+    void suspendInDoubt(long micros) {
+        doubtfulMicros += micros;
+        handle(new EntryEvent.Tick());
+    }
+
     long nowMicros() {
         return nowMicros;
     }
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/entry/RequestDispatcherTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/entry/RequestDispatcherTest.java
@@ -302,4 +302,33 @@
         assertThat(driver.refusal(last)).isEqualTo(ErrorKind.REQUEST_QUARANTINED);
         assertThat(driver.refusalOf(last).retryAfterMillis()).isGreaterThan(3_000_000);
     }
+
+    /** Guards against a target that works on past a caller's deadline after a suspension that only may have been. */
+    @Test
+    void aRetryIsGivenTheTimeThatIsLeftForSure() {
+        EntryDriver driver = EntryDriver.ready(TestDocuments.plain(target(1), target(2)));
+        driver.atMostOnceCall(Optional.empty());
+        Frame.Dispatch first = driver.lastDispatch();
+
+        driver.advance(1_000_000);
+        driver.suspendInDoubt(5_000_000);
+        driver.notRun(first, ErrorKind.OVERLOADED);
+
+        assertThat(driver.dispatches()).hasSize(2);
+        assertThat(driver.lastDispatch().deadlineMicros()).isEqualTo(first.deadlineMicros() - 6_000_000);
+    }
+
+    /** Guards against the same where the caller's deadline may have passed. */
+    @Test
+    void aRequestWithoutTimeLeftForSureIsRefusedAsNotRun() {
+        EntryDriver driver = EntryDriver.ready(TestDocuments.plain(target(1), target(2)));
+        long request = driver.atMostOnceCall(Optional.empty());
+
+        driver.suspendInDoubt(driver.lastDispatch().deadlineMicros());
+        driver.notRun(driver.lastDispatch(), ErrorKind.OVERLOADED);
+
+        assertThat(driver.dispatches()).hasSize(1);
+        assertThat(driver.refusal(request)).isEqualTo(ErrorKind.DEADLINE_UNREACHABLE);
+        assertThat(driver.refusal(request).runState()).isEqualTo(RunState.NOT_RUN);
+    }
 }
