Count an entry's grace by the longest time for new requests

While an entry drains it takes a request only if its like ends within the grace. How much of the grace had passed was counted by the shortest time, so that after a suspension that the time of day shows alone a request was taken that the end of the process may cut. It is now counted by the longest time. When all requests are refused and the process may end early still counts by the shortest: both wait for callers to notice.

EntryMachineTest.whileDrainingATimeInDoubtCountsAsPassed failed before for a grace of 11 s, 1 s after its start and 5 s in doubt: a request whose like takes 5 s was dispatched.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/entry/EntryDrain.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/entry/EntryDrain.java
@@ -7,15 +7,22 @@
 final class EntryDrain {
     private static final long MICROS_PER_MILLI = 1_000;
 
+    private final LongestTime longestTime;
     private boolean started;
     private boolean ending;
     private long startMicros;
+    private long startAtMostMicros;
     private long graceMillis;
 
+    EntryDrain(LongestTime longestTime) {
+        this.longestTime = longestTime;
+    }
+
     /** Starts the drain; the process ends after the grace at the latest. */
     void start(long allowedMillis, long nowMicros) {
         started = true;
         startMicros = nowMicros;
+        startAtMostMicros = longestTime.micros();
         graceMillis = allowedMillis;
     }
 
@@ -34,13 +41,13 @@
     }
 
     /** Returns whether a request is refused that may not be answered before the process ends. */
-    boolean refuses(Admission.Terms terms, long nowMicros) {
+    boolean refuses(Admission.Terms terms) {
         if (!started) {
             return false;
         }
         OptionalLong usual = terms.service().durations(terms.requestClass()).usualLimitMillis();
         long bound = usual.isPresent() ? Long.MAX_VALUE : terms.requestClass().deadlineMillis();
-        long sinceMillis = (nowMicros - startMicros) / MICROS_PER_MILLI;
+        long sinceMillis = (longestTime.micros() - startAtMostMicros) / MICROS_PER_MILLI;
         return !ShutdownPolicy.finishes(bound, usual, sinceMillis, graceMillis);
     }
 }
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/entry/EntryMachine.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/entry/EntryMachine.java
@@ -58,7 +58,7 @@
     private final OperatorQueries operators;
     private final Set<Address> bootstrapCompanions;
     private boolean logReachable;
-    private final EntryDrain drain = new EntryDrain();
+    private final EntryDrain drain = new EntryDrain(longestTime);
     private boolean drained;
 
     /**
@@ -197,9 +197,8 @@
     }
 
     private void handleAdmitted(EntryEvent.RequestArrived arrived, Admission.Terms terms, long nowMicros) {
-        Optional<Refusal> refusal = drain.refuses(terms, nowMicros)
-                ? Optional.of(LEAVING)
-                : quarantine.refusal(terms, arrived.request(), nowMicros);
+        Optional<Refusal> refusal =
+                drain.refuses(terms) ? Optional.of(LEAVING) : quarantine.refusal(terms, arrived.request(), nowMicros);
         if (refusal.isPresent()) {
             Admission.Refused refused = new Admission.Refused(
                     refusal.get(),
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/entry/EntryMachineTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/entry/EntryMachineTest.java
@@ -39,6 +39,18 @@
     @CsvSource({"5, 30, DISPATCHED", "5, 6, REFUSED", "5, 8, DISPATCHED"})
     void whileDrainingOnlyRequestsWhoseLikeEndInTimeAreTaken(long tookSeconds, long graceSeconds, Fate fate) {
         EntryDriver driver = EntryDriver.ready(TestDocuments.prompts(target(1)));
+        answerPrompts(driver, tookSeconds);
+        int before = driver.dispatches().size();
+        driver.handle(new EntryEvent.DrainRequested(graceSeconds * 1_000));
+        long late = driver.prompt("late");
+
+        assertThat(driver.dispatches()).hasSize(fate == Fate.DISPATCHED ? before + 1 : before);
+        if (fate == Fate.REFUSED) {
+            assertThat(driver.refusal(late)).isEqualTo(ErrorKind.DRAINING);
+        }
+    }
+
+    private static void answerPrompts(EntryDriver driver, long tookSeconds) {
         for (int answered = 0; answered < 8; answered++) {
             driver.prompt("sheet " + answered);
             driver.head(driver.lastDispatch());
@@ -49,8 +61,19 @@
             }
             driver.end(driver.lastDispatch(), 1);
         }
+    }
+
+    /** Guards against the same after a suspension that only may have been. */
+    @ParameterizedTest(name = "the grace is {0} s: {1}")
+    @CsvSource({"11, REFUSED", "15, DISPATCHED"})
+    void whileDrainingATimeInDoubtCountsAsPassed(long graceSeconds, Fate fate) {
+        EntryDriver driver = EntryDriver.ready(TestDocuments.prompts(target(1)));
+        answerPrompts(driver, 5);
         int before = driver.dispatches().size();
         driver.handle(new EntryEvent.DrainRequested(graceSeconds * 1_000));
+        driver.advance(1_000_000);
+        driver.suspendInDoubt(5_000_000);
+
         long late = driver.prompt("late");
 
         assertThat(driver.dispatches()).hasSize(fate == Fate.DISPATCHED ? before + 1 : before);
