Count the deadline of a claiming attempt by the longest time

A companion refuses an attempt as not run once its deadline has passed while its key is being claimed. It counted by the shortest time, so that after a suspension that the time of day shows alone the call could still be made though its caller's deadline had passed. The attempt now keeps both times of its acceptance, and is refused at the next tick once the deadline may have passed.

CompanionStagesTest.decisionAfterADeadlineThatMayHavePassedRunsNothing (deadline 10 s, 1 s certain and 9 s in doubt) failed before: nothing was refused. Afterwards the 52 tests of the package pass.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/companion/Attempt.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/companion/Attempt.java
@@ -5,6 +5,7 @@
 import org.rattanrudder.core.frame.Frame;
 import org.rattanrudder.core.model.Address;
 import org.rattanrudder.core.model.AttemptId;
+import org.rattanrudder.core.time.EventTime;
 
 /** An attempt that this companion has accepted and not yet discarded. */
 final class Attempt {
@@ -17,7 +18,7 @@
     private final AssignedTarget target;
     private final Address address;
     private final AnswerStream answer;
-    private final long acceptedMicros;
+    private final EventTime acceptedAt;
     private Stage stage = Stage.CLAIMING;
     private long link;
     private long detachedMicros;
@@ -29,12 +30,12 @@
     private boolean abandoned;
     private boolean resuming;
 
-    Attempt(Frame.Dispatch dispatch, AssignedTarget target, long link, long nowMicros) {
+    Attempt(Frame.Dispatch dispatch, AssignedTarget target, long link, EventTime now) {
         this.dispatch = dispatch;
         this.target = target;
         this.address = target.settings().address();
         this.link = link;
-        this.acceptedMicros = nowMicros;
+        this.acceptedAt = now;
         this.answer = new AnswerStream(dispatch.attempt());
     }
 
@@ -186,7 +187,12 @@
     }
 
     long acceptedMicros() {
-        return acceptedMicros;
+        return acceptedAt.atLeastMicros();
+    }
+
+    /** Returns whether the deadline may have passed. */
+    boolean mayBeLate(EventTime now) {
+        return now.atMostMicros() - acceptedAt.atMostMicros() >= dispatch.deadlineMicros();
     }
 
     ContextMover.Fetched fetched() {
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/companion/AttemptFrameHandler.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/companion/AttemptFrameHandler.java
@@ -109,7 +109,7 @@
             return;
         }
         customerCounts.recordAccepted(dispatch, context.nowMicros());
-        runner.accept(new Attempt(dispatch, target, link, context.nowMicros()), context);
+        runner.accept(new Attempt(dispatch, target, link, context.now()), context);
     }
 
     private Optional<ErrorKind> rejectionReason(AssignedTarget target, Frame.Dispatch dispatch, long nowMicros) {
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/companion/AttemptTimeouts.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/companion/AttemptTimeouts.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.rattanrudder.core.model.ErrorKind;
+import org.rattanrudder.core.time.EventTime;
 
 /** Checks the timeouts of attempts at each tick. */
 final class AttemptTimeouts {
@@ -36,7 +37,7 @@
             context.emit(new CompanionEffect.CancelCall(attempt.id()));
             runner.fail(attempt, ErrorKind.TARGET_SILENT, "no progress in time", context);
         }
-        for (Attempt attempt : attempts.matching(each -> hasClaimTimedOut(each, context.nowMicros()))) {
+        for (Attempt attempt : attempts.matching(each -> hasClaimTimedOut(each, context.now()))) {
             runner.refuse(attempt, ErrorKind.DEADLINE_UNREACHABLE, "its key couldn't be claimed in time", context);
         }
         attempts.matching(each -> hasFetchTimedOut(each, context.nowMicros()))
@@ -74,9 +75,8 @@
     }
 
     /** A decision on the key that arrives later finds no attempt, so that nothing runs. */
-    private static boolean hasClaimTimedOut(Attempt attempt, long nowMicros) {
-        long deadline = attempt.dispatch().deadlineMicros();
-        return attempt.stage() == Attempt.Stage.CLAIMING && nowMicros - attempt.acceptedMicros() >= deadline;
+    private static boolean hasClaimTimedOut(Attempt attempt, EventTime now) {
+        return attempt.stage() == Attempt.Stage.CLAIMING && attempt.mayBeLate(now);
     }
 
     private static boolean hasFetchTimedOut(Attempt attempt, long nowMicros) {
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/companion/CompanionStagesTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/companion/CompanionStagesTest.java
@@ -87,6 +87,21 @@
         assertThat(outcomes).containsExactly(id(1) + " NOT_RUN");
     }
 
+    /** Guards against the same after a suspension that only may have been. */
+    @Test
+    void decisionAfterADeadlineThatMayHavePassedRunsNothing() {
+        companion.frame(1, append(1));
+        companion.advance(1_000, 1);
+        companion.suspendOrJump(9_000);
+        companion.advance(1, 1);
+        assertThat(companion.sent(1, Frame.NotRun.class))
+                .extracting(notRun -> notRun.refusal().kind())
+                .containsExactly(ErrorKind.DEADLINE_UNREACHABLE);
+
+        decide(0, new IdempotencyGate.Granted());
+        assertThat(companion.called()).isEmpty();
+    }
+
     /** A claim is granted after its target started to drain; the call must not reach the target any more. */
     @Test
     void decisionAfterTheDrainOfItsTargetRunsNothing() {
