--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/entry/EntryMachine.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/entry/EntryMachine.java
@@ -43,6 +43,7 @@
             new LogWriterSettings(10_000, 256, 256 * 1024, 4096, 200_000, 2_000_000, 20_000, 2_000_000);
 
     private final Outbox outbox = new Outbox();
+    private final LongestTime longestTime = new LongestTime();
     private final ServiceTable services;
     private final InFlightRequests requests;
     private final Admission admission;
@@ -57,7 +58,7 @@
     private final OperatorQueries operators;
     private final Set<Address> bootstrapCompanions;
     private boolean logReachable;
-    private final EntryDrain drain = new EntryDrain();
+    private final EntryDrain drain = new EntryDrain(longestTime);
     private boolean drained;
 
     /**
@@ -78,7 +79,7 @@
         admission = new Admission(services);
         quarantine = new PromptQuarantine();
         completer = new RequestCompleter(settings.incarnation(), requests, services, outbox, quarantine);
-        dispatcher = new RequestDispatcher(requests, completer, policy, outbox, quarantine);
+        dispatcher = new RequestDispatcher(requests, completer, policy, outbox, quarantine, longestTime);
         answers = new AnswerRelay(requests, dispatcher, completer, outbox);
         membership = new Membership(settings, services, outbox, random, dispatcher);
         dispatcher.setMembership(membership);
@@ -103,6 +104,7 @@
     public void handle(EntryEvent event, EventTime now, Consumer<? super EntryEffect> effects) {
         long nowMicros = now.atLeastMicros();
         outbox.bind(effects);
+        longestTime.bind(now);
         if (event instanceof EntryEvent.FrameArrived arrived) {
             handleFrame(arrived.companion(), arrived.frame(), nowMicros);
         } else if (event instanceof EntryEvent.RequestArrived arrived) {
@@ -195,9 +197,8 @@
     }
 
     private void handleAdmitted(EntryEvent.RequestArrived arrived, Admission.Terms terms, long nowMicros) {
-        Optional<Refusal> refusal = drain.refuses(terms, nowMicros)
-                ? Optional.of(LEAVING)
-                : quarantine.refusal(terms, arrived.request(), nowMicros);
+        Optional<Refusal> refusal =
+                drain.refuses(terms) ? Optional.of(LEAVING) : quarantine.refusal(terms, arrived.request(), nowMicros);
         if (refusal.isPresent()) {
             Admission.Refused refused = new Admission.Refused(
                     refusal.get(),
@@ -206,7 +207,8 @@
             completer.refuseUnadmitted(arrived.sequence(), arrived.request(), refused, nowMicros);
             return;
         }
-        dispatcher.start(new InFlightRequest(arrived.sequence(), arrived.request(), terms, nowMicros), nowMicros);
+        EventTime now = new EventTime(nowMicros, longestTime.micros());
+        dispatcher.start(new InFlightRequest(arrived.sequence(), arrived.request(), terms, now), nowMicros);
     }
 
     private void handleFrame(Address companion, Frame frame, long nowMicros) {
