Ask the store once for a confirmation, and wait for the follower then

While a follower couldn't read, the confirmation asked the store again each 10 ms: up to a hundred calls a second and topic. Its first answer says where the topic ends, so it suffices that the follower reads up to there. That is now checked here, after 10 ms at first and up to 100 ms later; each check has the follower poll if it can.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicConfirmation.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicConfirmation.java
@@ -14,12 +14,15 @@
 /**
  * Confirms that a follower has read all records that were written to its topic before now.
  *
- * <p>Followers read with a delay, and a pending read doesn't show whether its connection still works. One call
- * confirms all requests that were waiting when it was made.
+ * <p>Followers read with a delay, and a pending read doesn't show whether its connection still works. One call says
+ * where the topic ends for all requests that were waiting when it was made; they are confirmed once the follower has
+ * read up to there.
  */
 final class TopicConfirmation implements AutoCloseable {
-    /** How long a follower gets to read records that it hasn't read yet, before it is asked again. */
-    private static final long RECHECK_MILLIS = 10;
+    /** Time until the first check whether the follower has read up to the end; each further one is twice as long. */
+    private static final long MIN_CHECK_MILLIS = 10;
+
+    private static final long MAX_CHECK_MILLIS = 100;
 
     private final RelayState state;
     private final Topic topic;
@@ -80,28 +83,32 @@
     }
 
     private void onAnswer(List<Pending> asking, long from, StoreResponse answer) {
-        boolean readable = answer instanceof StoreResponse.Records;
-        if (readable && ((StoreResponse.Records) answer).end() == from) {
-            asking.forEach(each -> each.then().accept(true));
-        } else if (readable && ((StoreResponse.Records) answer).end() > from) {
-            readNow.run();
-            timer.later(() -> askAgain(asking), RECHECK_MILLIS);
+        if (answer instanceof StoreResponse.Records records && records.end() >= from) {
+            awaitRead(asking, records.end(), MIN_CHECK_MILLIS);
         } else {
             asking.forEach(each -> each.then().accept(false));
         }
         call();
     }
 
-    private void askAgain(List<Pending> asking) {
+    private void awaitRead(List<Pending> asking, long end, long pauseMillis) {
+        if (readOffset.getAsLong() >= end) {
+            asking.forEach(each -> each.then().accept(true));
+            return;
+        }
         long now = state.nowMillis();
+        List<Pending> left = new ArrayList<>();
         for (Pending each : asking) {
             if (now < each.until()) {
-                waiting.add(each);
+                left.add(each);
             } else {
                 each.then().accept(false);
             }
         }
-        call();
+        if (!left.isEmpty()) {
+            readNow.run();
+            timer.later(() -> awaitRead(left, end, Math.min(MAX_CHECK_MILLIS, 2 * pauseMillis)), pauseMillis);
+        }
     }
 
     @Override
