Give a repeat time for an answer though the timeout of its call has passed

After a suspension of the process that was longer than the timeout, a repeat got a timeout of 1 ms: it failed in vain, and the store was taken for a slow one. A repeat now has at least the 300 ms in which an answer is expected.

The new case in RepeatingCallClientTest ended with a timeout before and is answered now (10 tests); ReadTimingTest and RepeatScheduleTest pass.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/topics/ReadTiming.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/topics/ReadTiming.java
@@ -9,7 +9,7 @@
  */
 public final class ReadTiming {
     /** Time in which a call on a new connection is answered, and in which further silent connections are noticed. */
-    static final long ANSWER_MILLIS = 300;
+    public static final long ANSWER_MILLIS = 300;
 
     /** Time in which a record that was read is put in force. */
     static final long APPLY_MILLIS = 100;
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/net/RepeatingCallClient.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/net/RepeatingCallClient.java
@@ -7,6 +7,7 @@
 import java.util.function.Supplier;
 import java.util.stream.Stream;
 import org.rattanrudder.core.time.Moment;
+import org.rattanrudder.core.topics.ReadTiming;
 import org.rattanrudder.core.topics.RepeatPolicy;
 import org.rattanrudder.core.topics.RepeatSchedule;
 import org.rattanrudder.daemon.relay.port.PlatformCall;
@@ -71,7 +72,7 @@
     /**
      * Makes a call. Only one may be in flight.
      *
-     * @param timeoutMillis time after which the call fails, in ms
+     * @param timeoutMillis time after which the call fails, in ms; a repeat that is made late gets time for an answer too
      * @param callback called once with the outcome, on the event loop; not called after {@link #cancel}
      */
     public void call(PlatformCall call, long timeoutMillis, Consumer<Outcome> callback) {
@@ -106,7 +107,7 @@
                 .ifPresent(after -> timer.reschedule(() -> repeat(current), Math.max(0, after - elapsed)));
         client.call(
                 current.call(),
-                Math.max(1, current.timeoutMillis() - elapsed),
+                Math.max(ReadTiming.ANSWER_MILLIS, current.timeoutMillis() - elapsed),
                 result -> onResult(client, new Outcome(result, current.beganAt(), now, repeated, made)));
     }
 
--- a/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/net/RepeatingCallClientTest.java
+++ b/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/net/RepeatingCallClientTest.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -101,7 +102,7 @@
     @Test
     void theFirstRepeatIsAnsweredByAStoreThatTakesLongerThanTheTimeBetweenRepeats() throws Exception {
         EventLoop loop = group.next();
-        RepeatingCallClient client = client(loop, RepeatingCallClientTest::actualTime);
+        RepeatingCallClient client = client(loop, () -> actualTime(0));
         CompletableFuture<Outcome> called = new CompletableFuture<>();
         long began = System.nanoTime();
         loop.execute(() -> client.call(CALL, HOUR_MILLIS, called::complete));
@@ -121,6 +122,27 @@
         answering.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
     }
 
+    /** Guards against a repeat that fails at once, since the process was suspended for longer than the timeout. */
+    @Test
+    void aRepeatGetsTimeForAnAnswerThoughTheTimeoutHasPassed() throws Exception {
+        EventLoop loop = group.next();
+        AtomicLong suspendedMillis = new AtomicLong();
+        RepeatingCallClient client = client(loop, () -> actualTime(suspendedMillis.get()));
+        CompletableFuture<Outcome> called = new CompletableFuture<>();
+        loop.execute(() -> client.call(CALL, TIMEOUT_MILLIS, called::complete));
+        serve(SILENT, true);
+        suspendedMillis.set(HOUR_MILLIS);
+        CompletableFuture<Void> answering = CompletableFuture.runAsync(() -> answerAllLater(loop, called));
+
+        CallResult result =
+                called.get(2 * TIMEOUT_MILLIS, TimeUnit.MILLISECONDS).result();
+
+        assertThat(result).isInstanceOf(CallResult.Answered.class);
+        loop.submit(client::close).get();
+        listening.close();
+        answering.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
     /** Guards against a store that gets ever more calls at once, since it answers none. */
     @Test
     void fewAttemptsAtATimeAwaitAnAnswer() throws Exception {
@@ -200,8 +222,8 @@
                 .write(("HTTP/1.1 " + status + " x\r\nContent-Length: 0\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
     }
 
-    private static Moment actualTime() {
-        long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    private static Moment actualTime(long suspendedMillis) {
+        long millis = suspendedMillis + TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
         return new Moment(millis, millis);
     }
 
