--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/net/RepeatingCallClient.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/net/RepeatingCallClient.java
@@ -72,7 +72,7 @@
     /**
      * Makes a call. Only one may be in flight.
      *
-     * @param timeoutMillis time after which the call fails, in ms; a repeat that is made late gets time for an answer too
+     * @param timeoutMillis time after which the call fails, in ms; a repeat that is made late has time for an answer
      * @param callback called once with the outcome, on the event loop; not called after {@link #cancel}
      */
     public void call(PlatformCall call, long timeoutMillis, Consumer<Outcome> callback) {
