Let relays without the lease append only after a delay and a new read

No read of the orders' log is held at the store any more, so the end that a relay knows may be 12 s old. With new weights all relays appended at once, and all but one were refused.

A relay that neither holds the lease nor wrote the last record now waits for a random delay (20 ms for each live peer, at most 400 ms), reads the log to its end, and appends within a second of that read.

LeaseAttemptTest guards the delay and the read; the classes are new, so it can't fail on the code before.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/rollout/OrderLease.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/rollout/OrderLease.java
@@ -123,6 +123,11 @@
         return lastHolder.isEmpty() || now.atLeastMillis() > othersUntil;
     }
 
+    /** Returns whether this process has written the last record that is known. */
+    public boolean isLastWriter() {
+        return endKnown && fencingToken >= 0 && fencingToken == end - 1;
+    }
+
     /** Returns the offset at which the next append must be written to be valid. */
     public long appendOffset() {
         return end;
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/rollout/RolloutCoordinator.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/rollout/RolloutCoordinator.java
@@ -7,6 +7,7 @@
 import java.util.OptionalLong;
 import org.rattanrudder.core.fleet.Target;
 import org.rattanrudder.core.gateway.BackendService;
+import org.rattanrudder.core.rollout.LeaseAttempt;
 import org.rattanrudder.core.rollout.LeaseRecord;
 import org.rattanrudder.core.rollout.OrderLease;
 import org.rattanrudder.core.rollout.RolloutPlanner;
@@ -52,6 +53,7 @@
     private final StepTimer timer;
     private final StoreDialect store;
     private final OrderLease lease;
+    private final LeaseAttempt attempt;
     private final String holder;
     private final TopicFollower follower;
     private final HttpCallClient appendClient;
@@ -75,6 +77,7 @@
         String place = state.settings().instance() + "@" + state.settings().peers();
         holder = place + "-" + relayId.substring(relayId.lastIndexOf('-') + 1);
         lease = new OrderLease(place, holder, state.settings().bounds().leaseMillis());
+        attempt = new LeaseAttempt(state.random()::nextDouble);
         orders = new OrderSender(state, selfReports, lease, rolloutLog);
         follower = new TopicFollower(state, Topic.ORDERS, PollIntervals.RARE, InitialRead.KEPT, new LeaseListener());
         appendClient = new HttpCallClient(state.connector(), state.heldBytes(), state::store, state.storeCalls());
@@ -115,6 +118,10 @@
         @Override
         public void onReadToEnd(Moment askedAt) {
             lease.onCaughtUp();
+            attempt.onReadToEnd(askedAt.atLeastMillis(), state.nowMillis());
+            if (attempt.isRead()) {
+                pollNow();
+            }
         }
     }
 
@@ -126,7 +133,9 @@
     private void poll() {
         List<PendingRollout> pending = pendingRollouts();
         logBehind(pending);
-        if (!pending.isEmpty()) {
+        if (pending.isEmpty()) {
+            attempt.end();
+        } else {
             follower.pollWithin(PollIntervals.pendingMillis(state.fleet().livePeerCount(state.nowMillis())));
         }
         if (!pending.isEmpty() && !state.isDraining()) {
@@ -184,13 +193,29 @@
         pending.forEach(each -> next(each, now).stream()
                 .filter(target -> orders.mayCall(target, now))
                 .forEach(target -> batch.put(target, each.weights())));
-        boolean held = lease.isHeld(state.clock().now());
-        boolean free = lease.shouldAppend(state.clock().now());
-        if (!batch.isEmpty() && (held || free)) {
+        if (!batch.isEmpty() && mayAppend(now)) {
+            attempt.end();
             appendLeaseRecord(batch);
         }
     }
 
+    private boolean mayAppend(long now) {
+        if (lease.isHeld(state.clock().now())) {
+            return true;
+        }
+        if (!lease.shouldAppend(state.clock().now())) {
+            return false;
+        }
+        if (lease.isLastWriter()) {
+            return true;
+        }
+        attempt.begin(now, state.fleet().livePeerCount(now)).ifPresent(delay -> timer.later(follower::pollNow, delay));
+        if (attempt.needsRead(now)) {
+            follower.pollNow();
+        }
+        return attempt.isRead();
+    }
+
     /** Engines whose reports came after the end of the lease go first: they can be ordered as soon as it is renewed. */
     private List<Target> next(PendingRollout rollout, long now) {
         List<Target> reported = rollout.targets().stream()
