Read the lease's log the less often the longer no engine is brought up

While any engine was behind, each relay read the orders' log every 300 to 1,000 ms: for good beside an entry without a server.

The interval is now at least a quarter of the time since the set of engines that are behind last changed, and at most that of rare topics. New weights change the set, and a refused append asks for reads at once as before.

The assertion on the number of relays is kept, at no time without progress.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/rollout/RolloutCoordinator.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/rollout/RolloutCoordinator.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.rattanrudder.core.fleet.Target;
 import org.rattanrudder.core.gateway.BackendService;
 import org.rattanrudder.core.rollout.LeaseAttempt;
@@ -62,6 +64,8 @@
     private final OrderSender orders;
     private boolean answeredOnce;
     private boolean caughtUp;
+    private Set<BehindTarget> lastBehind = Set.of();
+    private long progressAt;
 
     /**
      * Creates a coordinator that reads and orders nothing until {@link #start}.
@@ -135,8 +139,11 @@
         logBehind(pending);
         if (pending.isEmpty()) {
             attempt.end();
+            lastBehind = Set.of();
         } else {
-            follower.pollWithin(PollIntervals.pendingMillis(state.fleet().livePeerCount(state.nowMillis())));
+            long now = state.nowMillis();
+            noteProgress(pending, now);
+            follower.pollWithin(PollIntervals.pendingMillis(state.fleet().livePeerCount(now), now - progressAt));
         }
         if (!pending.isEmpty() && !state.isDraining()) {
             advance(pending);
@@ -144,6 +151,19 @@
         timer.reschedule(this::poll, pending.isEmpty() ? IDLE_POLL_INTERVAL_MILLIS : POLL_INTERVAL_MILLIS);
     }
 
+    private void noteProgress(List<PendingRollout> pending, long now) {
+        Set<BehindTarget> behind = pending.stream()
+                .flatMap(rollout -> rollout.targets().stream()
+                        .filter(target -> target.weights(rollout.weights().model())
+                                < rollout.weights().version())
+                        .map(target -> new BehindTarget(target.id(), rollout.weights())))
+                .collect(Collectors.toSet());
+        if (!behind.equals(lastBehind)) {
+            lastBehind = behind;
+            progressAt = now;
+        }
+    }
+
     private void logBehind(List<PendingRollout> pending) {
         long now = state.nowMillis();
         boolean held = lease.isHeld(state.clock().now());
@@ -161,6 +181,9 @@
     /** A model's newest weights, and the targets of a service that serve the model, not all of them in that version. */
     private record PendingRollout(String service, WeightsVersion weights, List<Target> targets) {}
 
+    /** A target that doesn't serve a model's newest weights yet. */
+    private record BehindTarget(String id, WeightsVersion weights) {}
+
     private List<PendingRollout> pendingRollouts() {
         List<PendingRollout> pending = new ArrayList<>();
         if (state.configuration().isEmpty()) {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/PollIntervals.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/PollIntervals.java
@@ -28,6 +28,9 @@
     private static final long PENDING_MILLIS_PER_PEER = 20;
     private static final long MAX_PENDING_MILLIS = 1_000;
 
+    /** About how many polls are made while the time without progress doubles. */
+    private static final long POLLS_PER_DOUBLING = 4;
+
     /** For records that are written rarely and may be received late, unless something tells of them. */
     public static final PollIntervals RARE = new PollIntervals(peers -> RARE_MILLIS, 1);
 
@@ -67,8 +70,12 @@
         return peers <= FEW_PEERS ? 0 : HINTED_GAP_MILLIS;
     }
 
-    /** Returns the time from a poll to the next one, in ms, while something waits for what a rare topic says. */
-    public static long pendingMillis(int peers) {
-        return Math.min(MAX_PENDING_MILLIS, Math.max(MIN_PENDING_MILLIS, PENDING_MILLIS_PER_PEER * peers));
+    /**
+     * Returns the time from a poll to the next one, in ms, while something waits for what a rare topic says. The longer
+     * it has waited without progress, the less it gains by a poll.
+     */
+    public static long pendingMillis(int peers, long sinceProgressMillis) {
+        long first = Math.min(MAX_PENDING_MILLIS, Math.max(MIN_PENDING_MILLIS, PENDING_MILLIS_PER_PEER * peers));
+        return Math.min(RARE_MILLIS, Math.max(first, sinceProgressMillis / POLLS_PER_DOUBLING));
     }
 }
--- a/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/store/PollIntervalsTest.java
+++ b/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/store/PollIntervalsTest.java
@@ -31,7 +31,14 @@
     @ParameterizedTest
     @CsvSource({"0, 300", "2, 300", "21, 420", "32, 640", "299, 1000"})
     void aPendingRecordIsPolledForTheLessOftenTheMoreRelaysDo(int peers, long interval) {
-        assertThat(PollIntervals.pendingMillis(peers)).isEqualTo(interval);
+        assertThat(PollIntervals.pendingMillis(peers, 0)).isEqualTo(interval);
+    }
+
+    /** Guards against frequent polls for good while one target can't be brought up to date. */
+    @ParameterizedTest
+    @CsvSource({"0, 300", "1200, 300", "4000, 1000", "48000, 12000", "10000000, 12000"})
+    void aPendingRecordIsPolledForTheLessOftenTheLongerThereIsNoProgress(long sinceProgress, long interval) {
+        assertThat(PollIntervals.pendingMillis(1, sinceProgress)).isEqualTo(interval);
     }
 
     /** An interval and the repeats of a call on silent connections together must not exceed the bound. */
