Name what the clients and times of repeated and scheduled calls are for

Only names and comments change: firstAttemptClient (kept), attemptClients (clients) and awaitingAnswer (inFlight) in RepeatingCallClient, spreadNextInterval (together) in PollSchedule.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/net/RepeatingCallClient.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/net/RepeatingCallClient.java
@@ -28,9 +28,15 @@
     private final StepTimer timer;
     private final RepeatSchedule schedule = new RepeatSchedule();
     private final int maxCalls;
-    private final List<HttpCallClient> clients;
-    private final List<HttpCallClient> inFlight = new ArrayList<>();
-    private HttpCallClient kept;
+
+    /** One for each attempt that may await an answer at a time. */
+    private final List<HttpCallClient> attemptClients;
+
+    private final List<HttpCallClient> awaitingAnswer = new ArrayList<>();
+
+    /** Makes the first attempt of the next call: its connection brought the last answer. */
+    private HttpCallClient firstAttemptClient;
+
     private Pending pending;
     private int made;
 
@@ -45,10 +51,10 @@
         this.clock = clock;
         this.maxCalls = maxCalls;
         timer = new StepTimer(loop);
-        clients = Stream.generate(client)
+        attemptClients = Stream.generate(client)
                 .limit(Math.min(maxCalls, RepeatPolicy.MAX_IN_FLIGHT))
                 .toList();
-        kept = clients.get(0);
+        firstAttemptClient = attemptClients.get(0);
     }
 
     /**
@@ -78,7 +84,7 @@
     public void call(PlatformCall call, long timeoutMillis, Consumer<Outcome> callback) {
         pending = new Pending(call, timeoutMillis, clock.get(), callback);
         made = 0;
-        make(kept, false);
+        make(firstAttemptClient, false);
     }
 
     /** Repeats the call in flight at once, if there is one that may be repeated. */
@@ -86,15 +92,15 @@
         if (pending == null || made == maxCalls) {
             return;
         }
-        if (inFlight.size() == clients.size()) {
-            inFlight.remove(earliestRepeat()).close();
+        if (awaitingAnswer.size() == attemptClients.size()) {
+            awaitingAnswer.remove(earliestRepeat()).close();
         }
-        clients.stream().filter(client -> !client.isBusy()).findFirst().ifPresent(client -> make(client, true));
+        attemptClients.stream().filter(client -> !client.isBusy()).findFirst().ifPresent(client -> make(client, true));
     }
 
     /** Returns the index of the earliest repeat in flight; a first attempt that has failed is no longer there. */
     private int earliestRepeat() {
-        return inFlight.get(0) == kept ? 1 : 0;
+        return awaitingAnswer.get(0) == firstAttemptClient ? 1 : 0;
     }
 
     private void make(HttpCallClient client, boolean repeated) {
@@ -102,7 +108,7 @@
         Moment now = clock.get();
         long elapsed = now.atLeastMillis() - current.beganAt().atLeastMillis();
         made++;
-        inFlight.add(client);
+        awaitingAnswer.add(client);
         schedule.repeatAfterMillis(made)
                 .ifPresent(after -> timer.reschedule(() -> repeat(current), Math.max(0, after - elapsed)));
         client.call(
@@ -118,16 +124,16 @@
     }
 
     private void onResult(HttpCallClient from, Outcome outcome) {
-        inFlight.remove(from);
-        if (!isUsable(outcome.result()) && !inFlight.isEmpty()) {
+        awaitingAnswer.remove(from);
+        if (!isUsable(outcome.result()) && !awaitingAnswer.isEmpty()) {
             from.close();
             return;
         }
         updateSchedule(outcome);
         Consumer<Outcome> callback = pending.callback();
         pending = null;
-        closeInFlight();
-        kept = from;
+        closeAwaitingAnswer();
+        firstAttemptClient = from;
         callback.accept(outcome);
     }
 
@@ -146,16 +152,16 @@
                 && answered.status() < SERVER_ERRORS;
     }
 
-    private void closeInFlight() {
-        inFlight.forEach(HttpCallClient::close);
-        inFlight.clear();
+    private void closeAwaitingAnswer() {
+        awaitingAnswer.forEach(HttpCallClient::close);
+        awaitingAnswer.clear();
     }
 
     /** Cancels the call in flight without calling its callback, and closes its connections. */
     public void cancel() {
         pending = null;
-        closeInFlight();
-        kept.close();
+        closeAwaitingAnswer();
+        firstAttemptClient.close();
     }
 
     @Override
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/PollSchedule.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/PollSchedule.java
@@ -20,10 +20,15 @@
     private final PollIntervals intervals;
     private final LongToIntFunction livePeers;
     private final DoubleSupplier random;
+    /** When the last poll began. */
     private long polledAt;
+
+    /** When the last answer came. */
     private long answeredAt;
+
     private long nextPollAt;
-    private boolean together = true;
+
+    private boolean spreadNextInterval = true;
 
     /** Time until which an unread record is expected to exist. */
     private long expectingUntil = Long.MIN_VALUE / 2;
@@ -58,7 +63,7 @@
     long onAnswered(long askedAt, long now) {
         answeredAt = now;
         nextPollAt = Math.max(now + MIN_GAP_MILLIS, askedAt + nextIntervalMillis(now));
-        together = false;
+        spreadNextInterval = false;
         return nextPollAt - now;
     }
 
@@ -68,7 +73,7 @@
         if (now < expectingUntil) {
             return Math.min(usual, EXPECTED_RECORD_INTERVAL_MILLIS);
         }
-        double share = together ? MIN_SPREAD_SHARE + (1 - MIN_SPREAD_SHARE) * random.getAsDouble() : 1;
+        double share = spreadNextInterval ? MIN_SPREAD_SHARE + (1 - MIN_SPREAD_SHARE) * random.getAsDouble() : 1;
         return Math.round(share * usual);
     }
 
@@ -80,7 +85,7 @@
     /** Brings the next poll forward, as a peer has read a record that was not read here; returns the time until it. */
     long onHint(long now) {
         long wanted = PollIntervals.hintedGapMillis(livePeers.applyAsInt(now));
-        together = true;
+        spreadNextInterval = true;
         nextPollAt = Math.min(nextPollAt, answeredAt + wanted);
         return Math.max(0, nextPollAt - now);
     }
