--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/PollSchedule.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/PollSchedule.java
@@ -23,10 +23,15 @@
     private final PollIntervals intervals;
     private final LongToIntFunction livePeers;
     private final DoubleSupplier random;
+    /** When the last poll began. */
     private long polledAt;
+
+    /** When the last answer came. */
     private long answeredAt;
+
     private long nextPollAt;
-    private boolean together = true;
+
+    private boolean spreadNextInterval = true;
     private boolean hinted;
     private boolean hintedInVain;
 
@@ -67,7 +72,7 @@
         hintedInVain |= hinted;
         hinted = false;
         nextPollAt = Math.max(now + MIN_GAP_MILLIS, askedAt + nextIntervalMillis(now));
-        together = false;
+        spreadNextInterval = false;
         return nextPollAt - now;
     }
 
@@ -77,7 +82,7 @@
         if (now < expectingUntil) {
             return Math.min(usual, EXPECTED_RECORD_INTERVAL_MILLIS);
         }
-        double share = together ? MIN_SPREAD_SHARE + (1 - MIN_SPREAD_SHARE) * random.getAsDouble() : 1;
+        double share = spreadNextInterval ? MIN_SPREAD_SHARE + (1 - MIN_SPREAD_SHARE) * random.getAsDouble() : 1;
         return Math.round(share * usual);
     }
 
@@ -93,7 +98,7 @@
     long onHint(long now) {
         long wanted = PollIntervals.hintedGapMillis(livePeers.applyAsInt(now));
         long gap = hintedInVain ? Math.max(wanted, VAIN_HINT_GAP_MILLIS) : wanted;
-        together = !hintedInVain;
+        spreadNextInterval = !hintedInVain;
         hinted = true;
         nextPollAt = Math.min(nextPollAt, answeredAt + gap);
         return Math.max(0, nextPollAt - now);
