--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Evacuations.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Evacuations.java
@@ -4,15 +4,16 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.stream.Collectors;
+import org.rattanrudder.core.topics.LogPosition;
 
 /**
  * Registry of the failure domains that operators have evacuated, built from a keyed log.
  *
- * <p>A record is applied only if its offset is higher than that of the last one of its domain: after an outage the log
+ * <p>A record is applied only if its position is after that of the last one of its domain: after an outage the log
  * may return an older state for a while. An evacuation stays in force while the log is unavailable.
  *
  * <pre>{@code
- * evacuations.apply("north", true, offset, now);
+ * evacuations.apply("north", true, position, now);
  * boolean evacuated = evacuations.isEvacuated("north");
  * }</pre>
  */
@@ -26,10 +27,10 @@
      * The newest state of a domain.
      *
      * @param evacuated whether it is evacuated
-     * @param offset the offset of its record
+     * @param position the position of its record
      * @param sinceMillis when this relay learned of it
      */
-    private record State(boolean evacuated, long offset, long sinceMillis) {}
+    private record State(boolean evacuated, LogPosition position, long sinceMillis) {}
 
     /** Creates a registry without evacuations. */
     public Evacuations() {}
@@ -37,16 +38,16 @@
     /**
      * Applies a record: whether a domain is evacuated. Returns whether that differs from the state before.
      *
-     * @param offset the offset of the record
+     * @param position the position of the record
      * @param nowMillis the time of a monotonic clock
      */
-    public boolean apply(String domain, boolean evacuated, long offset, long nowMillis) {
+    public boolean apply(String domain, boolean evacuated, LogPosition position, long nowMillis) {
         State last = domains.get(domain);
-        if (last != null && offset <= last.offset()) {
+        if (last != null && !position.isAfter(last.position())) {
             return false;
         }
         boolean changed = evacuated != isEvacuated(domain);
-        domains.put(domain, new State(evacuated, offset, changed ? nowMillis : since(last, nowMillis)));
+        domains.put(domain, new State(evacuated, position, changed ? nowMillis : since(last, nowMillis)));
         return changed;
     }
 
@@ -59,14 +60,14 @@
      * Returns the domains whose evacuation has ended.
      *
      * @param listed the domains that the listing says are evacuated
-     * @param end the offset at which the listing ends
+     * @param end the position at which the listing ends
      */
-    public Set<String> applyListing(Set<String> listed, long end, long nowMillis) {
+    public Set<String> applyListing(Set<String> listed, LogPosition end, long nowMillis) {
         Set<String> ended = evacuated().stream()
-                .filter(domain ->
-                        !listed.contains(domain) && domains.get(domain).offset() < end)
+                .filter(domain -> !listed.contains(domain)
+                        && domains.get(domain).position().isBefore(end))
                 .collect(Collectors.toUnmodifiableSet());
-        ended.forEach(domain -> domains.put(domain, new State(false, end - 1, nowMillis)));
+        ended.forEach(domain -> domains.put(domain, new State(false, end.plus(-1), nowMillis)));
         return ended;
     }
 
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Fleet.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Fleet.java
@@ -17,17 +17,18 @@
 import org.rattanrudder.core.fleet.LoadReport.RemovedTarget;
 import org.rattanrudder.core.fleet.LoadReport.SeenRateLimit;
 import org.rattanrudder.core.fleet.LoadReport.ServedWeights;
+import org.rattanrudder.core.topics.LogPosition;
 
 /**
  * Registry of the known targets, built from a keyed log of their registrations.
  *
  * <p>A record is applied only if it is newer than the last one of its target, by the target's start time and then by
- * log offset: after an outage the log may return an older state for a while. A registration that expired while the log
- * was unavailable doesn't mean that its target is down, since the target couldn't renew it; it is kept until the target
- * has had time to register again.
+ * its position in the log: after an outage the log may return an older state for a while. A registration that expired
+ * while the log was unavailable doesn't mean that its target is down, since the target couldn't renew it; it is kept
+ * until the target has had time to register again.
  *
  * <pre>{@code
- * fleet.apply(id, Optional.of(registration), offset, now);
+ * fleet.apply(id, Optional.of(registration), position, now);
  * List<Target> targets = fleet.activeTargets("palivo-llm", now);
  * }</pre>
  */
@@ -54,7 +55,7 @@
     static final long REPLACED_MILLIS = 10_000;
 
     private final Map<String, Target> targets = new LinkedHashMap<>();
-    private final Map<String, RecordPosition> newestRecords = new HashMap<>();
+    private final Map<String, NewestRecord> newestRecords = new HashMap<>();
     private final Map<String, Long> expired = new HashMap<>();
     private final Map<String, TargetNotices> notices = new HashMap<>();
     private final Map<String, Removal> removals = new LinkedHashMap<>();
@@ -72,22 +73,22 @@
     private boolean listed;
 
     /**
-     * Position of the newest record that was read of a target.
+     * The newest record that was read of a target.
      *
      * @param startedAt the target's start time
-     * @param offset the record's log offset
+     * @param position the record's position in the log
      */
-    private record RecordPosition(long startedAt, long offset) {
-        private static final RecordPosition NONE = new RecordPosition(TargetRegistration.START_UNKNOWN, -1);
+    private record NewestRecord(long startedAt, LogPosition position) {
+        private static final NewestRecord NONE = new NewestRecord(TargetRegistration.START_UNKNOWN, LogPosition.NONE);
     }
 
     /**
      * A removal that was applied at once, since this relay had the log all the while.
      *
-     * @param offset the log offset of the removal
+     * @param position the log position of the removal
      * @param at when it was applied
      */
-    private record Removal(long offset, long at) {}
+    private record Removal(LogPosition position, long at) {}
 
     /**
      * A target that was removed since another one responded at its address.
@@ -132,18 +133,18 @@
      * Applies a record of one target: its registration, or empty if it was removed. Returns whether the record was
      * newer.
      */
-    public boolean apply(String id, Optional<TargetRegistration> registration, long offset, long nowMillis) {
+    public boolean apply(String id, Optional<TargetRegistration> registration, LogPosition position, long nowMillis) {
         if (registration.isPresent()) {
-            return applyRegistration(registration.get(), offset, nowMillis);
+            return applyRegistration(registration.get(), position, nowMillis);
         }
         if (listed && !newestRecords.containsKey(id)) {
             software.restart(nowMillis);
         }
-        if (!isNewer(id, offset)) {
+        if (!isNewer(id, position)) {
             return false;
         }
         software.onRemoved(id, nowMillis);
-        remove(id, offset, nowMillis);
+        remove(id, position, nowMillis);
         return true;
     }
 
@@ -151,20 +152,21 @@
      * Removes a target whose newest record can't be parsed: it was written by another writer and has no address to send
      * to.
      */
-    public void onUnreadableRecord(String id, long offset, long nowMillis) {
-        if (isNewer(id, offset)) {
+    public void onUnreadableRecord(String id, LogPosition position, long nowMillis) {
+        if (isNewer(id, position)) {
             software.onUnreadable(id, nowMillis);
             removeAtOnce(id, nowMillis);
         }
     }
 
     /**
-     * Returns whether a record without a start time is newer than the last one of its target, and remembers its offset.
+     * Returns whether a record without a start time is newer than the last one of its target, and remembers its
+     * position.
      */
-    private boolean isNewer(String id, long offset) {
-        RecordPosition position = newestRecords.getOrDefault(id, RecordPosition.NONE);
-        newestRecords.put(id, new RecordPosition(position.startedAt(), Math.max(position.offset(), offset)));
-        return offset > position.offset();
+    private boolean isNewer(String id, LogPosition position) {
+        NewestRecord newest = newestRecords.getOrDefault(id, NewestRecord.NONE);
+        newestRecords.put(id, new NewestRecord(newest.startedAt(), LogPosition.latest(newest.position(), position)));
+        return position.isAfter(newest.position());
     }
 
     /**
@@ -172,14 +174,14 @@
      * its earlier outcomes don't apply to it, so it is replaced by a new {@code Target}. A record of an earlier start
      * may be written or read after one of the newer start and is ignored.
      */
-    private boolean applyRegistration(TargetRegistration registration, long offset, long nowMillis) {
+    private boolean applyRegistration(TargetRegistration registration, LogPosition position, long nowMillis) {
         software.onKnown(registration.service(), registration.softwareVersion(), nowMillis);
-        RecordPosition position = newestRecords.getOrDefault(registration.id(), RecordPosition.NONE);
-        boolean restarted = registration.startedAt() > position.startedAt();
-        if (registration.startedAt() < position.startedAt() || (!restarted && offset <= position.offset())) {
+        NewestRecord newest = newestRecords.getOrDefault(registration.id(), NewestRecord.NONE);
+        boolean restarted = registration.startedAt() > newest.startedAt();
+        if (registration.startedAt() < newest.startedAt() || (!restarted && !position.isAfter(newest.position()))) {
             return false;
         }
-        newestRecords.put(registration.id(), new RecordPosition(registration.startedAt(), offset));
+        newestRecords.put(registration.id(), new NewestRecord(registration.startedAt(), position));
         if (isReplaced(registration, nowMillis)) {
             return false;
         }
@@ -242,11 +244,11 @@
     /**
      * Applies a full listing: removes targets that aren't listed, unless their last record is newer than the listing.
      */
-    public void applyListing(Set<String> present, long end, long nowMillis) {
+    public void applyListing(Set<String> present, LogPosition end, long nowMillis) {
         listed = true;
         software.onListed(present, nowMillis);
         for (String id : List.copyOf(targets.keySet())) {
-            if (!present.contains(id) && newestRecords.get(id).offset() < end) {
+            if (!present.contains(id) && newestRecords.get(id).position().isBefore(end)) {
                 remove(id, end, nowMillis);
             }
         }
@@ -424,13 +426,13 @@
         return 2 * unreachable.size() <= all.size() ? unreachable : List.of();
     }
 
-    private void remove(String id, long offset, long nowMillis) {
+    private void remove(String id, LogPosition position, long nowMillis) {
         if (!log.isSettled(nowMillis)) {
             expired.putIfAbsent(id, nowMillis);
             return;
         }
         if (removeNow(id, nowMillis).isPresent()) {
-            removals.put(id, new Removal(offset, nowMillis));
+            removals.put(id, new Removal(position, nowMillis));
         }
         expired.remove(id);
     }
@@ -440,11 +442,11 @@
      * applied.
      */
     private void onRemovalReported(RemovedTarget removed, long nowMillis) {
-        boolean asNew = newestRecords
-                        .getOrDefault(removed.target(), RecordPosition.NONE)
-                        .offset()
-                <= removed.offset();
-        if (asNew && expired.remove(removed.target()) != null) {
+        boolean isOlder = newestRecords
+                .getOrDefault(removed.target(), NewestRecord.NONE)
+                .position()
+                .isAfter(removed.position());
+        if (!isOlder && expired.remove(removed.target()) != null) {
             removeNow(removed.target(), nowMillis);
         }
     }
@@ -454,7 +456,7 @@
         removals.values().removeIf(removal -> nowMillis - removal.at() > REMOVAL_REPORTED_MILLIS);
         return removals.entrySet().stream()
                 .map(removal ->
-                        new RemovedTarget(removal.getKey(), removal.getValue().offset()))
+                        new RemovedTarget(removal.getKey(), removal.getValue().position()))
                 .toList();
     }
 
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/LoadReport.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/LoadReport.java
@@ -2,9 +2,11 @@
 
 import java.util.List;
 import java.util.OptionalDouble;
+import java.util.stream.Stream;
 import org.rattanrudder.core.parts.RetirementReport;
 import org.rattanrudder.core.parts.StoreLateness;
 import org.rattanrudder.core.rollout.VersionQuestion;
+import org.rattanrudder.core.topics.LogPosition;
 
 /**
  * The load that one relay has at the targets, as it reports it to its peers.
@@ -18,7 +20,7 @@
  * @param loading targets that the relay has ordered to load weights and that accept no requests meanwhile
  * @param unreachable targets that the relay failed to connect to recently
  * @param ready whether the relay accepts new connections
- * @param readOffsets how far the relay has read the platform's logs
+ * @param readPositions how far the relay has read the platform's logs
  * @param storeLateness lateness of fetches from context stores since the last full report to the same peer
  * @param rateLimits what this relay has seen of the rate limits of targets; only in full reports
  * @param leaving targets that leave, by their registrations or their responses; only in full reports
@@ -38,7 +40,7 @@
         List<String> loading,
         List<String> unreachable,
         boolean ready,
-        ReadOffsets readOffsets,
+        ReadPositions readPositions,
         List<StoreLateness> storeLateness,
         List<SeenRateLimit> rateLimits,
         List<LeavingTarget> leaving,
@@ -58,9 +60,9 @@
         removed = List.copyOf(removed);
     }
 
-    /** Creates a report of load, readiness and read offsets only. */
+    /** Creates a report of load, readiness and read positions only. */
     public static LoadReport ofTargets(
-            String relay, long sequence, boolean whole, List<TargetLoad> targets, boolean ready, ReadOffsets readTo) {
+            String relay, long sequence, boolean whole, List<TargetLoad> targets, boolean ready, ReadPositions readTo) {
         return new LoadReport(
                 relay,
                 sequence,
@@ -96,7 +98,7 @@
                 loading,
                 unreachable,
                 ready,
-                readOffsets,
+                readPositions,
                 newLate,
                 rateLimits,
                 leaving,
@@ -109,13 +111,22 @@
     /**
      * How far a relay has read the platform's logs.
      *
-     * @param desiredConfiguration the offset up to which it has read the desired configuration
-     * @param targetsChanged the offset after the last relevant change of a target: added, draining, removed, or other
+     * @param desiredConfiguration up to where it has read the desired configuration
+     * @param targetsChanged the position after the last relevant change of a target: added, draining, removed, or other
      * weights
-     * @param quarantine the offset up to which it has read or written quarantine records
-     * @param relays the offset up to which it has read the registrations of relays
+     * @param quarantine up to where it has read or written quarantine records
+     * @param relays up to where it has read the registrations of relays
      */
-    public record ReadOffsets(long desiredConfiguration, long targetsChanged, long quarantine, long relays) {}
+    public record ReadPositions(
+            LogPosition desiredConfiguration, LogPosition targetsChanged, LogPosition quarantine, LogPosition relays) {
+        /** Returns the newest era of the log that the relay has read from. */
+        public long era() {
+            return Stream.of(desiredConfiguration, targetsChanged, quarantine, relays)
+                    .mapToLong(LogPosition::era)
+                    .max()
+                    .orElseThrow();
+        }
+    }
 
     /**
      * The weights that an incarnation of a target serves.
@@ -159,9 +170,9 @@
      * A target whose registration was removed.
      *
      * @param target the target's id
-     * @param offset the log offset of the removal
+     * @param position the log position of the removal
      */
-    public record RemovedTarget(String target, long offset) {}
+    public record RemovedTarget(String target, LogPosition position) {}
 
     /**
      * The load at one target.
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/rollout/OrderLease.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/rollout/OrderLease.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.rattanrudder.core.time.Moment;
+import org.rattanrudder.core.topics.LogPosition;
 
 /**
  * The lease of the process that sends orders to engines, kept as a log of its own.
@@ -46,7 +47,7 @@
     /** Instances whose newest record names no term. */
     private final Set<String> instancesWithoutTerms = new HashSet<>();
 
-    private long end;
+    private LogPosition end = LogPosition.START;
     private boolean endKnown;
     private boolean caughtUp;
     private String lastHolder = "";
@@ -61,11 +62,11 @@
     /** Until when another holder whose record wasn't read may have ordered any engine too lately. */
     private long othersUnreadOrdersUntil = LONG_AGO;
 
-    private long nextOffset;
+    private LogPosition next = LogPosition.START;
     private boolean recordsMissed;
     private long termMillis = LEASE_MILLIS;
     private boolean lastUnanswered;
-    private long fencingToken = -1;
+    private LogPosition ownRecord = LogPosition.NONE;
     private long heldUntil = LONG_AGO;
 
     /**
@@ -81,9 +82,9 @@
         this.handoverMillis = handoverMillis;
     }
 
-    /** Records that all records before an offset were read. */
-    public void advanceTo(long newEnd) {
-        end = Math.max(end, newEnd);
+    /** Records that all records before a position were read. */
+    public void advanceTo(LogPosition newEnd) {
+        end = LogPosition.latest(end, newEnd);
         endKnown = true;
     }
 
@@ -94,10 +95,10 @@
     }
 
     /** Handles a record that was read. */
-    public void onRecord(long offset, LeaseRecord record, Moment now) {
-        advanceTo(offset + 1);
-        recordsMissed |= offset > nextOffset;
-        nextOffset = Math.max(nextOffset, offset + 1);
+    public void onRecord(LogPosition position, LeaseRecord record, Moment now) {
+        advanceTo(position.plus(1));
+        recordsMissed |= position.isAfter(next);
+        next = LogPosition.latest(next, position.plus(1));
         if (record.holder().equals(self)) {
             return;
         }
@@ -110,7 +111,7 @@
             othersTermUntil = LONG_AGO;
             record.loading().forEach(othersOrdersUntil::remove);
         }
-        if (offset > fencingToken) {
+        if (position.isAfter(ownRecord)) {
             heldUntil = LONG_AGO;
         }
     }
@@ -158,11 +159,11 @@
 
     /** Returns whether this process has written the last record that is known. */
     public boolean isLastWriter() {
-        return endKnown && fencingToken >= 0 && fencingToken == end - 1;
+        return endKnown && end.equals(ownRecord.plus(1)) && !ownRecord.equals(LogPosition.NONE);
     }
 
-    /** Returns the offset at which the next append must be written to be valid. */
-    public long appendOffset() {
+    /** Returns the position at which the next append must be written to be valid. */
+    public LogPosition appendPosition() {
         return end;
     }
 
@@ -177,9 +178,9 @@
      * @param record what was appended
      * @param sentAt when it was sent
      */
-    public void onAppended(long offset, LeaseRecord record, Moment sentAt, Moment now) {
-        advanceTo(offset + 1);
-        fencingToken = offset;
+    public void onAppended(LogPosition position, LeaseRecord record, Moment sentAt, Moment now) {
+        advanceTo(position.plus(1));
+        ownRecord = position;
         lastUnanswered = false;
         heldUntil = sentAt.atMostMillis() + record.termMillis();
         ownOrdersUntil.values().removeIf(until -> now.atMostMillis() >= until);
@@ -190,7 +191,7 @@
         termMillis = Math.max(needed, (termMillis + LEASE_MILLIS) / 2);
     }
 
-    /** Handles a failed append: another process has written a record at the expected offset. */
+    /** Handles a failed append: another process has written a record at the expected position. */
     public void onConflict() {
         endKnown = false;
         heldUntil = LONG_AGO;
@@ -228,6 +229,6 @@
 
     /** Returns the fencing token of the lease that was held last; -1 if none was. */
     public long fencingToken() {
-        return fencingToken;
+        return ownRecord.equals(LogPosition.NONE) ? -1 : LeaseTokens.of(ownRecord);
     }
 }
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/continuation/OutOfStepRelay.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/continuation/OutOfStepRelay.java
@@ -1,5 +1,7 @@
 package org.rattanrudder.core.continuation;
 
+import static org.rattanrudder.core.topics.TestPositions.position;
+
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -95,7 +97,7 @@
                             .toList(),
                     now);
             keys.addAll(first.keys());
-            fleet.applyListing(keys, first.end(), clock(now));
+            fleet.applyListing(keys, position(first.end()), clock(now));
             targetsRead = first.end();
         } else {
             apply(targets.from(targetsRead), now);
@@ -107,7 +109,7 @@
         Set<String> keys = new HashSet<>();
         for (Entry entry : entries) {
             keys.add(entry.key());
-            fleet.apply(entry.key(), registration(entry), entry.offset(), clock(now));
+            fleet.apply(entry.key(), registration(entry), position(entry.offset()), clock(now));
         }
         return keys;
     }
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/EvacuationsTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/EvacuationsTest.java
@@ -1,6 +1,7 @@
 package org.rattanrudder.core.fleet;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.rattanrudder.core.topics.TestPositions.position;
 
 import java.util.ArrayList;
 import java.util.Collections;
@@ -30,7 +31,7 @@
                 4,
                 false,
                 Map.of("m", 1L));
-        fleet.apply(id, Optional.of(registration), 1, NOW);
+        fleet.apply(id, Optional.of(registration), position(1), NOW);
     }
 
     private List<String> usable() {
@@ -42,7 +43,7 @@
         register("i-1", "north");
         register("i-2", "south");
 
-        fleet.evacuations().apply("north", true, 5, NOW);
+        fleet.evacuations().apply("north", true, position(5), NOW);
 
         assertThat(usable()).containsExactly("i-2");
         assertThat(fleet.activeTargets("llm", NOW)).hasSize(2);
@@ -51,7 +52,7 @@
     /** Guards against a target that registers, or registers again, during the evacuation of its domain. */
     @Test
     void targetThatRegistersDuringTheEvacuationGetsNoRequests() {
-        fleet.evacuations().apply("north", true, 5, NOW);
+        fleet.evacuations().apply("north", true, position(5), NOW);
 
         register("i-1", "north");
 
@@ -62,8 +63,8 @@
     void evacuationOfAllDomainsLeavesNoTarget() {
         register("i-1", "north");
         register("i-2", "south");
-        fleet.evacuations().apply("north", true, 5, NOW);
-        fleet.evacuations().apply("south", true, 6, NOW);
+        fleet.evacuations().apply("north", true, position(5), NOW);
+        fleet.evacuations().apply("south", true, position(6), NOW);
 
         assertThat(usable()).isEmpty();
     }
@@ -72,7 +73,7 @@
     void unknownDomainChangesNothing() {
         register("i-1", "north");
 
-        fleet.evacuations().apply("elsewhere", true, 5, NOW);
+        fleet.evacuations().apply("elsewhere", true, position(5), NOW);
 
         assertThat(usable()).containsExactly("i-1");
     }
@@ -81,10 +82,10 @@
     @Test
     void olderRecordIsIgnored() {
         Evacuations evacuations = fleet.evacuations();
-        evacuations.apply("north", true, 5, NOW);
-        evacuations.apply("north", false, 7, NOW);
+        evacuations.apply("north", true, position(5), NOW);
+        evacuations.apply("north", false, position(7), NOW);
 
-        assertThat(evacuations.apply("north", true, 5, NOW)).isFalse();
+        assertThat(evacuations.apply("north", true, position(5), NOW)).isFalse();
         assertThat(evacuations.isEvacuated("north")).isFalse();
     }
 
@@ -92,8 +93,8 @@
     void repeatedRecordIsNoChange() {
         Evacuations evacuations = fleet.evacuations();
 
-        assertThat(evacuations.apply("north", true, 5, NOW)).isTrue();
-        assertThat(evacuations.apply("north", true, 9, NOW)).isFalse();
+        assertThat(evacuations.apply("north", true, position(5), NOW)).isTrue();
+        assertThat(evacuations.apply("north", true, position(9), NOW)).isFalse();
         assertThat(evacuations.isEvacuated("north")).isTrue();
     }
 
@@ -101,10 +102,10 @@
     @Test
     void listingWithoutTheDomainEndsItsEvacuation() {
         Evacuations evacuations = fleet.evacuations();
-        evacuations.apply("north", true, 5, NOW);
-        evacuations.apply("south", true, 12, NOW);
+        evacuations.apply("north", true, position(5), NOW);
+        evacuations.apply("south", true, position(12), NOW);
 
-        assertThat(evacuations.applyListing(Set.of(), 10, NOW)).containsExactly("north");
+        assertThat(evacuations.applyListing(Set.of(), position(10), NOW)).containsExactly("north");
         assertThat(evacuations.evacuated()).containsExactly("south");
     }
 
@@ -119,7 +120,7 @@
         Collections.shuffle(read, new Random(seed));
         Evacuations evacuations = new Evacuations();
 
-        read.forEach(offset -> evacuations.apply("north", written.get(offset), offset, NOW + offset));
+        read.forEach(offset -> evacuations.apply("north", written.get(offset), position(offset), NOW + offset));
 
         assertThat(evacuations.isEvacuated("north")).isEqualTo(written.get(written.size() - 1));
     }
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/FleetTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/FleetTest.java
@@ -1,6 +1,7 @@
 package org.rattanrudder.core.fleet;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.rattanrudder.core.topics.TestPositions.position;
 
 import java.util.List;
 import java.util.Map;
@@ -20,8 +21,8 @@
     @Test
     void drainingTargetGetsNoNewRequests() {
         fleet.onLogAvailable(START);
-        fleet.apply("i-1", Optional.of(registration("i-1", false)), 1, SETTLED);
-        fleet.apply("i-1", Optional.of(registration("i-1", true)), 2, SETTLED);
+        fleet.apply("i-1", Optional.of(registration("i-1", false)), position(1), SETTLED);
+        fleet.apply("i-1", Optional.of(registration("i-1", true)), position(2), SETTLED);
 
         assertThat(fleet.activeTargets("llm", SETTLED)).isEmpty();
         assertThat(fleet.find("i-1")).isPresent();
@@ -34,9 +35,9 @@
     @Test
     void olderRecordIsIgnored() {
         fleet.onLogAvailable(START);
-        fleet.apply("i-1", Optional.of(registration("i-1", true)), 9, SETTLED);
+        fleet.apply("i-1", Optional.of(registration("i-1", true)), position(9), SETTLED);
 
-        assertThat(fleet.apply("i-1", Optional.of(registration("i-1", false)), 8, SETTLED))
+        assertThat(fleet.apply("i-1", Optional.of(registration("i-1", false)), position(8), SETTLED))
                 .isFalse();
         assertThat(fleet.activeTargets("llm", SETTLED)).isEmpty();
     }
@@ -48,11 +49,11 @@
     @Test
     void registrationExpiredDuringLogOutageIsKeptForGracePeriod() {
         fleet.onLogAvailable(START);
-        fleet.apply("i-1", Optional.of(registration("i-1", false)), 1, SETTLED);
+        fleet.apply("i-1", Optional.of(registration("i-1", false)), position(1), SETTLED);
         fleet.onLogUnavailable();
         long recovered = SETTLED + 20_000;
         fleet.onLogAvailable(recovered);
-        fleet.apply("i-1", Optional.empty(), 2, recovered + 10);
+        fleet.apply("i-1", Optional.empty(), position(2), recovered + 10);
 
         assertThat(fleet.activeTargets("llm", recovered + 100)).hasSize(1);
         assertThat(fleet.activeTargets("llm", recovered + Fleet.LOG_RECOVERY_GRACE_MILLIS + 11))
@@ -63,16 +64,17 @@
     @Test
     void aReplacedTargetIsKnownAgainByAnotherRegistrationOrLater() {
         fleet.onLogAvailable(START);
-        fleet.apply("i-1", Optional.of(registration("i-1", false)), 1, SETTLED);
+        fleet.apply("i-1", Optional.of(registration("i-1", false)), position(1), SETTLED);
         fleet.removeReplaced("i-1", SETTLED);
 
-        fleet.apply("i-1", Optional.of(registration("i-1", false)), 2, SETTLED + 1_000);
+        fleet.apply("i-1", Optional.of(registration("i-1", false)), position(2), SETTLED + 1_000);
         assertThat(fleet.find("i-1")).isEmpty();
-        fleet.apply("i-1", Optional.of(registration("i-1", true)), 3, SETTLED + 2_000);
+        fleet.apply("i-1", Optional.of(registration("i-1", true)), position(3), SETTLED + 2_000);
         assertThat(fleet.find("i-1")).isPresent();
 
         fleet.removeReplaced("i-1", SETTLED + 3_000);
-        fleet.apply("i-1", Optional.of(registration("i-1", true)), 4, SETTLED + 3_000 + Fleet.REPLACED_MILLIS);
+        fleet.apply(
+                "i-1", Optional.of(registration("i-1", true)), position(4), SETTLED + 3_000 + Fleet.REPLACED_MILLIS);
         assertThat(fleet.find("i-1")).isPresent();
     }
 
@@ -80,11 +82,11 @@
     @Test
     void aTargetWhoseRecordWasUnreadableIsKnownAgainAtOnce() {
         fleet.onLogAvailable(START);
-        fleet.apply("i-1", Optional.of(registration("i-1", false)), 1, SETTLED);
-        fleet.onUnreadableRecord("i-1", 2, SETTLED);
+        fleet.apply("i-1", Optional.of(registration("i-1", false)), position(1), SETTLED);
+        fleet.onUnreadableRecord("i-1", position(2), SETTLED);
         assertThat(fleet.find("i-1")).isEmpty();
 
-        fleet.apply("i-1", Optional.of(registration("i-1", false)), 3, SETTLED);
+        fleet.apply("i-1", Optional.of(registration("i-1", false)), position(3), SETTLED);
         assertThat(fleet.find("i-1")).isPresent();
     }
 
@@ -95,7 +97,7 @@
     private static Fleet withTarget() {
         Fleet made = new Fleet();
         made.onLogAvailable(START);
-        made.apply("i-1", Optional.of(registration("i-1", false)), 1, SETTLED);
+        made.apply("i-1", Optional.of(registration("i-1", false)), position(1), SETTLED);
         return made;
     }
 
@@ -107,8 +109,8 @@
         cutOff.onLogUnavailable();
         long regained = SETTLED + 3_000;
         cutOff.onLogAvailable(regained);
-        peer.apply("i-1", Optional.empty(), 2, regained);
-        cutOff.apply("i-1", Optional.empty(), 2, regained);
+        peer.apply("i-1", Optional.empty(), position(2), regained);
+        cutOff.apply("i-1", Optional.empty(), position(2), regained);
         assertThat(cutOff.activeTargets("llm", regained)).hasSize(1);
 
         cutOff.applyLoadReport(reportOf(peer, regained + 100), regained + 100);
@@ -120,12 +122,12 @@
     @Test
     void aReportedRemovalThatIsOlderThanTheRegistrationChangesNothing() {
         Fleet peer = withTarget();
-        peer.apply("i-1", Optional.empty(), 2, SETTLED);
+        peer.apply("i-1", Optional.empty(), position(2), SETTLED);
         Fleet cutOff = withTarget();
         cutOff.onLogUnavailable();
         cutOff.onLogAvailable(SETTLED);
-        cutOff.apply("i-1", Optional.empty(), 2, SETTLED);
-        cutOff.apply("i-1", Optional.of(registration("i-1", false)), 3, SETTLED);
+        cutOff.apply("i-1", Optional.empty(), position(2), SETTLED);
+        cutOff.apply("i-1", Optional.of(registration("i-1", false)), position(3), SETTLED);
 
         cutOff.applyLoadReport(reportOf(peer, SETTLED + 100), SETTLED + 100);
 
@@ -138,7 +140,7 @@
         Fleet peer = withTarget();
         peer.onLogUnavailable();
         peer.onLogAvailable(SETTLED);
-        peer.apply("i-1", Optional.empty(), 2, SETTLED);
+        peer.apply("i-1", Optional.empty(), position(2), SETTLED);
 
         assertThat(peer.removedTargets(SETTLED + 100)).isEmpty();
         assertThat(peer.activeTargets("llm", SETTLED + Fleet.LOG_RECOVERY_GRACE_MILLIS))
@@ -156,10 +158,10 @@
     void removalShortlyAfterStartIsAppliedAtOnce() {
         long drainMillis = 2_000;
         fleet.onLogAvailable(START);
-        fleet.apply("i-1", Optional.of(registration("i-1", false)), 6, START + 10);
-        fleet.applyListing(Set.of("i-1"), 7, START + 10);
+        fleet.apply("i-1", Optional.of(registration("i-1", false)), position(6), START + 10);
+        fleet.applyListing(Set.of("i-1"), position(7), START + 10);
         long removed = START + 400;
-        fleet.apply("i-1", Optional.empty(), 12, removed);
+        fleet.apply("i-1", Optional.empty(), position(12), removed);
 
         assertThat(fleet.activeTargets("llm", removed + drainMillis)).isEmpty();
     }
@@ -167,12 +169,12 @@
     @Test
     void registrationRenewedWithinGracePeriodIsKept() {
         fleet.onLogAvailable(START);
-        fleet.apply("i-1", Optional.of(registration("i-1", false)), 1, SETTLED);
+        fleet.apply("i-1", Optional.of(registration("i-1", false)), position(1), SETTLED);
         fleet.onLogUnavailable();
         long recovered = SETTLED + 20_000;
         fleet.onLogAvailable(recovered);
-        fleet.apply("i-1", Optional.empty(), 2, recovered + 10);
-        fleet.apply("i-1", Optional.of(registration("i-1", false)), 3, recovered + 900);
+        fleet.apply("i-1", Optional.empty(), position(2), recovered + 10);
+        fleet.apply("i-1", Optional.of(registration("i-1", false)), position(3), recovered + 900);
 
         assertThat(fleet.activeTargets("llm", recovered + 60_000)).hasSize(1);
     }
@@ -180,10 +182,10 @@
     @Test
     void targetMissingFromListingIsRemovedUnlessNewer() {
         fleet.onLogAvailable(START);
-        fleet.apply("i-1", Optional.of(registration("i-1", false)), 1, SETTLED);
-        fleet.apply("i-2", Optional.of(registration("i-2", false)), 7, SETTLED);
+        fleet.apply("i-1", Optional.of(registration("i-1", false)), position(1), SETTLED);
+        fleet.apply("i-2", Optional.of(registration("i-2", false)), position(7), SETTLED);
 
-        fleet.applyListing(Set.of(), 5, SETTLED);
+        fleet.applyListing(Set.of(), position(5), SETTLED);
 
         assertThat(fleet.activeTargets("llm", SETTLED)).extracting(Target::id).containsExactly("i-2");
     }
@@ -199,7 +201,7 @@
         fleet.onLogAvailable(0);
         for (int index = 0; index < 4; index++) {
             String id = "i-" + index;
-            fleet.apply(id, Optional.of(registration(id, false)), index, 1_000);
+            fleet.apply(id, Optional.of(registration(id, false)), position(index), 1_000);
             Target target = fleet.find(id).orElseThrow();
             target.onDialStarted(1_000);
             target.onDialFinished(index >= unreachable, 1_400);
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/PeerLoadsTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/PeerLoadsTest.java
@@ -1,6 +1,8 @@
 package org.rattanrudder.core.fleet;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.rattanrudder.core.fleet.TestReports.readNothing;
+import static org.rattanrudder.core.topics.TestPositions.position;
 
 import java.util.HashMap;
 import java.util.List;
@@ -10,7 +12,6 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
-import org.rattanrudder.core.fleet.LoadReport.ReadOffsets;
 import org.rattanrudder.core.fleet.LoadReport.TargetLoad;
 import org.rattanrudder.core.gateway.EngineTraits;
 import org.rattanrudder.core.parts.RetirementReport;
@@ -103,7 +104,7 @@
     void engineFilledByPeersHasNoRoom() {
         Fleet fleet = new Fleet();
         fleet.onLogAvailable(0);
-        fleet.apply("i-1", Optional.of(FleetTest.registration("i-1", false)), 1, NOW);
+        fleet.apply("i-1", Optional.of(FleetTest.registration("i-1", false)), position(1), NOW);
         List<Target> targets = fleet.activeTargets("llm", NOW);
         assertThat(SendWindow.targetsWithRoom(targets, ENGINE, 9_000, false, NOW))
                 .hasSize(1);
@@ -139,7 +140,7 @@
     void engineThatPeerOrderedToLoadGetsNoRequests() {
         Fleet fleet = new Fleet();
         fleet.onLogAvailable(0);
-        fleet.apply("i-1", Optional.of(FleetTest.registration("i-1", false)), 1, NOW);
+        fleet.apply("i-1", Optional.of(FleetTest.registration("i-1", false)), position(1), NOW);
 
         fleet.applyLoadReport(
                 new LoadReport(
@@ -152,7 +153,7 @@
                         List.of("i-1"),
                         List.of(),
                         true,
-                        new ReadOffsets(0, 0, 0, 0),
+                        readNothing(),
                         List.of(),
                         List.of(),
                         List.of(),
@@ -194,7 +195,7 @@
     void weightsConfirmedByPeerAreApplied() {
         Fleet fleet = new Fleet();
         fleet.onLogAvailable(0);
-        fleet.apply("i-1", Optional.of(FleetTest.registration("i-1", false)), 1, NOW);
+        fleet.apply("i-1", Optional.of(FleetTest.registration("i-1", false)), position(1), NOW);
         Target seen = PlacementTest.target("i-1", "north", 1);
         seen.confirmWeights("m", 2, NOW);
 
@@ -209,7 +210,7 @@
                         List.of(),
                         List.of(),
                         true,
-                        new ReadOffsets(0, 0, 0, 0),
+                        readNothing(),
                         List.of(),
                         List.of(),
                         List.of(),
@@ -263,10 +264,10 @@
     }
 
     private static LoadReport fullReport(String relay, long sequence, TargetLoad... targets) {
-        return LoadReport.ofTargets(relay, sequence, true, List.of(targets), true, new ReadOffsets(0, 0, 0, 0));
+        return LoadReport.ofTargets(relay, sequence, true, List.of(targets), true, readNothing());
     }
 
     private static LoadReport incrementalReport(String relay, long sequence, TargetLoad... targets) {
-        return LoadReport.ofTargets(relay, sequence, false, List.of(targets), true, new ReadOffsets(0, 0, 0, 0));
+        return LoadReport.ofTargets(relay, sequence, false, List.of(targets), true, readNothing());
     }
 }
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/RateLimitAdmissionTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/RateLimitAdmissionTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.rattanrudder.core.fleet.RelayFleet.mostWithin;
 import static org.rattanrudder.core.fleet.RelayFleet.relays;
+import static org.rattanrudder.core.topics.TestPositions.position;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -38,7 +39,7 @@
 
         View(String self, Map<String, String> known) {
             shares.updateRelays(self, known);
-            fleet.apply("i-1", Optional.of(FleetTest.registration("i-1", false)), 1, START);
+            fleet.apply("i-1", Optional.of(FleetTest.registration("i-1", false)), position(1), START);
         }
 
         Target target() {
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/RestartedTargetTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/RestartedTargetTest.java
@@ -1,6 +1,7 @@
 package org.rattanrudder.core.fleet;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.rattanrudder.core.topics.TestPositions.position;
 
 import java.util.Comparator;
 import java.util.List;
@@ -57,9 +58,9 @@
     @Test
     void lateRecordOfEarlierStartIsIgnored() {
         fleet.onLogAvailable(0);
-        fleet.apply(ID, Optional.of(registration(7_000, false)), 4, NOW);
+        fleet.apply(ID, Optional.of(registration(7_000, false)), position(4), NOW);
 
-        assertThat(fleet.apply(ID, Optional.of(registration(5_000, true)), 5, NOW))
+        assertThat(fleet.apply(ID, Optional.of(registration(5_000, true)), position(5), NOW))
                 .isFalse();
         assertThat(fleet.activeTargets("llm", NOW)).hasSize(1);
     }
@@ -68,13 +69,13 @@
     @Test
     void restartedTargetKeepsNoState() {
         fleet.onLogAvailable(0);
-        fleet.apply(ID, Optional.of(registration(5_000, false)), 4, NOW);
+        fleet.apply(ID, Optional.of(registration(5_000, false)), position(4), NOW);
         Target before = fleet.find(ID).orElseThrow();
         before.onSent(new Target.RequestCost(5_000, 5_000), NOW);
         before.recordFailure(3_000, NOW);
         before.markLoadingWeights(NOW + 60_000);
 
-        fleet.apply(ID, Optional.of(registration(7_000, false)), 5, NOW);
+        fleet.apply(ID, Optional.of(registration(7_000, false)), position(5), NOW);
 
         Target after = fleet.find(ID).orElseThrow();
         assertThat(after).isNotSameAs(before);
@@ -88,10 +89,10 @@
     @Test
     void weightsThatAPeerSawBeforeTheRestartAreIgnored() {
         fleet.onLogAvailable(0);
-        fleet.apply(ID, Optional.of(registration(5_000, false)), 4, NOW);
+        fleet.apply(ID, Optional.of(registration(5_000, false)), position(4), NOW);
         fleet.find(ID).orElseThrow().confirmWeights("m", 2, NOW);
         List<ServedWeights> seenBefore = fleet.find(ID).orElseThrow().weightsConfirmedSince(NOW);
-        fleet.apply(ID, Optional.of(registration(7_000, false)), 5, NOW);
+        fleet.apply(ID, Optional.of(registration(7_000, false)), position(5), NOW);
 
         fleet.applyLoadReport(TestReports.ofServed(seenBefore), NOW);
         assertThat(fleet.find(ID).orElseThrow().weights("m")).isEqualTo(1);
@@ -108,7 +109,7 @@
     void theSoftwareOfATargetThatMayHaveEndedIsKnownOnceItWouldHaveRegisteredAgain(
             long startedAt, long later, boolean known) {
         fleet.onLogAvailable(0);
-        fleet.apply(ID, Optional.of(registration(startedAt, false)), 4, NOW);
+        fleet.apply(ID, Optional.of(registration(startedAt, false)), position(4), NOW);
         Target target = fleet.find(ID).orElseThrow();
         assertThat(target.software()).contains(SOFTWARE);
 
@@ -122,7 +123,7 @@
     @Test
     void whatWasAskedBeforeAPauseShowsNoRegistrationThatWasWrittenInIt() {
         fleet.onLogAvailable(0);
-        fleet.apply(ID, Optional.of(registration(5_000, false)), 4, NOW);
+        fleet.apply(ID, Optional.of(registration(5_000, false)), position(4), NOW);
         Target target = fleet.find(ID).orElseThrow();
         target.onMayHaveEnded(NOW);
 
@@ -137,7 +138,7 @@
     /** Guards against the same while the log is away, where its new registration can't be read. */
     @Test
     void theSoftwareOfATargetThatMayHaveEndedIsNotKnownWhileTheLogIsAway() {
-        fleet.apply(ID, Optional.of(registration(5_000, false)), 4, NOW);
+        fleet.apply(ID, Optional.of(registration(5_000, false)), position(4), NOW);
         Target target = fleet.find(ID).orElseThrow();
         fleet.onLogUnavailable();
         assertThat(target.software()).contains(SOFTWARE);
@@ -155,24 +156,24 @@
     @Test
     void unreadableRecordRemovesOnlyItsTargetUntilNextRegistration() {
         fleet.onLogAvailable(0);
-        fleet.apply(ID, Optional.of(registration(5_000, false)), 4, NOW);
-        fleet.apply("i-2", Optional.of(FleetTest.registration("i-2", false)), 5, NOW);
+        fleet.apply(ID, Optional.of(registration(5_000, false)), position(4), NOW);
+        fleet.apply("i-2", Optional.of(FleetTest.registration("i-2", false)), position(5), NOW);
 
-        fleet.onUnreadableRecord(ID, 6, 0);
+        fleet.onUnreadableRecord(ID, position(6), 0);
         assertThat(fleet.activeTargets("llm", NOW)).extracting(Target::id).containsExactly("i-2");
-        assertThat(fleet.apply(ID, Optional.of(registration(5_000, false)), 4, NOW))
+        assertThat(fleet.apply(ID, Optional.of(registration(5_000, false)), position(4), NOW))
                 .isFalse();
 
-        fleet.apply(ID, Optional.of(registration(5_000, false)), 7, NOW);
+        fleet.apply(ID, Optional.of(registration(5_000, false)), position(7), NOW);
         assertThat(fleet.activeTargets("llm", NOW)).hasSize(2);
     }
 
     @Test
     void olderUnreadableRecordIsIgnored() {
         fleet.onLogAvailable(0);
-        fleet.apply(ID, Optional.of(registration(5_000, false)), 4, NOW);
+        fleet.apply(ID, Optional.of(registration(5_000, false)), position(4), NOW);
 
-        fleet.onUnreadableRecord(ID, 3, 0);
+        fleet.onUnreadableRecord(ID, position(3), 0);
 
         assertThat(fleet.activeTargets("llm", NOW)).hasSize(1);
     }
@@ -185,7 +186,7 @@
     void newestRegistrationOfNewestStartWinsInAnyOrder(@ForAll("recordsInAnyOrder") List<LogRecord> records) {
         Fleet relay = new Fleet();
         relay.onLogAvailable(0);
-        records.forEach(record -> relay.apply(ID, Optional.of(record.registration()), record.offset(), NOW));
+        records.forEach(record -> relay.apply(ID, Optional.of(record.registration()), position(record.offset()), NOW));
         LogRecord last = records.stream()
                 .max(Comparator.comparingLong(LogRecord::startedAt).thenComparingLong(LogRecord::offset))
                 .orElseThrow();
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/SendWindowTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/SendWindowTest.java
@@ -1,6 +1,7 @@
 package org.rattanrudder.core.fleet;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.rattanrudder.core.topics.TestPositions.position;
 
 import java.util.HashMap;
 import java.util.List;
@@ -75,7 +76,7 @@
             String domain = "domain-" + number % 5;
             relays.put("relay-" + number, domain);
             Target target = PlacementTest.target("i-" + number, domain, 1);
-            fleet.apply(target.id(), Optional.of(target.registration()), number, NOW);
+            fleet.apply(target.id(), Optional.of(target.registration()), position(number), NOW);
         }
         fleet.updateRelays("relay-7", relays);
         return fleet;
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/SoleSoftwareTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/SoleSoftwareTest.java
@@ -1,6 +1,7 @@
 package org.rattanrudder.core.fleet;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.rattanrudder.core.topics.TestPositions.position;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -44,11 +45,11 @@
                     Map.of("m", 1L),
                     OptionalLong.empty(),
                     version(version));
-            fleet.apply(id, Optional.of(registration), offset++, now);
+            fleet.apply(id, Optional.of(registration), position(offset++), now);
         }
 
         void remove(int target, long now) {
-            fleet.apply("i-" + target, Optional.empty(), offset++, now);
+            fleet.apply("i-" + target, Optional.empty(), position(offset++), now);
         }
 
         Optional<StreamOrigin> sole(long since, long now) {
@@ -56,7 +57,7 @@
         }
 
         void list(long now, String... ids) {
-            fleet.applyListing(Set.of(ids), offset, now);
+            fleet.applyListing(Set.of(ids), position(offset), now);
         }
     }
 
@@ -116,7 +117,7 @@
         view.register(1, 1, 0);
         view.list(0, "i-1");
 
-        view.fleet.onUnreadableRecord("i-2", view.offset++, 100);
+        view.fleet.onUnreadableRecord("i-2", position(view.offset++), 100);
 
         assertThat(view.sole(10_000, 20_000)).isEmpty();
         view.remove(2, 30_000);
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/TargetAdmissionTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/TargetAdmissionTest.java
@@ -1,6 +1,7 @@
 package org.rattanrudder.core.fleet;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.rattanrudder.core.topics.TestPositions.position;
 
 import java.util.List;
 import java.util.Map;
@@ -31,7 +32,7 @@
     private void register(String id) {
         TargetRegistration registration = new TargetRegistration(
                 id, 5_000, SERVICE, new Address("10.0.0.1", 80), "north", 8, false, Map.of("m", 1L));
-        fleet.apply(id, Optional.of(registration), 1, NOW);
+        fleet.apply(id, Optional.of(registration), position(1), NOW);
     }
 
     private Target target(String id) {
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/TargetCapacityTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/TargetCapacityTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.within;
+import static org.rattanrudder.core.topics.TestPositions.position;
 
 import java.util.List;
 import java.util.Map;
@@ -238,12 +239,12 @@
     void learnedFiguresAreDroppedWithTheIncarnation() {
         Fleet fleet = new Fleet();
         fleet.onLogAvailable(0);
-        fleet.apply("i-1", Optional.of(registration(5_000)), 1, NOW);
+        fleet.apply("i-1", Optional.of(registration(5_000)), position(1), NOW);
         TargetCapacity before = fleet.find("i-1").orElseThrow().capacity();
         before.onReported(load(900), NOW);
         assertThat(before.slowdown(NOW)).isEqualTo(9);
 
-        fleet.apply("i-1", Optional.of(registration(7_000)), 2, NOW);
+        fleet.apply("i-1", Optional.of(registration(7_000)), position(2), NOW);
 
         TargetCapacity after = fleet.find("i-1").orElseThrow().capacity();
         assertThat(after.slowdown(NOW)).isEqualTo(1);
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/TargetNoticesTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/TargetNoticesTest.java
@@ -1,6 +1,7 @@
 package org.rattanrudder.core.fleet;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.rattanrudder.core.topics.TestPositions.position;
 
 import java.util.List;
 import java.util.Map;
@@ -35,7 +36,7 @@
     private static void apply(Fleet fleet, long startedAt, boolean draining, long offset) {
         TargetRegistration registration = new TargetRegistration(
                 ID, startedAt, SERVICE, new Address("10.0.0.1", 80), "north", 8, draining, Map.of("m", 1L));
-        fleet.apply(ID, Optional.of(registration), offset, NOW);
+        fleet.apply(ID, Optional.of(registration), position(offset), NOW);
     }
 
     private Target target() {
@@ -55,11 +56,11 @@
                 Named.of("its record says ready", (fleet, target) -> apply(fleet, STARTED, false, 5)),
                 Named.of("its record is read again", (fleet, target) -> apply(fleet, STARTED, false, 4)),
                 Named.of("its record is removed and comes back", (fleet, target) -> {
-                    fleet.apply(ID, Optional.empty(), 5, NOW);
+                    fleet.apply(ID, Optional.empty(), position(5), NOW);
                     apply(fleet, STARTED, false, 6);
                 }),
                 Named.of("it is missing from a listing and comes back", (fleet, target) -> {
-                    fleet.applyListing(Set.of(), 9, NOW);
+                    fleet.applyListing(Set.of(), position(9), NOW);
                     apply(fleet, STARTED, false, 9);
                 }),
                 Named.of(
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/TestReports.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/TestReports.java
@@ -2,12 +2,12 @@
 
 import java.util.List;
 import org.rattanrudder.core.fleet.LoadReport.LeavingTarget;
-import org.rattanrudder.core.fleet.LoadReport.ReadOffsets;
 import org.rattanrudder.core.fleet.LoadReport.RemovedTarget;
 import org.rattanrudder.core.fleet.LoadReport.ServedWeights;
 import org.rattanrudder.core.fleet.LoadReport.TargetLoad;
 import org.rattanrudder.core.parts.RetirementReport;
 import org.rattanrudder.core.rollout.VersionQuestion;
+import org.rattanrudder.core.topics.LogPosition;
 
 /** Full reports of a peer that say only which targets leave and which it has removed. */
 final class TestReports {
@@ -45,7 +45,7 @@
                 List.of(),
                 List.of(),
                 true,
-                new ReadOffsets(0, 0, 0, 0),
+                readNothing(),
                 List.of(),
                 List.of(),
                 leaving,
@@ -54,4 +54,9 @@
                 VersionQuestion.NONE,
                 INTERVAL_MILLIS);
     }
+
+    /** Returns the positions of a relay that has read nothing. */
+    static LoadReport.ReadPositions readNothing() {
+        return new LoadReport.ReadPositions(LogPosition.START, LogPosition.START, LogPosition.START, LogPosition.START);
+    }
 }
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/UnpublishedWeightsTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/UnpublishedWeightsTest.java
@@ -1,6 +1,7 @@
 package org.rattanrudder.core.fleet;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.rattanrudder.core.topics.TestPositions.position;
 
 import java.util.List;
 import java.util.Map;
@@ -34,7 +35,7 @@
     private void register(long weights, long offset) {
         TargetRegistration registration = new TargetRegistration(
                 "i-1", 1, "llm", new Address("10.0.0.1", 80), "north", 8, false, Map.of("m", weights));
-        fleet.apply("i-1", Optional.of(registration), offset, 0);
+        fleet.apply("i-1", Optional.of(registration), position(offset), 0);
     }
 
     private Target target() {
@@ -107,7 +108,7 @@
     void weightsClaimedBeforeAnyVersionWasReadCountUntilALaterRead() {
         TargetRegistration registration = new TargetRegistration(
                 "i-2", 1, "llm", new Address("10.0.0.2", 80), "north", 8, false, Map.of("n", 5L));
-        fleet.apply("i-2", Optional.of(registration), 2, 0);
+        fleet.apply("i-2", Optional.of(registration), position(2), 0);
         Target target = fleet.find("i-2").orElseThrow();
 
         versions.add("n", 4, NOW);
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/WarmUpAdmissionTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/WarmUpAdmissionTest.java
@@ -3,6 +3,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.rattanrudder.core.fleet.RelayFleet.mostWithin;
 import static org.rattanrudder.core.fleet.RelayFleet.relays;
+import static org.rattanrudder.core.fleet.TestReports.readNothing;
+import static org.rattanrudder.core.topics.TestPositions.position;
 
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -18,7 +20,6 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import org.rattanrudder.core.fleet.LoadReport.ReadOffsets;
 import org.rattanrudder.core.fleet.LoadReport.TargetLoad;
 import org.rattanrudder.core.gateway.WarmUpTraits;
 import org.rattanrudder.core.model.Address;
@@ -39,7 +40,7 @@
         View(int permits, OptionalLong warmUpMillis) {
             traits = new WarmUpTraits(LONG_WARM_UP, permits);
             admission.updateBounds(1.5, 5);
-            fleet.applyListing(Set.of(), 0, START);
+            fleet.applyListing(Set.of(), position(0), START);
             register(warmUpMillis, 1, START);
         }
 
@@ -61,7 +62,7 @@
                             Map.of("m", 1L),
                             warmUpMillis,
                             Optional.empty())),
-                    offset,
+                    position(offset),
                     nowMillis);
         }
 
@@ -241,12 +242,7 @@
 
     private static LoadReport report(String target, long sequence, int requests) {
         return LoadReport.ofTargets(
-                "relay-1",
-                sequence,
-                true,
-                List.of(new TargetLoad(target, requests, 0, 0)),
-                true,
-                new ReadOffsets(0, 0, 0, 0));
+                "relay-1", sequence, true, List.of(new TargetLoad(target, requests, 0, 0)), true, readNothing());
     }
 
     @Test
@@ -294,9 +290,9 @@
     @Test
     void targetsOfDomainWhoseEvacuationEndsWarmUp() {
         View view = new View(10, OptionalLong.of(0));
-        view.fleet.evacuations().apply("north", true, 5, START);
+        view.fleet.evacuations().apply("north", true, position(5), START);
         assertThat(view.isWarmingUp(START)).isFalse();
-        view.fleet.evacuations().apply("north", false, 6, START + 100);
+        view.fleet.evacuations().apply("north", false, position(6), START + 100);
 
         assertThat(view.isWarmingUp(START + 101)).isTrue();
         assertThat(view.isWarmingUp(START + 100 + LONG_WARM_UP)).isFalse();
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/rollout/OrderLeaseTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/rollout/OrderLeaseTest.java
@@ -1,6 +1,7 @@
 package org.rattanrudder.core.rollout;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.rattanrudder.core.topics.TestPositions.position;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -70,9 +71,9 @@
             int who = actions.get(index) % 2;
             if (actions.get(index) / 2 == 0) {
                 for (; read[who] < log.size(); read[who]++) {
-                    leases[who].onRecord(read[who], log.get(read[who]), at(now));
+                    leases[who].onRecord(position(read[who]), log.get(read[who]), at(now));
                 }
-                leases[who].advanceTo(log.size());
+                leases[who].advanceTo(position(log.size()));
                 leases[who].onCaughtUp();
             } else if (actions.get(index) / 2 == 1 && leases[who].shouldAppend(at(now))) {
                 append(log, leases[who], names[who], at(now), nameable(leases[who], at(now), engines, random));
@@ -125,9 +126,9 @@
             }
             if (random.nextBoolean()) {
                 for (; read[who] < log.size(); read[who]++) {
-                    leases[who].onRecord(read[who], log.get(read[who]), clocks[who]);
+                    leases[who].onRecord(position(read[who]), log.get(read[who]), clocks[who]);
                 }
-                leases[who].advanceTo(log.size());
+                leases[who].advanceTo(position(log.size()));
                 leases[who].onCaughtUp();
             } else if (leases[who].shouldAppend(clocks[who])) {
                 List<String> named = nameable(leases[who], clocks[who], engines, random);
@@ -150,21 +151,21 @@
     }
 
     private static void append(List<LeaseRecord> log, OrderLease lease, String name, Moment now, List<String> engines) {
-        if (lease.appendOffset() != log.size()) {
+        if (lease.appendPosition().offset() != log.size()) {
             lease.onConflict();
             return;
         }
         LeaseRecord record = new LeaseRecord(name, lease.termMillis(), engines);
         log.add(record);
-        lease.onAppended(log.size() - 1, record, now, now);
+        lease.onAppended(position(log.size() - 1), record, now, now);
     }
 
     /** A holder is suspended for seconds right before it sends an order, and only its time of day shows it. */
     @Test
     void suspendedHolderLosesLease() {
         OrderLease lease = started("a", 0);
-        lease.advanceTo(0);
-        lease.onAppended(0, record("a-0"), at(1_000), at(1_000));
+        lease.advanceTo(position(0));
+        lease.onAppended(position(0), record("a-0"), at(1_000), at(1_000));
 
         assertThat(lease.isHeld(at(1_100))).isTrue();
         assertThat(lease.isHeld(new Moment(1_100, 6_100))).isFalse();
@@ -177,7 +178,7 @@
     @Test
     void instanceThatRestartsGoesOnWithItsLeaseAtOnce() {
         OrderLease restarted = started("a", 1);
-        restarted.onRecord(0, record("a-0"), at(1_000));
+        restarted.onRecord(position(0), record("a-0"), at(1_000));
 
         assertThat(restarted.isHeld(at(1_000))).isFalse();
         assertThat(restarted.shouldAppend(at(1_000))).isTrue();
@@ -187,8 +188,8 @@
     @Test
     void instanceThatRestartsDoesNotWaitForTheHolderBeforeItsEarlierProcess() {
         OrderLease restarted = started("a", 1);
-        restarted.onRecord(0, record("b-0"), at(1_000));
-        restarted.onRecord(1, record("a-0"), at(1_000));
+        restarted.onRecord(position(0), record("b-0"), at(1_000));
+        restarted.onRecord(position(1), record("a-0"), at(1_000));
         restarted.onCaughtUp();
 
         assertThat(restarted.shouldAppend(at(1_000))).isTrue();
@@ -198,10 +199,10 @@
     @Test
     void recordNamedLikeAnEarlierProcessDoesNotEndTheWaitForTheHolder() {
         OrderLease lease = started("a", 1);
-        lease.advanceTo(0);
+        lease.advanceTo(position(0));
         lease.onCaughtUp();
-        lease.onRecord(0, record("b-0"), at(1_000));
-        lease.onRecord(1, record("a-odd"), at(1_010));
+        lease.onRecord(position(0), record("b-0"), at(1_000));
+        lease.onRecord(position(1), record("a-odd"), at(1_010));
         long usualWait = OrderLease.LEASE_MILLIS + HANDOVER;
 
         assertThat(lease.lastOtherHolder()).isEqualTo("b-0");
@@ -217,7 +218,7 @@
     void successorWaitsForThoseEnginesAloneThatTheHolderCouldOrder() {
         OrderLease lease = started("a", 0);
         lease.onCaughtUp();
-        lease.onRecord(0, new LeaseRecord("b-0", OrderLease.LEASE_MILLIS, List.of("e0")), at(1_000));
+        lease.onRecord(position(0), new LeaseRecord("b-0", OrderLease.LEASE_MILLIS, List.of("e0")), at(1_000));
         Moment afterTerm = at(1_500 + OrderLease.LEASE_MILLIS);
 
         assertThat(lease.shouldAppend(afterTerm)).isTrue();
@@ -229,9 +230,9 @@
     @Test
     void successorThatMissedRecordsWaitsForAllEngines() {
         OrderLease lease = started("a", 0);
-        lease.onRecord(1, new LeaseRecord("b-0", OrderLease.LEASE_MILLIS, List.of("e1")), at(1_000));
+        lease.onRecord(position(1), new LeaseRecord("b-0", OrderLease.LEASE_MILLIS, List.of("e1")), at(1_000));
         lease.onCaughtUp();
-        lease.onRecord(2, new LeaseRecord("b-0", OrderLease.LEASE_MILLIS, List.of("e2")), at(2_000));
+        lease.onRecord(position(2), new LeaseRecord("b-0", OrderLease.LEASE_MILLIS, List.of("e2")), at(2_000));
         Moment lastOrdersOver = at(1_500 + OrderLease.LEASE_MILLIS + HANDOVER);
 
         assertThat(lease.mayName("e0", at(2_500 + OrderLease.LEASE_MILLIS))).isFalse();
@@ -243,9 +244,9 @@
     @Test
     void holderOrdersOnlyTheEnginesThatItsRecordNames() {
         OrderLease lease = started("a", 0);
-        lease.advanceTo(0);
-        lease.onAppended(0, new LeaseRecord("a-0", OrderLease.LEASE_MILLIS, List.of("e0")), at(0), at(10));
-        lease.onAppended(1, new LeaseRecord("a-0", OrderLease.LEASE_MILLIS, List.of("e1")), at(800), at(810));
+        lease.advanceTo(position(0));
+        lease.onAppended(position(0), new LeaseRecord("a-0", OrderLease.LEASE_MILLIS, List.of("e0")), at(0), at(10));
+        lease.onAppended(position(1), new LeaseRecord("a-0", OrderLease.LEASE_MILLIS, List.of("e1")), at(800), at(810));
 
         assertThat(lease.mayOrder("e0", at(900))).isTrue();
         assertThat(lease.mayOrder("e0", at(1_300))).isFalse();
@@ -257,8 +258,10 @@
     @Test
     void instanceThatRestartsGoesOnWaitingForEnginesThatItsEarlierProcessDidNotName() {
         OrderLease restarted = started("a", 1);
-        restarted.onRecord(0, new LeaseRecord("b-0", OrderLease.LEASE_MILLIS, List.of("e0", "e1")), at(1_000));
-        restarted.onRecord(1, new LeaseRecord("a-0", OrderLease.LEASE_MILLIS, List.of("e1", "e2")), at(1_000));
+        restarted.onRecord(
+                position(0), new LeaseRecord("b-0", OrderLease.LEASE_MILLIS, List.of("e0", "e1")), at(1_000));
+        restarted.onRecord(
+                position(1), new LeaseRecord("a-0", OrderLease.LEASE_MILLIS, List.of("e1", "e2")), at(1_000));
         restarted.onCaughtUp();
 
         assertThat(restarted.shouldAppend(at(1_000))).isTrue();
@@ -272,8 +275,8 @@
     @ValueSource(strings = {"b-0", "a-b-0", "aa-0", "a"})
     void leaseOfAnotherInstanceIsWaitedFor(String last) {
         OrderLease restarted = started("a", 1);
-        restarted.onRecord(0, record("a-0"), at(1_000));
-        restarted.onRecord(1, record(last), at(1_000));
+        restarted.onRecord(position(0), record("a-0"), at(1_000));
+        restarted.onRecord(position(1), record(last), at(1_000));
 
         assertThat(restarted.shouldAppend(at(1_000))).isFalse();
     }
@@ -283,17 +286,17 @@
     @ValueSource(longs = {50, 600, 1_000, 1_300, 2_000, 2_900})
     void leaseLastsBeyondSlowAppends(long appendMillis) {
         OrderLease lease = started("a", 0);
-        lease.advanceTo(0);
+        lease.advanceTo(position(0));
         long now = 0;
         for (int tries = 0; tries < 4 && !lease.isHeld(at(now)); tries++) {
             LeaseRecord record = new LeaseRecord("a-0", lease.termMillis(), List.of());
             long givenUpAfter = record.termMillis() + LATE_ANSWER_MILLIS;
             long answeredAt = now + Math.min(appendMillis, givenUpAfter);
             if (appendMillis < givenUpAfter) {
-                lease.onAppended(lease.appendOffset(), record, at(now), at(answeredAt));
+                lease.onAppended(lease.appendPosition(), record, at(now), at(answeredAt));
             } else {
                 lease.onUnanswered();
-                lease.advanceTo(lease.appendOffset() + 1);
+                lease.advanceTo(lease.appendPosition().plus(1));
             }
             now = answeredAt;
         }
@@ -305,10 +308,10 @@
     @Test
     void oneFastAppendDoesNotCutTheTerm() {
         OrderLease lease = started("a", 0);
-        lease.advanceTo(0);
-        lease.onAppended(0, record("a-0"), at(0), at(1_900));
+        lease.advanceTo(position(0));
+        lease.onAppended(position(0), record("a-0"), at(0), at(1_900));
         long slowTerm = lease.termMillis();
-        lease.onAppended(1, record("a-0"), at(2_000), at(2_010));
+        lease.onAppended(position(1), record("a-0"), at(2_000), at(2_010));
 
         assertThat(slowTerm).isEqualTo(OrderLease.LEASE_MILLIS + 1_900);
         assertThat(lease.termMillis()).isBetween(OrderLease.LEASE_MILLIS + 900, slowTerm);
@@ -318,7 +321,7 @@
     @Test
     void oneLostAnswerDoesNotExtendTheTerm() {
         OrderLease lease = started("a", 0);
-        lease.advanceTo(0);
+        lease.advanceTo(position(0));
         lease.onUnanswered();
 
         assertThat(lease.termMillis()).isEqualTo(OrderLease.LEASE_MILLIS);
@@ -383,7 +386,7 @@
             if (now < inFlight.answeredAt()) {
                 lease.onUnanswered();
             } else if (store.written.contains(inFlight)) {
-                lease.onAppended(inFlight.offset(), inFlight.record(), at(inFlight.sentAt()), at(now));
+                lease.onAppended(position(inFlight.offset()), inFlight.record(), at(inFlight.sentAt()), at(now));
             } else {
                 lease.onConflict();
             }
@@ -392,9 +395,9 @@
 
         void readLog(long now) {
             for (; read < store.log.size(); read++) {
-                lease.onRecord(read, asRead.apply(store.log.get(read)), at(now));
+                lease.onRecord(position(read), asRead.apply(store.log.get(read)), at(now));
             }
-            lease.advanceTo(read);
+            lease.advanceTo(position(read));
             lease.onCaughtUp();
         }
 
@@ -406,7 +409,7 @@
             long answeredAt = carriedOutAt + random.nextInt(2_000);
             List<String> named = nameable(lease, at(now), 2, random);
             LeaseRecord record = asRead.apply(new LeaseRecord(name, lease.termMillis(), named));
-            inFlight = new Append(record, lease.appendOffset(), now, carriedOutAt, answeredAt);
+            inFlight = new Append(record, lease.appendPosition().offset(), now, carriedOutAt, answeredAt);
             store.received.add(inFlight);
         }
     }
@@ -446,10 +449,10 @@
     @Test
     void termIsExtendedAgainOnceTheOtherInstanceNamesItsTerm() {
         OrderLease lease = started("a", 0);
-        lease.onRecord(0, withoutTerm(record("b-0")), at(0));
-        lease.onAppended(1, record("a-0"), at(10_000), at(11_900));
+        lease.onRecord(position(0), withoutTerm(record("b-0")), at(0));
+        lease.onAppended(position(1), record("a-0"), at(10_000), at(11_900));
         long besideEarlierRelease = lease.termMillis();
-        lease.onRecord(2, record("b-1"), at(20_000));
+        lease.onRecord(position(2), record("b-1"), at(20_000));
 
         assertThat(besideEarlierRelease).isEqualTo(OrderLease.LEASE_MILLIS);
         assertThat(lease.termMillis()).isEqualTo(OrderLease.LEASE_MILLIS + 1_900);
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Rehearsal.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/Rehearsal.java
@@ -29,6 +29,7 @@
 import org.rattanrudder.core.parts.SharedStoreUpdate;
 import org.rattanrudder.core.parts.StoreLateness;
 import org.rattanrudder.core.parts.StoreUpdate;
+import org.rattanrudder.core.topics.LogPosition;
 import org.rattanrudder.daemon.logging.Logging;
 import org.rattanrudder.daemon.relay.port.PlatformAdapter;
 import org.rattanrudder.document.RelaySettings;
@@ -95,6 +96,11 @@
         return new RehearsalServer(adapter.rehearsal());
     }
 
+    private static LoadReport.ReadPositions readToFirstRecord() {
+        LogPosition read = LogPosition.START.plus(1);
+        return new LoadReport.ReadPositions(read, read, read, read);
+    }
+
     /** Returns one of each kind of message that relays exchange. */
     private static List<byte[]> peerMessages(Address self, long sequence) {
         LoadReport load = LoadReport.ofTargets(
@@ -103,7 +109,7 @@
                         true,
                         List.of(new LoadReport.TargetLoad("i-1", 1, 1, 1)),
                         true,
-                        new LoadReport.ReadOffsets(1, 1, 1, 1))
+                        readToFirstRecord())
                 .withInterval(ReportSchedule.ROUND_MILLIS, List.of(StoreLateness.of(self, 1)));
         StoreUpdate update = new StoreUpdate(
                 1, 2, false, List.of(new PartEvent(new PartKey("w1", "part"), 1, true)), OptionalLong.of(1));
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
@@ -11,7 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import org.jboss.logging.Logger;
-import org.rattanrudder.core.fleet.LoadReport.ReadOffsets;
+import org.rattanrudder.core.fleet.LoadReport.ReadPositions;
 import org.rattanrudder.core.model.Address;
 import org.rattanrudder.core.parts.SharedStoreUpdate;
 import org.rattanrudder.daemon.logging.EventLog;
@@ -132,7 +132,7 @@
                 new PeerExchange.Components(placements, fetchLateness, streamOrigins, selfReports, queues),
                 new LocalState(),
                 new PeerListener()));
-        quarantine.setOnWritten(peers::announceReadOffsets);
+        quarantine.setOnWritten(peers::announceReadPositions);
         state.storeRoute().setPeers(peers::livePeerAddresses);
         listen(group, settings.peers(), new PeerReadServer(state, peers::isPeerHost));
         loop.execute(this::startComponents);
@@ -180,12 +180,12 @@
         }
 
         @Override
-        public ReadOffsets readOffsets() {
-            return new ReadOffsets(
-                    topics.desiredStateOffset(),
-                    topics.targetsChangedOffset(),
-                    quarantine.readOffset(),
-                    peers.relaysReadOffset());
+        public ReadPositions readPositions() {
+            return new ReadPositions(
+                    topics.desiredStatePosition(),
+                    topics.targetsChangedPosition(),
+                    quarantine.readPosition(),
+                    peers.relaysReadPosition());
         }
     }
 
@@ -197,9 +197,9 @@
         }
 
         @Override
-        public void onReadOffsets(ReadOffsets others) {
-            topics.onPeerOffsets(others);
-            quarantine.onPeerOffset(others.quarantine());
+        public void onReadPositions(ReadPositions others) {
+            topics.onPeerPositions(others);
+            quarantine.onPeerPosition(others.quarantine());
         }
 
         @Override
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/net/CallResult.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/net/CallResult.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.Optional;
 import java.util.function.BiFunction;
+import org.rattanrudder.core.topics.LogPosition;
 import org.rattanrudder.daemon.relay.port.StoreDialect;
 import org.rattanrudder.daemon.relay.port.StoreDialect.Topic;
 import org.rattanrudder.daemon.relay.port.StoreResponse;
@@ -57,13 +58,16 @@
     /** Returns the cause if the call wasn't served, in few words. */
     String reason();
 
-    /** Returns the result of an append; without a response, or with a malformed one, the append has failed. */
-    default StoreResponse toAppendResponse(StoreDialect store) {
-        return parse(store::readAppend);
+    /**
+     * Returns the result of an append in an era of the log; without a response, or with a malformed one, the append has
+     * failed.
+     */
+    default StoreResponse toAppendResponse(StoreDialect store, long era) {
+        return parse((status, body) -> store.readAppend(era, status, body));
     }
 
     /** Returns the result of a read of records; without a response, or with a malformed one, the read has failed. */
-    default StoreResponse toRecords(StoreDialect store, Topic topic, long from) {
+    default StoreResponse toRecords(StoreDialect store, Topic topic, LogPosition from) {
         return parse((status, body) -> store.readRecords(topic, from, status, body));
     }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/peers/LoadReportFactory.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/peers/LoadReportFactory.java
@@ -45,7 +45,7 @@
                 localState.loadingTargets(),
                 state.fleet().unreachableTargets(now),
                 localState.acceptsConnections(),
-                localState.readOffsets(),
+                localState.readPositions(),
                 List.of(),
                 rateLimits(now),
                 state.fleet().leavingTargets(now),
@@ -63,7 +63,7 @@
                 false,
                 changed.stream().map(Target::ownLoad).toList(),
                 localState.acceptsConnections(),
-                localState.readOffsets());
+                localState.readPositions());
     }
 
     private List<TargetLoad> ownLoads() {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/peers/PeerExchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/peers/PeerExchange.java
@@ -21,7 +21,7 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.rattanrudder.core.fleet.LoadReport;
-import org.rattanrudder.core.fleet.LoadReport.ReadOffsets;
+import org.rattanrudder.core.fleet.LoadReport.ReadPositions;
 import org.rattanrudder.core.fleet.ReportSchedule;
 import org.rattanrudder.core.fleet.Target;
 import org.rattanrudder.core.model.Address;
@@ -29,6 +29,7 @@
 import org.rattanrudder.core.parts.StoreLateness;
 import org.rattanrudder.core.rollout.VersionQuestion;
 import org.rattanrudder.core.routing.Hashing;
+import org.rattanrudder.core.topics.LogPosition;
 import org.rattanrudder.daemon.relay.net.CallResult;
 import org.rattanrudder.daemon.relay.net.HttpCallClient;
 import org.rattanrudder.daemon.relay.net.RelayChannels;
@@ -111,8 +112,8 @@
         /** Returns whether this relay accepts new connections. */
         boolean acceptsConnections();
 
-        /** Returns the read offsets of the platform's topics. */
-        ReadOffsets readOffsets();
+        /** Returns the read positions of the platform's topics. */
+        ReadPositions readPositions();
     }
 
     /** Handles the content of peers' messages that other components of this relay need. */
@@ -120,8 +121,8 @@
         /** Handles a context store's update that a peer has received. */
         void onStoreUpdate(SharedStoreUpdate update);
 
-        /** Handles a peer's read offsets. */
-        void onReadOffsets(ReadOffsets offsets);
+        /** Handles a peer's read positions. */
+        void onReadPositions(ReadPositions positions);
 
         /** Handles the targets to which a peer could open no connection. */
         void onUnreachable(List<String> targets);
@@ -217,7 +218,7 @@
          * read the new record.
          */
         @Override
-        public void onListed(Set<String> relays, long end) {
+        public void onListed(Set<String> relays, LogPosition end) {
             if (!listedOnce && !registered) {
                 register();
             }
@@ -305,9 +306,9 @@
         send(PeerCodec.write(reports.partial(sentTo)), live(sharers));
     }
 
-    /** Returns the offset up to which the registrations of relays have been read. */
-    public long relaysReadOffset() {
-        return follower.readOffset();
+    /** Returns up to where the registrations of relays have been read. */
+    public LogPosition relaysReadPosition() {
+        return follower.readPosition();
     }
 
     /** Returns where live peers can be reached, in an order of this relay's own. */
@@ -327,7 +328,7 @@
     }
 
     /** Tells all live peers at once how far this relay has read and written the platform's topics. */
-    public void announceReadOffsets() {
+    public void announceReadPositions() {
         send(PeerCodec.write(reports.partial(List.of())), live(addresses.keySet()));
     }
 
@@ -404,8 +405,8 @@
                 state.retiredWeights()
                         .onPeerReport(relay, load.retirement(), !state.mayReportsHaveWaited(), state.atMostMillis());
             }
-            follower.onPeerOffset(load.readOffsets().relays());
-            listener.onReadOffsets(load.readOffsets());
+            follower.onPeerPosition(load.readPositions().relays());
+            listener.onReadPositions(load.readPositions());
             listener.onUnreachable(load.unreachable());
         }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/port/StoreDialect.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/port/StoreDialect.java
@@ -1,5 +1,6 @@
 package org.rattanrudder.daemon.relay.port;
 
+import io.netty.handler.codec.http.HttpHeaders;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -8,6 +9,7 @@
 import org.rattanrudder.core.gateway.ServingConfiguration;
 import org.rattanrudder.core.quarantine.Cause;
 import org.rattanrudder.core.rollout.LeaseRecord;
+import org.rattanrudder.core.topics.LogPosition;
 
 /** Builds and parses the calls to the platform's store. */
 public interface StoreDialect {
@@ -74,14 +76,17 @@
     /** Parses the registration of a relay. Throws IllegalArgumentException if malformed. */
     RelayRegistration readRelay(byte[] value);
 
-    /** Parses the response to {@link #list}. */
-    StoreResponse readListing(int status, byte[] body);
+    /** Returns the era of the log that a response names; empty if it names none that can be read. */
+    OptionalLong readEra(HttpHeaders headers);
 
-    /** Parses the response to {@link #poll}. */
-    StoreResponse readRecords(Topic topic, long from, int status, byte[] body);
+    /** Parses the response to {@link #list}, of an era of the log. */
+    StoreResponse readListing(long era, int status, byte[] body);
 
-    /** Parses the response to {@link #append}. */
-    StoreResponse readAppend(int status, byte[] body);
+    /** Parses the response to {@link #read} from a position. */
+    StoreResponse readRecords(Topic topic, LogPosition from, int status, byte[] body);
+
+    /** Parses the response to {@link #append}, of an era of the log. */
+    StoreResponse readAppend(long era, int status, byte[] body);
 
     /**
      * Parses a record of the desired state; empty if the key isn't used. Throws IllegalArgumentException if malformed.
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/port/StoreResponse.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/port/StoreResponse.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.rattanrudder.core.topics.LogPosition;
 
 /** A response of the platform's store. */
 public sealed interface StoreResponse {
@@ -11,18 +12,18 @@
      *
      * @param records the page
      * @param morePages whether more pages follow
-     * @param end the offset after the last record of the topic
+     * @param end the position after the last record of the topic
      */
-    record Listing(List<KeyedRecord> records, boolean morePages, long end) implements StoreResponse {}
+    record Listing(List<KeyedRecord> records, boolean morePages, LogPosition end) implements StoreResponse {}
 
     /**
      * Records read from a topic.
      *
      * @param records in order
-     * @param next the offset to read from next
-     * @param end the offset after the last record of the topic
+     * @param next the position to read from next
+     * @param end the position after the last record of the topic
      */
-    record Records(List<KeyedRecord> records, long next, long end) implements StoreResponse {}
+    record Records(List<KeyedRecord> records, LogPosition next, LogPosition end) implements StoreResponse {}
 
     /**
      * The requested records are no longer retained.
@@ -34,9 +35,9 @@
     /**
      * A record was appended.
      *
-     * @param offset its offset
+     * @param position its position
      */
-    record Appended(long offset) implements StoreResponse {}
+    record Appended(LogPosition position) implements StoreResponse {}
 
     /** The topic didn't end at the expected offset; nothing was appended. */
     record Conflict() implements StoreResponse {}
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/RelayState.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/RelayState.java
@@ -70,6 +70,7 @@
     private final RelayMetrics metrics;
     private final CallsInFlight storeCalls = new CallsInFlight();
     private final StoreRoute storeRoute;
+    private final StoreEra storeEra;
     private final RandomGenerator random;
     private final DesiredVersions weights = new DesiredVersions();
     private final ClaimedVersions claimedWeights = new ClaimedVersions(weights, this::atMostMillis);
@@ -121,6 +122,7 @@
         this.metrics = metrics;
         this.random = random;
         storeRoute = new StoreRoute(log, this::nowMillis);
+        storeEra = new StoreEra(log, platform.store());
         UnreadNames members = new UnreadNames(fields -> log.warn("member_unread", fields), metrics::recordUnreadMember);
         platform.setUnreadListener(members::record);
         directory = new PartDirectory();
@@ -205,6 +207,11 @@
         return storeCalls;
     }
 
+    /** Returns the era of the platform's store. */
+    public StoreEra storeEra() {
+        return storeEra;
+    }
+
     /** Returns whether the platform's store refuses this relay, and the peers that read for it meanwhile. */
     public StoreRoute storeRoute() {
         return storeRoute;
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/quarantine/QuarantineExchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/quarantine/QuarantineExchange.java
@@ -23,6 +23,7 @@
 import org.rattanrudder.core.quarantine.TargetCrash;
 import org.rattanrudder.core.quarantine.TargetCrash.SuspectRequest;
 import org.rattanrudder.core.time.Moment;
+import org.rattanrudder.core.topics.LogPosition;
 import org.rattanrudder.daemon.relay.net.CallResult;
 import org.rattanrudder.daemon.relay.net.HttpCallClient;
 import org.rattanrudder.daemon.relay.port.KeyedRecord;
@@ -66,7 +67,7 @@
     private final TopicFollower follower;
     private final List<TargetCrash> unwrittenCrashes = new ArrayList<>();
     private Runnable onWritten = () -> {};
-    private long writtenOffset;
+    private LogPosition writtenTo = LogPosition.START;
     private long nextClaimAt;
     private boolean closed;
 
@@ -129,23 +130,23 @@
     private final class RecordListener implements TopicListener {
         private final Map<String, Cause> recorded = new HashMap<>();
         private boolean listedOnce;
-        private long endAtStart;
-        private long listedEnd;
+        private LogPosition endAtStart = LogPosition.NONE;
+        private LogPosition listedEnd = LogPosition.NONE;
 
         @Override
         public void onRecord(KeyedRecord record) {
             Optional<QuarantineRecord> read = read(record);
             if (read.isPresent() && read.get() instanceof QuarantineRecord.Quarantined quarantined) {
-                applyCauseRecord(quarantined, record.offset());
+                applyCauseRecord(quarantined, record.position());
             } else {
-                read.ifPresent(other -> apply(other, record.offset()));
+                read.ifPresent(other -> apply(other, record.position()));
             }
         }
 
-        private void applyCauseRecord(QuarantineRecord.Quarantined quarantined, long offset) {
+        private void applyCauseRecord(QuarantineRecord.Quarantined quarantined, LogPosition position) {
             Cause cause = quarantined.cause();
             recorded.put(cause.id(), cause);
-            if (offset < listedEnd) {
+            if (position.isBefore(listedEnd)) {
                 quarantine.onRecord(cause, quarantined.trials(), state.nowMillis());
             } else {
                 applyAndLog(() -> quarantine.onUnlistedRecord(cause, quarantined.trials(), state.nowMillis()), "store");
@@ -168,12 +169,12 @@
             return state.platform().store().readQuarantine(record);
         }
 
-        private void apply(QuarantineRecord read, long offset) {
+        private void apply(QuarantineRecord read, LogPosition position) {
             if (read instanceof QuarantineRecord.Crashed crashed) {
-                applyCrashRecord(crashed, offset);
+                applyCrashRecord(crashed, position);
             } else if (read instanceof QuarantineRecord.Answered answered) {
                 quarantine.onAnswerTold(answered.answer(), state.nowMillis());
-            } else if (offset < listedEnd) {
+            } else if (position.isBefore(listedEnd)) {
                 // The listing holds what became of the record since.
                 return;
             } else if (read instanceof QuarantineRecord.Withdrawn withdrawn) {
@@ -185,8 +186,8 @@
             }
         }
 
-        private void applyCrashRecord(QuarantineRecord.Crashed crashed, long offset) {
-            if (offset < endAtStart) {
+        private void applyCrashRecord(QuarantineRecord.Crashed crashed, LogPosition position) {
+            if (position.isBefore(endAtStart)) {
                 quarantine.onPastCrash(crashed.crash(), state.nowMillis());
             } else if (!crashed.relay().equals(state.settings().instance())) {
                 applyAndLog(() -> quarantine.onCrash(crashed.crash(), false, state.nowMillis()), crashed.relay());
@@ -203,7 +204,7 @@
         }
 
         @Override
-        public void onListed(Set<String> keys, long end) {
+        public void onListed(Set<String> keys, LogPosition end) {
             if (!listedOnce) {
                 endAtStart = end;
             }
@@ -217,7 +218,7 @@
         /** After the listing the retained records are read on, which tell of crashes that blame nothing yet. */
         @Override
         public void onReadToEnd(Moment askedAt) {
-            if (follower.readOffset() >= listedEnd) {
+            if (!follower.readPosition().isBefore(listedEnd)) {
                 state.quarantineRead().onRead();
             }
         }
@@ -328,12 +329,12 @@
         writeClient.call(
                 state.platform().store().write(records, OptionalLong.empty()), WRITE_TIMEOUT_MILLIS, answer -> {
                     state.metrics().recordStoreCall("QUARANTINE_WRITE");
-                    long offset = offset(answer);
-                    if (offset < 0) {
+                    Optional<LogPosition> written = position(answer);
+                    if (written.isEmpty()) {
                         quarantine.onAnswersUntold(answers);
                         return;
                     }
-                    writtenOffset = offset + records.size();
+                    writtenTo = written.get().plus(records.size());
                     onWritten.run();
                     unwrittenCrashes.removeAll(crashes);
                     unrecorded.forEach(quarantine::onRecordWritten);
@@ -352,37 +353,40 @@
         }
         nextClaimAt = state.nowMillis() + CLAIM_INTERVAL_MILLIS;
         int number = quarantine.trialsOf(cause) + 1;
-        long at = follower.readOffset();
+        LogPosition at = follower.readPosition();
         List<QuarantineRecord> records = List.of(new QuarantineRecord.Quarantined(cause, number));
-        trialClient.call(state.platform().store().write(records, OptionalLong.of(at)), WRITE_TIMEOUT_MILLIS, answer -> {
-            state.metrics().recordStoreCall("QUARANTINE_TRIAL");
-            if (offset(answer) != at) {
-                return;
-            }
-            writtenOffset = at + records.size();
-            onWritten.run();
-            quarantine.onTrialGranted(cause, number, state.nowMillis());
-            state.log().info("quarantine_tried", "features", cause.toText(), "number", Integer.toString(number));
-        });
+        trialClient.call(
+                state.platform().store().write(records, OptionalLong.of(at.offset())), WRITE_TIMEOUT_MILLIS, answer -> {
+                    state.metrics().recordStoreCall("QUARANTINE_TRIAL");
+                    if (!position(answer).equals(Optional.of(at))) {
+                        return;
+                    }
+                    writtenTo = at.plus(records.size());
+                    onWritten.run();
+                    quarantine.onTrialGranted(cause, number, state.nowMillis());
+                    state.log()
+                            .info("quarantine_tried", "features", cause.toText(), "number", Integer.toString(number));
+                });
     }
 
-    /** Returns the offset of the first written record, or -1 if it isn't certain that they were written. */
-    private long offset(CallResult answer) {
-        StoreResponse read = answer.toAppendResponse(state.platform().store());
+    /** Returns the position of the first written record; empty if it isn't certain that they were written. */
+    private Optional<LogPosition> position(CallResult answer) {
+        StoreResponse read = answer.toAppendResponse(
+                state.platform().store(), follower.readPosition().era());
         if (read instanceof StoreResponse.Failed failed && failed.status() == HttpResponseStatus.OK.code()) {
             state.log().warn("answer_unreadable", "reason", failed.reason().orElse("unknown"));
         }
-        return read instanceof StoreResponse.Appended appended ? appended.offset() : -1;
+        return read instanceof StoreResponse.Appended appended ? Optional.of(appended.position()) : Optional.empty();
     }
 
-    /** Returns the offset up to which peers should have read. */
-    public long readOffset() {
-        return Math.max(writtenOffset, follower.readOffset());
+    /** Returns up to where peers should have read. */
+    public LogPosition readPosition() {
+        return LogPosition.latest(writtenTo, follower.readPosition());
     }
 
-    /** Handles the offset up to which a peer has read or written. */
-    public void onPeerOffset(long readTo) {
-        follower.onPeerOffset(readTo);
+    /** Handles up to where a peer has read or written. */
+    public void onPeerPosition(LogPosition readTo) {
+        follower.onPeerPosition(readTo);
     }
 
     /** Reads from the store's new address. */
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/rollout/RolloutCoordinator.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/rollout/RolloutCoordinator.java
@@ -15,6 +15,7 @@
 import org.rattanrudder.core.rollout.RolloutPlanner;
 import org.rattanrudder.core.rollout.RolloutPlanner.OtherOrder;
 import org.rattanrudder.core.time.Moment;
+import org.rattanrudder.core.topics.LogPosition;
 import org.rattanrudder.daemon.relay.net.CallResult;
 import org.rattanrudder.daemon.relay.net.HttpCallClient;
 import org.rattanrudder.daemon.relay.net.StepTimer;
@@ -33,7 +34,7 @@
 /**
  * Orders engines to load the newest weights while this relay holds the rollout lease.
  *
- * <p>Before each batch of orders, a record is appended to the lease's log. It renews the lease, its offset is the
+ * <p>Before each batch of orders, a record is appended to the lease's log. It renews the lease, its position is the
  * fencing token, and it lists the engines to which peers send no new work while they load.
  */
 public final class RolloutCoordinator implements AutoCloseable {
@@ -99,10 +100,10 @@
         @Override
         public void onRecord(KeyedRecord record) {
             // A malformed record takes up an offset too, so the next append gets a later one.
-            lease.advanceTo(record.offset() + 1);
+            lease.advanceTo(record.position().plus(1));
             LeaseRecord read = store.readLease(record.value().orElseThrow());
             long now = state.nowMillis();
-            lease.onRecord(record.offset(), read, state.clock().now());
+            lease.onRecord(record.position(), read, state.clock().now());
             // Records from before the start are outdated: after a restart all engines would seem to be loading.
             if (caughtUp && !read.holder().equals(holder)) {
                 read.loading()
@@ -117,7 +118,7 @@
             // The first answer holds the records that were written before this relay started.
             caughtUp = answeredOnce;
             answeredOnce = true;
-            lease.advanceTo(follower.readOffset());
+            lease.advanceTo(follower.readPosition());
         }
 
         @Override
@@ -302,16 +303,19 @@
         return planners.computeIfAbsent(service + "/" + weights.model(), unseen -> new RolloutPlanner());
     }
 
-    /** A record that is appended at an offset, and when that was asked for. */
-    private record SentRecord(LeaseRecord record, long offset, Moment at) {}
+    /** A record that is appended at a position, and when that was asked for. */
+    private record SentRecord(LeaseRecord record, LogPosition position, Moment at) {}
 
     private void appendLeaseRecord(Map<Target, WeightsVersion> batch) {
         List<String> ids = batch.keySet().stream().map(Target::id).sorted().toList();
         Moment sentAt = state.clock().now();
         SentRecord sent =
-                new SentRecord(new LeaseRecord(holder, lease.termMillis(), ids), lease.appendOffset(), sentAt);
+                new SentRecord(new LeaseRecord(holder, lease.termMillis(), ids), lease.appendPosition(), sentAt);
         appendClient.call(
-                store.append(Topic.ORDERS, sent.record(), OptionalLong.of(sent.offset())),
+                store.append(
+                        Topic.ORDERS,
+                        sent.record(),
+                        OptionalLong.of(sent.position().offset())),
                 sent.record().termMillis() + LATE_ANSWER_MILLIS,
                 answer -> onLeaseAnswer(answer, batch, sent));
     }
@@ -321,15 +325,15 @@
             return;
         }
         state.metrics().recordStoreCall("APPEND");
-        StoreResponse read = answer.toAppendResponse(store);
+        StoreResponse read = answer.toAppendResponse(store, sent.position().era());
         if (read instanceof StoreResponse.Appended appended) {
             Moment now = state.clock().now();
-            lease.onAppended(appended.offset(), sent.record(), sent.at(), now);
+            lease.onAppended(appended.position(), sent.record(), sent.at(), now);
             state.log()
                     .info(
                             "lease_taken",
                             "token",
-                            Long.toString(appended.offset()),
+                            Long.toString(lease.fencingToken()),
                             "orders",
                             Integer.toString(batch.size()),
                             "taken_ms",
@@ -350,7 +354,7 @@
                 .info(
                         "lease_not_taken",
                         "at",
-                        Long.toString(sent.offset()),
+                        sent.position().toString(),
                         "answer",
                         read.getClass().getSimpleName(),
                         "taken_ms",
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/DesiredStateListener.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/DesiredStateListener.java
@@ -6,6 +6,7 @@
 import org.rattanrudder.core.gateway.ServingConfiguration;
 import org.rattanrudder.core.rollout.DesiredVersions;
 import org.rattanrudder.core.time.Moment;
+import org.rattanrudder.core.topics.LogPosition;
 import org.rattanrudder.daemon.relay.port.KeyedRecord;
 import org.rattanrudder.daemon.relay.port.StoreDialect;
 import org.rattanrudder.daemon.relay.port.StoreDialect.DesiredState;
@@ -32,8 +33,8 @@
     private Moment askedAt = new Moment(0, 0);
     private long unreadMillis;
 
-    /** A configuration that was found before all records were read, and the offset of its record. */
-    private record FoundConfiguration(ServingConfiguration configuration, long offset) {}
+    /** A configuration that was found before all records were read, and the position of its record. */
+    private record FoundConfiguration(ServingConfiguration configuration, LogPosition position) {}
 
     /**
      * Creates a listener that has handled no record.
@@ -64,11 +65,11 @@
         StoreDialect store = state.platform().store();
         store.readDesiredState(record).ifPresent(desired -> {
             if (desired instanceof DesiredState.DesiredConfiguration configured) {
-                onDesiredConfiguration(configured.configuration(), record.offset());
+                onDesiredConfiguration(configured.configuration(), record.position());
             } else if (desired instanceof DesiredState.DesiredWeights weights) {
-                onDesiredWeights(weights.weights(), record.offset());
+                onDesiredWeights(weights.weights(), record.position());
             } else if (desired instanceof DesiredState.DesiredEvacuation evacuation) {
-                onDesiredEvacuation(evacuation, record.offset());
+                onDesiredEvacuation(evacuation, record.position());
             }
         });
     }
@@ -77,22 +78,22 @@
      * Applies a configuration, at the relay's start only once all records were read: it lets requests be served, and
      * the weights on which they may begin may stand in another page of the listing.
      */
-    private void onDesiredConfiguration(ServingConfiguration configuration, long offset) {
+    private void onDesiredConfiguration(ServingConfiguration configuration, LogPosition position) {
         if (!readOnce) {
             state.log()
                     .info(
                             "configuration_held_back",
                             "version",
                             Long.toString(configuration.version()),
-                            "offset",
-                            Long.toString(offset));
+                            "position",
+                            position.toString());
             boolean older = found.filter(known -> known.configuration().version() >= configuration.version())
                     .isPresent();
-            found = older ? found : Optional.of(new FoundConfiguration(configuration, offset));
+            found = older ? found : Optional.of(new FoundConfiguration(configuration, position));
             return;
         }
         if (!state.updateConfiguration(configuration)) {
-            logNotNewer(configuration, offset);
+            logNotNewer(configuration, position);
             return;
         }
         onConfiguration.accept(configuration);
@@ -101,8 +102,8 @@
                         "configured",
                         "version",
                         Long.toString(configuration.version()),
-                        "offset",
-                        Long.toString(offset),
+                        "position",
+                        position.toString(),
                         "asked_ms",
                         Long.toString(state.atMostMillis() - askedAt.atMostMillis()),
                         "unread_ms",
@@ -116,7 +117,7 @@
         queues.onUsableTargetsChanged();
     }
 
-    private void logNotNewer(ServingConfiguration configuration, long offset) {
+    private void logNotNewer(ServingConfiguration configuration, LogPosition position) {
         state.log()
                 .info(
                         "configuration_not_newer",
@@ -126,18 +127,18 @@
                         state.configuration()
                                 .map(known -> Long.toString(known.version()))
                                 .orElse("none"),
-                        "offset",
-                        Long.toString(offset));
+                        "position",
+                        position.toString());
     }
 
-    private void onDesiredEvacuation(DesiredState.DesiredEvacuation desired, long offset) {
+    private void onDesiredEvacuation(DesiredState.DesiredEvacuation desired, LogPosition position) {
         String domain = desired.failureDomain();
-        if (state.fleet().evacuations().apply(domain, desired.evacuated(), offset, state.nowMillis())) {
-            onEvacuationChanged(domain, offset);
+        if (state.fleet().evacuations().apply(domain, desired.evacuated(), position, state.nowMillis())) {
+            onEvacuationChanged(domain, position);
         }
     }
 
-    private void onEvacuationChanged(String domain, long offset) {
+    private void onEvacuationChanged(String domain, LogPosition position) {
         state.log()
                 .info(
                         "evacuation_changed",
@@ -145,8 +146,8 @@
                         domain,
                         "evacuated",
                         Boolean.toString(state.fleet().evacuations().isEvacuated(domain)),
-                        "offset",
-                        Long.toString(offset),
+                        "position",
+                        position.toString(),
                         "targets",
                         Long.toString(state.fleet().all(state.nowMillis()).stream()
                                 .filter(target ->
@@ -155,7 +156,7 @@
         queues.onUsableTargetsChanged();
     }
 
-    private void onDesiredWeights(WeightsVersion weights, long offset) {
+    private void onDesiredWeights(WeightsVersion weights, LogPosition position) {
         boolean isNew = state.weights().add(weights.model(), weights.version(), state.atMostMillis());
         if (isNew) {
             onNewWeights.run();
@@ -166,8 +167,8 @@
                             weights.model(),
                             "version",
                             Long.toString(weights.version()),
-                            "offset",
-                            Long.toString(offset),
+                            "position",
+                            position.toString(),
                             "before_start",
                             Boolean.toString(!caughtUp));
         }
@@ -189,7 +190,7 @@
         }
     }
 
-    /** An older record of the same key would have no effect: versions and the offsets of evacuations increase. */
+    /** An older record of the same key would have no effect: versions and the positions of evacuations increase. */
     @Override
     public boolean needsOnlyNewest() {
         return true;
@@ -204,13 +205,13 @@
     public void onReadToEnd(Moment askedAt) {
         state.weights().onReadToEnd(askedAt.atMostMillis());
         readOnce = true;
-        found.ifPresent(first -> onDesiredConfiguration(first.configuration(), first.offset()));
+        found.ifPresent(first -> onDesiredConfiguration(first.configuration(), first.position()));
         found = Optional.empty();
         state.retiredWeights().onLogRead(askedAt.atMostMillis());
     }
 
     @Override
-    public void onListed(Set<String> keys, long end) {
+    public void onListed(Set<String> keys, LogPosition end) {
         onConfigurationsMissed.run();
         if (!caughtUp) {
             DesiredVersions versions = state.weights();
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/RecordDelivery.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/RecordDelivery.java
@@ -98,8 +98,8 @@
                         topic.name(),
                         "key",
                         record.key(),
-                        "offset",
-                        Long.toString(record.offset()),
+                        "position",
+                        record.position().toString(),
                         "reason",
                         reason);
     }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/StoreProbe.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/StoreProbe.java
@@ -1,6 +1,7 @@
 package org.rattanrudder.daemon.relay.store;
 
-import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.rattanrudder.core.topics.LogPosition;
 import org.rattanrudder.daemon.relay.net.HttpCallClient;
 import org.rattanrudder.daemon.relay.net.StepTimer;
 import org.rattanrudder.daemon.relay.port.StoreDialect.Topic;
@@ -12,18 +13,18 @@
     private static final long INTERVAL_MILLIS = 1_000;
 
     private final RelayState state;
-    private final LongSupplier desiredStateOffset;
+    private final Supplier<LogPosition> desiredStatePosition;
     private final StepTimer timer;
     private final HttpCallClient client;
 
     /**
      * Creates a probe that makes no calls until {@link #start}.
      *
-     * @param desiredStateOffset returns up to which offset the desired state has been read
+     * @param desiredStatePosition returns up to where the desired state has been read
      */
-    StoreProbe(RelayState state, LongSupplier desiredStateOffset) {
+    StoreProbe(RelayState state, Supplier<LogPosition> desiredStatePosition) {
         this.state = state;
-        this.desiredStateOffset = desiredStateOffset;
+        this.desiredStatePosition = desiredStatePosition;
         timer = new StepTimer(state.loop());
         client = HttpCallClient.forLists(state.connector(), state.heldBytes(), state::store, state.storeCalls());
     }
@@ -40,7 +41,9 @@
             return;
         }
         client.call(
-                state.platform().store().read(Topic.DESIRED_STATE, desiredStateOffset.getAsLong()),
+                state.platform()
+                        .store()
+                        .read(Topic.DESIRED_STATE, desiredStatePosition.get().offset()),
                 TopicReader.TIMEOUT_MILLIS,
                 result -> {
                     state.metrics().recordStoreCall("PROBE");
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/StoreReader.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/StoreReader.java
@@ -116,9 +116,10 @@
                 return;
             }
             recordCalls(outcome);
+            CallResult accepted = state.storeEra().accept(outcome.result());
             if (outcome.result().isServed()) {
                 route.onServed();
-                pending.then().accept(outcome);
+                pending.then().accept(outcome.with(accepted));
             } else if (isOwnFailure(outcome.result().reason(), timeoutMillis)) {
                 pending.then().accept(outcome);
             } else {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/StoreTopics.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/StoreTopics.java
@@ -2,8 +2,9 @@
 
 import java.util.Map;
 import java.util.function.Consumer;
-import org.rattanrudder.core.fleet.LoadReport.ReadOffsets;
+import org.rattanrudder.core.fleet.LoadReport.ReadPositions;
 import org.rattanrudder.core.gateway.ServingConfiguration;
+import org.rattanrudder.core.topics.LogPosition;
 import org.rattanrudder.daemon.relay.port.StoreDialect.Topic;
 import org.rattanrudder.daemon.relay.process.RelayState;
 import org.rattanrudder.daemon.relay.targets.QueueDispatcher;
@@ -45,7 +46,7 @@
                 state.desiredStateRead());
         state.claimedWeights().setRead(desiredState::pollNow);
         desiredStateConfirmation =
-                new TopicConfirmation(state, Topic.DESIRED_STATE, desiredState::readOffset, desiredState::pollNow);
+                new TopicConfirmation(state, Topic.DESIRED_STATE, desiredState::readPosition, desiredState::pollNow);
         registrations = new TargetRegistrations(state);
         targets = new TopicFollower(
                 state,
@@ -53,8 +54,8 @@
                 PollIntervals.batched(() -> state.settings().bounds().drainMillis()),
                 TopicFollower.InitialRead.NEWEST,
                 registrations);
-        targetsConfirmation = new TopicConfirmation(state, Topic.TARGETS, targets::readOffset, targets::pollNow);
-        probe = new StoreProbe(state, desiredState::readOffset);
+        targetsConfirmation = new TopicConfirmation(state, Topic.TARGETS, targets::readPosition, targets::pollNow);
+        probe = new StoreProbe(state, desiredState::readPosition);
         state.metrics()
                 .labelledGauge(
                         "rattanrudder_relay_topic_unread_seconds",
@@ -71,8 +72,8 @@
 
     private Map<String, Double> readOffsets() {
         return Map.of(
-                Topic.DESIRED_STATE.name(), (double) desiredState.readOffset(),
-                Topic.TARGETS.name(), (double) targets.readOffset());
+                Topic.DESIRED_STATE.name(), (double) desiredState.readPosition().offset(),
+                Topic.TARGETS.name(), (double) targets.readPosition().offset());
     }
 
     private Map<String, Double> unreadSeconds() {
@@ -107,20 +108,20 @@
         targetsConfirmation.confirm(timeoutMillis, both);
     }
 
-    /** Returns the offset up to which the desired state has been read. */
-    public long desiredStateOffset() {
-        return desiredState.readOffset();
+    /** Returns up to where the desired state has been read. */
+    public LogPosition desiredStatePosition() {
+        return desiredState.readPosition();
     }
 
-    /** Returns the offset up to which peers should have read the registrations of targets. */
-    public long targetsChangedOffset() {
-        return registrations.changedOffset();
+    /** Returns up to where peers should have read the registrations of targets. */
+    public LogPosition targetsChangedPosition() {
+        return registrations.changedPosition();
     }
 
-    /** Handles the offsets up to which a peer has read. */
-    public void onPeerOffsets(ReadOffsets others) {
-        desiredState.onPeerOffset(others.desiredConfiguration());
-        targets.onPeerOffset(others.targetsChanged());
+    /** Handles the positions up to which a peer has read. */
+    public void onPeerPositions(ReadPositions others) {
+        desiredState.onPeerPosition(others.desiredConfiguration());
+        targets.onPeerPosition(others.targetsChanged());
     }
 
     /** Cancels confirmations; the followers end with the event loop. */
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TargetRegistrations.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TargetRegistrations.java
@@ -6,6 +6,7 @@
 import org.rattanrudder.core.fleet.Target;
 import org.rattanrudder.core.fleet.TargetRegistration;
 import org.rattanrudder.core.time.Moment;
+import org.rattanrudder.core.topics.LogPosition;
 import org.rattanrudder.daemon.relay.port.KeyedRecord;
 import org.rattanrudder.daemon.relay.port.StoreDialect;
 import org.rattanrudder.daemon.relay.process.RelayState;
@@ -14,16 +15,16 @@
 /** Handles the registrations of targets. */
 final class TargetRegistrations implements TopicListener {
     private final RelayState state;
-    private long changedOffset;
+    private LogPosition changedPosition = LogPosition.START;
 
     /** Creates a handler that has handled no registration. */
     TargetRegistrations(RelayState state) {
         this.state = state;
     }
 
-    /** Returns the offset up to which peers should have read, since a registration before it has changed. */
-    long changedOffset() {
-        return changedOffset;
+    /** Returns up to where peers should have read, since a registration before it has changed. */
+    LogPosition changedPosition() {
+        return changedPosition;
     }
 
     @Override
@@ -35,15 +36,15 @@
         try {
             read = record.value().map(value -> withoutOwnAddress(store.readTarget(record.key(), value)));
         } catch (IllegalArgumentException unreadable) {
-            state.fleet().onUnreadableRecord(record.key(), record.offset(), now);
+            state.fleet().onUnreadableRecord(record.key(), record.position(), now);
             throw unreadable;
         }
-        boolean isNew = state.fleet().apply(record.key(), read, record.offset(), now);
+        boolean isNew = state.fleet().apply(record.key(), read, record.position(), now);
         Optional<TargetRegistration> after = state.fleet().find(record.key()).map(Target::registration);
         if (!isNew || isUnchanged(before, after)) {
             return;
         }
-        changedOffset = Math.max(changedOffset, record.offset() + 1);
+        changedPosition = LogPosition.latest(changedPosition, record.position().plus(1));
         state.log()
                 .info(
                         "target_changed",
@@ -53,8 +54,8 @@
                         Boolean.toString(after.isPresent()),
                         "draining",
                         Boolean.toString(after.map(TargetRegistration::draining).orElse(false)),
-                        "offset",
-                        Long.toString(record.offset()));
+                        "position",
+                        record.position().toString());
     }
 
     /** A relay would send requests that it gets from itself to itself again, without end. */
@@ -72,7 +73,7 @@
     }
 
     @Override
-    public void onListed(Set<String> keys, long end) {
+    public void onListed(Set<String> keys, LogPosition end) {
         state.fleet().applyListing(keys, end, state.nowMillis());
     }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicConfirmation.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicConfirmation.java
@@ -3,7 +3,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
-import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.rattanrudder.core.topics.LogPosition;
 import org.rattanrudder.daemon.relay.net.StepTimer;
 import org.rattanrudder.daemon.relay.port.StoreDialect;
 import org.rattanrudder.daemon.relay.port.StoreDialect.Topic;
@@ -26,7 +27,7 @@
 
     private final RelayState state;
     private final Topic topic;
-    private final LongSupplier readOffset;
+    private final Supplier<LogPosition> readPosition;
     private final Runnable readNow;
     private final StoreReader reader;
     private final StepTimer timer;
@@ -35,13 +36,13 @@
     /**
      * Creates a confirmation that makes no calls until it is asked.
      *
-     * @param readOffset the offset up to which the follower has read
+     * @param readPosition up to where the follower has read
      * @param readNow has the follower read at once
      */
-    TopicConfirmation(RelayState state, Topic topic, LongSupplier readOffset, Runnable readNow) {
+    TopicConfirmation(RelayState state, Topic topic, Supplier<LogPosition> readPosition, Runnable readNow) {
         this.state = state;
         this.topic = topic;
-        this.readOffset = readOffset;
+        this.readPosition = readPosition;
         this.readNow = readNow;
         reader = new StoreReader(state, "CONFIRM", 1);
         timer = new StepTimer(state.loop());
@@ -75,17 +76,17 @@
         long now = state.nowMillis();
         long longest =
                 Math.max(1, asking.stream().mapToLong(Pending::until).max().orElse(now) - now);
-        long from = readOffset.getAsLong();
+        LogPosition from = readPosition.get();
         StoreDialect dialect = state.platform().store();
         reader.read(
-                new StoreRead.From(topic, from),
+                new StoreRead.From(topic, from.offset()),
                 longest,
                 longest,
                 outcome -> onAnswer(asking, from, outcome.result().toRecords(dialect, topic, from)));
     }
 
-    private void onAnswer(List<Pending> asking, long from, StoreResponse answer) {
-        if (answer instanceof StoreResponse.Records records && records.end() >= from) {
+    private void onAnswer(List<Pending> asking, LogPosition from, StoreResponse answer) {
+        if (answer instanceof StoreResponse.Records records && !records.end().isBefore(from)) {
             awaitRead(asking, records.end(), MIN_CHECK_MILLIS);
         } else {
             asking.forEach(each -> each.then().accept(false));
@@ -93,8 +94,8 @@
         call();
     }
 
-    private void awaitRead(List<Pending> asking, long end, long pauseMillis) {
-        if (readOffset.getAsLong() >= end) {
+    private void awaitRead(List<Pending> asking, LogPosition end, long pauseMillis) {
+        if (!readPosition.get().isBefore(end)) {
             asking.forEach(each -> each.then().accept(true));
             return;
         }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicFollower.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicFollower.java
@@ -3,11 +3,13 @@
 import java.util.Optional;
 import java.util.Set;
 import org.rattanrudder.core.time.Moment;
+import org.rattanrudder.core.topics.LogPosition;
 import org.rattanrudder.core.topics.ReadFreshness;
 import org.rattanrudder.daemon.relay.net.StepTimer;
 import org.rattanrudder.daemon.relay.port.StoreDialect.Topic;
 import org.rattanrudder.daemon.relay.port.StoreResponse;
 import org.rattanrudder.daemon.relay.process.RelayState;
+import org.rattanrudder.daemon.relay.process.StoreEra;
 
 /**
  * Consumes a topic of the platform's store: first lists the newest record of each key, then polls for new records.
@@ -23,6 +25,9 @@
     /** How often in a row a topic is listed again for records that it failed to handle. */
     private static final int MAX_REPEATED_LISTINGS = 3;
 
+    /** Time in which relays begin to read a topic anew, in ms. */
+    private static final long NEW_ERA_SPREAD_MILLIS = 200;
+
     private final RelayState state;
     private final StepTimer timer;
     private final Topic topic;
@@ -36,6 +41,7 @@
     private int consecutiveTruncations;
     private int repeatedListings;
     private final ReadFreshness freshness;
+    private boolean started;
     private boolean betweenPolls;
     private Moment askedAt = new Moment(0, 0);
 
@@ -78,10 +84,12 @@
         backOff = new BackOff(intervals.maxBackOffMillis(), state.random()::nextDouble);
         availability = new StoreAvailability(state.log(), topic, backOff, listener);
         this.freshness = freshness;
+        state.storeEra().addListener(this::onNewEra);
     }
 
     /** Starts to read the topic, from the beginning of what is read initially. */
     public void start() {
+        started = true;
         betweenPolls = false;
         askedAt = state.clock().now();
         if (position.isKeyed()) {
@@ -99,7 +107,7 @@
         betweenPolls = false;
         askedAt = state.clock().now();
         schedule.onPoll(askedAt.atLeastMillis());
-        reader.poll(position.nextOffset(), this::onResult);
+        reader.poll(position.next(), this::onResult);
     }
 
     /** Handles a result; if that fails, the call is retried, since nothing else would read the topic on. */
@@ -113,6 +121,11 @@
     }
 
     private void handle(TopicReader.Result result) {
+        if (result instanceof TopicReader.Result.Failed failed
+                && failed.reason().equals(StoreEra.NEW_ERA)) {
+            // The topic is read anew already.
+            return;
+        }
         if (result instanceof TopicReader.Result.Failed failed) {
             onFailure(failed.reason(), failed.unreadable());
         } else if (result instanceof TopicReader.Result.Read read) {
@@ -165,9 +178,9 @@
                         "keys",
                         Integer.toString(keys.size()),
                         "end",
-                        Long.toString(position.listingEnd()),
+                        position.listingEnd().toString(),
                         "read",
-                        Long.toString(position.nextOffset()),
+                        position.next().toString(),
                         "asked_ms",
                         Long.toString(state.atMostMillis() - askedAt.atMostMillis()));
         poll();
@@ -184,15 +197,15 @@
         if (listsAgain()) {
             return;
         }
-        if (records.next() >= records.end()) {
+        if (!records.next().isBefore(records.end())) {
             onReadToEnd();
         }
-        if (records.next() > records.end()) {
+        if (records.next().isAfter(records.end())) {
             listener.onStoreBehind();
         }
         betweenPolls = true;
         long now = state.nowMillis();
-        boolean isPart = !records.records().isEmpty() && records.next() < records.end();
+        boolean isPart = !records.records().isEmpty() && records.next().isBefore(records.end());
         timer.reschedule(
                 this::poll, isPart ? schedule.onPartAnswered(now) : schedule.onAnswered(askedAt.atLeastMillis(), now));
     }
@@ -234,7 +247,7 @@
                         "topic",
                         topic.name(),
                         "from",
-                        Long.toString(position.nextOffset()),
+                        position.next().toString(),
                         "first",
                         forgotten.first().isPresent()
                                 ? Long.toString(forgotten.first().getAsLong())
@@ -251,16 +264,16 @@
     }
 
     /**
-     * Handles the read offset of a peer. If the peer has read a record that was not read here, the next poll is brought
-     * forward.
+     * Handles up to where a peer has read. If the peer has read a record that was not read here, the next poll is
+     * brought forward.
      *
-     * <p>Only the time between two polls is shortened, since every peer reports its offset many times a second. If
+     * <p>Only the time between two polls is shortened, since every peer reports its position many times a second. If
      * reports also cut the back-off after a failure short, a store that refuses this relay would get a call for each
      * report. If they replaced a pending listing, the relay would poll discarded records again and again, and would
      * never receive a newer configuration.
      */
-    public void onPeerOffset(long peerOffset) {
-        if (betweenPolls && peerOffset > position.nextOffset()) {
+    public void onPeerPosition(LogPosition peerPosition) {
+        if (betweenPolls && peerPosition.isAfter(position.next())) {
             timer.reschedule(this::poll, schedule.onHint(state.nowMillis()));
         }
     }
@@ -287,15 +300,33 @@
         pollNow();
     }
 
+    /**
+     * Reads the topic anew, since the store has come back from a copy: what was read may be gone, and other records may
+     * be where it was. Relays don't do so at the same moment.
+     */
+    private void onNewEra() {
+        position.beginEra(state.storeEra().current());
+        consecutiveTruncations = 0;
+        repeatedListings = 0;
+        betweenPolls = false;
+        listener.onNewEra();
+        if (started && !timer.isClosed()) {
+            reader.cancel();
+            timer.reschedule(
+                    this::start,
+                    Math.round(NEW_ERA_SPREAD_MILLIS * state.random().nextDouble()));
+        }
+    }
+
     /** Cancels the pending call and lists again, after the store's address has changed. */
     public void reconnect() {
         reader.cancel();
         timer.reschedule(this::start, 0);
     }
 
-    /** Returns the offset up to which the topic has been read. */
-    public long readOffset() {
-        return position.nextOffset();
+    /** Returns up to where the topic has been read. */
+    public LogPosition readPosition() {
+        return position.next();
     }
 
     /** Returns for how long records may exist that were not read, in ms. */
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicListener.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicListener.java
@@ -2,6 +2,7 @@
 
 import java.util.Set;
 import org.rattanrudder.core.time.Moment;
+import org.rattanrudder.core.topics.LogPosition;
 import org.rattanrudder.daemon.relay.port.KeyedRecord;
 
 /** Handles the records of a topic that a {@link TopicFollower} reads, and is told of the state of its reading. */
@@ -30,8 +31,8 @@
     /** Handles a record that isn't delivered, since only the newest of its key is needed. */
     default void onSuperseded(KeyedRecord record) {}
 
-    /** Handles the end of a complete listing, with the keys in it. */
-    default void onListed(Set<String> keys, long end) {}
+    /** Handles the end of a complete listing, with the keys in it and where it ends. */
+    default void onListed(Set<String> keys, LogPosition end) {}
 
     /** Called when all records that were written before a call have been handled; with the time of that call. */
     default void onReadToEnd(Moment askedAt) {}
@@ -47,6 +48,12 @@
     /** Called when the store ends before what was read: it may hold other records at offsets that were read. */
     default void onStoreBehind() {}
 
+    /**
+     * Called when the store has come back from an older copy, before anything is read of it: what was read may be gone,
+     * and what was written may have to be written again.
+     */
+    default void onNewEra() {}
+
     /** Called after each successful answer of the store. */
     default void onAvailable() {}
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicPosition.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicPosition.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import org.rattanrudder.core.topics.LogPosition;
 import org.rattanrudder.daemon.relay.port.KeyedRecord;
 import org.rattanrudder.daemon.relay.port.StoreResponse;
 
@@ -11,9 +12,9 @@
 final class TopicPosition {
     private final TopicFollower.InitialRead reading;
     private final Set<String> listedKeys = new HashSet<>();
-    private long nextOffset;
+    private LogPosition next = LogPosition.START;
     private long firstRetainedOffset;
-    private long listingEnd = -1;
+    private LogPosition listingEnd = LogPosition.NONE;
 
     /** Creates the position of a topic that hasn't been read. */
     TopicPosition(TopicFollower.InitialRead reading) {
@@ -30,18 +31,18 @@
         return reading == TopicFollower.InitialRead.NEWEST;
     }
 
-    /** Returns the offset up to which the topic has been read. */
-    long nextOffset() {
-        return nextOffset;
+    /** Returns up to where the topic has been read. */
+    LogPosition next() {
+        return next;
     }
 
     /** Returns whether a page of the current listing, or of the last one, has been read. */
     boolean hasListed() {
-        return listingEnd >= 0;
+        return !listingEnd.equals(LogPosition.NONE);
     }
 
-    /** Returns the offset at which the current listing ends, or the last one; -1 before its first page. */
-    long listingEnd() {
+    /** Returns where the current listing ends, or the last one; {@link LogPosition#NONE} before its first page. */
+    LogPosition listingEnd() {
         return listingEnd;
     }
 
@@ -50,10 +51,17 @@
         return Set.copyOf(listedKeys);
     }
 
+    /** Begins an era, of which nothing was read. */
+    void beginEra(long era) {
+        next = LogPosition.startOf(era);
+        firstRetainedOffset = 0;
+        beginListing();
+    }
+
     /** Begins a new listing. */
     void beginListing() {
         listedKeys.clear();
-        listingEnd = -1;
+        listingEnd = LogPosition.NONE;
     }
 
     /**
@@ -61,8 +69,8 @@
      * page without a new key is the last one: the next would be the same again.
      */
     Optional<String> addPage(StoreResponse.Listing page) {
-        // Pages aren't a snapshot: records written between pages have offsets after the first page's end.
-        listingEnd = listingEnd < 0 ? page.end() : Math.min(listingEnd, page.end());
+        // Pages aren't a snapshot: records written between pages are after the first page's end.
+        listingEnd = hasListed() ? LogPosition.earliest(listingEnd, page.end()) : page.end();
         int known = listedKeys.size();
         page.records().forEach(record -> listedKeys.add(record.key()));
         if (!page.morePages() || listedKeys.size() == known) {
@@ -74,29 +82,29 @@
 
     /**
      * Returns whether the complete listing is as new as what was read before it. A listing that ends before the read
-     * offset is stale: a key that is missing from it may still exist.
+     * position is stale: a key that is missing from it may still exist.
      */
     boolean isListingCurrent() {
-        return listingEnd >= nextOffset;
+        return !listingEnd.isBefore(next);
     }
 
     /** Continues after the complete listing, or at the first retained record if all of them are read. */
     void applyListing() {
-        nextOffset = reading == TopicFollower.InitialRead.NEWEST_AND_KEPT
-                ? Math.min(firstRetainedOffset, listingEnd)
+        next = reading == TopicFollower.InitialRead.NEWEST_AND_KEPT
+                ? LogPosition.earliest(new LogPosition(listingEnd.era(), firstRetainedOffset), listingEnd)
                 : listingEnd;
     }
 
     /** Continues after the records that a poll has returned. */
-    void advanceTo(long next) {
-        nextOffset = next;
+    void advanceTo(LogPosition read) {
+        next = read;
     }
 
     /** Handles that the store has discarded unread records; {@code first} is the first retained one, if it is known. */
     void onForgotten(OptionalLong first) {
         if (!isKeyed()) {
             // Without keys there is no listing to catch up from: continue at the first retained record.
-            nextOffset = Math.max(nextOffset + 1, first.orElse(0));
+            next = new LogPosition(next.era(), Math.max(next.offset() + 1, first.orElse(0)));
         }
         firstRetainedOffset = first.orElse(Long.MAX_VALUE);
     }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicReader.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicReader.java
@@ -4,6 +4,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import org.rattanrudder.core.time.Moment;
+import org.rattanrudder.core.topics.LogPosition;
 import org.rattanrudder.daemon.relay.net.CallResult;
 import org.rattanrudder.daemon.relay.net.RepeatingCallClient.Outcome;
 import org.rattanrudder.daemon.relay.port.StoreDialect;
@@ -11,6 +12,7 @@
 import org.rattanrudder.daemon.relay.port.StoreRead;
 import org.rattanrudder.daemon.relay.port.StoreResponse;
 import org.rattanrudder.daemon.relay.process.RelayState;
+import org.rattanrudder.daemon.relay.process.StoreEra;
 
 /**
  * Calls the platform's store for the records of one topic, and parses its answers. Only one call may be in flight; one
@@ -29,6 +31,7 @@
     private final StoreDialect dialect;
     private final Topic topic;
     private final StoreReader reader;
+    private final StoreEra era;
     private boolean closed;
 
     /**
@@ -39,6 +42,7 @@
     TopicReader(RelayState state, Topic topic, int maxCalls) {
         this.topic = topic;
         dialect = state.platform().store();
+        era = state.storeEra();
         reader = new StoreReader(state, topic.name(), maxCalls);
     }
 
@@ -76,17 +80,24 @@
      * @param then called with the result, unless the call is cancelled
      */
     void list(Optional<String> after, Consumer<Result> then) {
-        read(new StoreRead.Newest(topic, after), dialect::readListing, then);
+        read(
+                new StoreRead.Newest(topic, after),
+                (status, body) -> dialect.readListing(era.current(), status, body),
+                then);
     }
 
     /**
      * Polls for records; without any, the store answers at once.
      *
-     * @param from the offset of the first record to read
+     * @param from the position of the first record to read
      * @param then called with the result, unless the call is cancelled
      */
-    void poll(long from, Consumer<Result> then) {
-        read(new StoreRead.From(topic, from), (status, body) -> dialect.readRecords(topic, from, status, body), then);
+    void poll(LogPosition from, Consumer<Result> then) {
+        read(
+                new StoreRead.From(topic, from.offset()),
+                (status, body) ->
+                        dialect.readRecords(topic, new LogPosition(era.current(), from.offset()), status, body),
+                then);
     }
 
     private void read(StoreRead read, AnswerParser parser, Consumer<Result> then) {
--- a/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/store/TopicFollowerTest.java
+++ b/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/store/TopicFollowerTest.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -22,6 +23,7 @@
 import org.junit.jupiter.params.provider.EnumSource;
 import org.rattanrudder.core.model.Address;
 import org.rattanrudder.core.time.Moment;
+import org.rattanrudder.core.topics.LogPosition;
 import org.rattanrudder.daemon.TestServer;
 import org.rattanrudder.daemon.logging.EventLog;
 import org.rattanrudder.daemon.loop.ClockSource;
@@ -42,8 +44,9 @@
 /** A follower of a topic that holds one record. */
 class TopicFollowerTest {
     private static final int TIMEOUT_SECONDS = 10;
-    private static final long END = 2;
-    private static final KeyedRecord RECORD = new KeyedRecord(1, "key", Optional.of(new byte[0]));
+    private static final LogPosition END = LogPosition.START.plus(2);
+    private static final KeyedRecord RECORD =
+            new KeyedRecord(LogPosition.START.plus(1), "key", Optional.of(new byte[0]));
     private static final PlatformCall CALL =
             new PlatformCall(HttpMethod.GET, "/", EmptyHttpHeaders.INSTANCE, new byte[0]);
 
@@ -98,6 +101,8 @@
 
     private static Map<String, Object> storeAnswers() {
         return Map.of(
+                "readEra",
+                OptionalLong.empty(),
                 "list",
                 CALL,
                 "read",
@@ -149,7 +154,7 @@
         }
 
         @Override
-        public void onListed(Set<String> keys, long end) {
+        public void onListed(Set<String> keys, LogPosition end) {
             failOnce(Handled.LISTING);
         }
 
--- a/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/store/TopicPositionTest.java
+++ b/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/store/TopicPositionTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.rattanrudder.core.topics.LogPosition;
 import org.rattanrudder.daemon.relay.port.KeyedRecord;
 import org.rattanrudder.daemon.relay.port.StoreResponse;
 import org.rattanrudder.daemon.relay.store.TopicFollower.InitialRead;
@@ -24,7 +25,7 @@
         position.applyListing();
 
         assertThat(position.listedKeys()).containsExactlyInAnyOrder("a", "b", "c");
-        assertThat(position.nextOffset()).isEqualTo(7);
+        assertThat(position.next().offset()).isEqualTo(7);
     }
 
     /** Guards against an endless listing of a store that announces more pages and returns none. */
@@ -48,7 +49,7 @@
     @CsvSource({"4, false", "5, true", "6, true"})
     void aListingIsCurrentUnlessItEndsBeforeWhatWasRead(long end, boolean current) {
         TopicPosition position = new TopicPosition(InitialRead.NEWEST);
-        position.advanceTo(5);
+        position.advanceTo(LogPosition.START.plus(5));
         position.beginListing();
         position.addPage(page(false, end, "a"));
 
@@ -69,15 +70,15 @@
     void aKeyedTopicContinuesAfterTheListingOrAtTheFirstRetainedRecord(
             InitialRead reading, Long firstRetained, long expected) {
         TopicPosition position = new TopicPosition(reading);
-        position.advanceTo(10);
+        position.advanceTo(LogPosition.START.plus(10));
         position.onForgotten(optional(firstRetained));
-        assertThat(position.nextOffset()).isEqualTo(10);
+        assertThat(position.next().offset()).isEqualTo(10);
 
         position.beginListing();
         position.addPage(page(false, 30, "a"));
         position.applyListing();
 
-        assertThat(position.nextOffset()).isEqualTo(expected);
+        assertThat(position.next().offset()).isEqualTo(expected);
     }
 
     /** Guards against a topic without keys that asks for the same discarded records for ever. */
@@ -85,11 +86,11 @@
     @CsvSource({"20, 20", "3, 11", ", 11"})
     void aTopicWithoutKeysContinuesAtTheFirstRetainedRecord(Long firstRetained, long expected) {
         TopicPosition position = new TopicPosition(InitialRead.KEPT);
-        position.advanceTo(10);
+        position.advanceTo(LogPosition.START.plus(10));
 
         position.onForgotten(optional(firstRetained));
 
-        assertThat(position.nextOffset()).isEqualTo(expected);
+        assertThat(position.next().offset()).isEqualTo(expected);
     }
 
     private static OptionalLong optional(Long value) {
@@ -98,8 +99,8 @@
 
     private static StoreResponse.Listing page(boolean morePages, long end, String... keys) {
         List<KeyedRecord> records = Stream.of(keys)
-                .map(key -> new KeyedRecord(0, key, Optional.empty()))
+                .map(key -> new KeyedRecord(LogPosition.START, key, Optional.empty()))
                 .toList();
-        return new StoreResponse.Listing(records, morePages, end);
+        return new StoreResponse.Listing(records, morePages, LogPosition.START.plus(end));
     }
 }
--- a/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/targets/TestTargets.java
+++ b/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/targets/TestTargets.java
@@ -6,6 +6,7 @@
 import org.rattanrudder.core.fleet.Target;
 import org.rattanrudder.core.fleet.TargetRegistration;
 import org.rattanrudder.core.model.Address;
+import org.rattanrudder.core.topics.LogPosition;
 
 /** Creates targets for tests. */
 public final class TestTargets {
@@ -25,7 +26,7 @@
                         128,
                         false,
                         weights)),
-                1,
+                LogPosition.START.plus(1),
                 nowMillis);
         return fleet.find(id).orElseThrow();
     }
--- a/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelRelay.java
+++ b/rattanrudder-standins/src/main/java/org/rattanrudder/standins/model/ModelRelay.java
@@ -32,6 +32,7 @@
 import org.rattanrudder.core.parts.RetirementReport;
 import org.rattanrudder.core.rollout.VersionQuestion;
 import org.rattanrudder.core.routing.Hashing;
+import org.rattanrudder.core.topics.LogPosition;
 import org.rattanrudder.standins.model.ModelPolicy.RestWay;
 
 /** A relay with the decisions of a real one and a network in virtual time. */
@@ -101,7 +102,7 @@
                 traits.slots(),
                 false,
                 Map.of(MODEL, 1L));
-        fleet.apply(engine, Optional.of(entry), offset, time.millis());
+        fleet.apply(engine, Optional.of(entry), new LogPosition(0, offset), time.millis());
     }
 
     /** Begins to tell the others of its work. */
@@ -166,7 +167,8 @@
                 List.of(),
                 List.of(),
                 true,
-                new LoadReport.ReadOffsets(0, 0, 0, 0),
+                new LoadReport.ReadPositions(
+                        LogPosition.START, LogPosition.START, LogPosition.START, LogPosition.START),
                 List.of(),
                 whole ? seenLimits() : List.of(),
                 List.of(),
--- a/rattanrudder-wire/src/main/java/org/rattanrudder/wire/peer/PeerCodec.java
+++ b/rattanrudder-wire/src/main/java/org/rattanrudder/wire/peer/PeerCodec.java
@@ -11,7 +11,7 @@
 import org.rattanrudder.core.fleet.LoadReport;
 import org.rattanrudder.core.fleet.LoadReport.KnownWeights;
 import org.rattanrudder.core.fleet.LoadReport.LeavingTarget;
-import org.rattanrudder.core.fleet.LoadReport.ReadOffsets;
+import org.rattanrudder.core.fleet.LoadReport.ReadPositions;
 import org.rattanrudder.core.fleet.LoadReport.RemovedTarget;
 import org.rattanrudder.core.fleet.LoadReport.SeenRateLimit;
 import org.rattanrudder.core.fleet.LoadReport.ServedWeights;
@@ -24,6 +24,7 @@
 import org.rattanrudder.core.parts.StoreLateness;
 import org.rattanrudder.core.parts.StoreUpdate;
 import org.rattanrudder.core.rollout.VersionQuestion;
+import org.rattanrudder.core.topics.LogPosition;
 import org.rattanrudder.wire.generated.PeerMessages.KnownWeightsMessage;
 import org.rattanrudder.wire.generated.PeerMessages.LeavingTargetMessage;
 import org.rattanrudder.wire.generated.PeerMessages.PartEventMessage;
@@ -80,16 +81,24 @@
         record Origins(OriginMessage origins) implements Message {}
     }
 
+    /** A position of an earlier era tells nobody anything any more. */
+    private static long offsetIn(long era, LogPosition position) {
+        return position.era() == era ? position.offset() : 0;
+    }
+
     /** Returns the message as bytes. */
     public static byte[] write(LoadReport load) {
+        ReadPositions positions = load.readPositions();
+        long era = positions.era();
         RelayLoadMessage.Builder message = RelayLoadMessage.newBuilder()
                 .setRelay(load.relay())
                 .setSequence(load.sequence())
                 .setPartial(!load.full())
-                .setWishesReadTo(load.readOffsets().desiredConfiguration())
-                .setTargetsChangedTo(load.readOffsets().targetsChanged())
-                .setQuarantineReadTo(load.readOffsets().quarantine())
-                .setRelaysReadTo(load.readOffsets().relays())
+                .setLogEra(era)
+                .setWishesReadTo(offsetIn(era, positions.desiredConfiguration()))
+                .setTargetsChangedTo(offsetIn(era, positions.targetsChanged()))
+                .setQuarantineReadTo(offsetIn(era, positions.quarantine()))
+                .setRelaysReadTo(offsetIn(era, positions.relays()))
                 .setRetiredBefore(load.retirement().retiredBefore())
                 .setLogRead(load.retirement().logRead())
                 .setRelaysHash(load.retirement().relaysHash());
@@ -122,10 +131,11 @@
                 .forEach(each -> message.addLeaving(LeavingTargetMessage.newBuilder()
                         .setTarget(each.target())
                         .setStartedAt(each.startedAt())));
-        load.removed()
+        load.removed().stream()
+                .filter(each -> each.position().era() == era)
                 .forEach(each -> message.addRemoved(RemovedTargetMessage.newBuilder()
                         .setTarget(each.target())
-                        .setOffset(each.offset())));
+                        .setOffset(each.position().offset())));
         load.question().askedAt().ifPresent(message::setVersionsAskedAt);
         load.question()
                 .answered()
@@ -246,11 +256,12 @@
                         each.getModel(),
                         each.getVersion()))
                 .toList();
-        ReadOffsets readTo = new ReadOffsets(
-                message.getWishesReadTo(),
-                message.getTargetsChangedTo(),
-                message.getQuarantineReadTo(),
-                message.getRelaysReadTo());
+        long era = within(message.getLogEra(), Long.MAX_VALUE);
+        ReadPositions readTo = new ReadPositions(
+                new LogPosition(era, message.getWishesReadTo()),
+                new LogPosition(era, message.getTargetsChangedTo()),
+                new LogPosition(era, message.getQuarantineReadTo()),
+                new LogPosition(era, message.getRelaysReadTo()));
         return new LoadReport(
                 message.getRelay(),
                 message.getSequence(),
@@ -268,7 +279,8 @@
                         .map(each -> new LeavingTarget(each.getTarget(), within(each.getStartedAt(), Long.MAX_VALUE)))
                         .toList(),
                 message.getRemovedList().stream()
-                        .map(each -> new RemovedTarget(each.getTarget(), within(each.getOffset(), Long.MAX_VALUE)))
+                        .map(each -> new RemovedTarget(
+                                each.getTarget(), new LogPosition(era, within(each.getOffset(), Long.MAX_VALUE))))
                         .toList(),
                 new RetirementReport(
                         within(message.getRetiredBefore(), Long.MAX_VALUE),
--- a/rattanrudder-wire/src/test/java/org/rattanrudder/wire/peer/PeerCodecTest.java
+++ b/rattanrudder-wire/src/test/java/org/rattanrudder/wire/peer/PeerCodecTest.java
@@ -22,7 +22,7 @@
 import org.rattanrudder.core.fleet.LoadReport;
 import org.rattanrudder.core.fleet.LoadReport.KnownWeights;
 import org.rattanrudder.core.fleet.LoadReport.LeavingTarget;
-import org.rattanrudder.core.fleet.LoadReport.ReadOffsets;
+import org.rattanrudder.core.fleet.LoadReport.ReadPositions;
 import org.rattanrudder.core.fleet.LoadReport.RemovedTarget;
 import org.rattanrudder.core.fleet.LoadReport.SeenRateLimit;
 import org.rattanrudder.core.fleet.LoadReport.ServedWeights;
@@ -35,6 +35,7 @@
 import org.rattanrudder.core.parts.StoreLateness;
 import org.rattanrudder.core.parts.StoreUpdate;
 import org.rattanrudder.core.rollout.VersionQuestion;
+import org.rattanrudder.core.topics.LogPosition;
 
 class PeerCodecTest {
     @Property
@@ -58,7 +59,11 @@
                 List.of("i-2"),
                 List.of("i-3", "i-4"),
                 sequence % 2 == 0,
-                new ReadOffsets(sequence / 3, sequence / 2, sequence / 4, sequence / 5),
+                new ReadPositions(
+                        new LogPosition(sequence, sequence / 3),
+                        new LogPosition(sequence, sequence / 2),
+                        new LogPosition(sequence, sequence / 4),
+                        new LogPosition(sequence, sequence / 5)),
                 List.of(
                         new StoreLateness(new Address("10.0.0.1", 80), requests, requests),
                         new StoreLateness(new Address("10.0.0.2", 80), 1, 0)),
@@ -66,7 +71,7 @@
                         new SeenRateLimit("i-1", OptionalDouble.of(requests / 7.0), tokens, tokens / 2),
                         new SeenRateLimit("i-2", OptionalDouble.empty(), requests, 0)),
                 List.of(new LeavingTarget("i-5", tokens), new LeavingTarget("i-6", 0)),
-                List.of(new RemovedTarget("i-7", tokens)),
+                List.of(new RemovedTarget("i-7", new LogPosition(sequence, tokens))),
                 new RetirementReport(tokens, sequence % 2 == 0, -sequence),
                 VersionQuestion.NONE,
                 requests);
@@ -149,7 +154,7 @@
                 true,
                 List.of(new TargetLoad("i-1", requests, tokens, unread)),
                 true,
-                new ReadOffsets(0, 0, 0, 0));
+                new ReadPositions(LogPosition.START, LogPosition.START, LogPosition.START, LogPosition.START));
 
         assertThat(PeerCodec.read(PeerCodec.write(odd))).isEmpty();
     }
