Take no read for a proof while what an older store lost may be missing from it

A relay counted as current by a read of the store that had just come back, before the operator's newest record was written again; by a peer's answer of any era; and by a confirmation that compared offsets of two eras. Peers name the era of the answers that they hand on, and one that doesn't is passed over; a refusal tells of a new era too; a confirmation across a return fails.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/net/RepeatingCallClient.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/net/RepeatingCallClient.java
@@ -63,12 +63,7 @@
      * @param repeated whether it is a repeat that was answered
      * @param calls how many times the call was made
      */
-    public record Outcome(CallResult result, Moment beganAt, Moment askedAt, boolean repeated, int calls) {
-        /** Returns the same outcome with another result. */
-        public Outcome with(CallResult other) {
-            return new Outcome(other, beganAt, askedAt, repeated, calls);
-        }
-    }
+    public record Outcome(CallResult result, Moment beganAt, Moment askedAt, boolean repeated, int calls) {}
 
     private record Pending(PlatformCall call, long timeoutMillis, Moment beganAt, Consumer<Outcome> callback) {}
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/RelayState.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/RelayState.java
@@ -122,7 +122,7 @@
         this.metrics = metrics;
         this.random = random;
         storeRoute = new StoreRoute(log, this::nowMillis);
-        storeEra = new StoreEra(log, platform.store());
+        storeEra = new StoreEra(log, platform.store(), clock::now);
         UnreadNames members = new UnreadNames(fields -> log.warn("member_unread", fields), metrics::recordUnreadMember);
         platform.setUnreadListener(members::record);
         directory = new PartDirectory();
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/StoreEra.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/StoreEra.java
@@ -3,6 +3,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.OptionalLong;
+import java.util.function.Supplier;
+import org.rattanrudder.core.time.Moment;
 import org.rattanrudder.core.topics.LogEra;
 import org.rattanrudder.daemon.logging.EventLog;
 import org.rattanrudder.daemon.relay.net.CallResult;
@@ -22,13 +24,15 @@
 
     private final EventLog log;
     private final StoreDialect dialect;
+    private final Supplier<Moment> clock;
     private final LogEra era = new LogEra();
     private final List<Runnable> listeners = new ArrayList<>();
 
     /** Creates the era of a store that has answered nothing. */
-    StoreEra(EventLog log, StoreDialect dialect) {
+    StoreEra(EventLog log, StoreDialect dialect, Supplier<Moment> clock) {
         this.log = log;
         this.dialect = dialect;
+        this.clock = clock;
     }
 
     /** Returns the newest era that an answer has named; 0 before the first. */
@@ -36,6 +40,11 @@
         return era.current();
     }
 
+    /** Returns whether an answer that names an era can show that nothing was unread when it was asked for. */
+    public boolean isProof(OptionalLong named, Moment askedAt) {
+        return era.isProof(named, askedAt.atLeastMillis());
+    }
+
     /** Sets a further one that is called when an era begins, before anything of it is read. */
     public void addListener(Runnable onNewEra) {
         listeners.add(onNewEra);
@@ -46,14 +55,23 @@
      * another era is as good as none, since what the call asked for refers to positions of the current one.
      */
     public CallResult accept(CallResult result) {
+        return accept(result, namedBy(result));
+    }
+
+    /** Returns the era that the store names in its answer to a call; empty if it names none, or hasn't answered. */
+    public OptionalLong namedBy(CallResult result) {
         return result instanceof CallResult.Answered answered
-                ? accept(result, dialect.readEra(answered.response().headers()))
-                : result;
+                ? dialect.readEra(answered.response().headers())
+                : OptionalLong.empty();
     }
 
-    private CallResult accept(CallResult result, OptionalLong named) {
+    /** Returns what may be made of an answer of the store that came with the era in some other way. */
+    public CallResult accept(CallResult result, OptionalLong named) {
+        if (!(result instanceof CallResult.Answered)) {
+            return result;
+        }
         long before = era.current();
-        return switch (era.observe(named)) {
+        return switch (era.observe(named, clock.get().atLeastMillis())) {
             case CURRENT -> result;
             case OLDER -> new CallResult.Unanswered(OLD_ERA);
             case NEWER -> {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/DesiredStateListener.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/DesiredStateListener.java
@@ -203,10 +203,14 @@
 
     @Override
     public void onReadToEnd(Moment askedAt) {
-        state.weights().onReadToEnd(askedAt.atMostMillis());
         readOnce = true;
         found.ifPresent(first -> onDesiredConfiguration(first.configuration(), first.position()));
         found = Optional.empty();
+    }
+
+    @Override
+    public void onCurrent(Moment askedAt) {
+        state.weights().onReadToEnd(askedAt.atMostMillis());
         state.retiredWeights().onLogRead(askedAt.atMostMillis());
     }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/PeerReadFormat.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/PeerReadFormat.java
@@ -2,17 +2,20 @@
 
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.QueryStringDecoder;
 import io.netty.handler.codec.http.QueryStringEncoder;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
+import org.rattanrudder.daemon.relay.net.CallResult;
 import org.rattanrudder.daemon.relay.port.PlatformCall;
 import org.rattanrudder.daemon.relay.port.StoreDialect.Topic;
 import org.rattanrudder.daemon.relay.port.StoreRead;
 
 /**
  * How a relay asks a peer for a read of the platform's store: {@code GET /newest?topic=T[&after=K]} or {@code GET
- * /records?topic=T&from=N}. The response is the store's.
+ * /records?topic=T&from=N}. The response is the store's, with the era of the store that it is of.
  */
 final class PeerReadFormat {
     private static final String NEWEST = "/newest";
@@ -20,6 +23,7 @@
     private static final String TOPIC = "topic";
     private static final String AFTER = "after";
     private static final String FROM = "from";
+    private static final String ERA = "Log-Era";
     private static final byte[] NO_BODY = new byte[0];
 
     private PeerReadFormat() {}
@@ -36,6 +40,24 @@
         return new PlatformCall(HttpMethod.GET, uri.toString(), EmptyHttpHeaders.INSTANCE, NO_BODY);
     }
 
+    /** Sets the era of the store that a response is of. */
+    static void writeEra(HttpResponse response, long era) {
+        response.headers().set(ERA, era);
+    }
+
+    /** Returns the era of the store that a peer's response is of; empty if it names none that can be read. */
+    static OptionalLong readEra(CallResult result) {
+        if (!(result instanceof CallResult.Answered answered)) {
+            return OptionalLong.empty();
+        }
+        String era = answered.response().headers().get(ERA);
+        try {
+            return era == null ? OptionalLong.empty() : OptionalLong.of(Long.parseUnsignedLong(era.trim()));
+        } catch (NumberFormatException unreadable) {
+            return OptionalLong.empty();
+        }
+    }
+
     /** Returns the read that a peer asks for; empty if it asks for something else. */
     static Optional<StoreRead> parse(HttpMethod method, String requestUri) {
         if (!method.equals(HttpMethod.GET)) {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/PeerReadServer.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/PeerReadServer.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
@@ -133,12 +134,15 @@
             store.call(read.call(state.platform().store()), TopicReader.TIMEOUT_MILLIS, result -> {
                 readsInProgress--;
                 state.metrics().recordStoreCall("FOR_PEER");
+                OptionalLong named = state.storeEra().namedBy(result);
+                // Only its own position is of the era before: a peer that has asked in the new one can use the answer.
+                state.storeEra().accept(result);
                 if (result instanceof CallResult.Answered answered && !answered.isServed()) {
                     state.storeRoute().onRefused(answered.reason());
                     refuse();
                 } else if (result instanceof CallResult.Answered answered && held.tryGrowTo(answered.body().length)) {
                     state.metrics().recordReadForPeer(true);
-                    respond(answered.response().status(), answered.body());
+                    respond(answered.response().status(), answered.body(), named);
                 } else {
                     refuse();
                 }
@@ -147,13 +151,14 @@
 
         private void refuse() {
             state.metrics().recordReadForPeer(false);
-            respond(HttpResponseStatus.SERVICE_UNAVAILABLE, new byte[0]);
+            respond(HttpResponseStatus.SERVICE_UNAVAILABLE, new byte[0], OptionalLong.empty());
         }
 
-        private void respond(HttpResponseStatus status, byte[] body) {
+        private void respond(HttpResponseStatus status, byte[] body, OptionalLong era) {
             DefaultFullHttpResponse response =
                     new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(body));
             HttpUtil.setContentLength(response, body.length);
+            era.ifPresent(named -> PeerReadFormat.writeEra(response, named));
             sending = true;
             closeAfter(SEND_MILLIS);
             channel.writeAndFlush(response).addListener(sent -> {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/StoreProbe.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/StoreProbe.java
@@ -47,6 +47,7 @@
                 TopicReader.TIMEOUT_MILLIS,
                 result -> {
                     state.metrics().recordStoreCall("PROBE");
+                    state.storeEra().accept(result);
                     if (result.isServed()) {
                         state.storeRoute().onServed();
                     } else {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/StoreReader.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/StoreReader.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.rattanrudder.core.model.Address;
@@ -13,6 +14,7 @@
 import org.rattanrudder.daemon.relay.net.RepeatingCallClient.Outcome;
 import org.rattanrudder.daemon.relay.port.StoreRead;
 import org.rattanrudder.daemon.relay.process.RelayState;
+import org.rattanrudder.daemon.relay.process.StoreEra;
 import org.rattanrudder.daemon.relay.process.StoreRoute;
 
 /**
@@ -64,8 +66,21 @@
                 () -> HttpCallClient.forLists(state.connector(), state.heldBytes(), state::store, state.storeCalls()));
     }
 
+    /**
+     * How a read has ended.
+     *
+     * @param result the answer, or why there is none that may be believed
+     * @param askedAt when it was asked for
+     * @param isProof whether nothing that was written before can be missing from the answer
+     */
+    record Answer(CallResult result, Moment askedAt, boolean isProof) {
+        private static Answer failed(Outcome outcome) {
+            return new Answer(outcome.result(), outcome.askedAt(), false);
+        }
+    }
+
     /** A read in progress; no call is begun for it from {@code deadline} on, in ms. */
-    private record Pending(StoreRead read, long timeoutMillis, long deadline, Consumer<Outcome> then) {}
+    private record Pending(StoreRead read, long timeoutMillis, long deadline, Consumer<Answer> then) {}
 
     /** Returns whether a read is in progress. */
     boolean isBusy() {
@@ -78,9 +93,9 @@
      *
      * @param timeoutMillis time after which a call at the store fails, in ms
      * @param totalMillis time after which the read is given up, calls of peers included, in ms
-     * @param then called once with the outcome, unless the read is cancelled
+     * @param then called once with the answer, unless the read is cancelled
      */
-    void read(StoreRead read, long timeoutMillis, long totalMillis, Consumer<Outcome> then) {
+    void read(StoreRead read, long timeoutMillis, long totalMillis, Consumer<Answer> then) {
         Pending pending = new Pending(read, timeoutMillis, state.nowMillis() + totalMillis, then);
         if (route.isRefused() && route.mayAskPeers()) {
             readThroughPeers(pending, failed -> readDirectlyInstead(pending, failed));
@@ -95,17 +110,17 @@
 
     private void readDirectlyInstead(Pending pending, Outcome failed) {
         if (millisLeft(pending) > 0) {
-            readDirectly(pending, pending.then());
+            readDirectly(pending, refused -> pending.then().accept(Answer.failed(refused)));
         } else {
-            pending.then().accept(failed);
+            pending.then().accept(Answer.failed(failed));
         }
     }
 
     private void readThroughPeersInstead(Pending pending, Outcome refused) {
         if (millisLeft(pending) > 0 && route.mayAskPeers()) {
-            readThroughPeers(pending, failed -> pending.then().accept(refused));
+            readThroughPeers(pending, failed -> pending.then().accept(Answer.failed(refused)));
         } else {
-            pending.then().accept(refused);
+            pending.then().accept(Answer.failed(refused));
         }
     }
 
@@ -116,19 +131,28 @@
                 return;
             }
             recordCalls(outcome);
-            CallResult accepted = state.storeEra().accept(outcome.result());
-            if (outcome.result().isServed()) {
+            CallResult result = outcome.result();
+            boolean refused = !result.isServed() && !isOwnFailure(result.reason(), timeoutMillis);
+            if (refused) {
+                route.onRefused(result.reason());
+            } else if (result.isServed()) {
                 route.onServed();
-                pending.then().accept(outcome.with(accepted));
-            } else if (isOwnFailure(outcome.result().reason(), timeoutMillis)) {
-                pending.then().accept(outcome);
-            } else {
-                route.onRefused(outcome.result().reason());
+            }
+            Answer answer = accept(outcome, state.storeEra().namedBy(result));
+            if (refused && answer.result() == result) {
                 otherwise.accept(outcome);
+            } else {
+                pending.then().accept(answer);
             }
         });
     }
 
+    private Answer accept(Outcome outcome, OptionalLong named) {
+        StoreEra era = state.storeEra();
+        CallResult accepted = era.accept(outcome.result(), named);
+        return new Answer(accepted, outcome.askedAt(), era.isProof(named, outcome.askedAt()));
+    }
+
     /** A read with less time than the store may take for an answer doesn't show that it answers nothing. */
     private static boolean isOwnFailure(String reason, long timeoutMillis) {
         return OWN_FAILURES.contains(reason) || reason.equals("timeout") && timeoutMillis < TopicReader.TIMEOUT_MILLIS;
@@ -171,11 +195,11 @@
             if (closed) {
                 return;
             }
-            boolean made = outcome.result().isServed();
+            boolean made = isMade(outcome);
             state.metrics().recordReadByPeers(made);
             asked.subList(askedBefore, askedBefore + peersInVain(outcome)).forEach(route::onPeerFailed);
             if (made) {
-                pending.then().accept(outcome);
+                pending.then().accept(accept(outcome, PeerReadFormat.readEra(outcome.result())));
             } else if (millisLeft(pending) > 0 && asked.size() < Math.min(MAX_PEERS_ASKED, peers.size())) {
                 askNextPeer(client, pending, otherwise);
             } else {
@@ -185,9 +209,16 @@
         });
     }
 
+    /** A peer of an earlier release doesn't say of which era its answer is: it may be of any. */
+    private boolean isMade(Outcome outcome) {
+        return outcome.result().isServed()
+                && (state.storeEra().current() == 0
+                        || PeerReadFormat.readEra(outcome.result()).isPresent());
+    }
+
     /** Returns how many of the peers that were asked, from the first on, haven't made the read, or not in time. */
-    private static int peersInVain(Outcome outcome) {
-        if (!outcome.result().isServed()) {
+    private int peersInVain(Outcome outcome) {
+        if (!isMade(outcome)) {
             return outcome.calls();
         }
         return outcome.repeated() ? 1 : 0;
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TargetRegistrations.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TargetRegistrations.java
@@ -78,7 +78,7 @@
     }
 
     @Override
-    public void onReadToEnd(Moment askedAt) {
+    public void onCurrent(Moment askedAt) {
         state.fleet().onReadToEnd(askedAt.atLeastMillis());
     }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicConfirmation.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicConfirmation.java
@@ -78,15 +78,18 @@
                 Math.max(1, asking.stream().mapToLong(Pending::until).max().orElse(now) - now);
         LogPosition from = readPosition.get();
         StoreDialect dialect = state.platform().store();
-        reader.read(
-                new StoreRead.From(topic, from.offset()),
-                longest,
-                longest,
-                outcome -> onAnswer(asking, from, outcome.result().toRecords(dialect, topic, from)));
+        reader.read(new StoreRead.From(topic, from.offset()), longest, longest, answer -> {
+            StoreResponse records = answer.result().toRecords(dialect, topic, from);
+            onAnswer(asking, records, answer.isProof() && isOfCurrentEra(from));
+        });
     }
 
-    private void onAnswer(List<Pending> asking, LogPosition from, StoreResponse answer) {
-        if (answer instanceof StoreResponse.Records records && !records.end().isBefore(from)) {
+    private boolean isOfCurrentEra(LogPosition position) {
+        return position.era() == state.storeEra().current();
+    }
+
+    private void onAnswer(List<Pending> asking, StoreResponse answer, boolean isProof) {
+        if (isProof && answer instanceof StoreResponse.Records records) {
             awaitRead(asking, records.end(), MIN_CHECK_MILLIS);
         } else {
             asking.forEach(each -> each.then().accept(false));
@@ -95,14 +98,15 @@
     }
 
     private void awaitRead(List<Pending> asking, LogPosition end, long pauseMillis) {
-        if (!readPosition.get().isBefore(end)) {
+        if (isOfCurrentEra(end) && !readPosition.get().isBefore(end)) {
             asking.forEach(each -> each.then().accept(true));
             return;
         }
         long now = state.nowMillis();
+        boolean holds = isOfCurrentEra(end);
         List<Pending> left = new ArrayList<>();
         for (Pending each : asking) {
-            if (now < each.until()) {
+            if (holds && now < each.until()) {
                 left.add(each);
             } else {
                 each.then().accept(false);
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicFollower.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicFollower.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.rattanrudder.core.time.Moment;
+import org.rattanrudder.core.topics.LogEra;
 import org.rattanrudder.core.topics.LogPosition;
 import org.rattanrudder.core.topics.ReadFreshness;
 import org.rattanrudder.daemon.relay.net.StepTimer;
@@ -45,6 +46,9 @@
     private boolean betweenPolls;
     private Moment askedAt = new Moment(0, 0);
 
+    /** Whether nothing that was written before can be missing from the last answer, or the pages of its listing. */
+    private boolean isProof;
+
     /** Which existing records are read before new ones are polled for. */
     public enum InitialRead {
         /** The newest record of each key. */
@@ -94,6 +98,7 @@
         askedAt = state.clock().now();
         if (position.isKeyed()) {
             position.beginListing();
+            isProof = true;
             reader.list(Optional.empty(), this::onResult);
         } else {
             poll();
@@ -143,9 +148,11 @@
 
     private void handleAnswer(TopicReader.Result.Read read) {
         if (read.response() instanceof StoreResponse.Listing listing) {
+            isProof &= read.isProof();
             onListing(listing);
         } else if (read.response() instanceof StoreResponse.Records records) {
             askedAt = read.askedAt();
+            isProof = read.isProof();
             onRecords(records);
         } else if (read.response() instanceof StoreResponse.Forgotten forgotten) {
             onTruncated(forgotten);
@@ -212,9 +219,12 @@
 
     /** A record that couldn't be handled isn't in force, however new the read is that brought it. */
     private void onReadToEnd() {
-        if (!delivery.hasUnhandledRecords()) {
+        if (isProof && !delivery.hasUnhandledRecords()) {
             freshness.onReadToEnd(askedAt.atMostMillis());
         }
+        if (isProof) {
+            listener.onCurrent(askedAt);
+        }
         listener.onReadToEnd(askedAt);
     }
 
@@ -312,9 +322,9 @@
         listener.onNewEra();
         if (started && !timer.isClosed()) {
             reader.cancel();
-            timer.reschedule(
-                    this::start,
-                    Math.round(NEW_ERA_SPREAD_MILLIS * state.random().nextDouble()));
+            long spread = Math.round(NEW_ERA_SPREAD_MILLIS * state.random().nextDouble());
+            timer.reschedule(this::start, spread);
+            timer.later(this::pollNow, LogEra.REWRITE_MILLIS + spread);
         }
     }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicListener.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicListener.java
@@ -34,9 +34,15 @@
     /** Handles the end of a complete listing, with the keys in it and where it ends. */
     default void onListed(Set<String> keys, LogPosition end) {}
 
-    /** Called when all records that were written before a call have been handled; with the time of that call. */
+    /** Called when all records that the store held at a call have been handled; with the time of that call. */
     default void onReadToEnd(Moment askedAt) {}
 
+    /**
+     * Called before {@link #onReadToEnd} if no record that was written before the call can be unread. The store may
+     * lack some for a while after it has come back from a copy.
+     */
+    default void onCurrent(Moment askedAt) {}
+
     /**
      * Called before the records of an answer are handled.
      *
@@ -49,8 +55,8 @@
     default void onStoreBehind() {}
 
     /**
-     * Called when the store has come back from an older copy, before anything is read of it: what was read may be gone,
-     * and what was written may have to be written again.
+     * Called when the store has come back from an older copy, before anything is read of it: what was read may be
+     * gone, and what was written may have to be written again.
      */
     default void onNewEra() {}
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicReader.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicReader.java
@@ -6,7 +6,6 @@
 import org.rattanrudder.core.time.Moment;
 import org.rattanrudder.core.topics.LogPosition;
 import org.rattanrudder.daemon.relay.net.CallResult;
-import org.rattanrudder.daemon.relay.net.RepeatingCallClient.Outcome;
 import org.rattanrudder.daemon.relay.port.StoreDialect;
 import org.rattanrudder.daemon.relay.port.StoreDialect.Topic;
 import org.rattanrudder.daemon.relay.port.StoreRead;
@@ -52,8 +51,9 @@
          * The store's answer.
          *
          * @param askedAt when it was asked for
+         * @param isProof whether nothing that was written before can be missing from it
          */
-        record Read(StoreResponse response, Moment askedAt) implements Result {}
+        record Read(StoreResponse response, Moment askedAt, boolean isProof) implements Result {}
 
         /**
          * The call got no answer, or one that refuses it or can't be read.
@@ -101,18 +101,18 @@
     }
 
     private void read(StoreRead read, AnswerParser parser, Consumer<Result> then) {
-        reader.read(read, TIMEOUT_MILLIS, TOTAL_MILLIS, outcome -> {
+        reader.read(read, TIMEOUT_MILLIS, TOTAL_MILLIS, answer -> {
             if (!closed) {
-                then.accept(parse(outcome, parser));
+                then.accept(parse(answer, parser));
             }
         });
     }
 
-    private static Result parse(Outcome outcome, AnswerParser parser) {
-        if (outcome.result() instanceof CallResult.Unanswered unanswered) {
+    private static Result parse(StoreReader.Answer answer, AnswerParser parser) {
+        if (answer.result() instanceof CallResult.Unanswered unanswered) {
             return new Result.Failed(unanswered.reason(), UNREADABLE.contains(unanswered.reason()));
         }
-        CallResult.Answered answered = (CallResult.Answered) outcome.result();
+        CallResult.Answered answered = (CallResult.Answered) answer.result();
         StoreResponse read;
         try {
             read = parser.parse(answered.status(), answered.body());
@@ -121,7 +121,7 @@
         }
         return read instanceof StoreResponse.Failed failed
                 ? new Result.Failed("status " + failed.status(), false)
-                : new Result.Read(read, outcome.askedAt());
+                : new Result.Read(read, answer.askedAt(), answer.isProof());
     }
 
     /** Cancels the call in flight, and closes the connection; the next call opens a new one. */
--- a/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/store/StoreReaderTest.java
+++ b/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/store/StoreReaderTest.java
@@ -6,15 +6,18 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HttpString;
 import java.lang.reflect.Proxy;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -34,7 +37,6 @@
 import org.rattanrudder.daemon.loop.ProcessClock;
 import org.rattanrudder.daemon.relay.net.CallResult;
 import org.rattanrudder.daemon.relay.net.RelayChannels;
-import org.rattanrudder.daemon.relay.net.RepeatingCallClient.Outcome;
 import org.rattanrudder.daemon.relay.port.PlatformAdapter;
 import org.rattanrudder.daemon.relay.port.PlatformCall;
 import org.rattanrudder.daemon.relay.port.StoreDialect;
@@ -51,6 +53,8 @@
     private static final long READ_MILLIS = 1_500;
     private static final StoreRead READ = new StoreRead.From(Topic.DESIRED_STATE, 0);
     private static final String RECORDS = "records";
+    private static final String STORE_ERA = "Era";
+    private static final String PEER_ERA = "Log-Era";
 
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
@@ -78,11 +82,11 @@
         List<StoreReader> all =
                 IntStream.range(0, readers).mapToObj(index -> newReader()).toList();
 
-        List<CompletableFuture<Outcome>> reads = loop.submit(
+        List<CompletableFuture<StoreReader.Answer>> reads = loop.submit(
                         () -> all.stream().map(StoreReaderTest::read).toList())
                 .get();
 
-        for (CompletableFuture<Outcome> read : reads) {
+        for (CompletableFuture<StoreReader.Answer> read : reads) {
             assertThat(body(read)).isEqualTo(RECORDS);
         }
     }
@@ -141,7 +145,7 @@
         }
         startRelay();
         StoreReader reader = newReader();
-        CompletableFuture<Outcome> outcome = new CompletableFuture<>();
+        CompletableFuture<StoreReader.Answer> outcome = new CompletableFuture<>();
         long began = System.nanoTime();
 
         loop.execute(() -> reader.read(READ, READ_MILLIS, READ_MILLIS, outcome::complete));
@@ -156,7 +160,7 @@
         peers.add(readingPeer());
         startRelay(HttpServerExchange::dispatch);
         StoreReader reader = newReader();
-        CompletableFuture<Outcome> outcome = new CompletableFuture<>();
+        CompletableFuture<StoreReader.Answer> outcome = new CompletableFuture<>();
 
         loop.execute(() -> reader.read(READ, 100, 100, outcome::complete));
 
@@ -165,6 +169,77 @@
         assertThat(peerCalls).hasValue(0);
     }
 
+    /** Guards against an answer of the store before its return, which arrives after one of the store that is there. */
+    @Test
+    void anAnswerOfAnEarlierEraIsNone() throws Exception {
+        startRelay(inTurn(STORE_ERA, "4", "5", "4", "5"));
+        AtomicInteger returns = new AtomicInteger();
+        state.storeEra().addListener(returns::incrementAndGet);
+        StoreReader reader = newReader();
+
+        assertThat(body(readOnLoop(reader))).isEqualTo(RECORDS);
+        assertThat(body(readOnLoop(reader))).isEqualTo("new_era");
+        assertThat(body(readOnLoop(reader))).isEqualTo("old_era");
+        assertThat(body(readOnLoop(reader))).isEqualTo(RECORDS);
+
+        assertThat(returns).hasValue(1);
+        assertThat(state.storeEra().current()).isEqualTo(5);
+    }
+
+    /** Guards against a relay that doesn't learn of a return since the store refuses it. */
+    @Test
+    void aRefusalTellsOfANewEra() throws Exception {
+        startRelay(inTurn(STORE_ERA, "1", "503 2"));
+        StoreReader reader = newReader();
+
+        assertThat(body(readOnLoop(reader))).isEqualTo(RECORDS);
+        assertThat(body(readOnLoop(reader))).isEqualTo("new_era");
+
+        assertThat(state.storeRoute().isRefused()).isTrue();
+    }
+
+    /** Guards against a peer's answer that is of the store before its return, as nothing says of which era it is. */
+    @Test
+    void aPeerThatNamesNoEraIsFollowedByOneThatDoes() throws Exception {
+        peers.add(readingPeer());
+        peers.add(serverAt(inTurn(PEER_ERA, "1", "2")));
+        startRelay(inTurn(STORE_ERA, "503 1", "503 1", "503 1"));
+        StoreReader reader = newReader();
+
+        assertThat(body(readOnLoop(reader))).isEqualTo(RECORDS);
+        assertThat(body(readOnLoop(reader))).isEqualTo("new_era");
+
+        assertThat(peerCalls).hasValue(1);
+    }
+
+    /** Guards against a relay that counts as current by an answer that may be of any era. */
+    @Test
+    void anAnswerWithoutAnEraIsBelievedButProvesNothing() throws Exception {
+        startRelay(inTurn(STORE_ERA, "", "1", "1", ""));
+        StoreReader reader = newReader();
+
+        assertThat(readOnLoop(reader).get().isProof()).isTrue();
+        assertThat(body(readOnLoop(reader))).isEqualTo("new_era");
+        assertThat(readOnLoop(reader).get().isProof()).isFalse();
+        assertThat(body(readOnLoop(reader))).isEqualTo(RECORDS);
+    }
+
+    /** Answers each call with the next of some eras, none if it is empty; another status than 200 stands before it. */
+    private static HttpHandler inTurn(String header, String... eras) {
+        AtomicInteger calls = new AtomicInteger();
+        return exchange -> {
+            String[] next = eras[calls.getAndIncrement()].split(" ");
+            String era = next[next.length - 1];
+            if (!era.isEmpty()) {
+                exchange.getResponseHeaders().put(new HttpString(header), era);
+            }
+            if (next.length > 1) {
+                exchange.setStatusCode(Integer.parseInt(next[0]));
+            }
+            exchange.getResponseSender().send(RECORDS);
+        };
+    }
+
     private Address closedPort() throws Exception {
         try (ServerSocket unused = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             return new Address("127.0.0.1", unused.getLocalPort());
@@ -178,17 +253,17 @@
         });
     }
 
-    private static CompletableFuture<Outcome> read(StoreReader reader) {
-        CompletableFuture<Outcome> outcome = new CompletableFuture<>();
+    private static CompletableFuture<StoreReader.Answer> read(StoreReader reader) {
+        CompletableFuture<StoreReader.Answer> outcome = new CompletableFuture<>();
         reader.read(READ, READ_MILLIS, 3 * READ_MILLIS, outcome::complete);
         return outcome;
     }
 
-    private CompletableFuture<Outcome> readOnLoop(StoreReader reader) throws Exception {
+    private CompletableFuture<StoreReader.Answer> readOnLoop(StoreReader reader) throws Exception {
         return loop.submit(() -> read(reader)).get();
     }
 
-    private static String body(CompletableFuture<Outcome> read) throws Exception {
+    private static String body(CompletableFuture<StoreReader.Answer> read) throws Exception {
         CallResult result = read.get(TIMEOUT_SECONDS, TimeUnit.SECONDS).result();
         return result instanceof CallResult.Answered answered ? new String(answered.body()) : result.reason();
     }
@@ -242,7 +317,16 @@
 
     private static StoreDialect dialect() {
         PlatformCall call = new PlatformCall(HttpMethod.GET, "/", EmptyHttpHeaders.INSTANCE, new byte[0]);
-        return answering(StoreDialect.class, Map.of("read", call));
+        return (StoreDialect) Proxy.newProxyInstance(
+                StoreDialect.class.getClassLoader(),
+                new Class<?>[] {StoreDialect.class},
+                (proxy, called, arguments) -> {
+                    if (called.getName().equals("readEra")) {
+                        String era = ((HttpHeaders) arguments[0]).get(STORE_ERA);
+                        return era == null ? OptionalLong.empty() : OptionalLong.of(Long.parseLong(era));
+                    }
+                    return call;
+                });
     }
 
     /** Returns an object each of whose methods returns the same object always, or null. */
