End the lease when the store comes back older, and wait for holders whose records are lost

After a return two machines gave orders with one fencing token, as offsets are given out again, and a process whose position lay beyond the log's end walked up to it by one record a try, 35 s for 18, and never read what stood below. Now a new era ends the lease of whoever held it; everybody waits for the longest term, the clock margin and the handover time as for a holder whose record wasn't read; a process that starts does so if the newest record was written in another era, which records name.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/rollout/OrderLease.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/rollout/OrderLease.java
@@ -21,6 +21,10 @@
  * <p>An append uses up the term. So the term is longer while appends are slow: otherwise it would be over whenever one
  * is answered, and nobody could send orders. It is the usual one while another instance is known whose newest record
  * names no term: its release waits for the usual term only.
+ *
+ * <p>The log may come back from an older copy, which lacks the newest records. That ends the lease of whoever held it,
+ * and everybody waits as for a holder whose record wasn't read. A process that starts knows of a return by the newest
+ * record: it was written in another era.
  */
 public final class OrderLease {
     /** The usual term: each renewal costs a write, and a crashed holder delays a rollout by this time. */
@@ -40,6 +44,9 @@
 
     private static final long LONG_AGO = Long.MIN_VALUE / 2;
 
+    /** Stands for a process of which no record was read. */
+    private static final String UNREAD_HOLDER = "unread";
+
     private final String instance;
     private final String self;
     private final long handoverMillis;
@@ -64,6 +71,7 @@
 
     private LogPosition next = LogPosition.START;
     private boolean recordsMissed;
+    private boolean newestIsOfThisEra;
     private long termMillis = LEASE_MILLIS;
     private boolean lastUnanswered;
     private LogPosition ownRecord = LogPosition.NONE;
@@ -89,16 +97,38 @@
     }
 
     /** Records that all records were read that existed when this process started. */
-    public void onCaughtUp() {
+    public void onCaughtUp(Moment now) {
+        if (!caughtUp && end.era() > 0 && !newestIsOfThisEra) {
+            awaitUnreadHolder(now);
+        }
         caughtUp = true;
         recordsMissed = false;
     }
 
+    /** Handles that the log has come back from an older copy, of which nothing was read. */
+    public void onLogReturned(long era, Moment now) {
+        end = LogPosition.startOf(era);
+        next = end;
+        endKnown = false;
+        caughtUp = true;
+        heldUntil = LONG_AGO;
+        ownOrdersUntil.clear();
+        awaitUnreadHolder(now);
+    }
+
+    /** Waits until another holder whose record isn't in the log has ended, and its orders are long enough ago. */
+    private void awaitUnreadHolder(Moment now) {
+        lastHolder = UNREAD_HOLDER;
+        othersTermUntil = Math.max(othersTermUntil, now.atLeastMillis() + MAX_LEASE_MILLIS + CLOCK_MARGIN_MILLIS);
+        othersUnreadOrdersUntil = Math.max(othersUnreadOrdersUntil, othersTermUntil + handoverMillis);
+    }
+
     /** Handles a record that was read. */
     public void onRecord(LogPosition position, LeaseRecord record, Moment now) {
         advanceTo(position.plus(1));
         recordsMissed |= position.isAfter(next);
         next = LogPosition.latest(next, position.plus(1));
+        newestIsOfThisEra = record.era() == position.era();
         if (record.holder().equals(self)) {
             return;
         }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/rollout/RolloutCoordinator.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/rollout/RolloutCoordinator.java
@@ -121,9 +121,16 @@
             lease.advanceTo(follower.readPosition());
         }
 
+        @Override
+        public void onNewEra() {
+            answeredOnce = false;
+            caughtUp = false;
+            lease.onLogReturned(state.storeEra().current(), state.clock().now());
+        }
+
         @Override
         public void onReadToEnd(Moment askedAt) {
-            lease.onCaughtUp();
+            lease.onCaughtUp(state.clock().now());
             attempt.onReadToEnd(askedAt.atLeastMillis(), state.nowMillis());
             if (attempt.isRead()) {
                 pollNow();
@@ -309,15 +316,16 @@
     private void appendLeaseRecord(Map<Target, WeightsVersion> batch) {
         List<String> ids = batch.keySet().stream().map(Target::id).sorted().toList();
         Moment sentAt = state.clock().now();
+        LogPosition position = lease.appendPosition();
         SentRecord sent =
-                new SentRecord(new LeaseRecord(holder, lease.termMillis(), ids), lease.appendPosition(), sentAt);
+                new SentRecord(new LeaseRecord(holder, lease.termMillis(), ids, position.era()), position, sentAt);
         appendClient.call(
                 store.append(
                         Topic.ORDERS,
                         sent.record(),
                         OptionalLong.of(sent.position().offset())),
                 sent.record().termMillis() + LATE_ANSWER_MILLIS,
-                answer -> onLeaseAnswer(answer, batch, sent));
+                answer -> onLeaseAnswer(state.storeEra().accept(answer), batch, sent));
     }
 
     private void onLeaseAnswer(CallResult answer, Map<Target, WeightsVersion> batch, SentRecord sent) {
@@ -325,7 +333,7 @@
             return;
         }
         state.metrics().recordStoreCall("APPEND");
-        StoreResponse read = answer.toAppendResponse(store, sent.position().era());
+        StoreResponse read = answer.toAppendResponse(store, state.storeEra().current());
         if (read instanceof StoreResponse.Appended appended) {
             Moment now = state.clock().now();
             lease.onAppended(appended.position(), sent.record(), sent.at(), now);
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicFollower.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicFollower.java
@@ -264,6 +264,10 @@
                                 : "unknown",
                         "in_a_row",
                         Integer.toString(consecutiveTruncations + 1));
+        if (!position.isKeyed() && position.isBeyondEnd(forgotten.first())) {
+            // It has come back from a copy and names no era.
+            listener.onNewEra();
+        }
         position.onForgotten(forgotten.first());
         timer.reschedule(this::start, truncationPauseMillis());
         consecutiveTruncations++;
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicPosition.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicPosition.java
@@ -100,11 +100,20 @@
         next = read;
     }
 
+    /** Returns whether a topic that retains records from an offset on, and none at what was read, ends before that. */
+    boolean isBeyondEnd(OptionalLong firstRetained) {
+        return firstRetained.isPresent() && firstRetained.getAsLong() < next.offset();
+    }
+
     /** Handles that the store has discarded unread records; {@code first} is the first retained one, if it is known. */
     void onForgotten(OptionalLong first) {
         if (!isKeyed()) {
             // Without keys there is no listing to catch up from: continue at the first retained record.
-            next = new LogPosition(next.era(), Math.max(next.offset() + 1, first.orElse(0)));
+            long further = first.stream()
+                    .filter(retained -> retained != next.offset())
+                    .findFirst()
+                    .orElse(next.offset() + 1);
+            next = new LogPosition(next.era(), further);
         }
         firstRetainedOffset = first.orElse(Long.MAX_VALUE);
     }
