Believe what a store that came back older says of targets, relays, evacuations and crashes, and write again what it lost

By reading (docs/design/older-store.md), not seen by callers: a removal at an offset below that of the registration was passed over for good; a copy brought back targets that had gone; an evacuation that the copy lacks ended at once; a relay whose registration was lost stayed unknown to each that started later; crashes told after a return at a low offset counted as from before the start and quarantined nothing; those that were lost were told to nobody.

The quarantine and the registration have no test of a return yet.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Fleet.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Fleet.java
@@ -67,6 +67,7 @@
     private final Evacuations evacuations = new Evacuations();
     private final SoftwareHistory software = new SoftwareHistory();
     private final LogAvailability log = new LogAvailability();
+    private final RemovedStarts removedStarts = new RemovedStarts();
     private final PublishedVersions published;
 
     /** Whether all targets that were registered at this relay's start are known. */
@@ -122,6 +123,12 @@
         log.onAvailable(nowMillis);
     }
 
+    /** Handles that the log has come back from an older copy: registrations may be missing, or be there again. */
+    public void onLogReturned() {
+        log.onUnavailable();
+        software.onRegistrationsMissed();
+    }
+
     /** Handles that all registrations have been read that were there when the log was asked. */
     public void onReadToEnd(long askedAtMillis) {
         if (log.isSettled(askedAtMillis)) {
@@ -181,12 +188,16 @@
         if (registration.startedAt() < newest.startedAt() || (!restarted && !position.isAfter(newest.position()))) {
             return false;
         }
+        if (removedStarts.isOutdated(registration, position)) {
+            return false;
+        }
         newestRecords.put(registration.id(), new NewestRecord(registration.startedAt(), position));
         if (isReplaced(registration, nowMillis)) {
             return false;
         }
         software.onRegistered(registration.id(), registration.service(), registration.softwareVersion(), nowMillis);
         expired.remove(registration.id());
+        removedStarts.onRegistered(registration.id());
         if (registration.draining()) {
             noticesOf(registration).onLeaving();
         }
@@ -246,6 +257,7 @@
      */
     public void applyListing(Set<String> present, LogPosition end, long nowMillis) {
         listed = true;
+        removedStarts.onListed(end);
         software.onListed(present, nowMillis);
         for (String id : List.copyOf(targets.keySet())) {
             if (!present.contains(id) && newestRecords.get(id).position().isBefore(end)) {
@@ -285,6 +297,7 @@
 
     private Optional<Target> removeNow(String id, long nowMillis) {
         Optional<Target> removed = Optional.ofNullable(targets.remove(id));
+        removed.ifPresent(target -> removedStarts.onRemoved(target.registration(), nowMillis));
         recordSoftware(removed, nowMillis);
         return removed;
     }
--- /dev/null
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/RemovedStarts.java
@@ -0,0 +1,49 @@
+package org.rattanrudder.core.fleet;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.rattanrudder.core.topics.LogPosition;
+
+/**
+ * The starts of targets that were removed lately, which an older copy of the log holds still.
+ *
+ * <p>All times are milliseconds of a monotonic clock.
+ */
+final class RemovedStarts {
+    /** For how long a start is remembered: copies are some seconds old. */
+    private static final long KEPT_MILLIS = TimeUnit.MINUTES.toMillis(5);
+
+    private final Map<String, Removed> removed = new HashMap<>();
+
+    /** The era of the last complete listing. */
+    private long listedEra;
+
+    private record Removed(long startedAt, long at) {}
+
+    /** Handles that a target was removed. */
+    void onRemoved(TargetRegistration last, long nowMillis) {
+        removed.values().removeIf(each -> nowMillis - each.at() > KEPT_MILLIS);
+        removed.put(last.id(), new Removed(last.startedAt(), nowMillis));
+    }
+
+    /** Handles the end of a complete listing. */
+    void onListed(LogPosition end) {
+        listedEra = Math.max(listedEra, end.era());
+    }
+
+    /**
+     * Returns whether a registration is one from before its target was removed: it stands in the copy from which an era
+     * began. A target that is there registers again, behind the listing of the copy.
+     */
+    boolean isOutdated(TargetRegistration registration, LogPosition position) {
+        Removed last = removed.get(registration.id());
+        boolean copied = position.era() > listedEra && listedEra > 0;
+        return last != null && copied && registration.startedAt() <= last.startedAt();
+    }
+
+    /** Handles that a target is there again. */
+    void onRegistered(String id) {
+        removed.remove(id);
+    }
+}
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/peers/PeerExchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/peers/PeerExchange.java
@@ -174,12 +174,16 @@
     }
 
     private void register() {
+        if (registrationClient.isBusy()) {
+            return;
+        }
         registrationClient.call(
                 state.platform().store().register(state.settings().instance(), ownRegistration()),
                 REGISTER_TIMEOUT_MILLIS,
                 answer -> {
                     state.metrics().recordStoreCall("REGISTER");
-                    boolean done = answer instanceof CallResult.Answered answered && answered.status() == 200;
+                    boolean done = state.storeEra().accept(answer) instanceof CallResult.Answered answered
+                            && answered.status() == 200;
                     if (!done) {
                         timer.later(this::register, REGISTER_RETRY_MILLIS);
                     } else {
@@ -195,8 +199,16 @@
     /** Handles the registrations of relays. */
     private final class RegistrationListener implements TopicListener {
         private boolean listedOnce;
+        private boolean listedInEra;
         private boolean registered;
 
+        /** An older copy may lack this relay's registration; those of others that are known stay. */
+        @Override
+        public void onNewEra() {
+            listedInEra = false;
+            registered = false;
+        }
+
         @Override
         public void onRecord(KeyedRecord record) {
             Optional<RelayRegistration> relay =
@@ -219,9 +231,10 @@
          */
         @Override
         public void onListed(Set<String> relays, LogPosition end) {
-            if (!listedOnce && !registered) {
+            if (!listedInEra && !registered) {
                 register();
             }
+            listedInEra = true;
             listedOnce = true;
             relaysListed = true;
             updateRelays();
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/quarantine/QuarantineExchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/quarantine/QuarantineExchange.java
@@ -59,6 +59,12 @@
 
     private static final int MAX_LOGGED_REQUESTS = 8;
 
+    /** Crashes that were written within this time are written again when the store has come back from a copy. */
+    private static final long REWRITTEN_MILLIS = 30_000;
+
+    /** A crash that this relay has observed, and when it was written to the store. */
+    private record WrittenCrash(TargetCrash crash, long at) {}
+
     private final RelayState state;
     private final Quarantine quarantine;
     private final CrashDetector crashDetector;
@@ -66,6 +72,8 @@
     private final HttpCallClient trialClient;
     private final TopicFollower follower;
     private final List<TargetCrash> unwrittenCrashes = new ArrayList<>();
+    private final List<WrittenCrash> writtenCrashes = new ArrayList<>();
+    private final long startedAtUnixMillis = System.currentTimeMillis();
     private Runnable onWritten = () -> {};
     private LogPosition writtenTo = LogPosition.START;
     private long nextClaimAt;
@@ -172,7 +180,7 @@
         private void apply(QuarantineRecord read, LogPosition position) {
             if (read instanceof QuarantineRecord.Crashed crashed) {
                 applyCrashRecord(crashed, position);
-            } else if (read instanceof QuarantineRecord.Answered answered) {
+            } else if (read instanceof QuarantineRecord.Answered answered && !isRepeated(position)) {
                 quarantine.onAnswerTold(answered.answer(), state.nowMillis());
             } else if (position.isBefore(listedEnd)) {
                 // The listing holds what became of the record since.
@@ -186,14 +194,25 @@
             }
         }
 
+        /** An answer that was heard of in an earlier era says nothing of now. */
+        private boolean isRepeated(LogPosition position) {
+            return position.era() > endAtStart.era() && position.isBefore(listedEnd);
+        }
+
         private void applyCrashRecord(QuarantineRecord.Crashed crashed, LogPosition position) {
-            if (position.isBefore(endAtStart)) {
+            if (isFromBeforeStart(crashed.crash(), position)) {
                 quarantine.onPastCrash(crashed.crash(), state.nowMillis());
             } else if (!crashed.relay().equals(state.settings().instance())) {
                 applyAndLog(() -> quarantine.onCrash(crashed.crash(), false, state.nowMillis()), crashed.relay());
             }
         }
 
+        /** Of a later era all records are read again, those from before the start among them. */
+        private boolean isFromBeforeStart(TargetCrash crash, LogPosition position) {
+            return position.isBefore(endAtStart)
+                    || position.era() > endAtStart.era() && crash.atMillis() < startedAtUnixMillis;
+        }
+
         private void release(Cause cause) {
             quarantine.onReleased(cause, state.nowMillis());
             logReleased(cause, "by hand");
@@ -203,6 +222,15 @@
             state.log().info("request_released", "features", cause.toText(), "reason", reason);
         }
 
+        /** What was written last may be lost, and then only those who have read it know of it. */
+        @Override
+        public void onNewEra() {
+            long since = state.nowMillis() - REWRITTEN_MILLIS;
+            writtenCrashes.removeIf(written -> written.at() < since);
+            writtenCrashes.forEach(written -> unwrittenCrashes.add(written.crash()));
+            writtenCrashes.clear();
+        }
+
         @Override
         public void onListed(Set<String> keys, LogPosition end) {
             if (!listedOnce) {
@@ -337,6 +365,7 @@
                     writtenTo = written.get().plus(records.size());
                     onWritten.run();
                     unwrittenCrashes.removeAll(crashes);
+                    crashes.forEach(crash -> writtenCrashes.add(new WrittenCrash(crash, state.nowMillis())));
                     unrecorded.forEach(quarantine::onRecordWritten);
                     outdated.forEach(cause -> quarantine.onRecordWithdrawn(cause, state.nowMillis()));
                     write();
@@ -371,8 +400,9 @@
 
     /** Returns the position of the first written record; empty if it isn't certain that they were written. */
     private Optional<LogPosition> position(CallResult answer) {
-        StoreResponse read = answer.toAppendResponse(
-                state.platform().store(), follower.readPosition().era());
+        CallResult accepted = state.storeEra().accept(answer);
+        StoreResponse read = accepted.toAppendResponse(
+                state.platform().store(), state.storeEra().current());
         if (read instanceof StoreResponse.Failed failed && failed.status() == HttpResponseStatus.OK.code()) {
             state.log().warn("answer_unreadable", "reason", failed.reason().orElse("unknown"));
         }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/DesiredStateListener.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/DesiredStateListener.java
@@ -30,12 +30,19 @@
     private boolean readOnce;
 
     private Optional<FoundConfiguration> found = Optional.empty();
+
+    /** The evacuations in the last listing, until those that it lacks have ended. */
+    private Optional<ListedEvacuations> listedEvacuations = Optional.empty();
+
     private Moment askedAt = new Moment(0, 0);
     private long unreadMillis;
 
     /** A configuration that was found before all records were read, and the position of its record. */
     private record FoundConfiguration(ServingConfiguration configuration, LogPosition position) {}
 
+    /** The failure domains that a listing says are evacuated, and where it ends. */
+    private record ListedEvacuations(Set<String> domains, LogPosition end) {}
+
     /**
      * Creates a listener that has handled no record.
      *
@@ -210,6 +217,7 @@
 
     @Override
     public void onCurrent(Moment askedAt) {
+        endUnlistedEvacuations();
         state.weights().onReadToEnd(askedAt.atMostMillis());
         state.retiredWeights().onLogRead(askedAt.atMostMillis());
     }
@@ -223,10 +231,19 @@
                     .onStarted(versions.onlyModel().map(versions::newest).orElse(0L));
         }
         caughtUp = true;
-        Set<String> evacuated = state.platform().store().evacuatedDomains(keys);
-        state.fleet()
+        listedEvacuations =
+                Optional.of(new ListedEvacuations(state.platform().store().evacuatedDomains(keys), end));
+        if (state.storeEra().isSettled(askedAt)) {
+            endUnlistedEvacuations();
+        }
+    }
+
+    /** What an older copy of the store lacks may be written again: an evacuation ends once there was time for it. */
+    private void endUnlistedEvacuations() {
+        listedEvacuations.ifPresent(listed -> state.fleet()
                 .evacuations()
-                .applyListing(evacuated, end, state.nowMillis())
-                .forEach(domain -> onEvacuationChanged(domain, end));
+                .applyListing(listed.domains(), listed.end(), state.nowMillis())
+                .forEach(domain -> onEvacuationChanged(domain, listed.end())));
+        listedEvacuations = Optional.empty();
     }
 }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TargetRegistrations.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TargetRegistrations.java
@@ -87,6 +87,11 @@
         state.fleet().onRegistrationsMissed();
     }
 
+    @Override
+    public void onNewEra() {
+        state.fleet().onLogReturned();
+    }
+
     @Override
     public void onAvailable() {
         state.fleet().onLogAvailable(state.nowMillis());
