--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/StateGauges.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/StateGauges.java
@@ -35,6 +35,10 @@
                 "rattanrudder_relay_store_calls_in_flight",
                 "Calls to the platform's store that await an answer",
                 () -> state.storeCalls().count());
+        metrics.gauge(
+                "rattanrudder_relay_store_era",
+                "The era of the platform's store, which rises when it comes back from an older copy",
+                () -> state.storeEra().current());
         metrics.gauge(
                 "rattanrudder_relay_weights_retired_before",
                 "The version of weights before which this relay fetches no parts",
