Break off an answer without a length that ends before its target took the request

Cause: an answer that only its connection ends was complete with the orderly end of the connection. A target that answers a long upload at once, ends its side and closes with the upload unread sends that end first and a reset behind it, which a channel that is closed at the end never sees. That the upload was handed to the operating system says nothing: it takes megabytes on loopback.

Change: ClosedResponseGuard stands in the pipelines of targets and of HttpCallClient. It breaks off such an answer if the request wasn't written in full, and after a request of over 64 KiB holds back the end for up to 250 ms, until a reset is seen or none has come. The channel stays half open for that; whether it was reset is asked by a selector, since reads go on to return the end. Answers that declare their end and those to shorter requests pass as before. It is an attempt whose connection broke: not repeated where that isn't allowed.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/net/HttpCallClient.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/net/HttpCallClient.java
@@ -126,6 +126,7 @@
                         BoundedHeaders.decoderConfiguration(),
                         HttpClientCodec.DEFAULT_PARSE_HTTP_AFTER_CONNECT_REQUEST,
                         HttpClientCodec.DEFAULT_FAIL_ON_MISSING_RESPONSE),
+                new ClosedResponseGuard(),
                 new HttpObjectAggregator(maxResponseBytes),
                 new ResponseHandler());
     }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/net/RelayChannels.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/net/RelayChannels.java
@@ -10,7 +10,6 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import jdk.net.ExtendedSocketOptions;
@@ -53,7 +52,7 @@
     public static Bootstrap connector(EventLoopGroup group) {
         return new Bootstrap()
                 .group(group)
-                .channel(NioSocketChannel.class)
+                .channel(OutboundChannel.class)
                 .option(ChannelOption.RECVBUF_ALLOCATOR, reads())
                 .option(ChannelOption.SO_RCVBUF, SOCKET_BYTES)
                 .option(ChannelOption.TCP_NODELAY, true)
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/ResponseWriter.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/ResponseWriter.java
@@ -21,8 +21,8 @@
 import java.util.function.BooleanSupplier;
 import org.rattanrudder.core.memory.Holding;
 import org.rattanrudder.core.model.ErrorKind;
+import org.rattanrudder.daemon.http.ResponseBodies;
 import org.rattanrudder.daemon.relay.process.RelayState;
-import org.rattanrudder.daemon.relay.targets.ResponseFraming;
 
 /**
  * Writes the responses to one caller's connection, one for each request in turn, and knows whether the connection can
@@ -129,7 +129,7 @@
         if (head.method().equals(HttpMethod.HEAD)) {
             Optional.ofNullable(from.headers().get(HttpHeaderNames.CONTENT_LENGTH))
                     .ifPresent(length -> response.headers().set(HttpHeaderNames.CONTENT_LENGTH, length));
-        } else if (ResponseFraming.mayHaveBody(from.status())) {
+        } else if (ResponseBodies.mayFollow(from.status())) {
             HttpUtil.setContentLength(response, body.readableBytes());
         }
         setKeepAlive(response);
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/targets/TargetConnection.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/targets/TargetConnection.java
@@ -27,9 +27,10 @@
  *
  * <p>Nothing that it reads is trusted. A second response to an earlier request may arrive where the next response is
  * due: a response with the ID of another request is skipped. Bytes that arrive while no request is in flight close the
- * connection. Where a body declares no end, an orderly close of the connection ends it, and a reset breaks it off. A
- * response may arrive before its request was sent in full: the connection isn't reused then, since the target might
- * read the next request as the rest of this one.
+ * connection. Where a body declares no end, an orderly close of the connection ends it, and a reset breaks it off;
+ * {@link org.rattanrudder.daemon.relay.net.ClosedResponseGuard} tells the two apart where the target didn't take the
+ * request. A response may arrive before its request was sent in full: the connection isn't reused then, since the
+ * target might read the next request as the rest of this one.
  *
  * <p>Bytes that are no part of a response that is passed on may go on without end: a head, interim responses, a chunk's
  * size, trailers, a response that is discarded. So only {@link #MAX_UNUSED_BYTES} of them are taken, and a discarded
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/targets/TargetPools.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/targets/TargetPools.java
@@ -24,6 +24,7 @@
 import org.rattanrudder.core.fleet.Target;
 import org.rattanrudder.core.model.Address;
 import org.rattanrudder.daemon.relay.net.BoundedHeaders;
+import org.rattanrudder.daemon.relay.net.ClosedResponseGuard;
 import org.rattanrudder.daemon.relay.net.InactivityTimer;
 import org.rattanrudder.daemon.relay.net.RawByteCounter;
 import org.rattanrudder.daemon.relay.port.RequestDialect;
@@ -190,6 +191,7 @@
                                         new RawByteCounter(created[0]::onBytesRead),
                                         new ResponseDecoder(created[0]),
                                         new HttpRequestEncoder(),
+                                        new ClosedResponseGuard(),
                                         created[0]);
                     }
                 })
--- a/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/net/HttpCallClientTest.java
+++ b/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/net/HttpCallClientTest.java
@@ -24,6 +24,7 @@
 import org.rattanrudder.core.memory.ByteBudget;
 import org.rattanrudder.core.model.Address;
 import org.rattanrudder.daemon.relay.port.PlatformCall;
+import org.rattanrudder.wire.http.EarlyAnswers;
 import org.rattanrudder.wire.http.EndlessAnswers;
 
 class HttpCallClientTest {
@@ -117,11 +118,15 @@
     }
 
     private CompletableFuture<CallResult> call(long timeoutMillis) {
+        return call(CALL, timeoutMillis);
+    }
+
+    private CompletableFuture<CallResult> call(PlatformCall call, long timeoutMillis) {
         Address address = new Address("127.0.0.1", listening.getLocalPort());
         CompletableFuture<CallResult> result = new CompletableFuture<>();
         EventLoop loop = (EventLoop) group.next();
         loop.execute(() -> new HttpCallClient(RelayChannels.connector(group), budget, () -> address)
-                .call(CALL, timeoutMillis, result::complete));
+                .call(call, timeoutMillis, result::complete));
         return result;
     }
 
@@ -198,4 +203,19 @@
                     .isInstanceOf(CallResult.Unanswered.class);
         }
     }
+
+    /** Guards against a part of an answer that counts as whole as its end came in order, before a reset. */
+    @ParameterizedTest
+    @CsvSource({"8000000, 0, false", "8000000, 30, false", "100, 0, true"})
+    void anAnswerThatEndsWithItsConnectionIsWholeOnlyIfItsRequestWasWritten(
+            int bodyBytes, long pauseMillis, boolean whole) throws Exception {
+        PlatformCall sent =
+                new PlatformCall(HttpMethod.POST, "/append", EmptyHttpHeaders.INSTANCE, new byte[bodyBytes]);
+        CompletableFuture<CallResult> result = call(sent, TIMEOUT_MILLIS);
+
+        EarlyAnswers.answer(listening, head -> "HTTP/1.1 200 OK\r\n\r\n" + BODY, pauseMillis);
+
+        assertThat(result.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS) instanceof CallResult.Answered)
+                .isEqualTo(whole);
+    }
 }
