Bound what the system takes of a request of entries and companions, and break off an answer that ends before it

Cause: HttpCall took the orderly end of an answer without a length for its end also while the request was being written; and the operating system takes megabytes of a request that nobody reads, so that it counted as written.

Change: such an answer fails unless the request had been flushed; the send buffer is 128 KiB, so that a longer request that isn't read stays unwritten. A request that fits into both systems' buffers can't be told from one that was read.

--- a/rattanrudder-wire/src/main/java/org/rattanrudder/wire/http/HttpCall.java
+++ b/rattanrudder-wire/src/main/java/org/rattanrudder/wire/http/HttpCall.java
@@ -25,6 +25,7 @@
 import org.rattanrudder.core.model.Address;
 import org.xnio.IoFuture;
 import org.xnio.OptionMap;
+import org.xnio.Options;
 import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 import org.xnio.channels.StreamSinkChannel;
@@ -32,8 +33,17 @@
 
 /** One call under way. All of its state belongs to one I/O thread; the public methods may be called from any. */
 public final class HttpCall {
+    /**
+     * What the system may take of a request before the other side has received it, in bytes. Left to itself it takes
+     * megabytes, so that a request which nobody reads would count as sent.
+     */
+    private static final int SEND_BUFFER_BYTES = 128 << 10;
+
     /** The connection counts what it receives. */
-    private static final OptionMap COUNTED = OptionMap.create(UndertowOptions.ENABLE_STATISTICS, true);
+    private static final OptionMap CONNECTION = OptionMap.builder()
+            .set(UndertowOptions.ENABLE_STATISTICS, true)
+            .set(Options.SEND_BUFFER, SEND_BUFFER_BYTES)
+            .getMap();
 
     private static final int RAW_CHECK_MILLIS = 100;
 
@@ -56,6 +66,7 @@
     private ResponseEnd end;
     private long received;
     private boolean requestHandedOver;
+    private boolean requestWritten;
     private boolean connectionClosed;
     private boolean paused;
     private boolean reading;
@@ -131,7 +142,7 @@
             return;
         }
         URI uri = URI.create("http://" + address);
-        connecting = UndertowClient.getInstance().connect(uri, thread, buffers, COUNTED);
+        connecting = UndertowClient.getInstance().connect(uri, thread, buffers, CONNECTION);
         expect(request.timeouts().connectMillis(), () -> {
             fail("no connection in " + request.timeouts().connectMillis() + " ms");
         });
@@ -225,6 +236,7 @@
             }
             sink.shutdownWrites();
             if (sink.flush()) {
+                requestWritten = true;
                 sink.suspendWrites();
             } else {
                 sink.resumeWrites();
@@ -315,6 +327,10 @@
             fail("the answer broke off after " + received + " of " + promised + " bytes");
             return;
         }
+        if (end instanceof ResponseEnd.ConnectionClosed && !requestWritten) {
+            fail("the answer ended before its request was sent");
+            return;
+        }
         ended = true;
         stopTimers();
         if (request.reuse()) {
