Report a request that can't be written after its attempt was recorded

Cause: where the write fails at once, as with 8 MB to a target that resets meanwhile, the failure was reported within TargetConnection.send, before Exchange had its InactivityMonitor: a NullPointerException, and the caller got 504 at its deadline for 502 at once.

Change: the failure is reported in the event loop's next turn.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/targets/TargetConnection.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/targets/TargetConnection.java
@@ -122,7 +122,8 @@
         written.addListener(done -> {
             requestWritten = done.isSuccess();
             if (!done.isSuccess()) {
-                fail("write failed");
+                // Not within this method: its caller hasn't recorded the attempt yet.
+                channel.eventLoop().execute(() -> fail("write failed"));
             }
         });
     }
