Keep gone targets away also in the first copy of a store that counts from 0

What a removed start looks like in a copy was only asked once a later era than 0 had been listed: after the first return of a store whose era was 0, or which named none before, a target that had gone was used again.

ReturnedLogTest.aTargetThatHasGoneIsNotBackByTheFirstCopyOfALog failed without the change and held with it (run once each).

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/RemovedStarts.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/RemovedStarts.java
@@ -14,10 +14,12 @@
     /** For how long a start is remembered: copies are some seconds old. */
     private static final long KEPT_MILLIS = TimeUnit.MINUTES.toMillis(5);
 
+    private static final long NOT_LISTED = -1;
+
     private final Map<String, Removed> removed = new HashMap<>();
 
-    /** The era of the last complete listing. */
-    private long listedEra;
+    /** The era of the last complete listing, from 0. */
+    private long listedEra = NOT_LISTED;
 
     private record Removed(long startedAt, long at) {}
 
@@ -38,7 +40,7 @@
      */
     boolean isOutdated(TargetRegistration registration, LogPosition position) {
         Removed last = removed.get(registration.id());
-        boolean copied = position.era() > listedEra && listedEra > 0;
+        boolean copied = listedEra != NOT_LISTED && position.era() > listedEra;
         return last != null && copied && registration.startedAt() <= last.startedAt();
     }
 
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/ReturnedLogTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/ReturnedLogTest.java
@@ -109,4 +109,19 @@
 
         assertThat(usable(SETTLED)).contains("a");
     }
+
+    /** Guards against requests to a target that has gone, which the first copy of a log holds still. */
+    @Test
+    void aTargetThatHasGoneIsNotBackByTheFirstCopyOfALog() {
+        Fleet first = new Fleet();
+        first.apply("c", registration("c", BORN, false), new LogPosition(0, 40), 0);
+        first.applyListing(Set.of("c"), new LogPosition(0, 41), 0);
+        first.apply("c", Optional.empty(), new LogPosition(0, 41), 10);
+        first.onLogReturned();
+        first.onLogAvailable(RETURNED);
+
+        first.apply("c", registration("c", BORN, false), new LogPosition(1, 40), RETURNED);
+
+        assertThat(first.activeTargets("llm", SETTLED)).isEmpty();
+    }
 }
