Take no lease by an append that was sent before a return

An append may be carried out seconds later, if its condition still holds: after a return the topic may end again where it was to be written. Its answer names the era that is known by then, so it was believed, and ended the wait for a holder whose record is lost: two holders. Now a record that names another era than its position takes no lease.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/rollout/OrderLease.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/rollout/OrderLease.java
@@ -203,12 +203,18 @@
     }
 
     /**
-     * Handles a successful append of this process.
+     * Handles a successful append of this process. One that was sent in an earlier era takes no lease: a holder whose
+     * record is lost may go on.
      *
      * @param record what was appended
      * @param sentAt when it was sent
+     * @return whether this process has got the lease
      */
-    public void onAppended(LogPosition position, LeaseRecord record, Moment sentAt, Moment now) {
+    public boolean onAppended(LogPosition position, LeaseRecord record, Moment sentAt, Moment now) {
+        if (position.era() != record.era()) {
+            onConflict();
+            return false;
+        }
         advanceTo(position.plus(1));
         ownRecord = position;
         lastUnanswered = false;
@@ -219,6 +225,7 @@
         long needed = taken <= USUAL_APPEND_MILLIS ? LEASE_MILLIS : Math.min(MAX_LEASE_MILLIS, LEASE_MILLIS + taken);
         // One append that was fast doesn't show that the next one will be.
         termMillis = Math.max(needed, (termMillis + LEASE_MILLIS) / 2);
+        return true;
     }
 
     /** Handles a failed append: another process has written a record at the expected position. */
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/rollout/ReturnedLeaseTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/rollout/ReturnedLeaseTest.java
@@ -78,6 +78,22 @@
         assertThat(restarted.shouldAppend(at(1_000))).isTrue();
     }
 
+    /** Guards against an append that is carried out only after a return, beside a holder whose record is lost. */
+    @Test
+    void anAppendOfTheEraBeforeTakesNoLease() {
+        OrderLease lease = new OrderLease("a", "a-0", HANDOVER);
+        lease.advanceTo(new LogPosition(1, 5));
+        lease.onCaughtUp(at(1_000));
+        LeaseRecord sent = record("a-0", 1);
+        lease.onLogReturned(2, at(1_100));
+
+        boolean taken = lease.onAppended(new LogPosition(2, 5), sent, at(1_000), at(1_200));
+
+        assertThat(taken).isFalse();
+        assertThat(lease.isHeld(at(1_200))).isFalse();
+        assertThat(lease.mayOrder("e0", at(1_200))).isFalse();
+    }
+
     /** A log that loses its newest records now and then. */
     private static final class Log {
         private final List<LeaseRecord> records = new ArrayList<>();
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/rollout/RolloutCoordinator.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/rollout/RolloutCoordinator.java
@@ -334,9 +334,9 @@
         }
         state.metrics().recordStoreCall("APPEND");
         StoreResponse read = answer.toAppendResponse(store, state.storeEra().current());
-        if (read instanceof StoreResponse.Appended appended) {
-            Moment now = state.clock().now();
-            lease.onAppended(appended.position(), sent.record(), sent.at(), now);
+        Moment now = state.clock().now();
+        if (read instanceof StoreResponse.Appended appended
+                && lease.onAppended(appended.position(), sent.record(), sent.at(), now)) {
             state.log()
                     .info(
                             "lease_taken",
@@ -351,7 +351,7 @@
             batch.forEach((target, weights) -> orders.order(target, weights, planner(target, weights)));
             return;
         }
-        // A peer wrote first, or the outcome of the append is unknown: the log is read before the next attempt.
+        // A peer wrote first, or it isn't known what was read before it: the log is read before the next attempt.
         if (answer instanceof CallResult.Answered) {
             lease.onConflict();
         } else {
@@ -366,8 +366,7 @@
                         "answer",
                         read.getClass().getSimpleName(),
                         "taken_ms",
-                        Long.toString(
-                                state.clock().now().atMostMillis() - sent.at().atMostMillis()));
+                        Long.toString(now.atMostMillis() - sent.at().atMostMillis()));
     }
 
     /** Returns the engines that this relay has ordered and that don't serve their new weights yet. */
