Know the era of a topic of orders without records before a start counts as caught up

A process that started after a return at a topic of orders without records, all lost or expired, held its end for 0:0, of no return: it appended at once, beside a holder whose record is lost, and its record named era 0. The end that was read is now set before; by reading, no test yet (the lease itself waits in such a case, by ReturnedLeaseTest).

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/rollout/RolloutCoordinator.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/rollout/RolloutCoordinator.java
@@ -130,6 +130,8 @@
 
         @Override
         public void onReadToEnd(Moment askedAt) {
+            // A topic without records names its era by its end alone.
+            lease.advanceTo(follower.readPosition());
             lease.onCaughtUp(state.clock().now());
             attempt.onReadToEnd(askedAt.atLeastMillis(), state.nowMillis());
             if (attempt.isRead()) {
