Keep known peers, forget old crashes and old removals across returns of the store

Found in review by reading. Each relay listed the registrations anew at a return and put each peer in place of itself, so that all peers counted as silent at once, at all relays: nobody to read through, and shares and budgets of one relay. An unchanged registration changes nothing now. A removal counted against a copy for as long as no other followed it; it does so for 5 minutes (ReturnedLogTest, which fails without). ReturnedLogTest, RegistrationTest, ReturnedQuarantineTest and TopicConfirmationTest held; the first two mends have no test of their own.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Fleet.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/Fleet.java
@@ -188,7 +188,7 @@
         if (registration.startedAt() < newest.startedAt() || (!restarted && !position.isAfter(newest.position()))) {
             return false;
         }
-        if (removedStarts.isOutdated(registration, position)) {
+        if (removedStarts.isOutdated(registration, position, nowMillis)) {
             return false;
         }
         newestRecords.put(registration.id(), new NewestRecord(registration.startedAt(), position));
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/RemovedStarts.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/fleet/RemovedStarts.java
@@ -12,7 +12,7 @@
  */
 final class RemovedStarts {
     /** For how long a start is remembered: copies are some seconds old. */
-    private static final long KEPT_MILLIS = TimeUnit.MINUTES.toMillis(5);
+    static final long KEPT_MILLIS = TimeUnit.MINUTES.toMillis(5);
 
     private static final long NOT_LISTED = -1;
 
@@ -25,10 +25,14 @@
 
     /** Handles that a target was removed. */
     void onRemoved(TargetRegistration last, long nowMillis) {
-        removed.values().removeIf(each -> nowMillis - each.at() > KEPT_MILLIS);
+        removeOld(nowMillis);
         removed.put(last.id(), new Removed(last.startedAt(), nowMillis));
     }
 
+    private void removeOld(long nowMillis) {
+        removed.values().removeIf(each -> nowMillis - each.at() > KEPT_MILLIS);
+    }
+
     /** Handles the end of a complete listing. */
     void onListed(LogPosition end) {
         listedEra = Math.max(listedEra, end.era());
@@ -38,7 +42,8 @@
      * Returns whether a registration is one from before its target was removed: it stands in the copy from which an era
      * began. A target that is there registers again, behind the listing of the copy.
      */
-    boolean isOutdated(TargetRegistration registration, LogPosition position) {
+    boolean isOutdated(TargetRegistration registration, LogPosition position, long nowMillis) {
+        removeOld(nowMillis);
         Removed last = removed.get(registration.id());
         boolean copied = listedEra != NOT_LISTED && position.era() > listedEra;
         return last != null && copied && registration.startedAt() <= last.startedAt();
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/ReturnedLogTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/fleet/ReturnedLogTest.java
@@ -99,6 +99,19 @@
         assertThat(usable(SETTLED)).contains("c");
     }
 
+    /** Guards against a target that isn't believed since it had gone once, longer ago than any copy is old. */
+    @Test
+    void aTargetThatHasGoneLongAgoIsBackByACopy() {
+        fleet.apply("a", Optional.empty(), old(43), 10);
+        fleet.onLogReturned();
+        long later = 10 + RemovedStarts.KEPT_MILLIS + 1;
+        fleet.onLogAvailable(later);
+
+        fleet.apply("a", registration("a", BORN, false), returned(20), later);
+
+        assertThat(usable(later)).contains("a");
+    }
+
     /** Guards against a new start that isn't believed since an earlier one has gone. */
     @Test
     void aLaterStartIsBelievedInACopy() {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/peers/PeerExchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/peers/PeerExchange.java
@@ -78,6 +78,7 @@
     private final HttpCallClient registrationClient;
     private final ReportSchedule schedule = new ReportSchedule();
     private final UnknownSenders unknownSenders = new UnknownSenders();
+    private final Map<String, RelayRegistration> registrations = new HashMap<>();
     private final Map<String, InetSocketAddress> addresses = new HashMap<>();
     private final Map<InetSocketAddress, Set<String>> relaysByAddress = new HashMap<>();
     /** Whether all relays that were registered at this relay's start are known. */
@@ -215,7 +216,7 @@
                     record.value().map(state.platform().store()::readRelay);
             if (record.key().equals(state.settings().instance())) {
                 registered = relay.filter(ownRegistration()::equals).isPresent();
-            } else {
+            } else if (!relay.equals(Optional.ofNullable(registrations.get(record.key())))) {
                 removePeer(record.key());
                 relay.ifPresent(known -> addPeer(record.key(), known));
                 unknownSenders.onRegistration();
@@ -248,6 +249,7 @@
     private void addPeer(String relay, RelayRegistration registered) {
         Address at = registered.peerAddress();
         InetSocketAddress address = new InetSocketAddress(at.host(), at.port());
+        registrations.put(relay, registered);
         addresses.put(relay, address);
         relaysByAddress.computeIfAbsent(address, unseen -> new HashSet<>()).add(relay);
         boolean near = registered.failureDomain().equals(state.settings().failureDomain());
@@ -256,6 +258,7 @@
     }
 
     private void removePeer(String relay) {
+        registrations.remove(relay);
         InetSocketAddress address = addresses.remove(relay);
         if (address != null) {
             relaysByAddress.get(address).remove(relay);
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/quarantine/QuarantineExchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/quarantine/QuarantineExchange.java
@@ -225,8 +225,7 @@
         /** What was written last may be lost, and then only those who have read it know of it. */
         @Override
         public void onNewEra() {
-            long since = state.nowMillis() - REWRITTEN_MILLIS;
-            writtenCrashes.removeIf(written -> written.at() < since);
+            forgetOldCrashes();
             writtenCrashes.forEach(written -> unwrittenCrashes.add(written.crash()));
             writtenCrashes.clear();
         }
@@ -252,6 +251,11 @@
         }
     }
 
+    private void forgetOldCrashes() {
+        long since = state.nowMillis() - REWRITTEN_MILLIS;
+        writtenCrashes.removeIf(written -> written.at() < since);
+    }
+
     /** Records a target's crash that this relay has observed, and writes it to the store for peers. */
     private void onCrash(Target target, CrashDetector.Broken broken) {
         state.metrics().recordTargetCrash(target.registration().service());
@@ -365,6 +369,7 @@
                     writtenTo = written.get().plus(records.size());
                     onWritten.run();
                     unwrittenCrashes.removeAll(crashes);
+                    forgetOldCrashes();
                     crashes.forEach(crash -> writtenCrashes.add(new WrittenCrash(crash, state.nowMillis())));
                     unrecorded.forEach(quarantine::onRecordWritten);
                     outdated.forEach(cause -> quarantine.onRecordWithdrawn(cause, state.nowMillis()));
