List a topic in place of a poll that a slow link can't carry, and don't repeat a call whose answer is arriving

Cause: a poll carries each version since the last read, though only the newest of a key counts. Over 10 Mbit/s a poll of eight versions didn't end within 1.5 s; it was repeated on other connections of the same link, counted as a refusal of the store, and asked for once more of a peer.

Change: a call that is late isn't repeated while bytes arrive of its answer; the timeout bounds it as before. A call given up while its answer arrived fails as `unfinished`, and for records that is no refusal. If the last answer with records was late, a poll is given up once it is longer than the last listing, and the topic is listed; so it is if peers have read two records more. Only for listeners that need the newest record of a key alone. A listing in place of a poll that holds a malformed record isn't applied, and the records are polled for.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/topics/RepeatPolicy.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/topics/RepeatPolicy.java
@@ -17,7 +17,7 @@
     public static final int MAX_IN_FLIGHT = 3;
 
     /** Time from which a call's answer is late. */
-    static final long LATE_ANSWER_MILLIS = 200;
+    public static final long LATE_ANSWER_MILLIS = 200;
 
     /** Time from the first repeat to the second. */
     private static final long SECOND_REPEAT_MILLIS = 150;
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/net/HttpCallClient.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/net/HttpCallClient.java
@@ -23,6 +23,7 @@
 import java.net.InetSocketAddress;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.rattanrudder.core.memory.ByteBudget;
 import org.rattanrudder.core.memory.ByteUse;
@@ -44,6 +45,9 @@
  * connection.
  */
 public final class HttpCallClient implements AutoCloseable {
+    /** The reason of a call that was given up while its response was arriving. */
+    public static final String UNFINISHED = "unfinished";
+
     /** Limit of a response to a call that reads no list: a report, an order or an append. */
     private static final int MAX_SHORT_RESPONSE_BYTES = 256 * 1_024;
 
@@ -62,6 +66,7 @@
     private final int maxResponseBytes;
     private final CallsInFlight calls;
     private long receivedBytes;
+    private LongSupplier maxReceivedBytes = () -> Long.MAX_VALUE;
     private Address connectedTo;
     private Channel channel;
     private Consumer<CallResult> pendingCallback;
@@ -141,6 +146,10 @@
             complete(new CallResult.Unanswered("too_long"), true);
             return false;
         }
+        if (receivedBytes > maxReceivedBytes.getAsLong()) {
+            complete(new CallResult.Unanswered(UNFINISHED), true);
+            return false;
+        }
         if (!held.tryGrowTo(HELD_RATIO * receivedBytes)) {
             complete(new CallResult.Unanswered("no_room"), true);
             return false;
@@ -148,15 +157,31 @@
         return true;
     }
 
+    /**
+     * Ends calls with {@link #UNFINISHED} once more of their responses has arrived.
+     *
+     * @param maxBytes supplies the maximum, heads included
+     * @return this
+     */
+    public HttpCallClient limitReceived(LongSupplier maxBytes) {
+        maxReceivedBytes = maxBytes;
+        return this;
+    }
+
     /** Returns whether a call is in flight. */
     public boolean isBusy() {
         return pendingCallback != null;
     }
 
+    /** Returns how many bytes have arrived of the response to the call in flight, or to the last one. */
+    long receivedBytes() {
+        return receivedBytes;
+    }
+
     /**
      * Makes a call. Only one may be in flight.
      *
-     * @param timeoutMillis time after which the call fails with the reason {@code timeout}
+     * @param timeoutMillis time after which the call fails with the reason {@code timeout}, or {@link #UNFINISHED}
      * @param callback called once with the result, on the event loop; not called after {@link #close}
      */
     public void call(PlatformCall call, long timeoutMillis, Consumer<CallResult> callback) {
@@ -178,8 +203,7 @@
         calls.onCall();
         receivedBytes = 0;
         EventLoop loop = (EventLoop) bootstrap.config().group().next();
-        timeout =
-                InactivityTimer.start(loop, () -> complete(new CallResult.Unanswered("timeout"), true), timeoutMillis);
+        timeout = InactivityTimer.start(loop, () -> complete(timedOut(), true), timeoutMillis);
         Address current = address.get();
         if (!current.equals(connectedTo)) {
             closeConnection();
@@ -204,6 +228,10 @@
                 });
     }
 
+    private CallResult timedOut() {
+        return new CallResult.Unanswered(receivedBytes > 0 ? UNFINISHED : "timeout");
+    }
+
     private void write(PlatformCall call) {
         if (!mayWrite.getAsBoolean()) {
             complete(CallResult.Unanswered.NOT_SENT, false);
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/net/RepeatingCallClient.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/net/RepeatingCallClient.java
@@ -14,7 +14,7 @@
 
 /**
  * An HTTP client for one address that makes one call at a time, and repeats a call on new connections while its answer
- * is late.
+ * is late and nothing more arrives of it.
  *
  * <p>The first usable answer counts; its connection is kept for the next call, and the others are closed. A refusal
  * counts only once no other answer is awaited. Few attempts await an answer at a time: a further repeat closes the
@@ -37,6 +37,9 @@
     private Pending pending;
     private int made;
 
+    /** What had arrived of the answers that are awaited when a repeat was last due. */
+    private long receivedBytes;
+
     /**
      * Creates a client without a connection.
      *
@@ -81,6 +84,7 @@
     public void call(PlatformCall call, long timeoutMillis, Consumer<Outcome> callback) {
         pending = new Pending(call, timeoutMillis, clock.get(), callback);
         made = 0;
+        receivedBytes = 0;
         make(firstAttemptClient, false);
     }
 
@@ -115,9 +119,18 @@
     }
 
     private void repeat(Pending late) {
-        if (pending == late) {
-            repeatNow();
+        if (pending != late) {
+            return;
+        }
+        long received =
+                awaitingAnswer.stream().mapToLong(HttpCallClient::receivedBytes).sum();
+        if (received > receivedBytes) {
+            // The connection isn't silent, and a second answer would share a slow link with this one.
+            receivedBytes = received;
+            timer.reschedule(() -> repeat(late), RepeatPolicy.LATE_ANSWER_MILLIS);
+            return;
         }
+        repeatNow();
     }
 
     private void onResult(HttpCallClient from, Outcome outcome) {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/RecordDelivery.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/RecordDelivery.java
@@ -19,6 +19,7 @@
     private final LoggedReasons logged = new LoggedReasons();
     private final Set<String> unhandledKeys = new HashSet<>();
     private boolean failed;
+    private boolean malformed;
 
     /** Creates the delivery of a topic's records, each of which must have a key if the topic is {@code keyed}. */
     RecordDelivery(RelayState state, Topic topic, boolean keyed, TopicListener listener) {
@@ -63,6 +64,11 @@
         return failed;
     }
 
+    /** Returns whether a record of those deliveries was malformed. */
+    boolean hasMalformed() {
+        return malformed;
+    }
+
     /** Returns whether the newest record of a key has failed unexpectedly. */
     boolean hasUnhandledRecords() {
         return !unhandledKeys.isEmpty();
@@ -73,9 +79,10 @@
         unhandledKeys.retainAll(keys);
     }
 
-    /** Begins to look for unexpected failures anew. */
+    /** Begins to look for unexpected failures, and for malformed records, anew. */
     void forgetFailures() {
         failed = false;
+        malformed = false;
     }
 
     private static boolean isMalformed(Throwable unreadable) {
@@ -114,6 +121,7 @@
             unhandledKeys.remove(record.key());
             return true;
         } catch (RuntimeException | StackOverflowError unreadable) {
+            malformed |= isMalformed(unreadable);
             if (!isMalformed(unreadable)) {
                 failed = true;
                 unhandledKeys.add(record.key());
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/StoreReader.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/StoreReader.java
@@ -47,6 +47,7 @@
     private List<Address> peers = List.of();
 
     private final List<Address> asked = new ArrayList<>();
+    private long maxRecordsBytes = Long.MAX_VALUE;
     private boolean closed;
 
     /**
@@ -63,7 +64,8 @@
                 state.loop(),
                 state.clock()::now,
                 maxCalls,
-                () -> HttpCallClient.forLists(state.connector(), state.heldBytes(), state::store, state.storeCalls()));
+                () -> HttpCallClient.forLists(state.connector(), state.heldBytes(), state::store, state.storeCalls())
+                        .limitReceived(() -> maxRecordsBytes));
     }
 
     /**
@@ -104,6 +106,11 @@
         }
     }
 
+    /** Has the next read at the store given up if its answer is longer than this, in bytes. */
+    void limitNext(long maxBytes) {
+        maxRecordsBytes = maxBytes;
+    }
+
     private long millisLeft(Pending pending) {
         return pending.deadline() - state.nowMillis();
     }
@@ -132,7 +139,7 @@
             }
             recordCalls(outcome);
             CallResult result = outcome.result();
-            boolean refused = !result.isServed() && !isOwnFailure(result.reason(), timeoutMillis);
+            boolean refused = !result.isServed() && !isOwnFailure(pending.read(), result.reason(), timeoutMillis);
             if (refused) {
                 route.onRefused(result.reason());
             } else if (result.isServed()) {
@@ -153,9 +160,15 @@
         return new Answer(accepted, outcome.askedAt(), era.isProof(named, outcome.askedAt()));
     }
 
-    /** A read with less time than the store may take for an answer doesn't show that it answers nothing. */
-    private static boolean isOwnFailure(String reason, long timeoutMillis) {
-        return OWN_FAILURES.contains(reason) || reason.equals("timeout") && timeoutMillis < TopicReader.TIMEOUT_MILLIS;
+    /**
+     * A read with less time than the store may take for an answer doesn't show that it answers nothing. Records that
+     * arrive too slowly would arrive no sooner from a peer.
+     */
+    private static boolean isOwnFailure(StoreRead read, String reason, long timeoutMillis) {
+        boolean unfinished = reason.equals(HttpCallClient.UNFINISHED);
+        return OWN_FAILURES.contains(reason)
+                || unfinished && read instanceof StoreRead.From
+                || (unfinished || reason.equals("timeout")) && timeoutMillis < TopicReader.TIMEOUT_MILLIS;
     }
 
     private void readThroughPeers(Pending pending, Consumer<Outcome> otherwise) {
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicFollower.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicFollower.java
@@ -6,6 +6,7 @@
 import org.rattanrudder.core.topics.LogEra;
 import org.rattanrudder.core.topics.LogPosition;
 import org.rattanrudder.core.topics.ReadFreshness;
+import org.rattanrudder.daemon.relay.net.HttpCallClient;
 import org.rattanrudder.daemon.relay.net.StepTimer;
 import org.rattanrudder.daemon.relay.port.StoreDialect.Topic;
 import org.rattanrudder.daemon.relay.port.StoreResponse;
@@ -38,12 +39,17 @@
     private final PollSchedule schedule;
     private final RecordDelivery delivery;
     private final StoreAvailability availability;
+    private final ListingChoice choice = new ListingChoice();
     private final BackOff backOff;
     private int consecutiveTruncations;
     private int repeatedListings;
     private final ReadFreshness freshness;
     private boolean started;
     private boolean betweenPolls;
+
+    /** Whether the current listing, or the last one, is in place of a poll. */
+    private boolean listedToReadOn;
+
     private Moment askedAt = new Moment(0, 0);
 
     /** Whether nothing that was written before can be missing from the last answer, or the pages of its listing. */
@@ -93,11 +99,17 @@
 
     /** Starts to read the topic, from the beginning of what is read initially. */
     public void start() {
+        readFromListing(false);
+    }
+
+    private void readFromListing(boolean readsOn) {
         started = true;
+        listedToReadOn = readsOn;
         betweenPolls = false;
         askedAt = state.clock().now();
         if (position.isKeyed()) {
             position.beginListing();
+            choice.onListing();
             isProof = true;
             reader.list(Optional.empty(), this::onResult);
         } else {
@@ -105,6 +117,14 @@
         }
     }
 
+    private void readOn() {
+        if (listener.needsOnlyNewest() && choice.isListedAt(position.next())) {
+            readFromListing(true);
+        } else {
+            poll();
+        }
+    }
+
     private void poll() {
         if (reader.isBusy()) {
             return;
@@ -112,7 +132,8 @@
         betweenPolls = false;
         askedAt = state.clock().now();
         schedule.onPoll(askedAt.atLeastMillis());
-        reader.poll(position.next(), this::onResult);
+        long maxBytes = listener.needsOnlyNewest() ? choice.maxPolledBytes(reader.listedBytes()) : Long.MAX_VALUE;
+        reader.poll(position.next(), maxBytes, this::onResult);
     }
 
     /** Handles a result; if that fails, the call is retried, since nothing else would read the topic on. */
@@ -142,8 +163,11 @@
     /** Records that can't be read, or are too many to be read at once, are passed over by a listing. */
     private void onFailure(String reason, boolean unreadable) {
         long pause = availability.onFailure(reason);
+        if (reason.equals(HttpCallClient.UNFINISHED)) {
+            choice.onPollUnfinished();
+        }
         boolean pollable = availability.hasAnswered() && (!position.isKeyed() || position.hasListed() && !unreadable);
-        timer.reschedule(pollable ? this::poll : this::start, pause);
+        timer.reschedule(pollable ? this::readOn : this::start, pause);
     }
 
     private void handleAnswer(TopicReader.Result.Read read) {
@@ -167,11 +191,15 @@
             reader.list(last, this::onResult);
             return;
         }
+        boolean isOlderVersionNeeded = listedToReadOn && delivery.hasMalformed();
         if (listsAgain()) {
             return;
         }
         Set<String> keys = position.listedKeys();
-        if (position.isListingCurrent()) {
+        boolean advances = position.listingEnd().isAfter(position.next());
+        if (isOlderVersionNeeded) {
+            choice.barListing();
+        } else if (position.isListingCurrent()) {
             listener.onListed(keys, position.listingEnd());
             position.applyListing();
             delivery.onListed(keys);
@@ -190,13 +218,19 @@
                         position.next().toString(),
                         "asked_ms",
                         Long.toString(state.atMostMillis() - askedAt.atMostMillis()));
-        poll();
+        if (advances) {
+            readOn();
+        } else {
+            poll();
+        }
     }
 
     private void onRecords(StoreResponse.Records records) {
         consecutiveTruncations = 0;
         position.advanceTo(records.next());
+        choice.onPolled();
         if (!records.records().isEmpty()) {
+            choice.onRecordsRead(state.nowMillis() - askedAt.atLeastMillis());
             schedule.onRecordsFound();
         }
         listener.onRecordsRead(askedAt, unreadMillis());
@@ -214,7 +248,8 @@
         long now = state.nowMillis();
         boolean isPart = !records.records().isEmpty() && records.next().isBefore(records.end());
         timer.reschedule(
-                this::poll, isPart ? schedule.onPartAnswered(now) : schedule.onAnswered(askedAt.atLeastMillis(), now));
+                this::readOn,
+                isPart ? schedule.onPartAnswered(now) : schedule.onAnswered(askedAt.atLeastMillis(), now));
     }
 
     /** A record that couldn't be handled isn't in force, however new the read is that brought it. */
@@ -287,8 +322,9 @@
      * never receive a newer configuration.
      */
     public void onPeerPosition(LogPosition peerPosition) {
+        choice.onPeerPosition(peerPosition);
         if (betweenPolls && peerPosition.isAfter(position.next())) {
-            timer.reschedule(this::poll, schedule.onHint(state.nowMillis()));
+            timer.reschedule(this::readOn, schedule.onHint(state.nowMillis()));
         }
     }
 
@@ -300,7 +336,7 @@
     /** Brings the next poll forward if one is scheduled, to so many ms after the last one at the latest. */
     public void pollWithin(long millis) {
         if (betweenPolls) {
-            timer.reschedule(this::poll, schedule.pollWithin(millis, state.nowMillis()));
+            timer.reschedule(this::readOn, schedule.pollWithin(millis, state.nowMillis()));
         }
     }
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicReader.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/TopicReader.java
@@ -32,6 +32,7 @@
     private final StoreReader reader;
     private final StoreEra era;
     private boolean closed;
+    private long listedBytes;
 
     /**
      * Creates a reader that makes no calls until it is asked.
@@ -68,6 +69,11 @@
         StoreResponse parse(int status, byte[] body);
     }
 
+    /** Returns the length of the pages of the last listing, in bytes. */
+    long listedBytes() {
+        return listedBytes;
+    }
+
     /** Returns whether a call is in flight. */
     boolean isBusy() {
         return reader.isBusy();
@@ -80,9 +86,14 @@
      * @param then called with the result, unless the call is cancelled
      */
     void list(Optional<String> after, Consumer<Result> then) {
+        reader.limitNext(Long.MAX_VALUE);
+        listedBytes = after.isPresent() ? listedBytes : 0;
         read(
                 new StoreRead.Newest(topic, after),
-                (status, body) -> dialect.readListing(era.current(), status, body),
+                (status, body) -> {
+                    listedBytes += body.length;
+                    return dialect.readListing(era.current(), status, body);
+                },
                 then);
     }
 
@@ -90,9 +101,11 @@
      * Polls for records; without any, the store answers at once.
      *
      * @param from the position of the first record to read
+     * @param maxBytes length from which on an answer is given up, in bytes
      * @param then called with the result, unless the call is cancelled
      */
-    void poll(LogPosition from, Consumer<Result> then) {
+    void poll(LogPosition from, long maxBytes, Consumer<Result> then) {
+        reader.limitNext(maxBytes);
         read(
                 new StoreRead.From(topic, from.offset()),
                 (status, body) ->
--- a/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/store/StoreReaderTest.java
+++ b/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/store/StoreReaderTest.java
@@ -169,6 +169,20 @@
         assertThat(peerCalls).hasValue(0);
     }
 
+    /** Guards against a slow link that makes peers read the same long answer, which shares the link once more. */
+    @Test
+    void recordsThatAreTooLongForTheLinkShowNoRefusal() throws Exception {
+        peers.add(readingPeer());
+        startRelay(exchange -> exchange.getResponseSender().send(RECORDS.repeat(100)));
+        StoreReader reader = newReader();
+        reader.limitNext(RECORDS.length());
+
+        assertThat(body(readOnLoop(reader))).isEqualTo("unfinished");
+
+        assertThat(state.storeRoute().isRefused()).isFalse();
+        assertThat(peerCalls).hasValue(0);
+    }
+
     /** Guards against an answer of the store before its return, which arrives after one of the store that is there. */
     @Test
     void anAnswerOfAnEarlierEraIsNone() throws Exception {
