Give up no poll by the length of a listing that has failed

A listing that fails left a length of 0, so that the next poll on a slow link was given up with its first byte and the topic listed again. ListingChoiceTest has the case.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/ListingChoice.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/ListingChoice.java
@@ -26,10 +26,10 @@
     /**
      * Returns the length from which on an answer to a poll is given up for a listing.
      *
-     * @param listedBytes length of the last listing
+     * @param listedBytes length of the last complete listing; 0 if it isn't known
      */
     long maxPolledBytes(long listedBytes) {
-        return slow && !barred ? listedBytes : Long.MAX_VALUE;
+        return slow && !barred && listedBytes > 0 ? listedBytes : Long.MAX_VALUE;
     }
 
     /** Handles up to where a peer has read. */
--- a/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/store/ListingChoiceTest.java
+++ b/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/store/ListingChoiceTest.java
@@ -50,6 +50,14 @@
         assertThat(choice.maxPolledBytes(LISTED_BYTES)).isEqualTo(LISTED_BYTES);
     }
 
+    /** Guards against polls that are given up with their first byte, since the last listing has failed. */
+    @Test
+    void withoutACompleteListingNoPollIsGivenUp() {
+        choice.onRecordsRead(RepeatPolicy.LATE_ANSWER_MILLIS + 1);
+
+        assertThat(choice.maxPolledBytes(0)).isEqualTo(Long.MAX_VALUE);
+    }
+
     /** Guards against a relay that never reads the last well-formed version, since a listing lacks it. */
     @Test
     void aPollFollowsAListingWhoseRecordIsMalformed() {
