Don't take the first record of an era for one behind lost ones, nor an unused log for one that was emptied

(1) The end of a log that was never read was taken for 0:0, so that the first record of era 1 counted as one behind records that had been lost, and all engines waited for its holder for term, margin and handover time, not only those that it names; this came with eras. (2) A process that starts at a log without records waited for an unread holder: each start of a platform gave no order for 6.5 s. Now a gap is one within the era, and an empty log is waited for only in era 2 or later: one that has never come back has lost nothing. Left: a store whose eras begin at 0 or unnamed, in its first return, that empties the topic.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/rollout/OrderLease.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/rollout/OrderLease.java
@@ -44,6 +44,9 @@
 
     private static final long LONG_AGO = Long.MIN_VALUE / 2;
 
+    /** A log that has never come back is in era 0 or 1, so that a log without records there has lost none. */
+    private static final long LAST_FIRST_ERA = 1;
+
     /** Stands for a process of which no record was read. */
     private static final String UNREAD_HOLDER = "unread";
 
@@ -71,6 +74,7 @@
 
     private LogPosition next = LogPosition.START;
     private boolean recordsMissed;
+    private boolean recordRead;
     private boolean newestIsOfThisEra;
     private long termMillis = LEASE_MILLIS;
     private boolean lastUnanswered;
@@ -98,13 +102,18 @@
 
     /** Records that all records were read that existed when this process started. */
     public void onCaughtUp(Moment now) {
-        if (!caughtUp && end.era() > 0 && !newestIsOfThisEra) {
+        if (!caughtUp && mayLackRecords()) {
             awaitUnreadHolder(now);
         }
         caughtUp = true;
         recordsMissed = false;
     }
 
+    /** Returns whether the log may have come back without records of holders since the newest that was read. */
+    private boolean mayLackRecords() {
+        return recordRead ? !newestIsOfThisEra : end.era() > LAST_FIRST_ERA;
+    }
+
     /** Handles that the log has come back from an older copy, of which nothing was read. */
     public void onLogReturned(long era, Moment now) {
         end = LogPosition.startOf(era);
@@ -126,8 +135,9 @@
     /** Handles a record that was read. */
     public void onRecord(LogPosition position, LeaseRecord record, Moment now) {
         advanceTo(position.plus(1));
-        recordsMissed |= position.isAfter(next);
+        recordsMissed |= isBehindUnread(position);
         next = LogPosition.latest(next, position.plus(1));
+        recordRead = true;
         newestIsOfThisEra = record.era() == position.era();
         if (record.holder().equals(self)) {
             return;
@@ -146,6 +156,12 @@
         }
     }
 
+    /** Records of an era are read from its first one on, whatever was read of the era before. */
+    private boolean isBehindUnread(LogPosition position) {
+        long expected = next.era() == position.era() ? next.offset() : 0;
+        return position.offset() > expected;
+    }
+
     private void noteOtherHolder(LeaseRecord record, Moment now) {
         long termUntil = now.atLeastMillis() + Math.min(record.termMillis(), MAX_LEASE_MILLIS) + CLOCK_MARGIN_MILLIS;
         lastHolder = record.holder();
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/rollout/ReturnedLeaseTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/rollout/ReturnedLeaseTest.java
@@ -10,6 +10,8 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.rattanrudder.core.time.Moment;
 import org.rattanrudder.core.topics.LogPosition;
 
@@ -78,6 +80,32 @@
         assertThat(restarted.shouldAppend(at(1_000))).isTrue();
     }
 
+    /** Guards against engines that get no order for seconds after each start of a platform, and against two holders. */
+    @ParameterizedTest
+    @CsvSource({"0, true", "1, true", "2, false"})
+    void whoStartsAtALogWithoutRecordsWaitsOnlyIfItHasComeBack(long era, boolean atOnce) {
+        OrderLease lease = new OrderLease("a", "a-0", HANDOVER);
+        lease.advanceTo(LogPosition.startOf(era));
+        lease.onCaughtUp(at(1_000));
+
+        assertThat(lease.shouldAppend(at(1_000))).isEqualTo(atOnce);
+        assertThat(lease.mayName("e0", at(1_000))).isEqualTo(atOnce);
+    }
+
+    /** Guards against engines that wait for a holder which can't have ordered them, as a record seems to be missing. */
+    @Test
+    void theFirstRecordOfAnEraIsBehindNoOther() {
+        OrderLease lease = new OrderLease("a", "a-0", HANDOVER);
+        lease.advanceTo(LogPosition.startOf(1));
+        lease.onCaughtUp(at(500));
+
+        lease.onRecord(
+                LogPosition.startOf(1), new LeaseRecord("b-0", OrderLease.LEASE_MILLIS, List.of("e0"), 1), at(1_000));
+
+        assertThat(lease.mayName("e0", at(1_000))).isFalse();
+        assertThat(lease.mayName("e1", at(1_000))).isTrue();
+    }
+
     /** Guards against an append that is carried out only after a return, beside a holder whose record is lost. */
     @Test
     void anAppendOfTheEraBeforeTakesNoLease() {
