--- a/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/store/StoreReaderTest.java
+++ b/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/store/StoreReaderTest.java
@@ -11,41 +11,27 @@
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HttpString;
-import java.lang.reflect.Proxy;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.random.RandomGenerator;
 import java.util.stream.IntStream;
-import org.jboss.logging.Logger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.rattanrudder.core.model.Address;
 import org.rattanrudder.daemon.TestServer;
-import org.rattanrudder.daemon.logging.EventLog;
-import org.rattanrudder.daemon.loop.ClockSource;
-import org.rattanrudder.daemon.loop.MonotonicClock;
-import org.rattanrudder.daemon.loop.ProcessClock;
 import org.rattanrudder.daemon.relay.net.CallResult;
-import org.rattanrudder.daemon.relay.net.RelayChannels;
-import org.rattanrudder.daemon.relay.port.PlatformAdapter;
 import org.rattanrudder.daemon.relay.port.PlatformCall;
 import org.rattanrudder.daemon.relay.port.StoreDialect;
 import org.rattanrudder.daemon.relay.port.StoreDialect.Topic;
 import org.rattanrudder.daemon.relay.port.StoreRead;
-import org.rattanrudder.daemon.relay.process.RelayMetrics;
 import org.rattanrudder.daemon.relay.process.RelayState;
-import org.rattanrudder.document.RelaySettings;
-import org.rattanrudder.document.RelaySettings.Bounds;
 
 /** Reads of a relay that the store refuses, with peers that read for it or don't. */
 class StoreReaderTest {
@@ -317,52 +303,18 @@
 
     private void startRelay(HttpHandler storeHandler) {
         Address store = serverAt(storeHandler);
-        state = new RelayState(
-                settings(store),
-                answering(PlatformAdapter.class, Map.of("store", dialect(), "callersCompete", false)),
-                new ProcessClock(ClockSource.system()),
-                loop,
-                RelayChannels.connector(group),
-                new EventLog(Logger.getLogger(StoreReaderTest.class), new MonotonicClock()),
-                new RelayMetrics(),
-                RandomGenerator.of("L64X128MixRandom"));
+        state = TestRelayState.of(store, dialect(), group, loop);
         state.storeRoute().setPeers(() -> peers);
     }
 
     private static StoreDialect dialect() {
         PlatformCall call = new PlatformCall(HttpMethod.GET, "/", EmptyHttpHeaders.INSTANCE, new byte[0]);
-        return (StoreDialect) Proxy.newProxyInstance(
-                StoreDialect.class.getClassLoader(),
-                new Class<?>[] {StoreDialect.class},
-                (proxy, called, arguments) -> {
-                    if (called.getName().equals("readEra")) {
-                        String era = ((HttpHeaders) arguments[0]).get(STORE_ERA);
-                        return era == null ? OptionalLong.empty() : OptionalLong.of(Long.parseLong(era));
-                    }
-                    return call;
-                });
-    }
-
-    /** Returns an object each of whose methods returns the same object always, or null. */
-    private static <T> T answering(Class<T> type, Map<String, ?> answers) {
-        return type.cast(Proxy.newProxyInstance(
-                type.getClassLoader(),
-                new Class<?>[] {type},
-                (proxy, called, arguments) -> answers.get(called.getName())));
-    }
-
-    private static RelaySettings settings(Address store) {
-        return new RelaySettings(
-                "relay-1",
-                "north",
-                store,
-                store,
-                store,
-                store,
-                store,
-                new Bounds(0.2, 64, 10_000, 300, 15_000, 2_000, 2_000, 8_000, 1.5, 5),
-                Map.of(),
-                false,
-                Set.of());
+        return TestRelayState.answering(StoreDialect.class, (name, arguments) -> {
+            if (name.equals("readEra")) {
+                String era = ((HttpHeaders) arguments[0]).get(STORE_ERA);
+                return era == null ? OptionalLong.empty() : OptionalLong.of(Long.parseLong(era));
+            }
+            return call;
+        });
     }
 }
--- a/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/store/TopicConfirmationTest.java
+++ b/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/store/TopicConfirmationTest.java
@@ -10,40 +10,25 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HttpString;
-import java.lang.reflect.Proxy;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
-import java.util.random.RandomGenerator;
-import org.jboss.logging.Logger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.rattanrudder.core.model.Address;
 import org.rattanrudder.core.topics.LogPosition;
 import org.rattanrudder.daemon.TestServer;
-import org.rattanrudder.daemon.logging.EventLog;
-import org.rattanrudder.daemon.loop.ClockSource;
-import org.rattanrudder.daemon.loop.MonotonicClock;
-import org.rattanrudder.daemon.loop.ProcessClock;
-import org.rattanrudder.daemon.relay.net.RelayChannels;
-import org.rattanrudder.daemon.relay.port.PlatformAdapter;
 import org.rattanrudder.daemon.relay.port.PlatformCall;
 import org.rattanrudder.daemon.relay.port.StoreDialect;
 import org.rattanrudder.daemon.relay.port.StoreDialect.Topic;
 import org.rattanrudder.daemon.relay.port.StoreRead;
 import org.rattanrudder.daemon.relay.port.StoreResponse;
-import org.rattanrudder.daemon.relay.process.RelayMetrics;
 import org.rattanrudder.daemon.relay.process.RelayState;
-import org.rattanrudder.document.RelaySettings;
-import org.rattanrudder.document.RelaySettings.Bounds;
 
 /** Confirmations that are under way when the store comes back from an older copy. */
 class TopicConfirmationTest {
@@ -70,7 +55,7 @@
     void start() throws Exception {
         TestServer store = new TestServer(this::serve);
         closed.add(store);
-        state = state(store.address());
+        state = TestRelayState.of(store.address(), dialect(), group, loop);
         confirmation = new TopicConfirmation(
                 state, Topic.DESIRED_STATE, readPosition::get, () -> followerAsked.complete(null));
         closed.add(() -> loop.submit(confirmation::close).get());
@@ -174,23 +159,8 @@
         assertThat(result(confirmed)).isFalse();
     }
 
-    private RelayState state(Address store) {
-        return new RelayState(
-                settings(store),
-                proxy(
-                        PlatformAdapter.class,
-                        (name, arguments) -> Map.of("store", dialect(), "callersCompete", false)
-                                .get(name)),
-                new ProcessClock(ClockSource.system()),
-                loop,
-                RelayChannels.connector(group),
-                new EventLog(Logger.getLogger(TopicConfirmationTest.class), new MonotonicClock()),
-                new RelayMetrics(),
-                RandomGenerator.of("L64X128MixRandom"));
-    }
-
     private static StoreDialect dialect() {
-        return proxy(StoreDialect.class, (name, arguments) -> switch (name) {
+        return TestRelayState.answering(StoreDialect.class, (name, arguments) -> switch (name) {
             case "readEra" -> named((HttpHeaders) arguments[0]);
             case "readRecords" -> {
                 LogPosition end =
@@ -205,31 +175,4 @@
         String named = headers.get(ERA);
         return named == null ? OptionalLong.empty() : OptionalLong.of(Long.parseLong(named));
     }
-
-    /** Answers the calls of an object's methods, by their names and arguments. */
-    private interface Calls {
-        Object answer(String name, Object[] arguments);
-    }
-
-    private static <T> T proxy(Class<T> type, Calls calls) {
-        return type.cast(Proxy.newProxyInstance(
-                type.getClassLoader(),
-                new Class<?>[] {type},
-                (proxy, called, arguments) -> calls.answer(called.getName(), arguments)));
-    }
-
-    private static RelaySettings settings(Address store) {
-        return new RelaySettings(
-                "relay-1",
-                "north",
-                store,
-                store,
-                store,
-                store,
-                store,
-                new Bounds(0.2, 64, 10_000, 300, 15_000, 2_000, 2_000, 8_000, 1.5, 5),
-                Map.of(),
-                false,
-                Set.of());
-    }
 }
--- a/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/store/TopicFollowerTest.java
+++ b/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/store/TopicFollowerTest.java
@@ -7,7 +7,6 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
-import java.lang.reflect.Proxy;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -16,8 +15,6 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.random.RandomGenerator;
-import org.jboss.logging.Logger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -25,21 +22,12 @@
 import org.rattanrudder.core.time.Moment;
 import org.rattanrudder.core.topics.LogPosition;
 import org.rattanrudder.daemon.TestServer;
-import org.rattanrudder.daemon.logging.EventLog;
-import org.rattanrudder.daemon.loop.ClockSource;
-import org.rattanrudder.daemon.loop.MonotonicClock;
-import org.rattanrudder.daemon.loop.ProcessClock;
-import org.rattanrudder.daemon.relay.net.RelayChannels;
 import org.rattanrudder.daemon.relay.port.KeyedRecord;
-import org.rattanrudder.daemon.relay.port.PlatformAdapter;
 import org.rattanrudder.daemon.relay.port.PlatformCall;
 import org.rattanrudder.daemon.relay.port.StoreDialect;
 import org.rattanrudder.daemon.relay.port.StoreDialect.Topic;
 import org.rattanrudder.daemon.relay.port.StoreResponse;
-import org.rattanrudder.daemon.relay.process.RelayMetrics;
 import org.rattanrudder.daemon.relay.process.RelayState;
-import org.rattanrudder.document.RelaySettings;
-import org.rattanrudder.document.RelaySettings.Bounds;
 
 /** A follower of a topic that holds one record. */
 class TopicFollowerTest {
@@ -87,16 +75,7 @@
     }
 
     private RelayState state(Address store, EventLoop loop) {
-        StoreDialect dialect = answering(StoreDialect.class, storeAnswers());
-        return new RelayState(
-                settings(store),
-                answering(PlatformAdapter.class, Map.of("store", dialect, "callersCompete", false)),
-                new ProcessClock(ClockSource.system()),
-                loop,
-                RelayChannels.connector(group),
-                new EventLog(Logger.getLogger(TopicFollowerTest.class), new MonotonicClock()),
-                new RelayMetrics(),
-                RandomGenerator.of("L64X128MixRandom"));
+        return TestRelayState.of(store, TestRelayState.answering(StoreDialect.class, storeAnswers()), group, loop);
     }
 
     private static Map<String, Object> storeAnswers() {
@@ -113,29 +92,6 @@
                 new StoreResponse.Records(List.of(), END, END));
     }
 
-    /** Returns an object each of whose methods returns the same object always, or null. */
-    private static <T> T answering(Class<T> type, Map<String, ?> answers) {
-        return type.cast(Proxy.newProxyInstance(
-                type.getClassLoader(),
-                new Class<?>[] {type},
-                (proxy, called, arguments) -> answers.get(called.getName())));
-    }
-
-    private static RelaySettings settings(Address store) {
-        return new RelaySettings(
-                "relay-1",
-                "north",
-                store,
-                store,
-                store,
-                store,
-                store,
-                new Bounds(0.2, 64, 10_000, 300, 15_000, 2_000, 2_000, 8_000, 1.5, 5),
-                Map.of(),
-                false,
-                Set.of());
-    }
-
     /** Fails to handle the first record or the first listing. */
     private static final class OverflowingOnce implements TopicListener {
         private final List<KeyedRecord> handled = new ArrayList<>();
