Take no era from a peer that is out of range

A peer's answer was read as an unsigned number of any size: one odd header, or one that is negative as a signed number, would have had all answers of the store count as older, or positions below 0. The bound is the one for the store's own header. Found by reading; PeerReadFormatTest has ten new cases, not run against the code before.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/PeerReadFormat.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/PeerReadFormat.java
@@ -8,6 +8,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.stream.LongStream;
+import org.rattanrudder.core.rollout.LeaseTokens;
 import org.rattanrudder.daemon.relay.net.CallResult;
 import org.rattanrudder.daemon.relay.port.PlatformCall;
 import org.rattanrudder.daemon.relay.port.StoreDialect.Topic;
@@ -50,9 +52,11 @@
         if (!(result instanceof CallResult.Answered answered)) {
             return OptionalLong.empty();
         }
-        String era = answered.response().headers().get(ERA);
+        String era = answered.response().headers().get(ERA, "");
         try {
-            return era == null ? OptionalLong.empty() : OptionalLong.of(Long.parseUnsignedLong(era.trim()));
+            return LongStream.of(Long.parseLong(era.trim()))
+                    .filter(named -> named >= 0 && named <= LeaseTokens.MAX_ERA)
+                    .findFirst();
         } catch (NumberFormatException unreadable) {
             return OptionalLong.empty();
         }
--- a/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/store/PeerReadFormatTest.java
+++ b/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/store/PeerReadFormatTest.java
@@ -2,7 +2,10 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
 import java.util.Optional;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -10,6 +13,7 @@
 import net.jqwik.api.constraints.LongRange;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.rattanrudder.daemon.relay.net.CallResult;
 import org.rattanrudder.daemon.relay.port.PlatformCall;
 import org.rattanrudder.daemon.relay.port.StoreDialect.Topic;
 import org.rattanrudder.daemon.relay.port.StoreRead;
@@ -66,4 +70,25 @@
         assertThat(PeerReadFormat.parse(HttpMethod.valueOf(method), "/newest?topic=TARGETS"))
                 .isEmpty();
     }
+
+    /** Guards against an odd era of a peer after which all answers of the store would count as older. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "x", "1.5", "-1", "2097152", "9223372036854775807", "18446744073709551615"})
+    void anEraThatIsOutOfRangeIsNone(String era) {
+        DefaultHttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+        response.headers().set("Log-Era", era);
+
+        assertThat(PeerReadFormat.readEra(new CallResult.Answered(response, new byte[0])))
+                .isEmpty();
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {0, 7, 2_097_151})
+    void anEraIsReadAsWritten(long era) {
+        DefaultHttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+        PeerReadFormat.writeEra(response, era);
+
+        assertThat(PeerReadFormat.readEra(new CallResult.Answered(response, new byte[0])))
+                .hasValue(era);
+    }
 }
