--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/quarantine/QuarantineExchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/quarantine/QuarantineExchange.java
@@ -226,7 +226,7 @@
         @Override
         public void onNewEra() {
             forgetOldCrashes();
-            writtenCrashes.forEach(written -> unwrittenCrashes.add(written.crash()));
+            writtenCrashes.forEach(written -> addUnwritten(written.crash()));
             writtenCrashes.clear();
         }
 
@@ -271,11 +271,15 @@
                 .limitedTo(MAX_CRASH_CHARACTERS);
         logCrash(target, crash);
         applyAndLog(() -> quarantine.onCrash(crash, true, state.nowMillis()), "self");
+        addUnwritten(crash);
+        write();
+    }
+
+    private void addUnwritten(TargetCrash crash) {
         unwrittenCrashes.add(crash);
         if (unwrittenCrashes.size() > MAX_UNWRITTEN_CRASHES) {
             unwrittenCrashes.remove(0);
         }
-        write();
     }
 
     private void logUnconfirmed(Target target, CrashDetector.UnconfirmedCrash crash) {
