End an evacuation that a listing lacks only by an answer that is proof

An answer that names no era, though eras are known, may be of an older copy: it ended evacuations that the copy lacks. It ends them as the listing's proof comes now, at one place.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/rollout/OrderLease.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/rollout/OrderLease.java
@@ -45,7 +45,7 @@
     private static final long LONG_AGO = Long.MIN_VALUE / 2;
 
     /** A log that has never come back is in era 0 or 1, so that a log without records there has lost none. */
-    private static final long LAST_FIRST_ERA = 1;
+    private static final long MAX_INITIAL_ERA = 1;
 
     /** Stands for a process of which no record was read. */
     private static final String UNREAD_HOLDER = "unread";
@@ -111,7 +111,7 @@
 
     /** Returns whether the log may have come back without records of holders since the newest that was read. */
     private boolean mayLackRecords() {
-        return recordRead ? !newestIsOfThisEra : end.era() > LAST_FIRST_ERA;
+        return recordRead ? !newestIsOfThisEra : end.era() > MAX_INITIAL_ERA;
     }
 
     /** Handles that the log has come back from an older copy, of which nothing was read. */
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/topics/LogEra.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/topics/LogEra.java
@@ -57,12 +57,7 @@
      * @param askedAtMillis when it was asked for, by the same clock as the answers
      */
     public boolean isProof(OptionalLong named, long askedAtMillis) {
-        return (named.isPresent() || current == 0) && isSettled(askedAtMillis);
-    }
-
-    /** Returns whether what was lost by the last return has had time to be written again, at a time of that clock. */
-    public boolean isSettled(long atMillis) {
-        return atMillis - returnedAt >= REWRITE_MILLIS;
+        return (named.isPresent() || current == 0) && askedAtMillis - returnedAt >= REWRITE_MILLIS;
     }
 
     /** Returns the newest era that was named, from 0. */
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/StoreEra.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/process/StoreEra.java
@@ -40,11 +40,6 @@
         return era.current();
     }
 
-    /** Returns whether what was lost by the last return has had time to be written again when a read was asked for. */
-    public boolean isSettled(Moment askedAt) {
-        return era.isSettled(askedAt.atLeastMillis());
-    }
-
     /** Returns whether an answer that names an era can show that nothing was unread when it was asked for. */
     public boolean isProof(OptionalLong named, Moment askedAt) {
         return era.isProof(named, askedAt.atLeastMillis());
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/DesiredStateListener.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/store/DesiredStateListener.java
@@ -233,9 +233,6 @@
         caughtUp = true;
         listedEvacuations =
                 Optional.of(new ListedEvacuations(state.platform().store().evacuatedDomains(keys), end));
-        if (state.storeEra().isSettled(askedAt)) {
-            endUnlistedEvacuations();
-        }
     }
 
     /** What an older copy of the store lacks may be written again: an evacuation ends once there was time for it. */
