--- a/review/4/ManyParts.java
+++ b/review/4/ManyParts.java
@@ -189,9 +189,9 @@
             }
             long taken = (System.nanoTime() - sent) / 1_000_000;
             postsTaken.add(taken);
+            record.line("post " + id + " got " + got + " after " + taken + " ms");
             if (taken > TIMEOUT_MILLIS) {
                 unansweredAtTimeout.incrementAndGet();
-                record.line("post " + id + " got " + got + " after " + taken + " ms");
             }
             if (taken > LATE_MILLIS) {
                 unansweredLater.incrementAndGet();
@@ -227,8 +227,9 @@
     }
 
     private void post(Message request, Channel channel) throws Exception {
-        Thread.sleep(POST_WORK_MILLIS);
         String id = request.header("x-request-id");
+        record.line("a plain server runs " + id);
+        Thread.sleep(POST_WORK_MILLIS);
         String body = "done " + id;
         channel.write("HTTP/1.1 200 OK\nX-Request-Id: " + id + "\nX-Response-Signature: 3e1b.07." + id
                 + "\nX-Server-Load: 1,0,6\nContent-Length: " + body.length() + "\n\n" + body);
