--- a/review/6/TornCopy.java
+++ b/review/6/TornCopy.java
@@ -11,23 +11,24 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * One of three servers begins, now and then, to send a second copy of its answer right behind it, and stops after the
- * text of the status line. Some of the next requests fail at that server.
+ * One of three servers begins, now and then, to send a second copy of its answer right behind it, always behind one
+ * that it has failed, and stops anywhere in the head of the copy.
  */
 public final class TornCopy {
     private static final String[] ZONES = {"depo-sever", "depo-juh", "depo-stred"};
-    private static final int CLIENTS = 24;
-    private static final long PAUSE_MILLIS = 40;
+    private static final int CLIENTS = 40;
+    private static final long PAUSE_MILLIS = 25;
     private static final long WORK_MILLIS = 20;
-    private static final String BEGINNING = "HTTP/1.1 200 OK";
-
-    /** The share of fetches that a server fails, with the disruption and without, as on the sheet of the site. */
-    private static final double FAILED_SHARE = 0.14;
+    /** The share of posts that a server fails, with the disruption and without, as in the site file for log-post. */
+    private static final double FAILED_SHARE = 0.004;
 
     /** The disruption: at one server of three, for 5 s, 2 in 100 of its answers at the most. */
     private static final double MOST_DOUBLED = 0.02;
 
-    private static final int WINDOWS = 5;
+    /** Behind how many of its other answers than failures it begins a copy. */
+    private static final double DOUBLED_OTHERS = 0.004;
+
+    private static final int WINDOWS = 8;
     private static final long CALM_MILLIS = 3_000;
 
     private static final long TROUBLE_MILLIS = 5_000;
@@ -105,16 +106,18 @@
     private int judge(Relay relay) {
         int mixed = 0;
         for (Map.Entry<String, Message> answer : answers.entrySet()) {
-            int status = answer.getValue().status();
-            String got = status + " " + answer.getValue().text();
-            if (status / 100 == 2 && !made.getOrDefault(answer.getKey(), List.of()).contains(got)) {
+            String signature = answer.getValue().header("x-response-signature");
+            String got = answer.getValue().status() + " " + answer.getValue().text();
+            boolean success = answer.getValue().status() / 100 == 2;
+            // A success must be what a server gave; so must the status of a failure that bears a server's signature.
+            if ((success || signature != null)
+                    && !made.getOrDefault(answer.getKey(), List.of()).contains(got)) {
                 mixed++;
-                record.line("MIXED: " + answer.getKey() + " got a success, \"" + got + "\" signed "
-                        + answer.getValue().header("x-response-signature") + ", and its servers had answered "
-                        + made.get(answer.getKey()));
+                record.line("MIXED: " + answer.getKey() + " got \"" + got + "\" signed " + signature
+                        + ", and its servers had answered " + made.get(answer.getKey()));
             }
         }
-        record.line(answers.size() + " answers, " + mixed + " successes that no server has given; relay alive: "
+        record.line(answers.size() + " answers, " + mixed + " signed answers that no server has given; relay alive: "
                 + relay.isAlive());
         if (answers.size() < 1_000 || !relay.isAlive()) {
             return relay.isAlive() ? 2 : 1;
@@ -131,7 +134,7 @@
                     channel = Channel.to(relay.callers());
                     channel.socket.setSoTimeout(3_000);
                 }
-                channel.write(Site.request("GET", "/fetch/2f", id, 1500, "", ""));
+                channel.write(Site.request("POST", "/post/2f", id, 1500, "", "entry " + id));
                 Message answer = Message.read(channel.in);
                 if (answer != null) {
                     answers.put(id, answer);
@@ -164,17 +167,21 @@
         String body = (fails ? "no entry for " : "entry for ") + id;
         made.computeIfAbsent(id, unseen -> new CopyOnWriteArrayList<>()).add(status.substring(0, 3) + " " + body);
         record.line("server " + server + " answers " + id + " with " + status);
+        String head = "HTTP/1.1 " + status + "\nX-Request-Id: " + id + "\nX-Response-Signature: 3e1b.07." + id
+                + "\nX-Server-Load: 1,0,6\nContent-Length: " + body.length() + "\n\n";
         boolean begun = false;
         if (server == 0) {
             answered.incrementAndGet();
-            begun = faulty && !fails && doubled.get() < MOST_DOUBLED * answered.get();
+            begun = faulty
+                    && doubled.get() < MOST_DOUBLED * answered.get()
+                    && (fails || random.nextDouble() < DOUBLED_OTHERS);
         }
+        String copy = begun ? head.substring(0, 1 + random.nextInt(head.length() - 1)) : "";
         if (begun) {
             doubled.incrementAndGet();
-            record.line("server " + server + " begins a second copy of its answer to " + id);
+            record.line("server " + server + " begins a second copy of its answer to " + id + ", " + copy.length()
+                    + " of the " + head.length() + " characters of its head");
         }
-        channel.write("HTTP/1.1 " + status + "\nX-Request-Id: " + id + "\nX-Response-Signature: 3e1b.07." + id
-                + "\nX-Server-Load: 1,0,6\nContent-Length: " + body.length() + "\n\n" + body
-                + (begun ? BEGINNING : ""));
+        channel.write(head + body + copy);
     }
 }
