Take no head for an answer that parts of two answers may have made

Cause: a target began a second answer behind a whole one and stopped within a line. The connection was kept, and the next answer ran on in that line; the decoder took "HTTP/1.1 500 Internal SeHTTP/1.1 200 OK" for a status line. Only decoded messages were noticed as extra bytes.

Change: StrictResponseDecoder rejects a status line whose version isn't HTTP/1.0 or 1.1, whose status isn't three digits, or whose reason holds another status line; a header's value that holds one; and a head with two framing headers, IDs, signatures or the like. A connection isn't kept while a part of a message has arrived on it. The first holds wherever the beginning arrives, the second only saves a failed request.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/net/BoundedHeaders.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/net/BoundedHeaders.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpHeadersFactory;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import org.rattanrudder.wire.http.StatusLines;
 
 /**
  * The headers, or trailers, of a response, of a bounded number.
@@ -18,7 +19,17 @@
     static final int MAX_LINES = 128;
 
     private BoundedHeaders(DefaultHttpHeadersFactory rules) {
-        super(rules.getNameValidator(), rules.getValueValidator());
+        super(rules.getNameValidator(), value -> {
+            rules.getValueValidator().validate(value);
+            rejectStatusLine(value);
+        });
+    }
+
+    /** A line that was cut runs on into the next response, see {@link StrictResponseDecoder}. */
+    private static void rejectStatusLine(CharSequence value) {
+        if (StatusLines.isWithin(value)) {
+            throw new IllegalArgumentException("a status line in a header's value");
+        }
     }
 
     /** Returns the configuration of a decoder of responses. */
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/port/RequestDialect.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/port/RequestDialect.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import java.util.Set;
 import org.rattanrudder.core.gateway.RequestMetadata;
 
 /** Translates requests and responses. */
@@ -20,6 +21,9 @@
     /** Parses the head of a target's response. */
     ResponseMetadata read(HttpResponse answer);
 
+    /** Returns the names of the headers that say which request a response is for and how it went: none comes twice. */
+    Set<String> singleResponseHeaders();
+
     /** Returns the headers of a response as sent to the caller, without those that frame its body. */
     HttpHeaders forCaller(HttpHeaders fromTarget);
 
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/targets/TargetConnection.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/targets/TargetConnection.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.rattanrudder.core.gateway.ResponseEnd;
+import org.rattanrudder.daemon.relay.net.StrictResponseDecoder;
 import org.rattanrudder.daemon.relay.port.RequestDialect;
 import org.rattanrudder.daemon.relay.port.ResponseMetadata;
 
@@ -51,6 +52,7 @@
 
     private final Channel channel;
     private final RequestDialect dialect;
+    private final StrictResponseDecoder decoder;
     private final Consumer<TargetConnection> onIdle;
     private final ReadTurns turns;
     private final GatheredContent gathered = new GatheredContent();
@@ -78,6 +80,12 @@
         this.dialect = dialect;
         this.turns = turns;
         this.onIdle = whenFree;
+        decoder = new StrictResponseDecoder(dialect.singleResponseHeaders(), this::isHeadRequest);
+    }
+
+    /** Returns the decoder of the responses on this connection. */
+    StrictResponseDecoder decoder() {
+        return decoder;
     }
 
     boolean isActive() {
@@ -97,8 +105,7 @@
         idleSince = nowMillis;
     }
 
-    /** Returns whether the current request is a HEAD request, whose response has no body whatever its headers say. */
-    boolean isHeadRequest() {
+    private boolean isHeadRequest() {
         return headRequest;
     }
 
@@ -295,7 +302,8 @@
         if (!complete || !channel.isActive()) {
             return;
         }
-        if (!keepAlive || end instanceof ResponseEnd.ConnectionClosed || !requestWritten) {
+        boolean reusable = keepAlive && requestWritten && !(end instanceof ResponseEnd.ConnectionClosed);
+        if (!reusable || decoder.isWithinMessage()) {
             channel.close();
             return;
         }
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/targets/TargetPools.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/targets/TargetPools.java
@@ -5,11 +5,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestEncoder;
-import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseDecoder;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -23,7 +19,6 @@
 import org.rattanrudder.core.fleet.DialTimeout;
 import org.rattanrudder.core.fleet.Target;
 import org.rattanrudder.core.model.Address;
-import org.rattanrudder.daemon.relay.net.BoundedHeaders;
 import org.rattanrudder.daemon.relay.net.ClosedResponseGuard;
 import org.rattanrudder.daemon.relay.net.InactivityTimer;
 import org.rattanrudder.daemon.relay.net.RawByteCounter;
@@ -189,7 +184,7 @@
                         channel.pipeline()
                                 .addLast(
                                         new RawByteCounter(created[0]::onBytesRead),
-                                        new ResponseDecoder(created[0]),
+                                        created[0].decoder(),
                                         new HttpRequestEncoder(),
                                         new ClosedResponseGuard(),
                                         created[0]);
@@ -263,22 +258,4 @@
         }
         return old;
     }
-
-    /** Decodes responses; one to a HEAD request has no body whatever its headers say. */
-    private static final class ResponseDecoder extends HttpResponseDecoder {
-        private final TargetConnection connection;
-
-        ResponseDecoder(TargetConnection connection) {
-            super(BoundedHeaders.decoderConfiguration());
-            this.connection = connection;
-        }
-
-        @Override
-        protected boolean isContentAlwaysEmpty(HttpMessage message) {
-            boolean ofHead = connection.isHeadRequest()
-                    && message instanceof HttpResponse response
-                    && response.status().code() >= HttpResponseStatus.OK.code();
-            return ofHead || super.isContentAlwaysEmpty(message);
-        }
-    }
 }
--- a/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/serving/LocalRepliesTest.java
+++ b/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/serving/LocalRepliesTest.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.DoubleSummaryStatistics;
+import java.util.Set;
 import java.util.random.RandomGeneratorFactory;
 import java.util.stream.DoubleStream;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -58,6 +59,11 @@
             throw new UnsupportedOperationException();
         }
 
+        @Override
+        public Set<String> singleResponseHeaders() {
+            return Set.of();
+        }
+
         @Override
         public HttpHeaders forCaller(HttpHeaders fromTarget) {
             return fromTarget;
