Take no part of an earlier answer for the answer to a call

What was seen: a whole second answer to a report counted as the answer to the order that followed it at once, and "HTTP/1.1 200 " in front of a 202 made it a 200.

Change: a call ends once all that arrived with its answer was read; its connection is kept only if that was all part of the answer. On a kept connection, an answer with bytes behind it is none. Calls other than GET, whose answers carry no ID and may be the only proof of an order or an append, get a connection of their own.

What is left: a whole second answer to a GET that arrives alone, once the next GET was sent.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/net/HttpCallClient.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/net/HttpCallClient.java
@@ -12,9 +12,10 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
@@ -40,6 +41,12 @@
  * <p>What has arrived of a response counts in the budget of held bytes until its call has ended; a call whose response
  * finds no room fails with the reason {@code no_room}.
  *
+ * <p>A server may send a response twice, and responses to calls bear no ID. So a call other than GET, whose response
+ * may be the only proof that something was done, gets a connection of its own; a connection is reused only once all
+ * that arrived with a response was read and was part of it; a response on a reused connection counts only if nothing
+ * arrives with it; and a head that two responses may have made is no response ({@link StrictResponseDecoder}). A whole
+ * second response to a GET that arrives alone, after the next GET was sent, isn't told from the response to that one.
+ *
  * <p>A response may go on without end, in its head, between interim responses, in its body or behind it. The timeout
  * bounds how long a call reads it, and a limit how much; bytes that arrive while no call is in flight close the
  * connection.
@@ -125,15 +132,14 @@
 
     private void initializePipeline(ChannelPipeline pipeline) {
         Channel opened = pipeline.channel();
+        StrictResponseDecoder decoder = new StrictResponseDecoder();
         pipeline.addLast(
                 new RawByteCounter(count -> onBytesRead(opened, count)),
-                new HttpClientCodec(
-                        BoundedHeaders.decoderConfiguration(),
-                        HttpClientCodec.DEFAULT_PARSE_HTTP_AFTER_CONNECT_REQUEST,
-                        HttpClientCodec.DEFAULT_FAIL_ON_MISSING_RESPONSE),
+                decoder,
+                new HttpRequestEncoder(),
                 new ClosedResponseGuard(),
                 new HttpObjectAggregator(maxResponseBytes),
-                new ResponseHandler());
+                new ResponseHandler(decoder));
     }
 
     /** Records raw bytes before they are decoded; returns whether to decode them. */
@@ -210,6 +216,9 @@
             closeConnection();
             connectedTo = current;
         }
+        if (!call.method().equals(HttpMethod.GET)) {
+            closeConnection();
+        }
         if (channel != null && channel.isActive()) {
             write(call);
             return;
@@ -287,25 +296,71 @@
 
     /** Handles the responses on a connection. */
     private final class ResponseHandler extends SimpleChannelInboundHandler<FullHttpResponse> {
+        private final StrictResponseDecoder decoder;
+
+        /** The response to the call in flight, until all that arrived with it was read; null before. */
+        private CallResult.Answered answered;
+
+        private boolean keepAlive;
+        private boolean hasExtraMessage;
+        private boolean reused;
+
+        ResponseHandler(StrictResponseDecoder decoder) {
+            this.decoder = decoder;
+        }
+
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
             if (context.channel() != channel || pendingCallback == null) {
                 context.close();
                 return;
             }
+            if (answered != null) {
+                hasExtraMessage = true;
+                return;
+            }
+            if (!response.decoderResult().isSuccess()) {
+                complete(new CallResult.Unanswered("malformed"), true);
+                return;
+            }
             if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
                 return;
             }
-            byte[] body = ByteBufUtil.getBytes(response.content());
             HttpResponse head =
                     new DefaultHttpResponse(response.protocolVersion(), response.status(), response.headers());
-            boolean whole = response.decoderResult().isSuccess();
-            boolean keep = whole && HttpUtil.isKeepAlive(response);
-            complete(whole ? new CallResult.Answered(head, body) : new CallResult.Unanswered("malformed"), !keep);
+            answered = new CallResult.Answered(head, ByteBufUtil.getBytes(response.content()));
+            keepAlive = HttpUtil.isKeepAlive(response);
+        }
+
+        @Override
+        public void channelReadComplete(ChannelHandlerContext context) {
+            if (context.channel() == channel) {
+                completeAnswered();
+            }
+            context.fireChannelReadComplete();
+        }
+
+        private void completeAnswered() {
+            if (answered == null) {
+                return;
+            }
+            CallResult.Answered whole = answered;
+            answered = null;
+            boolean extraBytes = hasExtraMessage || decoder.isWithinMessage();
+            if (extraBytes && reused) {
+                // A response to an earlier call may be in front of the one to this call.
+                complete(new CallResult.Unanswered("ambiguous"), true);
+                return;
+            }
+            reused = true;
+            complete(whole, !keepAlive || extraBytes);
         }
 
         @Override
         public void channelInactive(ChannelHandlerContext context) {
+            if (context.channel() == channel) {
+                completeAnswered();
+            }
             if (context.channel() == channel) {
                 channel = null;
                 complete(new CallResult.Unanswered("closed"), false);
@@ -315,6 +370,9 @@
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
             // Before the close: to the decoder, that is the end of a body that only its connection ends.
+            if (context.channel() == channel) {
+                completeAnswered();
+            }
             if (context.channel() == channel) {
                 complete(new CallResult.Unanswered(cause instanceof IOException ? "reset" : "malformed"), true);
             }
