Send no request ID twice on one connection

Cause: a request that a target has shed comes to it again, once no other target could be reached, and got the connection of its first try from the pool. A late second copy of the first refusal bears the right ID: an ID tells requests apart and not attempts.

That is the one place through which repeats after a refusal or a 421, hedges and resumed streams go; orders have connections of their own.

Cost: a new connection only where the only idle ones carried the very ID.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/Exchange.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/serving/Exchange.java
@@ -189,7 +189,7 @@
         target.onSent(expected, state.nowMillis());
         target.reserveSend(state.nowMillis());
         components.placements().recordPlacement(target);
-        components.pools().acquire(target, repeatable, opened -> {
+        components.pools().acquire(target, plan.id(), repeatable, opened -> {
             target.onEnded(expected, false);
             onConnected(target, opened);
         });
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/targets/TargetConnection.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/targets/TargetConnection.java
@@ -27,7 +27,8 @@
  * A connection to a target that carries one request at a time.
  *
  * <p>Nothing that it reads is trusted. A second response to an earlier request may arrive where the next response is
- * due: a response with the ID of another request is skipped. Bytes that arrive while no request is in flight close the
+ * due: a response with the ID of another request is skipped. An ID tells requests apart and not attempts, so no ID is
+ * sent twice on one connection ({@link #hasSent}). Bytes that arrive while no request is in flight close the
  * connection. Where a body declares no end, an orderly close of the connection ends it, and a reset breaks it off;
  * {@link org.rattanrudder.daemon.relay.net.ClosedResponseGuard} tells the two apart where the target didn't take the
  * request. A response may arrive before its request was sent in full: the connection isn't reused then, since the
@@ -52,6 +53,7 @@
 
     private final Channel channel;
     private final RequestDialect dialect;
+    private final SentIds sentIds = new SentIds();
     private final StrictResponseDecoder decoder;
     private final Consumer<TargetConnection> onIdle;
     private final ReadTurns turns;
@@ -109,10 +111,16 @@
         return headRequest;
     }
 
+    /** Returns whether a request with an ID may have been sent on this connection. */
+    boolean hasSent(String id) {
+        return sentIds.mayContain(id);
+    }
+
     /** Sends a request and takes ownership of the body. */
     public void send(HttpRequest request, ByteBuf body, String id, ResponseSink answers) {
         sink = answers;
         requestId = id;
+        sentIds.add(id);
         headRequest = request.method().equals(HttpMethod.HEAD);
         requestWritten = false;
         inResponse = false;
@@ -302,7 +310,8 @@
         if (!complete || !channel.isActive()) {
             return;
         }
-        boolean reusable = keepAlive && requestWritten && !(end instanceof ResponseEnd.ConnectionClosed);
+        boolean reusable =
+                keepAlive && requestWritten && !sentIds.isFull() && !(end instanceof ResponseEnd.ConnectionClosed);
         if (!reusable || decoder.isWithinMessage()) {
             channel.close();
             return;
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/targets/TargetPools.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/targets/TargetPools.java
@@ -12,6 +12,7 @@
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -102,28 +103,41 @@
     }
 
     /**
-     * Acquires a connection: an idle one at once, or a new one later.
+     * Acquires a connection on which no request with an ID was sent: an idle one at once, or a new one later.
      *
+     * @param id the ID of the request
      * @param repeatable whether the request may be repeated if the connection turns out to be closed
      * @param then called once: with a connection, or with null if none could be opened
      */
-    public void acquire(Target target, boolean repeatable, Consumer<TargetConnection> then) {
-        long nowMillis = clock.getAsLong();
+    public void acquire(Target target, String id, boolean repeatable, Consumer<TargetConnection> then) {
         Pool pool = pools.computeIfAbsent(target, unseen -> new Pool());
         noticeClosed(target, pool);
-        while (!pool.idle.isEmpty()) {
-            TargetConnection connection = pool.idle.pollLast();
-            if (connection.isActive() && isReusable(connection, repeatable, nowMillis)) {
-                then.accept(connection);
-                return;
-            }
-            connection.abort();
+        Optional<TargetConnection> idle = takeIdle(pool, id, repeatable);
+        if (idle.isPresent()) {
+            then.accept(idle.get());
+            return;
         }
         PendingAcquire pending = new PendingAcquire(then);
         dial(target, pool, pending, found -> {});
         InactivityTimer.start(loop, () -> onDialTimeout(target, pending), dialTimeout.millis());
     }
 
+    /** Takes the connection that was used last of those that fit; those that can't be reused are closed. */
+    private Optional<TargetConnection> takeIdle(Pool pool, String id, boolean repeatable) {
+        long nowMillis = clock.getAsLong();
+        for (Iterator<TargetConnection> latest = pool.idle.descendingIterator(); latest.hasNext(); ) {
+            TargetConnection connection = latest.next();
+            if (!connection.isActive() || !isReusable(connection, repeatable, nowMillis)) {
+                latest.remove();
+                connection.abort();
+            } else if (!connection.hasSent(id)) {
+                latest.remove();
+                return Optional.of(connection);
+            }
+        }
+        return Optional.empty();
+    }
+
     /** Has the target's software count as unknown if its process may have ended while no request was at it. */
     private void noticeClosed(Target target, Pool pool) {
         if (pool.isClosedByTarget()) {
