--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/quarantine/Quarantine.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/quarantine/Quarantine.java
@@ -56,9 +56,6 @@
     /** How long a response has to go on until it shows that its beginning crashes no target. */
     public static final long RUNNING_MILLIS = 500;
 
-    /** Age from which on a record is removed since its quarantine is over; relays hear of it at different times. */
-    private static final long EXPIRING_MILLIS = QUARANTINE_MILLIS - TimeUnit.MINUTES.toMillis(1);
-
     /** How often causes are worked out anew for responses: each takes a look at all reports. */
     private static final long MIN_UPDATE_MILLIS = 100;
 
@@ -67,8 +64,7 @@
 
     private final CrashEvidence evidence = new CrashEvidence();
     private final AnsweredFeatures answers = new AnsweredFeatures();
-    private final Map<Cause, Adopted> adopted = new HashMap<>();
-    private final Map<Cause, Long> lapsed = new HashMap<>();
+    private final AdoptedCauses adopted = new AdoptedCauses(answers);
     private final CauseRecords records = new CauseRecords();
     private final CauseTrials trials = new CauseTrials();
     private final AnswersToTell answersToTell = new AnswersToTell();
@@ -80,9 +76,6 @@
     private long answeredUpdateAt = Long.MIN_VALUE / 2;
     private boolean stale;
 
-    /** A cause that this relay knows from a shared record. */
-    private record Adopted(long sinceMillis, boolean foundAtStart) {}
-
     /**
      * Records the crash of a target. A report that was recorded before adds nothing: it may be read again.
      *
@@ -91,12 +84,7 @@
     public void onCrash(TargetCrash crash, boolean seenLocally, long nowMillis) {
         List<TargetCrash.SuspectRequest> requests = evidence.newRequests(crash);
         evidence.add(crash, seenLocally, true, nowMillis);
-        for (Cause cause : List.copyOf(lapsed.keySet())) {
-            if (requests.stream().anyMatch(request -> isMatchedAgain(cause, request.features(), nowMillis))) {
-                lapsed.remove(cause);
-                adopted.put(withoutAnswered(cause, nowMillis), new Adopted(nowMillis, seenLocally));
-            }
-        }
+        adopted.onCrash(requests, seenLocally, nowMillis);
         update();
     }
 
@@ -167,13 +155,12 @@
     }
 
     private boolean isSuspected(Feature feature) {
-        return finder.crashesByFeature().containsKey(feature)
-                || adopted.keySet().stream().anyMatch(cause -> cause.features().contains(feature));
+        return finder.crashesByFeature().containsKey(feature) || adopted.hasFeature(feature);
     }
 
     private void tell(FeatureAnswer answer, long nowMillis) {
         List<Crash> crashes = finder.crashesByFeature().getOrDefault(answer.feature(), List.of());
-        boolean blamed = Stream.concat(found.stream().map(Found::cause), adopted.keySet().stream())
+        boolean blamed = Stream.concat(found.stream().map(Found::cause), adopted.causes().stream())
                 .anyMatch(cause -> cause.features().contains(answer.feature()));
         if (!blamed && crashes.size() < TOLD_CRASHES) {
             return;
@@ -201,19 +188,7 @@
 
     /** Removes answered features from the causes of shared records. */
     private void removeAnswered(Collection<Feature> features, long sentAt, boolean ownAnswer) {
-        for (Map.Entry<Cause, Adopted> entry : List.copyOf(adopted.entrySet())) {
-            Cause cause = entry.getKey();
-            boolean innocent =
-                    !cause.answeredBefore() || sentAt >= entry.getValue().sinceMillis();
-            Cause left = cause.without(features);
-            if (!innocent || left.equals(cause)) {
-                continue;
-            }
-            adopted.remove(cause);
-            if (left.isSpecific()) {
-                adopted.put(left, entry.getValue());
-            }
-        }
+        adopted.removeAnswered(features, sentAt);
         if (ownAnswer) {
             records.withdrawIf(cause ->
                     features.stream().anyMatch(cause.features()::contains) && (cause.anyOf() || !isLeft(cause)));
@@ -268,9 +243,9 @@
         if (isFound(cause) || records.isToWithdraw(cause)) {
             return;
         }
-        Cause left = cause.answeredBefore() ? cause : withoutAnswered(cause, nowMillis);
+        Cause left = cause.answeredBefore() ? cause : adopted.withoutAnswered(cause, nowMillis);
         if (left.isSpecific()) {
-            adopted.putIfAbsent(left, new Adopted(nowMillis, foundAtStart));
+            adopted.adopt(left, foundAtStart, nowMillis);
         } else {
             records.withdraw(cause);
         }
@@ -284,7 +259,7 @@
     public void onRecordWritten(Cause cause) {
         records.withdrawIf(each -> !isFound(each) && each.features().containsAll(cause.features()));
         records.onWritten(cause);
-        if (!isFound(cause) && !adopted.containsKey(cause) && !isLeft(cause)) {
+        if (!isFound(cause) && !adopted.contains(cause) && !isLeft(cause)) {
             records.withdraw(cause);
         }
     }
@@ -292,16 +267,13 @@
     /** Handles that another relay has withdrawn its record, since the cause is another one or its time has passed. */
     public void onRecordWithdrawn(Cause cause, long nowMillis) {
         records.onWithdrawn(cause);
-        Adopted known = adopted.remove(cause);
-        if (known != null && nowMillis - known.sinceMillis() >= EXPIRING_MILLIS) {
-            lapsed.put(cause, nowMillis);
-        }
+        adopted.onRecordWithdrawn(cause, nowMillis);
     }
 
     /** Handles a release by hand: requests may be sent again, and their next crash quarantines them anew. */
     public void onReleased(Cause cause, long nowMillis) {
         onRecordWithdrawn(cause, nowMillis);
-        lapsed.put(cause, nowMillis);
+        adopted.lapse(cause, nowMillis);
         update();
     }
 
@@ -313,22 +285,20 @@
     /** Forgets what is too old, and lifts quarantines whose time has passed. */
     public void expire(long nowMillis) {
         boolean changed = evidence.removeBefore(nowMillis - 2 * QUARANTINE_MILLIS) || stale;
-        lapsed.values().removeIf(since -> nowMillis - since >= QUARANTINE_MILLIS);
+        adopted.expireLapsed(nowMillis);
         answersToTell.expire(nowMillis);
         trials.expire(nowMillis);
-        for (Map.Entry<Cause, Adopted> entry : List.copyOf(adopted.entrySet())) {
-            if (nowMillis - entry.getValue().sinceMillis() >= QUARANTINE_MILLIS) {
-                expireRecord(entry.getKey(), entry.getValue().foundAtStart());
-                lapse(entry.getKey(), nowMillis);
-            }
+        for (Cause cause : adopted.expired(nowMillis)) {
+            expireRecord(cause, adopted.isFoundAtStart(cause));
+            adopted.lapse(cause, nowMillis);
         }
         for (Found each : found) {
             if (nowMillis - each.lastSeenAt() >= QUARANTINE_MILLIS) {
                 expireRecord(each.cause(), each.isSeenLocally());
-                lapse(each.cause(), nowMillis);
+                adopted.lapse(each.cause(), nowMillis);
             }
         }
-        if (changed || found.stream().anyMatch(each -> lapsed.containsKey(each.cause()))) {
+        if (changed || found.stream().anyMatch(each -> adopted.hasLapsed(each.cause()))) {
             update();
         }
     }
@@ -339,21 +309,6 @@
         }
     }
 
-    private void lapse(Cause cause, long nowMillis) {
-        adopted.remove(cause);
-        lapsed.put(cause, nowMillis);
-    }
-
-    private Cause withoutAnswered(Cause cause, long nowMillis) {
-        return cause.without(answeredAmong(cause.features(), nowMillis));
-    }
-
-    /** Returns whether a request has a cause that was quarantined before and that no answer has cleared lately. */
-    private boolean isMatchedAgain(Cause lapsedCause, Collection<Feature> request, long nowMillis) {
-        Cause left = withoutAnswered(lapsedCause, nowMillis);
-        return left.isSpecific() && left.matches(request);
-    }
-
     /** Works out the causes anew. */
     private void update() {
         stale = false;
@@ -361,9 +316,10 @@
         alternatives.clear();
         found = finder.causes().stream()
                 .filter(each -> each.cause().isSpecific())
-                .filter(each -> each.lastSeenAt() > lapsed.getOrDefault(each.cause(), Long.MIN_VALUE))
+                .filter(each ->
+                        each.lastSeenAt() > adopted.lapsedAt(each.cause()).orElse(Long.MIN_VALUE))
                 .toList();
-        records.withdrawOwnIf(cause -> !isFound(cause) && !adopted.containsKey(cause));
+        records.withdrawOwnIf(cause -> !isFound(cause) && !adopted.contains(cause));
     }
 
     /** Returns for how much longer a request with the given features is quarantined; empty if it isn't. */
@@ -382,7 +338,7 @@
                 .filter(each -> each.cause().equals(cause))
                 .mapToLong(Found::lastSeenAt)
                 .findFirst()
-                .orElseGet(() -> adopted.get(cause).sinceMillis());
+                .orElseGet(() -> adopted.since(cause));
     }
 
     private Stream<Cause> causes(Collection<Feature> request) {
@@ -391,7 +347,7 @@
 
     /** Returns the causes that are quarantined. */
     public Set<Cause> causes() {
-        Set<Cause> all = new HashSet<>(adopted.keySet());
+        Set<Cause> all = new HashSet<>(adopted.causes());
         found.forEach(each -> all.add(each.cause()));
         return all;
     }
@@ -458,17 +414,17 @@
     /** Returns whether one more crash would quarantine a request with the given features. */
     public boolean isOneCrashFromQuarantine(Collection<Feature> request, long nowMillis) {
         return request.stream().anyMatch(finder.nearlyBlamed()::contains)
-                || lapsed.keySet().stream().anyMatch(cause -> isMatchedAgain(cause, request, nowMillis));
+                || adopted.isLapsedMatchedBy(request, nowMillis);
     }
 
     /** Returns whether any cause is quarantined. */
     public boolean hasCauses() {
-        return !found.isEmpty() || !adopted.isEmpty();
+        return !found.isEmpty() || !adopted.causes().isEmpty();
     }
 
     /** Returns whether nothing is suspected or quarantined. */
     public boolean isEmpty() {
-        return evidence.isEmpty() && adopted.isEmpty() && lapsed.isEmpty();
+        return evidence.isEmpty() && adopted.isEmpty();
     }
 
     /** Returns the number of features that may be the cause of a crash. */
