Find causes of crashes in groups of features that nothing tells apart

Cause: causes were found feature by feature: for each part, what all requests had in common at its crashes, compared with that of each other part. This was done for each crash and for each answer that another relay told, of which there is one a part.

Change: FeatureIndex keeps features of the same requests at the same crashes in one class, and those of a class with the same answers in one group; a request splits the classes of its features only, an answer moves its feature only. CauseFinder works on groups that were at several crashes. Of answers that are told in a row the causes are found once, before anything else is asked or happens. Lists of features that are searched are sets.

Growth: a report of a crash costs its features once, plus the classes of its shortest request times the candidates with other requests than each other; a told answer costs the groups that were at several crashes. Where crashes are evicted (over 256, or 50,000 features in all) the index is built anew.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/quarantine/AdoptedCauses.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/quarantine/AdoptedCauses.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -104,10 +105,14 @@
 
     /** Returns whether a request has a cause that was quarantined before and that no answer has cleared lately. */
     boolean isLapsedMatchedBy(Collection<Feature> request, long nowMillis) {
-        return lapsed.keySet().stream().anyMatch(cause -> isMatchedAgain(cause, request, nowMillis));
+        if (lapsed.isEmpty()) {
+            return false;
+        }
+        Set<Feature> features = new HashSet<>(request);
+        return lapsed.keySet().stream().anyMatch(cause -> isMatchedAgain(cause, features, nowMillis));
     }
 
-    private boolean isMatchedAgain(Cause lapsedCause, Collection<Feature> request, long nowMillis) {
+    private boolean isMatchedAgain(Cause lapsedCause, Set<Feature> request, long nowMillis) {
         Cause left = withoutAnswered(lapsedCause, nowMillis);
         return left.isSpecific() && left.matches(request);
     }
@@ -125,15 +130,15 @@
     }
 
     /** Removes answered features from the causes, but from those answered before only if they were sent since. */
-    void removeAnswered(Collection<Feature> features, long sentAt) {
+    void removeAnswered(Set<Feature> features, long sentAt) {
         for (Map.Entry<Cause, Adopted> entry : List.copyOf(adopted.entrySet())) {
             Cause cause = entry.getKey();
             boolean innocent =
                     !cause.answeredBefore() || sentAt >= entry.getValue().sinceMillis();
-            Cause left = cause.without(features);
-            if (!innocent || left.equals(cause)) {
+            if (!innocent || features.stream().noneMatch(cause.features()::contains)) {
                 continue;
             }
+            Cause left = cause.without(features);
             adopted.remove(cause);
             if (left.isSpecific()) {
                 adopted.put(left, entry.getValue());
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/quarantine/Cause.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/quarantine/Cause.java
@@ -1,6 +1,5 @@
 package org.rattanrudder.core.quarantine;
 
-import java.util.Collection;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.stream.Collectors;
@@ -19,7 +18,7 @@
     }
 
     /** Returns whether a request with the given features is refused. */
-    boolean matches(Collection<Feature> request) {
+    boolean matches(Set<Feature> request) {
         return anyOf
                 ? features.stream().anyMatch(feature -> feature.isSpecific() && request.contains(feature))
                 : request.containsAll(features);
@@ -37,7 +36,7 @@
     }
 
     /** Returns the cause without features that turned out to be innocent. */
-    Cause without(Collection<Feature> innocent) {
+    Cause without(Set<Feature> innocent) {
         return new Cause(
                 features.stream().filter(feature -> !innocent.contains(feature)).collect(Collectors.toSet()),
                 anyOf,
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/quarantine/CauseFinder.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/quarantine/CauseFinder.java
@@ -1,10 +1,10 @@
 package org.rattanrudder.core.quarantine;
 
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.LongSummaryStatistics;
 import java.util.Map;
@@ -32,10 +32,21 @@
 
     private final CrashEvidence evidence;
     private final AnsweredFeatures answers;
-    private final Map<Feature, List<Crash>> crashesByFeature;
-    private final Set<Crash> unexplained;
+    private final FeatureIndex index;
+
+    /** The numbers of the crashes, by their times. */
+    private final int[] inOrder;
+
+    /** The numbers of the crashes that nothing explains yet. */
+    private final BitSet unexplained;
+
+    /** The numbers of the crashes since this relay started. */
+    private final BitSet seenSinceStart = new BitSet();
+
     private final List<Found> causes = new ArrayList<>();
-    private final Set<Feature> nearlyBlamed = new HashSet<>();
+    private final Set<FeatureGroup> nearlyBlamed = new HashSet<>();
+
+    private final Map<Requests, Set<FeatureGroup>> common = new HashMap<>();
 
     /**
      * A cause with what it rests on.
@@ -55,22 +66,38 @@
         }
     }
 
-    /** A feature that is to blame for crashes that nothing else explains. */
-    private record Candidate(Feature feature, List<Crash> crashes) {}
+    /** Features that are to blame for crashes that nothing else explains, with the numbers of these crashes. */
+    private record Candidate(FeatureGroup group, BitSet crashes) {
+        boolean explains(Candidate other) {
+            return BitSets.containsAll(crashes, other.crashes);
+        }
+    }
+
+    /** The numbers of requests, and whether what used to be answered counts as something that they have in common. */
+    private record Requests(BitSet numbers, boolean answeredBefore) {}
 
     private CauseFinder(CrashEvidence evidence, AnsweredFeatures answers) {
         this.evidence = evidence;
         this.answers = answers;
-        crashesByFeature = suspectedCrashes();
-        unexplained = new LinkedHashSet<>(evidence.crashes());
+        index = evidence.index();
+        List<Crash> crashes = index.crashes();
+        inOrder = crashes.stream()
+                .sorted(Comparator.comparingLong(Crash::atMillis))
+                .mapToInt(Crash::number)
+                .toArray();
+        unexplained = new BitSet();
+        unexplained.set(0, crashes.size());
+        crashes.forEach(crash -> seenSinceStart.set(crash.number(), crash.isSeenSinceStart()));
     }
 
     /** Finds the causes of all crashes that are known. */
     static CauseFinder find(CrashEvidence evidence, AnsweredFeatures answers) {
+        evidence.index().refresh(answers);
         CauseFinder finder = new CauseFinder(evidence, answers);
         finder.explain(false);
         finder.collectNearlyBlamed();
         finder.explain(true);
+        finder.common.clear();
         return finder;
     }
 
@@ -79,14 +106,28 @@
         return causes;
     }
 
-    /** Returns the features that one more crash may put to blame. */
-    Set<Feature> nearlyBlamed() {
-        return nearlyBlamed;
+    /** Returns whether one more crash may put a feature to blame. */
+    boolean isNearlyBlamed(Feature feature) {
+        return nearlyBlamed.contains(index.group(feature));
+    }
+
+    /** Returns whether a feature may be the cause of a crash. */
+    boolean isSuspected(Feature feature) {
+        FeatureGroup group = index.group(feature);
+        return group != null && group.isSuspected();
+    }
+
+    /** Returns the number of crashes that a feature may be the cause of. */
+    int suspectedCrashes(Feature feature) {
+        return isSuspected(feature) ? index.group(feature).suspectedCrashes() : 0;
     }
 
-    /** Returns the features that no answer has cleared, each with its crashes since. */
-    Map<Feature, List<Crash>> crashesByFeature() {
-        return crashesByFeature;
+    /** Returns the number of features that may be the cause of a crash. */
+    int suspectCount() {
+        return index.allGroups()
+                .filter(FeatureGroup::isSuspected)
+                .mapToInt(group -> group.features().size())
+                .sum();
     }
 
     /** Returns what may explain the crashes of a cause in its place. */
@@ -97,19 +138,6 @@
                 (feature, crash) -> isSuspected(feature, crash) && !wasAnswered(feature, crash));
     }
 
-    private Map<Feature, List<Crash>> suspectedCrashes() {
-        Map<Feature, List<Crash>> found = new HashMap<>();
-        evidence.bySpecificFeature().forEach((feature, crashes) -> {
-            List<Crash> suspected = crashes.stream()
-                    .filter(crash -> isSuspected(feature, crash))
-                    .toList();
-            if (!suspected.isEmpty()) {
-                found.put(feature, suspected);
-            }
-        });
-        return found;
-    }
-
     private boolean isSuspected(Feature feature, Crash crash) {
         return crash.atMillis() > answers.clearsUpTo(feature);
     }
@@ -140,8 +168,9 @@
      */
     private Optional<Candidate> widerThan(Candidate candidate) {
         return candidates(true).stream()
-                .filter(each -> each.crashes().size() >= candidate.crashes().size() + MIN_FURTHER_CRASHES)
-                .filter(each -> each.crashes().containsAll(candidate.crashes()))
+                .filter(each ->
+                        each.crashes().cardinality() >= candidate.crashes().cardinality() + MIN_FURTHER_CRASHES)
+                .filter(each -> each.explains(candidate))
                 .findFirst();
     }
 
@@ -151,75 +180,97 @@
      */
     private Candidate narrowest(List<Candidate> candidates, boolean answeredBefore) {
         Candidate first = candidates.get(0);
-        Set<Feature> common = common(first, answeredBefore);
+        Set<FeatureGroup> shared = common(first, answeredBefore);
+        int count = countFeatures(shared);
+        BitSet elsewhere = explainedBeside(first, candidates);
         return candidates.stream()
-                .filter(each -> first.crashes().containsAll(each.crashes()))
-                .filter(each -> isWithin(common, common(each, answeredBefore)))
-                .filter(each -> areExplainedBeside(first, each, candidates))
+                .filter(first::explains)
+                .filter(each -> areExplainedBeside(first, each, elsewhere))
+                .filter(each -> isWithin(shared, count, common(each, answeredBefore)))
                 .findFirst()
                 .orElse(first);
     }
 
+    /** Returns the crashes of the candidates that don't explain a subset of those of a wider one. */
+    private static BitSet explainedBeside(Candidate wider, List<Candidate> candidates) {
+        BitSet elsewhere = new BitSet();
+        candidates.stream().filter(each -> !wider.explains(each)).forEach(each -> elsewhere.or(each.crashes()));
+        return elsewhere;
+    }
+
     /** Returns whether the crashes of the wider candidate that the narrower one doesn't explain have other causes. */
-    private static boolean areExplainedBeside(Candidate wider, Candidate narrower, List<Candidate> candidates) {
-        Set<Crash> elsewhere = candidates.stream()
-                .filter(each -> !wider.crashes().containsAll(each.crashes()))
-                .flatMap(each -> each.crashes().stream())
-                .collect(Collectors.toSet());
-        return wider.crashes().stream()
-                .allMatch(crash -> narrower.crashes().contains(crash) || elsewhere.contains(crash));
+    private static boolean areExplainedBeside(Candidate wider, Candidate narrower, BitSet elsewhere) {
+        BitSet left = (BitSet) wider.crashes().clone();
+        left.andNot(narrower.crashes());
+        left.andNot(elsewhere);
+        return left.isEmpty();
+    }
+
+    private static boolean isWithin(Set<FeatureGroup> smaller, int smallerCount, Set<FeatureGroup> larger) {
+        return countFeatures(larger) > smallerCount && larger.containsAll(smaller);
     }
 
-    private static boolean isWithin(Set<Feature> smaller, Set<Feature> larger) {
-        return larger.size() > smaller.size() && larger.containsAll(smaller);
+    private static int countFeatures(Set<FeatureGroup> groups) {
+        return groups.stream().mapToInt(group -> group.features().size()).sum();
     }
 
-    /** Blames a feature, or what can't be told from it, unless it is better to wait for another crash. */
+    /** Blames features, or what can't be told from them, unless it is better to wait for another crash. */
     private void blame(Candidate best, List<Candidate> candidates, boolean answeredBefore) {
-        List<Set<Feature>> equal = largest(candidates.stream()
+        List<Set<FeatureGroup>> equal = largest(candidates.stream()
                 .filter(each -> each.crashes().equals(best.crashes()))
                 .map(each -> common(each, answeredBefore))
                 .distinct()
                 .toList());
-        if (equal.size() == 1 || best.crashes().size() >= Quarantine.MOST_CRASHES) {
+        if (equal.size() == 1 || best.crashes().cardinality() >= Quarantine.MOST_CRASHES) {
             boolean anyOf = oneAfterTheOther(best) >= Quarantine.ANY_OF_CRASHES;
+            List<Crash> crashes = crashes(best);
             equal.forEach(
-                    features -> causes.add(new Found(new Cause(features, anyOf, answeredBefore), best.crashes())));
+                    groups -> causes.add(new Found(new Cause(featuresOf(groups), anyOf, answeredBefore), crashes)));
         } else {
             equal.forEach(nearlyBlamed::addAll);
         }
-        best.crashes().forEach(unexplained::remove);
+        unexplained.andNot(best.crashes());
+    }
+
+    private List<Crash> crashes(Candidate candidate) {
+        return candidate.crashes().stream().mapToObj(index.crashes()::get).toList();
+    }
+
+    private static Set<Feature> featuresOf(Set<FeatureGroup> groups) {
+        return groups.stream().flatMap(group -> group.features().stream()).collect(Collectors.toSet());
     }
 
     /** Returns the sets that no other one contains: larger ones explain the same crashes and spare more requests. */
-    private static List<Set<Feature>> largest(List<Set<Feature>> sets) {
+    private static List<Set<FeatureGroup>> largest(List<Set<FeatureGroup>> sets) {
+        Map<FeatureGroup, List<Set<FeatureGroup>>> byGroup = new HashMap<>();
+        sets.forEach(set -> set.forEach(group ->
+                byGroup.computeIfAbsent(group, unseen -> new ArrayList<>()).add(set)));
         return sets.stream()
-                .filter(set -> sets.stream().noneMatch(other -> other != set && other.containsAll(set)))
+                .filter(set -> byGroup.get(set.iterator().next()).stream()
+                        .noneMatch(other -> other.size() > set.size() && other.containsAll(set)))
                 .toList();
     }
 
-    /** Returns the features that are to blame for crashes which are left, the one of most crashes first. */
+    /** Returns the features that are to blame for crashes which are left, those of most crashes first. */
     private List<Candidate> candidates(boolean answeredBefore) {
-        return crashesByFeature.entrySet().stream()
-                .filter(entry -> entry.getValue().size() >= Quarantine.CRASH_THRESHOLD)
-                .map(entry -> new Candidate(entry.getKey(), left(entry.getKey(), entry.getValue(), answeredBefore)))
+        return index.recurringGroups()
+                .filter(FeatureGroup::isSuspected)
+                .filter(group -> group.suspectedCrashes() >= Quarantine.CRASH_THRESHOLD)
+                .map(group -> new Candidate(group, left(group, answeredBefore)))
                 .filter(candidate -> isToBlame(candidate, answeredBefore))
                 .sorted(Comparator.comparingInt(
-                                (Candidate candidate) -> -candidate.crashes().size())
-                        .thenComparing(Candidate::feature))
+                                (Candidate candidate) -> -candidate.crashes().cardinality())
+                        .thenComparing(candidate -> candidate.group().features().first()))
                 .toList();
     }
 
-    private List<Crash> left(Feature feature, List<Crash> crashes, boolean answeredBefore) {
-        return crashes.stream()
-                .filter(unexplained::contains)
-                .filter(crash -> answeredBefore || !wasAnswered(feature, crash))
-                .toList();
+    private BitSet left(FeatureGroup group, boolean answeredBefore) {
+        return BitSets.intersection(group.suspected(answeredBefore), unexplained);
     }
 
-    private static boolean isToBlame(Candidate candidate, boolean answeredBefore) {
-        int count = candidate.crashes().size();
-        if (candidate.crashes().stream().noneMatch(Crash::isSeenSinceStart)) {
+    private boolean isToBlame(Candidate candidate, boolean answeredBefore) {
+        int count = candidate.crashes().cardinality();
+        if (count < Quarantine.CRASH_THRESHOLD || !candidate.crashes().intersects(seenSinceStart)) {
             return false;
         }
         int inTurn = oneAfterTheOther(candidate);
@@ -231,21 +282,22 @@
         return inTurn >= Quarantine.CRASH_THRESHOLD || count >= Quarantine.MOST_CRASHES && inTurn > 1;
     }
 
-    private static long spanMillis(Candidate candidate) {
+    private long spanMillis(Candidate candidate) {
         LongSummaryStatistics times =
-                candidate.crashes().stream().mapToLong(Crash::atMillis).summaryStatistics();
+                crashes(candidate).stream().mapToLong(Crash::atMillis).summaryStatistics();
         return times.getMax() - times.getMin();
     }
 
-    /** Returns the most crashes of a feature of which each began with a request sent after the one before. */
-    private static int oneAfterTheOther(Candidate candidate) {
-        List<Crash> inOrder = candidate.crashes().stream()
-                .sorted(Comparator.comparingLong(Crash::atMillis))
-                .toList();
+    /** Returns the most crashes of features of which each began with a request sent after the one before. */
+    private int oneAfterTheOther(Candidate candidate) {
         int count = 0;
         long lastAt = Long.MIN_VALUE;
-        for (Crash crash : inOrder) {
-            if (crash.lastSentAt(candidate.feature()) >= lastAt) {
+        for (int number : inOrder) {
+            if (!candidate.crashes().get(number)) {
+                continue;
+            }
+            Crash crash = index.crashes().get(number);
+            if (index.lastSentAt(candidate.group(), crash) >= lastAt) {
                 count++;
                 lastAt = crash.atMillis();
             }
@@ -254,33 +306,21 @@
     }
 
     /** Returns what all requests with a feature had in common at its crashes, without what has been answered. */
-    private Set<Feature> common(Candidate candidate, boolean answeredBefore) {
-        Set<Feature> common = null;
-        for (Crash crash : candidate.crashes()) {
-            for (Set<Feature> request : crash.requests().keySet()) {
-                if (!request.contains(candidate.feature())) {
-                    continue;
-                }
-                Set<Feature> suspected = request.stream()
-                        .filter(feature ->
-                                isSuspected(feature, crash) && (answeredBefore || !wasAnswered(feature, crash)))
-                        .collect(Collectors.toSet());
-                if (common == null) {
-                    common = new HashSet<>(suspected);
-                } else {
-                    common.retainAll(suspected);
-                }
-            }
-        }
-        return common;
+    private Set<FeatureGroup> common(Candidate candidate, boolean answeredBefore) {
+        BitSet requests = BitSets.intersection(candidate.group().requests(), index.requestsAt(candidate.crashes()));
+        return common.computeIfAbsent(
+                new Requests(requests, answeredBefore),
+                unseen -> index.classesInCommon(requests).stream()
+                        .flatMap(each -> each.groups().stream())
+                        .filter(group -> BitSets.containsAll(group.suspected(answeredBefore), candidate.crashes()))
+                        .collect(Collectors.toSet()));
     }
 
     private void collectNearlyBlamed() {
-        crashesByFeature.forEach((feature, crashes) -> {
-            List<Crash> left = left(feature, crashes, false);
-            if (oneAfterTheOther(new Candidate(feature, left)) >= Quarantine.CRASH_THRESHOLD - 1) {
-                nearlyBlamed.add(feature);
-            }
-        });
+        index.recurringGroups()
+                .filter(FeatureGroup::isSuspected)
+                .filter(group ->
+                        oneAfterTheOther(new Candidate(group, left(group, false))) >= Quarantine.CRASH_THRESHOLD - 1)
+                .forEach(nearlyBlamed::add);
     }
 }
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/quarantine/CrashEvidence.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/quarantine/CrashEvidence.java
@@ -1,6 +1,6 @@
 package org.rattanrudder.core.quarantine;
 
-import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -19,6 +19,7 @@
     static final int MAX_FEATURES = 50_000;
 
     private final Map<TargetStart, Crash> crashes = new LinkedHashMap<>();
+    private final FeatureIndex index = new FeatureIndex();
     private int features;
 
     /** One start of a target. */
@@ -28,11 +29,13 @@
     static final class Crash {
         private final String target;
         private final long seenAt;
-        private final Map<Set<Feature>, Long> requests = new HashMap<>();
+        private final Map<Set<Feature>, InFlightRequest> requests = new HashMap<>();
+        private final BitSet requestNumbers = new BitSet();
         private final Set<Feature> answered = new HashSet<>();
         private long atMillis = Long.MAX_VALUE;
         private boolean seenLocally;
         private boolean seenSinceStart;
+        private int number;
 
         private Crash(String target, long seenAt) {
             this.target = target;
@@ -64,26 +67,62 @@
             return seenSinceStart;
         }
 
-        /** Returns the requests that were in flight, each with the Unix time at which it was sent. */
-        Map<Set<Feature>, Long> requests() {
+        /** Returns the requests that were in flight, by their features. */
+        Map<Set<Feature>, InFlightRequest> requests() {
             return requests;
         }
 
+        /** Returns the numbers of these requests in the index. */
+        BitSet requestNumbers() {
+            return requestNumbers;
+        }
+
+        /** Returns its number in the index. */
+        int number() {
+            return number;
+        }
+
+        void setNumber(int number) {
+            this.number = number;
+        }
+
         /** Returns whether a relay that was there has said that requests with the feature used to be answered. */
         boolean wasAnswered(Feature feature) {
             return answered.contains(feature);
         }
+    }
+
+    /** A request that was in flight at a crash. */
+    static final class InFlightRequest {
+        private final Crash crash;
+        private final Set<Feature> features;
+        private long sentAt;
+
+        private InFlightRequest(Crash crash, Set<Feature> features, long sentAt) {
+            this.crash = crash;
+            this.features = features;
+            this.sentAt = sentAt;
+        }
+
+        Crash crash() {
+            return crash;
+        }
+
+        Set<Feature> features() {
+            return features;
+        }
 
-        /** Returns the Unix time at which the last request with a feature was sent that was in flight. */
-        long lastSentAt(Feature feature) {
-            return requests.entrySet().stream()
-                    .filter(request -> request.getKey().contains(feature))
-                    .mapToLong(Map.Entry::getValue)
-                    .max()
-                    .orElse(Long.MIN_VALUE);
+        /** Returns when it was sent, as a Unix time; of several requests with the same features, when the last was. */
+        long sentAt() {
+            return sentAt;
         }
     }
 
+    /** Returns the features that were in flight, in groups. */
+    FeatureIndex index() {
+        return index;
+    }
+
     /** Returns the requests in a report of a crash that no earlier report of the same crash has named. */
     List<TargetCrash.SuspectRequest> newRequests(TargetCrash report) {
         Crash known = crashes.get(new TargetStart(report.target(), report.startedAt()));
@@ -94,24 +133,43 @@
 
     /** Adds one relay's report of a crash. */
     void add(TargetCrash report, boolean seenLocally, boolean sinceStart, long nowMillis) {
-        Crash crash = crashes.computeIfAbsent(
-                new TargetStart(report.target(), report.startedAt()), unseen -> new Crash(report.target(), nowMillis));
+        Crash crash = crashes.computeIfAbsent(new TargetStart(report.target(), report.startedAt()), unseen -> {
+            Crash added = new Crash(report.target(), nowMillis);
+            index.add(added);
+            return added;
+        });
         crash.atMillis = Math.min(crash.atMillis, report.atMillis());
         crash.seenLocally |= seenLocally;
         crash.seenSinceStart |= sinceStart;
         crash.answered.addAll(report.answered());
         for (TargetCrash.SuspectRequest request : report.requests()) {
-            Long sent = crash.requests.put(request.features(), report.atMillis() - request.heldMillis());
-            if (sent == null) {
-                features += request.features().size();
-            } else {
-                crash.requests.merge(request.features(), sent, Math::max);
-            }
+            add(crash, request.features(), report.atMillis() - request.heldMillis());
         }
+        index.onCrashChanged(crash);
+        evict();
+    }
+
+    private void add(Crash crash, Set<Feature> requestFeatures, long sentAt) {
+        InFlightRequest known = crash.requests.get(requestFeatures);
+        if (known != null) {
+            known.sentAt = Math.max(known.sentAt, sentAt);
+            return;
+        }
+        InFlightRequest added = new InFlightRequest(crash, requestFeatures, sentAt);
+        crash.requests.put(requestFeatures, added);
+        features += requestFeatures.size();
+        index.add(added);
+    }
+
+    private void evict() {
         Iterator<Crash> oldest = crashes.values().iterator();
+        int before = crashes.size();
         while (crashes.size() > MAX_CRASHES || features > MAX_FEATURES && crashes.size() > 1) {
             remove(oldest);
         }
+        if (crashes.size() < before) {
+            index.rebuild(crashes.values());
+        }
     }
 
     /** Returns whether a request with a cause was in flight at a crash from before this relay started. */
@@ -137,6 +195,9 @@
             }
             remove(oldest);
         }
+        if (crashes.size() < before) {
+            index.rebuild(crashes.values());
+        }
         return crashes.size() < before;
     }
 
@@ -147,18 +208,4 @@
     boolean isEmpty() {
         return crashes.isEmpty();
     }
-
-    /** Returns the specific features that were in flight, each with its crashes. */
-    Map<Feature, List<Crash>> bySpecificFeature() {
-        Map<Feature, List<Crash>> found = new HashMap<>();
-        for (Crash crash : crashes.values()) {
-            Set<Feature> there = new HashSet<>();
-            crash.requests.keySet().forEach(there::addAll);
-            there.stream()
-                    .filter(Feature::isSpecific)
-                    .forEach(feature -> found.computeIfAbsent(feature, unseen -> new ArrayList<>())
-                            .add(crash));
-        }
-        return found;
-    }
 }
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/quarantine/Quarantine.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/quarantine/Quarantine.java
@@ -1,9 +1,9 @@
 package org.rattanrudder.core.quarantine;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -63,7 +63,7 @@
     private static final int TOLD_CRASHES = CRASH_THRESHOLD - 1;
 
     private final CrashEvidence evidence = new CrashEvidence();
-    private final AnsweredFeatures answers = new AnsweredFeatures();
+    private final AnsweredFeatures answers = new AnsweredFeatures(evidence.index()::onAnswerChanged);
     private final AdoptedCauses adopted = new AdoptedCauses(answers);
     private final CauseRecords records = new CauseRecords();
     private final CauseTrials trials = new CauseTrials();
@@ -76,12 +76,16 @@
     private long answeredUpdateAt = Long.MIN_VALUE / 2;
     private boolean stale;
 
+    /** Whether answers were told since the causes were found: many come at once, and the causes are found once. */
+    private boolean answersTold;
+
     /**
      * Records the crash of a target. A report that was recorded before adds nothing: it may be read again.
      *
      * @param seenLocally whether this relay saw the crash itself; relays that did write and remove the shared record
      */
     public void onCrash(TargetCrash crash, boolean seenLocally, long nowMillis) {
+        applyToldAnswers();
         List<TargetCrash.SuspectRequest> requests = evidence.newRequests(crash);
         evidence.add(crash, seenLocally, true, nowMillis);
         adopted.onCrash(requests, seenLocally, nowMillis);
@@ -93,6 +97,7 @@
      * have had a response since.
      */
     public void onPastCrash(TargetCrash crash, long nowMillis) {
+        applyToldAnswers();
         evidence.add(crash, false, false, nowMillis);
         update();
     }
@@ -110,8 +115,9 @@
      * @param sentAt when the request was sent to the target
      */
     public void onAnswered(Collection<Feature> features, long sentAt, long nowMillis) {
+        applyToldAnswers();
         long clears = isEmpty() ? 0 : lastCrashBefore(sentAt);
-        List<Feature> cleared = new ArrayList<>();
+        Set<Feature> cleared = new LinkedHashSet<>();
         for (Feature feature : features) {
             boolean suspected = isSuspected(feature);
             boolean news = answers.record(new FeatureAnswer(feature, clears), nowMillis);
@@ -155,14 +161,13 @@
     }
 
     private boolean isSuspected(Feature feature) {
-        return finder.crashesByFeature().containsKey(feature) || adopted.hasFeature(feature);
+        return finder.isSuspected(feature) || adopted.hasFeature(feature);
     }
 
     private void tell(FeatureAnswer answer, long nowMillis) {
-        List<Crash> crashes = finder.crashesByFeature().getOrDefault(answer.feature(), List.of());
         boolean blamed = Stream.concat(found.stream().map(Found::cause), adopted.causes().stream())
                 .anyMatch(cause -> cause.features().contains(answer.feature()));
-        if (!blamed && crashes.size() < TOLD_CRASHES) {
+        if (!blamed && finder.suspectedCrashes(answer.feature()) < TOLD_CRASHES) {
             return;
         }
         answersToTell.add(answer, nowMillis);
@@ -172,8 +177,8 @@
     public void onAnswerTold(FeatureAnswer answer, long nowMillis) {
         answersToTell.onTold(answer, nowMillis);
         answers.record(answer, nowMillis);
-        removeAnswered(List.of(answer.feature()), answer.clearsUpToMillis() > 0 ? nowMillis : 0, false);
-        update();
+        removeAnswered(Set.of(answer.feature()), answer.clearsUpToMillis() > 0 ? nowMillis : 0, false);
+        answersTold = true;
     }
 
     /** Returns the responses that other relays have to know of, and regards them as told. */
@@ -187,7 +192,7 @@
     }
 
     /** Removes answered features from the causes of shared records. */
-    private void removeAnswered(Collection<Feature> features, long sentAt, boolean ownAnswer) {
+    private void removeAnswered(Set<Feature> features, long sentAt, boolean ownAnswer) {
         adopted.removeAnswered(features, sentAt);
         if (ownAnswer) {
             records.withdrawIf(cause ->
@@ -210,6 +215,7 @@
      * @param trialsSoFar how often it was tried
      */
     public void onRecord(Cause cause, int trialsSoFar, long nowMillis) {
+        applyToldAnswers();
         trials.onTold(cause, trialsSoFar, nowMillis);
         records.onRecorded(cause);
         if (!cause.answeredBefore() && !isFound(cause)) {
@@ -232,6 +238,7 @@
 
     /** Handles a record from after the listing: of crashes before its start a relay can't find the cause by itself. */
     public void onUnlistedRecord(Cause cause, int trialsSoFar, long nowMillis) {
+        applyToldAnswers();
         boolean known = records.isRecorded(cause);
         onRecord(cause, trialsSoFar, nowMillis);
         if (!known && evidence.hasPastCrash(cause)) {
@@ -257,6 +264,7 @@
 
     /** Handles that this relay has written the record of a cause: it replaces those of less certain ones. */
     public void onRecordWritten(Cause cause) {
+        applyToldAnswers();
         records.withdrawIf(each -> !isFound(each) && each.features().containsAll(cause.features()));
         records.onWritten(cause);
         if (!isFound(cause) && !adopted.contains(cause) && !isLeft(cause)) {
@@ -266,6 +274,7 @@
 
     /** Handles that another relay has withdrawn its record, since the cause is another one or its time has passed. */
     public void onRecordWithdrawn(Cause cause, long nowMillis) {
+        applyToldAnswers();
         records.onWithdrawn(cause);
         adopted.onRecordWithdrawn(cause, nowMillis);
     }
@@ -279,11 +288,13 @@
 
     /** Handles a listing of all records: records that were lost are written again. */
     public void onRecordsListed(Set<Cause> listed) {
+        applyToldAnswers();
         records.onListed(listed);
     }
 
     /** Forgets what is too old, and lifts quarantines whose time has passed. */
     public void expire(long nowMillis) {
+        applyToldAnswers();
         boolean changed = evidence.removeBefore(nowMillis - 2 * QUARANTINE_MILLIS) || stale;
         adopted.expireLapsed(nowMillis);
         answersToTell.expire(nowMillis);
@@ -309,9 +320,17 @@
         }
     }
 
+    /** Works out the causes anew if answers were told since. */
+    private void applyToldAnswers() {
+        if (answersTold) {
+            update();
+        }
+    }
+
     /** Works out the causes anew. */
     private void update() {
         stale = false;
+        answersTold = false;
         finder = CauseFinder.find(evidence, answers);
         alternatives.clear();
         found = finder.causes().stream()
@@ -342,11 +361,14 @@
     }
 
     private Stream<Cause> causes(Collection<Feature> request) {
-        return causes().stream().filter(cause -> cause.matches(request));
+        Set<Cause> all = causes();
+        Set<Feature> features = all.isEmpty() ? Set.of() : new HashSet<>(request);
+        return all.stream().filter(cause -> cause.matches(features));
     }
 
     /** Returns the causes that are quarantined. */
     public Set<Cause> causes() {
+        applyToldAnswers();
         Set<Cause> all = new HashSet<>(adopted.causes());
         found.forEach(each -> all.add(each.cause()));
         return all;
@@ -354,6 +376,7 @@
 
     /** Returns the targets whose crashes a cause is blamed for; empty if it is known from a shared record only. */
     public List<String> crashedTargets(Cause cause) {
+        applyToldAnswers();
         return found.stream()
                 .filter(each -> each.cause().equals(cause))
                 .flatMap(each -> each.crashes().stream())
@@ -404,6 +427,7 @@
 
     /** Returns whether several rarer causes may explain the crashes of a cause in its place. */
     public boolean isInDoubt(Cause cause) {
+        applyToldAnswers();
         return alternativesTo(cause).isDoubtful();
     }
 
@@ -413,12 +437,13 @@
 
     /** Returns whether one more crash would quarantine a request with the given features. */
     public boolean isOneCrashFromQuarantine(Collection<Feature> request, long nowMillis) {
-        return request.stream().anyMatch(finder.nearlyBlamed()::contains)
-                || adopted.isLapsedMatchedBy(request, nowMillis);
+        applyToldAnswers();
+        return request.stream().anyMatch(finder::isNearlyBlamed) || adopted.isLapsedMatchedBy(request, nowMillis);
     }
 
     /** Returns whether any cause is quarantined. */
     public boolean hasCauses() {
+        applyToldAnswers();
         return !found.isEmpty() || !adopted.causes().isEmpty();
     }
 
@@ -429,7 +454,8 @@
 
     /** Returns the number of features that may be the cause of a crash. */
     public int suspectCount() {
-        return finder.crashesByFeature().size();
+        applyToldAnswers();
+        return finder.suspectCount();
     }
 
     /** Returns the number of causes that are quarantined. */
@@ -439,6 +465,7 @@
 
     /** Returns the causes whose record this relay has to write. */
     public List<Cause> recordsToWrite() {
+        applyToldAnswers();
         return found.stream()
                 .filter(Found::isSeenLocally)
                 .map(Found::cause)
@@ -448,6 +475,7 @@
 
     /** Returns the causes whose record this relay has to withdraw. */
     public List<Cause> recordsToWithdraw() {
+        applyToldAnswers();
         return records.toWithdraw();
     }
 }
