Find a route at a cost that grows with the length of the path only

Cause: a lookup cost the number of slashes times the length of the path, both of which callers choose up to max_header_bytes, on the event loop.

Change: RouteTable keeps a tree of the prefixes' segments for each host, and follows the path in it as far as there are prefixes.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/gateway/RouteTable.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/gateway/RouteTable.java
@@ -9,17 +9,56 @@
 /**
  * Finds the route of a request by its host and the longest matching path prefix.
  *
- * <p>Prefixes end with a slash, so a lookup tries the path up to each of its slashes, from the last to the first: its
- * cost grows with the depth of the path and not with the number of routes.
+ * <p>Prefixes end with a slash, so a lookup follows the path from slash to slash as far as there are prefixes: its cost
+ * grows with the length of the path and not with the number of routes.
  */
 public final class RouteTable {
+    private static final char SLASH = '/';
+
     private final Map<String, Map<String, ServiceRoute>> byHost = new HashMap<>();
+    private final Map<String, Node> treeByHost = new HashMap<>();
+
+    /** The prefixes that begin with the segments up to here. */
+    private static final class Node {
+        private final Map<String, Node> children = new HashMap<>();
+        private ServiceRoute route;
+
+        private void put(ServiceRoute added) {
+            Node node = this;
+            String prefix = added.pathPrefix();
+            int start = 0;
+            for (int slash = prefix.indexOf(SLASH); slash >= 0; slash = prefix.indexOf(SLASH, start)) {
+                node = node.children.computeIfAbsent(prefix.substring(start, slash), unseen -> new Node());
+                start = slash + 1;
+            }
+            // What doesn't end with a slash begins no path up to one.
+            if (start == prefix.length()) {
+                node.route = added;
+            }
+        }
+
+        private ServiceRoute longest(String path) {
+            Node node = this;
+            ServiceRoute longest = null;
+            int start = 0;
+            for (int slash = path.indexOf(SLASH); slash >= 0; slash = path.indexOf(SLASH, start)) {
+                node = node.children.get(path.substring(start, slash));
+                if (node == null) {
+                    return longest;
+                }
+                longest = node.route == null ? longest : node.route;
+                start = slash + 1;
+            }
+            return longest;
+        }
+    }
 
     /** Creates a table; if two routes have the same host and prefix, the later one wins. */
     public RouteTable(List<ServiceRoute> routes) {
         for (ServiceRoute route : routes) {
-            byHost.computeIfAbsent(route.host().toLowerCase(Locale.ROOT), unseen -> new HashMap<>())
-                    .put(route.pathPrefix(), route);
+            String host = route.host().toLowerCase(Locale.ROOT);
+            byHost.computeIfAbsent(host, unseen -> new HashMap<>()).put(route.pathPrefix(), route);
+            treeByHost.computeIfAbsent(host, unseen -> new Node()).put(route);
         }
     }
 
@@ -37,19 +76,12 @@
      * @param target the request target: a path with or without a query
      */
     public Optional<ServiceRoute> find(String host, String target) {
-        Map<String, ServiceRoute> byPrefix = byHost.get(withoutPort(host).toLowerCase(Locale.ROOT));
-        if (byPrefix == null) {
+        Node tree = treeByHost.get(withoutPort(host).toLowerCase(Locale.ROOT));
+        if (tree == null) {
             return Optional.empty();
         }
         int query = target.indexOf('?');
-        String path = query < 0 ? target : target.substring(0, query);
-        for (int slash = path.lastIndexOf('/'); slash >= 0; slash = path.lastIndexOf('/', slash - 1)) {
-            ServiceRoute route = byPrefix.get(path.substring(0, slash + 1));
-            if (route != null) {
-                return Optional.of(route);
-            }
-        }
-        return Optional.empty();
+        return Optional.ofNullable(tree.longest(query < 0 ? target : target.substring(0, query)));
     }
 
     private static String withoutPort(String host) {
