Record the longest turn of a relay's event loop, and log those that stall it

Change: LoopTurns adds up the time for which connections are handled and tasks run before the loop looks at either again. The longest turn of the last one to two minutes is rattanrudder_relay_event_loop_longest_turn_seconds; a turn of 250 ms or more is logged as event_loop_stalled.

Evidence: RelayEventLoopsTest.aLongTurnIsRecordedAndReported (a turn of 500 ms).

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
@@ -20,6 +20,7 @@
 import org.rattanrudder.daemon.loop.MonotonicClock;
 import org.rattanrudder.daemon.loop.ProcessClock;
 import org.rattanrudder.daemon.loop.RunningProcess;
+import org.rattanrudder.daemon.relay.net.LoopTurns;
 import org.rattanrudder.daemon.relay.net.RelayChannels;
 import org.rattanrudder.daemon.relay.net.RelayEventLoops;
 import org.rattanrudder.daemon.relay.net.StepTimer;
@@ -80,10 +81,11 @@
      */
     public RelayProcess(RelaySettings settings, PlatformAdapter platform, RandomGenerator random) throws IOException {
         ProcessClock clock = new ProcessClock(ClockSource.system());
-        EventLoopGroup group = new RelayEventLoops(clock);
+        EventLog log = new EventLog(Logger.getLogger(RelayProcess.class), new MonotonicClock());
+        LoopTurns turns = new LoopTurns(millis -> log.warn("event_loop_stalled", "ms", Long.toString(millis)));
+        EventLoopGroup group = new RelayEventLoops(clock, turns);
         closer.add(() -> group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS));
         loop = group.next();
-        EventLog log = new EventLog(Logger.getLogger(RelayProcess.class), new MonotonicClock());
         state = new RelayState(
                 settings, platform, clock, loop, RelayChannels.connector(group), log, new RelayMetrics(), random);
         memory = new MemoryAdmission(state);
@@ -109,6 +111,11 @@
         targetStateLog = new TargetStateLog(state);
         shutdown = new GracefulShutdown(state, callers, this::stopListening);
         new CapacityGauges(state).register();
+        state.metrics()
+                .gauge(
+                        "rattanrudder_relay_event_loop_longest_turn_seconds",
+                        "The longest turn of the event loop in the last one to two minutes",
+                        turns::longestSeconds);
         state.metrics().gauge("rattanrudder_relay_connections", "Callers' connections", callers::size);
         callerListener = listen(group, settings.callers(), callers.channels());
         listen(group, settings.readiness(), StatusServer.readiness(state));
--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/net/RelayEventLoops.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/net/RelayEventLoops.java
@@ -16,23 +16,39 @@
  * resumes, as after a pause of the process. Netty's own count by the monotonic clock, and would be late by as much.
  */
 public final class RelayEventLoops extends MultiThreadIoEventLoopGroup {
-    /** Creates one event loop, by a clock. */
-    public RelayEventLoops(ProcessClock clock) {
-        super(1, (Executor) null, NioIoHandler.newFactory(), clock);
+    /** Creates one event loop, by a clock; its turns are recorded. */
+    public RelayEventLoops(ProcessClock clock, LoopTurns turns) {
+        super(1, (Executor) null, MeasuredIoHandler.factory(NioIoHandler.newFactory(), turns), clock, turns);
     }
 
     /** It is called by the constructor of the superclass, before this object has any field of its own. */
     @Override
     protected IoEventLoop newChild(Executor executor, IoHandlerFactory handlers, Object... arguments) {
-        return new ClockedEventLoop(this, executor, handlers, (ProcessClock) arguments[0]);
+        return new ClockedEventLoop(this, executor, handlers, (ProcessClock) arguments[0], (LoopTurns) arguments[1]);
     }
 
     private static final class ClockedEventLoop extends SingleThreadIoEventLoop {
         private final ClockTicker ticker;
+        private final LoopTurns turns;
 
-        ClockedEventLoop(IoEventLoopGroup parent, Executor executor, IoHandlerFactory handlers, ProcessClock clock) {
+        ClockedEventLoop(
+                IoEventLoopGroup parent,
+                Executor executor,
+                IoHandlerFactory handlers,
+                ProcessClock clock,
+                LoopTurns turns) {
             super(parent, executor, handlers);
             ticker = new ClockTicker(clock);
+            this.turns = turns;
+        }
+
+        @Override
+        protected boolean runAllTasks(long timeoutNanos) {
+            long began = System.nanoTime();
+            boolean ran = super.runAllTasks(timeoutNanos);
+            long ended = System.nanoTime();
+            turns.onTasksRun(ended - began, ended);
+            return ran;
         }
 
         @Override
--- a/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/net/RelayEventLoopsTest.java
+++ b/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/net/RelayEventLoopsTest.java
@@ -18,7 +18,9 @@
 
     private final MachineClocks machine = new MachineClocks();
     private final ProcessClock clock = new ProcessClock(machine);
-    private final RelayEventLoops group = new RelayEventLoops(clock);
+    private final List<Long> stalls = new CopyOnWriteArrayList<>();
+    private final LoopTurns turns = new LoopTurns(stalls::add);
+    private final RelayEventLoops group = new RelayEventLoops(clock, turns);
     private final EventLoop loop = group.next();
 
     @AfterEach
@@ -82,4 +84,22 @@
         order.add(what);
         ran.countDown();
     }
+
+    /** Guards against a loop that stands still for seconds while neither metrics nor log tell. */
+    @Test
+    void aLongTurnIsRecordedAndReported() throws InterruptedException {
+        CountDownLatch ran = new CountDownLatch(1);
+        loop.execute(() -> {
+            long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(2 * LoopTurns.STALL_MILLIS);
+            while (System.nanoTime() < until) {
+                Thread.onSpinWait();
+            }
+        });
+        // The next turn begins once the long one has been recorded.
+        loop.schedule(ran::countDown, 4 * LoopTurns.STALL_MILLIS, TimeUnit.MILLISECONDS);
+
+        assertThat(ran.await(WAIT_SECONDS, TimeUnit.SECONDS)).isTrue();
+        assertThat(turns.longestSeconds()).isGreaterThanOrEqualTo(2 * LoopTurns.STALL_MILLIS / 1_000.0);
+        assertThat(stalls).hasSizeGreaterThanOrEqualTo(1).allMatch(millis -> millis >= LoopTurns.STALL_MILLIS);
+    }
 }
