Take no part of an earlier answer for the answer to a call of entries and companions

Change: a head that two answers may have made is no answer; a call on a kept connection ends once the client has seen whether bytes are behind its answer, which closes the connection, and then there is none. A connection is kept only after that.

Evidence: ExtraBytesTest of the wire, every cut behind an answer and in front of the next: 4 of 4 red before (two as wrong answers, two since most calls after the extra bytes failed), 4 of 4 hold (4.4 s). AnswerEndTest, EarlyAnswerTest, EndlessAnswerTest, HttpCallerTest hold. A whole earlier answer that arrives alone after the next call was sent isn't told from the answer to that one.

--- a/rattanrudder-wire/src/main/java/org/rattanrudder/wire/http/HttpCall.java
+++ b/rattanrudder-wire/src/main/java/org/rattanrudder/wire/http/HttpCall.java
@@ -5,6 +5,7 @@
 import io.undertow.client.ClientConnection;
 import io.undertow.client.ClientExchange;
 import io.undertow.client.ClientRequest;
+import io.undertow.client.ClientResponse;
 import io.undertow.client.UndertowClient;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.connector.PooledByteBuffer;
@@ -18,6 +19,7 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.rattanrudder.core.call.Header;
@@ -45,6 +47,10 @@
             .set(Options.SEND_BUFFER, SEND_BUFFER_BYTES)
             .getMap();
 
+    /** Headers that frame a body. */
+    private static final Set<HttpString> SINGLE_HEADERS =
+            Set.of(Headers.CONTENT_LENGTH, Headers.TRANSFER_ENCODING, Headers.CONTENT_ENCODING, Headers.CONTENT_TYPE);
+
     private static final int RAW_CHECK_MILLIS = 100;
 
     private final Address address;
@@ -72,6 +78,9 @@
     private boolean reading;
     private boolean ended;
 
+    /** Whether its connection carried another call before. */
+    private boolean pooled;
+
     HttpCall(
             Address address,
             HttpRequest request,
@@ -108,11 +117,12 @@
         });
     }
 
-    void start(PooledConnection pooled) {
+    void start(PooledConnection idle) {
         answer.started(this);
         thread.execute(this::expectWhole);
-        if (pooled != null) {
-            thread.execute(() -> send(pooled));
+        if (idle != null) {
+            pooled = true;
+            thread.execute(() -> send(idle));
             return;
         }
         thread.execute(this::connect);
@@ -255,6 +265,10 @@
             fail("the interim answer " + status + " in place of one");
             return;
         }
+        if (mayBeOfTwoAnswers(exchange.getResponse())) {
+            fail("a head that two answers may have made");
+            return;
+        }
         List<Header> headers = new ArrayList<>();
         for (HeaderValues values : exchange.getResponse().getResponseHeaders()) {
             values.forEach(
@@ -273,6 +287,22 @@
         read();
     }
 
+    /** Returns whether a line that was cut may run on into the head of another answer, or two answers frame a body. */
+    private static boolean mayBeOfTwoAnswers(ClientResponse response) {
+        HeaderMap headers = response.getResponseHeaders();
+        if (!StatusLines.isVersion(response.getProtocol().toString()) || StatusLines.isWithin(response.getStatus())) {
+            return true;
+        }
+        for (HeaderValues values : headers) {
+            boolean withStatusLine = StatusLines.isWithin(values.getHeaderName().toString())
+                    || values.stream().anyMatch(StatusLines::isWithin);
+            if (withStatusLine || values.size() > 1 && SINGLE_HEADERS.contains(values.getHeaderName())) {
+                return true;
+            }
+        }
+        return headers.contains(Headers.CONTENT_LENGTH) && headers.contains(Headers.TRANSFER_ENCODING);
+    }
+
     private void read() {
         // A part that is read may call back into this call; without the mark, the same bytes would be read twice over.
         if (ended || reading || source == null) {
@@ -331,13 +361,27 @@
             fail("the answer ended before its request was sent");
             return;
         }
-        ended = true;
         stopTimers();
-        if (request.reuse()) {
-            pool.keep(address, connection);
-        } else {
+        if (!request.reuse()) {
+            ended = true;
             closeConnection();
+            answer.end(end);
+            return;
+        }
+        // The client closes a connection on which more bytes arrived than the answer, but in a task of its own.
+        thread.execute(this::endReusable);
+    }
+
+    private void endReusable() {
+        if (ended) {
+            return;
         }
+        if (pooled && !connection.isOpen() && end instanceof ResponseEnd.Declared) {
+            fail("bytes behind the answer, which may be an earlier one");
+            return;
+        }
+        ended = true;
+        pool.keep(address, connection);
         answer.end(end);
     }
 
