Close the connection of a call that changes something with its answer

Cause: the connection was left open until the next such call, so that a GET after it reused it, and a second answer to the first could be taken for its own.

--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/net/HttpCallClient.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/net/HttpCallClient.java
@@ -78,6 +78,7 @@
     private Channel channel;
     private Consumer<CallResult> pendingCallback;
     private BooleanSupplier mayWrite;
+    private boolean onOwnConnection;
     private InactivityTimer timeout;
 
     /**
@@ -216,7 +217,8 @@
             closeConnection();
             connectedTo = current;
         }
-        if (!call.method().equals(HttpMethod.GET)) {
+        onOwnConnection = !call.method().equals(HttpMethod.GET);
+        if (onOwnConnection) {
             closeConnection();
         }
         if (channel != null && channel.isActive()) {
@@ -353,7 +355,7 @@
                 return;
             }
             reused = true;
-            complete(whole, !keepAlive || extraBytes);
+            complete(whole, !keepAlive || extraBytes || onOwnConnection);
         }
 
         @Override
--- a/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/net/ExtraBytesTest.java
+++ b/rattanrudder-daemon/src/test/java/org/rattanrudder/daemon/relay/net/ExtraBytesTest.java
@@ -61,7 +61,8 @@
         return Stream.of("length", "chunks")
                 .flatMap(framing -> Stream.of(Arrival.values())
                         .flatMap(arrival -> Stream.of(HttpMethod.GET, HttpMethod.POST)
-                                .map(method -> Arguments.of(framing, arrival, method))));
+                                .flatMap(first -> Stream.of(HttpMethod.GET, HttpMethod.POST)
+                                        .map(next -> Arguments.of(framing, arrival, first, next)))));
     }
 
     private static String answer(String status, String framing, String body) {
@@ -112,7 +113,7 @@
         return read.toString();
     }
 
-    private CallResult callTwice(HttpMethod method) throws Exception {
+    private CallResult callTwice(HttpMethod firstMethod, HttpMethod nextMethod) throws Exception {
         Address address = new Address("127.0.0.1", listening.getLocalPort());
         CompletableFuture<CallResult> second = new CompletableFuture<>();
         group.next().execute(() -> {
@@ -121,7 +122,7 @@
             client.call(
                     call(HttpMethod.GET, "/first"),
                     TIMEOUT_MILLIS,
-                    first -> client.call(call(method, "/next"), CALL_MILLIS, result -> {
+                    first -> client.call(call(nextMethod, "/next"), CALL_MILLIS, result -> {
                         client.close();
                         second.complete(result);
                     }));
@@ -136,7 +137,8 @@
     /** Guards against an order that counts as accepted by a second answer to the report before it. */
     @ParameterizedTest
     @MethodSource("cases")
-    void theAnswerToTheNextCallIsTheRightOneOrNone(String framing, Arrival arrival, HttpMethod next) throws Exception {
+    void theAnswerToTheNextCallIsTheRightOneOrNone(String framing, Arrival arrival, HttpMethod first, HttpMethod next)
+            throws Exception {
         String copy = answer("200 OK", framing, FIRST_BODY);
         List<String> wrong = new ArrayList<>();
         int right = 0;
@@ -144,7 +146,7 @@
         for (int cut = 1; cut <= copy.length(); cut++) {
             beginning = copy.substring(0, cut);
 
-            CallResult result = callTwice(next);
+            CallResult result = callTwice(first, next);
 
             if (result instanceof CallResult.Answered answered) {
                 boolean own = answered.status() == 202
