Build the index of features once for many past crashes, and keep found causes in a class

Cause: a report that drops old crashes had the index built anew, and each past crash had the causes found: a relay that starts reads all crashes of the past two hours at once. Change: dropped crashes are noticed with the next search; past crashes are applied like told answers, once before anything else is asked.

--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/quarantine/CauseFinder.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/quarantine/CauseFinder.java
@@ -92,7 +92,7 @@
 
     /** Finds the causes of all crashes that are known. */
     static CauseFinder find(CrashEvidence evidence, AnsweredFeatures answers) {
-        evidence.index().refresh(answers);
+        evidence.index().refresh(evidence.crashes(), answers);
         CauseFinder finder = new CauseFinder(evidence, answers);
         finder.explain(false);
         finder.collectNearlyBlamed();
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/quarantine/CrashEvidence.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/quarantine/CrashEvidence.java
@@ -168,7 +168,7 @@
             remove(oldest);
         }
         if (crashes.size() < before) {
-            index.rebuild(crashes.values());
+            index.onCrashesDropped();
         }
     }
 
@@ -196,7 +196,7 @@
             remove(oldest);
         }
         if (crashes.size() < before) {
-            index.rebuild(crashes.values());
+            index.onCrashesDropped();
         }
         return crashes.size() < before;
     }
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/quarantine/FeatureIndex.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/quarantine/FeatureIndex.java
@@ -41,6 +41,9 @@
 
     private final Map<InFlightRequest, List<FeatureClass>> classesOfRequests = new HashMap<>();
 
+    /** Whether crashes were dropped: it is built anew with the next refresh, however many are dropped until then. */
+    private boolean crashesDropped;
+
     /** Returns the crashes by their numbers. */
     List<Crash> crashes() {
         return crashes;
@@ -66,6 +69,9 @@
 
     /** Adds a request to a crash. */
     void add(InFlightRequest request) {
+        if (crashesDropped) {
+            return;
+        }
         int number = requests.size();
         requests.add(request);
         request.crash().requestNumbers().set(number);
@@ -102,6 +108,9 @@
 
     /** Handles that the time of a crash, or what was answered before it, may have changed. */
     void onCrashChanged(Crash crash) {
+        if (crashesDropped) {
+            return;
+        }
         crash.requestNumbers().stream()
                 .mapToObj(requests::get)
                 .flatMap(request -> request.features().stream())
@@ -116,8 +125,13 @@
         }
     }
 
-    /** Replaces all that is known. */
-    void rebuild(Collection<Crash> left) {
+    /** Handles that crashes were dropped from the evidence. */
+    void onCrashesDropped() {
+        crashesDropped = true;
+    }
+
+    private void rebuild(Collection<Crash> left) {
+        crashesDropped = false;
         classes.clear();
         groups.clear();
         crashes.clear();
@@ -134,8 +148,15 @@
         });
     }
 
-    /** Applies what has changed since the last refresh to the groups. */
-    void refresh(AnsweredFeatures answers) {
+    /**
+     * Applies what has changed since the last refresh to the groups.
+     *
+     * @param known all crashes that are known
+     */
+    void refresh(Collection<Crash> known, AnsweredFeatures answers) {
+        if (crashesDropped) {
+            rebuild(known);
+        }
         for (FeatureClass each : outdated) {
             each.clear();
             each.features().forEach(feature -> place(feature, each, answers));
--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/quarantine/Quarantine.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/quarantine/Quarantine.java
@@ -1,11 +1,9 @@
 package org.rattanrudder.core.quarantine;
 
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -68,16 +66,15 @@
     private final CauseRecords records = new CauseRecords();
     private final CauseTrials trials = new CauseTrials();
     private final AnswersToTell answersToTell = new AnswersToTell();
-    /** Alternatives to causes, computed when needed and kept until the causes are found anew. */
-    private final Map<Cause, Alternatives> alternatives = new HashMap<>();
-
-    private CauseFinder finder = CauseFinder.find(evidence, answers);
-    private List<Found> found = List.of();
+    private final FoundCauses found = new FoundCauses(evidence, answers);
     private long answeredUpdateAt = Long.MIN_VALUE / 2;
     private boolean stale;
 
-    /** Whether answers were told since the causes were found: many come at once, and the causes are found once. */
-    private boolean answersTold;
+    /**
+     * Whether answers were told, or past crashes read, since the causes were found: many come at once, and the causes
+     * are found once.
+     */
+    private boolean outdated;
 
     /**
      * Records the crash of a target. A report that was recorded before adds nothing: it may be read again.
@@ -85,7 +82,7 @@
      * @param seenLocally whether this relay saw the crash itself; relays that did write and remove the shared record
      */
     public void onCrash(TargetCrash crash, boolean seenLocally, long nowMillis) {
-        applyToldAnswers();
+        updateIfOutdated();
         List<TargetCrash.SuspectRequest> requests = evidence.newRequests(crash);
         evidence.add(crash, seenLocally, true, nowMillis);
         adopted.onCrash(requests, seenLocally, nowMillis);
@@ -97,9 +94,8 @@
      * have had a response since.
      */
     public void onPastCrash(TargetCrash crash, long nowMillis) {
-        applyToldAnswers();
         evidence.add(crash, false, false, nowMillis);
-        update();
+        outdated = true;
     }
 
     /** Returns those of the given features that had an answer lately. */
@@ -115,7 +111,7 @@
      * @param sentAt when the request was sent to the target
      */
     public void onAnswered(Collection<Feature> features, long sentAt, long nowMillis) {
-        applyToldAnswers();
+        updateIfOutdated();
         long clears = isEmpty() ? 0 : lastCrashBefore(sentAt);
         Set<Feature> cleared = new LinkedHashSet<>();
         for (Feature feature : features) {
@@ -161,13 +157,13 @@
     }
 
     private boolean isSuspected(Feature feature) {
-        return finder.isSuspected(feature) || adopted.hasFeature(feature);
+        return found.isSuspected(feature) || adopted.hasFeature(feature);
     }
 
     private void tell(FeatureAnswer answer, long nowMillis) {
-        boolean blamed = Stream.concat(found.stream().map(Found::cause), adopted.causes().stream())
+        boolean blamed = Stream.concat(found.causes(), adopted.causes().stream())
                 .anyMatch(cause -> cause.features().contains(answer.feature()));
-        if (!blamed && finder.suspectedCrashes(answer.feature()) < TOLD_CRASHES) {
+        if (!blamed && found.suspectedCrashes(answer.feature()) < TOLD_CRASHES) {
             return;
         }
         answersToTell.add(answer, nowMillis);
@@ -178,7 +174,7 @@
         answersToTell.onTold(answer, nowMillis);
         answers.record(answer, nowMillis);
         removeAnswered(Set.of(answer.feature()), answer.clearsUpToMillis() > 0 ? nowMillis : 0, false);
-        answersTold = true;
+        outdated = true;
     }
 
     /** Returns the responses that other relays have to know of, and regards them as told. */
@@ -215,10 +211,10 @@
      * @param trialsSoFar how often it was tried
      */
     public void onRecord(Cause cause, int trialsSoFar, long nowMillis) {
-        applyToldAnswers();
+        updateIfOutdated();
         trials.onTold(cause, trialsSoFar, nowMillis);
         records.onRecorded(cause);
-        if (!cause.answeredBefore() && !isFound(cause)) {
+        if (!cause.answeredBefore() && !found.contains(cause)) {
             answeredAmong(cause.features(), nowMillis)
                     .forEach(feature ->
                             answersToTell.add(new FeatureAnswer(feature, answers.clearsUpTo(feature)), nowMillis));
@@ -238,7 +234,7 @@
 
     /** Handles a record from after the listing: of crashes before its start a relay can't find the cause by itself. */
     public void onUnlistedRecord(Cause cause, int trialsSoFar, long nowMillis) {
-        applyToldAnswers();
+        updateIfOutdated();
         boolean known = records.isRecorded(cause);
         onRecord(cause, trialsSoFar, nowMillis);
         if (!known && evidence.hasPastCrash(cause)) {
@@ -247,7 +243,7 @@
     }
 
     private void adopt(Cause cause, boolean foundAtStart, long nowMillis) {
-        if (isFound(cause) || records.isToWithdraw(cause)) {
+        if (found.contains(cause) || records.isToWithdraw(cause)) {
             return;
         }
         Cause left = cause.answeredBefore() ? cause : adopted.withoutAnswered(cause, nowMillis);
@@ -258,23 +254,19 @@
         }
     }
 
-    private boolean isFound(Cause cause) {
-        return found.stream().anyMatch(each -> each.cause().equals(cause));
-    }
-
     /** Handles that this relay has written the record of a cause: it replaces those of less certain ones. */
     public void onRecordWritten(Cause cause) {
-        applyToldAnswers();
-        records.withdrawIf(each -> !isFound(each) && each.features().containsAll(cause.features()));
+        updateIfOutdated();
+        records.withdrawIf(each -> !found.contains(each) && each.features().containsAll(cause.features()));
         records.onWritten(cause);
-        if (!isFound(cause) && !adopted.contains(cause) && !isLeft(cause)) {
+        if (!found.contains(cause) && !adopted.contains(cause) && !isLeft(cause)) {
             records.withdraw(cause);
         }
     }
 
     /** Handles that another relay has withdrawn its record, since the cause is another one or its time has passed. */
     public void onRecordWithdrawn(Cause cause, long nowMillis) {
-        applyToldAnswers();
+        updateIfOutdated();
         records.onWithdrawn(cause);
         adopted.onRecordWithdrawn(cause, nowMillis);
     }
@@ -288,13 +280,13 @@
 
     /** Handles a listing of all records: records that were lost are written again. */
     public void onRecordsListed(Set<Cause> listed) {
-        applyToldAnswers();
+        updateIfOutdated();
         records.onListed(listed);
     }
 
     /** Forgets what is too old, and lifts quarantines whose time has passed. */
     public void expire(long nowMillis) {
-        applyToldAnswers();
+        updateIfOutdated();
         boolean changed = evidence.removeBefore(nowMillis - 2 * QUARANTINE_MILLIS) || stale;
         adopted.expireLapsed(nowMillis);
         answersToTell.expire(nowMillis);
@@ -303,13 +295,13 @@
             expireRecord(cause, adopted.isFoundAtStart(cause));
             adopted.lapse(cause, nowMillis);
         }
-        for (Found each : found) {
+        for (Found each : found.all()) {
             if (nowMillis - each.lastSeenAt() >= QUARANTINE_MILLIS) {
                 expireRecord(each.cause(), each.isSeenLocally());
                 adopted.lapse(each.cause(), nowMillis);
             }
         }
-        if (changed || found.stream().anyMatch(each -> adopted.hasLapsed(each.cause()))) {
+        if (changed || found.causes().anyMatch(adopted::hasLapsed)) {
             update();
         }
     }
@@ -320,9 +312,9 @@
         }
     }
 
-    /** Works out the causes anew if answers were told since. */
-    private void applyToldAnswers() {
-        if (answersTold) {
+    /** Works out the causes anew if what they rest on has changed since. */
+    private void updateIfOutdated() {
+        if (outdated) {
             update();
         }
     }
@@ -330,15 +322,9 @@
     /** Works out the causes anew. */
     private void update() {
         stale = false;
-        answersTold = false;
-        finder = CauseFinder.find(evidence, answers);
-        alternatives.clear();
-        found = finder.causes().stream()
-                .filter(each -> each.cause().isSpecific())
-                .filter(each ->
-                        each.lastSeenAt() > adopted.lapsedAt(each.cause()).orElse(Long.MIN_VALUE))
-                .toList();
-        records.withdrawOwnIf(cause -> !isFound(cause) && !adopted.contains(cause));
+        outdated = false;
+        found.update(each -> each.lastSeenAt() > adopted.lapsedAt(each.cause()).orElse(Long.MIN_VALUE));
+        records.withdrawOwnIf(cause -> !found.contains(cause) && !adopted.contains(cause));
     }
 
     /** Returns for how much longer a request with the given features is quarantined; empty if it isn't. */
@@ -353,11 +339,7 @@
     }
 
     private long since(Cause cause) {
-        return found.stream()
-                .filter(each -> each.cause().equals(cause))
-                .mapToLong(Found::lastSeenAt)
-                .findFirst()
-                .orElseGet(() -> adopted.since(cause));
+        return found.lastSeenAt(cause).orElseGet(() -> adopted.since(cause));
     }
 
     private Stream<Cause> causes(Collection<Feature> request) {
@@ -368,21 +350,16 @@
 
     /** Returns the causes that are quarantined. */
     public Set<Cause> causes() {
-        applyToldAnswers();
+        updateIfOutdated();
         Set<Cause> all = new HashSet<>(adopted.causes());
-        found.forEach(each -> all.add(each.cause()));
+        found.causes().forEach(all::add);
         return all;
     }
 
     /** Returns the targets whose crashes a cause is blamed for; empty if it is known from a shared record only. */
     public List<String> crashedTargets(Cause cause) {
-        applyToldAnswers();
-        return found.stream()
-                .filter(each -> each.cause().equals(cause))
-                .flatMap(each -> each.crashes().stream())
-                .map(Crash::target)
-                .distinct()
-                .toList();
+        updateIfOutdated();
+        return found.crashedTargets(cause);
     }
 
     /** Returns the cause for which a request with the given features is refused, as text; empty if it isn't refused. */
@@ -400,7 +377,7 @@
             return Optional.empty();
         }
         Cause cause = matching.get(0);
-        return trials.isDue(cause, alternativesTo(cause), request, since(cause), nowMillis)
+        return trials.isDue(cause, found.alternativesTo(cause), request, since(cause), nowMillis)
                 ? Optional.of(cause)
                 : Optional.empty();
     }
@@ -422,29 +399,25 @@
             return false;
         }
         Cause cause = matching.get(0);
-        return trials.take(cause, alternativesTo(cause), request, since(cause), nowMillis);
+        return trials.take(cause, found.alternativesTo(cause), request, since(cause), nowMillis);
     }
 
     /** Returns whether several rarer causes may explain the crashes of a cause in its place. */
     public boolean isInDoubt(Cause cause) {
-        applyToldAnswers();
-        return alternativesTo(cause).isDoubtful();
-    }
-
-    private Alternatives alternativesTo(Cause cause) {
-        return alternatives.computeIfAbsent(cause, finder::alternativesTo);
+        updateIfOutdated();
+        return found.alternativesTo(cause).isDoubtful();
     }
 
     /** Returns whether one more crash would quarantine a request with the given features. */
     public boolean isOneCrashFromQuarantine(Collection<Feature> request, long nowMillis) {
-        applyToldAnswers();
-        return request.stream().anyMatch(finder::isNearlyBlamed) || adopted.isLapsedMatchedBy(request, nowMillis);
+        updateIfOutdated();
+        return request.stream().anyMatch(found::isNearlyBlamed) || adopted.isLapsedMatchedBy(request, nowMillis);
     }
 
     /** Returns whether any cause is quarantined. */
     public boolean hasCauses() {
-        applyToldAnswers();
-        return !found.isEmpty() || !adopted.causes().isEmpty();
+        updateIfOutdated();
+        return !found.all().isEmpty() || !adopted.causes().isEmpty();
     }
 
     /** Returns whether nothing is suspected or quarantined. */
@@ -454,8 +427,8 @@
 
     /** Returns the number of features that may be the cause of a crash. */
     public int suspectCount() {
-        applyToldAnswers();
-        return finder.suspectCount();
+        updateIfOutdated();
+        return found.suspectCount();
     }
 
     /** Returns the number of causes that are quarantined. */
@@ -465,8 +438,8 @@
 
     /** Returns the causes whose record this relay has to write. */
     public List<Cause> recordsToWrite() {
-        applyToldAnswers();
-        return found.stream()
+        updateIfOutdated();
+        return found.all().stream()
                 .filter(Found::isSeenLocally)
                 .map(Found::cause)
                 .filter(cause -> !records.isRecorded(cause) && !records.isToWithdraw(cause))
@@ -475,7 +448,7 @@
 
     /** Returns the causes whose record this relay has to withdraw. */
     public List<Cause> recordsToWithdraw() {
-        applyToldAnswers();
+        updateIfOutdated();
         return records.toWithdraw();
     }
 }
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/quarantine/CauseFinderModelTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/quarantine/CauseFinderModelTest.java
@@ -111,7 +111,10 @@
             @ForAll @IntRange(min = 1, max = 3) int causes) {
         History history = new History(seed, prompts, shared, causes);
         for (int step = 0; step < STEPS; step++) {
-            history.step();
+            // Several changes at once are applied as one by one.
+            for (int more = history.random.nextInt(4) == 0 ? 3 : 1; more > 0; more--) {
+                history.step();
+            }
 
             CauseFinder finder = CauseFinder.find(history.evidence, history.answers);
             ReferenceCauseFinder reference = ReferenceCauseFinder.find(history.evidence, history.answers);
--- a/rattanrudder-core/src/test/java/org/rattanrudder/core/quarantine/QuarantineCostTest.java
+++ b/rattanrudder-core/src/test/java/org/rattanrudder/core/quarantine/QuarantineCostTest.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.rattanrudder.core.quarantine.Feature.Kind;
@@ -140,10 +141,33 @@
         assertThat(Cost.millis(cost.allAnswersNanos())).as(cost.toString()).isLessThan(MAX_TOLD_MILLIS);
     }
 
+    /** Guards against a relay that stands still at its start, when it reads all crashes of the past at once. */
+    @Test
+    void crashesOfThePastHoldARelayUpForLessThanARequestMayBeLate() {
+        assertThat(Cost.millis(pastCrashesNanos(700, 12, 100))).isLessThan(MAX_TURN_MILLIS);
+    }
+
+    private static long pastCrashesNanos(int parts, int requests, int crashes) {
+        Quarantine quarantine = new Quarantine();
+        List<TargetCrash> reports = new ArrayList<>();
+        for (int crash = 0; crash < crashes; crash++) {
+            List<SuspectRequest> inFlight = new ArrayList<>();
+            for (int number = 0; number < requests; number++) {
+                inFlight.add(new SuspectRequest(request(Parts.SAME, parts, parts / 2, crash, number), 300));
+            }
+            reports.add(new TargetCrash("i-" + crash, crash, UNIX + crash * GAP_MILLIS, inFlight, Set.of()));
+        }
+        return nanos(() -> {
+            reports.forEach(report -> quarantine.onPastCrash(report, 0));
+            return quarantine.quarantinedCount();
+        });
+    }
+
     /** Prints the costs for prompts of more and more parts. */
     public static void main(String[] arguments) {
         measure(Parts.DRAWN, 100, 50, 12, 3);
         measure(Parts.SAME, 30, 15, 60, 24);
+        System.out.printf("100 past crashes, 700 parts: %.1f ms%n", pastCrashesNanos(700, 12, 100) / 1e6);
         for (Parts choice : Parts.values()) {
             for (int parts : new int[] {100, 300, 700, 1_400, 2_700}) {
                 print(choice, parts, 0, 12, 3);
