--- a/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
+++ b/rattanrudder-daemon/src/main/java/org/rattanrudder/daemon/relay/RelayProcess.java
@@ -110,13 +110,7 @@
                 fetchLateness));
         targetStateLog = new TargetStateLog(state);
         shutdown = new GracefulShutdown(state, callers, this::stopListening);
-        new CapacityGauges(state).register();
-        state.metrics()
-                .gauge(
-                        "rattanrudder_relay_event_loop_longest_turn_seconds",
-                        "The longest turn of the event loop in the last one to two minutes",
-                        turns::longestSeconds);
-        state.metrics().gauge("rattanrudder_relay_connections", "Callers' connections", callers::size);
+        registerGauges(turns);
         callerListener = listen(group, settings.callers(), callers.channels());
         listen(group, settings.readiness(), StatusServer.readiness(state));
         listen(group, settings.metrics(), StatusServer.metrics(state.metrics()));
@@ -145,6 +139,16 @@
         loop.execute(this::startComponents);
     }
 
+    private void registerGauges(LoopTurns turns) {
+        new CapacityGauges(state).register();
+        state.metrics()
+                .gauge(
+                        "rattanrudder_relay_event_loop_longest_turn_seconds",
+                        "The longest turn of the event loop in the last one to two minutes",
+                        turns::longestSeconds);
+        state.metrics().gauge("rattanrudder_relay_connections", "Callers' connections", callers::size);
+    }
+
     private Channel listen(EventLoopGroup group, Address address, ChannelInitializer<Channel> channels)
             throws IOException {
         try {
