--- a/rattanrudder-core/src/main/java/org/rattanrudder/core/quarantine/CauseFinder.java
+++ b/rattanrudder-core/src/main/java/org/rattanrudder/core/quarantine/CauseFinder.java
@@ -46,6 +46,7 @@
     private final List<Found> causes = new ArrayList<>();
     private final Set<FeatureGroup> nearlyBlamed = new HashSet<>();
 
+    /** What requests have in common; kept while the causes are found. */
     private final Map<Requests, Set<FeatureGroup>> common = new HashMap<>();
 
     /**
